--- /dev/null
+++ b/org.fawndrum.daemon/src/org/fawndrum/daemon/DaemonMain.java
@@ -0,0 +1,41 @@
+// SPDX-License-Identifier: Apache-2.0
+package org.fawndrum.daemon;
+
+import java.nio.file.Path;
+import org.fawndrum.errors.BadSettingsException;
+import org.fawndrum.settings.HostSettings;
+import org.fawndrum.settings.ReadSettings;
+import org.kohsuke.args4j.Argument;
+import org.kohsuke.args4j.CmdLineException;
+import org.kohsuke.args4j.CmdLineParser;
+
+/** Starts the daemon of an entry host: {@code fawndrumd SETTINGS}. */
+public final class DaemonMain {
+  private static final int USAGE = 2;
+
+  @Argument(index = 0, required = true, metaVar = "SETTINGS", usage = "the settings file")
+  private String file;
+
+  private DaemonMain() {}
+
+  /** Runs the daemon. Exit codes: 0 stopped, 1 failed, 2 wrong settings or usage. */
+  public static void main(String[] args) {
+    LogSetup.chooseBackEnd();
+    DaemonMain main = new DaemonMain();
+    CmdLineParser parser = new CmdLineParser(main);
+    try {
+      parser.parseArgument(args);
+      HostSettings settings = new ReadSettings(Path.of(main.file)).call();
+      LogSetup.configure(settings.jsonLog(), settings.debugLog());
+      new RunDaemon(settings, main.file).call();
+    } catch (CmdLineException e) {
+      System.err.println(e.getMessage());
+      parser.printUsage(System.err);
+      System.exit(USAGE);
+    } catch (BadSettingsException e) {
+      System.err.println("settings " + main.file + ":");
+      e.faults().forEach(fault -> System.err.println("  " + fault));
+      System.exit(USAGE);
+    }
+  }
+}
--- /dev/null
+++ b/org.fawndrum.daemon/src/org/fawndrum/daemon/RunDaemon.java
@@ -0,0 +1,60 @@
+// SPDX-License-Identifier: Apache-2.0
+package org.fawndrum.daemon;
+
+import io.vertx.core.Deployable;
+import io.vertx.core.Future;
+import io.vertx.core.VerticleBase;
+import io.vertx.launcher.application.HookContext;
+import io.vertx.launcher.application.VertxApplication;
+import io.vertx.launcher.application.VertxApplicationHooks;
+import java.util.function.Supplier;
+import org.fawndrum.settings.HostSettings;
+import org.fawndrum.transport.EntryHostRuntime;
+import org.fawndrum.transport.HostClock;
+
+/** Runs one entry host under the Vert.x launcher until a signal ends it. */
+final class RunDaemon {
+  private static final int FAILED = 1;
+  private static final int USAGE = 2;
+
+  private final HostSettings settings;
+  private final String file;
+
+  RunDaemon(HostSettings settings, String file) {
+    this.settings = settings;
+    this.file = file;
+  }
+
+  void call() {
+    new VertxApplication(new String[0], new Hooks()).launch();
+  }
+
+  /** Tells the launcher what to run and what to do when it cannot. */
+  private final class Hooks implements VertxApplicationHooks {
+    @Override
+    public Supplier<? extends Deployable> verticleSupplier() {
+      return Host::new;
+    }
+
+    @Override
+    public void afterFailureToDeployVerticle(HookContext context, Throwable cause) {
+      if (cause instanceof java.net.BindException) {
+        System.err.println("settings " + file + ":");
+        System.err.println("  " + cause.getMessage() + ": give it a free address of this host");
+        System.exit(USAGE);
+      }
+      System.err.println(cause);
+      System.exit(FAILED);
+    }
+  }
+
+  /** The host as a unit that the launcher deploys. */
+  private final class Host extends VerticleBase {
+    @Override
+    public Future<?> start() {
+      EntryHostRuntime host =
+          new EntryHostRuntime(vertx, settings, HostClock.system(), System.currentTimeMillis());
+      return host.start().onSuccess(v -> StopSignals.install(vertx, host));
+    }
+  }
+}
--- /dev/null
+++ b/org.fawndrum.pgm/src/org/fawndrum/pgm/DecisionLine.java
@@ -0,0 +1,49 @@
+// SPDX-License-Identifier: Apache-2.0
+package org.fawndrum.pgm;
+
+import java.time.Instant;
+import java.util.Locale;
+import org.fawndrum.protocol.OperatorMessages.DecisionView;
+import org.fawndrum.protocol.OperatorMessages.PassedOverView;
+
+/** Prints a decision as one line for people. */
+final class DecisionLine {
+  private DecisionLine() {}
+
+  static String of(DecisionView decision) {
+    StringBuilder line = new StringBuilder();
+    line.append(
+        String.format(
+            Locale.ROOT,
+            "%s +%dms %s %s/%s %s %d tokens: %s (%s)",
+            Instant.ofEpochMilli(decision.atMs()),
+            decision.sinceArrivalMs(),
+            decision.request(),
+            decision.workspace(),
+            decision.className(),
+            decision.target(),
+            decision.promptTokens(),
+            decision.decision(),
+            decision.reason()));
+    append(line, " at ", decision.endpoint());
+    append(line, " ", decision.refusal());
+    append(line, ", ran ", decision.ran());
+    if (decision.retryAfterMs() != null && decision.retryAfterMs() >= 0) {
+      line.append(", come back in ").append(decision.retryAfterMs()).append(" ms");
+    }
+    append(line, ", cell ", decision.cell());
+    if (decision.passedOver() != null) {
+      line.append(", passed over");
+      for (PassedOverView one : decision.passedOver()) {
+        line.append(' ').append(one.endpoint()).append('=').append(one.expectedMs()).append("ms");
+      }
+    }
+    return line.toString();
+  }
+
+  private static void append(StringBuilder line, String before, String value) {
+    if (value != null) {
+      line.append(before).append(value);
+    }
+  }
+}
--- /dev/null
+++ b/org.fawndrum/src/org/fawndrum/coordination/Admission.java
@@ -0,0 +1,95 @@
+// SPDX-License-Identifier: Apache-2.0
+package org.fawndrum.coordination;
+
+import java.util.List;
+import java.util.Optional;
+import org.fawndrum.state.CellKey;
+import org.fawndrum.state.Column;
+import org.fawndrum.state.EndpointKind;
+
+/** Decides whether a request may wait or run at all, and if not, when it may come back. */
+final class Admission {
+  /** The shortest time after which a refused caller is asked back, in milliseconds. */
+  static final long SHORTEST_RETRY_MS = 100;
+
+  /** The time after which a caller is asked back when only other hosts can help sooner. */
+  static final long OTHER_HOST_RETRY_MS = 1_000;
+
+  private static final double MS_PER_SECOND = 1000.0;
+
+  private final WaitingRequests waiting;
+  private final DrainRate drained;
+  private final EndpointBook endpoints;
+  private final boolean refuseEarly;
+
+  Admission(
+      WaitingRequests waiting, DrainRate drained, EndpointBook endpoints, boolean refuseEarly) {
+    this.waiting = waiting;
+    this.drained = drained;
+    this.endpoints = endpoints;
+    this.refuseEarly = refuseEarly;
+  }
+
+  /** Returns why the request is refused, or null when it is admitted. */
+  Refusal check(LiveRequest request, GroupUsage usage, long nowMs) {
+    RequestFacts facts = request.facts;
+    if (facts.target().kind() == EndpointKind.MODEL
+        && !usage.row().allowsModel(facts.target().name())) {
+      return byCell(RefusalKind.MODEL_NOT_ALLOWED, Refusal.NEVER, facts, Column.MODELS);
+    }
+    if (endpoints.serving(facts.target()).isEmpty()) {
+      return Refusal.of(RefusalKind.NO_ENDPOINT, Ran.NO, OTHER_HOST_RETRY_MS);
+    }
+    if (usage.inFlight >= usage.inFlightLimit()) {
+      long retryMs = Math.max(SHORTEST_RETRY_MS, expectedWaitMs(facts, nowMs));
+      return byCell(RefusalKind.IN_FLIGHT_LIMIT, retryMs, facts, Column.IN_FLIGHT);
+    }
+    if (usage.waiting >= usage.row().number(Column.QUEUE_LENGTH)) {
+      long retryMs = Math.max(SHORTEST_RETRY_MS, expectedWaitMs(facts, nowMs) / 2);
+      return byCell(RefusalKind.QUEUE_FULL, retryMs, facts, Column.QUEUE_LENGTH);
+    }
+    Refusal late = refuseEarly ? cannotFinish(request, nowMs) : null;
+    if (late != null) {
+      return late;
+    }
+    long rateWaitMs = usage.takeRates(facts.workTokens(), nowMs);
+    if (rateWaitMs > 0) {
+      return byCell(RefusalKind.RATE_LIMITED, rateWaitMs, facts, usage.usedUp(nowMs));
+    }
+    return null;
+  }
+
+  private Refusal cannotFinish(LiveRequest request, long nowMs) {
+    long endMs = nowMs + expectedWaitMs(request.facts, nowMs) + shortestServiceMs(request.facts);
+    if (endMs <= request.deadlineMs) {
+      return null;
+    }
+    long retryMs = Math.max(SHORTEST_RETRY_MS, endMs - request.deadlineMs);
+    return byCell(RefusalKind.CANNOT_FINISH, retryMs, request.facts, Column.DEADLINE_MS);
+  }
+
+  private static Refusal byCell(RefusalKind kind, long retryMs, RequestFacts facts, Column column) {
+    return new Refusal(kind, Ran.NO, retryMs, Optional.of(new CellKey(facts.group(), column)));
+  }
+
+  /** Returns how long a request would wait behind what waits now, in milliseconds. */
+  long expectedWaitMs(RequestFacts facts, long nowMs) {
+    long ahead = waiting.tokensAhead(facts);
+    double rate = drained.tokensPerSecond(facts.target(), nowMs);
+    return ahead == 0 || rate <= 0 ? 0 : (long) (ahead / rate * MS_PER_SECOND);
+  }
+
+  /** Returns the time to the first token on the fastest endpoint if it were idle. */
+  long shortestServiceMs(RequestFacts facts) {
+    if (facts.target().kind() == EndpointKind.PLAIN) {
+      return 0;
+    }
+    List<EndpointState> serving = endpoints.serving(facts.target());
+    long fastest = 1;
+    int look = Math.min(serving.size(), 8);
+    for (int i = 0; i < look; i++) {
+      fastest = Math.max(fastest, serving.get(i).tokensPerSecond());
+    }
+    return (long) (facts.promptTokens() * MS_PER_SECOND / fastest);
+  }
+}
--- /dev/null
+++ b/org.fawndrum/src/org/fawndrum/coordination/AttemptId.java
@@ -0,0 +1,18 @@
+// SPDX-License-Identifier: Apache-2.0
+package org.fawndrum.coordination;
+
+import org.fawndrum.state.HostIdentity;
+
+/**
+ * One sending of a request to one endpoint.
+ *
+ * @param owner the daemon incarnation that sends
+ * @param requestId the request
+ * @param number counts the attempts of the request from 1
+ */
+public record AttemptId(HostIdentity owner, String requestId, int number) {
+  @Override
+  public String toString() {
+    return owner + "/" + requestId + "/" + number;
+  }
+}
--- /dev/null
+++ b/org.fawndrum/src/org/fawndrum/coordination/AttemptStates.java
@@ -0,0 +1,48 @@
+// SPDX-License-Identifier: Apache-2.0
+package org.fawndrum.coordination;
+
+/**
+ * The transitions of an attempt. "Not run" can only come from where nothing was sent, or by word.
+ */
+public final class AttemptStates {
+  private AttemptStates() {}
+
+  /**
+   * Returns the state after an event. An ended attempt stays as it is: late events change nothing,
+   * but a late answer to an attempt of unknown outcome proves that it ran.
+   */
+  public static AttemptState after(AttemptState state, AttemptEvent event) {
+    if (state == AttemptState.UNKNOWN) {
+      return afterUnknown(event);
+    }
+    if (state.ended()) {
+      return state;
+    }
+    return switch (event) {
+      case SENDING -> state == AttemptState.WAITING ? AttemptState.SENT : state;
+      case CONNECT_FAILED ->
+          state == AttemptState.RUNNING ? AttemptState.FAILED : AttemptState.NOT_RUN;
+      case REFUSED_BY_ENDPOINT ->
+          state == AttemptState.RUNNING ? AttemptState.FAILED : AttemptState.NOT_RUN;
+      case ANSWERING -> AttemptState.RUNNING;
+      case ANSWERED -> AttemptState.DONE;
+      case FAILED_BY_ENDPOINT -> AttemptState.FAILED;
+      case LOST -> lost(state);
+    };
+  }
+
+  private static AttemptState afterUnknown(AttemptEvent event) {
+    return switch (event) {
+      case ANSWERING, ANSWERED, FAILED_BY_ENDPOINT -> AttemptState.FAILED;
+      default -> AttemptState.UNKNOWN;
+    };
+  }
+
+  private static AttemptState lost(AttemptState state) {
+    return switch (state) {
+      case WAITING -> AttemptState.NOT_RUN;
+      case SENT -> AttemptState.UNKNOWN;
+      default -> AttemptState.FAILED;
+    };
+  }
+}
--- /dev/null
+++ b/org.fawndrum/src/org/fawndrum/coordination/EndpointBook.java
@@ -0,0 +1,63 @@
+// SPDX-License-Identifier: Apache-2.0
+package org.fawndrum.coordination;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.fawndrum.state.Endpoint;
+import org.fawndrum.state.HostIdentity;
+
+/**
+ * The endpoints that may get new work, by what they serve, and those that only finish what they
+ * have. Confined to one thread.
+ */
+final class EndpointBook {
+  private final Map<HostIdentity, EndpointState> states = new HashMap<>();
+  private final Map<RequestTarget, List<EndpointState>> open = new HashMap<>();
+
+  /**
+   * Takes over the endpoints that may get new work. Endpoints not named get none any more; what
+   * they have in flight goes on.
+   */
+  void offer(Collection<Endpoint> endpoints) {
+    Map<HostIdentity, EndpointState> kept = new HashMap<>();
+    open.clear();
+    for (Endpoint endpoint : endpoints) {
+      EndpointState state = states.get(endpoint.identity());
+      if (state == null) {
+        state = new EndpointState(endpoint);
+      } else {
+        state.describe(endpoint);
+      }
+      kept.put(endpoint.identity(), state);
+      for (String name : endpoint.serves()) {
+        RequestTarget target = new RequestTarget(endpoint.kind(), name);
+        open.computeIfAbsent(target, key -> new ArrayList<>()).add(state);
+      }
+    }
+    for (EndpointState state : states.values()) {
+      if (state.inFlight() > 0) {
+        kept.putIfAbsent(state.endpoint().identity(), state);
+      }
+    }
+    states.clear();
+    states.putAll(kept);
+  }
+
+  /** Returns the endpoints that may get new work for a target; empty when there are none. */
+  List<EndpointState> serving(RequestTarget target) {
+    return open.getOrDefault(target, List.of());
+  }
+
+  /** Returns the state of an endpoint incarnation, or null when it is not known. */
+  EndpointState state(HostIdentity identity) {
+    return states.get(identity);
+  }
+
+  /** Returns every state known. */
+  Collection<EndpointState> all() {
+    return states.values();
+  }
+}
--- /dev/null
+++ b/org.fawndrum/src/org/fawndrum/coordination/EndpointState.java
@@ -0,0 +1,156 @@
+// SPDX-License-Identifier: Apache-2.0
+package org.fawndrum.coordination;
+
+import java.util.HashMap;
+import java.util.Map;
+import org.fawndrum.state.Endpoint;
+
+/**
+ * What this host knows of one endpoint incarnation: its last load report and what this host has
+ * sent since that the report cannot contain yet. Confined to one thread.
+ */
+public final class EndpointState {
+  /** Assumed speed of an engine that has not reported yet, in prompt tokens a second. */
+  public static final long ASSUMED_TOKENS_PER_SECOND = 20_000;
+
+  private static final long FIRST_BACKOFF_MS = 500;
+  private static final long LONGEST_BACKOFF_MS = 8_000;
+  private static final double MS_PER_SECOND = 1000.0;
+
+  private Endpoint endpoint;
+  private LoadReport report;
+  private long reportedAtMs;
+  private final Map<AttemptId, Sent> sent = new HashMap<>();
+  private final long[] unreported = new long[LoadReport.PRIORITIES];
+  private long unreportedMemory;
+  private int failuresInRow;
+  private long avoidUntilMs;
+  private final CachedPrefixes prefixes = new CachedPrefixes();
+
+  /** What one attempt adds to the endpoint's load. */
+  private static final class Sent {
+    final int priority;
+    final long promptTokens;
+    final long memoryTokens;
+    final long sentAtMs;
+    boolean reported;
+
+    Sent(int priority, long promptTokens, long memoryTokens, long sentAtMs) {
+      this.priority = priority;
+      this.promptTokens = promptTokens;
+      this.memoryTokens = memoryTokens;
+      this.sentAtMs = sentAtMs;
+    }
+  }
+
+  EndpointState(Endpoint endpoint) {
+    this.endpoint = endpoint;
+  }
+
+  /** Returns the endpoint. */
+  public Endpoint endpoint() {
+    return endpoint;
+  }
+
+  void describe(Endpoint newer) {
+    endpoint = newer;
+  }
+
+  /** Returns how many attempts of this host are on the endpoint. */
+  public int inFlight() {
+    return sent.size();
+  }
+
+  /** Returns what is known of the endpoint's prefix cache. */
+  CachedPrefixes prefixes() {
+    return prefixes;
+  }
+
+  /** Takes a load report, unless a newer one is known. */
+  void reported(LoadReport newer, long nowMs) {
+    if (report != null && newer.sequence() <= report.sequence()) {
+      return;
+    }
+    long coversUntilMs = reportedAtMs;
+    report = newer;
+    reportedAtMs = nowMs;
+    for (Sent one : sent.values()) {
+      // A report may have been made before what was sent since the one before it had arrived.
+      if (!one.reported && one.sentAtMs <= coversUntilMs) {
+        one.reported = true;
+        unreported[one.priority] -= one.promptTokens;
+        unreportedMemory -= one.memoryTokens;
+      }
+    }
+  }
+
+  void sending(AttemptId attempt, int priority, long promptTokens, long memory, long nowMs) {
+    sent.put(attempt, new Sent(priority, promptTokens, memory, nowMs));
+    unreported[priority] += promptTokens;
+    unreportedMemory += memory;
+  }
+
+  /** Takes note that an attempt has ended or its prompt has been read. */
+  void ended(AttemptId attempt) {
+    Sent one = sent.remove(attempt);
+    if (one != null && !one.reported) {
+      unreported[one.priority] -= one.promptTokens;
+      unreportedMemory -= one.memoryTokens;
+    }
+  }
+
+  /** Takes note that an attempt's prompt has been read, so that it is no backlog any more. */
+  void promptRead(AttemptId attempt) {
+    Sent one = sent.get(attempt);
+    if (one != null && !one.reported) {
+      one.reported = true;
+      unreported[one.priority] -= one.promptTokens;
+      unreportedMemory -= one.memoryTokens;
+    }
+  }
+
+  void failed(long nowMs) {
+    failuresInRow++;
+    int doublings = Math.min(failuresInRow - 1, 4);
+    avoidUntilMs = nowMs + Math.min(LONGEST_BACKOFF_MS, FIRST_BACKOFF_MS << doublings);
+  }
+
+  void answered() {
+    failuresInRow = 0;
+    avoidUntilMs = 0;
+  }
+
+  /** Tells whether the endpoint failed so recently that it gets no new work. */
+  public boolean avoided(long nowMs) {
+    return nowMs < avoidUntilMs;
+  }
+
+  /** Returns when the endpoint may be tried again, in milliseconds of the host's clock. */
+  long avoidedUntilMs() {
+    return avoidUntilMs;
+  }
+
+  /** Returns the engine's reading speed in prompt tokens a second. */
+  public long tokensPerSecond() {
+    return report == null ? ASSUMED_TOKENS_PER_SECOND : Math.max(1, report.tokensPerSecond());
+  }
+
+  /** Returns the prompt tokens that wait at a priority or above it, as well as is known. */
+  public long backlogFrom(int priority, long nowMs) {
+    long own = 0;
+    for (int p = priority; p < unreported.length; p++) {
+      own += unreported[p];
+    }
+    if (report == null) {
+      return own;
+    }
+    long worked = (long) ((nowMs - reportedAtMs) / MS_PER_SECOND * tokensPerSecond());
+    return own + Math.max(0, report.backlogFrom(priority) - worked);
+  }
+
+  /** Returns the cache memory that is free, as well as is known, in tokens. */
+  public long freeTokens() {
+    long free = report == null ? endpoint.memoryTokens() : report.freeTokens();
+    return free - unreportedMemory;
+  }
+}
--- /dev/null
+++ b/org.fawndrum/src/org/fawndrum/coordination/LiveRequest.java
@@ -0,0 +1,61 @@
+// SPDX-License-Identifier: Apache-2.0
+package org.fawndrum.coordination;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import org.fawndrum.state.HostIdentity;
+import org.fawndrum.state.Row;
+
+/** A request that has no final answer yet. Confined to the decisions' thread. */
+final class LiveRequest {
+  final RequestFacts facts;
+  final Row row;
+  final long deadlineMs;
+  final int priority;
+  final List<Attempt> attempts = new ArrayList<>(1);
+  final Set<HostIdentity> excluded = new HashSet<>(0);
+  boolean waiting;
+  boolean shownWaiting;
+  boolean firstTokenSeen;
+
+  /** One attempt with its endpoint and where it stands. */
+  static final class Attempt {
+    final AttemptId id;
+    final EndpointState endpoint;
+    AttemptState state = AttemptState.WAITING;
+
+    Attempt(AttemptId id, EndpointState endpoint) {
+      this.id = id;
+      this.endpoint = endpoint;
+    }
+  }
+
+  LiveRequest(RequestFacts facts, Row row, long deadlineMs, int priority) {
+    this.facts = facts;
+    this.row = row;
+    this.deadlineMs = deadlineMs;
+    this.priority = priority;
+  }
+
+  Attempt last() {
+    return attempts.isEmpty() ? null : attempts.get(attempts.size() - 1);
+  }
+
+  Attempt attempt(int number) {
+    return number >= 1 && number <= attempts.size() ? attempts.get(number - 1) : null;
+  }
+
+  /** Returns what all attempts together prove: "no" only if none can have run. */
+  Ran ran() {
+    Ran ran = Ran.NO;
+    for (Attempt attempt : attempts) {
+      Ran one = attempt.state.ran();
+      if (one.compareTo(ran) > 0) {
+        ran = one;
+      }
+    }
+    return ran;
+  }
+}
--- /dev/null
+++ b/org.fawndrum/src/org/fawndrum/coordination/Placement.java
@@ -0,0 +1,45 @@
+// SPDX-License-Identifier: Apache-2.0
+package org.fawndrum.coordination;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import org.fawndrum.state.HostIdentity;
+
+/** Chooses the endpoint for a request, or none when it should wait. */
+public interface Placement {
+  /** Returns the choice; empty when no endpoint should take the request now. */
+  Optional<Choice> choose(Query query);
+
+  /**
+   * What a choice is made from.
+   *
+   * @param facts the request
+   * @param priority its priority at the engine
+   * @param candidates the endpoints that serve its target; not to be changed
+   * @param excluded endpoints that already failed the request
+   * @param zone the availability zone of this host
+   * @param nowMs the time
+   */
+  record Query(
+      RequestFacts facts,
+      int priority,
+      List<EndpointState> candidates,
+      Set<HostIdentity> excluded,
+      String zone,
+      long nowMs) {
+    /** Tells whether an endpoint may be used at all. */
+    public boolean usable(EndpointState state) {
+      return !state.avoided(nowMs) && !excluded.contains(state.endpoint().identity());
+    }
+  }
+
+  /**
+   * A chosen endpoint.
+   *
+   * @param state the endpoint
+   * @param reason why
+   * @param passedOver the nearest endpoints not chosen
+   */
+  record Choice(EndpointState state, Reason reason, List<PassedOver> passedOver) {}
+}
--- /dev/null
+++ b/org.fawndrum/src/org/fawndrum/coordination/Policies.java
@@ -0,0 +1,54 @@
+// SPDX-License-Identifier: Apache-2.0
+package org.fawndrum.coordination;
+
+/**
+ * The exchangeable parts of the decisions of one host. Each instance belongs to one coordinator.
+ *
+ * @param placement chooses endpoints
+ * @param order orders caller groups
+ * @param lengths tells short prompts from long ones
+ * @param retries the budget for sending again
+ * @param mostAttempts the most attempts for one request
+ * @param refuseEarly whether a request that cannot finish in time is refused before it waits
+ */
+public record Policies(
+    Placement placement,
+    QueueOrder order,
+    LengthMix lengths,
+    RetryBudget retries,
+    int mostAttempts,
+    boolean refuseEarly) {
+  private static final double SHORT_PART = 0.5;
+  private static final double RETRY_PART = 0.1;
+  private static final double RETRY_RESERVE = 10;
+  private static final int MOST_ATTEMPTS = 4;
+  private static final double SHORT_CREDIT = 200_000;
+
+  /** Returns the policies that daemons use. */
+  public static Policies standard() {
+    return with(
+        new ExpectedFinishPlacement(ExpectedFinishPlacement.Settings.DEFAULT),
+        new FairWorkOrder(SHORT_CREDIT),
+        true);
+  }
+
+  /** Returns the first baseline: first come, first served, each endpoint in turn. */
+  public static Policies firstComeRoundRobin() {
+    return with(new RoundRobinPlacement(), new FirstComeOrder(), false);
+  }
+
+  /** Returns the second baseline: first come, first served, fewest in flight. */
+  public static Policies firstComeLeastInFlight() {
+    return with(new LeastInFlightPlacement(), new FirstComeOrder(), false);
+  }
+
+  private static Policies with(Placement placement, QueueOrder order, boolean refuseEarly) {
+    return new Policies(
+        placement,
+        order,
+        new LengthMix(SHORT_PART),
+        new RetryBudget(RETRY_PART, RETRY_RESERVE),
+        MOST_ATTEMPTS,
+        refuseEarly);
+  }
+}
--- /dev/null
+++ b/org.fawndrum/src/org/fawndrum/coordination/RequestCoordinator.java
@@ -0,0 +1,362 @@
+// SPDX-License-Identifier: Apache-2.0
+package org.fawndrum.coordination;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.PriorityQueue;
+import org.fawndrum.state.CallerGroup;
+import org.fawndrum.state.CellKey;
+import org.fawndrum.state.Column;
+import org.fawndrum.state.Endpoint;
+import org.fawndrum.state.EndpointKind;
+import org.fawndrum.state.HostIdentity;
+import org.fawndrum.state.Row;
+import org.fawndrum.state.TableRevision;
+
+/**
+ * The decisions of one entry host over its requests: which run now, which wait, which are refused.
+ * Takes events with their time and gives back actions. Confined to one thread; reads no clock.
+ */
+public final class RequestCoordinator {
+  private final HostIdentity self;
+  private final String zone;
+  private final Policies policies;
+  private final EndpointBook endpoints = new EndpointBook();
+  private final WaitingRequests waiting;
+  private final DrainRate drained = new DrainRate();
+  private final Admission admission;
+  private final Map<CallerGroup, GroupUsage> usages = new HashMap<>();
+  private final Map<String, LiveRequest> requests = new HashMap<>();
+  private final PriorityQueue<Check> checks =
+      new PriorityQueue<>(Comparator.comparingLong(Check::atMs));
+  private final List<Action> out = new ArrayList<>();
+  private final Explainer explainer = new Explainer(out);
+  private TableRevision table = TableRevision.EMPTY;
+  private boolean draining;
+
+  /** A time at which a request is looked at again. */
+  private record Check(long atMs, String requestId) {}
+
+  /**
+   * Makes the coordinator of a host that has just started.
+   *
+   * @param self this incarnation
+   * @param zone its availability zone
+   * @param policies the exchangeable parts, owned by this coordinator
+   */
+  public RequestCoordinator(HostIdentity self, String zone, Policies policies) {
+    this.self = self;
+    this.zone = zone;
+    this.policies = policies;
+    this.waiting = new WaitingRequests(policies.order(), policies.lengths());
+    this.admission = new Admission(waiting, drained, endpoints, policies.refuseEarly());
+  }
+
+  /** Takes over a newer table; an older one is passed over. */
+  public List<Action> table(TableRevision newer, long nowMs) {
+    if (newer.position() > table.position()) {
+      table = newer;
+      usages.forEach(
+          (group, usage) -> usage.update(newer.row(group).orElse(usage.row()), 1.0, nowMs));
+    }
+    return flush(nowMs);
+  }
+
+  /** Takes over the endpoints that may get new work. */
+  public List<Action> endpoints(Collection<Endpoint> open, long nowMs) {
+    endpoints.offer(open);
+    return flush(nowMs);
+  }
+
+  /** Takes a load report of an endpoint. */
+  public List<Action> load(HostIdentity endpoint, LoadReport report, long nowMs) {
+    EndpointState state = endpoints.state(endpoint);
+    if (state != null) {
+      state.reported(report, nowMs);
+    }
+    return flush(nowMs);
+  }
+
+  /** Admits no new request from now on; those admitted go on to their end. */
+  public void drain() {
+    draining = true;
+  }
+
+  /** Returns how many requests have no final answer yet. */
+  public int open() {
+    return requests.size();
+  }
+
+  /** Tells whether a request has no final answer yet. */
+  public boolean isOpen(String requestId) {
+    return requests.containsKey(requestId);
+  }
+
+  /** Returns how many requests wait for an endpoint. */
+  public int waiting() {
+    return waiting.size();
+  }
+
+  /** Returns the table in force here. */
+  public TableRevision tableInForce() {
+    return table;
+  }
+
+  /** Takes a request that has just arrived. */
+  public List<Action> arrive(RequestFacts facts, long nowMs) {
+    if (draining) {
+      return refuseNew(facts, drainingRefusal(), Reason.DRAINING, nowMs);
+    }
+    if (table.revision() < 0) {
+      Refusal none = Refusal.of(RefusalKind.NO_TABLE, Ran.NO, Admission.OTHER_HOST_RETRY_MS);
+      return refuseNew(facts, none, Reason.LIMIT, nowMs);
+    }
+    Optional<Row> row = table.row(facts.group());
+    if (row.isEmpty()) {
+      Refusal unknown = Refusal.notRun(RefusalKind.UNKNOWN_WORKSPACE);
+      return refuseNew(facts, unknown, Reason.LIMIT, nowMs);
+    }
+    LiveRequest request = live(facts, row.get(), nowMs);
+    GroupUsage usage =
+        usages.computeIfAbsent(facts.group(), g -> new GroupUsage(row.get(), 1.0, nowMs));
+    policies.lengths().arrived(facts.promptTokens());
+    Refusal refusal = admission.check(request, usage, nowMs);
+    if (refusal != null) {
+      return refuseNew(facts, refusal, reasonOf(refusal.kind()), nowMs);
+    }
+    admit(request, usage, nowMs);
+    return flush(nowMs);
+  }
+
+  private static Refusal drainingRefusal() {
+    return Refusal.of(RefusalKind.DRAINING, Ran.NO, Admission.OTHER_HOST_RETRY_MS);
+  }
+
+  private LiveRequest live(RequestFacts facts, Row row, long nowMs) {
+    long allowedMs = row.number(Column.DEADLINE_MS);
+    long limitMs = facts.wantedMs() > 0 ? Math.min(allowedMs, facts.wantedMs()) : allowedMs;
+    int priority = PromptPriority.of(row, facts.promptTokens());
+    return new LiveRequest(facts, row, facts.arrivedMs() + limitMs, priority);
+  }
+
+  private void admit(LiveRequest request, GroupUsage usage, long nowMs) {
+    requests.put(request.facts.requestId(), request);
+    usage.inFlight++;
+    policies.retries().firstSend();
+    explainer.admitted(request.facts, nowMs);
+    enqueue(request);
+    long lastStartMs = request.deadlineMs - admission.shortestServiceMs(request.facts);
+    long firstCheckMs = policies.refuseEarly() ? lastStartMs : request.deadlineMs;
+    checks.add(new Check(firstCheckMs, request.facts.requestId()));
+  }
+
+  private void enqueue(LiveRequest request) {
+    request.waiting = true;
+    waiting.add(request);
+    usages.get(request.facts.group()).waiting++;
+  }
+
+  /** Takes note of what happened to an attempt. Events of ended requests change nothing. */
+  public List<Action> attempt(AttemptId id, AttemptEvent event, long nowMs) {
+    LiveRequest request = requests.get(id.requestId());
+    LiveRequest.Attempt attempt = request == null ? null : request.attempt(id.number());
+    if (attempt == null || !id.owner().equals(self)) {
+      return flush(nowMs);
+    }
+    AttemptState before = attempt.state;
+    attempt.state = AttemptStates.after(before, event);
+    if (attempt.state == AttemptState.RUNNING && !request.firstTokenSeen) {
+      request.firstTokenSeen = true;
+      attempt.endpoint.promptRead(id);
+      explainer.attempt(request, attempt, DecisionKind.FIRST_TOKEN, Reason.COMPLETE, nowMs);
+    }
+    if (!before.ended() && attempt.state.ended()) {
+      attempt.endpoint.ended(id);
+      attemptEnded(request, attempt, event, nowMs);
+    }
+    return flush(nowMs);
+  }
+
+  private void attemptEnded(
+      LiveRequest request, LiveRequest.Attempt attempt, AttemptEvent event, long nowMs) {
+    if (attempt.state == AttemptState.DONE) {
+      attempt.endpoint.answered();
+      explainer.attempt(request, attempt, DecisionKind.FINISHED, Reason.COMPLETE, nowMs);
+      end(request);
+      return;
+    }
+    if (event != AttemptEvent.FAILED_BY_ENDPOINT) {
+      attempt.endpoint.failed(nowMs);
+    }
+    explainer.attempt(request, attempt, DecisionKind.ATTEMPT_FAILED, Reason.ENDPOINT_FAILED, nowMs);
+    request.excluded.add(attempt.endpoint.endpoint().identity());
+    Reason whyNot = whyNotAgain(request, attempt);
+    if (whyNot == null) {
+      enqueue(request);
+      return;
+    }
+    long retryMs = mayRepeat(request, attempt) ? Admission.OTHER_HOST_RETRY_MS : Refusal.NEVER;
+    giveUp(request, Refusal.of(endKind(request), request.ran(), retryMs), whyNot, nowMs);
+  }
+
+  private static RefusalKind endKind(LiveRequest request) {
+    return request.ran() == Ran.UNKNOWN && !request.facts.repeatable()
+        ? RefusalKind.OUTCOME_UNKNOWN
+        : RefusalKind.ENDPOINT_FAILED;
+  }
+
+  private static boolean mayRepeat(LiveRequest request, LiveRequest.Attempt attempt) {
+    return attempt.state == AttemptState.NOT_RUN || request.facts.repeatable();
+  }
+
+  private Reason whyNotAgain(LiveRequest request, LiveRequest.Attempt attempt) {
+    if (!mayRepeat(request, attempt)) {
+      return Reason.NOT_REPEATABLE;
+    }
+    boolean spent = request.attempts.size() >= policies.mostAttempts();
+    return spent || !policies.retries().tryRetry() ? Reason.RETRY_BUDGET : null;
+  }
+
+  /** Takes note that the caller closed its connection; what the request holds is freed. */
+  public List<Action> callerGone(String requestId, long nowMs) {
+    LiveRequest request = requests.get(requestId);
+    if (request != null) {
+      Refusal gone = Refusal.of(RefusalKind.CALLER_GONE, request.ran(), Refusal.NEVER);
+      giveUp(request, gone, Reason.CALLER_GONE, nowMs);
+    }
+    return flush(nowMs);
+  }
+
+  /** Gives up on what cannot end in time and sends what can be sent. */
+  public List<Action> tick(long nowMs) {
+    while (!checks.isEmpty() && checks.peek().atMs() <= nowMs) {
+      LiveRequest request = requests.get(checks.poll().requestId());
+      if (request != null) {
+        checkDeadline(request, nowMs);
+      }
+    }
+    return flush(nowMs);
+  }
+
+  private void checkDeadline(LiveRequest request, long nowMs) {
+    CellKey cell = new CellKey(request.facts.group(), Column.DEADLINE_MS);
+    if (nowMs >= request.deadlineMs) {
+      Refusal passed =
+          new Refusal(
+              RefusalKind.DEADLINE_PASSED,
+              request.ran(),
+              retryAfterMs(request, nowMs),
+              Optional.of(cell));
+      giveUp(request, passed, Reason.DEADLINE, nowMs);
+      return;
+    }
+    if (request.waiting && policies.refuseEarly()) {
+      Refusal late =
+          new Refusal(
+              RefusalKind.CANNOT_FINISH,
+              request.ran(),
+              retryAfterMs(request, nowMs),
+              Optional.of(cell));
+      giveUp(request, late, Reason.DEADLINE, nowMs);
+      return;
+    }
+    checks.add(new Check(request.deadlineMs, request.facts.requestId()));
+  }
+
+  private long retryAfterMs(LiveRequest request, long nowMs) {
+    if (!request.facts.repeatable() && request.ran() != Ran.NO) {
+      return Refusal.NEVER;
+    }
+    long waitMs = admission.expectedWaitMs(request.facts, nowMs);
+    return Math.max(Admission.SHORTEST_RETRY_MS, waitMs);
+  }
+
+  private void giveUp(LiveRequest request, Refusal refusal, Reason why, long nowMs) {
+    if (request.waiting) {
+      waiting.remove(request);
+      usages.get(request.facts.group()).waiting--;
+      request.waiting = false;
+    }
+    LiveRequest.Attempt last = request.last();
+    if (last != null && !last.state.ended()) {
+      last.endpoint.ended(last.id);
+      out.add(new Action.Cancel(last.id, last.endpoint.endpoint()));
+    }
+    explainer.refused(request.facts, refusal, why, nowMs);
+    out.add(new Action.Refuse(request.facts.requestId(), refusal));
+    end(request);
+  }
+
+  private void end(LiveRequest request) {
+    requests.remove(request.facts.requestId());
+    usages.get(request.facts.group()).inFlight--;
+  }
+
+  private List<Action> refuseNew(RequestFacts facts, Refusal refusal, Reason why, long nowMs) {
+    explainer.refused(facts, refusal, why, nowMs);
+    out.add(new Action.Refuse(facts.requestId(), refusal));
+    return flush(nowMs);
+  }
+
+  private static Reason reasonOf(RefusalKind kind) {
+    return switch (kind) {
+      case NO_ENDPOINT -> Reason.NO_ENDPOINT;
+      case CANNOT_FINISH -> Reason.DEADLINE;
+      default -> Reason.LIMIT;
+    };
+  }
+
+  private boolean trySend(LiveRequest request, long nowMs) {
+    List<EndpointState> candidates = endpoints.serving(request.facts.target());
+    if (request.excluded.size() >= candidates.size()) {
+      request.excluded.clear();
+    }
+    Optional<Placement.Choice> choice =
+        policies
+            .placement()
+            .choose(
+                new Placement.Query(
+                    request.facts, request.priority, candidates, request.excluded, zone, nowMs));
+    if (choice.isEmpty()) {
+      if (!request.shownWaiting) {
+        request.shownWaiting = true;
+        explainer.waiting(request.facts, nowMs);
+      }
+      return false;
+    }
+    send(request, choice.get(), nowMs);
+    return true;
+  }
+
+  private void send(LiveRequest request, Placement.Choice choice, long nowMs) {
+    RequestFacts facts = request.facts;
+    int number = request.attempts.size() + 1;
+    AttemptId id = new AttemptId(self, facts.requestId(), number);
+    EndpointState state = choice.state();
+    LiveRequest.Attempt attempt = new LiveRequest.Attempt(id, state);
+    // The order to send runs on another thread: from here on the request may leave at any moment.
+    attempt.state = AttemptStates.after(attempt.state, AttemptEvent.SENDING);
+    request.attempts.add(attempt);
+    request.waiting = false;
+    usages.get(facts.group()).waiting--;
+    boolean model = facts.target().kind() == EndpointKind.MODEL;
+    state.sending(
+        id, request.priority, facts.promptTokens(), model ? facts.workTokens() : 0, nowMs);
+    state.prefixes().stored(facts.prefixes());
+    drained.sent(facts.target(), facts.workTokens(), nowMs);
+    explainer.placed(request, choice, number, nowMs);
+    out.add(new Action.Send(id, state.endpoint(), request.priority, request.deadlineMs));
+  }
+
+  private List<Action> flush(long nowMs) {
+    waiting.dispatch(request -> trySend(request, nowMs));
+    List<Action> actions = List.copyOf(out);
+    out.clear();
+    return actions;
+  }
+}
--- /dev/null
+++ b/org.fawndrum/src/org/fawndrum/coordination/RequestFacts.java
@@ -0,0 +1,39 @@
+// SPDX-License-Identifier: Apache-2.0
+package org.fawndrum.coordination;
+
+import java.util.List;
+import org.fawndrum.state.CallerGroup;
+
+/**
+ * What the decisions know of a request.
+ *
+ * @param requestId unique id
+ * @param group the caller group, from the caller's key
+ * @param target what it asks for
+ * @param promptTokens estimated length of the prompt in tokens; 0 for a plain call
+ * @param answerTokens the longest answer asked for, in tokens; 0 for a plain call
+ * @param arrivedMs when it arrived, in milliseconds of the host's clock
+ * @param wantedMs the caller's own time limit in milliseconds; 0 when it names none
+ * @param repeatable whether it may be sent again after an unknown outcome
+ * @param prefixes hashes of the prompt's leading blocks, shortest first, for cache affinity
+ */
+public record RequestFacts(
+    String requestId,
+    CallerGroup group,
+    RequestTarget target,
+    long promptTokens,
+    long answerTokens,
+    long arrivedMs,
+    long wantedMs,
+    boolean repeatable,
+    List<Long> prefixes) {
+  /** Copies the prefixes, so that the facts cannot change. */
+  public RequestFacts {
+    prefixes = List.copyOf(prefixes);
+  }
+
+  /** Returns the work of the request in tokens: what an engine reads and writes for it. */
+  public long workTokens() {
+    return Math.max(1, promptTokens + answerTokens);
+  }
+}
--- /dev/null
+++ b/org.fawndrum/src/org/fawndrum/errors/EndpointUnreachableException.java
@@ -0,0 +1,15 @@
+// SPDX-License-Identifier: Apache-2.0
+package org.fawndrum.errors;
+
+import org.fawndrum.internal.text.MessageText;
+import org.fawndrum.state.HostAddress;
+
+/** No connection to an endpoint could be had; nothing was sent. */
+public final class EndpointUnreachableException extends FawndrumException {
+  private static final long serialVersionUID = 1L;
+
+  /** Makes the failure of one endpoint's address. */
+  public EndpointUnreachableException(HostAddress endpoint, Throwable cause) {
+    super(cause, MessageText.ENDPOINT_UNREACHABLE, endpoint);
+  }
+}
--- /dev/null
+++ b/org.fawndrum/src/org/fawndrum/errors/OperatorCallFailedException.java
@@ -0,0 +1,14 @@
+// SPDX-License-Identifier: Apache-2.0
+package org.fawndrum.errors;
+
+import org.fawndrum.internal.text.MessageText;
+
+/** A daemon refused a call of its operators' address. */
+public final class OperatorCallFailedException extends FawndrumException {
+  private static final long serialVersionUID = 1L;
+
+  /** Makes the failure of one call. */
+  public OperatorCallFailedException(String method, String path, int status, String message) {
+    super(MessageText.OPERATOR_CALL_FAILED, method, path, Integer.toString(status), message);
+  }
+}
--- /dev/null
+++ b/org.fawndrum/src/org/fawndrum/errors/RecordUnreadableException.java
@@ -0,0 +1,14 @@
+// SPDX-License-Identifier: Apache-2.0
+package org.fawndrum.errors;
+
+import org.fawndrum.internal.text.MessageText;
+
+/** A record of the log does not decode. */
+public final class RecordUnreadableException extends FawndrumException {
+  private static final long serialVersionUID = 1L;
+
+  /** Makes the failure of the record at one offset. */
+  public RecordUnreadableException(long offset, Throwable cause) {
+    super(cause, MessageText.RECORD_UNREADABLE, Long.toString(offset));
+  }
+}
--- /dev/null
+++ b/org.fawndrum/src/org/fawndrum/internal/duty/Duty.java
@@ -0,0 +1,130 @@
+// SPDX-License-Identifier: Apache-2.0
+package org.fawndrum.internal.duty;
+
+import java.util.concurrent.locks.LockSupport;
+import java.util.function.Consumer;
+import org.fawndrum.internal.log.HostLog;
+import org.fawndrum.internal.log.LogEvent;
+
+/**
+ * A thread with one duty: it takes events from its ring in order and runs a tick at a steady
+ * interval. A failure in one event is logged and does not end the duty.
+ *
+ * @param <E> the events
+ */
+public final class Duty<E> implements AutoCloseable {
+  private static final int BATCH = 256;
+  private static final long NANOS_PER_MS = 1_000_000;
+  private static final long JOIN_MS = 2_000;
+
+  private final String name;
+  private final Ring<E> ring;
+  private final Consumer<E> handler;
+  private final Runnable tick;
+  private final long tickNanos;
+  private final HostLog log;
+  private final Thread thread;
+  private volatile boolean stopping;
+
+  /**
+   * Makes a duty that has not started.
+   *
+   * @param name the thread's name
+   * @param ring where its events come from
+   * @param handler handles one event, on the duty's thread
+   * @param tick runs on the duty's thread
+   * @param tickMs the interval between ticks, in milliseconds
+   * @param log where failures go
+   */
+  public Duty(
+      String name, Ring<E> ring, Consumer<E> handler, Runnable tick, long tickMs, HostLog log) {
+    this.name = name;
+    this.ring = ring;
+    this.handler = handler;
+    this.tick = tick;
+    this.tickNanos = tickMs * NANOS_PER_MS;
+    this.log = log;
+    this.thread = new Thread(this::run, name);
+    this.thread.setDaemon(true);
+  }
+
+  /** Starts the thread. */
+  public void start() {
+    thread.start();
+  }
+
+  /** Offers new work; see {@link Ring#offerNew}. */
+  public boolean offerNew(E event) {
+    boolean taken = ring.offerNew(event);
+    if (taken) {
+      LockSupport.unpark(thread);
+    }
+    return taken;
+  }
+
+  /** Offers an event about work already taken; see {@link Ring#offer}. */
+  public boolean offer(E event) {
+    boolean taken = ring.offer(event);
+    if (taken) {
+      LockSupport.unpark(thread);
+    }
+    return taken;
+  }
+
+  /** Returns the duty's name. */
+  public String name() {
+    return name;
+  }
+
+  /** Returns the ring. */
+  public Ring<E> ring() {
+    return ring;
+  }
+
+  /** Ends the thread; events still in the ring are not handled. */
+  @Override
+  public void close() {
+    stopping = true;
+    LockSupport.unpark(thread);
+    try {
+      thread.join(JOIN_MS);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
+  private void run() {
+    long nextTick = System.nanoTime();
+    while (!stopping) {
+      int handled = handleBatch();
+      long now = System.nanoTime();
+      if (now >= nextTick) {
+        guarded(tick);
+        nextTick = now + tickNanos;
+      } else if (handled == 0) {
+        LockSupport.parkNanos(nextTick - now);
+      }
+    }
+  }
+
+  private int handleBatch() {
+    int handled = 0;
+    while (handled < BATCH) {
+      E event = ring.poll();
+      if (event == null) {
+        break;
+      }
+      guarded(() -> handler.accept(event));
+      handled++;
+    }
+    return handled;
+  }
+
+  private void guarded(Runnable step) {
+    try {
+      step.run();
+    } catch (RuntimeException e) {
+      log.failure(LogEvent.DUTY_FAILED, e, name);
+    }
+  }
+}
--- /dev/null
+++ b/org.fawndrum/src/org/fawndrum/internal/log/LogEvent.java
@@ -0,0 +1,57 @@
+// SPDX-License-Identifier: Apache-2.0
+package org.fawndrum.internal.log;
+
+import java.util.Locale;
+import org.jboss.logging.Logger.Level;
+
+/** A message of the log. Its id never changes and is never used again for another message. */
+public enum LogEvent {
+  HOST_STARTED(1, Level.INFO, "host {0} started in availability zone {1}"),
+  HOST_READY(2, Level.INFO, "ready: table revision {0}, {1} endpoints"),
+  DRAIN_BEGAN(3, Level.INFO, "stopping: no new requests; {0} in progress"),
+  DRAIN_ENDED(4, Level.INFO, "stopped: no request was cut"),
+  SECOND_SIGNAL(5, Level.WARN, "second signal: {0} requests in progress are cut now"),
+  DUTY_FAILED(10, Level.ERROR, "an event of duty {0} failed"),
+  RING_REFUSED(11, Level.WARN, "the ring of duty {0} is full; an event waits"),
+  TABLE_IN_FORCE(20, Level.INFO, "table revision {0} in force"),
+  LOG_GAP(21, Level.WARN, "the log begins at {0}; a snapshot from {1} on is awaited"),
+  RECORD_PASSED_OVER(22, Level.WARN, "log record {0} cannot be read and changes nothing"),
+  SNAPSHOT_APPENDED(23, Level.INFO, "snapshot of position {0} appended at {1}"),
+  PLATFORM_LOST(30, Level.WARN, "the platform does not answer: {0}"),
+  PLATFORM_BACK(31, Level.INFO, "the platform answers again"),
+  PEER_ALIVE(40, Level.INFO, "peer {0} is alive"),
+  PEER_SUSPECTED(41, Level.WARN, "peer {0} is suspected: nothing heard for {1} ms"),
+  PEER_MESSAGE_DROPPED(42, Level.WARN, "peer message dropped: {0}"),
+  REQUEST_DECIDED(50, Level.DEBUG, "{0} {1} {2}"),
+  REQUEST_REFUSED(51, Level.INFO, "refused: {0}, ran {1}"),
+  ATTEMPT_FAILED(52, Level.WARN, "attempt {0} at {1} failed"),
+  SWEPT(60, Level.INFO, "endpoint {0}: freed {1} streams of {2}"),
+  REGISTERED(61, Level.INFO, "registered for calls that may not be repeated, at {0}"),
+  HANDED_OVER(62, Level.INFO, "{0} claims handed over to {1} peers"),
+  OPERATOR_PUBLISHED(70, Level.INFO, "operator {0} published {1}: {2}");
+
+  private final int number;
+  private final Level level;
+  private final String pattern;
+
+  LogEvent(int number, Level level, String pattern) {
+    this.number = number;
+    this.level = level;
+    this.pattern = pattern;
+  }
+
+  /** Returns the id, such as {@code FAWN0020}. */
+  public String id() {
+    return String.format(Locale.ROOT, "FAWN%04d", number);
+  }
+
+  /** Returns the level that the message has. */
+  public Level level() {
+    return level;
+  }
+
+  /** Returns the text with its places for arguments, {@code {0}} and on. */
+  public String pattern() {
+    return pattern;
+  }
+}
--- /dev/null
+++ b/org.fawndrum/src/org/fawndrum/internal/text/MessageText.java
@@ -0,0 +1,37 @@
+// SPDX-License-Identifier: Apache-2.0
+package org.fawndrum.internal.text;
+
+import java.text.MessageFormat;
+import java.util.Locale;
+import java.util.ResourceBundle;
+
+/** A text of the message bundle. Each constant has an entry of the same name in the bundle. */
+public enum MessageText {
+  ADDRESS_IN_USE,
+  BAD_CELLS,
+  BAD_CSV,
+  BAD_PEER_FRAME,
+  BAD_SETTINGS,
+  BAD_SNAPSHOT,
+  DUPLICATE_CLAIM,
+  ENDPOINT_ANSWERED_WRONG,
+  ENDPOINT_UNREACHABLE,
+  NOT_AUTHORIZED,
+  OPERATOR_CALL_FAILED,
+  PEER_UNREACHABLE,
+  PLATFORM_UNAVAILABLE,
+  PUBLICATION_LOST,
+  PUBLICATION_OUTCOME_UNKNOWN,
+  RECORD_UNREADABLE,
+  RECORDS_EXPIRED,
+  REQUEST_REFUSED,
+  RING_FULL;
+
+  private static final ResourceBundle BUNDLE =
+      ResourceBundle.getBundle("org.fawndrum.internal.text.messages", Locale.ROOT);
+
+  /** Returns the text with its arguments filled in. */
+  public String format(Object... arguments) {
+    return new MessageFormat(BUNDLE.getString(name()), Locale.ROOT).format(arguments);
+  }
+}
--- /dev/null
+++ b/org.fawndrum/src/org/fawndrum/protocol/OperatorViews.java
@@ -0,0 +1,147 @@
+// SPDX-License-Identifier: Apache-2.0
+package org.fawndrum.protocol;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import org.fawndrum.coordination.Decision;
+import org.fawndrum.protocol.OperatorMessages.CellView;
+import org.fawndrum.protocol.OperatorMessages.ChangeView;
+import org.fawndrum.protocol.OperatorMessages.DeciderView;
+import org.fawndrum.protocol.OperatorMessages.DecisionView;
+import org.fawndrum.protocol.OperatorMessages.History;
+import org.fawndrum.protocol.OperatorMessages.PassedOverView;
+import org.fawndrum.protocol.OperatorMessages.Published;
+import org.fawndrum.protocol.OperatorMessages.TableView;
+import org.fawndrum.state.Cell;
+import org.fawndrum.state.CellChange;
+import org.fawndrum.state.CellKey;
+import org.fawndrum.state.Column;
+import org.fawndrum.state.PublicationOutcome;
+import org.fawndrum.state.TableRevision;
+
+/** Turns the system's own data into the messages of the operators' address. */
+public final class OperatorViews {
+  /** The outcome of a publication that is not decided yet. */
+  public static final String UNKNOWN = "unknown";
+
+  private OperatorViews() {}
+
+  /** Returns a decision as it is shown. */
+  public static DecisionView decision(Decision decision) {
+    List<PassedOverView> passedOver =
+        decision.passedOver().stream()
+            .map(one -> new PassedOverView(one.endpoint(), one.expectedMs()))
+            .toList();
+    return new DecisionView(
+        decision.requestId(),
+        decision.group().workspace(),
+        decision.group().className(),
+        decision.target().name(),
+        decision.promptTokens(),
+        decision.atMs(),
+        decision.sinceArrivalMs(),
+        word(decision.kind()),
+        word(decision.reason()),
+        decision.endpoint().orElse(null),
+        decision.attempt(),
+        decision.cell().map(CellKey::toString).orElse(null),
+        decision.refusal().map(refusal -> refusal.kind().code()).orElse(null),
+        decision.refusal().map(refusal -> refusal.ran().word()).orElse(null),
+        decision.refusal().map(refusal -> refusal.retryAfterMs()).orElse(null),
+        passedOver.isEmpty() ? null : passedOver);
+  }
+
+  private static String word(Enum<?> value) {
+    return value.name().toLowerCase(Locale.ROOT);
+  }
+
+  /** Returns the table in force. */
+  public static TableView table(TableRevision table) {
+    List<CellView> cells = new ArrayList<>();
+    TableCsv.sorted(table)
+        .forEach(
+            (group, row) -> {
+              for (Column column : Column.values()) {
+                row.cell(column)
+                    .filter(cell -> cell.value() != null)
+                    .ifPresent(cell -> cells.add(cell(new CellKey(group, column), cell)));
+              }
+            });
+    return new TableView(table.revision(), table.position(), cells);
+  }
+
+  private static CellView cell(CellKey key, Cell cell) {
+    return new CellView(
+        key.group().toString(),
+        key.column().columnName(),
+        cell.value(),
+        cell.offset(),
+        cell.operator());
+  }
+
+  /** Returns changes as they are sent. */
+  public static List<ChangeView> changes(List<CellChange> changes) {
+    return changes.stream()
+        .map(
+            change ->
+                new ChangeView(
+                    change.key().group().toString(),
+                    change.key().column().columnName(),
+                    change.value()))
+        .toList();
+  }
+
+  /** Returns what became of a publication. */
+  public static Published published(String id, PublicationOutcome outcome) {
+    if (outcome instanceof PublicationOutcome.Lost lost) {
+      List<DeciderView> cells =
+          lost.conflicts().stream()
+              .map(conflict -> decider(conflict.key(), conflict.current()))
+              .toList();
+      return new Published(id, "lost", outcome.offset(), cells);
+    }
+    if (outcome instanceof PublicationOutcome.Invalid invalid) {
+      return new Published(id, "invalid", outcome.offset(), badCells(invalid.badCells()));
+    }
+    String word = outcome instanceof PublicationOutcome.Accepted ? "accepted" : "invalid";
+    return new Published(id, word, outcome.offset(), List.of());
+  }
+
+  /** Returns a publication of which nothing is known yet. */
+  public static Published unknown(String id) {
+    return new Published(id, UNKNOWN, -1, List.of());
+  }
+
+  /** Returns cells whose values are not allowed. */
+  public static List<DeciderView> badCells(List<PublicationOutcome.BadCell> badCells) {
+    return badCells.stream()
+        .map(
+            bad ->
+                new DeciderView(
+                    bad.key().group().toString(),
+                    bad.key().column().columnName(),
+                    bad.value(),
+                    null,
+                    -1,
+                    bad.allowed()))
+        .toList();
+  }
+
+  private static DeciderView decider(CellKey key, Cell cell) {
+    return new DeciderView(
+        key.group().toString(),
+        key.column().columnName(),
+        cell.value(),
+        cell.operator(),
+        cell.offset(),
+        null);
+  }
+
+  /** Returns the newest publications, oldest first. */
+  public static History history(TableRevision table) {
+    List<Published> publications = new ArrayList<>();
+    table.outcomes().forEach((id, outcome) -> publications.add(published(id, outcome)));
+    return new History(publications);
+  }
+}
--- /dev/null
+++ b/org.fawndrum/src/org/fawndrum/state/CallerGroup.java
@@ -0,0 +1,32 @@
+// SPDX-License-Identifier: Apache-2.0
+package org.fawndrum.state;
+
+/**
+ * A row of the table: the callers of one workspace that share one class of service.
+ *
+ * @param workspace the workspace, non-empty
+ * @param className the class within the workspace, non-empty
+ */
+public record CallerGroup(String workspace, String className) implements Comparable<CallerGroup> {
+  private static final char SEPARATOR = '/';
+
+  /** Parses {@code workspace/class}; returns null when the text has another form. */
+  public static CallerGroup parse(String text) {
+    int at = text.indexOf(SEPARATOR);
+    if (at <= 0 || at == text.length() - 1 || text.indexOf(SEPARATOR, at + 1) >= 0) {
+      return null;
+    }
+    return new CallerGroup(text.substring(0, at), text.substring(at + 1));
+  }
+
+  @Override
+  public int compareTo(CallerGroup other) {
+    int byWorkspace = workspace.compareTo(other.workspace);
+    return byWorkspace != 0 ? byWorkspace : className.compareTo(other.className);
+  }
+
+  @Override
+  public String toString() {
+    return workspace + SEPARATOR + className;
+  }
+}
--- /dev/null
+++ b/org.fawndrum/src/org/fawndrum/state/CellKey.java
@@ -0,0 +1,15 @@
+// SPDX-License-Identifier: Apache-2.0
+package org.fawndrum.state;
+
+/**
+ * The place of a cell in the table.
+ *
+ * @param group the row
+ * @param column the column
+ */
+public record CellKey(CallerGroup group, Column column) {
+  @Override
+  public String toString() {
+    return group + ":" + column.columnName();
+  }
+}
--- /dev/null
+++ b/org.fawndrum/src/org/fawndrum/state/Endpoint.java
@@ -0,0 +1,46 @@
+// SPDX-License-Identifier: Apache-2.0
+package org.fawndrum.state;
+
+import java.util.Set;
+
+/**
+ * A back end as the platform's host list describes it.
+ *
+ * @param identity its name and incarnation
+ * @param zone its availability zone
+ * @param kind model engine or plain service
+ * @param address where it listens
+ * @param serves the models or the plain services that it serves
+ * @param memoryTokens cache memory of a model engine in tokens; 0 for a plain service
+ */
+public record Endpoint(
+    HostIdentity identity,
+    String zone,
+    EndpointKind kind,
+    HostAddress address,
+    Set<String> serves,
+    long memoryTokens) {
+  /** Copies the served names, so that the endpoint cannot change. */
+  public Endpoint {
+    serves = Set.copyOf(serves);
+  }
+
+  /** Returns the endpoint's name, the same over its incarnations. */
+  public String name() {
+    return identity.host();
+  }
+
+  /** Returns the endpoint's incarnation. */
+  public long incarnation() {
+    return identity.incarnation();
+  }
+
+  /** Returns this endpoint as another of its incarnations. */
+  public Endpoint at(long incarnation) {
+    if (incarnation == incarnation()) {
+      return this;
+    }
+    HostIdentity other = new HostIdentity(identity.host(), incarnation);
+    return new Endpoint(other, zone, kind, address, serves, memoryTokens);
+  }
+}
--- /dev/null
+++ b/org.fawndrum/src/org/fawndrum/state/TableParts.java
@@ -0,0 +1,38 @@
+// SPDX-License-Identifier: Apache-2.0
+package org.fawndrum.state;
+
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.Map;
+
+/** Gathers the parts of a table that was written down, such as a snapshot's. */
+public final class TableParts {
+  private final long revision;
+  private final long position;
+  private final Map<CallerGroup, Row> rows = new HashMap<>();
+  private Map<String, PublicationOutcome> outcomes = Map.of();
+
+  /** Begins a table of a revision at a log position. */
+  public TableParts(long revision, long position) {
+    this.revision = revision;
+    this.position = position;
+  }
+
+  /** Adds a cell. */
+  public TableParts cell(CellKey key, Cell cell) {
+    Row row = rows.getOrDefault(key.group(), Row.EMPTY);
+    rows.put(key.group(), row.with(key.column(), cell));
+    return this;
+  }
+
+  /** Sets the remembered outcomes, oldest first. */
+  public TableParts outcomes(Map<String, PublicationOutcome> remembered) {
+    outcomes = new LinkedHashMap<>(remembered);
+    return this;
+  }
+
+  /** Returns the table. */
+  public TableRevision build() {
+    return new TableRevision(revision, position, Map.copyOf(rows), outcomes);
+  }
+}
--- /dev/null
+++ b/org.fawndrum/src/org/fawndrum/transport/CallerResponse.java
@@ -0,0 +1,42 @@
+// SPDX-License-Identifier: Apache-2.0
+package org.fawndrum.transport;
+
+import io.vertx.core.http.HttpServerResponse;
+import org.fawndrum.coordination.Refusal;
+import org.fawndrum.protocol.ErrorBodies;
+import org.fawndrum.protocol.Json;
+
+/** Writes final answers to callers, whatever state the response is in. */
+final class CallerResponse {
+  private static final long MS_PER_SECOND = 1000;
+
+  private CallerResponse() {}
+
+  /**
+   * Writes a refusal. When a streamed answer has begun, an error event is written and the
+   * connection closed without the end mark, so that a cut answer never looks whole.
+   */
+  static void refuse(HttpServerResponse response, String requestId, Refusal refusal) {
+    if (response.ended() || response.closed()) {
+      return;
+    }
+    String body = Json.write(ErrorBodies.of(requestId, refusal));
+    if (response.headWritten()) {
+      response.write("data: " + body + "\n\n").onComplete(done -> response.reset());
+      return;
+    }
+    response
+        .setStatusCode(refusal.kind().status())
+        .putHeader("content-type", "application/json")
+        .putHeader("x-request-id", requestId)
+        .putHeader("x-fawndrum-ran", refusal.ran().word());
+    if (refusal.retryAfterMs() >= 0) {
+      long seconds = (refusal.retryAfterMs() + MS_PER_SECOND - 1) / MS_PER_SECOND;
+      response.putHeader("retry-after", Long.toString(Math.max(1, seconds)));
+      response.putHeader("retry-after-ms", Long.toString(refusal.retryAfterMs()));
+    } else {
+      response.putHeader("x-should-retry", "false");
+    }
+    response.end(body);
+  }
+}
--- /dev/null
+++ b/org.fawndrum/src/org/fawndrum/transport/DecisionDuty.java
@@ -0,0 +1,206 @@
+// SPDX-License-Identifier: Apache-2.0
+package org.fawndrum.transport;
+
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.Consumer;
+import org.fawndrum.coordination.Action;
+import org.fawndrum.coordination.Decision;
+import org.fawndrum.coordination.EndpointRoster;
+import org.fawndrum.coordination.LoadReport;
+import org.fawndrum.coordination.Ran;
+import org.fawndrum.coordination.Refusal;
+import org.fawndrum.coordination.RequestCoordinator;
+import org.fawndrum.internal.duty.Duty;
+import org.fawndrum.internal.duty.Ring;
+import org.fawndrum.internal.log.HostLog;
+import org.fawndrum.protocol.EngineMessages.Load;
+import org.fawndrum.state.Endpoint;
+import org.fawndrum.state.HostIdentity;
+
+/**
+ * The thread that decides. It feeds events with their time to the coordinator and carries out the
+ * actions on the exchanges' event loops.
+ */
+final class DecisionDuty implements AutoCloseable {
+  private static final long TICK_MS = 10;
+
+  private final RequestCoordinator coordinator;
+  private final EndpointRoster roster = new EndpointRoster();
+  private final HostClock clock;
+  private final Consumer<Decision> feed;
+  private final Consumer<HostIdentity> leavingNews;
+  private final Map<String, Exchange> exchanges = new ConcurrentHashMap<>();
+  private final Duty<HostEvent> duty;
+  private volatile View view = new View(0, 0, List.of(), List.of());
+
+  /**
+   * What other threads may see.
+   *
+   * @param open requests without a final answer
+   * @param waiting requests waiting for an endpoint
+   * @param endpoints endpoints that may get new work
+   * @param leaving endpoints that are leaving
+   */
+  record View(int open, int waiting, List<Endpoint> endpoints, List<HostIdentity> leaving) {}
+
+  /**
+   * Makes the duty, not started.
+   *
+   * @param feed takes each decision; must not block
+   * @param leavingNews takes each endpoint newly known to be leaving; must not block
+   */
+  DecisionDuty(
+      RequestCoordinator coordinator,
+      HostClock clock,
+      int ringEvents,
+      Consumer<Decision> feed,
+      Consumer<HostIdentity> leavingNews,
+      HostLog log) {
+    this.coordinator = coordinator;
+    this.clock = clock;
+    this.feed = feed;
+    this.leavingNews = leavingNews;
+    this.duty =
+        new Duty<>("decisions", new Ring<>(ringEvents), this::handle, this::tick, TICK_MS, log);
+  }
+
+  void start() {
+    duty.start();
+  }
+
+  @Override
+  public void close() {
+    duty.close();
+  }
+
+  View view() {
+    return view;
+  }
+
+  Ring<HostEvent> ring() {
+    return duty.ring();
+  }
+
+  /** Takes a new request with its exchange; returns false when there is no room for it. */
+  boolean arrived(HostEvent.Arrived arrived, Exchange exchange) {
+    String id = arrived.facts().requestId();
+    exchanges.put(id, exchange);
+    if (duty.offerNew(arrived)) {
+      return true;
+    }
+    exchanges.remove(id);
+    return false;
+  }
+
+  /** Takes an event about work already taken; returns false when there is no room for it now. */
+  boolean offer(HostEvent event) {
+    return duty.offer(event);
+  }
+
+  private void tick() {
+    carryOut(coordinator.tick(clock.nowMs()));
+    refreshView();
+  }
+
+  private void refreshView() {
+    View before = view;
+    if (before.open() != coordinator.open() || before.waiting() != coordinator.waiting()) {
+      view =
+          new View(coordinator.open(), coordinator.waiting(), before.endpoints(), before.leaving());
+    }
+  }
+
+  private void handle(HostEvent event) {
+    long nowMs = clock.nowMs();
+    if (event instanceof HostEvent.Arrived arrived) {
+      carryOut(coordinator.arrive(arrived.facts(), nowMs));
+    } else if (event instanceof HostEvent.Attempted attempted) {
+      carryOut(coordinator.attempt(attempted.attempt(), attempted.event(), nowMs));
+      forgetIfEnded(attempted.attempt().requestId());
+    } else if (event instanceof HostEvent.CallerGone gone) {
+      carryOut(coordinator.callerGone(gone.requestId(), nowMs));
+    } else if (event instanceof HostEvent.TableChanged changed) {
+      carryOut(coordinator.table(changed.table(), nowMs));
+    } else if (event instanceof HostEvent.Listed listed) {
+      listed(listed, nowMs);
+    } else if (event instanceof HostEvent.Loaded loaded) {
+      loaded(loaded, nowMs);
+    } else if (event instanceof HostEvent.SaidLeaving said) {
+      if (roster.saidLeaving(said.endpoint())) {
+        offerEndpoints(nowMs);
+      }
+    } else if (event instanceof HostEvent.DrainOrdered) {
+      coordinator.drain();
+    }
+    refreshView();
+  }
+
+  private void forgetIfEnded(String requestId) {
+    if (!coordinator.isOpen(requestId)) {
+      exchanges.remove(requestId);
+    }
+  }
+
+  private void listed(HostEvent.Listed listed, long nowMs) {
+    if (roster.listed(listed.listing())) {
+      offerEndpoints(nowMs);
+    }
+  }
+
+  private void loaded(HostEvent.Loaded loaded, long nowMs) {
+    Load load = loaded.load();
+    HostIdentity identity = new HostIdentity(load.host(), load.incarnation());
+    boolean changed = roster.answered(identity);
+    if (load.leaving() && roster.saidLeaving(identity)) {
+      leavingNews.accept(identity);
+      changed = true;
+    }
+    if (changed) {
+      offerEndpoints(nowMs);
+    }
+    LoadReport report =
+        new LoadReport(
+            load.sequence(),
+            load.backlogTokens(),
+            load.freeTokens(),
+            load.streams(),
+            load.tokensPerSecond());
+    carryOut(coordinator.load(identity, report, nowMs));
+  }
+
+  private void offerEndpoints(long nowMs) {
+    List<Endpoint> open = roster.open();
+    carryOut(coordinator.endpoints(open, nowMs));
+    view = new View(coordinator.open(), coordinator.waiting(), open, List.copyOf(roster.leaving()));
+  }
+
+  private void carryOut(List<Action> actions) {
+    for (Action action : actions) {
+      if (action instanceof Action.Explain explain) {
+        feed.accept(explain.decision());
+      } else if (action instanceof Action.Send send) {
+        onExchange(send.attempt().requestId(), exchange -> exchange.send(send));
+      } else if (action instanceof Action.Cancel cancel) {
+        onExchange(cancel.attempt().requestId(), exchange -> exchange.cancel(cancel));
+      } else if (action instanceof Action.Refuse refuse) {
+        onExchange(refuse.requestId(), exchange -> refuse(exchange, refuse.refusal()));
+        exchanges.remove(refuse.requestId());
+      }
+    }
+  }
+
+  /** The exchange knows better than the coordinator whether an order to send was carried out. */
+  private static void refuse(Exchange exchange, Refusal refusal) {
+    boolean surelyNot = refusal.ran() == Ran.UNKNOWN && !exchange.everHandedOver();
+    exchange.refuse(surelyNot ? refusal.with(Ran.NO) : refusal);
+  }
+
+  private void onExchange(String requestId, Consumer<Exchange> step) {
+    Exchange exchange = exchanges.get(requestId);
+    if (exchange != null) {
+      exchange.onLoop(() -> step.accept(exchange));
+    }
+  }
+}
--- /dev/null
+++ b/org.fawndrum/src/org/fawndrum/transport/EndpointWatch.java
@@ -0,0 +1,85 @@
+// SPDX-License-Identifier: Apache-2.0
+package org.fawndrum.transport;
+
+import io.vertx.core.Vertx;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import org.fawndrum.protocol.HostListSource;
+import org.fawndrum.state.Endpoint;
+import org.fawndrum.state.EndpointKind;
+
+/** Reads the platform's list of hosts and the load of the model engines at steady intervals. */
+final class EndpointWatch {
+  private static final long LIST_MS = 500;
+  private static final long LOAD_MS = 200;
+
+  private final Vertx vertx;
+  private final HostListSource platform;
+  private final EngineCalls engines;
+  private final DecisionDuty decisions;
+  private final Map<String, Boolean> asking = new ConcurrentHashMap<>();
+  private volatile boolean listRead;
+  private long listTimer;
+  private long loadTimer;
+
+  EndpointWatch(Vertx vertx, HostListSource platform, EngineCalls engines, DecisionDuty decisions) {
+    this.vertx = vertx;
+    this.platform = platform;
+    this.engines = engines;
+    this.decisions = decisions;
+  }
+
+  void start() {
+    readList();
+    listTimer = vertx.setPeriodic(LIST_MS, id -> readList());
+    loadTimer = vertx.setPeriodic(LOAD_MS, id -> readLoads());
+  }
+
+  void stop() {
+    vertx.cancelTimer(listTimer);
+    vertx.cancelTimer(loadTimer);
+  }
+
+  /** Tells whether the list was read at least once. */
+  boolean listRead() {
+    return listRead;
+  }
+
+  private void readList() {
+    if (asking.putIfAbsent("", Boolean.TRUE) != null) {
+      return;
+    }
+    platform
+        .hosts()
+        .whenComplete(
+            (listing, failure) -> {
+              asking.remove("");
+              if (listing != null && decisions.offer(new HostEvent.Listed(listing))) {
+                listRead = true;
+              }
+            });
+  }
+
+  private void readLoads() {
+    for (Endpoint endpoint : decisions.view().endpoints()) {
+      if (endpoint.kind() == EndpointKind.MODEL) {
+        readLoad(endpoint);
+      }
+    }
+  }
+
+  private void readLoad(Endpoint endpoint) {
+    if (asking.putIfAbsent(endpoint.name(), Boolean.TRUE) != null) {
+      return;
+    }
+    engines
+        .load(endpoint)
+        .whenComplete(
+            (load, failure) -> {
+              asking.remove(endpoint.name());
+              if (load != null) {
+                decisions.offer(new HostEvent.Loaded(endpoint.identity(), load));
+              }
+            });
+  }
+}
--- /dev/null
+++ b/org.fawndrum/src/org/fawndrum/transport/EngineCalls.java
@@ -0,0 +1,122 @@
+// SPDX-License-Identifier: Apache-2.0
+package org.fawndrum.transport;
+
+import io.vertx.core.Future;
+import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpClientAgent;
+import io.vertx.core.http.HttpClientOptions;
+import io.vertx.core.http.HttpMethod;
+import io.vertx.core.http.PoolOptions;
+import io.vertx.core.http.RequestOptions;
+import java.io.IOException;
+import java.util.concurrent.CompletableFuture;
+import org.fawndrum.coordination.AttemptId;
+import org.fawndrum.errors.EndpointAnsweredWrongException;
+import org.fawndrum.errors.EndpointUnreachableException;
+import org.fawndrum.protocol.EngineMessages.Cancel;
+import org.fawndrum.protocol.EngineMessages.Load;
+import org.fawndrum.protocol.Json;
+import org.fawndrum.state.Endpoint;
+
+/** Calls of model engines over HTTP. Safe for all threads. */
+public final class EngineCalls {
+  private static final int CONNECT_MS = 1_000;
+  private static final int CONNECTIONS_PER_ENGINE = 1_024;
+  private static final long CALL_MS = 2_000;
+  private static final int CANCEL_TRIES = 3;
+  private static final long CANCEL_AGAIN_MS = 500;
+  private static final int HTTP_OK = 200;
+
+  private final Vertx vertx;
+  private final HttpClientAgent client;
+  private final long silenceMs;
+
+  /**
+   * Makes the calls.
+   *
+   * @param vertx runs them
+   * @param silenceMs how long an engine may be silent during an answer, in milliseconds
+   */
+  public EngineCalls(Vertx vertx, long silenceMs) {
+    this.vertx = vertx;
+    this.silenceMs = silenceMs;
+    this.client =
+        vertx.createHttpClient(
+            new HttpClientOptions().setConnectTimeout(CONNECT_MS),
+            new PoolOptions().setHttp1MaxSize(CONNECTIONS_PER_ENGINE));
+  }
+
+  /** Returns a stream that has not started. */
+  EngineStream stream(EngineStream.Listener listener) {
+    return new EngineStream(vertx, client, silenceMs, listener);
+  }
+
+  /**
+   * Tells an engine that nobody waits for an attempt any more. Tried a few times; an engine that
+   * cannot be told sees the closed connection, and the sweep finds what is left.
+   */
+  public void cancel(Endpoint endpoint, AttemptId attempt) {
+    cancel(endpoint, attempt, 1);
+  }
+
+  private void cancel(Endpoint endpoint, AttemptId attempt, int tries) {
+    String body = Json.write(new Cancel(attempt.toString()));
+    call(endpoint, HttpMethod.POST, "/v1/cancel", body)
+        .onFailure(
+            cause -> {
+              if (tries < CANCEL_TRIES) {
+                vertx.setTimer(CANCEL_AGAIN_MS, id -> cancel(endpoint, attempt, tries + 1));
+              }
+            });
+  }
+
+  /**
+   * Reads an engine's load. Fails with {@code EndpointUnreachableException} or {@code
+   * EndpointAnsweredWrongException}.
+   */
+  public CompletableFuture<Load> load(Endpoint endpoint) {
+    return read(endpoint, HttpMethod.GET, "/v1/load", "", Load.class);
+  }
+
+  /** Calls an engine and reads its answer; fails as {@link #load} does. */
+  <T> CompletableFuture<T> read(
+      Endpoint endpoint, HttpMethod method, String path, String body, Class<T> type) {
+    CompletableFuture<T> result = new CompletableFuture<>();
+    call(endpoint, method, path, body)
+        .onSuccess(
+            answer -> {
+              try {
+                result.complete(Json.read(answer.getBytes(), type));
+              } catch (IOException e) {
+                result.completeExceptionally(
+                    new EndpointAnsweredWrongException(endpoint.name(), HTTP_OK, e));
+              }
+            })
+        .onFailure(
+            cause ->
+                result.completeExceptionally(
+                    new EndpointUnreachableException(endpoint.address(), cause)));
+    return result;
+  }
+
+  private Future<Buffer> call(Endpoint endpoint, HttpMethod method, String path, String body) {
+    RequestOptions options =
+        new RequestOptions()
+            .setMethod(method)
+            .setHost(endpoint.address().ip())
+            .setPort(endpoint.address().port())
+            .setURI(path)
+            .setTimeout(CALL_MS);
+    return client
+        .request(options)
+        .compose(request -> request.send(Buffer.buffer(body)))
+        .compose(
+            response ->
+                response.statusCode() == HTTP_OK
+                    ? response.body()
+                    : Future.failedFuture(
+                        new EndpointAnsweredWrongException(
+                            endpoint.name(), response.statusCode(), null)));
+  }
+}
