--- /dev/null
+++ b/org.fawndrum/tst/org/fawndrum/coordination/AnswerAssemblerTest.java
@@ -0,0 +1,123 @@
+// SPDX-License-Identifier: Apache-2.0
+package org.fawndrum.coordination;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import java.util.Random;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import org.fawndrum.coordination.AnswerAssembler.Result;
+import org.fawndrum.state.HostIdentity;
+import org.junit.jupiter.api.Test;
+
+/** An answer is handed on in order, once and whole, or is not called whole. */
+class AnswerAssemblerTest {
+  private static final HostIdentity OWNER = new HostIdentity("a", 1);
+
+  private static AttemptId attempt(int number) {
+    return new AttemptId(OWNER, "r", number);
+  }
+
+  private static String text(long at) {
+    return "t" + at + " ";
+  }
+
+  private static String whole(long count) {
+    StringBuilder text = new StringBuilder();
+    for (long at = 0; at < count; at++) {
+      text.append(text(at));
+    }
+    return text.toString();
+  }
+
+  /** Plays attempts whose chunks are late, crossed, repeated, missing and out of order. */
+  @Property(tries = 5_000, seed = "11")
+  void neverCallsACutOrCrossedAnswerWhole(@ForAll long seed) {
+    Random random = new Random(seed);
+    long count = random.nextInt(30);
+    AnswerAssembler assembler = new AnswerAssembler();
+    StringBuilder got = new StringBuilder();
+    Result last = Result.NOTHING;
+    for (int number = 1; number <= 4 && last != Result.WHOLE; number++) {
+      last = playAttempt(random, assembler, number, count, got);
+    }
+    assertTrue(whole(count).startsWith(got.toString()), got.toString());
+    if (last == Result.WHOLE) {
+      assertEquals(whole(count), got.toString());
+    }
+  }
+
+  private static Result playAttempt(
+      Random random, AnswerAssembler assembler, int number, long count, StringBuilder got) {
+    AttemptId attempt = attempt(number);
+    assembler.begin(attempt);
+    Result result = Result.NOTHING;
+    long next = assembler.position();
+    for (int step = 0; step < 120; step++) {
+      int chance = random.nextInt(100);
+      if (chance < 60 && next < count) {
+        result = assembler.chunk(attempt, next, text(next++));
+      } else if (chance < 70) {
+        result = assembler.chunk(attempt(number + 1), next, "crossed ");
+      } else if (chance < 78) {
+        result = assembler.chunk(attempt(Math.max(0, number - 1)), next, "late ");
+      } else if (chance < 86 && next > 0) {
+        // A position that never came is repeated as it is; one that came, with a text that shows.
+        long at = random.nextInt((int) next);
+        String again = at < assembler.position() ? "repeated " : text(at);
+        result = assembler.chunk(attempt, at, again);
+      } else if (chance < 89 && next < count) {
+        next++;
+      } else if (chance < 92 && next + 1 < count) {
+        result = assembler.chunk(attempt, next + 1, text(next + 1));
+      } else if (next >= count) {
+        result = assembler.end(attempt, count);
+      }
+      assembler.takeReady().forEach(got::append);
+      if (result == Result.WHOLE || result == Result.CUT) {
+        return result;
+      }
+    }
+    return Result.CUT;
+  }
+
+  @Test
+  void repeatedChunkWithOtherTextIsDropped() {
+    AnswerAssembler assembler = new AnswerAssembler();
+    assembler.begin(attempt(1));
+    assembler.chunk(attempt(1), 0, "a");
+    assertEquals(Result.NOTHING, assembler.chunk(attempt(1), 0, "b"));
+    assertEquals(List.of("a"), assembler.takeReady());
+  }
+
+  @Test
+  void endBeforeAllChunksIsNotWholeUntilTheyCome() {
+    AnswerAssembler assembler = new AnswerAssembler();
+    assembler.begin(attempt(1));
+    assertEquals(Result.NOTHING, assembler.end(attempt(1), 2));
+    assembler.chunk(attempt(1), 0, "a");
+    assertEquals(Result.WHOLE, assembler.chunk(attempt(1), 1, "b"));
+  }
+
+  @Test
+  void endThatCountsLessThanWasHandedOnIsCut() {
+    AnswerAssembler assembler = new AnswerAssembler();
+    assembler.begin(attempt(1));
+    assembler.chunk(attempt(1), 0, "a");
+    assembler.chunk(attempt(1), 1, "b");
+    assertEquals(Result.CUT, assembler.end(attempt(1), 1));
+  }
+
+  @Test
+  void tooManyEarlyChunksAreACut() {
+    AnswerAssembler assembler = new AnswerAssembler();
+    assembler.begin(attempt(1));
+    Result result = Result.NOTHING;
+    for (long at = 1; at <= AnswerAssembler.MOST_HELD + 1; at++) {
+      result = assembler.chunk(attempt(1), at, "x");
+    }
+    assertEquals(Result.CUT, result);
+  }
+}
--- /dev/null
+++ b/org.fawndrum/tst/org/fawndrum/coordination/CoordinatorHistoryTest.java
@@ -0,0 +1,197 @@
+// SPDX-License-Identifier: Apache-2.0
+package org.fawndrum.coordination;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.Set;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import org.fawndrum.state.CallerGroup;
+import org.fawndrum.state.CellChange;
+import org.fawndrum.state.CellKey;
+import org.fawndrum.state.Column;
+import org.fawndrum.state.Endpoint;
+import org.fawndrum.state.EndpointKind;
+import org.fawndrum.state.HostAddress;
+import org.fawndrum.state.HostIdentity;
+import org.fawndrum.state.Publication;
+import org.fawndrum.state.ReplayPublication;
+import org.fawndrum.state.TableRevision;
+
+/**
+ * Random histories of requests against endpoints that answer, refuse, fail, fall silent and leave:
+ * every admitted request gets exactly one end within its time, "not run" is true, and what may not
+ * be repeated is sent at most once.
+ */
+class CoordinatorHistoryTest {
+  private static final HostIdentity SELF = new HostIdentity("host", 1);
+  private static final CallerGroup GROUP = new CallerGroup("w", "c");
+  private static final long DEADLINE_MS = 5_000;
+
+  @Property(tries = 1_500, seed = "41")
+  void everyRequestEndsOnceWithinItsTime(@ForAll long seed) {
+    new History(seed).play();
+  }
+
+  private static final class History {
+    private final Random random;
+    private final RequestCoordinator coordinator;
+    private final Map<String, Long> arrived = new HashMap<>();
+    private final Map<String, Boolean> repeatable = new HashMap<>();
+    private final Set<String> ended = new HashSet<>();
+    private final Map<String, Integer> mayHaveRun = new HashMap<>();
+    private final Map<AttemptId, Endpoint> onTheWay = new HashMap<>();
+    private long nowMs = 1_000;
+
+    History(long seed) {
+      random = new Random(seed);
+      Policies policies =
+          switch (random.nextInt(3)) {
+            case 0 -> Policies.standard();
+            case 1 -> Policies.firstComeRoundRobin();
+            default -> Policies.firstComeLeastInFlight();
+          };
+      coordinator = new RequestCoordinator(SELF, "z", policies);
+      coordinator.table(table(), nowMs);
+      offerSome();
+    }
+
+    private static TableRevision table() {
+      List<CellChange> changes = new ArrayList<>();
+      Map<Column, String> cells =
+          Map.of(
+              Column.DEADLINE_MS, Long.toString(DEADLINE_MS),
+              Column.QUEUE_LENGTH, "5",
+              Column.IN_FLIGHT, "12",
+              Column.TOKENS_PER_SECOND, "2000000");
+      cells.forEach(
+          (column, value) -> changes.add(new CellChange(new CellKey(GROUP, column), value)));
+      return new ReplayPublication(TableRevision.EMPTY, 0, new Publication("p", "ana", -1, changes))
+          .call();
+    }
+
+    private void offerSome() {
+      List<Endpoint> endpoints = new ArrayList<>();
+      for (int i = 0; i < random.nextInt(4); i++) {
+        for (EndpointKind kind : EndpointKind.values()) {
+          String name = kind + "-" + i;
+          endpoints.add(
+              new Endpoint(
+                  new HostIdentity(name, 1),
+                  "z",
+                  kind,
+                  new HostAddress("127.0.0.1", 1),
+                  Set.of("target"),
+                  100_000));
+        }
+      }
+      take(coordinator.endpoints(endpoints, nowMs));
+    }
+
+    void play() {
+      for (int step = 0; step < 150; step++) {
+        nowMs += random.nextInt(120);
+        int chance = random.nextInt(20);
+        if (chance < 6) {
+          arrive();
+        } else if (chance < 15) {
+          attemptEvent();
+        } else if (chance == 15) {
+          offerSome();
+        } else if (chance == 16 && !arrived.isEmpty()) {
+          callerGone();
+        } else {
+          take(coordinator.tick(nowMs));
+          nobodyIsOverdue();
+        }
+      }
+      nowMs += DEADLINE_MS + 1;
+      take(coordinator.tick(nowMs));
+      assertEquals(arrived.keySet(), ended);
+      assertEquals(0, coordinator.open());
+      assertEquals(0, coordinator.waiting());
+    }
+
+    private void arrive() {
+      String id = "r" + arrived.size();
+      EndpointKind kind = EndpointKind.values()[random.nextInt(2)];
+      boolean again = kind == EndpointKind.MODEL || random.nextBoolean();
+      long tokens = kind == EndpointKind.MODEL ? 1_000L << random.nextInt(8) : 0;
+      arrived.put(id, nowMs);
+      repeatable.put(id, again);
+      RequestTarget target = new RequestTarget(kind, "target");
+      RequestFacts facts =
+          new RequestFacts(id, GROUP, target, tokens, 16, nowMs, 0, again, List.of());
+      take(coordinator.arrive(facts, nowMs));
+    }
+
+    private void attemptEvent() {
+      if (onTheWay.isEmpty()) {
+        return;
+      }
+      List<AttemptId> ids = new ArrayList<>(onTheWay.keySet());
+      AttemptId id = ids.get(random.nextInt(ids.size()));
+      AttemptEvent[] events = AttemptEvent.values();
+      AttemptEvent event = events[1 + random.nextInt(events.length - 1)];
+      if (event == AttemptEvent.ANSWERED) {
+        ended.add(id.requestId());
+      }
+      boolean word =
+          event == AttemptEvent.CONNECT_FAILED || event == AttemptEvent.REFUSED_BY_ENDPOINT;
+      boolean started = onTheWay.get(id) == null;
+      if (word && !started) {
+        mayHaveRun.merge(id.requestId(), -1, Integer::sum);
+      }
+      if (event == AttemptEvent.ANSWERING) {
+        onTheWay.put(id, null);
+      } else {
+        onTheWay.remove(id);
+      }
+      take(coordinator.attempt(id, event, nowMs));
+    }
+
+    private void callerGone() {
+      List<String> ids = new ArrayList<>(arrived.keySet());
+      take(coordinator.callerGone(ids.get(random.nextInt(ids.size())), nowMs));
+    }
+
+    private void nobodyIsOverdue() {
+      arrived.forEach(
+          (id, at) -> assertTrue(ended.contains(id) || nowMs < at + DEADLINE_MS, id + " overdue"));
+    }
+
+    private void take(List<Action> actions) {
+      for (Action action : actions) {
+        if (action instanceof Action.Send send) {
+          sent(send);
+        } else if (action instanceof Action.Refuse refuse) {
+          refused(refuse);
+        }
+      }
+    }
+
+    private void sent(Action.Send send) {
+      String id = send.attempt().requestId();
+      assertTrue(!ended.contains(id), id + " sent after its end");
+      int before = mayHaveRun.merge(id, 1, Integer::sum);
+      assertTrue(repeatable.get(id) || before == 1, id + " may run twice");
+      onTheWay.put(send.attempt(), send.endpoint());
+    }
+
+    private void refused(Action.Refuse refuse) {
+      String id = refuse.requestId();
+      assertTrue(ended.add(id), id + " ended twice");
+      onTheWay.keySet().removeIf(attempt -> attempt.requestId().equals(id));
+      if (refuse.refusal().ran() == Ran.NO) {
+        assertEquals(0, mayHaveRun.getOrDefault(id, 0), id + " said not run, may have run");
+      }
+    }
+  }
+}
--- /dev/null
+++ b/org.fawndrum/tst/org/fawndrum/coordination/EndpointRosterTest.java
@@ -0,0 +1,92 @@
+// SPDX-License-Identifier: Apache-2.0
+package org.fawndrum.coordination;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.Set;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import org.fawndrum.state.Endpoint;
+import org.fawndrum.state.EndpointKind;
+import org.fawndrum.state.HostAddress;
+import org.fawndrum.state.HostIdentity;
+import org.fawndrum.state.HostListing;
+import org.junit.jupiter.api.Test;
+
+/** An endpoint that is leaving gets no new work, whoever says so first and however old the list. */
+class EndpointRosterTest {
+  private static Endpoint endpoint(String name, long incarnation) {
+    return new Endpoint(
+        new HostIdentity(name, incarnation),
+        "z",
+        EndpointKind.MODEL,
+        new HostAddress("127.0.0.1", 1),
+        Set.of("m"),
+        1);
+  }
+
+  private static HostListing listing(long version, List<Endpoint> endpoints, HostIdentity... gone) {
+    return new HostListing(version, endpoints, Set.of(gone), List.of());
+  }
+
+  private static boolean open(EndpointRoster roster, HostIdentity identity) {
+    return roster.open().stream().anyMatch(one -> one.identity().equals(identity));
+  }
+
+  @Property(tries = 2_000, seed = "31")
+  void onceSaidLeavingNeverOpenAgain(@ForAll long seed) {
+    Random random = new Random(seed);
+    EndpointRoster roster = new EndpointRoster();
+    Map<String, Long> newest = new HashMap<>(Map.of("a", 1L, "b", 1L, "c", 1L));
+    Set<HostIdentity> said = new HashSet<>();
+    for (int step = 0; step < 60; step++) {
+      String name = List.of("a", "b", "c").get(random.nextInt(3));
+      HostIdentity identity = new HostIdentity(name, newest.get(name));
+      switch (random.nextInt(5)) {
+        case 0 -> newest.merge(name, 1L, Long::sum);
+        case 1 -> {
+          roster.saidLeaving(identity);
+          said.add(identity);
+        }
+        case 2 -> roster.answered(identity);
+        default -> {
+          // A list that lags: it names lives that may be over, and an old version may come late.
+          List<Endpoint> listed =
+              newest.entrySet().stream()
+                  .map(
+                      one ->
+                          endpoint(one.getKey(), Math.max(1, one.getValue() - random.nextInt(2))))
+                  .toList();
+          roster.listed(listing(random.nextInt(60), listed));
+        }
+      }
+      said.forEach(gone -> assertFalse(open(roster, gone), gone + " is open again"));
+    }
+  }
+
+  @Test
+  void olderListIsNotTakenOverANewerOne() {
+    EndpointRoster roster = new EndpointRoster();
+    Endpoint a = endpoint("a", 1);
+    assertTrue(roster.listed(listing(5, List.of(a), a.identity())));
+    assertFalse(roster.listed(listing(4, List.of(a))));
+    assertEquals(List.of(), roster.open());
+  }
+
+  @Test
+  void restartedEndpointComesBackBeforeTheListKnows() {
+    EndpointRoster roster = new EndpointRoster();
+    Endpoint a = endpoint("a", 1);
+    roster.listed(listing(1, List.of(a), a.identity()));
+    roster.answered(new HostIdentity("a", 2));
+    assertTrue(open(roster, new HostIdentity("a", 2)));
+    assertFalse(open(roster, a.identity()));
+  }
+}
--- /dev/null
+++ b/org.fawndrum/tst/org/fawndrum/internal/text/MessageTextTest.java
@@ -0,0 +1,16 @@
+// SPDX-License-Identifier: Apache-2.0
+package org.fawndrum.internal.text;
+
+import static org.junit.jupiter.api.Assertions.assertFalse;
+
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+
+/** Each text of the bundle can be read. */
+class MessageTextTest {
+  @ParameterizedTest
+  @EnumSource(MessageText.class)
+  void hasAText(MessageText text) {
+    assertFalse(text.format("a", "b", "c", "d").isBlank());
+  }
+}
