--- a/org.fawndrum/src/org/fawndrum/coordination/LogReplay.java
+++ b/org.fawndrum/src/org/fawndrum/coordination/LogReplay.java
@@ -55,6 +55,11 @@
     return table.position() - lastSnapshot;
   }
 
+  /** Returns the position of the newest snapshot seen in the log, -1 for none. */
+  public long lastSnapshot() {
+    return lastSnapshot;
+  }
+
   /** Takes note that the log begins at {@code first}: what was before cannot be read any more. */
   public void logBegins(long first) {
     if (first > next) {
--- a/org.fawndrum/src/org/fawndrum/coordination/RequestCoordinator.java
+++ b/org.fawndrum/src/org/fawndrum/coordination/RequestCoordinator.java
@@ -297,6 +297,11 @@
     usages.get(request.facts.group()).inFlight--;
   }
 
+  /** Refuses a request that was not admitted, for a reason that was found elsewhere. */
+  public List<Action> refuse(RequestFacts facts, Refusal refusal, long nowMs) {
+    return refuseNew(facts, refusal, Reason.NOT_REPEATABLE, nowMs);
+  }
+
   private List<Action> refuseNew(RequestFacts facts, Refusal refusal, Reason why, long nowMs) {
     explainer.refused(facts, refusal, why, nowMs);
     out.add(new Action.Refuse(facts.requestId(), refusal));
--- a/org.fawndrum/src/org/fawndrum/coordination/once/ClaimRoster.java
+++ b/org.fawndrum/src/org/fawndrum/coordination/once/ClaimRoster.java
@@ -3,8 +3,10 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import org.fawndrum.state.HostAddress;
 import org.fawndrum.state.HostIdentity;
 
@@ -14,9 +16,12 @@
  * everybody who could have run a call before. Confined to one thread.
  */
 public final class ClaimRoster {
+  private static final int RETIRED_KEPT = 4_096;
+
   private final HostIdentity self;
   private final Map<HostIdentity, Member> members = new HashMap<>();
   private final Map<String, Long> newest = new HashMap<>();
+  private final Set<HostIdentity> retired = new LinkedHashSet<>();
 
   /**
    * A registered incarnation; {@code goneMs} is when it was seen to be gone, -1 while it is not.
@@ -40,6 +45,10 @@
 
   /** Takes a registration from the log. An earlier incarnation of the same host is then gone. */
   public void registered(HostIdentity identity, HostAddress address, long nowMs) {
+    // An old snapshot may still name a host that retired since.
+    if (retired.contains(identity)) {
+      return;
+    }
     members.putIfAbsent(identity, new Member(address));
     long latest =
         Math.max(newest.getOrDefault(identity.host(), Long.MIN_VALUE), identity.incarnation());
@@ -56,6 +65,10 @@
   /** Takes note that an incarnation handed its keys over and runs nothing any more. */
   public void retired(HostIdentity identity) {
     members.remove(identity);
+    retired.add(identity);
+    if (retired.size() > RETIRED_KEPT) {
+      retired.remove(retired.iterator().next());
+    }
   }
 
   /**
--- a/org.fawndrum/src/org/fawndrum/protocol/Registration.java
+++ b/org.fawndrum/src/org/fawndrum/coordination/once/Registration.java
@@ -1,5 +1,5 @@
 // SPDX-License-Identifier: Apache-2.0
-package org.fawndrum.protocol;
+package org.fawndrum.coordination.once;
 
 import org.fawndrum.state.HostAddress;
 import org.fawndrum.state.HostIdentity;
--- a/org.fawndrum/src/org/fawndrum/protocol/HostListCodec.java
+++ b/org.fawndrum/src/org/fawndrum/protocol/HostListCodec.java
@@ -53,4 +53,29 @@
     }
     return new HostListing(list.version(), endpoints, leaving, entryHosts);
   }
+
+  /** Returns a listing in the platform's form, so that a daemon can hand it to another. */
+  public static HostList encode(HostListing listing) {
+    List<ListedHost> hosts = new ArrayList<>();
+    for (EntryHost host : listing.entryHosts()) {
+      HostAddress address = host.peerAddress();
+      hosts.add(
+          new ListedHost(
+              host.name(), 0, host.zone(), ENTRY, address.ip(), address.port(), null, 0, false));
+    }
+    for (Endpoint endpoint : listing.endpoints()) {
+      hosts.add(
+          new ListedHost(
+              endpoint.name(),
+              endpoint.incarnation(),
+              endpoint.zone(),
+              endpoint.kind() == EndpointKind.MODEL ? MODEL : PLAIN,
+              endpoint.address().ip(),
+              endpoint.address().port(),
+              endpoint.serves().stream().sorted().toList(),
+              endpoint.memoryTokens(),
+              listing.leaving().contains(endpoint.identity())));
+    }
+    return new HostList(listing.version(), hosts);
+  }
 }
--- a/org.fawndrum/src/org/fawndrum/protocol/LogCodec.java
+++ b/org.fawndrum/src/org/fawndrum/protocol/LogCodec.java
@@ -3,6 +3,7 @@
 
 import com.google.protobuf.InvalidProtocolBufferException;
 import java.util.List;
+import org.fawndrum.coordination.once.Registration;
 import org.fawndrum.errors.RecordUnreadableException;
 import org.fawndrum.protocol.wire.CellChangeRecord;
 import org.fawndrum.protocol.wire.LogEntry;
@@ -34,21 +35,28 @@
 
   /** Returns the bytes of a registration. */
   public static byte[] registration(Registration registration) {
-    RegistrationRecord record =
-        RegistrationRecord.newBuilder()
-            .setHost(registration.identity().host())
-            .setIncarnation(registration.identity().incarnation())
-            .setZone(registration.zone())
-            .setIp(registration.peerAddress().ip())
-            .setPort(registration.peerAddress().port())
-            .setRetired(registration.retired())
-            .build();
+    RegistrationRecord record = registrationRecord(registration);
     return LogEntry.newBuilder().setRegistration(record).build().toByteArray();
   }
 
-  /** Returns the bytes of a snapshot of a table. */
-  public static byte[] snapshot(TableRevision table) {
-    return LogEntry.newBuilder().setSnapshot(SnapshotCodec.encode(table)).build().toByteArray();
+  /** Returns a registration as it is written. */
+  static RegistrationRecord registrationRecord(Registration registration) {
+    return RegistrationRecord.newBuilder()
+        .setHost(registration.identity().host())
+        .setIncarnation(registration.identity().incarnation())
+        .setZone(registration.zone())
+        .setIp(registration.peerAddress().ip())
+        .setPort(registration.peerAddress().port())
+        .setRetired(registration.retired())
+        .build();
+  }
+
+  /** Returns the bytes of a snapshot of a table with everybody registered. */
+  public static byte[] snapshot(TableRevision table, List<Registration> members) {
+    return LogEntry.newBuilder()
+        .setSnapshot(SnapshotCodec.encode(table, members))
+        .build()
+        .toByteArray();
   }
 
   /**
--- a/org.fawndrum/src/org/fawndrum/protocol/SnapshotCodec.java
+++ b/org.fawndrum/src/org/fawndrum/protocol/SnapshotCodec.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import org.fawndrum.coordination.once.Registration;
 import org.fawndrum.errors.BadSnapshotException;
 import org.fawndrum.protocol.wire.BadCellRecord;
 import org.fawndrum.protocol.wire.CellRecord;
@@ -26,14 +27,20 @@
 public final class SnapshotCodec {
   private SnapshotCodec() {}
 
-  /** Returns a snapshot with its digest; equal tables give equal bytes. */
+  /** Returns a snapshot of a table alone. */
   public static SnapshotRecord encode(TableRevision table) {
+    return encode(table, List.of());
+  }
+
+  /** Returns a snapshot with its digest; equal tables and members give equal bytes. */
+  public static SnapshotRecord encode(TableRevision table, List<Registration> members) {
     SnapshotRecord.Builder record =
         SnapshotRecord.newBuilder().setPosition(table.position()).setRevision(table.revision());
     table.rows().entrySet().stream()
         .sorted(Map.Entry.comparingByKey())
         .forEach(row -> addCells(record, row.getKey(), row.getValue()));
     table.outcomes().forEach((id, outcome) -> record.addOutcomes(outcomeRecord(id, outcome)));
+    members.forEach(member -> record.addMembers(LogCodec.registrationRecord(member)));
     return record.setDigest(digest(record.build())).build();
   }
 
@@ -58,6 +65,11 @@
     return parts.outcomes(outcomes).build();
   }
 
+  /** Returns everybody whom a snapshot names as registered. */
+  public static List<Registration> members(SnapshotRecord record) {
+    return record.getMembersList().stream().map(LogCodec::registration).toList();
+  }
+
   private static ByteString digest(SnapshotRecord bare) {
     try {
       MessageDigest sha = MessageDigest.getInstance("SHA-256");
--- a/org.fawndrum/src/org/fawndrum/protocol/wire/Acknowledgement.java
+++ b/org.fawndrum/src/org/fawndrum/protocol/wire/Acknowledgement.java
@@ -43,17 +43,6 @@
             org.fawndrum.protocol.wire.Acknowledgement.class, org.fawndrum.protocol.wire.Acknowledgement.Builder.class);
   }
 
-  public static final int ACCEPTED_FIELD_NUMBER = 1;
-  private boolean accepted_ = false;
-  /**
-   * <code>bool accepted = 1;</code>
-   * @return The accepted.
-   */
-  @java.lang.Override
-  public boolean getAccepted() {
-    return accepted_;
-  }
-
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -68,9 +57,6 @@
   @java.lang.Override
   public void writeTo(com.google.protobuf.CodedOutputStream output)
                       throws java.io.IOException {
-    if (accepted_ != false) {
-      output.writeBool(1, accepted_);
-    }
     getUnknownFields().writeTo(output);
   }
 
@@ -80,10 +66,6 @@
     if (size != -1) return size;
 
     size = 0;
-    if (accepted_ != false) {
-      size += com.google.protobuf.CodedOutputStream
-        .computeBoolSize(1, accepted_);
-    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -99,8 +81,6 @@
     }
     org.fawndrum.protocol.wire.Acknowledgement other = (org.fawndrum.protocol.wire.Acknowledgement) obj;
 
-    if (getAccepted()
-        != other.getAccepted()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -112,9 +92,6 @@
     }
     int hash = 41;
     hash = (19 * hash) + getDescriptor().hashCode();
-    hash = (37 * hash) + ACCEPTED_FIELD_NUMBER;
-    hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
-        getAccepted());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -245,8 +222,6 @@
     @java.lang.Override
     public Builder clear() {
       super.clear();
-      bitField0_ = 0;
-      accepted_ = false;
       return this;
     }
 
@@ -273,18 +248,10 @@
     @java.lang.Override
     public org.fawndrum.protocol.wire.Acknowledgement buildPartial() {
       org.fawndrum.protocol.wire.Acknowledgement result = new org.fawndrum.protocol.wire.Acknowledgement(this);
-      if (bitField0_ != 0) { buildPartial0(result); }
       onBuilt();
       return result;
     }
 
-    private void buildPartial0(org.fawndrum.protocol.wire.Acknowledgement result) {
-      int from_bitField0_ = bitField0_;
-      if (((from_bitField0_ & 0x00000001) != 0)) {
-        result.accepted_ = accepted_;
-      }
-    }
-
     @java.lang.Override
     public Builder mergeFrom(com.google.protobuf.Message other) {
       if (other instanceof org.fawndrum.protocol.wire.Acknowledgement) {
@@ -297,9 +264,6 @@
 
     public Builder mergeFrom(org.fawndrum.protocol.wire.Acknowledgement other) {
       if (other == org.fawndrum.protocol.wire.Acknowledgement.getDefaultInstance()) return this;
-      if (other.getAccepted() != false) {
-        setAccepted(other.getAccepted());
-      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -326,11 +290,6 @@
             case 0:
               done = true;
               break;
-            case 8: {
-              accepted_ = input.readBool();
-              bitField0_ |= 0x00000001;
-              break;
-            } // case 8
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -346,39 +305,6 @@
       } // finally
       return this;
     }
-    private int bitField0_;
-
-    private boolean accepted_ ;
-    /**
-     * <code>bool accepted = 1;</code>
-     * @return The accepted.
-     */
-    @java.lang.Override
-    public boolean getAccepted() {
-      return accepted_;
-    }
-    /**
-     * <code>bool accepted = 1;</code>
-     * @param value The accepted to set.
-     * @return This builder for chaining.
-     */
-    public Builder setAccepted(boolean value) {
-
-      accepted_ = value;
-      bitField0_ |= 0x00000001;
-      onChanged();
-      return this;
-    }
-    /**
-     * <code>bool accepted = 1;</code>
-     * @return This builder for chaining.
-     */
-    public Builder clearAccepted() {
-      bitField0_ = (bitField0_ & ~0x00000001);
-      accepted_ = false;
-      onChanged();
-      return this;
-    }
 
     // @@protoc_insertion_point(builder_scope:fawndrum.Acknowledgement)
   }
--- a/org.fawndrum/src/org/fawndrum/protocol/wire/AcknowledgementOrBuilder.java
+++ b/org.fawndrum/src/org/fawndrum/protocol/wire/AcknowledgementOrBuilder.java
@@ -9,10 +9,4 @@
 public interface AcknowledgementOrBuilder extends
     // @@protoc_insertion_point(interface_extends:fawndrum.Acknowledgement)
     com.google.protobuf.MessageOrBuilder {
-
-  /**
-   * <code>bool accepted = 1;</code>
-   * @return The accepted.
-   */
-  boolean getAccepted();
 }
--- a/org.fawndrum/src/org/fawndrum/protocol/wire/TableReply.java
+++ b/org.fawndrum/src/org/fawndrum/protocol/wire/CatchUpReply.java
@@ -6,13 +6,13 @@
 package org.fawndrum.protocol.wire;
 
 /**
- * Protobuf type {@code fawndrum.TableReply}
+ * Protobuf type {@code fawndrum.CatchUpReply}
  */
 @com.google.protobuf.Generated
-public final class TableReply extends
+public final class CatchUpReply extends
     com.google.protobuf.GeneratedMessage implements
-    // @@protoc_insertion_point(message_implements:fawndrum.TableReply)
-    TableReplyOrBuilder {
+    // @@protoc_insertion_point(message_implements:fawndrum.CatchUpReply)
+    CatchUpReplyOrBuilder {
 private static final long serialVersionUID = 0L;
   static {
     com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
@@ -21,26 +21,27 @@
       /* minor= */ 33,
       /* patch= */ 4,
       /* suffix= */ "",
-      "TableReply");
+      "CatchUpReply");
   }
-  // Use TableReply.newBuilder() to construct.
-  private TableReply(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+  // Use CatchUpReply.newBuilder() to construct.
+  private CatchUpReply(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
     super(builder);
   }
-  private TableReply() {
+  private CatchUpReply() {
+    listingJson_ = com.google.protobuf.ByteString.EMPTY;
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
       getDescriptor() {
-    return org.fawndrum.protocol.wire.Peer.internal_static_fawndrum_TableReply_descriptor;
+    return org.fawndrum.protocol.wire.Peer.internal_static_fawndrum_CatchUpReply_descriptor;
   }
 
   @java.lang.Override
   protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internalGetFieldAccessorTable() {
-    return org.fawndrum.protocol.wire.Peer.internal_static_fawndrum_TableReply_fieldAccessorTable
+    return org.fawndrum.protocol.wire.Peer.internal_static_fawndrum_CatchUpReply_fieldAccessorTable
         .ensureFieldAccessorsInitialized(
-            org.fawndrum.protocol.wire.TableReply.class, org.fawndrum.protocol.wire.TableReply.Builder.class);
+            org.fawndrum.protocol.wire.CatchUpReply.class, org.fawndrum.protocol.wire.CatchUpReply.Builder.class);
   }
 
   private int bitField0_;
@@ -70,6 +71,21 @@
     return snapshot_ == null ? org.fawndrum.protocol.wire.SnapshotRecord.getDefaultInstance() : snapshot_;
   }
 
+  public static final int LISTING_JSON_FIELD_NUMBER = 2;
+  private com.google.protobuf.ByteString listingJson_ = com.google.protobuf.ByteString.EMPTY;
+  /**
+   * <pre>
+   * The platform's list of hosts in the platform's own JSON form; empty when it is not newer.
+   * </pre>
+   *
+   * <code>bytes listing_json = 2;</code>
+   * @return The listingJson.
+   */
+  @java.lang.Override
+  public com.google.protobuf.ByteString getListingJson() {
+    return listingJson_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -87,6 +103,9 @@
     if (((bitField0_ & 0x00000001) != 0)) {
       output.writeMessage(1, getSnapshot());
     }
+    if (!listingJson_.isEmpty()) {
+      output.writeBytes(2, listingJson_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -100,6 +119,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeMessageSize(1, getSnapshot());
     }
+    if (!listingJson_.isEmpty()) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeBytesSize(2, listingJson_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -110,16 +133,18 @@
     if (obj == this) {
      return true;
     }
-    if (!(obj instanceof org.fawndrum.protocol.wire.TableReply)) {
+    if (!(obj instanceof org.fawndrum.protocol.wire.CatchUpReply)) {
       return super.equals(obj);
     }
-    org.fawndrum.protocol.wire.TableReply other = (org.fawndrum.protocol.wire.TableReply) obj;
+    org.fawndrum.protocol.wire.CatchUpReply other = (org.fawndrum.protocol.wire.CatchUpReply) obj;
 
     if (hasSnapshot() != other.hasSnapshot()) return false;
     if (hasSnapshot()) {
       if (!getSnapshot()
           .equals(other.getSnapshot())) return false;
     }
+    if (!getListingJson()
+        .equals(other.getListingJson())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -135,49 +160,51 @@
       hash = (37 * hash) + SNAPSHOT_FIELD_NUMBER;
       hash = (53 * hash) + getSnapshot().hashCode();
     }
+    hash = (37 * hash) + LISTING_JSON_FIELD_NUMBER;
+    hash = (53 * hash) + getListingJson().hashCode();
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
   }
 
-  public static org.fawndrum.protocol.wire.TableReply parseFrom(
+  public static org.fawndrum.protocol.wire.CatchUpReply parseFrom(
       java.nio.ByteBuffer data)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data);
   }
-  public static org.fawndrum.protocol.wire.TableReply parseFrom(
+  public static org.fawndrum.protocol.wire.CatchUpReply parseFrom(
       java.nio.ByteBuffer data,
       com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data, extensionRegistry);
   }
-  public static org.fawndrum.protocol.wire.TableReply parseFrom(
+  public static org.fawndrum.protocol.wire.CatchUpReply parseFrom(
       com.google.protobuf.ByteString data)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data);
   }
-  public static org.fawndrum.protocol.wire.TableReply parseFrom(
+  public static org.fawndrum.protocol.wire.CatchUpReply parseFrom(
       com.google.protobuf.ByteString data,
       com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data, extensionRegistry);
   }
-  public static org.fawndrum.protocol.wire.TableReply parseFrom(byte[] data)
+  public static org.fawndrum.protocol.wire.CatchUpReply parseFrom(byte[] data)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data);
   }
-  public static org.fawndrum.protocol.wire.TableReply parseFrom(
+  public static org.fawndrum.protocol.wire.CatchUpReply parseFrom(
       byte[] data,
       com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data, extensionRegistry);
   }
-  public static org.fawndrum.protocol.wire.TableReply parseFrom(java.io.InputStream input)
+  public static org.fawndrum.protocol.wire.CatchUpReply parseFrom(java.io.InputStream input)
       throws java.io.IOException {
     return com.google.protobuf.GeneratedMessage
         .parseWithIOException(PARSER, input);
   }
-  public static org.fawndrum.protocol.wire.TableReply parseFrom(
+  public static org.fawndrum.protocol.wire.CatchUpReply parseFrom(
       java.io.InputStream input,
       com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws java.io.IOException {
@@ -185,26 +212,26 @@
         .parseWithIOException(PARSER, input, extensionRegistry);
   }
 
-  public static org.fawndrum.protocol.wire.TableReply parseDelimitedFrom(java.io.InputStream input)
+  public static org.fawndrum.protocol.wire.CatchUpReply parseDelimitedFrom(java.io.InputStream input)
       throws java.io.IOException {
     return com.google.protobuf.GeneratedMessage
         .parseDelimitedWithIOException(PARSER, input);
   }
 
-  public static org.fawndrum.protocol.wire.TableReply parseDelimitedFrom(
+  public static org.fawndrum.protocol.wire.CatchUpReply parseDelimitedFrom(
       java.io.InputStream input,
       com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws java.io.IOException {
     return com.google.protobuf.GeneratedMessage
         .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
   }
-  public static org.fawndrum.protocol.wire.TableReply parseFrom(
+  public static org.fawndrum.protocol.wire.CatchUpReply parseFrom(
       com.google.protobuf.CodedInputStream input)
       throws java.io.IOException {
     return com.google.protobuf.GeneratedMessage
         .parseWithIOException(PARSER, input);
   }
-  public static org.fawndrum.protocol.wire.TableReply parseFrom(
+  public static org.fawndrum.protocol.wire.CatchUpReply parseFrom(
       com.google.protobuf.CodedInputStream input,
       com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws java.io.IOException {
@@ -217,7 +244,7 @@
   public static Builder newBuilder() {
     return DEFAULT_INSTANCE.toBuilder();
   }
-  public static Builder newBuilder(org.fawndrum.protocol.wire.TableReply prototype) {
+  public static Builder newBuilder(org.fawndrum.protocol.wire.CatchUpReply prototype) {
     return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
   }
   @java.lang.Override
@@ -233,26 +260,26 @@
     return builder;
   }
   /**
-   * Protobuf type {@code fawndrum.TableReply}
+   * Protobuf type {@code fawndrum.CatchUpReply}
    */
   public static final class Builder extends
       com.google.protobuf.GeneratedMessage.Builder<Builder> implements
-      // @@protoc_insertion_point(builder_implements:fawndrum.TableReply)
-      org.fawndrum.protocol.wire.TableReplyOrBuilder {
+      // @@protoc_insertion_point(builder_implements:fawndrum.CatchUpReply)
+      org.fawndrum.protocol.wire.CatchUpReplyOrBuilder {
     public static final com.google.protobuf.Descriptors.Descriptor
         getDescriptor() {
-      return org.fawndrum.protocol.wire.Peer.internal_static_fawndrum_TableReply_descriptor;
+      return org.fawndrum.protocol.wire.Peer.internal_static_fawndrum_CatchUpReply_descriptor;
     }
 
     @java.lang.Override
     protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
         internalGetFieldAccessorTable() {
-      return org.fawndrum.protocol.wire.Peer.internal_static_fawndrum_TableReply_fieldAccessorTable
+      return org.fawndrum.protocol.wire.Peer.internal_static_fawndrum_CatchUpReply_fieldAccessorTable
           .ensureFieldAccessorsInitialized(
-              org.fawndrum.protocol.wire.TableReply.class, org.fawndrum.protocol.wire.TableReply.Builder.class);
+              org.fawndrum.protocol.wire.CatchUpReply.class, org.fawndrum.protocol.wire.CatchUpReply.Builder.class);
     }
 
-    // Construct using org.fawndrum.protocol.wire.TableReply.newBuilder()
+    // Construct using org.fawndrum.protocol.wire.CatchUpReply.newBuilder()
     private Builder() {
       maybeForceBuilderInitialization();
     }
@@ -277,23 +304,24 @@
         snapshotBuilder_.dispose();
         snapshotBuilder_ = null;
       }
+      listingJson_ = com.google.protobuf.ByteString.EMPTY;
       return this;
     }
 
     @java.lang.Override
     public com.google.protobuf.Descriptors.Descriptor
         getDescriptorForType() {
-      return org.fawndrum.protocol.wire.Peer.internal_static_fawndrum_TableReply_descriptor;
+      return org.fawndrum.protocol.wire.Peer.internal_static_fawndrum_CatchUpReply_descriptor;
     }
 
     @java.lang.Override
-    public org.fawndrum.protocol.wire.TableReply getDefaultInstanceForType() {
-      return org.fawndrum.protocol.wire.TableReply.getDefaultInstance();
+    public org.fawndrum.protocol.wire.CatchUpReply getDefaultInstanceForType() {
+      return org.fawndrum.protocol.wire.CatchUpReply.getDefaultInstance();
     }
 
     @java.lang.Override
-    public org.fawndrum.protocol.wire.TableReply build() {
-      org.fawndrum.protocol.wire.TableReply result = buildPartial();
+    public org.fawndrum.protocol.wire.CatchUpReply build() {
+      org.fawndrum.protocol.wire.CatchUpReply result = buildPartial();
       if (!result.isInitialized()) {
         throw newUninitializedMessageException(result);
       }
@@ -301,14 +329,14 @@
     }
 
     @java.lang.Override
-    public org.fawndrum.protocol.wire.TableReply buildPartial() {
-      org.fawndrum.protocol.wire.TableReply result = new org.fawndrum.protocol.wire.TableReply(this);
+    public org.fawndrum.protocol.wire.CatchUpReply buildPartial() {
+      org.fawndrum.protocol.wire.CatchUpReply result = new org.fawndrum.protocol.wire.CatchUpReply(this);
       if (bitField0_ != 0) { buildPartial0(result); }
       onBuilt();
       return result;
     }
 
-    private void buildPartial0(org.fawndrum.protocol.wire.TableReply result) {
+    private void buildPartial0(org.fawndrum.protocol.wire.CatchUpReply result) {
       int from_bitField0_ = bitField0_;
       int to_bitField0_ = 0;
       if (((from_bitField0_ & 0x00000001) != 0)) {
@@ -317,24 +345,30 @@
             : snapshotBuilder_.build();
         to_bitField0_ |= 0x00000001;
       }
+      if (((from_bitField0_ & 0x00000002) != 0)) {
+        result.listingJson_ = listingJson_;
+      }
       result.bitField0_ |= to_bitField0_;
     }
 
     @java.lang.Override
     public Builder mergeFrom(com.google.protobuf.Message other) {
-      if (other instanceof org.fawndrum.protocol.wire.TableReply) {
-        return mergeFrom((org.fawndrum.protocol.wire.TableReply)other);
+      if (other instanceof org.fawndrum.protocol.wire.CatchUpReply) {
+        return mergeFrom((org.fawndrum.protocol.wire.CatchUpReply)other);
       } else {
         super.mergeFrom(other);
         return this;
       }
     }
 
-    public Builder mergeFrom(org.fawndrum.protocol.wire.TableReply other) {
-      if (other == org.fawndrum.protocol.wire.TableReply.getDefaultInstance()) return this;
+    public Builder mergeFrom(org.fawndrum.protocol.wire.CatchUpReply other) {
+      if (other == org.fawndrum.protocol.wire.CatchUpReply.getDefaultInstance()) return this;
       if (other.hasSnapshot()) {
         mergeSnapshot(other.getSnapshot());
       }
+      if (!other.getListingJson().isEmpty()) {
+        setListingJson(other.getListingJson());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -368,6 +402,11 @@
               bitField0_ |= 0x00000001;
               break;
             } // case 10
+            case 18: {
+              listingJson_ = input.readBytes();
+              bitField0_ |= 0x00000002;
+              break;
+            } // case 18
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -506,23 +545,67 @@
       return snapshotBuilder_;
     }
 
-    // @@protoc_insertion_point(builder_scope:fawndrum.TableReply)
+    private com.google.protobuf.ByteString listingJson_ = com.google.protobuf.ByteString.EMPTY;
+    /**
+     * <pre>
+     * The platform's list of hosts in the platform's own JSON form; empty when it is not newer.
+     * </pre>
+     *
+     * <code>bytes listing_json = 2;</code>
+     * @return The listingJson.
+     */
+    @java.lang.Override
+    public com.google.protobuf.ByteString getListingJson() {
+      return listingJson_;
+    }
+    /**
+     * <pre>
+     * The platform's list of hosts in the platform's own JSON form; empty when it is not newer.
+     * </pre>
+     *
+     * <code>bytes listing_json = 2;</code>
+     * @param value The listingJson to set.
+     * @return This builder for chaining.
+     */
+    public Builder setListingJson(com.google.protobuf.ByteString value) {
+      if (value == null) { throw new NullPointerException(); }
+      listingJson_ = value;
+      bitField0_ |= 0x00000002;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * The platform's list of hosts in the platform's own JSON form; empty when it is not newer.
+     * </pre>
+     *
+     * <code>bytes listing_json = 2;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearListingJson() {
+      bitField0_ = (bitField0_ & ~0x00000002);
+      listingJson_ = getDefaultInstance().getListingJson();
+      onChanged();
+      return this;
+    }
+
+    // @@protoc_insertion_point(builder_scope:fawndrum.CatchUpReply)
   }
 
-  // @@protoc_insertion_point(class_scope:fawndrum.TableReply)
-  private static final org.fawndrum.protocol.wire.TableReply DEFAULT_INSTANCE;
+  // @@protoc_insertion_point(class_scope:fawndrum.CatchUpReply)
+  private static final org.fawndrum.protocol.wire.CatchUpReply DEFAULT_INSTANCE;
   static {
-    DEFAULT_INSTANCE = new org.fawndrum.protocol.wire.TableReply();
+    DEFAULT_INSTANCE = new org.fawndrum.protocol.wire.CatchUpReply();
   }
 
-  public static org.fawndrum.protocol.wire.TableReply getDefaultInstance() {
+  public static org.fawndrum.protocol.wire.CatchUpReply getDefaultInstance() {
     return DEFAULT_INSTANCE;
   }
 
-  private static final com.google.protobuf.Parser<TableReply>
-      PARSER = new com.google.protobuf.AbstractParser<TableReply>() {
+  private static final com.google.protobuf.Parser<CatchUpReply>
+      PARSER = new com.google.protobuf.AbstractParser<CatchUpReply>() {
     @java.lang.Override
-    public TableReply parsePartialFrom(
+    public CatchUpReply parsePartialFrom(
         com.google.protobuf.CodedInputStream input,
         com.google.protobuf.ExtensionRegistryLite extensionRegistry)
         throws com.google.protobuf.InvalidProtocolBufferException {
@@ -541,17 +624,17 @@
     }
   };
 
-  public static com.google.protobuf.Parser<TableReply> parser() {
+  public static com.google.protobuf.Parser<CatchUpReply> parser() {
     return PARSER;
   }
 
   @java.lang.Override
-  public com.google.protobuf.Parser<TableReply> getParserForType() {
+  public com.google.protobuf.Parser<CatchUpReply> getParserForType() {
     return PARSER;
   }
 
   @java.lang.Override
-  public org.fawndrum.protocol.wire.TableReply getDefaultInstanceForType() {
+  public org.fawndrum.protocol.wire.CatchUpReply getDefaultInstanceForType() {
     return DEFAULT_INSTANCE;
   }
 
--- a/org.fawndrum/src/org/fawndrum/protocol/wire/TableReplyOrBuilder.java
+++ b/org.fawndrum/src/org/fawndrum/protocol/wire/CatchUpReplyOrBuilder.java
@@ -6,8 +6,8 @@
 package org.fawndrum.protocol.wire;
 
 @com.google.protobuf.Generated
-public interface TableReplyOrBuilder extends
-    // @@protoc_insertion_point(interface_extends:fawndrum.TableReply)
+public interface CatchUpReplyOrBuilder extends
+    // @@protoc_insertion_point(interface_extends:fawndrum.CatchUpReply)
     com.google.protobuf.MessageOrBuilder {
 
   /**
@@ -24,4 +24,14 @@
    * <code>.fawndrum.SnapshotRecord snapshot = 1;</code>
    */
   org.fawndrum.protocol.wire.SnapshotRecordOrBuilder getSnapshotOrBuilder();
+
+  /**
+   * <pre>
+   * The platform's list of hosts in the platform's own JSON form; empty when it is not newer.
+   * </pre>
+   *
+   * <code>bytes listing_json = 2;</code>
+   * @return The listingJson.
+   */
+  com.google.protobuf.ByteString getListingJson();
 }
--- a/org.fawndrum/src/org/fawndrum/protocol/wire/TableRequest.java
+++ b/org.fawndrum/src/org/fawndrum/protocol/wire/CatchUpRequest.java
@@ -6,13 +6,17 @@
 package org.fawndrum.protocol.wire;
 
 /**
- * Protobuf type {@code fawndrum.TableRequest}
+ * <pre>
+ * Asks for what the sender lacks; -1 asks for nothing.
+ * </pre>
+ *
+ * Protobuf type {@code fawndrum.CatchUpRequest}
  */
 @com.google.protobuf.Generated
-public final class TableRequest extends
+public final class CatchUpRequest extends
     com.google.protobuf.GeneratedMessage implements
-    // @@protoc_insertion_point(message_implements:fawndrum.TableRequest)
-    TableRequestOrBuilder {
+    // @@protoc_insertion_point(message_implements:fawndrum.CatchUpRequest)
+    CatchUpRequestOrBuilder {
 private static final long serialVersionUID = 0L;
   static {
     com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
@@ -21,48 +25,48 @@
       /* minor= */ 33,
       /* patch= */ 4,
       /* suffix= */ "",
-      "TableRequest");
+      "CatchUpRequest");
   }
-  // Use TableRequest.newBuilder() to construct.
-  private TableRequest(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+  // Use CatchUpRequest.newBuilder() to construct.
+  private CatchUpRequest(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
     super(builder);
   }
-  private TableRequest() {
+  private CatchUpRequest() {
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
       getDescriptor() {
-    return org.fawndrum.protocol.wire.Peer.internal_static_fawndrum_TableRequest_descriptor;
+    return org.fawndrum.protocol.wire.Peer.internal_static_fawndrum_CatchUpRequest_descriptor;
   }
 
   @java.lang.Override
   protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internalGetFieldAccessorTable() {
-    return org.fawndrum.protocol.wire.Peer.internal_static_fawndrum_TableRequest_fieldAccessorTable
+    return org.fawndrum.protocol.wire.Peer.internal_static_fawndrum_CatchUpRequest_fieldAccessorTable
         .ensureFieldAccessorsInitialized(
-            org.fawndrum.protocol.wire.TableRequest.class, org.fawndrum.protocol.wire.TableRequest.Builder.class);
+            org.fawndrum.protocol.wire.CatchUpRequest.class, org.fawndrum.protocol.wire.CatchUpRequest.Builder.class);
   }
 
-  public static final int FROM_POSITION_FIELD_NUMBER = 1;
-  private long fromPosition_ = 0L;
+  public static final int TABLE_AFTER_POSITION_FIELD_NUMBER = 1;
+  private long tableAfterPosition_ = 0L;
   /**
-   * <code>int64 from_position = 1;</code>
-   * @return The fromPosition.
+   * <code>int64 table_after_position = 1;</code>
+   * @return The tableAfterPosition.
    */
   @java.lang.Override
-  public long getFromPosition() {
-    return fromPosition_;
+  public long getTableAfterPosition() {
+    return tableAfterPosition_;
   }
 
-  public static final int WANT_ROSTER_FIELD_NUMBER = 2;
-  private boolean wantRoster_ = false;
+  public static final int LISTING_AFTER_VERSION_FIELD_NUMBER = 2;
+  private long listingAfterVersion_ = 0L;
   /**
-   * <code>bool want_roster = 2;</code>
-   * @return The wantRoster.
+   * <code>int64 listing_after_version = 2;</code>
+   * @return The listingAfterVersion.
    */
   @java.lang.Override
-  public boolean getWantRoster() {
-    return wantRoster_;
+  public long getListingAfterVersion() {
+    return listingAfterVersion_;
   }
 
   private byte memoizedIsInitialized = -1;
@@ -79,11 +83,11 @@
   @java.lang.Override
   public void writeTo(com.google.protobuf.CodedOutputStream output)
                       throws java.io.IOException {
-    if (fromPosition_ != 0L) {
-      output.writeInt64(1, fromPosition_);
+    if (tableAfterPosition_ != 0L) {
+      output.writeInt64(1, tableAfterPosition_);
     }
-    if (wantRoster_ != false) {
-      output.writeBool(2, wantRoster_);
+    if (listingAfterVersion_ != 0L) {
+      output.writeInt64(2, listingAfterVersion_);
     }
     getUnknownFields().writeTo(output);
   }
@@ -94,13 +98,13 @@
     if (size != -1) return size;
 
     size = 0;
-    if (fromPosition_ != 0L) {
+    if (tableAfterPosition_ != 0L) {
       size += com.google.protobuf.CodedOutputStream
-        .computeInt64Size(1, fromPosition_);
+        .computeInt64Size(1, tableAfterPosition_);
     }
-    if (wantRoster_ != false) {
+    if (listingAfterVersion_ != 0L) {
       size += com.google.protobuf.CodedOutputStream
-        .computeBoolSize(2, wantRoster_);
+        .computeInt64Size(2, listingAfterVersion_);
     }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
@@ -112,15 +116,15 @@
     if (obj == this) {
      return true;
     }
-    if (!(obj instanceof org.fawndrum.protocol.wire.TableRequest)) {
+    if (!(obj instanceof org.fawndrum.protocol.wire.CatchUpRequest)) {
       return super.equals(obj);
     }
-    org.fawndrum.protocol.wire.TableRequest other = (org.fawndrum.protocol.wire.TableRequest) obj;
+    org.fawndrum.protocol.wire.CatchUpRequest other = (org.fawndrum.protocol.wire.CatchUpRequest) obj;
 
-    if (getFromPosition()
-        != other.getFromPosition()) return false;
-    if (getWantRoster()
-        != other.getWantRoster()) return false;
+    if (getTableAfterPosition()
+        != other.getTableAfterPosition()) return false;
+    if (getListingAfterVersion()
+        != other.getListingAfterVersion()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -132,55 +136,55 @@
     }
     int hash = 41;
     hash = (19 * hash) + getDescriptor().hashCode();
-    hash = (37 * hash) + FROM_POSITION_FIELD_NUMBER;
+    hash = (37 * hash) + TABLE_AFTER_POSITION_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
-        getFromPosition());
-    hash = (37 * hash) + WANT_ROSTER_FIELD_NUMBER;
-    hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
-        getWantRoster());
+        getTableAfterPosition());
+    hash = (37 * hash) + LISTING_AFTER_VERSION_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getListingAfterVersion());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
   }
 
-  public static org.fawndrum.protocol.wire.TableRequest parseFrom(
+  public static org.fawndrum.protocol.wire.CatchUpRequest parseFrom(
       java.nio.ByteBuffer data)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data);
   }
-  public static org.fawndrum.protocol.wire.TableRequest parseFrom(
+  public static org.fawndrum.protocol.wire.CatchUpRequest parseFrom(
       java.nio.ByteBuffer data,
       com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data, extensionRegistry);
   }
-  public static org.fawndrum.protocol.wire.TableRequest parseFrom(
+  public static org.fawndrum.protocol.wire.CatchUpRequest parseFrom(
       com.google.protobuf.ByteString data)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data);
   }
-  public static org.fawndrum.protocol.wire.TableRequest parseFrom(
+  public static org.fawndrum.protocol.wire.CatchUpRequest parseFrom(
       com.google.protobuf.ByteString data,
       com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data, extensionRegistry);
   }
-  public static org.fawndrum.protocol.wire.TableRequest parseFrom(byte[] data)
+  public static org.fawndrum.protocol.wire.CatchUpRequest parseFrom(byte[] data)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data);
   }
-  public static org.fawndrum.protocol.wire.TableRequest parseFrom(
+  public static org.fawndrum.protocol.wire.CatchUpRequest parseFrom(
       byte[] data,
       com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data, extensionRegistry);
   }
-  public static org.fawndrum.protocol.wire.TableRequest parseFrom(java.io.InputStream input)
+  public static org.fawndrum.protocol.wire.CatchUpRequest parseFrom(java.io.InputStream input)
       throws java.io.IOException {
     return com.google.protobuf.GeneratedMessage
         .parseWithIOException(PARSER, input);
   }
-  public static org.fawndrum.protocol.wire.TableRequest parseFrom(
+  public static org.fawndrum.protocol.wire.CatchUpRequest parseFrom(
       java.io.InputStream input,
       com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws java.io.IOException {
@@ -188,26 +192,26 @@
         .parseWithIOException(PARSER, input, extensionRegistry);
   }
 
-  public static org.fawndrum.protocol.wire.TableRequest parseDelimitedFrom(java.io.InputStream input)
+  public static org.fawndrum.protocol.wire.CatchUpRequest parseDelimitedFrom(java.io.InputStream input)
       throws java.io.IOException {
     return com.google.protobuf.GeneratedMessage
         .parseDelimitedWithIOException(PARSER, input);
   }
 
-  public static org.fawndrum.protocol.wire.TableRequest parseDelimitedFrom(
+  public static org.fawndrum.protocol.wire.CatchUpRequest parseDelimitedFrom(
       java.io.InputStream input,
       com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws java.io.IOException {
     return com.google.protobuf.GeneratedMessage
         .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
   }
-  public static org.fawndrum.protocol.wire.TableRequest parseFrom(
+  public static org.fawndrum.protocol.wire.CatchUpRequest parseFrom(
       com.google.protobuf.CodedInputStream input)
       throws java.io.IOException {
     return com.google.protobuf.GeneratedMessage
         .parseWithIOException(PARSER, input);
   }
-  public static org.fawndrum.protocol.wire.TableRequest parseFrom(
+  public static org.fawndrum.protocol.wire.CatchUpRequest parseFrom(
       com.google.protobuf.CodedInputStream input,
       com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws java.io.IOException {
@@ -220,7 +224,7 @@
   public static Builder newBuilder() {
     return DEFAULT_INSTANCE.toBuilder();
   }
-  public static Builder newBuilder(org.fawndrum.protocol.wire.TableRequest prototype) {
+  public static Builder newBuilder(org.fawndrum.protocol.wire.CatchUpRequest prototype) {
     return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
   }
   @java.lang.Override
@@ -236,26 +240,30 @@
     return builder;
   }
   /**
-   * Protobuf type {@code fawndrum.TableRequest}
+   * <pre>
+   * Asks for what the sender lacks; -1 asks for nothing.
+   * </pre>
+   *
+   * Protobuf type {@code fawndrum.CatchUpRequest}
    */
   public static final class Builder extends
       com.google.protobuf.GeneratedMessage.Builder<Builder> implements
-      // @@protoc_insertion_point(builder_implements:fawndrum.TableRequest)
-      org.fawndrum.protocol.wire.TableRequestOrBuilder {
+      // @@protoc_insertion_point(builder_implements:fawndrum.CatchUpRequest)
+      org.fawndrum.protocol.wire.CatchUpRequestOrBuilder {
     public static final com.google.protobuf.Descriptors.Descriptor
         getDescriptor() {
-      return org.fawndrum.protocol.wire.Peer.internal_static_fawndrum_TableRequest_descriptor;
+      return org.fawndrum.protocol.wire.Peer.internal_static_fawndrum_CatchUpRequest_descriptor;
     }
 
     @java.lang.Override
     protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
         internalGetFieldAccessorTable() {
-      return org.fawndrum.protocol.wire.Peer.internal_static_fawndrum_TableRequest_fieldAccessorTable
+      return org.fawndrum.protocol.wire.Peer.internal_static_fawndrum_CatchUpRequest_fieldAccessorTable
           .ensureFieldAccessorsInitialized(
-              org.fawndrum.protocol.wire.TableRequest.class, org.fawndrum.protocol.wire.TableRequest.Builder.class);
+              org.fawndrum.protocol.wire.CatchUpRequest.class, org.fawndrum.protocol.wire.CatchUpRequest.Builder.class);
     }
 
-    // Construct using org.fawndrum.protocol.wire.TableRequest.newBuilder()
+    // Construct using org.fawndrum.protocol.wire.CatchUpRequest.newBuilder()
     private Builder() {
 
     }
@@ -269,25 +277,25 @@
     public Builder clear() {
       super.clear();
       bitField0_ = 0;
-      fromPosition_ = 0L;
-      wantRoster_ = false;
+      tableAfterPosition_ = 0L;
+      listingAfterVersion_ = 0L;
       return this;
     }
 
     @java.lang.Override
     public com.google.protobuf.Descriptors.Descriptor
         getDescriptorForType() {
-      return org.fawndrum.protocol.wire.Peer.internal_static_fawndrum_TableRequest_descriptor;
+      return org.fawndrum.protocol.wire.Peer.internal_static_fawndrum_CatchUpRequest_descriptor;
     }
 
     @java.lang.Override
-    public org.fawndrum.protocol.wire.TableRequest getDefaultInstanceForType() {
-      return org.fawndrum.protocol.wire.TableRequest.getDefaultInstance();
+    public org.fawndrum.protocol.wire.CatchUpRequest getDefaultInstanceForType() {
+      return org.fawndrum.protocol.wire.CatchUpRequest.getDefaultInstance();
     }
 
     @java.lang.Override
-    public org.fawndrum.protocol.wire.TableRequest build() {
-      org.fawndrum.protocol.wire.TableRequest result = buildPartial();
+    public org.fawndrum.protocol.wire.CatchUpRequest build() {
+      org.fawndrum.protocol.wire.CatchUpRequest result = buildPartial();
       if (!result.isInitialized()) {
         throw newUninitializedMessageException(result);
       }
@@ -295,40 +303,40 @@
     }
 
     @java.lang.Override
-    public org.fawndrum.protocol.wire.TableRequest buildPartial() {
-      org.fawndrum.protocol.wire.TableRequest result = new org.fawndrum.protocol.wire.TableRequest(this);
+    public org.fawndrum.protocol.wire.CatchUpRequest buildPartial() {
+      org.fawndrum.protocol.wire.CatchUpRequest result = new org.fawndrum.protocol.wire.CatchUpRequest(this);
       if (bitField0_ != 0) { buildPartial0(result); }
       onBuilt();
       return result;
     }
 
-    private void buildPartial0(org.fawndrum.protocol.wire.TableRequest result) {
+    private void buildPartial0(org.fawndrum.protocol.wire.CatchUpRequest result) {
       int from_bitField0_ = bitField0_;
       if (((from_bitField0_ & 0x00000001) != 0)) {
-        result.fromPosition_ = fromPosition_;
+        result.tableAfterPosition_ = tableAfterPosition_;
       }
       if (((from_bitField0_ & 0x00000002) != 0)) {
-        result.wantRoster_ = wantRoster_;
+        result.listingAfterVersion_ = listingAfterVersion_;
       }
     }
 
     @java.lang.Override
     public Builder mergeFrom(com.google.protobuf.Message other) {
-      if (other instanceof org.fawndrum.protocol.wire.TableRequest) {
-        return mergeFrom((org.fawndrum.protocol.wire.TableRequest)other);
+      if (other instanceof org.fawndrum.protocol.wire.CatchUpRequest) {
+        return mergeFrom((org.fawndrum.protocol.wire.CatchUpRequest)other);
       } else {
         super.mergeFrom(other);
         return this;
       }
     }
 
-    public Builder mergeFrom(org.fawndrum.protocol.wire.TableRequest other) {
-      if (other == org.fawndrum.protocol.wire.TableRequest.getDefaultInstance()) return this;
-      if (other.getFromPosition() != 0L) {
-        setFromPosition(other.getFromPosition());
+    public Builder mergeFrom(org.fawndrum.protocol.wire.CatchUpRequest other) {
+      if (other == org.fawndrum.protocol.wire.CatchUpRequest.getDefaultInstance()) return this;
+      if (other.getTableAfterPosition() != 0L) {
+        setTableAfterPosition(other.getTableAfterPosition());
       }
-      if (other.getWantRoster() != false) {
-        setWantRoster(other.getWantRoster());
+      if (other.getListingAfterVersion() != 0L) {
+        setListingAfterVersion(other.getListingAfterVersion());
       }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
@@ -357,12 +365,12 @@
               done = true;
               break;
             case 8: {
-              fromPosition_ = input.readInt64();
+              tableAfterPosition_ = input.readInt64();
               bitField0_ |= 0x00000001;
               break;
             } // case 8
             case 16: {
-              wantRoster_ = input.readBool();
+              listingAfterVersion_ = input.readInt64();
               bitField0_ |= 0x00000002;
               break;
             } // case 16
@@ -383,87 +391,87 @@
     }
     private int bitField0_;
 
-    private long fromPosition_ ;
+    private long tableAfterPosition_ ;
     /**
-     * <code>int64 from_position = 1;</code>
-     * @return The fromPosition.
+     * <code>int64 table_after_position = 1;</code>
+     * @return The tableAfterPosition.
      */
     @java.lang.Override
-    public long getFromPosition() {
-      return fromPosition_;
+    public long getTableAfterPosition() {
+      return tableAfterPosition_;
     }
     /**
-     * <code>int64 from_position = 1;</code>
-     * @param value The fromPosition to set.
+     * <code>int64 table_after_position = 1;</code>
+     * @param value The tableAfterPosition to set.
      * @return This builder for chaining.
      */
-    public Builder setFromPosition(long value) {
+    public Builder setTableAfterPosition(long value) {
 
-      fromPosition_ = value;
+      tableAfterPosition_ = value;
       bitField0_ |= 0x00000001;
       onChanged();
       return this;
     }
     /**
-     * <code>int64 from_position = 1;</code>
+     * <code>int64 table_after_position = 1;</code>
      * @return This builder for chaining.
      */
-    public Builder clearFromPosition() {
+    public Builder clearTableAfterPosition() {
       bitField0_ = (bitField0_ & ~0x00000001);
-      fromPosition_ = 0L;
+      tableAfterPosition_ = 0L;
       onChanged();
       return this;
     }
 
-    private boolean wantRoster_ ;
+    private long listingAfterVersion_ ;
     /**
-     * <code>bool want_roster = 2;</code>
-     * @return The wantRoster.
+     * <code>int64 listing_after_version = 2;</code>
+     * @return The listingAfterVersion.
      */
     @java.lang.Override
-    public boolean getWantRoster() {
-      return wantRoster_;
+    public long getListingAfterVersion() {
+      return listingAfterVersion_;
     }
     /**
-     * <code>bool want_roster = 2;</code>
-     * @param value The wantRoster to set.
+     * <code>int64 listing_after_version = 2;</code>
+     * @param value The listingAfterVersion to set.
      * @return This builder for chaining.
      */
-    public Builder setWantRoster(boolean value) {
+    public Builder setListingAfterVersion(long value) {
 
-      wantRoster_ = value;
+      listingAfterVersion_ = value;
       bitField0_ |= 0x00000002;
       onChanged();
       return this;
     }
     /**
-     * <code>bool want_roster = 2;</code>
+     * <code>int64 listing_after_version = 2;</code>
      * @return This builder for chaining.
      */
-    public Builder clearWantRoster() {
+    public Builder clearListingAfterVersion() {
       bitField0_ = (bitField0_ & ~0x00000002);
-      wantRoster_ = false;
+      listingAfterVersion_ = 0L;
       onChanged();
       return this;
     }
 
-    // @@protoc_insertion_point(builder_scope:fawndrum.TableRequest)
+    // @@protoc_insertion_point(builder_scope:fawndrum.CatchUpRequest)
   }
 
-  // @@protoc_insertion_point(class_scope:fawndrum.TableRequest)
-  private static final org.fawndrum.protocol.wire.TableRequest DEFAULT_INSTANCE;
+  // @@protoc_insertion_point(class_scope:fawndrum.CatchUpRequest)
+  private static final org.fawndrum.protocol.wire.CatchUpRequest DEFAULT_INSTANCE;
   static {
-    DEFAULT_INSTANCE = new org.fawndrum.protocol.wire.TableRequest();
+    DEFAULT_INSTANCE = new org.fawndrum.protocol.wire.CatchUpRequest();
   }
 
-  public static org.fawndrum.protocol.wire.TableRequest getDefaultInstance() {
+  public static org.fawndrum.protocol.wire.CatchUpRequest getDefaultInstance() {
     return DEFAULT_INSTANCE;
   }
 
-  private static final com.google.protobuf.Parser<TableRequest>
-      PARSER = new com.google.protobuf.AbstractParser<TableRequest>() {
+  private static final com.google.protobuf.Parser<CatchUpRequest>
+      PARSER = new com.google.protobuf.AbstractParser<CatchUpRequest>() {
     @java.lang.Override
-    public TableRequest parsePartialFrom(
+    public CatchUpRequest parsePartialFrom(
         com.google.protobuf.CodedInputStream input,
         com.google.protobuf.ExtensionRegistryLite extensionRegistry)
         throws com.google.protobuf.InvalidProtocolBufferException {
@@ -482,17 +490,17 @@
     }
   };
 
-  public static com.google.protobuf.Parser<TableRequest> parser() {
+  public static com.google.protobuf.Parser<CatchUpRequest> parser() {
     return PARSER;
   }
 
   @java.lang.Override
-  public com.google.protobuf.Parser<TableRequest> getParserForType() {
+  public com.google.protobuf.Parser<CatchUpRequest> getParserForType() {
     return PARSER;
   }
 
   @java.lang.Override
-  public org.fawndrum.protocol.wire.TableRequest getDefaultInstanceForType() {
+  public org.fawndrum.protocol.wire.CatchUpRequest getDefaultInstanceForType() {
     return DEFAULT_INSTANCE;
   }
 
--- a/org.fawndrum/src/org/fawndrum/protocol/wire/ClaimReply.java
+++ b/org.fawndrum/src/org/fawndrum/protocol/wire/ClaimReply.java
@@ -28,7 +28,6 @@
     super(builder);
   }
   private ClaimReply() {
-    key_ = "";
     answer_ = 0;
   }
 
@@ -55,21 +54,17 @@
      */
     UNSPECIFIED(0),
     /**
-     * <code>NEVER_SEEN = 1;</code>
+     * <code>FREE = 1;</code>
      */
-    NEVER_SEEN(1),
+    FREE(1),
     /**
-     * <code>NOT_RUN = 2;</code>
+     * <code>HELD = 2;</code>
      */
-    NOT_RUN(2),
+    HELD(2),
     /**
-     * <code>HELD = 3;</code>
+     * <code>RAN = 3;</code>
      */
-    HELD(3),
-    /**
-     * <code>DONE = 4;</code>
-     */
-    DONE(4),
+    RAN(3),
     UNRECOGNIZED(-1),
     ;
 
@@ -87,21 +82,17 @@
      */
     public static final int UNSPECIFIED_VALUE = 0;
     /**
-     * <code>NEVER_SEEN = 1;</code>
-     */
-    public static final int NEVER_SEEN_VALUE = 1;
-    /**
-     * <code>NOT_RUN = 2;</code>
+     * <code>FREE = 1;</code>
      */
-    public static final int NOT_RUN_VALUE = 2;
+    public static final int FREE_VALUE = 1;
     /**
-     * <code>HELD = 3;</code>
+     * <code>HELD = 2;</code>
      */
-    public static final int HELD_VALUE = 3;
+    public static final int HELD_VALUE = 2;
     /**
-     * <code>DONE = 4;</code>
+     * <code>RAN = 3;</code>
      */
-    public static final int DONE_VALUE = 4;
+    public static final int RAN_VALUE = 3;
 
 
     public final int getNumber() {
@@ -129,10 +120,9 @@
     public static Answer forNumber(int value) {
       switch (value) {
         case 0: return UNSPECIFIED;
-        case 1: return NEVER_SEEN;
-        case 2: return NOT_RUN;
-        case 3: return HELD;
-        case 4: return DONE;
+        case 1: return FREE;
+        case 2: return HELD;
+        case 3: return RAN;
         default: return null;
       }
     }
@@ -189,56 +179,17 @@
     // @@protoc_insertion_point(enum_scope:fawndrum.ClaimReply.Answer)
   }
 
-  public static final int KEY_FIELD_NUMBER = 1;
-  @SuppressWarnings("serial")
-  private volatile java.lang.Object key_ = "";
-  /**
-   * <code>string key = 1;</code>
-   * @return The key.
-   */
-  @java.lang.Override
-  public java.lang.String getKey() {
-    java.lang.Object ref = key_;
-    if (ref instanceof java.lang.String) {
-      return (java.lang.String) ref;
-    } else {
-      com.google.protobuf.ByteString bs = 
-          (com.google.protobuf.ByteString) ref;
-      java.lang.String s = bs.toStringUtf8();
-      key_ = s;
-      return s;
-    }
-  }
-  /**
-   * <code>string key = 1;</code>
-   * @return The bytes for key.
-   */
-  @java.lang.Override
-  public com.google.protobuf.ByteString
-      getKeyBytes() {
-    java.lang.Object ref = key_;
-    if (ref instanceof java.lang.String) {
-      com.google.protobuf.ByteString b = 
-          com.google.protobuf.ByteString.copyFromUtf8(
-              (java.lang.String) ref);
-      key_ = b;
-      return b;
-    } else {
-      return (com.google.protobuf.ByteString) ref;
-    }
-  }
-
-  public static final int ANSWER_FIELD_NUMBER = 2;
+  public static final int ANSWER_FIELD_NUMBER = 1;
   private int answer_ = 0;
   /**
-   * <code>.fawndrum.ClaimReply.Answer answer = 2;</code>
+   * <code>.fawndrum.ClaimReply.Answer answer = 1;</code>
    * @return The enum numeric value on the wire for answer.
    */
   @java.lang.Override public int getAnswerValue() {
     return answer_;
   }
   /**
-   * <code>.fawndrum.ClaimReply.Answer answer = 2;</code>
+   * <code>.fawndrum.ClaimReply.Answer answer = 1;</code>
    * @return The answer.
    */
   @java.lang.Override public org.fawndrum.protocol.wire.ClaimReply.Answer getAnswer() {
@@ -260,11 +211,8 @@
   @java.lang.Override
   public void writeTo(com.google.protobuf.CodedOutputStream output)
                       throws java.io.IOException {
-    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(key_)) {
-      com.google.protobuf.GeneratedMessage.writeString(output, 1, key_);
-    }
     if (answer_ != org.fawndrum.protocol.wire.ClaimReply.Answer.UNSPECIFIED.getNumber()) {
-      output.writeEnum(2, answer_);
+      output.writeEnum(1, answer_);
     }
     getUnknownFields().writeTo(output);
   }
@@ -275,12 +223,9 @@
     if (size != -1) return size;
 
     size = 0;
-    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(key_)) {
-      size += com.google.protobuf.GeneratedMessage.computeStringSize(1, key_);
-    }
     if (answer_ != org.fawndrum.protocol.wire.ClaimReply.Answer.UNSPECIFIED.getNumber()) {
       size += com.google.protobuf.CodedOutputStream
-        .computeEnumSize(2, answer_);
+        .computeEnumSize(1, answer_);
     }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
@@ -297,8 +242,6 @@
     }
     org.fawndrum.protocol.wire.ClaimReply other = (org.fawndrum.protocol.wire.ClaimReply) obj;
 
-    if (!getKey()
-        .equals(other.getKey())) return false;
     if (answer_ != other.answer_) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
@@ -311,8 +254,6 @@
     }
     int hash = 41;
     hash = (19 * hash) + getDescriptor().hashCode();
-    hash = (37 * hash) + KEY_FIELD_NUMBER;
-    hash = (53 * hash) + getKey().hashCode();
     hash = (37 * hash) + ANSWER_FIELD_NUMBER;
     hash = (53 * hash) + answer_;
     hash = (29 * hash) + getUnknownFields().hashCode();
@@ -446,7 +387,6 @@
     public Builder clear() {
       super.clear();
       bitField0_ = 0;
-      key_ = "";
       answer_ = 0;
       return this;
     }
@@ -482,9 +422,6 @@
     private void buildPartial0(org.fawndrum.protocol.wire.ClaimReply result) {
       int from_bitField0_ = bitField0_;
       if (((from_bitField0_ & 0x00000001) != 0)) {
-        result.key_ = key_;
-      }
-      if (((from_bitField0_ & 0x00000002) != 0)) {
         result.answer_ = answer_;
       }
     }
@@ -501,11 +438,6 @@
 
     public Builder mergeFrom(org.fawndrum.protocol.wire.ClaimReply other) {
       if (other == org.fawndrum.protocol.wire.ClaimReply.getDefaultInstance()) return this;
-      if (!other.getKey().isEmpty()) {
-        key_ = other.key_;
-        bitField0_ |= 0x00000001;
-        onChanged();
-      }
       if (other.answer_ != 0) {
         setAnswerValue(other.getAnswerValue());
       }
@@ -535,16 +467,11 @@
             case 0:
               done = true;
               break;
-            case 10: {
-              key_ = input.readStringRequireUtf8();
-              bitField0_ |= 0x00000001;
-              break;
-            } // case 10
-            case 16: {
+            case 8: {
               answer_ = input.readEnum();
-              bitField0_ |= 0x00000002;
+              bitField0_ |= 0x00000001;
               break;
-            } // case 16
+            } // case 8
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -562,99 +489,27 @@
     }
     private int bitField0_;
 
-    private java.lang.Object key_ = "";
-    /**
-     * <code>string key = 1;</code>
-     * @return The key.
-     */
-    public java.lang.String getKey() {
-      java.lang.Object ref = key_;
-      if (!(ref instanceof java.lang.String)) {
-        com.google.protobuf.ByteString bs =
-            (com.google.protobuf.ByteString) ref;
-        java.lang.String s = bs.toStringUtf8();
-        key_ = s;
-        return s;
-      } else {
-        return (java.lang.String) ref;
-      }
-    }
-    /**
-     * <code>string key = 1;</code>
-     * @return The bytes for key.
-     */
-    public com.google.protobuf.ByteString
-        getKeyBytes() {
-      java.lang.Object ref = key_;
-      if (ref instanceof String) {
-        com.google.protobuf.ByteString b = 
-            com.google.protobuf.ByteString.copyFromUtf8(
-                (java.lang.String) ref);
-        key_ = b;
-        return b;
-      } else {
-        return (com.google.protobuf.ByteString) ref;
-      }
-    }
-    /**
-     * <code>string key = 1;</code>
-     * @param value The key to set.
-     * @return This builder for chaining.
-     */
-    public Builder setKey(
-        java.lang.String value) {
-      if (value == null) { throw new NullPointerException(); }
-      key_ = value;
-      bitField0_ |= 0x00000001;
-      onChanged();
-      return this;
-    }
-    /**
-     * <code>string key = 1;</code>
-     * @return This builder for chaining.
-     */
-    public Builder clearKey() {
-      key_ = getDefaultInstance().getKey();
-      bitField0_ = (bitField0_ & ~0x00000001);
-      onChanged();
-      return this;
-    }
-    /**
-     * <code>string key = 1;</code>
-     * @param value The bytes for key to set.
-     * @return This builder for chaining.
-     */
-    public Builder setKeyBytes(
-        com.google.protobuf.ByteString value) {
-      if (value == null) { throw new NullPointerException(); }
-      checkByteStringIsUtf8(value);
-      key_ = value;
-      bitField0_ |= 0x00000001;
-      onChanged();
-      return this;
-    }
-
     private int answer_ = 0;
     /**
-     * <code>.fawndrum.ClaimReply.Answer answer = 2;</code>
+     * <code>.fawndrum.ClaimReply.Answer answer = 1;</code>
      * @return The enum numeric value on the wire for answer.
      */
     @java.lang.Override public int getAnswerValue() {
       return answer_;
     }
     /**
-     * <code>.fawndrum.ClaimReply.Answer answer = 2;</code>
+     * <code>.fawndrum.ClaimReply.Answer answer = 1;</code>
      * @param value The enum numeric value on the wire for answer to set.
      * @return This builder for chaining.
      */
     public Builder setAnswerValue(int value) {
       answer_ = value;
-      bitField0_ |= 0x00000002;
+      bitField0_ |= 0x00000001;
       onChanged();
       return this;
     }
     /**
-     * <code>.fawndrum.ClaimReply.Answer answer = 2;</code>
+     * <code>.fawndrum.ClaimReply.Answer answer = 1;</code>
      * @return The answer.
      */
     @java.lang.Override
@@ -663,23 +518,23 @@
       return result == null ? org.fawndrum.protocol.wire.ClaimReply.Answer.UNRECOGNIZED : result;
     }
     /**
-     * <code>.fawndrum.ClaimReply.Answer answer = 2;</code>
+     * <code>.fawndrum.ClaimReply.Answer answer = 1;</code>
      * @param value The answer to set.
      * @return This builder for chaining.
      */
     public Builder setAnswer(org.fawndrum.protocol.wire.ClaimReply.Answer value) {
       if (value == null) { throw new NullPointerException(); }
-      bitField0_ |= 0x00000002;
+      bitField0_ |= 0x00000001;
       answer_ = value.getNumber();
       onChanged();
       return this;
     }
     /**
-     * <code>.fawndrum.ClaimReply.Answer answer = 2;</code>
+     * <code>.fawndrum.ClaimReply.Answer answer = 1;</code>
      * @return This builder for chaining.
      */
     public Builder clearAnswer() {
-      bitField0_ = (bitField0_ & ~0x00000002);
+      bitField0_ = (bitField0_ & ~0x00000001);
       answer_ = 0;
       onChanged();
       return this;
--- a/org.fawndrum/src/org/fawndrum/protocol/wire/ClaimReplyOrBuilder.java
+++ b/org.fawndrum/src/org/fawndrum/protocol/wire/ClaimReplyOrBuilder.java
@@ -11,24 +11,12 @@
     com.google.protobuf.MessageOrBuilder {
 
   /**
-   * <code>string key = 1;</code>
-   * @return The key.
-   */
-  java.lang.String getKey();
-  /**
-   * <code>string key = 1;</code>
-   * @return The bytes for key.
-   */
-  com.google.protobuf.ByteString
-      getKeyBytes();
-
-  /**
-   * <code>.fawndrum.ClaimReply.Answer answer = 2;</code>
+   * <code>.fawndrum.ClaimReply.Answer answer = 1;</code>
    * @return The enum numeric value on the wire for answer.
    */
   int getAnswerValue();
   /**
-   * <code>.fawndrum.ClaimReply.Answer answer = 2;</code>
+   * <code>.fawndrum.ClaimReply.Answer answer = 1;</code>
    * @return The answer.
    */
   org.fawndrum.protocol.wire.ClaimReply.Answer getAnswer();
--- a/org.fawndrum/src/org/fawndrum/protocol/wire/ClaimRequest.java
+++ b/org.fawndrum/src/org/fawndrum/protocol/wire/ClaimRequest.java
@@ -29,7 +29,6 @@
   }
   private ClaimRequest() {
     key_ = "";
-    claimantHost_ = "";
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -84,67 +83,6 @@
     }
   }
 
-  public static final int CLAIMANT_HOST_FIELD_NUMBER = 2;
-  @SuppressWarnings("serial")
-  private volatile java.lang.Object claimantHost_ = "";
-  /**
-   * <code>string claimant_host = 2;</code>
-   * @return The claimantHost.
-   */
-  @java.lang.Override
-  public java.lang.String getClaimantHost() {
-    java.lang.Object ref = claimantHost_;
-    if (ref instanceof java.lang.String) {
-      return (java.lang.String) ref;
-    } else {
-      com.google.protobuf.ByteString bs = 
-          (com.google.protobuf.ByteString) ref;
-      java.lang.String s = bs.toStringUtf8();
-      claimantHost_ = s;
-      return s;
-    }
-  }
-  /**
-   * <code>string claimant_host = 2;</code>
-   * @return The bytes for claimantHost.
-   */
-  @java.lang.Override
-  public com.google.protobuf.ByteString
-      getClaimantHostBytes() {
-    java.lang.Object ref = claimantHost_;
-    if (ref instanceof java.lang.String) {
-      com.google.protobuf.ByteString b = 
-          com.google.protobuf.ByteString.copyFromUtf8(
-              (java.lang.String) ref);
-      claimantHost_ = b;
-      return b;
-    } else {
-      return (com.google.protobuf.ByteString) ref;
-    }
-  }
-
-  public static final int CLAIMANT_INCARNATION_FIELD_NUMBER = 3;
-  private long claimantIncarnation_ = 0L;
-  /**
-   * <code>int64 claimant_incarnation = 3;</code>
-   * @return The claimantIncarnation.
-   */
-  @java.lang.Override
-  public long getClaimantIncarnation() {
-    return claimantIncarnation_;
-  }
-
-  public static final int TRANSFER_FIELD_NUMBER = 4;
-  private boolean transfer_ = false;
-  /**
-   * <code>bool transfer = 4;</code>
-   * @return The transfer.
-   */
-  @java.lang.Override
-  public boolean getTransfer() {
-    return transfer_;
-  }
-
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -162,15 +100,6 @@
     if (!com.google.protobuf.GeneratedMessage.isStringEmpty(key_)) {
       com.google.protobuf.GeneratedMessage.writeString(output, 1, key_);
     }
-    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(claimantHost_)) {
-      com.google.protobuf.GeneratedMessage.writeString(output, 2, claimantHost_);
-    }
-    if (claimantIncarnation_ != 0L) {
-      output.writeInt64(3, claimantIncarnation_);
-    }
-    if (transfer_ != false) {
-      output.writeBool(4, transfer_);
-    }
     getUnknownFields().writeTo(output);
   }
 
@@ -183,17 +112,6 @@
     if (!com.google.protobuf.GeneratedMessage.isStringEmpty(key_)) {
       size += com.google.protobuf.GeneratedMessage.computeStringSize(1, key_);
     }
-    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(claimantHost_)) {
-      size += com.google.protobuf.GeneratedMessage.computeStringSize(2, claimantHost_);
-    }
-    if (claimantIncarnation_ != 0L) {
-      size += com.google.protobuf.CodedOutputStream
-        .computeInt64Size(3, claimantIncarnation_);
-    }
-    if (transfer_ != false) {
-      size += com.google.protobuf.CodedOutputStream
-        .computeBoolSize(4, transfer_);
-    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -211,12 +129,6 @@
 
     if (!getKey()
         .equals(other.getKey())) return false;
-    if (!getClaimantHost()
-        .equals(other.getClaimantHost())) return false;
-    if (getClaimantIncarnation()
-        != other.getClaimantIncarnation()) return false;
-    if (getTransfer()
-        != other.getTransfer()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -230,14 +142,6 @@
     hash = (19 * hash) + getDescriptor().hashCode();
     hash = (37 * hash) + KEY_FIELD_NUMBER;
     hash = (53 * hash) + getKey().hashCode();
-    hash = (37 * hash) + CLAIMANT_HOST_FIELD_NUMBER;
-    hash = (53 * hash) + getClaimantHost().hashCode();
-    hash = (37 * hash) + CLAIMANT_INCARNATION_FIELD_NUMBER;
-    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
-        getClaimantIncarnation());
-    hash = (37 * hash) + TRANSFER_FIELD_NUMBER;
-    hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
-        getTransfer());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -370,9 +274,6 @@
       super.clear();
       bitField0_ = 0;
       key_ = "";
-      claimantHost_ = "";
-      claimantIncarnation_ = 0L;
-      transfer_ = false;
       return this;
     }
 
@@ -409,15 +310,6 @@
       if (((from_bitField0_ & 0x00000001) != 0)) {
         result.key_ = key_;
       }
-      if (((from_bitField0_ & 0x00000002) != 0)) {
-        result.claimantHost_ = claimantHost_;
-      }
-      if (((from_bitField0_ & 0x00000004) != 0)) {
-        result.claimantIncarnation_ = claimantIncarnation_;
-      }
-      if (((from_bitField0_ & 0x00000008) != 0)) {
-        result.transfer_ = transfer_;
-      }
     }
 
     @java.lang.Override
@@ -437,17 +329,6 @@
         bitField0_ |= 0x00000001;
         onChanged();
       }
-      if (!other.getClaimantHost().isEmpty()) {
-        claimantHost_ = other.claimantHost_;
-        bitField0_ |= 0x00000002;
-        onChanged();
-      }
-      if (other.getClaimantIncarnation() != 0L) {
-        setClaimantIncarnation(other.getClaimantIncarnation());
-      }
-      if (other.getTransfer() != false) {
-        setTransfer(other.getTransfer());
-      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -479,21 +360,6 @@
               bitField0_ |= 0x00000001;
               break;
             } // case 10
-            case 18: {
-              claimantHost_ = input.readStringRequireUtf8();
-              bitField0_ |= 0x00000002;
-              break;
-            } // case 18
-            case 24: {
-              claimantIncarnation_ = input.readInt64();
-              bitField0_ |= 0x00000004;
-              break;
-            } // case 24
-            case 32: {
-              transfer_ = input.readBool();
-              bitField0_ |= 0x00000008;
-              break;
-            } // case 32
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -583,142 +449,6 @@
       return this;
     }
 
-    private java.lang.Object claimantHost_ = "";
-    /**
-     * <code>string claimant_host = 2;</code>
-     * @return The claimantHost.
-     */
-    public java.lang.String getClaimantHost() {
-      java.lang.Object ref = claimantHost_;
-      if (!(ref instanceof java.lang.String)) {
-        com.google.protobuf.ByteString bs =
-            (com.google.protobuf.ByteString) ref;
-        java.lang.String s = bs.toStringUtf8();
-        claimantHost_ = s;
-        return s;
-      } else {
-        return (java.lang.String) ref;
-      }
-    }
-    /**
-     * <code>string claimant_host = 2;</code>
-     * @return The bytes for claimantHost.
-     */
-    public com.google.protobuf.ByteString
-        getClaimantHostBytes() {
-      java.lang.Object ref = claimantHost_;
-      if (ref instanceof String) {
-        com.google.protobuf.ByteString b = 
-            com.google.protobuf.ByteString.copyFromUtf8(
-                (java.lang.String) ref);
-        claimantHost_ = b;
-        return b;
-      } else {
-        return (com.google.protobuf.ByteString) ref;
-      }
-    }
-    /**
-     * <code>string claimant_host = 2;</code>
-     * @param value The claimantHost to set.
-     * @return This builder for chaining.
-     */
-    public Builder setClaimantHost(
-        java.lang.String value) {
-      if (value == null) { throw new NullPointerException(); }
-      claimantHost_ = value;
-      bitField0_ |= 0x00000002;
-      onChanged();
-      return this;
-    }
-    /**
-     * <code>string claimant_host = 2;</code>
-     * @return This builder for chaining.
-     */
-    public Builder clearClaimantHost() {
-      claimantHost_ = getDefaultInstance().getClaimantHost();
-      bitField0_ = (bitField0_ & ~0x00000002);
-      onChanged();
-      return this;
-    }
-    /**
-     * <code>string claimant_host = 2;</code>
-     * @param value The bytes for claimantHost to set.
-     * @return This builder for chaining.
-     */
-    public Builder setClaimantHostBytes(
-        com.google.protobuf.ByteString value) {
-      if (value == null) { throw new NullPointerException(); }
-      checkByteStringIsUtf8(value);
-      claimantHost_ = value;
-      bitField0_ |= 0x00000002;
-      onChanged();
-      return this;
-    }
-
-    private long claimantIncarnation_ ;
-    /**
-     * <code>int64 claimant_incarnation = 3;</code>
-     * @return The claimantIncarnation.
-     */
-    @java.lang.Override
-    public long getClaimantIncarnation() {
-      return claimantIncarnation_;
-    }
-    /**
-     * <code>int64 claimant_incarnation = 3;</code>
-     * @param value The claimantIncarnation to set.
-     * @return This builder for chaining.
-     */
-    public Builder setClaimantIncarnation(long value) {
-
-      claimantIncarnation_ = value;
-      bitField0_ |= 0x00000004;
-      onChanged();
-      return this;
-    }
-    /**
-     * <code>int64 claimant_incarnation = 3;</code>
-     * @return This builder for chaining.
-     */
-    public Builder clearClaimantIncarnation() {
-      bitField0_ = (bitField0_ & ~0x00000004);
-      claimantIncarnation_ = 0L;
-      onChanged();
-      return this;
-    }
-
-    private boolean transfer_ ;
-    /**
-     * <code>bool transfer = 4;</code>
-     * @return The transfer.
-     */
-    @java.lang.Override
-    public boolean getTransfer() {
-      return transfer_;
-    }
-    /**
-     * <code>bool transfer = 4;</code>
-     * @param value The transfer to set.
-     * @return This builder for chaining.
-     */
-    public Builder setTransfer(boolean value) {
-
-      transfer_ = value;
-      bitField0_ |= 0x00000008;
-      onChanged();
-      return this;
-    }
-    /**
-     * <code>bool transfer = 4;</code>
-     * @return This builder for chaining.
-     */
-    public Builder clearTransfer() {
-      bitField0_ = (bitField0_ & ~0x00000008);
-      transfer_ = false;
-      onChanged();
-      return this;
-    }
-
     // @@protoc_insertion_point(builder_scope:fawndrum.ClaimRequest)
   }
 
--- a/org.fawndrum/src/org/fawndrum/protocol/wire/ClaimRequestOrBuilder.java
+++ b/org.fawndrum/src/org/fawndrum/protocol/wire/ClaimRequestOrBuilder.java
@@ -21,28 +21,4 @@
    */
   com.google.protobuf.ByteString
       getKeyBytes();
-
-  /**
-   * <code>string claimant_host = 2;</code>
-   * @return The claimantHost.
-   */
-  java.lang.String getClaimantHost();
-  /**
-   * <code>string claimant_host = 2;</code>
-   * @return The bytes for claimantHost.
-   */
-  com.google.protobuf.ByteString
-      getClaimantHostBytes();
-
-  /**
-   * <code>int64 claimant_incarnation = 3;</code>
-   * @return The claimantIncarnation.
-   */
-  long getClaimantIncarnation();
-
-  /**
-   * <code>bool transfer = 4;</code>
-   * @return The transfer.
-   */
-  boolean getTransfer();
 }
--- a/org.fawndrum/src/org/fawndrum/protocol/wire/Heartbeat.java
+++ b/org.fawndrum/src/org/fawndrum/protocol/wire/Heartbeat.java
@@ -29,10 +29,8 @@
   }
   private Heartbeat() {
     zone_ = "";
-    leaving_ = java.util.Collections.emptyList();
     peerIp_ = "";
-    suspects_ =
-        com.google.protobuf.LazyStringArrayList.emptyList();
+    loadDigest_ = com.google.protobuf.ByteString.EMPTY;
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -87,54 +85,60 @@
     }
   }
 
-  public static final int TABLE_REVISION_FIELD_NUMBER = 2;
-  private long tableRevision_ = 0L;
-  /**
-   * <code>int64 table_revision = 2;</code>
-   * @return The tableRevision.
-   */
-  @java.lang.Override
-  public long getTableRevision() {
-    return tableRevision_;
-  }
-
-  public static final int TABLE_POSITION_FIELD_NUMBER = 3;
-  private long tablePosition_ = 0L;
+  public static final int PEER_IP_FIELD_NUMBER = 2;
+  @SuppressWarnings("serial")
+  private volatile java.lang.Object peerIp_ = "";
   /**
-   * <code>int64 table_position = 3;</code>
-   * @return The tablePosition.
+   * <code>string peer_ip = 2;</code>
+   * @return The peerIp.
    */
   @java.lang.Override
-  public long getTablePosition() {
-    return tablePosition_;
+  public java.lang.String getPeerIp() {
+    java.lang.Object ref = peerIp_;
+    if (ref instanceof java.lang.String) {
+      return (java.lang.String) ref;
+    } else {
+      com.google.protobuf.ByteString bs = 
+          (com.google.protobuf.ByteString) ref;
+      java.lang.String s = bs.toStringUtf8();
+      peerIp_ = s;
+      return s;
+    }
   }
-
-  public static final int LISTING_VERSION_FIELD_NUMBER = 4;
-  private long listingVersion_ = 0L;
   /**
-   * <code>int64 listing_version = 4;</code>
-   * @return The listingVersion.
+   * <code>string peer_ip = 2;</code>
+   * @return The bytes for peerIp.
    */
   @java.lang.Override
-  public long getListingVersion() {
-    return listingVersion_;
+  public com.google.protobuf.ByteString
+      getPeerIpBytes() {
+    java.lang.Object ref = peerIp_;
+    if (ref instanceof java.lang.String) {
+      com.google.protobuf.ByteString b = 
+          com.google.protobuf.ByteString.copyFromUtf8(
+              (java.lang.String) ref);
+      peerIp_ = b;
+      return b;
+    } else {
+      return (com.google.protobuf.ByteString) ref;
+    }
   }
 
-  public static final int DRAINING_FIELD_NUMBER = 5;
-  private boolean draining_ = false;
+  public static final int PEER_PORT_FIELD_NUMBER = 3;
+  private int peerPort_ = 0;
   /**
-   * <code>bool draining = 5;</code>
-   * @return The draining.
+   * <code>int32 peer_port = 3;</code>
+   * @return The peerPort.
    */
   @java.lang.Override
-  public boolean getDraining() {
-    return draining_;
+  public int getPeerPort() {
+    return peerPort_;
   }
 
-  public static final int SEQUENCE_FIELD_NUMBER = 6;
+  public static final int SEQUENCE_FIELD_NUMBER = 4;
   private long sequence_ = 0L;
   /**
-   * <code>int64 sequence = 6;</code>
+   * <code>int64 sequence = 4;</code>
    * @return The sequence.
    */
   @java.lang.Override
@@ -142,189 +146,89 @@
     return sequence_;
   }
 
-  public static final int STREAMS_FIELD_NUMBER = 7;
-  private int streams_ = 0;
+  public static final int TABLE_REVISION_FIELD_NUMBER = 5;
+  private long tableRevision_ = 0L;
   /**
-   * <code>int32 streams = 7;</code>
-   * @return The streams.
+   * <code>int64 table_revision = 5;</code>
+   * @return The tableRevision.
    */
   @java.lang.Override
-  public int getStreams() {
-    return streams_;
+  public long getTableRevision() {
+    return tableRevision_;
   }
 
-  public static final int LEAVING_FIELD_NUMBER = 8;
-  @SuppressWarnings("serial")
-  private java.util.List<org.fawndrum.protocol.wire.EndpointWord> leaving_;
+  public static final int TABLE_POSITION_FIELD_NUMBER = 6;
+  private long tablePosition_ = 0L;
   /**
-   * <pre>
-   * What the sender itself knows of endpoints that leave: only entries newly told.
-   * </pre>
-   *
-   * <code>repeated .fawndrum.EndpointWord leaving = 8;</code>
+   * <code>int64 table_position = 6;</code>
+   * @return The tablePosition.
    */
   @java.lang.Override
-  public java.util.List<org.fawndrum.protocol.wire.EndpointWord> getLeavingList() {
-    return leaving_;
+  public long getTablePosition() {
+    return tablePosition_;
   }
+
+  public static final int LISTING_VERSION_FIELD_NUMBER = 7;
+  private long listingVersion_ = 0L;
   /**
-   * <pre>
-   * What the sender itself knows of endpoints that leave: only entries newly told.
-   * </pre>
-   *
-   * <code>repeated .fawndrum.EndpointWord leaving = 8;</code>
+   * <code>int64 listing_version = 7;</code>
+   * @return The listingVersion.
    */
   @java.lang.Override
-  public java.util.List<? extends org.fawndrum.protocol.wire.EndpointWordOrBuilder> 
-      getLeavingOrBuilderList() {
-    return leaving_;
+  public long getListingVersion() {
+    return listingVersion_;
   }
+
+  public static final int DRAINING_FIELD_NUMBER = 8;
+  private boolean draining_ = false;
   /**
-   * <pre>
-   * What the sender itself knows of endpoints that leave: only entries newly told.
-   * </pre>
-   *
-   * <code>repeated .fawndrum.EndpointWord leaving = 8;</code>
+   * <code>bool draining = 8;</code>
+   * @return The draining.
    */
   @java.lang.Override
-  public int getLeavingCount() {
-    return leaving_.size();
+  public boolean getDraining() {
+    return draining_;
   }
+
+  public static final int WAITING_TOKENS_FIELD_NUMBER = 9;
+  private long waitingTokens_ = 0L;
   /**
    * <pre>
-   * What the sender itself knows of endpoints that leave: only entries newly told.
+   * Sums over the sender's own requests; a speaker sums up its zone for other zones.
    * </pre>
    *
-   * <code>repeated .fawndrum.EndpointWord leaving = 8;</code>
+   * <code>int64 waiting_tokens = 9;</code>
+   * @return The waitingTokens.
    */
   @java.lang.Override
-  public org.fawndrum.protocol.wire.EndpointWord getLeaving(int index) {
-    return leaving_.get(index);
+  public long getWaitingTokens() {
+    return waitingTokens_;
   }
+
+  public static final int RUNNING_REQUESTS_FIELD_NUMBER = 10;
+  private long runningRequests_ = 0L;
   /**
-   * <pre>
-   * What the sender itself knows of endpoints that leave: only entries newly told.
-   * </pre>
-   *
-   * <code>repeated .fawndrum.EndpointWord leaving = 8;</code>
+   * <code>int64 running_requests = 10;</code>
+   * @return The runningRequests.
    */
   @java.lang.Override
-  public org.fawndrum.protocol.wire.EndpointWordOrBuilder getLeavingOrBuilder(
-      int index) {
-    return leaving_.get(index);
+  public long getRunningRequests() {
+    return runningRequests_;
   }
 
-  public static final int QUEUED_TOKENS_FIELD_NUMBER = 9;
-  private long queuedTokens_ = 0L;
+  public static final int LOAD_DIGEST_FIELD_NUMBER = 11;
+  private com.google.protobuf.ByteString loadDigest_ = com.google.protobuf.ByteString.EMPTY;
   /**
    * <pre>
-   * Load sums of the sender's own work, for its zone and for others.
+   * Quantized load of the endpoints that the sender watches.
    * </pre>
    *
-   * <code>int64 queued_tokens = 9;</code>
-   * @return The queuedTokens.
-   */
-  @java.lang.Override
-  public long getQueuedTokens() {
-    return queuedTokens_;
-  }
-
-  public static final int RUNNING_TOKENS_FIELD_NUMBER = 10;
-  private long runningTokens_ = 0L;
-  /**
-   * <code>int64 running_tokens = 10;</code>
-   * @return The runningTokens.
-   */
-  @java.lang.Override
-  public long getRunningTokens() {
-    return runningTokens_;
-  }
-
-  public static final int PEER_IP_FIELD_NUMBER = 11;
-  @SuppressWarnings("serial")
-  private volatile java.lang.Object peerIp_ = "";
-  /**
-   * <code>string peer_ip = 11;</code>
-   * @return The peerIp.
-   */
-  @java.lang.Override
-  public java.lang.String getPeerIp() {
-    java.lang.Object ref = peerIp_;
-    if (ref instanceof java.lang.String) {
-      return (java.lang.String) ref;
-    } else {
-      com.google.protobuf.ByteString bs = 
-          (com.google.protobuf.ByteString) ref;
-      java.lang.String s = bs.toStringUtf8();
-      peerIp_ = s;
-      return s;
-    }
-  }
-  /**
-   * <code>string peer_ip = 11;</code>
-   * @return The bytes for peerIp.
-   */
-  @java.lang.Override
-  public com.google.protobuf.ByteString
-      getPeerIpBytes() {
-    java.lang.Object ref = peerIp_;
-    if (ref instanceof java.lang.String) {
-      com.google.protobuf.ByteString b = 
-          com.google.protobuf.ByteString.copyFromUtf8(
-              (java.lang.String) ref);
-      peerIp_ = b;
-      return b;
-    } else {
-      return (com.google.protobuf.ByteString) ref;
-    }
-  }
-
-  public static final int PEER_PORT_FIELD_NUMBER = 12;
-  private int peerPort_ = 0;
-  /**
-   * <code>int32 peer_port = 12;</code>
-   * @return The peerPort.
+   * <code>bytes load_digest = 11;</code>
+   * @return The loadDigest.
    */
   @java.lang.Override
-  public int getPeerPort() {
-    return peerPort_;
-  }
-
-  public static final int SUSPECTS_FIELD_NUMBER = 13;
-  @SuppressWarnings("serial")
-  private com.google.protobuf.LazyStringArrayList suspects_ =
-      com.google.protobuf.LazyStringArrayList.emptyList();
-  /**
-   * <code>repeated string suspects = 13;</code>
-   * @return A list containing the suspects.
-   */
-  public com.google.protobuf.ProtocolStringList
-      getSuspectsList() {
-    return suspects_;
-  }
-  /**
-   * <code>repeated string suspects = 13;</code>
-   * @return The count of suspects.
-   */
-  public int getSuspectsCount() {
-    return suspects_.size();
-  }
-  /**
-   * <code>repeated string suspects = 13;</code>
-   * @param index The index of the element to return.
-   * @return The suspects at the given index.
-   */
-  public java.lang.String getSuspects(int index) {
-    return suspects_.get(index);
-  }
-  /**
-   * <code>repeated string suspects = 13;</code>
-   * @param index The index of the value to return.
-   * @return The bytes of the suspects at the given index.
-   */
-  public com.google.protobuf.ByteString
-      getSuspectsBytes(int index) {
-    return suspects_.getByteString(index);
+  public com.google.protobuf.ByteString getLoadDigest() {
+    return loadDigest_;
   }
 
   private byte memoizedIsInitialized = -1;
@@ -344,41 +248,35 @@
     if (!com.google.protobuf.GeneratedMessage.isStringEmpty(zone_)) {
       com.google.protobuf.GeneratedMessage.writeString(output, 1, zone_);
     }
-    if (tableRevision_ != 0L) {
-      output.writeInt64(2, tableRevision_);
-    }
-    if (tablePosition_ != 0L) {
-      output.writeInt64(3, tablePosition_);
-    }
-    if (listingVersion_ != 0L) {
-      output.writeInt64(4, listingVersion_);
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(peerIp_)) {
+      com.google.protobuf.GeneratedMessage.writeString(output, 2, peerIp_);
     }
-    if (draining_ != false) {
-      output.writeBool(5, draining_);
+    if (peerPort_ != 0) {
+      output.writeInt32(3, peerPort_);
     }
     if (sequence_ != 0L) {
-      output.writeInt64(6, sequence_);
+      output.writeInt64(4, sequence_);
     }
-    if (streams_ != 0) {
-      output.writeInt32(7, streams_);
+    if (tableRevision_ != 0L) {
+      output.writeInt64(5, tableRevision_);
     }
-    for (int i = 0; i < leaving_.size(); i++) {
-      output.writeMessage(8, leaving_.get(i));
+    if (tablePosition_ != 0L) {
+      output.writeInt64(6, tablePosition_);
     }
-    if (queuedTokens_ != 0L) {
-      output.writeInt64(9, queuedTokens_);
+    if (listingVersion_ != 0L) {
+      output.writeInt64(7, listingVersion_);
     }
-    if (runningTokens_ != 0L) {
-      output.writeInt64(10, runningTokens_);
+    if (draining_ != false) {
+      output.writeBool(8, draining_);
     }
-    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(peerIp_)) {
-      com.google.protobuf.GeneratedMessage.writeString(output, 11, peerIp_);
+    if (waitingTokens_ != 0L) {
+      output.writeInt64(9, waitingTokens_);
     }
-    if (peerPort_ != 0) {
-      output.writeInt32(12, peerPort_);
+    if (runningRequests_ != 0L) {
+      output.writeInt64(10, runningRequests_);
     }
-    for (int i = 0; i < suspects_.size(); i++) {
-      com.google.protobuf.GeneratedMessage.writeString(output, 13, suspects_.getRaw(i));
+    if (!loadDigest_.isEmpty()) {
+      output.writeBytes(11, loadDigest_);
     }
     getUnknownFields().writeTo(output);
   }
@@ -392,56 +290,44 @@
     if (!com.google.protobuf.GeneratedMessage.isStringEmpty(zone_)) {
       size += com.google.protobuf.GeneratedMessage.computeStringSize(1, zone_);
     }
-    if (tableRevision_ != 0L) {
-      size += com.google.protobuf.CodedOutputStream
-        .computeInt64Size(2, tableRevision_);
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(peerIp_)) {
+      size += com.google.protobuf.GeneratedMessage.computeStringSize(2, peerIp_);
     }
-    if (tablePosition_ != 0L) {
+    if (peerPort_ != 0) {
       size += com.google.protobuf.CodedOutputStream
-        .computeInt64Size(3, tablePosition_);
+        .computeInt32Size(3, peerPort_);
     }
-    if (listingVersion_ != 0L) {
+    if (sequence_ != 0L) {
       size += com.google.protobuf.CodedOutputStream
-        .computeInt64Size(4, listingVersion_);
+        .computeInt64Size(4, sequence_);
     }
-    if (draining_ != false) {
+    if (tableRevision_ != 0L) {
       size += com.google.protobuf.CodedOutputStream
-        .computeBoolSize(5, draining_);
+        .computeInt64Size(5, tableRevision_);
     }
-    if (sequence_ != 0L) {
+    if (tablePosition_ != 0L) {
       size += com.google.protobuf.CodedOutputStream
-        .computeInt64Size(6, sequence_);
+        .computeInt64Size(6, tablePosition_);
     }
-    if (streams_ != 0) {
+    if (listingVersion_ != 0L) {
       size += com.google.protobuf.CodedOutputStream
-        .computeInt32Size(7, streams_);
+        .computeInt64Size(7, listingVersion_);
     }
-    for (int i = 0; i < leaving_.size(); i++) {
+    if (draining_ != false) {
       size += com.google.protobuf.CodedOutputStream
-        .computeMessageSize(8, leaving_.get(i));
+        .computeBoolSize(8, draining_);
     }
-    if (queuedTokens_ != 0L) {
+    if (waitingTokens_ != 0L) {
       size += com.google.protobuf.CodedOutputStream
-        .computeInt64Size(9, queuedTokens_);
+        .computeInt64Size(9, waitingTokens_);
     }
-    if (runningTokens_ != 0L) {
+    if (runningRequests_ != 0L) {
       size += com.google.protobuf.CodedOutputStream
-        .computeInt64Size(10, runningTokens_);
-    }
-    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(peerIp_)) {
-      size += com.google.protobuf.GeneratedMessage.computeStringSize(11, peerIp_);
+        .computeInt64Size(10, runningRequests_);
     }
-    if (peerPort_ != 0) {
+    if (!loadDigest_.isEmpty()) {
       size += com.google.protobuf.CodedOutputStream
-        .computeInt32Size(12, peerPort_);
-    }
-    {
-      int dataSize = 0;
-      for (int i = 0; i < suspects_.size(); i++) {
-        dataSize += computeStringSizeNoTag(suspects_.getRaw(i));
-      }
-      size += dataSize;
-      size += 1 * getSuspectsList().size();
+        .computeBytesSize(11, loadDigest_);
     }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
@@ -460,6 +346,12 @@
 
     if (!getZone()
         .equals(other.getZone())) return false;
+    if (!getPeerIp()
+        .equals(other.getPeerIp())) return false;
+    if (getPeerPort()
+        != other.getPeerPort()) return false;
+    if (getSequence()
+        != other.getSequence()) return false;
     if (getTableRevision()
         != other.getTableRevision()) return false;
     if (getTablePosition()
@@ -468,22 +360,12 @@
         != other.getListingVersion()) return false;
     if (getDraining()
         != other.getDraining()) return false;
-    if (getSequence()
-        != other.getSequence()) return false;
-    if (getStreams()
-        != other.getStreams()) return false;
-    if (!getLeavingList()
-        .equals(other.getLeavingList())) return false;
-    if (getQueuedTokens()
-        != other.getQueuedTokens()) return false;
-    if (getRunningTokens()
-        != other.getRunningTokens()) return false;
-    if (!getPeerIp()
-        .equals(other.getPeerIp())) return false;
-    if (getPeerPort()
-        != other.getPeerPort()) return false;
-    if (!getSuspectsList()
-        .equals(other.getSuspectsList())) return false;
+    if (getWaitingTokens()
+        != other.getWaitingTokens()) return false;
+    if (getRunningRequests()
+        != other.getRunningRequests()) return false;
+    if (!getLoadDigest()
+        .equals(other.getLoadDigest())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -497,6 +379,13 @@
     hash = (19 * hash) + getDescriptor().hashCode();
     hash = (37 * hash) + ZONE_FIELD_NUMBER;
     hash = (53 * hash) + getZone().hashCode();
+    hash = (37 * hash) + PEER_IP_FIELD_NUMBER;
+    hash = (53 * hash) + getPeerIp().hashCode();
+    hash = (37 * hash) + PEER_PORT_FIELD_NUMBER;
+    hash = (53 * hash) + getPeerPort();
+    hash = (37 * hash) + SEQUENCE_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getSequence());
     hash = (37 * hash) + TABLE_REVISION_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
         getTableRevision());
@@ -509,29 +398,14 @@
     hash = (37 * hash) + DRAINING_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
         getDraining());
-    hash = (37 * hash) + SEQUENCE_FIELD_NUMBER;
-    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
-        getSequence());
-    hash = (37 * hash) + STREAMS_FIELD_NUMBER;
-    hash = (53 * hash) + getStreams();
-    if (getLeavingCount() > 0) {
-      hash = (37 * hash) + LEAVING_FIELD_NUMBER;
-      hash = (53 * hash) + getLeavingList().hashCode();
-    }
-    hash = (37 * hash) + QUEUED_TOKENS_FIELD_NUMBER;
+    hash = (37 * hash) + WAITING_TOKENS_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
-        getQueuedTokens());
-    hash = (37 * hash) + RUNNING_TOKENS_FIELD_NUMBER;
+        getWaitingTokens());
+    hash = (37 * hash) + RUNNING_REQUESTS_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
-        getRunningTokens());
-    hash = (37 * hash) + PEER_IP_FIELD_NUMBER;
-    hash = (53 * hash) + getPeerIp().hashCode();
-    hash = (37 * hash) + PEER_PORT_FIELD_NUMBER;
-    hash = (53 * hash) + getPeerPort();
-    if (getSuspectsCount() > 0) {
-      hash = (37 * hash) + SUSPECTS_FIELD_NUMBER;
-      hash = (53 * hash) + getSuspectsList().hashCode();
-    }
+        getRunningRequests());
+    hash = (37 * hash) + LOAD_DIGEST_FIELD_NUMBER;
+    hash = (53 * hash) + getLoadDigest().hashCode();
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -664,25 +538,16 @@
       super.clear();
       bitField0_ = 0;
       zone_ = "";
+      peerIp_ = "";
+      peerPort_ = 0;
+      sequence_ = 0L;
       tableRevision_ = 0L;
       tablePosition_ = 0L;
       listingVersion_ = 0L;
       draining_ = false;
-      sequence_ = 0L;
-      streams_ = 0;
-      if (leavingBuilder_ == null) {
-        leaving_ = java.util.Collections.emptyList();
-      } else {
-        leaving_ = null;
-        leavingBuilder_.clear();
-      }
-      bitField0_ = (bitField0_ & ~0x00000080);
-      queuedTokens_ = 0L;
-      runningTokens_ = 0L;
-      peerIp_ = "";
-      peerPort_ = 0;
-      suspects_ =
-          com.google.protobuf.LazyStringArrayList.emptyList();
+      waitingTokens_ = 0L;
+      runningRequests_ = 0L;
+      loadDigest_ = com.google.protobuf.ByteString.EMPTY;
       return this;
     }
 
@@ -709,62 +574,45 @@
     @java.lang.Override
     public org.fawndrum.protocol.wire.Heartbeat buildPartial() {
       org.fawndrum.protocol.wire.Heartbeat result = new org.fawndrum.protocol.wire.Heartbeat(this);
-      buildPartialRepeatedFields(result);
       if (bitField0_ != 0) { buildPartial0(result); }
       onBuilt();
       return result;
     }
 
-    private void buildPartialRepeatedFields(org.fawndrum.protocol.wire.Heartbeat result) {
-      if (leavingBuilder_ == null) {
-        if (((bitField0_ & 0x00000080) != 0)) {
-          leaving_ = java.util.Collections.unmodifiableList(leaving_);
-          bitField0_ = (bitField0_ & ~0x00000080);
-        }
-        result.leaving_ = leaving_;
-      } else {
-        result.leaving_ = leavingBuilder_.build();
-      }
-    }
-
     private void buildPartial0(org.fawndrum.protocol.wire.Heartbeat result) {
       int from_bitField0_ = bitField0_;
       if (((from_bitField0_ & 0x00000001) != 0)) {
         result.zone_ = zone_;
       }
       if (((from_bitField0_ & 0x00000002) != 0)) {
-        result.tableRevision_ = tableRevision_;
+        result.peerIp_ = peerIp_;
       }
       if (((from_bitField0_ & 0x00000004) != 0)) {
-        result.tablePosition_ = tablePosition_;
+        result.peerPort_ = peerPort_;
       }
       if (((from_bitField0_ & 0x00000008) != 0)) {
-        result.listingVersion_ = listingVersion_;
+        result.sequence_ = sequence_;
       }
       if (((from_bitField0_ & 0x00000010) != 0)) {
-        result.draining_ = draining_;
+        result.tableRevision_ = tableRevision_;
       }
       if (((from_bitField0_ & 0x00000020) != 0)) {
-        result.sequence_ = sequence_;
+        result.tablePosition_ = tablePosition_;
       }
       if (((from_bitField0_ & 0x00000040) != 0)) {
-        result.streams_ = streams_;
+        result.listingVersion_ = listingVersion_;
+      }
+      if (((from_bitField0_ & 0x00000080) != 0)) {
+        result.draining_ = draining_;
       }
       if (((from_bitField0_ & 0x00000100) != 0)) {
-        result.queuedTokens_ = queuedTokens_;
+        result.waitingTokens_ = waitingTokens_;
       }
       if (((from_bitField0_ & 0x00000200) != 0)) {
-        result.runningTokens_ = runningTokens_;
+        result.runningRequests_ = runningRequests_;
       }
       if (((from_bitField0_ & 0x00000400) != 0)) {
-        result.peerIp_ = peerIp_;
-      }
-      if (((from_bitField0_ & 0x00000800) != 0)) {
-        result.peerPort_ = peerPort_;
-      }
-      if (((from_bitField0_ & 0x00001000) != 0)) {
-        suspects_.makeImmutable();
-        result.suspects_ = suspects_;
+        result.loadDigest_ = loadDigest_;
       }
     }
 
@@ -785,6 +633,17 @@
         bitField0_ |= 0x00000001;
         onChanged();
       }
+      if (!other.getPeerIp().isEmpty()) {
+        peerIp_ = other.peerIp_;
+        bitField0_ |= 0x00000002;
+        onChanged();
+      }
+      if (other.getPeerPort() != 0) {
+        setPeerPort(other.getPeerPort());
+      }
+      if (other.getSequence() != 0L) {
+        setSequence(other.getSequence());
+      }
       if (other.getTableRevision() != 0L) {
         setTableRevision(other.getTableRevision());
       }
@@ -797,61 +656,14 @@
       if (other.getDraining() != false) {
         setDraining(other.getDraining());
       }
-      if (other.getSequence() != 0L) {
-        setSequence(other.getSequence());
-      }
-      if (other.getStreams() != 0) {
-        setStreams(other.getStreams());
-      }
-      if (leavingBuilder_ == null) {
-        if (!other.leaving_.isEmpty()) {
-          if (leaving_.isEmpty()) {
-            leaving_ = other.leaving_;
-            bitField0_ = (bitField0_ & ~0x00000080);
-          } else {
-            ensureLeavingIsMutable();
-            leaving_.addAll(other.leaving_);
-          }
-          onChanged();
-        }
-      } else {
-        if (!other.leaving_.isEmpty()) {
-          if (leavingBuilder_.isEmpty()) {
-            leavingBuilder_.dispose();
-            leavingBuilder_ = null;
-            leaving_ = other.leaving_;
-            bitField0_ = (bitField0_ & ~0x00000080);
-            leavingBuilder_ = 
-              com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
-                 internalGetLeavingFieldBuilder() : null;
-          } else {
-            leavingBuilder_.addAllMessages(other.leaving_);
-          }
-        }
+      if (other.getWaitingTokens() != 0L) {
+        setWaitingTokens(other.getWaitingTokens());
       }
-      if (other.getQueuedTokens() != 0L) {
-        setQueuedTokens(other.getQueuedTokens());
+      if (other.getRunningRequests() != 0L) {
+        setRunningRequests(other.getRunningRequests());
       }
-      if (other.getRunningTokens() != 0L) {
-        setRunningTokens(other.getRunningTokens());
-      }
-      if (!other.getPeerIp().isEmpty()) {
-        peerIp_ = other.peerIp_;
-        bitField0_ |= 0x00000400;
-        onChanged();
-      }
-      if (other.getPeerPort() != 0) {
-        setPeerPort(other.getPeerPort());
-      }
-      if (!other.suspects_.isEmpty()) {
-        if (suspects_.isEmpty()) {
-          suspects_ = other.suspects_;
-          bitField0_ |= 0x00001000;
-        } else {
-          ensureSuspectsIsMutable();
-          suspects_.addAll(other.suspects_);
-        }
-        onChanged();
+      if (!other.getLoadDigest().isEmpty()) {
+        setLoadDigest(other.getLoadDigest());
       }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
@@ -884,75 +696,56 @@
               bitField0_ |= 0x00000001;
               break;
             } // case 10
-            case 16: {
-              tableRevision_ = input.readInt64();
+            case 18: {
+              peerIp_ = input.readStringRequireUtf8();
               bitField0_ |= 0x00000002;
               break;
-            } // case 16
+            } // case 18
             case 24: {
-              tablePosition_ = input.readInt64();
+              peerPort_ = input.readInt32();
               bitField0_ |= 0x00000004;
               break;
             } // case 24
             case 32: {
-              listingVersion_ = input.readInt64();
+              sequence_ = input.readInt64();
               bitField0_ |= 0x00000008;
               break;
             } // case 32
             case 40: {
-              draining_ = input.readBool();
+              tableRevision_ = input.readInt64();
               bitField0_ |= 0x00000010;
               break;
             } // case 40
             case 48: {
-              sequence_ = input.readInt64();
+              tablePosition_ = input.readInt64();
               bitField0_ |= 0x00000020;
               break;
             } // case 48
             case 56: {
-              streams_ = input.readInt32();
+              listingVersion_ = input.readInt64();
               bitField0_ |= 0x00000040;
               break;
             } // case 56
-            case 66: {
-              org.fawndrum.protocol.wire.EndpointWord m =
-                  input.readMessage(
-                      org.fawndrum.protocol.wire.EndpointWord.parser(),
-                      extensionRegistry);
-              if (leavingBuilder_ == null) {
-                ensureLeavingIsMutable();
-                leaving_.add(m);
-              } else {
-                leavingBuilder_.addMessage(m);
-              }
+            case 64: {
+              draining_ = input.readBool();
+              bitField0_ |= 0x00000080;
               break;
-            } // case 66
+            } // case 64
             case 72: {
-              queuedTokens_ = input.readInt64();
+              waitingTokens_ = input.readInt64();
               bitField0_ |= 0x00000100;
               break;
             } // case 72
             case 80: {
-              runningTokens_ = input.readInt64();
+              runningRequests_ = input.readInt64();
               bitField0_ |= 0x00000200;
               break;
             } // case 80
             case 90: {
-              peerIp_ = input.readStringRequireUtf8();
+              loadDigest_ = input.readBytes();
               bitField0_ |= 0x00000400;
               break;
             } // case 90
-            case 96: {
-              peerPort_ = input.readInt32();
-              bitField0_ |= 0x00000800;
-              break;
-            } // case 96
-            case 106: {
-              java.lang.String s = input.readStringRequireUtf8();
-              ensureSuspectsIsMutable();
-              suspects_.add(s);
-              break;
-            } // case 106
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1042,797 +835,386 @@
       return this;
     }
 
-    private long tableRevision_ ;
+    private java.lang.Object peerIp_ = "";
     /**
-     * <code>int64 table_revision = 2;</code>
-     * @return The tableRevision.
+     * <code>string peer_ip = 2;</code>
+     * @return The peerIp.
      */
-    @java.lang.Override
-    public long getTableRevision() {
-      return tableRevision_;
+    public java.lang.String getPeerIp() {
+      java.lang.Object ref = peerIp_;
+      if (!(ref instanceof java.lang.String)) {
+        com.google.protobuf.ByteString bs =
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        peerIp_ = s;
+        return s;
+      } else {
+        return (java.lang.String) ref;
+      }
     }
     /**
-     * <code>int64 table_revision = 2;</code>
-     * @param value The tableRevision to set.
+     * <code>string peer_ip = 2;</code>
+     * @return The bytes for peerIp.
+     */
+    public com.google.protobuf.ByteString
+        getPeerIpBytes() {
+      java.lang.Object ref = peerIp_;
+      if (ref instanceof String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        peerIp_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+    /**
+     * <code>string peer_ip = 2;</code>
+     * @param value The peerIp to set.
      * @return This builder for chaining.
      */
-    public Builder setTableRevision(long value) {
-
-      tableRevision_ = value;
+    public Builder setPeerIp(
+        java.lang.String value) {
+      if (value == null) { throw new NullPointerException(); }
+      peerIp_ = value;
       bitField0_ |= 0x00000002;
       onChanged();
       return this;
     }
     /**
-     * <code>int64 table_revision = 2;</code>
+     * <code>string peer_ip = 2;</code>
      * @return This builder for chaining.
      */
-    public Builder clearTableRevision() {
+    public Builder clearPeerIp() {
+      peerIp_ = getDefaultInstance().getPeerIp();
       bitField0_ = (bitField0_ & ~0x00000002);
-      tableRevision_ = 0L;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>string peer_ip = 2;</code>
+     * @param value The bytes for peerIp to set.
+     * @return This builder for chaining.
+     */
+    public Builder setPeerIpBytes(
+        com.google.protobuf.ByteString value) {
+      if (value == null) { throw new NullPointerException(); }
+      checkByteStringIsUtf8(value);
+      peerIp_ = value;
+      bitField0_ |= 0x00000002;
       onChanged();
       return this;
     }
 
-    private long tablePosition_ ;
+    private int peerPort_ ;
     /**
-     * <code>int64 table_position = 3;</code>
-     * @return The tablePosition.
+     * <code>int32 peer_port = 3;</code>
+     * @return The peerPort.
      */
     @java.lang.Override
-    public long getTablePosition() {
-      return tablePosition_;
+    public int getPeerPort() {
+      return peerPort_;
     }
     /**
-     * <code>int64 table_position = 3;</code>
-     * @param value The tablePosition to set.
+     * <code>int32 peer_port = 3;</code>
+     * @param value The peerPort to set.
      * @return This builder for chaining.
      */
-    public Builder setTablePosition(long value) {
+    public Builder setPeerPort(int value) {
 
-      tablePosition_ = value;
+      peerPort_ = value;
       bitField0_ |= 0x00000004;
       onChanged();
       return this;
     }
     /**
-     * <code>int64 table_position = 3;</code>
+     * <code>int32 peer_port = 3;</code>
      * @return This builder for chaining.
      */
-    public Builder clearTablePosition() {
+    public Builder clearPeerPort() {
       bitField0_ = (bitField0_ & ~0x00000004);
-      tablePosition_ = 0L;
+      peerPort_ = 0;
       onChanged();
       return this;
     }
 
-    private long listingVersion_ ;
+    private long sequence_ ;
     /**
-     * <code>int64 listing_version = 4;</code>
-     * @return The listingVersion.
+     * <code>int64 sequence = 4;</code>
+     * @return The sequence.
      */
     @java.lang.Override
-    public long getListingVersion() {
-      return listingVersion_;
+    public long getSequence() {
+      return sequence_;
     }
     /**
-     * <code>int64 listing_version = 4;</code>
-     * @param value The listingVersion to set.
+     * <code>int64 sequence = 4;</code>
+     * @param value The sequence to set.
      * @return This builder for chaining.
      */
-    public Builder setListingVersion(long value) {
+    public Builder setSequence(long value) {
 
-      listingVersion_ = value;
+      sequence_ = value;
       bitField0_ |= 0x00000008;
       onChanged();
       return this;
     }
     /**
-     * <code>int64 listing_version = 4;</code>
+     * <code>int64 sequence = 4;</code>
      * @return This builder for chaining.
      */
-    public Builder clearListingVersion() {
+    public Builder clearSequence() {
       bitField0_ = (bitField0_ & ~0x00000008);
-      listingVersion_ = 0L;
+      sequence_ = 0L;
       onChanged();
       return this;
     }
 
-    private boolean draining_ ;
+    private long tableRevision_ ;
     /**
-     * <code>bool draining = 5;</code>
-     * @return The draining.
+     * <code>int64 table_revision = 5;</code>
+     * @return The tableRevision.
      */
     @java.lang.Override
-    public boolean getDraining() {
-      return draining_;
+    public long getTableRevision() {
+      return tableRevision_;
     }
     /**
-     * <code>bool draining = 5;</code>
-     * @param value The draining to set.
+     * <code>int64 table_revision = 5;</code>
+     * @param value The tableRevision to set.
      * @return This builder for chaining.
      */
-    public Builder setDraining(boolean value) {
+    public Builder setTableRevision(long value) {
 
-      draining_ = value;
+      tableRevision_ = value;
       bitField0_ |= 0x00000010;
       onChanged();
       return this;
     }
     /**
-     * <code>bool draining = 5;</code>
+     * <code>int64 table_revision = 5;</code>
      * @return This builder for chaining.
      */
-    public Builder clearDraining() {
+    public Builder clearTableRevision() {
       bitField0_ = (bitField0_ & ~0x00000010);
-      draining_ = false;
+      tableRevision_ = 0L;
       onChanged();
       return this;
     }
 
-    private long sequence_ ;
+    private long tablePosition_ ;
     /**
-     * <code>int64 sequence = 6;</code>
-     * @return The sequence.
+     * <code>int64 table_position = 6;</code>
+     * @return The tablePosition.
      */
     @java.lang.Override
-    public long getSequence() {
-      return sequence_;
+    public long getTablePosition() {
+      return tablePosition_;
     }
     /**
-     * <code>int64 sequence = 6;</code>
-     * @param value The sequence to set.
+     * <code>int64 table_position = 6;</code>
+     * @param value The tablePosition to set.
      * @return This builder for chaining.
      */
-    public Builder setSequence(long value) {
+    public Builder setTablePosition(long value) {
 
-      sequence_ = value;
+      tablePosition_ = value;
       bitField0_ |= 0x00000020;
       onChanged();
       return this;
     }
     /**
-     * <code>int64 sequence = 6;</code>
+     * <code>int64 table_position = 6;</code>
      * @return This builder for chaining.
      */
-    public Builder clearSequence() {
+    public Builder clearTablePosition() {
       bitField0_ = (bitField0_ & ~0x00000020);
-      sequence_ = 0L;
+      tablePosition_ = 0L;
       onChanged();
       return this;
     }
 
-    private int streams_ ;
+    private long listingVersion_ ;
     /**
-     * <code>int32 streams = 7;</code>
-     * @return The streams.
+     * <code>int64 listing_version = 7;</code>
+     * @return The listingVersion.
      */
     @java.lang.Override
-    public int getStreams() {
-      return streams_;
+    public long getListingVersion() {
+      return listingVersion_;
     }
     /**
-     * <code>int32 streams = 7;</code>
-     * @param value The streams to set.
+     * <code>int64 listing_version = 7;</code>
+     * @param value The listingVersion to set.
      * @return This builder for chaining.
      */
-    public Builder setStreams(int value) {
+    public Builder setListingVersion(long value) {
 
-      streams_ = value;
+      listingVersion_ = value;
       bitField0_ |= 0x00000040;
       onChanged();
       return this;
     }
     /**
-     * <code>int32 streams = 7;</code>
+     * <code>int64 listing_version = 7;</code>
      * @return This builder for chaining.
      */
-    public Builder clearStreams() {
+    public Builder clearListingVersion() {
       bitField0_ = (bitField0_ & ~0x00000040);
-      streams_ = 0;
+      listingVersion_ = 0L;
       onChanged();
       return this;
     }
 
-    private java.util.List<org.fawndrum.protocol.wire.EndpointWord> leaving_ =
-      java.util.Collections.emptyList();
-    private void ensureLeavingIsMutable() {
-      if (!((bitField0_ & 0x00000080) != 0)) {
-        leaving_ = new java.util.ArrayList<org.fawndrum.protocol.wire.EndpointWord>(leaving_);
-        bitField0_ |= 0x00000080;
-       }
-    }
-
-    private com.google.protobuf.RepeatedFieldBuilder<
-        org.fawndrum.protocol.wire.EndpointWord, org.fawndrum.protocol.wire.EndpointWord.Builder, org.fawndrum.protocol.wire.EndpointWordOrBuilder> leavingBuilder_;
-
-    /**
-     * <pre>
-     * What the sender itself knows of endpoints that leave: only entries newly told.
-     * </pre>
-     *
-     * <code>repeated .fawndrum.EndpointWord leaving = 8;</code>
-     */
-    public java.util.List<org.fawndrum.protocol.wire.EndpointWord> getLeavingList() {
-      if (leavingBuilder_ == null) {
-        return java.util.Collections.unmodifiableList(leaving_);
-      } else {
-        return leavingBuilder_.getMessageList();
-      }
-    }
-    /**
-     * <pre>
-     * What the sender itself knows of endpoints that leave: only entries newly told.
-     * </pre>
-     *
-     * <code>repeated .fawndrum.EndpointWord leaving = 8;</code>
-     */
-    public int getLeavingCount() {
-      if (leavingBuilder_ == null) {
-        return leaving_.size();
-      } else {
-        return leavingBuilder_.getCount();
-      }
-    }
-    /**
-     * <pre>
-     * What the sender itself knows of endpoints that leave: only entries newly told.
-     * </pre>
-     *
-     * <code>repeated .fawndrum.EndpointWord leaving = 8;</code>
-     */
-    public org.fawndrum.protocol.wire.EndpointWord getLeaving(int index) {
-      if (leavingBuilder_ == null) {
-        return leaving_.get(index);
-      } else {
-        return leavingBuilder_.getMessage(index);
-      }
-    }
-    /**
-     * <pre>
-     * What the sender itself knows of endpoints that leave: only entries newly told.
-     * </pre>
-     *
-     * <code>repeated .fawndrum.EndpointWord leaving = 8;</code>
-     */
-    public Builder setLeaving(
-        int index, org.fawndrum.protocol.wire.EndpointWord value) {
-      if (leavingBuilder_ == null) {
-        if (value == null) {
-          throw new NullPointerException();
-        }
-        ensureLeavingIsMutable();
-        leaving_.set(index, value);
-        onChanged();
-      } else {
-        leavingBuilder_.setMessage(index, value);
-      }
-      return this;
-    }
-    /**
-     * <pre>
-     * What the sender itself knows of endpoints that leave: only entries newly told.
-     * </pre>
-     *
-     * <code>repeated .fawndrum.EndpointWord leaving = 8;</code>
-     */
-    public Builder setLeaving(
-        int index, org.fawndrum.protocol.wire.EndpointWord.Builder builderForValue) {
-      if (leavingBuilder_ == null) {
-        ensureLeavingIsMutable();
-        leaving_.set(index, builderForValue.build());
-        onChanged();
-      } else {
-        leavingBuilder_.setMessage(index, builderForValue.build());
-      }
-      return this;
-    }
-    /**
-     * <pre>
-     * What the sender itself knows of endpoints that leave: only entries newly told.
-     * </pre>
-     *
-     * <code>repeated .fawndrum.EndpointWord leaving = 8;</code>
-     */
-    public Builder addLeaving(org.fawndrum.protocol.wire.EndpointWord value) {
-      if (leavingBuilder_ == null) {
-        if (value == null) {
-          throw new NullPointerException();
-        }
-        ensureLeavingIsMutable();
-        leaving_.add(value);
-        onChanged();
-      } else {
-        leavingBuilder_.addMessage(value);
-      }
-      return this;
-    }
-    /**
-     * <pre>
-     * What the sender itself knows of endpoints that leave: only entries newly told.
-     * </pre>
-     *
-     * <code>repeated .fawndrum.EndpointWord leaving = 8;</code>
-     */
-    public Builder addLeaving(
-        int index, org.fawndrum.protocol.wire.EndpointWord value) {
-      if (leavingBuilder_ == null) {
-        if (value == null) {
-          throw new NullPointerException();
-        }
-        ensureLeavingIsMutable();
-        leaving_.add(index, value);
-        onChanged();
-      } else {
-        leavingBuilder_.addMessage(index, value);
-      }
-      return this;
-    }
-    /**
-     * <pre>
-     * What the sender itself knows of endpoints that leave: only entries newly told.
-     * </pre>
-     *
-     * <code>repeated .fawndrum.EndpointWord leaving = 8;</code>
-     */
-    public Builder addLeaving(
-        org.fawndrum.protocol.wire.EndpointWord.Builder builderForValue) {
-      if (leavingBuilder_ == null) {
-        ensureLeavingIsMutable();
-        leaving_.add(builderForValue.build());
-        onChanged();
-      } else {
-        leavingBuilder_.addMessage(builderForValue.build());
-      }
-      return this;
-    }
-    /**
-     * <pre>
-     * What the sender itself knows of endpoints that leave: only entries newly told.
-     * </pre>
-     *
-     * <code>repeated .fawndrum.EndpointWord leaving = 8;</code>
-     */
-    public Builder addLeaving(
-        int index, org.fawndrum.protocol.wire.EndpointWord.Builder builderForValue) {
-      if (leavingBuilder_ == null) {
-        ensureLeavingIsMutable();
-        leaving_.add(index, builderForValue.build());
-        onChanged();
-      } else {
-        leavingBuilder_.addMessage(index, builderForValue.build());
-      }
-      return this;
-    }
+    private boolean draining_ ;
     /**
-     * <pre>
-     * What the sender itself knows of endpoints that leave: only entries newly told.
-     * </pre>
-     *
-     * <code>repeated .fawndrum.EndpointWord leaving = 8;</code>
+     * <code>bool draining = 8;</code>
+     * @return The draining.
      */
-    public Builder addAllLeaving(
-        java.lang.Iterable<? extends org.fawndrum.protocol.wire.EndpointWord> values) {
-      if (leavingBuilder_ == null) {
-        ensureLeavingIsMutable();
-        com.google.protobuf.AbstractMessageLite.Builder.addAll(
-            values, leaving_);
-        onChanged();
-      } else {
-        leavingBuilder_.addAllMessages(values);
-      }
-      return this;
+    @java.lang.Override
+    public boolean getDraining() {
+      return draining_;
     }
     /**
-     * <pre>
-     * What the sender itself knows of endpoints that leave: only entries newly told.
-     * </pre>
-     *
-     * <code>repeated .fawndrum.EndpointWord leaving = 8;</code>
+     * <code>bool draining = 8;</code>
+     * @param value The draining to set.
+     * @return This builder for chaining.
      */
-    public Builder clearLeaving() {
-      if (leavingBuilder_ == null) {
-        leaving_ = java.util.Collections.emptyList();
-        bitField0_ = (bitField0_ & ~0x00000080);
-        onChanged();
-      } else {
-        leavingBuilder_.clear();
-      }
+    public Builder setDraining(boolean value) {
+
+      draining_ = value;
+      bitField0_ |= 0x00000080;
+      onChanged();
       return this;
     }
     /**
-     * <pre>
-     * What the sender itself knows of endpoints that leave: only entries newly told.
-     * </pre>
-     *
-     * <code>repeated .fawndrum.EndpointWord leaving = 8;</code>
+     * <code>bool draining = 8;</code>
+     * @return This builder for chaining.
      */
-    public Builder removeLeaving(int index) {
-      if (leavingBuilder_ == null) {
-        ensureLeavingIsMutable();
-        leaving_.remove(index);
-        onChanged();
-      } else {
-        leavingBuilder_.remove(index);
-      }
+    public Builder clearDraining() {
+      bitField0_ = (bitField0_ & ~0x00000080);
+      draining_ = false;
+      onChanged();
       return this;
     }
-    /**
-     * <pre>
-     * What the sender itself knows of endpoints that leave: only entries newly told.
-     * </pre>
-     *
-     * <code>repeated .fawndrum.EndpointWord leaving = 8;</code>
-     */
-    public org.fawndrum.protocol.wire.EndpointWord.Builder getLeavingBuilder(
-        int index) {
-      return internalGetLeavingFieldBuilder().getBuilder(index);
-    }
-    /**
-     * <pre>
-     * What the sender itself knows of endpoints that leave: only entries newly told.
-     * </pre>
-     *
-     * <code>repeated .fawndrum.EndpointWord leaving = 8;</code>
-     */
-    public org.fawndrum.protocol.wire.EndpointWordOrBuilder getLeavingOrBuilder(
-        int index) {
-      if (leavingBuilder_ == null) {
-        return leaving_.get(index);  } else {
-        return leavingBuilder_.getMessageOrBuilder(index);
-      }
-    }
-    /**
-     * <pre>
-     * What the sender itself knows of endpoints that leave: only entries newly told.
-     * </pre>
-     *
-     * <code>repeated .fawndrum.EndpointWord leaving = 8;</code>
-     */
-    public java.util.List<? extends org.fawndrum.protocol.wire.EndpointWordOrBuilder> 
-         getLeavingOrBuilderList() {
-      if (leavingBuilder_ != null) {
-        return leavingBuilder_.getMessageOrBuilderList();
-      } else {
-        return java.util.Collections.unmodifiableList(leaving_);
-      }
-    }
-    /**
-     * <pre>
-     * What the sender itself knows of endpoints that leave: only entries newly told.
-     * </pre>
-     *
-     * <code>repeated .fawndrum.EndpointWord leaving = 8;</code>
-     */
-    public org.fawndrum.protocol.wire.EndpointWord.Builder addLeavingBuilder() {
-      return internalGetLeavingFieldBuilder().addBuilder(
-          org.fawndrum.protocol.wire.EndpointWord.getDefaultInstance());
-    }
-    /**
-     * <pre>
-     * What the sender itself knows of endpoints that leave: only entries newly told.
-     * </pre>
-     *
-     * <code>repeated .fawndrum.EndpointWord leaving = 8;</code>
-     */
-    public org.fawndrum.protocol.wire.EndpointWord.Builder addLeavingBuilder(
-        int index) {
-      return internalGetLeavingFieldBuilder().addBuilder(
-          index, org.fawndrum.protocol.wire.EndpointWord.getDefaultInstance());
-    }
-    /**
-     * <pre>
-     * What the sender itself knows of endpoints that leave: only entries newly told.
-     * </pre>
-     *
-     * <code>repeated .fawndrum.EndpointWord leaving = 8;</code>
-     */
-    public java.util.List<org.fawndrum.protocol.wire.EndpointWord.Builder> 
-         getLeavingBuilderList() {
-      return internalGetLeavingFieldBuilder().getBuilderList();
-    }
-    private com.google.protobuf.RepeatedFieldBuilder<
-        org.fawndrum.protocol.wire.EndpointWord, org.fawndrum.protocol.wire.EndpointWord.Builder, org.fawndrum.protocol.wire.EndpointWordOrBuilder> 
-        internalGetLeavingFieldBuilder() {
-      if (leavingBuilder_ == null) {
-        leavingBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
-            org.fawndrum.protocol.wire.EndpointWord, org.fawndrum.protocol.wire.EndpointWord.Builder, org.fawndrum.protocol.wire.EndpointWordOrBuilder>(
-                leaving_,
-                ((bitField0_ & 0x00000080) != 0),
-                getParentForChildren(),
-                isClean());
-        leaving_ = null;
-      }
-      return leavingBuilder_;
-    }
 
-    private long queuedTokens_ ;
+    private long waitingTokens_ ;
     /**
      * <pre>
-     * Load sums of the sender's own work, for its zone and for others.
+     * Sums over the sender's own requests; a speaker sums up its zone for other zones.
      * </pre>
      *
-     * <code>int64 queued_tokens = 9;</code>
-     * @return The queuedTokens.
+     * <code>int64 waiting_tokens = 9;</code>
+     * @return The waitingTokens.
      */
     @java.lang.Override
-    public long getQueuedTokens() {
-      return queuedTokens_;
+    public long getWaitingTokens() {
+      return waitingTokens_;
     }
     /**
      * <pre>
-     * Load sums of the sender's own work, for its zone and for others.
+     * Sums over the sender's own requests; a speaker sums up its zone for other zones.
      * </pre>
      *
-     * <code>int64 queued_tokens = 9;</code>
-     * @param value The queuedTokens to set.
+     * <code>int64 waiting_tokens = 9;</code>
+     * @param value The waitingTokens to set.
      * @return This builder for chaining.
      */
-    public Builder setQueuedTokens(long value) {
+    public Builder setWaitingTokens(long value) {
 
-      queuedTokens_ = value;
+      waitingTokens_ = value;
       bitField0_ |= 0x00000100;
       onChanged();
       return this;
     }
     /**
      * <pre>
-     * Load sums of the sender's own work, for its zone and for others.
+     * Sums over the sender's own requests; a speaker sums up its zone for other zones.
      * </pre>
      *
-     * <code>int64 queued_tokens = 9;</code>
+     * <code>int64 waiting_tokens = 9;</code>
      * @return This builder for chaining.
      */
-    public Builder clearQueuedTokens() {
+    public Builder clearWaitingTokens() {
       bitField0_ = (bitField0_ & ~0x00000100);
-      queuedTokens_ = 0L;
+      waitingTokens_ = 0L;
       onChanged();
       return this;
     }
 
-    private long runningTokens_ ;
+    private long runningRequests_ ;
     /**
-     * <code>int64 running_tokens = 10;</code>
-     * @return The runningTokens.
+     * <code>int64 running_requests = 10;</code>
+     * @return The runningRequests.
      */
     @java.lang.Override
-    public long getRunningTokens() {
-      return runningTokens_;
+    public long getRunningRequests() {
+      return runningRequests_;
     }
     /**
-     * <code>int64 running_tokens = 10;</code>
-     * @param value The runningTokens to set.
+     * <code>int64 running_requests = 10;</code>
+     * @param value The runningRequests to set.
      * @return This builder for chaining.
      */
-    public Builder setRunningTokens(long value) {
+    public Builder setRunningRequests(long value) {
 
-      runningTokens_ = value;
+      runningRequests_ = value;
       bitField0_ |= 0x00000200;
       onChanged();
       return this;
     }
     /**
-     * <code>int64 running_tokens = 10;</code>
+     * <code>int64 running_requests = 10;</code>
      * @return This builder for chaining.
      */
-    public Builder clearRunningTokens() {
+    public Builder clearRunningRequests() {
       bitField0_ = (bitField0_ & ~0x00000200);
-      runningTokens_ = 0L;
+      runningRequests_ = 0L;
       onChanged();
       return this;
     }
 
-    private java.lang.Object peerIp_ = "";
+    private com.google.protobuf.ByteString loadDigest_ = com.google.protobuf.ByteString.EMPTY;
     /**
-     * <code>string peer_ip = 11;</code>
-     * @return The peerIp.
-     */
-    public java.lang.String getPeerIp() {
-      java.lang.Object ref = peerIp_;
-      if (!(ref instanceof java.lang.String)) {
-        com.google.protobuf.ByteString bs =
-            (com.google.protobuf.ByteString) ref;
-        java.lang.String s = bs.toStringUtf8();
-        peerIp_ = s;
-        return s;
-      } else {
-        return (java.lang.String) ref;
-      }
-    }
-    /**
-     * <code>string peer_ip = 11;</code>
-     * @return The bytes for peerIp.
+     * <pre>
+     * Quantized load of the endpoints that the sender watches.
+     * </pre>
+     *
+     * <code>bytes load_digest = 11;</code>
+     * @return The loadDigest.
      */
-    public com.google.protobuf.ByteString
-        getPeerIpBytes() {
-      java.lang.Object ref = peerIp_;
-      if (ref instanceof String) {
-        com.google.protobuf.ByteString b = 
-            com.google.protobuf.ByteString.copyFromUtf8(
-                (java.lang.String) ref);
-        peerIp_ = b;
-        return b;
-      } else {
-        return (com.google.protobuf.ByteString) ref;
-      }
+    @java.lang.Override
+    public com.google.protobuf.ByteString getLoadDigest() {
+      return loadDigest_;
     }
     /**
-     * <code>string peer_ip = 11;</code>
-     * @param value The peerIp to set.
+     * <pre>
+     * Quantized load of the endpoints that the sender watches.
+     * </pre>
+     *
+     * <code>bytes load_digest = 11;</code>
+     * @param value The loadDigest to set.
      * @return This builder for chaining.
      */
-    public Builder setPeerIp(
-        java.lang.String value) {
+    public Builder setLoadDigest(com.google.protobuf.ByteString value) {
       if (value == null) { throw new NullPointerException(); }
-      peerIp_ = value;
+      loadDigest_ = value;
       bitField0_ |= 0x00000400;
       onChanged();
       return this;
     }
     /**
-     * <code>string peer_ip = 11;</code>
+     * <pre>
+     * Quantized load of the endpoints that the sender watches.
+     * </pre>
+     *
+     * <code>bytes load_digest = 11;</code>
      * @return This builder for chaining.
      */
-    public Builder clearPeerIp() {
-      peerIp_ = getDefaultInstance().getPeerIp();
+    public Builder clearLoadDigest() {
       bitField0_ = (bitField0_ & ~0x00000400);
-      onChanged();
-      return this;
-    }
-    /**
-     * <code>string peer_ip = 11;</code>
-     * @param value The bytes for peerIp to set.
-     * @return This builder for chaining.
-     */
-    public Builder setPeerIpBytes(
-        com.google.protobuf.ByteString value) {
-      if (value == null) { throw new NullPointerException(); }
-      checkByteStringIsUtf8(value);
-      peerIp_ = value;
-      bitField0_ |= 0x00000400;
-      onChanged();
-      return this;
-    }
-
-    private int peerPort_ ;
-    /**
-     * <code>int32 peer_port = 12;</code>
-     * @return The peerPort.
-     */
-    @java.lang.Override
-    public int getPeerPort() {
-      return peerPort_;
-    }
-    /**
-     * <code>int32 peer_port = 12;</code>
-     * @param value The peerPort to set.
-     * @return This builder for chaining.
-     */
-    public Builder setPeerPort(int value) {
-
-      peerPort_ = value;
-      bitField0_ |= 0x00000800;
-      onChanged();
-      return this;
-    }
-    /**
-     * <code>int32 peer_port = 12;</code>
-     * @return This builder for chaining.
-     */
-    public Builder clearPeerPort() {
-      bitField0_ = (bitField0_ & ~0x00000800);
-      peerPort_ = 0;
-      onChanged();
-      return this;
-    }
-
-    private com.google.protobuf.LazyStringArrayList suspects_ =
-        com.google.protobuf.LazyStringArrayList.emptyList();
-    private void ensureSuspectsIsMutable() {
-      if (!suspects_.isModifiable()) {
-        suspects_ = new com.google.protobuf.LazyStringArrayList(suspects_);
-      }
-      bitField0_ |= 0x00001000;
-    }
-    /**
-     * <code>repeated string suspects = 13;</code>
-     * @return A list containing the suspects.
-     */
-    public com.google.protobuf.ProtocolStringList
-        getSuspectsList() {
-      suspects_.makeImmutable();
-      return suspects_;
-    }
-    /**
-     * <code>repeated string suspects = 13;</code>
-     * @return The count of suspects.
-     */
-    public int getSuspectsCount() {
-      return suspects_.size();
-    }
-    /**
-     * <code>repeated string suspects = 13;</code>
-     * @param index The index of the element to return.
-     * @return The suspects at the given index.
-     */
-    public java.lang.String getSuspects(int index) {
-      return suspects_.get(index);
-    }
-    /**
-     * <code>repeated string suspects = 13;</code>
-     * @param index The index of the value to return.
-     * @return The bytes of the suspects at the given index.
-     */
-    public com.google.protobuf.ByteString
-        getSuspectsBytes(int index) {
-      return suspects_.getByteString(index);
-    }
-    /**
-     * <code>repeated string suspects = 13;</code>
-     * @param index The index to set the value at.
-     * @param value The suspects to set.
-     * @return This builder for chaining.
-     */
-    public Builder setSuspects(
-        int index, java.lang.String value) {
-      if (value == null) { throw new NullPointerException(); }
-      ensureSuspectsIsMutable();
-      suspects_.set(index, value);
-      bitField0_ |= 0x00001000;
-      onChanged();
-      return this;
-    }
-    /**
-     * <code>repeated string suspects = 13;</code>
-     * @param value The suspects to add.
-     * @return This builder for chaining.
-     */
-    public Builder addSuspects(
-        java.lang.String value) {
-      if (value == null) { throw new NullPointerException(); }
-      ensureSuspectsIsMutable();
-      suspects_.add(value);
-      bitField0_ |= 0x00001000;
-      onChanged();
-      return this;
-    }
-    /**
-     * <code>repeated string suspects = 13;</code>
-     * @param values The suspects to add.
-     * @return This builder for chaining.
-     */
-    public Builder addAllSuspects(
-        java.lang.Iterable<java.lang.String> values) {
-      ensureSuspectsIsMutable();
-      com.google.protobuf.AbstractMessageLite.Builder.addAll(
-          values, suspects_);
-      bitField0_ |= 0x00001000;
-      onChanged();
-      return this;
-    }
-    /**
-     * <code>repeated string suspects = 13;</code>
-     * @return This builder for chaining.
-     */
-    public Builder clearSuspects() {
-      suspects_ =
-        com.google.protobuf.LazyStringArrayList.emptyList();
-      bitField0_ = (bitField0_ & ~0x00001000);;
-      onChanged();
-      return this;
-    }
-    /**
-     * <code>repeated string suspects = 13;</code>
-     * @param value The bytes of the suspects to add.
-     * @return This builder for chaining.
-     */
-    public Builder addSuspectsBytes(
-        com.google.protobuf.ByteString value) {
-      if (value == null) { throw new NullPointerException(); }
-      checkByteStringIsUtf8(value);
-      ensureSuspectsIsMutable();
-      suspects_.add(value);
-      bitField0_ |= 0x00001000;
+      loadDigest_ = getDefaultInstance().getLoadDigest();
       onChanged();
       return this;
     }
--- a/org.fawndrum/src/org/fawndrum/protocol/wire/HeartbeatOrBuilder.java
+++ b/org.fawndrum/src/org/fawndrum/protocol/wire/HeartbeatOrBuilder.java
@@ -23,141 +23,76 @@
       getZoneBytes();
 
   /**
-   * <code>int64 table_revision = 2;</code>
-   * @return The tableRevision.
-   */
-  long getTableRevision();
-
-  /**
-   * <code>int64 table_position = 3;</code>
-   * @return The tablePosition.
+   * <code>string peer_ip = 2;</code>
+   * @return The peerIp.
    */
-  long getTablePosition();
-
+  java.lang.String getPeerIp();
   /**
-   * <code>int64 listing_version = 4;</code>
-   * @return The listingVersion.
+   * <code>string peer_ip = 2;</code>
+   * @return The bytes for peerIp.
    */
-  long getListingVersion();
+  com.google.protobuf.ByteString
+      getPeerIpBytes();
 
   /**
-   * <code>bool draining = 5;</code>
-   * @return The draining.
+   * <code>int32 peer_port = 3;</code>
+   * @return The peerPort.
    */
-  boolean getDraining();
+  int getPeerPort();
 
   /**
-   * <code>int64 sequence = 6;</code>
+   * <code>int64 sequence = 4;</code>
    * @return The sequence.
    */
   long getSequence();
 
   /**
-   * <code>int32 streams = 7;</code>
-   * @return The streams.
+   * <code>int64 table_revision = 5;</code>
+   * @return The tableRevision.
    */
-  int getStreams();
+  long getTableRevision();
 
   /**
-   * <pre>
-   * What the sender itself knows of endpoints that leave: only entries newly told.
-   * </pre>
-   *
-   * <code>repeated .fawndrum.EndpointWord leaving = 8;</code>
+   * <code>int64 table_position = 6;</code>
+   * @return The tablePosition.
    */
-  java.util.List<org.fawndrum.protocol.wire.EndpointWord> 
-      getLeavingList();
+  long getTablePosition();
+
   /**
-   * <pre>
-   * What the sender itself knows of endpoints that leave: only entries newly told.
-   * </pre>
-   *
-   * <code>repeated .fawndrum.EndpointWord leaving = 8;</code>
+   * <code>int64 listing_version = 7;</code>
+   * @return The listingVersion.
    */
-  org.fawndrum.protocol.wire.EndpointWord getLeaving(int index);
+  long getListingVersion();
+
   /**
-   * <pre>
-   * What the sender itself knows of endpoints that leave: only entries newly told.
-   * </pre>
-   *
-   * <code>repeated .fawndrum.EndpointWord leaving = 8;</code>
+   * <code>bool draining = 8;</code>
+   * @return The draining.
    */
-  int getLeavingCount();
+  boolean getDraining();
+
   /**
    * <pre>
-   * What the sender itself knows of endpoints that leave: only entries newly told.
+   * Sums over the sender's own requests; a speaker sums up its zone for other zones.
    * </pre>
    *
-   * <code>repeated .fawndrum.EndpointWord leaving = 8;</code>
+   * <code>int64 waiting_tokens = 9;</code>
+   * @return The waitingTokens.
    */
-  java.util.List<? extends org.fawndrum.protocol.wire.EndpointWordOrBuilder> 
-      getLeavingOrBuilderList();
+  long getWaitingTokens();
+
   /**
-   * <pre>
-   * What the sender itself knows of endpoints that leave: only entries newly told.
-   * </pre>
-   *
-   * <code>repeated .fawndrum.EndpointWord leaving = 8;</code>
+   * <code>int64 running_requests = 10;</code>
+   * @return The runningRequests.
    */
-  org.fawndrum.protocol.wire.EndpointWordOrBuilder getLeavingOrBuilder(
-      int index);
+  long getRunningRequests();
 
   /**
    * <pre>
-   * Load sums of the sender's own work, for its zone and for others.
+   * Quantized load of the endpoints that the sender watches.
    * </pre>
    *
-   * <code>int64 queued_tokens = 9;</code>
-   * @return The queuedTokens.
-   */
-  long getQueuedTokens();
-
-  /**
-   * <code>int64 running_tokens = 10;</code>
-   * @return The runningTokens.
-   */
-  long getRunningTokens();
-
-  /**
-   * <code>string peer_ip = 11;</code>
-   * @return The peerIp.
-   */
-  java.lang.String getPeerIp();
-  /**
-   * <code>string peer_ip = 11;</code>
-   * @return The bytes for peerIp.
+   * <code>bytes load_digest = 11;</code>
+   * @return The loadDigest.
    */
-  com.google.protobuf.ByteString
-      getPeerIpBytes();
-
-  /**
-   * <code>int32 peer_port = 12;</code>
-   * @return The peerPort.
-   */
-  int getPeerPort();
-
-  /**
-   * <code>repeated string suspects = 13;</code>
-   * @return A list containing the suspects.
-   */
-  java.util.List<java.lang.String>
-      getSuspectsList();
-  /**
-   * <code>repeated string suspects = 13;</code>
-   * @return The count of suspects.
-   */
-  int getSuspectsCount();
-  /**
-   * <code>repeated string suspects = 13;</code>
-   * @param index The index of the element to return.
-   * @return The suspects at the given index.
-   */
-  java.lang.String getSuspects(int index);
-  /**
-   * <code>repeated string suspects = 13;</code>
-   * @param index The index of the value to return.
-   * @return The bytes of the suspects at the given index.
-   */
-  com.google.protobuf.ByteString
-      getSuspectsBytes(int index);
+  com.google.protobuf.ByteString getLoadDigest();
 }
--- a/org.fawndrum/src/org/fawndrum/protocol/wire/LedgerEntry.java
+++ b/org.fawndrum/src/org/fawndrum/protocol/wire/LedgerEntry.java
@@ -29,7 +29,6 @@
   }
   private LedgerEntry() {
     key_ = "";
-    answer_ = 0;
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -84,22 +83,15 @@
     }
   }
 
-  public static final int ANSWER_FIELD_NUMBER = 2;
-  private int answer_ = 0;
+  public static final int RAN_FIELD_NUMBER = 2;
+  private boolean ran_ = false;
   /**
-   * <code>.fawndrum.ClaimReply.Answer answer = 2;</code>
-   * @return The enum numeric value on the wire for answer.
+   * <code>bool ran = 2;</code>
+   * @return The ran.
    */
-  @java.lang.Override public int getAnswerValue() {
-    return answer_;
-  }
-  /**
-   * <code>.fawndrum.ClaimReply.Answer answer = 2;</code>
-   * @return The answer.
-   */
-  @java.lang.Override public org.fawndrum.protocol.wire.ClaimReply.Answer getAnswer() {
-    org.fawndrum.protocol.wire.ClaimReply.Answer result = org.fawndrum.protocol.wire.ClaimReply.Answer.forNumber(answer_);
-    return result == null ? org.fawndrum.protocol.wire.ClaimReply.Answer.UNRECOGNIZED : result;
+  @java.lang.Override
+  public boolean getRan() {
+    return ran_;
   }
 
   public static final int AGE_MS_FIELD_NUMBER = 3;
@@ -130,8 +122,8 @@
     if (!com.google.protobuf.GeneratedMessage.isStringEmpty(key_)) {
       com.google.protobuf.GeneratedMessage.writeString(output, 1, key_);
     }
-    if (answer_ != org.fawndrum.protocol.wire.ClaimReply.Answer.UNSPECIFIED.getNumber()) {
-      output.writeEnum(2, answer_);
+    if (ran_ != false) {
+      output.writeBool(2, ran_);
     }
     if (ageMs_ != 0L) {
       output.writeInt64(3, ageMs_);
@@ -148,9 +140,9 @@
     if (!com.google.protobuf.GeneratedMessage.isStringEmpty(key_)) {
       size += com.google.protobuf.GeneratedMessage.computeStringSize(1, key_);
     }
-    if (answer_ != org.fawndrum.protocol.wire.ClaimReply.Answer.UNSPECIFIED.getNumber()) {
+    if (ran_ != false) {
       size += com.google.protobuf.CodedOutputStream
-        .computeEnumSize(2, answer_);
+        .computeBoolSize(2, ran_);
     }
     if (ageMs_ != 0L) {
       size += com.google.protobuf.CodedOutputStream
@@ -173,7 +165,8 @@
 
     if (!getKey()
         .equals(other.getKey())) return false;
-    if (answer_ != other.answer_) return false;
+    if (getRan()
+        != other.getRan()) return false;
     if (getAgeMs()
         != other.getAgeMs()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
@@ -189,8 +182,9 @@
     hash = (19 * hash) + getDescriptor().hashCode();
     hash = (37 * hash) + KEY_FIELD_NUMBER;
     hash = (53 * hash) + getKey().hashCode();
-    hash = (37 * hash) + ANSWER_FIELD_NUMBER;
-    hash = (53 * hash) + answer_;
+    hash = (37 * hash) + RAN_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+        getRan());
     hash = (37 * hash) + AGE_MS_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
         getAgeMs());
@@ -326,7 +320,7 @@
       super.clear();
       bitField0_ = 0;
       key_ = "";
-      answer_ = 0;
+      ran_ = false;
       ageMs_ = 0L;
       return this;
     }
@@ -365,7 +359,7 @@
         result.key_ = key_;
       }
       if (((from_bitField0_ & 0x00000002) != 0)) {
-        result.answer_ = answer_;
+        result.ran_ = ran_;
       }
       if (((from_bitField0_ & 0x00000004) != 0)) {
         result.ageMs_ = ageMs_;
@@ -389,8 +383,8 @@
         bitField0_ |= 0x00000001;
         onChanged();
       }
-      if (other.answer_ != 0) {
-        setAnswerValue(other.getAnswerValue());
+      if (other.getRan() != false) {
+        setRan(other.getRan());
       }
       if (other.getAgeMs() != 0L) {
         setAgeMs(other.getAgeMs());
@@ -427,7 +421,7 @@
               break;
             } // case 10
             case 16: {
-              answer_ = input.readEnum();
+              ran_ = input.readBool();
               bitField0_ |= 0x00000002;
               break;
             } // case 16
@@ -525,53 +519,34 @@
       return this;
     }
 
-    private int answer_ = 0;
-    /**
-     * <code>.fawndrum.ClaimReply.Answer answer = 2;</code>
-     * @return The enum numeric value on the wire for answer.
-     */
-    @java.lang.Override public int getAnswerValue() {
-      return answer_;
-    }
-    /**
-     * <code>.fawndrum.ClaimReply.Answer answer = 2;</code>
-     * @param value The enum numeric value on the wire for answer to set.
-     * @return This builder for chaining.
-     */
-    public Builder setAnswerValue(int value) {
-      answer_ = value;
-      bitField0_ |= 0x00000002;
-      onChanged();
-      return this;
-    }
+    private boolean ran_ ;
     /**
-     * <code>.fawndrum.ClaimReply.Answer answer = 2;</code>
-     * @return The answer.
+     * <code>bool ran = 2;</code>
+     * @return The ran.
      */
     @java.lang.Override
-    public org.fawndrum.protocol.wire.ClaimReply.Answer getAnswer() {
-      org.fawndrum.protocol.wire.ClaimReply.Answer result = org.fawndrum.protocol.wire.ClaimReply.Answer.forNumber(answer_);
-      return result == null ? org.fawndrum.protocol.wire.ClaimReply.Answer.UNRECOGNIZED : result;
+    public boolean getRan() {
+      return ran_;
     }
     /**
-     * <code>.fawndrum.ClaimReply.Answer answer = 2;</code>
-     * @param value The answer to set.
+     * <code>bool ran = 2;</code>
+     * @param value The ran to set.
      * @return This builder for chaining.
      */
-    public Builder setAnswer(org.fawndrum.protocol.wire.ClaimReply.Answer value) {
-      if (value == null) { throw new NullPointerException(); }
+    public Builder setRan(boolean value) {
+
+      ran_ = value;
       bitField0_ |= 0x00000002;
-      answer_ = value.getNumber();
       onChanged();
       return this;
     }
     /**
-     * <code>.fawndrum.ClaimReply.Answer answer = 2;</code>
+     * <code>bool ran = 2;</code>
      * @return This builder for chaining.
      */
-    public Builder clearAnswer() {
+    public Builder clearRan() {
       bitField0_ = (bitField0_ & ~0x00000002);
-      answer_ = 0;
+      ran_ = false;
       onChanged();
       return this;
     }
--- a/org.fawndrum/src/org/fawndrum/protocol/wire/LedgerEntryOrBuilder.java
+++ b/org.fawndrum/src/org/fawndrum/protocol/wire/LedgerEntryOrBuilder.java
@@ -23,15 +23,10 @@
       getKeyBytes();
 
   /**
-   * <code>.fawndrum.ClaimReply.Answer answer = 2;</code>
-   * @return The enum numeric value on the wire for answer.
+   * <code>bool ran = 2;</code>
+   * @return The ran.
    */
-  int getAnswerValue();
-  /**
-   * <code>.fawndrum.ClaimReply.Answer answer = 2;</code>
-   * @return The answer.
-   */
-  org.fawndrum.protocol.wire.ClaimReply.Answer getAnswer();
+  boolean getRan();
 
   /**
    * <code>int64 age_ms = 3;</code>
--- a/org.fawndrum/src/org/fawndrum/protocol/wire/LedgerHandover.java
+++ b/org.fawndrum/src/org/fawndrum/protocol/wire/LedgerHandover.java
@@ -6,6 +6,10 @@
 package org.fawndrum.protocol.wire;
 
 /**
+ * <pre>
+ * The keys of a daemon that stops for good.
+ * </pre>
+ *
  * Protobuf type {@code fawndrum.LedgerHandover}
  */
 @com.google.protobuf.Generated
@@ -28,7 +32,6 @@
     super(builder);
   }
   private LedgerHandover() {
-    host_ = "";
     entries_ = java.util.Collections.emptyList();
   }
 
@@ -45,68 +48,18 @@
             org.fawndrum.protocol.wire.LedgerHandover.class, org.fawndrum.protocol.wire.LedgerHandover.Builder.class);
   }
 
-  public static final int HOST_FIELD_NUMBER = 1;
-  @SuppressWarnings("serial")
-  private volatile java.lang.Object host_ = "";
-  /**
-   * <code>string host = 1;</code>
-   * @return The host.
-   */
-  @java.lang.Override
-  public java.lang.String getHost() {
-    java.lang.Object ref = host_;
-    if (ref instanceof java.lang.String) {
-      return (java.lang.String) ref;
-    } else {
-      com.google.protobuf.ByteString bs = 
-          (com.google.protobuf.ByteString) ref;
-      java.lang.String s = bs.toStringUtf8();
-      host_ = s;
-      return s;
-    }
-  }
-  /**
-   * <code>string host = 1;</code>
-   * @return The bytes for host.
-   */
-  @java.lang.Override
-  public com.google.protobuf.ByteString
-      getHostBytes() {
-    java.lang.Object ref = host_;
-    if (ref instanceof java.lang.String) {
-      com.google.protobuf.ByteString b = 
-          com.google.protobuf.ByteString.copyFromUtf8(
-              (java.lang.String) ref);
-      host_ = b;
-      return b;
-    } else {
-      return (com.google.protobuf.ByteString) ref;
-    }
-  }
-
-  public static final int INCARNATION_FIELD_NUMBER = 2;
-  private long incarnation_ = 0L;
-  /**
-   * <code>int64 incarnation = 2;</code>
-   * @return The incarnation.
-   */
-  @java.lang.Override
-  public long getIncarnation() {
-    return incarnation_;
-  }
-
-  public static final int ENTRIES_FIELD_NUMBER = 3;
+  public static final int ENTRIES_FIELD_NUMBER = 1;
   @SuppressWarnings("serial")
   private java.util.List<org.fawndrum.protocol.wire.LedgerEntry> entries_;
   /**
-   * <code>repeated .fawndrum.LedgerEntry entries = 3;</code>
+   * <code>repeated .fawndrum.LedgerEntry entries = 1;</code>
    */
   @java.lang.Override
   public java.util.List<org.fawndrum.protocol.wire.LedgerEntry> getEntriesList() {
     return entries_;
   }
   /**
-   * <code>repeated .fawndrum.LedgerEntry entries = 3;</code>
+   * <code>repeated .fawndrum.LedgerEntry entries = 1;</code>
    */
   @java.lang.Override
   public java.util.List<? extends org.fawndrum.protocol.wire.LedgerEntryOrBuilder> 
@@ -114,21 +67,21 @@
     return entries_;
   }
   /**
-   * <code>repeated .fawndrum.LedgerEntry entries = 3;</code>
+   * <code>repeated .fawndrum.LedgerEntry entries = 1;</code>
    */
   @java.lang.Override
   public int getEntriesCount() {
     return entries_.size();
   }
   /**
-   * <code>repeated .fawndrum.LedgerEntry entries = 3;</code>
+   * <code>repeated .fawndrum.LedgerEntry entries = 1;</code>
    */
   @java.lang.Override
   public org.fawndrum.protocol.wire.LedgerEntry getEntries(int index) {
     return entries_.get(index);
   }
   /**
-   * <code>repeated .fawndrum.LedgerEntry entries = 3;</code>
+   * <code>repeated .fawndrum.LedgerEntry entries = 1;</code>
    */
   @java.lang.Override
   public org.fawndrum.protocol.wire.LedgerEntryOrBuilder getEntriesOrBuilder(
@@ -150,14 +103,8 @@
   @java.lang.Override
   public void writeTo(com.google.protobuf.CodedOutputStream output)
                       throws java.io.IOException {
-    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(host_)) {
-      com.google.protobuf.GeneratedMessage.writeString(output, 1, host_);
-    }
-    if (incarnation_ != 0L) {
-      output.writeInt64(2, incarnation_);
-    }
     for (int i = 0; i < entries_.size(); i++) {
-      output.writeMessage(3, entries_.get(i));
+      output.writeMessage(1, entries_.get(i));
     }
     getUnknownFields().writeTo(output);
   }
@@ -168,16 +115,9 @@
     if (size != -1) return size;
 
     size = 0;
-    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(host_)) {
-      size += com.google.protobuf.GeneratedMessage.computeStringSize(1, host_);
-    }
-    if (incarnation_ != 0L) {
-      size += com.google.protobuf.CodedOutputStream
-        .computeInt64Size(2, incarnation_);
-    }
     for (int i = 0; i < entries_.size(); i++) {
       size += com.google.protobuf.CodedOutputStream
-        .computeMessageSize(3, entries_.get(i));
+        .computeMessageSize(1, entries_.get(i));
     }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
@@ -194,10 +134,6 @@
     }
     org.fawndrum.protocol.wire.LedgerHandover other = (org.fawndrum.protocol.wire.LedgerHandover) obj;
 
-    if (!getHost()
-        .equals(other.getHost())) return false;
-    if (getIncarnation()
-        != other.getIncarnation()) return false;
     if (!getEntriesList()
         .equals(other.getEntriesList())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
@@ -211,11 +147,6 @@
     }
     int hash = 41;
     hash = (19 * hash) + getDescriptor().hashCode();
-    hash = (37 * hash) + HOST_FIELD_NUMBER;
-    hash = (53 * hash) + getHost().hashCode();
-    hash = (37 * hash) + INCARNATION_FIELD_NUMBER;
-    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
-        getIncarnation());
     if (getEntriesCount() > 0) {
       hash = (37 * hash) + ENTRIES_FIELD_NUMBER;
       hash = (53 * hash) + getEntriesList().hashCode();
@@ -318,6 +249,10 @@
     return builder;
   }
   /**
+   * <pre>
+   * The keys of a daemon that stops for good.
+   * </pre>
+   *
    * Protobuf type {@code fawndrum.LedgerHandover}
    */
   public static final class Builder extends
@@ -351,15 +286,13 @@
     public Builder clear() {
       super.clear();
       bitField0_ = 0;
-      host_ = "";
-      incarnation_ = 0L;
       if (entriesBuilder_ == null) {
         entries_ = java.util.Collections.emptyList();
       } else {
         entries_ = null;
         entriesBuilder_.clear();
       }
-      bitField0_ = (bitField0_ & ~0x00000004);
+      bitField0_ = (bitField0_ & ~0x00000001);
       return this;
     }
 
@@ -394,9 +327,9 @@
 
     private void buildPartialRepeatedFields(org.fawndrum.protocol.wire.LedgerHandover result) {
       if (entriesBuilder_ == null) {
-        if (((bitField0_ & 0x00000004) != 0)) {
+        if (((bitField0_ & 0x00000001) != 0)) {
           entries_ = java.util.Collections.unmodifiableList(entries_);
-          bitField0_ = (bitField0_ & ~0x00000004);
+          bitField0_ = (bitField0_ & ~0x00000001);
         }
         result.entries_ = entries_;
       } else {
@@ -406,12 +339,6 @@
 
     private void buildPartial0(org.fawndrum.protocol.wire.LedgerHandover result) {
       int from_bitField0_ = bitField0_;
-      if (((from_bitField0_ & 0x00000001) != 0)) {
-        result.host_ = host_;
-      }
-      if (((from_bitField0_ & 0x00000002) != 0)) {
-        result.incarnation_ = incarnation_;
-      }
     }
 
     @java.lang.Override
@@ -426,19 +353,11 @@
 
     public Builder mergeFrom(org.fawndrum.protocol.wire.LedgerHandover other) {
       if (other == org.fawndrum.protocol.wire.LedgerHandover.getDefaultInstance()) return this;
-      if (!other.getHost().isEmpty()) {
-        host_ = other.host_;
-        bitField0_ |= 0x00000001;
-        onChanged();
-      }
-      if (other.getIncarnation() != 0L) {
-        setIncarnation(other.getIncarnation());
-      }
       if (entriesBuilder_ == null) {
         if (!other.entries_.isEmpty()) {
           if (entries_.isEmpty()) {
             entries_ = other.entries_;
-            bitField0_ = (bitField0_ & ~0x00000004);
+            bitField0_ = (bitField0_ & ~0x00000001);
           } else {
             ensureEntriesIsMutable();
             entries_.addAll(other.entries_);
@@ -451,7 +370,7 @@
             entriesBuilder_.dispose();
             entriesBuilder_ = null;
             entries_ = other.entries_;
-            bitField0_ = (bitField0_ & ~0x00000004);
+            bitField0_ = (bitField0_ & ~0x00000001);
             entriesBuilder_ = 
               com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
                  internalGetEntriesFieldBuilder() : null;
@@ -487,16 +406,6 @@
               done = true;
               break;
             case 10: {
-              host_ = input.readStringRequireUtf8();
-              bitField0_ |= 0x00000001;
-              break;
-            } // case 10
-            case 16: {
-              incarnation_ = input.readInt64();
-              bitField0_ |= 0x00000002;
-              break;
-            } // case 16
-            case 26: {
               org.fawndrum.protocol.wire.LedgerEntry m =
                   input.readMessage(
                       org.fawndrum.protocol.wire.LedgerEntry.parser(),
@@ -508,7 +417,7 @@
                 entriesBuilder_.addMessage(m);
               }
               break;
-            } // case 26
+            } // case 10
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -526,116 +435,12 @@
     }
     private int bitField0_;
 
-    private java.lang.Object host_ = "";
-    /**
-     * <code>string host = 1;</code>
-     * @return The host.
-     */
-    public java.lang.String getHost() {
-      java.lang.Object ref = host_;
-      if (!(ref instanceof java.lang.String)) {
-        com.google.protobuf.ByteString bs =
-            (com.google.protobuf.ByteString) ref;
-        java.lang.String s = bs.toStringUtf8();
-        host_ = s;
-        return s;
-      } else {
-        return (java.lang.String) ref;
-      }
-    }
-    /**
-     * <code>string host = 1;</code>
-     * @return The bytes for host.
-     */
-    public com.google.protobuf.ByteString
-        getHostBytes() {
-      java.lang.Object ref = host_;
-      if (ref instanceof String) {
-        com.google.protobuf.ByteString b = 
-            com.google.protobuf.ByteString.copyFromUtf8(
-                (java.lang.String) ref);
-        host_ = b;
-        return b;
-      } else {
-        return (com.google.protobuf.ByteString) ref;
-      }
-    }
-    /**
-     * <code>string host = 1;</code>
-     * @param value The host to set.
-     * @return This builder for chaining.
-     */
-    public Builder setHost(
-        java.lang.String value) {
-      if (value == null) { throw new NullPointerException(); }
-      host_ = value;
-      bitField0_ |= 0x00000001;
-      onChanged();
-      return this;
-    }
-    /**
-     * <code>string host = 1;</code>
-     * @return This builder for chaining.
-     */
-    public Builder clearHost() {
-      host_ = getDefaultInstance().getHost();
-      bitField0_ = (bitField0_ & ~0x00000001);
-      onChanged();
-      return this;
-    }
-    /**
-     * <code>string host = 1;</code>
-     * @param value The bytes for host to set.
-     * @return This builder for chaining.
-     */
-    public Builder setHostBytes(
-        com.google.protobuf.ByteString value) {
-      if (value == null) { throw new NullPointerException(); }
-      checkByteStringIsUtf8(value);
-      host_ = value;
-      bitField0_ |= 0x00000001;
-      onChanged();
-      return this;
-    }
-
-    private long incarnation_ ;
-    /**
-     * <code>int64 incarnation = 2;</code>
-     * @return The incarnation.
-     */
-    @java.lang.Override
-    public long getIncarnation() {
-      return incarnation_;
-    }
-    /**
-     * <code>int64 incarnation = 2;</code>
-     * @param value The incarnation to set.
-     * @return This builder for chaining.
-     */
-    public Builder setIncarnation(long value) {
-
-      incarnation_ = value;
-      bitField0_ |= 0x00000002;
-      onChanged();
-      return this;
-    }
-    /**
-     * <code>int64 incarnation = 2;</code>
-     * @return This builder for chaining.
-     */
-    public Builder clearIncarnation() {
-      bitField0_ = (bitField0_ & ~0x00000002);
-      incarnation_ = 0L;
-      onChanged();
-      return this;
-    }
-
     private java.util.List<org.fawndrum.protocol.wire.LedgerEntry> entries_ =
       java.util.Collections.emptyList();
     private void ensureEntriesIsMutable() {
-      if (!((bitField0_ & 0x00000004) != 0)) {
+      if (!((bitField0_ & 0x00000001) != 0)) {
         entries_ = new java.util.ArrayList<org.fawndrum.protocol.wire.LedgerEntry>(entries_);
-        bitField0_ |= 0x00000004;
+        bitField0_ |= 0x00000001;
        }
     }
 
@@ -643,7 +448,7 @@
         org.fawndrum.protocol.wire.LedgerEntry, org.fawndrum.protocol.wire.LedgerEntry.Builder, org.fawndrum.protocol.wire.LedgerEntryOrBuilder> entriesBuilder_;
 
     /**
-     * <code>repeated .fawndrum.LedgerEntry entries = 3;</code>
+     * <code>repeated .fawndrum.LedgerEntry entries = 1;</code>
      */
     public java.util.List<org.fawndrum.protocol.wire.LedgerEntry> getEntriesList() {
       if (entriesBuilder_ == null) {
@@ -653,7 +458,7 @@
       }
     }
     /**
-     * <code>repeated .fawndrum.LedgerEntry entries = 3;</code>
+     * <code>repeated .fawndrum.LedgerEntry entries = 1;</code>
      */
     public int getEntriesCount() {
       if (entriesBuilder_ == null) {
@@ -663,7 +468,7 @@
       }
     }
     /**
-     * <code>repeated .fawndrum.LedgerEntry entries = 3;</code>
+     * <code>repeated .fawndrum.LedgerEntry entries = 1;</code>
      */
     public org.fawndrum.protocol.wire.LedgerEntry getEntries(int index) {
       if (entriesBuilder_ == null) {
@@ -673,7 +478,7 @@
       }
     }
     /**
-     * <code>repeated .fawndrum.LedgerEntry entries = 3;</code>
+     * <code>repeated .fawndrum.LedgerEntry entries = 1;</code>
      */
     public Builder setEntries(
         int index, org.fawndrum.protocol.wire.LedgerEntry value) {
@@ -690,7 +495,7 @@
       return this;
     }
     /**
-     * <code>repeated .fawndrum.LedgerEntry entries = 3;</code>
+     * <code>repeated .fawndrum.LedgerEntry entries = 1;</code>
      */
     public Builder setEntries(
         int index, org.fawndrum.protocol.wire.LedgerEntry.Builder builderForValue) {
@@ -704,7 +509,7 @@
       return this;
     }
     /**
-     * <code>repeated .fawndrum.LedgerEntry entries = 3;</code>
+     * <code>repeated .fawndrum.LedgerEntry entries = 1;</code>
      */
     public Builder addEntries(org.fawndrum.protocol.wire.LedgerEntry value) {
       if (entriesBuilder_ == null) {
@@ -720,7 +525,7 @@
       return this;
     }
     /**
-     * <code>repeated .fawndrum.LedgerEntry entries = 3;</code>
+     * <code>repeated .fawndrum.LedgerEntry entries = 1;</code>
      */
     public Builder addEntries(
         int index, org.fawndrum.protocol.wire.LedgerEntry value) {
@@ -737,7 +542,7 @@
       return this;
     }
     /**
-     * <code>repeated .fawndrum.LedgerEntry entries = 3;</code>
+     * <code>repeated .fawndrum.LedgerEntry entries = 1;</code>
      */
     public Builder addEntries(
         org.fawndrum.protocol.wire.LedgerEntry.Builder builderForValue) {
@@ -751,7 +556,7 @@
       return this;
     }
     /**
-     * <code>repeated .fawndrum.LedgerEntry entries = 3;</code>
+     * <code>repeated .fawndrum.LedgerEntry entries = 1;</code>
      */
     public Builder addEntries(
         int index, org.fawndrum.protocol.wire.LedgerEntry.Builder builderForValue) {
@@ -765,7 +570,7 @@
       return this;
     }
     /**
-     * <code>repeated .fawndrum.LedgerEntry entries = 3;</code>
+     * <code>repeated .fawndrum.LedgerEntry entries = 1;</code>
      */
     public Builder addAllEntries(
         java.lang.Iterable<? extends org.fawndrum.protocol.wire.LedgerEntry> values) {
@@ -780,12 +585,12 @@
       return this;
     }
     /**
-     * <code>repeated .fawndrum.LedgerEntry entries = 3;</code>
+     * <code>repeated .fawndrum.LedgerEntry entries = 1;</code>
      */
     public Builder clearEntries() {
       if (entriesBuilder_ == null) {
         entries_ = java.util.Collections.emptyList();
-        bitField0_ = (bitField0_ & ~0x00000004);
+        bitField0_ = (bitField0_ & ~0x00000001);
         onChanged();
       } else {
         entriesBuilder_.clear();
@@ -793,7 +598,7 @@
       return this;
     }
     /**
-     * <code>repeated .fawndrum.LedgerEntry entries = 3;</code>
+     * <code>repeated .fawndrum.LedgerEntry entries = 1;</code>
      */
     public Builder removeEntries(int index) {
       if (entriesBuilder_ == null) {
@@ -806,14 +611,14 @@
       return this;
     }
     /**
-     * <code>repeated .fawndrum.LedgerEntry entries = 3;</code>
+     * <code>repeated .fawndrum.LedgerEntry entries = 1;</code>
      */
     public org.fawndrum.protocol.wire.LedgerEntry.Builder getEntriesBuilder(
         int index) {
       return internalGetEntriesFieldBuilder().getBuilder(index);
     }
     /**
-     * <code>repeated .fawndrum.LedgerEntry entries = 3;</code>
+     * <code>repeated .fawndrum.LedgerEntry entries = 1;</code>
      */
     public org.fawndrum.protocol.wire.LedgerEntryOrBuilder getEntriesOrBuilder(
         int index) {
@@ -823,7 +628,7 @@
       }
     }
     /**
-     * <code>repeated .fawndrum.LedgerEntry entries = 3;</code>
+     * <code>repeated .fawndrum.LedgerEntry entries = 1;</code>
      */
     public java.util.List<? extends org.fawndrum.protocol.wire.LedgerEntryOrBuilder> 
          getEntriesOrBuilderList() {
@@ -834,14 +639,14 @@
       }
     }
     /**
-     * <code>repeated .fawndrum.LedgerEntry entries = 3;</code>
+     * <code>repeated .fawndrum.LedgerEntry entries = 1;</code>
      */
     public org.fawndrum.protocol.wire.LedgerEntry.Builder addEntriesBuilder() {
       return internalGetEntriesFieldBuilder().addBuilder(
           org.fawndrum.protocol.wire.LedgerEntry.getDefaultInstance());
     }
     /**
-     * <code>repeated .fawndrum.LedgerEntry entries = 3;</code>
+     * <code>repeated .fawndrum.LedgerEntry entries = 1;</code>
      */
     public org.fawndrum.protocol.wire.LedgerEntry.Builder addEntriesBuilder(
         int index) {
@@ -849,7 +654,7 @@
           index, org.fawndrum.protocol.wire.LedgerEntry.getDefaultInstance());
     }
     /**
-     * <code>repeated .fawndrum.LedgerEntry entries = 3;</code>
+     * <code>repeated .fawndrum.LedgerEntry entries = 1;</code>
      */
     public java.util.List<org.fawndrum.protocol.wire.LedgerEntry.Builder> 
          getEntriesBuilderList() {
@@ -862,7 +667,7 @@
         entriesBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
             org.fawndrum.protocol.wire.LedgerEntry, org.fawndrum.protocol.wire.LedgerEntry.Builder, org.fawndrum.protocol.wire.LedgerEntryOrBuilder>(
                 entries_,
-                ((bitField0_ & 0x00000004) != 0),
+                ((bitField0_ & 0x00000001) != 0),
                 getParentForChildren(),
                 isClean());
         entries_ = null;
--- a/org.fawndrum/src/org/fawndrum/protocol/wire/LedgerHandoverOrBuilder.java
+++ b/org.fawndrum/src/org/fawndrum/protocol/wire/LedgerHandoverOrBuilder.java
@@ -11,43 +11,25 @@
     com.google.protobuf.MessageOrBuilder {
 
   /**
-   * <code>string host = 1;</code>
-   * @return The host.
-   */
-  java.lang.String getHost();
-  /**
-   * <code>string host = 1;</code>
-   * @return The bytes for host.
-   */
-  com.google.protobuf.ByteString
-      getHostBytes();
-
-  /**
-   * <code>int64 incarnation = 2;</code>
-   * @return The incarnation.
-   */
-  long getIncarnation();
-
-  /**
-   * <code>repeated .fawndrum.LedgerEntry entries = 3;</code>
+   * <code>repeated .fawndrum.LedgerEntry entries = 1;</code>
    */
   java.util.List<org.fawndrum.protocol.wire.LedgerEntry> 
       getEntriesList();
   /**
-   * <code>repeated .fawndrum.LedgerEntry entries = 3;</code>
+   * <code>repeated .fawndrum.LedgerEntry entries = 1;</code>
    */
   org.fawndrum.protocol.wire.LedgerEntry getEntries(int index);
   /**
-   * <code>repeated .fawndrum.LedgerEntry entries = 3;</code>
+   * <code>repeated .fawndrum.LedgerEntry entries = 1;</code>
    */
   int getEntriesCount();
   /**
-   * <code>repeated .fawndrum.LedgerEntry entries = 3;</code>
+   * <code>repeated .fawndrum.LedgerEntry entries = 1;</code>
    */
   java.util.List<? extends org.fawndrum.protocol.wire.LedgerEntryOrBuilder> 
       getEntriesOrBuilderList();
   /**
-   * <code>repeated .fawndrum.LedgerEntry entries = 3;</code>
+   * <code>repeated .fawndrum.LedgerEntry entries = 1;</code>
    */
   org.fawndrum.protocol.wire.LedgerEntryOrBuilder getEntriesOrBuilder(
       int index);
--- a/org.fawndrum/src/org/fawndrum/protocol/wire/Peer.java
+++ b/org.fawndrum/src/org/fawndrum/protocol/wire/Peer.java
@@ -82,20 +82,20 @@
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_fawndrum_EndpointWord_fieldAccessorTable;
   static final com.google.protobuf.Descriptors.Descriptor
-    internal_static_fawndrum_TableRequest_descriptor;
+    internal_static_fawndrum_LeavingNews_descriptor;
   static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
-      internal_static_fawndrum_TableRequest_fieldAccessorTable;
+      internal_static_fawndrum_LeavingNews_fieldAccessorTable;
   static final com.google.protobuf.Descriptors.Descriptor
-    internal_static_fawndrum_TableReply_descriptor;
+    internal_static_fawndrum_CatchUpRequest_descriptor;
   static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
-      internal_static_fawndrum_TableReply_fieldAccessorTable;
+      internal_static_fawndrum_CatchUpRequest_fieldAccessorTable;
   static final com.google.protobuf.Descriptors.Descriptor
-    internal_static_fawndrum_RosterReply_descriptor;
+    internal_static_fawndrum_CatchUpReply_descriptor;
   static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
-      internal_static_fawndrum_RosterReply_fieldAccessorTable;
+      internal_static_fawndrum_CatchUpReply_fieldAccessorTable;
   static final com.google.protobuf.Descriptors.Descriptor
     internal_static_fawndrum_ClaimRequest_descriptor;
   static final 
@@ -140,64 +140,60 @@
       "\030\004 \001(\tH\000\210\001\001B\010\n\006_value\"s\n\021PublicationReco" +
       "rd\022\n\n\002id\030\001 \001(\t\022\020\n\010operator\030\002 \001(\t\022\023\n\013edit" +
       "ed_from\030\003 \001(\003\022+\n\007changes\030\004 \003(\0132\032.fawndru" +
-      "m.CellChangeRecord\"\224\001\n\016SnapshotRecord\022\020\n" +
+      "m.CellChangeRecord\"\303\001\n\016SnapshotRecord\022\020\n" +
       "\010position\030\001 \001(\003\022\020\n\010revision\030\002 \001(\003\022#\n\005cel" +
       "ls\030\003 \003(\0132\024.fawndrum.CellRecord\022)\n\010outcom" +
       "es\030\004 \003(\0132\027.fawndrum.OutcomeRecord\022\016\n\006dig" +
-      "est\030\005 \001(\014\"\203\001\n\nCellRecord\022\021\n\tworkspace\030\001 " +
-      "\001(\t\022\022\n\nclass_name\030\002 \001(\t\022\016\n\006column\030\003 \001(\t\022" +
-      "\022\n\005value\030\004 \001(\tH\000\210\001\001\022\016\n\006offset\030\005 \001(\003\022\020\n\010o" +
-      "perator\030\006 \001(\tB\010\n\006_value\"\224\002\n\rOutcomeRecor" +
-      "d\022\n\n\002id\030\001 \001(\t\022\016\n\006offset\030\002 \001(\003\022*\n\004kind\030\003 " +
-      "\001(\0162\034.fawndrum.OutcomeRecord.Kind\022\023\n\013edi" +
-      "ted_from\030\004 \001(\003\022\'\n\tconflicts\030\005 \003(\0132\024.fawn" +
-      "drum.CellRecord\022*\n\tbad_cells\030\006 \003(\0132\027.faw" +
-      "ndrum.BadCellRecord\"Q\n\004Kind\022\017\n\013UNSPECIFI" +
-      "ED\020\000\022\014\n\010ACCEPTED\020\001\022\010\n\004LOST\020\002\022\013\n\007INVALID\020" +
-      "\003\022\023\n\017FROM_THE_FUTURE\020\004\"f\n\rBadCellRecord\022" +
-      "\021\n\tworkspace\030\001 \001(\t\022\022\n\nclass_name\030\002 \001(\t\022\016" +
-      "\n\006column\030\003 \001(\t\022\r\n\005value\030\004 \001(\t\022\017\n\007allowed" +
-      "\030\005 \001(\t\"p\n\022RegistrationRecord\022\014\n\004host\030\001 \001" +
-      "(\t\022\023\n\013incarnation\030\002 \001(\003\022\014\n\004zone\030\003 \001(\t\022\n\n" +
-      "\002ip\030\004 \001(\t\022\014\n\004port\030\005 \001(\005\022\017\n\007retired\030\006 \001(\010" +
-      "\"\324\003\n\013PeerMessage\022\021\n\tfrom_host\030\001 \001(\t\022\030\n\020f" +
-      "rom_incarnation\030\002 \001(\003\022\020\n\010exchange\030\003 \001(\004\022" +
-      "(\n\theartbeat\030\004 \001(\0132\023.fawndrum.HeartbeatH" +
-      "\000\022/\n\rtable_request\030\005 \001(\0132\026.fawndrum.Tabl" +
-      "eRequestH\000\022+\n\013table_reply\030\006 \001(\0132\024.fawndr" +
-      "um.TableReplyH\000\022/\n\rclaim_request\030\007 \001(\0132\026" +
-      ".fawndrum.ClaimRequestH\000\022+\n\013claim_reply\030" +
-      "\010 \001(\0132\024.fawndrum.ClaimReplyH\000\0223\n\017ledger_" +
-      "handover\030\t \001(\0132\030.fawndrum.LedgerHandover" +
-      "H\000\0224\n\017acknowledgement\030\n \001(\0132\031.fawndrum.A" +
-      "cknowledgementH\000\022-\n\014roster_reply\030\013 \001(\0132\025" +
-      ".fawndrum.RosterReplyH\000B\006\n\004body\"\245\002\n\tHear" +
-      "tbeat\022\014\n\004zone\030\001 \001(\t\022\026\n\016table_revision\030\002 " +
-      "\001(\003\022\026\n\016table_position\030\003 \001(\003\022\027\n\017listing_v" +
-      "ersion\030\004 \001(\003\022\020\n\010draining\030\005 \001(\010\022\020\n\010sequen" +
-      "ce\030\006 \001(\003\022\017\n\007streams\030\007 \001(\005\022\'\n\007leaving\030\010 \003" +
-      "(\0132\026.fawndrum.EndpointWord\022\025\n\rqueued_tok" +
-      "ens\030\t \001(\003\022\026\n\016running_tokens\030\n \001(\003\022\017\n\007pee" +
-      "r_ip\030\013 \001(\t\022\021\n\tpeer_port\030\014 \001(\005\022\020\n\010suspect" +
-      "s\030\r \003(\t\"1\n\014EndpointWord\022\014\n\004host\030\001 \001(\t\022\023\n" +
-      "\013incarnation\030\002 \001(\003\":\n\014TableRequest\022\025\n\rfr" +
-      "om_position\030\001 \001(\003\022\023\n\013want_roster\030\002 \001(\010\"8" +
-      "\n\nTableReply\022*\n\010snapshot\030\001 \001(\0132\030.fawndru" +
-      "m.SnapshotRecord\"4\n\013RosterReply\022\017\n\007versi" +
-      "on\030\001 \001(\003\022\024\n\014listing_json\030\002 \001(\014\"b\n\014ClaimR" +
-      "equest\022\013\n\003key\030\001 \001(\t\022\025\n\rclaimant_host\030\002 \001" +
-      "(\t\022\034\n\024claimant_incarnation\030\003 \001(\003\022\020\n\010tran" +
-      "sfer\030\004 \001(\010\"\222\001\n\nClaimReply\022\013\n\003key\030\001 \001(\t\022+" +
-      "\n\006answer\030\002 \001(\0162\033.fawndrum.ClaimReply.Ans" +
-      "wer\"J\n\006Answer\022\017\n\013UNSPECIFIED\020\000\022\016\n\nNEVER_" +
-      "SEEN\020\001\022\013\n\007NOT_RUN\020\002\022\010\n\004HELD\020\003\022\010\n\004DONE\020\004\"" +
-      "[\n\016LedgerHandover\022\014\n\004host\030\001 \001(\t\022\023\n\013incar" +
-      "nation\030\002 \001(\003\022&\n\007entries\030\003 \003(\0132\025.fawndrum" +
-      ".LedgerEntry\"W\n\013LedgerEntry\022\013\n\003key\030\001 \001(\t" +
-      "\022+\n\006answer\030\002 \001(\0162\033.fawndrum.ClaimReply.A" +
-      "nswer\022\016\n\006age_ms\030\003 \001(\003\"#\n\017Acknowledgement" +
-      "\022\020\n\010accepted\030\001 \001(\010B\036\n\032org.fawndrum.proto" +
-      "col.wireP\001b\006proto3"
+      "est\030\005 \001(\014\022-\n\007members\030\006 \003(\0132\034.fawndrum.Re" +
+      "gistrationRecord\"\203\001\n\nCellRecord\022\021\n\tworks" +
+      "pace\030\001 \001(\t\022\022\n\nclass_name\030\002 \001(\t\022\016\n\006column" +
+      "\030\003 \001(\t\022\022\n\005value\030\004 \001(\tH\000\210\001\001\022\016\n\006offset\030\005 \001" +
+      "(\003\022\020\n\010operator\030\006 \001(\tB\010\n\006_value\"\224\002\n\rOutco" +
+      "meRecord\022\n\n\002id\030\001 \001(\t\022\016\n\006offset\030\002 \001(\003\022*\n\004" +
+      "kind\030\003 \001(\0162\034.fawndrum.OutcomeRecord.Kind" +
+      "\022\023\n\013edited_from\030\004 \001(\003\022\'\n\tconflicts\030\005 \003(\013" +
+      "2\024.fawndrum.CellRecord\022*\n\tbad_cells\030\006 \003(" +
+      "\0132\027.fawndrum.BadCellRecord\"Q\n\004Kind\022\017\n\013UN" +
+      "SPECIFIED\020\000\022\014\n\010ACCEPTED\020\001\022\010\n\004LOST\020\002\022\013\n\007I" +
+      "NVALID\020\003\022\023\n\017FROM_THE_FUTURE\020\004\"f\n\rBadCell" +
+      "Record\022\021\n\tworkspace\030\001 \001(\t\022\022\n\nclass_name\030" +
+      "\002 \001(\t\022\016\n\006column\030\003 \001(\t\022\r\n\005value\030\004 \001(\t\022\017\n\007" +
+      "allowed\030\005 \001(\t\"p\n\022RegistrationRecord\022\014\n\004h" +
+      "ost\030\001 \001(\t\022\023\n\013incarnation\030\002 \001(\003\022\014\n\004zone\030\003" +
+      " \001(\t\022\n\n\002ip\030\004 \001(\t\022\014\n\004port\030\005 \001(\005\022\017\n\007retire" +
+      "d\030\006 \001(\010\"\336\003\n\013PeerMessage\022\021\n\tfrom_host\030\001 \001" +
+      "(\t\022\030\n\020from_incarnation\030\002 \001(\003\022\020\n\010exchange" +
+      "\030\003 \001(\004\022(\n\theartbeat\030\004 \001(\0132\023.fawndrum.Hea" +
+      "rtbeatH\000\0224\n\020catch_up_request\030\005 \001(\0132\030.faw" +
+      "ndrum.CatchUpRequestH\000\0220\n\016catch_up_reply" +
+      "\030\006 \001(\0132\026.fawndrum.CatchUpReplyH\000\022/\n\rclai" +
+      "m_request\030\007 \001(\0132\026.fawndrum.ClaimRequestH" +
+      "\000\022+\n\013claim_reply\030\010 \001(\0132\024.fawndrum.ClaimR" +
+      "eplyH\000\0223\n\017ledger_handover\030\t \001(\0132\030.fawndr" +
+      "um.LedgerHandoverH\000\0224\n\017acknowledgement\030\n" +
+      " \001(\0132\031.fawndrum.AcknowledgementH\000\022-\n\014lea" +
+      "ving_news\030\013 \001(\0132\025.fawndrum.LeavingNewsH\000" +
+      "B\006\n\004body\"\361\001\n\tHeartbeat\022\014\n\004zone\030\001 \001(\t\022\017\n\007" +
+      "peer_ip\030\002 \001(\t\022\021\n\tpeer_port\030\003 \001(\005\022\020\n\010sequ" +
+      "ence\030\004 \001(\003\022\026\n\016table_revision\030\005 \001(\003\022\026\n\016ta" +
+      "ble_position\030\006 \001(\003\022\027\n\017listing_version\030\007 " +
+      "\001(\003\022\020\n\010draining\030\010 \001(\010\022\026\n\016waiting_tokens\030" +
+      "\t \001(\003\022\030\n\020running_requests\030\n \001(\003\022\023\n\013load_" +
+      "digest\030\013 \001(\014\"1\n\014EndpointWord\022\014\n\004host\030\001 \001" +
+      "(\t\022\023\n\013incarnation\030\002 \001(\003\"8\n\013LeavingNews\022)" +
+      "\n\tendpoints\030\001 \003(\0132\026.fawndrum.EndpointWor" +
+      "d\"M\n\016CatchUpRequest\022\034\n\024table_after_posit" +
+      "ion\030\001 \001(\003\022\035\n\025listing_after_version\030\002 \001(\003" +
+      "\"P\n\014CatchUpReply\022*\n\010snapshot\030\001 \001(\0132\030.faw" +
+      "ndrum.SnapshotRecord\022\024\n\014listing_json\030\002 \001" +
+      "(\014\"\033\n\014ClaimRequest\022\013\n\003key\030\001 \001(\t\"q\n\nClaim" +
+      "Reply\022+\n\006answer\030\001 \001(\0162\033.fawndrum.ClaimRe" +
+      "ply.Answer\"6\n\006Answer\022\017\n\013UNSPECIFIED\020\000\022\010\n" +
+      "\004FREE\020\001\022\010\n\004HELD\020\002\022\007\n\003RAN\020\003\"8\n\016LedgerHand" +
+      "over\022&\n\007entries\030\001 \003(\0132\025.fawndrum.LedgerE" +
+      "ntry\"7\n\013LedgerEntry\022\013\n\003key\030\001 \001(\t\022\013\n\003ran\030" +
+      "\002 \001(\010\022\016\n\006age_ms\030\003 \001(\003\"\021\n\017Acknowledgement" +
+      "B\036\n\032org.fawndrum.protocol.wireP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -226,7 +222,7 @@
     internal_static_fawndrum_SnapshotRecord_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_fawndrum_SnapshotRecord_descriptor,
-        new java.lang.String[] { "Position", "Revision", "Cells", "Outcomes", "Digest", });
+        new java.lang.String[] { "Position", "Revision", "Cells", "Outcomes", "Digest", "Members", });
     internal_static_fawndrum_CellRecord_descriptor =
       getDescriptor().getMessageType(4);
     internal_static_fawndrum_CellRecord_fieldAccessorTable = new
@@ -256,67 +252,67 @@
     internal_static_fawndrum_PeerMessage_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_fawndrum_PeerMessage_descriptor,
-        new java.lang.String[] { "FromHost", "FromIncarnation", "Exchange", "Heartbeat", "TableRequest", "TableReply", "ClaimRequest", "ClaimReply", "LedgerHandover", "Acknowledgement", "RosterReply", "Body", });
+        new java.lang.String[] { "FromHost", "FromIncarnation", "Exchange", "Heartbeat", "CatchUpRequest", "CatchUpReply", "ClaimRequest", "ClaimReply", "LedgerHandover", "Acknowledgement", "LeavingNews", "Body", });
     internal_static_fawndrum_Heartbeat_descriptor =
       getDescriptor().getMessageType(9);
     internal_static_fawndrum_Heartbeat_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_fawndrum_Heartbeat_descriptor,
-        new java.lang.String[] { "Zone", "TableRevision", "TablePosition", "ListingVersion", "Draining", "Sequence", "Streams", "Leaving", "QueuedTokens", "RunningTokens", "PeerIp", "PeerPort", "Suspects", });
+        new java.lang.String[] { "Zone", "PeerIp", "PeerPort", "Sequence", "TableRevision", "TablePosition", "ListingVersion", "Draining", "WaitingTokens", "RunningRequests", "LoadDigest", });
     internal_static_fawndrum_EndpointWord_descriptor =
       getDescriptor().getMessageType(10);
     internal_static_fawndrum_EndpointWord_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_fawndrum_EndpointWord_descriptor,
         new java.lang.String[] { "Host", "Incarnation", });
-    internal_static_fawndrum_TableRequest_descriptor =
+    internal_static_fawndrum_LeavingNews_descriptor =
       getDescriptor().getMessageType(11);
-    internal_static_fawndrum_TableRequest_fieldAccessorTable = new
+    internal_static_fawndrum_LeavingNews_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
-        internal_static_fawndrum_TableRequest_descriptor,
-        new java.lang.String[] { "FromPosition", "WantRoster", });
-    internal_static_fawndrum_TableReply_descriptor =
+        internal_static_fawndrum_LeavingNews_descriptor,
+        new java.lang.String[] { "Endpoints", });
+    internal_static_fawndrum_CatchUpRequest_descriptor =
       getDescriptor().getMessageType(12);
-    internal_static_fawndrum_TableReply_fieldAccessorTable = new
+    internal_static_fawndrum_CatchUpRequest_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
-        internal_static_fawndrum_TableReply_descriptor,
-        new java.lang.String[] { "Snapshot", });
-    internal_static_fawndrum_RosterReply_descriptor =
+        internal_static_fawndrum_CatchUpRequest_descriptor,
+        new java.lang.String[] { "TableAfterPosition", "ListingAfterVersion", });
+    internal_static_fawndrum_CatchUpReply_descriptor =
       getDescriptor().getMessageType(13);
-    internal_static_fawndrum_RosterReply_fieldAccessorTable = new
+    internal_static_fawndrum_CatchUpReply_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
-        internal_static_fawndrum_RosterReply_descriptor,
-        new java.lang.String[] { "Version", "ListingJson", });
+        internal_static_fawndrum_CatchUpReply_descriptor,
+        new java.lang.String[] { "Snapshot", "ListingJson", });
     internal_static_fawndrum_ClaimRequest_descriptor =
       getDescriptor().getMessageType(14);
     internal_static_fawndrum_ClaimRequest_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_fawndrum_ClaimRequest_descriptor,
-        new java.lang.String[] { "Key", "ClaimantHost", "ClaimantIncarnation", "Transfer", });
+        new java.lang.String[] { "Key", });
     internal_static_fawndrum_ClaimReply_descriptor =
       getDescriptor().getMessageType(15);
     internal_static_fawndrum_ClaimReply_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_fawndrum_ClaimReply_descriptor,
-        new java.lang.String[] { "Key", "Answer", });
+        new java.lang.String[] { "Answer", });
     internal_static_fawndrum_LedgerHandover_descriptor =
       getDescriptor().getMessageType(16);
     internal_static_fawndrum_LedgerHandover_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_fawndrum_LedgerHandover_descriptor,
-        new java.lang.String[] { "Host", "Incarnation", "Entries", });
+        new java.lang.String[] { "Entries", });
     internal_static_fawndrum_LedgerEntry_descriptor =
       getDescriptor().getMessageType(17);
     internal_static_fawndrum_LedgerEntry_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_fawndrum_LedgerEntry_descriptor,
-        new java.lang.String[] { "Key", "Answer", "AgeMs", });
+        new java.lang.String[] { "Key", "Ran", "AgeMs", });
     internal_static_fawndrum_Acknowledgement_descriptor =
       getDescriptor().getMessageType(18);
     internal_static_fawndrum_Acknowledgement_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_fawndrum_Acknowledgement_descriptor,
-        new java.lang.String[] { "Accepted", });
+        new java.lang.String[] { });
     descriptor.resolveAllFeaturesImmutable();
   }
 
