--- a/org.fawndrum/src/org/fawndrum/protocol/wire/PeerMessage.java
+++ b/org.fawndrum/src/org/fawndrum/protocol/wire/PeerMessage.java
@@ -7,7 +7,7 @@
 
 /**
  * <pre>
- * What one daemon tells another.
+ * What one daemon tells another. `exchange` pairs a reply with its request; 0 asks for no reply.
  * </pre>
  *
  * Protobuf type {@code fawndrum.PeerMessage}
@@ -55,13 +55,13 @@
       implements com.google.protobuf.Internal.EnumLite,
           com.google.protobuf.AbstractMessage.InternalOneOfEnum {
     HEARTBEAT(4),
-    TABLE_REQUEST(5),
-    TABLE_REPLY(6),
+    CATCH_UP_REQUEST(5),
+    CATCH_UP_REPLY(6),
     CLAIM_REQUEST(7),
     CLAIM_REPLY(8),
     LEDGER_HANDOVER(9),
     ACKNOWLEDGEMENT(10),
-    ROSTER_REPLY(11),
+    LEAVING_NEWS(11),
     BODY_NOT_SET(0);
     private final int value;
     private BodyCase(int value) {
@@ -80,13 +80,13 @@
     public static BodyCase forNumber(int value) {
       switch (value) {
         case 4: return HEARTBEAT;
-        case 5: return TABLE_REQUEST;
-        case 6: return TABLE_REPLY;
+        case 5: return CATCH_UP_REQUEST;
+        case 6: return CATCH_UP_REPLY;
         case 7: return CLAIM_REQUEST;
         case 8: return CLAIM_REPLY;
         case 9: return LEDGER_HANDOVER;
         case 10: return ACKNOWLEDGEMENT;
-        case 11: return ROSTER_REPLY;
+        case 11: return LEAVING_NEWS;
         case 0: return BODY_NOT_SET;
         default: return null;
       }
@@ -194,66 +194,66 @@
     return org.fawndrum.protocol.wire.Heartbeat.getDefaultInstance();
   }
 
-  public static final int TABLE_REQUEST_FIELD_NUMBER = 5;
+  public static final int CATCH_UP_REQUEST_FIELD_NUMBER = 5;
   /**
-   * <code>.fawndrum.TableRequest table_request = 5;</code>
-   * @return Whether the tableRequest field is set.
+   * <code>.fawndrum.CatchUpRequest catch_up_request = 5;</code>
+   * @return Whether the catchUpRequest field is set.
    */
   @java.lang.Override
-  public boolean hasTableRequest() {
+  public boolean hasCatchUpRequest() {
     return bodyCase_ == 5;
   }
   /**
-   * <code>.fawndrum.TableRequest table_request = 5;</code>
-   * @return The tableRequest.
+   * <code>.fawndrum.CatchUpRequest catch_up_request = 5;</code>
+   * @return The catchUpRequest.
    */
   @java.lang.Override
-  public org.fawndrum.protocol.wire.TableRequest getTableRequest() {
+  public org.fawndrum.protocol.wire.CatchUpRequest getCatchUpRequest() {
     if (bodyCase_ == 5) {
-       return (org.fawndrum.protocol.wire.TableRequest) body_;
+       return (org.fawndrum.protocol.wire.CatchUpRequest) body_;
     }
-    return org.fawndrum.protocol.wire.TableRequest.getDefaultInstance();
+    return org.fawndrum.protocol.wire.CatchUpRequest.getDefaultInstance();
   }
   /**
-   * <code>.fawndrum.TableRequest table_request = 5;</code>
+   * <code>.fawndrum.CatchUpRequest catch_up_request = 5;</code>
    */
   @java.lang.Override
-  public org.fawndrum.protocol.wire.TableRequestOrBuilder getTableRequestOrBuilder() {
+  public org.fawndrum.protocol.wire.CatchUpRequestOrBuilder getCatchUpRequestOrBuilder() {
     if (bodyCase_ == 5) {
-       return (org.fawndrum.protocol.wire.TableRequest) body_;
+       return (org.fawndrum.protocol.wire.CatchUpRequest) body_;
     }
-    return org.fawndrum.protocol.wire.TableRequest.getDefaultInstance();
+    return org.fawndrum.protocol.wire.CatchUpRequest.getDefaultInstance();
   }
 
-  public static final int TABLE_REPLY_FIELD_NUMBER = 6;
+  public static final int CATCH_UP_REPLY_FIELD_NUMBER = 6;
   /**
-   * <code>.fawndrum.TableReply table_reply = 6;</code>
-   * @return Whether the tableReply field is set.
+   * <code>.fawndrum.CatchUpReply catch_up_reply = 6;</code>
+   * @return Whether the catchUpReply field is set.
    */
   @java.lang.Override
-  public boolean hasTableReply() {
+  public boolean hasCatchUpReply() {
     return bodyCase_ == 6;
   }
   /**
-   * <code>.fawndrum.TableReply table_reply = 6;</code>
-   * @return The tableReply.
+   * <code>.fawndrum.CatchUpReply catch_up_reply = 6;</code>
+   * @return The catchUpReply.
    */
   @java.lang.Override
-  public org.fawndrum.protocol.wire.TableReply getTableReply() {
+  public org.fawndrum.protocol.wire.CatchUpReply getCatchUpReply() {
     if (bodyCase_ == 6) {
-       return (org.fawndrum.protocol.wire.TableReply) body_;
+       return (org.fawndrum.protocol.wire.CatchUpReply) body_;
     }
-    return org.fawndrum.protocol.wire.TableReply.getDefaultInstance();
+    return org.fawndrum.protocol.wire.CatchUpReply.getDefaultInstance();
   }
   /**
-   * <code>.fawndrum.TableReply table_reply = 6;</code>
+   * <code>.fawndrum.CatchUpReply catch_up_reply = 6;</code>
    */
   @java.lang.Override
-  public org.fawndrum.protocol.wire.TableReplyOrBuilder getTableReplyOrBuilder() {
+  public org.fawndrum.protocol.wire.CatchUpReplyOrBuilder getCatchUpReplyOrBuilder() {
     if (bodyCase_ == 6) {
-       return (org.fawndrum.protocol.wire.TableReply) body_;
+       return (org.fawndrum.protocol.wire.CatchUpReply) body_;
     }
-    return org.fawndrum.protocol.wire.TableReply.getDefaultInstance();
+    return org.fawndrum.protocol.wire.CatchUpReply.getDefaultInstance();
   }
 
   public static final int CLAIM_REQUEST_FIELD_NUMBER = 7;
@@ -380,35 +380,35 @@
     return org.fawndrum.protocol.wire.Acknowledgement.getDefaultInstance();
   }
 
-  public static final int ROSTER_REPLY_FIELD_NUMBER = 11;
+  public static final int LEAVING_NEWS_FIELD_NUMBER = 11;
   /**
-   * <code>.fawndrum.RosterReply roster_reply = 11;</code>
-   * @return Whether the rosterReply field is set.
+   * <code>.fawndrum.LeavingNews leaving_news = 11;</code>
+   * @return Whether the leavingNews field is set.
    */
   @java.lang.Override
-  public boolean hasRosterReply() {
+  public boolean hasLeavingNews() {
     return bodyCase_ == 11;
   }
   /**
-   * <code>.fawndrum.RosterReply roster_reply = 11;</code>
-   * @return The rosterReply.
+   * <code>.fawndrum.LeavingNews leaving_news = 11;</code>
+   * @return The leavingNews.
    */
   @java.lang.Override
-  public org.fawndrum.protocol.wire.RosterReply getRosterReply() {
+  public org.fawndrum.protocol.wire.LeavingNews getLeavingNews() {
     if (bodyCase_ == 11) {
-       return (org.fawndrum.protocol.wire.RosterReply) body_;
+       return (org.fawndrum.protocol.wire.LeavingNews) body_;
     }
-    return org.fawndrum.protocol.wire.RosterReply.getDefaultInstance();
+    return org.fawndrum.protocol.wire.LeavingNews.getDefaultInstance();
   }
   /**
-   * <code>.fawndrum.RosterReply roster_reply = 11;</code>
+   * <code>.fawndrum.LeavingNews leaving_news = 11;</code>
    */
   @java.lang.Override
-  public org.fawndrum.protocol.wire.RosterReplyOrBuilder getRosterReplyOrBuilder() {
+  public org.fawndrum.protocol.wire.LeavingNewsOrBuilder getLeavingNewsOrBuilder() {
     if (bodyCase_ == 11) {
-       return (org.fawndrum.protocol.wire.RosterReply) body_;
+       return (org.fawndrum.protocol.wire.LeavingNews) body_;
     }
-    return org.fawndrum.protocol.wire.RosterReply.getDefaultInstance();
+    return org.fawndrum.protocol.wire.LeavingNews.getDefaultInstance();
   }
 
   private byte memoizedIsInitialized = -1;
@@ -438,10 +438,10 @@
       output.writeMessage(4, (org.fawndrum.protocol.wire.Heartbeat) body_);
     }
     if (bodyCase_ == 5) {
-      output.writeMessage(5, (org.fawndrum.protocol.wire.TableRequest) body_);
+      output.writeMessage(5, (org.fawndrum.protocol.wire.CatchUpRequest) body_);
     }
     if (bodyCase_ == 6) {
-      output.writeMessage(6, (org.fawndrum.protocol.wire.TableReply) body_);
+      output.writeMessage(6, (org.fawndrum.protocol.wire.CatchUpReply) body_);
     }
     if (bodyCase_ == 7) {
       output.writeMessage(7, (org.fawndrum.protocol.wire.ClaimRequest) body_);
@@ -456,7 +456,7 @@
       output.writeMessage(10, (org.fawndrum.protocol.wire.Acknowledgement) body_);
     }
     if (bodyCase_ == 11) {
-      output.writeMessage(11, (org.fawndrum.protocol.wire.RosterReply) body_);
+      output.writeMessage(11, (org.fawndrum.protocol.wire.LeavingNews) body_);
     }
     getUnknownFields().writeTo(output);
   }
@@ -484,11 +484,11 @@
     }
     if (bodyCase_ == 5) {
       size += com.google.protobuf.CodedOutputStream
-        .computeMessageSize(5, (org.fawndrum.protocol.wire.TableRequest) body_);
+        .computeMessageSize(5, (org.fawndrum.protocol.wire.CatchUpRequest) body_);
     }
     if (bodyCase_ == 6) {
       size += com.google.protobuf.CodedOutputStream
-        .computeMessageSize(6, (org.fawndrum.protocol.wire.TableReply) body_);
+        .computeMessageSize(6, (org.fawndrum.protocol.wire.CatchUpReply) body_);
     }
     if (bodyCase_ == 7) {
       size += com.google.protobuf.CodedOutputStream
@@ -508,7 +508,7 @@
     }
     if (bodyCase_ == 11) {
       size += com.google.protobuf.CodedOutputStream
-        .computeMessageSize(11, (org.fawndrum.protocol.wire.RosterReply) body_);
+        .computeMessageSize(11, (org.fawndrum.protocol.wire.LeavingNews) body_);
     }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
@@ -538,12 +538,12 @@
             .equals(other.getHeartbeat())) return false;
         break;
       case 5:
-        if (!getTableRequest()
-            .equals(other.getTableRequest())) return false;
+        if (!getCatchUpRequest()
+            .equals(other.getCatchUpRequest())) return false;
         break;
       case 6:
-        if (!getTableReply()
-            .equals(other.getTableReply())) return false;
+        if (!getCatchUpReply()
+            .equals(other.getCatchUpReply())) return false;
         break;
       case 7:
         if (!getClaimRequest()
@@ -562,8 +562,8 @@
             .equals(other.getAcknowledgement())) return false;
         break;
       case 11:
-        if (!getRosterReply()
-            .equals(other.getRosterReply())) return false;
+        if (!getLeavingNews()
+            .equals(other.getLeavingNews())) return false;
         break;
       case 0:
       default:
@@ -593,12 +593,12 @@
         hash = (53 * hash) + getHeartbeat().hashCode();
         break;
       case 5:
-        hash = (37 * hash) + TABLE_REQUEST_FIELD_NUMBER;
-        hash = (53 * hash) + getTableRequest().hashCode();
+        hash = (37 * hash) + CATCH_UP_REQUEST_FIELD_NUMBER;
+        hash = (53 * hash) + getCatchUpRequest().hashCode();
         break;
       case 6:
-        hash = (37 * hash) + TABLE_REPLY_FIELD_NUMBER;
-        hash = (53 * hash) + getTableReply().hashCode();
+        hash = (37 * hash) + CATCH_UP_REPLY_FIELD_NUMBER;
+        hash = (53 * hash) + getCatchUpReply().hashCode();
         break;
       case 7:
         hash = (37 * hash) + CLAIM_REQUEST_FIELD_NUMBER;
@@ -617,8 +617,8 @@
         hash = (53 * hash) + getAcknowledgement().hashCode();
         break;
       case 11:
-        hash = (37 * hash) + ROSTER_REPLY_FIELD_NUMBER;
-        hash = (53 * hash) + getRosterReply().hashCode();
+        hash = (37 * hash) + LEAVING_NEWS_FIELD_NUMBER;
+        hash = (53 * hash) + getLeavingNews().hashCode();
         break;
       case 0:
       default:
@@ -722,7 +722,7 @@
   }
   /**
    * <pre>
-   * What one daemon tells another.
+   * What one daemon tells another. `exchange` pairs a reply with its request; 0 asks for no reply.
    * </pre>
    *
    * Protobuf type {@code fawndrum.PeerMessage}
@@ -764,11 +764,11 @@
       if (heartbeatBuilder_ != null) {
         heartbeatBuilder_.clear();
       }
-      if (tableRequestBuilder_ != null) {
-        tableRequestBuilder_.clear();
+      if (catchUpRequestBuilder_ != null) {
+        catchUpRequestBuilder_.clear();
       }
-      if (tableReplyBuilder_ != null) {
-        tableReplyBuilder_.clear();
+      if (catchUpReplyBuilder_ != null) {
+        catchUpReplyBuilder_.clear();
       }
       if (claimRequestBuilder_ != null) {
         claimRequestBuilder_.clear();
@@ -782,8 +782,8 @@
       if (acknowledgementBuilder_ != null) {
         acknowledgementBuilder_.clear();
       }
-      if (rosterReplyBuilder_ != null) {
-        rosterReplyBuilder_.clear();
+      if (leavingNewsBuilder_ != null) {
+        leavingNewsBuilder_.clear();
       }
       bodyCase_ = 0;
       body_ = null;
@@ -840,12 +840,12 @@
         result.body_ = heartbeatBuilder_.build();
       }
       if (bodyCase_ == 5 &&
-          tableRequestBuilder_ != null) {
-        result.body_ = tableRequestBuilder_.build();
+          catchUpRequestBuilder_ != null) {
+        result.body_ = catchUpRequestBuilder_.build();
       }
       if (bodyCase_ == 6 &&
-          tableReplyBuilder_ != null) {
-        result.body_ = tableReplyBuilder_.build();
+          catchUpReplyBuilder_ != null) {
+        result.body_ = catchUpReplyBuilder_.build();
       }
       if (bodyCase_ == 7 &&
           claimRequestBuilder_ != null) {
@@ -864,8 +864,8 @@
         result.body_ = acknowledgementBuilder_.build();
       }
       if (bodyCase_ == 11 &&
-          rosterReplyBuilder_ != null) {
-        result.body_ = rosterReplyBuilder_.build();
+          leavingNewsBuilder_ != null) {
+        result.body_ = leavingNewsBuilder_.build();
       }
     }
 
@@ -897,12 +897,12 @@
           mergeHeartbeat(other.getHeartbeat());
           break;
         }
-        case TABLE_REQUEST: {
-          mergeTableRequest(other.getTableRequest());
+        case CATCH_UP_REQUEST: {
+          mergeCatchUpRequest(other.getCatchUpRequest());
           break;
         }
-        case TABLE_REPLY: {
-          mergeTableReply(other.getTableReply());
+        case CATCH_UP_REPLY: {
+          mergeCatchUpReply(other.getCatchUpReply());
           break;
         }
         case CLAIM_REQUEST: {
@@ -921,8 +921,8 @@
           mergeAcknowledgement(other.getAcknowledgement());
           break;
         }
-        case ROSTER_REPLY: {
-          mergeRosterReply(other.getRosterReply());
+        case LEAVING_NEWS: {
+          mergeLeavingNews(other.getLeavingNews());
           break;
         }
         case BODY_NOT_SET: {
@@ -979,14 +979,14 @@
             } // case 34
             case 42: {
               input.readMessage(
-                  internalGetTableRequestFieldBuilder().getBuilder(),
+                  internalGetCatchUpRequestFieldBuilder().getBuilder(),
                   extensionRegistry);
               bodyCase_ = 5;
               break;
             } // case 42
             case 50: {
               input.readMessage(
-                  internalGetTableReplyFieldBuilder().getBuilder(),
+                  internalGetCatchUpReplyFieldBuilder().getBuilder(),
                   extensionRegistry);
               bodyCase_ = 6;
               break;
@@ -1021,7 +1021,7 @@
             } // case 82
             case 90: {
               input.readMessage(
-                  internalGetRosterReplyFieldBuilder().getBuilder(),
+                  internalGetLeavingNewsFieldBuilder().getBuilder(),
                   extensionRegistry);
               bodyCase_ = 11;
               break;
@@ -1337,71 +1337,71 @@
     }
 
     private com.google.protobuf.SingleFieldBuilder<
-        org.fawndrum.protocol.wire.TableRequest, org.fawndrum.protocol.wire.TableRequest.Builder, org.fawndrum.protocol.wire.TableRequestOrBuilder> tableRequestBuilder_;
+        org.fawndrum.protocol.wire.CatchUpRequest, org.fawndrum.protocol.wire.CatchUpRequest.Builder, org.fawndrum.protocol.wire.CatchUpRequestOrBuilder> catchUpRequestBuilder_;
     /**
-     * <code>.fawndrum.TableRequest table_request = 5;</code>
-     * @return Whether the tableRequest field is set.
+     * <code>.fawndrum.CatchUpRequest catch_up_request = 5;</code>
+     * @return Whether the catchUpRequest field is set.
      */
     @java.lang.Override
-    public boolean hasTableRequest() {
+    public boolean hasCatchUpRequest() {
       return bodyCase_ == 5;
     }
     /**
-     * <code>.fawndrum.TableRequest table_request = 5;</code>
-     * @return The tableRequest.
+     * <code>.fawndrum.CatchUpRequest catch_up_request = 5;</code>
+     * @return The catchUpRequest.
      */
     @java.lang.Override
-    public org.fawndrum.protocol.wire.TableRequest getTableRequest() {
-      if (tableRequestBuilder_ == null) {
+    public org.fawndrum.protocol.wire.CatchUpRequest getCatchUpRequest() {
+      if (catchUpRequestBuilder_ == null) {
         if (bodyCase_ == 5) {
-          return (org.fawndrum.protocol.wire.TableRequest) body_;
+          return (org.fawndrum.protocol.wire.CatchUpRequest) body_;
         }
-        return org.fawndrum.protocol.wire.TableRequest.getDefaultInstance();
+        return org.fawndrum.protocol.wire.CatchUpRequest.getDefaultInstance();
       } else {
         if (bodyCase_ == 5) {
-          return tableRequestBuilder_.getMessage();
+          return catchUpRequestBuilder_.getMessage();
         }
-        return org.fawndrum.protocol.wire.TableRequest.getDefaultInstance();
+        return org.fawndrum.protocol.wire.CatchUpRequest.getDefaultInstance();
       }
     }
     /**
-     * <code>.fawndrum.TableRequest table_request = 5;</code>
+     * <code>.fawndrum.CatchUpRequest catch_up_request = 5;</code>
      */
-    public Builder setTableRequest(org.fawndrum.protocol.wire.TableRequest value) {
-      if (tableRequestBuilder_ == null) {
+    public Builder setCatchUpRequest(org.fawndrum.protocol.wire.CatchUpRequest value) {
+      if (catchUpRequestBuilder_ == null) {
         if (value == null) {
           throw new NullPointerException();
         }
         body_ = value;
         onChanged();
       } else {
-        tableRequestBuilder_.setMessage(value);
+        catchUpRequestBuilder_.setMessage(value);
       }
       bodyCase_ = 5;
       return this;
     }
     /**
-     * <code>.fawndrum.TableRequest table_request = 5;</code>
+     * <code>.fawndrum.CatchUpRequest catch_up_request = 5;</code>
      */
-    public Builder setTableRequest(
-        org.fawndrum.protocol.wire.TableRequest.Builder builderForValue) {
-      if (tableRequestBuilder_ == null) {
+    public Builder setCatchUpRequest(
+        org.fawndrum.protocol.wire.CatchUpRequest.Builder builderForValue) {
+      if (catchUpRequestBuilder_ == null) {
         body_ = builderForValue.build();
         onChanged();
       } else {
-        tableRequestBuilder_.setMessage(builderForValue.build());
+        catchUpRequestBuilder_.setMessage(builderForValue.build());
       }
       bodyCase_ = 5;
       return this;
     }
     /**
-     * <code>.fawndrum.TableRequest table_request = 5;</code>
+     * <code>.fawndrum.CatchUpRequest catch_up_request = 5;</code>
      */
-    public Builder mergeTableRequest(org.fawndrum.protocol.wire.TableRequest value) {
-      if (tableRequestBuilder_ == null) {
+    public Builder mergeCatchUpRequest(org.fawndrum.protocol.wire.CatchUpRequest value) {
+      if (catchUpRequestBuilder_ == null) {
         if (bodyCase_ == 5 &&
-            body_ != org.fawndrum.protocol.wire.TableRequest.getDefaultInstance()) {
-          body_ = org.fawndrum.protocol.wire.TableRequest.newBuilder((org.fawndrum.protocol.wire.TableRequest) body_)
+            body_ != org.fawndrum.protocol.wire.CatchUpRequest.getDefaultInstance()) {
+          body_ = org.fawndrum.protocol.wire.CatchUpRequest.newBuilder((org.fawndrum.protocol.wire.CatchUpRequest) body_)
               .mergeFrom(value).buildPartial();
         } else {
           body_ = value;
@@ -1409,19 +1409,19 @@
         onChanged();
       } else {
         if (bodyCase_ == 5) {
-          tableRequestBuilder_.mergeFrom(value);
+          catchUpRequestBuilder_.mergeFrom(value);
         } else {
-          tableRequestBuilder_.setMessage(value);
+          catchUpRequestBuilder_.setMessage(value);
         }
       }
       bodyCase_ = 5;
       return this;
     }
     /**
-     * <code>.fawndrum.TableRequest table_request = 5;</code>
+     * <code>.fawndrum.CatchUpRequest catch_up_request = 5;</code>
      */
-    public Builder clearTableRequest() {
-      if (tableRequestBuilder_ == null) {
+    public Builder clearCatchUpRequest() {
+      if (catchUpRequestBuilder_ == null) {
         if (bodyCase_ == 5) {
           bodyCase_ = 0;
           body_ = null;
@@ -1432,118 +1432,118 @@
           bodyCase_ = 0;
           body_ = null;
         }
-        tableRequestBuilder_.clear();
+        catchUpRequestBuilder_.clear();
       }
       return this;
     }
     /**
-     * <code>.fawndrum.TableRequest table_request = 5;</code>
+     * <code>.fawndrum.CatchUpRequest catch_up_request = 5;</code>
      */
-    public org.fawndrum.protocol.wire.TableRequest.Builder getTableRequestBuilder() {
-      return internalGetTableRequestFieldBuilder().getBuilder();
+    public org.fawndrum.protocol.wire.CatchUpRequest.Builder getCatchUpRequestBuilder() {
+      return internalGetCatchUpRequestFieldBuilder().getBuilder();
     }
     /**
-     * <code>.fawndrum.TableRequest table_request = 5;</code>
+     * <code>.fawndrum.CatchUpRequest catch_up_request = 5;</code>
      */
     @java.lang.Override
-    public org.fawndrum.protocol.wire.TableRequestOrBuilder getTableRequestOrBuilder() {
-      if ((bodyCase_ == 5) && (tableRequestBuilder_ != null)) {
-        return tableRequestBuilder_.getMessageOrBuilder();
+    public org.fawndrum.protocol.wire.CatchUpRequestOrBuilder getCatchUpRequestOrBuilder() {
+      if ((bodyCase_ == 5) && (catchUpRequestBuilder_ != null)) {
+        return catchUpRequestBuilder_.getMessageOrBuilder();
       } else {
         if (bodyCase_ == 5) {
-          return (org.fawndrum.protocol.wire.TableRequest) body_;
+          return (org.fawndrum.protocol.wire.CatchUpRequest) body_;
         }
-        return org.fawndrum.protocol.wire.TableRequest.getDefaultInstance();
+        return org.fawndrum.protocol.wire.CatchUpRequest.getDefaultInstance();
       }
     }
     /**
-     * <code>.fawndrum.TableRequest table_request = 5;</code>
+     * <code>.fawndrum.CatchUpRequest catch_up_request = 5;</code>
      */
     private com.google.protobuf.SingleFieldBuilder<
-        org.fawndrum.protocol.wire.TableRequest, org.fawndrum.protocol.wire.TableRequest.Builder, org.fawndrum.protocol.wire.TableRequestOrBuilder> 
-        internalGetTableRequestFieldBuilder() {
-      if (tableRequestBuilder_ == null) {
+        org.fawndrum.protocol.wire.CatchUpRequest, org.fawndrum.protocol.wire.CatchUpRequest.Builder, org.fawndrum.protocol.wire.CatchUpRequestOrBuilder> 
+        internalGetCatchUpRequestFieldBuilder() {
+      if (catchUpRequestBuilder_ == null) {
         if (!(bodyCase_ == 5)) {
-          body_ = org.fawndrum.protocol.wire.TableRequest.getDefaultInstance();
+          body_ = org.fawndrum.protocol.wire.CatchUpRequest.getDefaultInstance();
         }
-        tableRequestBuilder_ = new com.google.protobuf.SingleFieldBuilder<
-            org.fawndrum.protocol.wire.TableRequest, org.fawndrum.protocol.wire.TableRequest.Builder, org.fawndrum.protocol.wire.TableRequestOrBuilder>(
-                (org.fawndrum.protocol.wire.TableRequest) body_,
+        catchUpRequestBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            org.fawndrum.protocol.wire.CatchUpRequest, org.fawndrum.protocol.wire.CatchUpRequest.Builder, org.fawndrum.protocol.wire.CatchUpRequestOrBuilder>(
+                (org.fawndrum.protocol.wire.CatchUpRequest) body_,
                 getParentForChildren(),
                 isClean());
         body_ = null;
       }
       bodyCase_ = 5;
       onChanged();
-      return tableRequestBuilder_;
+      return catchUpRequestBuilder_;
     }
 
     private com.google.protobuf.SingleFieldBuilder<
-        org.fawndrum.protocol.wire.TableReply, org.fawndrum.protocol.wire.TableReply.Builder, org.fawndrum.protocol.wire.TableReplyOrBuilder> tableReplyBuilder_;
+        org.fawndrum.protocol.wire.CatchUpReply, org.fawndrum.protocol.wire.CatchUpReply.Builder, org.fawndrum.protocol.wire.CatchUpReplyOrBuilder> catchUpReplyBuilder_;
     /**
-     * <code>.fawndrum.TableReply table_reply = 6;</code>
-     * @return Whether the tableReply field is set.
+     * <code>.fawndrum.CatchUpReply catch_up_reply = 6;</code>
+     * @return Whether the catchUpReply field is set.
      */
     @java.lang.Override
-    public boolean hasTableReply() {
+    public boolean hasCatchUpReply() {
       return bodyCase_ == 6;
     }
     /**
-     * <code>.fawndrum.TableReply table_reply = 6;</code>
-     * @return The tableReply.
+     * <code>.fawndrum.CatchUpReply catch_up_reply = 6;</code>
+     * @return The catchUpReply.
      */
     @java.lang.Override
-    public org.fawndrum.protocol.wire.TableReply getTableReply() {
-      if (tableReplyBuilder_ == null) {
+    public org.fawndrum.protocol.wire.CatchUpReply getCatchUpReply() {
+      if (catchUpReplyBuilder_ == null) {
         if (bodyCase_ == 6) {
-          return (org.fawndrum.protocol.wire.TableReply) body_;
+          return (org.fawndrum.protocol.wire.CatchUpReply) body_;
         }
-        return org.fawndrum.protocol.wire.TableReply.getDefaultInstance();
+        return org.fawndrum.protocol.wire.CatchUpReply.getDefaultInstance();
       } else {
         if (bodyCase_ == 6) {
-          return tableReplyBuilder_.getMessage();
+          return catchUpReplyBuilder_.getMessage();
         }
-        return org.fawndrum.protocol.wire.TableReply.getDefaultInstance();
+        return org.fawndrum.protocol.wire.CatchUpReply.getDefaultInstance();
       }
     }
     /**
-     * <code>.fawndrum.TableReply table_reply = 6;</code>
+     * <code>.fawndrum.CatchUpReply catch_up_reply = 6;</code>
      */
-    public Builder setTableReply(org.fawndrum.protocol.wire.TableReply value) {
-      if (tableReplyBuilder_ == null) {
+    public Builder setCatchUpReply(org.fawndrum.protocol.wire.CatchUpReply value) {
+      if (catchUpReplyBuilder_ == null) {
         if (value == null) {
           throw new NullPointerException();
         }
         body_ = value;
         onChanged();
       } else {
-        tableReplyBuilder_.setMessage(value);
+        catchUpReplyBuilder_.setMessage(value);
       }
       bodyCase_ = 6;
       return this;
     }
     /**
-     * <code>.fawndrum.TableReply table_reply = 6;</code>
+     * <code>.fawndrum.CatchUpReply catch_up_reply = 6;</code>
      */
-    public Builder setTableReply(
-        org.fawndrum.protocol.wire.TableReply.Builder builderForValue) {
-      if (tableReplyBuilder_ == null) {
+    public Builder setCatchUpReply(
+        org.fawndrum.protocol.wire.CatchUpReply.Builder builderForValue) {
+      if (catchUpReplyBuilder_ == null) {
         body_ = builderForValue.build();
         onChanged();
       } else {
-        tableReplyBuilder_.setMessage(builderForValue.build());
+        catchUpReplyBuilder_.setMessage(builderForValue.build());
       }
       bodyCase_ = 6;
       return this;
     }
     /**
-     * <code>.fawndrum.TableReply table_reply = 6;</code>
+     * <code>.fawndrum.CatchUpReply catch_up_reply = 6;</code>
      */
-    public Builder mergeTableReply(org.fawndrum.protocol.wire.TableReply value) {
-      if (tableReplyBuilder_ == null) {
+    public Builder mergeCatchUpReply(org.fawndrum.protocol.wire.CatchUpReply value) {
+      if (catchUpReplyBuilder_ == null) {
         if (bodyCase_ == 6 &&
-            body_ != org.fawndrum.protocol.wire.TableReply.getDefaultInstance()) {
-          body_ = org.fawndrum.protocol.wire.TableReply.newBuilder((org.fawndrum.protocol.wire.TableReply) body_)
+            body_ != org.fawndrum.protocol.wire.CatchUpReply.getDefaultInstance()) {
+          body_ = org.fawndrum.protocol.wire.CatchUpReply.newBuilder((org.fawndrum.protocol.wire.CatchUpReply) body_)
               .mergeFrom(value).buildPartial();
         } else {
           body_ = value;
@@ -1551,19 +1551,19 @@
         onChanged();
       } else {
         if (bodyCase_ == 6) {
-          tableReplyBuilder_.mergeFrom(value);
+          catchUpReplyBuilder_.mergeFrom(value);
         } else {
-          tableReplyBuilder_.setMessage(value);
+          catchUpReplyBuilder_.setMessage(value);
         }
       }
       bodyCase_ = 6;
       return this;
     }
     /**
-     * <code>.fawndrum.TableReply table_reply = 6;</code>
+     * <code>.fawndrum.CatchUpReply catch_up_reply = 6;</code>
      */
-    public Builder clearTableReply() {
-      if (tableReplyBuilder_ == null) {
+    public Builder clearCatchUpReply() {
+      if (catchUpReplyBuilder_ == null) {
         if (bodyCase_ == 6) {
           bodyCase_ = 0;
           body_ = null;
@@ -1574,50 +1574,50 @@
           bodyCase_ = 0;
           body_ = null;
         }
-        tableReplyBuilder_.clear();
+        catchUpReplyBuilder_.clear();
       }
       return this;
     }
     /**
-     * <code>.fawndrum.TableReply table_reply = 6;</code>
+     * <code>.fawndrum.CatchUpReply catch_up_reply = 6;</code>
      */
-    public org.fawndrum.protocol.wire.TableReply.Builder getTableReplyBuilder() {
-      return internalGetTableReplyFieldBuilder().getBuilder();
+    public org.fawndrum.protocol.wire.CatchUpReply.Builder getCatchUpReplyBuilder() {
+      return internalGetCatchUpReplyFieldBuilder().getBuilder();
     }
     /**
-     * <code>.fawndrum.TableReply table_reply = 6;</code>
+     * <code>.fawndrum.CatchUpReply catch_up_reply = 6;</code>
      */
     @java.lang.Override
-    public org.fawndrum.protocol.wire.TableReplyOrBuilder getTableReplyOrBuilder() {
-      if ((bodyCase_ == 6) && (tableReplyBuilder_ != null)) {
-        return tableReplyBuilder_.getMessageOrBuilder();
+    public org.fawndrum.protocol.wire.CatchUpReplyOrBuilder getCatchUpReplyOrBuilder() {
+      if ((bodyCase_ == 6) && (catchUpReplyBuilder_ != null)) {
+        return catchUpReplyBuilder_.getMessageOrBuilder();
       } else {
         if (bodyCase_ == 6) {
-          return (org.fawndrum.protocol.wire.TableReply) body_;
+          return (org.fawndrum.protocol.wire.CatchUpReply) body_;
         }
-        return org.fawndrum.protocol.wire.TableReply.getDefaultInstance();
+        return org.fawndrum.protocol.wire.CatchUpReply.getDefaultInstance();
       }
     }
     /**
-     * <code>.fawndrum.TableReply table_reply = 6;</code>
+     * <code>.fawndrum.CatchUpReply catch_up_reply = 6;</code>
      */
     private com.google.protobuf.SingleFieldBuilder<
-        org.fawndrum.protocol.wire.TableReply, org.fawndrum.protocol.wire.TableReply.Builder, org.fawndrum.protocol.wire.TableReplyOrBuilder> 
-        internalGetTableReplyFieldBuilder() {
-      if (tableReplyBuilder_ == null) {
+        org.fawndrum.protocol.wire.CatchUpReply, org.fawndrum.protocol.wire.CatchUpReply.Builder, org.fawndrum.protocol.wire.CatchUpReplyOrBuilder> 
+        internalGetCatchUpReplyFieldBuilder() {
+      if (catchUpReplyBuilder_ == null) {
         if (!(bodyCase_ == 6)) {
-          body_ = org.fawndrum.protocol.wire.TableReply.getDefaultInstance();
+          body_ = org.fawndrum.protocol.wire.CatchUpReply.getDefaultInstance();
         }
-        tableReplyBuilder_ = new com.google.protobuf.SingleFieldBuilder<
-            org.fawndrum.protocol.wire.TableReply, org.fawndrum.protocol.wire.TableReply.Builder, org.fawndrum.protocol.wire.TableReplyOrBuilder>(
-                (org.fawndrum.protocol.wire.TableReply) body_,
+        catchUpReplyBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            org.fawndrum.protocol.wire.CatchUpReply, org.fawndrum.protocol.wire.CatchUpReply.Builder, org.fawndrum.protocol.wire.CatchUpReplyOrBuilder>(
+                (org.fawndrum.protocol.wire.CatchUpReply) body_,
                 getParentForChildren(),
                 isClean());
         body_ = null;
       }
       bodyCase_ = 6;
       onChanged();
-      return tableReplyBuilder_;
+      return catchUpReplyBuilder_;
     }
 
     private com.google.protobuf.SingleFieldBuilder<
@@ -2189,71 +2189,71 @@
     }
 
     private com.google.protobuf.SingleFieldBuilder<
-        org.fawndrum.protocol.wire.RosterReply, org.fawndrum.protocol.wire.RosterReply.Builder, org.fawndrum.protocol.wire.RosterReplyOrBuilder> rosterReplyBuilder_;
+        org.fawndrum.protocol.wire.LeavingNews, org.fawndrum.protocol.wire.LeavingNews.Builder, org.fawndrum.protocol.wire.LeavingNewsOrBuilder> leavingNewsBuilder_;
     /**
-     * <code>.fawndrum.RosterReply roster_reply = 11;</code>
-     * @return Whether the rosterReply field is set.
+     * <code>.fawndrum.LeavingNews leaving_news = 11;</code>
+     * @return Whether the leavingNews field is set.
      */
     @java.lang.Override
-    public boolean hasRosterReply() {
+    public boolean hasLeavingNews() {
       return bodyCase_ == 11;
     }
     /**
-     * <code>.fawndrum.RosterReply roster_reply = 11;</code>
-     * @return The rosterReply.
+     * <code>.fawndrum.LeavingNews leaving_news = 11;</code>
+     * @return The leavingNews.
      */
     @java.lang.Override
-    public org.fawndrum.protocol.wire.RosterReply getRosterReply() {
-      if (rosterReplyBuilder_ == null) {
+    public org.fawndrum.protocol.wire.LeavingNews getLeavingNews() {
+      if (leavingNewsBuilder_ == null) {
         if (bodyCase_ == 11) {
-          return (org.fawndrum.protocol.wire.RosterReply) body_;
+          return (org.fawndrum.protocol.wire.LeavingNews) body_;
         }
-        return org.fawndrum.protocol.wire.RosterReply.getDefaultInstance();
+        return org.fawndrum.protocol.wire.LeavingNews.getDefaultInstance();
       } else {
         if (bodyCase_ == 11) {
-          return rosterReplyBuilder_.getMessage();
+          return leavingNewsBuilder_.getMessage();
         }
-        return org.fawndrum.protocol.wire.RosterReply.getDefaultInstance();
+        return org.fawndrum.protocol.wire.LeavingNews.getDefaultInstance();
       }
     }
     /**
-     * <code>.fawndrum.RosterReply roster_reply = 11;</code>
+     * <code>.fawndrum.LeavingNews leaving_news = 11;</code>
      */
-    public Builder setRosterReply(org.fawndrum.protocol.wire.RosterReply value) {
-      if (rosterReplyBuilder_ == null) {
+    public Builder setLeavingNews(org.fawndrum.protocol.wire.LeavingNews value) {
+      if (leavingNewsBuilder_ == null) {
         if (value == null) {
           throw new NullPointerException();
         }
         body_ = value;
         onChanged();
       } else {
-        rosterReplyBuilder_.setMessage(value);
+        leavingNewsBuilder_.setMessage(value);
       }
       bodyCase_ = 11;
       return this;
     }
     /**
-     * <code>.fawndrum.RosterReply roster_reply = 11;</code>
+     * <code>.fawndrum.LeavingNews leaving_news = 11;</code>
      */
-    public Builder setRosterReply(
-        org.fawndrum.protocol.wire.RosterReply.Builder builderForValue) {
-      if (rosterReplyBuilder_ == null) {
+    public Builder setLeavingNews(
+        org.fawndrum.protocol.wire.LeavingNews.Builder builderForValue) {
+      if (leavingNewsBuilder_ == null) {
         body_ = builderForValue.build();
         onChanged();
       } else {
-        rosterReplyBuilder_.setMessage(builderForValue.build());
+        leavingNewsBuilder_.setMessage(builderForValue.build());
       }
       bodyCase_ = 11;
       return this;
     }
     /**
-     * <code>.fawndrum.RosterReply roster_reply = 11;</code>
+     * <code>.fawndrum.LeavingNews leaving_news = 11;</code>
      */
-    public Builder mergeRosterReply(org.fawndrum.protocol.wire.RosterReply value) {
-      if (rosterReplyBuilder_ == null) {
+    public Builder mergeLeavingNews(org.fawndrum.protocol.wire.LeavingNews value) {
+      if (leavingNewsBuilder_ == null) {
         if (bodyCase_ == 11 &&
-            body_ != org.fawndrum.protocol.wire.RosterReply.getDefaultInstance()) {
-          body_ = org.fawndrum.protocol.wire.RosterReply.newBuilder((org.fawndrum.protocol.wire.RosterReply) body_)
+            body_ != org.fawndrum.protocol.wire.LeavingNews.getDefaultInstance()) {
+          body_ = org.fawndrum.protocol.wire.LeavingNews.newBuilder((org.fawndrum.protocol.wire.LeavingNews) body_)
               .mergeFrom(value).buildPartial();
         } else {
           body_ = value;
@@ -2261,19 +2261,19 @@
         onChanged();
       } else {
         if (bodyCase_ == 11) {
-          rosterReplyBuilder_.mergeFrom(value);
+          leavingNewsBuilder_.mergeFrom(value);
         } else {
-          rosterReplyBuilder_.setMessage(value);
+          leavingNewsBuilder_.setMessage(value);
         }
       }
       bodyCase_ = 11;
       return this;
     }
     /**
-     * <code>.fawndrum.RosterReply roster_reply = 11;</code>
+     * <code>.fawndrum.LeavingNews leaving_news = 11;</code>
      */
-    public Builder clearRosterReply() {
-      if (rosterReplyBuilder_ == null) {
+    public Builder clearLeavingNews() {
+      if (leavingNewsBuilder_ == null) {
         if (bodyCase_ == 11) {
           bodyCase_ = 0;
           body_ = null;
@@ -2284,50 +2284,50 @@
           bodyCase_ = 0;
           body_ = null;
         }
-        rosterReplyBuilder_.clear();
+        leavingNewsBuilder_.clear();
       }
       return this;
     }
     /**
-     * <code>.fawndrum.RosterReply roster_reply = 11;</code>
+     * <code>.fawndrum.LeavingNews leaving_news = 11;</code>
      */
-    public org.fawndrum.protocol.wire.RosterReply.Builder getRosterReplyBuilder() {
-      return internalGetRosterReplyFieldBuilder().getBuilder();
+    public org.fawndrum.protocol.wire.LeavingNews.Builder getLeavingNewsBuilder() {
+      return internalGetLeavingNewsFieldBuilder().getBuilder();
     }
     /**
-     * <code>.fawndrum.RosterReply roster_reply = 11;</code>
+     * <code>.fawndrum.LeavingNews leaving_news = 11;</code>
      */
     @java.lang.Override
-    public org.fawndrum.protocol.wire.RosterReplyOrBuilder getRosterReplyOrBuilder() {
-      if ((bodyCase_ == 11) && (rosterReplyBuilder_ != null)) {
-        return rosterReplyBuilder_.getMessageOrBuilder();
+    public org.fawndrum.protocol.wire.LeavingNewsOrBuilder getLeavingNewsOrBuilder() {
+      if ((bodyCase_ == 11) && (leavingNewsBuilder_ != null)) {
+        return leavingNewsBuilder_.getMessageOrBuilder();
       } else {
         if (bodyCase_ == 11) {
-          return (org.fawndrum.protocol.wire.RosterReply) body_;
+          return (org.fawndrum.protocol.wire.LeavingNews) body_;
         }
-        return org.fawndrum.protocol.wire.RosterReply.getDefaultInstance();
+        return org.fawndrum.protocol.wire.LeavingNews.getDefaultInstance();
       }
     }
     /**
-     * <code>.fawndrum.RosterReply roster_reply = 11;</code>
+     * <code>.fawndrum.LeavingNews leaving_news = 11;</code>
      */
     private com.google.protobuf.SingleFieldBuilder<
-        org.fawndrum.protocol.wire.RosterReply, org.fawndrum.protocol.wire.RosterReply.Builder, org.fawndrum.protocol.wire.RosterReplyOrBuilder> 
-        internalGetRosterReplyFieldBuilder() {
-      if (rosterReplyBuilder_ == null) {
+        org.fawndrum.protocol.wire.LeavingNews, org.fawndrum.protocol.wire.LeavingNews.Builder, org.fawndrum.protocol.wire.LeavingNewsOrBuilder> 
+        internalGetLeavingNewsFieldBuilder() {
+      if (leavingNewsBuilder_ == null) {
         if (!(bodyCase_ == 11)) {
-          body_ = org.fawndrum.protocol.wire.RosterReply.getDefaultInstance();
+          body_ = org.fawndrum.protocol.wire.LeavingNews.getDefaultInstance();
         }
-        rosterReplyBuilder_ = new com.google.protobuf.SingleFieldBuilder<
-            org.fawndrum.protocol.wire.RosterReply, org.fawndrum.protocol.wire.RosterReply.Builder, org.fawndrum.protocol.wire.RosterReplyOrBuilder>(
-                (org.fawndrum.protocol.wire.RosterReply) body_,
+        leavingNewsBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            org.fawndrum.protocol.wire.LeavingNews, org.fawndrum.protocol.wire.LeavingNews.Builder, org.fawndrum.protocol.wire.LeavingNewsOrBuilder>(
+                (org.fawndrum.protocol.wire.LeavingNews) body_,
                 getParentForChildren(),
                 isClean());
         body_ = null;
       }
       bodyCase_ = 11;
       onChanged();
-      return rosterReplyBuilder_;
+      return leavingNewsBuilder_;
     }
 
     // @@protoc_insertion_point(builder_scope:fawndrum.PeerMessage)
--- a/org.fawndrum/src/org/fawndrum/protocol/wire/PeerMessageOrBuilder.java
+++ b/org.fawndrum/src/org/fawndrum/protocol/wire/PeerMessageOrBuilder.java
@@ -50,34 +50,34 @@
   org.fawndrum.protocol.wire.HeartbeatOrBuilder getHeartbeatOrBuilder();
 
   /**
-   * <code>.fawndrum.TableRequest table_request = 5;</code>
-   * @return Whether the tableRequest field is set.
+   * <code>.fawndrum.CatchUpRequest catch_up_request = 5;</code>
+   * @return Whether the catchUpRequest field is set.
    */
-  boolean hasTableRequest();
+  boolean hasCatchUpRequest();
   /**
-   * <code>.fawndrum.TableRequest table_request = 5;</code>
-   * @return The tableRequest.
+   * <code>.fawndrum.CatchUpRequest catch_up_request = 5;</code>
+   * @return The catchUpRequest.
    */
-  org.fawndrum.protocol.wire.TableRequest getTableRequest();
+  org.fawndrum.protocol.wire.CatchUpRequest getCatchUpRequest();
   /**
-   * <code>.fawndrum.TableRequest table_request = 5;</code>
+   * <code>.fawndrum.CatchUpRequest catch_up_request = 5;</code>
    */
-  org.fawndrum.protocol.wire.TableRequestOrBuilder getTableRequestOrBuilder();
+  org.fawndrum.protocol.wire.CatchUpRequestOrBuilder getCatchUpRequestOrBuilder();
 
   /**
-   * <code>.fawndrum.TableReply table_reply = 6;</code>
-   * @return Whether the tableReply field is set.
+   * <code>.fawndrum.CatchUpReply catch_up_reply = 6;</code>
+   * @return Whether the catchUpReply field is set.
    */
-  boolean hasTableReply();
+  boolean hasCatchUpReply();
   /**
-   * <code>.fawndrum.TableReply table_reply = 6;</code>
-   * @return The tableReply.
+   * <code>.fawndrum.CatchUpReply catch_up_reply = 6;</code>
+   * @return The catchUpReply.
    */
-  org.fawndrum.protocol.wire.TableReply getTableReply();
+  org.fawndrum.protocol.wire.CatchUpReply getCatchUpReply();
   /**
-   * <code>.fawndrum.TableReply table_reply = 6;</code>
+   * <code>.fawndrum.CatchUpReply catch_up_reply = 6;</code>
    */
-  org.fawndrum.protocol.wire.TableReplyOrBuilder getTableReplyOrBuilder();
+  org.fawndrum.protocol.wire.CatchUpReplyOrBuilder getCatchUpReplyOrBuilder();
 
   /**
    * <code>.fawndrum.ClaimRequest claim_request = 7;</code>
@@ -140,19 +140,19 @@
   org.fawndrum.protocol.wire.AcknowledgementOrBuilder getAcknowledgementOrBuilder();
 
   /**
-   * <code>.fawndrum.RosterReply roster_reply = 11;</code>
-   * @return Whether the rosterReply field is set.
+   * <code>.fawndrum.LeavingNews leaving_news = 11;</code>
+   * @return Whether the leavingNews field is set.
    */
-  boolean hasRosterReply();
+  boolean hasLeavingNews();
   /**
-   * <code>.fawndrum.RosterReply roster_reply = 11;</code>
-   * @return The rosterReply.
+   * <code>.fawndrum.LeavingNews leaving_news = 11;</code>
+   * @return The leavingNews.
    */
-  org.fawndrum.protocol.wire.RosterReply getRosterReply();
+  org.fawndrum.protocol.wire.LeavingNews getLeavingNews();
   /**
-   * <code>.fawndrum.RosterReply roster_reply = 11;</code>
+   * <code>.fawndrum.LeavingNews leaving_news = 11;</code>
    */
-  org.fawndrum.protocol.wire.RosterReplyOrBuilder getRosterReplyOrBuilder();
+  org.fawndrum.protocol.wire.LeavingNewsOrBuilder getLeavingNewsOrBuilder();
 
   org.fawndrum.protocol.wire.PeerMessage.BodyCase getBodyCase();
 }
--- a/org.fawndrum/src/org/fawndrum/protocol/wire/SnapshotRecord.java
+++ b/org.fawndrum/src/org/fawndrum/protocol/wire/SnapshotRecord.java
@@ -35,6 +35,7 @@
     cells_ = java.util.Collections.emptyList();
     outcomes_ = java.util.Collections.emptyList();
     digest_ = com.google.protobuf.ByteString.EMPTY;
+    members_ = java.util.Collections.emptyList();
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -165,6 +166,67 @@
     return digest_;
   }
 
+  public static final int MEMBERS_FIELD_NUMBER = 6;
+  @SuppressWarnings("serial")
+  private java.util.List<org.fawndrum.protocol.wire.RegistrationRecord> members_;
+  /**
+   * <pre>
+   * Everybody registered at `position` who may have run calls that may not be repeated.
+   * </pre>
+   *
+   * <code>repeated .fawndrum.RegistrationRecord members = 6;</code>
+   */
+  @java.lang.Override
+  public java.util.List<org.fawndrum.protocol.wire.RegistrationRecord> getMembersList() {
+    return members_;
+  }
+  /**
+   * <pre>
+   * Everybody registered at `position` who may have run calls that may not be repeated.
+   * </pre>
+   *
+   * <code>repeated .fawndrum.RegistrationRecord members = 6;</code>
+   */
+  @java.lang.Override
+  public java.util.List<? extends org.fawndrum.protocol.wire.RegistrationRecordOrBuilder> 
+      getMembersOrBuilderList() {
+    return members_;
+  }
+  /**
+   * <pre>
+   * Everybody registered at `position` who may have run calls that may not be repeated.
+   * </pre>
+   *
+   * <code>repeated .fawndrum.RegistrationRecord members = 6;</code>
+   */
+  @java.lang.Override
+  public int getMembersCount() {
+    return members_.size();
+  }
+  /**
+   * <pre>
+   * Everybody registered at `position` who may have run calls that may not be repeated.
+   * </pre>
+   *
+   * <code>repeated .fawndrum.RegistrationRecord members = 6;</code>
+   */
+  @java.lang.Override
+  public org.fawndrum.protocol.wire.RegistrationRecord getMembers(int index) {
+    return members_.get(index);
+  }
+  /**
+   * <pre>
+   * Everybody registered at `position` who may have run calls that may not be repeated.
+   * </pre>
+   *
+   * <code>repeated .fawndrum.RegistrationRecord members = 6;</code>
+   */
+  @java.lang.Override
+  public org.fawndrum.protocol.wire.RegistrationRecordOrBuilder getMembersOrBuilder(
+      int index) {
+    return members_.get(index);
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -194,6 +256,9 @@
     if (!digest_.isEmpty()) {
       output.writeBytes(5, digest_);
     }
+    for (int i = 0; i < members_.size(); i++) {
+      output.writeMessage(6, members_.get(i));
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -223,6 +288,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeBytesSize(5, digest_);
     }
+    for (int i = 0; i < members_.size(); i++) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(6, members_.get(i));
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -248,6 +317,8 @@
         .equals(other.getOutcomesList())) return false;
     if (!getDigest()
         .equals(other.getDigest())) return false;
+    if (!getMembersList()
+        .equals(other.getMembersList())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -275,6 +346,10 @@
     }
     hash = (37 * hash) + DIGEST_FIELD_NUMBER;
     hash = (53 * hash) + getDigest().hashCode();
+    if (getMembersCount() > 0) {
+      hash = (37 * hash) + MEMBERS_FIELD_NUMBER;
+      hash = (53 * hash) + getMembersList().hashCode();
+    }
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -427,6 +502,13 @@
       }
       bitField0_ = (bitField0_ & ~0x00000008);
       digest_ = com.google.protobuf.ByteString.EMPTY;
+      if (membersBuilder_ == null) {
+        members_ = java.util.Collections.emptyList();
+      } else {
+        members_ = null;
+        membersBuilder_.clear();
+      }
+      bitField0_ = (bitField0_ & ~0x00000020);
       return this;
     }
 
@@ -478,6 +560,15 @@
       } else {
         result.outcomes_ = outcomesBuilder_.build();
       }
+      if (membersBuilder_ == null) {
+        if (((bitField0_ & 0x00000020) != 0)) {
+          members_ = java.util.Collections.unmodifiableList(members_);
+          bitField0_ = (bitField0_ & ~0x00000020);
+        }
+        result.members_ = members_;
+      } else {
+        result.members_ = membersBuilder_.build();
+      }
     }
 
     private void buildPartial0(org.fawndrum.protocol.wire.SnapshotRecord result) {
@@ -566,6 +657,32 @@
       if (!other.getDigest().isEmpty()) {
         setDigest(other.getDigest());
       }
+      if (membersBuilder_ == null) {
+        if (!other.members_.isEmpty()) {
+          if (members_.isEmpty()) {
+            members_ = other.members_;
+            bitField0_ = (bitField0_ & ~0x00000020);
+          } else {
+            ensureMembersIsMutable();
+            members_.addAll(other.members_);
+          }
+          onChanged();
+        }
+      } else {
+        if (!other.members_.isEmpty()) {
+          if (membersBuilder_.isEmpty()) {
+            membersBuilder_.dispose();
+            membersBuilder_ = null;
+            members_ = other.members_;
+            bitField0_ = (bitField0_ & ~0x00000020);
+            membersBuilder_ = 
+              com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
+                 internalGetMembersFieldBuilder() : null;
+          } else {
+            membersBuilder_.addAllMessages(other.members_);
+          }
+        }
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -633,6 +750,19 @@
               bitField0_ |= 0x00000010;
               break;
             } // case 42
+            case 50: {
+              org.fawndrum.protocol.wire.RegistrationRecord m =
+                  input.readMessage(
+                      org.fawndrum.protocol.wire.RegistrationRecord.parser(),
+                      extensionRegistry);
+              if (membersBuilder_ == null) {
+                ensureMembersIsMutable();
+                members_.add(m);
+              } else {
+                membersBuilder_.addMessage(m);
+              }
+              break;
+            } // case 50
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1226,6 +1356,318 @@
       return this;
     }
 
+    private java.util.List<org.fawndrum.protocol.wire.RegistrationRecord> members_ =
+      java.util.Collections.emptyList();
+    private void ensureMembersIsMutable() {
+      if (!((bitField0_ & 0x00000020) != 0)) {
+        members_ = new java.util.ArrayList<org.fawndrum.protocol.wire.RegistrationRecord>(members_);
+        bitField0_ |= 0x00000020;
+       }
+    }
+
+    private com.google.protobuf.RepeatedFieldBuilder<
+        org.fawndrum.protocol.wire.RegistrationRecord, org.fawndrum.protocol.wire.RegistrationRecord.Builder, org.fawndrum.protocol.wire.RegistrationRecordOrBuilder> membersBuilder_;
+
+    /**
+     * <pre>
+     * Everybody registered at `position` who may have run calls that may not be repeated.
+     * </pre>
+     *
+     * <code>repeated .fawndrum.RegistrationRecord members = 6;</code>
+     */
+    public java.util.List<org.fawndrum.protocol.wire.RegistrationRecord> getMembersList() {
+      if (membersBuilder_ == null) {
+        return java.util.Collections.unmodifiableList(members_);
+      } else {
+        return membersBuilder_.getMessageList();
+      }
+    }
+    /**
+     * <pre>
+     * Everybody registered at `position` who may have run calls that may not be repeated.
+     * </pre>
+     *
+     * <code>repeated .fawndrum.RegistrationRecord members = 6;</code>
+     */
+    public int getMembersCount() {
+      if (membersBuilder_ == null) {
+        return members_.size();
+      } else {
+        return membersBuilder_.getCount();
+      }
+    }
+    /**
+     * <pre>
+     * Everybody registered at `position` who may have run calls that may not be repeated.
+     * </pre>
+     *
+     * <code>repeated .fawndrum.RegistrationRecord members = 6;</code>
+     */
+    public org.fawndrum.protocol.wire.RegistrationRecord getMembers(int index) {
+      if (membersBuilder_ == null) {
+        return members_.get(index);
+      } else {
+        return membersBuilder_.getMessage(index);
+      }
+    }
+    /**
+     * <pre>
+     * Everybody registered at `position` who may have run calls that may not be repeated.
+     * </pre>
+     *
+     * <code>repeated .fawndrum.RegistrationRecord members = 6;</code>
+     */
+    public Builder setMembers(
+        int index, org.fawndrum.protocol.wire.RegistrationRecord value) {
+      if (membersBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        ensureMembersIsMutable();
+        members_.set(index, value);
+        onChanged();
+      } else {
+        membersBuilder_.setMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Everybody registered at `position` who may have run calls that may not be repeated.
+     * </pre>
+     *
+     * <code>repeated .fawndrum.RegistrationRecord members = 6;</code>
+     */
+    public Builder setMembers(
+        int index, org.fawndrum.protocol.wire.RegistrationRecord.Builder builderForValue) {
+      if (membersBuilder_ == null) {
+        ensureMembersIsMutable();
+        members_.set(index, builderForValue.build());
+        onChanged();
+      } else {
+        membersBuilder_.setMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Everybody registered at `position` who may have run calls that may not be repeated.
+     * </pre>
+     *
+     * <code>repeated .fawndrum.RegistrationRecord members = 6;</code>
+     */
+    public Builder addMembers(org.fawndrum.protocol.wire.RegistrationRecord value) {
+      if (membersBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        ensureMembersIsMutable();
+        members_.add(value);
+        onChanged();
+      } else {
+        membersBuilder_.addMessage(value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Everybody registered at `position` who may have run calls that may not be repeated.
+     * </pre>
+     *
+     * <code>repeated .fawndrum.RegistrationRecord members = 6;</code>
+     */
+    public Builder addMembers(
+        int index, org.fawndrum.protocol.wire.RegistrationRecord value) {
+      if (membersBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        ensureMembersIsMutable();
+        members_.add(index, value);
+        onChanged();
+      } else {
+        membersBuilder_.addMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Everybody registered at `position` who may have run calls that may not be repeated.
+     * </pre>
+     *
+     * <code>repeated .fawndrum.RegistrationRecord members = 6;</code>
+     */
+    public Builder addMembers(
+        org.fawndrum.protocol.wire.RegistrationRecord.Builder builderForValue) {
+      if (membersBuilder_ == null) {
+        ensureMembersIsMutable();
+        members_.add(builderForValue.build());
+        onChanged();
+      } else {
+        membersBuilder_.addMessage(builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Everybody registered at `position` who may have run calls that may not be repeated.
+     * </pre>
+     *
+     * <code>repeated .fawndrum.RegistrationRecord members = 6;</code>
+     */
+    public Builder addMembers(
+        int index, org.fawndrum.protocol.wire.RegistrationRecord.Builder builderForValue) {
+      if (membersBuilder_ == null) {
+        ensureMembersIsMutable();
+        members_.add(index, builderForValue.build());
+        onChanged();
+      } else {
+        membersBuilder_.addMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Everybody registered at `position` who may have run calls that may not be repeated.
+     * </pre>
+     *
+     * <code>repeated .fawndrum.RegistrationRecord members = 6;</code>
+     */
+    public Builder addAllMembers(
+        java.lang.Iterable<? extends org.fawndrum.protocol.wire.RegistrationRecord> values) {
+      if (membersBuilder_ == null) {
+        ensureMembersIsMutable();
+        com.google.protobuf.AbstractMessageLite.Builder.addAll(
+            values, members_);
+        onChanged();
+      } else {
+        membersBuilder_.addAllMessages(values);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Everybody registered at `position` who may have run calls that may not be repeated.
+     * </pre>
+     *
+     * <code>repeated .fawndrum.RegistrationRecord members = 6;</code>
+     */
+    public Builder clearMembers() {
+      if (membersBuilder_ == null) {
+        members_ = java.util.Collections.emptyList();
+        bitField0_ = (bitField0_ & ~0x00000020);
+        onChanged();
+      } else {
+        membersBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Everybody registered at `position` who may have run calls that may not be repeated.
+     * </pre>
+     *
+     * <code>repeated .fawndrum.RegistrationRecord members = 6;</code>
+     */
+    public Builder removeMembers(int index) {
+      if (membersBuilder_ == null) {
+        ensureMembersIsMutable();
+        members_.remove(index);
+        onChanged();
+      } else {
+        membersBuilder_.remove(index);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Everybody registered at `position` who may have run calls that may not be repeated.
+     * </pre>
+     *
+     * <code>repeated .fawndrum.RegistrationRecord members = 6;</code>
+     */
+    public org.fawndrum.protocol.wire.RegistrationRecord.Builder getMembersBuilder(
+        int index) {
+      return internalGetMembersFieldBuilder().getBuilder(index);
+    }
+    /**
+     * <pre>
+     * Everybody registered at `position` who may have run calls that may not be repeated.
+     * </pre>
+     *
+     * <code>repeated .fawndrum.RegistrationRecord members = 6;</code>
+     */
+    public org.fawndrum.protocol.wire.RegistrationRecordOrBuilder getMembersOrBuilder(
+        int index) {
+      if (membersBuilder_ == null) {
+        return members_.get(index);  } else {
+        return membersBuilder_.getMessageOrBuilder(index);
+      }
+    }
+    /**
+     * <pre>
+     * Everybody registered at `position` who may have run calls that may not be repeated.
+     * </pre>
+     *
+     * <code>repeated .fawndrum.RegistrationRecord members = 6;</code>
+     */
+    public java.util.List<? extends org.fawndrum.protocol.wire.RegistrationRecordOrBuilder> 
+         getMembersOrBuilderList() {
+      if (membersBuilder_ != null) {
+        return membersBuilder_.getMessageOrBuilderList();
+      } else {
+        return java.util.Collections.unmodifiableList(members_);
+      }
+    }
+    /**
+     * <pre>
+     * Everybody registered at `position` who may have run calls that may not be repeated.
+     * </pre>
+     *
+     * <code>repeated .fawndrum.RegistrationRecord members = 6;</code>
+     */
+    public org.fawndrum.protocol.wire.RegistrationRecord.Builder addMembersBuilder() {
+      return internalGetMembersFieldBuilder().addBuilder(
+          org.fawndrum.protocol.wire.RegistrationRecord.getDefaultInstance());
+    }
+    /**
+     * <pre>
+     * Everybody registered at `position` who may have run calls that may not be repeated.
+     * </pre>
+     *
+     * <code>repeated .fawndrum.RegistrationRecord members = 6;</code>
+     */
+    public org.fawndrum.protocol.wire.RegistrationRecord.Builder addMembersBuilder(
+        int index) {
+      return internalGetMembersFieldBuilder().addBuilder(
+          index, org.fawndrum.protocol.wire.RegistrationRecord.getDefaultInstance());
+    }
+    /**
+     * <pre>
+     * Everybody registered at `position` who may have run calls that may not be repeated.
+     * </pre>
+     *
+     * <code>repeated .fawndrum.RegistrationRecord members = 6;</code>
+     */
+    public java.util.List<org.fawndrum.protocol.wire.RegistrationRecord.Builder> 
+         getMembersBuilderList() {
+      return internalGetMembersFieldBuilder().getBuilderList();
+    }
+    private com.google.protobuf.RepeatedFieldBuilder<
+        org.fawndrum.protocol.wire.RegistrationRecord, org.fawndrum.protocol.wire.RegistrationRecord.Builder, org.fawndrum.protocol.wire.RegistrationRecordOrBuilder> 
+        internalGetMembersFieldBuilder() {
+      if (membersBuilder_ == null) {
+        membersBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+            org.fawndrum.protocol.wire.RegistrationRecord, org.fawndrum.protocol.wire.RegistrationRecord.Builder, org.fawndrum.protocol.wire.RegistrationRecordOrBuilder>(
+                members_,
+                ((bitField0_ & 0x00000020) != 0),
+                getParentForChildren(),
+                isClean());
+        members_ = null;
+      }
+      return membersBuilder_;
+    }
+
     // @@protoc_insertion_point(builder_scope:fawndrum.SnapshotRecord)
   }
 
--- a/org.fawndrum/src/org/fawndrum/protocol/wire/SnapshotRecordOrBuilder.java
+++ b/org.fawndrum/src/org/fawndrum/protocol/wire/SnapshotRecordOrBuilder.java
@@ -75,4 +75,48 @@
    * @return The digest.
    */
   com.google.protobuf.ByteString getDigest();
+
+  /**
+   * <pre>
+   * Everybody registered at `position` who may have run calls that may not be repeated.
+   * </pre>
+   *
+   * <code>repeated .fawndrum.RegistrationRecord members = 6;</code>
+   */
+  java.util.List<org.fawndrum.protocol.wire.RegistrationRecord> 
+      getMembersList();
+  /**
+   * <pre>
+   * Everybody registered at `position` who may have run calls that may not be repeated.
+   * </pre>
+   *
+   * <code>repeated .fawndrum.RegistrationRecord members = 6;</code>
+   */
+  org.fawndrum.protocol.wire.RegistrationRecord getMembers(int index);
+  /**
+   * <pre>
+   * Everybody registered at `position` who may have run calls that may not be repeated.
+   * </pre>
+   *
+   * <code>repeated .fawndrum.RegistrationRecord members = 6;</code>
+   */
+  int getMembersCount();
+  /**
+   * <pre>
+   * Everybody registered at `position` who may have run calls that may not be repeated.
+   * </pre>
+   *
+   * <code>repeated .fawndrum.RegistrationRecord members = 6;</code>
+   */
+  java.util.List<? extends org.fawndrum.protocol.wire.RegistrationRecordOrBuilder> 
+      getMembersOrBuilderList();
+  /**
+   * <pre>
+   * Everybody registered at `position` who may have run calls that may not be repeated.
+   * </pre>
+   *
+   * <code>repeated .fawndrum.RegistrationRecord members = 6;</code>
+   */
+  org.fawndrum.protocol.wire.RegistrationRecordOrBuilder getMembersOrBuilder(
+      int index);
 }
--- a/org.fawndrum/src/org/fawndrum/transport/CallerServer.java
+++ b/org.fawndrum/src/org/fawndrum/transport/CallerServer.java
@@ -4,6 +4,7 @@
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpConnection;
 import io.vertx.core.http.HttpMethod;
 import io.vertx.core.http.HttpServer;
 import io.vertx.core.http.HttpServerRequest;
@@ -30,6 +31,7 @@
   private final RequestIds ids;
   private final Intake intake;
   private final IdleConnections idle;
+  private final TrustedConnections connections;
 
   /** Takes requests whose caller is known and whose body is whole. */
   interface Intake {
@@ -40,13 +42,19 @@
     void plain(Call call);
   }
 
-  /** A whole request of a known caller. */
+  /**
+   * A whole request of a known caller.
+   *
+   * @param trusted whether its connection was opened after this host was registered, so that a
+   *     first sending on it cannot have been overtaken by a later one elsewhere
+   */
   record Call(
       String requestId,
       CallerGroup group,
       HttpServerRequest request,
       HttpServerResponse response,
-      Buffer body) {}
+      Buffer body,
+      boolean trusted) {}
 
   CallerServer(Vertx vertx, HostSettings settings, RequestIds ids, Intake intake) {
     this.vertx = vertx;
@@ -55,13 +63,14 @@
     this.bodies =
         new BodyReader(vertx, settings.limits().bodyBytes(), settings.limits().incompleteMs());
     this.keys = new Keyring<>(settings.callerKeys(), CallerKey::key);
+    this.connections = new TrustedConnections(vertx);
     this.idle = new IdleConnections(vertx, settings.limits().incompleteMs());
     this.server =
         vertx
             .createHttpServer(ServerOptions.of(settings.callers(), settings.limits().headerBytes()))
             .requestHandler(this::handle)
             .invalidRequestHandler(this::invalid)
-            .connectionHandler(idle::opened);
+            .connectionHandler(this::opened);
   }
 
   Future<HttpServer> listen() {
@@ -76,6 +85,21 @@
     return server.actualPort();
   }
 
+  /** Takes note that this host is registered: connections opened from now on are trusted. */
+  void registered() {
+    connections.registered();
+  }
+
+  private void opened(HttpConnection connection) {
+    connections.opened(connection);
+    idle.opened(connection);
+    connection.closeHandler(
+        v -> {
+          connections.closed(connection);
+          idle.closed(connection);
+        });
+  }
+
   private void invalid(HttpServerRequest request) {
     Throwable cause = request.decoderResult().cause();
     boolean tooLarge =
@@ -98,7 +122,15 @@
     bodies
         .read(request, requestId)
         .thenAccept(
-            body -> take(new Call(requestId, key.get().group(), request, request.response(), body)))
+            body ->
+                take(
+                    new Call(
+                        requestId,
+                        key.get().group(),
+                        request,
+                        request.response(),
+                        body,
+                        connections.trusted(request.connection()))))
         .exceptionally(
             failure -> {
               refuse(request, requestId, refusalOf(failure));
--- a/org.fawndrum/src/org/fawndrum/transport/DecisionDuty.java
+++ b/org.fawndrum/src/org/fawndrum/transport/DecisionDuty.java
@@ -3,6 +3,7 @@
 
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.Consumer;
 import org.fawndrum.coordination.Action;
@@ -12,11 +13,15 @@
 import org.fawndrum.coordination.Ran;
 import org.fawndrum.coordination.Refusal;
 import org.fawndrum.coordination.RequestCoordinator;
+import org.fawndrum.coordination.RequestFacts;
+import org.fawndrum.coordination.once.ClaimAnswer;
+import org.fawndrum.coordination.once.ClaimKey;
 import org.fawndrum.internal.duty.Duty;
 import org.fawndrum.internal.duty.Ring;
 import org.fawndrum.internal.log.HostLog;
 import org.fawndrum.protocol.EngineMessages.Load;
 import org.fawndrum.state.Endpoint;
+import org.fawndrum.state.HostAddress;
 import org.fawndrum.state.HostIdentity;
 
 /**
@@ -31,19 +36,76 @@
   private final HostClock clock;
   private final Consumer<Decision> feed;
   private final Consumer<HostIdentity> leavingNews;
+  private final ClaimDesk claims;
   private final Map<String, Exchange> exchanges = new ConcurrentHashMap<>();
   private final Duty<HostEvent> duty;
-  private volatile View view = new View(0, 0, List.of(), List.of());
+  private volatile View view = new View(0, 0, false, List.of(), List.of());
 
   /**
    * What other threads may see.
    *
    * @param open requests without a final answer
    * @param waiting requests waiting for an endpoint
+   * @param registered whether calls that may not be repeated are served
    * @param endpoints endpoints that may get new work
    * @param leaving endpoints that are leaving
    */
-  record View(int open, int waiting, List<Endpoint> endpoints, List<HostIdentity> leaving) {}
+  record View(
+      int open,
+      int waiting,
+      boolean registered,
+      List<Endpoint> endpoints,
+      List<HostIdentity> leaving) {}
+
+  /** What claims need from the network and the log. */
+  interface Claims {
+    /** Reads the log to its end; fails when that cannot be done. */
+    CompletableFuture<Void> readLogToEnd();
+
+    /** Asks another daemon; fails when it does not answer. */
+    CompletableFuture<ClaimAnswer> ask(HostIdentity identity, HostAddress address, ClaimKey key);
+  }
+
+  /** Connects claims with this thread. */
+  private final class Outside implements ClaimDesk.Outside {
+    private final Claims network;
+
+    Outside(Claims network) {
+      this.network = network;
+    }
+
+    @Override
+    public CompletableFuture<Void> readLogToEnd() {
+      return network.readLogToEnd();
+    }
+
+    @Override
+    public CompletableFuture<ClaimAnswer> ask(
+        HostIdentity identity, HostAddress address, ClaimKey key) {
+      return network.ask(identity, address, key);
+    }
+
+    @Override
+    public void later(HostEvent event) {
+      // A claim whose event finds no room ends by its time limit, with an honest "unknown".
+      offer(event);
+    }
+
+    @Override
+    public long nowMs() {
+      return clock.nowMs();
+    }
+
+    @Override
+    public void admit(RequestFacts facts) {
+      carryOut(coordinator.arrive(facts, clock.nowMs()));
+    }
+
+    @Override
+    public void refuse(RequestFacts facts, Refusal refusal) {
+      carryOut(coordinator.refuse(facts, refusal, clock.nowMs()));
+    }
+  }
 
   /**
    * Makes the duty, not started.
@@ -53,12 +115,15 @@
    */
   DecisionDuty(
       RequestCoordinator coordinator,
+      HostIdentity self,
+      Claims claims,
       HostClock clock,
       int ringEvents,
       Consumer<Decision> feed,
       Consumer<HostIdentity> leavingNews,
       HostLog log) {
     this.coordinator = coordinator;
+    this.claims = new ClaimDesk(self, new Outside(claims));
     this.clock = clock;
     this.feed = feed;
     this.leavingNews = leavingNews;
@@ -100,26 +165,38 @@
   }
 
   private void tick() {
+    claims.tick(clock.nowMs());
     carryOut(coordinator.tick(clock.nowMs()));
     refreshView();
   }
 
   private void refreshView() {
     View before = view;
-    if (before.open() != coordinator.open() || before.waiting() != coordinator.waiting()) {
+    int open = coordinator.open() + claims.waiting();
+    boolean same =
+        before.open() == open
+            && before.waiting() == coordinator.waiting()
+            && before.registered() == claims.registered();
+    if (!same) {
       view =
-          new View(coordinator.open(), coordinator.waiting(), before.endpoints(), before.leaving());
+          new View(
+              open,
+              coordinator.waiting(),
+              claims.registered(),
+              before.endpoints(),
+              before.leaving());
     }
   }
 
   private void handle(HostEvent event) {
     long nowMs = clock.nowMs();
     if (event instanceof HostEvent.Arrived arrived) {
-      carryOut(coordinator.arrive(arrived.facts(), nowMs));
+      arrived(arrived, nowMs);
     } else if (event instanceof HostEvent.Attempted attempted) {
       carryOut(coordinator.attempt(attempted.attempt(), attempted.event(), nowMs));
       forgetIfEnded(attempted.attempt().requestId());
     } else if (event instanceof HostEvent.CallerGone gone) {
+      claims.callerGone(gone.requestId());
       carryOut(coordinator.callerGone(gone.requestId(), nowMs));
     } else if (event instanceof HostEvent.TableChanged changed) {
       carryOut(coordinator.table(changed.table(), nowMs));
@@ -133,13 +210,45 @@
       }
     } else if (event instanceof HostEvent.DrainOrdered) {
       coordinator.drain();
+    } else {
+      handleClaim(event, nowMs);
     }
     refreshView();
   }
 
+  private void handleClaim(HostEvent event, long nowMs) {
+    if (event instanceof HostEvent.Registered registered) {
+      claims.registered(registered.registration(), nowMs);
+    } else if (event instanceof HostEvent.PeerHeard heard) {
+      claims.heard(heard.identity());
+    } else if (event instanceof HostEvent.PeerLost lost) {
+      claims.lost(lost.identity(), nowMs);
+    } else if (event instanceof HostEvent.ClaimLogRead read) {
+      claims.logRead(read.requestId(), nowMs);
+    } else if (event instanceof HostEvent.ClaimAnswered answered) {
+      claims.answered(answered, nowMs);
+    } else if (event instanceof HostEvent.ClaimAsked asked) {
+      claims.asked(asked, nowMs);
+    } else if (event instanceof HostEvent.Inherited inherited) {
+      claims.inherit(inherited.handed());
+      inherited.taken().run();
+    } else if (event instanceof HostEvent.HandoverWanted wanted) {
+      wanted.reply().accept(claims.handover());
+    }
+  }
+
+  private void arrived(HostEvent.Arrived arrived, long nowMs) {
+    if (arrived.claim() == null) {
+      carryOut(coordinator.arrive(arrived.facts(), nowMs));
+    } else {
+      claims.arrived(arrived.facts(), arrived.claim(), nowMs);
+    }
+  }
+
   private void forgetIfEnded(String requestId) {
     if (!coordinator.isOpen(requestId)) {
       exchanges.remove(requestId);
+      claims.ended(requestId, Ran.YES, clock.nowMs());
     }
   }
 
@@ -173,7 +282,13 @@
   private void offerEndpoints(long nowMs) {
     List<Endpoint> open = roster.open();
     carryOut(coordinator.endpoints(open, nowMs));
-    view = new View(coordinator.open(), coordinator.waiting(), open, List.copyOf(roster.leaving()));
+    view =
+        new View(
+            coordinator.open() + claims.waiting(),
+            coordinator.waiting(),
+            claims.registered(),
+            open,
+            List.copyOf(roster.leaving()));
   }
 
   private void carryOut(List<Action> actions) {
@@ -185,6 +300,7 @@
       } else if (action instanceof Action.Cancel cancel) {
         onExchange(cancel.attempt().requestId(), exchange -> exchange.cancel(cancel));
       } else if (action instanceof Action.Refuse refuse) {
+        claims.ended(refuse.requestId(), refuse.refusal().ran(), clock.nowMs());
         onExchange(refuse.requestId(), exchange -> refuse(exchange, refuse.refusal()));
         exchanges.remove(refuse.requestId());
       }
--- a/org.fawndrum/src/org/fawndrum/transport/EndpointWatch.java
+++ b/org.fawndrum/src/org/fawndrum/transport/EndpointWatch.java
@@ -4,9 +4,11 @@
 import io.vertx.core.Vertx;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.Consumer;
 import org.fawndrum.protocol.HostListSource;
 import org.fawndrum.state.Endpoint;
 import org.fawndrum.state.EndpointKind;
+import org.fawndrum.state.HostListing;
 
 /** Reads the platform's list of hosts and the load of the model engines at steady intervals. */
 final class EndpointWatch {
@@ -17,12 +19,18 @@
   private final HostListSource platform;
   private final EngineCalls engines;
   private final DecisionDuty decisions;
+  private final Consumer<HostListing> listed;
   private final Map<String, Boolean> asking = new ConcurrentHashMap<>();
-  private volatile boolean listRead;
   private long listTimer;
   private long loadTimer;
 
-  EndpointWatch(Vertx vertx, HostListSource platform, EngineCalls engines, DecisionDuty decisions) {
+  EndpointWatch(
+      Vertx vertx,
+      HostListSource platform,
+      EngineCalls engines,
+      DecisionDuty decisions,
+      Consumer<HostListing> listed) {
+    this.listed = listed;
     this.vertx = vertx;
     this.platform = platform;
     this.engines = engines;
@@ -40,11 +48,6 @@
     vertx.cancelTimer(loadTimer);
   }
 
-  /** Tells whether the list was read at least once. */
-  boolean listRead() {
-    return listRead;
-  }
-
   private void readList() {
     if (asking.putIfAbsent("", Boolean.TRUE) != null) {
       return;
@@ -55,7 +58,7 @@
             (listing, failure) -> {
               asking.remove("");
               if (listing != null && decisions.offer(new HostEvent.Listed(listing))) {
-                listRead = true;
+                listed.accept(listing);
               }
             });
   }
--- a/org.fawndrum/src/org/fawndrum/transport/IdleConnections.java
+++ b/org.fawndrum/src/org/fawndrum/transport/IdleConnections.java
@@ -25,7 +25,11 @@
   /** A connection was opened; its first request must come soon. */
   void opened(HttpConnection connection) {
     closeAfter(connection, firstRequestMs);
-    connection.closeHandler(v -> cancel(connection));
+  }
+
+  /** A connection was closed. */
+  void closed(HttpConnection connection) {
+    cancel(connection);
   }
 
   /** A request began. */
--- a/org.fawndrum/src/org/fawndrum/transport/LogFollower.java
+++ b/org.fawndrum/src/org/fawndrum/transport/LogFollower.java
@@ -1,56 +1,88 @@
 // SPDX-License-Identifier: Apache-2.0
 package org.fawndrum.transport;
 
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.locks.LockSupport;
 import java.util.function.Consumer;
+import java.util.function.LongFunction;
 import org.fawndrum.coordination.LogReplay;
-import org.fawndrum.errors.BadSnapshotException;
-import org.fawndrum.errors.RecordUnreadableException;
+import org.fawndrum.coordination.SnapshotTurn;
+import org.fawndrum.coordination.once.Registration;
+import org.fawndrum.coordination.once.RegistrationBook;
+import org.fawndrum.errors.RecordsExpiredException;
 import org.fawndrum.internal.log.HostLog;
 import org.fawndrum.internal.log.LogEvent;
 import org.fawndrum.protocol.LogCodec;
 import org.fawndrum.protocol.PlatformLog;
-import org.fawndrum.protocol.Registration;
 import org.fawndrum.protocol.SnapshotCodec;
-import org.fawndrum.protocol.wire.LogEntry;
-import org.fawndrum.state.Publication;
-import org.fawndrum.state.TableRevision;
+import org.fawndrum.protocol.wire.SnapshotRecord;
 
-/** The thread that follows the platform's log and brings newer tables to the store. */
+/**
+ * The thread that follows the platform's log: it brings newer tables to the store, tells of
+ * registrations in the order of the log, and appends snapshots when it is this host's turn.
+ */
 final class LogFollower implements AutoCloseable {
   private static final int MOST_RECORDS = 500;
   private static final long PAUSE_NANOS = 250_000_000;
   private static final long JOIN_MS = 2_000;
+  private static final long SNAPSHOT_AGAIN_MS = 30_000;
 
   private final PlatformLog platform;
+  private final PlatformLog platformEnd;
   private final TableStore store;
-  private final Consumer<Registered> registrations;
+  private final HostClock clock;
+  private final LongFunction<Integer> snapshotRank;
+  private final Consumer<Registration> registrations;
   private final HostLog log;
+  private final LogRecordReader reader;
   private final Thread thread;
   private final LogReplay replay = new LogReplay();
-  private final ConcurrentLinkedQueue<TableRevision> fromPeers = new ConcurrentLinkedQueue<>();
+  private final RegistrationBook book = new RegistrationBook();
+  private final ConcurrentLinkedQueue<SnapshotRecord> fromPeers = new ConcurrentLinkedQueue<>();
+  private final Map<CompletableFuture<Void>, Long> awaited = new ConcurrentHashMap<>();
   private volatile boolean platformUp;
-  private volatile boolean everRead;
-  private volatile long sinceSnapshot;
-  private volatile long endSeen = -1;
+  private volatile boolean inGap;
+  private volatile long replayedTo;
+  private volatile SnapshotRecord newest = SnapshotRecord.newBuilder().setPosition(-1).build();
   private volatile boolean stopping;
-
-  /** A registration with its offset. */
-  record Registered(long offset, Registration registration) {}
-
+  private long newestSnapshotSeenMs;
+  private long nextSnapshotMs;
+
+  /**
+   * Makes the follower, not started.
+   *
+   * @param platform the log; its reads wait for records
+   * @param platformEnd the log; its reads do not wait
+   * @param snapshotRank this host's place in the turn to append a snapshot, given the position of
+   *     the last one
+   * @param registrations is told of each registration in order, on the follower's thread
+   */
   LogFollower(
-      PlatformLog platform, TableStore store, Consumer<Registered> registrations, HostLog log) {
+      PlatformLog platform,
+      PlatformLog platformEnd,
+      TableStore store,
+      HostClock clock,
+      LongFunction<Integer> snapshotRank,
+      Consumer<Registration> registrations,
+      HostLog log) {
     this.platform = platform;
+    this.platformEnd = platformEnd;
     this.store = store;
+    this.clock = clock;
+    this.snapshotRank = snapshotRank;
     this.registrations = registrations;
     this.log = log;
+    this.reader = new LogRecordReader(log);
     this.thread = new Thread(this::run, "log-follower");
     this.thread.setDaemon(true);
   }
 
   void start() {
+    newestSnapshotSeenMs = clock.nowMs();
     thread.start();
   }
 
@@ -70,24 +102,48 @@
     return platformUp;
   }
 
-  /** Tells whether the log was read to its end at least once. */
-  boolean everRead() {
-    return everRead;
+  /** Tells whether the log can give this host everything, so that peers need not be asked. */
+  boolean needsNoPeer() {
+    return platformUp && !inGap;
   }
 
-  /** Returns how many records were replayed since the newest snapshot in the log. */
-  long sinceSnapshot() {
-    return sinceSnapshot;
+  /** Returns the newest table with everybody registered, for another host. */
+  SnapshotRecord snapshot() {
+    return newest;
   }
 
-  /** Returns the next offset of the log when it was last read to its end, -1 before. */
-  long endSeen() {
-    return endSeen;
+  /** Takes a table from a peer; it is looked at before the next read. */
+  void fromPeer(SnapshotRecord snapshot) {
+    fromPeers.add(snapshot);
   }
 
-  /** Takes a table from a peer; it is looked at before the next read. */
-  void fromPeer(TableRevision table) {
-    fromPeers.add(table);
+  /**
+   * Completes when everything is replayed that the log held at the time of this call. Fails when
+   * the platform does not answer or records are missing.
+   */
+  CompletableFuture<Void> readToEnd() {
+    return platformEnd
+        .read(Math.max(0, replayedTo), 1)
+        .thenCompose(
+            batch -> {
+              if (inGap) {
+                return CompletableFuture.failedFuture(
+                    new RecordsExpiredException(replayedTo, batch.first()));
+              }
+              CompletableFuture<Void> replayed = new CompletableFuture<>();
+              awaited.put(replayed, batch.next());
+              settleAwaited();
+              return replayed;
+            });
+  }
+
+  private void settleAwaited() {
+    awaited.forEach(
+        (future, offset) -> {
+          if (replayedTo >= offset && awaited.remove(future) != null) {
+            future.complete(null);
+          }
+        });
   }
 
   private void run() {
@@ -97,6 +153,7 @@
         PlatformLog.Batch batch = platform.read(replay.next(), MOST_RECORDS).join();
         take(batch);
         noteUp(true, "");
+        appendSnapshotIfDue();
       } catch (CompletionException e) {
         noteUp(false, String.valueOf(e.getCause()));
         LockSupport.parkNanos(PAUSE_NANOS);
@@ -105,13 +162,20 @@
   }
 
   private void takeFromPeers() {
-    TableRevision table = fromPeers.poll();
-    while (table != null) {
-      replay.adopt(table).ifPresent(store::offer);
-      table = fromPeers.poll();
+    SnapshotRecord snapshot = fromPeers.poll();
+    while (snapshot != null) {
+      SnapshotCodec.members(snapshot).forEach(this::registered);
+      replay.adopt(SnapshotCodec.decode(snapshot)).ifPresent(store::offer);
+      refresh();
+      snapshot = fromPeers.poll();
     }
   }
 
+  private void registered(Registration registration) {
+    book.add(registration, clock.nowMs());
+    registrations.accept(registration);
+  }
+
   private void noteUp(boolean up, String why) {
     if (up && !platformUp) {
       log.event(LogEvent.PLATFORM_BACK);
@@ -125,47 +189,44 @@
     boolean before = replay.inGap();
     replay.logBegins(batch.first());
     if (replay.inGap() && !before) {
-      log.event(LogEvent.LOG_GAP, Long.toString(batch.first()), Long.toString(replay.next()));
+      String position = Long.toString(replay.table().position() + 1);
+      log.event(LogEvent.LOG_GAP, Long.toString(batch.first()), position);
     }
     for (PlatformLog.LogRecord record : batch.records()) {
-      replay.record(entry(record));
+      LogRecordReader.Read read = reader.read(record);
+      read.registrations().forEach(this::registered);
+      if (read.entry() instanceof LogReplay.Entry.Snapshot) {
+        newestSnapshotSeenMs = clock.nowMs();
+      }
+      replay.record(read.entry());
     }
-    sinceSnapshot = replay.sinceSnapshot();
     store.offer(replay.table());
-    if (replay.next() >= batch.next()) {
-      endSeen = batch.next();
-      everRead = true;
-    }
+    refresh();
+    settleAwaited();
   }
 
-  private LogReplay.Entry entry(PlatformLog.LogRecord record) {
-    try {
-      return entry(record.offset(), LogCodec.read(record.offset(), record.content()));
-    } catch (RecordUnreadableException | BadSnapshotException e) {
-      log.failure(LogEvent.RECORD_PASSED_OVER, e, Long.toString(record.offset()));
-      return new LogReplay.Entry.Other(record.offset());
+  private void refresh() {
+    inGap = replay.inGap();
+    replayedTo = replay.next();
+    if (replay.table().position() > newest.getPosition()) {
+      newest = SnapshotCodec.encode(replay.table(), book.members(clock.nowMs()));
     }
   }
 
-  private LogReplay.Entry entry(long offset, LogEntry entry) {
-    switch (entry.getEntryCase()) {
-      case PUBLICATION -> {
-        Publication publication = LogCodec.publication(entry.getPublication());
-        return publication == null
-            ? new LogReplay.Entry.Other(offset)
-            : new LogReplay.Entry.Published(offset, publication);
-      }
-      case SNAPSHOT -> {
-        return new LogReplay.Entry.Snapshot(offset, SnapshotCodec.decode(entry.getSnapshot()));
-      }
-      case REGISTRATION -> {
-        registrations.accept(
-            new Registered(offset, LogCodec.registration(entry.getRegistration())));
-        return new LogReplay.Entry.Other(offset);
-      }
-      default -> {
-        return new LogReplay.Entry.Other(offset);
-      }
+  private void appendSnapshotIfDue() {
+    long nowMs = clock.nowMs();
+    if (nowMs < nextSnapshotMs || replay.inGap() || replay.table().revision() < 0) {
+      return;
+    }
+    int rank = snapshotRank.apply(replay.lastSnapshot());
+    if (!SnapshotTurn.due(replay.sinceSnapshot(), nowMs - newestSnapshotSeenMs, rank)) {
+      return;
     }
+    nextSnapshotMs = nowMs + SNAPSHOT_AGAIN_MS;
+    String position = Long.toString(replay.table().position());
+    platform
+        .append(LogCodec.snapshot(replay.table(), book.members(nowMs)))
+        .thenAccept(
+            offset -> log.event(LogEvent.SNAPSHOT_APPENDED, position, Long.toString(offset)));
   }
 }
--- /dev/null
+++ b/org.fawndrum/src/org/fawndrum/transport/PeerDesk.java
@@ -0,0 +1,71 @@
+// SPDX-License-Identifier: Apache-2.0
+package org.fawndrum.transport;
+
+import java.util.function.Consumer;
+import org.fawndrum.coordination.once.ClaimKey;
+import org.fawndrum.protocol.PeerCodec;
+import org.fawndrum.protocol.wire.Acknowledgement;
+import org.fawndrum.protocol.wire.EndpointWord;
+import org.fawndrum.protocol.wire.PeerMessage;
+import org.fawndrum.state.HostIdentity;
+import org.fawndrum.transport.peer.PeerNetwork;
+
+/** Hands messages of other daemons to the threads that they concern. */
+final class PeerDesk implements PeerNetwork.Receiver {
+  private final HostIdentity self;
+  private final HostClock clock;
+  private final Consumer<HostEvent> decisions;
+  private final Consumer<PeerDuty.PeerEvent> members;
+
+  PeerDesk(
+      HostIdentity self,
+      HostClock clock,
+      Consumer<HostEvent> decisions,
+      Consumer<PeerDuty.PeerEvent> members) {
+    this.self = self;
+    this.clock = clock;
+    this.decisions = decisions;
+    this.members = members;
+  }
+
+  @Override
+  public void received(PeerMessage message, Consumer<PeerMessage.Builder> reply) {
+    HostIdentity sender = PeerCodec.sender(message);
+    switch (message.getBodyCase()) {
+      case HEARTBEAT ->
+          members.accept(
+              new PeerDuty.PeerEvent.Heard(PeerCodec.facts(sender, message.getHeartbeat())));
+      case CATCH_UP_REQUEST ->
+          members.accept(new PeerDuty.PeerEvent.CatchUpAsked(message.getCatchUpRequest(), reply));
+      case CLAIM_REQUEST -> claimAsked(message, reply);
+      case LEDGER_HANDOVER ->
+          decisions.accept(
+              new HostEvent.Inherited(
+                  PeerCodec.inherited(message.getLedgerHandover(), clock.nowMs()),
+                  () -> reply.accept(acknowledgement())));
+      case LEAVING_NEWS -> {
+        for (EndpointWord word : message.getLeavingNews().getEndpointsList()) {
+          decisions.accept(
+              new HostEvent.SaidLeaving(new HostIdentity(word.getHost(), word.getIncarnation())));
+        }
+      }
+      default -> {}
+    }
+  }
+
+  private PeerMessage.Builder acknowledgement() {
+    return PeerCodec.from(self).setAcknowledgement(Acknowledgement.getDefaultInstance());
+  }
+
+  private void claimAsked(PeerMessage message, Consumer<PeerMessage.Builder> reply) {
+    ClaimKey key = ClaimKey.parse(message.getClaimRequest().getKey());
+    if (key == null) {
+      return;
+    }
+    decisions.accept(
+        new HostEvent.ClaimAsked(
+            key,
+            answer ->
+                reply.accept(PeerCodec.from(self).setClaimReply(PeerCodec.claimReply(answer)))));
+  }
+}
--- a/org.fawndrum/src/org/fawndrum/transport/RequestIntake.java
+++ b/org.fawndrum/src/org/fawndrum/transport/RequestIntake.java
@@ -72,7 +72,7 @@
             PromptMeasure.prefixes(prompt));
     Context context = vertx.getOrCreateContext();
     Exchange exchange = exchanges.chat(facts, prompt, chat.streamed(), call.response(), context);
-    submit(call, facts, exchange);
+    submit(call, facts, null, exchange);
   }
 
   @Override
@@ -96,10 +96,13 @@
         new PlainExchange.PlainCall(
             request.method(), request.uri(), request.headers(), call.body());
     Context context = vertx.getOrCreateContext();
-    submit(call, facts, exchanges.plain(facts, plain, call.response(), context));
+    HostEvent.Claimed claim = row.repeatable() ? null : SendingEvidence.claim(call);
+    Exchange exchange = exchanges.plain(facts, plain, call.response(), context);
+    submit(call, facts, claim, exchange);
   }
 
-  private void submit(CallerServer.Call call, RequestFacts facts, Exchange exchange) {
+  private void submit(
+      CallerServer.Call call, RequestFacts facts, HostEvent.Claimed claim, Exchange exchange) {
     call.response()
         .closeHandler(
             v -> {
@@ -108,7 +111,7 @@
                 decisions.offer(new HostEvent.CallerGone(facts.requestId()));
               }
             });
-    if (!decisions.arrived(new HostEvent.Arrived(facts), exchange)) {
+    if (!decisions.arrived(new HostEvent.Arrived(facts, claim), exchange)) {
       throw new RefusedException(
           facts.requestId(), Refusal.of(RefusalKind.HOST_BUSY, Ran.NO, FULL_RING_RETRY_MS));
     }
--- /dev/null
+++ b/org.fawndrum/src/org/fawndrum/transport/peer/NettyPeerNetwork.java
@@ -0,0 +1,204 @@
+// SPDX-License-Identifier: Apache-2.0
+package org.fawndrum.transport.peer;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.util.concurrent.DefaultThreadFactory;
+import java.net.InetSocketAddress;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+import org.fawndrum.errors.PeerUnreachableException;
+import org.fawndrum.internal.log.HostLog;
+import org.fawndrum.protocol.wire.PeerMessage;
+import org.fawndrum.settings.ListenSettings;
+import org.fawndrum.state.HostAddress;
+
+/** The peer network over TCP with one thread. Connections are opened when first used. */
+public final class NettyPeerNetwork implements PeerNetwork, AutoCloseable {
+  private static final int CONNECT_MS = 1_000;
+  private static final long REPLY_MS = 1_000;
+  private static final int LOWEST_PORT = 0;
+
+  private final EventLoopGroup loop =
+      new MultiThreadIoEventLoopGroup(
+          1, new DefaultThreadFactory("peers", true), NioIoHandler.newFactory());
+  private final ListenSettings listen;
+  private final Receiver receiver;
+  private final PeerTls tls;
+  private final HostLog log;
+  private final Map<HostAddress, CompletableFuture<Channel>> channels = new ConcurrentHashMap<>();
+  private final Map<Long, CompletableFuture<PeerMessage>> asked = new ConcurrentHashMap<>();
+  private final AtomicLong exchanges = new AtomicLong();
+  private final AtomicLong dropped = new AtomicLong();
+  private final AtomicLong bytesSent = new AtomicLong();
+  private Channel server;
+
+  /** Makes a network that does not listen yet. */
+  public NettyPeerNetwork(ListenSettings listen, Receiver receiver, HostLog log) {
+    this.listen = listen;
+    this.receiver = receiver;
+    this.tls = PeerTls.of(listen.tls());
+    this.log = log;
+  }
+
+  /** Begins to listen; the future fails when the address cannot be had. */
+  public CompletableFuture<Void> listen() {
+    PeerPipeline pipeline = new PeerPipeline(this::received, dropped, log);
+    ServerBootstrap bootstrap =
+        new ServerBootstrap()
+            .group(loop)
+            .channel(NioServerSocketChannel.class)
+            .childHandler(
+                new ChannelInitializer<Channel>() {
+                  @Override
+                  protected void initChannel(Channel channel) {
+                    tls.server()
+                        .ifPresent(
+                            ssl -> channel.pipeline().addLast(ssl.newHandler(channel.alloc())));
+                    pipeline.install(channel.pipeline());
+                  }
+                });
+    CompletableFuture<Void> listening = new CompletableFuture<>();
+    bootstrap
+        .bind(listen.address().ip(), Math.max(LOWEST_PORT, listen.address().port()))
+        .addListener(
+            (ChannelFuture bound) -> {
+              if (bound.isSuccess()) {
+                server = bound.channel();
+                listening.complete(null);
+              } else {
+                listening.completeExceptionally(bound.cause());
+              }
+            });
+    return listening;
+  }
+
+  /** Returns the port it listens on. */
+  public int port() {
+    return ((InetSocketAddress) server.localAddress()).getPort();
+  }
+
+  /** Returns how many messages were dropped because they did not decode. */
+  public long dropped() {
+    return dropped.get();
+  }
+
+  /** Returns how many bytes of messages were sent. */
+  public long bytesSent() {
+    return bytesSent.get();
+  }
+
+  private void received(ChannelHandlerContext context, PeerMessage message) {
+    boolean isReply =
+        switch (message.getBodyCase()) {
+          case CATCH_UP_REPLY, CLAIM_REPLY, ACKNOWLEDGEMENT -> true;
+          default -> false;
+        };
+    if (isReply) {
+      CompletableFuture<PeerMessage> waiting = asked.remove(message.getExchange());
+      if (waiting != null) {
+        waiting.complete(message);
+      }
+      return;
+    }
+    receiver.received(
+        message,
+        reply -> write(context.channel(), reply.setExchange(message.getExchange()).build()));
+  }
+
+  @Override
+  public void tell(HostAddress to, PeerMessage message) {
+    channel(to)
+        .whenComplete(
+            (channel, failure) -> {
+              // A peer that reads too slowly misses heartbeats; it will ask for what it lacks.
+              if (channel != null && channel.isWritable()) {
+                write(channel, message);
+              }
+            });
+  }
+
+  @Override
+  public CompletableFuture<PeerMessage> ask(HostAddress to, PeerMessage.Builder message) {
+    long exchange = exchanges.incrementAndGet();
+    CompletableFuture<PeerMessage> reply = new CompletableFuture<>();
+    asked.put(exchange, reply);
+    PeerMessage asking = message.setExchange(exchange).build();
+    channel(to)
+        .whenComplete(
+            (channel, failure) -> {
+              if (channel == null) {
+                reply.completeExceptionally(failure);
+              } else {
+                write(channel, asking);
+              }
+            });
+    return reply
+        .orTimeout(REPLY_MS, TimeUnit.MILLISECONDS)
+        .whenComplete((answer, failure) -> asked.remove(exchange))
+        .exceptionallyCompose(
+            failure -> CompletableFuture.failedFuture(new PeerUnreachableException(to, failure)));
+  }
+
+  private void write(Channel channel, PeerMessage message) {
+    byte[] bytes = message.toByteArray();
+    bytesSent.addAndGet(bytes.length);
+    channel.writeAndFlush(Unpooled.wrappedBuffer(bytes));
+  }
+
+  private CompletableFuture<Channel> channel(HostAddress to) {
+    return channels.computeIfAbsent(to, this::connect);
+  }
+
+  private CompletableFuture<Channel> connect(HostAddress to) {
+    PeerPipeline pipeline = new PeerPipeline(this::received, dropped, log);
+    CompletableFuture<Channel> connected = new CompletableFuture<>();
+    new Bootstrap()
+        .group(loop)
+        .channel(NioSocketChannel.class)
+        .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_MS)
+        .option(ChannelOption.TCP_NODELAY, true)
+        .handler(
+            new ChannelInitializer<Channel>() {
+              @Override
+              protected void initChannel(Channel channel) {
+                tls.client()
+                    .ifPresent(ssl -> channel.pipeline().addLast(ssl.newHandler(channel.alloc())));
+                pipeline.install(channel.pipeline());
+              }
+            })
+        .connect(to.ip(), to.port())
+        .addListener((ChannelFuture done) -> connected(to, done, connected));
+    return connected;
+  }
+
+  private void connected(HostAddress to, ChannelFuture done, CompletableFuture<Channel> connected) {
+    if (!done.isSuccess()) {
+      channels.remove(to, connected);
+      connected.completeExceptionally(new PeerUnreachableException(to, done.cause()));
+      return;
+    }
+    Channel channel = done.channel();
+    channel.closeFuture().addListener(closed -> channels.remove(to, connected));
+    connected.complete(channel);
+  }
+
+  @Override
+  public void close() {
+    loop.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+  }
+}
--- /dev/null
+++ b/org.fawndrum/src/org/fawndrum/transport/peer/PeerPipeline.java
@@ -0,0 +1,73 @@
+// SPDX-License-Identifier: Apache-2.0
+package org.fawndrum.transport.peer;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufUtil;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelPipeline;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
+import io.netty.handler.codec.LengthFieldPrepender;
+import io.netty.handler.codec.TooLongFrameException;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.BiConsumer;
+import org.fawndrum.errors.BadPeerFrameException;
+import org.fawndrum.errors.BadPeerFrameException.Fault;
+import org.fawndrum.internal.log.HostLog;
+import org.fawndrum.internal.log.LogEvent;
+import org.fawndrum.protocol.PeerCodec;
+import org.fawndrum.protocol.wire.PeerMessage;
+
+/**
+ * Sets up a connection between daemons: each message has its length in four bytes before it. A
+ * message that does not decode is counted and dropped; one that lies about its length ends the
+ * connection, because what follows cannot be told apart any more.
+ */
+final class PeerPipeline {
+  private static final int LENGTH_BYTES = 4;
+
+  private final BiConsumer<ChannelHandlerContext, PeerMessage> received;
+  private final AtomicLong dropped;
+  private final HostLog log;
+
+  PeerPipeline(
+      BiConsumer<ChannelHandlerContext, PeerMessage> received, AtomicLong dropped, HostLog log) {
+    this.received = received;
+    this.dropped = dropped;
+    this.log = log;
+  }
+
+  void install(ChannelPipeline pipeline) {
+    pipeline
+        .addLast(
+            new LengthFieldBasedFrameDecoder(PeerCodec.LARGEST, 0, LENGTH_BYTES, 0, LENGTH_BYTES))
+        .addLast(new LengthFieldPrepender(LENGTH_BYTES))
+        .addLast(new Reader());
+  }
+
+  /** Reads framed messages. */
+  private final class Reader extends SimpleChannelInboundHandler<ByteBuf> {
+    @Override
+    protected void channelRead0(ChannelHandlerContext context, ByteBuf frame) {
+      try {
+        received.accept(context, PeerCodec.read(ByteBufUtil.getBytes(frame)));
+      } catch (BadPeerFrameException e) {
+        drop(e);
+      }
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+      if (cause instanceof TooLongFrameException
+          || cause instanceof io.netty.handler.codec.CorruptedFrameException) {
+        drop(new BadPeerFrameException(Fault.LENGTH, cause));
+      }
+      context.close();
+    }
+  }
+
+  private void drop(BadPeerFrameException failure) {
+    dropped.incrementAndGet();
+    log.event(LogEvent.PEER_MESSAGE_DROPPED, failure.fault());
+  }
+}
