Prove promises through real daemons over loopback

Cause: the promises were proved in the pure layers only. Found, each by a test that failed first: a claim's refusal said ran "no" of a call that had run, because the exchange softened it; a connection with half a request stayed open after its answer; closing a connection cut other calls on HTTP/2, so only HTTP/1.1 is spoken now; a new host called itself ready with an older table while it still replayed. Ruled out: HttpConnection.close, which waits for the rest of the body. One run of plannedStop failed before because the test mistook the last order for the request in progress; the test now waits for that order's end.

--- /dev/null
+++ b/org.fawndrum.daemon/tst/org/fawndrum/daemon/WholePathTest.java
@@ -0,0 +1,253 @@
+// SPDX-License-Identifier: Apache-2.0
+package org.fawndrum.daemon;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.IOException;
+import java.net.http.HttpResponse;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import org.fawndrum.protocol.EngineMessages.Faults;
+import org.fawndrum.protocol.OperatorMessages.ChangeView;
+import org.fawndrum.protocol.PlatformMessages;
+import org.fawndrum.standin.AnswerText;
+import org.fawndrum.standin.PlainStandin;
+import org.fawndrum.transport.EntryHostRuntime;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+/** Requests through real daemons over loopback, with the faults that cross a process. */
+class WholePathTest {
+  private static final ObjectMapper MAPPER = new ObjectMapper();
+  private static final int OK = 200;
+  private static final int CONFLICT = 409;
+  private static final Faults NONE =
+      new Faults(false, false, false, -1L, false, false, false, null);
+
+  private final TestSite site = new TestSite();
+
+  @AfterEach
+  void close() {
+    site.close();
+  }
+
+  private static String content(HttpResponse<String> response) throws IOException {
+    return MAPPER.readTree(response.body()).at("/choices/0/message/content").asText();
+  }
+
+  private static String ran(HttpResponse<String> response) throws IOException {
+    return MAPPER.readTree(response.body()).at("/error/ran").asText();
+  }
+
+  private static String code(HttpResponse<String> response) throws IOException {
+    return MAPPER.readTree(response.body()).at("/error/code").asText();
+  }
+
+  @Test
+  void wholeAnswerComesBack() throws IOException {
+    site.usual();
+    HttpResponse<String> response = site.chat(site.hosts.get(0), "hello there", 20);
+    assertEquals(OK, response.statusCode());
+    assertEquals(AnswerText.whole("hello there", 20), content(response));
+  }
+
+  @Test
+  void answerIsWholeOverCutsCrossedRepeatedAndMissingChunks() throws IOException {
+    int one = site.engine("engine-1", "a");
+    int two = site.engine("engine-2", "a");
+    EntryHostRuntime host = site.host("host-a", "a");
+    site.publishTable(host);
+    site.ready(host);
+    List<Faults> faults =
+        List.of(
+            new Faults(null, null, null, 7L, null, null, null, null),
+            new Faults(null, null, null, null, true, true, null, null),
+            new Faults(null, null, null, null, null, null, true, null),
+            new Faults(true, null, null, null, null, null, null, null));
+    for (Faults fault : faults) {
+      site.engineFaults(one, fault);
+      for (int i = 0; i < 4; i++) {
+        String prompt = "prompt " + i;
+        assertEquals(AnswerText.whole(prompt, 12), content(site.chat(host, prompt, 12)));
+      }
+      site.engineFaults(one, NONE);
+    }
+    TestSite.until("nothing is held", () -> held(one) == 0 && held(two) == 0);
+  }
+
+  private long held(int port) {
+    try {
+      return MAPPER.readTree(site.get(port, "/v1/holdings", "").body()).get("holdings").size();
+    } catch (IOException e) {
+      throw new java.io.UncheckedIOException(e);
+    }
+  }
+
+  @Test
+  void callThatMayNotBeRepeatedRunsOnceThoughItsAnswerIsLost() throws IOException {
+    int plain = site.plain("ordering-1", "a");
+    site.plain("ordering-2", "a");
+    site.usual();
+    site.post(plain, "/faults", "", new PlainStandin.Faults(false, true, 0));
+    HttpResponse<String> first = site.order(site.hosts.get(0), "k1", 0);
+    if (first.statusCode() == OK) {
+      return;
+    }
+    assertEquals("unknown", ran(first));
+    site.post(plain, "/faults", "", new PlainStandin.Faults(false, false, 0));
+    for (EntryHostRuntime host : site.hosts) {
+      HttpResponse<String> again = site.order(host, "k1", 1);
+      assertEquals(CONFLICT, again.statusCode());
+      assertFalse("no".equals(ran(again)));
+    }
+    assertEquals(1, site.runs(plain, "k1"));
+  }
+
+  @Test
+  void callRefusedByTheServiceRunsOnceThroughAnotherHost() throws IOException {
+    int plain = site.plain("ordering-1", "a");
+    site.usual();
+    site.post(plain, "/faults", "", new PlainStandin.Faults(true, false, 0));
+    HttpResponse<String> first = site.order(site.hosts.get(0), "k2", 0);
+    assertEquals("no", ran(first));
+    assertEquals(0, site.runs(plain, "k2"));
+    site.post(plain, "/faults", "", new PlainStandin.Faults(false, false, 0));
+    TestSite.until(
+        "runs through the other host",
+        () -> site.order(site.hosts.get(1), "k2", 1).statusCode() == OK);
+    HttpResponse<String> third = site.order(site.hosts.get(0), "k2", 2);
+    assertEquals("already_ran", code(third));
+    assertEquals(1, site.runs(plain, "k2"));
+  }
+
+  @Test
+  void uncountedKeySentThroughTwoHostsAtOnceRunsAtMostOnce() {
+    int plain = site.plain("ordering-1", "a");
+    site.usual();
+    for (int i = 0; i < 10; i++) {
+      String key = "race-" + i;
+      CompletableFuture<?> one =
+          CompletableFuture.runAsync(() -> site.order(site.hosts.get(0), key, null));
+      CompletableFuture<?> two =
+          CompletableFuture.runAsync(() -> site.order(site.hosts.get(1), key, null));
+      CompletableFuture.allOf(one, two).join();
+      assertTrue(site.runs(plain, key) <= 1);
+    }
+  }
+
+  @Test
+  void plannedStopCutsNothingAndHandsKeysOver() throws IOException {
+    int plain = site.plain("ordering-1", "a");
+    site.usual();
+    EntryHostRuntime other = site.host("host-a2", "a");
+    site.ready(other);
+    EntryHostRuntime leaving = site.hosts.get(0);
+    TestSite.until("peers know each other", () -> leaving.status().peers().size() == 2);
+    assertEquals(OK, site.order(leaving, "k3", 0).statusCode());
+    TestSite.until("the order is over", () -> leaving.status().requestsOpen() == 0);
+    CompletableFuture<HttpResponse<String>> inProgress =
+        CompletableFuture.supplyAsync(() -> site.chat(leaving, "long answer", 600));
+    TestSite.until("in progress", () -> leaving.status().requestsOpen() == 1);
+    CompletableFuture<Void> drained = leaving.drain();
+    assertEquals("draining", leaving.status().state());
+    HttpResponse<String> refused = site.chat(leaving, "too late", 4);
+    assertEquals("draining", code(refused));
+    assertEquals("no", ran(refused));
+    assertEquals(AnswerText.whole("long answer", 600), content(inProgress.join()));
+    drained.join();
+    HttpResponse<String> again = site.order(other, "k3", 1);
+    assertEquals("already_ran", code(again));
+    assertEquals(1, site.runs(plain, "k3"));
+  }
+
+  @Test
+  void racingOperatorsHaveOneWinnerWhoIsNamed() {
+    site.usual();
+    long revision = site.hosts.get(0).status().tableRevision();
+    ChangeView one = new ChangeView("counter/chat", "share", "5");
+    ChangeView two = new ChangeView("counter/chat", "share", "6");
+    HttpResponse<String> first = site.publish(site.hosts.get(0), "p1", revision, List.of(one));
+    HttpResponse<String> second = site.publish(site.hosts.get(1), "p2", revision, List.of(two));
+    assertEquals(OK, first.statusCode());
+    assertEquals(CONFLICT, second.statusCode());
+    assertTrue(second.body().contains("\"operator\":\"ana\""), second.body());
+    TestSite.until(
+        "in force everywhere",
+        () -> site.hosts.stream().allMatch(host -> host.status().tableRevision() == revision + 1));
+  }
+
+  @Test
+  void publicationWhoseConfirmationIsLostIsInForce() {
+    site.usual();
+    site.platformFaults(new PlatformMessages.Faults(null, true, null, null, null));
+    long revision = site.hosts.get(0).status().tableRevision();
+    ChangeView change = new ChangeView("counter/chat", "share", "7");
+    HttpResponse<String> response =
+        site.publish(site.hosts.get(0), "p3", revision, List.of(change));
+    assertEquals(OK, response.statusCode(), response.body());
+  }
+
+  @Test
+  void badCellsAreNamedAndNothingIsPublished() {
+    site.usual();
+    long revision = site.hosts.get(0).status().tableRevision();
+    ChangeView bad = new ChangeView("counter/chat", "share", "many");
+    ChangeView good = new ChangeView("counter/chat", "in_flight", "7");
+    HttpResponse<String> response =
+        site.publish(site.hosts.get(0), "p4", revision, List.of(good, bad));
+    assertEquals(422, response.statusCode());
+    assertTrue(response.body().contains("a whole number from 1 to 1000000"), response.body());
+    assertEquals(revision, site.hosts.get(0).status().tableRevision());
+  }
+
+  @Test
+  void newHostGetsTableAndEndpointsFromPeersWhileThePlatformIsDown() throws IOException {
+    site.usual();
+    long revision = site.hosts.get(0).status().tableRevision();
+    site.platformFaults(new PlatformMessages.Faults(true, null, null, null, null));
+    EntryHostRuntime late = site.host("host-a2", "a");
+    TestSite.until("ready from peers", () -> "ready".equals(late.status().state()));
+    assertEquals(revision, late.status().tableRevision());
+    assertEquals(AnswerText.whole("hi", 5), content(site.chat(late, "hi", 5)));
+    assertEquals("not_registered", code(site.order(late, "k4", 0)));
+  }
+
+  @Test
+  void hostStartsFromASnapshotWhenTheLogForgot() {
+    site.usual();
+    EntryHostRuntime host = site.hosts.get(0);
+    for (int i = 0; i < 520; i++) {
+      ChangeView change = new ChangeView("counter/chat", "in_flight", Integer.toString(1_000 + i));
+      long revision = host.status().tableRevision();
+      assertEquals(OK, site.publish(host, "many-" + i, revision, List.of(change)).statusCode());
+    }
+    TestSite.until("a snapshot is in the log", () -> site.newestSnapshot() > 0);
+    long kept = site.newestSnapshot();
+    site.platformFaults(new PlatformMessages.Faults(null, null, null, null, kept));
+    EntryHostRuntime late = site.host("late", "c");
+    site.ready(late);
+    assertEquals(revisionOf(host), revisionOf(late));
+  }
+
+  private static long revisionOf(EntryHostRuntime host) {
+    return host.status().tableRevision();
+  }
+
+  @Test
+  void leavingEndpointGetsNoNewWorkFromAnyHost() throws IOException {
+    int one = site.engine("engine-0", "a");
+    site.usual();
+    site.platformFaults(new PlatformMessages.Faults(null, null, null, 600_000, null));
+    site.engineFaults(one, new Faults(null, null, true, null, null, null, null, null));
+    for (EntryHostRuntime host : site.hosts) {
+      TestSite.until(
+          "known to be leaving",
+          () -> host.status().endpointsLeaving().stream().anyMatch(e -> e.startsWith("engine-0")));
+      assertFalse(host.status().endpointsOpen().contains("engine-0"));
+      assertEquals(OK, site.chat(host, "x", 3).statusCode());
+    }
+  }
+}
--- a/org.fawndrum/src/org/fawndrum/transport/CallerResponse.java
+++ b/org.fawndrum/src/org/fawndrum/transport/CallerResponse.java
@@ -1,7 +1,9 @@
 // SPDX-License-Identifier: Apache-2.0
 package org.fawndrum.transport;
 
+import io.vertx.core.http.HttpServerRequest;
 import io.vertx.core.http.HttpServerResponse;
+import java.util.concurrent.TimeUnit;
 import org.fawndrum.coordination.Refusal;
 import org.fawndrum.protocol.ErrorBodies;
 import org.fawndrum.protocol.Json;
@@ -9,6 +11,7 @@
 /** Writes final answers to callers, whatever state the response is in. */
 final class CallerResponse {
   private static final long MS_PER_SECOND = 1000;
+  private static final long CLOSE_MS = 250;
 
   private CallerResponse() {}
 
@@ -39,4 +42,13 @@
     }
     response.end(body);
   }
+
+  /** Writes a refusal to a request that was not read to its end, and closes the connection. */
+  static void refuseAndClose(HttpServerRequest request, String requestId, Refusal refusal) {
+    request.response().putHeader("connection", "close");
+    refuse(request.response(), requestId, refusal);
+    // The rest of the request will not be read, so nothing else can follow on this connection. The
+    // caller gets a moment to read the answer before the connection is closed under its writes.
+    request.connection().shutdown(CLOSE_MS, TimeUnit.MILLISECONDS);
+  }
 }
--- a/org.fawndrum/src/org/fawndrum/transport/CallerServer.java
+++ b/org.fawndrum/src/org/fawndrum/transport/CallerServer.java
@@ -106,8 +106,7 @@
         cause instanceof io.netty.handler.codec.http.TooLongHttpHeaderException
             || cause instanceof io.netty.handler.codec.http.TooLongHttpLineException;
     RefusalKind kind = tooLarge ? RefusalKind.HEADERS_TOO_LARGE : RefusalKind.INVALID_REQUEST;
-    request.response().putHeader("connection", "close");
-    CallerResponse.refuse(request.response(), ids.next(), Refusal.notRun(kind));
+    CallerResponse.refuseAndClose(request, ids.next(), Refusal.notRun(kind));
   }
 
   private void handle(HttpServerRequest request) {
@@ -160,8 +159,8 @@
             || refusal.kind() == RefusalKind.REQUEST_INCOMPLETE
             || refusal.kind() == RefusalKind.UNKNOWN_KEY;
     if (unread) {
-      // The rest of the body is not worth reading: answer, then close.
-      request.response().putHeader("connection", "close");
+      CallerResponse.refuseAndClose(request, requestId, refusal);
+      return;
     }
     CallerResponse.refuse(request.response(), requestId, refusal);
   }
--- a/org.fawndrum/src/org/fawndrum/transport/DecisionDuty.java
+++ b/org.fawndrum/src/org/fawndrum/transport/DecisionDuty.java
@@ -103,7 +103,8 @@
 
     @Override
     public void refuse(RequestFacts facts, Refusal refusal) {
-      carryOut(coordinator.refuse(facts, refusal, clock.nowMs()));
+      // The refusal speaks of earlier sendings too, of which the exchange knows nothing.
+      carryOut(coordinator.refuse(facts, refusal, clock.nowMs()), false);
     }
   }
 
@@ -292,6 +293,10 @@
   }
 
   private void carryOut(List<Action> actions) {
+    carryOut(actions, true);
+  }
+
+  private void carryOut(List<Action> actions, boolean exchangeKnows) {
     for (Action action : actions) {
       if (action instanceof Action.Explain explain) {
         feed.accept(explain.decision());
@@ -301,15 +306,16 @@
         onExchange(cancel.attempt().requestId(), exchange -> exchange.cancel(cancel));
       } else if (action instanceof Action.Refuse refuse) {
         claims.ended(refuse.requestId(), refuse.refusal().ran(), clock.nowMs());
-        onExchange(refuse.requestId(), exchange -> refuse(exchange, refuse.refusal()));
+        Refusal refusal = refuse.refusal();
+        onExchange(refuse.requestId(), exchange -> refuse(exchange, refusal, exchangeKnows));
         exchanges.remove(refuse.requestId());
       }
     }
   }
 
   /** The exchange knows better than the coordinator whether an order to send was carried out. */
-  private static void refuse(Exchange exchange, Refusal refusal) {
-    boolean surelyNot = refusal.ran() == Ran.UNKNOWN && !exchange.everHandedOver();
+  private static void refuse(Exchange exchange, Refusal refusal, boolean exchangeKnows) {
+    boolean surelyNot = exchangeKnows && refusal.ran() == Ran.UNKNOWN && !exchange.everHandedOver();
     exchange.refuse(surelyNot ? refusal.with(Ran.NO) : refusal);
   }
 
--- a/org.fawndrum/src/org/fawndrum/transport/HostStatus.java
+++ b/org.fawndrum/src/org/fawndrum/transport/HostStatus.java
@@ -84,7 +84,8 @@
 
   private String readiness() {
     DecisionDuty.View view = decisions.view();
-    boolean ready = tables.table().revision() >= 0 && !view.endpoints().isEmpty();
+    boolean ready =
+        follower.everCaughtUp() && tables.table().revision() >= 0 && !view.endpoints().isEmpty();
     if (ready && !sawReady) {
       sawReady = true;
       log.event(
--- a/org.fawndrum/src/org/fawndrum/transport/LogFollower.java
+++ b/org.fawndrum/src/org/fawndrum/transport/LogFollower.java
@@ -46,6 +46,7 @@
   private final Map<CompletableFuture<Void>, Long> awaited = new ConcurrentHashMap<>();
   private volatile boolean platformUp;
   private volatile boolean inGap;
+  private volatile boolean everCaughtUp;
   private volatile long replayedTo;
   private volatile SnapshotRecord newest = SnapshotRecord.newBuilder().setPosition(-1).build();
   private volatile boolean stopping;
@@ -107,6 +108,14 @@
     return platformUp && !inGap;
   }
 
+  /**
+   * Tells whether this host once had the newest table that it could get: the log read to its end,
+   * or a table from a peer while the platform did not answer.
+   */
+  boolean everCaughtUp() {
+    return everCaughtUp;
+  }
+
   /** Returns the newest table with everybody registered, for another host. */
   SnapshotRecord snapshot() {
     return newest;
@@ -167,6 +176,7 @@
       SnapshotCodec.members(snapshot).forEach(this::registered);
       replay.adopt(SnapshotCodec.decode(snapshot)).ifPresent(store::offer);
       refresh();
+      everCaughtUp |= !platformUp;
       snapshot = fromPeers.poll();
     }
   }
@@ -202,6 +212,7 @@
     }
     store.offer(replay.table());
     refresh();
+    everCaughtUp |= !inGap && replayedTo >= batch.next();
     settleAwaited();
   }
 
--- a/org.fawndrum/src/org/fawndrum/transport/ServerOptions.java
+++ b/org.fawndrum/src/org/fawndrum/transport/ServerOptions.java
@@ -7,7 +7,10 @@
 import org.fawndrum.settings.ListenSettings;
 import org.fawndrum.settings.TlsSettings;
 
-/** Turns settings into the options of an HTTP server. */
+/**
+ * Turns settings into the options of an HTTP server. Only HTTP/1.1 is spoken: a connection then
+ * carries one request at a time, and closing it concerns no other.
+ */
 final class ServerOptions {
   private static final int LONGEST_REQUEST_LINE = 8_192;
 
@@ -19,7 +22,9 @@
             .setHost(listen.address().ip())
             .setPort(listen.address().port())
             .setMaxHeaderSize(headerBytes)
-            .setMaxInitialLineLength(LONGEST_REQUEST_LINE);
+            .setMaxInitialLineLength(LONGEST_REQUEST_LINE)
+            .setHttp2ClearTextEnabled(false)
+            .setUseAlpn(false);
     listen.tls().ifPresent(tls -> encrypt(options, tls));
     return options;
   }
