Queue each length class apart so none blocks another

Change: a lane class for each factor of four in length; only the same class is held back by a head that finds no engine.

--- a/org.fawndrum/src/org/fawndrum/coordination/LengthMix.java
+++ b/org.fawndrum/src/org/fawndrum/coordination/LengthMix.java
@@ -8,6 +8,8 @@
 public final class LengthMix {
   private static final int BUCKETS = 32;
   private static final double KEEP = 0.999;
+  private static final int CLASS_FACTOR = 4;
+  private static final int MOST_CLASSES = 12;
   private static final long FIRST_BOUNDARY = 8_192;
   private static final double ENOUGH = 50;
 
@@ -57,6 +59,18 @@
     return boundary;
   }
 
+  /**
+   * Returns the class of a length: 0 for short prompts, then one more for each factor of four above
+   * the boundary.
+   */
+  public int lengthClass(long promptTokens) {
+    int above = 0;
+    for (long end = boundary; end < promptTokens && above < MOST_CLASSES; end *= CLASS_FACTOR) {
+      above++;
+    }
+    return above;
+  }
+
   /** Tells whether a prompt counts as short. */
   public boolean isShort(long promptTokens) {
     return promptTokens <= boundary;
--- a/org.fawndrum/src/org/fawndrum/coordination/LiveRequest.java
+++ b/org.fawndrum/src/org/fawndrum/coordination/LiveRequest.java
@@ -17,6 +17,12 @@
   final List<Attempt> attempts = new ArrayList<>(1);
   final Set<HostIdentity> excluded = new HashSet<>(0);
   boolean waiting;
+
+  /**
+   * The lane it waits in; lanes follow the mix of lengths, so that it cannot be worked out again.
+   */
+  Object lane;
+
   boolean shownWaiting;
   boolean firstTokenSeen;
 
--- a/org.fawndrum/src/org/fawndrum/coordination/WaitingRequests.java
+++ b/org.fawndrum/src/org/fawndrum/coordination/WaitingRequests.java
@@ -26,7 +26,7 @@
   private int size;
 
   /** Names a lane. */
-  private record LaneKey(CallerGroup group, RequestTarget target, boolean isShort) {}
+  private record LaneKey(CallerGroup group, RequestTarget target, int lengthClass) {}
 
   /** A lane with the place of its oldest request. */
   private record Place(LaneKey key, double place, long arrivedMs) {}
@@ -84,18 +84,16 @@
       order.backlogged(request.facts);
     }
     lane.add(request);
+    request.lane = key;
     added(request, 1);
   }
 
   void remove(LiveRequest request) {
-    for (boolean isShort : new boolean[] {true, false}) {
-      LaneKey key = new LaneKey(request.facts.group(), request.facts.target(), isShort);
-      Deque<LiveRequest> lane = lanes.get(key);
-      if (lane != null && lane.remove(request)) {
-        added(request, -1);
-        dropIfEmpty(key, lane);
-        return;
-      }
+    LaneKey key = request.lane instanceof LaneKey lane ? lane : keyOf(request);
+    Deque<LiveRequest> lane = lanes.get(key);
+    if (lane != null && lane.remove(request)) {
+      added(request, -1);
+      dropIfEmpty(key, lane);
     }
   }
 
@@ -107,7 +105,7 @@
 
   private LaneKey keyOf(LiveRequest request) {
     RequestFacts facts = request.facts;
-    return new LaneKey(facts.group(), facts.target(), lengths.isShort(facts.promptTokens()));
+    return new LaneKey(facts.group(), facts.target(), lengths.lengthClass(facts.promptTokens()));
   }
 
   private void dropIfEmpty(LaneKey key, Deque<LiveRequest> lane) {
@@ -130,7 +128,7 @@
       taken = false;
       for (Place place : places()) {
         LaneKey key = place.key();
-        LaneKey barrier = new LaneKey(null, key.target(), key.isShort());
+        LaneKey barrier = new LaneKey(null, key.target(), key.lengthClass());
         if (blocked.contains(barrier)) {
           continue;
         }
@@ -155,7 +153,7 @@
     for (Map.Entry<LaneKey, Deque<LiveRequest>> lane : lanes.entrySet()) {
       LiveRequest oldest = lane.getValue().peek();
       long weight = oldest.row.number(Column.SHARE);
-      double place = order.place(oldest.facts, weight, lane.getKey().isShort());
+      double place = order.place(oldest.facts, weight, lane.getKey().lengthClass() == 0);
       places.add(new Place(lane.getKey(), place, oldest.facts.arrivedMs()));
     }
     places.sort(BY_PLACE);
