Free what gone daemons left on engines

Cause: streams of a daemon that died kept an engine's memory when the engine did not see the connection close. Change: each engine is looked after by one daemon of its zone (highest random weight, no vote); an owner that was replaced, or neither listed nor heard of, for two minutes without a break is swept. Prefix memory is bounded over all engines of a host, tables for peers are written down only when asked for, and the backlog of an endpoint is worked out once a decision.

--- a/org.fawndrum/src/org/fawndrum/coordination/CachedPrefixes.java
+++ b/org.fawndrum/src/org/fawndrum/coordination/CachedPrefixes.java
@@ -11,19 +11,29 @@
  * wrong. Bounded; the least recently used prefix is forgotten first. Confined to one thread.
  */
 final class CachedPrefixes {
-  /** How many prefixes are remembered for one engine. */
+  /** How many prefixes are remembered for all engines of a host together. */
+  static final int MOST_IN_ALL = 65_536;
+
+  /** How many prefixes are remembered for one engine at the most. */
   static final int MOST = 512;
 
+  private final int most;
+
   private final Map<Long, Boolean> known =
       new LinkedHashMap<>(16, 0.75f, true) {
         private static final long serialVersionUID = 1L;
 
         @Override
         protected boolean removeEldestEntry(Map.Entry<Long, Boolean> eldest) {
-          return size() > MOST;
+          return size() > most;
         }
       };
 
+  /** Makes an empty cache view of one engine among so many. */
+  CachedPrefixes(int engines) {
+    this.most = Math.max(1, Math.min(MOST, MOST_IN_ALL / Math.max(1, engines)));
+  }
+
   void stored(List<Long> prefixes) {
     for (Long prefix : prefixes) {
       known.put(prefix, Boolean.TRUE);
--- a/org.fawndrum/src/org/fawndrum/coordination/EndpointBook.java
+++ b/org.fawndrum/src/org/fawndrum/coordination/EndpointBook.java
@@ -29,7 +29,7 @@
     for (Endpoint endpoint : endpoints) {
       EndpointState state = states.get(endpoint.identity());
       if (state == null) {
-        state = new EndpointState(endpoint);
+        state = new EndpointState(endpoint, endpoints.size());
       } else {
         state.describe(endpoint);
       }
--- a/org.fawndrum/src/org/fawndrum/coordination/EndpointState.java
+++ b/org.fawndrum/src/org/fawndrum/coordination/EndpointState.java
@@ -25,7 +25,7 @@
   private long unreportedMemory;
   private int failuresInRow;
   private long avoidUntilMs;
-  private final CachedPrefixes prefixes = new CachedPrefixes();
+  private final CachedPrefixes prefixes;
 
   /** What one attempt adds to the endpoint's load. */
   private static final class Sent {
@@ -43,8 +43,9 @@
     }
   }
 
-  EndpointState(Endpoint endpoint) {
+  EndpointState(Endpoint endpoint, int engines) {
     this.endpoint = endpoint;
+    this.prefixes = new CachedPrefixes(engines);
   }
 
   /** Returns the endpoint. */
--- a/org.fawndrum/src/org/fawndrum/coordination/ExpectedFinishPlacement.java
+++ b/org.fawndrum/src/org/fawndrum/coordination/ExpectedFinishPlacement.java
@@ -54,10 +54,14 @@
     long bestMs = Long.MAX_VALUE;
     for (int i = 0; i < look; i++) {
       EndpointState state = candidates.get((start + i) % candidates.size());
-      if (!query.usable(state) || model && !hasRoom(state, query)) {
+      if (!query.usable(state) || model && !hasMemory(state, query)) {
         continue;
       }
-      long expectedMs = model ? firstTokenMs(state, query) : plainMs(state, query);
+      long backlogMs = model ? backlogMs(state, query) : 0;
+      if (backlogMs > settings.horizonMs()) {
+        continue;
+      }
+      long expectedMs = model ? backlogMs + readMs(state, query) : plainMs(state, query);
       if (expectedMs < bestMs) {
         best = state;
         bestMs = expectedMs;
@@ -71,25 +75,24 @@
     return Optional.of(new Choice(best, reason, passedOver(query, best, start, look, model)));
   }
 
-  private boolean hasRoom(EndpointState state, Query query) {
+  private boolean hasMemory(EndpointState state, Query query) {
     RequestFacts facts = query.facts();
     long kept =
         facts.promptTokens() >= settings.longTokens()
             ? (long) (settings.shortReserve() * state.endpoint().memoryTokens())
             : 0;
-    if (state.freeTokens() - kept < facts.workTokens()) {
-      return false;
-    }
+    return state.freeTokens() - kept >= facts.workTokens();
+  }
+
+  private static long backlogMs(EndpointState state, Query query) {
     long backlog = state.backlogFrom(query.priority(), query.nowMs());
-    return backlog * MS_PER_SECOND / state.tokensPerSecond() <= settings.horizonMs();
+    return (long) (backlog * MS_PER_SECOND / state.tokensPerSecond());
   }
 
-  private long firstTokenMs(EndpointState state, Query query) {
+  private long readMs(EndpointState state, Query query) {
     long cached = state.prefixes().match(query.facts().prefixes()) * BLOCK_TOKENS;
     long toRead = Math.max(1, query.facts().promptTokens() - cached);
-    long backlog = state.backlogFrom(query.priority(), query.nowMs());
-    long readMs = (long) ((backlog + toRead) * MS_PER_SECOND / state.tokensPerSecond());
-    return readMs + zoneMs(state, query);
+    return (long) (toRead * MS_PER_SECOND / state.tokensPerSecond()) + zoneMs(state, query);
   }
 
   private long plainMs(EndpointState state, Query query) {
@@ -106,7 +109,8 @@
     for (int i = 0; i < look && shown.size() < SHOWN; i++) {
       EndpointState state = query.candidates().get((start + i) % query.candidates().size());
       if (state != best) {
-        long expectedMs = model ? firstTokenMs(state, query) : plainMs(state, query);
+        long expectedMs =
+            model ? backlogMs(state, query) + readMs(state, query) : plainMs(state, query);
         shown.add(new PassedOver(state.endpoint().name(), expectedMs));
       }
     }
--- a/org.fawndrum/src/org/fawndrum/transport/EntryHostRuntime.java
+++ b/org.fawndrum/src/org/fawndrum/transport/EntryHostRuntime.java
@@ -47,6 +47,7 @@
   private static final long READ_WAIT_MS = 500;
   private static final long REGISTER_AGAIN_MS = 1_000;
   private static final long LOST_LOOK_MS = 5_000;
+  private static final long SWEEP_LOOK_MS = 15_000;
 
   private final Vertx vertx;
   private final HostSettings settings;
@@ -66,6 +67,7 @@
   private final OperatorServer operators;
   private final LostHosts lostHosts;
   private final HostStatus status;
+  private final MemorySweep sweep;
   private final CompletableFuture<Void> drained = new CompletableFuture<>();
   private volatile HostListing listing = HostListing.NONE;
   private volatile boolean draining;
@@ -115,10 +117,9 @@
             self, membership, network, clock, this::ownFacts, new Holdings(), this::heard, log);
     EngineCalls engines = new EngineCalls(vertx, settings.limits().endpointSilenceMs());
     this.watch = new EndpointWatch(vertx, platform, engines, decisions, this::listed);
-    ExchangeFactory exchanges = new ExchangeFactory(vertx, engines, this::attempted, metrics);
-    RequestIntake intake =
-        new RequestIntake(vertx, settings.limits(), clock, tables, decisions, exchanges);
-    this.callers = new CallerServer(vertx, settings, new RequestIds(self), intake);
+    this.callers = callerServer(engines);
+    this.sweep =
+        new MemorySweep(self, settings.zone(), engines, () -> listing, members::peers, clock, log);
     this.lostHosts = new LostHosts(members::peers, lost -> offerSurely(lost));
     this.status =
         new HostStatus(
@@ -129,6 +130,13 @@
     tables.onNewer(this::tableChanged);
   }
 
+  private CallerServer callerServer(EngineCalls engines) {
+    ExchangeFactory exchanges = new ExchangeFactory(vertx, engines, this::attempted, metrics);
+    RequestIntake intake =
+        new RequestIntake(vertx, settings.limits(), clock, tables, decisions, exchanges);
+    return new CallerServer(vertx, settings, new RequestIds(self), intake);
+  }
+
   /** Starts everything; fails when an address cannot be had. */
   public Future<Void> start() {
     feed.start();
@@ -143,6 +151,7 @@
               members.start();
               register();
               vertx.setPeriodic(LOST_LOOK_MS, id -> lostHosts.look(listing, clock.nowMs()));
+              vertx.setPeriodic(SWEEP_LOOK_MS, id -> sweep.look());
               log.event(LogEvent.HOST_STARTED, self, settings.zone());
               return null;
             });
--- a/org.fawndrum/src/org/fawndrum/transport/LogFollower.java
+++ b/org.fawndrum/src/org/fawndrum/transport/LogFollower.java
@@ -1,6 +1,7 @@
 // SPDX-License-Identifier: Apache-2.0
 package org.fawndrum.transport;
 
+import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
@@ -20,6 +21,7 @@
 import org.fawndrum.protocol.PlatformLog;
 import org.fawndrum.protocol.SnapshotCodec;
 import org.fawndrum.protocol.wire.SnapshotRecord;
+import org.fawndrum.state.TableRevision;
 
 /**
  * The thread that follows the platform's log: it brings newer tables to the store, tells of
@@ -48,11 +50,14 @@
   private volatile boolean inGap;
   private volatile boolean everCaughtUp;
   private volatile long replayedTo;
-  private volatile SnapshotRecord newest = SnapshotRecord.newBuilder().setPosition(-1).build();
+  private volatile Newest newest = new Newest(TableRevision.EMPTY, List.of());
   private volatile boolean stopping;
   private long newestSnapshotSeenMs;
   private long nextSnapshotMs;
 
+  /** The newest table with everybody registered, written down only when somebody asks. */
+  private record Newest(TableRevision table, List<Registration> members) {}
+
   /**
    * Makes the follower, not started.
    *
@@ -118,7 +123,8 @@
 
   /** Returns the newest table with everybody registered, for another host. */
   SnapshotRecord snapshot() {
-    return newest;
+    Newest known = newest;
+    return SnapshotCodec.encode(known.table(), known.members());
   }
 
   /** Takes a table from a peer; it is looked at before the next read. */
@@ -219,8 +225,8 @@
   private void refresh() {
     inGap = replay.inGap();
     replayedTo = replay.next();
-    if (replay.table().position() > newest.getPosition()) {
-      newest = SnapshotCodec.encode(replay.table(), book.members(clock.nowMs()));
+    if (replay.table().position() > newest.table().position()) {
+      newest = new Newest(replay.table(), book.members(clock.nowMs()));
     }
   }
 
