Share the watch of engines within a zone

Cause: every daemon asked every engine of every zone for its load five times a second; at 667 engines a zone and 15 zones that is 50,000 calls a second from each daemon, far above 9 KB/s. Change: fleets of up to 32 engines as before; in larger ones the daemons of a zone share its engines out, ask ten a second each, and tell each other the load in heartbeats, six bytes an engine. A large fleet was not run through real daemons.

--- a/org.fawndrum.bench/src/org/fawndrum/bench/SlopeBench.java
+++ b/org.fawndrum.bench/src/org/fawndrum/bench/SlopeBench.java
@@ -1,6 +1,7 @@
 // SPDX-License-Identifier: Apache-2.0
 package org.fawndrum.bench;
 
+import com.google.protobuf.ByteString;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
@@ -16,6 +17,7 @@
 import org.fawndrum.coordination.membership.MembershipSettings;
 import org.fawndrum.coordination.membership.PeerFacts;
 import org.fawndrum.coordination.membership.ZoneMembership;
+import org.fawndrum.protocol.LoadDigest;
 import org.fawndrum.protocol.LogCodec;
 import org.fawndrum.protocol.PeerCodec;
 import org.fawndrum.protocol.SnapshotCodec;
@@ -166,7 +168,8 @@
 
   private void heartbeats() {
     System.out.println();
-    System.out.println("heartbeats in a zone, each daemon; bytes are of messages, both ways");
+    System.out.println(
+        "heartbeats in a zone with the load of 27 engines each; bytes are of messages, both ways");
     System.out.println("daemons  interval ms  messages/s  message bytes/s  microseconds/s");
     for (int daemons : DAEMONS) {
       new ZoneSlope(daemons).print();
@@ -175,6 +178,7 @@
 
   /** A zone of daemons on one virtual clock, with real messages between them. */
   private static final class ZoneSlope {
+    private static final int WATCHED = 27;
     private static final long RUN_MS = 120_000;
     private static final long TICK_MS = 50;
 
@@ -243,7 +247,10 @@
       for (HostAddress to : due) {
         byte[] frame =
             PeerCodec.from(identity(from))
-                .setHeartbeat(PeerCodec.heartbeat(facts))
+                .setHeartbeat(
+                    PeerCodec.heartbeat(facts)
+                        .setLoadDigest(
+                            ByteString.copyFrom(new byte[WATCHED * LoadDigest.ENTRY_BYTES])))
                 .build()
                 .toByteArray();
         bytes += frame.length + 4;
--- a/org.fawndrum/src/org/fawndrum/coordination/EndpointState.java
+++ b/org.fawndrum/src/org/fawndrum/coordination/EndpointState.java
@@ -14,6 +14,7 @@
   public static final long ASSUMED_TOKENS_PER_SECOND = 20_000;
 
   private static final long FIRST_BACKOFF_MS = 500;
+  private static final long OWN_REPORT_MS = 1_000;
   private static final long LONGEST_BACKOFF_MS = 8_000;
   private static final double MS_PER_SECOND = 1000.0;
 
@@ -69,9 +70,24 @@
 
   /** Takes a load report, unless a newer one is known. */
   void reported(LoadReport newer, long nowMs) {
-    if (report != null && newer.sequence() <= report.sequence()) {
+    if (report == null || newer.sequence() > report.sequence()) {
+      take(newer, nowMs);
+    }
+  }
+
+  /** Takes a load that a peer told, unless the endpoint itself reported lately. */
+  void told(LoadReport load, long nowMs) {
+    if (report != null && nowMs - reportedAtMs < OWN_REPORT_MS) {
       return;
     }
+    long sequence = report == null ? 0 : report.sequence();
+    long speed = Math.max(load.tokensPerSecond(), 1);
+    take(
+        new LoadReport(sequence, load.backlogTokens(), load.freeTokens(), load.streams(), speed),
+        nowMs);
+  }
+
+  private void take(LoadReport newer, long nowMs) {
     long coversUntilMs = reportedAtMs;
     report = newer;
     reportedAtMs = nowMs;
--- a/org.fawndrum/src/org/fawndrum/coordination/RequestCoordinator.java
+++ b/org.fawndrum/src/org/fawndrum/coordination/RequestCoordinator.java
@@ -82,6 +82,15 @@
     return flush(nowMs);
   }
 
+  /** Takes a load that a peer told; a late report of the endpoint itself goes before it. */
+  public List<Action> loadTold(HostIdentity endpoint, LoadReport load, long nowMs) {
+    EndpointState state = endpoints.state(endpoint);
+    if (state != null) {
+      state.told(load, nowMs);
+    }
+    return flush(nowMs);
+  }
+
   /** Admits no new request from now on; those admitted go on to their end. */
   public void drain() {
     draining = true;
--- a/org.fawndrum/src/org/fawndrum/transport/DecisionDuty.java
+++ b/org.fawndrum/src/org/fawndrum/transport/DecisionDuty.java
@@ -1,6 +1,7 @@
 // SPDX-License-Identifier: Apache-2.0
 package org.fawndrum.transport;
 
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
@@ -20,6 +21,7 @@
 import org.fawndrum.internal.duty.Ring;
 import org.fawndrum.internal.log.HostLog;
 import org.fawndrum.protocol.EngineMessages.Load;
+import org.fawndrum.protocol.LoadDigest;
 import org.fawndrum.state.Endpoint;
 import org.fawndrum.state.HostAddress;
 import org.fawndrum.state.HostIdentity;
@@ -37,6 +39,7 @@
   private final Consumer<Decision> feed;
   private final Consumer<HostIdentity> leavingNews;
   private final ClaimDesk claims;
+  private final Map<Integer, Endpoint> byNameHash = new HashMap<>();
   private final Map<String, Exchange> exchanges = new ConcurrentHashMap<>();
   private final Duty<HostEvent> duty;
   private volatile View view = new View(0, 0, false, List.of(), List.of());
@@ -205,6 +208,8 @@
       listed(listed, nowMs);
     } else if (event instanceof HostEvent.Loaded loaded) {
       loaded(loaded, nowMs);
+    } else if (event instanceof HostEvent.LoadsTold told) {
+      told.loads().forEach(one -> told(one, nowMs));
     } else if (event instanceof HostEvent.SaidLeaving said) {
       if (roster.saidLeaving(said.endpoint())) {
         offerEndpoints(nowMs);
@@ -280,8 +285,25 @@
     carryOut(coordinator.load(identity, report, nowMs));
   }
 
+  private void told(LoadDigest.Entry entry, long nowMs) {
+    Endpoint endpoint = byNameHash.get(entry.nameHash());
+    if (endpoint == null) {
+      return;
+    }
+    LoadReport load =
+        new LoadReport(
+            0,
+            entry.load().backlogTokens(),
+            (long) (entry.freePart() * endpoint.memoryTokens()),
+            0,
+            entry.load().tokensPerSecond());
+    carryOut(coordinator.loadTold(endpoint.identity(), load, nowMs));
+  }
+
   private void offerEndpoints(long nowMs) {
     List<Endpoint> open = roster.open();
+    byNameHash.clear();
+    open.forEach(endpoint -> byNameHash.put(LoadDigest.nameHash(endpoint.name()), endpoint));
     carryOut(coordinator.endpoints(open, nowMs));
     view =
         new View(
--- a/org.fawndrum/src/org/fawndrum/transport/EndpointWatch.java
+++ b/org.fawndrum/src/org/fawndrum/transport/EndpointWatch.java
@@ -2,12 +2,15 @@
 package org.fawndrum.transport;
 
 import io.vertx.core.Vertx;
+import java.util.HashMap;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.Consumer;
+import org.fawndrum.coordination.LoadReport;
+import org.fawndrum.protocol.EngineMessages.Load;
 import org.fawndrum.protocol.HostListSource;
+import org.fawndrum.protocol.LoadDigest;
 import org.fawndrum.state.Endpoint;
-import org.fawndrum.state.EndpointKind;
 import org.fawndrum.state.HostListing;
 
 /** Reads the platform's list of hosts and the load of the model engines at steady intervals. */
@@ -20,6 +23,8 @@
   private final EngineCalls engines;
   private final DecisionDuty decisions;
   private final Consumer<HostListing> listed;
+  private final WatchShare share;
+  private final Map<String, LoadReport> loads = new ConcurrentHashMap<>();
   private final Map<String, Boolean> asking = new ConcurrentHashMap<>();
   private long listTimer;
   private long loadTimer;
@@ -29,8 +34,10 @@
       HostListSource platform,
       EngineCalls engines,
       DecisionDuty decisions,
-      Consumer<HostListing> listed) {
+      Consumer<HostListing> listed,
+      WatchShare share) {
     this.listed = listed;
+    this.share = share;
     this.vertx = vertx;
     this.platform = platform;
     this.engines = engines;
@@ -64,11 +71,31 @@
   }
 
   private void readLoads() {
-    for (Endpoint endpoint : decisions.view().endpoints()) {
-      if (endpoint.kind() == EndpointKind.MODEL) {
-        readLoad(endpoint);
+    share.due(decisions.view().endpoints()).forEach(this::readLoad);
+  }
+
+  /** Returns the load of the endpoints that this host watches for others, as lately read. */
+  byte[] digest() {
+    Map<String, LoadReport> told = new HashMap<>();
+    Map<String, Long> memory = new HashMap<>();
+    for (Endpoint endpoint : share.mine(decisions.view().endpoints())) {
+      LoadReport one = loads.get(endpoint.name());
+      if (one != null) {
+        told.put(endpoint.name(), one);
+        memory.put(endpoint.name(), endpoint.memoryTokens());
       }
     }
+    loads.clear();
+    return LoadDigest.write(told, memory);
+  }
+
+  private static LoadReport report(Load load) {
+    return new LoadReport(
+        load.sequence(),
+        load.backlogTokens(),
+        load.freeTokens(),
+        load.streams(),
+        load.tokensPerSecond());
   }
 
   private void readLoad(Endpoint endpoint) {
@@ -81,6 +108,7 @@
             (load, failure) -> {
               asking.remove(endpoint.name());
               if (load != null) {
+                loads.put(endpoint.name(), report(load));
                 decisions.offer(new HostEvent.Loaded(endpoint.identity(), load));
               }
             });
--- a/org.fawndrum/src/org/fawndrum/transport/EntryHostRuntime.java
+++ b/org.fawndrum/src/org/fawndrum/transport/EntryHostRuntime.java
@@ -116,7 +116,7 @@
         new PeerDuty(
             self, membership, network, clock, this::ownFacts, new Holdings(), this::heard, log);
     EngineCalls engines = new EngineCalls(vertx, settings.limits().endpointSilenceMs());
-    this.watch = new EndpointWatch(vertx, platform, engines, decisions, this::listed);
+    this.watch = endpointWatch(engines);
     this.callers = callerServer(engines);
     this.sweep =
         new MemorySweep(self, settings.zone(), engines, () -> listing, members::peers, clock, log);
@@ -130,6 +130,11 @@
     tables.onNewer(this::tableChanged);
   }
 
+  private EndpointWatch endpointWatch(EngineCalls engines) {
+    WatchShare share = new WatchShare(self.host(), settings.zone(), members::livingInZone);
+    return new EndpointWatch(vertx, platform, engines, decisions, this::listed, share);
+  }
+
   private CallerServer callerServer(EngineCalls engines) {
     ExchangeFactory exchanges = new ExchangeFactory(vertx, engines, this::attempted, metrics);
     RequestIntake intake =
@@ -302,6 +307,11 @@
       offerSurely(new HostEvent.Listed(newer));
     }
 
+    @Override
+    public byte[] loadDigest() {
+      return watch.digest();
+    }
+
     @Override
     public boolean needsNoPeer() {
       return follower.needsNoPeer();
--- a/org.fawndrum/src/org/fawndrum/transport/HostEvent.java
+++ b/org.fawndrum/src/org/fawndrum/transport/HostEvent.java
@@ -12,6 +12,7 @@
 import org.fawndrum.coordination.once.OnceLedger;
 import org.fawndrum.coordination.once.Registration;
 import org.fawndrum.protocol.EngineMessages.Load;
+import org.fawndrum.protocol.LoadDigest;
 import org.fawndrum.state.HostIdentity;
 import org.fawndrum.state.HostListing;
 import org.fawndrum.state.TableRevision;
@@ -39,6 +40,9 @@
   /** An endpoint reported its load. */
   record Loaded(HostIdentity listedAs, Load load) implements HostEvent {}
 
+  /** A peer tells the load of the endpoints that it watches. */
+  record LoadsTold(List<LoadDigest.Entry> loads) implements HostEvent {}
+
   /** A peer says that an endpoint is leaving. */
   record SaidLeaving(HostIdentity endpoint) implements HostEvent {}
 
--- a/org.fawndrum/src/org/fawndrum/transport/PeerDesk.java
+++ b/org.fawndrum/src/org/fawndrum/transport/PeerDesk.java
@@ -3,9 +3,11 @@
 
 import java.util.function.Consumer;
 import org.fawndrum.coordination.once.ClaimKey;
+import org.fawndrum.protocol.LoadDigest;
 import org.fawndrum.protocol.PeerCodec;
 import org.fawndrum.protocol.wire.Acknowledgement;
 import org.fawndrum.protocol.wire.EndpointWord;
+import org.fawndrum.protocol.wire.Heartbeat;
 import org.fawndrum.protocol.wire.PeerMessage;
 import org.fawndrum.state.HostIdentity;
 import org.fawndrum.transport.peer.PeerNetwork;
@@ -32,9 +34,7 @@
   public void received(PeerMessage message, Consumer<PeerMessage.Builder> reply) {
     HostIdentity sender = PeerCodec.sender(message);
     switch (message.getBodyCase()) {
-      case HEARTBEAT ->
-          members.accept(
-              new PeerDuty.PeerEvent.Heard(PeerCodec.facts(sender, message.getHeartbeat())));
+      case HEARTBEAT -> heartbeat(sender, message.getHeartbeat());
       case CATCH_UP_REQUEST ->
           members.accept(new PeerDuty.PeerEvent.CatchUpAsked(message.getCatchUpRequest(), reply));
       case CLAIM_REQUEST -> claimAsked(message, reply);
@@ -53,6 +53,14 @@
     }
   }
 
+  private void heartbeat(HostIdentity sender, Heartbeat heartbeat) {
+    members.accept(new PeerDuty.PeerEvent.Heard(PeerCodec.facts(sender, heartbeat)));
+    if (!heartbeat.getLoadDigest().isEmpty()) {
+      byte[] digest = heartbeat.getLoadDigest().toByteArray();
+      decisions.accept(new HostEvent.LoadsTold(LoadDigest.read(digest)));
+    }
+  }
+
   private PeerMessage.Builder acknowledgement() {
     return PeerCodec.from(self).setAcknowledgement(Acknowledgement.getDefaultInstance());
   }
--- a/org.fawndrum/src/org/fawndrum/transport/PeerDuty.java
+++ b/org.fawndrum/src/org/fawndrum/transport/PeerDuty.java
@@ -5,6 +5,7 @@
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
+import java.util.Set;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
 import org.fawndrum.coordination.membership.PeerFacts;
@@ -21,6 +22,7 @@
 import org.fawndrum.protocol.PlatformMessages.HostList;
 import org.fawndrum.protocol.wire.CatchUpReply;
 import org.fawndrum.protocol.wire.CatchUpRequest;
+import org.fawndrum.protocol.wire.Heartbeat;
 import org.fawndrum.protocol.wire.PeerMessage;
 import org.fawndrum.protocol.wire.SnapshotRecord;
 import org.fawndrum.state.HostAddress;
@@ -62,6 +64,9 @@
     /** Takes a host list from another host. */
     void take(HostListing listing);
 
+    /** Returns the load of the endpoints that this host watches for its zone. */
+    byte[] loadDigest();
+
     /** Tells whether the platform gives everything, so that other hosts need not be asked. */
     boolean needsNoPeer();
   }
@@ -181,16 +186,22 @@
     for (ZoneMembership.Changed changed : membership.suspects(nowMs)) {
       log.event(LogEvent.PEER_SUSPECTED, changed.identity(), Long.toString(changed.silentMs()));
     }
-    PeerFacts own = null;
-    for (HostAddress to : membership.dueNow(nowMs)) {
-      own = own == null ? ownFacts.get() : own;
-      network.tell(to, PeerCodec.from(self).setHeartbeat(PeerCodec.heartbeat(own)).build());
+    Set<HostAddress> due = membership.dueNow(nowMs);
+    if (!due.isEmpty()) {
+      tell(due);
     }
     catchUp(nowMs);
     view = membership.peers();
     zoneView = membership.livingInZone();
   }
 
+  private void tell(Set<HostAddress> due) {
+    Heartbeat.Builder heartbeat = PeerCodec.heartbeat(ownFacts.get());
+    heartbeat.setLoadDigest(ByteString.copyFrom(holdings.loadDigest()));
+    PeerMessage message = PeerCodec.from(self).setHeartbeat(heartbeat).build();
+    due.forEach(to -> network.tell(to, message));
+  }
+
   private void catchUp(long nowMs) {
     if (nowMs < nextCatchUpMs || holdings.needsNoPeer()) {
       return;
