--- a/org.fawndrum.standin/src/org/fawndrum/standin/PlatformStandin.java
+++ b/org.fawndrum.standin/src/org/fawndrum/standin/PlatformStandin.java
@@ -176,7 +176,9 @@
         list = listing.list();
       }
     }
-    JsonServer.answer(request.response(), list);
+    boolean known = list.version() <= JsonServer.number(request, "after", -1);
+    HostList answer = known ? new HostList(list.version(), null) : list;
+    JsonServer.answer(request.response(), answer);
   }
 
   private void list(HttpServerRequest request, ListedHost host) {
--- a/org.fawndrum/src/org/fawndrum/protocol/HostListCodec.java
+++ b/org.fawndrum/src/org/fawndrum/protocol/HostListCodec.java
@@ -27,8 +27,14 @@
 
   private HostListCodec() {}
 
-  /** Returns the listing; hosts of a role that this version does not know are left out. */
+  /**
+   * Returns the listing; hosts of a role that this version does not know are left out. A list
+   * without hosts says that nothing changed since its version, and must not be taken over.
+   */
   public static HostListing decode(HostList list) {
+    if (list.hosts() == null) {
+      return new HostListing(list.version(), List.of(), Set.of(), List.of());
+    }
     List<Endpoint> endpoints = new ArrayList<>();
     Set<HostIdentity> leaving = new HashSet<>();
     List<EntryHost> entryHosts = new ArrayList<>();
--- a/org.fawndrum/src/org/fawndrum/protocol/PlatformMessages.java
+++ b/org.fawndrum/src/org/fawndrum/protocol/PlatformMessages.java
@@ -49,7 +49,10 @@
       long memoryTokens,
       boolean leaving) {}
 
-  /** The whole list; its version grows with each change. */
+  /**
+   * The whole list; its version grows with each change. Without hosts when nothing changed since
+   * the version that the reader named.
+   */
   public record HostList(long version, List<ListedHost> hosts) {}
 
   /** Faults that the stand-in is told to have; null leaves one as it is. */
--- a/org.fawndrum/src/org/fawndrum/transport/EndpointWatch.java
+++ b/org.fawndrum/src/org/fawndrum/transport/EndpointWatch.java
@@ -64,7 +64,7 @@
         .whenComplete(
             (listing, failure) -> {
               asking.remove("");
-              if (listing != null && decisions.offer(new HostEvent.Listed(listing))) {
+              if (listing != null) {
                 listed.accept(listing);
               }
             });
--- a/org.fawndrum/src/org/fawndrum/transport/EntryHostRuntime.java
+++ b/org.fawndrum/src/org/fawndrum/transport/EntryHostRuntime.java
@@ -203,6 +203,7 @@
       return;
     }
     listing = newer;
+    offerSurely(new HostEvent.Listed(newer));
     offerToMembers(new PeerDuty.PeerEvent.Listed(newer));
   }
 
@@ -304,7 +305,6 @@
     @Override
     public void take(HostListing newer) {
       listed(newer);
-      offerSurely(new HostEvent.Listed(newer));
     }
 
     @Override
--- a/org.fawndrum/src/org/fawndrum/transport/HttpPlatform.java
+++ b/org.fawndrum/src/org/fawndrum/transport/HttpPlatform.java
@@ -36,6 +36,7 @@
   private final HttpClientAgent client;
   private final HostAddress address;
   private final long waitMs;
+  private volatile long listVersion = -1;
 
   /**
    * Makes a client.
@@ -82,8 +83,15 @@
 
   @Override
   public CompletableFuture<HostListing> hosts() {
-    return call(HttpMethod.GET, "/hosts", null, HostList.class, "hosts", ANSWER_MS)
-        .thenApply(HostListCodec::decode);
+    String path = "/hosts?after=" + listVersion;
+    return call(HttpMethod.GET, path, null, HostList.class, "hosts", ANSWER_MS)
+        .thenApply(HostListCodec::decode)
+        .whenComplete(
+            (listing, failure) -> {
+              if (listing != null) {
+                listVersion = Math.max(listVersion, listing.version());
+              }
+            });
   }
 
   private <T> CompletableFuture<T> call(
