Let groups over their share yield to those below it

Cause: a lane is held back only by its own length class, and each class reaches engines at its own priority; so a hot workspace's middle prompts always found room, at the cost of the long prompts of workspaces below their share. Ruled out: the early refusal (it already reckons by weight); the order within a class.

--- a/org.fawndrum/src/org/fawndrum/coordination/FirstComeOrder.java
+++ b/org.fawndrum/src/org/fawndrum/coordination/FirstComeOrder.java
@@ -13,4 +13,9 @@
 
   @Override
   public void backlogged(RequestFacts first) {}
+
+  @Override
+  public boolean overShare(RequestFacts request) {
+    return false;
+  }
 }
--- a/org.fawndrum/src/org/fawndrum/coordination/QueueOrder.java
+++ b/org.fawndrum/src/org/fawndrum/coordination/QueueOrder.java
@@ -17,4 +17,10 @@
 
   /** Takes note that a group has requests waiting after it had none. */
   void backlogged(RequestFacts first);
+
+  /**
+   * Tells whether a request's group has used more than its share, so that it should only use what
+   * others leave.
+   */
+  boolean overShare(RequestFacts request);
 }
--- a/org.fawndrum/src/org/fawndrum/coordination/RequestCoordinator.java
+++ b/org.fawndrum/src/org/fawndrum/coordination/RequestCoordinator.java
@@ -330,12 +330,13 @@
     if (request.excluded.size() >= candidates.size()) {
       request.excluded.clear();
     }
+    int priority = waiting.shouldYield(request, nowMs) ? 0 : request.priority;
     Optional<Placement.Choice> choice =
         policies
             .placement()
             .choose(
                 new Placement.Query(
-                    request.facts, request.priority, candidates, request.excluded, zone, nowMs));
+                    request.facts, priority, candidates, request.excluded, zone, nowMs));
     if (choice.isEmpty()) {
       if (!request.shownWaiting) {
         request.shownWaiting = true;
@@ -343,11 +344,11 @@
       }
       return false;
     }
-    send(request, choice.get(), nowMs);
+    send(request, choice.get(), priority, nowMs);
     return true;
   }
 
-  private void send(LiveRequest request, Placement.Choice choice, long nowMs) {
+  private void send(LiveRequest request, Placement.Choice choice, int priority, long nowMs) {
     RequestFacts facts = request.facts;
     int number = request.attempts.size() + 1;
     AttemptId id = new AttemptId(self, facts.requestId(), number);
@@ -359,12 +360,11 @@
     request.waiting = false;
     usages.get(facts.group()).waiting--;
     boolean model = facts.target().kind() == EndpointKind.MODEL;
-    state.sending(
-        id, request.priority, facts.promptTokens(), model ? facts.workTokens() : 0, nowMs);
+    state.sending(id, priority, facts.promptTokens(), model ? facts.workTokens() : 0, nowMs);
     state.prefixes().stored(facts.prefixes());
     drained.sent(facts.target(), facts.workTokens(), nowMs);
     explainer.placed(request, choice, number, nowMs);
-    out.add(new Action.Send(id, state.endpoint(), request.priority, request.deadlineMs));
+    out.add(new Action.Send(id, state.endpoint(), priority, request.deadlineMs));
   }
 
   private List<Action> flush(long nowMs) {
--- a/org.fawndrum/src/org/fawndrum/coordination/WaitingRequests.java
+++ b/org.fawndrum/src/org/fawndrum/coordination/WaitingRequests.java
@@ -19,6 +19,8 @@
  * and length class. Confined to one thread.
  */
 final class WaitingRequests {
+  private static final long YIELD_AFTER_MS = 1_000;
+
   private final QueueOrder order;
   private final LengthMix lengths;
   private final Map<LaneKey, Deque<LiveRequest>> lanes = new HashMap<>();
@@ -114,6 +116,26 @@
     }
   }
 
+  /**
+   * Tells whether a request should use only what others leave: its group has used more than its
+   * share, and somebody else's request has waited for a while.
+   */
+  boolean shouldYield(LiveRequest request, long nowMs) {
+    boolean isShort = lengths.isShort(request.facts.promptTokens());
+    if (isShort || !order.overShare(request.facts)) {
+      return false;
+    }
+    for (Deque<LiveRequest> lane : lanes.values()) {
+      LiveRequest oldest = lane.peek();
+      boolean other = !oldest.facts.group().equals(request.facts.group());
+      boolean waited = nowMs - oldest.facts.arrivedMs() > YIELD_AFTER_MS;
+      if (other && waited && !order.overShare(oldest.facts)) {
+        return true;
+      }
+    }
+    return false;
+  }
+
   /**
    * Offers waiting requests in order until none is taken. A request that is not taken keeps its
    * lane's place; other lanes of the same target and length class are passed over too, because what
