Share the table's limits out between hosts

Cause: each host enforced the whole of requests and tokens a second and requests in flight, so that six hosts admitted six times the cell's value. Change: parts by zone, then by entry host, from the platform's list; they add up to the whole. A test that restarts both daemons in turn under load: every admitted request gets its whole answer, no call that may not be repeated runs twice. Ruled out for now: parts that follow demand; they need withdrawals that are surely known before a grant.

--- a/org.fawndrum.daemon/tst/org/fawndrum/daemon/WholePathTest.java
+++ b/org.fawndrum.daemon/tst/org/fawndrum/daemon/WholePathTest.java
@@ -250,4 +250,51 @@
       assertEquals(OK, site.chat(host, "x", 3).statusCode());
     }
   }
+
+  @Test
+  void rollingRestartUnderLoadLosesNothing() throws IOException {
+    int plain = site.plain("ordering-1", "a");
+    site.usual();
+    List<EntryHostRuntime> live = new java.util.concurrent.CopyOnWriteArrayList<>(site.hosts);
+    CompletableFuture<Integer> load = CompletableFuture.supplyAsync(() -> callAll(live));
+    for (int i = 0; i < 2; i++) {
+      EntryHostRuntime old = site.hosts.get(i);
+      EntryHostRuntime fresh = site.host("host-new-" + i, i == 0 ? "a" : "b");
+      site.ready(fresh);
+      TestSite.until("heirs are known", () -> old.status().peers().size() >= 2);
+      live.add(fresh);
+      live.remove(old);
+      old.drain().join();
+      assertEquals("drained", old.status().state());
+    }
+    int calls = load.join();
+    for (int i = 0; i < calls; i++) {
+      assertTrue(site.runs(plain, "roll-" + i) <= 1);
+    }
+  }
+
+  /** Calls as a balancer's clients do: a refusal that says "not run" is sent again elsewhere. */
+  private int callAll(List<EntryHostRuntime> live) {
+    int calls = 60;
+    for (int i = 0; i < calls; i++) {
+      String prompt = "rolling " + i;
+      String expected = AnswerText.whole(prompt, 30);
+      int turn = i;
+      TestSite.until("whole answer " + i, () -> expected.equals(chatContent(live, turn, prompt)));
+      site.order(live.get(turn % live.size()), "roll-" + i, 0);
+    }
+    return calls;
+  }
+
+  private String chatContent(List<EntryHostRuntime> live, int turn, String prompt) {
+    try {
+      HttpResponse<String> response = site.chat(live.get(turn % live.size()), prompt, 30);
+      boolean refused = response.statusCode() != OK;
+      // While hosts are stopped one by one, no request that was admitted may fail.
+      assertTrue(!refused || "draining".equals(code(response)), response.body());
+      return refused ? "" : content(response);
+    } catch (IOException e) {
+      throw new java.io.UncheckedIOException(e);
+    }
+  }
 }
--- a/org.fawndrum/src/org/fawndrum/coordination/RequestCoordinator.java
+++ b/org.fawndrum/src/org/fawndrum/coordination/RequestCoordinator.java
@@ -38,6 +38,7 @@
   private final Explainer explainer = new Explainer(out);
   private TableRevision table = TableRevision.EMPTY;
   private boolean draining;
+  private double part = 1.0;
 
   /** A time at which a request is looked at again. */
   private record Check(long atMs, String requestId) {}
@@ -62,11 +63,18 @@
     if (newer.position() > table.position()) {
       table = newer;
       usages.forEach(
-          (group, usage) -> usage.update(newer.row(group).orElse(usage.row()), 1.0, nowMs));
+          (group, usage) -> usage.update(newer.row(group).orElse(usage.row()), part, nowMs));
     }
     return flush(nowMs);
   }
 
+  /** Takes over this host's part of the limits of the table, above 0 and at most 1. */
+  public List<Action> limitPart(double newPart, long nowMs) {
+    part = newPart;
+    usages.forEach((group, usage) -> usage.update(usage.row(), newPart, nowMs));
+    return flush(nowMs);
+  }
+
   /** Takes over the endpoints that may get new work. */
   public List<Action> endpoints(Collection<Endpoint> open, long nowMs) {
     endpoints.offer(open);
@@ -132,7 +140,7 @@
     }
     LiveRequest request = live(facts, row.get(), nowMs);
     GroupUsage usage =
-        usages.computeIfAbsent(facts.group(), g -> new GroupUsage(row.get(), 1.0, nowMs));
+        usages.computeIfAbsent(facts.group(), g -> new GroupUsage(row.get(), part, nowMs));
     policies.lengths().arrived(facts.promptTokens());
     Refusal refusal = admission.check(request, usage, nowMs);
     if (refusal != null) {
--- a/org.fawndrum/src/org/fawndrum/transport/DecisionDuty.java
+++ b/org.fawndrum/src/org/fawndrum/transport/DecisionDuty.java
@@ -10,6 +10,7 @@
 import org.fawndrum.coordination.Action;
 import org.fawndrum.coordination.Decision;
 import org.fawndrum.coordination.EndpointRoster;
+import org.fawndrum.coordination.LimitParts;
 import org.fawndrum.coordination.LoadReport;
 import org.fawndrum.coordination.Ran;
 import org.fawndrum.coordination.Refusal;
@@ -34,6 +35,8 @@
   private static final long TICK_MS = 10;
 
   private final RequestCoordinator coordinator;
+  private final HostIdentity self;
+  private final String zone;
   private final EndpointRoster roster = new EndpointRoster();
   private final HostClock clock;
   private final Consumer<Decision> feed;
@@ -120,6 +123,7 @@
   DecisionDuty(
       RequestCoordinator coordinator,
       HostIdentity self,
+      String zone,
       Claims claims,
       HostClock clock,
       int ringEvents,
@@ -127,6 +131,8 @@
       Consumer<HostIdentity> leavingNews,
       HostLog log) {
     this.coordinator = coordinator;
+    this.self = self;
+    this.zone = zone;
     this.claims = new ClaimDesk(self, new Outside(claims));
     this.clock = clock;
     this.feed = feed;
@@ -260,6 +266,7 @@
 
   private void listed(HostEvent.Listed listed, long nowMs) {
     if (roster.listed(listed.listing())) {
+      carryOut(coordinator.limitPart(LimitParts.part(self, zone, listed.listing()), nowMs));
       offerEndpoints(nowMs);
     }
   }
--- a/org.fawndrum/src/org/fawndrum/transport/EntryHostRuntime.java
+++ b/org.fawndrum/src/org/fawndrum/transport/EntryHostRuntime.java
@@ -102,6 +102,7 @@
         new DecisionDuty(
             new RequestCoordinator(self, settings.zone(), Policies.standard()),
             self,
+            settings.zone(),
             new ClaimNetwork(),
             clock,
             settings.limits().ringEvents(),
