--- a/org.fawndrum.bench/src/org/fawndrum/bench/BenchMain.java
+++ b/org.fawndrum.bench/src/org/fawndrum/bench/BenchMain.java
@@ -9,11 +9,12 @@
 import org.kohsuke.args4j.CmdLineException;
 import org.kohsuke.args4j.CmdLineParser;
 
-/** Runs a benchmark: {@code policy} or {@code slopes}. */
+/** Runs a benchmark: {@code policy}, {@code report} or {@code slopes}. */
 public final class BenchMain {
   private static final int USAGE = 2;
   private static final Map<String, Supplier<BenchCommand>> ALL =
-      new TreeMap<>(Map.of("policy", PolicyBench::new, "slopes", SlopeBench::new));
+      new TreeMap<>(
+          Map.of("policy", PolicyBench::new, "report", Report::new, "slopes", SlopeBench::new));
 
   private BenchMain() {}
 
--- a/org.fawndrum/src/org/fawndrum/coordination/RequestCoordinator.java
+++ b/org.fawndrum/src/org/fawndrum/coordination/RequestCoordinator.java
@@ -261,28 +261,20 @@
   }
 
   private void checkDeadline(LiveRequest request, long nowMs) {
-    CellKey cell = new CellKey(request.facts.group(), Column.DEADLINE_MS);
     if (nowMs >= request.deadlineMs) {
-      Refusal passed =
-          new Refusal(
-              RefusalKind.DEADLINE_PASSED,
-              request.ran(),
-              retryAfterMs(request, nowMs),
-              Optional.of(cell));
-      giveUp(request, passed, Reason.DEADLINE, nowMs);
-      return;
-    }
-    if (request.waiting && policies.refuseEarly()) {
-      Refusal late =
-          new Refusal(
-              RefusalKind.CANNOT_FINISH,
-              request.ran(),
-              retryAfterMs(request, nowMs),
-              Optional.of(cell));
-      giveUp(request, late, Reason.DEADLINE, nowMs);
-      return;
+      giveUpAsLate(request, RefusalKind.DEADLINE_PASSED, nowMs);
+    } else if (request.waiting && policies.refuseEarly()) {
+      giveUpAsLate(request, RefusalKind.CANNOT_FINISH, nowMs);
+    } else {
+      checks.add(new Check(request.deadlineMs, request.facts.requestId()));
     }
-    checks.add(new Check(request.deadlineMs, request.facts.requestId()));
+  }
+
+  private void giveUpAsLate(LiveRequest request, RefusalKind kind, long nowMs) {
+    CellKey cell = new CellKey(request.facts.group(), Column.DEADLINE_MS);
+    long retryMs = retryAfterMs(request, nowMs);
+    Refusal late = new Refusal(kind, request.ran(), retryMs, Optional.of(cell));
+    giveUp(request, late, Reason.DEADLINE, nowMs);
   }
 
   private long retryAfterMs(LiveRequest request, long nowMs) {
--- a/org.fawndrum/src/org/fawndrum/internal/duty/Duty.java
+++ b/org.fawndrum/src/org/fawndrum/internal/duty/Duty.java
@@ -15,7 +15,6 @@
 public final class Duty<E> implements AutoCloseable {
   private static final int BATCH = 256;
   private static final long NANOS_PER_MS = 1_000_000;
-  private static final long JOIN_MS = 2_000;
 
   private final String name;
   private final Ring<E> ring;
@@ -85,12 +84,7 @@
   @Override
   public void close() {
     stopping = true;
-    LockSupport.unpark(thread);
-    try {
-      thread.join(JOIN_MS);
-    } catch (InterruptedException e) {
-      Thread.currentThread().interrupt();
-    }
+    StopThread.call(thread);
   }
 
   private void run() {
--- a/org.fawndrum/src/org/fawndrum/internal/text/MessageText.java
+++ b/org.fawndrum/src/org/fawndrum/internal/text/MessageText.java
@@ -7,16 +7,13 @@
 
 /** A text of the message bundle. Each constant has an entry of the same name in the bundle. */
 public enum MessageText {
-  ADDRESS_IN_USE,
   BAD_CELLS,
   BAD_CSV,
   BAD_PEER_FRAME,
   BAD_SETTINGS,
   BAD_SNAPSHOT,
-  DUPLICATE_CLAIM,
   ENDPOINT_ANSWERED_WRONG,
   ENDPOINT_UNREACHABLE,
-  NOT_AUTHORIZED,
   OPERATOR_CALL_FAILED,
   PEER_UNREACHABLE,
   PLATFORM_UNAVAILABLE,
--- a/org.fawndrum/src/org/fawndrum/transport/EndpointWatch.java
+++ b/org.fawndrum/src/org/fawndrum/transport/EndpointWatch.java
@@ -15,7 +15,7 @@
 
 /** Reads the platform's list of hosts and the load of the model engines at steady intervals. */
 final class EndpointWatch {
-  private static final long LIST_MS = 500;
+  private static final long LIST_MS = 1_000;
   private static final long LOAD_MS = 200;
 
   private final Vertx vertx;
--- a/org.fawndrum/src/org/fawndrum/transport/LogFollower.java
+++ b/org.fawndrum/src/org/fawndrum/transport/LogFollower.java
@@ -15,6 +15,7 @@
 import org.fawndrum.coordination.once.Registration;
 import org.fawndrum.coordination.once.RegistrationBook;
 import org.fawndrum.errors.RecordsExpiredException;
+import org.fawndrum.internal.duty.StopThread;
 import org.fawndrum.internal.log.HostLog;
 import org.fawndrum.internal.log.LogEvent;
 import org.fawndrum.protocol.LogCodec;
@@ -30,7 +31,6 @@
 final class LogFollower implements AutoCloseable {
   private static final int MOST_RECORDS = 500;
   private static final long PAUSE_NANOS = 250_000_000;
-  private static final long JOIN_MS = 2_000;
   private static final long SNAPSHOT_AGAIN_MS = 30_000;
 
   private final PlatformLog platform;
@@ -95,12 +95,7 @@
   @Override
   public void close() {
     stopping = true;
-    LockSupport.unpark(thread);
-    try {
-      thread.join(JOIN_MS);
-    } catch (InterruptedException e) {
-      Thread.currentThread().interrupt();
-    }
+    StopThread.call(thread);
   }
 
   /** Tells whether the platform answered last. */
--- a/org.fawndrum/src/org/fawndrum/transport/OperatorServer.java
+++ b/org.fawndrum/src/org/fawndrum/transport/OperatorServer.java
@@ -14,7 +14,6 @@
 import java.util.Optional;
 import java.util.function.Supplier;
 import org.fawndrum.errors.BadCellsException;
-import org.fawndrum.errors.FawndrumException;
 import org.fawndrum.internal.log.HostLog;
 import org.fawndrum.internal.log.LogEvent;
 import org.fawndrum.protocol.Json;
@@ -200,18 +199,9 @@
       return;
     }
     List<CellChange> changes = new ArrayList<>();
-    String bad = wish.changes() == null || wish.id() == null ? "id, changes" : null;
-    for (ChangeView change : bad == null ? wish.changes() : List.<ChangeView>of()) {
-      CallerGroup group = change.group() == null ? null : CallerGroup.parse(change.group());
-      Column column = change.column() == null ? null : Column.named(change.column());
-      if (group == null || column == null) {
-        bad = change.group() + ":" + change.column();
-        break;
-      }
-      changes.add(new CellChange(new CellKey(group, column), change.value()));
-    }
-    if (bad != null) {
-      fail(response, UNPROCESSABLE, "unknown_cell", bad);
+    String unknown = readChanges(wish, changes);
+    if (unknown != null) {
+      fail(response, UNPROCESSABLE, "unknown_cell", unknown);
       return;
     }
     Publication publication =
@@ -221,6 +211,22 @@
         .whenComplete((outcome, failure) -> published(response, publication, outcome, failure));
   }
 
+  /** Reads the changes of a wish; returns what cannot be read, or null when all can. */
+  private static String readChanges(Publish wish, List<CellChange> changes) {
+    if (wish.changes() == null || wish.id() == null) {
+      return "id, changes";
+    }
+    for (ChangeView change : wish.changes()) {
+      CallerGroup group = change.group() == null ? null : CallerGroup.parse(change.group());
+      Column column = change.column() == null ? null : Column.named(change.column());
+      if (group == null || column == null) {
+        return change.group() + ":" + change.column();
+      }
+      changes.add(new CellChange(new CellKey(group, column), change.value()));
+    }
+    return null;
+  }
+
   private void published(
       HttpServerResponse response,
       Publication publication,
@@ -255,9 +261,4 @@
   private static void fail(HttpServerResponse response, int code, String error, String message) {
     answer(response, code, new Failure(error, message));
   }
-
-  /** Returns the failure's text for the log. */
-  static String describe(Throwable failure) {
-    return failure instanceof FawndrumException ? failure.getMessage() : failure.toString();
-  }
 }
--- a/org.fawndrum/src/org/fawndrum/transport/PeerDuty.java
+++ b/org.fawndrum/src/org/fawndrum/transport/PeerDuty.java
@@ -36,7 +36,7 @@
  */
 final class PeerDuty implements AutoCloseable {
   private static final int RING = 4_096;
-  private static final long TICK_MS = 50;
+  private static final long TICK_MS = 200;
   private static final long CATCH_UP_MS = 1_000;
 
   private final HostIdentity self;
