Translate an engine's load in one place

Cause: the same five fields were copied from an engine's message into a load report in two places, and four accessors had no caller. Change: EngineMessages.Load.report serves both; the unused accessors are gone. Behaviour and tests as before.

--- a/org.fawndrum/src/org/fawndrum/coordination/EndpointBook.java
+++ b/org.fawndrum/src/org/fawndrum/coordination/EndpointBook.java
@@ -63,9 +63,4 @@
   EndpointState state(HostIdentity identity) {
     return states.get(identity);
   }
-
-  /** Returns every state known. */
-  Collection<EndpointState> all() {
-    return states.values();
-  }
 }
--- a/org.fawndrum/src/org/fawndrum/coordination/EndpointState.java
+++ b/org.fawndrum/src/org/fawndrum/coordination/EndpointState.java
@@ -142,11 +142,6 @@
     return nowMs < avoidUntilMs;
   }
 
-  /** Returns when the endpoint may be tried again, in milliseconds of the host's clock. */
-  long avoidedUntilMs() {
-    return avoidUntilMs;
-  }
-
   /** Returns the engine's reading speed in prompt tokens a second. */
   public long tokensPerSecond() {
     return report == null ? ASSUMED_TOKENS_PER_SECOND : Math.max(1, report.tokensPerSecond());
--- a/org.fawndrum/src/org/fawndrum/coordination/RequestCoordinator.java
+++ b/org.fawndrum/src/org/fawndrum/coordination/RequestCoordinator.java
@@ -119,11 +119,6 @@
     return waiting.size();
   }
 
-  /** Returns the table in force here. */
-  public TableRevision tableInForce() {
-    return table;
-  }
-
   /** Takes a request that has just arrived. */
   public List<Action> arrive(RequestFacts facts, long nowMs) {
     if (draining) {
--- a/org.fawndrum/src/org/fawndrum/protocol/EngineMessages.java
+++ b/org.fawndrum/src/org/fawndrum/protocol/EngineMessages.java
@@ -2,6 +2,7 @@
 package org.fawndrum.protocol;
 
 import java.util.List;
+import org.fawndrum.coordination.LoadReport;
 
 /** The JSON messages of a model engine. */
 public final class EngineMessages {
@@ -74,7 +75,12 @@
       int streams,
       long tokensPerSecond,
       boolean leaving,
-      long cacheEventsNext) {}
+      long cacheEventsNext) {
+    /** Returns the load in the form that decisions take. */
+    public LoadReport report() {
+      return new LoadReport(sequence, backlogTokens, freeTokens, streams, tokensPerSecond);
+    }
+  }
 
   /** One change of the prefix cache. */
   public record CacheEvent(long number, List<Long> stored, List<Long> evicted) {}
--- a/org.fawndrum/src/org/fawndrum/transport/DecisionDuty.java
+++ b/org.fawndrum/src/org/fawndrum/transport/DecisionDuty.java
@@ -282,14 +282,7 @@
     if (changed) {
       offerEndpoints(nowMs);
     }
-    LoadReport report =
-        new LoadReport(
-            load.sequence(),
-            load.backlogTokens(),
-            load.freeTokens(),
-            load.streams(),
-            load.tokensPerSecond());
-    carryOut(coordinator.load(identity, report, nowMs));
+    carryOut(coordinator.load(identity, load.report(), nowMs));
   }
 
   private void told(LoadDigest.Entry entry, long nowMs) {
--- a/org.fawndrum/src/org/fawndrum/transport/EndpointWatch.java
+++ b/org.fawndrum/src/org/fawndrum/transport/EndpointWatch.java
@@ -7,7 +7,6 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.Consumer;
 import org.fawndrum.coordination.LoadReport;
-import org.fawndrum.protocol.EngineMessages.Load;
 import org.fawndrum.protocol.HostListSource;
 import org.fawndrum.protocol.LoadDigest;
 import org.fawndrum.state.Endpoint;
@@ -89,15 +88,6 @@
     return LoadDigest.write(told, memory);
   }
 
-  private static LoadReport report(Load load) {
-    return new LoadReport(
-        load.sequence(),
-        load.backlogTokens(),
-        load.freeTokens(),
-        load.streams(),
-        load.tokensPerSecond());
-  }
-
   private void readLoad(Endpoint endpoint) {
     if (asking.putIfAbsent(endpoint.name(), Boolean.TRUE) != null) {
       return;
@@ -108,7 +98,7 @@
             (load, failure) -> {
               asking.remove(endpoint.name());
               if (load != null) {
-                loads.put(endpoint.name(), report(load));
+                loads.put(endpoint.name(), load.report());
                 decisions.offer(new HostEvent.Loaded(endpoint.identity(), load));
               }
             });
--- a/org.fawndrum/src/org/fawndrum/transport/RequestMetrics.java
+++ b/org.fawndrum/src/org/fawndrum/transport/RequestMetrics.java
@@ -114,11 +114,6 @@
     }
   }
 
-  /** Takes note that an answer is over, so that nothing is kept of it. */
-  void over(RequestFacts facts) {
-    lastToken.remove(facts.requestId());
-  }
-
   /** Returns all values by name. Histograms begin anew with each reading. */
   public Map<String, Map<String, Number>> values() {
     Map<String, Map<String, Number>> values = new TreeMap<>();
