--- a/org.fawndrum.daemon/src/org/fawndrum/daemon/LogSetup.java
+++ b/org.fawndrum.daemon/src/org/fawndrum/daemon/LogSetup.java
@@ -9,20 +9,20 @@
 import org.jboss.logmanager.handlers.ConsoleHandler;
 
 /** Sets up the log on standard error: one line a message, for people or as JSON. */
-final class LogSetup {
+public final class LogSetup {
   private static final String TEXT = "%d{yyyy-MM-dd HH:mm:ss.SSS} %-5p %X{request} %s%e%n";
 
   private LogSetup() {}
 
   /** Must run before anything else touches the log. */
-  static void chooseBackEnd() {
+  public static void chooseBackEnd() {
     System.setProperty("java.util.logging.manager", "org.jboss.logmanager.LogManager");
     System.setProperty("org.jboss.logging.provider", "jboss");
     System.setProperty(
         "vertx.logger-delegate-factory-class-name", "io.vertx.core.logging.JULLogDelegateFactory");
   }
 
-  static void configure(boolean json, boolean debug) {
+  public static void configure(boolean json, boolean debug) {
     Formatter formatter = json ? new JsonLineFormatter() : new PatternFormatter(TEXT);
     ConsoleHandler handler = new ConsoleHandler(ConsoleHandler.Target.SYSTEM_ERR, formatter);
     handler.setLevel(Level.ALL);
--- a/org.fawndrum.daemon/src/org/fawndrum/daemon/Signals.java
+++ b/org.fawndrum.daemon/src/org/fawndrum/daemon/Signals.java
@@ -9,11 +9,11 @@
  * reached by reflection because the compiler warns of it in a way that cannot be silenced, and
  * warnings fail the build.
  */
-final class Signals {
+public final class Signals {
   private Signals() {}
 
   /** Runs a step whenever a signal such as {@code TERM} comes. */
-  static void handle(String signal, Runnable step) {
+  public static void handle(String signal, Runnable step) {
     try {
       Class<?> signalType = Class.forName("sun.misc.Signal");
       Class<?> handlerType = Class.forName("sun.misc.SignalHandler");
--- a/org.fawndrum/src/org/fawndrum/coordination/RequestCoordinator.java
+++ b/org.fawndrum/src/org/fawndrum/coordination/RequestCoordinator.java
@@ -119,6 +119,11 @@
     return waiting.size();
   }
 
+  /** Returns when {@link #tick} has something to do next, or {@link Long#MAX_VALUE}. */
+  public long nextCheckMs() {
+    return checks.isEmpty() ? Long.MAX_VALUE : checks.peek().atMs();
+  }
+
   /** Takes a request that has just arrived. */
   public List<Action> arrive(RequestFacts facts, long nowMs) {
     if (draining) {
@@ -230,7 +235,9 @@
     if (!mayRepeat(request, attempt)) {
       return Reason.NOT_REPEATABLE;
     }
-    boolean spent = request.attempts.size() >= policies.mostAttempts();
+    int allowed = request.facts.aims().mostAttempts();
+    int most = allowed > 0 ? allowed : policies.mostAttempts();
+    boolean spent = request.attempts.size() >= most;
     return spent || !policies.retries().tryRetry() ? Reason.RETRY_BUDGET : null;
   }
 
--- a/org.fawndrum/src/org/fawndrum/coordination/RequestFacts.java
+++ b/org.fawndrum/src/org/fawndrum/coordination/RequestFacts.java
@@ -3,6 +3,7 @@
 
 import java.util.List;
 import org.fawndrum.state.CallerGroup;
+import org.fawndrum.state.RequestAims;
 
 /**
  * What the decisions know of a request.
@@ -16,6 +17,7 @@
  * @param wantedMs the caller's own time limit in milliseconds; 0 when it names none
  * @param repeatable whether it may be sent again after an unknown outcome
  * @param prefixes hashes of the prompt's leading blocks, shortest first, for cache affinity
+ * @param aims what the caller expects of the answer, where its route says so
  */
 public record RequestFacts(
     String requestId,
@@ -26,12 +28,37 @@
     long arrivedMs,
     long wantedMs,
     boolean repeatable,
-    List<Long> prefixes) {
+    List<Long> prefixes,
+    RequestAims aims) {
   /** Copies the prefixes, so that the facts cannot change. */
   public RequestFacts {
     prefixes = List.copyOf(prefixes);
   }
 
+  /** Makes the facts of a request of which nothing is expected in particular. */
+  public RequestFacts(
+      String requestId,
+      CallerGroup group,
+      RequestTarget target,
+      long promptTokens,
+      long answerTokens,
+      long arrivedMs,
+      long wantedMs,
+      boolean repeatable,
+      List<Long> prefixes) {
+    this(
+        requestId,
+        group,
+        target,
+        promptTokens,
+        answerTokens,
+        arrivedMs,
+        wantedMs,
+        repeatable,
+        prefixes,
+        RequestAims.NONE);
+  }
+
   /** Returns the work of the request in tokens: what an engine reads and writes for it. */
   public long workTokens() {
     return Math.max(1, promptTokens + answerTokens);
--- a/org.fawndrum/src/org/fawndrum/internal/duty/Duty.java
+++ b/org.fawndrum/src/org/fawndrum/internal/duty/Duty.java
@@ -7,8 +7,8 @@
 import org.fawndrum.internal.log.LogEvent;
 
 /**
- * A thread with one duty: it takes events from its ring in order and runs a tick at a steady
- * interval. A failure in one event is logged and does not end the duty.
+ * A thread with one duty: it takes events from its ring in order and ticks when its ticker wants
+ * to. A failure in one event is logged and does not end the duty.
  *
  * @param <E> the events
  */
@@ -16,17 +16,26 @@
   private static final int BATCH = 256;
   private static final long NANOS_PER_MS = 1_000_000;
 
+  /** The pause before a tick that failed runs again, in milliseconds. */
+  private static final long AFTER_FAILURE_MS = 100;
+
   private final String name;
   private final Ring<E> ring;
   private final Consumer<E> handler;
-  private final Runnable tick;
-  private final long tickNanos;
+  private final Ticker ticker;
+  private final boolean tickAfterEvents;
   private final HostLog log;
   private final Thread thread;
   private volatile boolean stopping;
 
+  /** Work that the duty does by itself, on its own thread. */
+  public interface Ticker {
+    /** Does what is due and returns in how many milliseconds it wants to run again, at least 1. */
+    long tick();
+  }
+
   /**
-   * Makes a duty that has not started.
+   * Makes a duty that has not started and that ticks at a steady interval.
    *
    * @param name the thread's name
    * @param ring where its events come from
@@ -37,16 +46,46 @@
    */
   public Duty(
       String name, Ring<E> ring, Consumer<E> handler, Runnable tick, long tickMs, HostLog log) {
+    this(name, ring, handler, steadily(tick, tickMs), false, log);
+  }
+
+  /**
+   * Makes a duty that has not started and that sleeps until its ticker's next time or an event.
+   *
+   * @param name the thread's name
+   * @param ring where its events come from
+   * @param handler handles one event, on the duty's thread
+   * @param ticker runs on the duty's thread, after events too
+   * @param log where failures go
+   */
+  public Duty(String name, Ring<E> ring, Consumer<E> handler, Ticker ticker, HostLog log) {
+    this(name, ring, handler, ticker, true, log);
+  }
+
+  private Duty(
+      String name,
+      Ring<E> ring,
+      Consumer<E> handler,
+      Ticker ticker,
+      boolean tickAfterEvents,
+      HostLog log) {
     this.name = name;
     this.ring = ring;
     this.handler = handler;
-    this.tick = tick;
-    this.tickNanos = tickMs * NANOS_PER_MS;
+    this.ticker = ticker;
+    this.tickAfterEvents = tickAfterEvents;
     this.log = log;
     this.thread = new Thread(this::run, name);
     this.thread.setDaemon(true);
   }
 
+  private static Ticker steadily(Runnable tick, long tickMs) {
+    return () -> {
+      tick.run();
+      return tickMs;
+    };
+  }
+
   /** Starts the thread. */
   public void start() {
     thread.start();
@@ -92,15 +131,24 @@
     while (!stopping) {
       int handled = handleBatch();
       long now = System.nanoTime();
-      if (now >= nextTick) {
-        guarded(tick);
-        nextTick = now + tickNanos;
+      boolean due = now - nextTick >= 0 || tickAfterEvents && handled > 0;
+      if (due) {
+        nextTick = now + ticked() * NANOS_PER_MS;
       } else if (handled == 0) {
         LockSupport.parkNanos(nextTick - now);
       }
     }
   }
 
+  private long ticked() {
+    try {
+      return Math.max(1, ticker.tick());
+    } catch (RuntimeException e) {
+      log.failure(LogEvent.DUTY_FAILED, e, name);
+      return AFTER_FAILURE_MS;
+    }
+  }
+
   private int handleBatch() {
     int handled = 0;
     while (handled < BATCH) {
@@ -108,15 +156,15 @@
       if (event == null) {
         break;
       }
-      guarded(() -> handler.accept(event));
+      guarded(event);
       handled++;
     }
     return handled;
   }
 
-  private void guarded(Runnable step) {
+  private void guarded(E event) {
     try {
-      step.run();
+      handler.accept(event);
     } catch (RuntimeException e) {
       log.failure(LogEvent.DUTY_FAILED, e, name);
     }
--- a/org.fawndrum/src/org/fawndrum/internal/log/LogEvent.java
+++ b/org.fawndrum/src/org/fawndrum/internal/log/LogEvent.java
@@ -11,6 +11,7 @@
   DRAIN_BEGAN(3, Level.INFO, "stopping: no new requests; {0} in progress"),
   DRAIN_ENDED(4, Level.INFO, "stopped: no request was cut"),
   SECOND_SIGNAL(5, Level.WARN, "second signal: {0} requests in progress are cut now"),
+  SETTINGS_UNCHANGED(6, Level.INFO, "asked to read the settings again; none changed"),
   DUTY_FAILED(10, Level.ERROR, "an event of duty {0} failed"),
   RING_REFUSED(11, Level.WARN, "the ring of duty {0} is full; an event waits"),
   TABLE_IN_FORCE(20, Level.INFO, "table revision {0} in force"),
--- /dev/null
+++ b/org.fawndrum/src/org/fawndrum/protocol/KeyedPage.java
@@ -0,0 +1,31 @@
+// SPDX-License-Identifier: Apache-2.0
+package org.fawndrum.protocol;
+
+import java.util.List;
+
+/**
+ * Records of a keyed log.
+ *
+ * @param records the records in their order
+ * @param end the offset after the last record that the log holds
+ */
+public record KeyedPage(List<KeyedRecord> records, long end) {
+  /**
+   * One record.
+   *
+   * @param offset its place in the log
+   * @param key its key
+   * @param value its value; empty when it drops the key
+   */
+  public record KeyedRecord(long offset, String key, byte[] value) {
+    /** Tells whether the record drops its key. */
+    public boolean drops() {
+      return value.length == 0;
+    }
+  }
+
+  /** Copies the list, so that the page cannot change. */
+  public KeyedPage {
+    records = List.copyOf(records);
+  }
+}
--- a/org.fawndrum/src/org/fawndrum/settings/ReadSettings.java
+++ b/org.fawndrum/src/org/fawndrum/settings/ReadSettings.java
@@ -1,13 +1,6 @@
 // SPDX-License-Identifier: Apache-2.0
 package org.fawndrum.settings;
 
-import com.fasterxml.jackson.core.JsonProcessingException;
-import com.fasterxml.jackson.core.StreamReadFeature;
-import com.fasterxml.jackson.core.json.JsonReadFeature;
-import com.fasterxml.jackson.databind.JsonNode;
-import com.fasterxml.jackson.databind.ObjectMapper;
-import com.fasterxml.jackson.databind.json.JsonMapper;
-import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -21,12 +14,6 @@
 
 /** Reads and checks a settings file. */
 public final class ReadSettings {
-  private static final ObjectMapper MAPPER =
-      JsonMapper.builder()
-          .enable(JsonReadFeature.ALLOW_JAVA_COMMENTS)
-          .enable(JsonReadFeature.ALLOW_TRAILING_COMMA)
-          .enable(StreamReadFeature.STRICT_DUPLICATE_DETECTION)
-          .build();
   private static final String NAME = "[A-Za-z0-9][A-Za-z0-9.-]{0,62}";
   private static final String NAME_REMEDY = "write a name of letters, digits, dots and hyphens";
   private static final int LARGEST_PORT = 65_535;
@@ -47,29 +34,13 @@
    * @throws BadSettingsException if anything is wrong; names everything at once
    */
   public HostSettings call() {
-    HostSettings settings = check(new SettingsNode("", tree(), faults));
+    HostSettings settings = check(new SettingsNode("", SettingsFile.tree(file), faults));
     if (!faults.isEmpty()) {
       throw new BadSettingsException(file.toString(), faults);
     }
     return settings;
   }
 
-  private JsonNode tree() {
-    try {
-      return MAPPER.readTree(Files.readString(file));
-    } catch (JsonProcessingException e) {
-      String line = e.getLocation() == null ? "?" : "" + e.getLocation().getLineNr();
-      throw single("line " + line, e.getOriginalMessage(), "write JSON; // comments are allowed");
-    } catch (IOException e) {
-      throw single("(file)", e.getClass().getSimpleName(), "name a file that can be read");
-    }
-  }
-
-  private BadSettingsException single(String key, String value, String remedy) {
-    return new BadSettingsException(
-        file.toString(), List.of(new SettingsFault(key, value, remedy)));
-  }
-
   private HostSettings check(SettingsNode root) {
     HostSettings settings =
         new HostSettings(
@@ -171,7 +142,7 @@
     SettingsNode node =
         root.has("limits")
             ? root.object("limits")
-            : new SettingsNode("limits", MAPPER.createObjectNode(), faults);
+            : new SettingsNode("limits", SettingsFile.empty(), faults);
     LimitSettings limits =
         new LimitSettings(
             node.number("bodyBytes", 1_024, 256L * MEGABYTE, 16L * MEGABYTE),
--- /dev/null
+++ b/org.fawndrum/src/org/fawndrum/settings/SettingsFile.java
@@ -0,0 +1,54 @@
+// SPDX-License-Identifier: Apache-2.0
+package org.fawndrum.settings;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.core.StreamReadFeature;
+import com.fasterxml.jackson.core.json.JsonReadFeature;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.json.JsonMapper;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import org.fawndrum.errors.BadSettingsException;
+
+/** Parses settings files: JSON in which comments and trailing commas are allowed. */
+public final class SettingsFile {
+  private static final ObjectMapper MAPPER =
+      JsonMapper.builder()
+          .enable(JsonReadFeature.ALLOW_JAVA_COMMENTS)
+          .enable(JsonReadFeature.ALLOW_TRAILING_COMMA)
+          .enable(StreamReadFeature.STRICT_DUPLICATE_DETECTION)
+          .build();
+
+  private SettingsFile() {}
+
+  /**
+   * Returns the content of a file.
+   *
+   * @throws BadSettingsException if it cannot be read or is not of this form
+   */
+  public static JsonNode tree(Path file) {
+    try {
+      return MAPPER.readTree(Files.readString(file));
+    } catch (JsonProcessingException e) {
+      String line = e.getLocation() == null ? "?" : "" + e.getLocation().getLineNr();
+      String remedy = "write JSON; // comments are allowed";
+      throw single(file, "line " + line, e.getOriginalMessage(), remedy);
+    } catch (IOException e) {
+      String name = e.getClass().getSimpleName();
+      throw single(file, "(file)", name, "name a file that can be read");
+    }
+  }
+
+  /** Returns an object without content. */
+  static JsonNode empty() {
+    return MAPPER.createObjectNode();
+  }
+
+  private static BadSettingsException single(Path file, String key, String value, String remedy) {
+    return new BadSettingsException(
+        file.toString(), List.of(new SettingsFault(key, value, remedy)));
+  }
+}
--- a/org.fawndrum/src/org/fawndrum/settings/SettingsNode.java
+++ b/org.fawndrum/src/org/fawndrum/settings/SettingsNode.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.Set;
 import java.util.regex.Pattern;
+import org.fawndrum.state.HostAddress;
 
 /**
  * An object of a settings file while it is checked. Each read notes the key as known and adds a
@@ -113,6 +114,39 @@
     return has(key) ? number(key, min, max) : otherwise;
   }
 
+  /** Returns a number, whole or not, that must be present. */
+  public double fraction(String key, double min, double max) {
+    JsonNode value = value(key);
+    if (!value.isNumber() || value.doubleValue() < min || value.doubleValue() > max) {
+      fault(key, shown(value), "write a number from " + min + " to " + max);
+      return min;
+    }
+    return value.doubleValue();
+  }
+
+  /** Returns an address in the form IP:PORT that must be present. */
+  public HostAddress address(String key) {
+    return address(key, value(key));
+  }
+
+  private HostAddress address(String key, JsonNode value) {
+    HostAddress address = value.isTextual() ? HostAddress.parse(value.textValue()) : null;
+    if (address == null || !IP.matcher(address.ip()).matches()) {
+      fault(key, shown(value), "write an IP number and a port such as 127.0.0.1:7400");
+      return new HostAddress("0.0.0.0", 0);
+    }
+    return address;
+  }
+
+  /** Returns a list of addresses in the form IP:PORT; an absent list is empty. */
+  public List<HostAddress> addresses(String key) {
+    List<HostAddress> addresses = new ArrayList<>();
+    if (has(key)) {
+      value(key).forEach(one -> addresses.add(address(key, one)));
+    }
+    return addresses;
+  }
+
   /** Returns true or false, or a default. */
   public boolean flag(String key, boolean otherwise) {
     if (!has(key)) {
--- a/org.fawndrum/src/org/fawndrum/state/Endpoint.java
+++ b/org.fawndrum/src/org/fawndrum/state/Endpoint.java
@@ -35,6 +35,12 @@
     return identity.incarnation();
   }
 
+  /** Returns this endpoint with what the profile of its service says. */
+  public Endpoint describedBy(ServiceProfile profile) {
+    long memory = profile.engine().map(EngineProfile::memoryTokens).orElse(0L);
+    return new Endpoint(identity, zone, profile.kind(), address, serves, memory);
+  }
+
   /** Returns this endpoint as another of its incarnations. */
   public Endpoint at(long incarnation) {
     if (incarnation == incarnation()) {
--- a/org.fawndrum/src/org/fawndrum/state/Row.java
+++ b/org.fawndrum/src/org/fawndrum/state/Row.java
@@ -27,7 +27,7 @@
   }
 
   /** Returns this row with one cell replaced. The value must be allowed by the column. */
-  Row with(Column column, Cell cell) {
+  public Row with(Column column, Cell cell) {
     Cell[] changed = cells.clone();
     changed[column.ordinal()] = cell;
     return new Row(changed);
--- a/org.fawndrum/src/org/fawndrum/state/TableParts.java
+++ b/org.fawndrum/src/org/fawndrum/state/TableParts.java
@@ -25,6 +25,12 @@
     return this;
   }
 
+  /** Adds a whole row, which may be shared by several groups. */
+  public TableParts row(CallerGroup group, Row row) {
+    rows.put(group, row);
+    return this;
+  }
+
   /** Sets the remembered outcomes, oldest first. */
   public TableParts outcomes(Map<String, PublicationOutcome> remembered) {
     outcomes = new LinkedHashMap<>(remembered);
--- a/org.fawndrum/src/org/fawndrum/transport/BodyReader.java
+++ b/org.fawndrum/src/org/fawndrum/transport/BodyReader.java
@@ -10,12 +10,18 @@
 import org.fawndrum.errors.RefusedException;
 
 /** Reads a caller's body up to a size and within a time. */
-final class BodyReader {
+public final class BodyReader {
   private final Vertx vertx;
   private final long mostBytes;
   private final long silenceMs;
 
-  BodyReader(Vertx vertx, long mostBytes, long silenceMs) {
+  /**
+   * Makes a reader.
+   *
+   * @param mostBytes the longest body
+   * @param silenceMs how long its sender may be silent, in milliseconds
+   */
+  public BodyReader(Vertx vertx, long mostBytes, long silenceMs) {
     this.vertx = vertx;
     this.mostBytes = mostBytes;
     this.silenceMs = silenceMs;
@@ -25,7 +31,7 @@
    * Gives the whole body; fails with {@code RefusedException} when it is too large or its sender
    * falls silent.
    */
-  CompletableFuture<Buffer> read(HttpServerRequest request, String requestId) {
+  public CompletableFuture<Buffer> read(HttpServerRequest request, String requestId) {
     CompletableFuture<Buffer> whole = new CompletableFuture<>();
     Buffer body = Buffer.buffer();
     long[] timer = {-1};
--- a/org.fawndrum/src/org/fawndrum/transport/CallerServer.java
+++ b/org.fawndrum/src/org/fawndrum/transport/CallerServer.java
@@ -24,6 +24,9 @@
   /** The path of model requests. */
   static final String CHAT_PATH = "/v1/chat/completions";
 
+  /** How long a connection may rest between requests, in milliseconds. */
+  private static final long KEPT_ALIVE_MS = 60_000;
+
   private final Vertx vertx;
   private final HttpServer server;
   private final BodyReader bodies;
@@ -64,7 +67,8 @@
         new BodyReader(vertx, settings.limits().bodyBytes(), settings.limits().incompleteMs());
     this.keys = new Keyring<>(settings.callerKeys(), CallerKey::key);
     this.connections = new TrustedConnections(vertx);
-    this.idle = new IdleConnections(vertx, settings.limits().incompleteMs());
+    this.idle =
+        new IdleConnections(vertx, () -> settings.limits().incompleteMs(), () -> KEPT_ALIVE_MS);
     this.server =
         vertx
             .createHttpServer(ServerOptions.of(settings.callers(), settings.limits().headerBytes()))
--- a/org.fawndrum/src/org/fawndrum/transport/DecisionDuty.java
+++ b/org.fawndrum/src/org/fawndrum/transport/DecisionDuty.java
@@ -5,7 +5,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.Consumer;
 import org.fawndrum.coordination.Action;
 import org.fawndrum.coordination.Decision;
@@ -39,11 +38,10 @@
   private final String zone;
   private final EndpointRoster roster = new EndpointRoster();
   private final HostClock clock;
-  private final Consumer<Decision> feed;
   private final Consumer<HostIdentity> leavingNews;
   private final ClaimDesk claims;
   private final Map<Integer, Endpoint> byNameHash = new HashMap<>();
-  private final Map<String, Exchange> exchanges = new ConcurrentHashMap<>();
+  private final OpenExchanges exchanges;
   private final Duty<HostEvent> duty;
   private volatile View view = new View(0, 0, false, List.of(), List.of());
 
@@ -135,7 +133,7 @@
     this.zone = zone;
     this.claims = new ClaimDesk(self, new Outside(claims));
     this.clock = clock;
-    this.feed = feed;
+    this.exchanges = new OpenExchanges(feed);
     this.leavingNews = leavingNews;
     this.duty =
         new Duty<>("decisions", new Ring<>(ringEvents), this::handle, this::tick, TICK_MS, log);
@@ -161,7 +159,7 @@
   /** Takes a new request with its exchange; returns false when there is no room for it. */
   boolean arrived(HostEvent.Arrived arrived, Exchange exchange) {
     String id = arrived.facts().requestId();
-    exchanges.put(id, exchange);
+    exchanges.add(id, exchange);
     if (duty.offerNew(arrived)) {
       return true;
     }
@@ -319,32 +317,9 @@
   }
 
   private void carryOut(List<Action> actions, boolean exchangeKnows) {
-    for (Action action : actions) {
-      if (action instanceof Action.Explain explain) {
-        feed.accept(explain.decision());
-      } else if (action instanceof Action.Send send) {
-        onExchange(send.attempt().requestId(), exchange -> exchange.send(send));
-      } else if (action instanceof Action.Cancel cancel) {
-        onExchange(cancel.attempt().requestId(), exchange -> exchange.cancel(cancel));
-      } else if (action instanceof Action.Refuse refuse) {
-        claims.ended(refuse.requestId(), refuse.refusal().ran(), clock.nowMs());
-        Refusal refusal = refuse.refusal();
-        onExchange(refuse.requestId(), exchange -> refuse(exchange, refusal, exchangeKnows));
-        exchanges.remove(refuse.requestId());
-      }
-    }
-  }
-
-  /** The exchange knows better than the coordinator whether an order to send was carried out. */
-  private static void refuse(Exchange exchange, Refusal refusal, boolean exchangeKnows) {
-    boolean surelyNot = exchangeKnows && refusal.ran() == Ran.UNKNOWN && !exchange.everHandedOver();
-    exchange.refuse(surelyNot ? refusal.with(Ran.NO) : refusal);
-  }
-
-  private void onExchange(String requestId, Consumer<Exchange> step) {
-    Exchange exchange = exchanges.get(requestId);
-    if (exchange != null) {
-      exchange.onLoop(() -> step.accept(exchange));
-    }
+    exchanges.carryOut(
+        actions,
+        (requestId, refusal) -> claims.ended(requestId, refusal.ran(), clock.nowMs()),
+        exchangeKnows);
   }
 }
--- a/org.fawndrum/src/org/fawndrum/transport/Exchange.java
+++ b/org.fawndrum/src/org/fawndrum/transport/Exchange.java
@@ -7,7 +7,7 @@
 /**
  * One caller's request on its way, on the caller's event loop. All calls must come on that loop.
  */
-interface Exchange {
+public interface Exchange {
   /** Sends the request to an endpoint. */
   void send(Action.Send send);
 
--- a/org.fawndrum/src/org/fawndrum/transport/IdleConnections.java
+++ b/org.fawndrum/src/org/fawndrum/transport/IdleConnections.java
@@ -5,41 +5,48 @@
 import io.vertx.core.http.HttpConnection;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.LongSupplier;
 
 /**
  * Closes connections on which no request is in progress for too long, such as those that stopped in
  * the middle of the headers. Connections that wait for an answer are left alone, however long.
  */
-final class IdleConnections {
-  private static final long KEPT_ALIVE_MS = 60_000;
-
+public final class IdleConnections {
   private final Vertx vertx;
-  private final long firstRequestMs;
+  private final LongSupplier firstRequestMs;
+  private final LongSupplier keptMs;
   private final Map<HttpConnection, Long> timers = new ConcurrentHashMap<>();
 
-  IdleConnections(Vertx vertx, long firstRequestMs) {
+  /**
+   * Makes the watch.
+   *
+   * @param firstRequestMs the time that a new connection has for its first request
+   * @param keptMs how long a connection may rest after an answer
+   */
+  public IdleConnections(Vertx vertx, LongSupplier firstRequestMs, LongSupplier keptMs) {
     this.vertx = vertx;
     this.firstRequestMs = firstRequestMs;
+    this.keptMs = keptMs;
   }
 
   /** A connection was opened; its first request must come soon. */
-  void opened(HttpConnection connection) {
-    closeAfter(connection, firstRequestMs);
+  public void opened(HttpConnection connection) {
+    closeAfter(connection, firstRequestMs.getAsLong());
   }
 
   /** A connection was closed. */
-  void closed(HttpConnection connection) {
+  public void closed(HttpConnection connection) {
     cancel(connection);
   }
 
   /** A request began. */
-  void began(HttpConnection connection) {
+  public void began(HttpConnection connection) {
     cancel(connection);
   }
 
   /** A request got its answer. */
-  void ended(HttpConnection connection) {
-    closeAfter(connection, KEPT_ALIVE_MS);
+  public void ended(HttpConnection connection) {
+    closeAfter(connection, keptMs.getAsLong());
   }
 
   private void closeAfter(HttpConnection connection, long afterMs) {
--- /dev/null
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/ConfigurationReader.java
@@ -0,0 +1,51 @@
+// SPDX-License-Identifier: Apache-2.0
+package org.fawndrum.transport.relay;
+
+import org.fawndrum.errors.RecordUnreadableException;
+import org.fawndrum.internal.log.HostLog;
+import org.fawndrum.internal.log.LogEvent;
+import org.fawndrum.protocol.KeyedPage;
+import org.fawndrum.protocol.KeyedPage.KeyedRecord;
+
+/** Brings the operators' configuration into force. Confined to one event loop. */
+final class ConfigurationReader implements TopicFollower.Reader {
+  private final RelayDecoder decoder;
+  private final RouteStore routes;
+  private final HostLog log;
+
+  ConfigurationReader(RelayDecoder decoder, RouteStore routes, HostLog log) {
+    this.decoder = decoder;
+    this.routes = routes;
+    this.log = log;
+  }
+
+  @Override
+  public void whole(KeyedPage page, long askedMs, boolean afterOutage) {
+    changes(page, askedMs);
+  }
+
+  @Override
+  public void changes(KeyedPage page, long askedMs) {
+    KeyedRecord newest = null;
+    for (KeyedRecord record : page.records()) {
+      if (decoder.isConfiguration(record) && !record.drops()) {
+        newest = record;
+      }
+    }
+    if (newest == null || take(newest)) {
+      routes.confirmed(askedMs);
+    }
+  }
+
+  private boolean take(KeyedRecord record) {
+    try {
+      if (routes.offer(decoder.configuration(record))) {
+        log.event(LogEvent.TABLE_IN_FORCE, Long.toString(routes.table().revision()));
+      }
+      return true;
+    } catch (RecordUnreadableException e) {
+      log.failure(LogEvent.RECORD_PASSED_OVER, e, Long.toString(record.offset()));
+      return false;
+    }
+  }
+}
--- /dev/null
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/EndpointReader.java
@@ -0,0 +1,98 @@
+// SPDX-License-Identifier: Apache-2.0
+package org.fawndrum.transport.relay;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.Consumer;
+import org.fawndrum.errors.RecordUnreadableException;
+import org.fawndrum.internal.log.HostLog;
+import org.fawndrum.internal.log.LogEvent;
+import org.fawndrum.protocol.KeyedPage;
+import org.fawndrum.protocol.KeyedPage.KeyedRecord;
+import org.fawndrum.state.Endpoint;
+import org.fawndrum.state.HostIdentity;
+import org.fawndrum.state.HostListing;
+import org.fawndrum.transport.HostClock;
+
+/**
+ * Keeps the list of endpoints from their own records. Entries that lapsed while the platform was
+ * away are kept for a while after its return, because living endpoints write themselves again.
+ * Confined to one event loop.
+ */
+final class EndpointReader implements TopicFollower.Reader {
+  /** How long after its return the platform may still lack living endpoints, in milliseconds. */
+  private static final long RETURN_MS = 2_200;
+
+  private final RelayDecoder decoder;
+  private final Consumer<HostListing> listed;
+  private final HostClock clock;
+  private final HostLog log;
+  private final Map<String, RelayDecoder.EndpointEntry> entries = new LinkedHashMap<>();
+  private final Map<String, Long> lapsed = new HashMap<>();
+  private long version;
+
+  EndpointReader(RelayDecoder decoder, Consumer<HostListing> listed, HostClock clock, HostLog log) {
+    this.decoder = decoder;
+    this.listed = listed;
+    this.clock = clock;
+    this.log = log;
+  }
+
+  @Override
+  public void whole(KeyedPage page, long askedMs, boolean afterOutage) {
+    Set<String> present = new HashSet<>();
+    page.records().forEach(record -> present.add(record.key()));
+    for (String key : List.copyOf(entries.keySet())) {
+      if (!present.contains(key)) {
+        gone(key);
+      }
+    }
+    take(page);
+  }
+
+  @Override
+  public void changes(KeyedPage page, long askedMs) {
+    take(page);
+  }
+
+  private void take(KeyedPage page) {
+    for (KeyedRecord record : page.records()) {
+      if (record.drops()) {
+        gone(record.key());
+      } else {
+        put(record);
+      }
+    }
+    publish();
+  }
+
+  private void put(KeyedRecord record) {
+    try {
+      entries.put(record.key(), decoder.endpoint(record));
+      lapsed.remove(record.key());
+    } catch (RecordUnreadableException e) {
+      log.failure(LogEvent.RECORD_PASSED_OVER, e, Long.toString(record.offset()));
+    }
+  }
+
+  private void gone(String key) {
+    entries.remove(key);
+  }
+
+  private void publish() {
+    List<Endpoint> endpoints = new ArrayList<>();
+    Set<HostIdentity> leaving = new HashSet<>();
+    for (RelayDecoder.EndpointEntry entry : entries.values()) {
+      endpoints.add(entry.endpoint());
+      if (entry.leaving()) {
+        leaving.add(entry.endpoint().identity());
+      }
+    }
+    listed.accept(new HostListing(++version, endpoints, leaving, List.of()));
+  }
+}
--- /dev/null
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/ReadRelaySettings.java
@@ -0,0 +1,70 @@
+// SPDX-License-Identifier: Apache-2.0
+package org.fawndrum.transport.relay;
+
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import org.fawndrum.errors.BadSettingsException;
+import org.fawndrum.settings.SettingsFault;
+import org.fawndrum.settings.SettingsFile;
+import org.fawndrum.settings.SettingsNode;
+import org.fawndrum.state.HostAddress;
+
+/** Reads and checks the settings file of a daemon that relays requests. */
+public final class ReadRelaySettings {
+  private static final long LONGEST_MS = 3_600_000;
+  private static final long LONGEST_S = 3_600;
+  private static final long MS_PER_SECOND = 1_000;
+  private static final double MOST_RETRIES = 1e9;
+
+  private final Path file;
+  private final List<SettingsFault> faults = new ArrayList<>();
+
+  /** Prepares the reading of one file. */
+  public ReadRelaySettings(Path file) {
+    this.file = file;
+  }
+
+  /**
+   * Returns the settings.
+   *
+   * @throws BadSettingsException if anything is wrong; names everything at once
+   */
+  public RelaySettings call() {
+    SettingsNode root = new SettingsNode("", SettingsFile.tree(file), faults);
+    HostAddress peers = root.address("peers");
+    RelaySettings settings =
+        new RelaySettings(
+            root.text("host", "[\\w.-]+", "write a name of letters, digits, dots and hyphens"),
+            root.text("zone", "[\\w.-]+", "write a name of letters, digits, dots and hyphens"),
+            root.address("callers"),
+            root.address("readiness"),
+            peers,
+            root.address("metrics"),
+            root.address("platform"),
+            root.addresses("seeds").stream()
+                .map(seed -> new HostAddress(seed.ip(), peers.port()))
+                .toList(),
+            bounds(root.object("bounds")),
+            root.flag("debug", false));
+    root.finish();
+    if (!faults.isEmpty()) {
+      throw new BadSettingsException(file.toString(), faults);
+    }
+    return settings;
+  }
+
+  private static RelayBounds bounds(SettingsNode node) {
+    RelayBounds bounds =
+        new RelayBounds(
+            node.number("revokeMs", 1, LONGEST_MS),
+            node.number("drainMs", 1, LONGEST_MS),
+            node.number("graceS", 1, LONGEST_S) * MS_PER_SECOND,
+            node.fraction("retryRatio", 0, MOST_RETRIES),
+            node.fraction("retrySlack", 0, MOST_RETRIES),
+            node.number("retryWindowS", 1, LONGEST_S) * MS_PER_SECOND,
+            node.number("streamPassMs", 1, LONGEST_MS));
+    node.finish();
+    return bounds;
+  }
+}
--- /dev/null
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/RelayAttempt.java
@@ -0,0 +1,220 @@
+// SPDX-License-Identifier: Apache-2.0
+package org.fawndrum.transport.relay;
+
+import io.vertx.core.MultiMap;
+import io.vertx.core.http.HttpClientRequest;
+import io.vertx.core.http.HttpClientResponse;
+import java.util.List;
+import org.fawndrum.coordination.Action;
+import org.fawndrum.coordination.AttemptEvent;
+import org.fawndrum.coordination.AttemptId;
+import org.fawndrum.state.RouteKind;
+import org.fawndrum.transport.HostClock;
+
+/**
+ * One sending of a request to one endpoint. It ends with exactly one word to its owner, unless it
+ * is cancelled. Confined to its owner's event loop.
+ */
+final class RelayAttempt {
+  /** The lowest status of a failure on the endpoint's side. */
+  static final int LOWEST_FAILURE = 500;
+
+  private static final int LOWEST_SUCCESS = 200;
+  private static final int ABOVE_SUCCESS = 300;
+  private static final int MOST_URGENT = 9;
+
+  private final Action.Send send;
+  private final RelayCall call;
+  private final long lastEventId;
+  private final EndpointClient client;
+  private final RelayCodec codec;
+  private final HostClock clock;
+  private final Owner owner;
+  private HttpClientRequest request;
+  private HttpClientResponse answer;
+  private boolean ended;
+
+  /** Whom an attempt reports to. */
+  interface Owner {
+    /** The first byte may leave from now on. */
+    void handedOver();
+
+    /** The endpoint's whole answer came. */
+    void whole(RelayAttempt attempt, RelayExchange.WholeAnswer answer);
+
+    /** A whole event came; returns false when it cannot follow the one before. */
+    boolean event(RelayAttempt attempt, EventSplitter.StreamEvent event);
+
+    /** The stream came to its end. */
+    void streamEnded(RelayAttempt attempt);
+
+    /** The attempt failed. */
+    void failed(RelayAttempt attempt, AttemptEvent event);
+  }
+
+  RelayAttempt(
+      Action.Send send,
+      RelayCall call,
+      long lastEventId,
+      EndpointClient client,
+      RelayCodec codec,
+      HostClock clock,
+      Owner owner) {
+    this.send = send;
+    this.call = call;
+    this.lastEventId = lastEventId;
+    this.client = client;
+    this.codec = codec;
+    this.clock = clock;
+    this.owner = owner;
+  }
+
+  AttemptId id() {
+    return send.attempt();
+  }
+
+  boolean isOf(AttemptId attempt) {
+    return send.attempt().equals(attempt);
+  }
+
+  int answerStatus() {
+    return answer.statusCode();
+  }
+
+  MultiMap answerHeaders() {
+    return answer.headers();
+  }
+
+  void start() {
+    client
+        .request(send.endpoint(), call.method(), call.uri(), call.route().repeatable())
+        .onComplete(
+            connected -> {
+              if (connected.succeeded()) {
+                connected(connected.result());
+              } else {
+                fail(AttemptEvent.CONNECT_FAILED);
+              }
+            });
+  }
+
+  void cancel() {
+    ended = true;
+    if (request != null) {
+      request.reset();
+    }
+  }
+
+  private void connected(HttpClientRequest ready) {
+    if (ended) {
+      ready.reset();
+      return;
+    }
+    request = ready;
+    RelayCodec.Sending sending =
+        new RelayCodec.Sending(
+            send.endpoint(),
+            call.workspace().name(),
+            Math.max(1, send.deadlineMs() - clock.nowMs()),
+            MOST_URGENT - send.priority(),
+            lastEventId,
+            List.of());
+    request.headers().addAll(codec.forEndpoint(call.headers(), sending));
+    request.exceptionHandler(cause -> fail(AttemptEvent.LOST));
+    owner.handedOver();
+    request
+        .send(call.body())
+        .onComplete(
+            head -> {
+              if (head.succeeded()) {
+                answered(head.result());
+              } else {
+                fail(AttemptEvent.LOST);
+              }
+            });
+  }
+
+  private void answered(HttpClientResponse head) {
+    if (ended) {
+      return;
+    }
+    answer = head;
+    head.exceptionHandler(cause -> fail(AttemptEvent.LOST));
+    String requestId = call.request().requestId();
+    switch (codec.answer(head.statusCode(), head.headers(), requestId)) {
+      case NOT_RUN, OTHER_ENDPOINT -> fail(AttemptEvent.REFUSED_BY_ENDPOINT);
+      case FOREIGN -> abandon();
+      default -> {
+        boolean success = isSuccess(head.statusCode());
+        if (success && call.route().kind() == RouteKind.STREAM) {
+          readEvents(head);
+        } else {
+          readWhole(head);
+        }
+      }
+    }
+  }
+
+  private static boolean isSuccess(int status) {
+    return status >= LOWEST_SUCCESS && status < ABOVE_SUCCESS;
+  }
+
+  /** Ends a connection on which nothing can be trusted any more. */
+  private void abandon() {
+    request.reset();
+    fail(AttemptEvent.LOST);
+  }
+
+  private void readWhole(HttpClientResponse head) {
+    head.body()
+        .onComplete(
+            body -> {
+              if (ended) {
+                return;
+              }
+              if (body.failed()) {
+                fail(AttemptEvent.LOST);
+                return;
+              }
+              ended = true;
+              owner.whole(
+                  this,
+                  new RelayExchange.WholeAnswer(head.statusCode(), head.headers(), body.result()));
+            });
+  }
+
+  private void readEvents(HttpClientResponse head) {
+    EventSplitter splitter = new EventSplitter();
+    head.handler(piece -> pass(splitter.take(piece)));
+    head.endHandler(
+        v -> {
+          if (ended) {
+            return;
+          }
+          if (splitter.midEvent()) {
+            abandon();
+            return;
+          }
+          ended = true;
+          owner.streamEnded(this);
+        });
+  }
+
+  private void pass(List<EventSplitter.StreamEvent> events) {
+    for (EventSplitter.StreamEvent event : events) {
+      if (ended) {
+        return;
+      }
+      if (!owner.event(this, event)) {
+        abandon();
+      }
+    }
+  }
+
+  private void fail(AttemptEvent event) {
+    if (!ended) {
+      ended = true;
+      owner.failed(this, event);
+    }
+  }
+}
--- /dev/null
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/RelayDuty.java
@@ -0,0 +1,130 @@
+// SPDX-License-Identifier: Apache-2.0
+package org.fawndrum.transport.relay;
+
+import java.util.List;
+import java.util.Objects;
+import java.util.function.Consumer;
+import org.fawndrum.coordination.Action;
+import org.fawndrum.coordination.Decision;
+import org.fawndrum.coordination.EndpointRoster;
+import org.fawndrum.coordination.RequestCoordinator;
+import org.fawndrum.internal.duty.Duty;
+import org.fawndrum.internal.duty.Ring;
+import org.fawndrum.internal.log.HostLog;
+import org.fawndrum.state.Endpoint;
+import org.fawndrum.state.RouteTable;
+import org.fawndrum.transport.Exchange;
+import org.fawndrum.transport.HostClock;
+import org.fawndrum.transport.OpenExchanges;
+
+/**
+ * The thread that decides about relayed requests. It feeds events with their time to the
+ * coordinator and has the actions carried out.
+ */
+final class RelayDuty implements AutoCloseable {
+  private static final int RING_EVENTS = 8_192;
+
+  /** How long the thread sleeps when nothing is due, in milliseconds. */
+  private static final long IDLE_MS = 1_000;
+
+  /** How often waiting requests are offered again, in milliseconds. */
+  private static final long WAITING_MS = 10;
+
+  private final RequestCoordinator coordinator;
+  private final EndpointRoster roster = new EndpointRoster();
+  private final HostClock clock;
+  private final OpenExchanges exchanges;
+  private final Duty<RelayEvent> duty;
+  private RouteTable routes = RouteTable.NONE;
+  private volatile int open;
+
+  RelayDuty(RequestCoordinator coordinator, HostClock clock, Consumer<Decision> feed, HostLog log) {
+    this.coordinator = coordinator;
+    this.clock = clock;
+    this.exchanges = new OpenExchanges(feed);
+    this.duty = new Duty<>("decisions", new Ring<>(RING_EVENTS), this::handle, this::tick, log);
+  }
+
+  void start() {
+    duty.start();
+  }
+
+  @Override
+  public void close() {
+    duty.close();
+  }
+
+  /** Returns about how many requests have no final answer. */
+  int open() {
+    return open + duty.ring().size();
+  }
+
+  /** Takes a new request with its exchange; returns false when there is no room for it. */
+  boolean arrived(RelayEvent.Arrived arrived, Exchange exchange) {
+    String id = arrived.facts().requestId();
+    exchanges.add(id, exchange);
+    if (duty.offerNew(arrived)) {
+      return true;
+    }
+    exchanges.remove(id);
+    return false;
+  }
+
+  /** Takes an event about work already taken; returns false when there is no room for it now. */
+  boolean offer(RelayEvent event) {
+    return duty.offer(event);
+  }
+
+  private long tick() {
+    long nowMs = clock.nowMs();
+    carryOut(coordinator.tick(nowMs));
+    open = coordinator.open();
+    long dueMs = Math.min(IDLE_MS, coordinator.nextCheckMs() - nowMs);
+    return coordinator.waiting() > 0 ? Math.min(WAITING_MS, dueMs) : dueMs;
+  }
+
+  private void handle(RelayEvent event) {
+    long nowMs = clock.nowMs();
+    if (event instanceof RelayEvent.Arrived arrived) {
+      carryOut(coordinator.arrive(arrived.facts(), nowMs));
+    } else if (event instanceof RelayEvent.Attempted attempted) {
+      carryOut(coordinator.attempt(attempted.attempt(), attempted.event(), nowMs));
+      if (!coordinator.isOpen(attempted.attempt().requestId())) {
+        exchanges.remove(attempted.attempt().requestId());
+      }
+    } else if (event instanceof RelayEvent.CallerGone gone) {
+      carryOut(coordinator.callerGone(gone.requestId(), nowMs));
+    } else if (event instanceof RelayEvent.RoutesChanged changed) {
+      routes = changed.routes();
+      carryOut(coordinator.table(changed.table(), nowMs));
+      offerEndpoints(nowMs);
+    } else if (event instanceof RelayEvent.Listed listed) {
+      if (roster.listed(listed.listing())) {
+        offerEndpoints(nowMs);
+      }
+    } else if (event instanceof RelayEvent.Leaving leaving) {
+      if (roster.saidLeaving(leaving.endpoint())) {
+        offerEndpoints(nowMs);
+      }
+    }
+    open = coordinator.open();
+  }
+
+  /** Offers the endpoints with what the configuration says of their services. */
+  private void offerEndpoints(long nowMs) {
+    carryOut(coordinator.endpoints(roster.open().stream().map(this::described).toList(), nowMs));
+  }
+
+  private Endpoint described(Endpoint endpoint) {
+    return endpoint.serves().stream()
+        .map(name -> routes.service(name).orElse(null))
+        .filter(Objects::nonNull)
+        .findFirst()
+        .map(profile -> endpoint.describedBy(profile))
+        .orElse(endpoint);
+  }
+
+  private void carryOut(List<Action> actions) {
+    exchanges.carryOut(actions, (requestId, refusal) -> {}, true);
+  }
+}
--- /dev/null
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/RelayExchange.java
@@ -0,0 +1,171 @@
+// SPDX-License-Identifier: Apache-2.0
+package org.fawndrum.transport.relay;
+
+import io.vertx.core.Context;
+import io.vertx.core.MultiMap;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpServerResponse;
+import org.fawndrum.coordination.Action;
+import org.fawndrum.coordination.AttemptEvent;
+import org.fawndrum.coordination.Refusal;
+import org.fawndrum.coordination.RefusalKind;
+import org.fawndrum.transport.AttemptListener;
+import org.fawndrum.transport.Exchange;
+import org.fawndrum.transport.HostClock;
+
+/**
+ * One relayed request on its way. A plain answer is held until it is whole; a stream is passed on
+ * event by event, and goes on after a failure at the event where it stopped. Confined to one event
+ * loop.
+ */
+final class RelayExchange implements Exchange, RelayAttempt.Owner {
+  private final RelayCall call;
+  private final HttpServerResponse response;
+  private final Context context;
+  private final EndpointClient client;
+  private final RelayCodec codec;
+  private final AttemptListener attempts;
+  private final HostClock clock;
+  private RelayAttempt current;
+  private WholeAnswer failure;
+  private long lastEventId;
+  private boolean handedOver;
+  private boolean over;
+
+  /** An endpoint's answer with its whole body. */
+  record WholeAnswer(int status, MultiMap headers, Buffer body) {}
+
+  RelayExchange(
+      RelayCall call,
+      HttpServerResponse response,
+      Context context,
+      EndpointClient client,
+      RelayCodec codec,
+      AttemptListener attempts,
+      HostClock clock) {
+    this.call = call;
+    this.response = response;
+    this.context = context;
+    this.client = client;
+    this.codec = codec;
+    this.attempts = attempts;
+    this.clock = clock;
+    this.lastEventId = call.request().lastEventId();
+  }
+
+  @Override
+  public void onLoop(Runnable step) {
+    context.runOnContext(v -> step.run());
+  }
+
+  @Override
+  public void send(Action.Send send) {
+    if (over) {
+      attempts.happened(send.attempt(), AttemptEvent.CONNECT_FAILED);
+      return;
+    }
+    current = new RelayAttempt(send, call, lastEventId, client, codec, clock, this);
+    current.start();
+  }
+
+  @Override
+  public void cancel(Action.Cancel cancel) {
+    if (current != null && current.isOf(cancel.attempt())) {
+      current.cancel();
+    }
+  }
+
+  @Override
+  public boolean everHandedOver() {
+    return handedOver;
+  }
+
+  @Override
+  public void handedOver() {
+    handedOver = true;
+  }
+
+  @Override
+  public void whole(RelayAttempt attempt, WholeAnswer answer) {
+    if (over || attempt != current) {
+      return;
+    }
+    if (answer.status() >= RelayAttempt.LOWEST_FAILURE && call.route().repeatable()) {
+      failure = answer;
+      attempts.happened(attempt.id(), AttemptEvent.FAILED_BY_ENDPOINT);
+      return;
+    }
+    over = true;
+    deliver(answer);
+    attempts.happened(attempt.id(), AttemptEvent.ANSWERED);
+  }
+
+  private void deliver(WholeAnswer answer) {
+    if (response.closed() || response.ended()) {
+      return;
+    }
+    response.headers().addAll(codec.forCaller(answer.headers()));
+    response.setStatusCode(answer.status()).end(answer.body());
+  }
+
+  @Override
+  public boolean event(RelayAttempt attempt, EventSplitter.StreamEvent event) {
+    if (over || attempt != current) {
+      return true;
+    }
+    if (event.id() <= lastEventId) {
+      return true;
+    }
+    if (event.id() != lastEventId + 1) {
+      return false;
+    }
+    if (!response.headWritten()) {
+      response.headers().addAll(codec.forCaller(attempt.answerHeaders()));
+      response.setStatusCode(attempt.answerStatus()).setChunked(true);
+    }
+    lastEventId = event.id();
+    response.write(event.bytes());
+    attempts.happened(attempt.id(), AttemptEvent.ANSWERING);
+    return true;
+  }
+
+  @Override
+  public void streamEnded(RelayAttempt attempt) {
+    if (over || attempt != current) {
+      return;
+    }
+    over = true;
+    if (!response.headWritten()) {
+      response.headers().addAll(codec.forCaller(attempt.answerHeaders()));
+      response.setStatusCode(attempt.answerStatus()).setChunked(true);
+    }
+    response.end();
+    attempts.happened(attempt.id(), AttemptEvent.ANSWERED);
+  }
+
+  @Override
+  public void failed(RelayAttempt attempt, AttemptEvent event) {
+    attempts.happened(attempt.id(), event);
+  }
+
+  @Override
+  public void refuse(Refusal refusal) {
+    if (over) {
+      return;
+    }
+    over = true;
+    if (response.ended() || response.closed()) {
+      return;
+    }
+    if (response.headWritten()) {
+      // A stream that stops without its end mark never looks whole.
+      response.reset();
+      return;
+    }
+    if (failure != null && refusal.kind() == RefusalKind.ENDPOINT_FAILED) {
+      deliver(failure);
+      return;
+    }
+    RelayRefusals.answer(response, codec, call.request().requestId(), refusal);
+  }
+}
--- /dev/null
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/RelayIntake.java
@@ -0,0 +1,129 @@
+// SPDX-License-Identifier: Apache-2.0
+package org.fawndrum.transport.relay;
+
+import io.vertx.core.http.HttpServerRequest;
+import io.vertx.core.http.HttpServerResponse;
+import java.util.concurrent.ThreadLocalRandom;
+import org.fawndrum.coordination.Ran;
+import org.fawndrum.coordination.Refusal;
+import org.fawndrum.coordination.RefusalKind;
+import org.fawndrum.coordination.RequestFacts;
+import org.fawndrum.coordination.RequestTarget;
+import org.fawndrum.errors.RefusedException;
+import org.fawndrum.state.CallerGroup;
+import org.fawndrum.state.EndpointKind;
+import org.fawndrum.state.Route;
+import org.fawndrum.state.RouteTable;
+import org.fawndrum.state.ServiceProfile;
+import org.fawndrum.state.Workspace;
+import org.fawndrum.transport.HostClock;
+
+/** Finds the route and the workspace of a request and hands it to the decisions. */
+final class RelayIntake implements RelayServer.Intake {
+  /** After how long a caller is asked back when only other hosts can help, in milliseconds. */
+  static final long OTHER_HOST_RETRY_MS = 250;
+
+  /** How much before the bound a host stops trusting keys that it cannot confirm. */
+  private static final long REVOKE_MARGIN_MS = 400;
+
+  private final RouteStore routes;
+  private final RelayDuty decisions;
+  private final EndpointClient client;
+  private final RelayCodec codec;
+  private final RelayBounds bounds;
+  private final HostClock clock;
+  private final Attempts attempts;
+
+  /** Makes the exchange's way back to the decisions. */
+  interface Attempts extends org.fawndrum.transport.AttemptListener {
+    /** The caller of a request closed its connection. */
+    void callerGone(String requestId);
+  }
+
+  RelayIntake(
+      RouteStore routes,
+      RelayDuty decisions,
+      EndpointClient client,
+      RelayCodec codec,
+      RelayBounds bounds,
+      HostClock clock,
+      Attempts attempts) {
+    this.routes = routes;
+    this.decisions = decisions;
+    this.client = client;
+    this.codec = codec;
+    this.bounds = bounds;
+    this.clock = clock;
+    this.attempts = attempts;
+  }
+
+  @Override
+  public void take(RelayServer.Incoming incoming) {
+    RouteTable table = routes.table();
+    RelayRequest request = incoming.request();
+    HttpServerRequest http = incoming.http();
+    Route route =
+        table
+            .route(http.getHeader("host"), http.path())
+            .orElseThrow(() -> refused(request, RefusalKind.NO_ROUTE));
+    Workspace workspace = workspace(table, route, request);
+    RequestFacts facts = facts(table, route, workspace, incoming);
+    RelayCall call =
+        new RelayCall(
+            request, route, workspace, http.method(), http.uri(), http.headers(), incoming.body());
+    HttpServerResponse response = http.response();
+    RelayExchange exchange =
+        new RelayExchange(call, response, incoming.context(), client, codec, attempts, clock);
+    response.closeHandler(
+        v -> {
+          // The handler also runs after a whole answer, when nobody has gone.
+          if (!response.ended()) {
+            attempts.callerGone(request.requestId());
+          }
+        });
+    if (!decisions.arrived(new RelayEvent.Arrived(facts), exchange)) {
+      throw later(request, RefusalKind.HOST_BUSY);
+    }
+  }
+
+  private Workspace workspace(RouteTable table, Route route, RelayRequest request) {
+    if (route.open() || !table.needsKeys()) {
+      return Workspace.ANYBODY;
+    }
+    Workspace workspace = request.key().map(table.workspaces()::get).orElse(null);
+    if (workspace == null) {
+      throw refused(request, RefusalKind.UNKNOWN_KEY);
+    }
+    if (routes.ageMs(clock.nowMs()) > bounds.revokeMs() - REVOKE_MARGIN_MS) {
+      // The key may have been revoked in a configuration that this host could not read.
+      throw later(request, RefusalKind.NO_TABLE);
+    }
+    return workspace;
+  }
+
+  private static RequestFacts facts(
+      RouteTable table, Route route, Workspace workspace, RelayServer.Incoming incoming) {
+    RelayRequest request = incoming.request();
+    String service = route.service(ThreadLocalRandom.current().nextDouble());
+    EndpointKind kind = table.service(service).map(ServiceProfile::kind).orElse(EndpointKind.PLAIN);
+    return new RequestFacts(
+        request.requestId(),
+        new CallerGroup(workspace.name(), route.name()),
+        new RequestTarget(kind, service),
+        kind == EndpointKind.MODEL ? request.promptTokens() : 0,
+        kind == EndpointKind.MODEL ? request.answerTokens() : 0,
+        incoming.arrivedMs(),
+        request.wantedMs(),
+        route.repeatable(),
+        request.prefixes(),
+        route.aims());
+  }
+
+  private static RefusedException refused(RelayRequest request, RefusalKind kind) {
+    return new RefusedException(request.requestId(), Refusal.notRun(kind));
+  }
+
+  private static RefusedException later(RelayRequest request, RefusalKind kind) {
+    return new RefusedException(request.requestId(), Refusal.of(kind, Ran.NO, OTHER_HOST_RETRY_MS));
+  }
+}
--- /dev/null
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/RelayRefusals.java
@@ -0,0 +1,66 @@
+// SPDX-License-Identifier: Apache-2.0
+package org.fawndrum.transport.relay;
+
+import io.vertx.core.http.HttpServerRequest;
+import io.vertx.core.http.HttpServerResponse;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import org.fawndrum.coordination.Ran;
+import org.fawndrum.coordination.Refusal;
+import org.fawndrum.coordination.RefusalKind;
+import org.fawndrum.protocol.ErrorBodies;
+import org.fawndrum.protocol.Json;
+
+/**
+ * Writes answers that no endpoint gave. The status says whether the request ran: 503 and 429 say
+ * that it surely did not, 502 and 504 say nothing.
+ */
+final class RelayRefusals {
+  private static final int UNAVAILABLE = 503;
+  private static final int BAD_GATEWAY = 502;
+  private static final int GATEWAY_TIMEOUT = 504;
+  private static final long CLOSE_MS = 250;
+
+  /** Faults of the request itself; their own status tells the caller what to mend. */
+  private static final Set<RefusalKind> CALLERS_FAULT =
+      Set.of(
+          RefusalKind.INVALID_REQUEST,
+          RefusalKind.UNKNOWN_KEY,
+          RefusalKind.NO_ROUTE,
+          RefusalKind.REQUEST_INCOMPLETE,
+          RefusalKind.BODY_TOO_LARGE,
+          RefusalKind.HEADERS_TOO_LARGE);
+
+  private RelayRefusals() {}
+
+  static void answer(
+      HttpServerResponse response, RelayCodec codec, String requestId, Refusal refusal) {
+    if (response.ended() || response.closed() || response.headWritten()) {
+      return;
+    }
+    response.headers().addAll(codec.ofRefusal(requestId, refusal));
+    response
+        .setStatusCode(status(refusal))
+        .putHeader("content-type", "application/json")
+        .end(Json.write(ErrorBodies.of(requestId, refusal)));
+  }
+
+  /** Answers a request that was not read to its end, and closes the connection. */
+  static void answerAndClose(
+      HttpServerRequest request, RelayCodec codec, String requestId, Refusal refusal) {
+    request.response().putHeader("connection", "close");
+    answer(request.response(), codec, requestId, refusal);
+    request.connection().shutdown(CLOSE_MS, TimeUnit.MILLISECONDS);
+  }
+
+  static int status(Refusal refusal) {
+    if (CALLERS_FAULT.contains(refusal.kind())) {
+      return refusal.kind().status();
+    }
+    if (refusal.ran() == Ran.NO) {
+      return UNAVAILABLE;
+    }
+    boolean late = refusal.kind() == RefusalKind.DEADLINE_PASSED;
+    return late ? GATEWAY_TIMEOUT : BAD_GATEWAY;
+  }
+}
--- /dev/null
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/RelayRuntime.java
@@ -0,0 +1,199 @@
+// SPDX-License-Identifier: Apache-2.0
+package org.fawndrum.transport.relay;
+
+import io.vertx.core.Future;
+import io.vertx.core.Vertx;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Consumer;
+import org.fawndrum.coordination.AttemptEvent;
+import org.fawndrum.coordination.AttemptId;
+import org.fawndrum.coordination.Decision;
+import org.fawndrum.coordination.Policies;
+import org.fawndrum.coordination.RequestCoordinator;
+import org.fawndrum.internal.log.HostLog;
+import org.fawndrum.internal.log.LogEvent;
+import org.fawndrum.protocol.KeyedLog;
+import org.fawndrum.state.HostIdentity;
+import org.fawndrum.state.HostListing;
+import org.fawndrum.state.RouteTable;
+import org.fawndrum.state.TableRevision;
+import org.fawndrum.transport.HostClock;
+
+/**
+ * A whole host that relays requests: servers, followers of the platform's logs and the thread that
+ * decides, wired together. A daemon is this class with settings and signals around it.
+ */
+public final class RelayRuntime {
+  private static final long AGAIN_MS = 1;
+
+  /** How long a question for the configuration waits; below the bound for revoked keys. */
+  private static final long CONFIGURATION_WAIT_MS = 2_000;
+
+  /** How often the endpoints are read; with an answer's time it stays below the drain bound. */
+  private static final long ENDPOINTS_PAUSE_MS = 1_100;
+
+  /** After this the balancer sends no new connections, in milliseconds from the order to stop. */
+  private static final long BALANCER_MS = 2_500;
+
+  /** How long before the end of the grace period the host ends by itself, in milliseconds. */
+  private static final long BEFORE_KILL_MS = 400;
+
+  private static final long STOP_LOOK_MS = 100;
+
+  private final Vertx vertx;
+  private final RelaySettings settings;
+  private final HostIdentity self;
+  private final HostClock clock;
+  private final HostLog log;
+  private final RouteStore routes;
+  private final RelayDuty decisions;
+  private final RelayServer callers;
+  private final ReadinessServer readiness;
+  private final TopicFollower configuration;
+  private final TopicFollower endpoints;
+  private volatile boolean listed;
+  private volatile boolean stopping;
+
+  /**
+   * Makes a host that has not started.
+   *
+   * @param vertx runs its servers; closed by the caller
+   * @param settings its checked settings
+   * @param codec knows the messages of callers and endpoints
+   * @param decoder knows the platform's records
+   * @param platform the platform's logs
+   * @param clock its clock
+   * @param incarnation grows with each start of the host
+   * @param feed takes each decision; must not block
+   */
+  public RelayRuntime(
+      Vertx vertx,
+      RelaySettings settings,
+      RelayCodec codec,
+      RelayDecoder decoder,
+      KeyedLog platform,
+      HostClock clock,
+      long incarnation,
+      Consumer<Decision> feed,
+      HostLog log) {
+    this.vertx = vertx;
+    this.settings = settings;
+    this.clock = clock;
+    this.log = log;
+    this.self = new HostIdentity(settings.host(), incarnation);
+    this.routes = new RouteStore(this::routesChanged);
+    this.decisions =
+        new RelayDuty(
+            new RequestCoordinator(self, settings.zone(), Policies.standard()), clock, feed, log);
+    RelayIntake intake =
+        new RelayIntake(
+            routes,
+            decisions,
+            new EndpointClient(vertx),
+            codec,
+            settings.bounds(),
+            clock,
+            new Attempts());
+    this.callers = new RelayServer(vertx, settings.callers(), routes, codec, clock, intake);
+    this.readiness = new ReadinessServer(vertx, settings.readiness(), this::ready);
+    this.configuration =
+        new TopicFollower(
+            vertx,
+            platform,
+            KeyedLog.Topic.OPERATORS,
+            new TopicFollower.Pace(CONFIGURATION_WAIT_MS, 0),
+            new ConfigurationReader(decoder, routes, log),
+            clock,
+            log);
+    this.endpoints =
+        new TopicFollower(
+            vertx,
+            platform,
+            KeyedLog.Topic.ENDPOINTS,
+            new TopicFollower.Pace(0, ENDPOINTS_PAUSE_MS),
+            new EndpointReader(decoder, this::listed, clock, log),
+            clock,
+            log);
+  }
+
+  /** Tells the decisions what happens to attempts and callers. */
+  private final class Attempts implements RelayIntake.Attempts {
+    @Override
+    public void happened(AttemptId attempt, AttemptEvent event) {
+      offerSurely(new RelayEvent.Attempted(attempt, event));
+    }
+
+    @Override
+    public void callerGone(String requestId) {
+      offerSurely(new RelayEvent.CallerGone(requestId));
+    }
+  }
+
+  /** Starts everything; fails when an address cannot be had. */
+  public Future<Void> start() {
+    decisions.start();
+    return readiness
+        .listen()
+        .compose(server -> callers.listen())
+        .map(
+            server -> {
+              configuration.start();
+              endpoints.start();
+              log.event(LogEvent.HOST_STARTED, self, settings.zone());
+              return null;
+            });
+  }
+
+  private boolean ready() {
+    boolean fresh = routes.ageMs(clock.nowMs()) < settings.bounds().revokeMs();
+    return !stopping && fresh && listed && routes.table().revision() >= 0;
+  }
+
+  /** Events about work already taken must not be lost: when the ring is full, they come again. */
+  private void offerSurely(RelayEvent event) {
+    if (!decisions.offer(event)) {
+      log.event(LogEvent.RING_REFUSED, "decisions");
+      vertx.setTimer(AGAIN_MS, id -> offerSurely(event));
+    }
+  }
+
+  private void routesChanged(RouteTable table, TableRevision cells) {
+    offerSurely(new RelayEvent.RoutesChanged(table, cells));
+  }
+
+  private void listed(HostListing listing) {
+    listed = true;
+    offerSurely(new RelayEvent.Listed(listing));
+  }
+
+  /**
+   * Stops taking new connections, lets what is in progress end, and gives a future that completes
+   * when the process may end: when nothing is left, or shortly before it would be killed.
+   */
+  public CompletableFuture<Void> stop() {
+    CompletableFuture<Void> done = new CompletableFuture<>();
+    if (stopping) {
+      return done;
+    }
+    stopping = true;
+    long begunMs = clock.nowMs();
+    log.event(LogEvent.DRAIN_BEGAN, Integer.toString(decisions.open()));
+    vertx.runOnContext(v -> callers.stop());
+    vertx.setPeriodic(STOP_LOOK_MS, id -> lookIfStopped(id, begunMs, done));
+    return done;
+  }
+
+  private void lookIfStopped(long timer, long begunMs, CompletableFuture<Void> done) {
+    long sinceMs = clock.nowMs() - begunMs;
+    if (sinceMs < BALANCER_MS) {
+      return;
+    }
+    callers.closeIdle();
+    boolean last = sinceMs > settings.bounds().graceMs() - BEFORE_KILL_MS;
+    if (last || decisions.open() == 0 && callers.connections() == 0) {
+      vertx.cancelTimer(timer);
+      log.event(LogEvent.DRAIN_ENDED);
+      done.complete(null);
+    }
+  }
+}
--- /dev/null
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/RelayServer.java
@@ -0,0 +1,222 @@
+// SPDX-License-Identifier: Apache-2.0
+package org.fawndrum.transport.relay;
+
+import io.vertx.core.Context;
+import io.vertx.core.Future;
+import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpConnection;
+import io.vertx.core.http.HttpServer;
+import io.vertx.core.http.HttpServerOptions;
+import io.vertx.core.http.HttpServerRequest;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.concurrent.CompletionException;
+import org.fawndrum.coordination.Ran;
+import org.fawndrum.coordination.Refusal;
+import org.fawndrum.coordination.RefusalKind;
+import org.fawndrum.errors.RefusedException;
+import org.fawndrum.state.CallerLimits;
+import org.fawndrum.state.HostAddress;
+import org.fawndrum.state.RouteTable;
+import org.fawndrum.transport.BodyReader;
+import org.fawndrum.transport.HostClock;
+import org.fawndrum.transport.IdleConnections;
+
+/**
+ * The callers' address. It reads whole requests within the limits of the configuration in force and
+ * hands them on. Confined to one event loop.
+ */
+final class RelayServer {
+  /** The most bytes of headers that are read at all; the configuration's limit is below it. */
+  private static final int MOST_HEADER_BYTES = 65_536;
+
+  /** The rest of a connection after its answer while the host stops, in milliseconds. */
+  private static final long STOPPING_IDLE_MS = 100;
+
+  private static final int HEADER_SEPARATORS = 4;
+  private static final int MOST_LINE_BYTES = 16_384;
+
+  private final Vertx vertx;
+  private final HostAddress address;
+  private final RouteStore routes;
+  private final RelayCodec codec;
+  private final HostClock clock;
+  private final Intake intake;
+  private final IdleConnections idle;
+  private final Map<HttpConnection, Integer> busy = new HashMap<>();
+  private HttpServer server;
+  private boolean stopping;
+
+  /** Takes requests that are whole. */
+  interface Intake {
+    /** Takes a request; throws {@link RefusedException} when it cannot be served. */
+    void take(Incoming incoming);
+  }
+
+  /**
+   * A whole request.
+   *
+   * @param http the request as the server has it
+   * @param request what its headers say
+   * @param body its body
+   * @param arrivedMs when its head arrived, by the host's clock
+   * @param context its event loop
+   */
+  record Incoming(
+      HttpServerRequest http, RelayRequest request, Buffer body, long arrivedMs, Context context) {}
+
+  RelayServer(
+      Vertx vertx,
+      HostAddress address,
+      RouteStore routes,
+      RelayCodec codec,
+      HostClock clock,
+      Intake intake) {
+    this.vertx = vertx;
+    this.address = address;
+    this.routes = routes;
+    this.codec = codec;
+    this.clock = clock;
+    this.intake = intake;
+    this.idle =
+        new IdleConnections(
+            vertx, () -> limits().idleMs(), () -> stopping ? STOPPING_IDLE_MS : limits().idleMs());
+  }
+
+  private CallerLimits limits() {
+    return routes.table().limits();
+  }
+
+  Future<HttpServer> listen() {
+    HttpServerOptions options =
+        new HttpServerOptions()
+            .setHost(address.ip())
+            .setPort(address.port())
+            .setMaxHeaderSize(MOST_HEADER_BYTES)
+            .setMaxInitialLineLength(MOST_LINE_BYTES)
+            .setHttp2ClearTextEnabled(false)
+            .setUseAlpn(false)
+            .setTcpNoDelay(true);
+    server =
+        vertx
+            .createHttpServer(options)
+            .requestHandler(this::handle)
+            .invalidRequestHandler(this::invalid)
+            .connectionHandler(this::opened);
+    return server.listen();
+  }
+
+  /** From now on connections end with the answer that they wait for. */
+  void stop() {
+    stopping = true;
+  }
+
+  /** Closes the connections on which no request is in progress. */
+  void closeIdle() {
+    for (Map.Entry<HttpConnection, Integer> connection : Map.copyOf(busy).entrySet()) {
+      if (connection.getValue() == 0) {
+        connection.getKey().close();
+      }
+    }
+  }
+
+  /** Returns how many connections are open. */
+  int connections() {
+    return busy.size();
+  }
+
+  Future<Void> close() {
+    return server == null ? Future.succeededFuture() : server.close();
+  }
+
+  private void opened(HttpConnection connection) {
+    busy.put(connection, 0);
+    idle.opened(connection);
+    connection.closeHandler(
+        v -> {
+          busy.remove(connection);
+          idle.closed(connection);
+        });
+  }
+
+  private void invalid(HttpServerRequest request) {
+    Throwable cause = request.decoderResult().cause();
+    boolean tooLarge =
+        cause instanceof io.netty.handler.codec.http.TooLongHttpHeaderException
+            || cause instanceof io.netty.handler.codec.http.TooLongHttpLineException;
+    RefusalKind kind = tooLarge ? RefusalKind.HEADERS_TOO_LARGE : RefusalKind.INVALID_REQUEST;
+    RelayRefusals.answerAndClose(request, codec, "", Refusal.notRun(kind));
+  }
+
+  private void handle(HttpServerRequest http) {
+    HttpConnection connection = http.connection();
+    idle.began(connection);
+    busy.merge(connection, 1, Integer::sum);
+    http.response()
+        .endHandler(
+            v -> {
+              busy.computeIfPresent(connection, (key, count) -> Math.max(0, count - 1));
+              idle.ended(connection);
+            });
+    if (stopping) {
+      http.response().putHeader("connection", "close");
+    }
+    long arrivedMs = clock.nowMs();
+    Context context = vertx.getOrCreateContext();
+    RelayRequest request;
+    try {
+      checkHeaders(http);
+      request = codec.read(http.headers());
+    } catch (RefusedException e) {
+      RelayRefusals.answerAndClose(http, codec, e.requestId(), e.refusal());
+      return;
+    }
+    read(http, request, arrivedMs, context);
+  }
+
+  private void checkHeaders(HttpServerRequest http) {
+    long bytes = 0;
+    for (Map.Entry<String, String> header : http.headers()) {
+      bytes += header.getKey().length() + header.getValue().length() + HEADER_SEPARATORS;
+    }
+    if (bytes > limits().headerBytes()) {
+      throw new RefusedException("", Refusal.notRun(RefusalKind.HEADERS_TOO_LARGE));
+    }
+  }
+
+  private void read(HttpServerRequest http, RelayRequest request, long arrivedMs, Context context) {
+    RouteTable table = routes.table();
+    if (table.revision() < 0) {
+      Refusal none = Refusal.of(RefusalKind.NO_TABLE, Ran.NO, RelayIntake.OTHER_HOST_RETRY_MS);
+      RelayRefusals.answerAndClose(http, codec, request.requestId(), none);
+      return;
+    }
+    new BodyReader(vertx, table.limits().bodyBytes(), table.limits().headerMs())
+        .read(http, request.requestId())
+        .thenAccept(body -> intake.take(new Incoming(http, request, body, arrivedMs, context)))
+        .exceptionally(
+            failure -> {
+              refuse(http, request.requestId(), refusalOf(failure));
+              return null;
+            });
+  }
+
+  private static Refusal refusalOf(Throwable failure) {
+    Throwable cause = failure instanceof CompletionException ? failure.getCause() : failure;
+    return cause instanceof RefusedException refused
+        ? refused.refusal()
+        : Refusal.of(RefusalKind.INTERNAL, Ran.NO, Refusal.NEVER);
+  }
+
+  private void refuse(HttpServerRequest http, String requestId, Refusal refusal) {
+    boolean unread =
+        refusal.kind() == RefusalKind.BODY_TOO_LARGE
+            || refusal.kind() == RefusalKind.REQUEST_INCOMPLETE;
+    if (unread) {
+      RelayRefusals.answerAndClose(http, codec, requestId, refusal);
+    } else {
+      RelayRefusals.answer(http.response(), codec, requestId, refusal);
+    }
+  }
+}
--- /dev/null
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/RouteStore.java
@@ -0,0 +1,58 @@
+// SPDX-License-Identifier: Apache-2.0
+package org.fawndrum.transport.relay;
+
+import java.util.function.BiConsumer;
+import org.fawndrum.state.RouteTable;
+import org.fawndrum.state.TableRevision;
+
+/**
+ * The configuration in force on this host, and how old the evidence is that no newer one exists.
+ * Revisions only rise. Safe for all threads.
+ */
+final class RouteStore {
+  /** What the evidence's time is before there is any. */
+  private static final long NEVER = Long.MIN_VALUE / 2;
+
+  private final BiConsumer<RouteTable, TableRevision> onNewer;
+  private volatile RouteTable table = RouteTable.NONE;
+  private volatile TableRevision cells = TableRevision.EMPTY;
+  private volatile long knownAtMs = NEVER;
+
+  RouteStore(BiConsumer<RouteTable, TableRevision> onNewer) {
+    this.onNewer = onNewer;
+  }
+
+  RouteTable table() {
+    return table;
+  }
+
+  TableRevision cells() {
+    return cells;
+  }
+
+  /** Takes over a revision unless it is older than the one in force; returns whether it was. */
+  synchronized boolean offer(RouteTable newer) {
+    if (newer.revision() <= table.revision()) {
+      return false;
+    }
+    TableRevision rows = RouteRows.of(newer);
+    table = newer;
+    cells = rows;
+    onNewer.accept(newer, rows);
+    return true;
+  }
+
+  /**
+   * Takes note that the revision in force was the newest one at a time.
+   *
+   * @param atMs the time, by the host's clock, at which the question was sent that proved it
+   */
+  synchronized void confirmed(long atMs) {
+    knownAtMs = Math.max(knownAtMs, atMs);
+  }
+
+  /** Returns how long ago the revision in force was surely the newest, in milliseconds. */
+  long ageMs(long nowMs) {
+    return nowMs - knownAtMs;
+  }
+}
--- /dev/null
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/TopicFollower.java
@@ -0,0 +1,143 @@
+// SPDX-License-Identifier: Apache-2.0
+package org.fawndrum.transport.relay;
+
+import io.vertx.core.Vertx;
+import java.util.concurrent.CompletionException;
+import org.fawndrum.errors.RecordsExpiredException;
+import org.fawndrum.internal.log.HostLog;
+import org.fawndrum.internal.log.LogEvent;
+import org.fawndrum.protocol.KeyedLog;
+import org.fawndrum.protocol.KeyedPage;
+import org.fawndrum.transport.HostClock;
+
+/**
+ * Follows one keyed log from its newest records on, for as long as the host runs. Confined to one
+ * event loop.
+ */
+final class TopicFollower {
+  private static final long FIRST_AGAIN_MS = 100;
+  private static final long LONGEST_AGAIN_MS = 1_000;
+
+  private final Vertx vertx;
+  private final KeyedLog log;
+  private final KeyedLog.Topic topic;
+  private final Pace pace;
+  private final Reader reader;
+  private final HostClock clock;
+  private final HostLog hostLog;
+  private long next = -1;
+  private long againMs = FIRST_AGAIN_MS;
+  private boolean lost;
+  private boolean stopped;
+
+  /**
+   * How often a log is asked.
+   *
+   * @param waitMs how long one question waits for a record, in milliseconds
+   * @param pauseMs the pause after an answer, in milliseconds
+   */
+  record Pace(long waitMs, long pauseMs) {}
+
+  /** Takes what was read. */
+  interface Reader {
+    /**
+     * Takes the newest record of every key: what is not among them is gone.
+     *
+     * @param askedMs when the question was sent, by the host's clock
+     * @param afterOutage whether the platform did not answer before
+     */
+    void whole(KeyedPage page, long askedMs, boolean afterOutage);
+
+    /**
+     * Takes the records since the last reading.
+     *
+     * @param askedMs when the question was sent, by the host's clock
+     */
+    void changes(KeyedPage page, long askedMs);
+  }
+
+  TopicFollower(
+      Vertx vertx,
+      KeyedLog log,
+      KeyedLog.Topic topic,
+      Pace pace,
+      Reader reader,
+      HostClock clock,
+      HostLog hostLog) {
+    this.vertx = vertx;
+    this.log = log;
+    this.topic = topic;
+    this.pace = pace;
+    this.reader = reader;
+    this.clock = clock;
+    this.hostLog = hostLog;
+  }
+
+  void start() {
+    ask();
+  }
+
+  void stop() {
+    stopped = true;
+  }
+
+  private void ask() {
+    if (stopped) {
+      return;
+    }
+    long askedMs = clock.nowMs();
+    boolean whole = next < 0;
+    (whole ? log.newest(topic) : log.read(topic, next, pace.waitMs()))
+        .whenComplete(
+            (page, failure) -> {
+              if (failure == null) {
+                answered(page, whole, askedMs);
+              } else {
+                failed(failure);
+              }
+            });
+  }
+
+  private void answered(KeyedPage page, boolean whole, long askedMs) {
+    boolean wasLost = lost;
+    if (lost) {
+      lost = false;
+      hostLog.event(LogEvent.PLATFORM_BACK);
+    }
+    againMs = FIRST_AGAIN_MS;
+    if (page.end() >= next) {
+      next = page.end();
+      if (whole) {
+        reader.whole(page, askedMs, wasLost);
+      } else {
+        reader.changes(page, askedMs);
+      }
+    }
+    later(pace.pauseMs());
+  }
+
+  private void failed(Throwable failure) {
+    Throwable cause = failure instanceof CompletionException ? failure.getCause() : failure;
+    if (cause instanceof RecordsExpiredException) {
+      // What was missed is gone; the newest record of every key says all that matters.
+      hostLog.event(LogEvent.LOG_GAP, topic, Long.toString(next));
+      next = -1;
+      later(1);
+      return;
+    }
+    if (!lost) {
+      lost = true;
+      hostLog.event(LogEvent.PLATFORM_LOST, String.valueOf(cause));
+    }
+    later(againMs);
+    againMs = Math.min(LONGEST_AGAIN_MS, againMs * 2);
+  }
+
+  private void later(long afterMs) {
+    if (afterMs <= 0) {
+      ask();
+    } else {
+      vertx.setTimer(afterMs, id -> ask());
+    }
+  }
+}
