--- a/org.fawndrum.daemon/src/org/fawndrum/daemon/LogSetup.java
+++ b/org.fawndrum.daemon/src/org/fawndrum/daemon/LogSetup.java
@@ -22,6 +22,12 @@
         "vertx.logger-delegate-factory-class-name", "io.vertx.core.logging.JULLogDelegateFactory");
   }
 
+  /**
+   * Chooses the form of the log.
+   *
+   * @param json whether each message is a line of JSON
+   * @param debug whether each decision is logged
+   */
   public static void configure(boolean json, boolean debug) {
     Formatter formatter = json ? new JsonLineFormatter() : new PatternFormatter(TEXT);
     ConsoleHandler handler = new ConsoleHandler(ConsoleHandler.Target.SYSTEM_ERR, formatter);
--- a/org.fawndrum/src/org/fawndrum/coordination/Action.java
+++ b/org.fawndrum/src/org/fawndrum/coordination/Action.java
@@ -1,6 +1,8 @@
 // SPDX-License-Identifier: Apache-2.0
 package org.fawndrum.coordination;
 
+import java.util.List;
+import org.fawndrum.coordination.engine.EngineNews;
 import org.fawndrum.state.Endpoint;
 
 /** What the decisions ask the layers around them to do. */
@@ -12,9 +14,24 @@
    * @param endpoint where to
    * @param priority for the engine, 0 to 9
    * @param deadlineMs when the request must have ended, in milliseconds of the host's clock
+   * @param helpers other engines that read parts of the prompt; none for most requests
    */
-  record Send(AttemptId attempt, Endpoint endpoint, int priority, long deadlineMs)
-      implements Action {}
+  record Send(
+      AttemptId attempt, Endpoint endpoint, int priority, long deadlineMs, List<Helper> helpers)
+      implements Action {
+    /** Copies the list, so that the order cannot change. */
+    public Send {
+      helpers = List.copyOf(helpers);
+    }
+  }
+
+  /**
+   * Another engine that takes part in reading a prompt.
+   *
+   * @param endpoint the engine
+   * @param memoryTokens the memory to set aside there first, in tokens; 0 for none
+   */
+  record Helper(Endpoint endpoint, long memoryTokens) {}
 
   /** Tell an endpoint that nobody waits for an attempt any more, and free what it holds. */
   record Cancel(AttemptId attempt, Endpoint endpoint) implements Action {}
@@ -22,6 +39,9 @@
   /** Give the caller its final answer, which is not a whole one. */
   record Refuse(String requestId, Refusal refusal) implements Action {}
 
+  /** Tell the other daemons about work at an endpoint. */
+  record Announce(EngineNews news) implements Action {}
+
   /** Show a decision. */
   record Explain(Decision decision) implements Action {}
 }
--- a/org.fawndrum/src/org/fawndrum/coordination/Admission.java
+++ b/org.fawndrum/src/org/fawndrum/coordination/Admission.java
@@ -65,7 +65,7 @@
   /** Tells whether no endpoint could ever hold the request, however long it waited. */
   private boolean fitsNowhere(RequestFacts facts) {
     return facts.target().kind() == EndpointKind.MODEL
-        && facts.workTokens() > endpoints.largestMemory(facts.target());
+        && facts.workTokens() > endpoints.mostMemory(facts.target());
   }
 
   private Refusal cannotFinish(LiveRequest request, long nowMs) {
@@ -94,11 +94,11 @@
       return 0;
     }
     List<EndpointState> serving = endpoints.serving(facts.target());
-    long fastest = 1;
+    long shortest = Long.MAX_VALUE;
     int look = Math.min(serving.size(), 8);
     for (int i = 0; i < look; i++) {
-      fastest = Math.max(fastest, serving.get(i).tokensPerSecond());
+      shortest = Math.min(shortest, serving.get(i).shortestReadMs(facts.promptTokens()));
     }
-    return (long) (facts.promptTokens() * MS_PER_SECOND / fastest);
+    return look == 0 ? 0 : shortest;
   }
 }
--- /dev/null
+++ b/org.fawndrum/src/org/fawndrum/coordination/EndRules.java
@@ -0,0 +1,32 @@
+// SPDX-License-Identifier: Apache-2.0
+package org.fawndrum.coordination;
+
+/** How requests end that get no whole answer. */
+final class EndRules {
+  private EndRules() {}
+
+  static Refusal draining() {
+    return Refusal.of(RefusalKind.DRAINING, Ran.NO, Admission.OTHER_HOST_RETRY_MS);
+  }
+
+  /** Returns the end of a request whose last attempt failed. */
+  static RefusalKind afterFailure(LiveRequest request) {
+    return request.ran() == Ran.UNKNOWN && !request.facts.repeatable()
+        ? RefusalKind.OUTCOME_UNKNOWN
+        : RefusalKind.ENDPOINT_FAILED;
+  }
+
+  /** Tells whether a request may be sent again after an attempt. */
+  static boolean mayRepeat(LiveRequest request, LiveRequest.Attempt attempt) {
+    return attempt.state == AttemptState.NOT_RUN || request.facts.repeatable();
+  }
+
+  /** Returns the reason that is shown for a refusal of a new request. */
+  static Reason reasonOf(RefusalKind kind) {
+    return switch (kind) {
+      case NO_ENDPOINT -> Reason.NO_ENDPOINT;
+      case CANNOT_FINISH -> Reason.DEADLINE;
+      default -> Reason.LIMIT;
+    };
+  }
+}
--- a/org.fawndrum/src/org/fawndrum/coordination/EndpointBook.java
+++ b/org.fawndrum/src/org/fawndrum/coordination/EndpointBook.java
@@ -54,9 +54,12 @@
     return open.getOrDefault(target, List.of());
   }
 
-  /** Returns the memory of the largest endpoint that serves a target, in tokens. */
-  long largestMemory(RequestTarget target) {
-    return largest.getOrDefault(target, 0L);
+  /** Returns the memory that one request could get at a target at most, in tokens. */
+  long mostMemory(RequestTarget target) {
+    long largestMemory = largest.getOrDefault(target, 0L);
+    boolean several =
+        serving(target).stream().anyMatch(state -> state.endpoint().engine().isPresent());
+    return several ? largestMemory * serving(target).size() : largestMemory;
   }
 
   /** Returns the state of an endpoint incarnation, or null when it is not known. */
--- a/org.fawndrum/src/org/fawndrum/coordination/EndpointState.java
+++ b/org.fawndrum/src/org/fawndrum/coordination/EndpointState.java
@@ -3,6 +3,7 @@
 
 import java.util.HashMap;
 import java.util.Map;
+import org.fawndrum.coordination.engine.EngineLoad;
 import org.fawndrum.state.Endpoint;
 
 /**
@@ -13,6 +14,9 @@
   /** Assumed speed of an engine that has not reported yet, in prompt tokens a second. */
   public static final long ASSUMED_TOKENS_PER_SECOND = 20_000;
 
+  /** Engines that can share the reading of one prompt, where their speed is told. */
+  private static final int MOST_ENGINES = 8;
+
   private static final long FIRST_BACKOFF_MS = 500;
   private static final long OWN_REPORT_MS = 1_000;
   private static final long LONGEST_BACKOFF_MS = 8_000;
@@ -27,6 +31,7 @@
   private int failuresInRow;
   private long avoidUntilMs;
   private final CachedPrefixes prefixes;
+  private EngineLoad load;
 
   /** What one attempt adds to the endpoint's load. */
   private static final class Sent {
@@ -47,6 +52,7 @@
   EndpointState(Endpoint endpoint, int engines) {
     this.endpoint = endpoint;
     this.prefixes = new CachedPrefixes(engines);
+    this.load = new EngineLoad(endpoint.engine().orElse(null));
   }
 
   /** Returns the endpoint. */
@@ -55,7 +61,11 @@
   }
 
   void describe(Endpoint newer) {
+    boolean sameEngine = newer.engine().equals(endpoint.engine());
     endpoint = newer;
+    if (!sameEngine) {
+      load = new EngineLoad(newer.engine().orElse(null));
+    }
   }
 
   /** Returns how many attempts of this host are on the endpoint. */
@@ -63,6 +73,19 @@
     return sent.size();
   }
 
+  /** Returns the work there from all daemons, as far as is known. */
+  public EngineLoad load() {
+    return load;
+  }
+
+  /** Returns the time that the endpoint needs at least to read a prompt, in milliseconds. */
+  long shortestReadMs(long promptTokens) {
+    return endpoint
+        .engine()
+        .map(profile -> (long) (profile.readMs(promptTokens) / MOST_ENGINES))
+        .orElseGet(() -> (long) (promptTokens * MS_PER_SECOND / tokensPerSecond()));
+  }
+
   /** Returns what is known of the endpoint's prefix cache. */
   CachedPrefixes prefixes() {
     return prefixes;
--- /dev/null
+++ b/org.fawndrum/src/org/fawndrum/coordination/EngineWork.java
@@ -0,0 +1,172 @@
+// SPDX-License-Identifier: Apache-2.0
+package org.fawndrum.coordination;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.fawndrum.coordination.engine.EngineJob;
+import org.fawndrum.coordination.engine.EngineNews;
+import org.fawndrum.state.HostIdentity;
+
+/**
+ * Keeps what every endpoint has to do: this host's own work, which it announces, and the work that
+ * other daemons announced. Confined to one thread.
+ */
+final class EngineWork {
+  private static final int HOST_BITS = 32;
+
+  private final EndpointBook endpoints;
+  private final List<Action> out;
+  private final Map<Long, EngineJob> own = new HashMap<>();
+  private final Set<Long> ownRead = new HashSet<>();
+  private final Map<HostIdentity, Map<Long, EngineJob>> others = new HashMap<>();
+  private long nextId;
+
+  EngineWork(HostIdentity self, EndpointBook endpoints, List<Action> out) {
+    this.endpoints = endpoints;
+    this.out = out;
+    this.nextId = (long) self.hashCode() << HOST_BITS;
+  }
+
+  /** Takes note of an attempt that is sent now. */
+  void placed(
+      LiveRequest.Attempt attempt, RequestFacts facts, Placement.Choice choice, long nowMs) {
+    int parts = 1 + choice.helpers().size();
+    long elsewhere = choice.helpers().stream().mapToLong(Placement.Helper::memoryTokens).sum();
+    long memory = facts.promptTokens() == 0 ? 0 : facts.workTokens() - elsewhere;
+    add(attempt, job(choice.state(), facts, memory, parts, true, nowMs), nowMs);
+    for (Placement.Helper helper : choice.helpers()) {
+      EngineJob job = job(helper.state(), facts, helper.memoryTokens(), parts, false, nowMs);
+      add(attempt, job, nowMs);
+    }
+  }
+
+  private EngineJob job(
+      EndpointState at, RequestFacts facts, long memory, int parts, boolean writes, long nowMs) {
+    HostIdentity endpoint = at.endpoint().identity();
+    return new EngineJob(
+        nextId++, endpoint, facts.promptTokens(), memory, parts, writes, facts.aims(), nowMs);
+  }
+
+  private void add(LiveRequest.Attempt attempt, EngineJob job, long nowMs) {
+    attempt.jobs.add(job.id());
+    own.put(job.id(), job);
+    EndpointState state = endpoints.state(job.endpoint());
+    if (state != null) {
+      state.load().add(job, nowMs);
+    }
+    out.add(new Action.Announce(new EngineNews.Placed(job)));
+  }
+
+  /** Takes note that the prompt of an attempt has been read. */
+  void read(LiveRequest.Attempt attempt, long nowMs) {
+    for (long id : attempt.jobs) {
+      EngineJob job = own.get(id);
+      if (job != null && ownRead.add(id)) {
+        read(job, nowMs);
+        out.add(new Action.Announce(new EngineNews.Read(id)));
+      }
+    }
+  }
+
+  private void read(EngineJob job, long nowMs) {
+    EndpointState state = endpoints.state(job.endpoint());
+    if (state != null) {
+      state.load().read(job.id(), nowMs);
+    }
+  }
+
+  /**
+   * Takes note that an attempt ended.
+   *
+   * @param failed whether its endpoint seems to be the cause
+   */
+  void ended(LiveRequest.Attempt attempt, boolean failed, long nowMs) {
+    for (long id : attempt.jobs) {
+      EngineJob job = own.remove(id);
+      ownRead.remove(id);
+      if (job != null) {
+        ended(job, nowMs);
+        out.add(new Action.Announce(new EngineNews.Ended(id, failed && job.writes())));
+      }
+    }
+  }
+
+  private void ended(EngineJob job, long nowMs) {
+    EndpointState state = endpoints.state(job.endpoint());
+    if (state != null) {
+      state.load().ended(job.id(), nowMs);
+    }
+  }
+
+  /** Returns this host's work as news that tell all of it. */
+  List<EngineNews> all() {
+    List<EngineNews> all = new ArrayList<>();
+    for (EngineJob job : own.values()) {
+      all.add(new EngineNews.Placed(job));
+      if (ownRead.contains(job.id())) {
+        all.add(new EngineNews.Read(job.id()));
+      }
+    }
+    return all;
+  }
+
+  /** Takes one piece of news of another daemon. */
+  void heard(HostIdentity from, EngineNews news, long nowMs) {
+    Map<Long, EngineJob> jobs = others.computeIfAbsent(from, key -> new HashMap<>());
+    if (news instanceof EngineNews.Placed placed) {
+      EngineJob job = placed.job();
+      EndpointState state = endpoints.state(job.endpoint());
+      if (state != null && jobs.putIfAbsent(job.id(), job) == null) {
+        state.load().add(job, nowMs);
+      }
+    } else if (news instanceof EngineNews.Read read) {
+      EngineJob job = jobs.get(read.id());
+      if (job != null) {
+        read(job, nowMs);
+      }
+    } else if (news instanceof EngineNews.Ended ended) {
+      heardEnded(jobs.remove(ended.id()), ended.failed(), nowMs);
+    }
+  }
+
+  private void heardEnded(EngineJob job, boolean failed, long nowMs) {
+    if (job == null) {
+      return;
+    }
+    ended(job, nowMs);
+    EndpointState state = endpoints.state(job.endpoint());
+    if (failed && state != null) {
+      state.failed(nowMs);
+    }
+  }
+
+  /** Takes all the work of another daemon; what it does not name has ended. */
+  void heardAll(HostIdentity from, Collection<EngineNews> all, long nowMs) {
+    Set<Long> named = new HashSet<>();
+    for (EngineNews news : all) {
+      if (news instanceof EngineNews.Placed placed) {
+        named.add(placed.job().id());
+      }
+    }
+    Map<Long, EngineJob> jobs = others.computeIfAbsent(from, key -> new HashMap<>());
+    for (EngineJob job : List.copyOf(jobs.values())) {
+      if (!named.contains(job.id())) {
+        heardEnded(jobs.remove(job.id()), false, nowMs);
+      }
+    }
+    all.forEach(news -> heard(from, news, nowMs));
+  }
+
+  /** Takes note that another daemon is gone, and its work with it. */
+  void gone(HostIdentity daemon, long nowMs) {
+    Map<Long, EngineJob> jobs = others.remove(daemon);
+    if (jobs != null) {
+      jobs.values().forEach(job -> ended(job, nowMs));
+    }
+  }
+}
--- a/org.fawndrum/src/org/fawndrum/coordination/LiveRequest.java
+++ b/org.fawndrum/src/org/fawndrum/coordination/LiveRequest.java
@@ -30,6 +30,7 @@
   static final class Attempt {
     final AttemptId id;
     final EndpointState endpoint;
+    final List<Long> jobs = new ArrayList<>(1);
     AttemptState state = AttemptState.WAITING;
 
     Attempt(AttemptId id, EndpointState endpoint) {
--- a/org.fawndrum/src/org/fawndrum/coordination/Placement.java
+++ b/org.fawndrum/src/org/fawndrum/coordination/Placement.java
@@ -40,6 +40,21 @@
    * @param state the endpoint
    * @param reason why
    * @param passedOver the nearest endpoints not chosen
+   * @param helpers other engines that read parts of the prompt; none for most requests
    */
-  record Choice(EndpointState state, Reason reason, List<PassedOver> passedOver) {}
+  record Choice(
+      EndpointState state, Reason reason, List<PassedOver> passedOver, List<Helper> helpers) {
+    /** Makes the choice of one endpoint alone. */
+    public Choice(EndpointState state, Reason reason, List<PassedOver> passedOver) {
+      this(state, reason, passedOver, List.of());
+    }
+  }
+
+  /**
+   * Another engine that takes part in reading a prompt.
+   *
+   * @param state the engine
+   * @param memoryTokens the memory to set aside there first, in tokens; 0 for none
+   */
+  record Helper(EndpointState state, long memoryTokens) {}
 }
--- a/org.fawndrum/src/org/fawndrum/coordination/Policies.java
+++ b/org.fawndrum/src/org/fawndrum/coordination/Policies.java
@@ -1,6 +1,8 @@
 // SPDX-License-Identifier: Apache-2.0
 package org.fawndrum.coordination;
 
+import org.fawndrum.coordination.engine.EngineModelPlacement;
+
 /**
  * The exchangeable parts of the decisions of one host. Each instance belongs to one coordinator.
  *
@@ -42,12 +44,27 @@
     return with(new LeastInFlightPlacement(), new FirstComeOrder(), false);
   }
 
+  /**
+   * Returns the policies of daemons that know the engines' profiles and each other's work.
+   *
+   * @param retries the budget for sending again
+   */
+  public static Policies engineModel(RetryBudget retries) {
+    return new Policies(
+        new EngineModelPlacement(EngineModelPlacement.Settings.DEFAULT),
+        new FairWorkOrder(SHORT_CREDIT),
+        new LengthMix(SHORT_PART),
+        retries,
+        MOST_ATTEMPTS,
+        true);
+  }
+
   private static Policies with(Placement placement, QueueOrder order, boolean refuseEarly) {
     return new Policies(
         placement,
         order,
         new LengthMix(SHORT_PART),
-        new RetryBudget(RETRY_PART, RETRY_RESERVE),
+        new EarnedRetryBudget(RETRY_PART, RETRY_RESERVE),
         MOST_ATTEMPTS,
         refuseEarly);
   }
--- a/org.fawndrum/src/org/fawndrum/coordination/Reason.java
+++ b/org.fawndrum/src/org/fawndrum/coordination/Reason.java
@@ -9,6 +9,8 @@
   LIMIT,
   /** The endpoint with the earliest expected first token. */
   EARLIEST_FIRST_TOKEN,
+  /** Several engines together: one would be late, or could not hold the prompt. */
+  SEVERAL_ENGINES,
   /** The next endpoint in turn. */
   NEXT_IN_TURN,
   /** The endpoint with the fewest requests in flight. */
--- a/org.fawndrum/src/org/fawndrum/coordination/RequestCoordinator.java
+++ b/org.fawndrum/src/org/fawndrum/coordination/RequestCoordinator.java
@@ -9,6 +9,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.PriorityQueue;
+import org.fawndrum.coordination.engine.EngineNews;
 import org.fawndrum.state.CallerGroup;
 import org.fawndrum.state.CellKey;
 import org.fawndrum.state.Column;
@@ -36,6 +37,7 @@
       new PriorityQueue<>(Comparator.comparingLong(Check::atMs));
   private final List<Action> out = new ArrayList<>();
   private final Explainer explainer = new Explainer(out);
+  private final EngineWork work;
   private TableRevision table = TableRevision.EMPTY;
   private boolean draining;
   private double part = 1.0;
@@ -55,6 +57,7 @@
     this.zone = zone;
     this.policies = policies;
     this.waiting = new WaitingRequests(policies.order(), policies.lengths());
+    this.work = new EngineWork(self, endpoints, out);
     this.admission = new Admission(waiting, drained, endpoints, policies.refuseEarly());
   }
 
@@ -99,6 +102,27 @@
     return flush(nowMs);
   }
 
+  /** Takes what another daemon tells about its work; {@code all} when it names all of it. */
+  public List<Action> told(HostIdentity from, List<EngineNews> news, boolean all, long nowMs) {
+    if (all) {
+      work.heardAll(from, news, nowMs);
+    } else {
+      news.forEach(one -> work.heard(from, one, nowMs));
+    }
+    return flush(nowMs);
+  }
+
+  /** Takes note that another daemon is gone, and its work with it. */
+  public List<Action> daemonGone(HostIdentity daemon, long nowMs) {
+    work.gone(daemon, nowMs);
+    return flush(nowMs);
+  }
+
+  /** Returns all the work that this host has at endpoints, for other daemons. */
+  public List<EngineNews> work() {
+    return work.all();
+  }
+
   /** Admits no new request from now on; those admitted go on to their end. */
   public void drain() {
     draining = true;
@@ -127,7 +151,7 @@
   /** Takes a request that has just arrived. */
   public List<Action> arrive(RequestFacts facts, long nowMs) {
     if (draining) {
-      return refuseNew(facts, drainingRefusal(), Reason.DRAINING, nowMs);
+      return refuseNew(facts, EndRules.draining(), Reason.DRAINING, nowMs);
     }
     if (table.revision() < 0) {
       Refusal none = Refusal.of(RefusalKind.NO_TABLE, Ran.NO, Admission.OTHER_HOST_RETRY_MS);
@@ -144,16 +168,12 @@
     policies.lengths().arrived(facts.promptTokens());
     Refusal refusal = admission.check(request, usage, nowMs);
     if (refusal != null) {
-      return refuseNew(facts, refusal, reasonOf(refusal.kind()), nowMs);
+      return refuseNew(facts, refusal, EndRules.reasonOf(refusal.kind()), nowMs);
     }
     admit(request, usage, nowMs);
     return flush(nowMs);
   }
 
-  private static Refusal drainingRefusal() {
-    return Refusal.of(RefusalKind.DRAINING, Ran.NO, Admission.OTHER_HOST_RETRY_MS);
-  }
-
   private LiveRequest live(RequestFacts facts, Row row, long nowMs) {
     long allowedMs = row.number(Column.DEADLINE_MS);
     long limitMs = facts.wantedMs() > 0 ? Math.min(allowedMs, facts.wantedMs()) : allowedMs;
@@ -164,7 +184,7 @@
   private void admit(LiveRequest request, GroupUsage usage, long nowMs) {
     requests.put(request.facts.requestId(), request);
     usage.inFlight++;
-    policies.retries().firstSend();
+    policies.retries().firstSend(request.facts.target(), nowMs);
     explainer.admitted(request.facts, nowMs);
     enqueue(request);
     long lastStartMs = request.deadlineMs - admission.shortestServiceMs(request.facts);
@@ -187,6 +207,9 @@
     }
     AttemptState before = attempt.state;
     attempt.state = AttemptStates.after(before, event);
+    if (attempt.state == AttemptState.RUNNING) {
+      work.read(attempt, nowMs);
+    }
     if (attempt.state == AttemptState.RUNNING && !request.firstTokenSeen) {
       request.firstTokenSeen = true;
       attempt.endpoint.promptRead(id);
@@ -194,6 +217,8 @@
     }
     if (!before.ended() && attempt.state.ended()) {
       attempt.endpoint.ended(id);
+      boolean blamed = attempt.state != AttemptState.DONE && event == AttemptEvent.LOST;
+      work.ended(attempt, blamed, nowMs);
       attemptEnded(request, attempt, event, nowMs);
     }
     return flush(nowMs);
@@ -212,33 +237,26 @@
     }
     explainer.attempt(request, attempt, DecisionKind.ATTEMPT_FAILED, Reason.ENDPOINT_FAILED, nowMs);
     request.excluded.add(attempt.endpoint.endpoint().identity());
-    Reason whyNot = whyNotAgain(request, attempt);
+    Reason whyNot = whyNotAgain(request, attempt, nowMs);
     if (whyNot == null) {
       enqueue(request);
       return;
     }
-    long retryMs = mayRepeat(request, attempt) ? Admission.OTHER_HOST_RETRY_MS : Refusal.NEVER;
-    giveUp(request, Refusal.of(endKind(request), request.ran(), retryMs), whyNot, nowMs);
-  }
-
-  private static RefusalKind endKind(LiveRequest request) {
-    return request.ran() == Ran.UNKNOWN && !request.facts.repeatable()
-        ? RefusalKind.OUTCOME_UNKNOWN
-        : RefusalKind.ENDPOINT_FAILED;
+    long retryMs =
+        EndRules.mayRepeat(request, attempt) ? Admission.OTHER_HOST_RETRY_MS : Refusal.NEVER;
+    giveUp(
+        request, Refusal.of(EndRules.afterFailure(request), request.ran(), retryMs), whyNot, nowMs);
   }
 
-  private static boolean mayRepeat(LiveRequest request, LiveRequest.Attempt attempt) {
-    return attempt.state == AttemptState.NOT_RUN || request.facts.repeatable();
-  }
-
-  private Reason whyNotAgain(LiveRequest request, LiveRequest.Attempt attempt) {
-    if (!mayRepeat(request, attempt)) {
+  private Reason whyNotAgain(LiveRequest request, LiveRequest.Attempt attempt, long nowMs) {
+    if (!EndRules.mayRepeat(request, attempt)) {
       return Reason.NOT_REPEATABLE;
     }
-    int allowed = request.facts.aims().mostAttempts();
-    int most = allowed > 0 ? allowed : policies.mostAttempts();
+    int byRoute = request.facts.aims().mostAttempts();
+    int most = byRoute > 0 ? byRoute : policies.mostAttempts();
     boolean spent = request.attempts.size() >= most;
-    return spent || !policies.retries().tryRetry() ? Reason.RETRY_BUDGET : null;
+    boolean allowed = !spent && policies.retries().tryRetry(request.facts.target(), nowMs);
+    return allowed ? null : Reason.RETRY_BUDGET;
   }
 
   /** Takes note that the caller closed its connection; what the request holds is freed. */
@@ -296,6 +314,7 @@
     LiveRequest.Attempt last = request.last();
     if (last != null && !last.state.ended()) {
       last.endpoint.ended(last.id);
+      work.ended(last, false, nowMs);
       out.add(new Action.Cancel(last.id, last.endpoint.endpoint()));
     }
     explainer.refused(request.facts, refusal, why, nowMs);
@@ -319,14 +338,6 @@
     return flush(nowMs);
   }
 
-  private static Reason reasonOf(RefusalKind kind) {
-    return switch (kind) {
-      case NO_ENDPOINT -> Reason.NO_ENDPOINT;
-      case CANNOT_FINISH -> Reason.DEADLINE;
-      default -> Reason.LIMIT;
-    };
-  }
-
   private boolean trySend(LiveRequest request, long nowMs) {
     List<EndpointState> candidates = endpoints.serving(request.facts.target());
     if (request.excluded.size() >= candidates.size()) {
@@ -364,9 +375,14 @@
     boolean model = facts.target().kind() == EndpointKind.MODEL;
     state.sending(id, priority, facts.promptTokens(), model ? facts.workTokens() : 0, nowMs);
     state.prefixes().stored(facts.prefixes());
+    work.placed(attempt, facts, choice, nowMs);
     drained.sent(facts.target(), facts.workTokens(), nowMs);
     explainer.placed(request, choice, number, nowMs);
-    out.add(new Action.Send(id, state.endpoint(), priority, request.deadlineMs));
+    List<Action.Helper> helpers =
+        choice.helpers().stream()
+            .map(one -> new Action.Helper(one.state().endpoint(), one.memoryTokens()))
+            .toList();
+    out.add(new Action.Send(id, state.endpoint(), priority, request.deadlineMs, helpers));
   }
 
   private List<Action> flush(long nowMs) {
--- a/org.fawndrum/src/org/fawndrum/coordination/RetryBudget.java
+++ b/org.fawndrum/src/org/fawndrum/coordination/RetryBudget.java
@@ -1,39 +1,11 @@
 // SPDX-License-Identifier: Apache-2.0
 package org.fawndrum.coordination;
 
-/**
- * Keeps sending again in proportion to first sends, so that a failure does not multiply the load.
- * Each first send earns a part of a retry; a small reserve allows retries when traffic is thin.
- * Confined to one thread.
- */
-public final class RetryBudget {
-  private final double earnedPerRequest;
-  private final double most;
-  private double balance;
-
-  /**
-   * Makes a budget that starts with its whole reserve.
-   *
-   * @param earnedPerRequest retries earned by one first send, such as 0.1
-   * @param reserve the most retries that can be saved up
-   */
-  public RetryBudget(double earnedPerRequest, double reserve) {
-    this.earnedPerRequest = earnedPerRequest;
-    this.most = reserve;
-    this.balance = reserve;
-  }
-
+/** Decides whether requests may be sent again. Implementations are confined to one thread. */
+public interface RetryBudget {
   /** Counts a first send. */
-  public void firstSend() {
-    balance = Math.min(most, balance + earnedPerRequest);
-  }
+  void firstSend(RequestTarget target, long nowMs);
 
   /** Takes one retry if the budget has one. */
-  public boolean tryRetry() {
-    if (balance < 1) {
-      return false;
-    }
-    balance -= 1;
-    return true;
-  }
+  boolean tryRetry(RequestTarget target, long nowMs);
 }
--- /dev/null
+++ b/org.fawndrum/src/org/fawndrum/coordination/engine/EngineLoad.java
@@ -0,0 +1,192 @@
+// SPDX-License-Identifier: Apache-2.0
+package org.fawndrum.coordination.engine;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import org.fawndrum.state.EngineProfile;
+
+/** The work that one endpoint has from all daemons, as far as is known. Confined to one thread. */
+public final class EngineLoad {
+  /** What is left at least of a prompt whose end was not told yet, as a part of its time. */
+  private static final double LEAST_LEFT = 0.1;
+
+  /** Weight of the newest observation in the pace. */
+  private static final double NEWEST = 0.3;
+
+  private static final double SLOWEST = 20;
+
+  /** The time after which half of an observed slowness is forgotten, in milliseconds. */
+  private static final double HALF_LIFE_MS = 4_000;
+
+  /** Observed times below this say nothing about the pace, in milliseconds. */
+  private static final double SHORTEST_MS = 80;
+
+  private final EngineProfile profile;
+  private final Map<Long, Entry> jobs = new LinkedHashMap<>();
+  private long headSinceMs;
+  private double slowness = 1;
+  private long observedMs;
+
+  /** A job and how far it is. */
+  private static final class Entry {
+    final EngineJob job;
+    final double expectedMs;
+    boolean read;
+
+    Entry(EngineJob job, double expectedMs) {
+      this.job = job;
+      this.expectedMs = expectedMs;
+    }
+  }
+
+  /**
+   * Makes the load of an endpoint that has nothing to do.
+   *
+   * @param profile how fast it works; null for a plain service
+   */
+  public EngineLoad(EngineProfile profile) {
+    this.profile = profile;
+  }
+
+  /** Adds work; the same work again changes nothing. */
+  public void add(EngineJob job, long nowMs) {
+    if (jobs.containsKey(job.id())) {
+      return;
+    }
+    double expectedMs = profile == null ? 0 : firstTokenMs(job.promptTokens(), job.parts(), nowMs);
+    if (unread().isEmpty()) {
+      headSinceMs = nowMs;
+    }
+    jobs.put(job.id(), new Entry(job, expectedMs));
+  }
+
+  /** Takes note that a prompt has been read. */
+  public void read(long id, long nowMs) {
+    Entry entry = jobs.get(id);
+    if (entry == null || entry.read) {
+      return;
+    }
+    entry.read = true;
+    headSinceMs = nowMs;
+    observe(entry, nowMs);
+  }
+
+  private void observe(Entry entry, long nowMs) {
+    double took = nowMs - entry.job.sentMs();
+    if (profile == null || entry.expectedMs <= 0 || took < SHORTEST_MS) {
+      return;
+    }
+    double ratio = Math.min(SLOWEST, Math.max(1, took / Math.max(SHORTEST_MS, entry.expectedMs)));
+    slowness = slowness(nowMs) * (1 - NEWEST) + ratio * NEWEST;
+    observedMs = nowMs;
+  }
+
+  /** Returns by how much the endpoint is slower than its profile says, at least 1. */
+  public double slowness(long nowMs) {
+    double kept = Math.pow(0.5, Math.max(0, nowMs - observedMs) / HALF_LIFE_MS);
+    return 1 + (slowness - 1) * kept;
+  }
+
+  /** Takes note that work ended. */
+  public void ended(long id, long nowMs) {
+    Entry entry = jobs.remove(id);
+    if (entry != null && !entry.read) {
+      headSinceMs = nowMs;
+    }
+  }
+
+  /** Returns how much work there is, whatever its size. */
+  public int size() {
+    return jobs.size();
+  }
+
+  /** Returns the work whose answers are written there, read or not. */
+  public int streams() {
+    int count = 0;
+    for (Entry entry : jobs.values()) {
+      count += entry.job.writes() ? 1 : 0;
+    }
+    return count;
+  }
+
+  /** Returns the cache memory that the known work may take, in tokens. */
+  public long memoryTokens() {
+    long sum = 0;
+    for (Entry entry : jobs.values()) {
+      sum += entry.job.memoryTokens();
+    }
+    return sum;
+  }
+
+  private List<Entry> unread() {
+    List<Entry> unread = new ArrayList<>();
+    for (Entry entry : jobs.values()) {
+      if (!entry.read) {
+        unread.add(entry);
+      }
+    }
+    return unread;
+  }
+
+  /** Returns the jobs whose answers are being written. */
+  public Collection<EngineJob> writing() {
+    List<EngineJob> writing = new ArrayList<>();
+    for (Entry entry : jobs.values()) {
+      if (entry.read && entry.job.writes()) {
+        writing.add(entry.job);
+      }
+    }
+    return writing;
+  }
+
+  /** Returns the time that reading what waits there takes, in milliseconds. */
+  public double unreadMs(long nowMs) {
+    double sum = 0;
+    boolean head = true;
+    for (Entry entry : unread()) {
+      double whole = profile.readMs(entry.job.promptTokens()) / entry.job.parts();
+      double left = whole;
+      if (head) {
+        left = Math.max(LEAST_LEFT * whole, whole - (nowMs - headSinceMs));
+        head = false;
+      }
+      sum += left;
+    }
+    return sum * slowness(nowMs);
+  }
+
+  /** Returns how long the oldest unread prompt is overdue, in milliseconds; 0 when none is. */
+  public double overdueMs(long nowMs) {
+    double most = 0;
+    for (Entry entry : unread()) {
+      most = Math.max(most, nowMs - entry.job.sentMs() - entry.expectedMs);
+    }
+    return most;
+  }
+
+  /** Returns the time of a pass over what is written there, in milliseconds. */
+  public double passMs(long nowMs) {
+    int streams = 0;
+    long context = 0;
+    for (EngineJob job : writing()) {
+      streams++;
+      context += job.promptTokens() / job.parts();
+    }
+    return profile.passMs(streams, context) * slowness(nowMs);
+  }
+
+  /**
+   * Returns the time to the first token of a prompt that is sent now, in milliseconds.
+   *
+   * @param parts how many engines share its reading
+   */
+  public double firstTokenMs(long promptTokens, int parts, long nowMs) {
+    double passMs = passMs(nowMs);
+    double waitMs = jobs.isEmpty() ? 0 : passMs / 2;
+    double readMs = profile.readMs(promptTokens) / parts * slowness(nowMs);
+    return waitMs + unreadMs(nowMs) + readMs + passMs;
+  }
+}
--- a/org.fawndrum/src/org/fawndrum/internal/log/LogEvent.java
+++ b/org.fawndrum/src/org/fawndrum/internal/log/LogEvent.java
@@ -26,6 +26,7 @@
   REQUEST_DECIDED(50, Level.DEBUG, "{0} {1} {2}"),
   REQUEST_REFUSED(51, Level.INFO, "refused: {0}, ran {1}"),
   ATTEMPT_FAILED(52, Level.WARN, "attempt {0} at {1} failed"),
+  MEMORY_ORDER_FAILED(54, Level.WARN, "an order about memory {0} got no answer: {1}"),
   SWEPT(60, Level.INFO, "endpoint {0}: freed {1} streams of {2}"),
   REGISTERED(61, Level.INFO, "registered for calls that may not be repeated, at {0}"),
   HANDED_OVER(62, Level.INFO, "{0} claims handed over to {1} peers"),
--- a/org.fawndrum/src/org/fawndrum/protocol/wire/PeerMessage.java
+++ b/org.fawndrum/src/org/fawndrum/protocol/wire/PeerMessage.java
@@ -62,6 +62,7 @@
     LEDGER_HANDOVER(9),
     ACKNOWLEDGEMENT(10),
     LEAVING_NEWS(11),
+    FLEET_NEWS(12),
     BODY_NOT_SET(0);
     private final int value;
     private BodyCase(int value) {
@@ -87,6 +88,7 @@
         case 9: return LEDGER_HANDOVER;
         case 10: return ACKNOWLEDGEMENT;
         case 11: return LEAVING_NEWS;
+        case 12: return FLEET_NEWS;
         case 0: return BODY_NOT_SET;
         default: return null;
       }
@@ -411,6 +413,37 @@
     return org.fawndrum.protocol.wire.LeavingNews.getDefaultInstance();
   }
 
+  public static final int FLEET_NEWS_FIELD_NUMBER = 12;
+  /**
+   * <code>.fawndrum.FleetNews fleet_news = 12;</code>
+   * @return Whether the fleetNews field is set.
+   */
+  @java.lang.Override
+  public boolean hasFleetNews() {
+    return bodyCase_ == 12;
+  }
+  /**
+   * <code>.fawndrum.FleetNews fleet_news = 12;</code>
+   * @return The fleetNews.
+   */
+  @java.lang.Override
+  public org.fawndrum.protocol.wire.FleetNews getFleetNews() {
+    if (bodyCase_ == 12) {
+       return (org.fawndrum.protocol.wire.FleetNews) body_;
+    }
+    return org.fawndrum.protocol.wire.FleetNews.getDefaultInstance();
+  }
+  /**
+   * <code>.fawndrum.FleetNews fleet_news = 12;</code>
+   */
+  @java.lang.Override
+  public org.fawndrum.protocol.wire.FleetNewsOrBuilder getFleetNewsOrBuilder() {
+    if (bodyCase_ == 12) {
+       return (org.fawndrum.protocol.wire.FleetNews) body_;
+    }
+    return org.fawndrum.protocol.wire.FleetNews.getDefaultInstance();
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -458,6 +491,9 @@
     if (bodyCase_ == 11) {
       output.writeMessage(11, (org.fawndrum.protocol.wire.LeavingNews) body_);
     }
+    if (bodyCase_ == 12) {
+      output.writeMessage(12, (org.fawndrum.protocol.wire.FleetNews) body_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -510,6 +546,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeMessageSize(11, (org.fawndrum.protocol.wire.LeavingNews) body_);
     }
+    if (bodyCase_ == 12) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(12, (org.fawndrum.protocol.wire.FleetNews) body_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -565,6 +605,10 @@
         if (!getLeavingNews()
             .equals(other.getLeavingNews())) return false;
         break;
+      case 12:
+        if (!getFleetNews()
+            .equals(other.getFleetNews())) return false;
+        break;
       case 0:
       default:
     }
@@ -620,6 +664,10 @@
         hash = (37 * hash) + LEAVING_NEWS_FIELD_NUMBER;
         hash = (53 * hash) + getLeavingNews().hashCode();
         break;
+      case 12:
+        hash = (37 * hash) + FLEET_NEWS_FIELD_NUMBER;
+        hash = (53 * hash) + getFleetNews().hashCode();
+        break;
       case 0:
       default:
     }
@@ -785,6 +833,9 @@
       if (leavingNewsBuilder_ != null) {
         leavingNewsBuilder_.clear();
       }
+      if (fleetNewsBuilder_ != null) {
+        fleetNewsBuilder_.clear();
+      }
       bodyCase_ = 0;
       body_ = null;
       return this;
@@ -867,6 +918,10 @@
           leavingNewsBuilder_ != null) {
         result.body_ = leavingNewsBuilder_.build();
       }
+      if (bodyCase_ == 12 &&
+          fleetNewsBuilder_ != null) {
+        result.body_ = fleetNewsBuilder_.build();
+      }
     }
 
     @java.lang.Override
@@ -925,6 +980,10 @@
           mergeLeavingNews(other.getLeavingNews());
           break;
         }
+        case FLEET_NEWS: {
+          mergeFleetNews(other.getFleetNews());
+          break;
+        }
         case BODY_NOT_SET: {
           break;
         }
@@ -1026,6 +1085,13 @@
               bodyCase_ = 11;
               break;
             } // case 90
+            case 98: {
+              input.readMessage(
+                  internalGetFleetNewsFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              bodyCase_ = 12;
+              break;
+            } // case 98
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -2330,6 +2396,148 @@
       return leavingNewsBuilder_;
     }
 
+    private com.google.protobuf.SingleFieldBuilder<
+        org.fawndrum.protocol.wire.FleetNews, org.fawndrum.protocol.wire.FleetNews.Builder, org.fawndrum.protocol.wire.FleetNewsOrBuilder> fleetNewsBuilder_;
+    /**
+     * <code>.fawndrum.FleetNews fleet_news = 12;</code>
+     * @return Whether the fleetNews field is set.
+     */
+    @java.lang.Override
+    public boolean hasFleetNews() {
+      return bodyCase_ == 12;
+    }
+    /**
+     * <code>.fawndrum.FleetNews fleet_news = 12;</code>
+     * @return The fleetNews.
+     */
+    @java.lang.Override
+    public org.fawndrum.protocol.wire.FleetNews getFleetNews() {
+      if (fleetNewsBuilder_ == null) {
+        if (bodyCase_ == 12) {
+          return (org.fawndrum.protocol.wire.FleetNews) body_;
+        }
+        return org.fawndrum.protocol.wire.FleetNews.getDefaultInstance();
+      } else {
+        if (bodyCase_ == 12) {
+          return fleetNewsBuilder_.getMessage();
+        }
+        return org.fawndrum.protocol.wire.FleetNews.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.fawndrum.FleetNews fleet_news = 12;</code>
+     */
+    public Builder setFleetNews(org.fawndrum.protocol.wire.FleetNews value) {
+      if (fleetNewsBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        body_ = value;
+        onChanged();
+      } else {
+        fleetNewsBuilder_.setMessage(value);
+      }
+      bodyCase_ = 12;
+      return this;
+    }
+    /**
+     * <code>.fawndrum.FleetNews fleet_news = 12;</code>
+     */
+    public Builder setFleetNews(
+        org.fawndrum.protocol.wire.FleetNews.Builder builderForValue) {
+      if (fleetNewsBuilder_ == null) {
+        body_ = builderForValue.build();
+        onChanged();
+      } else {
+        fleetNewsBuilder_.setMessage(builderForValue.build());
+      }
+      bodyCase_ = 12;
+      return this;
+    }
+    /**
+     * <code>.fawndrum.FleetNews fleet_news = 12;</code>
+     */
+    public Builder mergeFleetNews(org.fawndrum.protocol.wire.FleetNews value) {
+      if (fleetNewsBuilder_ == null) {
+        if (bodyCase_ == 12 &&
+            body_ != org.fawndrum.protocol.wire.FleetNews.getDefaultInstance()) {
+          body_ = org.fawndrum.protocol.wire.FleetNews.newBuilder((org.fawndrum.protocol.wire.FleetNews) body_)
+              .mergeFrom(value).buildPartial();
+        } else {
+          body_ = value;
+        }
+        onChanged();
+      } else {
+        if (bodyCase_ == 12) {
+          fleetNewsBuilder_.mergeFrom(value);
+        } else {
+          fleetNewsBuilder_.setMessage(value);
+        }
+      }
+      bodyCase_ = 12;
+      return this;
+    }
+    /**
+     * <code>.fawndrum.FleetNews fleet_news = 12;</code>
+     */
+    public Builder clearFleetNews() {
+      if (fleetNewsBuilder_ == null) {
+        if (bodyCase_ == 12) {
+          bodyCase_ = 0;
+          body_ = null;
+          onChanged();
+        }
+      } else {
+        if (bodyCase_ == 12) {
+          bodyCase_ = 0;
+          body_ = null;
+        }
+        fleetNewsBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <code>.fawndrum.FleetNews fleet_news = 12;</code>
+     */
+    public org.fawndrum.protocol.wire.FleetNews.Builder getFleetNewsBuilder() {
+      return internalGetFleetNewsFieldBuilder().getBuilder();
+    }
+    /**
+     * <code>.fawndrum.FleetNews fleet_news = 12;</code>
+     */
+    @java.lang.Override
+    public org.fawndrum.protocol.wire.FleetNewsOrBuilder getFleetNewsOrBuilder() {
+      if ((bodyCase_ == 12) && (fleetNewsBuilder_ != null)) {
+        return fleetNewsBuilder_.getMessageOrBuilder();
+      } else {
+        if (bodyCase_ == 12) {
+          return (org.fawndrum.protocol.wire.FleetNews) body_;
+        }
+        return org.fawndrum.protocol.wire.FleetNews.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.fawndrum.FleetNews fleet_news = 12;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        org.fawndrum.protocol.wire.FleetNews, org.fawndrum.protocol.wire.FleetNews.Builder, org.fawndrum.protocol.wire.FleetNewsOrBuilder> 
+        internalGetFleetNewsFieldBuilder() {
+      if (fleetNewsBuilder_ == null) {
+        if (!(bodyCase_ == 12)) {
+          body_ = org.fawndrum.protocol.wire.FleetNews.getDefaultInstance();
+        }
+        fleetNewsBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            org.fawndrum.protocol.wire.FleetNews, org.fawndrum.protocol.wire.FleetNews.Builder, org.fawndrum.protocol.wire.FleetNewsOrBuilder>(
+                (org.fawndrum.protocol.wire.FleetNews) body_,
+                getParentForChildren(),
+                isClean());
+        body_ = null;
+      }
+      bodyCase_ = 12;
+      onChanged();
+      return fleetNewsBuilder_;
+    }
+
     // @@protoc_insertion_point(builder_scope:fawndrum.PeerMessage)
   }
 
--- a/org.fawndrum/src/org/fawndrum/protocol/wire/PeerMessageOrBuilder.java
+++ b/org.fawndrum/src/org/fawndrum/protocol/wire/PeerMessageOrBuilder.java
@@ -154,5 +154,20 @@
    */
   org.fawndrum.protocol.wire.LeavingNewsOrBuilder getLeavingNewsOrBuilder();
 
+  /**
+   * <code>.fawndrum.FleetNews fleet_news = 12;</code>
+   * @return Whether the fleetNews field is set.
+   */
+  boolean hasFleetNews();
+  /**
+   * <code>.fawndrum.FleetNews fleet_news = 12;</code>
+   * @return The fleetNews.
+   */
+  org.fawndrum.protocol.wire.FleetNews getFleetNews();
+  /**
+   * <code>.fawndrum.FleetNews fleet_news = 12;</code>
+   */
+  org.fawndrum.protocol.wire.FleetNewsOrBuilder getFleetNewsOrBuilder();
+
   org.fawndrum.protocol.wire.PeerMessage.BodyCase getBodyCase();
 }
--- a/org.fawndrum/src/org/fawndrum/state/Endpoint.java
+++ b/org.fawndrum/src/org/fawndrum/state/Endpoint.java
@@ -1,6 +1,7 @@
 // SPDX-License-Identifier: Apache-2.0
 package org.fawndrum.state;
 
+import java.util.Optional;
 import java.util.Set;
 
 /**
@@ -12,6 +13,7 @@
  * @param address where it listens
  * @param serves the models or the plain services that it serves
  * @param memoryTokens cache memory of a model engine in tokens; 0 for a plain service
+ * @param engine how fast the engine works, where its operator says so
  */
 public record Endpoint(
     HostIdentity identity,
@@ -19,12 +21,24 @@
     EndpointKind kind,
     HostAddress address,
     Set<String> serves,
-    long memoryTokens) {
+    long memoryTokens,
+    Optional<EngineProfile> engine) {
   /** Copies the served names, so that the endpoint cannot change. */
   public Endpoint {
     serves = Set.copyOf(serves);
   }
 
+  /** Makes an endpoint whose speed nobody told. */
+  public Endpoint(
+      HostIdentity identity,
+      String zone,
+      EndpointKind kind,
+      HostAddress address,
+      Set<String> serves,
+      long memoryTokens) {
+    this(identity, zone, kind, address, serves, memoryTokens, Optional.empty());
+  }
+
   /** Returns the endpoint's name, the same over its incarnations. */
   public String name() {
     return identity.host();
@@ -38,7 +52,7 @@
   /** Returns this endpoint with what the profile of its service says. */
   public Endpoint describedBy(ServiceProfile profile) {
     long memory = profile.engine().map(EngineProfile::memoryTokens).orElse(0L);
-    return new Endpoint(identity, zone, profile.kind(), address, serves, memory);
+    return new Endpoint(identity, zone, profile.kind(), address, serves, memory, profile.engine());
   }
 
   /** Returns this endpoint as another of its incarnations. */
@@ -47,6 +61,6 @@
       return this;
     }
     HostIdentity other = new HostIdentity(identity.host(), incarnation);
-    return new Endpoint(other, zone, kind, address, serves, memoryTokens);
+    return new Endpoint(other, zone, kind, address, serves, memoryTokens, engine);
   }
 }
--- a/org.fawndrum/src/org/fawndrum/transport/peer/NettyPeerNetwork.java
+++ b/org.fawndrum/src/org/fawndrum/transport/peer/NettyPeerNetwork.java
@@ -154,6 +154,14 @@
             failure -> CompletableFuture.failedFuture(new PeerUnreachableException(to, failure)));
   }
 
+  @Override
+  public void drop(HostAddress peer) {
+    CompletableFuture<Channel> channel = channels.remove(peer);
+    if (channel != null) {
+      channel.thenAccept(Channel::close);
+    }
+  }
+
   private void write(Channel channel, PeerMessage message) {
     byte[] bytes = message.toByteArray();
     bytesSent.addAndGet(bytes.length);
--- a/org.fawndrum/src/org/fawndrum/transport/peer/PeerNetwork.java
+++ b/org.fawndrum/src/org/fawndrum/transport/peer/PeerNetwork.java
@@ -17,6 +17,9 @@
    */
   CompletableFuture<PeerMessage> ask(HostAddress to, PeerMessage.Builder message);
 
+  /** Ends the connection to a peer, if there is one; the next message opens another. */
+  void drop(HostAddress peer);
+
   /** Takes messages that others send on their own account. */
   interface Receiver {
     /** Takes one message; {@code reply} sends the answer to one that wants a reply. */
--- /dev/null
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/EngineOrders.java
@@ -0,0 +1,21 @@
+// SPDX-License-Identifier: Apache-2.0
+package org.fawndrum.transport.relay;
+
+import io.vertx.core.Future;
+import org.fawndrum.state.Endpoint;
+
+/** Orders to engines about their cache memory. Futures complete on the caller's event loop. */
+public interface EngineOrders {
+  /**
+   * Sets memory aside for a time, or prolongs that time. Gives false when the engine has not enough
+   * free; fails when it does not answer in time, and may have done it then.
+   *
+   * @param ticket names the memory; unique over all daemons and times
+   * @param tokens how much
+   * @param holdMs for how long, in milliseconds from the arrival of the order
+   */
+  Future<Boolean> reserve(Endpoint engine, String ticket, long tokens, long holdMs);
+
+  /** Frees memory that was set aside. */
+  Future<Void> release(Endpoint engine, String ticket);
+}
--- a/org.fawndrum/src/org/fawndrum/transport/relay/RelayAttempt.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/RelayAttempt.java
@@ -29,6 +29,7 @@
   private final EndpointClient client;
   private final RelayCodec codec;
   private final HostClock clock;
+  private final PromptMemory memory;
   private final Owner owner;
   private HttpClientRequest request;
   private HttpClientResponse answer;
@@ -59,6 +60,7 @@
       EndpointClient client,
       RelayCodec codec,
       HostClock clock,
+      PromptMemory memory,
       Owner owner) {
     this.send = send;
     this.call = call;
@@ -66,6 +68,7 @@
     this.client = client;
     this.codec = codec;
     this.clock = clock;
+    this.memory = memory;
     this.owner = owner;
   }
 
@@ -86,6 +89,22 @@
   }
 
   void start() {
+    memory
+        .reserve()
+        .onComplete(
+            held -> {
+              if (held.succeeded()) {
+                connect();
+              } else {
+                fail(AttemptEvent.CONNECT_FAILED);
+              }
+            });
+  }
+
+  private void connect() {
+    if (ended) {
+      return;
+    }
     client
         .request(send.endpoint(), call.method(), call.uri(), call.route().repeatable())
         .onComplete(
@@ -100,6 +119,7 @@
 
   void cancel() {
     ended = true;
+    memory.free();
     if (request != null) {
       request.reset();
     }
@@ -118,7 +138,7 @@
             Math.max(1, send.deadlineMs() - clock.nowMs()),
             MOST_URGENT - send.priority(),
             lastEventId,
-            List.of());
+            memory.helpers());
     request.headers().addAll(codec.forEndpoint(call.headers(), sending));
     request.exceptionHandler(cause -> fail(AttemptEvent.LOST));
     owner.handedOver();
@@ -176,7 +196,7 @@
                 fail(AttemptEvent.LOST);
                 return;
               }
-              ended = true;
+              end();
               owner.whole(
                   this,
                   new RelayExchange.WholeAnswer(head.statusCode(), head.headers(), body.result()));
@@ -195,7 +215,7 @@
             abandon();
             return;
           }
-          ended = true;
+          end();
           owner.streamEnded(this);
         });
   }
@@ -213,8 +233,13 @@
 
   private void fail(AttemptEvent event) {
     if (!ended) {
-      ended = true;
+      end();
       owner.failed(this, event);
     }
   }
+
+  private void end() {
+    ended = true;
+    memory.free();
+  }
 }
--- a/org.fawndrum/src/org/fawndrum/transport/relay/RelayDuty.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/RelayDuty.java
@@ -8,6 +8,7 @@
 import org.fawndrum.coordination.Decision;
 import org.fawndrum.coordination.EndpointRoster;
 import org.fawndrum.coordination.RequestCoordinator;
+import org.fawndrum.coordination.engine.EngineNews;
 import org.fawndrum.internal.duty.Duty;
 import org.fawndrum.internal.duty.Ring;
 import org.fawndrum.internal.log.HostLog;
@@ -33,14 +34,27 @@
   private final RequestCoordinator coordinator;
   private final EndpointRoster roster = new EndpointRoster();
   private final HostClock clock;
+  private final Consumer<EngineNews> news;
   private final OpenExchanges exchanges;
   private final Duty<RelayEvent> duty;
   private RouteTable routes = RouteTable.NONE;
   private volatile int open;
 
-  RelayDuty(RequestCoordinator coordinator, HostClock clock, Consumer<Decision> feed, HostLog log) {
+  /**
+   * Makes the duty, not started.
+   *
+   * @param feed takes each decision; must not block
+   * @param news takes what other daemons should know; must not block
+   */
+  RelayDuty(
+      RequestCoordinator coordinator,
+      HostClock clock,
+      Consumer<Decision> feed,
+      Consumer<EngineNews> news,
+      HostLog log) {
     this.coordinator = coordinator;
     this.clock = clock;
+    this.news = news;
     this.exchanges = new OpenExchanges(feed);
     this.duty = new Duty<>("decisions", new Ring<>(RING_EVENTS), this::handle, this::tick, log);
   }
@@ -94,6 +108,12 @@
       }
     } else if (event instanceof RelayEvent.CallerGone gone) {
       carryOut(coordinator.callerGone(gone.requestId(), nowMs));
+    } else if (event instanceof RelayEvent.Told told) {
+      carryOut(coordinator.told(told.from(), told.news(), told.all(), nowMs));
+    } else if (event instanceof RelayEvent.DaemonGone gone) {
+      carryOut(coordinator.daemonGone(gone.daemon(), nowMs));
+    } else if (event instanceof RelayEvent.WorkWanted wanted) {
+      wanted.reply().accept(coordinator.work());
     } else if (event instanceof RelayEvent.RoutesChanged changed) {
       routes = changed.routes();
       carryOut(coordinator.table(changed.table(), nowMs));
@@ -125,6 +145,11 @@
   }
 
   private void carryOut(List<Action> actions) {
+    for (Action action : actions) {
+      if (action instanceof Action.Announce announce) {
+        news.accept(announce.news());
+      }
+    }
     exchanges.carryOut(actions, (requestId, refusal) -> {}, true);
   }
 }
--- a/org.fawndrum/src/org/fawndrum/transport/relay/RelayExchange.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/RelayExchange.java
@@ -9,6 +9,7 @@
 import org.fawndrum.coordination.AttemptEvent;
 import org.fawndrum.coordination.Refusal;
 import org.fawndrum.coordination.RefusalKind;
+import org.fawndrum.internal.log.HostLog;
 import org.fawndrum.transport.AttemptListener;
 import org.fawndrum.transport.Exchange;
 import org.fawndrum.transport.HostClock;
@@ -24,9 +25,12 @@
   private final Context context;
   private final EndpointClient client;
   private final RelayCodec codec;
+  private final EngineOrders orders;
   private final AttemptListener attempts;
   private final HostClock clock;
+  private final HostLog log;
   private RelayAttempt current;
+  private RelayAttempt answering;
   private WholeAnswer failure;
   private long lastEventId;
   private boolean handedOver;
@@ -41,15 +45,19 @@
       Context context,
       EndpointClient client,
       RelayCodec codec,
+      EngineOrders orders,
       AttemptListener attempts,
-      HostClock clock) {
+      HostClock clock,
+      HostLog log) {
     this.call = call;
     this.response = response;
     this.context = context;
     this.client = client;
     this.codec = codec;
+    this.orders = orders;
     this.attempts = attempts;
     this.clock = clock;
+    this.log = log;
     this.lastEventId = call.request().lastEventId();
   }
 
@@ -64,7 +72,9 @@
       attempts.happened(send.attempt(), AttemptEvent.CONNECT_FAILED);
       return;
     }
-    current = new RelayAttempt(send, call, lastEventId, client, codec, clock, this);
+    PromptMemory memory =
+        new PromptMemory(context.owner(), orders, send.attempt(), send.helpers(), log);
+    current = new RelayAttempt(send, call, lastEventId, client, codec, clock, memory, this);
     current.start();
   }
 
@@ -125,7 +135,10 @@
     }
     lastEventId = event.id();
     response.write(event.bytes());
-    attempts.happened(attempt.id(), AttemptEvent.ANSWERING);
+    if (attempt != answering) {
+      answering = attempt;
+      attempts.happened(attempt.id(), AttemptEvent.ANSWERING);
+    }
     return true;
   }
 
--- a/org.fawndrum/src/org/fawndrum/transport/relay/RelayIntake.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/RelayIntake.java
@@ -10,6 +10,7 @@
 import org.fawndrum.coordination.RequestFacts;
 import org.fawndrum.coordination.RequestTarget;
 import org.fawndrum.errors.RefusedException;
+import org.fawndrum.internal.log.HostLog;
 import org.fawndrum.state.CallerGroup;
 import org.fawndrum.state.EndpointKind;
 import org.fawndrum.state.Route;
@@ -30,9 +31,11 @@
   private final RelayDuty decisions;
   private final EndpointClient client;
   private final RelayCodec codec;
+  private final EngineOrders orders;
   private final RelayBounds bounds;
   private final HostClock clock;
   private final Attempts attempts;
+  private final HostLog log;
 
   /** Makes the exchange's way back to the decisions. */
   interface Attempts extends org.fawndrum.transport.AttemptListener {
@@ -45,16 +48,20 @@
       RelayDuty decisions,
       EndpointClient client,
       RelayCodec codec,
+      EngineOrders orders,
       RelayBounds bounds,
       HostClock clock,
-      Attempts attempts) {
+      Attempts attempts,
+      HostLog log) {
     this.routes = routes;
     this.decisions = decisions;
     this.client = client;
     this.codec = codec;
+    this.orders = orders;
     this.bounds = bounds;
     this.clock = clock;
     this.attempts = attempts;
+    this.log = log;
   }
 
   @Override
@@ -73,7 +80,8 @@
             request, route, workspace, http.method(), http.uri(), http.headers(), incoming.body());
     HttpServerResponse response = http.response();
     RelayExchange exchange =
-        new RelayExchange(call, response, incoming.context(), client, codec, attempts, clock);
+        new RelayExchange(
+            call, response, incoming.context(), client, codec, orders, attempts, clock, log);
     response.closeHandler(
         v -> {
           // The handler also runs after a whole answer, when nobody has gone.
--- a/org.fawndrum/src/org/fawndrum/transport/relay/RelayRuntime.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/RelayRuntime.java
@@ -3,6 +3,7 @@
 
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Consumer;
 import org.fawndrum.coordination.AttemptEvent;
@@ -10,14 +11,19 @@
 import org.fawndrum.coordination.Decision;
 import org.fawndrum.coordination.Policies;
 import org.fawndrum.coordination.RequestCoordinator;
+import org.fawndrum.coordination.RetryBudget;
+import org.fawndrum.coordination.WindowRetryBudget;
+import org.fawndrum.coordination.engine.EngineNews;
 import org.fawndrum.internal.log.HostLog;
 import org.fawndrum.internal.log.LogEvent;
 import org.fawndrum.protocol.KeyedLog;
+import org.fawndrum.settings.ListenSettings;
 import org.fawndrum.state.HostIdentity;
 import org.fawndrum.state.HostListing;
 import org.fawndrum.state.RouteTable;
 import org.fawndrum.state.TableRevision;
 import org.fawndrum.transport.HostClock;
+import org.fawndrum.transport.peer.NettyPeerNetwork;
 
 /**
  * A whole host that relays requests: servers, followers of the platform's logs and the thread that
@@ -40,6 +46,14 @@
 
   private static final long STOP_LOOK_MS = 100;
 
+  /**
+   * The part of the retries allowed to all daemons that they use; the rest is for counting late.
+   */
+  private static final double RETRY_PART = 0.8;
+
+  /** The daemons among which the retries allowed in any case are shared out. */
+  private static final int MOST_DAEMONS = 12;
+
   private final Vertx vertx;
   private final RelaySettings settings;
   private final HostIdentity self;
@@ -49,6 +63,8 @@
   private final RelayDuty decisions;
   private final RelayServer callers;
   private final ReadinessServer readiness;
+  private final NettyPeerNetwork network;
+  private final FleetDuty fleet;
   private final TopicFollower configuration;
   private final TopicFollower endpoints;
   private volatile boolean listed;
@@ -59,19 +75,16 @@
    *
    * @param vertx runs its servers; closed by the caller
    * @param settings its checked settings
-   * @param codec knows the messages of callers and endpoints
-   * @param decoder knows the platform's records
-   * @param platform the platform's logs
+   * @param adapter whatever depends on the platform
    * @param clock its clock
    * @param incarnation grows with each start of the host
    * @param feed takes each decision; must not block
+   * @param log where events go
    */
   public RelayRuntime(
       Vertx vertx,
       RelaySettings settings,
-      RelayCodec codec,
-      RelayDecoder decoder,
-      KeyedLog platform,
+      RelayAdapter adapter,
       HostClock clock,
       long incarnation,
       Consumer<Decision> feed,
@@ -82,38 +95,50 @@
     this.log = log;
     this.self = new HostIdentity(settings.host(), incarnation);
     this.routes = new RouteStore(this::routesChanged);
-    this.decisions =
-        new RelayDuty(
-            new RequestCoordinator(self, settings.zone(), Policies.standard()), clock, feed, log);
-    RelayIntake intake =
-        new RelayIntake(
-            routes,
-            decisions,
-            new EndpointClient(vertx),
-            codec,
-            settings.bounds(),
-            clock,
-            new Attempts());
-    this.callers = new RelayServer(vertx, settings.callers(), routes, codec, clock, intake);
+    RequestCoordinator coordinator =
+        new RequestCoordinator(self, settings.zone(), Policies.engineModel(retries()));
+    this.decisions = new RelayDuty(coordinator, clock, feed, this::announced, log);
+    FleetDesk desk = new FleetDesk(this::offerSurely, this::heard, clock);
+    ListenSettings peers = new ListenSettings(settings.peers(), Optional.empty());
+    this.network = new NettyPeerNetwork(peers, desk, log);
+    this.fleet = new FleetDuty(self, settings, network, clock, this::offerSurely, log);
+    this.callers = callerServer(adapter);
     this.readiness = new ReadinessServer(vertx, settings.readiness(), this::ready);
     this.configuration =
-        new TopicFollower(
-            vertx,
-            platform,
+        follower(
+            adapter,
             KeyedLog.Topic.OPERATORS,
             new TopicFollower.Pace(CONFIGURATION_WAIT_MS, 0),
-            new ConfigurationReader(decoder, routes, log),
-            clock,
-            log);
+            new ConfigurationReader(adapter.decoder(), routes, log));
     this.endpoints =
-        new TopicFollower(
-            vertx,
-            platform,
+        follower(
+            adapter,
             KeyedLog.Topic.ENDPOINTS,
             new TopicFollower.Pace(0, ENDPOINTS_PAUSE_MS),
-            new EndpointReader(decoder, this::listed, clock, log),
+            new EndpointReader(adapter.decoder(), this::listed, clock, log));
+  }
+
+  private RelayServer callerServer(RelayAdapter adapter) {
+    RelayIntake intake =
+        new RelayIntake(
+            routes,
+            decisions,
+            new EndpointClient(vertx),
+            adapter.codec(),
+            adapter.orders(),
+            settings.bounds(),
             clock,
+            new Attempts(),
             log);
+    return new RelayServer(vertx, settings.callers(), routes, adapter.codec(), clock, intake);
+  }
+
+  private TopicFollower follower(
+      RelayAdapter adapter,
+      KeyedLog.Topic topic,
+      TopicFollower.Pace pace,
+      TopicFollower.Reader reader) {
+    return new TopicFollower(vertx, adapter.store(), topic, pace, reader, clock, log);
   }
 
   /** Tells the decisions what happens to attempts and callers. */
@@ -129,11 +154,28 @@
     }
   }
 
+  private RetryBudget retries() {
+    RelayBounds bounds = settings.bounds();
+    return new WindowRetryBudget(
+        bounds.retryRatio() * RETRY_PART,
+        bounds.retrySlack() * RETRY_PART / MOST_DAEMONS,
+        bounds.retryWindowMs());
+  }
+
+  private void heard(FleetDuty.FleetEvent event) {
+    fleet.offer(event);
+  }
+
+  private void announced(EngineNews news) {
+    fleet.announce(news);
+  }
+
   /** Starts everything; fails when an address cannot be had. */
   public Future<Void> start() {
     decisions.start();
-    return readiness
-        .listen()
+    fleet.start();
+    return Future.fromCompletionStage(network.listen(), vertx.getOrCreateContext())
+        .compose(listening -> readiness.listen())
         .compose(server -> callers.listen())
         .map(
             server -> {
