--- a/org.fawndrum/src/org/fawndrum/transport/relay/RelayRuntime.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/RelayRuntime.java
@@ -186,7 +186,8 @@
             });
   }
 
-  private boolean ready() {
+  /** Tells whether this host takes callers: it knows what it needs and is not stopping. */
+  public boolean ready() {
     boolean fresh = routes.ageMs(clock.nowMs()) < settings.bounds().revokeMs();
     return !stopping && fresh && listed && routes.table().revision() >= 0;
   }
--- /dev/null
+++ b/org.fawndrum/tst/org/fawndrum/coordination/WindowRetryBudgetTest.java
@@ -0,0 +1,56 @@
+// SPDX-License-Identifier: Apache-2.0
+package org.fawndrum.coordination;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import net.jqwik.api.constraints.Size;
+import org.fawndrum.state.EndpointKind;
+import org.junit.jupiter.api.Test;
+
+/** In no span of the window are there more retries than the reserve and the requests allow. */
+class WindowRetryBudgetTest {
+  private static final RequestTarget TARGET = new RequestTarget(EndpointKind.PLAIN, "orders");
+  private static final long WINDOW_MS = 1_000;
+  private static final double RATIO = 0.2;
+  private static final double RESERVE = 3;
+
+  /** One step: negative for a request, else a retry; the size is the time that passes before. */
+  @Property(seed = "815", tries = 400)
+  void everySpanKeepsTheBound(
+      @ForAll @Size(max = 200) List<@IntRange(min = -60, max = 60) Integer> steps) {
+    WindowRetryBudget budget = new WindowRetryBudget(RATIO, RESERVE, WINDOW_MS);
+    List<Long> requests = new ArrayList<>();
+    List<Long> retries = new ArrayList<>();
+    long nowMs = 0;
+    for (int step : steps) {
+      nowMs += Math.abs(step);
+      if (step < 0) {
+        budget.firstSend(TARGET, nowMs);
+        requests.add(nowMs);
+      } else if (budget.tryRetry(TARGET, nowMs)) {
+        retries.add(nowMs);
+      }
+    }
+    for (long end : retries) {
+      long from = end - WINDOW_MS;
+      long again = retries.stream().filter(at -> at >= from && at <= end).count();
+      long first = requests.stream().filter(at -> at >= from && at <= end).count();
+      assertTrue(again <= RESERVE + RATIO * first, again + " retries, " + first + " requests");
+    }
+  }
+
+  @Test
+  void targetsDoNotShareTheReserve() {
+    WindowRetryBudget budget = new WindowRetryBudget(RATIO, 1, WINDOW_MS);
+    RequestTarget other = new RequestTarget(EndpointKind.PLAIN, "prices");
+    assertTrue(budget.tryRetry(TARGET, 0));
+    assertTrue(budget.tryRetry(other, 0));
+    assertEquals(false, budget.tryRetry(TARGET, 1));
+  }
+}
--- /dev/null
+++ b/org.fawndrum/tst/org/fawndrum/coordination/engine/EngineModelPlacementTest.java
@@ -0,0 +1,137 @@
+// SPDX-License-Identifier: Apache-2.0
+package org.fawndrum.coordination.engine;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import org.fawndrum.coordination.Action;
+import org.fawndrum.coordination.AttemptEvent;
+import org.fawndrum.coordination.EarnedRetryBudget;
+import org.fawndrum.coordination.Policies;
+import org.fawndrum.coordination.RequestCoordinator;
+import org.fawndrum.coordination.RequestFacts;
+import org.fawndrum.coordination.RequestTarget;
+import org.fawndrum.state.CallerGroup;
+import org.fawndrum.state.Cell;
+import org.fawndrum.state.Column;
+import org.fawndrum.state.Endpoint;
+import org.fawndrum.state.EndpointKind;
+import org.fawndrum.state.EngineProfile;
+import org.fawndrum.state.HostAddress;
+import org.fawndrum.state.HostIdentity;
+import org.fawndrum.state.RequestAims;
+import org.fawndrum.state.Row;
+import org.fawndrum.state.TableParts;
+import org.junit.jupiter.api.Test;
+
+/** Where the model of the engines sends prompts of different lengths. */
+class EngineModelPlacementTest {
+  private static final EngineProfile PROFILE =
+      new EngineProfile(11, 232_000, 43, 1.02, 0.0033, 0.0043, 206, 0.138, 2_048, 0.075);
+  private static final HostIdentity SELF = new HostIdentity("host-1", 1);
+  private static final CallerGroup GROUP = new CallerGroup("desk", "ask");
+  private static final RequestAims SHORT_AIMS = new RequestAims(300, 250, 2);
+  private static final RequestAims LONG_AIMS = new RequestAims(2_500, 1_000, 2);
+
+  private final RequestCoordinator coordinator =
+      new RequestCoordinator(SELF, "zone-a", Policies.engineModel(new EarnedRetryBudget(0.1, 10)));
+  private int next;
+
+  EngineModelPlacementTest() {
+    Row row = Row.EMPTY.with(Column.DEADLINE_MS, new Cell("15000", 0, "ana"));
+    coordinator.table(new TableParts(0, 0).row(GROUP, row).build(), 0);
+  }
+
+  private void engines(int count) {
+    List<Endpoint> engines = new ArrayList<>();
+    for (int i = 0; i < count; i++) {
+      engines.add(
+          new Endpoint(
+              new HostIdentity("engine-" + i, 0),
+              "zone-a",
+              EndpointKind.MODEL,
+              new HostAddress("127.0.0.1", 9_000 + i),
+              Set.of("pool"),
+              PROFILE.memoryTokens(),
+              Optional.of(PROFILE)));
+    }
+    coordinator.endpoints(engines, 0);
+  }
+
+  private Optional<Action.Send> ask(long promptTokens, RequestAims aims, long nowMs) {
+    RequestFacts facts =
+        new RequestFacts(
+            "r-" + next++,
+            GROUP,
+            new RequestTarget(EndpointKind.MODEL, "pool"),
+            promptTokens,
+            1_000,
+            nowMs,
+            0,
+            true,
+            List.of(),
+            aims);
+    return coordinator.arrive(facts, nowMs).stream()
+        .filter(action -> action instanceof Action.Send)
+        .map(action -> (Action.Send) action)
+        .findFirst();
+  }
+
+  private void answering(Action.Send send, long nowMs) {
+    coordinator.attempt(send.attempt(), AttemptEvent.ANSWERING, nowMs);
+  }
+
+  @Test
+  void shortAndLongPromptsKeepApart() {
+    engines(6);
+    Action.Send first = ask(5_000, SHORT_AIMS, 0).orElseThrow();
+    answering(first, 80);
+    Action.Send longOne = ask(120_000, LONG_AIMS, 100).orElseThrow();
+    assertNotEquals(first.endpoint(), longOne.endpoint());
+    Action.Send second = ask(5_000, SHORT_AIMS, 120).orElseThrow();
+    assertNotEquals(longOne.endpoint(), second.endpoint());
+  }
+
+  @Test
+  void aPromptThatOneEngineReadsTooLateIsReadBySeveral() {
+    engines(8);
+    Action.Send send = ask(200_000, LONG_AIMS, 0).orElseThrow();
+    assertTrue(send.helpers().size() >= 1, "helpers " + send.helpers());
+    assertTrue(send.helpers().stream().allMatch(helper -> helper.memoryTokens() == 0));
+  }
+
+  @Test
+  void aPromptLargerThanOneEngineSetsMemoryAsideOnOthers() {
+    engines(8);
+    Action.Send send = ask(400_000, LONG_AIMS, 0).orElseThrow();
+    long elsewhere = send.helpers().stream().mapToLong(Action.Helper::memoryTokens).sum();
+    assertTrue(401_000 - elsewhere <= PROFILE.memoryTokens(), "elsewhere " + elsewhere);
+  }
+
+  @Test
+  void aFullEngineGetsNothingMore() {
+    engines(1);
+    for (int i = 0; i < PROFILE.slots(); i++) {
+      assertTrue(ask(1_000, SHORT_AIMS, 0).isPresent());
+    }
+    assertTrue(ask(1_000, SHORT_AIMS, 0).isEmpty());
+    assertEquals(1, coordinator.waiting());
+  }
+
+  @Test
+  void whatAnotherDaemonSentIsSeen() {
+    engines(2);
+    HostIdentity busy = ask(5_000, SHORT_AIMS, 0).orElseThrow().endpoint().identity();
+    HostIdentity other = new HostIdentity("host-2", 1);
+    EngineJob job = new EngineJob(1, busy, 200_000, 201_000, 1, true, LONG_AIMS, 10);
+    coordinator.told(other, List.of(new EngineNews.Placed(job)), false, 10);
+    assertNotEquals(busy, ask(5_000, SHORT_AIMS, 20).orElseThrow().endpoint().identity());
+    coordinator.daemonGone(other, 30);
+    assertEquals(busy, ask(5_000, SHORT_AIMS, 40).orElseThrow().endpoint().identity());
+  }
+}
--- /dev/null
+++ b/org.fawndrum/tst/org/fawndrum/transport/relay/EventSplitterTest.java
@@ -0,0 +1,64 @@
+// SPDX-License-Identifier: Apache-2.0
+package org.fawndrum.transport.relay;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.vertx.core.buffer.Buffer;
+import java.util.ArrayList;
+import java.util.List;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import net.jqwik.api.constraints.Size;
+import org.fawndrum.transport.relay.EventSplitter.StreamEvent;
+import org.junit.jupiter.api.Test;
+
+/** Events come out whole, wherever the network cuts the bytes. */
+class EventSplitterTest {
+  private static String event(int id) {
+    return "id: " + id + "\nevent: piece\ndata: text of " + id + "\n\n";
+  }
+
+  @Property(seed = "4711", tries = 300)
+  void anyCutGivesTheSameEvents(
+      @ForAll @IntRange(min = 1, max = 6) int events,
+      @ForAll @Size(min = 1, max = 12) List<@IntRange(min = 1, max = 40) Integer> cuts) {
+    StringBuilder whole = new StringBuilder();
+    for (int id = 1; id <= events; id++) {
+      whole.append(event(id));
+    }
+    EventSplitter splitter = new EventSplitter();
+    List<StreamEvent> seen = new ArrayList<>();
+    int at = 0;
+    int turn = 0;
+    while (at < whole.length()) {
+      int end = Math.min(whole.length(), at + cuts.get(turn++ % cuts.size()));
+      seen.addAll(splitter.take(Buffer.buffer(whole.substring(at, end))));
+      at = end;
+    }
+    assertEquals(events, seen.size());
+    StringBuilder together = new StringBuilder();
+    for (int i = 0; i < events; i++) {
+      assertEquals(i + 1, seen.get(i).id());
+      together.append(seen.get(i).bytes());
+    }
+    assertEquals(whole.toString(), together.toString());
+    assertFalse(splitter.midEvent());
+  }
+
+  @Test
+  void aCutEventWaitsAndIsSeenAsCut() {
+    EventSplitter splitter = new EventSplitter();
+    assertTrue(splitter.take(Buffer.buffer("id: 1\ndata: a\n")).isEmpty());
+    assertTrue(splitter.midEvent());
+  }
+
+  @Test
+  void anEventWithoutAnIdOrWithABadOneHasNone() {
+    EventSplitter splitter = new EventSplitter();
+    assertEquals(-1, splitter.take(Buffer.buffer("data: a\n\n")).get(0).id());
+    assertEquals(-1, splitter.take(Buffer.buffer("id: x\ndata: a\n\n")).get(0).id());
+  }
+}
