Log each decision with its basis and tell figures in the usual text form

Cause: nothing told why a request was refused or late on the platform. Ruled out: a ring of our own before the logger; the log manager's queue does the same.

--- a/org.fawndrum.daemon/src/org/fawndrum/daemon/JsonLineFormatter.java
+++ b/org.fawndrum.daemon/src/org/fawndrum/daemon/JsonLineFormatter.java
@@ -1,6 +1,7 @@
 // SPDX-License-Identifier: Apache-2.0
 package org.fawndrum.daemon;
 
+import org.fawndrum.internal.log.LogDetails;
 import org.fawndrum.protocol.Json;
 import org.jboss.logmanager.ExtFormatter;
 import org.jboss.logmanager.ExtLogRecord;
@@ -11,20 +12,39 @@
 
   /** One line. */
   private record Line(
-      String at, String level, String id, String request, String message, String failure) {}
+      String at,
+      String level,
+      String id,
+      String request,
+      String message,
+      LogDetails details,
+      String failure) {}
 
   @Override
   public String format(ExtLogRecord record) {
-    String text = formatMessage(record);
+    LogDetails details = details(record);
+    // Named values stand for themselves; their text would only say the same again.
+    String text = details == null ? formatMessage(record) : record.getMessage();
     boolean hasId = text.startsWith("FAWN") && text.length() > ID_LENGTH;
     Line line =
         new Line(
             record.getInstant().toString(),
             record.getLevel().getName(),
             hasId ? text.substring(0, ID_LENGTH) : null,
-            record.getMdc("request"),
-            hasId ? text.substring(ID_LENGTH + 1) : text,
+            details == null ? record.getMdc("request") : details.requestId(),
+            details == null ? message(text, hasId) : null,
+            details,
             record.getThrown() == null ? null : record.getThrown().toString());
     return Json.write(line) + "\n";
   }
+
+  private static String message(String text, boolean hasId) {
+    return hasId ? text.substring(ID_LENGTH + 1) : text;
+  }
+
+  private static LogDetails details(ExtLogRecord record) {
+    Object[] parameters = record.getParameters();
+    boolean first = parameters != null && parameters.length > 0;
+    return first && parameters[0] instanceof LogDetails details ? details : null;
+  }
 }
--- a/org.fawndrum.daemon/src/org/fawndrum/daemon/LogSetup.java
+++ b/org.fawndrum.daemon/src/org/fawndrum/daemon/LogSetup.java
@@ -2,14 +2,19 @@
 package org.fawndrum.daemon;
 
 import java.util.logging.Formatter;
+import org.jboss.logmanager.ExtHandler;
 import org.jboss.logmanager.Level;
 import org.jboss.logmanager.LogContext;
 import org.jboss.logmanager.Logger;
 import org.jboss.logmanager.formatters.PatternFormatter;
+import org.jboss.logmanager.handlers.AsyncHandler;
 import org.jboss.logmanager.handlers.ConsoleHandler;
 
 /** Sets up the log on standard error: one line a message, for people or as JSON. */
 public final class LogSetup {
+  /** Lines that wait for the writer at most. */
+  private static final int QUEUE_LINES = 4_096;
+
   private static final String TEXT = "%d{yyyy-MM-dd HH:mm:ss.SSS} %-5p %X{request} %s%e%n";
 
   private LogSetup() {}
@@ -30,7 +35,26 @@
    */
   public static void configure(boolean json, boolean debug) {
     Formatter formatter = json ? new JsonLineFormatter() : new PatternFormatter(TEXT);
-    ConsoleHandler handler = new ConsoleHandler(ConsoleHandler.Target.SYSTEM_ERR, formatter);
+    configure(new ConsoleHandler(ConsoleHandler.Target.SYSTEM_ERR, formatter), debug);
+  }
+
+  /**
+   * Writes the log as lines of JSON to standard output, from a thread of its own with a bounded
+   * queue: what finds no room there is dropped, so that nobody waits for a slow reader.
+   *
+   * @param debug whether each decision is logged in full
+   */
+  public static void configureOutput(boolean debug) {
+    ConsoleHandler output =
+        new ConsoleHandler(ConsoleHandler.Target.SYSTEM_OUT, new JsonLineFormatter());
+    output.setLevel(Level.ALL);
+    AsyncHandler queue = new AsyncHandler(QUEUE_LINES);
+    queue.setOverflowAction(AsyncHandler.OverflowAction.DISCARD);
+    queue.addHandler(output);
+    configure(queue, debug);
+  }
+
+  private static void configure(ExtHandler handler, boolean debug) {
     handler.setLevel(Level.ALL);
     Logger root = LogContext.getLogContext().getLogger("");
     root.setHandlers(new java.util.logging.Handler[] {handler});
--- a/org.fawndrum/src/org/fawndrum/internal/log/HostLog.java
+++ b/org.fawndrum/src/org/fawndrum/internal/log/HostLog.java
@@ -31,6 +31,11 @@
     }
   }
 
+  /** Writes a message with named values. */
+  public void details(LogEvent event, LogDetails details) {
+    logger.logv(event.level(), event.id() + ' ' + event.pattern(), details);
+  }
+
   /** Writes a message with the failure that led to it. */
   public void failure(LogEvent event, Throwable cause, Object... arguments) {
     logger.logv(event.level(), cause, event.id() + ' ' + event.pattern(), arguments);
--- a/org.fawndrum/src/org/fawndrum/transport/RequestMetrics.java
+++ b/org.fawndrum/src/org/fawndrum/transport/RequestMetrics.java
@@ -78,7 +78,7 @@
   }
 
   /** Counts a decision. */
-  void decided(Decision decision) {
+  public void decided(Decision decision) {
     String workspace = decision.group().workspace();
     long tokens = decision.promptTokens();
     long sinceMs = Math.max(1, decision.sinceArrivalMs());
--- a/org.fawndrum/src/org/fawndrum/transport/relay/ConfigurationReader.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/ConfigurationReader.java
@@ -25,7 +25,7 @@
   }
 
   @Override
-  public void changes(KeyedPage page, long askedMs) {
+  public void changes(KeyedPage page, long provedMs) {
     KeyedRecord newest = null;
     for (KeyedRecord record : page.records()) {
       if (decoder.isConfiguration(record) && !record.drops()) {
@@ -33,7 +33,7 @@
       }
     }
     if (newest == null || take(newest)) {
-      routes.confirmed(askedMs);
+      routes.confirmed(provedMs);
     }
   }
 
--- a/org.fawndrum/src/org/fawndrum/transport/relay/FleetDuty.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/FleetDuty.java
@@ -51,6 +51,7 @@
   private final Map<HostAddress, Peer> peers = new HashMap<>();
   private final List<EngineNews> pending = new ArrayList<>();
   private long nextBeatMs;
+  private volatile int alive;
 
   /** Another daemon, or an address where one may be. */
   private static final class Peer {
@@ -105,6 +106,11 @@
     duty.offer(new FleetEvent.Changed(news));
   }
 
+  /** Returns how many other daemons are alive. */
+  int alive() {
+    return alive;
+  }
+
   void offer(FleetEvent event) {
     duty.offer(event);
   }
@@ -152,6 +158,7 @@
     if (nowMs >= nextBeatMs) {
       nextBeatMs = nowMs + BEAT_MS;
       forget(nowMs);
+      alive = (int) peers.values().stream().filter(peer -> peer.identity != null).count();
       decisions.accept(new RelayEvent.WorkWanted(work -> duty.offer(new FleetEvent.All(work))));
     }
     return nextBeatMs - nowMs;
--- a/org.fawndrum/src/org/fawndrum/transport/relay/RelayDuty.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/RelayDuty.java
@@ -73,6 +73,11 @@
     return open + duty.ring().size();
   }
 
+  /** Returns how many events wait for the thread. */
+  int ringFill() {
+    return duty.ring().size();
+  }
+
   /** Takes a new request with its exchange; returns false when there is no room for it. */
   boolean arrived(RelayEvent.Arrived arrived, Exchange exchange) {
     String id = arrived.facts().requestId();
--- a/org.fawndrum/src/org/fawndrum/transport/relay/RelayRuntime.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/RelayRuntime.java
@@ -1,14 +1,13 @@
 // SPDX-License-Identifier: Apache-2.0
 package org.fawndrum.transport.relay;
 
+import com.codahale.metrics.MetricRegistry;
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
-import java.util.function.Consumer;
 import org.fawndrum.coordination.AttemptEvent;
 import org.fawndrum.coordination.AttemptId;
-import org.fawndrum.coordination.Decision;
 import org.fawndrum.coordination.Policies;
 import org.fawndrum.coordination.RequestCoordinator;
 import org.fawndrum.coordination.RetryBudget;
@@ -23,6 +22,7 @@
 import org.fawndrum.state.RouteTable;
 import org.fawndrum.state.TableRevision;
 import org.fawndrum.transport.HostClock;
+import org.fawndrum.transport.RequestMetrics;
 import org.fawndrum.transport.peer.NettyPeerNetwork;
 
 /**
@@ -67,7 +67,10 @@
   private final FleetDuty fleet;
   private final TopicFollower configuration;
   private final TopicFollower endpoints;
-  private volatile boolean listed;
+  private final MetricsServer metrics;
+  private final DecisionLog decisionLog;
+  private volatile long listingVersion = -1;
+  private volatile long listedAtMs;
   private volatile boolean stopping;
 
   /**
@@ -78,7 +81,6 @@
    * @param adapter whatever depends on the platform
    * @param clock its clock
    * @param incarnation grows with each start of the host
-   * @param feed takes each decision; must not block
    * @param log where events go
    */
   public RelayRuntime(
@@ -87,7 +89,6 @@
       RelayAdapter adapter,
       HostClock clock,
       long incarnation,
-      Consumer<Decision> feed,
       HostLog log) {
     this.vertx = vertx;
     this.settings = settings;
@@ -97,7 +98,11 @@
     this.routes = new RouteStore(this::routesChanged);
     RequestCoordinator coordinator =
         new RequestCoordinator(self, settings.zone(), Policies.engineModel(retries()));
-    this.decisions = new RelayDuty(coordinator, clock, feed, this::announced, log);
+    MetricRegistry registry = new MetricRegistry();
+    this.decisionLog =
+        new DecisionLog(new RequestMetrics(registry, clock), this::basis, clock, log);
+    this.decisions = new RelayDuty(coordinator, clock, decisionLog, this::announced, log);
+    this.metrics = new MetricsServer(vertx, settings.metrics(), registry, log);
     FleetDesk desk = new FleetDesk(this::offerSurely, this::heard, clock);
     ListenSettings peers = new ListenSettings(settings.peers(), Optional.empty());
     this.network = new NettyPeerNetwork(peers, desk, log);
@@ -116,6 +121,7 @@
             KeyedLog.Topic.ENDPOINTS,
             new TopicFollower.Pace(0, ENDPOINTS_PAUSE_MS),
             new EndpointReader(adapter.decoder(), this::listed, clock, log));
+    gauges(registry);
   }
 
   private RelayServer callerServer(RelayAdapter adapter) {
@@ -130,7 +136,8 @@
             clock,
             new Attempts(),
             log);
-    return new RelayServer(vertx, settings.callers(), routes, adapter.codec(), clock, intake);
+    return new RelayServer(
+        vertx, settings.callers(), routes, adapter.codec(), clock, intake, decisionLog);
   }
 
   private TopicFollower follower(
@@ -154,6 +161,23 @@
     }
   }
 
+  private DecisionLog.Basis basis() {
+    long nowMs = clock.nowMs();
+    return new DecisionLog.Basis(
+        routes.table().revision(), routes.ageMs(nowMs), listingVersion, nowMs - listedAtMs);
+  }
+
+  private void gauges(MetricRegistry registry) {
+    registry.registerGauge("configurationRevision", () -> routes.table().revision());
+    registry.registerGauge("configurationAgeMs", () -> routes.ageMs(clock.nowMs()));
+    registry.registerGauge("endpointsAgeMs", () -> clock.nowMs() - listedAtMs);
+    registry.registerGauge("openRequests", decisions::open);
+    registry.registerGauge("decisionsRingFill", decisions::ringFill);
+    registry.registerGauge("callerConnections", () -> callers.connections());
+    registry.registerGauge("peerBytesSent", network::bytesSent);
+    registry.registerGauge("peers", fleet::alive);
+  }
+
   private RetryBudget retries() {
     RelayBounds bounds = settings.bounds();
     return new WindowRetryBudget(
@@ -176,6 +200,7 @@
     fleet.start();
     return Future.fromCompletionStage(network.listen(), vertx.getOrCreateContext())
         .compose(listening -> readiness.listen())
+        .compose(server -> metrics.listen())
         .compose(server -> callers.listen())
         .map(
             server -> {
@@ -189,7 +214,7 @@
   /** Tells whether this host takes callers: it knows what it needs and is not stopping. */
   public boolean ready() {
     boolean fresh = routes.ageMs(clock.nowMs()) < settings.bounds().revokeMs();
-    return !stopping && fresh && listed && routes.table().revision() >= 0;
+    return !stopping && fresh && listingVersion >= 0 && routes.table().revision() >= 0;
   }
 
   /** Events about work already taken must not be lost: when the ring is full, they come again. */
@@ -205,7 +230,8 @@
   }
 
   private void listed(HostListing listing) {
-    listed = true;
+    listingVersion = listing.version();
+    listedAtMs = clock.nowMs();
     offerSurely(new RelayEvent.Listed(listing));
   }
 
--- a/org.fawndrum/src/org/fawndrum/transport/relay/RelayServer.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/RelayServer.java
@@ -43,6 +43,7 @@
   private final RelayCodec codec;
   private final HostClock clock;
   private final Intake intake;
+  private final DecisionLog decisions;
   private final IdleConnections idle;
   private final Map<HttpConnection, Integer> busy = new HashMap<>();
   private HttpServer server;
@@ -72,13 +73,15 @@
       RouteStore routes,
       RelayCodec codec,
       HostClock clock,
-      Intake intake) {
+      Intake intake,
+      DecisionLog decisions) {
     this.vertx = vertx;
     this.address = address;
     this.routes = routes;
     this.codec = codec;
     this.clock = clock;
     this.intake = intake;
+    this.decisions = decisions;
     this.idle =
         new IdleConnections(
             vertx, () -> limits().idleMs(), () -> stopping ? STOPPING_IDLE_MS : limits().idleMs());
@@ -146,7 +149,7 @@
         cause instanceof io.netty.handler.codec.http.TooLongHttpHeaderException
             || cause instanceof io.netty.handler.codec.http.TooLongHttpLineException;
     RefusalKind kind = tooLarge ? RefusalKind.HEADERS_TOO_LARGE : RefusalKind.INVALID_REQUEST;
-    RelayRefusals.answerAndClose(request, codec, "", Refusal.notRun(kind));
+    turnAwayAndClose(request, "", Refusal.notRun(kind));
   }
 
   private void handle(HttpServerRequest http) {
@@ -169,7 +172,7 @@
       checkHeaders(http);
       request = codec.read(http.headers());
     } catch (RefusedException e) {
-      RelayRefusals.answerAndClose(http, codec, e.requestId(), e.refusal());
+      turnAwayAndClose(http, e.requestId(), e.refusal());
       return;
     }
     read(http, request, arrivedMs, context);
@@ -189,7 +192,7 @@
     RouteTable table = routes.table();
     if (table.revision() < 0) {
       Refusal none = Refusal.of(RefusalKind.NO_TABLE, Ran.NO, RelayIntake.OTHER_HOST_RETRY_MS);
-      RelayRefusals.answerAndClose(http, codec, request.requestId(), none);
+      turnAwayAndClose(http, request.requestId(), none);
       return;
     }
     new BodyReader(vertx, table.limits().bodyBytes(), table.limits().headerMs())
@@ -209,13 +212,19 @@
         : Refusal.of(RefusalKind.INTERNAL, Ran.NO, Refusal.NEVER);
   }
 
+  private void turnAwayAndClose(HttpServerRequest http, String requestId, Refusal refusal) {
+    decisions.turnedAway(requestId, refusal);
+    RelayRefusals.answerAndClose(http, codec, requestId, refusal);
+  }
+
   private void refuse(HttpServerRequest http, String requestId, Refusal refusal) {
     boolean unread =
         refusal.kind() == RefusalKind.BODY_TOO_LARGE
             || refusal.kind() == RefusalKind.REQUEST_INCOMPLETE;
     if (unread) {
-      RelayRefusals.answerAndClose(http, codec, requestId, refusal);
+      turnAwayAndClose(http, requestId, refusal);
     } else {
+      decisions.turnedAway(requestId, refusal);
       RelayRefusals.answer(http.response(), codec, requestId, refusal);
     }
   }
--- a/org.fawndrum/src/org/fawndrum/transport/relay/TopicFollower.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/TopicFollower.java
@@ -18,6 +18,9 @@
   private static final long FIRST_AGAIN_MS = 100;
   private static final long LONGEST_AGAIN_MS = 1_000;
 
+  /** By how much a wait may end early, in milliseconds: timers and clocks are not exact. */
+  private static final long WAIT_MARGIN_MS = 50;
+
   private final Vertx vertx;
   private final KeyedLog log;
   private final KeyedLog.Topic topic;
@@ -51,9 +54,9 @@
     /**
      * Takes the records since the last reading.
      *
-     * @param askedMs when the question was sent, by the host's clock
+     * @param provedMs a time, by the host's clock, at which the log held nothing else
      */
-    void changes(KeyedPage page, long askedMs);
+    void changes(KeyedPage page, long provedMs);
   }
 
   TopicFollower(
@@ -110,12 +113,21 @@
       if (whole) {
         reader.whole(page, askedMs, wasLost);
       } else {
-        reader.changes(page, askedMs);
+        reader.changes(page, provedMs(page, askedMs));
       }
     }
     later(pace.pauseMs());
   }
 
+  /**
+   * Returns the time up to which an answer proves what the log held. One without records came only
+   * after the wait was over, and so proves that nothing was there until then.
+   */
+  private long provedMs(KeyedPage page, long askedMs) {
+    boolean waited = page.records().isEmpty() && clock.nowMs() - askedMs >= pace.waitMs();
+    return waited ? askedMs + pace.waitMs() - WAIT_MARGIN_MS : askedMs;
+  }
+
   private void failed(Throwable failure) {
     Throwable cause = failure instanceof CompletionException ? failure.getCause() : failure;
     if (cause instanceof RecordsExpiredException) {
