Tell how the events of each stream followed each other

Change: one line at a stream's end with its events and the longest pause; the tools that each request needs go as one value.

--- a/org.fawndrum/src/org/fawndrum/transport/relay/DecisionLog.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/DecisionLog.java
@@ -59,6 +59,16 @@
   record TurnedAway(String requestId, String refusal, long retryAfterMs, Basis basis)
       implements LogDetails {}
 
+  /**
+   * The details of a stream that came to its end.
+   *
+   * @param longestPauseMs the longest time between two events, in milliseconds
+   * @param longestPauseAfter after how many events it came
+   */
+  record StreamDetails(
+      String requestId, String endpoint, long events, long longestPauseMs, long longestPauseAfter)
+      implements LogDetails {}
+
   DecisionLog(RequestMetrics metrics, Supplier<Basis> basis, HostClock clock, HostLog log) {
     this.metrics = metrics;
     this.basis = basis;
@@ -91,6 +101,16 @@
     }
   }
 
+  /** Writes a line for a stream that came to its end. */
+  void streamEnded(String requestId, StreamPace pace, String endpoint) {
+    if (successes.take(clock.nowMs())) {
+      log.details(
+          LogEvent.STREAM_ENDED,
+          new StreamDetails(
+              requestId, endpoint, pace.events(), pace.longestPauseMs(), pace.longestPauseAfter()));
+    }
+  }
+
   private synchronized void tellLeftOut() {
     long nowMs = clock.nowMs();
     if (nowMs < nextLeftOutMs) {
--- a/org.fawndrum/src/org/fawndrum/transport/relay/RelayAttempt.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/RelayAttempt.java
@@ -9,7 +9,6 @@
 import org.fawndrum.coordination.AttemptEvent;
 import org.fawndrum.coordination.AttemptId;
 import org.fawndrum.state.RouteKind;
-import org.fawndrum.transport.HostClock;
 
 /**
  * One sending of a request to one endpoint. It ends with exactly one word to its owner, unless it
@@ -26,9 +25,7 @@
   private final Action.Send send;
   private final RelayCall call;
   private final long lastEventId;
-  private final EndpointClient client;
-  private final RelayCodec codec;
-  private final HostClock clock;
+  private final RelayTools tools;
   private final PromptMemory memory;
   private final Owner owner;
   private HttpClientRequest request;
@@ -57,17 +54,13 @@
       Action.Send send,
       RelayCall call,
       long lastEventId,
-      EndpointClient client,
-      RelayCodec codec,
-      HostClock clock,
+      RelayTools tools,
       PromptMemory memory,
       Owner owner) {
     this.send = send;
     this.call = call;
     this.lastEventId = lastEventId;
-    this.client = client;
-    this.codec = codec;
-    this.clock = clock;
+    this.tools = tools;
     this.memory = memory;
     this.owner = owner;
   }
@@ -80,6 +73,10 @@
     return send.attempt().equals(attempt);
   }
 
+  String endpointName() {
+    return send.endpoint().name();
+  }
+
   int answerStatus() {
     return answer.statusCode();
   }
@@ -105,7 +102,8 @@
     if (ended) {
       return;
     }
-    client
+    tools
+        .client()
         .request(send.endpoint(), call.method(), call.uri(), call.route().repeatable())
         .onComplete(
             connected -> {
@@ -135,11 +133,11 @@
         new RelayCodec.Sending(
             send.endpoint(),
             call.workspace().name(),
-            Math.max(1, send.deadlineMs() - clock.nowMs()),
+            Math.max(1, send.deadlineMs() - tools.clock().nowMs()),
             MOST_URGENT - send.priority(),
             lastEventId,
             memory.helpers());
-    request.headers().addAll(codec.forEndpoint(call.headers(), sending));
+    request.headers().addAll(tools.codec().forEndpoint(call.headers(), sending));
     request.exceptionHandler(cause -> fail(AttemptEvent.LOST));
     owner.handedOver();
     request
@@ -161,7 +159,7 @@
     answer = head;
     head.exceptionHandler(cause -> fail(AttemptEvent.LOST));
     String requestId = call.request().requestId();
-    switch (codec.answer(head.statusCode(), head.headers(), requestId)) {
+    switch (tools.codec().answer(head.statusCode(), head.headers(), requestId)) {
       case NOT_RUN, OTHER_ENDPOINT -> fail(AttemptEvent.REFUSED_BY_ENDPOINT);
       case FOREIGN -> abandon();
       default -> {
--- a/org.fawndrum/src/org/fawndrum/transport/relay/RelayExchange.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/RelayExchange.java
@@ -9,10 +9,8 @@
 import org.fawndrum.coordination.AttemptEvent;
 import org.fawndrum.coordination.Refusal;
 import org.fawndrum.coordination.RefusalKind;
-import org.fawndrum.internal.log.HostLog;
 import org.fawndrum.transport.AttemptListener;
 import org.fawndrum.transport.Exchange;
-import org.fawndrum.transport.HostClock;
 
 /**
  * One relayed request on its way. A plain answer is held until it is whole; a stream is passed on
@@ -23,12 +21,9 @@
   private final RelayCall call;
   private final HttpServerResponse response;
   private final Context context;
-  private final EndpointClient client;
-  private final RelayCodec codec;
-  private final EngineOrders orders;
+  private final RelayTools tools;
   private final AttemptListener attempts;
-  private final HostClock clock;
-  private final HostLog log;
+  private final StreamPace pace = new StreamPace();
   private RelayAttempt current;
   private RelayAttempt answering;
   private WholeAnswer failure;
@@ -43,21 +38,13 @@
       RelayCall call,
       HttpServerResponse response,
       Context context,
-      EndpointClient client,
-      RelayCodec codec,
-      EngineOrders orders,
-      AttemptListener attempts,
-      HostClock clock,
-      HostLog log) {
+      RelayTools tools,
+      AttemptListener attempts) {
     this.call = call;
     this.response = response;
     this.context = context;
-    this.client = client;
-    this.codec = codec;
-    this.orders = orders;
+    this.tools = tools;
     this.attempts = attempts;
-    this.clock = clock;
-    this.log = log;
     this.lastEventId = call.request().lastEventId();
   }
 
@@ -73,8 +60,9 @@
       return;
     }
     PromptMemory memory =
-        new PromptMemory(context.owner(), orders, send.attempt(), send.helpers(), log);
-    current = new RelayAttempt(send, call, lastEventId, client, codec, clock, memory, this);
+        new PromptMemory(
+            context.owner(), tools.orders(), send.attempt(), send.helpers(), tools.log());
+    current = new RelayAttempt(send, call, lastEventId, tools, memory, this);
     current.start();
   }
 
@@ -114,7 +102,7 @@
     if (response.closed() || response.ended()) {
       return;
     }
-    response.headers().addAll(codec.forCaller(answer.headers()));
+    response.headers().addAll(tools.codec().forCaller(answer.headers()));
     response.setStatusCode(answer.status()).end(answer.body());
   }
 
@@ -130,11 +118,12 @@
       return false;
     }
     if (!response.headWritten()) {
-      response.headers().addAll(codec.forCaller(attempt.answerHeaders()));
+      response.headers().addAll(tools.codec().forCaller(attempt.answerHeaders()));
       response.setStatusCode(attempt.answerStatus()).setChunked(true);
     }
     lastEventId = event.id();
     response.write(event.bytes());
+    pace.event(tools.clock().nowMs());
     if (attempt != answering) {
       answering = attempt;
       attempts.happened(attempt.id(), AttemptEvent.ANSWERING);
@@ -149,10 +138,11 @@
     }
     over = true;
     if (!response.headWritten()) {
-      response.headers().addAll(codec.forCaller(attempt.answerHeaders()));
+      response.headers().addAll(tools.codec().forCaller(attempt.answerHeaders()));
       response.setStatusCode(attempt.answerStatus()).setChunked(true);
     }
     response.end();
+    tools.decisions().streamEnded(call.request().requestId(), pace, attempt.endpointName());
     attempts.happened(attempt.id(), AttemptEvent.ANSWERED);
   }
 
@@ -179,6 +169,6 @@
       deliver(failure);
       return;
     }
-    RelayRefusals.answer(response, codec, call.request().requestId(), refusal);
+    RelayRefusals.answer(response, tools.codec(), call.request().requestId(), refusal);
   }
 }
--- a/org.fawndrum/src/org/fawndrum/transport/relay/RelayIntake.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/RelayIntake.java
@@ -10,14 +10,12 @@
 import org.fawndrum.coordination.RequestFacts;
 import org.fawndrum.coordination.RequestTarget;
 import org.fawndrum.errors.RefusedException;
-import org.fawndrum.internal.log.HostLog;
 import org.fawndrum.state.CallerGroup;
 import org.fawndrum.state.EndpointKind;
 import org.fawndrum.state.Route;
 import org.fawndrum.state.RouteTable;
 import org.fawndrum.state.ServiceProfile;
 import org.fawndrum.state.Workspace;
-import org.fawndrum.transport.HostClock;
 
 /** Finds the route and the workspace of a request and hands it to the decisions. */
 final class RelayIntake implements RelayServer.Intake {
@@ -29,13 +27,9 @@
 
   private final RouteStore routes;
   private final RelayDuty decisions;
-  private final EndpointClient client;
-  private final RelayCodec codec;
-  private final EngineOrders orders;
+  private final RelayTools tools;
   private final RelayBounds bounds;
-  private final HostClock clock;
   private final Attempts attempts;
-  private final HostLog log;
 
   /** Makes the exchange's way back to the decisions. */
   interface Attempts extends org.fawndrum.transport.AttemptListener {
@@ -46,22 +40,14 @@
   RelayIntake(
       RouteStore routes,
       RelayDuty decisions,
-      EndpointClient client,
-      RelayCodec codec,
-      EngineOrders orders,
+      RelayTools tools,
       RelayBounds bounds,
-      HostClock clock,
-      Attempts attempts,
-      HostLog log) {
+      Attempts attempts) {
     this.routes = routes;
     this.decisions = decisions;
-    this.client = client;
-    this.codec = codec;
-    this.orders = orders;
+    this.tools = tools;
     this.bounds = bounds;
-    this.clock = clock;
     this.attempts = attempts;
-    this.log = log;
   }
 
   @Override
@@ -79,9 +65,7 @@
         new RelayCall(
             request, route, workspace, http.method(), http.uri(), http.headers(), incoming.body());
     HttpServerResponse response = http.response();
-    RelayExchange exchange =
-        new RelayExchange(
-            call, response, incoming.context(), client, codec, orders, attempts, clock, log);
+    RelayExchange exchange = new RelayExchange(call, response, incoming.context(), tools, attempts);
     response.closeHandler(
         v -> {
           // The handler also runs after a whole answer, when nobody has gone.
@@ -102,7 +86,7 @@
     if (workspace == null) {
       throw refused(request, RefusalKind.UNKNOWN_KEY);
     }
-    if (routes.ageMs(clock.nowMs()) > bounds.revokeMs() - REVOKE_MARGIN_MS) {
+    if (routes.ageMs(tools.clock().nowMs()) > bounds.revokeMs() - REVOKE_MARGIN_MS) {
       // The key may have been revoked in a configuration that this host could not read.
       throw later(request, RefusalKind.NO_TABLE);
     }
--- a/org.fawndrum/src/org/fawndrum/transport/relay/RelayRuntime.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/RelayRuntime.java
@@ -125,17 +125,11 @@
   }
 
   private RelayServer callerServer(RelayAdapter adapter) {
+    RelayTools tools =
+        new RelayTools(
+            new EndpointClient(vertx), adapter.codec(), adapter.orders(), clock, decisionLog, log);
     RelayIntake intake =
-        new RelayIntake(
-            routes,
-            decisions,
-            new EndpointClient(vertx),
-            adapter.codec(),
-            adapter.orders(),
-            settings.bounds(),
-            clock,
-            new Attempts(),
-            log);
+        new RelayIntake(routes, decisions, tools, settings.bounds(), new Attempts());
     return new RelayServer(
         vertx, settings.callers(), routes, adapter.codec(), clock, intake, decisionLog);
   }
