Gather short prompts and count what several engines really cost

Change: a sharper step from in time to late, a pull of short prompts to the first engines by name, value by length nearer to what operators say, several engines charged by their harm alone.

--- a/org.fawndrum/src/org/fawndrum/coordination/engine/EngineModelPlacement.java
+++ b/org.fawndrum/src/org/fawndrum/coordination/engine/EngineModelPlacement.java
@@ -29,32 +29,34 @@
    * The weights of this policy.
    *
    * @param lateLoss the part of its value that a late answer loses
-   * @param valuePerToken value of a prompt token, where a request without prompt has 1
    * @param baseValue value of a request whatever its length
+   * @param tokensPerValue prompt tokens that add one to the value
    * @param sharpness the width of the step between in time and late, as a part of the aim
    * @param caution the part of an aim that may be used up by the model's expectation
    * @param perEngine what each further engine costs, in value
    * @param mostEngines the most engines for one prompt
    * @param otherZoneMs what an endpoint in another zone must be faster by, in milliseconds
-   * @param orderWeight how much the fixed order among equals weighs, in value
+   * @param speedWeight what a whole aim's worth of time costs when it is in time, in value
+   * @param gather how strongly short prompts gather at the first engines in order, in value
    * @param memoryMargin the part of an engine's memory that is left free
    * @param longTokens prompts from this length on are kept apart from shorter ones
    */
   public record Settings(
       double lateLoss,
-      double valuePerToken,
       double baseValue,
+      double tokensPerValue,
       double sharpness,
       double caution,
       double perEngine,
       int mostEngines,
       double otherZoneMs,
-      double orderWeight,
+      double speedWeight,
+      double gather,
       double memoryMargin,
       long longTokens) {
-    /** Weights tried with the policy bench and on played days. */
+    /** Weights tried on played days; docs/ROUNDS.md has the figures. */
     public static final Settings DEFAULT =
-        new Settings(0.75, 1e-4, 0.5, 0.12, 0.85, 0.15, 8, 2, 0.02, 0.02, 25_000);
+        new Settings(0.75, 1, 13_000, 0.07, 0.8, 0.1, 8, 2, 0.02, 0.15, 0.02, 25_000);
   }
 
   /** Makes the policy with its weights. */
@@ -62,8 +64,14 @@
     this.settings = settings;
   }
 
-  /** One engine that could take part. */
-  private record Option(EndpointState state, int place, double cost, double firstTokenMs) {}
+  /**
+   * One engine that could take part.
+   *
+   * @param place its place in the order among equals
+   * @param harm what others there would lose, in value, the order among equals included
+   * @param firstTokenMs when its part would be read, in milliseconds
+   */
+  private record Option(EndpointState state, int place, double harm, double firstTokenMs) {}
 
   /** Engines that together would take a request, the writing one first. */
   private record Plan(List<Option> options, double cost) {}
@@ -119,17 +127,19 @@
     if (options.size() < engines) {
       return null;
     }
-    options.sort(Comparator.comparingDouble(Option::cost));
+    RequestFacts facts = query.facts();
+    options.sort(
+        Comparator.comparingDouble(
+            option -> option.harm() + lateness(facts, option.firstTokenMs())));
     List<Option> chosen = new ArrayList<>(options.subList(0, engines));
     // The one with the fewest streams writes: its steps slow down what is written there.
     chosen.sort(
         Comparator.<Option>comparingInt(option -> option.state().load().streams())
             .thenComparingInt(Option::place));
     double latest = chosen.stream().mapToDouble(Option::firstTokenMs).max().orElse(0);
-    double lateness = lateness(query.facts(), latest);
-    double harm = chosen.stream().mapToDouble(Option::cost).sum();
-    double own = engines == 1 ? 0 : lateness;
-    return new Plan(chosen, harm + own + settings.perEngine() * (engines - 1));
+    double harm = chosen.stream().mapToDouble(Option::harm).sum();
+    double cost = harm + lateness(facts, latest) + settings.perEngine() * (engines - 1);
+    return new Plan(chosen, cost);
   }
 
   /** Returns the option of one engine, or null when it cannot take its part. */
@@ -147,10 +157,8 @@
             + load.overdueMs(nowMs)
             + zoneMs(state, query);
     double readMs = profile.readMs(facts.promptTokens()) / engines;
-    double harm = harm(load, readMs, nowMs);
-    double order = orderCost(query, load, place);
-    double own = engines == 1 ? lateness(facts, firstMs) : firstMs / Math.max(1, aimMs(facts));
-    return new Option(state, place, harm + order + own, firstMs);
+    double harm = harm(load, readMs, nowMs) + orderCost(query, place);
+    return new Option(state, place, harm, firstMs);
   }
 
   private long freeTokens(EndpointState state) {
@@ -171,10 +179,10 @@
    * Short prompts gather at the first engines in order and long ones at the last, so that an engine
    * with streams that must not pause is seldom asked to read for long.
    */
-  private double orderCost(Query query, EngineLoad load, int place) {
+  private double orderCost(Query query, int place) {
     double part = place / (double) Math.max(1, query.candidates().size());
     boolean isLong = query.facts().promptTokens() >= settings.longTokens();
-    return settings.orderWeight() * (isLong ? 1 - part : part);
+    return settings.gather() * (isLong ? 1 - part : part);
   }
 
   /** Returns the value that streams on an engine lose when it reads for so much longer. */
@@ -195,8 +203,8 @@
 
   private double lateness(RequestFacts facts, double firstTokenMs) {
     double aimMs = aimMs(facts);
-    double late = step(firstTokenMs, aimMs) + settings.orderWeight() * firstTokenMs / aimMs;
-    return value(facts.promptTokens()) * settings.lateLoss() * late;
+    double late = settings.lateLoss() * step(firstTokenMs, aimMs);
+    return value(facts.promptTokens()) * (late + settings.speedWeight() * firstTokenMs / aimMs);
   }
 
   private static double aimMs(RequestFacts facts) {
@@ -205,7 +213,7 @@
   }
 
   private double value(long promptTokens) {
-    return settings.baseValue() + promptTokens * settings.valuePerToken();
+    return settings.baseValue() + promptTokens / settings.tokensPerValue();
   }
 
   /** Returns how likely a time is over its aim: 0 well below, 1 well above. */
--- a/org.fawndrum/src/org/fawndrum/transport/relay/EndpointReader.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/EndpointReader.java
@@ -2,6 +2,7 @@
 package org.fawndrum.transport.relay;
 
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
@@ -93,6 +94,8 @@
         leaving.add(entry.endpoint().identity());
       }
     }
+    // All daemons see the endpoints in the same order, whenever they learned of them.
+    endpoints.sort(Comparator.comparing(Endpoint::name));
     listed.accept(new HostListing(++version, endpoints, leaving, List.of()));
   }
 }
