Go on elsewhere when nothing comes, and prove more by each answer

Ruled out: queueing at the hosts (p90 2 ms). Change: a watch that ends silent attempts which may run again, a short wait for connections, attempts that never left counted apart, a question without wait after an old proof, harm to waiting prompts in the model, faster start of the runtime.

--- a/org.fawndrum/src/org/fawndrum/coordination/AttemptStates.java
+++ b/org.fawndrum/src/org/fawndrum/coordination/AttemptStates.java
@@ -27,7 +27,7 @@
       case ANSWERING -> AttemptState.RUNNING;
       case ANSWERED -> AttemptState.DONE;
       case FAILED_BY_ENDPOINT -> AttemptState.FAILED;
-      case LOST -> lost(state);
+      case STALLED, LOST -> lost(state);
     };
   }
 
--- a/org.fawndrum/src/org/fawndrum/coordination/EndRules.java
+++ b/org.fawndrum/src/org/fawndrum/coordination/EndRules.java
@@ -21,6 +21,11 @@
     return attempt.state == AttemptState.NOT_RUN || request.facts.repeatable();
   }
 
+  /** Tells whether the end of an attempt lets its endpoint rest for a while. */
+  static boolean blames(AttemptEvent event) {
+    return event != AttemptEvent.FAILED_BY_ENDPOINT && event != AttemptEvent.STALLED;
+  }
+
   /** Returns the reason that is shown for a refusal of a new request. */
   static Reason reasonOf(RefusalKind kind) {
     return switch (kind) {
--- a/org.fawndrum/src/org/fawndrum/coordination/LiveRequest.java
+++ b/org.fawndrum/src/org/fawndrum/coordination/LiveRequest.java
@@ -18,6 +18,9 @@
   final Set<HostIdentity> excluded = new HashSet<>(0);
   boolean waiting;
 
+  /** Attempts that failed before anything was sent. */
+  int unsent;
+
   /**
    * The lane it waits in; lanes follow the mix of lengths, so that it cannot be worked out again.
    */
--- a/org.fawndrum/src/org/fawndrum/coordination/RequestCoordinator.java
+++ b/org.fawndrum/src/org/fawndrum/coordination/RequestCoordinator.java
@@ -27,6 +27,7 @@
   private final HostIdentity self;
   private final String zone;
   private final Policies policies;
+  private final RetryRule retries;
   private final EndpointBook endpoints = new EndpointBook();
   private final WaitingRequests waiting;
   private final DrainRate drained = new DrainRate();
@@ -56,6 +57,7 @@
     this.self = self;
     this.zone = zone;
     this.policies = policies;
+    this.retries = new RetryRule(policies);
     this.waiting = new WaitingRequests(policies.order(), policies.lengths());
     this.work = new EngineWork(self, endpoints, out);
     this.admission = new Admission(waiting, drained, endpoints, policies.refuseEarly());
@@ -232,12 +234,13 @@
       end(request);
       return;
     }
-    if (event != AttemptEvent.FAILED_BY_ENDPOINT) {
+    boolean blamed = event != AttemptEvent.FAILED_BY_ENDPOINT && event != AttemptEvent.STALLED;
+    if (blamed) {
       attempt.endpoint.failed(nowMs);
     }
     explainer.attempt(request, attempt, DecisionKind.ATTEMPT_FAILED, Reason.ENDPOINT_FAILED, nowMs);
     request.excluded.add(attempt.endpoint.endpoint().identity());
-    Reason whyNot = whyNotAgain(request, attempt, nowMs);
+    Reason whyNot = retries.whyNot(request, attempt, event, nowMs);
     if (whyNot == null) {
       enqueue(request);
       return;
@@ -248,17 +251,6 @@
         request, Refusal.of(EndRules.afterFailure(request), request.ran(), retryMs), whyNot, nowMs);
   }
 
-  private Reason whyNotAgain(LiveRequest request, LiveRequest.Attempt attempt, long nowMs) {
-    if (!EndRules.mayRepeat(request, attempt)) {
-      return Reason.NOT_REPEATABLE;
-    }
-    int byRoute = request.facts.aims().mostAttempts();
-    int most = byRoute > 0 ? byRoute : policies.mostAttempts();
-    boolean spent = request.attempts.size() >= most;
-    boolean allowed = !spent && policies.retries().tryRetry(request.facts.target(), nowMs);
-    return allowed ? null : Reason.RETRY_BUDGET;
-  }
-
   /** Takes note that the caller closed its connection; what the request holds is freed. */
   public List<Action> callerGone(String requestId, long nowMs) {
     LiveRequest request = requests.get(requestId);
--- a/org.fawndrum/src/org/fawndrum/coordination/engine/EngineLoad.java
+++ b/org.fawndrum/src/org/fawndrum/coordination/engine/EngineLoad.java
@@ -144,20 +144,55 @@
 
   /** Returns the time that reading what waits there takes, in milliseconds. */
   public double unreadMs(long nowMs) {
+    return unreadMs(false, nowMs);
+  }
+
+  /**
+   * Returns the time that reading takes, in milliseconds.
+   *
+   * @param shared only prompts that several engines read, which go before all others
+   */
+  private double unreadMs(boolean shared, long nowMs) {
     double sum = 0;
     boolean head = true;
     for (Entry entry : unread()) {
-      double whole = profile.readMs(entry.job.promptTokens()) / entry.job.parts();
-      double left = whole;
-      if (head) {
-        left = Math.max(LEAST_LEFT * whole, whole - (nowMs - headSinceMs));
-        head = false;
+      if (shared && entry.job.parts() == 1) {
+        continue;
       }
-      sum += left;
+      sum += leftMs(entry, head, nowMs);
+      head = false;
     }
     return sum * slowness(nowMs);
   }
 
+  private double leftMs(Entry entry, boolean head, long nowMs) {
+    double whole = profile.readMs(entry.job.promptTokens()) / entry.job.parts();
+    return head ? Math.max(LEAST_LEFT * whole, whole - (nowMs - headSinceMs)) : whole;
+  }
+
+  /**
+   * A prompt that waits to be read by this engine alone.
+   *
+   * @param job the work
+   * @param firstTokenMs when its first token is expected, in milliseconds after it was sent
+   */
+  public record Waiting(EngineJob job, double firstTokenMs) {}
+
+  /** Returns the prompts that would wait longer if a part of another came before them. */
+  public List<Waiting> waiting(long nowMs) {
+    List<Waiting> waiting = new ArrayList<>();
+    double aheadMs = unreadMs(true, nowMs) + passMs(nowMs);
+    boolean head = true;
+    for (Entry entry : unread()) {
+      if (entry.job.parts() == 1) {
+        aheadMs += leftMs(entry, head, nowMs) * slowness(nowMs);
+        waiting.add(new Waiting(entry.job, nowMs - entry.job.sentMs() + aheadMs));
+      }
+      head = false;
+    }
+    return waiting;
+  }
+
   /** Returns how long the oldest unread prompt is overdue, in milliseconds; 0 when none is. */
   public double overdueMs(long nowMs) {
     double most = 0;
@@ -187,6 +222,6 @@
     double passMs = passMs(nowMs);
     double waitMs = jobs.isEmpty() ? 0 : passMs / 2;
     double readMs = profile.readMs(promptTokens) / parts * slowness(nowMs);
-    return waitMs + unreadMs(nowMs) + readMs + passMs;
+    return waitMs + unreadMs(parts > 1, nowMs) + readMs + passMs;
   }
 }
--- a/org.fawndrum/src/org/fawndrum/coordination/engine/EngineModelPlacement.java
+++ b/org.fawndrum/src/org/fawndrum/coordination/engine/EngineModelPlacement.java
@@ -158,6 +158,9 @@
             + zoneMs(state, query);
     double readMs = profile.readMs(facts.promptTokens()) / engines;
     double harm = harm(load, readMs, nowMs) + orderCost(query, place);
+    if (engines > 1) {
+      harm += harmToWaiting(load, readMs, nowMs);
+    }
     return new Option(state, place, harm, firstMs);
   }
 
@@ -201,6 +204,19 @@
     return harm;
   }
 
+  /** Returns the value that waiting prompts lose when a part of another is read before them. */
+  private double harmToWaiting(EngineLoad load, double readMs, long nowMs) {
+    double harm = 0;
+    for (EngineLoad.Waiting one : load.waiting(nowMs)) {
+      long aimMs = one.job().aims().firstTokenMs();
+      if (aimMs > 0) {
+        double more = step(one.firstTokenMs() + readMs, aimMs) - step(one.firstTokenMs(), aimMs);
+        harm += value(one.job().promptTokens()) * settings.lateLoss() * more;
+      }
+    }
+    return harm;
+  }
+
   private double lateness(RequestFacts facts, double firstTokenMs) {
     double aimMs = aimMs(facts);
     double late = settings.lateLoss() * step(firstTokenMs, aimMs);
--- a/org.fawndrum/src/org/fawndrum/transport/relay/EndpointClient.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/EndpointClient.java
@@ -13,8 +13,11 @@
 
 /** The connections of this host to endpoints. */
 final class EndpointClient {
-  /** A live endpoint answers within milliseconds; this bounds the wait for one that is dark. */
-  private static final int CONNECT_MS = 1_000;
+  /**
+   * A live endpoint accepts within a few milliseconds. One that does not is tried no longer than
+   * leaves a short prompt time to come in time from another.
+   */
+  private static final int CONNECT_MS = 150;
 
   /** The most connections of this host to one endpoint; far above the streams that it works on. */
   private static final int CONNECTIONS_PER_ENDPOINT = 64;
--- a/org.fawndrum/src/org/fawndrum/transport/relay/RelayAttempt.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/RelayAttempt.java
@@ -8,6 +8,7 @@
 import org.fawndrum.coordination.Action;
 import org.fawndrum.coordination.AttemptEvent;
 import org.fawndrum.coordination.AttemptId;
+import org.fawndrum.state.RequestAims;
 import org.fawndrum.state.RouteKind;
 
 /**
@@ -30,6 +31,8 @@
   private final Owner owner;
   private HttpClientRequest request;
   private HttpClientResponse answer;
+  private long progressMs;
+  private boolean begun;
   private boolean ended;
 
   /** Whom an attempt reports to. */
@@ -115,9 +118,28 @@
             });
   }
 
+  /** Returns when something last came from the endpoint, by the host's clock. */
+  long progressMs() {
+    return progressMs;
+  }
+
+  /** Tells whether a first event came. */
+  boolean begun() {
+    return begun;
+  }
+
+  RequestAims aims() {
+    return call.route().aims();
+  }
+
+  /** Ends the attempt because nothing comes any more. */
+  void stalled() {
+    request.reset();
+    fail(AttemptEvent.STALLED);
+  }
+
   void cancel() {
-    ended = true;
-    memory.free();
+    end();
     if (request != null) {
       request.reset();
     }
@@ -140,6 +162,10 @@
     request.headers().addAll(tools.codec().forEndpoint(call.headers(), sending));
     request.exceptionHandler(cause -> fail(AttemptEvent.LOST));
     owner.handedOver();
+    progressMs = tools.clock().nowMs();
+    if (call.route().repeatable()) {
+      tools.stalls().add(this);
+    }
     request
         .send(call.body())
         .onComplete(
@@ -219,6 +245,10 @@
   }
 
   private void pass(List<EventSplitter.StreamEvent> events) {
+    if (!events.isEmpty()) {
+      progressMs = tools.clock().nowMs();
+      begun = true;
+    }
     for (EventSplitter.StreamEvent event : events) {
       if (ended) {
         return;
@@ -238,6 +268,7 @@
 
   private void end() {
     ended = true;
+    tools.stalls().remove(this);
     memory.free();
   }
 }
--- a/org.fawndrum/src/org/fawndrum/transport/relay/RelayRuntime.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/RelayRuntime.java
@@ -33,7 +33,7 @@
   private static final long AGAIN_MS = 1;
 
   /** How long a question for the configuration waits; below the bound for revoked keys. */
-  private static final long CONFIGURATION_WAIT_MS = 2_000;
+  private static final long CONFIGURATION_WAIT_MS = 1_500;
 
   /** How often the endpoints are read; with an answer's time it stays below the drain bound. */
   private static final long ENDPOINTS_PAUSE_MS = 1_100;
@@ -127,7 +127,13 @@
   private RelayServer callerServer(RelayAdapter adapter) {
     RelayTools tools =
         new RelayTools(
-            new EndpointClient(vertx), adapter.codec(), adapter.orders(), clock, decisionLog, log);
+            new EndpointClient(vertx),
+            adapter.codec(),
+            adapter.orders(),
+            new StallWatch(vertx, clock),
+            clock,
+            decisionLog,
+            log);
     RelayIntake intake =
         new RelayIntake(routes, decisions, tools, settings.bounds(), new Attempts());
     return new RelayServer(
--- a/org.fawndrum/src/org/fawndrum/transport/relay/TopicFollower.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/TopicFollower.java
@@ -18,6 +18,9 @@
   private static final long FIRST_AGAIN_MS = 100;
   private static final long LONGEST_AGAIN_MS = 1_000;
 
+  /** When the last proof is older than this, a question does not wait, in milliseconds. */
+  private static final long LONGEST_UNPROVED_MS = 1_000;
+
   /** By how much a wait may end early, in milliseconds: timers and clocks are not exact. */
   private static final long WAIT_MARGIN_MS = 50;
 
@@ -29,6 +32,7 @@
   private final HostClock clock;
   private final HostLog hostLog;
   private long next = -1;
+  private long provedMs = Long.MIN_VALUE / 2;
   private long againMs = FIRST_AGAIN_MS;
   private boolean lost;
   private boolean stopped;
@@ -90,18 +94,19 @@
     }
     long askedMs = clock.nowMs();
     boolean whole = next < 0;
-    (whole ? log.newest(topic) : log.read(topic, next, pace.waitMs()))
+    long waitMs = askedMs - provedMs > LONGEST_UNPROVED_MS ? 0 : pace.waitMs();
+    (whole ? log.newest(topic) : log.read(topic, next, waitMs))
         .whenComplete(
             (page, failure) -> {
               if (failure == null) {
-                answered(page, whole, askedMs);
+                answered(page, whole, askedMs, waitMs);
               } else {
                 failed(failure);
               }
             });
   }
 
-  private void answered(KeyedPage page, boolean whole, long askedMs) {
+  private void answered(KeyedPage page, boolean whole, long askedMs, long waitMs) {
     boolean wasLost = lost;
     if (lost) {
       lost = false;
@@ -110,10 +115,11 @@
     againMs = FIRST_AGAIN_MS;
     if (page.end() >= next) {
       next = page.end();
+      provedMs = whole ? askedMs : provedMs(page, askedMs, waitMs);
       if (whole) {
         reader.whole(page, askedMs, wasLost);
       } else {
-        reader.changes(page, provedMs(page, askedMs));
+        reader.changes(page, provedMs);
       }
     }
     later(pace.pauseMs());
@@ -123,9 +129,9 @@
    * Returns the time up to which an answer proves what the log held. One without records came only
    * after the wait was over, and so proves that nothing was there until then.
    */
-  private long provedMs(KeyedPage page, long askedMs) {
-    boolean waited = page.records().isEmpty() && clock.nowMs() - askedMs >= pace.waitMs();
-    return waited ? askedMs + pace.waitMs() - WAIT_MARGIN_MS : askedMs;
+  private long provedMs(KeyedPage page, long askedMs, long waitMs) {
+    boolean waited = page.records().isEmpty() && clock.nowMs() - askedMs >= waitMs;
+    return waited ? askedMs + Math.max(0, waitMs - WAIT_MARGIN_MS) : askedMs;
   }
 
   private void failed(Throwable failure) {
--- /dev/null
+++ b/org.fawndrum/tst/org/fawndrum/transport/relay/TopicFollowerTest.java
@@ -0,0 +1,143 @@
+// SPDX-License-Identifier: Apache-2.0
+package org.fawndrum.transport.relay;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.vertx.core.Vertx;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import org.fawndrum.errors.RecordsExpiredException;
+import org.fawndrum.internal.log.HostLog;
+import org.fawndrum.protocol.KeyedLog;
+import org.fawndrum.protocol.KeyedPage;
+import org.fawndrum.protocol.KeyedPage.KeyedRecord;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+/** What answers of the store prove, and what follows when records are gone. */
+class TopicFollowerTest {
+  private static final KeyedRecord RECORD = new KeyedRecord(3, "config", new byte[] {1});
+
+  private final Vertx vertx = Vertx.vertx();
+  private final Questions questions = new Questions();
+  private final List<Long> proved = new ArrayList<>();
+  private final List<Long> whole = new ArrayList<>();
+  private long nowMs = 10_000;
+
+  /** A store that is answered by hand. */
+  private static final class Questions implements KeyedLog {
+    final Deque<CompletableFuture<KeyedPage>> open = new ArrayDeque<>();
+    final List<Long> waits = new ArrayList<>();
+    int newest;
+
+    @Override
+    public CompletableFuture<KeyedPage> newest(Topic topic) {
+      newest++;
+      return ask();
+    }
+
+    @Override
+    public CompletableFuture<KeyedPage> read(Topic topic, long from, long waitMs) {
+      waits.add(waitMs);
+      return ask();
+    }
+
+    private CompletableFuture<KeyedPage> ask() {
+      open.addLast(new CompletableFuture<>());
+      return open.getLast();
+    }
+
+    void answer(KeyedPage page) {
+      open.removeFirst().complete(page);
+    }
+  }
+
+  private void start() {
+    TopicFollower.Reader reader =
+        new TopicFollower.Reader() {
+          @Override
+          public void whole(KeyedPage page, long askedMs, boolean afterOutage) {
+            whole.add(askedMs);
+          }
+
+          @Override
+          public void changes(KeyedPage page, long provedMs) {
+            proved.add(provedMs);
+          }
+        };
+    new TopicFollower(
+            vertx,
+            questions,
+            KeyedLog.Topic.OPERATORS,
+            new TopicFollower.Pace(1_500, 0),
+            reader,
+            () -> nowMs,
+            new HostLog("test"))
+        .start();
+  }
+
+  @AfterEach
+  void close() {
+    vertx.close().await();
+  }
+
+  @Test
+  void anAnswerWithRecordsProvesOnlyTheTimeOfTheQuestion() {
+    start();
+    questions.answer(new KeyedPage(List.of(), 3));
+    nowMs += 900;
+    questions.answer(new KeyedPage(List.of(RECORD), 4));
+    assertEquals(List.of(10_000L), whole);
+    assertEquals(List.of(10_000L), proved);
+  }
+
+  @Test
+  void anEmptyAnswerAfterTheWaitProvesTheWaitsEnd() {
+    start();
+    questions.answer(new KeyedPage(List.of(), 3));
+    nowMs += 1_510;
+    questions.answer(new KeyedPage(List.of(), 3));
+    assertEquals(List.of(11_450L), proved);
+  }
+
+  @Test
+  void anEmptyAnswerBeforeTheWaitIsOverProvesNoMoreThanTheQuestion() {
+    start();
+    questions.answer(new KeyedPage(List.of(), 3));
+    nowMs += 700;
+    questions.answer(new KeyedPage(List.of(), 3));
+    assertEquals(List.of(10_000L), proved);
+  }
+
+  @Test
+  void afterALateRecordTheNextQuestionDoesNotWait() {
+    start();
+    questions.answer(new KeyedPage(List.of(), 3));
+    nowMs += 1_200;
+    questions.answer(new KeyedPage(List.of(RECORD), 4));
+    assertEquals(List.of(1_500L, 0L), questions.waits);
+  }
+
+  @Test
+  void anOlderEndIsNotTaken() {
+    start();
+    questions.answer(new KeyedPage(List.of(), 9));
+    questions.answer(new KeyedPage(List.of(RECORD), 4));
+    assertTrue(proved.isEmpty());
+  }
+
+  @Test
+  void whenRecordsAreGoneTheNewestAreRead() throws Exception {
+    start();
+    questions.answer(new KeyedPage(List.of(), 3));
+    questions.open.removeFirst().completeExceptionally(new RecordsExpiredException(3, 8));
+    CompletableFuture<Void> later = new CompletableFuture<>();
+    vertx.setTimer(50, id -> later.complete(null));
+    later.get();
+    assertEquals(2, questions.newest);
+  }
+}
