Keep endpoints whose entries lapsed in an outage until they are back

Cause: entries lapse while the store is away and are written again within two seconds of its return; the reader dropped all of them at the first reading, so that a host had no endpoint at all for that time. Ruled out: reading less often after an outage; leaving endpoints must be seen in time. Change: drops seen within two seconds of the store's return wait for that time. The test fails on the former reader (nothing listed after the outage).

--- a/org.fawndrum/src/org/fawndrum/transport/relay/ConfigurationReader.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/ConfigurationReader.java
@@ -20,7 +20,12 @@
   }
 
   @Override
-  public void whole(KeyedPage page, long askedMs, boolean afterOutage) {
+  public void regained() {
+    // A configuration never lapses.
+  }
+
+  @Override
+  public void whole(KeyedPage page, long askedMs) {
     changes(page, askedMs);
   }
 
--- a/org.fawndrum/src/org/fawndrum/transport/relay/EndpointReader.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/EndpointReader.java
@@ -3,7 +3,6 @@
 
 import java.util.ArrayList;
 import java.util.Comparator;
-import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -27,14 +26,17 @@
  */
 final class EndpointReader implements TopicFollower.Reader {
   /** How long after its return the platform may still lack living endpoints, in milliseconds. */
-  private static final long RETURN_MS = 2_200;
+  private static final long RETURN_MS = 2_000;
+
+  private static final long NEVER = Long.MIN_VALUE / 2;
 
   private final RelayDecoder decoder;
   private final Consumer<HostListing> listed;
   private final HostClock clock;
   private final HostLog log;
   private final Map<String, RelayDecoder.EndpointEntry> entries = new LinkedHashMap<>();
-  private final Map<String, Long> lapsed = new HashMap<>();
+  private final Set<String> lapsed = new HashSet<>();
+  private long returnedMs = NEVER;
   private long version;
 
   EndpointReader(RelayDecoder decoder, Consumer<HostListing> listed, HostClock clock, HostLog log) {
@@ -45,7 +47,12 @@
   }
 
   @Override
-  public void whole(KeyedPage page, long askedMs, boolean afterOutage) {
+  public void regained() {
+    returnedMs = clock.nowMs();
+  }
+
+  @Override
+  public void whole(KeyedPage page, long askedMs) {
     Set<String> present = new HashSet<>();
     page.records().forEach(record -> present.add(record.key()));
     for (String key : List.copyOf(entries.keySet())) {
@@ -57,7 +64,7 @@
   }
 
   @Override
-  public void changes(KeyedPage page, long askedMs) {
+  public void changes(KeyedPage page, long provedMs) {
     take(page);
   }
 
@@ -69,6 +76,7 @@
         put(record);
       }
     }
+    dropLapsed();
     publish();
   }
 
@@ -81,8 +89,21 @@
     }
   }
 
+  /** Drops an entry, or keeps it for a while when it may only have lapsed in an outage. */
   private void gone(String key) {
-    entries.remove(key);
+    if (clock.nowMs() - returnedMs < RETURN_MS) {
+      lapsed.add(key);
+    } else {
+      entries.remove(key);
+      lapsed.remove(key);
+    }
+  }
+
+  private void dropLapsed() {
+    if (!lapsed.isEmpty() && clock.nowMs() - returnedMs >= RETURN_MS) {
+      lapsed.forEach(entries::remove);
+      lapsed.clear();
+    }
   }
 
   private void publish() {
--- a/org.fawndrum/src/org/fawndrum/transport/relay/TopicFollower.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/TopicFollower.java
@@ -47,13 +47,15 @@
 
   /** Takes what was read. */
   interface Reader {
+    /** Takes note that the platform answers again; what it holds is read next. */
+    void regained();
+
     /**
      * Takes the newest record of every key: what is not among them is gone.
      *
      * @param askedMs when the question was sent, by the host's clock
-     * @param afterOutage whether the platform did not answer before
      */
-    void whole(KeyedPage page, long askedMs, boolean afterOutage);
+    void whole(KeyedPage page, long askedMs);
 
     /**
      * Takes the records since the last reading.
@@ -107,17 +109,17 @@
   }
 
   private void answered(KeyedPage page, boolean whole, long askedMs, long waitMs) {
-    boolean wasLost = lost;
     if (lost) {
       lost = false;
       hostLog.event(LogEvent.PLATFORM_BACK);
+      reader.regained();
     }
     againMs = FIRST_AGAIN_MS;
     if (page.end() >= next) {
       next = page.end();
       provedMs = whole ? askedMs : provedMs(page, askedMs, waitMs);
       if (whole) {
-        reader.whole(page, askedMs, wasLost);
+        reader.whole(page, askedMs);
       } else {
         reader.changes(page, provedMs);
       }
--- /dev/null
+++ b/org.fawndrum/tst/org/fawndrum/transport/relay/EndpointReaderTest.java
@@ -0,0 +1,116 @@
+// SPDX-License-Identifier: Apache-2.0
+package org.fawndrum.transport.relay;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import java.util.Set;
+import org.fawndrum.errors.RecordUnreadableException;
+import org.fawndrum.internal.log.HostLog;
+import org.fawndrum.protocol.KeyedPage;
+import org.fawndrum.protocol.KeyedPage.KeyedRecord;
+import org.fawndrum.state.Endpoint;
+import org.fawndrum.state.EndpointKind;
+import org.fawndrum.state.HostAddress;
+import org.fawndrum.state.HostIdentity;
+import org.fawndrum.state.HostListing;
+import org.fawndrum.state.RouteTable;
+import org.junit.jupiter.api.Test;
+
+/** Which endpoints are listed while their records come and go. */
+class EndpointReaderTest {
+  private static final byte[] READY = {'r'};
+  private static final byte[] LEAVING = {'l'};
+  private static final byte[] NONE = {};
+
+  private long nowMs = 1_000;
+  private HostListing listing = HostListing.NONE;
+  private final EndpointReader reader =
+      new EndpointReader(new Decoder(), newer -> listing = newer, () -> nowMs, new HostLog("test"));
+
+  /** Reads records of one letter. */
+  private static final class Decoder implements RelayDecoder {
+    @Override
+    public boolean isConfiguration(KeyedRecord record) {
+      return false;
+    }
+
+    @Override
+    public RouteTable configuration(KeyedRecord record) {
+      return RouteTable.NONE;
+    }
+
+    @Override
+    public EndpointEntry endpoint(KeyedRecord record) {
+      if (record.value()[0] == 'x') {
+        throw new RecordUnreadableException(record.offset(), null);
+      }
+      Endpoint endpoint =
+          new Endpoint(
+              new HostIdentity(record.key(), 0),
+              "a",
+              EndpointKind.PLAIN,
+              new HostAddress("127.0.0.1", 1),
+              Set.of("s"),
+              0);
+      return new EndpointEntry(endpoint, record.value()[0] == 'l');
+    }
+  }
+
+  private static KeyedPage page(Object... keysAndValues) {
+    List<KeyedRecord> records = new java.util.ArrayList<>();
+    for (int i = 0; i < keysAndValues.length; i += 2) {
+      records.add(new KeyedRecord(i, (String) keysAndValues[i], (byte[]) keysAndValues[i + 1]));
+    }
+    return new KeyedPage(records, records.size());
+  }
+
+  private List<String> names() {
+    return listing.endpoints().stream().map(Endpoint::name).toList();
+  }
+
+  @Test
+  void entriesAreListedInTheOrderOfTheirNames() {
+    reader.whole(page("b", READY, "a", READY), 0);
+    reader.changes(page("c", LEAVING), 0);
+    assertEquals(List.of("a", "b", "c"), names());
+    assertEquals(Set.of(new HostIdentity("c", 0)), listing.leaving());
+  }
+
+  @Test
+  void aDroppedEntryIsGoneAtOnce() {
+    reader.whole(page("a", READY, "b", READY), 0);
+    reader.changes(page("a", NONE), 0);
+    assertEquals(List.of("b"), names());
+  }
+
+  @Test
+  void entriesThatLapsedInAnOutageHaveTwoSecondsToComeBack() {
+    reader.whole(page("a", READY, "b", READY), 0);
+    nowMs = 9_000;
+    reader.regained();
+    reader.changes(page("a", NONE, "b", NONE), 0);
+    assertEquals(List.of("a", "b"), names());
+    nowMs = 10_000;
+    reader.changes(page("a", READY), 0);
+    nowMs = 11_001;
+    reader.changes(page(), 0);
+    assertEquals(List.of("a"), names());
+  }
+
+  @Test
+  void afterACompactedHistoryOnlyWhatTheStoreHoldsIsListed() {
+    reader.whole(page("a", READY, "b", READY), 0);
+    reader.whole(page("b", READY), 0);
+    assertEquals(List.of("b"), names());
+  }
+
+  @Test
+  void anUnreadableRecordChangesNothing() {
+    reader.whole(page("a", READY), 0);
+    reader.changes(page("a", new byte[] {'x'}, "b", READY), 0);
+    assertEquals(List.of("a", "b"), names());
+    assertTrue(listing.leaving().isEmpty());
+  }
+}
--- a/org.fawndrum/tst/org/fawndrum/transport/relay/TopicFollowerTest.java
+++ b/org.fawndrum/tst/org/fawndrum/transport/relay/TopicFollowerTest.java
@@ -60,7 +60,10 @@
     TopicFollower.Reader reader =
         new TopicFollower.Reader() {
           @Override
-          public void whole(KeyedPage page, long askedMs, boolean afterOutage) {
+          public void regained() {}
+
+          @Override
+          public void whole(KeyedPage page, long askedMs) {
             whole.add(askedMs);
           }
 
