Learn from another daemon what the store does not give

Cause: a host that starts while the store is down or turns it away knew nothing and refused everything, though its peers knew. Ruled out: keeping anything on the host (it has no disk). Change: such a host asks a living peer for the configuration and the endpoints' records; proof counts from when it asked, less the age that the peer names. Tests: a second host starts while the store is busy or silent and serves.

--- a/org.fawndrum/src/org/fawndrum/protocol/wire/PeerMessage.java
+++ b/org.fawndrum/src/org/fawndrum/protocol/wire/PeerMessage.java
@@ -63,6 +63,8 @@
     ACKNOWLEDGEMENT(10),
     LEAVING_NEWS(11),
     FLEET_NEWS(12),
+    KNOWLEDGE_REQUEST(13),
+    KNOWLEDGE_REPLY(14),
     BODY_NOT_SET(0);
     private final int value;
     private BodyCase(int value) {
@@ -89,6 +91,8 @@
         case 10: return ACKNOWLEDGEMENT;
         case 11: return LEAVING_NEWS;
         case 12: return FLEET_NEWS;
+        case 13: return KNOWLEDGE_REQUEST;
+        case 14: return KNOWLEDGE_REPLY;
         case 0: return BODY_NOT_SET;
         default: return null;
       }
@@ -444,6 +448,68 @@
     return org.fawndrum.protocol.wire.FleetNews.getDefaultInstance();
   }
 
+  public static final int KNOWLEDGE_REQUEST_FIELD_NUMBER = 13;
+  /**
+   * <code>.fawndrum.KnowledgeRequest knowledge_request = 13;</code>
+   * @return Whether the knowledgeRequest field is set.
+   */
+  @java.lang.Override
+  public boolean hasKnowledgeRequest() {
+    return bodyCase_ == 13;
+  }
+  /**
+   * <code>.fawndrum.KnowledgeRequest knowledge_request = 13;</code>
+   * @return The knowledgeRequest.
+   */
+  @java.lang.Override
+  public org.fawndrum.protocol.wire.KnowledgeRequest getKnowledgeRequest() {
+    if (bodyCase_ == 13) {
+       return (org.fawndrum.protocol.wire.KnowledgeRequest) body_;
+    }
+    return org.fawndrum.protocol.wire.KnowledgeRequest.getDefaultInstance();
+  }
+  /**
+   * <code>.fawndrum.KnowledgeRequest knowledge_request = 13;</code>
+   */
+  @java.lang.Override
+  public org.fawndrum.protocol.wire.KnowledgeRequestOrBuilder getKnowledgeRequestOrBuilder() {
+    if (bodyCase_ == 13) {
+       return (org.fawndrum.protocol.wire.KnowledgeRequest) body_;
+    }
+    return org.fawndrum.protocol.wire.KnowledgeRequest.getDefaultInstance();
+  }
+
+  public static final int KNOWLEDGE_REPLY_FIELD_NUMBER = 14;
+  /**
+   * <code>.fawndrum.KnowledgeReply knowledge_reply = 14;</code>
+   * @return Whether the knowledgeReply field is set.
+   */
+  @java.lang.Override
+  public boolean hasKnowledgeReply() {
+    return bodyCase_ == 14;
+  }
+  /**
+   * <code>.fawndrum.KnowledgeReply knowledge_reply = 14;</code>
+   * @return The knowledgeReply.
+   */
+  @java.lang.Override
+  public org.fawndrum.protocol.wire.KnowledgeReply getKnowledgeReply() {
+    if (bodyCase_ == 14) {
+       return (org.fawndrum.protocol.wire.KnowledgeReply) body_;
+    }
+    return org.fawndrum.protocol.wire.KnowledgeReply.getDefaultInstance();
+  }
+  /**
+   * <code>.fawndrum.KnowledgeReply knowledge_reply = 14;</code>
+   */
+  @java.lang.Override
+  public org.fawndrum.protocol.wire.KnowledgeReplyOrBuilder getKnowledgeReplyOrBuilder() {
+    if (bodyCase_ == 14) {
+       return (org.fawndrum.protocol.wire.KnowledgeReply) body_;
+    }
+    return org.fawndrum.protocol.wire.KnowledgeReply.getDefaultInstance();
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -494,6 +560,12 @@
     if (bodyCase_ == 12) {
       output.writeMessage(12, (org.fawndrum.protocol.wire.FleetNews) body_);
     }
+    if (bodyCase_ == 13) {
+      output.writeMessage(13, (org.fawndrum.protocol.wire.KnowledgeRequest) body_);
+    }
+    if (bodyCase_ == 14) {
+      output.writeMessage(14, (org.fawndrum.protocol.wire.KnowledgeReply) body_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -550,6 +622,14 @@
       size += com.google.protobuf.CodedOutputStream
         .computeMessageSize(12, (org.fawndrum.protocol.wire.FleetNews) body_);
     }
+    if (bodyCase_ == 13) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(13, (org.fawndrum.protocol.wire.KnowledgeRequest) body_);
+    }
+    if (bodyCase_ == 14) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(14, (org.fawndrum.protocol.wire.KnowledgeReply) body_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -609,6 +689,14 @@
         if (!getFleetNews()
             .equals(other.getFleetNews())) return false;
         break;
+      case 13:
+        if (!getKnowledgeRequest()
+            .equals(other.getKnowledgeRequest())) return false;
+        break;
+      case 14:
+        if (!getKnowledgeReply()
+            .equals(other.getKnowledgeReply())) return false;
+        break;
       case 0:
       default:
     }
@@ -668,6 +756,14 @@
         hash = (37 * hash) + FLEET_NEWS_FIELD_NUMBER;
         hash = (53 * hash) + getFleetNews().hashCode();
         break;
+      case 13:
+        hash = (37 * hash) + KNOWLEDGE_REQUEST_FIELD_NUMBER;
+        hash = (53 * hash) + getKnowledgeRequest().hashCode();
+        break;
+      case 14:
+        hash = (37 * hash) + KNOWLEDGE_REPLY_FIELD_NUMBER;
+        hash = (53 * hash) + getKnowledgeReply().hashCode();
+        break;
       case 0:
       default:
     }
@@ -836,6 +932,12 @@
       if (fleetNewsBuilder_ != null) {
         fleetNewsBuilder_.clear();
       }
+      if (knowledgeRequestBuilder_ != null) {
+        knowledgeRequestBuilder_.clear();
+      }
+      if (knowledgeReplyBuilder_ != null) {
+        knowledgeReplyBuilder_.clear();
+      }
       bodyCase_ = 0;
       body_ = null;
       return this;
@@ -922,6 +1024,14 @@
           fleetNewsBuilder_ != null) {
         result.body_ = fleetNewsBuilder_.build();
       }
+      if (bodyCase_ == 13 &&
+          knowledgeRequestBuilder_ != null) {
+        result.body_ = knowledgeRequestBuilder_.build();
+      }
+      if (bodyCase_ == 14 &&
+          knowledgeReplyBuilder_ != null) {
+        result.body_ = knowledgeReplyBuilder_.build();
+      }
     }
 
     @java.lang.Override
@@ -984,6 +1094,14 @@
           mergeFleetNews(other.getFleetNews());
           break;
         }
+        case KNOWLEDGE_REQUEST: {
+          mergeKnowledgeRequest(other.getKnowledgeRequest());
+          break;
+        }
+        case KNOWLEDGE_REPLY: {
+          mergeKnowledgeReply(other.getKnowledgeReply());
+          break;
+        }
         case BODY_NOT_SET: {
           break;
         }
@@ -1092,6 +1210,20 @@
               bodyCase_ = 12;
               break;
             } // case 98
+            case 106: {
+              input.readMessage(
+                  internalGetKnowledgeRequestFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              bodyCase_ = 13;
+              break;
+            } // case 106
+            case 114: {
+              input.readMessage(
+                  internalGetKnowledgeReplyFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              bodyCase_ = 14;
+              break;
+            } // case 114
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -2538,6 +2670,290 @@
       return fleetNewsBuilder_;
     }
 
+    private com.google.protobuf.SingleFieldBuilder<
+        org.fawndrum.protocol.wire.KnowledgeRequest, org.fawndrum.protocol.wire.KnowledgeRequest.Builder, org.fawndrum.protocol.wire.KnowledgeRequestOrBuilder> knowledgeRequestBuilder_;
+    /**
+     * <code>.fawndrum.KnowledgeRequest knowledge_request = 13;</code>
+     * @return Whether the knowledgeRequest field is set.
+     */
+    @java.lang.Override
+    public boolean hasKnowledgeRequest() {
+      return bodyCase_ == 13;
+    }
+    /**
+     * <code>.fawndrum.KnowledgeRequest knowledge_request = 13;</code>
+     * @return The knowledgeRequest.
+     */
+    @java.lang.Override
+    public org.fawndrum.protocol.wire.KnowledgeRequest getKnowledgeRequest() {
+      if (knowledgeRequestBuilder_ == null) {
+        if (bodyCase_ == 13) {
+          return (org.fawndrum.protocol.wire.KnowledgeRequest) body_;
+        }
+        return org.fawndrum.protocol.wire.KnowledgeRequest.getDefaultInstance();
+      } else {
+        if (bodyCase_ == 13) {
+          return knowledgeRequestBuilder_.getMessage();
+        }
+        return org.fawndrum.protocol.wire.KnowledgeRequest.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.fawndrum.KnowledgeRequest knowledge_request = 13;</code>
+     */
+    public Builder setKnowledgeRequest(org.fawndrum.protocol.wire.KnowledgeRequest value) {
+      if (knowledgeRequestBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        body_ = value;
+        onChanged();
+      } else {
+        knowledgeRequestBuilder_.setMessage(value);
+      }
+      bodyCase_ = 13;
+      return this;
+    }
+    /**
+     * <code>.fawndrum.KnowledgeRequest knowledge_request = 13;</code>
+     */
+    public Builder setKnowledgeRequest(
+        org.fawndrum.protocol.wire.KnowledgeRequest.Builder builderForValue) {
+      if (knowledgeRequestBuilder_ == null) {
+        body_ = builderForValue.build();
+        onChanged();
+      } else {
+        knowledgeRequestBuilder_.setMessage(builderForValue.build());
+      }
+      bodyCase_ = 13;
+      return this;
+    }
+    /**
+     * <code>.fawndrum.KnowledgeRequest knowledge_request = 13;</code>
+     */
+    public Builder mergeKnowledgeRequest(org.fawndrum.protocol.wire.KnowledgeRequest value) {
+      if (knowledgeRequestBuilder_ == null) {
+        if (bodyCase_ == 13 &&
+            body_ != org.fawndrum.protocol.wire.KnowledgeRequest.getDefaultInstance()) {
+          body_ = org.fawndrum.protocol.wire.KnowledgeRequest.newBuilder((org.fawndrum.protocol.wire.KnowledgeRequest) body_)
+              .mergeFrom(value).buildPartial();
+        } else {
+          body_ = value;
+        }
+        onChanged();
+      } else {
+        if (bodyCase_ == 13) {
+          knowledgeRequestBuilder_.mergeFrom(value);
+        } else {
+          knowledgeRequestBuilder_.setMessage(value);
+        }
+      }
+      bodyCase_ = 13;
+      return this;
+    }
+    /**
+     * <code>.fawndrum.KnowledgeRequest knowledge_request = 13;</code>
+     */
+    public Builder clearKnowledgeRequest() {
+      if (knowledgeRequestBuilder_ == null) {
+        if (bodyCase_ == 13) {
+          bodyCase_ = 0;
+          body_ = null;
+          onChanged();
+        }
+      } else {
+        if (bodyCase_ == 13) {
+          bodyCase_ = 0;
+          body_ = null;
+        }
+        knowledgeRequestBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <code>.fawndrum.KnowledgeRequest knowledge_request = 13;</code>
+     */
+    public org.fawndrum.protocol.wire.KnowledgeRequest.Builder getKnowledgeRequestBuilder() {
+      return internalGetKnowledgeRequestFieldBuilder().getBuilder();
+    }
+    /**
+     * <code>.fawndrum.KnowledgeRequest knowledge_request = 13;</code>
+     */
+    @java.lang.Override
+    public org.fawndrum.protocol.wire.KnowledgeRequestOrBuilder getKnowledgeRequestOrBuilder() {
+      if ((bodyCase_ == 13) && (knowledgeRequestBuilder_ != null)) {
+        return knowledgeRequestBuilder_.getMessageOrBuilder();
+      } else {
+        if (bodyCase_ == 13) {
+          return (org.fawndrum.protocol.wire.KnowledgeRequest) body_;
+        }
+        return org.fawndrum.protocol.wire.KnowledgeRequest.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.fawndrum.KnowledgeRequest knowledge_request = 13;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        org.fawndrum.protocol.wire.KnowledgeRequest, org.fawndrum.protocol.wire.KnowledgeRequest.Builder, org.fawndrum.protocol.wire.KnowledgeRequestOrBuilder> 
+        internalGetKnowledgeRequestFieldBuilder() {
+      if (knowledgeRequestBuilder_ == null) {
+        if (!(bodyCase_ == 13)) {
+          body_ = org.fawndrum.protocol.wire.KnowledgeRequest.getDefaultInstance();
+        }
+        knowledgeRequestBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            org.fawndrum.protocol.wire.KnowledgeRequest, org.fawndrum.protocol.wire.KnowledgeRequest.Builder, org.fawndrum.protocol.wire.KnowledgeRequestOrBuilder>(
+                (org.fawndrum.protocol.wire.KnowledgeRequest) body_,
+                getParentForChildren(),
+                isClean());
+        body_ = null;
+      }
+      bodyCase_ = 13;
+      onChanged();
+      return knowledgeRequestBuilder_;
+    }
+
+    private com.google.protobuf.SingleFieldBuilder<
+        org.fawndrum.protocol.wire.KnowledgeReply, org.fawndrum.protocol.wire.KnowledgeReply.Builder, org.fawndrum.protocol.wire.KnowledgeReplyOrBuilder> knowledgeReplyBuilder_;
+    /**
+     * <code>.fawndrum.KnowledgeReply knowledge_reply = 14;</code>
+     * @return Whether the knowledgeReply field is set.
+     */
+    @java.lang.Override
+    public boolean hasKnowledgeReply() {
+      return bodyCase_ == 14;
+    }
+    /**
+     * <code>.fawndrum.KnowledgeReply knowledge_reply = 14;</code>
+     * @return The knowledgeReply.
+     */
+    @java.lang.Override
+    public org.fawndrum.protocol.wire.KnowledgeReply getKnowledgeReply() {
+      if (knowledgeReplyBuilder_ == null) {
+        if (bodyCase_ == 14) {
+          return (org.fawndrum.protocol.wire.KnowledgeReply) body_;
+        }
+        return org.fawndrum.protocol.wire.KnowledgeReply.getDefaultInstance();
+      } else {
+        if (bodyCase_ == 14) {
+          return knowledgeReplyBuilder_.getMessage();
+        }
+        return org.fawndrum.protocol.wire.KnowledgeReply.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.fawndrum.KnowledgeReply knowledge_reply = 14;</code>
+     */
+    public Builder setKnowledgeReply(org.fawndrum.protocol.wire.KnowledgeReply value) {
+      if (knowledgeReplyBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        body_ = value;
+        onChanged();
+      } else {
+        knowledgeReplyBuilder_.setMessage(value);
+      }
+      bodyCase_ = 14;
+      return this;
+    }
+    /**
+     * <code>.fawndrum.KnowledgeReply knowledge_reply = 14;</code>
+     */
+    public Builder setKnowledgeReply(
+        org.fawndrum.protocol.wire.KnowledgeReply.Builder builderForValue) {
+      if (knowledgeReplyBuilder_ == null) {
+        body_ = builderForValue.build();
+        onChanged();
+      } else {
+        knowledgeReplyBuilder_.setMessage(builderForValue.build());
+      }
+      bodyCase_ = 14;
+      return this;
+    }
+    /**
+     * <code>.fawndrum.KnowledgeReply knowledge_reply = 14;</code>
+     */
+    public Builder mergeKnowledgeReply(org.fawndrum.protocol.wire.KnowledgeReply value) {
+      if (knowledgeReplyBuilder_ == null) {
+        if (bodyCase_ == 14 &&
+            body_ != org.fawndrum.protocol.wire.KnowledgeReply.getDefaultInstance()) {
+          body_ = org.fawndrum.protocol.wire.KnowledgeReply.newBuilder((org.fawndrum.protocol.wire.KnowledgeReply) body_)
+              .mergeFrom(value).buildPartial();
+        } else {
+          body_ = value;
+        }
+        onChanged();
+      } else {
+        if (bodyCase_ == 14) {
+          knowledgeReplyBuilder_.mergeFrom(value);
+        } else {
+          knowledgeReplyBuilder_.setMessage(value);
+        }
+      }
+      bodyCase_ = 14;
+      return this;
+    }
+    /**
+     * <code>.fawndrum.KnowledgeReply knowledge_reply = 14;</code>
+     */
+    public Builder clearKnowledgeReply() {
+      if (knowledgeReplyBuilder_ == null) {
+        if (bodyCase_ == 14) {
+          bodyCase_ = 0;
+          body_ = null;
+          onChanged();
+        }
+      } else {
+        if (bodyCase_ == 14) {
+          bodyCase_ = 0;
+          body_ = null;
+        }
+        knowledgeReplyBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <code>.fawndrum.KnowledgeReply knowledge_reply = 14;</code>
+     */
+    public org.fawndrum.protocol.wire.KnowledgeReply.Builder getKnowledgeReplyBuilder() {
+      return internalGetKnowledgeReplyFieldBuilder().getBuilder();
+    }
+    /**
+     * <code>.fawndrum.KnowledgeReply knowledge_reply = 14;</code>
+     */
+    @java.lang.Override
+    public org.fawndrum.protocol.wire.KnowledgeReplyOrBuilder getKnowledgeReplyOrBuilder() {
+      if ((bodyCase_ == 14) && (knowledgeReplyBuilder_ != null)) {
+        return knowledgeReplyBuilder_.getMessageOrBuilder();
+      } else {
+        if (bodyCase_ == 14) {
+          return (org.fawndrum.protocol.wire.KnowledgeReply) body_;
+        }
+        return org.fawndrum.protocol.wire.KnowledgeReply.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.fawndrum.KnowledgeReply knowledge_reply = 14;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        org.fawndrum.protocol.wire.KnowledgeReply, org.fawndrum.protocol.wire.KnowledgeReply.Builder, org.fawndrum.protocol.wire.KnowledgeReplyOrBuilder> 
+        internalGetKnowledgeReplyFieldBuilder() {
+      if (knowledgeReplyBuilder_ == null) {
+        if (!(bodyCase_ == 14)) {
+          body_ = org.fawndrum.protocol.wire.KnowledgeReply.getDefaultInstance();
+        }
+        knowledgeReplyBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            org.fawndrum.protocol.wire.KnowledgeReply, org.fawndrum.protocol.wire.KnowledgeReply.Builder, org.fawndrum.protocol.wire.KnowledgeReplyOrBuilder>(
+                (org.fawndrum.protocol.wire.KnowledgeReply) body_,
+                getParentForChildren(),
+                isClean());
+        body_ = null;
+      }
+      bodyCase_ = 14;
+      onChanged();
+      return knowledgeReplyBuilder_;
+    }
+
     // @@protoc_insertion_point(builder_scope:fawndrum.PeerMessage)
   }
 
--- a/org.fawndrum/src/org/fawndrum/protocol/wire/PeerMessageOrBuilder.java
+++ b/org.fawndrum/src/org/fawndrum/protocol/wire/PeerMessageOrBuilder.java
@@ -169,5 +169,35 @@
    */
   org.fawndrum.protocol.wire.FleetNewsOrBuilder getFleetNewsOrBuilder();
 
+  /**
+   * <code>.fawndrum.KnowledgeRequest knowledge_request = 13;</code>
+   * @return Whether the knowledgeRequest field is set.
+   */
+  boolean hasKnowledgeRequest();
+  /**
+   * <code>.fawndrum.KnowledgeRequest knowledge_request = 13;</code>
+   * @return The knowledgeRequest.
+   */
+  org.fawndrum.protocol.wire.KnowledgeRequest getKnowledgeRequest();
+  /**
+   * <code>.fawndrum.KnowledgeRequest knowledge_request = 13;</code>
+   */
+  org.fawndrum.protocol.wire.KnowledgeRequestOrBuilder getKnowledgeRequestOrBuilder();
+
+  /**
+   * <code>.fawndrum.KnowledgeReply knowledge_reply = 14;</code>
+   * @return Whether the knowledgeReply field is set.
+   */
+  boolean hasKnowledgeReply();
+  /**
+   * <code>.fawndrum.KnowledgeReply knowledge_reply = 14;</code>
+   * @return The knowledgeReply.
+   */
+  org.fawndrum.protocol.wire.KnowledgeReply getKnowledgeReply();
+  /**
+   * <code>.fawndrum.KnowledgeReply knowledge_reply = 14;</code>
+   */
+  org.fawndrum.protocol.wire.KnowledgeReplyOrBuilder getKnowledgeReplyOrBuilder();
+
   org.fawndrum.protocol.wire.PeerMessage.BodyCase getBodyCase();
 }
--- a/org.fawndrum/src/org/fawndrum/transport/peer/NettyPeerNetwork.java
+++ b/org.fawndrum/src/org/fawndrum/transport/peer/NettyPeerNetwork.java
@@ -105,7 +105,7 @@
   private void received(ChannelHandlerContext context, PeerMessage message) {
     boolean isReply =
         switch (message.getBodyCase()) {
-          case CATCH_UP_REPLY, CLAIM_REPLY, ACKNOWLEDGEMENT -> true;
+          case CATCH_UP_REPLY, CLAIM_REPLY, ACKNOWLEDGEMENT, KNOWLEDGE_REPLY -> true;
           default -> false;
         };
     if (isReply) {
--- a/org.fawndrum/src/org/fawndrum/transport/relay/ConfigurationReader.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/ConfigurationReader.java
@@ -12,6 +12,7 @@
   private final RelayDecoder decoder;
   private final RouteStore routes;
   private final HostLog log;
+  private volatile KeyedRecord newest;
 
   ConfigurationReader(RelayDecoder decoder, RouteStore routes, HostLog log) {
     this.decoder = decoder;
@@ -42,9 +43,16 @@
     }
   }
 
-  private boolean take(KeyedRecord record) {
+  /** Returns the record of the revision in force, or null before any was read. */
+  KeyedRecord newest() {
+    return newest;
+  }
+
+  /** Takes a configuration; returns false when it makes no sense. */
+  boolean take(KeyedRecord record) {
     try {
       if (routes.offer(decoder.configuration(record))) {
+        newest = record;
         log.event(LogEvent.TABLE_IN_FORCE, Long.toString(routes.table().revision()));
       }
       return true;
--- a/org.fawndrum/src/org/fawndrum/transport/relay/EndpointReader.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/EndpointReader.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.Consumer;
 import org.fawndrum.errors.RecordUnreadableException;
 import org.fawndrum.internal.log.HostLog;
@@ -37,6 +38,8 @@
   private final Map<String, RelayDecoder.EndpointEntry> entries = new LinkedHashMap<>();
   private final Set<String> lapsed = new HashSet<>();
   private long returnedMs = NEVER;
+  private final Map<String, KeyedRecord> records = new ConcurrentHashMap<>();
+  private volatile long readTo = -1;
   private long version;
 
   EndpointReader(RelayDecoder decoder, Consumer<HostListing> listed, HostClock clock, HostLog log) {
@@ -68,7 +71,18 @@
     take(page);
   }
 
+  /** Returns the end of the log as it was read; -1 before anything was. */
+  long readTo() {
+    return readTo;
+  }
+
+  /** Returns the records of the entries, as they were read. */
+  List<KeyedRecord> records() {
+    return List.copyOf(records.values());
+  }
+
   private void take(KeyedPage page) {
+    readTo = Math.max(readTo, page.end());
     for (KeyedRecord record : page.records()) {
       if (record.drops()) {
         gone(record.key());
@@ -83,6 +97,7 @@
   private void put(KeyedRecord record) {
     try {
       entries.put(record.key(), decoder.endpoint(record));
+      records.put(record.key(), record);
       lapsed.remove(record.key());
     } catch (RecordUnreadableException e) {
       log.failure(LogEvent.RECORD_PASSED_OVER, e, Long.toString(record.offset()));
@@ -95,6 +110,7 @@
       lapsed.add(key);
     } else {
       entries.remove(key);
+      records.remove(key);
       lapsed.remove(key);
     }
   }
@@ -102,6 +118,7 @@
   private void dropLapsed() {
     if (!lapsed.isEmpty() && clock.nowMs() - returnedMs >= RETURN_MS) {
       lapsed.forEach(entries::remove);
+      lapsed.forEach(records::remove);
       lapsed.clear();
     }
   }
--- a/org.fawndrum/src/org/fawndrum/transport/relay/FleetDesk.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/FleetDesk.java
@@ -3,10 +3,12 @@
 
 import java.util.List;
 import java.util.function.Consumer;
+import java.util.function.Function;
 import org.fawndrum.coordination.engine.EngineNews;
 import org.fawndrum.protocol.FleetCodec;
 import org.fawndrum.protocol.PeerCodec;
 import org.fawndrum.protocol.wire.FleetNews;
+import org.fawndrum.protocol.wire.KnowledgeRequest;
 import org.fawndrum.protocol.wire.PeerMessage;
 import org.fawndrum.state.HostAddress;
 import org.fawndrum.state.HostIdentity;
@@ -17,16 +19,26 @@
 final class FleetDesk implements PeerNetwork.Receiver {
   private final Consumer<RelayEvent> decisions;
   private final Consumer<FleetDuty.FleetEvent> fleet;
+  private final Function<KnowledgeRequest, PeerMessage.Builder> knowledge;
   private final HostClock clock;
 
-  FleetDesk(Consumer<RelayEvent> decisions, Consumer<FleetDuty.FleetEvent> fleet, HostClock clock) {
+  FleetDesk(
+      Consumer<RelayEvent> decisions,
+      Consumer<FleetDuty.FleetEvent> fleet,
+      Function<KnowledgeRequest, PeerMessage.Builder> knowledge,
+      HostClock clock) {
     this.decisions = decisions;
     this.fleet = fleet;
+    this.knowledge = knowledge;
     this.clock = clock;
   }
 
   @Override
   public void received(PeerMessage message, Consumer<PeerMessage.Builder> reply) {
+    if (message.hasKnowledgeRequest()) {
+      reply.accept(knowledge.apply(message.getKnowledgeRequest()));
+      return;
+    }
     if (!message.hasFleetNews()) {
       return;
     }
--- a/org.fawndrum/src/org/fawndrum/transport/relay/FleetDuty.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/FleetDuty.java
@@ -51,7 +51,7 @@
   private final Map<HostAddress, Peer> peers = new HashMap<>();
   private final List<EngineNews> pending = new ArrayList<>();
   private long nextBeatMs;
-  private volatile int alive;
+  private volatile List<HostAddress> alive = List.of();
 
   /** Another daemon, or an address where one may be. */
   private static final class Peer {
@@ -106,8 +106,8 @@
     duty.offer(new FleetEvent.Changed(news));
   }
 
-  /** Returns how many other daemons are alive. */
-  int alive() {
+  /** Returns where the other daemons are that are alive, as last seen. */
+  List<HostAddress> alive() {
     return alive;
   }
 
@@ -140,7 +140,11 @@
       log.event(LogEvent.PEER_ALIVE, heard.from());
       nextBeatMs = nowMs;
     }
+    boolean isNew = peer.identity == null;
     peer.identity = heard.from();
+    if (isNew) {
+      seeAlive();
+    }
     peer.heardMs = nowMs;
     for (HostAddress address : heard.known()) {
       if (!address.equals(settings.peers())) {
@@ -149,6 +153,14 @@
     }
   }
 
+  private void seeAlive() {
+    alive =
+        peers.entrySet().stream()
+            .filter(peer -> peer.getValue().identity != null)
+            .map(Map.Entry::getKey)
+            .toList();
+  }
+
   private long tick() {
     long nowMs = clock.nowMs();
     if (!pending.isEmpty()) {
@@ -158,7 +170,7 @@
     if (nowMs >= nextBeatMs) {
       nextBeatMs = nowMs + BEAT_MS;
       forget(nowMs);
-      alive = (int) peers.values().stream().filter(peer -> peer.identity != null).count();
+      seeAlive();
       decisions.accept(new RelayEvent.WorkWanted(work -> duty.offer(new FleetEvent.All(work))));
     }
     return nextBeatMs - nowMs;
--- a/org.fawndrum/src/org/fawndrum/transport/relay/RelayRuntime.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/RelayRuntime.java
@@ -67,6 +67,7 @@
   private final FleetDuty fleet;
   private final TopicFollower configuration;
   private final TopicFollower endpoints;
+  private final PeerKnowledge knowledge;
   private final MetricsServer metrics;
   private final DecisionLog decisionLog;
   private volatile long listingVersion = -1;
@@ -103,27 +104,36 @@
         new DecisionLog(new RequestMetrics(registry, clock), this::basis, clock, log);
     this.decisions = new RelayDuty(coordinator, clock, decisionLog, this::announced, log);
     this.metrics = new MetricsServer(vertx, settings.metrics(), registry, log);
-    FleetDesk desk = new FleetDesk(this::offerSurely, this::heard, clock);
+    FleetDesk desk =
+        new FleetDesk(this::offerSurely, this::heard, request -> knowledge().reply(request), clock);
     ListenSettings peers = new ListenSettings(settings.peers(), Optional.empty());
     this.network = new NettyPeerNetwork(peers, desk, log);
     this.fleet = new FleetDuty(self, settings, network, clock, this::offerSurely, log);
     this.callers = callerServer(adapter);
     this.readiness = new ReadinessServer(vertx, settings.readiness(), this::ready);
+    ConfigurationReader configurations = new ConfigurationReader(adapter.decoder(), routes, log);
+    EndpointReader records = new EndpointReader(adapter.decoder(), this::listed, clock, log);
     this.configuration =
         follower(
             adapter,
             KeyedLog.Topic.OPERATORS,
             new TopicFollower.Pace(CONFIGURATION_WAIT_MS, 0),
-            new ConfigurationReader(adapter.decoder(), routes, log));
+            configurations);
     this.endpoints =
         follower(
             adapter,
             KeyedLog.Topic.ENDPOINTS,
             new TopicFollower.Pace(0, ENDPOINTS_PAUSE_MS),
-            new EndpointReader(adapter.decoder(), this::listed, clock, log));
+            records);
+    this.knowledge =
+        new PeerKnowledge(self, network, fleet::alive, routes, configurations, records, clock, log);
     gauges(registry);
   }
 
+  private PeerKnowledge knowledge() {
+    return knowledge;
+  }
+
   private RelayServer callerServer(RelayAdapter adapter) {
     RelayTools tools =
         new RelayTools(
@@ -175,7 +185,7 @@
     registry.registerGauge("decisionsRingFill", decisions::ringFill);
     registry.registerGauge("callerConnections", () -> callers.connections());
     registry.registerGauge("peerBytesSent", network::bytesSent);
-    registry.registerGauge("peers", fleet::alive);
+    registry.registerGauge("peers", () -> fleet.alive().size());
   }
 
   private RetryBudget retries() {
@@ -206,6 +216,7 @@
             server -> {
               configuration.start();
               endpoints.start();
+              knowledge.start(vertx);
               log.event(LogEvent.HOST_STARTED, self, settings.zone());
               return null;
             });
