Read the settings again when their file changes

Cause: a hang-up signal, or a changed file without one, was only logged. Change: the file is read again; bounds and seeds come into force, addresses do not; settings that make no sense are logged and those in force stay. Ruled out: restarting by ourselves, which would cut requests.

--- a/org.fawndrum/src/org/fawndrum/internal/log/LogEvent.java
+++ b/org.fawndrum/src/org/fawndrum/internal/log/LogEvent.java
@@ -12,6 +12,8 @@
   DRAIN_ENDED(4, Level.INFO, "stopped: no request was cut"),
   SECOND_SIGNAL(5, Level.WARN, "second signal: {0} requests in progress are cut now"),
   SETTINGS_UNCHANGED(6, Level.INFO, "asked to read the settings again; none changed"),
+  SETTINGS_CHANGED(7, Level.INFO, "settings read again; what can change while running did"),
+  SETTINGS_UNREADABLE(8, Level.WARN, "settings make no sense, those in force stay: {0}"),
   DUTY_FAILED(10, Level.ERROR, "an event of duty {0} failed"),
   RING_REFUSED(11, Level.WARN, "the ring of duty {0} is full; an event waits"),
   TABLE_IN_FORCE(20, Level.INFO, "table revision {0} in force"),
--- a/org.fawndrum/src/org/fawndrum/transport/relay/FleetDuty.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/FleetDuty.java
@@ -10,6 +10,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.function.Consumer;
+import java.util.function.Supplier;
 import org.fawndrum.coordination.engine.EngineNews;
 import org.fawndrum.internal.duty.Duty;
 import org.fawndrum.internal.duty.Ring;
@@ -42,6 +43,7 @@
   private static final long FORGET_MS = 60_000;
 
   private final HostIdentity self;
+  private final Supplier<RelaySettings> current;
   private final RelaySettings settings;
   private final PeerNetwork network;
   private final HostClock clock;
@@ -78,13 +80,14 @@
 
   FleetDuty(
       HostIdentity self,
-      RelaySettings settings,
+      Supplier<RelaySettings> current,
       PeerNetwork network,
       HostClock clock,
       Consumer<RelayEvent> decisions,
       HostLog log) {
     this.self = self;
-    this.settings = settings;
+    this.current = current;
+    this.settings = current.get();
     this.network = network;
     this.clock = clock;
     this.decisions = decisions;
@@ -178,7 +181,7 @@
 
   private void beat(List<EngineNews> work) {
     Set<HostAddress> to = new HashSet<>(peers.keySet());
-    for (HostAddress seed : settings.seeds()) {
+    for (HostAddress seed : current.get().seeds()) {
       if (!seed.equals(settings.peers())) {
         to.add(seed);
       }
--- a/org.fawndrum/src/org/fawndrum/transport/relay/RelayIntake.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/RelayIntake.java
@@ -4,6 +4,7 @@
 import io.vertx.core.http.HttpServerRequest;
 import io.vertx.core.http.HttpServerResponse;
 import java.util.concurrent.ThreadLocalRandom;
+import java.util.function.Supplier;
 import org.fawndrum.coordination.Ran;
 import org.fawndrum.coordination.Refusal;
 import org.fawndrum.coordination.RefusalKind;
@@ -28,7 +29,7 @@
   private final RouteStore routes;
   private final RelayDuty decisions;
   private final RelayTools tools;
-  private final RelayBounds bounds;
+  private final Supplier<RelayBounds> bounds;
   private final Attempts attempts;
 
   /** Makes the exchange's way back to the decisions. */
@@ -41,7 +42,7 @@
       RouteStore routes,
       RelayDuty decisions,
       RelayTools tools,
-      RelayBounds bounds,
+      Supplier<RelayBounds> bounds,
       Attempts attempts) {
     this.routes = routes;
     this.decisions = decisions;
@@ -86,7 +87,7 @@
     if (workspace == null) {
       throw refused(request, RefusalKind.UNKNOWN_KEY);
     }
-    if (routes.ageMs(tools.clock().nowMs()) > bounds.revokeMs() - REVOKE_MARGIN_MS) {
+    if (routes.ageMs(tools.clock().nowMs()) > bounds.get().revokeMs() - REVOKE_MARGIN_MS) {
       // The key may have been revoked in a configuration that this host could not read.
       throw later(request, RefusalKind.NO_TABLE);
     }
--- a/org.fawndrum/src/org/fawndrum/transport/relay/RelayRuntime.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/RelayRuntime.java
@@ -55,7 +55,7 @@
   private static final int MOST_DAEMONS = 12;
 
   private final Vertx vertx;
-  private final RelaySettings settings;
+  private volatile RelaySettings settings;
   private final HostIdentity self;
   private final HostClock clock;
   private final HostLog log;
@@ -108,7 +108,7 @@
         new FleetDesk(this::offerSurely, this::heard, request -> knowledge().reply(request), clock);
     ListenSettings peers = new ListenSettings(settings.peers(), Optional.empty());
     this.network = new NettyPeerNetwork(peers, desk, log);
-    this.fleet = new FleetDuty(self, settings, network, clock, this::offerSurely, log);
+    this.fleet = new FleetDuty(self, () -> settings, network, clock, this::offerSurely, log);
     this.callers = callerServer(adapter);
     this.readiness = new ReadinessServer(vertx, settings.readiness(), this::ready);
     ConfigurationReader configurations = new ConfigurationReader(adapter.decoder(), routes, log);
@@ -145,7 +145,7 @@
             decisionLog,
             log);
     RelayIntake intake =
-        new RelayIntake(routes, decisions, tools, settings.bounds(), new Attempts());
+        new RelayIntake(routes, decisions, tools, () -> settings.bounds(), new Attempts());
     return new RelayServer(
         vertx, settings.callers(), routes, adapter.codec(), clock, intake, decisionLog);
   }
@@ -171,6 +171,11 @@
     }
   }
 
+  /** Takes over what can change while the host runs: bounds and seeds, but no addresses. */
+  public void reload(RelaySettings newer) {
+    settings = newer;
+  }
+
   private DecisionLog.Basis basis() {
     long nowMs = clock.nowMs();
     return new DecisionLog.Basis(
--- /dev/null
+++ b/org.fawndrum/tst/org/fawndrum/transport/relay/SettingsWatchTest.java
@@ -0,0 +1,70 @@
+// SPDX-License-Identifier: Apache-2.0
+package org.fawndrum.transport.relay;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import org.fawndrum.errors.BadSettingsException;
+import org.fawndrum.internal.log.HostLog;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** Settings that change while a host runs, and settings that make no sense. */
+class SettingsWatchTest {
+  @TempDir Path folder;
+
+  private static String text(String platform, int revokeMs) {
+    return """
+        { // settings
+          "host": "h-1", "zone": "a", "callers": "127.0.0.1:1", "readiness": "127.0.0.1:2",
+          "peers": "127.0.0.1:3", "metrics": "127.0.0.1:4", "platform": "%s",
+          "seeds": ["10.0.0.1:9"],
+          "bounds": { "revokeMs": %d, "drainMs": 2000, "graceS": 8, "retryRatio": 0.2,
+            "retrySlack": 100, "retryWindowS": 10, "streamPassMs": 120 }
+        }
+        """
+        .formatted(platform, revokeMs);
+  }
+
+  private Path write(String text) throws Exception {
+    return Files.writeString(folder.resolve("s.json"), text);
+  }
+
+  @Test
+  void seedsAreReachedOnThePortForPeers() throws Exception {
+    RelaySettings settings = new ReadRelaySettings(write(text("127.0.0.1:5", 5_000))).call();
+    assertEquals("10.0.0.1:3", settings.seeds().get(0).toString());
+  }
+
+  @Test
+  void allFaultsAreNamedAtOnce() throws Exception {
+    Path file = write(text("somewhere", 0));
+    BadSettingsException bad =
+        assertThrows(BadSettingsException.class, () -> new ReadRelaySettings(file).call());
+    assertEquals(2, bad.faults().size());
+  }
+
+  @Test
+  void onlyWhatChangedAndMakesSenseIsTakenOver() throws Exception {
+    Path file = write(text("127.0.0.1:5", 5_000));
+    List<Long> taken = new ArrayList<>();
+    SettingsWatch watch =
+        new SettingsWatch(
+            file,
+            new ReadRelaySettings(file).call(),
+            newer -> taken.add(newer.bounds().revokeMs()),
+            new HostLog("test"));
+    watch.read();
+    write(text("127.0.0.1:5", 4_000));
+    watch.read();
+    write("{ broken");
+    watch.read();
+    write(text("127.0.0.1:5", 3_000));
+    watch.read();
+    assertEquals(List.of(4_000L, 3_000L), taken);
+  }
+}
