Let requests wait for a host that has just started

Ruled out: starting the servers later (connections are then refused). Change: a request waits up to 0.7 s until the configuration and the endpoints are known; ages that nobody knows are shown as -1.

--- a/org.fawndrum/src/org/fawndrum/state/RouteTable.java
+++ b/org.fawndrum/src/org/fawndrum/state/RouteTable.java
@@ -14,10 +14,18 @@
  * limits. Immutable; a request is decided by one revision from beginning to end.
  */
 public final class RouteTable {
+  /** The longest body that is read before any configuration was, in bytes. */
+  private static final long FIRST_BODY_BYTES = 1 << 20;
+
   /** What is in force before any configuration was read. */
   public static final RouteTable NONE =
       new RouteTable(
-          -1, List.of(), List.of(), Map.of(), true, new CallerLimits(16_384, 0, 3_000, 15_000));
+          -1,
+          List.of(),
+          List.of(),
+          Map.of(),
+          true,
+          new CallerLimits(16_384, FIRST_BODY_BYTES, 3_000, 15_000));
 
   private final long revision;
   private final List<Route> routes;
--- a/org.fawndrum/src/org/fawndrum/transport/relay/DecisionLog.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/DecisionLog.java
@@ -41,9 +41,9 @@
    * What a decision rested on.
    *
    * @param revision the configuration in force
-   * @param revisionAgeMs how long ago it was surely the newest, in milliseconds
+   * @param revisionAgeMs how long ago it was surely the newest, in milliseconds; -1 before any
    * @param listing the reading of the endpoints' records
-   * @param listingAgeMs how old that reading is, in milliseconds
+   * @param listingAgeMs how old that reading is, in milliseconds; -1 before any
    */
   record Basis(long revision, long revisionAgeMs, long listing, long listingAgeMs) {}
 
--- a/org.fawndrum/src/org/fawndrum/transport/relay/RelayRuntime.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/RelayRuntime.java
@@ -147,7 +147,14 @@
     RelayIntake intake =
         new RelayIntake(routes, decisions, tools, () -> settings.bounds(), new Attempts());
     return new RelayServer(
-        vertx, settings.callers(), routes, adapter.codec(), clock, intake, decisionLog);
+        vertx,
+        settings.callers(),
+        routes,
+        adapter.codec(),
+        clock,
+        intake,
+        decisionLog,
+        this::known);
   }
 
   private TopicFollower follower(
@@ -179,7 +186,10 @@
   private DecisionLog.Basis basis() {
     long nowMs = clock.nowMs();
     return new DecisionLog.Basis(
-        routes.table().revision(), routes.ageMs(nowMs), listingVersion, nowMs - listedAtMs);
+        routes.table().revision(),
+        routes.table().revision() < 0 ? -1 : routes.ageMs(nowMs),
+        listingVersion,
+        listingVersion < 0 ? -1 : nowMs - listedAtMs);
   }
 
   private void gauges(MetricRegistry registry) {
@@ -230,7 +240,12 @@
   /** Tells whether this host takes callers: it knows what it needs and is not stopping. */
   public boolean ready() {
     boolean fresh = routes.ageMs(clock.nowMs()) < settings.bounds().revokeMs();
-    return !stopping && fresh && listingVersion >= 0 && routes.table().revision() >= 0;
+    return !stopping && fresh && known();
+  }
+
+  /** Tells whether this host has read a configuration and the endpoints since its start. */
+  private boolean known() {
+    return listingVersion >= 0 && routes.table().revision() >= 0;
   }
 
   /** Events about work already taken must not be lost: when the ring is full, they come again. */
--- a/org.fawndrum/src/org/fawndrum/transport/relay/RelayServer.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/RelayServer.java
@@ -12,13 +12,13 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.concurrent.CompletionException;
+import java.util.function.BooleanSupplier;
 import org.fawndrum.coordination.Ran;
 import org.fawndrum.coordination.Refusal;
 import org.fawndrum.coordination.RefusalKind;
 import org.fawndrum.errors.RefusedException;
 import org.fawndrum.state.CallerLimits;
 import org.fawndrum.state.HostAddress;
-import org.fawndrum.state.RouteTable;
 import org.fawndrum.transport.BodyReader;
 import org.fawndrum.transport.HostClock;
 import org.fawndrum.transport.IdleConnections;
@@ -34,6 +34,10 @@
   /** The rest of a connection after its answer while the host stops, in milliseconds. */
   private static final long STOPPING_IDLE_MS = 100;
 
+  /** How long a request waits for a host that has just started, in milliseconds. */
+  private static final long LONGEST_START_MS = 700;
+
+  private static final long START_LOOK_MS = 20;
   private static final int HEADER_SEPARATORS = 4;
   private static final int MOST_LINE_BYTES = 16_384;
 
@@ -44,6 +48,7 @@
   private final HostClock clock;
   private final Intake intake;
   private final DecisionLog decisions;
+  private final BooleanSupplier known;
   private final IdleConnections idle;
   private final Map<HttpConnection, Integer> busy = new HashMap<>();
   private HttpServer server;
@@ -74,7 +79,8 @@
       RelayCodec codec,
       HostClock clock,
       Intake intake,
-      DecisionLog decisions) {
+      DecisionLog decisions,
+      BooleanSupplier known) {
     this.vertx = vertx;
     this.address = address;
     this.routes = routes;
@@ -82,6 +88,7 @@
     this.clock = clock;
     this.intake = intake;
     this.decisions = decisions;
+    this.known = known;
     this.idle =
         new IdleConnections(
             vertx, () -> limits().idleMs(), () -> stopping ? STOPPING_IDLE_MS : limits().idleMs());
@@ -189,15 +196,9 @@
   }
 
   private void read(HttpServerRequest http, RelayRequest request, long arrivedMs, Context context) {
-    RouteTable table = routes.table();
-    if (table.revision() < 0) {
-      Refusal none = Refusal.of(RefusalKind.NO_TABLE, Ran.NO, RelayIntake.OTHER_HOST_RETRY_MS);
-      turnAwayAndClose(http, request.requestId(), none);
-      return;
-    }
-    new BodyReader(vertx, table.limits().bodyBytes(), table.limits().headerMs())
+    new BodyReader(vertx, limits().bodyBytes(), limits().headerMs())
         .read(http, request.requestId())
-        .thenAccept(body -> intake.take(new Incoming(http, request, body, arrivedMs, context)))
+        .thenAccept(body -> takeWhenKnown(new Incoming(http, request, body, arrivedMs, context)))
         .exceptionally(
             failure -> {
               refuse(http, request.requestId(), refusalOf(failure));
@@ -205,6 +206,30 @@
             });
   }
 
+  /**
+   * Hands a request on as soon as this host knows what it needs. A host that has just started
+   * learns it within some hundred milliseconds, in which turning callers away would only bring them
+   * back.
+   */
+  private void takeWhenKnown(Incoming incoming) {
+    String requestId = incoming.request().requestId();
+    if (incoming.http().response().closed()) {
+      return;
+    }
+    if (known.getAsBoolean()) {
+      try {
+        intake.take(incoming);
+      } catch (RefusedException e) {
+        refuse(incoming.http(), requestId, e.refusal());
+      }
+    } else if (clock.nowMs() - incoming.arrivedMs() > LONGEST_START_MS) {
+      Refusal none = Refusal.of(RefusalKind.NO_TABLE, Ran.NO, RelayIntake.OTHER_HOST_RETRY_MS);
+      turnAwayAndClose(incoming.http(), requestId, none);
+    } else {
+      vertx.setTimer(START_LOOK_MS, id -> takeWhenKnown(incoming));
+    }
+  }
+
   private static Refusal refusalOf(Throwable failure) {
     Throwable cause = failure instanceof CompletionException ? failure.getCause() : failure;
     return cause instanceof RefusedException refused
