--- /dev/null
+++ b/org.fawndrum/tst/org/fawndrum/transport/relay/PromptMemoryTest.java
@@ -0,0 +1,148 @@
+// SPDX-License-Identifier: Apache-2.0
+package org.fawndrum.transport.relay;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.vertx.core.Future;
+import io.vertx.core.Promise;
+import io.vertx.core.Vertx;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import org.fawndrum.coordination.Action;
+import org.fawndrum.coordination.AttemptId;
+import org.fawndrum.errors.EndpointUnreachableException;
+import org.fawndrum.internal.log.HostLog;
+import org.fawndrum.state.Endpoint;
+import org.fawndrum.state.EndpointKind;
+import org.fawndrum.state.HostAddress;
+import org.fawndrum.state.HostIdentity;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+/** Memory on several engines is had wholly or not at all, and never kept. */
+class PromptMemoryTest {
+  private static final HostIdentity SELF = new HostIdentity("host-1", 1);
+
+  private final Vertx vertx = Vertx.vertx();
+  private final Orders orders = new Orders();
+
+  /** Engines that are answered by hand. */
+  private static final class Orders implements EngineOrders {
+    final Deque<Promise<Boolean>> asked = new ArrayDeque<>();
+    final List<String> engines = new ArrayList<>();
+    final List<String> released = new ArrayList<>();
+    final Set<String> tickets = new HashSet<>();
+    int releasesToFail;
+
+    @Override
+    public Future<Boolean> reserve(Endpoint engine, String ticket, long tokens, long holdMs) {
+      Promise<Boolean> answer = Promise.promise();
+      asked.addLast(answer);
+      engines.add(engine.name());
+      tickets.add(ticket);
+      return answer.future();
+    }
+
+    @Override
+    public Future<Void> release(Endpoint engine, String ticket) {
+      released.add(engine.name());
+      if (releasesToFail > 0) {
+        releasesToFail--;
+        return Future.failedFuture(new EndpointUnreachableException(engine.address(), null));
+      }
+      return Future.succeededFuture();
+    }
+  }
+
+  private static Action.Helper helper(String name, long tokens) {
+    HostAddress address = new HostAddress("127.0.0.1", 1);
+    Endpoint engine =
+        new Endpoint(
+            new HostIdentity(name, 0), "a", EndpointKind.MODEL, address, Set.of("pool"), 100);
+    return new Action.Helper(engine, tokens);
+  }
+
+  private PromptMemory memory(int attempt, Action.Helper... helpers) {
+    AttemptId id = new AttemptId(SELF, "r-1", attempt);
+    return new PromptMemory(vertx, orders, id, List.of(helpers), new HostLog("test"));
+  }
+
+  @AfterEach
+  void close() {
+    vertx.close().await();
+  }
+
+  @Test
+  void helpersWithoutMemoryNeedNoOrder() {
+    PromptMemory memory = memory(1, helper("e-1", 0));
+    assertTrue(memory.reserve().succeeded());
+    assertEquals("", memory.helpers().get(0).ticket());
+    memory.free();
+    assertTrue(orders.engines.isEmpty() && orders.released.isEmpty());
+  }
+
+  @Test
+  void enginesAreAskedOneAfterTheOtherInOneOrder() {
+    Future<Void> had = memory(1, helper("e-2", 10), helper("e-1", 10)).reserve();
+    assertEquals(List.of("e-1"), orders.engines);
+    orders.asked.removeFirst().complete(true);
+    assertEquals(List.of("e-1", "e-2"), orders.engines);
+    assertFalse(had.isComplete());
+    orders.asked.removeFirst().complete(true);
+    assertTrue(had.succeeded());
+  }
+
+  @Test
+  void whenOneEngineHasNotEnoughNothingIsKept() {
+    Future<Void> had = memory(1, helper("e-1", 10), helper("e-2", 10)).reserve();
+    orders.asked.removeFirst().complete(true);
+    orders.asked.removeFirst().complete(false);
+    assertTrue(had.failed());
+    assertEquals(List.of("e-1", "e-2"), orders.released);
+  }
+
+  @Test
+  void anOrderWithoutAnAnswerIsTakenBackToo() {
+    Future<Void> had = memory(1, helper("e-1", 10)).reserve();
+    orders.asked.removeFirst().fail(new EndpointUnreachableException(null, null));
+    assertTrue(had.failed());
+    assertEquals(List.of("e-1"), orders.released);
+  }
+
+  @Test
+  void aRequestThatEndsMeanwhileKeepsNothing() {
+    PromptMemory memory = memory(1, helper("e-1", 10), helper("e-2", 10));
+    Future<Void> had = memory.reserve();
+    memory.free();
+    orders.asked.removeFirst().complete(true);
+    assertTrue(had.failed());
+    assertEquals(List.of("e-1"), orders.engines);
+    assertEquals(List.of("e-1"), orders.released);
+  }
+
+  @Test
+  void aReleaseThatFailsIsTriedAgainAndTwiceIsOnce() {
+    PromptMemory memory = memory(1, helper("e-1", 10));
+    memory.reserve();
+    orders.asked.removeFirst().complete(true);
+    orders.releasesToFail = 2;
+    memory.free();
+    memory.free();
+    assertEquals(List.of("e-1", "e-1", "e-1"), orders.released);
+  }
+
+  @Test
+  void noTicketIsUsedTwice() {
+    memory(1, helper("e-1", 10)).reserve();
+    memory(2, helper("e-1", 10)).reserve();
+    PromptMemory two = memory(3, helper("e-1", 10), helper("e-2", 10));
+    assertEquals(2, two.helpers().stream().map(RelayCodec.Helper::ticket).distinct().count());
+    assertEquals(2, orders.tickets.size());
+  }
+}
