Remove methods and fields of the relay that nothing uses

The relay kept leftovers of earlier drafts: a stop for the followers of logs and closes for the threads and the callers' server that no code calls, the cells of the route store, an event about leaving endpoints that nothing makes, and a text of set-aside memory that nobody reads.

They are removed with the fields that only they used. No behaviour changes.

--- a/org.fawndrum/src/org/fawndrum/transport/relay/FleetDuty.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/FleetDuty.java
@@ -30,7 +30,7 @@
  * The thread that knows the other daemons: it tells them about this host's work as it changes and,
  * once a second, about all of it, so that a message that got lost does no lasting harm.
  */
-final class FleetDuty implements AutoCloseable {
+final class FleetDuty {
   private static final int RING = 8_192;
 
   /** The interval of heartbeats, in milliseconds. */
@@ -99,11 +99,6 @@
     duty.start();
   }
 
-  @Override
-  public void close() {
-    duty.close();
-  }
-
   /** Takes news for the others; what finds no room is told with the next heartbeat. */
   void announce(EngineNews news) {
     duty.offer(new FleetEvent.Changed(news));
--- a/org.fawndrum/src/org/fawndrum/transport/relay/PromptMemory.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/PromptMemory.java
@@ -28,7 +28,6 @@
 
   private final Vertx vertx;
   private final EngineOrders orders;
-  private final AttemptId attempt;
   private final List<Part> parts;
   private final HostLog log;
   private final List<Part> held = new ArrayList<>();
@@ -46,7 +45,6 @@
       HostLog log) {
     this.vertx = vertx;
     this.orders = orders;
-    this.attempt = attempt;
     this.log = log;
     String owner = Integer.toHexString(attempt.owner().hashCode());
     List<Part> all = new ArrayList<>();
@@ -139,9 +137,4 @@
               }
             });
   }
-
-  @Override
-  public String toString() {
-    return "memory of " + attempt;
-  }
 }
--- a/org.fawndrum/src/org/fawndrum/transport/relay/RelayDuty.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/RelayDuty.java
@@ -22,7 +22,7 @@
  * The thread that decides about relayed requests. It feeds events with their time to the
  * coordinator and has the actions carried out.
  */
-final class RelayDuty implements AutoCloseable {
+final class RelayDuty {
   private static final int RING_EVENTS = 8_192;
 
   /** How long the thread sleeps when nothing is due, in milliseconds. */
@@ -63,11 +63,6 @@
     duty.start();
   }
 
-  @Override
-  public void close() {
-    duty.close();
-  }
-
   /** Returns about how many requests have no final answer. */
   int open() {
     return open + duty.ring().size();
@@ -127,10 +122,6 @@
       if (roster.listed(listed.listing())) {
         offerEndpoints(nowMs);
       }
-    } else if (event instanceof RelayEvent.Leaving leaving) {
-      if (roster.saidLeaving(leaving.endpoint())) {
-        offerEndpoints(nowMs);
-      }
     }
     open = coordinator.open();
   }
--- a/org.fawndrum/src/org/fawndrum/transport/relay/RelayEvent.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/RelayEvent.java
@@ -37,7 +37,4 @@
 
   /** The list of endpoints changed. */
   record Listed(HostListing listing) implements RelayEvent {}
-
-  /** An endpoint was found to be leaving or gone. */
-  record Leaving(HostIdentity endpoint) implements RelayEvent {}
 }
--- a/org.fawndrum/src/org/fawndrum/transport/relay/RelayRefusals.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/RelayRefusals.java
@@ -53,7 +53,7 @@
     request.connection().shutdown(CLOSE_MS, TimeUnit.MILLISECONDS);
   }
 
-  static int status(Refusal refusal) {
+  private static int status(Refusal refusal) {
     if (CALLERS_FAULT.contains(refusal.kind())) {
       return refusal.kind().status();
     }
--- a/org.fawndrum/src/org/fawndrum/transport/relay/RelayServer.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/RelayServer.java
@@ -46,7 +46,6 @@
   private final DecisionLog decisions;
   private final IdleConnections idle;
   private final Map<HttpConnection, Integer> busy = new HashMap<>();
-  private HttpServer server;
   private boolean stopping;
 
   /** Takes requests that are whole. */
@@ -101,13 +100,12 @@
             .setHttp2ClearTextEnabled(false)
             .setUseAlpn(false)
             .setTcpNoDelay(true);
-    server =
-        vertx
-            .createHttpServer(options)
-            .requestHandler(this::handle)
-            .invalidRequestHandler(this::invalid)
-            .connectionHandler(this::opened);
-    return server.listen();
+    return vertx
+        .createHttpServer(options)
+        .requestHandler(this::handle)
+        .invalidRequestHandler(this::invalid)
+        .connectionHandler(this::opened)
+        .listen();
   }
 
   /** From now on connections end with the answer that they wait for. */
@@ -129,10 +127,6 @@
     return busy.size();
   }
 
-  Future<Void> close() {
-    return server == null ? Future.succeededFuture() : server.close();
-  }
-
   private void opened(HttpConnection connection) {
     busy.put(connection, 0);
     idle.opened(connection);
--- a/org.fawndrum/src/org/fawndrum/transport/relay/RouteStore.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/RouteStore.java
@@ -15,7 +15,6 @@
 
   private final BiConsumer<RouteTable, TableRevision> onNewer;
   private volatile RouteTable table = RouteTable.NONE;
-  private volatile TableRevision cells = TableRevision.EMPTY;
   private volatile long knownAtMs = NEVER;
 
   RouteStore(BiConsumer<RouteTable, TableRevision> onNewer) {
@@ -26,10 +25,6 @@
     return table;
   }
 
-  TableRevision cells() {
-    return cells;
-  }
-
   /** Takes over a revision unless it is older than the one in force; returns whether it was. */
   synchronized boolean offer(RouteTable newer) {
     if (newer.revision() <= table.revision()) {
@@ -37,7 +32,6 @@
     }
     TableRevision rows = RouteRows.of(newer);
     table = newer;
-    cells = rows;
     onNewer.accept(newer, rows);
     return true;
   }
--- a/org.fawndrum/src/org/fawndrum/transport/relay/TopicFollower.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/TopicFollower.java
@@ -35,7 +35,6 @@
   private long provedMs = Long.MIN_VALUE / 2;
   private long againMs = FIRST_AGAIN_MS;
   private boolean lost;
-  private boolean stopped;
 
   /**
    * How often a log is asked.
@@ -82,18 +81,12 @@
     this.hostLog = hostLog;
   }
 
+  /** Asks for the first time; questions follow each other from then on. */
   void start() {
     ask();
   }
 
-  void stop() {
-    stopped = true;
-  }
-
   private void ask() {
-    if (stopped) {
-      return;
-    }
     long askedMs = clock.nowMs();
     boolean whole = next < 0;
     long waitMs = askedMs - provedMs > LONGEST_UNPROVED_MS ? 0 : pace.waitMs();
