Decide in one place how failed attempts and requests end

Cause: EndRules.blames was written and not used, since the coordinator held the same rule in its own words; the end after a failure was put together in two places; three methods of EndpointState took an attempt out of what no report contains yet. Change: the coordinator asks EndRules for both, and the three methods share countAsReported; the backoff's bounds have names. Result: one place for each rule, and no change of behaviour.

--- a/org.fawndrum/src/org/fawndrum/coordination/EndRules.java
+++ b/org.fawndrum/src/org/fawndrum/coordination/EndRules.java
@@ -1,19 +1,21 @@
 // SPDX-License-Identifier: Apache-2.0
 package org.fawndrum.coordination;
 
-/** How requests end that get no whole answer. */
+/** How requests end that get no whole answer. Stateless: the same input gives the same end. */
 final class EndRules {
   private EndRules() {}
 
+  /** Returns the end of a request that arrives while its host stops. */
   static Refusal draining() {
     return Refusal.of(RefusalKind.DRAINING, Ran.NO, Admission.OTHER_HOST_RETRY_MS);
   }
 
-  /** Returns the end of a request whose last attempt failed. */
-  static RefusalKind afterFailure(LiveRequest request) {
-    return request.ran() == Ran.UNKNOWN && !request.facts.repeatable()
-        ? RefusalKind.OUTCOME_UNKNOWN
-        : RefusalKind.ENDPOINT_FAILED;
+  /** Returns the end of a request whose last attempt failed and that is not sent again. */
+  static Refusal afterFailure(LiveRequest request, LiveRequest.Attempt last) {
+    boolean unknown = request.ran() == Ran.UNKNOWN && !request.facts.repeatable();
+    RefusalKind kind = unknown ? RefusalKind.OUTCOME_UNKNOWN : RefusalKind.ENDPOINT_FAILED;
+    long retryMs = mayRepeat(request, last) ? Admission.OTHER_HOST_RETRY_MS : Refusal.NEVER;
+    return Refusal.of(kind, request.ran(), retryMs);
   }
 
   /** Tells whether a request may be sent again after an attempt. */
--- a/org.fawndrum/src/org/fawndrum/coordination/EndpointState.java
+++ b/org.fawndrum/src/org/fawndrum/coordination/EndpointState.java
@@ -17,9 +17,15 @@
   /** Engines that can share the reading of one prompt, where their speed is told. */
   private static final int MOST_ENGINES = 8;
 
+  /** How long an endpoint rests after its first failure, in milliseconds; doubled with each. */
   private static final long FIRST_BACKOFF_MS = 500;
-  private static final long OWN_REPORT_MS = 1_000;
+
+  private static final int MOST_DOUBLINGS = 4;
   private static final long LONGEST_BACKOFF_MS = 8_000;
+
+  /** For how long an endpoint's own report goes before what peers tell, in milliseconds. */
+  private static final long OWN_REPORT_MS = 1_000;
+
   private static final double MS_PER_SECOND = 1000.0;
 
   private Endpoint endpoint;
@@ -28,9 +34,9 @@
   private final Map<AttemptId, Sent> sent = new HashMap<>();
   private final long[] unreported = new long[LoadReport.PRIORITIES];
   private long unreportedMemory;
+  private final CachedPrefixes prefixes;
   private int failuresInRow;
   private long avoidUntilMs;
-  private final CachedPrefixes prefixes;
   private EngineLoad load;
 
   /** What one attempt adds to the endpoint's load. */
@@ -60,6 +66,7 @@
     return endpoint;
   }
 
+  /** Takes over a newer description; a changed engine profile begins a new, empty load. */
   void describe(Endpoint newer) {
     boolean sameEngine = newer.engine().equals(endpoint.engine());
     endpoint = newer;
@@ -116,45 +123,52 @@
     reportedAtMs = nowMs;
     for (Sent one : sent.values()) {
       // A report may have been made before what was sent since the one before it had arrived.
-      if (!one.reported && one.sentAtMs <= coversUntilMs) {
-        one.reported = true;
-        unreported[one.priority] -= one.promptTokens;
-        unreportedMemory -= one.memoryTokens;
+      if (one.sentAtMs <= coversUntilMs) {
+        countAsReported(one);
       }
     }
   }
 
+  /** Takes note of an attempt that is sent now. */
   void sending(AttemptId attempt, int priority, long promptTokens, long memory, long nowMs) {
     sent.put(attempt, new Sent(priority, promptTokens, memory, nowMs));
     unreported[priority] += promptTokens;
     unreportedMemory += memory;
   }
 
-  /** Takes note that an attempt has ended or its prompt has been read. */
+  /** Takes note that an attempt has ended. */
   void ended(AttemptId attempt) {
     Sent one = sent.remove(attempt);
-    if (one != null && !one.reported) {
-      unreported[one.priority] -= one.promptTokens;
-      unreportedMemory -= one.memoryTokens;
+    if (one != null) {
+      countAsReported(one);
     }
   }
 
   /** Takes note that an attempt's prompt has been read, so that it is no backlog any more. */
   void promptRead(AttemptId attempt) {
     Sent one = sent.get(attempt);
-    if (one != null && !one.reported) {
+    if (one != null) {
+      countAsReported(one);
+    }
+  }
+
+  /** Takes an attempt out of what no report contains yet; does nothing when called again. */
+  private void countAsReported(Sent one) {
+    if (!one.reported) {
       one.reported = true;
       unreported[one.priority] -= one.promptTokens;
       unreportedMemory -= one.memoryTokens;
     }
   }
 
+  /** Takes note of a failure of the endpoint, so that it rests for a while. */
   void failed(long nowMs) {
     failuresInRow++;
-    int doublings = Math.min(failuresInRow - 1, 4);
+    int doublings = Math.min(failuresInRow - 1, MOST_DOUBLINGS);
     avoidUntilMs = nowMs + Math.min(LONGEST_BACKOFF_MS, FIRST_BACKOFF_MS << doublings);
   }
 
+  /** Takes note of a whole answer, after which the endpoint need not rest. */
   void answered() {
     failuresInRow = 0;
     avoidUntilMs = 0;
--- a/org.fawndrum/src/org/fawndrum/coordination/RequestCoordinator.java
+++ b/org.fawndrum/src/org/fawndrum/coordination/RequestCoordinator.java
@@ -219,8 +219,8 @@
     }
     if (!before.ended() && attempt.state.ended()) {
       attempt.endpoint.ended(id);
-      boolean blamed = attempt.state != AttemptState.DONE && event == AttemptEvent.LOST;
-      work.ended(attempt, blamed, nowMs);
+      boolean lost = attempt.state != AttemptState.DONE && event == AttemptEvent.LOST;
+      work.ended(attempt, lost, nowMs);
       attemptEnded(request, attempt, event, nowMs);
     }
     return flush(nowMs);
@@ -234,8 +234,7 @@
       end(request);
       return;
     }
-    boolean blamed = event != AttemptEvent.FAILED_BY_ENDPOINT && event != AttemptEvent.STALLED;
-    if (blamed) {
+    if (EndRules.blames(event)) {
       attempt.endpoint.failed(nowMs);
     }
     explainer.attempt(request, attempt, DecisionKind.ATTEMPT_FAILED, Reason.ENDPOINT_FAILED, nowMs);
@@ -245,10 +244,7 @@
       enqueue(request);
       return;
     }
-    long retryMs =
-        EndRules.mayRepeat(request, attempt) ? Admission.OTHER_HOST_RETRY_MS : Refusal.NEVER;
-    giveUp(
-        request, Refusal.of(EndRules.afterFailure(request), request.ran(), retryMs), whyNot, nowMs);
+    giveUp(request, EndRules.afterFailure(request, attempt), whyNot, nowMs);
   }
 
   /** Takes note that the caller closed its connection; what the request holds is freed. */
