Split the choice of engines and say what EngineLoad promises

Cause: EngineWork looked up an endpoint's load in five places; the method that plans for several engines both gathered and chose them; three bare numbers stood in the placement; EngineLoad did not say that times exist for engines only. Change: onLoad and jobsOf, options and cheapest, named constants of the same values, and a contract on both classes. Result: shorter methods; the same choices in the same order.

--- a/org.fawndrum/src/org/fawndrum/coordination/EngineWork.java
+++ b/org.fawndrum/src/org/fawndrum/coordination/EngineWork.java
@@ -8,16 +8,21 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.Consumer;
 import org.fawndrum.coordination.engine.EngineJob;
+import org.fawndrum.coordination.engine.EngineLoad;
 import org.fawndrum.coordination.engine.EngineNews;
 import org.fawndrum.state.HostIdentity;
 
 /**
  * Keeps what every endpoint has to do: this host's own work, which it announces, and the work that
- * other daemons announced. Confined to one thread.
+ * other daemons announced. Work at endpoints that are not known counts at none of them; news about
+ * work that is not known change nothing. Confined to one thread; times are those of the host's
+ * clock, in milliseconds.
  */
 final class EngineWork {
-  private static final int HOST_BITS = 32;
+  /** The bits of a job's id below those that tell the daemons apart. */
+  private static final int COUNT_BITS = 32;
 
   private final EndpointBook endpoints;
   private final List<Action> out;
@@ -29,10 +34,10 @@
   EngineWork(HostIdentity self, EndpointBook endpoints, List<Action> out) {
     this.endpoints = endpoints;
     this.out = out;
-    this.nextId = (long) self.hashCode() << HOST_BITS;
+    this.nextId = (long) self.hashCode() << COUNT_BITS;
   }
 
-  /** Takes note of an attempt that is sent now. */
+  /** Takes note of an attempt that is sent now, with a job at each engine that takes part. */
   void placed(
       LiveRequest.Attempt attempt, RequestFacts facts, Placement.Choice choice, long nowMs) {
     int parts = 1 + choice.helpers().size();
@@ -55,10 +60,7 @@
   private void add(LiveRequest.Attempt attempt, EngineJob job, long nowMs) {
     attempt.jobs.add(job.id());
     own.put(job.id(), job);
-    EndpointState state = endpoints.state(job.endpoint());
-    if (state != null) {
-      state.load().add(job, nowMs);
-    }
+    onLoad(job, load -> load.add(job, nowMs));
     out.add(new Action.Announce(new EngineNews.Placed(job)));
   }
 
@@ -67,19 +69,12 @@
     for (long id : attempt.jobs) {
       EngineJob job = own.get(id);
       if (job != null && ownRead.add(id)) {
-        read(job, nowMs);
+        onLoad(job, load -> load.read(id, nowMs));
         out.add(new Action.Announce(new EngineNews.Read(id)));
       }
     }
   }
 
-  private void read(EngineJob job, long nowMs) {
-    EndpointState state = endpoints.state(job.endpoint());
-    if (state != null) {
-      state.load().read(job.id(), nowMs);
-    }
-  }
-
   /**
    * Takes note that an attempt ended.
    *
@@ -90,16 +85,17 @@
       EngineJob job = own.remove(id);
       ownRead.remove(id);
       if (job != null) {
-        ended(job, nowMs);
+        onLoad(job, load -> load.ended(id, nowMs));
         out.add(new Action.Announce(new EngineNews.Ended(id, failed && job.writes())));
       }
     }
   }
 
-  private void ended(EngineJob job, long nowMs) {
+  /** Changes the load of a job's endpoint, if the endpoint is known. */
+  private void onLoad(EngineJob job, Consumer<EngineLoad> change) {
     EndpointState state = endpoints.state(job.endpoint());
     if (state != null) {
-      state.load().ended(job.id(), nowMs);
+      change.accept(state.load());
     }
   }
 
@@ -117,7 +113,7 @@
 
   /** Takes one piece of news of another daemon. */
   void heard(HostIdentity from, EngineNews news, long nowMs) {
-    Map<Long, EngineJob> jobs = others.computeIfAbsent(from, key -> new HashMap<>());
+    Map<Long, EngineJob> jobs = jobsOf(from);
     if (news instanceof EngineNews.Placed placed) {
       EngineJob job = placed.job();
       EndpointState state = endpoints.state(job.endpoint());
@@ -127,20 +123,27 @@
     } else if (news instanceof EngineNews.Read read) {
       EngineJob job = jobs.get(read.id());
       if (job != null) {
-        read(job, nowMs);
+        onLoad(job, load -> load.read(job.id(), nowMs));
       }
     } else if (news instanceof EngineNews.Ended ended) {
       heardEnded(jobs.remove(ended.id()), ended.failed(), nowMs);
     }
   }
 
+  private Map<Long, EngineJob> jobsOf(HostIdentity daemon) {
+    return others.computeIfAbsent(daemon, key -> new HashMap<>());
+  }
+
   private void heardEnded(EngineJob job, boolean failed, long nowMs) {
     if (job == null) {
       return;
     }
-    ended(job, nowMs);
     EndpointState state = endpoints.state(job.endpoint());
-    if (failed && state != null) {
+    if (state == null) {
+      return;
+    }
+    state.load().ended(job.id(), nowMs);
+    if (failed) {
       state.failed(nowMs);
     }
   }
@@ -153,7 +156,7 @@
         named.add(placed.job().id());
       }
     }
-    Map<Long, EngineJob> jobs = others.computeIfAbsent(from, key -> new HashMap<>());
+    Map<Long, EngineJob> jobs = jobsOf(from);
     for (EngineJob job : List.copyOf(jobs.values())) {
       if (!named.contains(job.id())) {
         heardEnded(jobs.remove(job.id()), false, nowMs);
@@ -166,7 +169,7 @@
   void gone(HostIdentity daemon, long nowMs) {
     Map<Long, EngineJob> jobs = others.remove(daemon);
     if (jobs != null) {
-      jobs.values().forEach(job -> ended(job, nowMs));
+      jobs.values().forEach(job -> heardEnded(job, false, nowMs));
     }
   }
 }
--- a/org.fawndrum/src/org/fawndrum/coordination/engine/EngineLoad.java
+++ b/org.fawndrum/src/org/fawndrum/coordination/engine/EngineLoad.java
@@ -8,7 +8,13 @@
 import java.util.Map;
 import org.fawndrum.state.EngineProfile;
 
-/** The work that one endpoint has from all daemons, as far as is known. Confined to one thread. */
+/**
+ * The work that one endpoint has from all daemons, as far as is known, and how long it takes. An
+ * engine reads prompts one after the other, in the order in which they were sent, and those that
+ * several engines read before all others. Only engines have times: for a plain service the work is
+ * counted, and the methods that return times must not be called. Confined to one thread; times are
+ * those of the host's clock, in milliseconds.
+ */
 public final class EngineLoad {
   /** What is left at least of a prompt whose end was not told yet, as a part of its time. */
   private static final double LEAST_LEFT = 0.1;
@@ -16,6 +22,7 @@
   /** Weight of the newest observation in the pace. */
   private static final double NEWEST = 0.3;
 
+  /** The most by which one observation may say that the endpoint is slower than expected. */
   private static final double SLOWEST = 20;
 
   /** The time after which half of an observed slowness is forgotten, in milliseconds. */
@@ -26,11 +33,14 @@
 
   private final EngineProfile profile;
   private final Map<Long, Entry> jobs = new LinkedHashMap<>();
+
+  /** Since when the first unread prompt has been the first, by the host's clock. */
   private long headSinceMs;
+
   private double slowness = 1;
   private long observedMs;
 
-  /** A job and how far it is. */
+  /** A job, when its first token was expected after it was sent, and whether it came. */
   private static final class Entry {
     final EngineJob job;
     final double expectedMs;
--- a/org.fawndrum/src/org/fawndrum/coordination/engine/EngineModelPlacement.java
+++ b/org.fawndrum/src/org/fawndrum/coordination/engine/EngineModelPlacement.java
@@ -21,8 +21,15 @@
  * thread.
  */
 public final class EngineModelPlacement implements Placement {
+  /** How many passed-over engines a decision shows. */
   private static final int SHOWN = 3;
 
+  /** What a plain endpoint in another zone costs, in pieces of work. */
+  private static final double OTHER_ZONE_WORK = 0.5;
+
+  /** The aim of a request whose route names none, in milliseconds. */
+  private static final long AIM_IF_NONE_MS = 1_000;
+
   private final Settings settings;
 
   /**
@@ -108,11 +115,25 @@
   }
 
   private double plainCost(EndpointState state, Query query) {
-    double otherZone = state.endpoint().zone().equals(query.zone()) ? 0 : 0.5;
+    double otherZone = state.endpoint().zone().equals(query.zone()) ? 0 : OTHER_ZONE_WORK;
     return state.load().size() + otherZone;
   }
 
+  /** Returns the best plan of so many engines, or null when fewer can take part. */
   private Plan plan(Query query, int engines) {
+    List<Option> options = options(query, engines);
+    if (options.size() < engines) {
+      return null;
+    }
+    List<Option> chosen = cheapest(query.facts(), options, engines);
+    double latest = chosen.stream().mapToDouble(Option::firstTokenMs).max().orElse(0);
+    double harm = chosen.stream().mapToDouble(Option::harm).sum();
+    double cost = harm + lateness(query.facts(), latest) + settings.perEngine() * (engines - 1);
+    return new Plan(chosen, cost);
+  }
+
+  /** Returns the engines that can take one part of so many. */
+  private List<Option> options(Query query, int engines) {
     List<Option> options = new ArrayList<>();
     int place = 0;
     for (EndpointState state : query.candidates()) {
@@ -124,10 +145,11 @@
         }
       }
     }
-    if (options.size() < engines) {
-      return null;
-    }
-    RequestFacts facts = query.facts();
+    return options;
+  }
+
+  /** Returns so many of the options, the one that writes the answer first. */
+  private List<Option> cheapest(RequestFacts facts, List<Option> options, int engines) {
     options.sort(
         Comparator.comparingDouble(
             option -> option.harm() + lateness(facts, option.firstTokenMs())));
@@ -136,10 +158,7 @@
     chosen.sort(
         Comparator.<Option>comparingInt(option -> option.state().load().streams())
             .thenComparingInt(Option::place));
-    double latest = chosen.stream().mapToDouble(Option::firstTokenMs).max().orElse(0);
-    double harm = chosen.stream().mapToDouble(Option::harm).sum();
-    double cost = harm + lateness(facts, latest) + settings.perEngine() * (engines - 1);
-    return new Plan(chosen, cost);
+    return chosen;
   }
 
   /** Returns the option of one engine, or null when it cannot take its part. */
@@ -225,7 +244,7 @@
 
   private static double aimMs(RequestFacts facts) {
     long aimMs = facts.aims().firstTokenMs();
-    return aimMs > 0 ? aimMs : 1_000;
+    return aimMs > 0 ? aimMs : AIM_IF_NONE_MS;
   }
 
   private double value(long promptTokens) {
