Shorten the attempts, exchanges and readers of the relay

Cause: an exchange asked three times whether an attempt still counts and prepared the head of a stream in two places; an attempt held long handlers; the reader of endpoints dropped entries in two ways and a local variable hid a field of the reader of configurations. Change: isAwaited, beginAnswer, endWhole, endStream, sending, drop, mayComeBack and tellRegained; comments say which methods all threads may call. Result: no change of behaviour.

--- a/org.fawndrum/src/org/fawndrum/transport/relay/ConfigurationReader.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/ConfigurationReader.java
@@ -7,7 +7,10 @@
 import org.fawndrum.protocol.KeyedPage;
 import org.fawndrum.protocol.KeyedPage.KeyedRecord;
 
-/** Brings the operators' configuration into force. Confined to one event loop. */
+/**
+ * Brings the operators' configuration into force. One that cannot be read is logged and confirms
+ * nothing. Confined to one event loop, but for {@link #newest}, which all threads may call.
+ */
 final class ConfigurationReader implements TopicFollower.Reader {
   private final RelayDecoder decoder;
   private final RouteStore routes;
@@ -32,13 +35,13 @@
 
   @Override
   public void changes(KeyedPage page, long provedMs) {
-    KeyedRecord newest = null;
+    KeyedRecord last = null;
     for (KeyedRecord record : page.records()) {
       if (decoder.isConfiguration(record) && !record.drops()) {
-        newest = record;
+        last = record;
       }
     }
-    if (newest == null || take(newest)) {
+    if (last == null || take(last)) {
       routes.confirmed(provedMs);
     }
   }
--- a/org.fawndrum/src/org/fawndrum/transport/relay/EndpointReader.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/EndpointReader.java
@@ -23,12 +23,14 @@
 /**
  * Keeps the list of endpoints from their own records. Entries that lapsed while the platform was
  * away are kept for a while after its return, because living endpoints write themselves again.
- * Confined to one event loop.
+ * Records that cannot be read are logged and change nothing. Confined to one event loop, but for
+ * {@link #readTo} and {@link #records}, which all threads may call.
  */
 final class EndpointReader implements TopicFollower.Reader {
   /** How long after its return the platform may still lack living endpoints, in milliseconds. */
   private static final long RETURN_MS = 2_000;
 
+  /** The time of a return before there was any. */
   private static final long NEVER = Long.MIN_VALUE / 2;
 
   private final RelayDecoder decoder;
@@ -36,9 +38,9 @@
   private final HostClock clock;
   private final HostLog log;
   private final Map<String, RelayDecoder.EndpointEntry> entries = new LinkedHashMap<>();
+  private final Map<String, KeyedRecord> records = new ConcurrentHashMap<>();
   private final Set<String> lapsed = new HashSet<>();
   private long returnedMs = NEVER;
-  private final Map<String, KeyedRecord> records = new ConcurrentHashMap<>();
   private volatile long readTo = -1;
   private long version;
 
@@ -106,20 +108,26 @@
 
   /** Drops an entry, or keeps it for a while when it may only have lapsed in an outage. */
   private void gone(String key) {
-    if (clock.nowMs() - returnedMs < RETURN_MS) {
+    if (mayComeBack()) {
       lapsed.add(key);
     } else {
-      entries.remove(key);
-      records.remove(key);
-      lapsed.remove(key);
+      drop(key);
     }
   }
 
+  private boolean mayComeBack() {
+    return clock.nowMs() - returnedMs < RETURN_MS;
+  }
+
+  private void drop(String key) {
+    entries.remove(key);
+    records.remove(key);
+    lapsed.remove(key);
+  }
+
   private void dropLapsed() {
-    if (!lapsed.isEmpty() && clock.nowMs() - returnedMs >= RETURN_MS) {
-      lapsed.forEach(entries::remove);
-      lapsed.forEach(records::remove);
-      lapsed.clear();
+    if (!lapsed.isEmpty() && !mayComeBack()) {
+      List.copyOf(lapsed).forEach(this::drop);
     }
   }
 
--- a/org.fawndrum/src/org/fawndrum/transport/relay/RelayAttempt.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/RelayAttempt.java
@@ -2,6 +2,7 @@
 package org.fawndrum.transport.relay;
 
 import io.vertx.core.MultiMap;
+import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClientRequest;
 import io.vertx.core.http.HttpClientResponse;
 import java.util.List;
@@ -21,7 +22,9 @@
 
   private static final int LOWEST_SUCCESS = 200;
   private static final int ABOVE_SUCCESS = 300;
-  private static final int MOST_URGENT = 9;
+
+  /** The priority of the most urgent requests; their urgency is 0. */
+  private static final int HIGHEST_PRIORITY = 9;
 
   private final Action.Send send;
   private final RelayCall call;
@@ -88,6 +91,7 @@
     return answer.headers();
   }
 
+  /** Sets memory aside where it is needed, then connects and sends. */
   void start() {
     memory
         .reserve()
@@ -138,6 +142,7 @@
     fail(AttemptEvent.STALLED);
   }
 
+  /** Ends the attempt because nobody waits for it any more; its owner hears nothing. */
   void cancel() {
     end();
     if (request != null) {
@@ -151,15 +156,7 @@
       return;
     }
     request = ready;
-    RelayCodec.Sending sending =
-        new RelayCodec.Sending(
-            send.endpoint(),
-            call.workspace().name(),
-            Math.max(1, send.deadlineMs() - tools.clock().nowMs()),
-            MOST_URGENT - send.priority(),
-            lastEventId,
-            memory.helpers());
-    request.headers().addAll(tools.codec().forEndpoint(call.headers(), sending));
+    request.headers().addAll(tools.codec().forEndpoint(call.headers(), sending()));
     request.exceptionHandler(cause -> fail(AttemptEvent.LOST));
     owner.handedOver();
     progressMs = tools.clock().nowMs();
@@ -178,6 +175,16 @@
             });
   }
 
+  private RelayCodec.Sending sending() {
+    return new RelayCodec.Sending(
+        send.endpoint(),
+        call.workspace().name(),
+        Math.max(1, send.deadlineMs() - tools.clock().nowMs()),
+        HIGHEST_PRIORITY - send.priority(),
+        lastEventId,
+        memory.helpers());
+  }
+
   private void answered(HttpClientResponse head) {
     if (ended) {
       return;
@@ -213,37 +220,41 @@
     head.body()
         .onComplete(
             body -> {
-              if (ended) {
-                return;
-              }
-              if (body.failed()) {
+              if (body.succeeded()) {
+                endWhole(head, body.result());
+              } else {
                 fail(AttemptEvent.LOST);
-                return;
               }
-              end();
-              owner.whole(
-                  this,
-                  new RelayExchange.WholeAnswer(head.statusCode(), head.headers(), body.result()));
             });
   }
 
+  private void endWhole(HttpClientResponse head, Buffer body) {
+    if (!ended) {
+      end();
+      owner.whole(this, new RelayExchange.WholeAnswer(head.statusCode(), head.headers(), body));
+    }
+  }
+
   private void readEvents(HttpClientResponse head) {
     EventSplitter splitter = new EventSplitter();
     head.handler(piece -> pass(splitter.take(piece)));
     head.endHandler(
         v -> {
-          if (ended) {
-            return;
+          if (!ended) {
+            endStream(splitter.midEvent());
           }
-          if (splitter.midEvent()) {
-            abandon();
-            return;
-          }
-          end();
-          owner.streamEnded(this);
         });
   }
 
+  private void endStream(boolean midEvent) {
+    if (midEvent) {
+      abandon();
+      return;
+    }
+    end();
+    owner.streamEnded(this);
+  }
+
   private void pass(List<EventSplitter.StreamEvent> events) {
     if (!events.isEmpty()) {
       progressMs = tools.clock().nowMs();
--- a/org.fawndrum/src/org/fawndrum/transport/relay/RelayExchange.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/RelayExchange.java
@@ -85,7 +85,7 @@
 
   @Override
   public void whole(RelayAttempt attempt, WholeAnswer answer) {
-    if (over || attempt != current) {
+    if (!isAwaited(attempt)) {
       return;
     }
     if (answer.status() >= RelayAttempt.LOWEST_FAILURE && call.route().repeatable()) {
@@ -98,6 +98,19 @@
     attempts.happened(attempt.id(), AttemptEvent.ANSWERED);
   }
 
+  /** Tells whether what an attempt brings still goes to the caller. */
+  private boolean isAwaited(RelayAttempt attempt) {
+    return !over && attempt == current;
+  }
+
+  /** Prepares the head of a stream's answer, unless an earlier attempt did. */
+  private void beginAnswer(RelayAttempt attempt) {
+    if (!response.headWritten()) {
+      response.headers().addAll(tools.codec().forCaller(attempt.answerHeaders()));
+      response.setStatusCode(attempt.answerStatus()).setChunked(true);
+    }
+  }
+
   private void deliver(WholeAnswer answer) {
     if (response.closed() || response.ended()) {
       return;
@@ -108,19 +121,14 @@
 
   @Override
   public boolean event(RelayAttempt attempt, EventSplitter.StreamEvent event) {
-    if (over || attempt != current) {
-      return true;
-    }
-    if (event.id() <= lastEventId) {
+    boolean known = event.id() <= lastEventId;
+    if (!isAwaited(attempt) || known) {
       return true;
     }
     if (event.id() != lastEventId + 1) {
       return false;
     }
-    if (!response.headWritten()) {
-      response.headers().addAll(tools.codec().forCaller(attempt.answerHeaders()));
-      response.setStatusCode(attempt.answerStatus()).setChunked(true);
-    }
+    beginAnswer(attempt);
     lastEventId = event.id();
     response.write(event.bytes());
     pace.event(tools.clock().nowMs());
@@ -133,14 +141,11 @@
 
   @Override
   public void streamEnded(RelayAttempt attempt) {
-    if (over || attempt != current) {
+    if (!isAwaited(attempt)) {
       return;
     }
     over = true;
-    if (!response.headWritten()) {
-      response.headers().addAll(tools.codec().forCaller(attempt.answerHeaders()));
-      response.setStatusCode(attempt.answerStatus()).setChunked(true);
-    }
+    beginAnswer(attempt);
     response.end();
     tools.decisions().streamEnded(call.request().requestId(), pace, attempt.endpointName());
     attempts.happened(attempt.id(), AttemptEvent.ANSWERED);
--- a/org.fawndrum/src/org/fawndrum/transport/relay/TopicFollower.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/TopicFollower.java
@@ -11,11 +11,14 @@
 import org.fawndrum.transport.HostClock;
 
 /**
- * Follows one keyed log from its newest records on, for as long as the host runs. Confined to one
- * event loop.
+ * Follows one keyed log from its newest records on, for as long as the host runs. While the
+ * platform does not answer it is asked again and again, at growing intervals; when records are gone
+ * before they were read, the newest are read again. Confined to one event loop.
  */
 final class TopicFollower {
+  /** The pause before the first retry, in milliseconds; doubled with each. */
   private static final long FIRST_AGAIN_MS = 100;
+
   private static final long LONGEST_AGAIN_MS = 1_000;
 
   /** When the last proof is older than this, a question does not wait, in milliseconds. */
@@ -102,11 +105,7 @@
   }
 
   private void answered(KeyedPage page, boolean whole, long askedMs, long waitMs) {
-    if (lost) {
-      lost = false;
-      hostLog.event(LogEvent.PLATFORM_BACK);
-      reader.regained();
-    }
+    tellRegained();
     againMs = FIRST_AGAIN_MS;
     if (page.end() >= next) {
       next = page.end();
@@ -120,6 +119,14 @@
     later(pace.pauseMs());
   }
 
+  private void tellRegained() {
+    if (lost) {
+      lost = false;
+      hostLog.event(LogEvent.PLATFORM_BACK);
+      reader.regained();
+    }
+  }
+
   /**
    * Returns the time up to which an answer proves what the log held. One without records came only
    * after the wait was over, and so proves that nothing was there until then.
