Sort the relay's events by whom they concern

Cause: one chain of eight cases handled the events of requests, of other daemons and of the store. Change: a sealed interface for each of the three and a method of RelayDuty for each. Result: short methods; each event has the effects that it had.

--- a/org.fawndrum/src/org/fawndrum/transport/relay/RelayDuty.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/RelayDuty.java
@@ -20,7 +20,8 @@
 
 /**
  * The thread that decides about relayed requests. It feeds events with their time to the
- * coordinator and has the actions carried out.
+ * coordinator and has the actions carried out. Its methods are safe for all threads and never
+ * block.
  */
 final class RelayDuty {
   private static final int RING_EVENTS = 8_192;
@@ -99,6 +100,17 @@
 
   private void handle(RelayEvent event) {
     long nowMs = clock.nowMs();
+    if (event instanceof RelayEvent.OfRequest ofRequest) {
+      handle(ofRequest, nowMs);
+    } else if (event instanceof RelayEvent.OfDaemon ofDaemon) {
+      handle(ofDaemon, nowMs);
+    } else if (event instanceof RelayEvent.OfStore ofStore) {
+      handle(ofStore, nowMs);
+    }
+    open = coordinator.open();
+  }
+
+  private void handle(RelayEvent.OfRequest event, long nowMs) {
     if (event instanceof RelayEvent.Arrived arrived) {
       carryOut(coordinator.arrive(arrived.facts(), nowMs));
     } else if (event instanceof RelayEvent.Attempted attempted) {
@@ -108,13 +120,21 @@
       }
     } else if (event instanceof RelayEvent.CallerGone gone) {
       carryOut(coordinator.callerGone(gone.requestId(), nowMs));
-    } else if (event instanceof RelayEvent.Told told) {
+    }
+  }
+
+  private void handle(RelayEvent.OfDaemon event, long nowMs) {
+    if (event instanceof RelayEvent.Told told) {
       carryOut(coordinator.told(told.from(), told.news(), told.all(), nowMs));
     } else if (event instanceof RelayEvent.DaemonGone gone) {
       carryOut(coordinator.daemonGone(gone.daemon(), nowMs));
     } else if (event instanceof RelayEvent.WorkWanted wanted) {
       wanted.reply().accept(coordinator.work());
-    } else if (event instanceof RelayEvent.RoutesChanged changed) {
+    }
+  }
+
+  private void handle(RelayEvent.OfStore event, long nowMs) {
+    if (event instanceof RelayEvent.RoutesChanged changed) {
       routes = changed.routes();
       carryOut(coordinator.table(changed.table(), nowMs));
       offerEndpoints(nowMs);
@@ -123,7 +143,6 @@
         offerEndpoints(nowMs);
       }
     }
-    open = coordinator.open();
   }
 
   /** Offers the endpoints with what the configuration says of their services. */
--- a/org.fawndrum/src/org/fawndrum/transport/relay/RelayEvent.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/RelayEvent.java
@@ -14,27 +14,36 @@
 
 /** An event for the thread that decides. */
 sealed interface RelayEvent {
+  /** An event of one request. */
+  sealed interface OfRequest extends RelayEvent {}
+
+  /** An event of another daemon, or for one. */
+  sealed interface OfDaemon extends RelayEvent {}
+
+  /** An event of the platform's store. */
+  sealed interface OfStore extends RelayEvent {}
+
   /** A request came in. */
-  record Arrived(RequestFacts facts) implements RelayEvent {}
+  record Arrived(RequestFacts facts) implements OfRequest {}
 
   /** Something happened to an attempt. */
-  record Attempted(AttemptId attempt, AttemptEvent event) implements RelayEvent {}
+  record Attempted(AttemptId attempt, AttemptEvent event) implements OfRequest {}
 
   /** A caller closed its connection. */
-  record CallerGone(String requestId) implements RelayEvent {}
+  record CallerGone(String requestId) implements OfRequest {}
 
   /** A newer configuration is in force. */
-  record RoutesChanged(RouteTable routes, TableRevision table) implements RelayEvent {}
+  record RoutesChanged(RouteTable routes, TableRevision table) implements OfStore {}
 
   /** Another daemon tells about its work at endpoints; {@code all} when it names all of it. */
-  record Told(HostIdentity from, List<EngineNews> news, boolean all) implements RelayEvent {}
+  record Told(HostIdentity from, List<EngineNews> news, boolean all) implements OfDaemon {}
 
   /** Another daemon is gone. */
-  record DaemonGone(HostIdentity daemon) implements RelayEvent {}
+  record DaemonGone(HostIdentity daemon) implements OfDaemon {}
 
   /** All the work of this host is wanted for other daemons. */
-  record WorkWanted(Consumer<List<EngineNews>> reply) implements RelayEvent {}
+  record WorkWanted(Consumer<List<EngineNews>> reply) implements OfDaemon {}
 
   /** The list of endpoints changed. */
-  record Listed(HostListing listing) implements RelayEvent {}
+  record Listed(HostListing listing) implements OfStore {}
 }
