Keep the other daemons in a class of their own

Cause: FleetDuty held both the thread that sends heartbeats and the table of daemons with its time limits. Change: KnownDaemons keeps the table, without effects of its own; FleetDuty has the effects, in the same order.

--- a/org.fawndrum/src/org/fawndrum/transport/relay/FleetDuty.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/FleetDuty.java
@@ -3,11 +3,8 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
-import java.util.HashMap;
 import java.util.HashSet;
-import java.util.Iterator;
 import java.util.List;
-import java.util.Map;
 import java.util.Set;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
@@ -28,7 +25,8 @@
 
 /**
  * The thread that knows the other daemons: it tells them about this host's work as it changes and,
- * once a second, about all of it, so that a message that got lost does no lasting harm.
+ * with a heartbeat once a second, about all of it, so that a message that got lost does no lasting
+ * harm. Its methods are safe for all threads and never block.
  */
 final class FleetDuty {
   private static final int RING = 8_192;
@@ -36,12 +34,6 @@
   /** The interval of heartbeats, in milliseconds. */
   private static final long BEAT_MS = 1_000;
 
-  /** A daemon that was silent for so long counts as gone, in milliseconds. */
-  private static final long GONE_MS = 3_500;
-
-  /** How long the address of a silent daemon is tried, in milliseconds. */
-  private static final long FORGET_MS = 60_000;
-
   private final HostIdentity self;
   private final Supplier<RelaySettings> current;
   private final RelaySettings settings;
@@ -50,20 +42,9 @@
   private final Consumer<RelayEvent> decisions;
   private final HostLog log;
   private final Duty<FleetEvent> duty;
-  private final Map<HostAddress, Peer> peers = new HashMap<>();
+  private final KnownDaemons daemons;
   private final List<EngineNews> pending = new ArrayList<>();
   private long nextBeatMs;
-  private volatile List<HostAddress> alive = List.of();
-
-  /** Another daemon, or an address where one may be. */
-  private static final class Peer {
-    HostIdentity identity;
-    long heardMs;
-
-    Peer(long knownMs) {
-      heardMs = knownMs;
-    }
-  }
 
   /** An event of this thread. */
   sealed interface FleetEvent {
@@ -88,6 +69,7 @@
     this.self = self;
     this.current = current;
     this.settings = current.get();
+    this.daemons = new KnownDaemons(settings.peers());
     this.network = network;
     this.clock = clock;
     this.decisions = decisions;
@@ -106,7 +88,7 @@
 
   /** Returns where the other daemons are that are alive, as last seen. */
   List<HostAddress> alive() {
-    return alive;
+    return daemons.alive();
   }
 
   void offer(FleetEvent event) {
@@ -129,53 +111,38 @@
     if (heard.from().host().equals(self.host())) {
       return;
     }
-    Peer peer = peers.computeIfAbsent(heard.address(), address -> new Peer(nowMs));
-    boolean other = peer.identity != null && !peer.identity.equals(heard.from());
+    HostIdentity before = daemons.heard(heard.from(), heard.address(), nowMs);
+    boolean other = before != null && !before.equals(heard.from());
     if (other) {
-      decisions.accept(new RelayEvent.DaemonGone(peer.identity));
+      decisions.accept(new RelayEvent.DaemonGone(before));
     }
-    if (peer.identity == null || other) {
+    if (before == null || other) {
       log.event(LogEvent.PEER_ALIVE, heard.from());
       nextBeatMs = nowMs;
     }
-    boolean isNew = peer.identity == null;
-    peer.identity = heard.from();
-    if (isNew) {
-      seeAlive();
+    if (before == null) {
+      daemons.showAlive();
     }
-    peer.heardMs = nowMs;
-    for (HostAddress address : heard.known()) {
-      if (!address.equals(settings.peers())) {
-        peers.computeIfAbsent(address, key -> new Peer(nowMs));
-      }
-    }
-  }
-
-  private void seeAlive() {
-    alive =
-        peers.entrySet().stream()
-            .filter(peer -> peer.getValue().identity != null)
-            .map(Map.Entry::getKey)
-            .toList();
+    daemons.learn(heard.known(), nowMs);
   }
 
   private long tick() {
     long nowMs = clock.nowMs();
     if (!pending.isEmpty()) {
-      tell(pending, false, peers.keySet(), nowMs);
+      tell(pending, false, daemons.addresses(), nowMs);
       pending.clear();
     }
     if (nowMs >= nextBeatMs) {
       nextBeatMs = nowMs + BEAT_MS;
-      forget(nowMs);
-      seeAlive();
+      daemons.forget(nowMs, this::gone);
+      daemons.showAlive();
       decisions.accept(new RelayEvent.WorkWanted(work -> duty.offer(new FleetEvent.All(work))));
     }
     return nextBeatMs - nowMs;
   }
 
   private void beat(List<EngineNews> work) {
-    Set<HostAddress> to = new HashSet<>(peers.keySet());
+    Set<HostAddress> to = new HashSet<>(daemons.addresses());
     for (HostAddress seed : current.get().seeds()) {
       if (!seed.equals(settings.peers())) {
         to.add(seed);
@@ -193,11 +160,8 @@
             .setPeerPort(settings.peers().port())
             .setWhole(whole);
     if (whole) {
-      for (Map.Entry<HostAddress, Peer> peer : peers.entrySet()) {
-        if (peer.getValue().identity != null) {
-          HostAddress at = peer.getKey();
-          told.addKnown(PeerPlace.newBuilder().setIp(at.ip()).setPort(at.port()));
-        }
+      for (HostAddress at : daemons.aliveNow()) {
+        told.addKnown(PeerPlace.newBuilder().setIp(at.ip()).setPort(at.port()));
       }
     }
     FleetCodec.write(told, news, nowMs);
@@ -205,21 +169,9 @@
     to.forEach(address -> network.tell(address, message));
   }
 
-  private void forget(long nowMs) {
-    Iterator<Map.Entry<HostAddress, Peer>> all = peers.entrySet().iterator();
-    while (all.hasNext()) {
-      Map.Entry<HostAddress, Peer> entry = all.next();
-      Peer peer = entry.getValue();
-      long silentMs = nowMs - peer.heardMs;
-      if (peer.identity != null && silentMs > GONE_MS) {
-        log.event(LogEvent.PEER_SUSPECTED, peer.identity, Long.toString(silentMs));
-        decisions.accept(new RelayEvent.DaemonGone(peer.identity));
-        peer.identity = null;
-        network.drop(entry.getKey());
-      }
-      if (silentMs > FORGET_MS) {
-        all.remove();
-      }
-    }
+  private void gone(HostAddress address, HostIdentity daemon, long silentMs) {
+    log.event(LogEvent.PEER_SUSPECTED, daemon, Long.toString(silentMs));
+    decisions.accept(new RelayEvent.DaemonGone(daemon));
+    network.drop(address);
   }
 }
