Move the end of a relaying host into RelayDrain

Cause: RelayRuntime wired the host together and also watched over its end. Change: RelayDrain holds the order to stop, the look at what is left and their times.

--- a/org.fawndrum/src/org/fawndrum/transport/relay/RelayRuntime.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/RelayRuntime.java
@@ -30,6 +30,7 @@
  * decides, wired together. A daemon is this class with settings and signals around it.
  */
 public final class RelayRuntime {
+  /** The pause before an event that found no room in the ring is offered again, in milliseconds. */
   private static final long AGAIN_MS = 1;
 
   /** How long a question for the configuration waits; below the bound for revoked keys. */
@@ -38,14 +39,6 @@
   /** How often the endpoints are read; with an answer's time it stays below the drain bound. */
   private static final long ENDPOINTS_PAUSE_MS = 1_100;
 
-  /** After this the balancer sends no new connections, in milliseconds from the order to stop. */
-  private static final long BALANCER_MS = 2_500;
-
-  /** How long before the end of the grace period the host ends by itself, in milliseconds. */
-  private static final long BEFORE_KILL_MS = 400;
-
-  private static final long STOP_LOOK_MS = 100;
-
   /**
    * The part of the retries allowed to all daemons that they use; the rest is for counting late.
    */
@@ -62,6 +55,7 @@
   private final RouteStore routes;
   private final RelayDuty decisions;
   private final RelayServer callers;
+  private final RelayDrain drain;
   private final ReadinessServer readiness;
   private final NettyPeerNetwork network;
   private final FleetDuty fleet;
@@ -72,7 +66,6 @@
   private final DecisionLog decisionLog;
   private volatile long listingVersion = -1;
   private volatile long listedAtMs;
-  private volatile boolean stopping;
 
   /**
    * Makes a host that has not started.
@@ -110,6 +103,7 @@
     this.network = new NettyPeerNetwork(peers, desk, log);
     this.fleet = new FleetDuty(self, () -> settings, network, clock, this::offerSurely, log);
     this.callers = callerServer(adapter);
+    this.drain = new RelayDrain(vertx, callers, decisions, () -> settings.bounds(), clock, log);
     this.readiness = new ReadinessServer(vertx, settings.readiness(), this::ready);
     ConfigurationReader configurations = new ConfigurationReader(adapter.decoder(), routes, log);
     EndpointReader records = new EndpointReader(adapter.decoder(), this::listed, clock, log);
@@ -230,7 +224,7 @@
   /** Tells whether this host takes callers: it knows what it needs and is not stopping. */
   public boolean ready() {
     boolean fresh = routes.ageMs(clock.nowMs()) < settings.bounds().revokeMs();
-    return !stopping && fresh && listingVersion >= 0 && routes.table().revision() >= 0;
+    return !drain.begun() && fresh && listingVersion >= 0 && routes.table().revision() >= 0;
   }
 
   /** Events about work already taken must not be lost: when the ring is full, they come again. */
@@ -256,29 +250,6 @@
    * when the process may end: when nothing is left, or shortly before it would be killed.
    */
   public CompletableFuture<Void> stop() {
-    CompletableFuture<Void> done = new CompletableFuture<>();
-    if (stopping) {
-      return done;
-    }
-    stopping = true;
-    long begunMs = clock.nowMs();
-    log.event(LogEvent.DRAIN_BEGAN, Integer.toString(decisions.open()));
-    vertx.runOnContext(v -> callers.stop());
-    vertx.setPeriodic(STOP_LOOK_MS, id -> lookIfStopped(id, begunMs, done));
-    return done;
-  }
-
-  private void lookIfStopped(long timer, long begunMs, CompletableFuture<Void> done) {
-    long sinceMs = clock.nowMs() - begunMs;
-    if (sinceMs < BALANCER_MS) {
-      return;
-    }
-    callers.closeIdle();
-    boolean last = sinceMs > settings.bounds().graceMs() - BEFORE_KILL_MS;
-    if (last || decisions.open() == 0 && callers.connections() == 0) {
-      vertx.cancelTimer(timer);
-      log.event(LogEvent.DRAIN_ENDED);
-      done.complete(null);
-    }
+    return drain.begin();
   }
 }
