Share how both callers' servers read failures

Cause: RelayServer repeated two pieces of CallerServer: what a failed stage means for the caller, and what is wrong with a head that could not be read. Some classes were named in full instead of imported. Change: RefusedException.refusalOf and UnreadableHead.kind serve both servers; imports. Result: the same refusals.

--- a/org.fawndrum/src/org/fawndrum/errors/RefusedException.java
+++ b/org.fawndrum/src/org/fawndrum/errors/RefusedException.java
@@ -1,7 +1,10 @@
 // SPDX-License-Identifier: Apache-2.0
 package org.fawndrum.errors;
 
+import java.util.concurrent.CompletionException;
+import org.fawndrum.coordination.Ran;
 import org.fawndrum.coordination.Refusal;
+import org.fawndrum.coordination.RefusalKind;
 import org.fawndrum.internal.text.MessageText;
 
 /** A request got no whole answer. */
@@ -17,6 +20,18 @@
     this.refusal = refusal;
   }
 
+  /**
+   * Returns the refusal that ended a stage, or an internal fault when something else did.
+   *
+   * @param failure as the stage gives it, with or without its wrapping
+   */
+  public static Refusal refusalOf(Throwable failure) {
+    Throwable cause = failure instanceof CompletionException ? failure.getCause() : failure;
+    return cause instanceof RefusedException refused
+        ? refused.refusal()
+        : Refusal.of(RefusalKind.INTERNAL, Ran.NO, Refusal.NEVER);
+  }
+
   /** Returns the id of the request; empty when it has none. */
   public String requestId() {
     return requestId;
--- a/org.fawndrum/src/org/fawndrum/transport/CallerServer.java
+++ b/org.fawndrum/src/org/fawndrum/transport/CallerServer.java
@@ -10,8 +10,6 @@
 import io.vertx.core.http.HttpServerRequest;
 import io.vertx.core.http.HttpServerResponse;
 import java.util.Optional;
-import java.util.concurrent.CompletionException;
-import org.fawndrum.coordination.Ran;
 import org.fawndrum.coordination.Refusal;
 import org.fawndrum.coordination.RefusalKind;
 import org.fawndrum.errors.RefusedException;
@@ -105,11 +103,7 @@
   }
 
   private void invalid(HttpServerRequest request) {
-    Throwable cause = request.decoderResult().cause();
-    boolean tooLarge =
-        cause instanceof io.netty.handler.codec.http.TooLongHttpHeaderException
-            || cause instanceof io.netty.handler.codec.http.TooLongHttpLineException;
-    RefusalKind kind = tooLarge ? RefusalKind.HEADERS_TOO_LARGE : RefusalKind.INVALID_REQUEST;
+    RefusalKind kind = UnreadableHead.kind(request);
     CallerResponse.refuseAndClose(request, ids.next(), Refusal.notRun(kind));
   }
 
@@ -136,7 +130,7 @@
                         connections.trusted(request.connection()))))
         .exceptionally(
             failure -> {
-              refuse(request, requestId, refusalOf(failure));
+              refuse(request, requestId, RefusedException.refusalOf(failure));
               return null;
             });
   }
@@ -150,13 +144,6 @@
     }
   }
 
-  private static Refusal refusalOf(Throwable failure) {
-    Throwable cause = failure instanceof CompletionException ? failure.getCause() : failure;
-    return cause instanceof RefusedException refused
-        ? refused.refusal()
-        : Refusal.of(RefusalKind.INTERNAL, Ran.NO, Refusal.NEVER);
-  }
-
   private void refuse(HttpServerRequest request, String requestId, Refusal refusal) {
     boolean unread =
         refusal.kind() == RefusalKind.BODY_TOO_LARGE
--- a/org.fawndrum/src/org/fawndrum/transport/relay/PromptMemory.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/PromptMemory.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import org.fawndrum.coordination.Action;
 import org.fawndrum.coordination.AttemptId;
+import org.fawndrum.errors.EndpointMemoryShortException;
 import org.fawndrum.internal.log.HostLog;
 import org.fawndrum.internal.log.LogEvent;
 
@@ -98,8 +99,7 @@
                 granted && !freed
                     ? reserveFrom(inOrder, index + 1)
                     : Future.failedFuture(
-                        new org.fawndrum.errors.EndpointMemoryShortException(
-                            part.helper().endpoint().name())));
+                        new EndpointMemoryShortException(part.helper().endpoint().name())));
   }
 
   private Future<Boolean> order(Part part) {
--- a/org.fawndrum/src/org/fawndrum/transport/relay/RelayIntake.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/RelayIntake.java
@@ -17,6 +17,7 @@
 import org.fawndrum.state.RouteTable;
 import org.fawndrum.state.ServiceProfile;
 import org.fawndrum.state.Workspace;
+import org.fawndrum.transport.AttemptListener;
 
 /** Finds the route and the workspace of a request and hands it to the decisions. */
 final class RelayIntake implements RelayServer.Intake {
@@ -32,8 +33,8 @@
   private final Supplier<RelayBounds> bounds;
   private final Attempts attempts;
 
-  /** Makes the exchange's way back to the decisions. */
-  interface Attempts extends org.fawndrum.transport.AttemptListener {
+  /** The way back from exchanges to the decisions. */
+  interface Attempts extends AttemptListener {
     /** The caller of a request closed its connection. */
     void callerGone(String requestId);
   }
--- a/org.fawndrum/src/org/fawndrum/transport/relay/RelayServer.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/RelayServer.java
@@ -11,7 +11,6 @@
 import io.vertx.core.http.HttpServerRequest;
 import java.util.HashMap;
 import java.util.Map;
-import java.util.concurrent.CompletionException;
 import org.fawndrum.coordination.Ran;
 import org.fawndrum.coordination.Refusal;
 import org.fawndrum.coordination.RefusalKind;
@@ -22,6 +21,7 @@
 import org.fawndrum.transport.BodyReader;
 import org.fawndrum.transport.HostClock;
 import org.fawndrum.transport.IdleConnections;
+import org.fawndrum.transport.UnreadableHead;
 
 /**
  * The callers' address. It reads whole requests within the limits of the configuration in force and
@@ -138,11 +138,7 @@
   }
 
   private void invalid(HttpServerRequest request) {
-    Throwable cause = request.decoderResult().cause();
-    boolean tooLarge =
-        cause instanceof io.netty.handler.codec.http.TooLongHttpHeaderException
-            || cause instanceof io.netty.handler.codec.http.TooLongHttpLineException;
-    RefusalKind kind = tooLarge ? RefusalKind.HEADERS_TOO_LARGE : RefusalKind.INVALID_REQUEST;
+    RefusalKind kind = UnreadableHead.kind(request);
     turnAwayAndClose(request, "", Refusal.notRun(kind));
   }
 
@@ -194,18 +190,11 @@
         .thenAccept(body -> intake.take(new Incoming(http, request, body, arrivedMs, context)))
         .exceptionally(
             failure -> {
-              refuse(http, request.requestId(), refusalOf(failure));
+              refuse(http, request.requestId(), RefusedException.refusalOf(failure));
               return null;
             });
   }
 
-  private static Refusal refusalOf(Throwable failure) {
-    Throwable cause = failure instanceof CompletionException ? failure.getCause() : failure;
-    return cause instanceof RefusedException refused
-        ? refused.refusal()
-        : Refusal.of(RefusalKind.INTERNAL, Ran.NO, Refusal.NEVER);
-  }
-
   private void turnAwayAndClose(HttpServerRequest http, String requestId, Refusal refusal) {
     decisions.turnedAway(requestId, refusal);
     RelayRefusals.answerAndClose(http, codec, requestId, refusal);
