--- a/org.fawndrum/src/org/fawndrum/transport/relay/PromptMemory.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/PromptMemory.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import org.fawndrum.coordination.Action;
 import org.fawndrum.coordination.AttemptId;
+import org.fawndrum.errors.EndpointMemoryShortException;
 import org.fawndrum.internal.log.HostLog;
 import org.fawndrum.internal.log.LogEvent;
 
@@ -28,7 +29,6 @@
 
   private final Vertx vertx;
   private final EngineOrders orders;
-  private final AttemptId attempt;
   private final List<Part> parts;
   private final HostLog log;
   private final List<Part> held = new ArrayList<>();
@@ -46,7 +46,6 @@
       HostLog log) {
     this.vertx = vertx;
     this.orders = orders;
-    this.attempt = attempt;
     this.log = log;
     String owner = Integer.toHexString(attempt.owner().hashCode());
     List<Part> all = new ArrayList<>();
@@ -100,8 +99,7 @@
                 granted && !freed
                     ? reserveFrom(inOrder, index + 1)
                     : Future.failedFuture(
-                        new org.fawndrum.errors.EndpointMemoryShortException(
-                            part.helper().endpoint().name())));
+                        new EndpointMemoryShortException(part.helper().endpoint().name())));
   }
 
   private Future<Boolean> order(Part part) {
@@ -139,9 +137,4 @@
               }
             });
   }
-
-  @Override
-  public String toString() {
-    return "memory of " + attempt;
-  }
 }
--- a/org.fawndrum/src/org/fawndrum/transport/relay/RelayDuty.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/RelayDuty.java
@@ -20,9 +20,10 @@
 
 /**
  * The thread that decides about relayed requests. It feeds events with their time to the
- * coordinator and has the actions carried out.
+ * coordinator and has the actions carried out. Its methods are safe for all threads and never
+ * block.
  */
-final class RelayDuty implements AutoCloseable {
+final class RelayDuty {
   private static final int RING_EVENTS = 8_192;
 
   /** How long the thread sleeps when nothing is due, in milliseconds. */
@@ -63,11 +64,6 @@
     duty.start();
   }
 
-  @Override
-  public void close() {
-    duty.close();
-  }
-
   /** Returns about how many requests have no final answer. */
   int open() {
     return open + duty.ring().size();
@@ -104,6 +100,17 @@
 
   private void handle(RelayEvent event) {
     long nowMs = clock.nowMs();
+    if (event instanceof RelayEvent.OfRequest ofRequest) {
+      handle(ofRequest, nowMs);
+    } else if (event instanceof RelayEvent.OfDaemon ofDaemon) {
+      handle(ofDaemon, nowMs);
+    } else if (event instanceof RelayEvent.OfStore ofStore) {
+      handle(ofStore, nowMs);
+    }
+    open = coordinator.open();
+  }
+
+  private void handle(RelayEvent.OfRequest event, long nowMs) {
     if (event instanceof RelayEvent.Arrived arrived) {
       carryOut(coordinator.arrive(arrived.facts(), nowMs));
     } else if (event instanceof RelayEvent.Attempted attempted) {
@@ -113,13 +120,21 @@
       }
     } else if (event instanceof RelayEvent.CallerGone gone) {
       carryOut(coordinator.callerGone(gone.requestId(), nowMs));
-    } else if (event instanceof RelayEvent.Told told) {
+    }
+  }
+
+  private void handle(RelayEvent.OfDaemon event, long nowMs) {
+    if (event instanceof RelayEvent.Told told) {
       carryOut(coordinator.told(told.from(), told.news(), told.all(), nowMs));
     } else if (event instanceof RelayEvent.DaemonGone gone) {
       carryOut(coordinator.daemonGone(gone.daemon(), nowMs));
     } else if (event instanceof RelayEvent.WorkWanted wanted) {
       wanted.reply().accept(coordinator.work());
-    } else if (event instanceof RelayEvent.RoutesChanged changed) {
+    }
+  }
+
+  private void handle(RelayEvent.OfStore event, long nowMs) {
+    if (event instanceof RelayEvent.RoutesChanged changed) {
       routes = changed.routes();
       carryOut(coordinator.table(changed.table(), nowMs));
       offerEndpoints(nowMs);
@@ -127,12 +142,7 @@
       if (roster.listed(listed.listing())) {
         offerEndpoints(nowMs);
       }
-    } else if (event instanceof RelayEvent.Leaving leaving) {
-      if (roster.saidLeaving(leaving.endpoint())) {
-        offerEndpoints(nowMs);
-      }
     }
-    open = coordinator.open();
   }
 
   /** Offers the endpoints with what the configuration says of their services. */
--- a/org.fawndrum/src/org/fawndrum/transport/relay/RelayServer.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/RelayServer.java
@@ -11,7 +11,6 @@
 import io.vertx.core.http.HttpServerRequest;
 import java.util.HashMap;
 import java.util.Map;
-import java.util.concurrent.CompletionException;
 import java.util.function.BooleanSupplier;
 import org.fawndrum.coordination.Ran;
 import org.fawndrum.coordination.Refusal;
@@ -22,6 +21,7 @@
 import org.fawndrum.transport.BodyReader;
 import org.fawndrum.transport.HostClock;
 import org.fawndrum.transport.IdleConnections;
+import org.fawndrum.transport.UnreadableHead;
 
 /**
  * The callers' address. It reads whole requests within the limits of the configuration in force and
@@ -51,7 +51,6 @@
   private final BooleanSupplier known;
   private final IdleConnections idle;
   private final Map<HttpConnection, Integer> busy = new HashMap<>();
-  private HttpServer server;
   private boolean stopping;
 
   /** Takes requests that are whole. */
@@ -108,13 +107,12 @@
             .setHttp2ClearTextEnabled(false)
             .setUseAlpn(false)
             .setTcpNoDelay(true);
-    server =
-        vertx
-            .createHttpServer(options)
-            .requestHandler(this::handle)
-            .invalidRequestHandler(this::invalid)
-            .connectionHandler(this::opened);
-    return server.listen();
+    return vertx
+        .createHttpServer(options)
+        .requestHandler(this::handle)
+        .invalidRequestHandler(this::invalid)
+        .connectionHandler(this::opened)
+        .listen();
   }
 
   /** From now on connections end with the answer that they wait for. */
@@ -136,10 +134,6 @@
     return busy.size();
   }
 
-  Future<Void> close() {
-    return server == null ? Future.succeededFuture() : server.close();
-  }
-
   private void opened(HttpConnection connection) {
     busy.put(connection, 0);
     idle.opened(connection);
@@ -151,11 +145,7 @@
   }
 
   private void invalid(HttpServerRequest request) {
-    Throwable cause = request.decoderResult().cause();
-    boolean tooLarge =
-        cause instanceof io.netty.handler.codec.http.TooLongHttpHeaderException
-            || cause instanceof io.netty.handler.codec.http.TooLongHttpLineException;
-    RefusalKind kind = tooLarge ? RefusalKind.HEADERS_TOO_LARGE : RefusalKind.INVALID_REQUEST;
+    RefusalKind kind = UnreadableHead.kind(request);
     turnAwayAndClose(request, "", Refusal.notRun(kind));
   }
 
@@ -201,7 +191,7 @@
         .thenAccept(body -> takeWhenKnown(new Incoming(http, request, body, arrivedMs, context)))
         .exceptionally(
             failure -> {
-              refuse(http, request.requestId(), refusalOf(failure));
+              refuse(http, request.requestId(), RefusedException.refusalOf(failure));
               return null;
             });
   }
@@ -230,13 +220,6 @@
     }
   }
 
-  private static Refusal refusalOf(Throwable failure) {
-    Throwable cause = failure instanceof CompletionException ? failure.getCause() : failure;
-    return cause instanceof RefusedException refused
-        ? refused.refusal()
-        : Refusal.of(RefusalKind.INTERNAL, Ran.NO, Refusal.NEVER);
-  }
-
   private void turnAwayAndClose(HttpServerRequest http, String requestId, Refusal refusal) {
     decisions.turnedAway(requestId, refusal);
     RelayRefusals.answerAndClose(http, codec, requestId, refusal);
