--- a/org.fawndrum/src/org/fawndrum/coordination/EndRules.java
+++ b/org.fawndrum/src/org/fawndrum/coordination/EndRules.java
@@ -23,9 +23,14 @@
     return attempt.state == AttemptState.NOT_RUN || request.facts.repeatable();
   }
 
-  /** Tells whether the end of an attempt lets its endpoint rest for a while. */
-  static boolean blames(AttemptEvent event) {
-    return event != AttemptEvent.FAILED_BY_ENDPOINT && event != AttemptEvent.STALLED;
+  /** Keeps a request from the endpoint of its failed attempt, and lets that rest where due. */
+  static void blame(
+      LiveRequest request, LiveRequest.Attempt attempt, AttemptEvent event, long nowMs) {
+    boolean rests = event != AttemptEvent.FAILED_BY_ENDPOINT && event != AttemptEvent.STALLED;
+    if (rests) {
+      attempt.endpoint.failed(nowMs);
+    }
+    request.excluded.add(attempt.endpoint.endpoint().identity());
   }
 
   /** Returns the reason that is shown for a refusal of a new request. */
--- a/org.fawndrum/src/org/fawndrum/coordination/EngineWork.java
+++ b/org.fawndrum/src/org/fawndrum/coordination/EngineWork.java
@@ -86,7 +86,11 @@
       ownRead.remove(id);
       if (job != null) {
         onLoad(job, load -> load.ended(id, nowMs));
-        out.add(new Action.Announce(new EngineNews.Ended(id, failed && job.writes())));
+        boolean atFault =
+            attempt.helperAtFault == null
+                ? failed && job.writes()
+                : job.endpoint().equals(attempt.helperAtFault);
+        out.add(new Action.Announce(new EngineNews.Ended(id, atFault)));
       }
     }
   }
@@ -134,6 +138,14 @@
     return others.computeIfAbsent(daemon, key -> new HashMap<>());
   }
 
+  /** Lets an endpoint rest for a while. */
+  void failed(HostIdentity endpoint, long nowMs) {
+    EndpointState state = endpoints.state(endpoint);
+    if (state != null) {
+      state.failed(nowMs);
+    }
+  }
+
   private void heardEnded(EngineJob job, boolean failed, long nowMs) {
     if (job == null) {
       return;
--- a/org.fawndrum/src/org/fawndrum/coordination/LiveRequest.java
+++ b/org.fawndrum/src/org/fawndrum/coordination/LiveRequest.java
@@ -34,6 +34,10 @@
     final AttemptId id;
     final EndpointState endpoint;
     final List<Long> jobs = new ArrayList<>(1);
+
+    /** The engine that kept the others from taking the request; null when none did. */
+    HostIdentity helperAtFault;
+
     AttemptState state = AttemptState.WAITING;
 
     Attempt(AttemptId id, EndpointState endpoint) {
--- a/org.fawndrum/src/org/fawndrum/coordination/RequestCoordinator.java
+++ b/org.fawndrum/src/org/fawndrum/coordination/RequestCoordinator.java
@@ -200,11 +200,27 @@
     usages.get(request.facts.group()).waiting++;
   }
 
+  /** Takes note that an attempt is refused because of one of its helpers, before it ends. */
+  public List<Action> helperRefused(AttemptId id, HostIdentity helper, long nowMs) {
+    LiveRequest request = requests.get(id.requestId());
+    LiveRequest.Attempt attempt = own(request, id);
+    if (attempt != null) {
+      attempt.helperAtFault = helper;
+      request.excluded.add(helper);
+      work.failed(helper, nowMs);
+    }
+    return flush(nowMs);
+  }
+
+  private LiveRequest.Attempt own(LiveRequest request, AttemptId id) {
+    return request == null || !id.owner().equals(self) ? null : request.attempt(id.number());
+  }
+
   /** Takes note of what happened to an attempt. Events of ended requests change nothing. */
   public List<Action> attempt(AttemptId id, AttemptEvent event, long nowMs) {
     LiveRequest request = requests.get(id.requestId());
-    LiveRequest.Attempt attempt = request == null ? null : request.attempt(id.number());
-    if (attempt == null || !id.owner().equals(self)) {
+    LiveRequest.Attempt attempt = own(request, id);
+    if (attempt == null) {
       return flush(nowMs);
     }
     AttemptState before = attempt.state;
@@ -234,11 +250,10 @@
       end(request);
       return;
     }
-    if (EndRules.blames(event)) {
-      attempt.endpoint.failed(nowMs);
-    }
     explainer.attempt(request, attempt, DecisionKind.ATTEMPT_FAILED, Reason.ENDPOINT_FAILED, nowMs);
-    request.excluded.add(attempt.endpoint.endpoint().identity());
+    if (attempt.helperAtFault == null) {
+      EndRules.blame(request, attempt, event, nowMs);
+    }
     Reason whyNot = retries.whyNot(request, attempt, event, nowMs);
     if (whyNot == null) {
       enqueue(request);
--- a/org.fawndrum/src/org/fawndrum/transport/relay/RelayAttempt.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/RelayAttempt.java
@@ -6,9 +6,12 @@
 import io.vertx.core.http.HttpClientRequest;
 import io.vertx.core.http.HttpClientResponse;
 import java.util.List;
+import java.util.Optional;
 import org.fawndrum.coordination.Action;
 import org.fawndrum.coordination.AttemptEvent;
 import org.fawndrum.coordination.AttemptId;
+import org.fawndrum.state.Endpoint;
+import org.fawndrum.state.HostIdentity;
 import org.fawndrum.state.RequestAims;
 import org.fawndrum.state.RouteKind;
 
@@ -52,6 +55,9 @@
     /** The stream came to its end. */
     void streamEnded(RelayAttempt attempt);
 
+    /** One of the attempt's helpers keeps it from being taken; it fails next. */
+    void helperRefused(RelayAttempt attempt, HostIdentity helper);
+
     /** The attempt failed. */
     void failed(RelayAttempt attempt, AttemptEvent event);
   }
@@ -193,7 +199,7 @@
     head.exceptionHandler(cause -> fail(AttemptEvent.LOST));
     String requestId = call.request().requestId();
     switch (tools.codec().answer(head.statusCode(), head.headers(), requestId)) {
-      case NOT_RUN, OTHER_ENDPOINT -> fail(AttemptEvent.REFUSED_BY_ENDPOINT);
+      case NOT_RUN, OTHER_ENDPOINT -> refused(head.headers());
       case FOREIGN -> abandon();
       default -> {
         boolean success = isSuccess(head.statusCode());
@@ -206,6 +212,28 @@
     }
   }
 
+  private void refused(MultiMap headers) {
+    if (!ended) {
+      tools
+          .codec()
+          .endpointAtFault(headers)
+          .flatMap(this::helperNamed)
+          .ifPresent(helper -> owner.helperRefused(this, helper));
+    }
+    fail(AttemptEvent.REFUSED_BY_ENDPOINT);
+  }
+
+  private Optional<HostIdentity> helperNamed(String nameOrAddress) {
+    return send.helpers().stream()
+        .map(Action.Helper::endpoint)
+        .filter(
+            endpoint ->
+                endpoint.name().equals(nameOrAddress)
+                    || endpoint.address().toString().equals(nameOrAddress))
+        .map(Endpoint::identity)
+        .findFirst();
+  }
+
   private static boolean isSuccess(int status) {
     return status >= LOWEST_SUCCESS && status < ABOVE_SUCCESS;
   }
--- a/org.fawndrum/src/org/fawndrum/transport/relay/RelayCodec.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/RelayCodec.java
@@ -3,6 +3,7 @@
 
 import io.vertx.core.MultiMap;
 import java.util.List;
+import java.util.Optional;
 import org.fawndrum.coordination.Refusal;
 import org.fawndrum.state.Endpoint;
 import org.fawndrum.state.HostAddress;
@@ -22,6 +23,9 @@
   /** Returns what the head of an endpoint's answer says. */
   Answer answer(int status, MultiMap headers, String requestId);
 
+  /** Returns what a refusal names as the endpoint at fault: an id or an address; or nothing. */
+  Optional<String> endpointAtFault(MultiMap headers);
+
   /** Returns the headers that the caller gets. */
   MultiMap forCaller(MultiMap fromEndpoint);
 
--- a/org.fawndrum/src/org/fawndrum/transport/relay/RelayDuty.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/RelayDuty.java
@@ -118,6 +118,8 @@
       if (!coordinator.isOpen(attempted.attempt().requestId())) {
         exchanges.remove(attempted.attempt().requestId());
       }
+    } else if (event instanceof RelayEvent.HelperRefused refused) {
+      carryOut(coordinator.helperRefused(refused.attempt(), refused.helper(), nowMs));
     } else if (event instanceof RelayEvent.CallerGone gone) {
       carryOut(coordinator.callerGone(gone.requestId(), nowMs));
     }
--- a/org.fawndrum/src/org/fawndrum/transport/relay/RelayEvent.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/RelayEvent.java
@@ -29,6 +29,9 @@
   /** Something happened to an attempt. */
   record Attempted(AttemptId attempt, AttemptEvent event) implements OfRequest {}
 
+  /** One of an attempt's helpers keeps it from being taken. */
+  record HelperRefused(AttemptId attempt, HostIdentity helper) implements OfRequest {}
+
   /** A caller closed its connection. */
   record CallerGone(String requestId) implements OfRequest {}
 
--- a/org.fawndrum/src/org/fawndrum/transport/relay/RelayExchange.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/RelayExchange.java
@@ -9,7 +9,7 @@
 import org.fawndrum.coordination.AttemptEvent;
 import org.fawndrum.coordination.Refusal;
 import org.fawndrum.coordination.RefusalKind;
-import org.fawndrum.transport.AttemptListener;
+import org.fawndrum.state.HostIdentity;
 import org.fawndrum.transport.Exchange;
 
 /**
@@ -22,7 +22,7 @@
   private final HttpServerResponse response;
   private final Context context;
   private final RelayTools tools;
-  private final AttemptListener attempts;
+  private final RelayIntake.Attempts attempts;
   private final StreamPace pace = new StreamPace();
   private RelayAttempt current;
   private RelayAttempt answering;
@@ -39,7 +39,7 @@
       HttpServerResponse response,
       Context context,
       RelayTools tools,
-      AttemptListener attempts) {
+      RelayIntake.Attempts attempts) {
     this.call = call;
     this.response = response;
     this.context = context;
@@ -151,6 +151,11 @@
     attempts.happened(attempt.id(), AttemptEvent.ANSWERED);
   }
 
+  @Override
+  public void helperRefused(RelayAttempt attempt, HostIdentity helper) {
+    attempts.helperRefused(attempt.id(), helper);
+  }
+
   @Override
   public void failed(RelayAttempt attempt, AttemptEvent event) {
     attempts.happened(attempt.id(), event);
--- a/org.fawndrum/src/org/fawndrum/transport/relay/RelayIntake.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/RelayIntake.java
@@ -5,6 +5,7 @@
 import io.vertx.core.http.HttpServerResponse;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.function.Supplier;
+import org.fawndrum.coordination.AttemptId;
 import org.fawndrum.coordination.Ran;
 import org.fawndrum.coordination.Refusal;
 import org.fawndrum.coordination.RefusalKind;
@@ -13,6 +14,7 @@
 import org.fawndrum.errors.RefusedException;
 import org.fawndrum.state.CallerGroup;
 import org.fawndrum.state.EndpointKind;
+import org.fawndrum.state.HostIdentity;
 import org.fawndrum.state.Route;
 import org.fawndrum.state.RouteTable;
 import org.fawndrum.state.ServiceProfile;
@@ -35,6 +37,9 @@
 
   /** The way back from exchanges to the decisions. */
   interface Attempts extends AttemptListener {
+    /** One of an attempt's helpers keeps it from being taken. */
+    void helperRefused(AttemptId attempt, HostIdentity helper);
+
     /** The caller of a request closed its connection. */
     void callerGone(String requestId);
   }
--- a/org.fawndrum/src/org/fawndrum/transport/relay/RelayRuntime.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/RelayRuntime.java
@@ -166,6 +166,11 @@
       offerSurely(new RelayEvent.Attempted(attempt, event));
     }
 
+    @Override
+    public void helperRefused(AttemptId attempt, HostIdentity helper) {
+      offerSurely(new RelayEvent.HelperRefused(attempt, helper));
+    }
+
     @Override
     public void callerGone(String requestId) {
       offerSurely(new RelayEvent.CallerGone(requestId));
--- a/org.fawndrum/tst/org/fawndrum/coordination/engine/EngineModelPlacementTest.java
+++ b/org.fawndrum/tst/org/fawndrum/coordination/engine/EngineModelPlacementTest.java
@@ -134,4 +134,25 @@
     coordinator.daemonGone(other, 30);
     assertEquals(busy, ask(5_000, SHORT_AIMS, 40).orElseThrow().endpoint().identity());
   }
+
+  @Test
+  void aHelperAtFaultIsLeftOutAndItsFirstEngineIsNotBlamed() {
+    engines(8);
+    Action.Send send = ask(400_000, LONG_AIMS, 0).orElseThrow();
+    HostIdentity atFault = send.helpers().get(0).endpoint().identity();
+    coordinator.helperRefused(send.attempt(), atFault, 5);
+    Action.Send again =
+        coordinator.attempt(send.attempt(), AttemptEvent.REFUSED_BY_ENDPOINT, 5).stream()
+            .filter(action -> action instanceof Action.Send)
+            .map(action -> (Action.Send) action)
+            .findFirst()
+            .orElseThrow();
+    assertTrue(
+        again.helpers().stream().noneMatch(one -> one.endpoint().identity().equals(atFault)));
+    assertNotEquals(atFault, again.endpoint().identity());
+    assertEquals(send.endpoint(), again.endpoint());
+    Action.Send other = ask(400_000, LONG_AIMS, 10).orElseThrow();
+    assertTrue(
+        other.helpers().stream().noneMatch(one -> one.endpoint().identity().equals(atFault)));
+  }
 }
