Use the usual terms for retries, heartbeats and leases

Cause: the relay called heartbeats beats, retries "again", leases of memory holds, and the receiver of peers' messages a desk. Change: FleetReceiver, HEARTBEAT_MS, FIRST_RETRY_MS, RING_RETRY_MS, LEASE_MS, RENEWAL_MS and the names that go with them; all values stay. Result: a newcomer meets the words that other systems use.

--- a/org.fawndrum/src/org/fawndrum/transport/relay/FleetDuty.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/FleetDuty.java
@@ -32,7 +32,7 @@
   private static final int RING = 8_192;
 
   /** The interval of heartbeats, in milliseconds. */
-  private static final long BEAT_MS = 1_000;
+  private static final long HEARTBEAT_MS = 1_000;
 
   private final HostIdentity self;
   private final Supplier<RelaySettings> current;
@@ -44,7 +44,7 @@
   private final Duty<FleetEvent> duty;
   private final KnownDaemons daemons;
   private final List<EngineNews> pending = new ArrayList<>();
-  private long nextBeatMs;
+  private long nextHeartbeatMs;
 
   /** An event of this thread. */
   sealed interface FleetEvent {
@@ -100,7 +100,7 @@
       pending.add(changed.news());
     } else if (event instanceof FleetEvent.All all) {
       pending.clear();
-      beat(all.work());
+      heartbeat(all.work());
     } else if (event instanceof FleetEvent.Heard heard) {
       heard(heard);
     }
@@ -118,7 +118,7 @@
     }
     if (before == null || other) {
       log.event(LogEvent.PEER_ALIVE, heard.from());
-      nextBeatMs = nowMs;
+      nextHeartbeatMs = nowMs;
     }
     if (before == null) {
       daemons.showAlive();
@@ -132,16 +132,16 @@
       tell(pending, false, daemons.addresses(), nowMs);
       pending.clear();
     }
-    if (nowMs >= nextBeatMs) {
-      nextBeatMs = nowMs + BEAT_MS;
+    if (nowMs >= nextHeartbeatMs) {
+      nextHeartbeatMs = nowMs + HEARTBEAT_MS;
       daemons.forget(nowMs, this::gone);
       daemons.showAlive();
       decisions.accept(new RelayEvent.WorkWanted(work -> duty.offer(new FleetEvent.All(work))));
     }
-    return nextBeatMs - nowMs;
+    return nextHeartbeatMs - nowMs;
   }
 
-  private void beat(List<EngineNews> work) {
+  private void heartbeat(List<EngineNews> work) {
     Set<HostAddress> to = new HashSet<>(daemons.addresses());
     for (HostAddress seed : current.get().seeds()) {
       if (!seed.equals(settings.peers())) {
--- a/org.fawndrum/src/org/fawndrum/transport/relay/FleetDesk.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/FleetReceiver.java
@@ -15,14 +15,17 @@
 import org.fawndrum.transport.HostClock;
 import org.fawndrum.transport.peer.PeerNetwork;
 
-/** Hands messages of other daemons to the threads that they concern. */
-final class FleetDesk implements PeerNetwork.Receiver {
+/**
+ * Hands messages of other daemons to the threads that they concern. Messages of other kinds are
+ * passed over. Safe for all threads.
+ */
+final class FleetReceiver implements PeerNetwork.Receiver {
   private final Consumer<RelayEvent> decisions;
   private final Consumer<FleetDuty.FleetEvent> fleet;
   private final Function<KnowledgeRequest, PeerMessage.Builder> knowledge;
   private final HostClock clock;
 
-  FleetDesk(
+  FleetReceiver(
       Consumer<RelayEvent> decisions,
       Consumer<FleetDuty.FleetEvent> fleet,
       Function<KnowledgeRequest, PeerMessage.Builder> knowledge,
--- a/org.fawndrum/src/org/fawndrum/transport/relay/PromptMemory.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/PromptMemory.java
@@ -13,16 +13,16 @@
 import org.fawndrum.internal.log.LogEvent;
 
 /**
- * The memory that one attempt has set aside on several engines: all of it or none. It is held for a
- * short time that is prolonged while the attempt lasts, so that the memory of a daemon that died
+ * The memory that one attempt has set aside on several engines: all of it or none. It is held by
+ * short leases that are renewed while the attempt lasts, so that the memory of a daemon that died
  * becomes free by itself. Confined to one event loop.
  */
 final class PromptMemory {
-  /** How long memory is set aside at a time, in milliseconds; below what operators allow unused. */
-  private static final long HOLD_MS = 3_500;
+  /** The length of a lease, in milliseconds; below what operators allow unused. */
+  private static final long LEASE_MS = 3_500;
 
-  /** The interval of prolonging, in milliseconds: two orders may be lost before the time is up. */
-  private static final long RENEW_MS = 1_200;
+  /** The interval of renewals, in milliseconds: two may be lost before the lease is over. */
+  private static final long RENEWAL_MS = 1_200;
 
   private static final int RELEASE_TRIES = 3;
   private static final long NO_TIMER = -1;
@@ -80,7 +80,7 @@
         .onSuccess(
             v -> {
               if (!freed) {
-                timer = vertx.setPeriodic(RENEW_MS, id -> renew());
+                timer = vertx.setPeriodic(RENEWAL_MS, id -> renew());
               }
             })
         .onFailure(cause -> free());
@@ -104,7 +104,7 @@
 
   private Future<Boolean> order(Part part) {
     return orders.reserve(
-        part.helper().endpoint(), part.ticket(), part.helper().memoryTokens(), HOLD_MS);
+        part.helper().endpoint(), part.ticket(), part.helper().memoryTokens(), LEASE_MS);
   }
 
   private void renew() {
--- a/org.fawndrum/src/org/fawndrum/transport/relay/RelayIntake.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/RelayIntake.java
@@ -19,7 +19,10 @@
 import org.fawndrum.state.Workspace;
 import org.fawndrum.transport.AttemptListener;
 
-/** Finds the route and the workspace of a request and hands it to the decisions. */
+/**
+ * Finds the route and the workspace of a request and hands it to the decisions. Safe for all
+ * threads.
+ */
 final class RelayIntake implements RelayServer.Intake {
   /** After how long a caller is asked back when only other hosts can help, in milliseconds. */
   static final long OTHER_HOST_RETRY_MS = 250;
--- a/org.fawndrum/src/org/fawndrum/transport/relay/RelayRuntime.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/RelayRuntime.java
@@ -31,7 +31,7 @@
  */
 public final class RelayRuntime {
   /** The pause before an event that found no room in the ring is offered again, in milliseconds. */
-  private static final long AGAIN_MS = 1;
+  private static final long RING_RETRY_MS = 1;
 
   /** How long a question for the configuration waits; below the bound for revoked keys. */
   private static final long CONFIGURATION_WAIT_MS = 1_500;
@@ -97,10 +97,11 @@
         new DecisionLog(new RequestMetrics(registry, clock), this::basis, clock, log);
     this.decisions = new RelayDuty(coordinator, clock, decisionLog, this::announced, log);
     this.metrics = new MetricsServer(vertx, settings.metrics(), registry, log);
-    FleetDesk desk =
-        new FleetDesk(this::offerSurely, this::heard, request -> knowledge().reply(request), clock);
+    FleetReceiver receiver =
+        new FleetReceiver(
+            this::offerSurely, this::heard, request -> knowledge().reply(request), clock);
     ListenSettings peers = new ListenSettings(settings.peers(), Optional.empty());
-    this.network = new NettyPeerNetwork(peers, desk, log);
+    this.network = new NettyPeerNetwork(peers, receiver, log);
     this.fleet = new FleetDuty(self, () -> settings, network, clock, this::offerSurely, log);
     this.callers = callerServer(adapter);
     this.drain = new RelayDrain(vertx, callers, decisions, () -> settings.bounds(), clock, log);
@@ -231,7 +232,7 @@
   private void offerSurely(RelayEvent event) {
     if (!decisions.offer(event)) {
       log.event(LogEvent.RING_REFUSED, "decisions");
-      vertx.setTimer(AGAIN_MS, id -> offerSurely(event));
+      vertx.setTimer(RING_RETRY_MS, id -> offerSurely(event));
     }
   }
 
--- a/org.fawndrum/src/org/fawndrum/transport/relay/TopicFollower.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/TopicFollower.java
@@ -17,9 +17,9 @@
  */
 final class TopicFollower {
   /** The pause before the first retry, in milliseconds; doubled with each. */
-  private static final long FIRST_AGAIN_MS = 100;
+  private static final long FIRST_RETRY_MS = 100;
 
-  private static final long LONGEST_AGAIN_MS = 1_000;
+  private static final long LONGEST_RETRY_MS = 1_000;
 
   /** When the last proof is older than this, a question does not wait, in milliseconds. */
   private static final long LONGEST_UNPROVED_MS = 1_000;
@@ -36,7 +36,7 @@
   private final HostLog hostLog;
   private long next = -1;
   private long provedMs = Long.MIN_VALUE / 2;
-  private long againMs = FIRST_AGAIN_MS;
+  private long retryMs = FIRST_RETRY_MS;
   private boolean lost;
 
   /**
@@ -106,7 +106,7 @@
 
   private void answered(KeyedPage page, boolean whole, long askedMs, long waitMs) {
     tellRegained();
-    againMs = FIRST_AGAIN_MS;
+    retryMs = FIRST_RETRY_MS;
     if (page.end() >= next) {
       next = page.end();
       provedMs = whole ? askedMs : provedMs(page, askedMs, waitMs);
@@ -116,7 +116,7 @@
         reader.changes(page, provedMs);
       }
     }
-    later(pace.pauseMs());
+    askAfter(pace.pauseMs());
   }
 
   private void tellRegained() {
@@ -142,18 +142,18 @@
       // What was missed is gone; the newest record of every key says all that matters.
       hostLog.event(LogEvent.LOG_GAP, topic, Long.toString(next));
       next = -1;
-      later(1);
+      askAfter(1);
       return;
     }
     if (!lost) {
       lost = true;
       hostLog.event(LogEvent.PLATFORM_LOST, String.valueOf(cause));
     }
-    later(againMs);
-    againMs = Math.min(LONGEST_AGAIN_MS, againMs * 2);
+    askAfter(retryMs);
+    retryMs = Math.min(LONGEST_RETRY_MS, retryMs * 2);
   }
 
-  private void later(long afterMs) {
+  private void askAfter(long afterMs) {
     if (afterMs <= 0) {
       ask();
     } else {
