Name the time before all others once

Cause: three classes of the relay wrote the same number, each with its own name or none, for "never yet". Change: HostClock.NEVER_MS, with the reason for its value. Result: the same value in one place.

--- a/org.fawndrum/src/org/fawndrum/transport/HostClock.java
+++ b/org.fawndrum/src/org/fawndrum/transport/HostClock.java
@@ -3,6 +3,9 @@
 
 /** The clock of a host. */
 public interface HostClock {
+  /** A time before all others; ages can still be computed from it without an overflow. */
+  long NEVER_MS = Long.MIN_VALUE / 2;
+
   /** Returns milliseconds that never run backwards; near the epoch's, for people to read. */
   long nowMs();
 
--- a/org.fawndrum/src/org/fawndrum/transport/relay/EndpointReader.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/EndpointReader.java
@@ -30,9 +30,6 @@
   /** How long after its return the platform may still lack living endpoints, in milliseconds. */
   private static final long RETURN_MS = 2_000;
 
-  /** The time of a return before there was any. */
-  private static final long NEVER = Long.MIN_VALUE / 2;
-
   private final RelayDecoder decoder;
   private final Consumer<HostListing> listed;
   private final HostClock clock;
@@ -40,7 +37,7 @@
   private final Map<String, RelayDecoder.EndpointEntry> entries = new LinkedHashMap<>();
   private final Map<String, KeyedRecord> records = new ConcurrentHashMap<>();
   private final Set<String> lapsed = new HashSet<>();
-  private long returnedMs = NEVER;
+  private long returnedMs = HostClock.NEVER_MS;
   private volatile long readTo = -1;
   private long version;
 
--- a/org.fawndrum/src/org/fawndrum/transport/relay/RouteStore.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/RouteStore.java
@@ -4,18 +4,16 @@
 import java.util.function.BiConsumer;
 import org.fawndrum.state.RouteTable;
 import org.fawndrum.state.TableRevision;
+import org.fawndrum.transport.HostClock;
 
 /**
  * The configuration in force on this host, and how old the evidence is that no newer one exists.
  * Revisions only rise. Safe for all threads.
  */
 final class RouteStore {
-  /** What the evidence's time is before there is any. */
-  private static final long NEVER = Long.MIN_VALUE / 2;
-
   private final BiConsumer<RouteTable, TableRevision> onNewer;
   private volatile RouteTable table = RouteTable.NONE;
-  private volatile long knownAtMs = NEVER;
+  private volatile long knownAtMs = HostClock.NEVER_MS;
 
   RouteStore(BiConsumer<RouteTable, TableRevision> onNewer) {
     this.onNewer = onNewer;
--- a/org.fawndrum/src/org/fawndrum/transport/relay/TopicFollower.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/TopicFollower.java
@@ -35,7 +35,7 @@
   private final HostClock clock;
   private final HostLog hostLog;
   private long next = -1;
-  private long provedMs = Long.MIN_VALUE / 2;
+  private long provedMs = HostClock.NEVER_MS;
   private long retryMs = FIRST_RETRY_MS;
   private boolean lost;
 
