--- a/org.fawndrum/tst/org/fawndrum/transport/relay/EndpointReaderTest.java
+++ b/org.fawndrum/tst/org/fawndrum/transport/relay/EndpointReaderTest.java
@@ -4,6 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Set;
 import org.fawndrum.errors.RecordUnreadableException;
@@ -59,7 +60,7 @@
   }
 
   private static KeyedPage page(Object... keysAndValues) {
-    List<KeyedRecord> records = new java.util.ArrayList<>();
+    List<KeyedRecord> records = new ArrayList<>();
     for (int i = 0; i < keysAndValues.length; i += 2) {
       records.add(new KeyedRecord(i, (String) keysAndValues[i], (byte[]) keysAndValues[i + 1]));
     }
