Drop one endpoint at once after an outage and end stalls as stalls

An outage makes most entries lapse; one that only this host met makes none. Change: the wait holds only when most entries are missing. Also: the line about forgotten records said the wrong things, and a second order to stop got a future that never completes.

--- a/org.fawndrum/src/org/fawndrum/internal/log/LogEvent.java
+++ b/org.fawndrum/src/org/fawndrum/internal/log/LogEvent.java
@@ -20,6 +20,7 @@
   LOG_GAP(21, Level.WARN, "the log begins at {0}; a snapshot from {1} on is awaited"),
   RECORD_PASSED_OVER(22, Level.WARN, "log record {0} cannot be read and changes nothing"),
   SNAPSHOT_APPENDED(23, Level.INFO, "snapshot of position {0} appended at {1}"),
+  STORE_GAP(24, Level.WARN, "records of {0} from {1} on are gone; the newest of each key are read"),
   PLATFORM_LOST(30, Level.WARN, "the platform does not answer: {0}"),
   PLATFORM_BACK(31, Level.INFO, "the platform answers again"),
   PEER_ALIVE(40, Level.INFO, "peer {0} is alive"),
--- a/org.fawndrum/src/org/fawndrum/transport/relay/EndpointReader.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/EndpointReader.java
@@ -57,17 +57,14 @@
   public void whole(KeyedPage page, long askedMs) {
     Set<String> present = new HashSet<>();
     page.records().forEach(record -> present.add(record.key()));
-    for (String key : List.copyOf(entries.keySet())) {
-      if (!present.contains(key)) {
-        gone(key);
-      }
-    }
-    take(page);
+    Set<String> missing = new HashSet<>(entries.keySet());
+    missing.removeAll(present);
+    take(page, missing);
   }
 
   @Override
   public void changes(KeyedPage page, long provedMs) {
-    take(page);
+    take(page, new HashSet<>());
   }
 
   /** Returns the end of the log as it was read; -1 before anything was. */
@@ -80,15 +77,17 @@
     return List.copyOf(records.values());
   }
 
-  private void take(KeyedPage page) {
+  private void take(KeyedPage page, Set<String> missing) {
     readTo = Math.max(readTo, page.end());
     for (KeyedRecord record : page.records()) {
       if (record.drops()) {
-        gone(record.key());
+        missing.add(record.key());
       } else {
+        missing.remove(record.key());
         put(record);
       }
     }
+    settle(missing);
     dropLapsed();
     publish();
   }
@@ -103,12 +102,17 @@
     }
   }
 
-  /** Drops an entry, or keeps it for a while when it may only have lapsed in an outage. */
-  private void gone(String key) {
-    if (mayComeBack()) {
-      lapsed.add(key);
+  /**
+   * Drops the missing entries, or keeps them for a while when they may only have lapsed: an outage
+   * of the store makes most of them lapse, while one that only this host could not reach makes
+   * none.
+   */
+  private void settle(Set<String> missing) {
+    boolean most = missing.size() * 2 > entries.size();
+    if (most && mayComeBack()) {
+      lapsed.addAll(missing);
     } else {
-      drop(key);
+      missing.forEach(this::drop);
     }
   }
 
--- a/org.fawndrum/src/org/fawndrum/transport/relay/RelayAttempt.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/RelayAttempt.java
@@ -144,8 +144,10 @@
 
   /** Ends the attempt because nothing comes any more. */
   void stalled() {
+    // Ended first: closing the connection reports a loss, which would blame the endpoint.
+    end();
     request.reset();
-    fail(AttemptEvent.STALLED);
+    owner.failed(this, AttemptEvent.STALLED);
   }
 
   /** Ends the attempt because nobody waits for it any more; its owner hears nothing. */
--- a/org.fawndrum/src/org/fawndrum/transport/relay/RelayDrain.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/RelayDrain.java
@@ -28,6 +28,7 @@
   private final Supplier<RelayBounds> bounds;
   private final HostClock clock;
   private final HostLog log;
+  private final CompletableFuture<Void> done = new CompletableFuture<>();
   private volatile boolean begun;
 
   RelayDrain(
@@ -52,7 +53,6 @@
 
   /** Begins; the future completes when the process may end. Another order changes nothing. */
   CompletableFuture<Void> begin() {
-    CompletableFuture<Void> done = new CompletableFuture<>();
     if (begun) {
       return done;
     }
@@ -60,11 +60,11 @@
     long begunMs = clock.nowMs();
     log.event(LogEvent.DRAIN_BEGAN, Integer.toString(decisions.open()));
     vertx.runOnContext(v -> callers.stop());
-    vertx.setPeriodic(LOOK_MS, id -> look(id, begunMs, done));
+    vertx.setPeriodic(LOOK_MS, id -> look(id, begunMs));
     return done;
   }
 
-  private void look(long timer, long begunMs, CompletableFuture<Void> done) {
+  private void look(long timer, long begunMs) {
     long sinceMs = clock.nowMs() - begunMs;
     if (sinceMs < BALANCER_MS) {
       return;
--- a/org.fawndrum/src/org/fawndrum/transport/relay/TopicFollower.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/TopicFollower.java
@@ -140,7 +140,7 @@
     Throwable cause = failure instanceof CompletionException ? failure.getCause() : failure;
     if (cause instanceof RecordsExpiredException) {
       // What was missed is gone; the newest record of every key says all that matters.
-      hostLog.event(LogEvent.LOG_GAP, topic, Long.toString(next));
+      hostLog.event(LogEvent.STORE_GAP, topic, Long.toString(next));
       next = -1;
       askAfter(1);
       return;
--- a/org.fawndrum/tst/org/fawndrum/transport/relay/EndpointReaderTest.java
+++ b/org.fawndrum/tst/org/fawndrum/transport/relay/EndpointReaderTest.java
@@ -100,6 +100,17 @@
     assertEquals(List.of("a"), names());
   }
 
+  @Test
+  void oneThatLeftWhileOnlyThisHostCouldNotReadIsGoneAtOnce() {
+    reader.whole(page("a", READY, "b", READY, "c", READY), 0);
+    nowMs = 9_000;
+    reader.regained();
+    reader.whole(page("a", READY, "c", READY), 0);
+    assertEquals(List.of("a", "c"), names());
+    reader.changes(page("c", NONE), 0);
+    assertEquals(List.of("a"), names());
+  }
+
   @Test
   void afterACompactedHistoryOnlyWhatTheStoreHoldsIsListed() {
     reader.whole(page("a", READY, "b", READY), 0);
