--- a/org.fawndrum/src/org/fawndrum/coordination/WindowRetryBudget.java
+++ b/org.fawndrum/src/org/fawndrum/coordination/WindowRetryBudget.java
@@ -5,6 +5,7 @@
 import java.util.Deque;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.function.DoubleSupplier;
 
 /**
  * Bounds the retries to each target in every span of a length, over all daemons together: a daemon
@@ -15,7 +16,7 @@
   private static final int REQUESTS_WINDOW_PART = 2;
 
   private final double ratio;
-  private final double reserve;
+  private final DoubleSupplier reserve;
   private final long windowMs;
   private final Map<RequestTarget, Sends> byTarget = new HashMap<>();
 
@@ -29,10 +30,10 @@
    * Makes a budget.
    *
    * @param ratio retries allowed for one request
-   * @param reserve retries of this daemon that are allowed in any case
+   * @param reserve tells how many retries of this daemon are allowed in any case
    * @param windowMs the length of the span, in milliseconds
    */
-  public WindowRetryBudget(double ratio, double reserve, long windowMs) {
+  public WindowRetryBudget(double ratio, DoubleSupplier reserve, long windowMs) {
     this.ratio = ratio;
     this.reserve = reserve;
     this.windowMs = windowMs;
@@ -46,7 +47,7 @@
   @Override
   public boolean tryRetry(RequestTarget target, long nowMs) {
     Sends sends = sends(target, nowMs);
-    if (sends.again.size() + 1 > reserve + ratio * sends.first.size()) {
+    if (sends.again.size() + 1 > reserve.getAsDouble() + ratio * sends.first.size()) {
       return false;
     }
     sends.again.addLast(nowMs);
--- a/org.fawndrum/src/org/fawndrum/internal/log/LogEvent.java
+++ b/org.fawndrum/src/org/fawndrum/internal/log/LogEvent.java
@@ -27,6 +27,7 @@
   PEER_SUSPECTED(41, Level.WARN, "peer {0} is suspected: nothing heard for {1} ms"),
   PEER_MESSAGE_DROPPED(42, Level.WARN, "peer message dropped: {0}"),
   PEER_GAVE_NOTHING(43, Level.INFO, "peer {0} could not tell what the store holds: {1}"),
+  SPEAKER_CHOSEN(44, Level.INFO, "peer {0} speaks for zone {1} from now on"),
   REQUEST_DECIDED(50, Level.DEBUG, "{0} {1} {2}"),
   REQUEST_REFUSED(51, Level.INFO, "refused: {0}, ran {1}"),
   ATTEMPT_FAILED(52, Level.WARN, "attempt {0} at {1} failed"),
--- a/org.fawndrum/src/org/fawndrum/protocol/FleetCodec.java
+++ b/org.fawndrum/src/org/fawndrum/protocol/FleetCodec.java
@@ -2,31 +2,75 @@
 package org.fawndrum.protocol;
 
 import java.util.ArrayList;
-import java.util.Collection;
 import java.util.List;
+import java.util.Optional;
 import org.fawndrum.coordination.engine.EngineJob;
 import org.fawndrum.coordination.engine.EngineNews;
-import org.fawndrum.protocol.wire.FleetNews;
+import org.fawndrum.coordination.membership.FleetMember;
+import org.fawndrum.coordination.membership.FleetReport;
+import org.fawndrum.protocol.wire.DaemonPlace;
 import org.fawndrum.protocol.wire.WorkPlaced;
+import org.fawndrum.protocol.wire.WorkReport;
+import org.fawndrum.state.HostAddress;
 import org.fawndrum.state.HostIdentity;
 import org.fawndrum.state.RequestAims;
 
-/** Reads and writes what daemons tell each other about their work at endpoints. */
+/** Reads and writes what daemons tell each other about themselves and their work at endpoints. */
 public final class FleetCodec {
   private FleetCodec() {}
 
-  /** Adds news to a message; times are written as ages, because clocks differ. */
-  public static void write(FleetNews.Builder message, Collection<EngineNews> news, long nowMs) {
-    for (EngineNews one : news) {
-      if (one instanceof EngineNews.Placed placed) {
-        message.addPlaced(placed(placed.job(), nowMs));
-      } else if (one instanceof EngineNews.Read read) {
-        message.addRead(read.id());
-      } else if (one instanceof EngineNews.Ended ended && ended.failed()) {
-        message.addFailed(ended.id());
-      } else if (one instanceof EngineNews.Ended ended) {
-        message.addEnded(ended.id());
-      }
+  /** Returns a daemon as a message. */
+  public static DaemonPlace write(FleetMember member) {
+    return DaemonPlace.newBuilder()
+        .setHost(member.identity().host())
+        .setIncarnation(member.identity().incarnation())
+        .setZone(member.zone())
+        .setIp(member.address().ip())
+        .setPort(member.address().port())
+        .setCapacity(member.capacity())
+        .build();
+  }
+
+  /** Returns the daemon in a message. */
+  public static FleetMember read(DaemonPlace place) {
+    return new FleetMember(
+        identity(place),
+        new HostAddress(place.getIp(), place.getPort()),
+        place.getZone(),
+        place.getCapacity());
+  }
+
+  private static HostIdentity identity(DaemonPlace place) {
+    return new HostIdentity(place.getHost(), place.getIncarnation());
+  }
+
+  /** Returns a report as a message; times are written as ages, because clocks differ. */
+  public static WorkReport write(FleetReport report, long nowMs) {
+    WorkReport.Builder message =
+        WorkReport.newBuilder().setSequence(report.sequence()).setWhole(report.whole());
+    message.setDaemon(
+        report
+            .member()
+            .map(FleetCodec::write)
+            .orElseGet(
+                () ->
+                    DaemonPlace.newBuilder()
+                        .setHost(report.from().host())
+                        .setIncarnation(report.from().incarnation())
+                        .build()));
+    report.news().forEach(one -> write(message, one, nowMs));
+    return message.build();
+  }
+
+  private static void write(WorkReport.Builder message, EngineNews news, long nowMs) {
+    if (news instanceof EngineNews.Placed placed) {
+      message.addPlaced(placed(placed.job(), nowMs));
+    } else if (news instanceof EngineNews.Read read) {
+      message.addRead(read.id());
+    } else if (news instanceof EngineNews.Ended ended && ended.failed()) {
+      message.addFailed(ended.id());
+    } else if (news instanceof EngineNews.Ended ended) {
+      message.addEnded(ended.id());
     }
   }
 
@@ -45,8 +89,8 @@
         .build();
   }
 
-  /** Returns the news of a message, in an order in which each can be understood. */
-  public static List<EngineNews> read(FleetNews message, long nowMs) {
+  /** Returns the report in a message, its news in an order in which each can be understood. */
+  public static FleetReport read(WorkReport message, long nowMs) {
     List<EngineNews> news = new ArrayList<>();
     for (WorkPlaced one : message.getPlacedList()) {
       news.add(new EngineNews.Placed(job(one, nowMs)));
@@ -54,7 +98,10 @@
     message.getReadList().forEach(id -> news.add(new EngineNews.Read(id)));
     message.getEndedList().forEach(id -> news.add(new EngineNews.Ended(id, false)));
     message.getFailedList().forEach(id -> news.add(new EngineNews.Ended(id, true)));
-    return news;
+    Optional<FleetMember> member =
+        message.getWhole() ? Optional.of(read(message.getDaemon())) : Optional.empty();
+    return new FleetReport(
+        identity(message.getDaemon()), member, message.getSequence(), message.getWhole(), news);
   }
 
   private static EngineJob job(WorkPlaced one, long nowMs) {
--- a/org.fawndrum/src/org/fawndrum/protocol/wire/FleetNews.java
+++ b/org.fawndrum/src/org/fawndrum/protocol/wire/FleetNews.java
@@ -7,7 +7,7 @@
 
 /**
  * <pre>
- * What a daemon tells all others about itself and its work at endpoints.
+ * Reports of daemons, as they go from one daemon to the next.
  * </pre>
  *
  * Protobuf type {@code fawndrum.FleetNews}
@@ -32,12 +32,7 @@
     super(builder);
   }
   private FleetNews() {
-    zone_ = "";
-    peerIp_ = "";
-    placed_ = java.util.Collections.emptyList();
-    read_ = emptyLongList();
-    ended_ = emptyLongList();
-    failed_ = emptyLongList();
+    reports_ = java.util.Collections.emptyList();
     known_ = java.util.Collections.emptyList();
   }
 
@@ -54,292 +49,186 @@
             org.fawndrum.protocol.wire.FleetNews.class, org.fawndrum.protocol.wire.FleetNews.Builder.class);
   }
 
-  public static final int ZONE_FIELD_NUMBER = 1;
-  @SuppressWarnings("serial")
-  private volatile java.lang.Object zone_ = "";
-  /**
-   * <code>string zone = 1;</code>
-   * @return The zone.
-   */
-  @java.lang.Override
-  public java.lang.String getZone() {
-    java.lang.Object ref = zone_;
-    if (ref instanceof java.lang.String) {
-      return (java.lang.String) ref;
-    } else {
-      com.google.protobuf.ByteString bs = 
-          (com.google.protobuf.ByteString) ref;
-      java.lang.String s = bs.toStringUtf8();
-      zone_ = s;
-      return s;
-    }
-  }
+  private int bitField0_;
+  public static final int SENDER_FIELD_NUMBER = 1;
+  private org.fawndrum.protocol.wire.DaemonPlace sender_;
   /**
-   * <code>string zone = 1;</code>
-   * @return The bytes for zone.
+   * <pre>
+   * The sender.
+   * </pre>
+   *
+   * <code>.fawndrum.DaemonPlace sender = 1;</code>
+   * @return Whether the sender field is set.
    */
   @java.lang.Override
-  public com.google.protobuf.ByteString
-      getZoneBytes() {
-    java.lang.Object ref = zone_;
-    if (ref instanceof java.lang.String) {
-      com.google.protobuf.ByteString b = 
-          com.google.protobuf.ByteString.copyFromUtf8(
-              (java.lang.String) ref);
-      zone_ = b;
-      return b;
-    } else {
-      return (com.google.protobuf.ByteString) ref;
-    }
+  public boolean hasSender() {
+    return ((bitField0_ & 0x00000001) != 0);
   }
-
-  public static final int PEER_IP_FIELD_NUMBER = 2;
-  @SuppressWarnings("serial")
-  private volatile java.lang.Object peerIp_ = "";
   /**
-   * <code>string peer_ip = 2;</code>
-   * @return The peerIp.
-   */
-  @java.lang.Override
-  public java.lang.String getPeerIp() {
-    java.lang.Object ref = peerIp_;
-    if (ref instanceof java.lang.String) {
-      return (java.lang.String) ref;
-    } else {
-      com.google.protobuf.ByteString bs = 
-          (com.google.protobuf.ByteString) ref;
-      java.lang.String s = bs.toStringUtf8();
-      peerIp_ = s;
-      return s;
-    }
-  }
-  /**
-   * <code>string peer_ip = 2;</code>
-   * @return The bytes for peerIp.
+   * <pre>
+   * The sender.
+   * </pre>
+   *
+   * <code>.fawndrum.DaemonPlace sender = 1;</code>
+   * @return The sender.
    */
   @java.lang.Override
-  public com.google.protobuf.ByteString
-      getPeerIpBytes() {
-    java.lang.Object ref = peerIp_;
-    if (ref instanceof java.lang.String) {
-      com.google.protobuf.ByteString b = 
-          com.google.protobuf.ByteString.copyFromUtf8(
-              (java.lang.String) ref);
-      peerIp_ = b;
-      return b;
-    } else {
-      return (com.google.protobuf.ByteString) ref;
-    }
+  public org.fawndrum.protocol.wire.DaemonPlace getSender() {
+    return sender_ == null ? org.fawndrum.protocol.wire.DaemonPlace.getDefaultInstance() : sender_;
   }
-
-  public static final int PEER_PORT_FIELD_NUMBER = 3;
-  private int peerPort_ = 0;
   /**
-   * <code>int32 peer_port = 3;</code>
-   * @return The peerPort.
+   * <pre>
+   * The sender.
+   * </pre>
+   *
+   * <code>.fawndrum.DaemonPlace sender = 1;</code>
    */
   @java.lang.Override
-  public int getPeerPort() {
-    return peerPort_;
+  public org.fawndrum.protocol.wire.DaemonPlaceOrBuilder getSenderOrBuilder() {
+    return sender_ == null ? org.fawndrum.protocol.wire.DaemonPlace.getDefaultInstance() : sender_;
   }
 
-  public static final int WHOLE_FIELD_NUMBER = 4;
-  private boolean whole_ = false;
+  public static final int SUBSCRIBES_FIELD_NUMBER = 2;
+  private boolean subscribes_ = false;
   /**
    * <pre>
-   * Whether `placed` and `read` name all of the sender's work.
+   * Whether the sender wants all reports that the receiver gets from now on.
    * </pre>
    *
-   * <code>bool whole = 4;</code>
-   * @return The whole.
+   * <code>bool subscribes = 2;</code>
+   * @return The subscribes.
    */
   @java.lang.Override
-  public boolean getWhole() {
-    return whole_;
+  public boolean getSubscribes() {
+    return subscribes_;
   }
 
-  public static final int PLACED_FIELD_NUMBER = 5;
+  public static final int REPORTS_FIELD_NUMBER = 3;
   @SuppressWarnings("serial")
-  private java.util.List<org.fawndrum.protocol.wire.WorkPlaced> placed_;
+  private java.util.List<org.fawndrum.protocol.wire.WorkReport> reports_;
   /**
-   * <code>repeated .fawndrum.WorkPlaced placed = 5;</code>
+   * <code>repeated .fawndrum.WorkReport reports = 3;</code>
    */
   @java.lang.Override
-  public java.util.List<org.fawndrum.protocol.wire.WorkPlaced> getPlacedList() {
-    return placed_;
+  public java.util.List<org.fawndrum.protocol.wire.WorkReport> getReportsList() {
+    return reports_;
   }
   /**
-   * <code>repeated .fawndrum.WorkPlaced placed = 5;</code>
+   * <code>repeated .fawndrum.WorkReport reports = 3;</code>
    */
   @java.lang.Override
-  public java.util.List<? extends org.fawndrum.protocol.wire.WorkPlacedOrBuilder> 
-      getPlacedOrBuilderList() {
-    return placed_;
+  public java.util.List<? extends org.fawndrum.protocol.wire.WorkReportOrBuilder> 
+      getReportsOrBuilderList() {
+    return reports_;
   }
   /**
-   * <code>repeated .fawndrum.WorkPlaced placed = 5;</code>
+   * <code>repeated .fawndrum.WorkReport reports = 3;</code>
    */
   @java.lang.Override
-  public int getPlacedCount() {
-    return placed_.size();
+  public int getReportsCount() {
+    return reports_.size();
   }
   /**
-   * <code>repeated .fawndrum.WorkPlaced placed = 5;</code>
+   * <code>repeated .fawndrum.WorkReport reports = 3;</code>
    */
   @java.lang.Override
-  public org.fawndrum.protocol.wire.WorkPlaced getPlaced(int index) {
-    return placed_.get(index);
+  public org.fawndrum.protocol.wire.WorkReport getReports(int index) {
+    return reports_.get(index);
   }
   /**
-   * <code>repeated .fawndrum.WorkPlaced placed = 5;</code>
+   * <code>repeated .fawndrum.WorkReport reports = 3;</code>
    */
   @java.lang.Override
-  public org.fawndrum.protocol.wire.WorkPlacedOrBuilder getPlacedOrBuilder(
+  public org.fawndrum.protocol.wire.WorkReportOrBuilder getReportsOrBuilder(
       int index) {
-    return placed_.get(index);
+    return reports_.get(index);
   }
 
-  public static final int READ_FIELD_NUMBER = 6;
+  public static final int KNOWN_FIELD_NUMBER = 4;
   @SuppressWarnings("serial")
-  private com.google.protobuf.Internal.LongList read_ =
-      emptyLongList();
-  /**
-   * <code>repeated sfixed64 read = 6;</code>
-   * @return A list containing the read.
-   */
-  @java.lang.Override
-  public java.util.List<java.lang.Long>
-      getReadList() {
-    return read_;
-  }
-  /**
-   * <code>repeated sfixed64 read = 6;</code>
-   * @return The count of read.
-   */
-  public int getReadCount() {
-    return read_.size();
-  }
-  /**
-   * <code>repeated sfixed64 read = 6;</code>
-   * @param index The index of the element to return.
-   * @return The read at the given index.
-   */
-  public long getRead(int index) {
-    return read_.getLong(index);
-  }
-  private int readMemoizedSerializedSize = -1;
-
-  public static final int ENDED_FIELD_NUMBER = 7;
-  @SuppressWarnings("serial")
-  private com.google.protobuf.Internal.LongList ended_ =
-      emptyLongList();
-  /**
-   * <code>repeated sfixed64 ended = 7;</code>
-   * @return A list containing the ended.
-   */
-  @java.lang.Override
-  public java.util.List<java.lang.Long>
-      getEndedList() {
-    return ended_;
-  }
-  /**
-   * <code>repeated sfixed64 ended = 7;</code>
-   * @return The count of ended.
-   */
-  public int getEndedCount() {
-    return ended_.size();
-  }
-  /**
-   * <code>repeated sfixed64 ended = 7;</code>
-   * @param index The index of the element to return.
-   * @return The ended at the given index.
-   */
-  public long getEnded(int index) {
-    return ended_.getLong(index);
-  }
-  private int endedMemoizedSerializedSize = -1;
-
-  public static final int FAILED_FIELD_NUMBER = 8;
-  @SuppressWarnings("serial")
-  private com.google.protobuf.Internal.LongList failed_ =
-      emptyLongList();
+  private java.util.List<org.fawndrum.protocol.wire.DaemonPlace> known_;
   /**
    * <pre>
-   * Ended work whose endpoint seems to be the cause.
+   * Daemons that are alive; told to one that was not known before.
    * </pre>
    *
-   * <code>repeated sfixed64 failed = 8;</code>
-   * @return A list containing the failed.
+   * <code>repeated .fawndrum.DaemonPlace known = 4;</code>
    */
   @java.lang.Override
-  public java.util.List<java.lang.Long>
-      getFailedList() {
-    return failed_;
+  public java.util.List<org.fawndrum.protocol.wire.DaemonPlace> getKnownList() {
+    return known_;
   }
   /**
    * <pre>
-   * Ended work whose endpoint seems to be the cause.
+   * Daemons that are alive; told to one that was not known before.
    * </pre>
    *
-   * <code>repeated sfixed64 failed = 8;</code>
-   * @return The count of failed.
+   * <code>repeated .fawndrum.DaemonPlace known = 4;</code>
    */
-  public int getFailedCount() {
-    return failed_.size();
+  @java.lang.Override
+  public java.util.List<? extends org.fawndrum.protocol.wire.DaemonPlaceOrBuilder> 
+      getKnownOrBuilderList() {
+    return known_;
   }
   /**
    * <pre>
-   * Ended work whose endpoint seems to be the cause.
+   * Daemons that are alive; told to one that was not known before.
    * </pre>
    *
-   * <code>repeated sfixed64 failed = 8;</code>
-   * @param index The index of the element to return.
-   * @return The failed at the given index.
-   */
-  public long getFailed(int index) {
-    return failed_.getLong(index);
-  }
-  private int failedMemoizedSerializedSize = -1;
-
-  public static final int KNOWN_FIELD_NUMBER = 9;
-  @SuppressWarnings("serial")
-  private java.util.List<org.fawndrum.protocol.wire.PeerPlace> known_;
-  /**
-   * <code>repeated .fawndrum.PeerPlace known = 9;</code>
+   * <code>repeated .fawndrum.DaemonPlace known = 4;</code>
    */
   @java.lang.Override
-  public java.util.List<org.fawndrum.protocol.wire.PeerPlace> getKnownList() {
-    return known_;
+  public int getKnownCount() {
+    return known_.size();
   }
   /**
-   * <code>repeated .fawndrum.PeerPlace known = 9;</code>
+   * <pre>
+   * Daemons that are alive; told to one that was not known before.
+   * </pre>
+   *
+   * <code>repeated .fawndrum.DaemonPlace known = 4;</code>
    */
   @java.lang.Override
-  public java.util.List<? extends org.fawndrum.protocol.wire.PeerPlaceOrBuilder> 
-      getKnownOrBuilderList() {
-    return known_;
+  public org.fawndrum.protocol.wire.DaemonPlace getKnown(int index) {
+    return known_.get(index);
   }
   /**
-   * <code>repeated .fawndrum.PeerPlace known = 9;</code>
+   * <pre>
+   * Daemons that are alive; told to one that was not known before.
+   * </pre>
+   *
+   * <code>repeated .fawndrum.DaemonPlace known = 4;</code>
    */
   @java.lang.Override
-  public int getKnownCount() {
-    return known_.size();
+  public org.fawndrum.protocol.wire.DaemonPlaceOrBuilder getKnownOrBuilder(
+      int index) {
+    return known_.get(index);
   }
+
+  public static final int CONFIGURATION_REVISION_FIELD_NUMBER = 5;
+  private long configurationRevision_ = 0L;
   /**
-   * <code>repeated .fawndrum.PeerPlace known = 9;</code>
+   * <pre>
+   * What the sender has read from the store, so that the receiver can ask for it; -1 for nothing.
+   * </pre>
+   *
+   * <code>int64 configuration_revision = 5;</code>
+   * @return The configurationRevision.
    */
   @java.lang.Override
-  public org.fawndrum.protocol.wire.PeerPlace getKnown(int index) {
-    return known_.get(index);
+  public long getConfigurationRevision() {
+    return configurationRevision_;
   }
+
+  public static final int ENDPOINTS_CHANGED_FIELD_NUMBER = 6;
+  private long endpointsChanged_ = 0L;
   /**
-   * <code>repeated .fawndrum.PeerPlace known = 9;</code>
+   * <code>int64 endpoints_changed = 6;</code>
+   * @return The endpointsChanged.
    */
   @java.lang.Override
-  public org.fawndrum.protocol.wire.PeerPlaceOrBuilder getKnownOrBuilder(
-      int index) {
-    return known_.get(index);
+  public long getEndpointsChanged() {
+    return endpointsChanged_;
   }
 
   private byte memoizedIsInitialized = -1;
@@ -356,45 +245,23 @@
   @java.lang.Override
   public void writeTo(com.google.protobuf.CodedOutputStream output)
                       throws java.io.IOException {
-    getSerializedSize();
-    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(zone_)) {
-      com.google.protobuf.GeneratedMessage.writeString(output, 1, zone_);
-    }
-    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(peerIp_)) {
-      com.google.protobuf.GeneratedMessage.writeString(output, 2, peerIp_);
-    }
-    if (peerPort_ != 0) {
-      output.writeInt32(3, peerPort_);
+    if (((bitField0_ & 0x00000001) != 0)) {
+      output.writeMessage(1, getSender());
     }
-    if (whole_ != false) {
-      output.writeBool(4, whole_);
+    if (subscribes_ != false) {
+      output.writeBool(2, subscribes_);
     }
-    for (int i = 0; i < placed_.size(); i++) {
-      output.writeMessage(5, placed_.get(i));
+    for (int i = 0; i < reports_.size(); i++) {
+      output.writeMessage(3, reports_.get(i));
     }
-    if (getReadList().size() > 0) {
-      output.writeUInt32NoTag(50);
-      output.writeUInt32NoTag(readMemoizedSerializedSize);
-    }
-    for (int i = 0; i < read_.size(); i++) {
-      output.writeSFixed64NoTag(read_.getLong(i));
-    }
-    if (getEndedList().size() > 0) {
-      output.writeUInt32NoTag(58);
-      output.writeUInt32NoTag(endedMemoizedSerializedSize);
-    }
-    for (int i = 0; i < ended_.size(); i++) {
-      output.writeSFixed64NoTag(ended_.getLong(i));
-    }
-    if (getFailedList().size() > 0) {
-      output.writeUInt32NoTag(66);
-      output.writeUInt32NoTag(failedMemoizedSerializedSize);
+    for (int i = 0; i < known_.size(); i++) {
+      output.writeMessage(4, known_.get(i));
     }
-    for (int i = 0; i < failed_.size(); i++) {
-      output.writeSFixed64NoTag(failed_.getLong(i));
+    if (configurationRevision_ != 0L) {
+      output.writeInt64(5, configurationRevision_);
     }
-    for (int i = 0; i < known_.size(); i++) {
-      output.writeMessage(9, known_.get(i));
+    if (endpointsChanged_ != 0L) {
+      output.writeInt64(6, endpointsChanged_);
     }
     getUnknownFields().writeTo(output);
   }
@@ -405,60 +272,29 @@
     if (size != -1) return size;
 
     size = 0;
-    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(zone_)) {
-      size += com.google.protobuf.GeneratedMessage.computeStringSize(1, zone_);
+    if (((bitField0_ & 0x00000001) != 0)) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(1, getSender());
     }
-    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(peerIp_)) {
-      size += com.google.protobuf.GeneratedMessage.computeStringSize(2, peerIp_);
+    if (subscribes_ != false) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeBoolSize(2, subscribes_);
     }
-    if (peerPort_ != 0) {
+    for (int i = 0; i < reports_.size(); i++) {
       size += com.google.protobuf.CodedOutputStream
-        .computeInt32Size(3, peerPort_);
+        .computeMessageSize(3, reports_.get(i));
     }
-    if (whole_ != false) {
+    for (int i = 0; i < known_.size(); i++) {
       size += com.google.protobuf.CodedOutputStream
-        .computeBoolSize(4, whole_);
+        .computeMessageSize(4, known_.get(i));
     }
-    for (int i = 0; i < placed_.size(); i++) {
+    if (configurationRevision_ != 0L) {
       size += com.google.protobuf.CodedOutputStream
-        .computeMessageSize(5, placed_.get(i));
-    }
-    {
-      int dataSize = 0;
-      dataSize = 8 * getReadList().size();
-      size += dataSize;
-      if (!getReadList().isEmpty()) {
-        size += 1;
-        size += com.google.protobuf.CodedOutputStream
-            .computeInt32SizeNoTag(dataSize);
-      }
-      readMemoizedSerializedSize = dataSize;
-    }
-    {
-      int dataSize = 0;
-      dataSize = 8 * getEndedList().size();
-      size += dataSize;
-      if (!getEndedList().isEmpty()) {
-        size += 1;
-        size += com.google.protobuf.CodedOutputStream
-            .computeInt32SizeNoTag(dataSize);
-      }
-      endedMemoizedSerializedSize = dataSize;
-    }
-    {
-      int dataSize = 0;
-      dataSize = 8 * getFailedList().size();
-      size += dataSize;
-      if (!getFailedList().isEmpty()) {
-        size += 1;
-        size += com.google.protobuf.CodedOutputStream
-            .computeInt32SizeNoTag(dataSize);
-      }
-      failedMemoizedSerializedSize = dataSize;
+        .computeInt64Size(5, configurationRevision_);
     }
-    for (int i = 0; i < known_.size(); i++) {
+    if (endpointsChanged_ != 0L) {
       size += com.google.protobuf.CodedOutputStream
-        .computeMessageSize(9, known_.get(i));
+        .computeInt64Size(6, endpointsChanged_);
     }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
@@ -475,24 +311,21 @@
     }
     org.fawndrum.protocol.wire.FleetNews other = (org.fawndrum.protocol.wire.FleetNews) obj;
 
-    if (!getZone()
-        .equals(other.getZone())) return false;
-    if (!getPeerIp()
-        .equals(other.getPeerIp())) return false;
-    if (getPeerPort()
-        != other.getPeerPort()) return false;
-    if (getWhole()
-        != other.getWhole()) return false;
-    if (!getPlacedList()
-        .equals(other.getPlacedList())) return false;
-    if (!getReadList()
-        .equals(other.getReadList())) return false;
-    if (!getEndedList()
-        .equals(other.getEndedList())) return false;
-    if (!getFailedList()
-        .equals(other.getFailedList())) return false;
+    if (hasSender() != other.hasSender()) return false;
+    if (hasSender()) {
+      if (!getSender()
+          .equals(other.getSender())) return false;
+    }
+    if (getSubscribes()
+        != other.getSubscribes()) return false;
+    if (!getReportsList()
+        .equals(other.getReportsList())) return false;
     if (!getKnownList()
         .equals(other.getKnownList())) return false;
+    if (getConfigurationRevision()
+        != other.getConfigurationRevision()) return false;
+    if (getEndpointsChanged()
+        != other.getEndpointsChanged()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -504,35 +337,27 @@
     }
     int hash = 41;
     hash = (19 * hash) + getDescriptor().hashCode();
-    hash = (37 * hash) + ZONE_FIELD_NUMBER;
-    hash = (53 * hash) + getZone().hashCode();
-    hash = (37 * hash) + PEER_IP_FIELD_NUMBER;
-    hash = (53 * hash) + getPeerIp().hashCode();
-    hash = (37 * hash) + PEER_PORT_FIELD_NUMBER;
-    hash = (53 * hash) + getPeerPort();
-    hash = (37 * hash) + WHOLE_FIELD_NUMBER;
-    hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
-        getWhole());
-    if (getPlacedCount() > 0) {
-      hash = (37 * hash) + PLACED_FIELD_NUMBER;
-      hash = (53 * hash) + getPlacedList().hashCode();
+    if (hasSender()) {
+      hash = (37 * hash) + SENDER_FIELD_NUMBER;
+      hash = (53 * hash) + getSender().hashCode();
     }
-    if (getReadCount() > 0) {
-      hash = (37 * hash) + READ_FIELD_NUMBER;
-      hash = (53 * hash) + getReadList().hashCode();
-    }
-    if (getEndedCount() > 0) {
-      hash = (37 * hash) + ENDED_FIELD_NUMBER;
-      hash = (53 * hash) + getEndedList().hashCode();
-    }
-    if (getFailedCount() > 0) {
-      hash = (37 * hash) + FAILED_FIELD_NUMBER;
-      hash = (53 * hash) + getFailedList().hashCode();
+    hash = (37 * hash) + SUBSCRIBES_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+        getSubscribes());
+    if (getReportsCount() > 0) {
+      hash = (37 * hash) + REPORTS_FIELD_NUMBER;
+      hash = (53 * hash) + getReportsList().hashCode();
     }
     if (getKnownCount() > 0) {
       hash = (37 * hash) + KNOWN_FIELD_NUMBER;
       hash = (53 * hash) + getKnownList().hashCode();
     }
+    hash = (37 * hash) + CONFIGURATION_REVISION_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getConfigurationRevision());
+    hash = (37 * hash) + ENDPOINTS_CHANGED_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getEndpointsChanged());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -632,7 +457,7 @@
   }
   /**
    * <pre>
-   * What a daemon tells all others about itself and its work at endpoints.
+   * Reports of daemons, as they go from one daemon to the next.
    * </pre>
    *
    * Protobuf type {@code fawndrum.FleetNews}
@@ -656,39 +481,48 @@
 
     // Construct using org.fawndrum.protocol.wire.FleetNews.newBuilder()
     private Builder() {
-
+      maybeForceBuilderInitialization();
     }
 
     private Builder(
         com.google.protobuf.GeneratedMessage.BuilderParent parent) {
       super(parent);
-
+      maybeForceBuilderInitialization();
+    }
+    private void maybeForceBuilderInitialization() {
+      if (com.google.protobuf.GeneratedMessage
+              .alwaysUseFieldBuilders) {
+        internalGetSenderFieldBuilder();
+        internalGetReportsFieldBuilder();
+        internalGetKnownFieldBuilder();
+      }
     }
     @java.lang.Override
     public Builder clear() {
       super.clear();
       bitField0_ = 0;
-      zone_ = "";
-      peerIp_ = "";
-      peerPort_ = 0;
-      whole_ = false;
-      if (placedBuilder_ == null) {
-        placed_ = java.util.Collections.emptyList();
+      sender_ = null;
+      if (senderBuilder_ != null) {
+        senderBuilder_.dispose();
+        senderBuilder_ = null;
+      }
+      subscribes_ = false;
+      if (reportsBuilder_ == null) {
+        reports_ = java.util.Collections.emptyList();
       } else {
-        placed_ = null;
-        placedBuilder_.clear();
+        reports_ = null;
+        reportsBuilder_.clear();
       }
-      bitField0_ = (bitField0_ & ~0x00000010);
-      read_ = emptyLongList();
-      ended_ = emptyLongList();
-      failed_ = emptyLongList();
+      bitField0_ = (bitField0_ & ~0x00000004);
       if (knownBuilder_ == null) {
         known_ = java.util.Collections.emptyList();
       } else {
         known_ = null;
         knownBuilder_.clear();
       }
-      bitField0_ = (bitField0_ & ~0x00000100);
+      bitField0_ = (bitField0_ & ~0x00000008);
+      configurationRevision_ = 0L;
+      endpointsChanged_ = 0L;
       return this;
     }
 
@@ -722,19 +556,19 @@
     }
 
     private void buildPartialRepeatedFields(org.fawndrum.protocol.wire.FleetNews result) {
-      if (placedBuilder_ == null) {
-        if (((bitField0_ & 0x00000010) != 0)) {
-          placed_ = java.util.Collections.unmodifiableList(placed_);
-          bitField0_ = (bitField0_ & ~0x00000010);
+      if (reportsBuilder_ == null) {
+        if (((bitField0_ & 0x00000004) != 0)) {
+          reports_ = java.util.Collections.unmodifiableList(reports_);
+          bitField0_ = (bitField0_ & ~0x00000004);
         }
-        result.placed_ = placed_;
+        result.reports_ = reports_;
       } else {
-        result.placed_ = placedBuilder_.build();
+        result.reports_ = reportsBuilder_.build();
       }
       if (knownBuilder_ == null) {
-        if (((bitField0_ & 0x00000100) != 0)) {
+        if (((bitField0_ & 0x00000008) != 0)) {
           known_ = java.util.Collections.unmodifiableList(known_);
-          bitField0_ = (bitField0_ & ~0x00000100);
+          bitField0_ = (bitField0_ & ~0x00000008);
         }
         result.known_ = known_;
       } else {
@@ -744,30 +578,23 @@
 
     private void buildPartial0(org.fawndrum.protocol.wire.FleetNews result) {
       int from_bitField0_ = bitField0_;
+      int to_bitField0_ = 0;
       if (((from_bitField0_ & 0x00000001) != 0)) {
-        result.zone_ = zone_;
+        result.sender_ = senderBuilder_ == null
+            ? sender_
+            : senderBuilder_.build();
+        to_bitField0_ |= 0x00000001;
       }
       if (((from_bitField0_ & 0x00000002) != 0)) {
-        result.peerIp_ = peerIp_;
-      }
-      if (((from_bitField0_ & 0x00000004) != 0)) {
-        result.peerPort_ = peerPort_;
+        result.subscribes_ = subscribes_;
       }
-      if (((from_bitField0_ & 0x00000008) != 0)) {
-        result.whole_ = whole_;
+      if (((from_bitField0_ & 0x00000010) != 0)) {
+        result.configurationRevision_ = configurationRevision_;
       }
       if (((from_bitField0_ & 0x00000020) != 0)) {
-        read_.makeImmutable();
-        result.read_ = read_;
-      }
-      if (((from_bitField0_ & 0x00000040) != 0)) {
-        ended_.makeImmutable();
-        result.ended_ = ended_;
-      }
-      if (((from_bitField0_ & 0x00000080) != 0)) {
-        failed_.makeImmutable();
-        result.failed_ = failed_;
+        result.endpointsChanged_ = endpointsChanged_;
       }
+      result.bitField0_ |= to_bitField0_;
     }
 
     @java.lang.Override
@@ -782,86 +609,43 @@
 
     public Builder mergeFrom(org.fawndrum.protocol.wire.FleetNews other) {
       if (other == org.fawndrum.protocol.wire.FleetNews.getDefaultInstance()) return this;
-      if (!other.getZone().isEmpty()) {
-        zone_ = other.zone_;
-        bitField0_ |= 0x00000001;
-        onChanged();
+      if (other.hasSender()) {
+        mergeSender(other.getSender());
       }
-      if (!other.getPeerIp().isEmpty()) {
-        peerIp_ = other.peerIp_;
-        bitField0_ |= 0x00000002;
-        onChanged();
-      }
-      if (other.getPeerPort() != 0) {
-        setPeerPort(other.getPeerPort());
+      if (other.getSubscribes() != false) {
+        setSubscribes(other.getSubscribes());
       }
-      if (other.getWhole() != false) {
-        setWhole(other.getWhole());
-      }
-      if (placedBuilder_ == null) {
-        if (!other.placed_.isEmpty()) {
-          if (placed_.isEmpty()) {
-            placed_ = other.placed_;
-            bitField0_ = (bitField0_ & ~0x00000010);
+      if (reportsBuilder_ == null) {
+        if (!other.reports_.isEmpty()) {
+          if (reports_.isEmpty()) {
+            reports_ = other.reports_;
+            bitField0_ = (bitField0_ & ~0x00000004);
           } else {
-            ensurePlacedIsMutable();
-            placed_.addAll(other.placed_);
+            ensureReportsIsMutable();
+            reports_.addAll(other.reports_);
           }
           onChanged();
         }
       } else {
-        if (!other.placed_.isEmpty()) {
-          if (placedBuilder_.isEmpty()) {
-            placedBuilder_.dispose();
-            placedBuilder_ = null;
-            placed_ = other.placed_;
-            bitField0_ = (bitField0_ & ~0x00000010);
-            placedBuilder_ = 
+        if (!other.reports_.isEmpty()) {
+          if (reportsBuilder_.isEmpty()) {
+            reportsBuilder_.dispose();
+            reportsBuilder_ = null;
+            reports_ = other.reports_;
+            bitField0_ = (bitField0_ & ~0x00000004);
+            reportsBuilder_ = 
               com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
-                 internalGetPlacedFieldBuilder() : null;
+                 internalGetReportsFieldBuilder() : null;
           } else {
-            placedBuilder_.addAllMessages(other.placed_);
+            reportsBuilder_.addAllMessages(other.reports_);
           }
         }
       }
-      if (!other.read_.isEmpty()) {
-        if (read_.isEmpty()) {
-          read_ = other.read_;
-          read_.makeImmutable();
-          bitField0_ |= 0x00000020;
-        } else {
-          ensureReadIsMutable();
-          read_.addAll(other.read_);
-        }
-        onChanged();
-      }
-      if (!other.ended_.isEmpty()) {
-        if (ended_.isEmpty()) {
-          ended_ = other.ended_;
-          ended_.makeImmutable();
-          bitField0_ |= 0x00000040;
-        } else {
-          ensureEndedIsMutable();
-          ended_.addAll(other.ended_);
-        }
-        onChanged();
-      }
-      if (!other.failed_.isEmpty()) {
-        if (failed_.isEmpty()) {
-          failed_ = other.failed_;
-          failed_.makeImmutable();
-          bitField0_ |= 0x00000080;
-        } else {
-          ensureFailedIsMutable();
-          failed_.addAll(other.failed_);
-        }
-        onChanged();
-      }
       if (knownBuilder_ == null) {
         if (!other.known_.isEmpty()) {
           if (known_.isEmpty()) {
             known_ = other.known_;
-            bitField0_ = (bitField0_ & ~0x00000100);
+            bitField0_ = (bitField0_ & ~0x00000008);
           } else {
             ensureKnownIsMutable();
             known_.addAll(other.known_);
@@ -874,7 +658,7 @@
             knownBuilder_.dispose();
             knownBuilder_ = null;
             known_ = other.known_;
-            bitField0_ = (bitField0_ & ~0x00000100);
+            bitField0_ = (bitField0_ & ~0x00000008);
             knownBuilder_ = 
               com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
                  internalGetKnownFieldBuilder() : null;
@@ -883,6 +667,12 @@
           }
         }
       }
+      if (other.getConfigurationRevision() != 0L) {
+        setConfigurationRevision(other.getConfigurationRevision());
+      }
+      if (other.getEndpointsChanged() != 0L) {
+        setEndpointsChanged(other.getEndpointsChanged());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -910,93 +700,34 @@
               done = true;
               break;
             case 10: {
-              zone_ = input.readStringRequireUtf8();
+              input.readMessage(
+                  internalGetSenderFieldBuilder().getBuilder(),
+                  extensionRegistry);
               bitField0_ |= 0x00000001;
               break;
             } // case 10
-            case 18: {
-              peerIp_ = input.readStringRequireUtf8();
+            case 16: {
+              subscribes_ = input.readBool();
               bitField0_ |= 0x00000002;
               break;
-            } // case 18
-            case 24: {
-              peerPort_ = input.readInt32();
-              bitField0_ |= 0x00000004;
-              break;
-            } // case 24
-            case 32: {
-              whole_ = input.readBool();
-              bitField0_ |= 0x00000008;
-              break;
-            } // case 32
-            case 42: {
-              org.fawndrum.protocol.wire.WorkPlaced m =
+            } // case 16
+            case 26: {
+              org.fawndrum.protocol.wire.WorkReport m =
                   input.readMessage(
-                      org.fawndrum.protocol.wire.WorkPlaced.parser(),
+                      org.fawndrum.protocol.wire.WorkReport.parser(),
                       extensionRegistry);
-              if (placedBuilder_ == null) {
-                ensurePlacedIsMutable();
-                placed_.add(m);
+              if (reportsBuilder_ == null) {
+                ensureReportsIsMutable();
+                reports_.add(m);
               } else {
-                placedBuilder_.addMessage(m);
+                reportsBuilder_.addMessage(m);
               }
               break;
-            } // case 42
-            case 49: {
-              long v = input.readSFixed64();
-              ensureReadIsMutable();
-              read_.addLong(v);
-              break;
-            } // case 49
-            case 50: {
-              int length = input.readRawVarint32();
-              int limit = input.pushLimit(length);
-              int alloc = length > 4096 ? 4096 : length;
-              ensureReadIsMutable(alloc / 8);
-              while (input.getBytesUntilLimit() > 0) {
-                read_.addLong(input.readSFixed64());
-              }
-              input.popLimit(limit);
-              break;
-            } // case 50
-            case 57: {
-              long v = input.readSFixed64();
-              ensureEndedIsMutable();
-              ended_.addLong(v);
-              break;
-            } // case 57
-            case 58: {
-              int length = input.readRawVarint32();
-              int limit = input.pushLimit(length);
-              int alloc = length > 4096 ? 4096 : length;
-              ensureEndedIsMutable(alloc / 8);
-              while (input.getBytesUntilLimit() > 0) {
-                ended_.addLong(input.readSFixed64());
-              }
-              input.popLimit(limit);
-              break;
-            } // case 58
-            case 65: {
-              long v = input.readSFixed64();
-              ensureFailedIsMutable();
-              failed_.addLong(v);
-              break;
-            } // case 65
-            case 66: {
-              int length = input.readRawVarint32();
-              int limit = input.pushLimit(length);
-              int alloc = length > 4096 ? 4096 : length;
-              ensureFailedIsMutable(alloc / 8);
-              while (input.getBytesUntilLimit() > 0) {
-                failed_.addLong(input.readSFixed64());
-              }
-              input.popLimit(limit);
-              break;
-            } // case 66
-            case 74: {
-              org.fawndrum.protocol.wire.PeerPlace m =
+            } // case 26
+            case 34: {
+              org.fawndrum.protocol.wire.DaemonPlace m =
                   input.readMessage(
-                      org.fawndrum.protocol.wire.PeerPlace.parser(),
+                      org.fawndrum.protocol.wire.DaemonPlace.parser(),
                       extensionRegistry);
               if (knownBuilder_ == null) {
                 ensureKnownIsMutable();
@@ -1005,7 +736,17 @@
                 knownBuilder_.addMessage(m);
               }
               break;
-            } // case 74
+            } // case 34
+            case 40: {
+              configurationRevision_ = input.readInt64();
+              bitField0_ |= 0x00000010;
+              break;
+            } // case 40
+            case 48: {
+              endpointsChanged_ = input.readInt64();
+              bitField0_ |= 0x00000020;
+              break;
+            } // case 48
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1023,780 +764,467 @@
     }
     private int bitField0_;
 
-    private java.lang.Object zone_ = "";
+    private org.fawndrum.protocol.wire.DaemonPlace sender_;
+    private com.google.protobuf.SingleFieldBuilder<
+        org.fawndrum.protocol.wire.DaemonPlace, org.fawndrum.protocol.wire.DaemonPlace.Builder, org.fawndrum.protocol.wire.DaemonPlaceOrBuilder> senderBuilder_;
     /**
-     * <code>string zone = 1;</code>
-     * @return The zone.
+     * <pre>
+     * The sender.
+     * </pre>
+     *
+     * <code>.fawndrum.DaemonPlace sender = 1;</code>
+     * @return Whether the sender field is set.
      */
-    public java.lang.String getZone() {
-      java.lang.Object ref = zone_;
-      if (!(ref instanceof java.lang.String)) {
-        com.google.protobuf.ByteString bs =
-            (com.google.protobuf.ByteString) ref;
-        java.lang.String s = bs.toStringUtf8();
-        zone_ = s;
-        return s;
-      } else {
-        return (java.lang.String) ref;
-      }
+    public boolean hasSender() {
+      return ((bitField0_ & 0x00000001) != 0);
     }
     /**
-     * <code>string zone = 1;</code>
-     * @return The bytes for zone.
+     * <pre>
+     * The sender.
+     * </pre>
+     *
+     * <code>.fawndrum.DaemonPlace sender = 1;</code>
+     * @return The sender.
      */
-    public com.google.protobuf.ByteString
-        getZoneBytes() {
-      java.lang.Object ref = zone_;
-      if (ref instanceof String) {
-        com.google.protobuf.ByteString b = 
-            com.google.protobuf.ByteString.copyFromUtf8(
-                (java.lang.String) ref);
-        zone_ = b;
-        return b;
+    public org.fawndrum.protocol.wire.DaemonPlace getSender() {
+      if (senderBuilder_ == null) {
+        return sender_ == null ? org.fawndrum.protocol.wire.DaemonPlace.getDefaultInstance() : sender_;
       } else {
-        return (com.google.protobuf.ByteString) ref;
+        return senderBuilder_.getMessage();
       }
     }
     /**
-     * <code>string zone = 1;</code>
-     * @param value The zone to set.
-     * @return This builder for chaining.
+     * <pre>
+     * The sender.
+     * </pre>
+     *
+     * <code>.fawndrum.DaemonPlace sender = 1;</code>
      */
-    public Builder setZone(
-        java.lang.String value) {
-      if (value == null) { throw new NullPointerException(); }
-      zone_ = value;
+    public Builder setSender(org.fawndrum.protocol.wire.DaemonPlace value) {
+      if (senderBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        sender_ = value;
+      } else {
+        senderBuilder_.setMessage(value);
+      }
       bitField0_ |= 0x00000001;
       onChanged();
       return this;
     }
     /**
-     * <code>string zone = 1;</code>
-     * @return This builder for chaining.
-     */
-    public Builder clearZone() {
-      zone_ = getDefaultInstance().getZone();
-      bitField0_ = (bitField0_ & ~0x00000001);
-      onChanged();
-      return this;
-    }
-    /**
-     * <code>string zone = 1;</code>
-     * @param value The bytes for zone to set.
-     * @return This builder for chaining.
+     * <pre>
+     * The sender.
+     * </pre>
+     *
+     * <code>.fawndrum.DaemonPlace sender = 1;</code>
      */
-    public Builder setZoneBytes(
-        com.google.protobuf.ByteString value) {
-      if (value == null) { throw new NullPointerException(); }
-      checkByteStringIsUtf8(value);
-      zone_ = value;
+    public Builder setSender(
+        org.fawndrum.protocol.wire.DaemonPlace.Builder builderForValue) {
+      if (senderBuilder_ == null) {
+        sender_ = builderForValue.build();
+      } else {
+        senderBuilder_.setMessage(builderForValue.build());
+      }
       bitField0_ |= 0x00000001;
       onChanged();
       return this;
     }
-
-    private java.lang.Object peerIp_ = "";
     /**
-     * <code>string peer_ip = 2;</code>
-     * @return The peerIp.
-     */
-    public java.lang.String getPeerIp() {
-      java.lang.Object ref = peerIp_;
-      if (!(ref instanceof java.lang.String)) {
-        com.google.protobuf.ByteString bs =
-            (com.google.protobuf.ByteString) ref;
-        java.lang.String s = bs.toStringUtf8();
-        peerIp_ = s;
-        return s;
+     * <pre>
+     * The sender.
+     * </pre>
+     *
+     * <code>.fawndrum.DaemonPlace sender = 1;</code>
+     */
+    public Builder mergeSender(org.fawndrum.protocol.wire.DaemonPlace value) {
+      if (senderBuilder_ == null) {
+        if (((bitField0_ & 0x00000001) != 0) &&
+          sender_ != null &&
+          sender_ != org.fawndrum.protocol.wire.DaemonPlace.getDefaultInstance()) {
+          getSenderBuilder().mergeFrom(value);
+        } else {
+          sender_ = value;
+        }
       } else {
-        return (java.lang.String) ref;
+        senderBuilder_.mergeFrom(value);
       }
-    }
-    /**
-     * <code>string peer_ip = 2;</code>
-     * @return The bytes for peerIp.
-     */
-    public com.google.protobuf.ByteString
-        getPeerIpBytes() {
-      java.lang.Object ref = peerIp_;
-      if (ref instanceof String) {
-        com.google.protobuf.ByteString b = 
-            com.google.protobuf.ByteString.copyFromUtf8(
-                (java.lang.String) ref);
-        peerIp_ = b;
-        return b;
-      } else {
-        return (com.google.protobuf.ByteString) ref;
+      if (sender_ != null) {
+        bitField0_ |= 0x00000001;
+        onChanged();
       }
-    }
-    /**
-     * <code>string peer_ip = 2;</code>
-     * @param value The peerIp to set.
-     * @return This builder for chaining.
-     */
-    public Builder setPeerIp(
-        java.lang.String value) {
-      if (value == null) { throw new NullPointerException(); }
-      peerIp_ = value;
-      bitField0_ |= 0x00000002;
-      onChanged();
       return this;
     }
     /**
-     * <code>string peer_ip = 2;</code>
-     * @return This builder for chaining.
+     * <pre>
+     * The sender.
+     * </pre>
+     *
+     * <code>.fawndrum.DaemonPlace sender = 1;</code>
      */
-    public Builder clearPeerIp() {
-      peerIp_ = getDefaultInstance().getPeerIp();
-      bitField0_ = (bitField0_ & ~0x00000002);
+    public Builder clearSender() {
+      bitField0_ = (bitField0_ & ~0x00000001);
+      sender_ = null;
+      if (senderBuilder_ != null) {
+        senderBuilder_.dispose();
+        senderBuilder_ = null;
+      }
       onChanged();
       return this;
     }
     /**
-     * <code>string peer_ip = 2;</code>
-     * @param value The bytes for peerIp to set.
-     * @return This builder for chaining.
+     * <pre>
+     * The sender.
+     * </pre>
+     *
+     * <code>.fawndrum.DaemonPlace sender = 1;</code>
      */
-    public Builder setPeerIpBytes(
-        com.google.protobuf.ByteString value) {
-      if (value == null) { throw new NullPointerException(); }
-      checkByteStringIsUtf8(value);
-      peerIp_ = value;
-      bitField0_ |= 0x00000002;
+    public org.fawndrum.protocol.wire.DaemonPlace.Builder getSenderBuilder() {
+      bitField0_ |= 0x00000001;
       onChanged();
-      return this;
-    }
-
-    private int peerPort_ ;
-    /**
-     * <code>int32 peer_port = 3;</code>
-     * @return The peerPort.
-     */
-    @java.lang.Override
-    public int getPeerPort() {
-      return peerPort_;
+      return internalGetSenderFieldBuilder().getBuilder();
     }
     /**
-     * <code>int32 peer_port = 3;</code>
-     * @param value The peerPort to set.
-     * @return This builder for chaining.
+     * <pre>
+     * The sender.
+     * </pre>
+     *
+     * <code>.fawndrum.DaemonPlace sender = 1;</code>
      */
-    public Builder setPeerPort(int value) {
-
-      peerPort_ = value;
-      bitField0_ |= 0x00000004;
-      onChanged();
-      return this;
+    public org.fawndrum.protocol.wire.DaemonPlaceOrBuilder getSenderOrBuilder() {
+      if (senderBuilder_ != null) {
+        return senderBuilder_.getMessageOrBuilder();
+      } else {
+        return sender_ == null ?
+            org.fawndrum.protocol.wire.DaemonPlace.getDefaultInstance() : sender_;
+      }
     }
     /**
-     * <code>int32 peer_port = 3;</code>
-     * @return This builder for chaining.
-     */
-    public Builder clearPeerPort() {
-      bitField0_ = (bitField0_ & ~0x00000004);
-      peerPort_ = 0;
-      onChanged();
-      return this;
+     * <pre>
+     * The sender.
+     * </pre>
+     *
+     * <code>.fawndrum.DaemonPlace sender = 1;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        org.fawndrum.protocol.wire.DaemonPlace, org.fawndrum.protocol.wire.DaemonPlace.Builder, org.fawndrum.protocol.wire.DaemonPlaceOrBuilder> 
+        internalGetSenderFieldBuilder() {
+      if (senderBuilder_ == null) {
+        senderBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            org.fawndrum.protocol.wire.DaemonPlace, org.fawndrum.protocol.wire.DaemonPlace.Builder, org.fawndrum.protocol.wire.DaemonPlaceOrBuilder>(
+                getSender(),
+                getParentForChildren(),
+                isClean());
+        sender_ = null;
+      }
+      return senderBuilder_;
     }
 
-    private boolean whole_ ;
+    private boolean subscribes_ ;
     /**
      * <pre>
-     * Whether `placed` and `read` name all of the sender's work.
+     * Whether the sender wants all reports that the receiver gets from now on.
      * </pre>
      *
-     * <code>bool whole = 4;</code>
-     * @return The whole.
+     * <code>bool subscribes = 2;</code>
+     * @return The subscribes.
      */
     @java.lang.Override
-    public boolean getWhole() {
-      return whole_;
+    public boolean getSubscribes() {
+      return subscribes_;
     }
     /**
      * <pre>
-     * Whether `placed` and `read` name all of the sender's work.
+     * Whether the sender wants all reports that the receiver gets from now on.
      * </pre>
      *
-     * <code>bool whole = 4;</code>
-     * @param value The whole to set.
+     * <code>bool subscribes = 2;</code>
+     * @param value The subscribes to set.
      * @return This builder for chaining.
      */
-    public Builder setWhole(boolean value) {
+    public Builder setSubscribes(boolean value) {
 
-      whole_ = value;
-      bitField0_ |= 0x00000008;
+      subscribes_ = value;
+      bitField0_ |= 0x00000002;
       onChanged();
       return this;
     }
     /**
      * <pre>
-     * Whether `placed` and `read` name all of the sender's work.
+     * Whether the sender wants all reports that the receiver gets from now on.
      * </pre>
      *
-     * <code>bool whole = 4;</code>
+     * <code>bool subscribes = 2;</code>
      * @return This builder for chaining.
      */
-    public Builder clearWhole() {
-      bitField0_ = (bitField0_ & ~0x00000008);
-      whole_ = false;
+    public Builder clearSubscribes() {
+      bitField0_ = (bitField0_ & ~0x00000002);
+      subscribes_ = false;
       onChanged();
       return this;
     }
 
-    private java.util.List<org.fawndrum.protocol.wire.WorkPlaced> placed_ =
+    private java.util.List<org.fawndrum.protocol.wire.WorkReport> reports_ =
       java.util.Collections.emptyList();
-    private void ensurePlacedIsMutable() {
-      if (!((bitField0_ & 0x00000010) != 0)) {
-        placed_ = new java.util.ArrayList<org.fawndrum.protocol.wire.WorkPlaced>(placed_);
-        bitField0_ |= 0x00000010;
+    private void ensureReportsIsMutable() {
+      if (!((bitField0_ & 0x00000004) != 0)) {
+        reports_ = new java.util.ArrayList<org.fawndrum.protocol.wire.WorkReport>(reports_);
+        bitField0_ |= 0x00000004;
        }
     }
 
     private com.google.protobuf.RepeatedFieldBuilder<
-        org.fawndrum.protocol.wire.WorkPlaced, org.fawndrum.protocol.wire.WorkPlaced.Builder, org.fawndrum.protocol.wire.WorkPlacedOrBuilder> placedBuilder_;
+        org.fawndrum.protocol.wire.WorkReport, org.fawndrum.protocol.wire.WorkReport.Builder, org.fawndrum.protocol.wire.WorkReportOrBuilder> reportsBuilder_;
 
     /**
-     * <code>repeated .fawndrum.WorkPlaced placed = 5;</code>
+     * <code>repeated .fawndrum.WorkReport reports = 3;</code>
      */
-    public java.util.List<org.fawndrum.protocol.wire.WorkPlaced> getPlacedList() {
-      if (placedBuilder_ == null) {
-        return java.util.Collections.unmodifiableList(placed_);
+    public java.util.List<org.fawndrum.protocol.wire.WorkReport> getReportsList() {
+      if (reportsBuilder_ == null) {
+        return java.util.Collections.unmodifiableList(reports_);
       } else {
-        return placedBuilder_.getMessageList();
+        return reportsBuilder_.getMessageList();
       }
     }
     /**
-     * <code>repeated .fawndrum.WorkPlaced placed = 5;</code>
+     * <code>repeated .fawndrum.WorkReport reports = 3;</code>
      */
-    public int getPlacedCount() {
-      if (placedBuilder_ == null) {
-        return placed_.size();
+    public int getReportsCount() {
+      if (reportsBuilder_ == null) {
+        return reports_.size();
       } else {
-        return placedBuilder_.getCount();
+        return reportsBuilder_.getCount();
       }
     }
     /**
-     * <code>repeated .fawndrum.WorkPlaced placed = 5;</code>
+     * <code>repeated .fawndrum.WorkReport reports = 3;</code>
      */
-    public org.fawndrum.protocol.wire.WorkPlaced getPlaced(int index) {
-      if (placedBuilder_ == null) {
-        return placed_.get(index);
+    public org.fawndrum.protocol.wire.WorkReport getReports(int index) {
+      if (reportsBuilder_ == null) {
+        return reports_.get(index);
       } else {
-        return placedBuilder_.getMessage(index);
+        return reportsBuilder_.getMessage(index);
       }
     }
     /**
-     * <code>repeated .fawndrum.WorkPlaced placed = 5;</code>
+     * <code>repeated .fawndrum.WorkReport reports = 3;</code>
      */
-    public Builder setPlaced(
-        int index, org.fawndrum.protocol.wire.WorkPlaced value) {
-      if (placedBuilder_ == null) {
+    public Builder setReports(
+        int index, org.fawndrum.protocol.wire.WorkReport value) {
+      if (reportsBuilder_ == null) {
         if (value == null) {
           throw new NullPointerException();
         }
-        ensurePlacedIsMutable();
-        placed_.set(index, value);
+        ensureReportsIsMutable();
+        reports_.set(index, value);
         onChanged();
       } else {
-        placedBuilder_.setMessage(index, value);
+        reportsBuilder_.setMessage(index, value);
       }
       return this;
     }
     /**
-     * <code>repeated .fawndrum.WorkPlaced placed = 5;</code>
+     * <code>repeated .fawndrum.WorkReport reports = 3;</code>
      */
-    public Builder setPlaced(
-        int index, org.fawndrum.protocol.wire.WorkPlaced.Builder builderForValue) {
-      if (placedBuilder_ == null) {
-        ensurePlacedIsMutable();
-        placed_.set(index, builderForValue.build());
+    public Builder setReports(
+        int index, org.fawndrum.protocol.wire.WorkReport.Builder builderForValue) {
+      if (reportsBuilder_ == null) {
+        ensureReportsIsMutable();
+        reports_.set(index, builderForValue.build());
         onChanged();
       } else {
-        placedBuilder_.setMessage(index, builderForValue.build());
+        reportsBuilder_.setMessage(index, builderForValue.build());
       }
       return this;
     }
     /**
-     * <code>repeated .fawndrum.WorkPlaced placed = 5;</code>
+     * <code>repeated .fawndrum.WorkReport reports = 3;</code>
      */
-    public Builder addPlaced(org.fawndrum.protocol.wire.WorkPlaced value) {
-      if (placedBuilder_ == null) {
+    public Builder addReports(org.fawndrum.protocol.wire.WorkReport value) {
+      if (reportsBuilder_ == null) {
         if (value == null) {
           throw new NullPointerException();
         }
-        ensurePlacedIsMutable();
-        placed_.add(value);
+        ensureReportsIsMutable();
+        reports_.add(value);
         onChanged();
       } else {
-        placedBuilder_.addMessage(value);
+        reportsBuilder_.addMessage(value);
       }
       return this;
     }
     /**
-     * <code>repeated .fawndrum.WorkPlaced placed = 5;</code>
+     * <code>repeated .fawndrum.WorkReport reports = 3;</code>
      */
-    public Builder addPlaced(
-        int index, org.fawndrum.protocol.wire.WorkPlaced value) {
-      if (placedBuilder_ == null) {
+    public Builder addReports(
+        int index, org.fawndrum.protocol.wire.WorkReport value) {
+      if (reportsBuilder_ == null) {
         if (value == null) {
           throw new NullPointerException();
         }
-        ensurePlacedIsMutable();
-        placed_.add(index, value);
+        ensureReportsIsMutable();
+        reports_.add(index, value);
         onChanged();
       } else {
-        placedBuilder_.addMessage(index, value);
+        reportsBuilder_.addMessage(index, value);
       }
       return this;
     }
     /**
-     * <code>repeated .fawndrum.WorkPlaced placed = 5;</code>
+     * <code>repeated .fawndrum.WorkReport reports = 3;</code>
      */
-    public Builder addPlaced(
-        org.fawndrum.protocol.wire.WorkPlaced.Builder builderForValue) {
-      if (placedBuilder_ == null) {
-        ensurePlacedIsMutable();
-        placed_.add(builderForValue.build());
+    public Builder addReports(
+        org.fawndrum.protocol.wire.WorkReport.Builder builderForValue) {
+      if (reportsBuilder_ == null) {
+        ensureReportsIsMutable();
+        reports_.add(builderForValue.build());
         onChanged();
       } else {
-        placedBuilder_.addMessage(builderForValue.build());
+        reportsBuilder_.addMessage(builderForValue.build());
       }
       return this;
     }
     /**
-     * <code>repeated .fawndrum.WorkPlaced placed = 5;</code>
+     * <code>repeated .fawndrum.WorkReport reports = 3;</code>
      */
-    public Builder addPlaced(
-        int index, org.fawndrum.protocol.wire.WorkPlaced.Builder builderForValue) {
-      if (placedBuilder_ == null) {
-        ensurePlacedIsMutable();
-        placed_.add(index, builderForValue.build());
+    public Builder addReports(
+        int index, org.fawndrum.protocol.wire.WorkReport.Builder builderForValue) {
+      if (reportsBuilder_ == null) {
+        ensureReportsIsMutable();
+        reports_.add(index, builderForValue.build());
         onChanged();
       } else {
-        placedBuilder_.addMessage(index, builderForValue.build());
+        reportsBuilder_.addMessage(index, builderForValue.build());
       }
       return this;
     }
     /**
-     * <code>repeated .fawndrum.WorkPlaced placed = 5;</code>
+     * <code>repeated .fawndrum.WorkReport reports = 3;</code>
      */
-    public Builder addAllPlaced(
-        java.lang.Iterable<? extends org.fawndrum.protocol.wire.WorkPlaced> values) {
-      if (placedBuilder_ == null) {
-        ensurePlacedIsMutable();
+    public Builder addAllReports(
+        java.lang.Iterable<? extends org.fawndrum.protocol.wire.WorkReport> values) {
+      if (reportsBuilder_ == null) {
+        ensureReportsIsMutable();
         com.google.protobuf.AbstractMessageLite.Builder.addAll(
-            values, placed_);
+            values, reports_);
         onChanged();
       } else {
-        placedBuilder_.addAllMessages(values);
+        reportsBuilder_.addAllMessages(values);
       }
       return this;
     }
     /**
-     * <code>repeated .fawndrum.WorkPlaced placed = 5;</code>
+     * <code>repeated .fawndrum.WorkReport reports = 3;</code>
      */
-    public Builder clearPlaced() {
-      if (placedBuilder_ == null) {
-        placed_ = java.util.Collections.emptyList();
-        bitField0_ = (bitField0_ & ~0x00000010);
+    public Builder clearReports() {
+      if (reportsBuilder_ == null) {
+        reports_ = java.util.Collections.emptyList();
+        bitField0_ = (bitField0_ & ~0x00000004);
         onChanged();
       } else {
-        placedBuilder_.clear();
+        reportsBuilder_.clear();
       }
       return this;
     }
     /**
-     * <code>repeated .fawndrum.WorkPlaced placed = 5;</code>
+     * <code>repeated .fawndrum.WorkReport reports = 3;</code>
      */
-    public Builder removePlaced(int index) {
-      if (placedBuilder_ == null) {
-        ensurePlacedIsMutable();
-        placed_.remove(index);
+    public Builder removeReports(int index) {
+      if (reportsBuilder_ == null) {
+        ensureReportsIsMutable();
+        reports_.remove(index);
         onChanged();
       } else {
-        placedBuilder_.remove(index);
+        reportsBuilder_.remove(index);
       }
       return this;
     }
     /**
-     * <code>repeated .fawndrum.WorkPlaced placed = 5;</code>
+     * <code>repeated .fawndrum.WorkReport reports = 3;</code>
      */
-    public org.fawndrum.protocol.wire.WorkPlaced.Builder getPlacedBuilder(
+    public org.fawndrum.protocol.wire.WorkReport.Builder getReportsBuilder(
         int index) {
-      return internalGetPlacedFieldBuilder().getBuilder(index);
+      return internalGetReportsFieldBuilder().getBuilder(index);
     }
     /**
-     * <code>repeated .fawndrum.WorkPlaced placed = 5;</code>
+     * <code>repeated .fawndrum.WorkReport reports = 3;</code>
      */
-    public org.fawndrum.protocol.wire.WorkPlacedOrBuilder getPlacedOrBuilder(
+    public org.fawndrum.protocol.wire.WorkReportOrBuilder getReportsOrBuilder(
         int index) {
-      if (placedBuilder_ == null) {
-        return placed_.get(index);  } else {
-        return placedBuilder_.getMessageOrBuilder(index);
+      if (reportsBuilder_ == null) {
+        return reports_.get(index);  } else {
+        return reportsBuilder_.getMessageOrBuilder(index);
       }
     }
     /**
-     * <code>repeated .fawndrum.WorkPlaced placed = 5;</code>
+     * <code>repeated .fawndrum.WorkReport reports = 3;</code>
      */
-    public java.util.List<? extends org.fawndrum.protocol.wire.WorkPlacedOrBuilder> 
-         getPlacedOrBuilderList() {
-      if (placedBuilder_ != null) {
-        return placedBuilder_.getMessageOrBuilderList();
+    public java.util.List<? extends org.fawndrum.protocol.wire.WorkReportOrBuilder> 
+         getReportsOrBuilderList() {
+      if (reportsBuilder_ != null) {
+        return reportsBuilder_.getMessageOrBuilderList();
       } else {
-        return java.util.Collections.unmodifiableList(placed_);
+        return java.util.Collections.unmodifiableList(reports_);
       }
     }
     /**
-     * <code>repeated .fawndrum.WorkPlaced placed = 5;</code>
+     * <code>repeated .fawndrum.WorkReport reports = 3;</code>
      */
-    public org.fawndrum.protocol.wire.WorkPlaced.Builder addPlacedBuilder() {
-      return internalGetPlacedFieldBuilder().addBuilder(
-          org.fawndrum.protocol.wire.WorkPlaced.getDefaultInstance());
+    public org.fawndrum.protocol.wire.WorkReport.Builder addReportsBuilder() {
+      return internalGetReportsFieldBuilder().addBuilder(
+          org.fawndrum.protocol.wire.WorkReport.getDefaultInstance());
     }
     /**
-     * <code>repeated .fawndrum.WorkPlaced placed = 5;</code>
+     * <code>repeated .fawndrum.WorkReport reports = 3;</code>
      */
-    public org.fawndrum.protocol.wire.WorkPlaced.Builder addPlacedBuilder(
+    public org.fawndrum.protocol.wire.WorkReport.Builder addReportsBuilder(
         int index) {
-      return internalGetPlacedFieldBuilder().addBuilder(
-          index, org.fawndrum.protocol.wire.WorkPlaced.getDefaultInstance());
+      return internalGetReportsFieldBuilder().addBuilder(
+          index, org.fawndrum.protocol.wire.WorkReport.getDefaultInstance());
     }
     /**
-     * <code>repeated .fawndrum.WorkPlaced placed = 5;</code>
+     * <code>repeated .fawndrum.WorkReport reports = 3;</code>
      */
-    public java.util.List<org.fawndrum.protocol.wire.WorkPlaced.Builder> 
-         getPlacedBuilderList() {
-      return internalGetPlacedFieldBuilder().getBuilderList();
+    public java.util.List<org.fawndrum.protocol.wire.WorkReport.Builder> 
+         getReportsBuilderList() {
+      return internalGetReportsFieldBuilder().getBuilderList();
     }
     private com.google.protobuf.RepeatedFieldBuilder<
-        org.fawndrum.protocol.wire.WorkPlaced, org.fawndrum.protocol.wire.WorkPlaced.Builder, org.fawndrum.protocol.wire.WorkPlacedOrBuilder> 
-        internalGetPlacedFieldBuilder() {
-      if (placedBuilder_ == null) {
-        placedBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
-            org.fawndrum.protocol.wire.WorkPlaced, org.fawndrum.protocol.wire.WorkPlaced.Builder, org.fawndrum.protocol.wire.WorkPlacedOrBuilder>(
-                placed_,
-                ((bitField0_ & 0x00000010) != 0),
+        org.fawndrum.protocol.wire.WorkReport, org.fawndrum.protocol.wire.WorkReport.Builder, org.fawndrum.protocol.wire.WorkReportOrBuilder> 
+        internalGetReportsFieldBuilder() {
+      if (reportsBuilder_ == null) {
+        reportsBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+            org.fawndrum.protocol.wire.WorkReport, org.fawndrum.protocol.wire.WorkReport.Builder, org.fawndrum.protocol.wire.WorkReportOrBuilder>(
+                reports_,
+                ((bitField0_ & 0x00000004) != 0),
                 getParentForChildren(),
                 isClean());
-        placed_ = null;
-      }
-      return placedBuilder_;
-    }
-
-    private com.google.protobuf.Internal.LongList read_ = emptyLongList();
-    private void ensureReadIsMutable() {
-      if (!read_.isModifiable()) {
-        read_ = makeMutableCopy(read_);
-      }
-      bitField0_ |= 0x00000020;
-    }
-    private void ensureReadIsMutable(int capacity) {
-      if (!read_.isModifiable()) {
-        read_ = makeMutableCopy(read_, capacity);
-      }
-      bitField0_ |= 0x00000020;
-    }
-    /**
-     * <code>repeated sfixed64 read = 6;</code>
-     * @return A list containing the read.
-     */
-    public java.util.List<java.lang.Long>
-        getReadList() {
-      read_.makeImmutable();
-      return read_;
-    }
-    /**
-     * <code>repeated sfixed64 read = 6;</code>
-     * @return The count of read.
-     */
-    public int getReadCount() {
-      return read_.size();
-    }
-    /**
-     * <code>repeated sfixed64 read = 6;</code>
-     * @param index The index of the element to return.
-     * @return The read at the given index.
-     */
-    public long getRead(int index) {
-      return read_.getLong(index);
-    }
-    /**
-     * <code>repeated sfixed64 read = 6;</code>
-     * @param index The index to set the value at.
-     * @param value The read to set.
-     * @return This builder for chaining.
-     */
-    public Builder setRead(
-        int index, long value) {
-
-      ensureReadIsMutable();
-      read_.setLong(index, value);
-      bitField0_ |= 0x00000020;
-      onChanged();
-      return this;
-    }
-    /**
-     * <code>repeated sfixed64 read = 6;</code>
-     * @param value The read to add.
-     * @return This builder for chaining.
-     */
-    public Builder addRead(long value) {
-
-      ensureReadIsMutable();
-      read_.addLong(value);
-      bitField0_ |= 0x00000020;
-      onChanged();
-      return this;
-    }
-    /**
-     * <code>repeated sfixed64 read = 6;</code>
-     * @param values The read to add.
-     * @return This builder for chaining.
-     */
-    public Builder addAllRead(
-        java.lang.Iterable<? extends java.lang.Long> values) {
-      ensureReadIsMutable();
-      com.google.protobuf.AbstractMessageLite.Builder.addAll(
-          values, read_);
-      bitField0_ |= 0x00000020;
-      onChanged();
-      return this;
-    }
-    /**
-     * <code>repeated sfixed64 read = 6;</code>
-     * @return This builder for chaining.
-     */
-    public Builder clearRead() {
-      read_ = emptyLongList();
-      bitField0_ = (bitField0_ & ~0x00000020);
-      onChanged();
-      return this;
-    }
-
-    private com.google.protobuf.Internal.LongList ended_ = emptyLongList();
-    private void ensureEndedIsMutable() {
-      if (!ended_.isModifiable()) {
-        ended_ = makeMutableCopy(ended_);
+        reports_ = null;
       }
-      bitField0_ |= 0x00000040;
-    }
-    private void ensureEndedIsMutable(int capacity) {
-      if (!ended_.isModifiable()) {
-        ended_ = makeMutableCopy(ended_, capacity);
-      }
-      bitField0_ |= 0x00000040;
-    }
-    /**
-     * <code>repeated sfixed64 ended = 7;</code>
-     * @return A list containing the ended.
-     */
-    public java.util.List<java.lang.Long>
-        getEndedList() {
-      ended_.makeImmutable();
-      return ended_;
-    }
-    /**
-     * <code>repeated sfixed64 ended = 7;</code>
-     * @return The count of ended.
-     */
-    public int getEndedCount() {
-      return ended_.size();
-    }
-    /**
-     * <code>repeated sfixed64 ended = 7;</code>
-     * @param index The index of the element to return.
-     * @return The ended at the given index.
-     */
-    public long getEnded(int index) {
-      return ended_.getLong(index);
-    }
-    /**
-     * <code>repeated sfixed64 ended = 7;</code>
-     * @param index The index to set the value at.
-     * @param value The ended to set.
-     * @return This builder for chaining.
-     */
-    public Builder setEnded(
-        int index, long value) {
-
-      ensureEndedIsMutable();
-      ended_.setLong(index, value);
-      bitField0_ |= 0x00000040;
-      onChanged();
-      return this;
-    }
-    /**
-     * <code>repeated sfixed64 ended = 7;</code>
-     * @param value The ended to add.
-     * @return This builder for chaining.
-     */
-    public Builder addEnded(long value) {
-
-      ensureEndedIsMutable();
-      ended_.addLong(value);
-      bitField0_ |= 0x00000040;
-      onChanged();
-      return this;
-    }
-    /**
-     * <code>repeated sfixed64 ended = 7;</code>
-     * @param values The ended to add.
-     * @return This builder for chaining.
-     */
-    public Builder addAllEnded(
-        java.lang.Iterable<? extends java.lang.Long> values) {
-      ensureEndedIsMutable();
-      com.google.protobuf.AbstractMessageLite.Builder.addAll(
-          values, ended_);
-      bitField0_ |= 0x00000040;
-      onChanged();
-      return this;
-    }
-    /**
-     * <code>repeated sfixed64 ended = 7;</code>
-     * @return This builder for chaining.
-     */
-    public Builder clearEnded() {
-      ended_ = emptyLongList();
-      bitField0_ = (bitField0_ & ~0x00000040);
-      onChanged();
-      return this;
-    }
-
-    private com.google.protobuf.Internal.LongList failed_ = emptyLongList();
-    private void ensureFailedIsMutable() {
-      if (!failed_.isModifiable()) {
-        failed_ = makeMutableCopy(failed_);
-      }
-      bitField0_ |= 0x00000080;
-    }
-    private void ensureFailedIsMutable(int capacity) {
-      if (!failed_.isModifiable()) {
-        failed_ = makeMutableCopy(failed_, capacity);
-      }
-      bitField0_ |= 0x00000080;
-    }
-    /**
-     * <pre>
-     * Ended work whose endpoint seems to be the cause.
-     * </pre>
-     *
-     * <code>repeated sfixed64 failed = 8;</code>
-     * @return A list containing the failed.
-     */
-    public java.util.List<java.lang.Long>
-        getFailedList() {
-      failed_.makeImmutable();
-      return failed_;
-    }
-    /**
-     * <pre>
-     * Ended work whose endpoint seems to be the cause.
-     * </pre>
-     *
-     * <code>repeated sfixed64 failed = 8;</code>
-     * @return The count of failed.
-     */
-    public int getFailedCount() {
-      return failed_.size();
-    }
-    /**
-     * <pre>
-     * Ended work whose endpoint seems to be the cause.
-     * </pre>
-     *
-     * <code>repeated sfixed64 failed = 8;</code>
-     * @param index The index of the element to return.
-     * @return The failed at the given index.
-     */
-    public long getFailed(int index) {
-      return failed_.getLong(index);
-    }
-    /**
-     * <pre>
-     * Ended work whose endpoint seems to be the cause.
-     * </pre>
-     *
-     * <code>repeated sfixed64 failed = 8;</code>
-     * @param index The index to set the value at.
-     * @param value The failed to set.
-     * @return This builder for chaining.
-     */
-    public Builder setFailed(
-        int index, long value) {
-
-      ensureFailedIsMutable();
-      failed_.setLong(index, value);
-      bitField0_ |= 0x00000080;
-      onChanged();
-      return this;
-    }
-    /**
-     * <pre>
-     * Ended work whose endpoint seems to be the cause.
-     * </pre>
-     *
-     * <code>repeated sfixed64 failed = 8;</code>
-     * @param value The failed to add.
-     * @return This builder for chaining.
-     */
-    public Builder addFailed(long value) {
-
-      ensureFailedIsMutable();
-      failed_.addLong(value);
-      bitField0_ |= 0x00000080;
-      onChanged();
-      return this;
-    }
-    /**
-     * <pre>
-     * Ended work whose endpoint seems to be the cause.
-     * </pre>
-     *
-     * <code>repeated sfixed64 failed = 8;</code>
-     * @param values The failed to add.
-     * @return This builder for chaining.
-     */
-    public Builder addAllFailed(
-        java.lang.Iterable<? extends java.lang.Long> values) {
-      ensureFailedIsMutable();
-      com.google.protobuf.AbstractMessageLite.Builder.addAll(
-          values, failed_);
-      bitField0_ |= 0x00000080;
-      onChanged();
-      return this;
-    }
-    /**
-     * <pre>
-     * Ended work whose endpoint seems to be the cause.
-     * </pre>
-     *
-     * <code>repeated sfixed64 failed = 8;</code>
-     * @return This builder for chaining.
-     */
-    public Builder clearFailed() {
-      failed_ = emptyLongList();
-      bitField0_ = (bitField0_ & ~0x00000080);
-      onChanged();
-      return this;
+      return reportsBuilder_;
     }
 
-    private java.util.List<org.fawndrum.protocol.wire.PeerPlace> known_ =
+    private java.util.List<org.fawndrum.protocol.wire.DaemonPlace> known_ =
       java.util.Collections.emptyList();
     private void ensureKnownIsMutable() {
-      if (!((bitField0_ & 0x00000100) != 0)) {
-        known_ = new java.util.ArrayList<org.fawndrum.protocol.wire.PeerPlace>(known_);
-        bitField0_ |= 0x00000100;
+      if (!((bitField0_ & 0x00000008) != 0)) {
+        known_ = new java.util.ArrayList<org.fawndrum.protocol.wire.DaemonPlace>(known_);
+        bitField0_ |= 0x00000008;
        }
     }
 
     private com.google.protobuf.RepeatedFieldBuilder<
-        org.fawndrum.protocol.wire.PeerPlace, org.fawndrum.protocol.wire.PeerPlace.Builder, org.fawndrum.protocol.wire.PeerPlaceOrBuilder> knownBuilder_;
+        org.fawndrum.protocol.wire.DaemonPlace, org.fawndrum.protocol.wire.DaemonPlace.Builder, org.fawndrum.protocol.wire.DaemonPlaceOrBuilder> knownBuilder_;
 
     /**
-     * <code>repeated .fawndrum.PeerPlace known = 9;</code>
+     * <pre>
+     * Daemons that are alive; told to one that was not known before.
+     * </pre>
+     *
+     * <code>repeated .fawndrum.DaemonPlace known = 4;</code>
      */
-    public java.util.List<org.fawndrum.protocol.wire.PeerPlace> getKnownList() {
+    public java.util.List<org.fawndrum.protocol.wire.DaemonPlace> getKnownList() {
       if (knownBuilder_ == null) {
         return java.util.Collections.unmodifiableList(known_);
       } else {
@@ -1804,7 +1232,11 @@
       }
     }
     /**
-     * <code>repeated .fawndrum.PeerPlace known = 9;</code>
+     * <pre>
+     * Daemons that are alive; told to one that was not known before.
+     * </pre>
+     *
+     * <code>repeated .fawndrum.DaemonPlace known = 4;</code>
      */
     public int getKnownCount() {
       if (knownBuilder_ == null) {
@@ -1814,9 +1246,13 @@
       }
     }
     /**
-     * <code>repeated .fawndrum.PeerPlace known = 9;</code>
+     * <pre>
+     * Daemons that are alive; told to one that was not known before.
+     * </pre>
+     *
+     * <code>repeated .fawndrum.DaemonPlace known = 4;</code>
      */
-    public org.fawndrum.protocol.wire.PeerPlace getKnown(int index) {
+    public org.fawndrum.protocol.wire.DaemonPlace getKnown(int index) {
       if (knownBuilder_ == null) {
         return known_.get(index);
       } else {
@@ -1824,10 +1260,14 @@
       }
     }
     /**
-     * <code>repeated .fawndrum.PeerPlace known = 9;</code>
+     * <pre>
+     * Daemons that are alive; told to one that was not known before.
+     * </pre>
+     *
+     * <code>repeated .fawndrum.DaemonPlace known = 4;</code>
      */
     public Builder setKnown(
-        int index, org.fawndrum.protocol.wire.PeerPlace value) {
+        int index, org.fawndrum.protocol.wire.DaemonPlace value) {
       if (knownBuilder_ == null) {
         if (value == null) {
           throw new NullPointerException();
@@ -1841,10 +1281,14 @@
       return this;
     }
     /**
-     * <code>repeated .fawndrum.PeerPlace known = 9;</code>
+     * <pre>
+     * Daemons that are alive; told to one that was not known before.
+     * </pre>
+     *
+     * <code>repeated .fawndrum.DaemonPlace known = 4;</code>
      */
     public Builder setKnown(
-        int index, org.fawndrum.protocol.wire.PeerPlace.Builder builderForValue) {
+        int index, org.fawndrum.protocol.wire.DaemonPlace.Builder builderForValue) {
       if (knownBuilder_ == null) {
         ensureKnownIsMutable();
         known_.set(index, builderForValue.build());
@@ -1855,9 +1299,13 @@
       return this;
     }
     /**
-     * <code>repeated .fawndrum.PeerPlace known = 9;</code>
+     * <pre>
+     * Daemons that are alive; told to one that was not known before.
+     * </pre>
+     *
+     * <code>repeated .fawndrum.DaemonPlace known = 4;</code>
      */
-    public Builder addKnown(org.fawndrum.protocol.wire.PeerPlace value) {
+    public Builder addKnown(org.fawndrum.protocol.wire.DaemonPlace value) {
       if (knownBuilder_ == null) {
         if (value == null) {
           throw new NullPointerException();
@@ -1871,10 +1319,14 @@
       return this;
     }
     /**
-     * <code>repeated .fawndrum.PeerPlace known = 9;</code>
+     * <pre>
+     * Daemons that are alive; told to one that was not known before.
+     * </pre>
+     *
+     * <code>repeated .fawndrum.DaemonPlace known = 4;</code>
      */
     public Builder addKnown(
-        int index, org.fawndrum.protocol.wire.PeerPlace value) {
+        int index, org.fawndrum.protocol.wire.DaemonPlace value) {
       if (knownBuilder_ == null) {
         if (value == null) {
           throw new NullPointerException();
@@ -1888,10 +1340,14 @@
       return this;
     }
     /**
-     * <code>repeated .fawndrum.PeerPlace known = 9;</code>
+     * <pre>
+     * Daemons that are alive; told to one that was not known before.
+     * </pre>
+     *
+     * <code>repeated .fawndrum.DaemonPlace known = 4;</code>
      */
     public Builder addKnown(
-        org.fawndrum.protocol.wire.PeerPlace.Builder builderForValue) {
+        org.fawndrum.protocol.wire.DaemonPlace.Builder builderForValue) {
       if (knownBuilder_ == null) {
         ensureKnownIsMutable();
         known_.add(builderForValue.build());
@@ -1902,10 +1358,14 @@
       return this;
     }
     /**
-     * <code>repeated .fawndrum.PeerPlace known = 9;</code>
+     * <pre>
+     * Daemons that are alive; told to one that was not known before.
+     * </pre>
+     *
+     * <code>repeated .fawndrum.DaemonPlace known = 4;</code>
      */
     public Builder addKnown(
-        int index, org.fawndrum.protocol.wire.PeerPlace.Builder builderForValue) {
+        int index, org.fawndrum.protocol.wire.DaemonPlace.Builder builderForValue) {
       if (knownBuilder_ == null) {
         ensureKnownIsMutable();
         known_.add(index, builderForValue.build());
@@ -1916,10 +1376,14 @@
       return this;
     }
     /**
-     * <code>repeated .fawndrum.PeerPlace known = 9;</code>
+     * <pre>
+     * Daemons that are alive; told to one that was not known before.
+     * </pre>
+     *
+     * <code>repeated .fawndrum.DaemonPlace known = 4;</code>
      */
     public Builder addAllKnown(
-        java.lang.Iterable<? extends org.fawndrum.protocol.wire.PeerPlace> values) {
+        java.lang.Iterable<? extends org.fawndrum.protocol.wire.DaemonPlace> values) {
       if (knownBuilder_ == null) {
         ensureKnownIsMutable();
         com.google.protobuf.AbstractMessageLite.Builder.addAll(
@@ -1931,12 +1395,16 @@
       return this;
     }
     /**
-     * <code>repeated .fawndrum.PeerPlace known = 9;</code>
+     * <pre>
+     * Daemons that are alive; told to one that was not known before.
+     * </pre>
+     *
+     * <code>repeated .fawndrum.DaemonPlace known = 4;</code>
      */
     public Builder clearKnown() {
       if (knownBuilder_ == null) {
         known_ = java.util.Collections.emptyList();
-        bitField0_ = (bitField0_ & ~0x00000100);
+        bitField0_ = (bitField0_ & ~0x00000008);
         onChanged();
       } else {
         knownBuilder_.clear();
@@ -1944,7 +1412,11 @@
       return this;
     }
     /**
-     * <code>repeated .fawndrum.PeerPlace known = 9;</code>
+     * <pre>
+     * Daemons that are alive; told to one that was not known before.
+     * </pre>
+     *
+     * <code>repeated .fawndrum.DaemonPlace known = 4;</code>
      */
     public Builder removeKnown(int index) {
       if (knownBuilder_ == null) {
@@ -1957,16 +1429,24 @@
       return this;
     }
     /**
-     * <code>repeated .fawndrum.PeerPlace known = 9;</code>
+     * <pre>
+     * Daemons that are alive; told to one that was not known before.
+     * </pre>
+     *
+     * <code>repeated .fawndrum.DaemonPlace known = 4;</code>
      */
-    public org.fawndrum.protocol.wire.PeerPlace.Builder getKnownBuilder(
+    public org.fawndrum.protocol.wire.DaemonPlace.Builder getKnownBuilder(
         int index) {
       return internalGetKnownFieldBuilder().getBuilder(index);
     }
     /**
-     * <code>repeated .fawndrum.PeerPlace known = 9;</code>
+     * <pre>
+     * Daemons that are alive; told to one that was not known before.
+     * </pre>
+     *
+     * <code>repeated .fawndrum.DaemonPlace known = 4;</code>
      */
-    public org.fawndrum.protocol.wire.PeerPlaceOrBuilder getKnownOrBuilder(
+    public org.fawndrum.protocol.wire.DaemonPlaceOrBuilder getKnownOrBuilder(
         int index) {
       if (knownBuilder_ == null) {
         return known_.get(index);  } else {
@@ -1974,9 +1454,13 @@
       }
     }
     /**
-     * <code>repeated .fawndrum.PeerPlace known = 9;</code>
+     * <pre>
+     * Daemons that are alive; told to one that was not known before.
+     * </pre>
+     *
+     * <code>repeated .fawndrum.DaemonPlace known = 4;</code>
      */
-    public java.util.List<? extends org.fawndrum.protocol.wire.PeerPlaceOrBuilder> 
+    public java.util.List<? extends org.fawndrum.protocol.wire.DaemonPlaceOrBuilder> 
          getKnownOrBuilderList() {
       if (knownBuilder_ != null) {
         return knownBuilder_.getMessageOrBuilderList();
@@ -1985,35 +1469,47 @@
       }
     }
     /**
-     * <code>repeated .fawndrum.PeerPlace known = 9;</code>
+     * <pre>
+     * Daemons that are alive; told to one that was not known before.
+     * </pre>
+     *
+     * <code>repeated .fawndrum.DaemonPlace known = 4;</code>
      */
-    public org.fawndrum.protocol.wire.PeerPlace.Builder addKnownBuilder() {
+    public org.fawndrum.protocol.wire.DaemonPlace.Builder addKnownBuilder() {
       return internalGetKnownFieldBuilder().addBuilder(
-          org.fawndrum.protocol.wire.PeerPlace.getDefaultInstance());
+          org.fawndrum.protocol.wire.DaemonPlace.getDefaultInstance());
     }
     /**
-     * <code>repeated .fawndrum.PeerPlace known = 9;</code>
+     * <pre>
+     * Daemons that are alive; told to one that was not known before.
+     * </pre>
+     *
+     * <code>repeated .fawndrum.DaemonPlace known = 4;</code>
      */
-    public org.fawndrum.protocol.wire.PeerPlace.Builder addKnownBuilder(
+    public org.fawndrum.protocol.wire.DaemonPlace.Builder addKnownBuilder(
         int index) {
       return internalGetKnownFieldBuilder().addBuilder(
-          index, org.fawndrum.protocol.wire.PeerPlace.getDefaultInstance());
+          index, org.fawndrum.protocol.wire.DaemonPlace.getDefaultInstance());
     }
     /**
-     * <code>repeated .fawndrum.PeerPlace known = 9;</code>
+     * <pre>
+     * Daemons that are alive; told to one that was not known before.
+     * </pre>
+     *
+     * <code>repeated .fawndrum.DaemonPlace known = 4;</code>
      */
-    public java.util.List<org.fawndrum.protocol.wire.PeerPlace.Builder> 
+    public java.util.List<org.fawndrum.protocol.wire.DaemonPlace.Builder> 
          getKnownBuilderList() {
       return internalGetKnownFieldBuilder().getBuilderList();
     }
     private com.google.protobuf.RepeatedFieldBuilder<
-        org.fawndrum.protocol.wire.PeerPlace, org.fawndrum.protocol.wire.PeerPlace.Builder, org.fawndrum.protocol.wire.PeerPlaceOrBuilder> 
+        org.fawndrum.protocol.wire.DaemonPlace, org.fawndrum.protocol.wire.DaemonPlace.Builder, org.fawndrum.protocol.wire.DaemonPlaceOrBuilder> 
         internalGetKnownFieldBuilder() {
       if (knownBuilder_ == null) {
         knownBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
-            org.fawndrum.protocol.wire.PeerPlace, org.fawndrum.protocol.wire.PeerPlace.Builder, org.fawndrum.protocol.wire.PeerPlaceOrBuilder>(
+            org.fawndrum.protocol.wire.DaemonPlace, org.fawndrum.protocol.wire.DaemonPlace.Builder, org.fawndrum.protocol.wire.DaemonPlaceOrBuilder>(
                 known_,
-                ((bitField0_ & 0x00000100) != 0),
+                ((bitField0_ & 0x00000008) != 0),
                 getParentForChildren(),
                 isClean());
         known_ = null;
@@ -2021,6 +1517,82 @@
       return knownBuilder_;
     }
 
+    private long configurationRevision_ ;
+    /**
+     * <pre>
+     * What the sender has read from the store, so that the receiver can ask for it; -1 for nothing.
+     * </pre>
+     *
+     * <code>int64 configuration_revision = 5;</code>
+     * @return The configurationRevision.
+     */
+    @java.lang.Override
+    public long getConfigurationRevision() {
+      return configurationRevision_;
+    }
+    /**
+     * <pre>
+     * What the sender has read from the store, so that the receiver can ask for it; -1 for nothing.
+     * </pre>
+     *
+     * <code>int64 configuration_revision = 5;</code>
+     * @param value The configurationRevision to set.
+     * @return This builder for chaining.
+     */
+    public Builder setConfigurationRevision(long value) {
+
+      configurationRevision_ = value;
+      bitField0_ |= 0x00000010;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * What the sender has read from the store, so that the receiver can ask for it; -1 for nothing.
+     * </pre>
+     *
+     * <code>int64 configuration_revision = 5;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearConfigurationRevision() {
+      bitField0_ = (bitField0_ & ~0x00000010);
+      configurationRevision_ = 0L;
+      onChanged();
+      return this;
+    }
+
+    private long endpointsChanged_ ;
+    /**
+     * <code>int64 endpoints_changed = 6;</code>
+     * @return The endpointsChanged.
+     */
+    @java.lang.Override
+    public long getEndpointsChanged() {
+      return endpointsChanged_;
+    }
+    /**
+     * <code>int64 endpoints_changed = 6;</code>
+     * @param value The endpointsChanged to set.
+     * @return This builder for chaining.
+     */
+    public Builder setEndpointsChanged(long value) {
+
+      endpointsChanged_ = value;
+      bitField0_ |= 0x00000020;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>int64 endpoints_changed = 6;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearEndpointsChanged() {
+      bitField0_ = (bitField0_ & ~0x00000020);
+      endpointsChanged_ = 0L;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:fawndrum.FleetNews)
   }
 
--- a/org.fawndrum/src/org/fawndrum/protocol/wire/FleetNewsOrBuilder.java
+++ b/org.fawndrum/src/org/fawndrum/protocol/wire/FleetNewsOrBuilder.java
@@ -11,153 +11,123 @@
     com.google.protobuf.MessageOrBuilder {
 
   /**
-   * <code>string zone = 1;</code>
-   * @return The zone.
-   */
-  java.lang.String getZone();
-  /**
-   * <code>string zone = 1;</code>
-   * @return The bytes for zone.
-   */
-  com.google.protobuf.ByteString
-      getZoneBytes();
-
-  /**
-   * <code>string peer_ip = 2;</code>
-   * @return The peerIp.
+   * <pre>
+   * The sender.
+   * </pre>
+   *
+   * <code>.fawndrum.DaemonPlace sender = 1;</code>
+   * @return Whether the sender field is set.
    */
-  java.lang.String getPeerIp();
+  boolean hasSender();
   /**
-   * <code>string peer_ip = 2;</code>
-   * @return The bytes for peerIp.
+   * <pre>
+   * The sender.
+   * </pre>
+   *
+   * <code>.fawndrum.DaemonPlace sender = 1;</code>
+   * @return The sender.
    */
-  com.google.protobuf.ByteString
-      getPeerIpBytes();
-
+  org.fawndrum.protocol.wire.DaemonPlace getSender();
   /**
-   * <code>int32 peer_port = 3;</code>
-   * @return The peerPort.
+   * <pre>
+   * The sender.
+   * </pre>
+   *
+   * <code>.fawndrum.DaemonPlace sender = 1;</code>
    */
-  int getPeerPort();
+  org.fawndrum.protocol.wire.DaemonPlaceOrBuilder getSenderOrBuilder();
 
   /**
    * <pre>
-   * Whether `placed` and `read` name all of the sender's work.
+   * Whether the sender wants all reports that the receiver gets from now on.
    * </pre>
    *
-   * <code>bool whole = 4;</code>
-   * @return The whole.
+   * <code>bool subscribes = 2;</code>
+   * @return The subscribes.
    */
-  boolean getWhole();
+  boolean getSubscribes();
 
   /**
-   * <code>repeated .fawndrum.WorkPlaced placed = 5;</code>
+   * <code>repeated .fawndrum.WorkReport reports = 3;</code>
    */
-  java.util.List<org.fawndrum.protocol.wire.WorkPlaced> 
-      getPlacedList();
+  java.util.List<org.fawndrum.protocol.wire.WorkReport> 
+      getReportsList();
   /**
-   * <code>repeated .fawndrum.WorkPlaced placed = 5;</code>
+   * <code>repeated .fawndrum.WorkReport reports = 3;</code>
    */
-  org.fawndrum.protocol.wire.WorkPlaced getPlaced(int index);
+  org.fawndrum.protocol.wire.WorkReport getReports(int index);
   /**
-   * <code>repeated .fawndrum.WorkPlaced placed = 5;</code>
+   * <code>repeated .fawndrum.WorkReport reports = 3;</code>
    */
-  int getPlacedCount();
+  int getReportsCount();
   /**
-   * <code>repeated .fawndrum.WorkPlaced placed = 5;</code>
+   * <code>repeated .fawndrum.WorkReport reports = 3;</code>
    */
-  java.util.List<? extends org.fawndrum.protocol.wire.WorkPlacedOrBuilder> 
-      getPlacedOrBuilderList();
+  java.util.List<? extends org.fawndrum.protocol.wire.WorkReportOrBuilder> 
+      getReportsOrBuilderList();
   /**
-   * <code>repeated .fawndrum.WorkPlaced placed = 5;</code>
+   * <code>repeated .fawndrum.WorkReport reports = 3;</code>
    */
-  org.fawndrum.protocol.wire.WorkPlacedOrBuilder getPlacedOrBuilder(
+  org.fawndrum.protocol.wire.WorkReportOrBuilder getReportsOrBuilder(
       int index);
 
   /**
-   * <code>repeated sfixed64 read = 6;</code>
-   * @return A list containing the read.
-   */
-  java.util.List<java.lang.Long> getReadList();
-  /**
-   * <code>repeated sfixed64 read = 6;</code>
-   * @return The count of read.
-   */
-  int getReadCount();
-  /**
-   * <code>repeated sfixed64 read = 6;</code>
-   * @param index The index of the element to return.
-   * @return The read at the given index.
-   */
-  long getRead(int index);
-
-  /**
-   * <code>repeated sfixed64 ended = 7;</code>
-   * @return A list containing the ended.
-   */
-  java.util.List<java.lang.Long> getEndedList();
-  /**
-   * <code>repeated sfixed64 ended = 7;</code>
-   * @return The count of ended.
+   * <pre>
+   * Daemons that are alive; told to one that was not known before.
+   * </pre>
+   *
+   * <code>repeated .fawndrum.DaemonPlace known = 4;</code>
    */
-  int getEndedCount();
+  java.util.List<org.fawndrum.protocol.wire.DaemonPlace> 
+      getKnownList();
   /**
-   * <code>repeated sfixed64 ended = 7;</code>
-   * @param index The index of the element to return.
-   * @return The ended at the given index.
+   * <pre>
+   * Daemons that are alive; told to one that was not known before.
+   * </pre>
+   *
+   * <code>repeated .fawndrum.DaemonPlace known = 4;</code>
    */
-  long getEnded(int index);
-
+  org.fawndrum.protocol.wire.DaemonPlace getKnown(int index);
   /**
    * <pre>
-   * Ended work whose endpoint seems to be the cause.
+   * Daemons that are alive; told to one that was not known before.
    * </pre>
    *
-   * <code>repeated sfixed64 failed = 8;</code>
-   * @return A list containing the failed.
+   * <code>repeated .fawndrum.DaemonPlace known = 4;</code>
    */
-  java.util.List<java.lang.Long> getFailedList();
+  int getKnownCount();
   /**
    * <pre>
-   * Ended work whose endpoint seems to be the cause.
+   * Daemons that are alive; told to one that was not known before.
    * </pre>
    *
-   * <code>repeated sfixed64 failed = 8;</code>
-   * @return The count of failed.
+   * <code>repeated .fawndrum.DaemonPlace known = 4;</code>
    */
-  int getFailedCount();
+  java.util.List<? extends org.fawndrum.protocol.wire.DaemonPlaceOrBuilder> 
+      getKnownOrBuilderList();
   /**
    * <pre>
-   * Ended work whose endpoint seems to be the cause.
+   * Daemons that are alive; told to one that was not known before.
    * </pre>
    *
-   * <code>repeated sfixed64 failed = 8;</code>
-   * @param index The index of the element to return.
-   * @return The failed at the given index.
+   * <code>repeated .fawndrum.DaemonPlace known = 4;</code>
    */
-  long getFailed(int index);
+  org.fawndrum.protocol.wire.DaemonPlaceOrBuilder getKnownOrBuilder(
+      int index);
 
   /**
-   * <code>repeated .fawndrum.PeerPlace known = 9;</code>
-   */
-  java.util.List<org.fawndrum.protocol.wire.PeerPlace> 
-      getKnownList();
-  /**
-   * <code>repeated .fawndrum.PeerPlace known = 9;</code>
-   */
-  org.fawndrum.protocol.wire.PeerPlace getKnown(int index);
-  /**
-   * <code>repeated .fawndrum.PeerPlace known = 9;</code>
-   */
-  int getKnownCount();
-  /**
-   * <code>repeated .fawndrum.PeerPlace known = 9;</code>
+   * <pre>
+   * What the sender has read from the store, so that the receiver can ask for it; -1 for nothing.
+   * </pre>
+   *
+   * <code>int64 configuration_revision = 5;</code>
+   * @return The configurationRevision.
    */
-  java.util.List<? extends org.fawndrum.protocol.wire.PeerPlaceOrBuilder> 
-      getKnownOrBuilderList();
+  long getConfigurationRevision();
+
   /**
-   * <code>repeated .fawndrum.PeerPlace known = 9;</code>
+   * <code>int64 endpoints_changed = 6;</code>
+   * @return The endpointsChanged.
    */
-  org.fawndrum.protocol.wire.PeerPlaceOrBuilder getKnownOrBuilder(
-      int index);
+  long getEndpointsChanged();
 }
--- a/org.fawndrum/src/org/fawndrum/protocol/wire/KnowledgeReply.java
+++ b/org.fawndrum/src/org/fawndrum/protocol/wire/KnowledgeReply.java
@@ -124,6 +124,10 @@
   @SuppressWarnings("serial")
   private java.util.List<org.fawndrum.protocol.wire.StoreRecord> endpoints_;
   /**
+   * <pre>
+   * Left out when the asking host has them already.
+   * </pre>
+   *
    * <code>repeated .fawndrum.StoreRecord endpoints = 5;</code>
    */
   @java.lang.Override
@@ -131,6 +135,10 @@
     return endpoints_;
   }
   /**
+   * <pre>
+   * Left out when the asking host has them already.
+   * </pre>
+   *
    * <code>repeated .fawndrum.StoreRecord endpoints = 5;</code>
    */
   @java.lang.Override
@@ -139,6 +147,10 @@
     return endpoints_;
   }
   /**
+   * <pre>
+   * Left out when the asking host has them already.
+   * </pre>
+   *
    * <code>repeated .fawndrum.StoreRecord endpoints = 5;</code>
    */
   @java.lang.Override
@@ -146,6 +158,10 @@
     return endpoints_.size();
   }
   /**
+   * <pre>
+   * Left out when the asking host has them already.
+   * </pre>
+   *
    * <code>repeated .fawndrum.StoreRecord endpoints = 5;</code>
    */
   @java.lang.Override
@@ -153,6 +169,10 @@
     return endpoints_.get(index);
   }
   /**
+   * <pre>
+   * Left out when the asking host has them already.
+   * </pre>
+   *
    * <code>repeated .fawndrum.StoreRecord endpoints = 5;</code>
    */
   @java.lang.Override
@@ -161,6 +181,36 @@
     return endpoints_.get(index);
   }
 
+  public static final int ENDPOINTS_AGE_MS_FIELD_NUMBER = 6;
+  private long endpointsAgeMs_ = 0L;
+  /**
+   * <pre>
+   * How long ago the endpoints were surely those; negative when they never were.
+   * </pre>
+   *
+   * <code>int64 endpoints_age_ms = 6;</code>
+   * @return The endpointsAgeMs.
+   */
+  @java.lang.Override
+  public long getEndpointsAgeMs() {
+    return endpointsAgeMs_;
+  }
+
+  public static final int ENDPOINTS_LEFT_OUT_FIELD_NUMBER = 7;
+  private boolean endpointsLeftOut_ = false;
+  /**
+   * <pre>
+   * Whether `endpoints` is empty because nothing changed since the asking host's last reading.
+   * </pre>
+   *
+   * <code>bool endpoints_left_out = 7;</code>
+   * @return The endpointsLeftOut.
+   */
+  @java.lang.Override
+  public boolean getEndpointsLeftOut() {
+    return endpointsLeftOut_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -190,6 +240,12 @@
     for (int i = 0; i < endpoints_.size(); i++) {
       output.writeMessage(5, endpoints_.get(i));
     }
+    if (endpointsAgeMs_ != 0L) {
+      output.writeInt64(6, endpointsAgeMs_);
+    }
+    if (endpointsLeftOut_ != false) {
+      output.writeBool(7, endpointsLeftOut_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -219,6 +275,14 @@
       size += com.google.protobuf.CodedOutputStream
         .computeMessageSize(5, endpoints_.get(i));
     }
+    if (endpointsAgeMs_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeInt64Size(6, endpointsAgeMs_);
+    }
+    if (endpointsLeftOut_ != false) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeBoolSize(7, endpointsLeftOut_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -247,6 +311,10 @@
         != other.getEndpointsEnd()) return false;
     if (!getEndpointsList()
         .equals(other.getEndpointsList())) return false;
+    if (getEndpointsAgeMs()
+        != other.getEndpointsAgeMs()) return false;
+    if (getEndpointsLeftOut()
+        != other.getEndpointsLeftOut()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -275,6 +343,12 @@
       hash = (37 * hash) + ENDPOINTS_FIELD_NUMBER;
       hash = (53 * hash) + getEndpointsList().hashCode();
     }
+    hash = (37 * hash) + ENDPOINTS_AGE_MS_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getEndpointsAgeMs());
+    hash = (37 * hash) + ENDPOINTS_LEFT_OUT_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+        getEndpointsLeftOut());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -428,6 +502,8 @@
         endpointsBuilder_.clear();
       }
       bitField0_ = (bitField0_ & ~0x00000010);
+      endpointsAgeMs_ = 0L;
+      endpointsLeftOut_ = false;
       return this;
     }
 
@@ -490,6 +566,12 @@
       if (((from_bitField0_ & 0x00000008) != 0)) {
         result.endpointsEnd_ = endpointsEnd_;
       }
+      if (((from_bitField0_ & 0x00000020) != 0)) {
+        result.endpointsAgeMs_ = endpointsAgeMs_;
+      }
+      if (((from_bitField0_ & 0x00000040) != 0)) {
+        result.endpointsLeftOut_ = endpointsLeftOut_;
+      }
       result.bitField0_ |= to_bitField0_;
     }
 
@@ -543,6 +625,12 @@
           }
         }
       }
+      if (other.getEndpointsAgeMs() != 0L) {
+        setEndpointsAgeMs(other.getEndpointsAgeMs());
+      }
+      if (other.getEndpointsLeftOut() != false) {
+        setEndpointsLeftOut(other.getEndpointsLeftOut());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -604,6 +692,16 @@
               }
               break;
             } // case 42
+            case 48: {
+              endpointsAgeMs_ = input.readInt64();
+              bitField0_ |= 0x00000020;
+              break;
+            } // case 48
+            case 56: {
+              endpointsLeftOut_ = input.readBool();
+              bitField0_ |= 0x00000040;
+              break;
+            } // case 56
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -899,6 +997,10 @@
         org.fawndrum.protocol.wire.StoreRecord, org.fawndrum.protocol.wire.StoreRecord.Builder, org.fawndrum.protocol.wire.StoreRecordOrBuilder> endpointsBuilder_;
 
     /**
+     * <pre>
+     * Left out when the asking host has them already.
+     * </pre>
+     *
      * <code>repeated .fawndrum.StoreRecord endpoints = 5;</code>
      */
     public java.util.List<org.fawndrum.protocol.wire.StoreRecord> getEndpointsList() {
@@ -909,6 +1011,10 @@
       }
     }
     /**
+     * <pre>
+     * Left out when the asking host has them already.
+     * </pre>
+     *
      * <code>repeated .fawndrum.StoreRecord endpoints = 5;</code>
      */
     public int getEndpointsCount() {
@@ -919,6 +1025,10 @@
       }
     }
     /**
+     * <pre>
+     * Left out when the asking host has them already.
+     * </pre>
+     *
      * <code>repeated .fawndrum.StoreRecord endpoints = 5;</code>
      */
     public org.fawndrum.protocol.wire.StoreRecord getEndpoints(int index) {
@@ -929,6 +1039,10 @@
       }
     }
     /**
+     * <pre>
+     * Left out when the asking host has them already.
+     * </pre>
+     *
      * <code>repeated .fawndrum.StoreRecord endpoints = 5;</code>
      */
     public Builder setEndpoints(
@@ -946,6 +1060,10 @@
       return this;
     }
     /**
+     * <pre>
+     * Left out when the asking host has them already.
+     * </pre>
+     *
      * <code>repeated .fawndrum.StoreRecord endpoints = 5;</code>
      */
     public Builder setEndpoints(
@@ -960,6 +1078,10 @@
       return this;
     }
     /**
+     * <pre>
+     * Left out when the asking host has them already.
+     * </pre>
+     *
      * <code>repeated .fawndrum.StoreRecord endpoints = 5;</code>
      */
     public Builder addEndpoints(org.fawndrum.protocol.wire.StoreRecord value) {
@@ -976,6 +1098,10 @@
       return this;
     }
     /**
+     * <pre>
+     * Left out when the asking host has them already.
+     * </pre>
+     *
      * <code>repeated .fawndrum.StoreRecord endpoints = 5;</code>
      */
     public Builder addEndpoints(
@@ -993,6 +1119,10 @@
       return this;
     }
     /**
+     * <pre>
+     * Left out when the asking host has them already.
+     * </pre>
+     *
      * <code>repeated .fawndrum.StoreRecord endpoints = 5;</code>
      */
     public Builder addEndpoints(
@@ -1007,6 +1137,10 @@
       return this;
     }
     /**
+     * <pre>
+     * Left out when the asking host has them already.
+     * </pre>
+     *
      * <code>repeated .fawndrum.StoreRecord endpoints = 5;</code>
      */
     public Builder addEndpoints(
@@ -1021,6 +1155,10 @@
       return this;
     }
     /**
+     * <pre>
+     * Left out when the asking host has them already.
+     * </pre>
+     *
      * <code>repeated .fawndrum.StoreRecord endpoints = 5;</code>
      */
     public Builder addAllEndpoints(
@@ -1036,6 +1174,10 @@
       return this;
     }
     /**
+     * <pre>
+     * Left out when the asking host has them already.
+     * </pre>
+     *
      * <code>repeated .fawndrum.StoreRecord endpoints = 5;</code>
      */
     public Builder clearEndpoints() {
@@ -1049,6 +1191,10 @@
       return this;
     }
     /**
+     * <pre>
+     * Left out when the asking host has them already.
+     * </pre>
+     *
      * <code>repeated .fawndrum.StoreRecord endpoints = 5;</code>
      */
     public Builder removeEndpoints(int index) {
@@ -1062,6 +1208,10 @@
       return this;
     }
     /**
+     * <pre>
+     * Left out when the asking host has them already.
+     * </pre>
+     *
      * <code>repeated .fawndrum.StoreRecord endpoints = 5;</code>
      */
     public org.fawndrum.protocol.wire.StoreRecord.Builder getEndpointsBuilder(
@@ -1069,6 +1219,10 @@
       return internalGetEndpointsFieldBuilder().getBuilder(index);
     }
     /**
+     * <pre>
+     * Left out when the asking host has them already.
+     * </pre>
+     *
      * <code>repeated .fawndrum.StoreRecord endpoints = 5;</code>
      */
     public org.fawndrum.protocol.wire.StoreRecordOrBuilder getEndpointsOrBuilder(
@@ -1079,6 +1233,10 @@
       }
     }
     /**
+     * <pre>
+     * Left out when the asking host has them already.
+     * </pre>
+     *
      * <code>repeated .fawndrum.StoreRecord endpoints = 5;</code>
      */
     public java.util.List<? extends org.fawndrum.protocol.wire.StoreRecordOrBuilder> 
@@ -1090,6 +1248,10 @@
       }
     }
     /**
+     * <pre>
+     * Left out when the asking host has them already.
+     * </pre>
+     *
      * <code>repeated .fawndrum.StoreRecord endpoints = 5;</code>
      */
     public org.fawndrum.protocol.wire.StoreRecord.Builder addEndpointsBuilder() {
@@ -1097,6 +1259,10 @@
           org.fawndrum.protocol.wire.StoreRecord.getDefaultInstance());
     }
     /**
+     * <pre>
+     * Left out when the asking host has them already.
+     * </pre>
+     *
      * <code>repeated .fawndrum.StoreRecord endpoints = 5;</code>
      */
     public org.fawndrum.protocol.wire.StoreRecord.Builder addEndpointsBuilder(
@@ -1105,6 +1271,10 @@
           index, org.fawndrum.protocol.wire.StoreRecord.getDefaultInstance());
     }
     /**
+     * <pre>
+     * Left out when the asking host has them already.
+     * </pre>
+     *
      * <code>repeated .fawndrum.StoreRecord endpoints = 5;</code>
      */
     public java.util.List<org.fawndrum.protocol.wire.StoreRecord.Builder> 
@@ -1126,6 +1296,94 @@
       return endpointsBuilder_;
     }
 
+    private long endpointsAgeMs_ ;
+    /**
+     * <pre>
+     * How long ago the endpoints were surely those; negative when they never were.
+     * </pre>
+     *
+     * <code>int64 endpoints_age_ms = 6;</code>
+     * @return The endpointsAgeMs.
+     */
+    @java.lang.Override
+    public long getEndpointsAgeMs() {
+      return endpointsAgeMs_;
+    }
+    /**
+     * <pre>
+     * How long ago the endpoints were surely those; negative when they never were.
+     * </pre>
+     *
+     * <code>int64 endpoints_age_ms = 6;</code>
+     * @param value The endpointsAgeMs to set.
+     * @return This builder for chaining.
+     */
+    public Builder setEndpointsAgeMs(long value) {
+
+      endpointsAgeMs_ = value;
+      bitField0_ |= 0x00000020;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * How long ago the endpoints were surely those; negative when they never were.
+     * </pre>
+     *
+     * <code>int64 endpoints_age_ms = 6;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearEndpointsAgeMs() {
+      bitField0_ = (bitField0_ & ~0x00000020);
+      endpointsAgeMs_ = 0L;
+      onChanged();
+      return this;
+    }
+
+    private boolean endpointsLeftOut_ ;
+    /**
+     * <pre>
+     * Whether `endpoints` is empty because nothing changed since the asking host's last reading.
+     * </pre>
+     *
+     * <code>bool endpoints_left_out = 7;</code>
+     * @return The endpointsLeftOut.
+     */
+    @java.lang.Override
+    public boolean getEndpointsLeftOut() {
+      return endpointsLeftOut_;
+    }
+    /**
+     * <pre>
+     * Whether `endpoints` is empty because nothing changed since the asking host's last reading.
+     * </pre>
+     *
+     * <code>bool endpoints_left_out = 7;</code>
+     * @param value The endpointsLeftOut to set.
+     * @return This builder for chaining.
+     */
+    public Builder setEndpointsLeftOut(boolean value) {
+
+      endpointsLeftOut_ = value;
+      bitField0_ |= 0x00000040;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Whether `endpoints` is empty because nothing changed since the asking host's last reading.
+     * </pre>
+     *
+     * <code>bool endpoints_left_out = 7;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearEndpointsLeftOut() {
+      bitField0_ = (bitField0_ & ~0x00000040);
+      endpointsLeftOut_ = false;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:fawndrum.KnowledgeReply)
   }
 
--- a/org.fawndrum/src/org/fawndrum/protocol/wire/KnowledgeReplyOrBuilder.java
+++ b/org.fawndrum/src/org/fawndrum/protocol/wire/KnowledgeReplyOrBuilder.java
@@ -60,26 +60,66 @@
   long getEndpointsEnd();
 
   /**
+   * <pre>
+   * Left out when the asking host has them already.
+   * </pre>
+   *
    * <code>repeated .fawndrum.StoreRecord endpoints = 5;</code>
    */
   java.util.List<org.fawndrum.protocol.wire.StoreRecord> 
       getEndpointsList();
   /**
+   * <pre>
+   * Left out when the asking host has them already.
+   * </pre>
+   *
    * <code>repeated .fawndrum.StoreRecord endpoints = 5;</code>
    */
   org.fawndrum.protocol.wire.StoreRecord getEndpoints(int index);
   /**
+   * <pre>
+   * Left out when the asking host has them already.
+   * </pre>
+   *
    * <code>repeated .fawndrum.StoreRecord endpoints = 5;</code>
    */
   int getEndpointsCount();
   /**
+   * <pre>
+   * Left out when the asking host has them already.
+   * </pre>
+   *
    * <code>repeated .fawndrum.StoreRecord endpoints = 5;</code>
    */
   java.util.List<? extends org.fawndrum.protocol.wire.StoreRecordOrBuilder> 
       getEndpointsOrBuilderList();
   /**
+   * <pre>
+   * Left out when the asking host has them already.
+   * </pre>
+   *
    * <code>repeated .fawndrum.StoreRecord endpoints = 5;</code>
    */
   org.fawndrum.protocol.wire.StoreRecordOrBuilder getEndpointsOrBuilder(
       int index);
+
+  /**
+   * <pre>
+   * How long ago the endpoints were surely those; negative when they never were.
+   * </pre>
+   *
+   * <code>int64 endpoints_age_ms = 6;</code>
+   * @return The endpointsAgeMs.
+   */
+  long getEndpointsAgeMs();
+
+  /**
+   * <pre>
+   * Whether `endpoints` is empty because nothing changed since the asking host's last reading.
+   * </pre>
+   *
+   * <code>bool endpoints_left_out = 7;</code>
+   * @return The endpointsLeftOut.
+   */
+  boolean getEndpointsLeftOut();
 }
--- a/org.fawndrum/src/org/fawndrum/protocol/wire/Peer.java
+++ b/org.fawndrum/src/org/fawndrum/protocol/wire/Peer.java
@@ -101,6 +101,16 @@
   static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_fawndrum_FleetNews_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_fawndrum_DaemonPlace_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_fawndrum_DaemonPlace_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_fawndrum_WorkReport_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_fawndrum_WorkReport_fieldAccessorTable;
   static final com.google.protobuf.Descriptors.Descriptor
     internal_static_fawndrum_KnowledgeRequest_descriptor;
   static final 
@@ -116,11 +126,6 @@
   static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_fawndrum_StoreRecord_fieldAccessorTable;
-  static final com.google.protobuf.Descriptors.Descriptor
-    internal_static_fawndrum_PeerPlace_descriptor;
-  static final 
-    com.google.protobuf.GeneratedMessage.FieldAccessorTable
-      internal_static_fawndrum_PeerPlace_fieldAccessorTable;
   static final com.google.protobuf.Descriptors.Descriptor
     internal_static_fawndrum_WorkPlaced_descriptor;
   static final 
@@ -219,35 +224,43 @@
       "tchUpRequest\022\034\n\024table_after_position\030\001 \001" +
       "(\003\022\035\n\025listing_after_version\030\002 \001(\003\"P\n\014Cat" +
       "chUpReply\022*\n\010snapshot\030\001 \001(\0132\030.fawndrum.S" +
-      "napshotRecord\022\024\n\014listing_json\030\002 \001(\014\"\303\001\n\t" +
-      "FleetNews\022\014\n\004zone\030\001 \001(\t\022\017\n\007peer_ip\030\002 \001(\t" +
-      "\022\021\n\tpeer_port\030\003 \001(\005\022\r\n\005whole\030\004 \001(\010\022$\n\006pl" +
-      "aced\030\005 \003(\0132\024.fawndrum.WorkPlaced\022\014\n\004read" +
-      "\030\006 \003(\020\022\r\n\005ended\030\007 \003(\020\022\016\n\006failed\030\010 \003(\020\022\"\n" +
-      "\005known\030\t \003(\0132\023.fawndrum.PeerPlace\"I\n\020Kno" +
-      "wledgeRequest\022\036\n\026configuration_revision\030" +
-      "\001 \001(\003\022\025\n\rendpoints_end\030\002 \001(\003\"\324\001\n\016Knowled" +
-      "geReply\022\034\n\024configuration_age_ms\030\001 \001(\003\022\036\n" +
-      "\026configuration_revision\030\002 \001(\003\0221\n\rconfigu" +
-      "ration\030\003 \001(\0132\025.fawndrum.StoreRecordH\000\210\001\001" +
-      "\022\025\n\rendpoints_end\030\004 \001(\003\022(\n\tendpoints\030\005 \003" +
-      "(\0132\025.fawndrum.StoreRecordB\020\n\016_configurat" +
-      "ion\"9\n\013StoreRecord\022\016\n\006offset\030\001 \001(\003\022\013\n\003ke" +
-      "y\030\002 \001(\t\022\r\n\005value\030\003 \001(\014\"%\n\tPeerPlace\022\n\n\002i" +
-      "p\030\001 \001(\t\022\014\n\004port\030\002 \001(\005\"\327\001\n\nWorkPlaced\022\n\n\002" +
-      "id\030\001 \001(\020\022\020\n\010endpoint\030\002 \001(\t\022\034\n\024endpoint_i" +
-      "ncarnation\030\003 \001(\003\022\025\n\rprompt_tokens\030\004 \001(\003\022" +
-      "\025\n\rmemory_tokens\030\005 \001(\003\022\r\n\005parts\030\006 \001(\005\022\016\n" +
-      "\006writes\030\007 \001(\010\022\032\n\022first_token_aim_ms\030\010 \001(" +
-      "\003\022\024\n\014pause_aim_ms\030\t \001(\003\022\016\n\006age_ms\030\n \001(\003\"" +
-      "\033\n\014ClaimRequest\022\013\n\003key\030\001 \001(\t\"q\n\nClaimRep" +
-      "ly\022+\n\006answer\030\001 \001(\0162\033.fawndrum.ClaimReply" +
-      ".Answer\"6\n\006Answer\022\017\n\013UNSPECIFIED\020\000\022\010\n\004FR" +
-      "EE\020\001\022\010\n\004HELD\020\002\022\007\n\003RAN\020\003\"8\n\016LedgerHandove" +
-      "r\022&\n\007entries\030\001 \003(\0132\025.fawndrum.LedgerEntr" +
-      "y\"7\n\013LedgerEntry\022\013\n\003key\030\001 \001(\t\022\013\n\003ran\030\002 \001" +
-      "(\010\022\016\n\006age_ms\030\003 \001(\003\"\021\n\017AcknowledgementB\036\n" +
-      "\032org.fawndrum.protocol.wireP\001b\006proto3"
+      "napshotRecord\022\024\n\014listing_json\030\002 \001(\014\"\316\001\n\t" +
+      "FleetNews\022%\n\006sender\030\001 \001(\0132\025.fawndrum.Dae" +
+      "monPlace\022\022\n\nsubscribes\030\002 \001(\010\022%\n\007reports\030" +
+      "\003 \003(\0132\024.fawndrum.WorkReport\022$\n\005known\030\004 \003" +
+      "(\0132\025.fawndrum.DaemonPlace\022\036\n\026configurati" +
+      "on_revision\030\005 \001(\003\022\031\n\021endpoints_changed\030\006" +
+      " \001(\003\"j\n\013DaemonPlace\022\014\n\004host\030\001 \001(\t\022\023\n\013inc" +
+      "arnation\030\002 \001(\003\022\014\n\004zone\030\003 \001(\t\022\n\n\002ip\030\004 \001(\t" +
+      "\022\014\n\004port\030\005 \001(\005\022\020\n\010capacity\030\006 \001(\003\"\247\001\n\nWor" +
+      "kReport\022%\n\006daemon\030\001 \001(\0132\025.fawndrum.Daemo" +
+      "nPlace\022\020\n\010sequence\030\002 \001(\003\022\r\n\005whole\030\003 \001(\010\022" +
+      "$\n\006placed\030\004 \003(\0132\024.fawndrum.WorkPlaced\022\014\n" +
+      "\004read\030\005 \003(\020\022\r\n\005ended\030\006 \003(\020\022\016\n\006failed\030\007 \003" +
+      "(\020\"I\n\020KnowledgeRequest\022\036\n\026configuration_" +
+      "revision\030\001 \001(\003\022\025\n\rendpoints_end\030\002 \001(\003\"\212\002" +
+      "\n\016KnowledgeReply\022\034\n\024configuration_age_ms" +
+      "\030\001 \001(\003\022\036\n\026configuration_revision\030\002 \001(\003\0221" +
+      "\n\rconfiguration\030\003 \001(\0132\025.fawndrum.StoreRe" +
+      "cordH\000\210\001\001\022\025\n\rendpoints_end\030\004 \001(\003\022(\n\tendp" +
+      "oints\030\005 \003(\0132\025.fawndrum.StoreRecord\022\030\n\020en" +
+      "dpoints_age_ms\030\006 \001(\003\022\032\n\022endpoints_left_o" +
+      "ut\030\007 \001(\010B\020\n\016_configuration\"9\n\013StoreRecor" +
+      "d\022\016\n\006offset\030\001 \001(\003\022\013\n\003key\030\002 \001(\t\022\r\n\005value\030" +
+      "\003 \001(\014\"\327\001\n\nWorkPlaced\022\n\n\002id\030\001 \001(\020\022\020\n\010endp" +
+      "oint\030\002 \001(\t\022\034\n\024endpoint_incarnation\030\003 \001(\003" +
+      "\022\025\n\rprompt_tokens\030\004 \001(\003\022\025\n\rmemory_tokens" +
+      "\030\005 \001(\003\022\r\n\005parts\030\006 \001(\005\022\016\n\006writes\030\007 \001(\010\022\032\n" +
+      "\022first_token_aim_ms\030\010 \001(\003\022\024\n\014pause_aim_m" +
+      "s\030\t \001(\003\022\016\n\006age_ms\030\n \001(\003\"\033\n\014ClaimRequest\022" +
+      "\013\n\003key\030\001 \001(\t\"q\n\nClaimReply\022+\n\006answer\030\001 \001" +
+      "(\0162\033.fawndrum.ClaimReply.Answer\"6\n\006Answe" +
+      "r\022\017\n\013UNSPECIFIED\020\000\022\010\n\004FREE\020\001\022\010\n\004HELD\020\002\022\007" +
+      "\n\003RAN\020\003\"8\n\016LedgerHandover\022&\n\007entries\030\001 \003" +
+      "(\0132\025.fawndrum.LedgerEntry\"7\n\013LedgerEntry" +
+      "\022\013\n\003key\030\001 \001(\t\022\013\n\003ran\030\002 \001(\010\022\016\n\006age_ms\030\003 \001" +
+      "(\003\"\021\n\017AcknowledgementB\036\n\032org.fawndrum.pr" +
+      "otocol.wireP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -342,63 +355,69 @@
     internal_static_fawndrum_FleetNews_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_fawndrum_FleetNews_descriptor,
-        new java.lang.String[] { "Zone", "PeerIp", "PeerPort", "Whole", "Placed", "Read", "Ended", "Failed", "Known", });
-    internal_static_fawndrum_KnowledgeRequest_descriptor =
+        new java.lang.String[] { "Sender", "Subscribes", "Reports", "Known", "ConfigurationRevision", "EndpointsChanged", });
+    internal_static_fawndrum_DaemonPlace_descriptor =
       getDescriptor().getMessageType(15);
+    internal_static_fawndrum_DaemonPlace_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_fawndrum_DaemonPlace_descriptor,
+        new java.lang.String[] { "Host", "Incarnation", "Zone", "Ip", "Port", "Capacity", });
+    internal_static_fawndrum_WorkReport_descriptor =
+      getDescriptor().getMessageType(16);
+    internal_static_fawndrum_WorkReport_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_fawndrum_WorkReport_descriptor,
+        new java.lang.String[] { "Daemon", "Sequence", "Whole", "Placed", "Read", "Ended", "Failed", });
+    internal_static_fawndrum_KnowledgeRequest_descriptor =
+      getDescriptor().getMessageType(17);
     internal_static_fawndrum_KnowledgeRequest_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_fawndrum_KnowledgeRequest_descriptor,
         new java.lang.String[] { "ConfigurationRevision", "EndpointsEnd", });
     internal_static_fawndrum_KnowledgeReply_descriptor =
-      getDescriptor().getMessageType(16);
+      getDescriptor().getMessageType(18);
     internal_static_fawndrum_KnowledgeReply_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_fawndrum_KnowledgeReply_descriptor,
-        new java.lang.String[] { "ConfigurationAgeMs", "ConfigurationRevision", "Configuration", "EndpointsEnd", "Endpoints", });
+        new java.lang.String[] { "ConfigurationAgeMs", "ConfigurationRevision", "Configuration", "EndpointsEnd", "Endpoints", "EndpointsAgeMs", "EndpointsLeftOut", });
     internal_static_fawndrum_StoreRecord_descriptor =
-      getDescriptor().getMessageType(17);
+      getDescriptor().getMessageType(19);
     internal_static_fawndrum_StoreRecord_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_fawndrum_StoreRecord_descriptor,
         new java.lang.String[] { "Offset", "Key", "Value", });
-    internal_static_fawndrum_PeerPlace_descriptor =
-      getDescriptor().getMessageType(18);
-    internal_static_fawndrum_PeerPlace_fieldAccessorTable = new
-      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
-        internal_static_fawndrum_PeerPlace_descriptor,
-        new java.lang.String[] { "Ip", "Port", });
     internal_static_fawndrum_WorkPlaced_descriptor =
-      getDescriptor().getMessageType(19);
+      getDescriptor().getMessageType(20);
     internal_static_fawndrum_WorkPlaced_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_fawndrum_WorkPlaced_descriptor,
         new java.lang.String[] { "Id", "Endpoint", "EndpointIncarnation", "PromptTokens", "MemoryTokens", "Parts", "Writes", "FirstTokenAimMs", "PauseAimMs", "AgeMs", });
     internal_static_fawndrum_ClaimRequest_descriptor =
-      getDescriptor().getMessageType(20);
+      getDescriptor().getMessageType(21);
     internal_static_fawndrum_ClaimRequest_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_fawndrum_ClaimRequest_descriptor,
         new java.lang.String[] { "Key", });
     internal_static_fawndrum_ClaimReply_descriptor =
-      getDescriptor().getMessageType(21);
+      getDescriptor().getMessageType(22);
     internal_static_fawndrum_ClaimReply_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_fawndrum_ClaimReply_descriptor,
         new java.lang.String[] { "Answer", });
     internal_static_fawndrum_LedgerHandover_descriptor =
-      getDescriptor().getMessageType(22);
+      getDescriptor().getMessageType(23);
     internal_static_fawndrum_LedgerHandover_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_fawndrum_LedgerHandover_descriptor,
         new java.lang.String[] { "Entries", });
     internal_static_fawndrum_LedgerEntry_descriptor =
-      getDescriptor().getMessageType(23);
+      getDescriptor().getMessageType(24);
     internal_static_fawndrum_LedgerEntry_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_fawndrum_LedgerEntry_descriptor,
         new java.lang.String[] { "Key", "Ran", "AgeMs", });
     internal_static_fawndrum_Acknowledgement_descriptor =
-      getDescriptor().getMessageType(24);
+      getDescriptor().getMessageType(25);
     internal_static_fawndrum_Acknowledgement_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_fawndrum_Acknowledgement_descriptor,
--- a/org.fawndrum/src/org/fawndrum/transport/relay/ConfigurationReader.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/ConfigurationReader.java
@@ -23,6 +23,12 @@
     this.log = log;
   }
 
+  @Override
+  public long readTo() {
+    KeyedRecord record = newest;
+    return record == null ? -1 : record.offset() + 1;
+  }
+
   @Override
   public void regained() {
     // A configuration never lapses.
--- a/org.fawndrum/src/org/fawndrum/transport/relay/EndpointReader.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/EndpointReader.java
@@ -24,7 +24,8 @@
  * Keeps the list of endpoints from their own records. Entries that lapsed while the platform was
  * away are kept for a while after its return, because living endpoints write themselves again.
  * Records that cannot be read are logged and change nothing. Confined to one event loop, but for
- * {@link #readTo} and {@link #records}, which all threads may call.
+ * {@link #readTo}, {@link #changedTo}, {@link #ageMs} and {@link #records}, which all threads may
+ * call.
  */
 final class EndpointReader implements TopicFollower.Reader {
   /** How long after its return the platform may still lack living endpoints, in milliseconds. */
@@ -39,6 +40,8 @@
   private final Set<String> lapsed = new HashSet<>();
   private long returnedMs = HostClock.NEVER_MS;
   private volatile long readTo = -1;
+  private volatile long changedTo = -1;
+  private volatile long knownAtMs = HostClock.NEVER_MS;
   private long version;
 
   EndpointReader(RelayDecoder decoder, Consumer<HostListing> listed, HostClock clock, HostLog log) {
@@ -60,18 +63,42 @@
     Set<String> missing = new HashSet<>(entries.keySet());
     missing.removeAll(present);
     take(page, missing);
+    confirmed(page.end(), askedMs);
   }
 
   @Override
   public void changes(KeyedPage page, long provedMs) {
     take(page, new HashSet<>());
+    confirmed(page.end(), provedMs);
+  }
+
+  /**
+   * Takes note that nothing else was in the log.
+   *
+   * @param end the end of the log
+   * @param atMs when the log surely ended there, by the host's clock
+   */
+  void confirmed(long end, long atMs) {
+    readTo = Math.max(readTo, end);
+    knownAtMs = Math.max(knownAtMs, atMs);
   }
 
   /** Returns the end of the log as it was read; -1 before anything was. */
-  long readTo() {
+  @Override
+  public long readTo() {
     return readTo;
   }
 
+  /** Returns the end of the log after the last change of an entry; -1 before any. */
+  long changedTo() {
+    return changedTo;
+  }
+
+  /** Returns how long ago the entries were surely those, in milliseconds. */
+  long ageMs(long nowMs) {
+    return nowMs - knownAtMs;
+  }
+
   /** Returns the records of the entries, as they were read. */
   List<KeyedRecord> records() {
     return List.copyOf(records.values());
@@ -94,7 +121,10 @@
 
   private void put(KeyedRecord record) {
     try {
-      entries.put(record.key(), decoder.endpoint(record));
+      RelayDecoder.EndpointEntry entry = decoder.endpoint(record);
+      if (!entry.equals(entries.put(record.key(), entry))) {
+        changedTo = Math.max(changedTo, record.offset() + 1);
+      }
       records.put(record.key(), record);
       lapsed.remove(record.key());
     } catch (RecordUnreadableException e) {
@@ -121,7 +151,10 @@
   }
 
   private void drop(String key) {
-    entries.remove(key);
+    if (entries.remove(key) != null) {
+      // Beyond the end, so that hosts that have read up to the end learn of it too.
+      changedTo = readTo + 1;
+    }
     records.remove(key);
     lapsed.remove(key);
   }
--- a/org.fawndrum/src/org/fawndrum/transport/relay/FleetDuty.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/FleetDuty.java
@@ -3,12 +3,16 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
-import java.util.HashSet;
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
+import java.util.TreeSet;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
 import org.fawndrum.coordination.engine.EngineNews;
+import org.fawndrum.coordination.membership.FleetMember;
+import org.fawndrum.coordination.membership.FleetOverlay;
+import org.fawndrum.coordination.membership.FleetReport;
 import org.fawndrum.internal.duty.Duty;
 import org.fawndrum.internal.duty.Ring;
 import org.fawndrum.internal.log.HostLog;
@@ -17,16 +21,16 @@
 import org.fawndrum.protocol.PeerCodec;
 import org.fawndrum.protocol.wire.FleetNews;
 import org.fawndrum.protocol.wire.PeerMessage;
-import org.fawndrum.protocol.wire.PeerPlace;
 import org.fawndrum.state.HostAddress;
 import org.fawndrum.state.HostIdentity;
 import org.fawndrum.transport.HostClock;
 import org.fawndrum.transport.peer.PeerNetwork;
 
 /**
- * The thread that knows the other daemons: it tells them about this host's work as it changes and,
- * with a heartbeat once a second, about all of it, so that a message that got lost does no lasting
- * harm. Its methods are safe for all threads and never block.
+ * The thread that knows the other daemons. It reports this host's work as it changes and, with a
+ * heartbeat once a second, all of it, so that a report that got lost does no lasting harm; and it
+ * passes reports of others on when {@link FleetOverlay} says so. Its methods are safe for all
+ * threads and never block.
  */
 final class FleetDuty {
   private static final int RING = 8_192;
@@ -34,17 +38,40 @@
   /** The interval of heartbeats, in milliseconds. */
   private static final long HEARTBEAT_MS = 1_000;
 
+  /** The interval of heartbeats while no other daemon is known, in milliseconds. */
+  private static final long SEARCH_MS = 250;
+
+  /** A daemon that passes reports on sends at least something in this time, in milliseconds. */
+  private static final long KEEP_ALIVE_MS = 300;
+
+  /** How long reports are gathered before they are passed on, in milliseconds. */
+  private static final long GATHER_MS = 10;
+
+  /** By how much longer they are gathered for each receiver, which bounds messages a second. */
+  private static final long GATHER_MS_PER_LINK = 1;
+
+  /** The most addresses of silent daemons that are tried with one heartbeat. */
+  private static final int SILENT_TRIED = 3;
+
   private final HostIdentity self;
+  private final FleetMember member;
   private final Supplier<RelaySettings> current;
-  private final RelaySettings settings;
+  private final Supplier<StoreView> store;
   private final PeerNetwork network;
   private final HostClock clock;
-  private final Consumer<RelayEvent> decisions;
+  private final Listener listener;
   private final HostLog log;
   private final Duty<FleetEvent> duty;
-  private final KnownDaemons daemons;
-  private final List<EngineNews> pending = new ArrayList<>();
+  private final FleetOverlay overlay;
+  private final List<EngineNews> ownNews = new ArrayList<>();
+  private final List<FleetReport> gathered = new ArrayList<>();
+  private volatile List<HostAddress> alive = List.of();
+  private volatile HostAddress speaker;
+  private volatile int others;
+  private long sequence;
   private long nextHeartbeatMs;
+  private long lastPassedMs;
+  private long gatheredUntilMs;
 
   /** An event of this thread. */
   sealed interface FleetEvent {
@@ -54,26 +81,43 @@
     /** All of this host's work, for a heartbeat. */
     record All(List<EngineNews> work) implements FleetEvent {}
 
-    /** Another daemon was heard; it knows others. */
-    record Heard(HostIdentity from, HostAddress address, List<HostAddress> known)
+    /** Another daemon sent something. */
+    record Heard(
+        FleetMember from, boolean subscribes, List<FleetReport> reports, List<FleetMember> known)
         implements FleetEvent {}
   }
 
+  /** Takes what this thread learns. Its methods must not block. */
+  interface Listener {
+    /** Other daemons reported. */
+    void reported(List<FleetReport> reports);
+
+    /** Another daemon is gone. */
+    void gone(HostIdentity daemon);
+
+    /** All of this host's work is wanted. */
+    void workWanted(Consumer<List<EngineNews>> reply);
+  }
+
   FleetDuty(
       HostIdentity self,
       Supplier<RelaySettings> current,
+      Supplier<StoreView> store,
       PeerNetwork network,
       HostClock clock,
-      Consumer<RelayEvent> decisions,
+      Listener listener,
       HostLog log) {
     this.self = self;
     this.current = current;
-    this.settings = current.get();
-    this.daemons = new KnownDaemons(settings.peers());
+    this.store = store;
     this.network = network;
     this.clock = clock;
-    this.decisions = decisions;
+    this.listener = listener;
     this.log = log;
+    RelaySettings settings = current.get();
+    long capacity = Math.round(settings.linkMegabits());
+    this.member = new FleetMember(self, settings.peers(), settings.zone(), capacity);
+    this.overlay = new FleetOverlay(member, new MemberLog());
     this.duty = new Duty<>("fleet", new Ring<>(RING), this::handle, this::tick, log);
   }
 
@@ -88,7 +132,17 @@
 
   /** Returns where the other daemons are that are alive, as last seen. */
   List<HostAddress> alive() {
-    return daemons.alive();
+    return alive;
+  }
+
+  /** Returns how many other daemons were heard in the last minute, silent ones included. */
+  int others() {
+    return others;
+  }
+
+  /** Returns where the daemon is that speaks for this host's zone; null when it is this host. */
+  HostAddress speaker() {
+    return speaker;
   }
 
   void offer(FleetEvent event) {
@@ -97,9 +151,9 @@
 
   private void handle(FleetEvent event) {
     if (event instanceof FleetEvent.Changed changed) {
-      pending.add(changed.news());
+      ownNews.add(changed.news());
     } else if (event instanceof FleetEvent.All all) {
-      pending.clear();
+      ownNews.clear();
       heartbeat(all.work());
     } else if (event instanceof FleetEvent.Heard heard) {
       heard(heard);
@@ -108,70 +162,155 @@
 
   private void heard(FleetEvent.Heard heard) {
     long nowMs = clock.nowMs();
-    if (heard.from().host().equals(self.host())) {
-      return;
+    boolean first = !overlay.alive().contains(heard.from());
+    overlay.heardDirectly(heard.from(), heard.subscribes(), nowMs);
+    overlay.learn(heard.known(), nowMs);
+    List<FleetReport> fresh = new ArrayList<>();
+    for (FleetReport report : heard.reports()) {
+      if (overlay.take(report, nowMs)) {
+        fresh.add(report);
+      }
     }
-    HostIdentity before = daemons.heard(heard.from(), heard.address(), nowMs);
-    boolean other = before != null && !before.equals(heard.from());
-    if (other) {
-      decisions.accept(new RelayEvent.DaemonGone(before));
+    if (!fresh.isEmpty()) {
+      listener.reported(fresh);
     }
-    if (before == null || other) {
-      log.event(LogEvent.PEER_ALIVE, heard.from());
-      nextHeartbeatMs = nowMs;
+    if (overlay.passesOn(nowMs)) {
+      gather(fresh, nowMs);
     }
-    if (before == null) {
-      daemons.showAlive();
+    if (heard.subscribes() && (first || overlay.knowsBetter(heard.from(), nowMs))) {
+      tellKnown(heard.from());
+    }
+  }
+
+  private void gather(List<FleetReport> reports, long nowMs) {
+    if (gathered.isEmpty() && !reports.isEmpty()) {
+      int links = overlay.near(nowMs).size();
+      gatheredUntilMs = nowMs + Math.max(GATHER_MS, GATHER_MS_PER_LINK * links);
     }
-    daemons.learn(heard.known(), nowMs);
+    gathered.addAll(reports);
+  }
+
+  private void tellKnown(FleetMember to) {
+    FleetNews.Builder news = news();
+    overlay.alive().forEach(one -> news.addKnown(FleetCodec.write(one)));
+    send(news, List.of(to.address()));
   }
 
   private long tick() {
     long nowMs = clock.nowMs();
-    if (!pending.isEmpty()) {
-      tell(pending, false, daemons.addresses(), nowMs);
-      pending.clear();
+    if (!ownNews.isEmpty()) {
+      report(new FleetReport(self, Optional.empty(), ++sequence, false, ownNews), nowMs);
+      ownNews.clear();
+    }
+    follow(nowMs);
+    boolean passesOn = overlay.passesOn(nowMs);
+    boolean due = !gathered.isEmpty() && nowMs >= gatheredUntilMs;
+    if (passesOn && (due || nowMs - lastPassedMs >= KEEP_ALIVE_MS)) {
+      passOn(nowMs);
     }
     if (nowMs >= nextHeartbeatMs) {
-      nextHeartbeatMs = nowMs + HEARTBEAT_MS;
-      daemons.forget(nowMs, this::gone);
-      daemons.showAlive();
-      decisions.accept(new RelayEvent.WorkWanted(work -> duty.offer(new FleetEvent.All(work))));
+      overlay.forget(nowMs);
+      alive = overlay.alive().stream().map(FleetMember::address).toList();
+      others = alive.size() + overlay.silent().size();
+      nextHeartbeatMs = nowMs + (alive.isEmpty() ? SEARCH_MS : HEARTBEAT_MS);
+      listener.workWanted(work -> duty.offer(new FleetEvent.All(work)));
+    }
+    long dueMs = passesOn ? lastPassedMs + KEEP_ALIVE_MS : nextHeartbeatMs;
+    long gatherMs = gathered.isEmpty() ? dueMs : Math.min(dueMs, gatheredUntilMs);
+    return Math.min(nextHeartbeatMs, gatherMs) - nowMs;
+  }
+
+  /** Subscribes at once where the speaker is another one than before. */
+  private void follow(long nowMs) {
+    FleetMember now = overlay.speaker(nowMs);
+    HostAddress at = now.identity().equals(self) ? null : now.address();
+    if (at != null && !at.equals(speaker)) {
+      log.event(LogEvent.SPEAKER_CHOSEN, now.identity(), now.zone());
+      nextHeartbeatMs = nowMs;
     }
-    return nextHeartbeatMs - nowMs;
+    speaker = at;
   }
 
   private void heartbeat(List<EngineNews> work) {
-    Set<HostAddress> to = new HashSet<>(daemons.addresses());
-    for (HostAddress seed : current.get().seeds()) {
-      if (!seed.equals(settings.peers())) {
-        to.add(seed);
-      }
+    long nowMs = clock.nowMs();
+    FleetReport all = new FleetReport(self, Optional.of(member), ++sequence, true, work);
+    FleetNews.Builder news = news().setSubscribes(true).addReports(FleetCodec.write(all, nowMs));
+    Set<HostAddress> to = addresses(overlay.far(nowMs));
+    if (speaker != null) {
+      to.add(speaker);
+    } else {
+      to.addAll(contacts());
     }
-    tell(work, true, to, clock.nowMs());
-  }
-
-  private void tell(
-      Collection<EngineNews> news, boolean whole, Collection<HostAddress> to, long nowMs) {
-    FleetNews.Builder told =
-        FleetNews.newBuilder()
-            .setZone(settings.zone())
-            .setPeerIp(settings.peers().ip())
-            .setPeerPort(settings.peers().port())
-            .setWhole(whole);
-    if (whole) {
-      for (HostAddress at : daemons.aliveNow()) {
-        told.addKnown(PeerPlace.newBuilder().setIp(at.ip()).setPort(at.port()));
-      }
+    send(news, to);
+    if (overlay.passesOn(nowMs)) {
+      gather(List.of(all), nowMs);
+    }
+  }
+
+  /** Returns where daemons may be that this one does not hear. */
+  private Set<HostAddress> contacts() {
+    Set<HostAddress> addresses = addressSet();
+    overlay.silent().stream().limit(SILENT_TRIED).forEach(addresses::add);
+    addresses.addAll(current.get().otherSeeds());
+    return addresses;
+  }
+
+  /** Reports own work: through the speaker, or with what this host passes on. */
+  private void report(FleetReport report, long nowMs) {
+    if (overlay.passesOn(nowMs)) {
+      gather(List.of(report), nowMs);
+    } else {
+      FleetNews.Builder news = news().addReports(FleetCodec.write(report, nowMs));
+      send(news, addresses(overlay.near(nowMs)));
     }
-    FleetCodec.write(told, news, nowMs);
-    PeerMessage message = PeerCodec.from(self).setFleetNews(told).build();
+  }
+
+  private void passOn(long nowMs) {
+    FleetNews.Builder news = news();
+    gathered.forEach(report -> news.addReports(FleetCodec.write(report, nowMs)));
+    gathered.clear();
+    lastPassedMs = nowMs;
+    Set<HostAddress> to = addresses(overlay.near(nowMs));
+    to.addAll(addresses(overlay.far(nowMs)));
+    send(news, to);
+  }
+
+  private FleetNews.Builder news() {
+    StoreView view = store.get();
+    return FleetNews.newBuilder()
+        .setSender(FleetCodec.write(member))
+        .setConfigurationRevision(view.configurationRevision())
+        .setEndpointsChanged(view.endpointsChanged());
+  }
+
+  private void send(FleetNews.Builder news, Collection<HostAddress> to) {
+    PeerMessage message = PeerCodec.from(self).setFleetNews(news).build();
     to.forEach(address -> network.tell(address, message));
   }
 
-  private void gone(HostAddress address, HostIdentity daemon, long silentMs) {
-    log.event(LogEvent.PEER_SUSPECTED, daemon, Long.toString(silentMs));
-    decisions.accept(new RelayEvent.DaemonGone(daemon));
-    network.drop(address);
+  private static Set<HostAddress> addresses(List<FleetMember> members) {
+    Set<HostAddress> addresses = addressSet();
+    members.forEach(one -> addresses.add(one.address()));
+    return addresses;
+  }
+
+  /** Returns an empty set in a fixed order, so that equal histories send alike. */
+  private static Set<HostAddress> addressSet() {
+    return new TreeSet<>((one, other) -> one.toString().compareTo(other.toString()));
+  }
+
+  /** Logs who comes and goes, and tells the decisions of those who are gone. */
+  private final class MemberLog implements FleetOverlay.Watcher {
+    @Override
+    public void appeared(FleetMember one) {
+      log.event(LogEvent.PEER_ALIVE, one.identity());
+    }
+
+    @Override
+    public void gone(FleetMember one, long silentMs) {
+      log.event(LogEvent.PEER_SUSPECTED, one.identity(), Long.toString(silentMs));
+      listener.gone(one.identity());
+      network.drop(one.address());
+    }
   }
 }
--- a/org.fawndrum/src/org/fawndrum/transport/relay/FleetReceiver.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/FleetReceiver.java
@@ -3,15 +3,13 @@
 
 import java.util.List;
 import java.util.function.Consumer;
-import java.util.function.Function;
-import org.fawndrum.coordination.engine.EngineNews;
+import org.fawndrum.coordination.membership.FleetMember;
+import org.fawndrum.coordination.membership.FleetReport;
 import org.fawndrum.protocol.FleetCodec;
-import org.fawndrum.protocol.PeerCodec;
 import org.fawndrum.protocol.wire.FleetNews;
 import org.fawndrum.protocol.wire.KnowledgeRequest;
 import org.fawndrum.protocol.wire.PeerMessage;
 import org.fawndrum.state.HostAddress;
-import org.fawndrum.state.HostIdentity;
 import org.fawndrum.transport.HostClock;
 import org.fawndrum.transport.peer.PeerNetwork;
 
@@ -20,17 +18,20 @@
  * passed over. Safe for all threads.
  */
 final class FleetReceiver implements PeerNetwork.Receiver {
-  private final Consumer<RelayEvent> decisions;
   private final Consumer<FleetDuty.FleetEvent> fleet;
-  private final Function<KnowledgeRequest, PeerMessage.Builder> knowledge;
+  private final Knowledge knowledge;
   private final HostClock clock;
 
-  FleetReceiver(
-      Consumer<RelayEvent> decisions,
-      Consumer<FleetDuty.FleetEvent> fleet,
-      Function<KnowledgeRequest, PeerMessage.Builder> knowledge,
-      HostClock clock) {
-    this.decisions = decisions;
+  /** What this host and others know of the store. */
+  interface Knowledge {
+    /** Returns what this host can tell another one. */
+    PeerMessage.Builder reply(KnowledgeRequest request);
+
+    /** Takes note of how far another daemon has read. */
+    void told(HostAddress at, StoreView view);
+  }
+
+  FleetReceiver(Consumer<FleetDuty.FleetEvent> fleet, Knowledge knowledge, HostClock clock) {
     this.fleet = fleet;
     this.knowledge = knowledge;
     this.clock = clock;
@@ -39,23 +40,21 @@
   @Override
   public void received(PeerMessage message, Consumer<PeerMessage.Builder> reply) {
     if (message.hasKnowledgeRequest()) {
-      reply.accept(knowledge.apply(message.getKnowledgeRequest()));
-      return;
-    }
-    if (!message.hasFleetNews()) {
-      return;
-    }
-    HostIdentity sender = PeerCodec.sender(message);
-    FleetNews told = message.getFleetNews();
-    HostAddress address = new HostAddress(told.getPeerIp(), told.getPeerPort());
-    List<HostAddress> known =
-        told.getKnownList().stream()
-            .map(place -> new HostAddress(place.getIp(), place.getPort()))
-            .toList();
-    fleet.accept(new FleetDuty.FleetEvent.Heard(sender, address, known));
-    List<EngineNews> news = FleetCodec.read(told, clock.nowMs());
-    if (!news.isEmpty() || told.getWhole()) {
-      decisions.accept(new RelayEvent.Told(sender, news, told.getWhole()));
+      reply.accept(knowledge.reply(message.getKnowledgeRequest()));
+    } else if (message.hasFleetNews()) {
+      received(message.getFleetNews());
     }
   }
+
+  private void received(FleetNews news) {
+    long nowMs = clock.nowMs();
+    FleetMember sender = FleetCodec.read(news.getSender());
+    List<FleetReport> reports =
+        news.getReportsList().stream().map(one -> FleetCodec.read(one, nowMs)).toList();
+    List<FleetMember> known = news.getKnownList().stream().map(FleetCodec::read).toList();
+    fleet.accept(new FleetDuty.FleetEvent.Heard(sender, news.getSubscribes(), reports, known));
+    knowledge.told(
+        sender.address(),
+        new StoreView(news.getConfigurationRevision(), news.getEndpointsChanged()));
+  }
 }
--- a/org.fawndrum/src/org/fawndrum/transport/relay/PeerKnowledge.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/PeerKnowledge.java
@@ -4,9 +4,10 @@
 import com.google.protobuf.ByteString;
 import io.vertx.core.Context;
 import io.vertx.core.Vertx;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Set;
 import java.util.concurrent.ThreadLocalRandom;
-import java.util.function.Supplier;
 import org.fawndrum.internal.log.HostLog;
 import org.fawndrum.internal.log.LogEvent;
 import org.fawndrum.protocol.KeyedPage;
@@ -22,29 +23,33 @@
 import org.fawndrum.transport.peer.PeerNetwork;
 
 /**
- * Asks other daemons for what the store does not give this host: at a start in an outage, and while
- * the store turns this host away. What a peer proves counts from when it was asked, less the age
- * that it names, so that no clock but the own one matters. Confined to one event loop.
+ * Asks other daemons for what the store holds: the speaker of the zone as a rule, any other one
+ * where that is not enough. What a peer proves counts from when it was asked, less the age that it
+ * names, so that no clock but the own one matters. Confined to one event loop, but for {@link
+ * #reply} and {@link #told}, which all threads may call.
  */
-final class PeerKnowledge {
-  private static final long LOOK_MS = 500;
+final class PeerKnowledge implements FleetReceiver.Knowledge {
+  /** How often the speaker is asked, in milliseconds. */
+  private static final long LOOK_MS = 400;
 
-  /** When the own proof is older than this, a peer is asked, in milliseconds. */
+  /** When the own knowledge is older than this, any peer is asked, in milliseconds. */
   private static final long STALE_MS = 2_200;
 
   private final HostIdentity self;
   private final PeerNetwork network;
-  private final Supplier<List<HostAddress>> peers;
+  private final FleetDuty fleet;
   private final RouteStore routes;
   private final ConfigurationReader configuration;
   private final EndpointReader endpoints;
   private final HostClock clock;
   private final HostLog log;
+  private final Set<HostAddress> asked = new HashSet<>();
+  private volatile Context loop;
 
   PeerKnowledge(
       HostIdentity self,
       PeerNetwork network,
-      Supplier<List<HostAddress>> peers,
+      FleetDuty fleet,
       RouteStore routes,
       ConfigurationReader configuration,
       EndpointReader endpoints,
@@ -52,7 +57,7 @@
       HostLog log) {
     this.self = self;
     this.network = network;
-    this.peers = peers;
+    this.fleet = fleet;
     this.routes = routes;
     this.configuration = configuration;
     this.endpoints = endpoints;
@@ -61,17 +66,39 @@
   }
 
   void start(Vertx vertx) {
-    Context loop = vertx.getOrCreateContext();
-    vertx.setPeriodic(LOOK_MS, id -> look(loop));
+    loop = vertx.getOrCreateContext();
+    vertx.setPeriodic(LOOK_MS, id -> look());
   }
 
-  private void look(Context loop) {
-    boolean stale = routes.ageMs(clock.nowMs()) > STALE_MS || endpoints.readTo() < 0;
-    List<HostAddress> known = peers.get();
-    if (!stale || known.isEmpty()) {
+  private void look() {
+    HostAddress speaker = fleet.speaker();
+    if (speaker != null) {
+      ask(speaker);
+    }
+    long nowMs = clock.nowMs();
+    boolean stale = routes.ageMs(nowMs) > STALE_MS || endpoints.ageMs(nowMs) > STALE_MS;
+    List<HostAddress> known = fleet.alive();
+    if (stale && !known.isEmpty()) {
+      ask(known.get(ThreadLocalRandom.current().nextInt(known.size())));
+    }
+  }
+
+  @Override
+  public void told(HostAddress at, StoreView view) {
+    boolean newer =
+        view.configurationRevision() > routes.table().revision()
+            || view.endpointsChanged() > endpoints.readTo();
+    Context on = loop;
+    if (newer && on != null) {
+      on.runOnContext(v -> ask(at));
+    }
+  }
+
+  /** Asks a peer, unless a question to it is still open. */
+  private void ask(HostAddress peer) {
+    if (!asked.add(peer)) {
       return;
     }
-    HostAddress peer = known.get(ThreadLocalRandom.current().nextInt(known.size()));
     KnowledgeRequest request =
         KnowledgeRequest.newBuilder()
             .setConfigurationRevision(routes.table().revision())
@@ -84,6 +111,7 @@
             (reply, failure) ->
                 loop.runOnContext(
                     v -> {
+                      asked.remove(peer);
                       if (failure == null) {
                         take(reply.getKnowledgeReply(), askedMs);
                       } else {
@@ -99,26 +127,41 @@
     if (understood && same && reply.getConfigurationAgeMs() >= 0) {
       routes.confirmed(askedMs - reply.getConfigurationAgeMs());
     }
-    if (reply.getEndpointsEnd() > endpoints.readTo()) {
+    takeEndpoints(reply, askedMs);
+  }
+
+  private void takeEndpoints(KnowledgeReply reply, long askedMs) {
+    boolean older = reply.getEndpointsEnd() < endpoints.readTo();
+    if (older || reply.getEndpointsEnd() < 0 || reply.getEndpointsAgeMs() < 0) {
+      return;
+    }
+    long provedMs = askedMs - reply.getEndpointsAgeMs();
+    if (reply.getEndpointsLeftOut()) {
+      endpoints.confirmed(reply.getEndpointsEnd(), provedMs);
+    } else {
       List<KeyedRecord> records =
           reply.getEndpointsList().stream().map(PeerKnowledge::record).toList();
-      endpoints.whole(new KeyedPage(records, reply.getEndpointsEnd()), askedMs);
+      endpoints.whole(new KeyedPage(records, reply.getEndpointsEnd()), provedMs);
     }
   }
 
-  /** Returns what this host can tell another one. */
-  PeerMessage.Builder reply(KnowledgeRequest request) {
-    long ageMs = routes.ageMs(clock.nowMs());
+  @Override
+  public PeerMessage.Builder reply(KnowledgeRequest request) {
+    long nowMs = clock.nowMs();
+    long ageMs = routes.ageMs(nowMs);
+    boolean leftOut = endpoints.changedTo() <= request.getEndpointsEnd();
     KnowledgeReply.Builder reply =
         KnowledgeReply.newBuilder()
             .setConfigurationAgeMs(routes.table().revision() < 0 ? -1 : ageMs)
             .setConfigurationRevision(routes.table().revision())
-            .setEndpointsEnd(endpoints.readTo());
+            .setEndpointsEnd(endpoints.readTo())
+            .setEndpointsAgeMs(endpoints.readTo() < 0 ? -1 : endpoints.ageMs(nowMs))
+            .setEndpointsLeftOut(leftOut);
     KeyedRecord newest = configuration.newest();
     if (newest != null && routes.table().revision() > request.getConfigurationRevision()) {
       reply.setConfiguration(record(newest));
     }
-    if (endpoints.readTo() > request.getEndpointsEnd()) {
+    if (!leftOut) {
       endpoints.records().forEach(one -> reply.addEndpoints(record(one)));
     }
     return PeerCodec.from(self).setKnowledgeReply(reply);
--- a/org.fawndrum/src/org/fawndrum/transport/relay/ReadRelaySettings.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/ReadRelaySettings.java
@@ -15,6 +15,7 @@
   private static final long LONGEST_MS = 3_600_000;
   private static final long LONGEST_S = 3_600;
   private static final long MS_PER_SECOND = 1_000;
+  private static final double FASTEST_LINK = 1e6;
   private static final double MOST_RETRIES = 1e9;
 
   private final Path file;
@@ -42,6 +43,7 @@
             peers,
             root.address("metrics"),
             root.address("platform"),
+            root.fraction("linkMegabits", 0, FASTEST_LINK),
             root.addresses("seeds").stream()
                 .map(seed -> new HostAddress(seed.ip(), peers.port()))
                 .toList(),
--- a/org.fawndrum/src/org/fawndrum/transport/relay/RelayDuty.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/RelayDuty.java
@@ -9,6 +9,7 @@
 import org.fawndrum.coordination.EndpointRoster;
 import org.fawndrum.coordination.RequestCoordinator;
 import org.fawndrum.coordination.engine.EngineNews;
+import org.fawndrum.coordination.membership.FleetReport;
 import org.fawndrum.internal.duty.Duty;
 import org.fawndrum.internal.duty.Ring;
 import org.fawndrum.internal.log.HostLog;
@@ -127,7 +128,9 @@
 
   private void handle(RelayEvent.OfDaemon event, long nowMs) {
     if (event instanceof RelayEvent.Told told) {
-      carryOut(coordinator.told(told.from(), told.news(), told.all(), nowMs));
+      for (FleetReport report : told.reports()) {
+        carryOut(coordinator.told(report.from(), report.news(), report.whole(), nowMs));
+      }
     } else if (event instanceof RelayEvent.DaemonGone gone) {
       carryOut(coordinator.daemonGone(gone.daemon(), nowMs));
     } else if (event instanceof RelayEvent.WorkWanted wanted) {
--- a/org.fawndrum/src/org/fawndrum/transport/relay/RelayEvent.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/RelayEvent.java
@@ -7,6 +7,7 @@
 import org.fawndrum.coordination.AttemptId;
 import org.fawndrum.coordination.RequestFacts;
 import org.fawndrum.coordination.engine.EngineNews;
+import org.fawndrum.coordination.membership.FleetReport;
 import org.fawndrum.state.HostIdentity;
 import org.fawndrum.state.HostListing;
 import org.fawndrum.state.RouteTable;
@@ -38,8 +39,8 @@
   /** A newer configuration is in force. */
   record RoutesChanged(RouteTable routes, TableRevision table) implements OfStore {}
 
-  /** Another daemon tells about its work at endpoints; {@code all} when it names all of it. */
-  record Told(HostIdentity from, List<EngineNews> news, boolean all) implements OfDaemon {}
+  /** Other daemons tell about their work at endpoints. */
+  record Told(List<FleetReport> reports) implements OfDaemon {}
 
   /** Another daemon is gone. */
   record DaemonGone(HostIdentity daemon) implements OfDaemon {}
--- a/org.fawndrum/src/org/fawndrum/transport/relay/RelayRuntime.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/RelayRuntime.java
@@ -4,8 +4,10 @@
 import com.codahale.metrics.MetricRegistry;
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
+import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.Consumer;
 import org.fawndrum.coordination.AttemptEvent;
 import org.fawndrum.coordination.AttemptId;
 import org.fawndrum.coordination.Policies;
@@ -13,10 +15,14 @@
 import org.fawndrum.coordination.RetryBudget;
 import org.fawndrum.coordination.WindowRetryBudget;
 import org.fawndrum.coordination.engine.EngineNews;
+import org.fawndrum.coordination.membership.FleetReport;
 import org.fawndrum.internal.log.HostLog;
 import org.fawndrum.internal.log.LogEvent;
 import org.fawndrum.protocol.KeyedLog;
+import org.fawndrum.protocol.wire.KnowledgeRequest;
+import org.fawndrum.protocol.wire.PeerMessage;
 import org.fawndrum.settings.ListenSettings;
+import org.fawndrum.state.HostAddress;
 import org.fawndrum.state.HostIdentity;
 import org.fawndrum.state.HostListing;
 import org.fawndrum.state.RouteTable;
@@ -36,16 +42,32 @@
   /** How long a question for the configuration waits; below the bound for revoked keys. */
   private static final long CONFIGURATION_WAIT_MS = 1_500;
 
-  /** How often the endpoints are read; with an answer's time it stays below the drain bound. */
-  private static final long ENDPOINTS_PAUSE_MS = 1_100;
+  /** The pause between readings of the endpoints, as a part of the drain bound. */
+  private static final double ENDPOINTS_PAUSE_PART = 0.35;
+
+  /**
+   * At what age of the endpoints, as a part of the drain bound, a host reads them itself. Above a
+   * speaker's pause with the time between two questions to it; what is left of the bound is for
+   * looking and reading.
+   */
+  private static final double OWN_ENDPOINTS_PART = 0.7;
+
+  /** The same for the configuration, as a part of the bound for revoked keys. */
+  private static final double OWN_CONFIGURATION_PART = 0.6;
 
   /**
    * The part of the retries allowed to all daemons that they use; the rest is for counting late.
    */
   private static final double RETRY_PART = 0.8;
 
-  /** The daemons among which the retries allowed in any case are shared out. */
-  private static final int MOST_DAEMONS = 12;
+  /** The fewest daemons among which the retries allowed in any case are shared out. */
+  private static final int FEWEST_DAEMONS = 12;
+
+  /** The most of them that a host uses before it heard any other: many may have just started. */
+  private static final double RESERVE_UNHEARD = 1;
+
+  /** How many daemons there may be for each that is known: some are cut off or just starting. */
+  private static final double DAEMONS_PER_KNOWN = 1.3;
 
   private final Vertx vertx;
   private volatile RelaySettings settings;
@@ -61,6 +83,7 @@
   private final FleetDuty fleet;
   private final TopicFollower configuration;
   private final TopicFollower endpoints;
+  private final EndpointReader records;
   private final PeerKnowledge knowledge;
   private final MetricsServer metrics;
   private final DecisionLog decisionLog;
@@ -97,36 +120,78 @@
         new DecisionLog(new RequestMetrics(registry, clock), this::basis, clock, log);
     this.decisions = new RelayDuty(coordinator, clock, decisionLog, this::announced, log);
     this.metrics = new MetricsServer(vertx, settings.metrics(), registry, log);
-    FleetReceiver receiver =
-        new FleetReceiver(
-            this::offerSurely, this::heard, request -> knowledge().reply(request), clock);
+    FleetReceiver receiver = new FleetReceiver(this::heard, new LateKnowledge(), clock);
     ListenSettings peers = new ListenSettings(settings.peers(), Optional.empty());
     this.network = new NettyPeerNetwork(peers, receiver, log);
-    this.fleet = new FleetDuty(self, () -> settings, network, clock, this::offerSurely, log);
+    this.fleet =
+        new FleetDuty(self, () -> settings, this::storeView, network, clock, new Told(), log);
     this.callers = callerServer(adapter);
     this.drain = new RelayDrain(vertx, callers, decisions, () -> settings.bounds(), clock, log);
     this.readiness = new ReadinessServer(vertx, settings.readiness(), this::ready);
     ConfigurationReader configurations = new ConfigurationReader(adapter.decoder(), routes, log);
-    EndpointReader records = new EndpointReader(adapter.decoder(), this::listed, clock, log);
+    this.records = new EndpointReader(adapter.decoder(), this::listed, clock, log);
     this.configuration =
         follower(
             adapter,
             KeyedLog.Topic.OPERATORS,
             new TopicFollower.Pace(CONFIGURATION_WAIT_MS, 0),
+            new ReadingShare(
+                this::speaks,
+                () -> routes.ageMs(clock.nowMs()),
+                () -> (long) (settings.bounds().revokeMs() * OWN_CONFIGURATION_PART)),
             configurations);
     this.endpoints =
         follower(
             adapter,
             KeyedLog.Topic.ENDPOINTS,
-            new TopicFollower.Pace(0, ENDPOINTS_PAUSE_MS),
+            new TopicFollower.Pace(0, (long) (settings.bounds().drainMs() * ENDPOINTS_PAUSE_PART)),
+            new ReadingShare(
+                this::speaks,
+                () -> records.ageMs(clock.nowMs()),
+                () -> (long) (settings.bounds().drainMs() * OWN_ENDPOINTS_PART)),
             records);
     this.knowledge =
-        new PeerKnowledge(self, network, fleet::alive, routes, configurations, records, clock, log);
+        new PeerKnowledge(self, network, fleet, routes, configurations, records, clock, log);
     gauges(registry);
   }
 
-  private PeerKnowledge knowledge() {
-    return knowledge;
+  private boolean speaks() {
+    return fleet.speaker() == null;
+  }
+
+  private StoreView storeView() {
+    return new StoreView(routes.table().revision(), records.changedTo());
+  }
+
+  /** What this host knows of the store; the network needs it before the rest is made. */
+  private final class LateKnowledge implements FleetReceiver.Knowledge {
+    @Override
+    public PeerMessage.Builder reply(KnowledgeRequest request) {
+      return knowledge.reply(request);
+    }
+
+    @Override
+    public void told(HostAddress at, StoreView view) {
+      knowledge.told(at, view);
+    }
+  }
+
+  /** Hands what other daemons report to the decisions. */
+  private final class Told implements FleetDuty.Listener {
+    @Override
+    public void reported(List<FleetReport> reports) {
+      offerSurely(new RelayEvent.Told(reports));
+    }
+
+    @Override
+    public void gone(HostIdentity daemon) {
+      offerSurely(new RelayEvent.DaemonGone(daemon));
+    }
+
+    @Override
+    public void workWanted(Consumer<List<EngineNews>> reply) {
+      offerSurely(new RelayEvent.WorkWanted(reply));
+    }
   }
 
   private RelayServer callerServer(RelayAdapter adapter) {
@@ -156,8 +221,9 @@
       RelayAdapter adapter,
       KeyedLog.Topic topic,
       TopicFollower.Pace pace,
+      TopicFollower.Need need,
       TopicFollower.Reader reader) {
-    return new TopicFollower(vertx, adapter.store(), topic, pace, reader, clock, log);
+    return new TopicFollower(vertx, adapter.store(), topic, pace, need, reader, clock, log);
   }
 
   /** Tells the decisions what happens to attempts and callers. */
@@ -206,9 +272,16 @@
   private RetryBudget retries() {
     RelayBounds bounds = settings.bounds();
     return new WindowRetryBudget(
-        bounds.retryRatio() * RETRY_PART,
-        bounds.retrySlack() * RETRY_PART / MOST_DAEMONS,
-        bounds.retryWindowMs());
+        bounds.retryRatio() * RETRY_PART, () -> reserve(bounds), bounds.retryWindowMs());
+  }
+
+  /** Returns this host's part of the retries that all daemons are allowed in any case. */
+  private double reserve(RelayBounds bounds) {
+    int others = fleet.others();
+    double known = Math.ceil((others + 1) * DAEMONS_PER_KNOWN);
+    double part = bounds.retrySlack() * RETRY_PART / Math.max(FEWEST_DAEMONS, known);
+    boolean unheard = others == 0 && !settings.otherSeeds().isEmpty();
+    return unheard ? Math.min(RESERVE_UNHEARD, part) : part;
   }
 
   private void heard(FleetDuty.FleetEvent event) {
--- a/org.fawndrum/src/org/fawndrum/transport/relay/RelaySettings.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/RelaySettings.java
@@ -14,6 +14,7 @@
  * @param peers where other daemons come in
  * @param metrics where figures are told
  * @param platform where the platform's store is
+ * @param linkMegabits what the host's network link carries, in megabits a second
  * @param seeds hosts that may know others
  * @param bounds times that operators promise or allow
  * @param debugLog whether each decision is logged
@@ -26,6 +27,7 @@
     HostAddress peers,
     HostAddress metrics,
     HostAddress platform,
+    double linkMegabits,
     List<HostAddress> seeds,
     RelayBounds bounds,
     boolean debugLog) {
@@ -33,4 +35,9 @@
   public RelaySettings {
     seeds = List.copyOf(seeds);
   }
+
+  /** Returns the seeds that are not this host. */
+  public List<HostAddress> otherSeeds() {
+    return seeds.stream().filter(seed -> !seed.equals(peers)).toList();
+  }
 }
--- /dev/null
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/StoreView.java
@@ -0,0 +1,11 @@
+// SPDX-License-Identifier: Apache-2.0
+package org.fawndrum.transport.relay;
+
+/**
+ * How far a daemon has read the platform's store.
+ *
+ * @param configurationRevision the revision in force; negative when none is
+ * @param endpointsChanged the end of the endpoints' log after the last change that matters; -1
+ *     before anything was read
+ */
+record StoreView(long configurationRevision, long endpointsChanged) {}
--- a/org.fawndrum/src/org/fawndrum/transport/relay/TopicFollower.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/TopicFollower.java
@@ -11,19 +11,21 @@
 import org.fawndrum.transport.HostClock;
 
 /**
- * Follows one keyed log from its newest records on, for as long as the host runs. While the
- * platform does not answer it is asked again and again, at growing intervals; when records are gone
- * before they were read, the newest are read again. Confined to one event loop.
+ * Follows one keyed log from its newest records on, whenever that is wanted: what another daemon
+ * tells need not be read again. While the platform does not answer it is asked again and again, at
+ * growing intervals; when records are gone before they were read, the newest are read again.
+ * Confined to one event loop.
  */
 final class TopicFollower {
   /** The pause before the first retry, in milliseconds; doubled with each. */
   private static final long FIRST_RETRY_MS = 100;
 
-  private static final long LONGEST_RETRY_MS = 1_000;
-
   /** When the last proof is older than this, a question does not wait, in milliseconds. */
   private static final long LONGEST_UNPROVED_MS = 1_000;
 
+  /** How often it is looked whether reading is wanted again, in milliseconds. */
+  private static final long UNWANTED_LOOK_MS = 150;
+
   /** By how much a wait may end early, in milliseconds: timers and clocks are not exact. */
   private static final long WAIT_MARGIN_MS = 50;
 
@@ -31,6 +33,7 @@
   private final KeyedLog log;
   private final KeyedLog.Topic topic;
   private final Pace pace;
+  private final Need need;
   private final Reader reader;
   private final HostClock clock;
   private final HostLog hostLog;
@@ -47,8 +50,23 @@
    */
   record Pace(long waitMs, long pauseMs) {}
 
+  /** Tells whether this host has to read the log itself. */
+  interface Need {
+    /** Tells whether the log is to be read now. */
+    boolean wanted();
+
+    /** Returns the longest pause before a retry, in milliseconds. */
+    long longestRetryMs();
+  }
+
   /** Takes what was read. */
   interface Reader {
+    /**
+     * Returns the end of the log as far as it is known here, also from other daemons; -1 before
+     * anything is known.
+     */
+    long readTo();
+
     /** Takes note that the platform answers again; what it holds is read next. */
     void regained();
 
@@ -72,6 +90,7 @@
       KeyedLog log,
       KeyedLog.Topic topic,
       Pace pace,
+      Need need,
       Reader reader,
       HostClock clock,
       HostLog hostLog) {
@@ -79,6 +98,7 @@
     this.log = log;
     this.topic = topic;
     this.pace = pace;
+    this.need = need;
     this.reader = reader;
     this.clock = clock;
     this.hostLog = hostLog;
@@ -90,6 +110,11 @@
   }
 
   private void ask() {
+    if (!need.wanted()) {
+      vertx.setTimer(UNWANTED_LOOK_MS, id -> ask());
+      return;
+    }
+    next = next < 0 ? next : Math.max(next, reader.readTo());
     long askedMs = clock.nowMs();
     boolean whole = next < 0;
     long waitMs = askedMs - provedMs > LONGEST_UNPROVED_MS ? 0 : pace.waitMs();
@@ -150,7 +175,7 @@
       hostLog.event(LogEvent.PLATFORM_LOST, String.valueOf(cause));
     }
     askAfter(retryMs);
-    retryMs = Math.min(LONGEST_RETRY_MS, retryMs * 2);
+    retryMs = Math.min(need.longestRetryMs(), retryMs * 2);
   }
 
   private void askAfter(long afterMs) {
--- a/org.fawndrum/tst/org/fawndrum/coordination/WindowRetryBudgetTest.java
+++ b/org.fawndrum/tst/org/fawndrum/coordination/WindowRetryBudgetTest.java
@@ -24,7 +24,7 @@
   @Property(seed = "815", tries = 400)
   void everySpanKeepsTheBound(
       @ForAll @Size(max = 200) List<@IntRange(min = -60, max = 60) Integer> steps) {
-    WindowRetryBudget budget = new WindowRetryBudget(RATIO, RESERVE, WINDOW_MS);
+    WindowRetryBudget budget = new WindowRetryBudget(RATIO, () -> RESERVE, WINDOW_MS);
     List<Long> requests = new ArrayList<>();
     List<Long> retries = new ArrayList<>();
     long nowMs = 0;
@@ -47,7 +47,7 @@
 
   @Test
   void targetsDoNotShareTheReserve() {
-    WindowRetryBudget budget = new WindowRetryBudget(RATIO, 1, WINDOW_MS);
+    WindowRetryBudget budget = new WindowRetryBudget(RATIO, () -> 1, WINDOW_MS);
     RequestTarget other = new RequestTarget(EndpointKind.PLAIN, "prices");
     assertTrue(budget.tryRetry(TARGET, 0));
     assertTrue(budget.tryRetry(other, 0));
--- /dev/null
+++ b/org.fawndrum/tst/org/fawndrum/coordination/membership/FleetSpreadTest.java
@@ -0,0 +1,183 @@
+// SPDX-License-Identifier: Apache-2.0
+package org.fawndrum.coordination.membership;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+import java.util.Set;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import org.fawndrum.state.HostAddress;
+import org.fawndrum.state.HostIdentity;
+
+/**
+ * A fleet of overlays that exchange reports without delay: whoever dies or is cut off, after the
+ * overlays had time to notice, each report reaches all daemons that can be reached, each one takes
+ * it once, and the number of messages grows with the daemons, not with their pairs.
+ */
+class FleetSpreadTest {
+  private static final int ZONES = 3;
+  private static final long STEP_MS = 100;
+  private static final int HEARTBEAT_STEPS = 10;
+
+  private final Map<String, Node> nodes = new LinkedHashMap<>();
+  private final Set<String> dead = new HashSet<>();
+  private String cutZone;
+  private long nowMs;
+  private int messages;
+
+  /** One daemon: its overlay, and the reports that it took. */
+  private final class Node implements FleetOverlay.Watcher {
+    final FleetMember member;
+    final FleetOverlay overlay;
+    final List<String> taken = new ArrayList<>();
+    long sequence;
+
+    Node(FleetMember member) {
+      this.member = member;
+      this.overlay = new FleetOverlay(member, this);
+    }
+
+    @Override
+    public void appeared(FleetMember other) {}
+
+    @Override
+    public void gone(FleetMember other, long silentMs) {}
+
+    void step(boolean heartbeat, FleetMember seed) {
+      overlay.forget(nowMs);
+      FleetMember speaker = overlay.speaker(nowMs);
+      if (heartbeat) {
+        List<FleetMember> to = new ArrayList<>(overlay.far(nowMs));
+        to.add(speaker.equals(member) ? seed : speaker);
+        FleetReport all =
+            new FleetReport(member.identity(), Optional.of(member), ++sequence, true, List.of());
+        to.forEach(one -> send(this, one, true, List.of(all)));
+        if (overlay.passesOn(nowMs)) {
+          passOn(List.of(all));
+        }
+      } else if (overlay.passesOn(nowMs)) {
+        passOn(List.of());
+      }
+    }
+
+    void report() {
+      FleetReport report =
+          new FleetReport(member.identity(), Optional.empty(), ++sequence, false, List.of());
+      passOn(List.of(report));
+    }
+
+    void passOn(List<FleetReport> reports) {
+      List<FleetMember> to = new ArrayList<>(overlay.near(nowMs));
+      to.addAll(overlay.far(nowMs));
+      to.forEach(one -> send(this, one, false, reports));
+    }
+
+    void receive(FleetMember from, boolean subscribes, List<FleetReport> reports) {
+      boolean first = !overlay.alive().contains(from);
+      overlay.heardDirectly(from, subscribes, nowMs);
+      List<FleetReport> fresh = reports.stream().filter(one -> overlay.take(one, nowMs)).toList();
+      fresh.forEach(one -> taken.add(one.from().host() + " " + one.sequence()));
+      if (!fresh.isEmpty() && overlay.passesOn(nowMs)) {
+        passOn(fresh);
+      }
+      if (subscribes && (first || overlay.knowsBetter(from, nowMs)) && reachable(this, from)) {
+        nodes.get(from.identity().host()).overlay.learn(overlay.alive(), nowMs);
+      }
+    }
+  }
+
+  private boolean reachable(Node from, FleetMember to) {
+    boolean cut =
+        cutZone != null && cutZone.equals(from.member.zone()) != cutZone.equals(to.zone());
+    return !cut && !dead.contains(to.identity().host()) && nodes.containsKey(to.identity().host());
+  }
+
+  private void send(Node from, FleetMember to, boolean subscribes, List<FleetReport> reports) {
+    messages++;
+    if (reachable(from, to)) {
+      nodes.get(to.identity().host()).receive(from.member, subscribes, reports);
+    }
+  }
+
+  /** Starts a fleet; the tries of a property share this object. */
+  private void start(int daemons, Random random) {
+    nodes.clear();
+    dead.clear();
+    cutZone = null;
+    for (int i = 0; i < daemons; i++) {
+      String host = "host-" + i;
+      HostIdentity identity = new HostIdentity(host, 1);
+      String zone = "zone-" + i % ZONES;
+      long capacity = random.nextInt(3);
+      nodes.put(
+          host, new Node(new FleetMember(identity, new HostAddress(host, 1), zone, capacity)));
+    }
+  }
+
+  private void run(int steps) {
+    FleetMember seed = nodes.values().iterator().next().member;
+    for (int step = 0; step < steps; step++) {
+      nowMs += STEP_MS;
+      int turn = step;
+      nodes.values().stream()
+          .filter(node -> !dead.contains(node.member.identity().host()))
+          .forEach(node -> node.step(turn % HEARTBEAT_STEPS == 0, seed));
+    }
+  }
+
+  /** Lets each living daemon report once, and checks who takes it. */
+  private void everyReportReachesWhomItCan() {
+    for (Node from : nodes.values()) {
+      if (dead.contains(from.member.identity().host())) {
+        continue;
+      }
+      messages = 0;
+      nodes.values().forEach(node -> node.taken.clear());
+      from.report();
+      for (Node to : nodes.values()) {
+        int expected = to != from && reachable(from, to.member) ? 1 : 0;
+        assertEquals(expected, to.taken.size(), from.member + " to " + to.member);
+      }
+      assertTrue(messages <= 2 * nodes.size() + 2 * ZONES, messages + " messages");
+    }
+  }
+
+  @Property(seed = "1131", tries = 60)
+  void reportsSpreadWhoeverDies(
+      @ForAll @IntRange(min = 3, max = 40) int daemons, @ForAll long seed) {
+    Random random = new Random(seed);
+    start(daemons, random);
+    run(60);
+    everyReportReachesWhomItCan();
+    // The first host is the only seed: it stays.
+    for (int i = 1; i < daemons; i++) {
+      if (random.nextInt(4) == 0) {
+        dead.add("host-" + i);
+      }
+    }
+    run(80);
+    everyReportReachesWhomItCan();
+  }
+
+  @Property(seed = "1132", tries = 40)
+  void reportsSpreadWithinWhatIsCutOffAndEverywhereAfterwards(
+      @ForAll @IntRange(min = 6, max = 40) int daemons, @ForAll long seed) {
+    start(daemons, new Random(seed));
+    run(60);
+    cutZone = "zone-1";
+    run(80);
+    everyReportReachesWhomItCan();
+    cutZone = null;
+    run(80);
+    everyReportReachesWhomItCan();
+  }
+}
--- a/org.fawndrum/tst/org/fawndrum/transport/relay/EndpointReaderTest.java
+++ b/org.fawndrum/tst/org/fawndrum/transport/relay/EndpointReaderTest.java
@@ -125,4 +125,28 @@
     assertEquals(List.of("a", "b"), names());
     assertTrue(listing.leaving().isEmpty());
   }
+
+  @Test
+  void onlyChangesThatMatterMoveTheirEnd() {
+    reader.whole(page("a", READY, "b", READY), 0);
+    assertEquals(3, reader.changedTo());
+    reader.changes(new KeyedPage(List.of(new KeyedRecord(9, "a", READY)), 10), 0);
+    assertEquals(10, reader.readTo());
+    assertEquals(3, reader.changedTo());
+    reader.changes(new KeyedPage(List.of(new KeyedRecord(10, "a", LEAVING)), 11), 0);
+    assertEquals(11, reader.changedTo());
+    reader.changes(new KeyedPage(List.of(new KeyedRecord(11, "a", NONE)), 12), 0);
+    assertEquals(13, reader.changedTo());
+  }
+
+  @Test
+  void theAgeCountsFromTheLatestProof() {
+    reader.whole(page("a", READY), 900);
+    assertEquals(100, reader.ageMs(nowMs));
+    reader.confirmed(7, 950);
+    assertEquals(7, reader.readTo());
+    reader.confirmed(5, 300);
+    assertEquals(7, reader.readTo());
+    assertEquals(50, reader.ageMs(nowMs));
+  }
 }
--- a/org.fawndrum/tst/org/fawndrum/transport/relay/SettingsWatchTest.java
+++ b/org.fawndrum/tst/org/fawndrum/transport/relay/SettingsWatchTest.java
@@ -22,7 +22,7 @@
         { // settings
           "host": "h-1", "zone": "a", "callers": "127.0.0.1:1", "readiness": "127.0.0.1:2",
           "peers": "127.0.0.1:3", "metrics": "127.0.0.1:4", "platform": "%s",
-          "seeds": ["10.0.0.1:9"],
+          "linkMegabits": 1000, "seeds": ["10.0.0.1:9"],
           "bounds": { "revokeMs": %d, "drainMs": 2000, "graceS": 8, "retryRatio": 0.2,
             "retrySlack": 100, "retryWindowS": 10, "streamPassMs": 120 }
         }
--- a/org.fawndrum/tst/org/fawndrum/transport/relay/TopicFollowerTest.java
+++ b/org.fawndrum/tst/org/fawndrum/transport/relay/TopicFollowerTest.java
@@ -22,16 +22,22 @@
 class TopicFollowerTest {
   private static final KeyedRecord RECORD = new KeyedRecord(3, "config", new byte[] {1});
 
+  private static final long OLDEST_MS = 3_000;
+
   private final Vertx vertx = Vertx.vertx();
   private final Questions questions = new Questions();
   private final List<Long> proved = new ArrayList<>();
   private final List<Long> whole = new ArrayList<>();
   private long nowMs = 10_000;
+  private boolean speaks = true;
+  private long ageMs;
+  private long toldTo = -1;
 
   /** A store that is answered by hand. */
   private static final class Questions implements KeyedLog {
     final Deque<CompletableFuture<KeyedPage>> open = new ArrayDeque<>();
     final List<Long> waits = new ArrayList<>();
+    final List<Long> reads = new ArrayList<>();
     int newest;
 
     @Override
@@ -43,6 +49,7 @@
     @Override
     public CompletableFuture<KeyedPage> read(Topic topic, long from, long waitMs) {
       waits.add(waitMs);
+      reads.add(from);
       return ask();
     }
 
@@ -59,6 +66,11 @@
   private void start() {
     TopicFollower.Reader reader =
         new TopicFollower.Reader() {
+          @Override
+          public long readTo() {
+            return toldTo;
+          }
+
           @Override
           public void regained() {}
 
@@ -77,6 +89,7 @@
             questions,
             KeyedLog.Topic.OPERATORS,
             new TopicFollower.Pace(1_500, 0),
+            new ReadingShare(() -> speaks, () -> ageMs, () -> OLDEST_MS),
             reader,
             () -> nowMs,
             new HostLog("test"))
@@ -133,14 +146,45 @@
     assertTrue(proved.isEmpty());
   }
 
+  private void later(long afterMs) throws Exception {
+    CompletableFuture<Void> later = new CompletableFuture<>();
+    vertx.setTimer(afterMs, id -> later.complete(null));
+    later.get();
+  }
+
+  @Test
+  void aHostThatIsToldEnoughDoesNotRead() throws Exception {
+    speaks = false;
+    ageMs = OLDEST_MS;
+    start();
+    later(300);
+    assertEquals(0, questions.newest);
+  }
+
+  @Test
+  void aHostWhoseKnowledgeBecameTooOldReadsItself() throws Exception {
+    speaks = false;
+    start();
+    ageMs = OLDEST_MS + 1;
+    later(300);
+    assertEquals(1, questions.newest);
+  }
+
+  @Test
+  void readingGoesOnAfterWhatOthersTold() throws Exception {
+    start();
+    questions.answer(new KeyedPage(List.of(), 3));
+    toldTo = 9;
+    questions.answer(new KeyedPage(List.of(), 3));
+    assertEquals(List.of(3L, 9L), questions.reads);
+  }
+
   @Test
   void whenRecordsAreGoneTheNewestAreRead() throws Exception {
     start();
     questions.answer(new KeyedPage(List.of(), 3));
     questions.open.removeFirst().completeExceptionally(new RecordsExpiredException(3, 8));
-    CompletableFuture<Void> later = new CompletableFuture<>();
-    vertx.setTimer(50, id -> later.complete(null));
-    later.get();
+    later(50);
     assertEquals(2, questions.newest);
   }
 }
