Add a seeded soak of real daemons with faults from outside

Change: module org.fawndrum.soak. Daemons run as processes on loopback; proxies before the store of each daemon and before each endpoint delay, reset, silence or cut one way; hosts are killed, stopped, paused and told to reload, the store is busy, silent or forgets, endpoints shed, lose answers and leave, a key is revoked; in series that overlap. Callers keep their connections. Checked: one run for what must not be repeated, true refusals, whole answers with seal and id, no run of a revoked key, no denial of what is allowed, no process that ends by itself, all hosts serve again. Not checked: memory set aside, the bound of leaving endpoints, streams' pace; clocks are not harmed. LedgerTest shows that each check sees its fault.

--- /dev/null
+++ b/org.fawndrum.soak/src/org/fawndrum/soak/Fault.java
@@ -0,0 +1,78 @@
+// SPDX-License-Identifier: Apache-2.0
+package org.fawndrum.soak;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Random;
+
+/**
+ * One fault.
+ *
+ * @param atMs when it begins, in milliseconds after the traffic
+ * @param forMs how long it lasts, in milliseconds; 0 for what happens at one moment
+ * @param kind what happens
+ * @param target counts the hosts or endpoints that it strikes
+ * @param mode what a proxy does; only for kinds with a proxy
+ */
+record Fault(long atMs, long forMs, Kind kind, int target, FaultProxy.Mode mode) {
+  private static final long LONGEST_MS = 4_000;
+
+  /** Series of faults come so close that they overlap, in milliseconds. */
+  private static final int SERIES_GAP_MS = 400;
+
+  /** What happens. */
+  enum Kind {
+    /** A host is killed and started again. */
+    KILL,
+    /** A host is asked to stop and started again. */
+    STOP,
+    /** A host stands still. */
+    PAUSE,
+    /** A host is told to read its settings again. */
+    RELOAD,
+    /** The store answers all that nothing was done. */
+    STORE_BUSY,
+    /** The store answers nobody. */
+    STORE_SILENT,
+    /** The store forgets its history. */
+    STORE_FORGETS,
+    /** A host's connections to the store are harmed. */
+    STORE_LINK,
+    /** Connections to an endpoint are harmed. */
+    ENDPOINT_LINK,
+    /** An endpoint runs requests and loses the answers. */
+    ANSWERS_LOST,
+    /** An endpoint turns requests away without running them. */
+    SHEDS,
+    /** An endpoint says that it is leaving, and comes back. */
+    LEAVES,
+    /** A newer configuration, with the same meaning. */
+    CONFIGURE,
+    /** A key is taken away. */
+    REVOKE
+  }
+
+  /** Returns the faults of a seed, by time: single ones and series that overlap. */
+  static List<Fault> plan(Random random, long lengthMs, int targets) {
+    List<Fault> plan = new ArrayList<>();
+    long atMs = random.nextInt((int) LONGEST_MS / 2);
+    while (atMs < lengthMs) {
+      Kind kind = Kind.values()[random.nextInt(Kind.values().length)];
+      int series = random.nextInt(3) == 0 ? 1 + random.nextInt(targets) : 1;
+      for (int i = 0; i < series; i++) {
+        plan.add(fault(random, atMs + i * random.nextInt(SERIES_GAP_MS), kind, targets));
+      }
+      atMs += random.nextInt((int) LONGEST_MS / 2);
+    }
+    plan.sort(Comparator.comparingLong(Fault::atMs));
+    return plan;
+  }
+
+  private static Fault fault(Random random, long atMs, Kind kind, int targets) {
+    FaultProxy.Mode[] modes = FaultProxy.Mode.values();
+    FaultProxy.Mode mode = modes[1 + random.nextInt(modes.length - 1)];
+    long forMs = 200 + random.nextInt((int) LONGEST_MS);
+    return new Fault(atMs, forMs, kind, random.nextInt(targets), mode);
+  }
+}
--- /dev/null
+++ b/org.fawndrum.soak/src/org/fawndrum/soak/HostProcess.java
@@ -0,0 +1,87 @@
+// SPDX-License-Identifier: Apache-2.0
+package org.fawndrum.soak;
+
+import java.io.File;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * One daemon as a process, started again by order. It signals only the process that it started.
+ * Confined to one thread.
+ */
+final class HostProcess {
+  /** The heap of a daemon; a few dozen fit into half of a machine's memory. */
+  private static final String HEAP = "-Xmx64m";
+
+  private final String name;
+  private final Path settings;
+  private final Path output;
+  private Process process;
+  private boolean endExpected;
+
+  HostProcess(String name, Path folder, String settingsText) throws IOException {
+    this.name = name;
+    this.settings = folder.resolve(name + ".json");
+    this.output = folder.resolve(name + ".log");
+    Files.writeString(settings, settingsText);
+  }
+
+  String name() {
+    return name;
+  }
+
+  /** Starts a new incarnation; its output goes after that of the ones before. */
+  void start() throws IOException {
+    ProcessBuilder builder =
+        new ProcessBuilder(
+            Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+            HEAP,
+            "-Xss256k",
+            "-XX:+UseSerialGC",
+            "-XX:TieredStopAtLevel=1",
+            "-cp",
+            System.getProperty("java.class.path"),
+            "org.fawndrum.platform.PlatformMain");
+    builder.environment().put("FAWNDRUM_SETTINGS", settings.toString());
+    File log = output.toFile();
+    builder.redirectErrorStream(true).redirectOutput(ProcessBuilder.Redirect.appendTo(log));
+    process = builder.start();
+    endExpected = false;
+  }
+
+  /** Sends a signal such as {@code STOP}. */
+  void signal(String signal) throws IOException, InterruptedException {
+    String id = Long.toString(process.pid());
+    new ProcessBuilder(List.of("kill", "-" + signal, id)).start().waitFor();
+  }
+
+  /** Ends the process at once. */
+  void kill() throws InterruptedException {
+    endExpected = true;
+    process.destroyForcibly();
+    process.waitFor();
+  }
+
+  /**
+   * Asks the process to stop.
+   *
+   * @return whether it did so within the time given, in milliseconds; if not, it is killed
+   */
+  boolean stop(long withinMs) throws InterruptedException {
+    endExpected = true;
+    process.destroy();
+    boolean stopped = process.waitFor(withinMs, TimeUnit.MILLISECONDS);
+    if (!stopped) {
+      kill();
+    }
+    return stopped;
+  }
+
+  /** Tells whether the process ended though nobody ended it. */
+  boolean endedByItself() {
+    return !endExpected && !process.isAlive();
+  }
+}
--- /dev/null
+++ b/org.fawndrum.soak/tst/org/fawndrum/soak/SoakTest.java
@@ -0,0 +1,43 @@
+// SPDX-License-Identifier: Apache-2.0
+package org.fawndrum.soak;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Random;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/**
+ * A short run of the soak with fixed seeds. Seeds that ever failed are kept here, with their cause.
+ */
+class SoakTest {
+  private static final int HOSTS = 3;
+  private static final long LENGTH_MS = 6_000;
+
+  @TempDir private Path folder;
+
+  private void holds(long seed) throws Exception {
+    Soak.Result result = new Soak(seed, HOSTS, LENGTH_MS, folder).call();
+    assertEquals(List.of(), result.broken(), result.summary());
+  }
+
+  @Test
+  void seedTwo() throws Exception {
+    holds(2);
+  }
+
+  @Test
+  void seedFour() throws Exception {
+    holds(4);
+  }
+
+  @Test
+  void aSeedAlwaysPlansTheSameFaults() {
+    List<Fault> plan = Fault.plan(new Random(7), 60_000, HOSTS);
+    assertEquals(plan, Fault.plan(new Random(7), 60_000, HOSTS));
+    assertEquals(
+        Fault.Kind.values().length, plan.stream().map(Fault::kind).distinct().count(), "kinds");
+  }
+}
--- a/org.fawndrum/src/org/fawndrum/protocol/wire/KnowledgeReply.java
+++ b/org.fawndrum/src/org/fawndrum/protocol/wire/KnowledgeReply.java
@@ -49,7 +49,7 @@
   private long configurationAgeMs_ = 0L;
   /**
    * <pre>
-   * How long ago the revision in force there was surely the newest; negative when it never was.
+   * How long ago the revision in force there was surely the newest, or none was in the store.
    * </pre>
    *
    * <code>int64 configuration_age_ms = 1;</code>
@@ -722,7 +722,7 @@
     private long configurationAgeMs_ ;
     /**
      * <pre>
-     * How long ago the revision in force there was surely the newest; negative when it never was.
+     * How long ago the revision in force there was surely the newest, or none was in the store.
      * </pre>
      *
      * <code>int64 configuration_age_ms = 1;</code>
@@ -734,7 +734,7 @@
     }
     /**
      * <pre>
-     * How long ago the revision in force there was surely the newest; negative when it never was.
+     * How long ago the revision in force there was surely the newest, or none was in the store.
      * </pre>
      *
      * <code>int64 configuration_age_ms = 1;</code>
@@ -750,7 +750,7 @@
     }
     /**
      * <pre>
-     * How long ago the revision in force there was surely the newest; negative when it never was.
+     * How long ago the revision in force there was surely the newest, or none was in the store.
      * </pre>
      *
      * <code>int64 configuration_age_ms = 1;</code>
--- a/org.fawndrum/src/org/fawndrum/protocol/wire/KnowledgeReplyOrBuilder.java
+++ b/org.fawndrum/src/org/fawndrum/protocol/wire/KnowledgeReplyOrBuilder.java
@@ -12,7 +12,7 @@
 
   /**
    * <pre>
-   * How long ago the revision in force there was surely the newest; negative when it never was.
+   * How long ago the revision in force there was surely the newest, or none was in the store.
    * </pre>
    *
    * <code>int64 configuration_age_ms = 1;</code>
--- a/org.fawndrum/src/org/fawndrum/transport/relay/FleetDuty.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/FleetDuty.java
@@ -71,7 +71,8 @@
   private long sequence;
   private long nextHeartbeatMs;
   private long lastPassedMs;
-  private long gatheredUntilMs;
+  private boolean changesGathered;
+  private long changesSinceMs;
 
   /** An event of this thread. */
   sealed interface FleetEvent {
@@ -175,21 +176,34 @@
       listener.reported(fresh);
     }
     if (overlay.passesOn(nowMs)) {
-      gather(fresh, nowMs);
+      gather(fresh);
     }
     if (heard.subscribes() && (first || overlay.knowsBetter(heard.from(), nowMs))) {
       tellKnown(heard.from());
     }
   }
 
-  private void gather(List<FleetReport> reports, long nowMs) {
-    if (gathered.isEmpty() && !reports.isEmpty()) {
-      int links = overlay.near(nowMs).size();
-      gatheredUntilMs = nowMs + Math.max(GATHER_MS, GATHER_MS_PER_LINK * links);
+  /** Keeps reports to pass them on; whole ones only confirm what is known and can wait. */
+  private void gather(List<FleetReport> reports) {
+    boolean changes = reports.stream().anyMatch(report -> !report.whole());
+    if (changes && !changesGathered) {
+      changesGathered = true;
+      changesSinceMs = clock.nowMs();
     }
     gathered.addAll(reports);
   }
 
+  /** Returns when what was gathered is to be passed on. */
+  private long passOnMs(long nowMs) {
+    long latestMs = lastPassedMs + KEEP_ALIVE_MS;
+    if (!changesGathered) {
+      return latestMs;
+    }
+    int links = overlay.near(nowMs).size();
+    long waitMs = Math.max(GATHER_MS, GATHER_MS_PER_LINK * links);
+    return Math.min(latestMs, changesSinceMs + waitMs);
+  }
+
   private void tellKnown(FleetMember to) {
     FleetNews.Builder news = news();
     overlay.alive().forEach(one -> news.addKnown(FleetCodec.write(one)));
@@ -204,8 +218,7 @@
     }
     follow(nowMs);
     boolean passesOn = overlay.passesOn(nowMs);
-    boolean due = !gathered.isEmpty() && nowMs >= gatheredUntilMs;
-    if (passesOn && (due || nowMs - lastPassedMs >= KEEP_ALIVE_MS)) {
+    if (passesOn && nowMs >= passOnMs(nowMs)) {
       passOn(nowMs);
     }
     if (nowMs >= nextHeartbeatMs) {
@@ -215,9 +228,8 @@
       nextHeartbeatMs = nowMs + (alive.isEmpty() ? SEARCH_MS : HEARTBEAT_MS);
       listener.workWanted(work -> duty.offer(new FleetEvent.All(work)));
     }
-    long dueMs = passesOn ? lastPassedMs + KEEP_ALIVE_MS : nextHeartbeatMs;
-    long gatherMs = gathered.isEmpty() ? dueMs : Math.min(dueMs, gatheredUntilMs);
-    return Math.min(nextHeartbeatMs, gatherMs) - nowMs;
+    long dueMs = passesOn ? passOnMs(nowMs) : nextHeartbeatMs;
+    return Math.min(nextHeartbeatMs, dueMs) - nowMs;
   }
 
   /** Subscribes at once where the speaker is another one than before. */
@@ -243,7 +255,7 @@
     }
     send(news, to);
     if (overlay.passesOn(nowMs)) {
-      gather(List.of(all), nowMs);
+      gather(List.of(all));
     }
   }
 
@@ -258,7 +270,7 @@
   /** Reports own work: through the speaker, or with what this host passes on. */
   private void report(FleetReport report, long nowMs) {
     if (overlay.passesOn(nowMs)) {
-      gather(List.of(report), nowMs);
+      gather(List.of(report));
     } else {
       FleetNews.Builder news = news().addReports(FleetCodec.write(report, nowMs));
       send(news, addresses(overlay.near(nowMs)));
@@ -269,6 +281,7 @@
     FleetNews.Builder news = news();
     gathered.forEach(report -> news.addReports(FleetCodec.write(report, nowMs)));
     gathered.clear();
+    changesGathered = false;
     lastPassedMs = nowMs;
     Set<HostAddress> to = addresses(overlay.near(nowMs));
     to.addAll(addresses(overlay.far(nowMs)));
--- a/org.fawndrum/src/org/fawndrum/transport/relay/PeerKnowledge.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/PeerKnowledge.java
@@ -152,7 +152,7 @@
     boolean leftOut = endpoints.changedTo() <= request.getEndpointsEnd();
     KnowledgeReply.Builder reply =
         KnowledgeReply.newBuilder()
-            .setConfigurationAgeMs(routes.table().revision() < 0 ? -1 : ageMs)
+            .setConfigurationAgeMs(ageMs)
             .setConfigurationRevision(routes.table().revision())
             .setEndpointsEnd(endpoints.readTo())
             .setEndpointsAgeMs(endpoints.readTo() < 0 ? -1 : endpoints.ageMs(nowMs))
