--- a/org.fawndrum/src/org/fawndrum/transport/relay/FleetDuty.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/FleetDuty.java
@@ -45,10 +45,10 @@
   private static final long KEEP_ALIVE_MS = 300;
 
   /** How long reports are gathered before they are passed on, in milliseconds. */
-  private static final long GATHER_MS = 10;
+  private static final double GATHER_MS = 5;
 
   /** By how much longer they are gathered for each receiver, which bounds messages a second. */
-  private static final long GATHER_MS_PER_LINK = 1;
+  private static final double GATHER_MS_PER_LINK = 0.4;
 
   /** The most addresses of silent daemons that are tried with one heartbeat. */
   private static final int SILENT_TRIED = 3;
@@ -200,7 +200,7 @@
       return latestMs;
     }
     int links = overlay.near(nowMs).size();
-    long waitMs = Math.max(GATHER_MS, GATHER_MS_PER_LINK * links);
+    long waitMs = Math.round(Math.max(GATHER_MS, GATHER_MS_PER_LINK * links));
     return Math.min(latestMs, changesSinceMs + waitMs);
   }
 
