Tell a zone at once only of its own engines where daemons are many

Each report of a request reaches 76 hosts, so that each request costs 76 times the handling of three or four pieces of news. Change: from 24 other daemons on, a report names the zone of the engines that it is about; speakers pass it on to that zone alone, other zones learn of it with the heartbeat, up to a second later. Placement looks at the engines of the own zone first, and at all when none can take the request. Below 24 nothing changes. Tests: EngineModelPlacementTest (own zone first, then others; news name their zone), FleetCodecTest. Both are new behaviour and prove no former fault.

--- a/org.fawndrum/src/org/fawndrum/coordination/Action.java
+++ b/org.fawndrum/src/org/fawndrum/coordination/Action.java
@@ -39,8 +39,13 @@
   /** Give the caller its final answer, which is not a whole one. */
   record Refuse(String requestId, Refusal refusal) implements Action {}
 
-  /** Tell the other daemons about work at an endpoint. */
-  record Announce(EngineNews news) implements Action {}
+  /**
+   * Tell the other daemons about work at an endpoint.
+   *
+   * @param news the news
+   * @param zone the endpoint's zone, whose daemons should know soonest; empty for all daemons
+   */
+  record Announce(EngineNews news, String zone) implements Action {}
 
   /** Show a decision. */
   record Explain(Decision decision) implements Action {}
--- a/org.fawndrum/src/org/fawndrum/coordination/EngineWork.java
+++ b/org.fawndrum/src/org/fawndrum/coordination/EngineWork.java
@@ -12,6 +12,8 @@
 import org.fawndrum.coordination.engine.EngineJob;
 import org.fawndrum.coordination.engine.EngineLoad;
 import org.fawndrum.coordination.engine.EngineNews;
+import org.fawndrum.coordination.membership.FleetReport;
+import org.fawndrum.state.EndpointKind;
 import org.fawndrum.state.HostIdentity;
 
 /**
@@ -61,7 +63,7 @@
     attempt.jobs.add(job.id());
     own.put(job.id(), job);
     onLoad(job, load -> load.add(job, nowMs));
-    out.add(new Action.Announce(new EngineNews.Placed(job)));
+    announce(job, new EngineNews.Placed(job));
   }
 
   /** Takes note that the prompt of an attempt has been read. */
@@ -70,7 +72,7 @@
       EngineJob job = own.get(id);
       if (job != null && ownRead.add(id)) {
         onLoad(job, load -> load.read(id, nowMs));
-        out.add(new Action.Announce(new EngineNews.Read(id)));
+        announce(job, new EngineNews.Read(id));
       }
     }
   }
@@ -90,11 +92,17 @@
             attempt.helperAtFault == null
                 ? failed && job.writes()
                 : job.endpoint().equals(attempt.helperAtFault);
-        out.add(new Action.Announce(new EngineNews.Ended(id, atFault)));
+        announce(job, new EngineNews.Ended(id, atFault));
       }
     }
   }
 
+  private void announce(EngineJob job, EngineNews news) {
+    EndpointState state = endpoints.state(job.endpoint());
+    boolean engine = state != null && state.endpoint().kind() == EndpointKind.MODEL;
+    out.add(new Action.Announce(news, engine ? state.endpoint().zone() : FleetReport.EVERYWHERE));
+  }
+
   /** Changes the load of a job's endpoint, if the endpoint is known. */
   private void onLoad(EngineJob job, Consumer<EngineLoad> change) {
     EndpointState state = endpoints.state(job.endpoint());
--- a/org.fawndrum/src/org/fawndrum/coordination/Placement.java
+++ b/org.fawndrum/src/org/fawndrum/coordination/Placement.java
@@ -28,6 +28,11 @@
       Set<HostIdentity> excluded,
       String zone,
       long nowMs) {
+    /** Returns the same with other candidates. */
+    public Query among(List<EndpointState> others) {
+      return new Query(facts, priority, others, excluded, zone, nowMs);
+    }
+
     /** Tells whether an endpoint may be used at all. */
     public boolean usable(EndpointState state) {
       return !state.avoided(nowMs) && !excluded.contains(state.endpoint().identity());
--- a/org.fawndrum/src/org/fawndrum/coordination/Policies.java
+++ b/org.fawndrum/src/org/fawndrum/coordination/Policies.java
@@ -1,6 +1,7 @@
 // SPDX-License-Identifier: Apache-2.0
 package org.fawndrum.coordination;
 
+import java.util.function.BooleanSupplier;
 import org.fawndrum.coordination.engine.EngineModelPlacement;
 
 /**
@@ -48,10 +49,12 @@
    * Returns the policies of daemons that know the engines' profiles and each other's work.
    *
    * @param retries the budget for sending again
+   * @param byZone whether daemons tell each other at once only of the engines of their own zone
    */
-  public static Policies engineModel(RetryBudget retries) {
+  public static Policies engineModel(RetryBudget retries, BooleanSupplier byZone) {
     return new Policies(
-        new EngineModelPlacement(EngineModelPlacement.Settings.DEFAULT),
+        new OwnZonePlacement(
+            new EngineModelPlacement(EngineModelPlacement.Settings.DEFAULT), byZone),
         new FairWorkOrder(SHORT_CREDIT),
         new LengthMix(SHORT_PART),
         retries,
--- a/org.fawndrum/src/org/fawndrum/protocol/FleetCodec.java
+++ b/org.fawndrum/src/org/fawndrum/protocol/FleetCodec.java
@@ -47,7 +47,10 @@
   /** Returns a report as a message; times are written as ages, because clocks differ. */
   public static WorkReport write(FleetReport report, long nowMs) {
     WorkReport.Builder message =
-        WorkReport.newBuilder().setSequence(report.sequence()).setWhole(report.whole());
+        WorkReport.newBuilder()
+            .setSequence(report.sequence())
+            .setAboutZone(report.zone())
+            .setWhole(report.whole());
     message.setDaemon(
         report
             .member()
@@ -101,7 +104,12 @@
     Optional<FleetMember> member =
         message.getWhole() ? Optional.of(read(message.getDaemon())) : Optional.empty();
     return new FleetReport(
-        identity(message.getDaemon()), member, message.getSequence(), message.getWhole(), news);
+        identity(message.getDaemon()),
+        member,
+        message.getSequence(),
+        message.getAboutZone(),
+        message.getWhole(),
+        news);
   }
 
   private static EngineJob job(WorkPlaced one, long nowMs) {
--- a/org.fawndrum/src/org/fawndrum/protocol/wire/Peer.java
+++ b/org.fawndrum/src/org/fawndrum/protocol/wire/Peer.java
@@ -232,35 +232,36 @@
       "on_revision\030\005 \001(\003\022\031\n\021endpoints_changed\030\006" +
       " \001(\003\"j\n\013DaemonPlace\022\014\n\004host\030\001 \001(\t\022\023\n\013inc" +
       "arnation\030\002 \001(\003\022\014\n\004zone\030\003 \001(\t\022\n\n\002ip\030\004 \001(\t" +
-      "\022\014\n\004port\030\005 \001(\005\022\020\n\010capacity\030\006 \001(\003\"\247\001\n\nWor" +
+      "\022\014\n\004port\030\005 \001(\005\022\020\n\010capacity\030\006 \001(\003\"\273\001\n\nWor" +
       "kReport\022%\n\006daemon\030\001 \001(\0132\025.fawndrum.Daemo" +
       "nPlace\022\020\n\010sequence\030\002 \001(\003\022\r\n\005whole\030\003 \001(\010\022" +
       "$\n\006placed\030\004 \003(\0132\024.fawndrum.WorkPlaced\022\014\n" +
       "\004read\030\005 \003(\020\022\r\n\005ended\030\006 \003(\020\022\016\n\006failed\030\007 \003" +
-      "(\020\"I\n\020KnowledgeRequest\022\036\n\026configuration_" +
-      "revision\030\001 \001(\003\022\025\n\rendpoints_end\030\002 \001(\003\"\212\002" +
-      "\n\016KnowledgeReply\022\034\n\024configuration_age_ms" +
-      "\030\001 \001(\003\022\036\n\026configuration_revision\030\002 \001(\003\0221" +
-      "\n\rconfiguration\030\003 \001(\0132\025.fawndrum.StoreRe" +
-      "cordH\000\210\001\001\022\025\n\rendpoints_end\030\004 \001(\003\022(\n\tendp" +
-      "oints\030\005 \003(\0132\025.fawndrum.StoreRecord\022\030\n\020en" +
-      "dpoints_age_ms\030\006 \001(\003\022\032\n\022endpoints_left_o" +
-      "ut\030\007 \001(\010B\020\n\016_configuration\"9\n\013StoreRecor" +
-      "d\022\016\n\006offset\030\001 \001(\003\022\013\n\003key\030\002 \001(\t\022\r\n\005value\030" +
-      "\003 \001(\014\"\327\001\n\nWorkPlaced\022\n\n\002id\030\001 \001(\020\022\020\n\010endp" +
-      "oint\030\002 \001(\t\022\034\n\024endpoint_incarnation\030\003 \001(\003" +
-      "\022\025\n\rprompt_tokens\030\004 \001(\003\022\025\n\rmemory_tokens" +
-      "\030\005 \001(\003\022\r\n\005parts\030\006 \001(\005\022\016\n\006writes\030\007 \001(\010\022\032\n" +
-      "\022first_token_aim_ms\030\010 \001(\003\022\024\n\014pause_aim_m" +
-      "s\030\t \001(\003\022\016\n\006age_ms\030\n \001(\003\"\033\n\014ClaimRequest\022" +
-      "\013\n\003key\030\001 \001(\t\"q\n\nClaimReply\022+\n\006answer\030\001 \001" +
-      "(\0162\033.fawndrum.ClaimReply.Answer\"6\n\006Answe" +
-      "r\022\017\n\013UNSPECIFIED\020\000\022\010\n\004FREE\020\001\022\010\n\004HELD\020\002\022\007" +
-      "\n\003RAN\020\003\"8\n\016LedgerHandover\022&\n\007entries\030\001 \003" +
-      "(\0132\025.fawndrum.LedgerEntry\"7\n\013LedgerEntry" +
-      "\022\013\n\003key\030\001 \001(\t\022\013\n\003ran\030\002 \001(\010\022\016\n\006age_ms\030\003 \001" +
-      "(\003\"\021\n\017AcknowledgementB\036\n\032org.fawndrum.pr" +
-      "otocol.wireP\001b\006proto3"
+      "(\020\022\022\n\nabout_zone\030\010 \001(\t\"I\n\020KnowledgeReque" +
+      "st\022\036\n\026configuration_revision\030\001 \001(\003\022\025\n\ren" +
+      "dpoints_end\030\002 \001(\003\"\212\002\n\016KnowledgeReply\022\034\n\024" +
+      "configuration_age_ms\030\001 \001(\003\022\036\n\026configurat" +
+      "ion_revision\030\002 \001(\003\0221\n\rconfiguration\030\003 \001(" +
+      "\0132\025.fawndrum.StoreRecordH\000\210\001\001\022\025\n\rendpoin" +
+      "ts_end\030\004 \001(\003\022(\n\tendpoints\030\005 \003(\0132\025.fawndr" +
+      "um.StoreRecord\022\030\n\020endpoints_age_ms\030\006 \001(\003" +
+      "\022\032\n\022endpoints_left_out\030\007 \001(\010B\020\n\016_configu" +
+      "ration\"9\n\013StoreRecord\022\016\n\006offset\030\001 \001(\003\022\013\n" +
+      "\003key\030\002 \001(\t\022\r\n\005value\030\003 \001(\014\"\327\001\n\nWorkPlaced" +
+      "\022\n\n\002id\030\001 \001(\020\022\020\n\010endpoint\030\002 \001(\t\022\034\n\024endpoi" +
+      "nt_incarnation\030\003 \001(\003\022\025\n\rprompt_tokens\030\004 " +
+      "\001(\003\022\025\n\rmemory_tokens\030\005 \001(\003\022\r\n\005parts\030\006 \001(" +
+      "\005\022\016\n\006writes\030\007 \001(\010\022\032\n\022first_token_aim_ms\030" +
+      "\010 \001(\003\022\024\n\014pause_aim_ms\030\t \001(\003\022\016\n\006age_ms\030\n " +
+      "\001(\003\"\033\n\014ClaimRequest\022\013\n\003key\030\001 \001(\t\"q\n\nClai" +
+      "mReply\022+\n\006answer\030\001 \001(\0162\033.fawndrum.ClaimR" +
+      "eply.Answer\"6\n\006Answer\022\017\n\013UNSPECIFIED\020\000\022\010" +
+      "\n\004FREE\020\001\022\010\n\004HELD\020\002\022\007\n\003RAN\020\003\"8\n\016LedgerHan" +
+      "dover\022&\n\007entries\030\001 \003(\0132\025.fawndrum.Ledger" +
+      "Entry\"7\n\013LedgerEntry\022\013\n\003key\030\001 \001(\t\022\013\n\003ran" +
+      "\030\002 \001(\010\022\016\n\006age_ms\030\003 \001(\003\"\021\n\017Acknowledgemen" +
+      "tB\036\n\032org.fawndrum.protocol.wireP\001b\006proto" +
+      "3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -367,7 +368,7 @@
     internal_static_fawndrum_WorkReport_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_fawndrum_WorkReport_descriptor,
-        new java.lang.String[] { "Daemon", "Sequence", "Whole", "Placed", "Read", "Ended", "Failed", });
+        new java.lang.String[] { "Daemon", "Sequence", "Whole", "Placed", "Read", "Ended", "Failed", "AboutZone", });
     internal_static_fawndrum_KnowledgeRequest_descriptor =
       getDescriptor().getMessageType(17);
     internal_static_fawndrum_KnowledgeRequest_fieldAccessorTable = new
--- a/org.fawndrum/src/org/fawndrum/protocol/wire/WorkReport.java
+++ b/org.fawndrum/src/org/fawndrum/protocol/wire/WorkReport.java
@@ -36,6 +36,7 @@
     read_ = emptyLongList();
     ended_ = emptyLongList();
     failed_ = emptyLongList();
+    aboutZone_ = "";
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -263,6 +264,53 @@
   }
   private int failedMemoizedSerializedSize = -1;
 
+  public static final int ABOUT_ZONE_FIELD_NUMBER = 8;
+  @SuppressWarnings("serial")
+  private volatile java.lang.Object aboutZone_ = "";
+  /**
+   * <pre>
+   * The zone of the endpoints that the report is about; empty when they may be anywhere.
+   * </pre>
+   *
+   * <code>string about_zone = 8;</code>
+   * @return The aboutZone.
+   */
+  @java.lang.Override
+  public java.lang.String getAboutZone() {
+    java.lang.Object ref = aboutZone_;
+    if (ref instanceof java.lang.String) {
+      return (java.lang.String) ref;
+    } else {
+      com.google.protobuf.ByteString bs = 
+          (com.google.protobuf.ByteString) ref;
+      java.lang.String s = bs.toStringUtf8();
+      aboutZone_ = s;
+      return s;
+    }
+  }
+  /**
+   * <pre>
+   * The zone of the endpoints that the report is about; empty when they may be anywhere.
+   * </pre>
+   *
+   * <code>string about_zone = 8;</code>
+   * @return The bytes for aboutZone.
+   */
+  @java.lang.Override
+  public com.google.protobuf.ByteString
+      getAboutZoneBytes() {
+    java.lang.Object ref = aboutZone_;
+    if (ref instanceof java.lang.String) {
+      com.google.protobuf.ByteString b = 
+          com.google.protobuf.ByteString.copyFromUtf8(
+              (java.lang.String) ref);
+      aboutZone_ = b;
+      return b;
+    } else {
+      return (com.google.protobuf.ByteString) ref;
+    }
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -311,6 +359,9 @@
     for (int i = 0; i < failed_.size(); i++) {
       output.writeSFixed64NoTag(failed_.getLong(i));
     }
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(aboutZone_)) {
+      com.google.protobuf.GeneratedMessage.writeString(output, 8, aboutZone_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -369,6 +420,9 @@
       }
       failedMemoizedSerializedSize = dataSize;
     }
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(aboutZone_)) {
+      size += com.google.protobuf.GeneratedMessage.computeStringSize(8, aboutZone_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -401,6 +455,8 @@
         .equals(other.getEndedList())) return false;
     if (!getFailedList()
         .equals(other.getFailedList())) return false;
+    if (!getAboutZone()
+        .equals(other.getAboutZone())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -438,6 +494,8 @@
       hash = (37 * hash) + FAILED_FIELD_NUMBER;
       hash = (53 * hash) + getFailedList().hashCode();
     }
+    hash = (37 * hash) + ABOUT_ZONE_FIELD_NUMBER;
+    hash = (53 * hash) + getAboutZone().hashCode();
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -597,6 +655,7 @@
       read_ = emptyLongList();
       ended_ = emptyLongList();
       failed_ = emptyLongList();
+      aboutZone_ = "";
       return this;
     }
 
@@ -668,6 +727,9 @@
         failed_.makeImmutable();
         result.failed_ = failed_;
       }
+      if (((from_bitField0_ & 0x00000080) != 0)) {
+        result.aboutZone_ = aboutZone_;
+      }
       result.bitField0_ |= to_bitField0_;
     }
 
@@ -751,6 +813,11 @@
         }
         onChanged();
       }
+      if (!other.getAboutZone().isEmpty()) {
+        aboutZone_ = other.aboutZone_;
+        bitField0_ |= 0x00000080;
+        onChanged();
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -858,6 +925,11 @@
               input.popLimit(limit);
               break;
             } // case 58
+            case 66: {
+              aboutZone_ = input.readStringRequireUtf8();
+              bitField0_ |= 0x00000080;
+              break;
+            } // case 66
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1658,6 +1730,98 @@
       return this;
     }
 
+    private java.lang.Object aboutZone_ = "";
+    /**
+     * <pre>
+     * The zone of the endpoints that the report is about; empty when they may be anywhere.
+     * </pre>
+     *
+     * <code>string about_zone = 8;</code>
+     * @return The aboutZone.
+     */
+    public java.lang.String getAboutZone() {
+      java.lang.Object ref = aboutZone_;
+      if (!(ref instanceof java.lang.String)) {
+        com.google.protobuf.ByteString bs =
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        aboutZone_ = s;
+        return s;
+      } else {
+        return (java.lang.String) ref;
+      }
+    }
+    /**
+     * <pre>
+     * The zone of the endpoints that the report is about; empty when they may be anywhere.
+     * </pre>
+     *
+     * <code>string about_zone = 8;</code>
+     * @return The bytes for aboutZone.
+     */
+    public com.google.protobuf.ByteString
+        getAboutZoneBytes() {
+      java.lang.Object ref = aboutZone_;
+      if (ref instanceof String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        aboutZone_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+    /**
+     * <pre>
+     * The zone of the endpoints that the report is about; empty when they may be anywhere.
+     * </pre>
+     *
+     * <code>string about_zone = 8;</code>
+     * @param value The aboutZone to set.
+     * @return This builder for chaining.
+     */
+    public Builder setAboutZone(
+        java.lang.String value) {
+      if (value == null) { throw new NullPointerException(); }
+      aboutZone_ = value;
+      bitField0_ |= 0x00000080;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * The zone of the endpoints that the report is about; empty when they may be anywhere.
+     * </pre>
+     *
+     * <code>string about_zone = 8;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearAboutZone() {
+      aboutZone_ = getDefaultInstance().getAboutZone();
+      bitField0_ = (bitField0_ & ~0x00000080);
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * The zone of the endpoints that the report is about; empty when they may be anywhere.
+     * </pre>
+     *
+     * <code>string about_zone = 8;</code>
+     * @param value The bytes for aboutZone to set.
+     * @return This builder for chaining.
+     */
+    public Builder setAboutZoneBytes(
+        com.google.protobuf.ByteString value) {
+      if (value == null) { throw new NullPointerException(); }
+      checkByteStringIsUtf8(value);
+      aboutZone_ = value;
+      bitField0_ |= 0x00000080;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:fawndrum.WorkReport)
   }
 
--- a/org.fawndrum/src/org/fawndrum/protocol/wire/WorkReportOrBuilder.java
+++ b/org.fawndrum/src/org/fawndrum/protocol/wire/WorkReportOrBuilder.java
@@ -143,4 +143,24 @@
    * @return The failed at the given index.
    */
   long getFailed(int index);
+
+  /**
+   * <pre>
+   * The zone of the endpoints that the report is about; empty when they may be anywhere.
+   * </pre>
+   *
+   * <code>string about_zone = 8;</code>
+   * @return The aboutZone.
+   */
+  java.lang.String getAboutZone();
+  /**
+   * <pre>
+   * The zone of the endpoints that the report is about; empty when they may be anywhere.
+   * </pre>
+   *
+   * <code>string about_zone = 8;</code>
+   * @return The bytes for aboutZone.
+   */
+  com.google.protobuf.ByteString
+      getAboutZoneBytes();
 }
--- a/org.fawndrum/src/org/fawndrum/transport/relay/FleetDuty.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/FleetDuty.java
@@ -3,12 +3,16 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.TreeMap;
 import java.util.TreeSet;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
+import org.fawndrum.coordination.Action;
 import org.fawndrum.coordination.engine.EngineNews;
 import org.fawndrum.coordination.membership.FleetMember;
 import org.fawndrum.coordination.membership.FleetOverlay;
@@ -50,6 +54,12 @@
   /** By how much longer they are gathered for each receiver, which bounds messages a second. */
   private static final double GATHER_MS_PER_LINK = 0.8;
 
+  /**
+   * From so many other living daemons on, a zone hears at once only of its own engines. With 76
+   * daemons, hearing of all engines took more processor time than there is; with 8 it does no harm.
+   */
+  private static final int MANY_DAEMONS = 24;
+
   /** The most addresses of silent daemons that are tried with one heartbeat. */
   private static final int SILENT_TRIED = 3;
 
@@ -63,11 +73,12 @@
   private final HostLog log;
   private final Duty<FleetEvent> duty;
   private final FleetOverlay overlay;
-  private final List<EngineNews> ownNews = new ArrayList<>();
+  private final Map<String, List<EngineNews>> ownNews = new LinkedHashMap<>();
   private final List<FleetReport> gathered = new ArrayList<>();
   private volatile List<HostAddress> alive = List.of();
   private volatile HostAddress speaker;
   private volatile int others;
+  private volatile boolean manyDaemons;
   private long sequence;
   private long nextHeartbeatMs;
   private long lastPassedMs;
@@ -77,7 +88,7 @@
   /** An event of this thread. */
   sealed interface FleetEvent {
     /** This host's work changed. */
-    record Changed(EngineNews news) implements FleetEvent {}
+    record Changed(Action.Announce news) implements FleetEvent {}
 
     /** All of this host's work, for a heartbeat. */
     record All(List<EngineNews> work) implements FleetEvent {}
@@ -127,7 +138,7 @@
   }
 
   /** Takes news for the others; what finds no room is told with the next heartbeat. */
-  void announce(EngineNews news) {
+  void announce(Action.Announce news) {
     duty.offer(new FleetEvent.Changed(news));
   }
 
@@ -141,6 +152,11 @@
     return others;
   }
 
+  /** Tells whether the daemons are so many that each zone hears at once only of its own engines. */
+  boolean manyDaemons() {
+    return manyDaemons;
+  }
+
   /** Returns where the daemon is that speaks for this host's zone; null when it is this host. */
   HostAddress speaker() {
     return speaker;
@@ -152,7 +168,8 @@
 
   private void handle(FleetEvent event) {
     if (event instanceof FleetEvent.Changed changed) {
-      ownNews.add(changed.news());
+      Action.Announce one = changed.news();
+      ownNews.computeIfAbsent(one.zone(), zone -> new ArrayList<>()).add(one.news());
     } else if (event instanceof FleetEvent.All all) {
       ownNews.clear();
       heartbeat(all.work());
@@ -213,8 +230,12 @@
   private long tick() {
     long nowMs = clock.nowMs();
     if (!ownNews.isEmpty()) {
-      report(new FleetReport(self, Optional.empty(), ++sequence, false, ownNews), nowMs);
+      List<FleetReport> reports = new ArrayList<>();
+      ownNews.forEach(
+          (zone, news) ->
+              reports.add(new FleetReport(self, Optional.empty(), ++sequence, zone, false, news)));
       ownNews.clear();
+      report(reports, nowMs);
     }
     follow(nowMs);
     boolean passesOn = overlay.passesOn(nowMs);
@@ -225,6 +246,7 @@
       overlay.forget(nowMs);
       alive = overlay.alive().stream().map(FleetMember::address).toList();
       others = alive.size() + overlay.silent().size();
+      manyDaemons = alive.size() >= MANY_DAEMONS;
       nextHeartbeatMs = nowMs + (alive.isEmpty() ? SEARCH_MS : HEARTBEAT_MS);
       listener.workWanted(work -> duty.offer(new FleetEvent.All(work)));
     }
@@ -245,7 +267,8 @@
 
   private void heartbeat(List<EngineNews> work) {
     long nowMs = clock.nowMs();
-    FleetReport all = new FleetReport(self, Optional.of(member), ++sequence, true, work);
+    FleetReport all =
+        new FleetReport(self, Optional.of(member), ++sequence, FleetReport.EVERYWHERE, true, work);
     FleetNews.Builder news = news().setSubscribes(true).addReports(FleetCodec.write(all, nowMs));
     Set<HostAddress> to = addresses(overlay.far(nowMs));
     if (speaker != null) {
@@ -268,24 +291,36 @@
   }
 
   /** Reports own work: through the speaker, or with what this host passes on. */
-  private void report(FleetReport report, long nowMs) {
+  private void report(List<FleetReport> reports, long nowMs) {
     if (overlay.passesOn(nowMs)) {
-      gather(List.of(report));
+      gather(reports);
     } else {
-      FleetNews.Builder news = news().addReports(FleetCodec.write(report, nowMs));
-      send(news, addresses(overlay.near(nowMs)));
+      send(news(reports, nowMs), addresses(overlay.near(nowMs)));
     }
   }
 
+  /** Passes on what was gathered; where daemons are many, to each zone what concerns it. */
   private void passOn(long nowMs) {
-    FleetNews.Builder news = news();
-    gathered.forEach(report -> news.addReports(FleetCodec.write(report, nowMs)));
+    Map<String, List<FleetMember>> byZone = new TreeMap<>();
+    byZone.put(member.zone(), overlay.near(nowMs));
+    for (FleetMember far : overlay.far(nowMs)) {
+      byZone.computeIfAbsent(far.zone(), zone -> new ArrayList<>()).add(far);
+    }
+    byZone.forEach(
+        (zone, members) -> {
+          List<FleetReport> reports =
+              gathered.stream().filter(one -> !manyDaemons || one.concerns(zone)).toList();
+          send(news(reports, nowMs), addresses(members));
+        });
     gathered.clear();
     changesGathered = false;
     lastPassedMs = nowMs;
-    Set<HostAddress> to = addresses(overlay.near(nowMs));
-    to.addAll(addresses(overlay.far(nowMs)));
-    send(news, to);
+  }
+
+  private FleetNews.Builder news(List<FleetReport> reports, long nowMs) {
+    FleetNews.Builder news = news();
+    reports.forEach(report -> news.addReports(FleetCodec.write(report, nowMs)));
+    return news;
   }
 
   private FleetNews.Builder news() {
--- a/org.fawndrum/src/org/fawndrum/transport/relay/RelayDuty.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/RelayDuty.java
@@ -8,7 +8,6 @@
 import org.fawndrum.coordination.Decision;
 import org.fawndrum.coordination.EndpointRoster;
 import org.fawndrum.coordination.RequestCoordinator;
-import org.fawndrum.coordination.engine.EngineNews;
 import org.fawndrum.coordination.membership.FleetReport;
 import org.fawndrum.internal.duty.Duty;
 import org.fawndrum.internal.duty.Ring;
@@ -36,7 +35,7 @@
   private final RequestCoordinator coordinator;
   private final EndpointRoster roster = new EndpointRoster();
   private final HostClock clock;
-  private final Consumer<EngineNews> news;
+  private final Consumer<Action.Announce> news;
   private final OpenExchanges exchanges;
   private final Duty<RelayEvent> duty;
   private RouteTable routes = RouteTable.NONE;
@@ -52,7 +51,7 @@
       RequestCoordinator coordinator,
       HostClock clock,
       Consumer<Decision> feed,
-      Consumer<EngineNews> news,
+      Consumer<Action.Announce> news,
       HostLog log) {
     this.coordinator = coordinator;
     this.clock = clock;
@@ -167,7 +166,7 @@
   private void carryOut(List<Action> actions) {
     for (Action action : actions) {
       if (action instanceof Action.Announce announce) {
-        news.accept(announce.news());
+        news.accept(announce);
       }
     }
     exchanges.carryOut(actions, (requestId, refusal) -> {}, true);
--- a/org.fawndrum/src/org/fawndrum/transport/relay/RelayRuntime.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/RelayRuntime.java
@@ -8,6 +8,7 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Consumer;
+import org.fawndrum.coordination.Action;
 import org.fawndrum.coordination.AttemptEvent;
 import org.fawndrum.coordination.AttemptId;
 import org.fawndrum.coordination.Policies;
@@ -114,7 +115,8 @@
     this.self = new HostIdentity(settings.host(), incarnation);
     this.routes = new RouteStore(this::routesChanged);
     RequestCoordinator coordinator =
-        new RequestCoordinator(self, settings.zone(), Policies.engineModel(retries()));
+        new RequestCoordinator(
+            self, settings.zone(), Policies.engineModel(retries(), this::manyDaemons));
     MetricRegistry registry = new MetricRegistry();
     this.decisionLog =
         new DecisionLog(new RequestMetrics(registry, clock), this::basis, clock, log);
@@ -288,10 +290,14 @@
     fleet.offer(event);
   }
 
-  private void announced(EngineNews news) {
+  private void announced(Action.Announce news) {
     fleet.announce(news);
   }
 
+  private boolean manyDaemons() {
+    return fleet.manyDaemons();
+  }
+
   /** Starts everything; fails when an address cannot be had. */
   public Future<Void> start() {
     decisions.start();
--- a/org.fawndrum/tst/org/fawndrum/coordination/engine/EngineModelPlacementTest.java
+++ b/org.fawndrum/tst/org/fawndrum/coordination/engine/EngineModelPlacementTest.java
@@ -38,8 +38,10 @@
   private static final RequestAims SHORT_AIMS = new RequestAims(300, 250, 2);
   private static final RequestAims LONG_AIMS = new RequestAims(2_500, 1_000, 2);
 
+  private boolean byZone;
   private final RequestCoordinator coordinator =
-      new RequestCoordinator(SELF, "zone-a", Policies.engineModel(new EarnedRetryBudget(0.1, 10)));
+      new RequestCoordinator(
+          SELF, "zone-a", Policies.engineModel(new EarnedRetryBudget(0.1, 10), () -> byZone));
   private int next;
 
   EngineModelPlacementTest() {
@@ -48,12 +50,17 @@
   }
 
   private void engines(int count) {
+    engines(count, 0);
+  }
+
+  /** Brings engines in; the first of them in another zone. */
+  private void engines(int count, int elsewhere) {
     List<Endpoint> engines = new ArrayList<>();
     for (int i = 0; i < count; i++) {
       engines.add(
           new Endpoint(
               new HostIdentity("engine-" + i, 0),
-              "zone-a",
+              i < elsewhere ? "zone-b" : "zone-a",
               EndpointKind.MODEL,
               new HostAddress("127.0.0.1", 9_000 + i),
               Set.of("pool"),
@@ -97,6 +104,40 @@
     assertNotEquals(longOne.endpoint(), second.endpoint());
   }
 
+  @Test
+  void whereDaemonsAreManyTheOwnZoneGoesFirst() {
+    byZone = true;
+    engines(6, 4);
+    for (int i = 0; i < 2 * PROFILE.slots(); i++) {
+      assertEquals("zone-a", ask(1_000, SHORT_AIMS, i).orElseThrow().endpoint().zone());
+    }
+    assertEquals("zone-b", ask(1_000, SHORT_AIMS, 100).orElseThrow().endpoint().zone());
+  }
+
+  @Test
+  void whereDaemonsAreManyOtherZonesServeOneWithoutEngines() {
+    byZone = true;
+    engines(3, 3);
+    assertEquals("zone-b", ask(1_000, SHORT_AIMS, 0).orElseThrow().endpoint().zone());
+  }
+
+  @Test
+  void newsSayWhichZoneTheyConcern() {
+    engines(1, 1);
+    Action.Send send = ask(1_000, SHORT_AIMS, 0).orElseThrow();
+    List<Action> read = coordinator.attempt(send.attempt(), AttemptEvent.ANSWERING, 50);
+    List<Action> ended = coordinator.attempt(send.attempt(), AttemptEvent.ANSWERED, 90);
+    assertEquals(List.of("zone-b"), announcedZones(read));
+    assertEquals(List.of("zone-b"), announcedZones(ended));
+  }
+
+  private static List<String> announcedZones(List<Action> actions) {
+    return actions.stream()
+        .filter(action -> action instanceof Action.Announce)
+        .map(action -> ((Action.Announce) action).zone())
+        .toList();
+  }
+
   @Test
   void aPromptThatOneEngineReadsTooLateIsReadBySeveral() {
     engines(8);
--- a/org.fawndrum/tst/org/fawndrum/coordination/membership/FleetOverlayTest.java
+++ b/org.fawndrum/tst/org/fawndrum/coordination/membership/FleetOverlayTest.java
@@ -38,11 +38,13 @@
   }
 
   private static FleetReport whole(FleetMember of, long sequence) {
-    return new FleetReport(of.identity(), Optional.of(of), sequence, true, List.of());
+    return new FleetReport(
+        of.identity(), Optional.of(of), sequence, FleetReport.EVERYWHERE, true, List.of());
   }
 
   private static FleetReport part(FleetMember of, long sequence) {
-    return new FleetReport(of.identity(), Optional.empty(), sequence, false, List.of());
+    return new FleetReport(
+        of.identity(), Optional.empty(), sequence, FleetReport.EVERYWHERE, false, List.of());
   }
 
   @Test
--- a/org.fawndrum/tst/org/fawndrum/coordination/membership/FleetSpreadTest.java
+++ b/org.fawndrum/tst/org/fawndrum/coordination/membership/FleetSpreadTest.java
@@ -59,7 +59,13 @@
         List<FleetMember> to = new ArrayList<>(overlay.far(nowMs));
         to.add(speaker.equals(member) ? seed : speaker);
         FleetReport all =
-            new FleetReport(member.identity(), Optional.of(member), ++sequence, true, List.of());
+            new FleetReport(
+                member.identity(),
+                Optional.of(member),
+                ++sequence,
+                FleetReport.EVERYWHERE,
+                true,
+                List.of());
         to.forEach(one -> send(this, one, true, List.of(all)));
         if (overlay.passesOn(nowMs)) {
           passOn(List.of(all));
@@ -71,7 +77,13 @@
 
     void report() {
       FleetReport report =
-          new FleetReport(member.identity(), Optional.empty(), ++sequence, false, List.of());
+          new FleetReport(
+              member.identity(),
+              Optional.empty(),
+              ++sequence,
+              FleetReport.EVERYWHERE,
+              false,
+              List.of());
       passOn(List.of(report));
     }
 
--- /dev/null
+++ b/org.fawndrum/tst/org/fawndrum/protocol/FleetCodecTest.java
@@ -0,0 +1,62 @@
+// SPDX-License-Identifier: Apache-2.0
+package org.fawndrum.protocol;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import java.util.Optional;
+import org.fawndrum.coordination.engine.EngineJob;
+import org.fawndrum.coordination.engine.EngineNews;
+import org.fawndrum.coordination.membership.FleetMember;
+import org.fawndrum.coordination.membership.FleetReport;
+import org.fawndrum.state.HostAddress;
+import org.fawndrum.state.HostIdentity;
+import org.fawndrum.state.RequestAims;
+import org.junit.jupiter.api.Test;
+
+/** Reports of daemons come out as they went in, with times by the receiver's clock. */
+class FleetCodecTest {
+  private static final HostIdentity SELF = new HostIdentity("host-1", 7);
+  private static final FleetMember MEMBER =
+      new FleetMember(SELF, new HostAddress("10.0.0.1", 7_340), "zone-a", 200);
+
+  private static EngineJob job(long sentMs) {
+    HostIdentity engine = new HostIdentity("engine-1", 0);
+    return new EngineJob(5, engine, 9_000, 9_100, 2, true, new RequestAims(300, 250, 0), sentMs);
+  }
+
+  @Test
+  void aWholeReportDescribesItsDaemon() {
+    FleetReport report =
+        new FleetReport(
+            SELF,
+            Optional.of(MEMBER),
+            3,
+            FleetReport.EVERYWHERE,
+            true,
+            List.of(new EngineNews.Placed(job(40)), new EngineNews.Read(5)));
+    FleetReport read = FleetCodec.read(FleetCodec.write(report, 100), 1_000);
+    assertEquals(Optional.of(MEMBER), read.member());
+    assertEquals(3, read.sequence());
+    assertEquals(List.of(new EngineNews.Placed(job(940)), new EngineNews.Read(5)), read.news());
+    assertTrue(read.concerns("zone-b"));
+  }
+
+  @Test
+  void aReportAboutOneZoneConcernsThatZone() {
+    FleetReport report =
+        new FleetReport(
+            SELF,
+            Optional.empty(),
+            4,
+            "zone-b",
+            false,
+            List.of(new EngineNews.Ended(5, false), new EngineNews.Ended(6, true)));
+    FleetReport read = FleetCodec.read(FleetCodec.write(report, 0), 0);
+    assertEquals(report, read);
+    assertTrue(read.concerns("zone-b"));
+    assertFalse(read.concerns("zone-a"));
+  }
+}
