Keep gathered reports in a class of their own, and report ends before all work

Found by reading; no play showed it. Change: ReportBuffer holds reports and says when they are due (ReportBufferTest); changes go out before the heartbeat's whole. Result: the tests of the fleet, the path and the buffer pass; not played yet.

--- a/org.fawndrum/src/org/fawndrum/transport/relay/FleetDuty.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/FleetDuty.java
@@ -45,15 +45,6 @@
   /** The interval of heartbeats while no other daemon is known, in milliseconds. */
   private static final long SEARCH_MS = 250;
 
-  /** A daemon that passes reports on sends at least something in this time, in milliseconds. */
-  private static final long KEEP_ALIVE_MS = 300;
-
-  /** How long reports are gathered before they are passed on, in milliseconds. */
-  private static final double GATHER_MS = 10;
-
-  /** By how much longer they are gathered for each receiver, which bounds messages a second. */
-  private static final double GATHER_MS_PER_LINK = 0.8;
-
   /**
    * From so many other living daemons on, a zone hears at once only of its own engines. With 76
    * daemons, hearing of all engines took more processor time than there is; with 8 it does no harm.
@@ -74,16 +65,13 @@
   private final Duty<FleetEvent> duty;
   private final FleetOverlay overlay;
   private final Map<String, List<EngineNews>> ownNews = new LinkedHashMap<>();
-  private final List<FleetReport> gathered = new ArrayList<>();
+  private final ReportBuffer gathered = new ReportBuffer();
   private volatile List<HostAddress> alive = List.of();
   private volatile HostAddress speaker;
   private volatile int others;
   private volatile boolean manyDaemons;
   private long sequence;
   private long nextHeartbeatMs;
-  private long lastPassedMs;
-  private boolean changesGathered;
-  private long changesSinceMs;
 
   /** An event of this thread. */
   sealed interface FleetEvent {
@@ -171,7 +159,8 @@
       Action.Announce one = changed.news();
       ownNews.computeIfAbsent(one.zone(), zone -> new ArrayList<>()).add(one.news());
     } else if (event instanceof FleetEvent.All all) {
-      ownNews.clear();
+      // What ended says more than the whole: whether the endpoint seems to be the cause.
+      reportOwn(clock.nowMs());
       heartbeat(all.work());
     } else if (event instanceof FleetEvent.Heard heard) {
       heard(heard);
@@ -193,34 +182,13 @@
       listener.reported(fresh);
     }
     if (overlay.passesOn(nowMs)) {
-      gather(fresh);
+      gathered.gather(fresh, nowMs);
     }
     if (heard.subscribes() && (first || overlay.knowsBetter(heard.from(), nowMs))) {
       tellKnown(heard.from());
     }
   }
 
-  /** Keeps reports to pass them on; whole ones only confirm what is known and can wait. */
-  private void gather(List<FleetReport> reports) {
-    boolean changes = reports.stream().anyMatch(report -> !report.whole());
-    if (changes && !changesGathered) {
-      changesGathered = true;
-      changesSinceMs = clock.nowMs();
-    }
-    gathered.addAll(reports);
-  }
-
-  /** Returns when what was gathered is to be passed on. */
-  private long passOnMs(long nowMs) {
-    long latestMs = lastPassedMs + KEEP_ALIVE_MS;
-    if (!changesGathered) {
-      return latestMs;
-    }
-    int links = overlay.near(nowMs).size();
-    long waitMs = Math.round(Math.max(GATHER_MS, GATHER_MS_PER_LINK * links));
-    return Math.min(latestMs, changesSinceMs + waitMs);
-  }
-
   private void tellKnown(FleetMember to) {
     FleetNews.Builder news = news();
     overlay.alive().forEach(one -> news.addKnown(FleetCodec.write(one)));
@@ -229,24 +197,14 @@
 
   private long tick() {
     long nowMs = clock.nowMs();
-    if (!ownNews.isEmpty()) {
-      List<FleetReport> reports = new ArrayList<>();
-      ownNews.forEach(
-          (zone, news) ->
-              reports.add(new FleetReport(self, Optional.empty(), ++sequence, zone, false, news)));
-      ownNews.clear();
-      report(reports, nowMs);
-    }
+    reportOwn(nowMs);
     follow(nowMs);
     boolean passesOn = overlay.passesOn(nowMs);
     if (passesOn && nowMs >= passOnMs(nowMs)) {
       passOn(nowMs);
     }
     if (nowMs >= nextHeartbeatMs) {
-      overlay.forget(nowMs);
-      alive = overlay.alive().stream().map(FleetMember::address).toList();
-      others = alive.size() + overlay.silent().size();
-      manyDaemons = alive.size() >= MANY_DAEMONS;
+      showOthers(nowMs);
       nextHeartbeatMs = nowMs + (alive.isEmpty() ? SEARCH_MS : HEARTBEAT_MS);
       listener.workWanted(work -> duty.offer(new FleetEvent.All(work)));
     }
@@ -254,6 +212,35 @@
     return Math.min(nextHeartbeatMs, dueMs) - nowMs;
   }
 
+  private long passOnMs(long nowMs) {
+    return gathered.dueMs(overlay.near(nowMs).size());
+  }
+
+  /** Lets other threads see who is alive. */
+  private void showOthers(long nowMs) {
+    overlay.forget(nowMs);
+    alive = overlay.alive().stream().map(FleetMember::address).toList();
+    others = alive.size() + overlay.silent().size();
+    manyDaemons = alive.size() >= MANY_DAEMONS;
+  }
+
+  /** Reports what changed: through the speaker, or with what this host passes on. */
+  private void reportOwn(long nowMs) {
+    if (ownNews.isEmpty()) {
+      return;
+    }
+    List<FleetReport> reports = new ArrayList<>();
+    ownNews.forEach(
+        (zone, news) ->
+            reports.add(new FleetReport(self, Optional.empty(), ++sequence, zone, false, news)));
+    ownNews.clear();
+    if (overlay.passesOn(nowMs)) {
+      gathered.gather(reports, nowMs);
+    } else {
+      send(news(reports, nowMs), addresses(overlay.near(nowMs)));
+    }
+  }
+
   /** Subscribes at once where the speaker is another one than before. */
   private void follow(long nowMs) {
     FleetMember now = overlay.speaker(nowMs);
@@ -278,7 +265,7 @@
     }
     send(news, to);
     if (overlay.passesOn(nowMs)) {
-      gather(List.of(all));
+      gathered.gather(List.of(all), nowMs);
     }
   }
 
@@ -290,15 +277,6 @@
     return addresses;
   }
 
-  /** Reports own work: through the speaker, or with what this host passes on. */
-  private void report(List<FleetReport> reports, long nowMs) {
-    if (overlay.passesOn(nowMs)) {
-      gather(reports);
-    } else {
-      send(news(reports, nowMs), addresses(overlay.near(nowMs)));
-    }
-  }
-
   /** Passes on what was gathered; where daemons are many, to each zone what concerns it. */
   private void passOn(long nowMs) {
     Map<String, List<FleetMember>> byZone = new TreeMap<>();
@@ -306,15 +284,13 @@
     for (FleetMember far : overlay.far(nowMs)) {
       byZone.computeIfAbsent(far.zone(), zone -> new ArrayList<>()).add(far);
     }
+    List<FleetReport> all = gathered.drain(nowMs);
     byZone.forEach(
         (zone, members) -> {
           List<FleetReport> reports =
-              gathered.stream().filter(one -> !manyDaemons || one.concerns(zone)).toList();
+              all.stream().filter(one -> !manyDaemons || one.concerns(zone)).toList();
           send(news(reports, nowMs), addresses(members));
         });
-    gathered.clear();
-    changesGathered = false;
-    lastPassedMs = nowMs;
   }
 
   private FleetNews.Builder news(List<FleetReport> reports, long nowMs) {
