Split the endpoint and the settings text from the soak's site

Cause: SoakSite held the site, an inner endpoint whose fields others set, and the text of the daemons' settings, built by adding strings in a loop. Change: SoakEndpoint has methods for its faults, HostSettings writes the settings; constants have names and units, methods a comment. The settings text and the order of free ports are as before.

--- a/org.fawndrum.soak/src/org/fawndrum/soak/HostProcess.java
+++ b/org.fawndrum.soak/src/org/fawndrum/soak/HostProcess.java
@@ -22,6 +22,7 @@
   private Process process;
   private boolean endExpected;
 
+  /** Makes a daemon that has not started, and writes its settings into a folder. */
   HostProcess(String name, Path folder, String settingsText) throws IOException {
     this.name = name;
     this.settings = folder.resolve(name + ".json");
--- /dev/null
+++ b/org.fawndrum.soak/src/org/fawndrum/soak/HostSettings.java
@@ -0,0 +1,87 @@
+// SPDX-License-Identifier: Apache-2.0
+package org.fawndrum.soak;
+
+import java.io.IOException;
+import java.net.ServerSocket;
+import java.util.Locale;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
+import org.fawndrum.state.HostAddress;
+
+/**
+ * The settings of the daemons of one site, as the text of their files. All daemons listen for each
+ * other on one port, so each has a loopback address of its own for that. Every second host is in
+ * the other of two zones. Immutable.
+ */
+final class HostSettings {
+  private static final String LOOPBACK = "127.0.0.1";
+
+  /** How many hosts are named as seeds. */
+  private static final int SEEDS = 2;
+
+  /** The capacity of the first host's link, in megabits a second; each other one has one more. */
+  private static final int FIRST_LINK_MEGABITS = 100;
+
+  private static final int MS_PER_SECOND = 1_000;
+
+  private final String seeds;
+  private final int peerPort;
+
+  /** Makes the settings of a number of hosts. */
+  HostSettings(int hosts) {
+    this.peerPort = freeAddress().port();
+    this.seeds =
+        IntStream.range(0, Math.min(SEEDS, hosts))
+            .mapToObj(host -> "\"" + peerIp(host) + ":1\"")
+            .collect(Collectors.joining(","));
+  }
+
+  /**
+   * Returns the settings of a host; its readiness and its metrics get free addresses.
+   *
+   * @param host its number, from 0 on
+   * @param callers where its callers come in
+   * @param platform where it reaches the store
+   */
+  String text(int host, HostAddress callers, HostAddress platform) {
+    return String.format(
+        Locale.ROOT,
+        """
+        { "host": "%s", "zone": "zone-%s", "callers": "%s", "readiness": "%s",
+          "peers": "%s:%d", "metrics": "%s", "platform": "%s", "linkMegabits": %d,
+          "seeds": [%s],
+          "bounds": { "revokeMs": %d, "drainMs": 2000, "graceS": %d, "retryRatio": 0.2,
+            "retrySlack": 100, "retryWindowS": 10, "streamPassMs": 120 } }
+        """,
+        name(host),
+        host % 2 == 0 ? "a" : "b",
+        callers,
+        freeAddress(),
+        peerIp(host),
+        peerPort,
+        freeAddress(),
+        platform,
+        FIRST_LINK_MEGABITS + host,
+        seeds,
+        SoakSite.REVOKE_MS,
+        SoakSite.GRACE_MS / MS_PER_SECOND);
+  }
+
+  /** Returns the name of a host. */
+  static String name(int host) {
+    return "host-" + host;
+  }
+
+  /** Returns an address on loopback that nobody listens on now. */
+  static HostAddress freeAddress() {
+    try (ServerSocket socket = new ServerSocket(0)) {
+      return new HostAddress(LOOPBACK, socket.getLocalPort());
+    } catch (IOException e) {
+      throw new SoakFailedException("a free port", e);
+    }
+  }
+
+  private static String peerIp(int host) {
+    return "127.0.1." + (host + 1);
+  }
+}
--- a/org.fawndrum.soak/src/org/fawndrum/soak/Ledger.java
+++ b/org.fawndrum.soak/src/org/fawndrum/soak/Ledger.java
@@ -15,7 +15,9 @@
   /** Answers that promise that the request has not run and will not. */
   private static final Set<Integer> NOT_RUN = Set.of(408, 421, 429, 503);
 
+  /** Answers that say the request itself is wrong; callers of the soak send none that is. */
   private static final Set<Integer> DENIED = Set.of(400, 401, 404, 413, 431);
+
   private static final int SUCCESS = 200;
 
   private final Map<String, Sent> sent = new HashMap<>();
@@ -47,6 +49,7 @@
     this.revokeMs = revokeMs;
   }
 
+  /** Takes note of a request before it is sent. */
   void sent(String id, Sent request) {
     sent.put(id, request);
   }
@@ -110,6 +113,7 @@
     failed++;
   }
 
+  /** Takes note of a broken promise that was seen elsewhere. */
   void broken(String what) {
     broken.add(what);
   }
--- a/org.fawndrum.soak/src/org/fawndrum/soak/SoakSite.java
+++ b/org.fawndrum.soak/src/org/fawndrum/soak/SoakSite.java
@@ -3,16 +3,14 @@
 
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
-import io.vertx.core.http.HttpServerRequest;
 import io.vertx.core.net.NetClient;
 import io.vertx.core.net.NetClientOptions;
 import java.io.IOException;
-import java.net.ServerSocket;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Locale;
-import org.fawndrum.platform.standin.EndpointStandin;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
 import org.fawndrum.platform.standin.StandinSite;
 import org.fawndrum.platform.standin.StoreStandin;
 import org.fawndrum.state.HostAddress;
@@ -28,10 +26,17 @@
   /** The key that may be taken away. */
   static final String VICTIM_KEY = "key-2";
 
+  /** The workspace that both keys belong to. */
   static final String WORKSPACE = "desk";
 
+  /** How many events a whole stream has. */
+  private static final int EVENTS = 6;
+
   /** What a whole stream has as its body. */
-  static final String STREAM;
+  static final String STREAM =
+      IntStream.rangeClosed(1, EVENTS)
+          .mapToObj(event -> "id: " + event + "\ndata: text " + event + "\n\n")
+          .collect(Collectors.joining());
 
   /** What a whole plain answer has as its body. */
   static final String PLAIN = "answer of service";
@@ -42,20 +47,14 @@
   /** The time between the order to stop and the end, in milliseconds. */
   static final long GRACE_MS = 8_000;
 
-  private static final int EVENTS = 6;
   private static final int ENGINES = 3;
-  private static final String LOOPBACK = "127.0.0.1";
   private static final String OPERATORS = "keyed.op";
   private static final String ENDPOINTS = "keyed.servers";
-  private static final int NOT_EXECUTED = 503;
+  private static final String READY = "ready";
+  private static final String LEAVING = "draining";
 
-  static {
-    StringBuilder stream = new StringBuilder();
-    for (int i = 1; i <= EVENTS; i++) {
-      stream.append("id: ").append(i).append("\ndata: text ").append(i).append("\n\n");
-    }
-    STREAM = stream.toString();
-  }
+  /** How long a proxy tries to connect, in milliseconds; loopback answers at once or not at all. */
+  private static final int CONNECT_MS = 1_000;
 
   private final Vertx vertx;
   private final NetClient client;
@@ -70,65 +69,9 @@
   private boolean revoked;
   private long version;
 
-  /** An endpoint, its proxy, and how it behaves. */
-  private final class SoakEndpoint implements EndpointStandin.Behaviour {
-    final String id;
-    final EndpointStandin standin;
-    FaultProxy link;
-    HostAddress at;
-    HostAddress linkAt;
-    boolean losesAnswers;
-    boolean sheds;
-
-    SoakEndpoint(String id, int events) {
-      this.id = id;
-      this.standin = new EndpointStandin(vertx, id, events, this);
-    }
-
-    @Override
-    public boolean answer(EndpointStandin endpoint, HttpServerRequest request, int number) {
-      if (sheds) {
-        request
-            .response()
-            .setStatusCode(NOT_EXECUTED)
-            .putHeader("X-Not-Executed", "full")
-            .putHeader("X-Request-Id", request.getHeader("X-Request-Id"))
-            .end();
-        return true;
-      }
-      ledger.ran(request.getHeader("X-Request-Id"), request.uri(), request.getHeader("X-Tenant"));
-      if (losesAnswers) {
-        request.connection().close();
-      }
-      return losesAnswers;
-    }
-
-    Future<Void> listen() {
-      return standin
-          .listen()
-          .compose(
-              address -> {
-                at = address;
-                link = new FaultProxy(vertx, client, address);
-                return link.listen();
-              })
-          .map(
-              address -> {
-                linkAt = address;
-                return null;
-              });
-    }
-
-    void says(String state) {
-      String service = id.equals("service") ? "orders" : "pool";
-      String entry = standin.entry(service, "zone-a", state);
-      store.put(ENDPOINTS, id, entry.replace(at.toString(), linkAt.toString()));
-    }
-  }
-
   SoakSite(Vertx vertx, Ledger ledger, int hosts, Path folder) {
     this.vertx = vertx;
-    this.client = vertx.createNetClient(new NetClientOptions().setConnectTimeout(1_000));
+    this.client = vertx.createNetClient(new NetClientOptions().setConnectTimeout(CONNECT_MS));
     this.ledger = ledger;
     this.count = hosts;
     this.folder = folder;
@@ -138,9 +81,9 @@
   /** Starts store, endpoints and proxies, and makes the hosts. */
   Future<Void> start() {
     for (int i = 0; i < ENGINES; i++) {
-      endpoints.add(new SoakEndpoint("engine-" + i, EVENTS));
+      endpoints.add(endpoint("engine-" + i, "pool", EVENTS));
     }
-    endpoints.add(new SoakEndpoint("service", 0));
+    endpoints.add(endpoint("service", "orders", 0));
     Future<Void> started = Future.succeededFuture();
     for (SoakEndpoint endpoint : endpoints) {
       started = started.compose(v -> endpoint.listen());
@@ -148,9 +91,13 @@
     return started.compose(v -> store.listen()).compose(this::startLinks).map(this::makeHosts);
   }
 
+  private SoakEndpoint endpoint(String id, String service, int events) {
+    return new SoakEndpoint(vertx, client, ledger, id, service, events);
+  }
+
   private Future<List<HostAddress>> startLinks(HostAddress storeAt) {
     configure();
-    endpoints.forEach(endpoint -> endpoint.says("ready"));
+    endpoints.forEach(endpoint -> endpointSays(endpoint, READY));
     List<HostAddress> links = new ArrayList<>();
     Future<Void> started = Future.succeededFuture();
     for (int i = 0; i < count; i++) {
@@ -169,57 +116,22 @@
   }
 
   private Void makeHosts(List<HostAddress> links) {
-    int peerPort = freePort();
-    String seeds = "";
-    for (int i = 0; i < Math.min(2, count); i++) {
-      seeds += (i == 0 ? "" : ",") + "\"" + peerIp(i) + ":1\"";
-    }
-    for (int i = 0; i < count; i++) {
-      HostAddress at = new HostAddress(LOOPBACK, freePort());
+    HostSettings settings = new HostSettings(count);
+    for (int host = 0; host < count; host++) {
+      HostAddress at = HostSettings.freeAddress();
       callers.add(at);
-      String text =
-          String.format(
-              Locale.ROOT,
-              """
-              { "host": "host-%d", "zone": "zone-%s", "callers": "%s", "readiness": "%s:%d",
-                "peers": "%s:%d", "metrics": "%s:%d", "platform": "%s", "linkMegabits": %d,
-                "seeds": [%s],
-                "bounds": { "revokeMs": %d, "drainMs": 2000, "graceS": %d, "retryRatio": 0.2,
-                  "retrySlack": 100, "retryWindowS": 10, "streamPassMs": 120 } }
-              """,
-              i,
-              i % 2 == 0 ? "a" : "b",
-              at,
-              LOOPBACK,
-              freePort(),
-              peerIp(i),
-              peerPort,
-              LOOPBACK,
-              freePort(),
-              links.get(i),
-              100 + i,
-              seeds,
-              REVOKE_MS,
-              GRACE_MS / 1_000);
+      String text = settings.text(host, at, links.get(host));
       try {
-        hosts.add(new HostProcess("host-" + i, folder, text));
+        hosts.add(new HostProcess(HostSettings.name(host), folder, text));
       } catch (IOException e) {
-        throw new SoakFailedException("settings of host " + i, e);
+        throw new SoakFailedException("settings of host " + host, e);
       }
     }
     return null;
   }
 
-  private static String peerIp(int host) {
-    return "127.0.1." + (host + 1);
-  }
-
-  private static int freePort() {
-    try (ServerSocket socket = new ServerSocket(0)) {
-      return socket.getLocalPort();
-    } catch (IOException e) {
-      throw new SoakFailedException("a free port", e);
-    }
+  private void endpointSays(SoakEndpoint endpoint, String state) {
+    store.put(ENDPOINTS, endpoint.id(), endpoint.entry(state));
   }
 
   /** Brings a newer configuration into the store. */
@@ -246,10 +158,10 @@
           store.mode(begins ? StoreStandin.Mode.SILENT : StoreStandin.Mode.SERVING);
       case STORE_FORGETS -> store.forgetAll();
       case STORE_LINK -> storeLinks.get(fault.target() % storeLinks.size()).mode(mode);
-      case ENDPOINT_LINK -> endpoint.link.mode(mode);
-      case ANSWERS_LOST -> endpoint.losesAnswers = begins;
-      case SHEDS -> endpoint.sheds = begins;
-      case LEAVES -> endpoint.says(begins ? "draining" : "ready");
+      case ENDPOINT_LINK -> endpoint.link(mode);
+      case ANSWERS_LOST -> endpoint.losesAnswers(begins);
+      case SHEDS -> endpoint.sheds(begins);
+      case LEAVES -> endpointSays(endpoint, begins ? LEAVING : READY);
       case CONFIGURE -> configure();
       case REVOKE -> revoke();
       default -> throw new SoakFailedException("fault " + fault, null);
@@ -261,17 +173,19 @@
     store.mode(StoreStandin.Mode.SERVING);
     storeLinks.forEach(link -> link.mode(FaultProxy.Mode.PASS));
     for (SoakEndpoint endpoint : endpoints) {
-      endpoint.link.mode(FaultProxy.Mode.PASS);
-      endpoint.losesAnswers = false;
-      endpoint.sheds = false;
-      endpoint.says("ready");
+      endpoint.link(FaultProxy.Mode.PASS);
+      endpoint.losesAnswers(false);
+      endpoint.sheds(false);
+      endpointSays(endpoint, READY);
     }
   }
 
+  /** Returns the daemons, by their number. */
   List<HostProcess> hosts() {
     return hosts;
   }
 
+  /** Returns where callers of each daemon come in, by its number. */
   List<HostAddress> callers() {
     return callers;
   }
