Build the soak's requests in one place

Cause: Callers and Probe wrote the same headers and options twice, with bare figures. Change: SoakRequest makes the options for both; the prompt's length, connections and time-outs are named constants. What is drawn at random, and in which order, is as before.

--- a/org.fawndrum.soak/src/org/fawndrum/soak/Callers.java
+++ b/org.fawndrum.soak/src/org/fawndrum/soak/Callers.java
@@ -5,12 +5,10 @@
 import io.vertx.core.http.HttpClientAgent;
 import io.vertx.core.http.HttpClientOptions;
 import io.vertx.core.http.HttpClientResponse;
-import io.vertx.core.http.HttpMethod;
 import io.vertx.core.http.PoolOptions;
 import io.vertx.core.http.RequestOptions;
 import java.util.List;
 import java.util.Random;
-import org.fawndrum.platform.standin.StandinSite;
 import org.fawndrum.state.HostAddress;
 
 /**
@@ -21,13 +19,23 @@
   /** The time between two requests, in milliseconds: fifty a second over all hosts. */
   private static final long GAP_MS = 20;
 
-  /** How long a caller waits, in milliseconds. */
-  private static final long DEADLINE_MS = 4_000;
+  /** How long a caller waits, in milliseconds: below the time-out of the routes. */
+  static final long DEADLINE_MS = 4_000;
 
   /** One request in so many carries the key that may be revoked. */
   private static final int VICTIM_PART = 4;
 
+  /** The connections of the callers to each host. */
   private static final int CONNECTIONS = 20;
+
+  /** How long a caller tries to connect, in milliseconds. */
+  private static final int CONNECT_MS = 1_000;
+
+  /** The length of a streamed request's prompt, in tokens: from the shortest up by the spread. */
+  private static final int SHORTEST_PROMPT = 500;
+
+  private static final int PROMPT_SPREAD = 50_000;
+
   private static final List<String> ROUTES = List.of("ask", "tell", "once", "look");
 
   private final Vertx vertx;
@@ -45,20 +53,22 @@
     this.random = random;
     this.client =
         vertx.createHttpClient(
-            new HttpClientOptions().setConnectTimeout(1_000),
+            new HttpClientOptions().setConnectTimeout(CONNECT_MS),
             new PoolOptions().setHttp1MaxSize(CONNECTIONS));
   }
 
+  /** Begins to send. */
   void start() {
     timer = vertx.setPeriodic(GAP_MS, id -> send(hosts.get(random.nextInt(hosts.size()))));
   }
 
+  /** Sends nothing more; answers still come. */
   void stop() {
     vertx.cancelTimer(timer);
   }
 
   /** Sends one request to a host. */
-  void send(HostAddress host) {
+  private void send(HostAddress host) {
     String id = "s-" + ++count;
     String route = ROUTES.get(random.nextInt(ROUTES.size()));
     String path = "/" + route + "/" + count;
@@ -67,19 +77,9 @@
     String key = random.nextInt(VICTIM_PART) == 0 ? SoakSite.VICTIM_KEY : SoakSite.KEY;
     String body = stream ? SoakSite.STREAM : SoakSite.PLAIN;
     ledger.sent(id, new Ledger.Sent(path, repeatable, key, body, Soak.nowMs()));
-    RequestOptions options =
-        new RequestOptions()
-            .setMethod(HttpMethod.POST)
-            .setHost(host.ip())
-            .setPort(host.port())
-            .setURI(path)
-            .setTimeout(DEADLINE_MS)
-            .putHeader("Host", StandinSite.HOST)
-            .putHeader("X-Request-Id", id)
-            .putHeader("X-Credential", key)
-            .putHeader("X-Request-Deadline-Ms", Long.toString(DEADLINE_MS));
+    RequestOptions options = new SoakRequest(host, path, id, key, DEADLINE_MS).options();
     if (stream) {
-      options.putHeader("X-Token-Usage", 500 + random.nextInt(50_000) + ",100");
+      options.putHeader("X-Token-Usage", SHORTEST_PROMPT + random.nextInt(PROMPT_SPREAD) + ",100");
     }
     client
         .request(options)
