Split the event loop and the playing of faults from the soak

Cause: Soak did four things in 250 lines, took five parameters and wrapped each step on the loop in a function that returned null. Change: SoakLoop has run, call and callAndAwait; FaultPlayer carries a plan out; Soak.Order holds what is to be played. Which kinds of fault happen at one moment is said once, by Fault.Kind.momentary, and no longer half in Soak and half in restart. The comment on a fault's length said 0 for these, which the plan never made; it now tells what the code does. The plan of a seed is unchanged: the draws and their order are the same.

--- a/org.fawndrum.soak/src/org/fawndrum/soak/Fault.java
+++ b/org.fawndrum.soak/src/org/fawndrum/soak/Fault.java
@@ -10,15 +10,28 @@
  * One fault.
  *
  * @param atMs when it begins, in milliseconds after the traffic
- * @param forMs how long it lasts, in milliseconds; 0 for what happens at one moment
+ * @param forMs how long it lasts, in milliseconds; says nothing for a momentary one
  * @param kind what happens
  * @param target counts the hosts or endpoints that it strikes
  * @param mode what a proxy does; only for kinds with a proxy
  */
 record Fault(long atMs, long forMs, Kind kind, int target, FaultProxy.Mode mode) {
-  private static final long LONGEST_MS = 4_000;
+  /** The shortest fault, in milliseconds. */
+  private static final int SHORTEST_MS = 200;
 
-  /** Series of faults come so close that they overlap, in milliseconds. */
+  /**
+   * By how much a fault may outlast the shortest one, in milliseconds: the longest outlast the
+   * silence after which a daemon counts as gone.
+   */
+  private static final int LONGER_MS = 4_000;
+
+  /** The longest time from one fault or series to the next, in milliseconds: many overlap. */
+  private static final int GAP_MS = LONGER_MS / 2;
+
+  /** One time in so many, faults of a kind come in a series. */
+  private static final int SERIES_PART = 3;
+
+  /** The longest time between two faults of a series, in milliseconds: they overlap. */
   private static final int SERIES_GAP_MS = 400;
 
   /** What happens. */
@@ -50,20 +63,28 @@
     /** A newer configuration, with the same meaning. */
     CONFIGURE,
     /** A key is taken away. */
-    REVOKE
+    REVOKE;
+
+    /** Tells whether it happens at one moment, and so has no end. */
+    boolean momentary() {
+      return switch (this) {
+        case KILL, STOP, STORE_FORGETS, CONFIGURE, REVOKE -> true;
+        default -> false;
+      };
+    }
   }
 
   /** Returns the faults of a seed, by time: single ones and series that overlap. */
   static List<Fault> plan(Random random, long lengthMs, int targets) {
     List<Fault> plan = new ArrayList<>();
-    long atMs = random.nextInt((int) LONGEST_MS / 2);
+    long atMs = random.nextInt(GAP_MS);
     while (atMs < lengthMs) {
       Kind kind = Kind.values()[random.nextInt(Kind.values().length)];
-      int series = random.nextInt(3) == 0 ? 1 + random.nextInt(targets) : 1;
+      int series = random.nextInt(SERIES_PART) == 0 ? 1 + random.nextInt(targets) : 1;
       for (int i = 0; i < series; i++) {
         plan.add(fault(random, atMs + i * random.nextInt(SERIES_GAP_MS), kind, targets));
       }
-      atMs += random.nextInt((int) LONGEST_MS / 2);
+      atMs += random.nextInt(GAP_MS);
     }
     plan.sort(Comparator.comparingLong(Fault::atMs));
     return plan;
@@ -72,7 +93,7 @@
   private static Fault fault(Random random, long atMs, Kind kind, int targets) {
     FaultProxy.Mode[] modes = FaultProxy.Mode.values();
     FaultProxy.Mode mode = modes[1 + random.nextInt(modes.length - 1)];
-    long forMs = 200 + random.nextInt((int) LONGEST_MS);
+    long forMs = SHORTEST_MS + random.nextInt(LONGER_MS);
     return new Fault(atMs, forMs, kind, random.nextInt(targets), mode);
   }
 }
--- a/org.fawndrum.soak/src/org/fawndrum/soak/Soak.java
+++ b/org.fawndrum.soak/src/org/fawndrum/soak/Soak.java
@@ -1,51 +1,42 @@
 // SPDX-License-Identifier: Apache-2.0
 package org.fawndrum.soak;
 
-import io.vertx.core.Future;
-import io.vertx.core.Vertx;
-import io.vertx.core.VertxOptions;
 import java.io.IOException;
 import java.nio.file.Path;
-import java.util.ArrayList;
-import java.util.Comparator;
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.Random;
-import java.util.concurrent.Callable;
-import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
-import java.util.concurrent.TimeoutException;
 
 /**
  * Plays one seed: starts a site, lets faults come while callers send, ends all faults, and says
  * what was broken. The thread that calls it carries the faults out; all else is on one event loop.
  */
 final class Soak {
-  /** How long a step on the event loop may take, in seconds. */
-  private static final long STEP_S = 20;
-
   /** How long hosts may take to serve after their start, and after all faults, in milliseconds. */
   private static final long RECOVERY_MS = 20_000;
 
   /** The time between two looks at whether all hosts serve, in milliseconds. */
   private static final long LOOK_MS = 250;
 
-  /** The time for last answers after the last request, in milliseconds. */
-  private static final long LAST_ANSWERS_MS = 5_000;
+  /** The time for last answers after the last request, in milliseconds: above its deadline. */
+  private static final long LAST_ANSWERS_MS = Callers.DEADLINE_MS + 1_000;
 
-  private final long seed;
-  private final int hosts;
-  private final long lengthMs;
-  private final boolean calm;
-  private final Path folder;
-  private final Vertx vertx =
-      Vertx.vertx(new VertxOptions().setEventLoopPoolSize(1).setPreferNativeTransport(true));
+  private final Order order;
+  private final SoakLoop loop = new SoakLoop();
   private final Ledger ledger = new Ledger(SoakSite.REVOKE_MS);
-  private final Map<HostProcess, Integer> pauses = new HashMap<>();
-  private final List<Step> steps = new ArrayList<>();
   private SoakSite site;
 
+  /**
+   * What is to be played.
+   *
+   * @param seed decides on the faults and the requests
+   * @param hosts how many daemons there are
+   * @param lengthMs how long faults begin, in milliseconds
+   * @param calm whether there are no faults
+   * @param folder where settings and logs of the daemons go
+   */
+  record Order(long seed, int hosts, long lengthMs, boolean calm, Path folder) {}
+
   /**
    * What a seed showed.
    *
@@ -54,15 +45,8 @@
    */
   record Result(long seed, List<String> broken, String summary) {}
 
-  /** Something that is due at a time. */
-  private record Step(long atMs, Fault fault, boolean begins) {}
-
-  Soak(long seed, int hosts, long lengthMs, boolean calm, Path folder) {
-    this.seed = seed;
-    this.hosts = hosts;
-    this.lengthMs = lengthMs;
-    this.calm = calm;
-    this.folder = folder;
+  Soak(Order order) {
+    this.order = order;
   }
 
   /** Returns the steady clock in milliseconds. */
@@ -73,177 +57,62 @@
   /** Plays the seed. */
   Result call() throws InterruptedException, IOException {
     try {
-      site = onLoop(() -> new SoakSite(vertx, ledger, hosts, folder));
-      await(onLoop(site::start));
-      for (HostProcess host : site.hosts()) {
-        host.start();
-      }
-      Random random = new Random(seed);
-      Callers callers = onLoop(() -> new Callers(vertx, site.callers(), ledger, random));
+      startSite();
+      Random random = new Random(order.seed());
+      Callers callers = loop.call(() -> new Callers(loop.vertx(), site.callers(), ledger, random));
       untilAllServe("after the start");
-      onLoop(
-          () -> {
-            callers.start();
-            return null;
-          });
-      if (calm) {
-        Thread.sleep(lengthMs);
-      } else {
-        playFaults(Fault.plan(new Random(seed), lengthMs, hosts));
-      }
-      heal();
+      loop.run(callers::start);
+      playFaults();
       untilAllServe("after all faults");
-      onLoop(
-          () -> {
-            callers.stop();
-            return null;
-          });
+      loop.run(callers::stop);
       Thread.sleep(LAST_ANSWERS_MS);
-      return onLoop(() -> new Result(seed, ledger.verdict(), ledger.summary()));
+      return loop.call(() -> new Result(order.seed(), ledger.verdict(), ledger.summary()));
     } finally {
       for (HostProcess host : site == null ? List.<HostProcess>of() : site.hosts()) {
         host.kill();
       }
-      vertx.close();
+      loop.close();
     }
   }
 
-  private void playFaults(List<Fault> plan) throws InterruptedException, IOException {
-    for (Fault fault : plan) {
-      steps.add(new Step(fault.atMs(), fault, true));
-      steps.add(new Step(fault.atMs() + fault.forMs(), fault, false));
-    }
-    steps.sort(Comparator.comparingLong(Step::atMs));
-    long startMs = nowMs();
-    for (Step step : steps) {
-      long waitMs = startMs + step.atMs() - nowMs();
-      if (waitMs > 0) {
-        Thread.sleep(waitMs);
-      }
-      checkAlive();
-      carryOut(step);
-    }
-  }
-
-  private void checkAlive() {
+  private void startSite() throws InterruptedException, IOException {
+    site = loop.call(() -> new SoakSite(loop.vertx(), ledger, order.hosts(), order.folder()));
+    loop.callAndAwait(site::start);
     for (HostProcess host : site.hosts()) {
-      if (host.endedByItself()) {
-        throw new SoakFailedException(host.name() + " ended by itself", null);
-      }
-    }
-  }
-
-  private void carryOut(Step step) throws InterruptedException, IOException {
-    HostProcess host = site.hosts().get(step.fault().target() % hosts);
-    switch (step.fault().kind()) {
-      case KILL -> restart(host, step.begins(), true);
-      case STOP -> restart(host, step.begins(), false);
-      case PAUSE -> pause(host, step.begins());
-      case RELOAD -> host.signal("HUP");
-      default ->
-          onLoop(
-              () -> {
-                apply(step);
-                return null;
-              });
-    }
-  }
-
-  /** Carries a step out on the event loop; what happens at one moment has no end. */
-  private void apply(Step step) {
-    boolean moment =
-        switch (step.fault().kind()) {
-          case STORE_FORGETS, CONFIGURE, REVOKE -> true;
-          default -> false;
-        };
-    if (step.begins() || !moment) {
-      site.apply(step.fault(), step.begins());
-    }
-  }
-
-  private void restart(HostProcess host, boolean begins, boolean kill)
-      throws InterruptedException, IOException {
-    if (!begins) {
-      return;
-    }
-    pauses.remove(host);
-    host.signal("CONT");
-    if (kill) {
-      host.kill();
-    } else if (!host.stop(SoakSite.GRACE_MS)) {
-      onLoop(
-          () -> {
-            ledger.broken(host.name() + " did not stop within its grace period");
-            return null;
-          });
+      host.start();
     }
-    host.start();
   }
 
-  /** Pauses may overlap: a host goes on when the last of them ends. */
-  private void pause(HostProcess host, boolean begins) throws InterruptedException, IOException {
-    int left = pauses.merge(host, begins ? 1 : -1, Integer::sum);
-    if (left <= 0) {
-      pauses.remove(host);
-      host.signal("CONT");
+  /** Lets the faults of the seed come, or as much time pass, and ends them all. */
+  private void playFaults() throws InterruptedException, IOException {
+    FaultPlayer faults = new FaultPlayer(site, ledger, loop);
+    if (order.calm()) {
+      Thread.sleep(order.lengthMs());
     } else {
-      host.signal("STOP");
+      faults.play(Fault.plan(new Random(order.seed()), order.lengthMs(), order.hosts()));
     }
-  }
-
-  private void heal() throws InterruptedException, IOException {
-    for (HostProcess host : site.hosts()) {
-      host.signal("CONT");
-    }
-    onLoop(
-        () -> {
-          site.heal();
-          return null;
-        });
+    faults.heal();
   }
 
   /** Waits until each host has served a request that was sent from now on. */
   private void untilAllServe(String when) throws InterruptedException {
     long untilMs = nowMs() + RECOVERY_MS;
-    for (int i = 0; i < hosts; i++) {
-      int host = i;
-      boolean served = false;
-      while (!served) {
-        served = await(onLoop(() -> Probe.call(vertx, site.callers().get(host))));
-        if (!served && nowMs() > untilMs) {
-          onLoop(
-              () -> {
-                ledger.broken("host-" + host + " does not serve " + when);
-                return null;
-              });
-          return;
-        }
-        if (!served) {
-          Thread.sleep(LOOK_MS);
-        }
+    for (int host = 0; host < order.hosts(); host++) {
+      if (!servesBy(host, untilMs)) {
+        String name = HostSettings.name(host);
+        loop.run(() -> ledger.broken(name + " does not serve " + when));
+        return;
       }
     }
   }
 
-  private <T> T onLoop(Callable<T> action) throws InterruptedException {
-    return await(
-        Future.future(
-            promise ->
-                vertx.runOnContext(
-                    v -> {
-                      try {
-                        promise.complete(action.call());
-                      } catch (Exception e) {
-                        promise.fail(e);
-                      }
-                    })));
-  }
-
-  private static <T> T await(Future<T> future) throws InterruptedException {
-    try {
-      return future.toCompletionStage().toCompletableFuture().get(STEP_S, TimeUnit.SECONDS);
-    } catch (ExecutionException | TimeoutException e) {
-      throw new SoakFailedException("a step on the event loop", e);
+  private boolean servesBy(int host, long untilMs) throws InterruptedException {
+    while (!loop.callAndAwait(() -> Probe.call(loop.vertx(), site.callers().get(host)))) {
+      if (nowMs() > untilMs) {
+        return false;
+      }
+      Thread.sleep(LOOK_MS);
     }
+    return true;
   }
 }
--- a/org.fawndrum.soak/src/org/fawndrum/soak/SoakMain.java
+++ b/org.fawndrum.soak/src/org/fawndrum/soak/SoakMain.java
@@ -52,7 +52,8 @@
     boolean whole = true;
     for (long seed = from; seed < from + seeds; seed++) {
       Path folder = Files.createDirectories(keep.resolve("seed-" + seed));
-      Soak.Result result = new Soak(seed, hosts, seconds * MS_PER_SECOND, calm, folder).call();
+      Soak.Result result =
+          new Soak(new Soak.Order(seed, hosts, seconds * MS_PER_SECOND, calm, folder)).call();
       System.out.println("seed " + seed + ": " + result.summary());
       result.broken().forEach(what -> System.out.println("  broken: " + what));
       whole &= result.broken().isEmpty();
--- a/org.fawndrum.soak/tst/org/fawndrum/soak/SoakTest.java
+++ b/org.fawndrum.soak/tst/org/fawndrum/soak/SoakTest.java
@@ -19,7 +19,7 @@
   @TempDir private Path folder;
 
   private void holds(long seed) throws Exception {
-    Soak.Result result = new Soak(seed, HOSTS, LENGTH_MS, false, folder).call();
+    Soak.Result result = new Soak(new Soak.Order(seed, HOSTS, LENGTH_MS, false, folder)).call();
     assertEquals(List.of(), result.broken(), result.summary());
   }
 
