Split what is known of a daemon and the choice of links from FleetOverlay

Change: KnownDaemon holds what was seen of one daemon, with a method for each thing that may happen to it; LinkChoice chooses speaker, subscribers and daemons of other zones; FleetOverlay keeps the daemons and asks both. The moment from which a speaker counts as silent is worked out in one place, no longer in two.

--- a/org.fawndrum/src/org/fawndrum/coordination/membership/FleetOverlay.java
+++ b/org.fawndrum/src/org/fawndrum/coordination/membership/FleetOverlay.java
@@ -1,16 +1,11 @@
 // SPDX-License-Identifier: Apache-2.0
 package org.fawndrum.coordination.membership;
 
-import java.util.ArrayList;
 import java.util.Collection;
-import java.util.Comparator;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.Iterator;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
 import org.fawndrum.state.HostAddress;
 import org.fawndrum.state.HostIdentity;
 
@@ -33,56 +28,10 @@
   /** How long the address of a silent daemon is kept, in milliseconds. */
   static final long FORGET_MS = 60_000;
 
-  /**
-   * A speaker that was silent for so long is replaced, in milliseconds: four of the intervals in
-   * which it sends at least something.
-   */
-  static final long SPEAKER_SILENT_MS = 1_200;
-
-  /** How long a silent speaker is not chosen again, in milliseconds: longer than it takes to go. */
-  static final long PASSED_OVER_MS = 5_000;
-
-  /** How long a choice of links holds while nobody comes or goes, in milliseconds. */
-  private static final long LINKS_MS = 50;
-
-  private static final long NEVER_MS = Long.MIN_VALUE / 2;
-
-  private static final Comparator<FleetMember> RANK =
-      Comparator.comparingLong(FleetMember::capacity)
-          .reversed()
-          .thenComparing(member -> member.identity().host());
-
   private final FleetMember self;
   private final Watcher watcher;
-  private final Map<String, Known> known = new HashMap<>();
-  private FleetMember chosen;
-  private long chosenMs;
-  private Links links;
-  private long linkedUntilMs;
-
-  /** With whom this daemon exchanges messages. */
-  private record Links(
-      FleetMember speaker, boolean passesOn, List<FleetMember> near, List<FleetMember> far) {}
-
-  /** Another daemon and what was seen of it. */
-  private static final class Known {
-    FleetMember member;
-    boolean alive;
-    long heardMs;
-    long heardDirectlyMs = NEVER_MS;
-    long subscribedMs = NEVER_MS;
-    long passedOverUntilMs = NEVER_MS;
-    long lastSequence = -1;
-
-    /** Forgets what was seen of another incarnation. */
-    void begin() {
-      alive = true;
-      heardDirectlyMs = NEVER_MS;
-      subscribedMs = NEVER_MS;
-      passedOverUntilMs = NEVER_MS;
-      lastSequence = -1;
-    }
-  }
+  private final Map<String, KnownDaemon> known = new HashMap<>();
+  private final LinkChoice links;
 
   /** Learns which daemons come and go. Called on the overlay's thread, from within its methods. */
   public interface Watcher {
@@ -97,7 +46,7 @@
   public FleetOverlay(FleetMember self, Watcher watcher) {
     this.self = self;
     this.watcher = watcher;
-    this.chosen = self;
+    this.links = new LinkChoice(self, known);
   }
 
   /** Takes note of a message that came from a daemon itself. */
@@ -106,13 +55,13 @@
       return;
     }
     heard(member, nowMs);
-    Known one = known.get(member.identity().host());
-    one.heardDirectlyMs = nowMs;
+    KnownDaemon one = known.get(member.identity().host());
+    one.heardDirectly(nowMs);
     if (subscribes) {
-      if (!subscriber(one, nowMs)) {
-        links = null;
+      if (!one.isSubscriber(nowMs)) {
+        links.drop();
       }
-      one.subscribedMs = nowMs;
+      one.subscribed(nowMs);
     }
   }
 
@@ -126,27 +75,26 @@
     if (isSelf(report.from())) {
       return false;
     }
-    Known one = known.get(report.from().host());
-    boolean same = one != null && one.alive && one.member.identity().equals(report.from());
-    if (same && report.sequence() <= one.lastSequence || !same && report.member().isEmpty()) {
+    KnownDaemon one = known.get(report.from().host());
+    boolean same = one != null && one.isAlive(report.from());
+    boolean old = same && report.sequence() <= one.lastSequence();
+    if (old || !same && report.member().isEmpty()) {
       return false;
     }
     report.member().ifPresent(member -> heard(member, nowMs));
-    known.get(report.from().host()).lastSequence = report.sequence();
+    known.get(report.from().host()).reported(report.sequence());
     return true;
   }
 
   private void heard(FleetMember member, long nowMs) {
-    Known one = known.computeIfAbsent(member.identity().host(), host -> new Known());
-    boolean same = one.alive && one.member.identity().equals(member.identity());
-    if (one.alive && !same) {
-      watcher.gone(one.member, nowMs - one.heardMs);
+    KnownDaemon one = known.computeIfAbsent(member.identity().host(), host -> new KnownDaemon());
+    boolean same = one.isAlive(member.identity());
+    if (one.isAlive() && !same) {
+      watcher.gone(one.member(), one.silentMs(nowMs));
     }
-    one.member = member;
-    one.heardMs = nowMs;
+    one.heard(member, nowMs);
     if (!same) {
-      one.begin();
-      links = null;
+      links.drop();
       watcher.appeared(member);
     }
   }
@@ -154,8 +102,8 @@
   /** Takes note of daemons that another one says are alive. */
   public void learn(Collection<FleetMember> members, long nowMs) {
     for (FleetMember member : members) {
-      Known one = known.get(member.identity().host());
-      boolean unknown = one == null || !one.alive;
+      KnownDaemon one = known.get(member.identity().host());
+      boolean unknown = one == null || !one.isAlive();
       if (unknown && !isSelf(member.identity())) {
         heard(member, nowMs);
       }
@@ -164,14 +112,14 @@
 
   /** Drops daemons that were silent for too long. */
   public void forget(long nowMs) {
-    Iterator<Known> all = known.values().iterator();
+    Iterator<KnownDaemon> all = known.values().iterator();
     while (all.hasNext()) {
-      Known one = all.next();
-      long silentMs = nowMs - one.heardMs;
-      if (one.alive && silentMs > GONE_MS) {
-        one.alive = false;
-        links = null;
-        watcher.gone(one.member, silentMs);
+      KnownDaemon one = all.next();
+      long silentMs = one.silentMs(nowMs);
+      if (one.isAlive() && silentMs > GONE_MS) {
+        one.gone();
+        links.drop();
+        watcher.gone(one.member(), silentMs);
       }
       if (silentMs > FORGET_MS) {
         all.remove();
@@ -181,128 +129,27 @@
 
   /** Returns the daemon that passes this one's reports on: itself, if no better one answers. */
   public FleetMember speaker(long nowMs) {
-    return links(nowMs).speaker();
+    return links.at(nowMs).speaker();
   }
 
   /** Tells whether this daemon passes reports of others on. */
   public boolean passesOn(long nowMs) {
-    return links(nowMs).passesOn();
+    return links.at(nowMs).passesOn();
   }
 
   /** Returns the daemons of the own zone that get this one's messages. */
   public List<FleetMember> near(long nowMs) {
-    return links(nowMs).near();
+    return links.at(nowMs).near();
   }
 
   /** Returns the daemons of other zones that get this one's messages; none if it passes none on. */
   public List<FleetMember> far(long nowMs) {
-    return links(nowMs).far();
-  }
-
-  private Links links(long nowMs) {
-    if (links == null || nowMs >= linkedUntilMs) {
-      links = chooseLinks(nowMs);
-      linkedUntilMs = linksEndMs(nowMs);
-    }
-    return links;
-  }
-
-  /** Returns when the links are to be chosen again, though nobody comes or goes. */
-  private long linksEndMs(long nowMs) {
-    long endMs = nowMs + LINKS_MS;
-    Known current = known.get(chosen.identity().host());
-    if (current != null) {
-      long heardMs = Math.max(chosenMs, current.heardDirectlyMs);
-      endMs = Math.min(endMs, heardMs + SPEAKER_SILENT_MS + 1);
-    }
-    for (Known one : known.values()) {
-      if (one.passedOverUntilMs > nowMs) {
-        endMs = Math.min(endMs, one.passedOverUntilMs);
-      }
-    }
-    return endMs;
-  }
-
-  private Links chooseLinks(long nowMs) {
-    FleetMember speaker = chooseSpeaker(nowMs);
-    List<FleetMember> near = subscribers(true, nowMs);
-    boolean passesOn = isSelf(speaker.identity()) || !near.isEmpty();
-    if (!isSelf(speaker.identity()) && !near.contains(speaker)) {
-      near.add(speaker);
-    }
-    return new Links(speaker, passesOn, List.copyOf(near), passesOn ? farLinks(nowMs) : List.of());
-  }
-
-  private FleetMember chooseSpeaker(long nowMs) {
-    Known current = known.get(chosen.identity().host());
-    if (current != null && current.alive) {
-      long silentMs = nowMs - Math.max(chosenMs, current.heardDirectlyMs);
-      if (silentMs > SPEAKER_SILENT_MS) {
-        current.passedOverUntilMs = nowMs + PASSED_OVER_MS;
-      }
-    }
-    FleetMember best = best(self.zone(), nowMs);
-    FleetMember next = best == null || RANK.compare(self, best) <= 0 ? self : best;
-    if (!next.identity().equals(chosen.identity())) {
-      chosen = next;
-      chosenMs = nowMs;
-    }
-    return chosen;
-  }
-
-  /** Returns the best other daemon of a zone, or null when none is alive. */
-  private FleetMember best(String zone, long nowMs) {
-    return known.values().stream()
-        .filter(one -> one.alive && one.member.zone().equals(zone))
-        .filter(one -> nowMs >= one.passedOverUntilMs)
-        .map(one -> one.member)
-        .min(RANK)
-        .orElse(null);
-  }
-
-  private boolean subscriber(Known one, long nowMs) {
-    return one.alive && nowMs - one.subscribedMs <= GONE_MS;
-  }
-
-  private boolean near(Known one) {
-    return one.member.zone().equals(self.zone());
-  }
-
-  private List<FleetMember> farLinks(long nowMs) {
-    Map<HostIdentity, FleetMember> chosenOnes = new LinkedHashMap<>();
-    subscribers(false, nowMs).forEach(member -> chosenOnes.put(member.identity(), member));
-    for (String zone : otherZones()) {
-      FleetMember best = best(zone, nowMs);
-      if (best != null) {
-        chosenOnes.put(best.identity(), best);
-      }
-    }
-    return List.copyOf(chosenOnes.values());
-  }
-
-  private List<FleetMember> subscribers(boolean near, long nowMs) {
-    List<FleetMember> members = new ArrayList<>();
-    for (Known one : known.values()) {
-      if (subscriber(one, nowMs) && near(one) == near) {
-        members.add(one.member);
-      }
-    }
-    return members;
-  }
-
-  private Set<String> otherZones() {
-    Set<String> zones = new HashSet<>();
-    for (Known one : known.values()) {
-      if (one.alive && !near(one)) {
-        zones.add(one.member.zone());
-      }
-    }
-    return zones;
+    return links.at(nowMs).far();
   }
 
   /** Tells whether a subscriber of another zone should rather subscribe to one of its own. */
   public boolean knowsBetter(FleetMember subscriber, long nowMs) {
-    FleetMember best = best(subscriber.zone(), nowMs);
+    FleetMember best = links.best(subscriber.zone(), nowMs);
     return !subscriber.zone().equals(self.zone())
         && best != null
         && !best.identity().equals(subscriber.identity());
@@ -310,30 +157,21 @@
 
   /** Tells whether this incarnation of another daemon is alive. */
   public boolean isAlive(FleetMember member) {
-    Known one = known.get(member.identity().host());
-    return one != null && one.alive && one.member.identity().equals(member.identity());
+    KnownDaemon one = known.get(member.identity().host());
+    return one != null && one.isAlive(member.identity());
   }
 
   /** Returns the other daemons that are alive. */
   public List<FleetMember> alive() {
-    List<FleetMember> members = new ArrayList<>();
-    for (Known one : known.values()) {
-      if (one.alive) {
-        members.add(one.member);
-      }
-    }
-    return members;
+    return known.values().stream().filter(KnownDaemon::isAlive).map(KnownDaemon::member).toList();
   }
 
   /** Returns where daemons were that are silent now, and so may come back. */
   public List<HostAddress> silent() {
-    List<HostAddress> addresses = new ArrayList<>();
-    for (Known one : known.values()) {
-      if (!one.alive) {
-        addresses.add(one.member.address());
-      }
-    }
-    return addresses;
+    return known.values().stream()
+        .filter(one -> !one.isAlive())
+        .map(one -> one.member().address())
+        .toList();
   }
 
   private boolean isSelf(HostIdentity identity) {
