Move the store's reading and the retries' share out of RelayRuntime

Change: StoreReading makes both readers and followers and says how far they have read; RetryShare works out one host's part of the retries. The figures went along unchanged, and so did when each bound is looked up.

--- a/org.fawndrum/src/org/fawndrum/transport/relay/RelayRuntime.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/RelayRuntime.java
@@ -12,13 +12,10 @@
 import org.fawndrum.coordination.AttemptId;
 import org.fawndrum.coordination.Policies;
 import org.fawndrum.coordination.RequestCoordinator;
-import org.fawndrum.coordination.RetryBudget;
-import org.fawndrum.coordination.WindowRetryBudget;
 import org.fawndrum.coordination.engine.EngineNews;
 import org.fawndrum.coordination.membership.FleetReport;
 import org.fawndrum.internal.log.HostLog;
 import org.fawndrum.internal.log.LogEvent;
-import org.fawndrum.protocol.KeyedLog;
 import org.fawndrum.protocol.wire.KnowledgeRequest;
 import org.fawndrum.protocol.wire.PeerMessage;
 import org.fawndrum.settings.ListenSettings;
@@ -39,36 +36,6 @@
   /** The pause before an event that found no room in the ring is offered again, in milliseconds. */
   private static final long RING_RETRY_MS = 1;
 
-  /** How long a question for the configuration waits; below the bound for revoked keys. */
-  private static final long CONFIGURATION_WAIT_MS = 1_500;
-
-  /** The pause between readings of the endpoints, as a part of the drain bound. */
-  private static final double ENDPOINTS_PAUSE_PART = 0.35;
-
-  /**
-   * At what age of the endpoints, as a part of the drain bound, a host reads them itself. Above a
-   * speaker's pause with the time between two questions to it; what is left of the bound is for
-   * looking and reading.
-   */
-  private static final double OWN_ENDPOINTS_PART = 0.7;
-
-  /** The same for the configuration, as a part of the bound for revoked keys. */
-  private static final double OWN_CONFIGURATION_PART = 0.6;
-
-  /**
-   * The part of the retries allowed to all daemons that they use; the rest is for counting late.
-   */
-  private static final double RETRY_PART = 0.8;
-
-  /** The fewest daemons among which the retries allowed in any case are shared out. */
-  private static final int FEWEST_DAEMONS = 12;
-
-  /** The most of them that a host uses before it heard any other: many may have just started. */
-  private static final double RESERVE_UNHEARD = 1;
-
-  /** How many daemons there may be for each that is known: some are cut off or just starting. */
-  private static final double DAEMONS_PER_KNOWN = 1.3;
-
   private final Vertx vertx;
   private volatile RelaySettings settings;
   private final HostIdentity self;
@@ -81,9 +48,7 @@
   private final ReadinessServer readiness;
   private final NettyPeerNetwork network;
   private final FleetDuty fleet;
-  private final TopicFollower configuration;
-  private final TopicFollower endpoints;
-  private final EndpointReader records;
+  private final StoreReading reading;
   private final PeerKnowledge knowledge;
   private final MetricsServer metrics;
   private final DecisionLog decisionLog;
@@ -113,8 +78,9 @@
     this.log = log;
     this.self = new HostIdentity(settings.host(), incarnation);
     this.routes = new RouteStore(this::routesChanged);
+    RetryShare retries = new RetryShare(settings.bounds(), this::others, this::seeded);
     RequestCoordinator coordinator =
-        new RequestCoordinator(self, settings.zone(), Policies.engineModel(retries()));
+        new RequestCoordinator(self, settings.zone(), Policies.engineModel(retries.budget()));
     MetricRegistry registry = new MetricRegistry();
     this.decisionLog =
         new DecisionLog(new RequestMetrics(registry, clock), this::basis, clock, log);
@@ -128,30 +94,19 @@
     this.callers = callerServer(adapter);
     this.drain = new RelayDrain(vertx, callers, decisions, () -> settings.bounds(), clock, log);
     this.readiness = new ReadinessServer(vertx, settings.readiness(), this::ready);
-    ConfigurationReader configurations = new ConfigurationReader(adapter.decoder(), routes, log);
-    this.records = new EndpointReader(adapter.decoder(), this::listed, clock, log);
-    this.configuration =
-        follower(
-            adapter,
-            KeyedLog.Topic.OPERATORS,
-            new TopicFollower.Pace(CONFIGURATION_WAIT_MS, 0),
-            new ReadingShare(
-                this::speaks,
-                () -> routes.ageMs(clock.nowMs()),
-                () -> (long) (settings.bounds().revokeMs() * OWN_CONFIGURATION_PART)),
-            configurations);
-    this.endpoints =
-        follower(
+    this.reading =
+        new StoreReading(
+            vertx,
             adapter,
-            KeyedLog.Topic.ENDPOINTS,
-            new TopicFollower.Pace(0, (long) (settings.bounds().drainMs() * ENDPOINTS_PAUSE_PART)),
-            new ReadingShare(
-                this::speaks,
-                () -> records.ageMs(clock.nowMs()),
-                () -> (long) (settings.bounds().drainMs() * OWN_ENDPOINTS_PART)),
-            records);
+            routes,
+            () -> settings.bounds(),
+            this::speaks,
+            this::listed,
+            clock,
+            log);
     this.knowledge =
-        new PeerKnowledge(self, network, fleet, routes, configurations, records, clock, log);
+        new PeerKnowledge(
+            self, network, fleet, routes, reading.configuration(), reading.endpoints(), clock, log);
     gauges(registry);
   }
 
@@ -160,7 +115,15 @@
   }
 
   private StoreView storeView() {
-    return new StoreView(routes.table().revision(), records.changedTo());
+    return reading.view();
+  }
+
+  private int others() {
+    return fleet.others();
+  }
+
+  private boolean seeded() {
+    return !settings.otherSeeds().isEmpty();
   }
 
   /** What this host knows of the store; the network needs it before the rest is made. */
@@ -217,15 +180,6 @@
         this::known);
   }
 
-  private TopicFollower follower(
-      RelayAdapter adapter,
-      KeyedLog.Topic topic,
-      TopicFollower.Pace pace,
-      TopicFollower.Need need,
-      TopicFollower.Reader reader) {
-    return new TopicFollower(vertx, adapter.store(), topic, pace, need, reader, clock, log);
-  }
-
   /** Tells the decisions what happens to attempts and callers. */
   private final class Attempts implements RelayIntake.Attempts {
     @Override
@@ -269,21 +223,6 @@
     registry.registerGauge("peers", () -> fleet.alive().size());
   }
 
-  private RetryBudget retries() {
-    RelayBounds bounds = settings.bounds();
-    return new WindowRetryBudget(
-        bounds.retryRatio() * RETRY_PART, () -> reserve(bounds), bounds.retryWindowMs());
-  }
-
-  /** Returns this host's part of the retries that all daemons are allowed in any case. */
-  private double reserve(RelayBounds bounds) {
-    int others = fleet.others();
-    double known = Math.ceil((others + 1) * DAEMONS_PER_KNOWN);
-    double part = bounds.retrySlack() * RETRY_PART / Math.max(FEWEST_DAEMONS, known);
-    boolean unheard = others == 0 && !settings.otherSeeds().isEmpty();
-    return unheard ? Math.min(RESERVE_UNHEARD, part) : part;
-  }
-
   private void heard(FleetDuty.FleetEvent event) {
     fleet.offer(event);
   }
@@ -302,8 +241,7 @@
         .compose(server -> callers.listen())
         .map(
             server -> {
-              configuration.start();
-              endpoints.start();
+              reading.start();
               knowledge.start(vertx, settings.bounds().drainMs());
               log.event(LogEvent.HOST_STARTED, self, settings.zone());
               return null;
