--- a/org.fawndrum/src/org/fawndrum/transport/relay/FleetDuty.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/FleetDuty.java
@@ -3,12 +3,16 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.TreeMap;
 import java.util.TreeSet;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
+import org.fawndrum.coordination.Action;
 import org.fawndrum.coordination.engine.EngineNews;
 import org.fawndrum.coordination.membership.FleetMember;
 import org.fawndrum.coordination.membership.FleetOverlay;
@@ -41,14 +45,11 @@
   /** The interval of heartbeats while no other daemon is known, in milliseconds. */
   private static final long SEARCH_MS = 250;
 
-  /** A daemon that passes reports on sends at least something in this time, in milliseconds. */
-  private static final long KEEP_ALIVE_MS = 300;
-
-  /** How long reports are gathered before they are passed on, in milliseconds. */
-  private static final double GATHER_MS = 10;
-
-  /** By how much longer they are gathered for each receiver, which bounds messages a second. */
-  private static final double GATHER_MS_PER_LINK = 0.8;
+  /**
+   * From so many other living daemons on, a zone hears at once only of its own engines. With 76
+   * daemons, hearing of all engines took more processor time than there is; with 8 it does no harm.
+   */
+  private static final int MANY_DAEMONS = 24;
 
   /** The most addresses of silent daemons that are tried with one heartbeat. */
   private static final int SILENT_TRIED = 3;
@@ -63,21 +64,19 @@
   private final HostLog log;
   private final Duty<FleetEvent> duty;
   private final FleetOverlay overlay;
-  private final List<EngineNews> ownNews = new ArrayList<>();
-  private final List<FleetReport> gathered = new ArrayList<>();
+  private final Map<String, List<EngineNews>> ownNews = new LinkedHashMap<>();
+  private final ReportBuffer gathered = new ReportBuffer();
   private volatile List<HostAddress> alive = List.of();
   private volatile HostAddress speaker;
   private volatile int others;
+  private volatile boolean manyDaemons;
   private long sequence;
   private long nextHeartbeatMs;
-  private long lastPassedMs;
-  private boolean changesGathered;
-  private long changesSinceMs;
 
   /** An event of this thread. */
   sealed interface FleetEvent {
     /** This host's work changed. */
-    record Changed(EngineNews news) implements FleetEvent {}
+    record Changed(Action.Announce news) implements FleetEvent {}
 
     /** All of this host's work, for a heartbeat. */
     record All(List<EngineNews> work) implements FleetEvent {}
@@ -127,7 +126,7 @@
   }
 
   /** Takes news for the others; what finds no room is told with the next heartbeat. */
-  void announce(EngineNews news) {
+  void announce(Action.Announce news) {
     duty.offer(new FleetEvent.Changed(news));
   }
 
@@ -141,6 +140,11 @@
     return others;
   }
 
+  /** Tells whether the daemons are so many that each zone hears at once only of its own engines. */
+  boolean manyDaemons() {
+    return manyDaemons;
+  }
+
   /** Returns where the daemon is that speaks for this host's zone; null when it is this host. */
   HostAddress speaker() {
     return speaker;
@@ -152,9 +156,11 @@
 
   private void handle(FleetEvent event) {
     if (event instanceof FleetEvent.Changed changed) {
-      ownNews.add(changed.news());
+      Action.Announce one = changed.news();
+      ownNews.computeIfAbsent(one.zone(), zone -> new ArrayList<>()).add(one.news());
     } else if (event instanceof FleetEvent.All all) {
-      ownNews.clear();
+      // What ended says more than the whole: whether the endpoint seems to be the cause.
+      reportOwn(clock.nowMs());
       heartbeat(all.work());
     } else if (event instanceof FleetEvent.Heard heard) {
       heard(heard);
@@ -176,34 +182,13 @@
       listener.reported(fresh);
     }
     if (overlay.passesOn(nowMs)) {
-      gather(fresh);
+      gathered.gather(fresh, nowMs);
     }
     if (heard.subscribes() && (first || overlay.knowsBetter(heard.from(), nowMs))) {
       tellKnown(heard.from());
     }
   }
 
-  /** Keeps reports to pass them on; whole ones only confirm what is known and can wait. */
-  private void gather(List<FleetReport> reports) {
-    boolean changes = reports.stream().anyMatch(report -> !report.whole());
-    if (changes && !changesGathered) {
-      changesGathered = true;
-      changesSinceMs = clock.nowMs();
-    }
-    gathered.addAll(reports);
-  }
-
-  /** Returns when what was gathered is to be passed on. */
-  private long passOnMs(long nowMs) {
-    long latestMs = lastPassedMs + KEEP_ALIVE_MS;
-    if (!changesGathered) {
-      return latestMs;
-    }
-    int links = overlay.near(nowMs).size();
-    long waitMs = Math.round(Math.max(GATHER_MS, GATHER_MS_PER_LINK * links));
-    return Math.min(latestMs, changesSinceMs + waitMs);
-  }
-
   private void tellKnown(FleetMember to) {
     FleetNews.Builder news = news();
     overlay.alive().forEach(one -> news.addKnown(FleetCodec.write(one)));
@@ -212,19 +197,14 @@
 
   private long tick() {
     long nowMs = clock.nowMs();
-    if (!ownNews.isEmpty()) {
-      report(new FleetReport(self, Optional.empty(), ++sequence, false, ownNews), nowMs);
-      ownNews.clear();
-    }
+    reportOwn(nowMs);
     follow(nowMs);
     boolean passesOn = overlay.passesOn(nowMs);
     if (passesOn && nowMs >= passOnMs(nowMs)) {
       passOn(nowMs);
     }
     if (nowMs >= nextHeartbeatMs) {
-      overlay.forget(nowMs);
-      alive = overlay.alive().stream().map(FleetMember::address).toList();
-      others = alive.size() + overlay.silent().size();
+      showOthers(nowMs);
       nextHeartbeatMs = nowMs + (alive.isEmpty() ? SEARCH_MS : HEARTBEAT_MS);
       listener.workWanted(work -> duty.offer(new FleetEvent.All(work)));
     }
@@ -232,6 +212,35 @@
     return Math.min(nextHeartbeatMs, dueMs) - nowMs;
   }
 
+  private long passOnMs(long nowMs) {
+    return gathered.dueMs(overlay.near(nowMs).size());
+  }
+
+  /** Lets other threads see who is alive. */
+  private void showOthers(long nowMs) {
+    overlay.forget(nowMs);
+    alive = overlay.alive().stream().map(FleetMember::address).toList();
+    others = alive.size() + overlay.silent().size();
+    manyDaemons = alive.size() >= MANY_DAEMONS;
+  }
+
+  /** Reports what changed: through the speaker, or with what this host passes on. */
+  private void reportOwn(long nowMs) {
+    if (ownNews.isEmpty()) {
+      return;
+    }
+    List<FleetReport> reports = new ArrayList<>();
+    ownNews.forEach(
+        (zone, news) ->
+            reports.add(new FleetReport(self, Optional.empty(), ++sequence, zone, false, news)));
+    ownNews.clear();
+    if (overlay.passesOn(nowMs)) {
+      gathered.gather(reports, nowMs);
+    } else {
+      send(news(reports, nowMs), addresses(overlay.near(nowMs)));
+    }
+  }
+
   /** Subscribes at once where the speaker is another one than before. */
   private void follow(long nowMs) {
     FleetMember now = overlay.speaker(nowMs);
@@ -245,7 +254,8 @@
 
   private void heartbeat(List<EngineNews> work) {
     long nowMs = clock.nowMs();
-    FleetReport all = new FleetReport(self, Optional.of(member), ++sequence, true, work);
+    FleetReport all =
+        new FleetReport(self, Optional.of(member), ++sequence, FleetReport.EVERYWHERE, true, work);
     FleetNews.Builder news = news().setSubscribes(true).addReports(FleetCodec.write(all, nowMs));
     Set<HostAddress> to = addresses(overlay.far(nowMs));
     if (speaker != null) {
@@ -255,7 +265,7 @@
     }
     send(news, to);
     if (overlay.passesOn(nowMs)) {
-      gather(List.of(all));
+      gathered.gather(List.of(all), nowMs);
     }
   }
 
@@ -267,25 +277,26 @@
     return addresses;
   }
 
-  /** Reports own work: through the speaker, or with what this host passes on. */
-  private void report(FleetReport report, long nowMs) {
-    if (overlay.passesOn(nowMs)) {
-      gather(List.of(report));
-    } else {
-      FleetNews.Builder news = news().addReports(FleetCodec.write(report, nowMs));
-      send(news, addresses(overlay.near(nowMs)));
+  /** Passes on what was gathered; where daemons are many, to each zone what concerns it. */
+  private void passOn(long nowMs) {
+    Map<String, List<FleetMember>> byZone = new TreeMap<>();
+    byZone.put(member.zone(), overlay.near(nowMs));
+    for (FleetMember far : overlay.far(nowMs)) {
+      byZone.computeIfAbsent(far.zone(), zone -> new ArrayList<>()).add(far);
     }
+    List<FleetReport> all = gathered.drain(nowMs);
+    byZone.forEach(
+        (zone, members) -> {
+          List<FleetReport> reports =
+              all.stream().filter(one -> !manyDaemons || one.concerns(zone)).toList();
+          send(news(reports, nowMs), addresses(members));
+        });
   }
 
-  private void passOn(long nowMs) {
+  private FleetNews.Builder news(List<FleetReport> reports, long nowMs) {
     FleetNews.Builder news = news();
-    gathered.forEach(report -> news.addReports(FleetCodec.write(report, nowMs)));
-    gathered.clear();
-    changesGathered = false;
-    lastPassedMs = nowMs;
-    Set<HostAddress> to = addresses(overlay.near(nowMs));
-    to.addAll(addresses(overlay.far(nowMs)));
-    send(news, to);
+    reports.forEach(report -> news.addReports(FleetCodec.write(report, nowMs)));
+    return news;
   }
 
   private FleetNews.Builder news() {
--- a/org.fawndrum/src/org/fawndrum/transport/relay/RelayRuntime.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/RelayRuntime.java
@@ -8,6 +8,7 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Consumer;
+import org.fawndrum.coordination.Action;
 import org.fawndrum.coordination.AttemptEvent;
 import org.fawndrum.coordination.AttemptId;
 import org.fawndrum.coordination.Policies;
@@ -80,7 +81,8 @@
     this.routes = new RouteStore(this::routesChanged);
     RetryShare retries = new RetryShare(settings.bounds(), this::others, this::seeded);
     RequestCoordinator coordinator =
-        new RequestCoordinator(self, settings.zone(), Policies.engineModel(retries.budget()));
+        new RequestCoordinator(
+            self, settings.zone(), Policies.engineModel(retries.budget(), this::manyDaemons));
     MetricRegistry registry = new MetricRegistry();
     this.decisionLog =
         new DecisionLog(new RequestMetrics(registry, clock), this::basis, clock, log);
@@ -227,10 +229,14 @@
     fleet.offer(event);
   }
 
-  private void announced(EngineNews news) {
+  private void announced(Action.Announce news) {
     fleet.announce(news);
   }
 
+  private boolean manyDaemons() {
+    return fleet.manyDaemons();
+  }
+
   /** Starts everything; fails when an address cannot be had. */
   public Future<Void> start() {
     decisions.start();
