--- a/org.fawndrum/src/org/fawndrum/transport/relay/PeerKnowledge.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/PeerKnowledge.java
@@ -116,16 +116,16 @@
     network
         .ask(peer, PeerCodec.from(self).setKnowledgeRequest(request))
         .whenComplete(
-            (reply, failure) ->
-                loop.runOnContext(
-                    v -> {
-                      asked.remove(peer);
-                      if (failure == null) {
-                        take(reply.getKnowledgeReply(), askedMs);
-                      } else {
-                        log.event(LogEvent.PEER_GAVE_NOTHING, peer, String.valueOf(failure));
-                      }
-                    }));
+            (reply, failure) -> loop.runOnContext(v -> answered(peer, askedMs, reply, failure)));
+  }
+
+  private void answered(HostAddress peer, long askedMs, PeerMessage reply, Throwable failure) {
+    asked.remove(peer);
+    if (failure == null) {
+      take(reply.getKnowledgeReply(), askedMs);
+    } else {
+      log.event(LogEvent.PEER_GAVE_NOTHING, peer, String.valueOf(failure));
+    }
   }
 
   private void take(KnowledgeReply reply, long askedMs) {
