--- a/org.fawndrum/tst/org/fawndrum/transport/relay/TopicFollowerTest.java
+++ b/org.fawndrum/tst/org/fawndrum/transport/relay/TopicFollowerTest.java
@@ -22,6 +22,7 @@
 class TopicFollowerTest {
   private static final KeyedRecord RECORD = new KeyedRecord(3, "config", new byte[] {1});
 
+  /** Up to what age a host need not read itself, in milliseconds. */
   private static final long OLDEST_MS = 3_000;
 
   private final Vertx vertx = Vertx.vertx();
@@ -96,6 +97,13 @@
         .start();
   }
 
+  /** Lets so much time pass, in milliseconds. */
+  private void later(long afterMs) throws Exception {
+    CompletableFuture<Void> later = new CompletableFuture<>();
+    vertx.setTimer(afterMs, id -> later.complete(null));
+    later.get();
+  }
+
   @AfterEach
   void close() {
     vertx.close().await();
@@ -146,12 +154,6 @@
     assertTrue(proved.isEmpty());
   }
 
-  private void later(long afterMs) throws Exception {
-    CompletableFuture<Void> later = new CompletableFuture<>();
-    vertx.setTimer(afterMs, id -> later.complete(null));
-    later.get();
-  }
-
   @Test
   void aHostThatIsToldEnoughDoesNotRead() throws Exception {
     speaks = false;
@@ -171,7 +173,7 @@
   }
 
   @Test
-  void readingGoesOnAfterWhatOthersTold() throws Exception {
+  void readingGoesOnAfterWhatOthersTold() {
     start();
     questions.answer(new KeyedPage(List.of(), 3));
     toldTo = 9;
