--- a/org.fawndrum.soak/src/org/fawndrum/soak/SoakLoop.java
+++ b/org.fawndrum.soak/src/org/fawndrum/soak/SoakLoop.java
@@ -14,7 +14,7 @@
  * for all threads, but the methods that wait must not be called on the event loop itself.
  */
 final class SoakLoop {
-  /** How long a step on the event loop may take, in seconds; none takes one when all is well. */
+  /** How long a step on the event loop may take, in seconds. */
   private static final long STEP_S = 20;
 
   private final Vertx vertx =
--- a/org.fawndrum.soak/src/org/fawndrum/soak/SoakSite.java
+++ b/org.fawndrum.soak/src/org/fawndrum/soak/SoakSite.java
@@ -53,7 +53,7 @@
   private static final String READY = "ready";
   private static final String LEAVING = "draining";
 
-  /** How long a proxy tries to connect, in milliseconds; loopback answers at once or not at all. */
+  /** How long a proxy tries to connect, in milliseconds. */
   private static final int CONNECT_MS = 1_000;
 
   private final Vertx vertx;
