Keep the platform's wire names of the soak with the stand-ins

Change: CallerStandin says what callers send and read, EndpointStandin turns requests away and says what it sees; the soak writes an end down with its exit code and starts the host again.

--- a/org.fawndrum.soak/src/org/fawndrum/soak/Callers.java
+++ b/org.fawndrum.soak/src/org/fawndrum/soak/Callers.java
@@ -9,6 +9,7 @@
 import io.vertx.core.http.RequestOptions;
 import java.util.List;
 import java.util.Random;
+import org.fawndrum.platform.standin.CallerStandin;
 import org.fawndrum.state.HostAddress;
 
 /**
@@ -77,10 +78,9 @@
     String key = random.nextInt(VICTIM_PART) == 0 ? SoakSite.VICTIM_KEY : SoakSite.KEY;
     String body = stream ? SoakSite.STREAM : SoakSite.PLAIN;
     ledger.sent(id, new Ledger.Sent(path, repeatable, key, body, Soak.nowMs()));
-    RequestOptions options = new SoakRequest(host, path, id, key, DEADLINE_MS).options();
-    if (stream) {
-      options.putHeader("X-Token-Usage", SHORTEST_PROMPT + random.nextInt(PROMPT_SPREAD) + ",100");
-    }
+    long prompt = stream ? SHORTEST_PROMPT + random.nextInt(PROMPT_SPREAD) : 0;
+    RequestOptions options =
+        new CallerStandin.Request(host, path, id, key, DEADLINE_MS, prompt).options();
     client
         .request(options)
         .compose(request -> request.send("body"))
@@ -90,10 +90,6 @@
 
   private void answered(String id, HttpClientResponse answer, String body) {
     ledger.answered(
-        id,
-        answer.statusCode(),
-        answer.getHeader("X-Request-Id"),
-        answer.getHeader("X-Response-Seal"),
-        body);
+        id, answer.statusCode(), CallerStandin.requestId(answer), CallerStandin.seal(answer), body);
   }
 }
--- a/org.fawndrum.soak/src/org/fawndrum/soak/FaultPlayer.java
+++ b/org.fawndrum.soak/src/org/fawndrum/soak/FaultPlayer.java
@@ -50,10 +50,13 @@
     return steps;
   }
 
-  private void checkAlive() {
+  /** Writes down who ended by itself, and starts it again as the platform would. */
+  private void checkAlive() throws InterruptedException, IOException {
     for (HostProcess host : site.hosts()) {
       if (host.endedByItself()) {
-        throw new SoakFailedException(host.name() + " ended by itself", null);
+        String what = host.name() + " ended by itself with code " + host.exitCode();
+        loop.run(() -> ledger.broken(what));
+        host.start();
       }
     }
   }
--- a/org.fawndrum.soak/src/org/fawndrum/soak/HostProcess.java
+++ b/org.fawndrum.soak/src/org/fawndrum/soak/HostProcess.java
@@ -98,6 +98,11 @@
     return stopped;
   }
 
+  /** Returns the exit code of a process that ended. */
+  int exitCode() {
+    return process.exitValue();
+  }
+
   /** Tells whether the process ended though nobody ended it. */
   boolean endedByItself() {
     return !endExpected && !process.isAlive();
--- a/org.fawndrum.soak/src/org/fawndrum/soak/Probe.java
+++ b/org.fawndrum.soak/src/org/fawndrum/soak/Probe.java
@@ -6,6 +6,7 @@
 import io.vertx.core.http.HttpClientAgent;
 import io.vertx.core.http.RequestOptions;
 import java.util.UUID;
+import org.fawndrum.platform.standin.CallerStandin;
 import org.fawndrum.state.HostAddress;
 
 /** Asks one host, on a connection of its own, whether it serves a plain call. */
@@ -25,7 +26,7 @@
     HttpClientAgent client = vertx.createHttpClient();
     String id = UUID.randomUUID().toString();
     RequestOptions options =
-        new SoakRequest(host, "/none/1", id, SoakSite.KEY, WITHIN_MS).options();
+        new CallerStandin.Request(host, "/none/1", id, SoakSite.KEY, WITHIN_MS, 0).options();
     return client
         .request(options)
         .compose(request -> request.send())
--- a/org.fawndrum.soak/src/org/fawndrum/soak/SoakEndpoint.java
+++ b/org.fawndrum.soak/src/org/fawndrum/soak/SoakEndpoint.java
@@ -14,7 +14,6 @@
  */
 final class SoakEndpoint implements EndpointStandin.Behaviour {
   private static final String ZONE = "zone-a";
-  private static final int NOT_EXECUTED = 503;
 
   private final Vertx vertx;
   private final NetClient client;
@@ -89,15 +88,11 @@
   @Override
   public boolean answer(EndpointStandin endpoint, HttpServerRequest request, int number) {
     if (sheds) {
-      request
-          .response()
-          .setStatusCode(NOT_EXECUTED)
-          .putHeader("X-Not-Executed", "full")
-          .putHeader("X-Request-Id", request.getHeader("X-Request-Id"))
-          .end();
+      endpoint.turnAway(request);
       return true;
     }
-    ledger.ran(request.getHeader("X-Request-Id"), request.uri(), request.getHeader("X-Tenant"));
+    EndpointStandin.Seen seen = EndpointStandin.seen(request);
+    ledger.ran(seen.requestId(), seen.uri(), seen.workspace());
     if (losesAnswers) {
       request.connection().close();
     }
