--- a/org.fawndrum.soak/tst/org/fawndrum/soak/SoakTest.java
+++ b/org.fawndrum.soak/tst/org/fawndrum/soak/SoakTest.java
@@ -19,7 +19,11 @@
   @TempDir private Path folder;
 
   private void holds(long seed) throws Exception {
-    Soak.Result result = new Soak(new Soak.Order(seed, HOSTS, LENGTH_MS, false, folder)).call();
+    holds(seed, HOSTS, LENGTH_MS);
+  }
+
+  private void holds(long seed, int hosts, long lengthMs) throws Exception {
+    Soak.Result result = new Soak(new Soak.Order(seed, hosts, lengthMs, false, folder)).call();
     assertEquals(List.of(), result.broken(), result.summary());
   }
 
@@ -28,6 +32,12 @@
     holds(2);
   }
 
+  /** A daemon that was told to reload just after its start ended with code 129; seed 2 did too. */
+  @Test
+  void seedOneHundredAndThirtySix() throws Exception {
+    holds(136, 4, 8_000);
+  }
+
   @Test
   void seedFour() throws Exception {
     holds(4);
