Serve keyed requests from the last configuration where operators allow it

Cause: the product did not read the operators' bound that says whether a key needs proof of the newest configuration. Ruled out: serving on everywhere; where keys need proof nothing changes.

--- a/org.fawndrum.soak/src/org/fawndrum/soak/HostSettings.java
+++ b/org.fawndrum.soak/src/org/fawndrum/soak/HostSettings.java
@@ -50,7 +50,7 @@
         { "host": "%s", "zone": "zone-%s", "callers": "%s", "readiness": "%s",
           "peers": "%s:%d", "metrics": "%s", "platform": "%s", "linkMegabits": %d,
           "seeds": [%s],
-          "bounds": { "revokeMs": %d, "drainMs": 2000, "graceS": %d, "retryRatio": 0.2,
+          "bounds": { "keysNeedProof": true, "revokeMs": %d, "drainMs": 2000, "graceS": %d, "retryRatio": 0.2,
             "retrySlack": 100, "retryWindowS": 10, "streamPassMs": 120 } }
         """,
         name(host),
--- a/org.fawndrum/src/org/fawndrum/transport/relay/ReadRelaySettings.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/ReadRelaySettings.java
@@ -59,6 +59,7 @@
   private static RelayBounds bounds(SettingsNode node) {
     RelayBounds bounds =
         new RelayBounds(
+            node.flag("keysNeedProof", true),
             node.number("revokeMs", 1, LONGEST_MS),
             node.number("drainMs", 1, LONGEST_MS),
             node.number("graceS", 1, LONGEST_S) * MS_PER_SECOND,
--- a/org.fawndrum/src/org/fawndrum/transport/relay/RelayBounds.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/RelayBounds.java
@@ -4,7 +4,10 @@
 /**
  * Times that operators promise or allow.
  *
- * @param revokeMs after how long a revoked key must not run anything any more, in milliseconds
+ * @param keysNeedProof whether a host refuses requests with a key once it cannot prove any more
+ *     that no newer configuration took the key away; otherwise it goes on with the last one it
+ *     knows
+ * @param revokeMs after how long without such a proof it refuses them, in milliseconds
  * @param drainMs after how long a leaving endpoint must get no new work, in milliseconds
  * @param graceMs the time between the order to stop and the end, in milliseconds
  * @param retryRatio sends beyond the first, in proportion to requests of a service
@@ -13,6 +16,7 @@
  * @param streamPassMs how fast an event must be passed on, in milliseconds
  */
 public record RelayBounds(
+    boolean keysNeedProof,
     long revokeMs,
     long drainMs,
     long graceMs,
--- a/org.fawndrum/src/org/fawndrum/transport/relay/RelayIntake.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/RelayIntake.java
@@ -29,9 +29,6 @@
   /** After how long a caller is asked back when only other hosts can help, in milliseconds. */
   static final long OTHER_HOST_RETRY_MS = 250;
 
-  /** How much before the bound a host stops trusting keys that it cannot confirm. */
-  private static final long REVOKE_MARGIN_MS = 400;
-
   private final RouteStore routes;
   private final RelayDuty decisions;
   private final RelayTools tools;
@@ -96,7 +93,7 @@
     if (workspace == null) {
       throw refused(request, RefusalKind.UNKNOWN_KEY);
     }
-    if (routes.ageMs(tools.clock().nowMs()) > bounds.get().revokeMs() - REVOKE_MARGIN_MS) {
+    if (!ConfigurationTrust.forKeys(bounds.get(), routes.ageMs(tools.clock().nowMs()))) {
       // The key may have been revoked in a configuration that this host could not read.
       throw later(request, RefusalKind.NO_TABLE);
     }
--- a/org.fawndrum/src/org/fawndrum/transport/relay/RelayRuntime.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/RelayRuntime.java
@@ -258,8 +258,12 @@
 
   /** Tells whether this host takes callers: it knows what it needs and is not stopping. */
   public boolean ready() {
-    boolean fresh = routes.ageMs(clock.nowMs()) < settings.bounds().revokeMs();
-    return !drain.begun() && fresh && known();
+    return !drain.begun() && known() && trusted();
+  }
+
+  private boolean trusted() {
+    boolean cutOff = fleet.others() > 0 && fleet.alive().isEmpty();
+    return ConfigurationTrust.forCallers(bounds(), routes.ageMs(clock.nowMs()), cutOff);
   }
 
   /** Tells whether this host has read a configuration and the endpoints since its start. */
--- /dev/null
+++ b/org.fawndrum/tst/org/fawndrum/transport/relay/ConfigurationTrustTest.java
@@ -0,0 +1,43 @@
+// SPDX-License-Identifier: Apache-2.0
+package org.fawndrum.transport.relay;
+
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import org.fawndrum.transport.HostClock;
+import org.junit.jupiter.api.Test;
+
+/** For what an old configuration is still good, with keys that need proof and without. */
+class ConfigurationTrustTest {
+  private static final long NEVER_PROVEN_MS = -HostClock.NEVER_MS;
+
+  private static RelayBounds bounds(boolean keysNeedProof) {
+    return new RelayBounds(keysNeedProof, 5_000, 2_000, 8_000, 0.2, 100, 10_000, 120);
+  }
+
+  @Test
+  void keysThatNeedProofEndBeforeTheBound() {
+    assertTrue(ConfigurationTrust.forKeys(bounds(true), 4_500));
+    assertFalse(ConfigurationTrust.forKeys(bounds(true), 4_700));
+    assertFalse(ConfigurationTrust.forKeys(bounds(true), NEVER_PROVEN_MS));
+  }
+
+  @Test
+  void keysThatNeedNoneGoOnWithTheLastConfiguration() {
+    assertTrue(ConfigurationTrust.forKeys(bounds(false), 60_000));
+    assertTrue(ConfigurationTrust.forKeys(bounds(false), NEVER_PROVEN_MS));
+  }
+
+  @Test
+  void callersStayAwayFromAHostWithoutProof() {
+    assertTrue(ConfigurationTrust.forCallers(bounds(true), 4_900, true));
+    assertFalse(ConfigurationTrust.forCallers(bounds(true), 5_100, false));
+  }
+
+  @Test
+  void withoutNeedOfProofOnlyACutOffHostLosesItsCallers() {
+    assertTrue(ConfigurationTrust.forCallers(bounds(false), 60_000, false));
+    assertFalse(ConfigurationTrust.forCallers(bounds(false), 60_000, true));
+    assertTrue(ConfigurationTrust.forCallers(bounds(false), 1_000, true));
+  }
+}
