Show all engines of a prompt and hold the model against what came

Cause: a placement's log line named only the first engine, and nothing said what the model had expected, so that its errors could not be seen. Change: decisions of placements and first tokens carry the reading: all engines, the first token expected of the plan, and the time that it took. The log, fawndrum explain and the live watch show it; the metrics address has histograms of how much later or sooner it came, by length and by engines.

--- a/org.fawndrum.pgm/src/org/fawndrum/pgm/DecisionLine.java
+++ b/org.fawndrum.pgm/src/org/fawndrum/pgm/DecisionLine.java
@@ -5,6 +5,7 @@
 import java.util.Locale;
 import org.fawndrum.protocol.OperatorMessages.DecisionView;
 import org.fawndrum.protocol.OperatorMessages.PassedOverView;
+import org.fawndrum.protocol.OperatorMessages.ReadingView;
 
 /** Prints a decision as one line for people. */
 final class DecisionLine {
@@ -32,6 +33,9 @@
       line.append(", come back in ").append(decision.retryAfterMs()).append(" ms");
     }
     append(line, ", cell ", decision.cell());
+    if (decision.reading() != null) {
+      append(line, decision.reading());
+    }
     if (decision.passedOver() != null) {
       line.append(", passed over");
       for (PassedOverView one : decision.passedOver()) {
@@ -41,6 +45,14 @@
     return line.toString();
   }
 
+  private static void append(StringBuilder line, ReadingView reading) {
+    line.append(", read by ").append(String.join(" ", reading.engines()));
+    line.append(", first token expected after ").append(reading.expectedMs()).append(" ms");
+    if (reading.tookMs() != null) {
+      line.append(", came after ").append(reading.tookMs()).append(" ms");
+    }
+  }
+
   private static void append(StringBuilder line, String before, String value) {
     if (value != null) {
       line.append(before).append(value);
--- a/org.fawndrum/src/org/fawndrum/coordination/Decision.java
+++ b/org.fawndrum/src/org/fawndrum/coordination/Decision.java
@@ -22,6 +22,7 @@
  * @param cell the cell of the table that decided, if one did
  * @param refusal the final answer, if this is one
  * @param passedOver the nearest endpoints that were not chosen, at most three
+ * @param reading how the prompt is read, if this is its placement or its first token
  */
 public record Decision(
     String requestId,
@@ -36,4 +37,5 @@
     int attempt,
     Optional<CellKey> cell,
     Optional<Refusal> refusal,
-    List<PassedOver> passedOver) {}
+    List<PassedOver> passedOver,
+    Optional<Reading> reading) {}
--- a/org.fawndrum/src/org/fawndrum/coordination/Explainer.java
+++ b/org.fawndrum/src/org/fawndrum/coordination/Explainer.java
@@ -36,7 +36,24 @@
                 attempt,
                 Optional.of(weight),
                 Optional.empty(),
-                choice.passedOver())));
+                choice.passedOver(),
+                choice.reading())));
+  }
+
+  void firstToken(LiveRequest request, LiveRequest.Attempt attempt, long nowMs) {
+    out.add(
+        new Action.Explain(
+            decision(
+                request.facts,
+                nowMs,
+                DecisionKind.FIRST_TOKEN,
+                Reason.COMPLETE,
+                Optional.of(attempt.endpoint.endpoint().name()),
+                attempt.id.number(),
+                Optional.empty(),
+                Optional.empty(),
+                List.of(),
+                attempt.reading.map(reading -> reading.took(nowMs - attempt.sentMs)))));
   }
 
   void attempt(
@@ -52,7 +69,8 @@
                 attempt.id.number(),
                 Optional.empty(),
                 Optional.empty(),
-                List.of())));
+                List.of(),
+                Optional.empty())));
   }
 
   void refused(RequestFacts facts, Refusal refusal, Reason why, long nowMs) {
@@ -67,7 +85,8 @@
                 0,
                 refusal.cell(),
                 Optional.of(refusal),
-                List.of())));
+                List.of(),
+                Optional.empty())));
   }
 
   private void show(RequestFacts facts, long nowMs, DecisionKind kind, Reason reason) {
@@ -82,7 +101,8 @@
                 0,
                 Optional.empty(),
                 Optional.empty(),
-                List.of())));
+                List.of(),
+                Optional.empty())));
   }
 
   private static Decision decision(
@@ -94,7 +114,8 @@
       int attempt,
       Optional<CellKey> cell,
       Optional<Refusal> refusal,
-      List<PassedOver> passedOver) {
+      List<PassedOver> passedOver,
+      Optional<Reading> reading) {
     return new Decision(
         facts.requestId(),
         facts.group(),
@@ -108,6 +129,7 @@
         attempt,
         cell,
         refusal,
-        passedOver);
+        passedOver,
+        reading);
   }
 }
--- a/org.fawndrum/src/org/fawndrum/coordination/LiveRequest.java
+++ b/org.fawndrum/src/org/fawndrum/coordination/LiveRequest.java
@@ -4,6 +4,7 @@
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
 import org.fawndrum.state.HostIdentity;
 import org.fawndrum.state.Row;
@@ -34,15 +35,19 @@
     final AttemptId id;
     final EndpointState endpoint;
     final List<Long> jobs = new ArrayList<>(1);
+    final Optional<Reading> reading;
+    final long sentMs;
 
     /** The engine that kept the others from taking the request; null when none did. */
     HostIdentity helperAtFault;
 
     AttemptState state = AttemptState.WAITING;
 
-    Attempt(AttemptId id, EndpointState endpoint) {
+    Attempt(AttemptId id, Placement.Choice choice, long sentMs) {
       this.id = id;
-      this.endpoint = endpoint;
+      this.endpoint = choice.state();
+      this.reading = choice.reading();
+      this.sentMs = sentMs;
     }
   }
 
--- a/org.fawndrum/src/org/fawndrum/coordination/Placement.java
+++ b/org.fawndrum/src/org/fawndrum/coordination/Placement.java
@@ -3,7 +3,9 @@
 
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
+import java.util.stream.Stream;
 import org.fawndrum.state.HostIdentity;
 
 /** Chooses the endpoint for a request, or none when it should wait. */
@@ -46,12 +48,30 @@
    * @param reason why
    * @param passedOver the nearest endpoints not chosen
    * @param helpers other engines that read parts of the prompt; none for most requests
+   * @param expectedMs when the first token is expected, in milliseconds from now; empty where
+   *     nothing is expected
    */
   record Choice(
-      EndpointState state, Reason reason, List<PassedOver> passedOver, List<Helper> helpers) {
-    /** Makes the choice of one endpoint alone. */
+      EndpointState state,
+      Reason reason,
+      List<PassedOver> passedOver,
+      List<Helper> helpers,
+      OptionalLong expectedMs) {
+    /** Makes the choice of one endpoint alone, of which nothing is expected. */
     public Choice(EndpointState state, Reason reason, List<PassedOver> passedOver) {
-      this(state, reason, passedOver, List.of());
+      this(state, reason, passedOver, List.of(), OptionalLong.empty());
+    }
+
+    /** Returns how the prompt will be read; empty where nothing is expected. */
+    Optional<Reading> reading() {
+      if (expectedMs.isEmpty()) {
+        return Optional.empty();
+      }
+      List<String> engines =
+          Stream.concat(Stream.of(state), helpers.stream().map(Helper::state))
+              .map(one -> one.endpoint().name())
+              .toList();
+      return Optional.of(new Reading(engines, expectedMs.getAsLong(), Reading.NOT_YET));
     }
   }
 
--- a/org.fawndrum/src/org/fawndrum/coordination/RequestCoordinator.java
+++ b/org.fawndrum/src/org/fawndrum/coordination/RequestCoordinator.java
@@ -231,7 +231,7 @@
     if (attempt.state == AttemptState.RUNNING && !request.firstTokenSeen) {
       request.firstTokenSeen = true;
       attempt.endpoint.promptRead(id);
-      explainer.attempt(request, attempt, DecisionKind.FIRST_TOKEN, Reason.COMPLETE, nowMs);
+      explainer.firstToken(request, attempt, nowMs);
     }
     if (!before.ended() && attempt.state.ended()) {
       attempt.endpoint.ended(id);
@@ -369,7 +369,7 @@
     int number = request.attempts.size() + 1;
     AttemptId id = new AttemptId(self, facts.requestId(), number);
     EndpointState state = choice.state();
-    LiveRequest.Attempt attempt = new LiveRequest.Attempt(id, state);
+    LiveRequest.Attempt attempt = new LiveRequest.Attempt(id, choice, nowMs);
     // The order to send runs on another thread: from here on the request may leave at any moment.
     attempt.state = AttemptStates.after(attempt.state, AttemptEvent.SENDING);
     request.attempts.add(attempt);
--- a/org.fawndrum/src/org/fawndrum/coordination/engine/EngineModelPlacement.java
+++ b/org.fawndrum/src/org/fawndrum/coordination/engine/EngineModelPlacement.java
@@ -5,6 +5,7 @@
 import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 import org.fawndrum.coordination.EndpointState;
 import org.fawndrum.coordination.PassedOver;
 import org.fawndrum.coordination.Placement;
@@ -81,7 +82,7 @@
   private record Option(EndpointState state, int place, double harm, double firstTokenMs) {}
 
   /** Engines that together would take a request, the writing one first. */
-  private record Plan(List<Option> options, double cost) {}
+  private record Plan(List<Option> options, double firstTokenMs, double cost) {}
 
   @Override
   public Optional<Choice> choose(Query query) {
@@ -111,7 +112,7 @@
     return query.candidates().stream()
         .filter(query::usable)
         .min(Comparator.comparingDouble(state -> plainCost(state, query)))
-        .map(state -> new Choice(state, Reason.LEAST_IN_FLIGHT, List.of(), List.of()));
+        .map(state -> new Choice(state, Reason.LEAST_IN_FLIGHT, List.of()));
   }
 
   private double plainCost(EndpointState state, Query query) {
@@ -129,7 +130,7 @@
     double latest = chosen.stream().mapToDouble(Option::firstTokenMs).max().orElse(0);
     double harm = chosen.stream().mapToDouble(Option::harm).sum();
     double cost = harm + lateness(query.facts(), latest) + settings.perEngine() * (engines - 1);
-    return new Plan(chosen, cost);
+    return new Plan(chosen, latest, cost);
   }
 
   /** Returns the engines that can take one part of so many. */
@@ -268,7 +269,8 @@
       helpers.add(new Helper(option.state(), alone ? 0 : share));
     }
     Reason reason = helpers.isEmpty() ? Reason.EARLIEST_FIRST_TOKEN : Reason.SEVERAL_ENGINES;
-    return new Choice(first.state(), reason, passedOver(query, first), helpers);
+    OptionalLong expectedMs = OptionalLong.of(Math.round(plan.firstTokenMs()));
+    return new Choice(first.state(), reason, passedOver(query, first), helpers, expectedMs);
   }
 
   private List<PassedOver> passedOver(Query query, Option best) {
--- a/org.fawndrum/src/org/fawndrum/protocol/OperatorMessages.java
+++ b/org.fawndrum/src/org/fawndrum/protocol/OperatorMessages.java
@@ -71,7 +71,11 @@
       String refusal,
       String ran,
       Long retryAfterMs,
-      List<PassedOverView> passedOver) {}
+      List<PassedOverView> passedOver,
+      ReadingView reading) {}
+
+  /** How a prompt is read; no time is taken before its first token came. */
+  public record ReadingView(List<String> engines, long expectedMs, Long tookMs) {}
 
   /** An endpoint that was weighed and not chosen. */
   public record PassedOverView(String endpoint, long expectedMs) {}
--- a/org.fawndrum/src/org/fawndrum/protocol/OperatorViews.java
+++ b/org.fawndrum/src/org/fawndrum/protocol/OperatorViews.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Locale;
 import org.fawndrum.coordination.Decision;
+import org.fawndrum.coordination.Reading;
 import org.fawndrum.protocol.OperatorMessages.CellView;
 import org.fawndrum.protocol.OperatorMessages.ChangeView;
 import org.fawndrum.protocol.OperatorMessages.DeciderView;
@@ -12,6 +13,7 @@
 import org.fawndrum.protocol.OperatorMessages.History;
 import org.fawndrum.protocol.OperatorMessages.PassedOverView;
 import org.fawndrum.protocol.OperatorMessages.Published;
+import org.fawndrum.protocol.OperatorMessages.ReadingView;
 import org.fawndrum.protocol.OperatorMessages.TableView;
 import org.fawndrum.state.Cell;
 import org.fawndrum.state.CellChange;
@@ -49,7 +51,13 @@
         decision.refusal().map(refusal -> refusal.kind().code()).orElse(null),
         decision.refusal().map(refusal -> refusal.ran().word()).orElse(null),
         decision.refusal().map(refusal -> refusal.retryAfterMs()).orElse(null),
-        passedOver.isEmpty() ? null : passedOver);
+        passedOver.isEmpty() ? null : passedOver,
+        decision.reading().map(OperatorViews::reading).orElse(null));
+  }
+
+  private static ReadingView reading(Reading reading) {
+    Long tookMs = reading.tookMs() == Reading.NOT_YET ? null : reading.tookMs();
+    return new ReadingView(reading.engines(), reading.expectedMs(), tookMs);
   }
 
   private static String word(Enum<?> value) {
--- a/org.fawndrum/src/org/fawndrum/transport/RequestMetrics.java
+++ b/org.fawndrum/src/org/fawndrum/transport/RequestMetrics.java
@@ -13,6 +13,7 @@
 import org.HdrHistogram.Recorder;
 import org.fawndrum.coordination.Decision;
 import org.fawndrum.coordination.DecisionKind;
+import org.fawndrum.coordination.Reading;
 import org.fawndrum.coordination.RequestFacts;
 import org.mpierce.metrics.reservoir.hdrhistogram.HdrHistogramResetOnSnapshotReservoir;
 
@@ -25,6 +26,9 @@
   /** The most workspaces that have histograms of their own. */
   public static final int MOST_WORKSPACES = 200;
 
+  /** Up to so many engines that read a prompt together count as few. */
+  private static final int FEW_ENGINES = 4;
+
   private static final String OTHER = "other";
   private static final long LONGEST_MS = 86_400_000;
   private static final int DIGITS = 1;
@@ -64,7 +68,10 @@
   }
 
   private Histogram histogram(String what, String workspace, long promptTokens) {
-    String name = MetricRegistry.name(what, workspace(workspace), lengthClass(promptTokens));
+    return histogram(MetricRegistry.name(what, workspace(workspace), lengthClass(promptTokens)));
+  }
+
+  private Histogram histogram(String name) {
     return registry.histogram(
         name,
         () ->
@@ -88,12 +95,32 @@
           histogram("queueMs", workspace, tokens).update(sinceMs);
         }
       }
-      case FIRST_TOKEN -> histogram("firstTokenMs", workspace, tokens).update(sinceMs);
+      case FIRST_TOKEN -> {
+        histogram("firstTokenMs", workspace, tokens).update(sinceMs);
+        decision.reading().ifPresent(reading -> expected(reading, tokens));
+      }
       case FINISHED, REFUSED -> ended(decision, workspace, tokens);
       default -> {}
     }
   }
 
+  /** Notes by how much the first token came later or sooner than expected. */
+  private void expected(Reading reading, long promptTokens) {
+    long laterMs = reading.laterMs();
+    String what = laterMs >= 0 ? "laterThanExpectedMs" : "soonerThanExpectedMs";
+    String name = MetricRegistry.name(what, lengthClass(promptTokens), enginesClass(reading));
+    histogram(name).update(Math.max(1, Math.abs(laterMs)));
+  }
+
+  /** Returns the class of a reading by its number of engines. */
+  private static String enginesClass(Reading reading) {
+    int engines = reading.engines().size();
+    if (engines == 1) {
+      return "one";
+    }
+    return engines <= FEW_ENGINES ? "few" : "many";
+  }
+
   private void ended(Decision decision, String workspace, long tokens) {
     placed.remove(decision.requestId());
     lastToken.remove(decision.requestId());
