Model the passes of an engine and spread long prompts over free engines

The model took engines for queues that read one prompt after the other, kept parts of other engines' prompts as unread until their first token, and chose as few engines as the aim allowed, so that passes lasted up to 2 s.

--- a/org.fawndrum/src/org/fawndrum/coordination/EndpointState.java
+++ b/org.fawndrum/src/org/fawndrum/coordination/EndpointState.java
@@ -4,6 +4,7 @@
 import java.util.HashMap;
 import java.util.Map;
 import org.fawndrum.coordination.engine.EngineLoad;
+import org.fawndrum.coordination.engine.EngineModelPlacement;
 import org.fawndrum.state.Endpoint;
 
 /**
@@ -14,9 +15,6 @@
   /** Assumed speed of an engine that has not reported yet, in prompt tokens a second. */
   public static final long ASSUMED_TOKENS_PER_SECOND = 20_000;
 
-  /** Engines that can share the reading of one prompt, where their speed is told. */
-  private static final int MOST_ENGINES = 8;
-
   /** How long an endpoint rests after its first failure, in milliseconds; doubled with each. */
   private static final long FIRST_BACKOFF_MS = 500;
 
@@ -89,7 +87,7 @@
   long shortestReadMs(long promptTokens) {
     return endpoint
         .engine()
-        .map(profile -> (long) (profile.readMs(promptTokens) / MOST_ENGINES))
+        .map(profile -> (long) (profile.readMs(promptTokens) / EngineModelPlacement.MOST_ENGINES))
         .orElseGet(() -> (long) (promptTokens * MS_PER_SECOND / tokensPerSecond()));
   }
 
--- a/org.fawndrum/src/org/fawndrum/coordination/engine/EngineModelPlacement.java
+++ b/org.fawndrum/src/org/fawndrum/coordination/engine/EngineModelPlacement.java
@@ -16,12 +16,16 @@
 
 /**
  * Places by what a choice costs: the value that the request itself is expected to lose by coming
- * late, and the value that those already on an engine lose because it has more to read. A prompt
- * that one engine would read too late, or could not hold, is read by several. All daemons use the
- * same model and the same order among equals, so that they agree without asking. Confined to one
- * thread.
+ * late, and the value that others on an engine lose because it has more to read. A long prompt is
+ * read by as many engines as it does no harm on: the work is the same, but its first token comes
+ * sooner, no engine's answers stand still for long, and hosts that choose at the same moment choose
+ * the same engines, which then read one prompt after the other. Short prompts are packed on few
+ * engines, so that the others stay free to read. Confined to one thread.
  */
 public final class EngineModelPlacement implements Placement {
+  /** The most engines that can read one prompt: the one that writes and sixteen others. */
+  public static final int MOST_ENGINES = 17;
+
   /** How many passed-over engines a decision shows. */
   private static final int SHOWN = 3;
 
@@ -31,6 +35,9 @@
   /** The aim of a request whose route names none, in milliseconds. */
   private static final long AIM_IF_NONE_MS = 1_000;
 
+  /** After how many aims a caller that has heard nothing leaves. */
+  private static final double PATIENCE_AIMS = 4;
+
   private final Settings settings;
 
   /**
@@ -42,12 +49,13 @@
    * @param sharpness the width of the step between in time and late, as a part of the aim
    * @param caution the part of an aim that may be used up by the model's expectation
    * @param perEngine what each further engine costs, in value
-   * @param mostEngines the most engines for one prompt
    * @param otherZoneMs what an endpoint in another zone must be faster by, in milliseconds
    * @param speedWeight what a whole aim's worth of time costs when it is in time, in value
-   * @param gather how strongly short prompts gather at the first engines in order, in value
+   * @param packing what a short prompt costs on an engine without others, in value
+   * @param crowding what it costs in the last places of an engine, which other hosts may take at
+   *     the same moment, in value
    * @param memoryMargin the part of an engine's memory that is left free
-   * @param longTokens prompts from this length on are kept apart from shorter ones
+   * @param longTokens prompts from this length on may be read by several engines
    */
   public record Settings(
       double lateLoss,
@@ -56,15 +64,15 @@
       double sharpness,
       double caution,
       double perEngine,
-      int mostEngines,
       double otherZoneMs,
       double speedWeight,
-      double gather,
+      double packing,
+      double crowding,
       double memoryMargin,
       long longTokens) {
     /** Weights tried on played days; docs/ROUNDS.md has the figures. */
     public static final Settings DEFAULT =
-        new Settings(0.75, 1, 13_000, 0.07, 0.8, 0.1, 8, 2, 0.02, 0.15, 0.02, 25_000);
+        new Settings(0.75, 1, 13_000, 0.07, 0.8, 0.003, 2, 0.1, 0.15, 0.1, 0.02, 25_000);
   }
 
   /** Makes the policy with its weights. */
@@ -73,13 +81,25 @@
   }
 
   /**
-   * One engine that could take part.
+   * One engine that may be used.
+   *
+   * @param part its place in the order among equals, 0 to 1
+   * @param zoneMs what it costs to be in another zone, in milliseconds
+   */
+  private record Candidate(
+      EndpointState state, EngineOutlook outlook, double part, double zoneMs) {}
+
+  /**
+   * One engine that could read a part.
    *
-   * @param place its place in the order among equals
    * @param harm what others there would lose, in value, the order among equals included
    * @param firstTokenMs when its part would be read, in milliseconds
    */
-  private record Option(EndpointState state, int place, double harm, double firstTokenMs) {}
+  private record Option(Candidate candidate, double harm, double firstTokenMs) {
+    EndpointState state() {
+      return candidate.state();
+    }
+  }
 
   /** Engines that together would take a request, the writing one first. */
   private record Plan(List<Option> options, double firstTokenMs, double cost) {}
@@ -89,23 +109,20 @@
     if (query.facts().target().kind() == EndpointKind.PLAIN) {
       return plain(query);
     }
+    List<Candidate> candidates = candidates(query);
+    int most = isLong(query.facts()) ? Math.min(MOST_ENGINES, candidates.size()) : 1;
     Plan best = null;
-    for (int engines = 1; engines <= settings.mostEngines(); engines++) {
-      Plan plan = plan(query, engines);
+    for (int engines = 1; engines <= most; engines++) {
+      Plan plan = plan(query, candidates, engines);
       if (plan != null && (best == null || plan.cost() < best.cost())) {
         best = plan;
       }
-      if (best != null && worthNoMore(query, best, engines)) {
-        break;
-      }
     }
-    return best == null ? Optional.empty() : Optional.of(choice(query, best));
+    return best == null ? Optional.empty() : Optional.of(choice(query, candidates, best));
   }
 
-  /** Tells whether further engines cannot make up for what they cost. */
-  private boolean worthNoMore(Query query, Plan best, int engines) {
-    return best.cost() < settings.perEngine() * engines
-        || query.facts().promptTokens() < settings.longTokens();
+  private boolean isLong(RequestFacts facts) {
+    return facts.promptTokens() >= settings.longTokens();
   }
 
   private Optional<Choice> plain(Query query) {
@@ -120,35 +137,43 @@
     return state.load().size() + otherZone;
   }
 
+  private List<Candidate> candidates(Query query) {
+    List<Candidate> candidates = new ArrayList<>();
+    int place = 0;
+    for (EndpointState state : query.candidates()) {
+      place++;
+      if (query.usable(state) && state.endpoint().engine().isPresent()) {
+        EngineOutlook outlook = state.load().outlook(settings.longTokens(), query.nowMs());
+        double part = place / (double) query.candidates().size();
+        double zoneMs = state.endpoint().zone().equals(query.zone()) ? 0 : settings.otherZoneMs();
+        candidates.add(new Candidate(state, outlook, part, zoneMs));
+      }
+    }
+    return candidates;
+  }
+
   /** Returns the best plan of so many engines, or null when fewer can take part. */
-  private Plan plan(Query query, int engines) {
-    List<Option> options = options(query, engines);
+  private Plan plan(Query query, List<Candidate> candidates, int engines) {
+    List<Option> options = new ArrayList<>();
+    for (Candidate candidate : candidates) {
+      Option option = option(query.facts(), candidate, engines);
+      if (option != null) {
+        options.add(option);
+      }
+    }
     if (options.size() < engines) {
       return null;
     }
     List<Option> chosen = cheapest(query.facts(), options, engines);
+    if (!canWrite(chosen.get(0))) {
+      return null;
+    }
     double latest = chosen.stream().mapToDouble(Option::firstTokenMs).max().orElse(0);
     double harm = chosen.stream().mapToDouble(Option::harm).sum();
     double cost = harm + lateness(query.facts(), latest) + settings.perEngine() * (engines - 1);
     return new Plan(chosen, latest, cost);
   }
 
-  /** Returns the engines that can take one part of so many. */
-  private List<Option> options(Query query, int engines) {
-    List<Option> options = new ArrayList<>();
-    int place = 0;
-    for (EndpointState state : query.candidates()) {
-      place++;
-      if (query.usable(state) && state.endpoint().engine().isPresent()) {
-        Option option = option(query, state, place, engines);
-        if (option != null) {
-          options.add(option);
-        }
-      }
-    }
-    return options;
-  }
-
   /** Returns so many of the options, the one that writes the answer first. */
   private List<Option> cheapest(RequestFacts facts, List<Option> options, int engines) {
     options.sort(
@@ -157,31 +182,37 @@
     List<Option> chosen = new ArrayList<>(options.subList(0, engines));
     // The one with the fewest streams writes: its steps slow down what is written there.
     chosen.sort(
-        Comparator.<Option>comparingInt(option -> option.state().load().streams())
-            .thenComparingInt(Option::place));
+        Comparator.comparing((Option option) -> !canWrite(option))
+            .thenComparing(option -> freeTokens(option.state()) < facts.workTokens())
+            .thenComparingInt(option -> option.candidate().outlook().streams())
+            .thenComparingDouble(option -> option.candidate().part()));
     return chosen;
   }
 
+  private static boolean canWrite(Option option) {
+    return option.candidate().outlook().streams() < slots(option.candidate());
+  }
+
+  private static int slots(Candidate candidate) {
+    return candidate.state().endpoint().engine().orElseThrow().slots();
+  }
+
   /** Returns the option of one engine, or null when it cannot take its part. */
-  private Option option(Query query, EndpointState state, int place, int engines) {
-    RequestFacts facts = query.facts();
-    EngineProfile profile = state.endpoint().engine().orElseThrow();
-    EngineLoad load = state.load();
-    boolean full = load.streams() >= profile.slots();
-    if (full || freeTokens(state) < share(facts.workTokens(), engines)) {
+  private Option option(RequestFacts facts, Candidate candidate, int engines) {
+    EngineOutlook outlook = candidate.outlook();
+    boolean full =
+        engines == 1
+            ? outlook.streams() >= slots(candidate)
+            : outlook.helping() >= slots(candidate);
+    if (full || freeTokens(candidate.state()) < share(facts.workTokens(), engines)) {
       return null;
     }
-    long nowMs = query.nowMs();
-    double firstMs =
-        load.firstTokenMs(facts.promptTokens(), engines, nowMs)
-            + load.overdueMs(nowMs)
-            + zoneMs(state, query);
-    double readMs = profile.readMs(facts.promptTokens()) / engines;
-    double harm = harm(load, readMs, nowMs) + orderCost(query, place);
-    if (engines > 1) {
-      harm += harmToWaiting(load, readMs, nowMs);
-    }
-    return new Option(state, place, harm, firstMs);
+    EngineProfile profile = candidate.state().endpoint().engine().orElseThrow();
+    double partMs = profile.readMs(facts.promptTokens()) / engines * outlook.slowness();
+    long partTokens = share(facts.promptTokens(), engines);
+    double firstMs = outlook.firstTokenMs(partMs) + candidate.zoneMs();
+    double harm = harm(outlook, partMs, partTokens) + orderCost(facts, candidate);
+    return new Option(candidate, harm, firstMs);
   }
 
   private long freeTokens(EndpointState state) {
@@ -194,53 +225,55 @@
     return (tokens + engines - 1) / engines;
   }
 
-  private double zoneMs(EndpointState state, Query query) {
-    return state.endpoint().zone().equals(query.zone()) ? 0 : settings.otherZoneMs();
-  }
-
   /**
-   * Short prompts gather at the first engines in order and long ones at the last, so that an engine
-   * with streams that must not pause is seldom asked to read for long.
+   * Returns what a choice costs beyond its own time and the harm that it does at once: short
+   * prompts go where others are, long ones to the last in order among equals.
    */
-  private double orderCost(Query query, int place) {
-    double part = place / (double) Math.max(1, query.candidates().size());
-    boolean isLong = query.facts().promptTokens() >= settings.longTokens();
-    return settings.gather() * (isLong ? 1 - part : part);
+  private double orderCost(RequestFacts facts, Candidate candidate) {
+    if (isLong(facts)) {
+      return settings.perEngine() * (1 - candidate.part());
+    }
+    int slots = slots(candidate);
+    EngineOutlook outlook = candidate.outlook();
+    double empty = 1 - outlook.shortStreams() / (double) slots;
+    boolean crowded = slots - outlook.streams() <= 1;
+    return settings.packing() * empty
+        + (crowded ? settings.crowding() : 0)
+        + settings.perEngine() * candidate.part();
   }
 
-  /** Returns the value that streams on an engine lose when it reads for so much longer. */
-  private double harm(EngineLoad load, double readMs, long nowMs) {
-    double passMs = load.passMs(nowMs);
-    double before = passMs + load.unreadMs(nowMs);
-    double after = before + readMs;
+  /** Returns the value that others on an engine lose when it reads one more part. */
+  private double harm(EngineOutlook outlook, double partMs, long partTokens) {
+    double before = outlook.pauseMs();
+    double after = outlook.pauseMs(partMs, partTokens);
     double harm = 0;
-    for (EngineJob job : load.writing()) {
+    for (EngineJob job : outlook.writing()) {
       long pauseMs = job.aims().pauseMs();
       if (pauseMs > 0) {
-        double more = step(after, pauseMs) - step(before, pauseMs);
-        harm += value(job.promptTokens()) * settings.lateLoss() * more;
+        harm += lateLoss(job) * (step(after, pauseMs) - step(before, pauseMs));
       }
     }
-    return harm;
-  }
-
-  /** Returns the value that waiting prompts lose when a part of another is read before them. */
-  private double harmToWaiting(EngineLoad load, double readMs, long nowMs) {
-    double harm = 0;
-    for (EngineLoad.Waiting one : load.waiting(nowMs)) {
+    for (EngineOutlook.Unread one : outlook.unread()) {
       long aimMs = one.job().aims().firstTokenMs();
       if (aimMs > 0) {
-        double more = step(one.firstTokenMs() + readMs, aimMs) - step(one.firstTokenMs(), aimMs);
-        harm += value(one.job().promptTokens()) * settings.lateLoss() * more;
+        double more = step(one.firstTokenMs() + partMs, aimMs) - step(one.firstTokenMs(), aimMs);
+        // A prompt on several engines is held up once, however many of them have more to read.
+        harm += lateLoss(one.job()) * more / one.job().parts();
       }
     }
     return harm;
   }
 
+  private double lateLoss(EngineJob job) {
+    return value(job.promptTokens()) * settings.lateLoss();
+  }
+
   private double lateness(RequestFacts facts, double firstTokenMs) {
     double aimMs = aimMs(facts);
     double late = settings.lateLoss() * step(firstTokenMs, aimMs);
-    return value(facts.promptTokens()) * (late + settings.speedWeight() * firstTokenMs / aimMs);
+    double lost = (1 - settings.lateLoss()) * step(firstTokenMs, PATIENCE_AIMS * aimMs);
+    double slow = settings.speedWeight() * firstTokenMs / aimMs;
+    return value(facts.promptTokens()) * (late + lost + slow);
   }
 
   private static double aimMs(RequestFacts facts) {
@@ -258,7 +291,7 @@
     return 1 / (1 + Math.exp(-distance));
   }
 
-  private Choice choice(Query query, Plan plan) {
+  private Choice choice(Query query, List<Candidate> candidates, Plan plan) {
     RequestFacts facts = query.facts();
     Option first = plan.options().get(0);
     List<Helper> helpers = new ArrayList<>();
@@ -270,18 +303,19 @@
     }
     Reason reason = helpers.isEmpty() ? Reason.EARLIEST_FIRST_TOKEN : Reason.SEVERAL_ENGINES;
     OptionalLong expectedMs = OptionalLong.of(Math.round(plan.firstTokenMs()));
-    return new Choice(first.state(), reason, passedOver(query, first), helpers, expectedMs);
+    List<PassedOver> passedOver = passedOver(facts, candidates, first);
+    return new Choice(first.state(), reason, passedOver, helpers, expectedMs);
   }
 
-  private List<PassedOver> passedOver(Query query, Option best) {
+  private static List<PassedOver> passedOver(
+      RequestFacts facts, List<Candidate> candidates, Option best) {
     List<PassedOver> shown = new ArrayList<>(SHOWN);
-    for (EndpointState state : query.candidates()) {
-      if (shown.size() >= SHOWN) {
-        break;
-      }
-      if (state != best.state() && state.endpoint().engine().isPresent()) {
-        double firstMs = state.load().firstTokenMs(query.facts().promptTokens(), 1, query.nowMs());
-        shown.add(new PassedOver(state.endpoint().name(), (long) firstMs));
+    for (Candidate candidate : candidates) {
+      if (shown.size() < SHOWN && candidate != best.candidate()) {
+        EngineProfile profile = candidate.state().endpoint().engine().orElseThrow();
+        double partMs = profile.readMs(facts.promptTokens()) * candidate.outlook().slowness();
+        long firstMs = Math.round(candidate.outlook().firstTokenMs(partMs));
+        shown.add(new PassedOver(candidate.state().endpoint().name(), firstMs));
       }
     }
     return List.copyOf(shown);
