Read parts newest first in the model and let a prompt wait for its turn

Change: the model does the same; a prompt on several engines waits at its host where that costs less than going before the others. A request that found no place is offered again after 10 ms, not with every event.

--- a/org.fawndrum/src/org/fawndrum/coordination/LiveRequest.java
+++ b/org.fawndrum/src/org/fawndrum/coordination/LiveRequest.java
@@ -28,6 +28,10 @@
   Object lane;
 
   boolean shownWaiting;
+
+  /** Before this time it is not offered to the placement, by the host's clock. */
+  long offerAgainMs;
+
   boolean firstTokenSeen;
 
   /** One attempt with its endpoint and where it stands. */
--- a/org.fawndrum/src/org/fawndrum/coordination/RequestCoordinator.java
+++ b/org.fawndrum/src/org/fawndrum/coordination/RequestCoordinator.java
@@ -24,6 +24,9 @@
  * Takes events with their time and gives back actions. Confined to one thread; reads no clock.
  */
 public final class RequestCoordinator {
+  /** After how long a request that found no endpoint is offered again, in milliseconds. */
+  private static final long OFFER_AGAIN_MS = 10;
+
   private final HostIdentity self;
   private final String zone;
   private final Policies policies;
@@ -196,6 +199,7 @@
 
   private void enqueue(LiveRequest request) {
     request.waiting = true;
+    request.offerAgainMs = 0;
     waiting.add(request);
     usages.get(request.facts.group()).waiting++;
   }
@@ -342,6 +346,10 @@
   }
 
   private boolean trySend(LiveRequest request, long nowMs) {
+    if (nowMs < request.offerAgainMs) {
+      return false;
+    }
+    request.offerAgainMs = nowMs + OFFER_AGAIN_MS;
     List<EndpointState> candidates = endpoints.serving(request.facts.target());
     if (request.excluded.size() >= candidates.size()) {
       request.excluded.clear();
--- a/org.fawndrum/src/org/fawndrum/coordination/engine/EngineEntry.java
+++ b/org.fawndrum/src/org/fawndrum/coordination/engine/EngineEntry.java
@@ -19,6 +19,8 @@
   /** What this job adds to the pass under way, in milliseconds; 0 when it is not in it. */
   double inPassMs;
 
+  private long inPassTokens;
+
   /** When its part was read, by the host's clock; not a number before that. */
   double readAtMs = Double.NaN;
 
@@ -57,14 +59,21 @@
   double take(long some) {
     double before = readMs(readTokens);
     readTokens += some;
+    inPassTokens += some;
     double ms = readMs(readTokens) - before;
     inPassMs += ms;
     return ms;
   }
 
+  /** Gives back what the pass under way will not read of this job because it ends early. */
+  void giveBack(double partNotRead) {
+    readTokens -= Math.round(inPassTokens * partNotRead);
+  }
+
   /** Ends the pass under way for this job. */
   void passEnded(double atMs) {
     inPassMs = 0;
+    inPassTokens = 0;
     if (leftTokens() == 0 && !isRead()) {
       readAtMs = atMs;
     }
@@ -75,6 +84,7 @@
     confirmed = true;
     readTokens = tokens;
     inPassMs = 0;
+    inPassTokens = 0;
     if (!isRead()) {
       readAtMs = atMs;
     }
--- a/org.fawndrum/src/org/fawndrum/coordination/engine/EngineLoad.java
+++ b/org.fawndrum/src/org/fawndrum/coordination/engine/EngineLoad.java
@@ -128,44 +128,60 @@
     passes.pace(slowness(nowMs));
     passes.advance(nowMs);
     double pace = slowness(nowMs);
-    double remainMs = passes.remainMs(nowMs);
-    double overdueMs = overdueMs(nowMs);
-    double stepsMs = passes.stepsMs() * pace;
-    double waitingMs = 0;
-    long waitingTokens = 0;
-    for (EngineEntry entry : passes.waiting()) {
-      waitingMs += entry.leftMs() * pace;
-      waitingTokens += entry.leftTokens();
-    }
-    double firstTokenMs = remainMs + overdueMs + waitingMs + stepsMs;
+    EngineOutlook.Amount waiting = waiting(pace);
+    double firstTokenMs = passes.remainMs(nowMs) + overdueMs(nowMs) + waiting.ms();
     List<EngineJob> writing = new ArrayList<>();
     List<EngineOutlook.Unread> unread = new ArrayList<>();
     int shortStreams = 0;
     int helping = 0;
-    int streams = 0;
     for (EngineEntry entry : passes.entries()) {
       EngineJob job = entry.job;
-      if (entry.leftTokens() > 0) {
-        unread.add(new EngineOutlook.Unread(job, nowMs - job.sentMs() + firstTokenMs));
+      if (!entry.isRead()) {
+        boolean inPass = entry.leftTokens() == 0;
+        double afterMs = inPass ? passes.remainMs(nowMs) : firstTokenMs;
+        unread.add(new EngineOutlook.Unread(job, inPass, nowMs - job.sentMs() + afterMs));
+        helping += job.writes() ? 0 : 1;
       } else if (job.writes() && !entry.paused) {
         writing.add(job);
       }
-      streams += job.writes() ? 1 : 0;
       shortStreams += job.writes() && job.promptTokens() < longTokens ? 1 : 0;
-      helping += job.writes() || entry.isRead() ? 0 : 1;
     }
     return new EngineOutlook(
-        remainMs,
-        overdueMs,
-        stepsMs,
-        waitingMs,
-        waitingTokens,
+        passes.remainMs(nowMs),
+        passes.stoppable(),
+        overdueMs(nowMs),
+        passes.stepsMs() * pace,
+        waiting,
+        sharedMs(pace, nowMs),
         passes.passTokens(),
         pace,
-        streams,
+        streams(),
         shortStreams,
         helping,
         writing,
         unread);
   }
+
+  private EngineOutlook.Amount waiting(double pace) {
+    double ms = 0;
+    long tokens = 0;
+    for (EngineEntry entry : passes.waiting()) {
+      ms += entry.leftMs() * pace;
+      tokens += entry.leftTokens();
+    }
+    return new EngineOutlook.Amount(ms, tokens);
+  }
+
+  /** Returns how long parts of prompts on several engines are still read, in milliseconds. */
+  private double sharedMs(double pace, long nowMs) {
+    double ms = 0;
+    boolean inPass = false;
+    for (EngineEntry entry : passes.entries()) {
+      if (entry.shared() && !entry.isRead()) {
+        ms += entry.leftMs() * pace;
+        inPass |= entry.inPassMs > 0;
+      }
+    }
+    return inPass ? ms + passes.remainMs(nowMs) : ms;
+  }
 }
--- a/org.fawndrum/src/org/fawndrum/coordination/engine/EngineModelPlacement.java
+++ b/org.fawndrum/src/org/fawndrum/coordination/engine/EngineModelPlacement.java
@@ -26,6 +26,12 @@
   /** The most engines that can read one prompt: the one that writes and sixteen others. */
   public static final int MOST_ENGINES = 17;
 
+  /**
+   * A prompt does not wait for others that will have been read in this time, in milliseconds: about
+   * what news and the sending take.
+   */
+  private static final double SOON_MS = 30;
+
   /** How many passed-over engines a decision shows. */
   private static final int SHOWN = 3;
 
@@ -51,7 +57,8 @@
    * @param perEngine what each further engine costs, in value
    * @param otherZoneMs what an endpoint in another zone must be faster by, in milliseconds
    * @param speedWeight what a whole aim's worth of time costs when it is in time, in value
-   * @param packing what a short prompt costs on an engine without others, in value
+   * @param opening what a short prompt costs on an engine that has none, in value
+   * @param packing what each of its empty places costs, in parts of all its places, in value
    * @param crowding what it costs in the last places of an engine, which other hosts may take at
    *     the same moment, in value
    * @param memoryMargin the part of an engine's memory that is left free
@@ -66,13 +73,14 @@
       double perEngine,
       double otherZoneMs,
       double speedWeight,
+      double opening,
       double packing,
       double crowding,
       double memoryMargin,
       long longTokens) {
     /** Weights tried on played days; docs/ROUNDS.md has the figures. */
     public static final Settings DEFAULT =
-        new Settings(0.75, 1, 13_000, 0.07, 0.8, 0.003, 2, 0.1, 0.15, 0.1, 0.02, 25_000);
+        new Settings(0.75, 1, 13_000, 0.07, 0.8, 0.003, 2, 0.1, 0.3, 0.15, 0.1, 0.02, 25_000);
   }
 
   /** Makes the policy with its weights. */
@@ -102,7 +110,23 @@
   }
 
   /** Engines that together would take a request, the writing one first. */
-  private record Plan(List<Option> options, double firstTokenMs, double cost) {}
+  private record Plan(List<Option> options, double firstTokenMs, double cost) {
+    /** Returns for how long its engines still read parts that were sent before, in milliseconds. */
+    double waitMs() {
+      return options.stream()
+          .mapToDouble(option -> option.candidate().outlook().sharedMs())
+          .max()
+          .orElse(0);
+    }
+  }
+
+  /** When a prompt on several engines is sent: engines read what was sent last first. */
+  private enum Turn {
+    /** At once, so that it goes before those that are still being read. */
+    BEFORE_OTHERS,
+    /** When those have been read. */
+    AFTER_OTHERS
+  }
 
   @Override
   public Optional<Choice> choose(Query query) {
@@ -110,15 +134,30 @@
       return plain(query);
     }
     List<Candidate> candidates = candidates(query);
+    Plan now = best(query, candidates, Turn.BEFORE_OTHERS);
+    if (now == null) {
+      return Optional.empty();
+    }
+    if (now.options().size() > 1) {
+      Plan later = best(query, candidates, Turn.AFTER_OTHERS);
+      if (later != null && later.cost() < now.cost() && later.waitMs() > SOON_MS) {
+        return Optional.empty();
+      }
+    }
+    return Optional.of(choice(query, candidates, now));
+  }
+
+  /** Returns the plan that costs least; null when no engine can take the request. */
+  private Plan best(Query query, List<Candidate> candidates, Turn turn) {
     int most = isLong(query.facts()) ? Math.min(MOST_ENGINES, candidates.size()) : 1;
     Plan best = null;
     for (int engines = 1; engines <= most; engines++) {
-      Plan plan = plan(query, candidates, engines);
+      Plan plan = plan(query.facts(), candidates, engines, turn);
       if (plan != null && (best == null || plan.cost() < best.cost())) {
         best = plan;
       }
     }
-    return best == null ? Optional.empty() : Optional.of(choice(query, candidates, best));
+    return best;
   }
 
   private boolean isLong(RequestFacts facts) {
@@ -153,10 +192,10 @@
   }
 
   /** Returns the best plan of so many engines, or null when fewer can take part. */
-  private Plan plan(Query query, List<Candidate> candidates, int engines) {
+  private Plan plan(RequestFacts facts, List<Candidate> candidates, int engines, Turn turn) {
     List<Option> options = new ArrayList<>();
     for (Candidate candidate : candidates) {
-      Option option = option(query.facts(), candidate, engines);
+      Option option = option(facts, candidate, engines, turn);
       if (option != null) {
         options.add(option);
       }
@@ -164,13 +203,13 @@
     if (options.size() < engines) {
       return null;
     }
-    List<Option> chosen = cheapest(query.facts(), options, engines);
+    List<Option> chosen = cheapest(facts, options, engines);
     if (!canWrite(chosen.get(0))) {
       return null;
     }
     double latest = chosen.stream().mapToDouble(Option::firstTokenMs).max().orElse(0);
     double harm = chosen.stream().mapToDouble(Option::harm).sum();
-    double cost = harm + lateness(query.facts(), latest) + settings.perEngine() * (engines - 1);
+    double cost = harm + lateness(facts, latest) + settings.perEngine() * (engines - 1);
     return new Plan(chosen, latest, cost);
   }
 
@@ -198,7 +237,7 @@
   }
 
   /** Returns the option of one engine, or null when it cannot take its part. */
-  private Option option(RequestFacts facts, Candidate candidate, int engines) {
+  private Option option(RequestFacts facts, Candidate candidate, int engines, Turn turn) {
     EngineOutlook outlook = candidate.outlook();
     boolean full =
         engines == 1
@@ -209,12 +248,25 @@
     }
     EngineProfile profile = candidate.state().endpoint().engine().orElseThrow();
     double partMs = profile.readMs(facts.promptTokens()) / engines * outlook.slowness();
-    long partTokens = share(facts.promptTokens(), engines);
-    double firstMs = outlook.firstTokenMs(partMs) + candidate.zoneMs();
-    double harm = harm(outlook, partMs, partTokens) + orderCost(facts, candidate);
+    EngineOutlook.Amount part =
+        new EngineOutlook.Amount(partMs, share(facts.promptTokens(), engines));
+    double firstMs = firstTokenMs(outlook, part, engines, turn) + candidate.zoneMs();
+    boolean before = engines > 1 && turn == Turn.BEFORE_OTHERS;
+    double harm =
+        harmToWriting(outlook, part)
+            + harmToUnread(outlook, partMs, before)
+            + orderCost(facts, candidate);
     return new Option(candidate, harm, firstMs);
   }
 
+  private static double firstTokenMs(
+      EngineOutlook outlook, EngineOutlook.Amount part, int engines, Turn turn) {
+    if (engines == 1) {
+      return outlook.aloneMs(part);
+    }
+    return turn == Turn.BEFORE_OTHERS ? outlook.sharedMs(part) : outlook.afterOthersMs(part);
+  }
+
   private long freeTokens(EndpointState state) {
     long memory = state.endpoint().memoryTokens();
     long margin = (long) (memory * settings.memoryMargin());
@@ -235,17 +287,19 @@
     }
     int slots = slots(candidate);
     EngineOutlook outlook = candidate.outlook();
-    double empty = 1 - outlook.shortStreams() / (double) slots;
+    boolean opens = outlook.shortStreams() == 0;
     boolean crowded = slots - outlook.streams() <= 1;
-    return settings.packing() * empty
+    double empty = 1 - outlook.shortStreams() / (double) slots;
+    return (opens ? settings.opening() : 0)
+        + settings.packing() * empty
         + (crowded ? settings.crowding() : 0)
         + settings.perEngine() * candidate.part();
   }
 
-  /** Returns the value that others on an engine lose when it reads one more part. */
-  private double harm(EngineOutlook outlook, double partMs, long partTokens) {
+  /** Returns the value that answers lose which pause while an engine reads one more part. */
+  private double harmToWriting(EngineOutlook outlook, EngineOutlook.Amount part) {
     double before = outlook.pauseMs();
-    double after = outlook.pauseMs(partMs, partTokens);
+    double after = outlook.pauseMs(part);
     double harm = 0;
     for (EngineJob job : outlook.writing()) {
       long pauseMs = job.aims().pauseMs();
@@ -253,9 +307,21 @@
         harm += lateLoss(job) * (step(after, pauseMs) - step(before, pauseMs));
       }
     }
+    return harm;
+  }
+
+  /**
+   * Returns the value that prompts lose which an engine reads later.
+   *
+   * @param beforeOthers whether the new part goes before parts of prompts on several engines too
+   */
+  private double harmToUnread(EngineOutlook outlook, double partMs, boolean beforeOthers) {
+    double harm = 0;
     for (EngineOutlook.Unread one : outlook.unread()) {
       long aimMs = one.job().aims().firstTokenMs();
-      if (aimMs > 0) {
+      boolean shared = one.job().parts() > 1;
+      boolean later = one.inPass() ? beforeOthers && outlook.stoppable() : !shared || beforeOthers;
+      if (later && aimMs > 0) {
         double more = step(one.firstTokenMs() + partMs, aimMs) - step(one.firstTokenMs(), aimMs);
         // A prompt on several engines is held up once, however many of them have more to read.
         harm += lateLoss(one.job()) * more / one.job().parts();
@@ -314,7 +380,8 @@
       if (shown.size() < SHOWN && candidate != best.candidate()) {
         EngineProfile profile = candidate.state().endpoint().engine().orElseThrow();
         double partMs = profile.readMs(facts.promptTokens()) * candidate.outlook().slowness();
-        long firstMs = Math.round(candidate.outlook().firstTokenMs(partMs));
+        EngineOutlook.Amount prompt = new EngineOutlook.Amount(partMs, facts.promptTokens());
+        long firstMs = Math.round(candidate.outlook().aloneMs(prompt));
         shown.add(new PassedOver(candidate.state().endpoint().name(), firstMs));
       }
     }
--- a/org.fawndrum/src/org/fawndrum/coordination/engine/EnginePasses.java
+++ b/org.fawndrum/src/org/fawndrum/coordination/engine/EnginePasses.java
@@ -3,6 +3,7 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Collections;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -10,11 +11,12 @@
 
 /**
  * The passes of one engine, played ahead of what is heard of it. A pass reads what waits when it
- * begins, prompts that several engines read before all others, and then takes a number of steps in
- * which every answer is written on. So whatever is read in a pass holds up all answers there, and
- * first tokens come together at its end. While answers are written a pass reads a bounded number of
- * tokens; while none are, it reads one prompt. First tokens that are seen set the model right.
- * Confined to one thread; times are those of the host's clock, in milliseconds.
+ * begins and then takes a number of steps in which every answer is written on. So whatever is read
+ * in a pass holds up all answers there, and first tokens come together at its end. Parts of prompts
+ * that several engines read go before all others, the newest first. While answers are written a
+ * pass reads a bounded number of tokens; while none are, it reads one prompt and stops when such a
+ * part comes. First tokens that are seen set the model right. Confined to one thread; times are
+ * those of the host's clock, in milliseconds.
  */
 final class EnginePasses {
   /** By how much news of a first token may come late, in milliseconds: two daemons gather them. */
@@ -26,6 +28,9 @@
   private double passStartMs;
   private double passEndMs = Double.NEGATIVE_INFINITY;
 
+  /** Whether the pass under way began without answers to write on, so that it can be stopped. */
+  private boolean stoppable;
+
   /** The tokens that the pass under way could still take. */
   private long roomTokens;
 
@@ -92,11 +97,24 @@
     if (!running) {
       running = startPass(Math.max(passEndMs, sentMs));
       advance(nowMs);
+    } else if (stoppable && entry.shared()) {
+      stopPass(nowMs);
     } else if (sentMs < passStartMs && roomTokens > 0) {
       passEndMs += join(entry) * slowness;
     }
   }
 
+  /** Ends the pass under way now and begins the next with what it did not read. */
+  private void stopPass(long nowMs) {
+    double partNotRead = (passEndMs - nowMs) / Math.max(1, passEndMs - passStartMs);
+    for (EngineEntry entry : entries.values()) {
+      entry.giveBack(Math.min(1, partNotRead));
+    }
+    endPass(nowMs);
+    passEndMs = nowMs;
+    running = startPass(nowMs);
+  }
+
   private double join(EngineEntry entry) {
     long some = Math.min(roomTokens, entry.leftTokens());
     roomTokens -= some;
@@ -141,6 +159,7 @@
     }
     double readMs = 0;
     boolean writes = !writing.isEmpty();
+    stoppable = !writes;
     roomTokens = writes ? passTokens() : 0;
     if (!writes) {
       EngineEntry head = waiting.remove(0);
@@ -188,6 +207,11 @@
     return writing;
   }
 
+  /** Tells whether a part of a prompt on several engines would be read at once. */
+  boolean stoppable() {
+    return !running || stoppable;
+  }
+
   /** Returns what no pass has taken whole yet, in the order in which it is read. */
   List<EngineEntry> waiting() {
     List<EngineEntry> shared = new ArrayList<>();
@@ -197,6 +221,7 @@
         (entry.shared() ? shared : alone).add(entry);
       }
     }
+    Collections.reverse(shared);
     shared.addAll(alone);
     return shared;
   }
--- a/org.fawndrum/tst/org/fawndrum/coordination/engine/EngineLoadTest.java
+++ b/org.fawndrum/tst/org/fawndrum/coordination/engine/EngineLoadTest.java
@@ -37,6 +37,10 @@
     return new EngineJob(id, ENGINE, tokens, 0, parts, false, AIMS, sentMs);
   }
 
+  private static EngineOutlook.Amount part(long promptTokens, int parts) {
+    return new EngineOutlook.Amount(PROFILE.readMs(promptTokens) / parts, promptTokens / parts);
+  }
+
   private EngineOutlook outlook(long nowMs) {
     return load.outlook(LONG_TOKENS, nowMs);
   }
@@ -60,8 +64,8 @@
         default -> any.ended(id, nowMs);
       }
       EngineOutlook outlook = any.outlook(LONG_TOKENS, nowMs);
-      assertTrue(outlook.remainMs() >= 0 && outlook.waitingMs() >= 0);
-      assertTrue(outlook.firstTokenMs(25) > 0);
+      assertTrue(outlook.remainMs() >= 0 && outlook.waiting().ms() >= 0);
+      assertTrue(outlook.aloneMs(part(1_000, 1)) > 0 && outlook.sharedMs() >= 0);
       assertTrue(any.slowness(nowMs) >= 1);
     }
     for (long id : ids) {
@@ -69,7 +73,7 @@
     }
     assertEquals(0, any.size());
     assertEquals(0, any.memoryTokens());
-    assertEquals(0, any.outlook(LONG_TOKENS, nowMs).waitingMs());
+    assertEquals(0, any.outlook(LONG_TOKENS, nowMs).waiting().ms());
     assertEquals(0, any.outlook(LONG_TOKENS, nowMs + 60_000).remainMs());
   }
 
@@ -87,7 +91,7 @@
     double remainMs = outlook(50).remainMs();
     load.add(job(2, 20_000, 1, 50), 50);
     assertEquals(remainMs, outlook(50).remainMs(), 0.001);
-    assertEquals(PROFILE.readMs(20_000), outlook(50).waitingMs(), 0.001);
+    assertEquals(PROFILE.readMs(20_000), outlook(50).waiting().ms(), 0.001);
   }
 
   @Test
@@ -103,8 +107,8 @@
     load.add(job(1, 5_000, 1, 0), 0);
     load.read(1, 70);
     double calmMs = outlook(80).pauseMs();
-    double partMs = PROFILE.readMs(50_000);
-    assertEquals(calmMs + partMs, outlook(80).pauseMs(partMs, 50_000), 0.001);
+    EngineOutlook.Amount part = part(50_000, 1);
+    assertEquals(calmMs + part.ms(), outlook(80).pauseMs(part), 0.001);
     load.add(job(2, 50_000, 1, 80), 80);
     load.add(job(3, 50_000, 1, 80), 80);
     // The next pass reads them, so that the first answer has paused for too long.
@@ -115,21 +119,42 @@
   void aPassReadsABoundedNumberOfTokensWhileAnswersAreWritten() {
     load.add(job(1, 5_000, 1, 0), 0);
     load.read(1, 70);
-    double partMs = PROFILE.readMs(200_000);
-    double pauseMs = outlook(80).pauseMs(partMs, 200_000);
-    assertTrue(pauseMs < partMs / 2 + STEPS_MS, pauseMs + " of " + partMs);
+    EngineOutlook.Amount part = part(200_000, 1);
+    double pauseMs = outlook(80).pauseMs(part);
+    assertTrue(pauseMs < part.ms() / 2 + STEPS_MS, pauseMs + " of " + part.ms());
   }
 
   @Test
-  void partsOfSharedPromptsGoBeforeOthersThatWait() {
-    load.add(job(1, 50_000, 1, 0), 0);
-    load.add(job(2, 20_000, 1, 10), 10);
-    load.add(partOf(3, 60_000, 3, 20), 20);
+  void partsOfSharedPromptsGoBeforeOthersThatWaitTheNewestFirst() {
     EnginePasses passes = new EnginePasses(PROFILE);
-    passes.add(job(1, 50_000, 1, 0), 0);
-    passes.add(job(2, 20_000, 1, 10), 10);
-    passes.add(partOf(3, 60_000, 3, 20), 20);
-    assertEquals(List.of(3L, 2L), passes.waiting().stream().map(one -> one.job.id()).toList());
+    passes.add(job(1, 5_000, 1, 0), 0);
+    passes.advance(100);
+    passes.add(job(2, 20_000, 1, 101), 101);
+    passes.add(partOf(3, 60_000, 3, 102), 102);
+    passes.add(partOf(4, 60_000, 3, 103), 103);
+    List<Long> order = passes.waiting().stream().map(one -> one.job.id()).toList();
+    assertEquals(List.of(4L, 3L, 2L), order);
+  }
+
+  @Test
+  void aNewPartStopsAReadingWhileNoAnswerIsWritten() {
+    load.add(partOf(1, 200_000, 2, 0), 0);
+    double wholeMs = outlook(0).sharedMs();
+    load.add(partOf(2, 40_000, 2, 500), 500);
+    double partMs = PROFILE.readMs(40_000) / 2;
+    assertEquals(partMs, outlook(500).remainMs(), 1);
+    assertEquals(wholeMs - 500 + partMs, outlook(500).sharedMs(), 1);
+    assertEquals(partMs, outlook(500).sharedMs(part(40_000, 2)) - outlook(500).stepsMs(), 0.001);
+  }
+
+  @Test
+  void aNewPartWaitsForTheEndOfThePassWhileAnAnswerIsWritten() {
+    load.add(job(1, 5_000, 1, 0), 0);
+    load.read(1, 70);
+    load.add(partOf(2, 100_000, 2, 80), 80);
+    EngineOutlook busy = outlook(200);
+    assertFalse(busy.stoppable());
+    assertTrue(busy.sharedMs(part(10_000, 2)) > busy.remainMs());
   }
 
   @Test
@@ -138,7 +163,7 @@
     assertEquals(1, outlook(10).helping());
     EngineOutlook later = outlook(5_000);
     assertEquals(0, later.helping());
-    assertEquals(0, later.remainMs() + later.waitingMs() + later.overdueMs());
+    assertEquals(0, later.remainMs() + later.waiting().ms() + later.overdueMs());
   }
 
   @Test
@@ -146,7 +171,7 @@
     load.add(job(1, 100_000, 1, 0), 0);
     load.add(job(2, 5_000, 1, 10), 10);
     load.read(1, 200);
-    assertEquals(0, outlook(200).waitingMs());
+    assertEquals(0, outlook(200).waiting().ms());
     assertTrue(outlook(200).remainMs() < 2 * STEPS_MS);
   }
 
