Let the loss of a wait grow with its square and split prompts from two steps on

Cause: with a loss that is nearly flat up to the aim, every newer prompt went before an older one until that was late. Short prompts of 10,000 tokens and more held up ten answers on an engine and so went to engines without answers. Change: the loss has a part in proportion to the square of the time, counted from the request's arrival; jobs carry what is still expected of them; a prompt may be split as soon as each part is a step's tokens.

--- a/org.fawndrum/src/org/fawndrum/coordination/EngineWork.java
+++ b/org.fawndrum/src/org/fawndrum/coordination/EngineWork.java
@@ -15,6 +15,7 @@
 import org.fawndrum.coordination.membership.FleetReport;
 import org.fawndrum.state.EndpointKind;
 import org.fawndrum.state.HostIdentity;
+import org.fawndrum.state.RequestAims;
 
 /**
  * Keeps what every endpoint has to do: this host's own work, which it announces, and the work that
@@ -55,8 +56,9 @@
   private EngineJob job(
       EndpointState at, RequestFacts facts, long memory, int parts, boolean writes, long nowMs) {
     HostIdentity endpoint = at.endpoint().identity();
+    RequestAims aims = facts.aims().after(nowMs - facts.arrivedMs());
     return new EngineJob(
-        nextId++, endpoint, facts.promptTokens(), memory, parts, writes, facts.aims(), nowMs);
+        nextId++, endpoint, facts.promptTokens(), memory, parts, writes, aims, nowMs);
   }
 
   private void add(LiveRequest.Attempt attempt, EngineJob job, long nowMs) {
--- a/org.fawndrum/src/org/fawndrum/coordination/engine/EngineModelPlacement.java
+++ b/org.fawndrum/src/org/fawndrum/coordination/engine/EngineModelPlacement.java
@@ -56,13 +56,14 @@
    * @param caution the part of an aim that may be used up by the model's expectation
    * @param perEngine what each further engine costs, in value
    * @param otherZoneMs what an endpoint in another zone must be faster by, in milliseconds
-   * @param speedWeight what a whole aim's worth of time costs when it is in time, in value
+   * @param slowLoss the part of its value that an answer loses which takes as long as its aim; in
+   *     proportion to the square of the time
    * @param opening what a short prompt costs on an engine that has none, in value
    * @param packing what each of its empty places costs, in parts of all its places, in value
    * @param crowding what it costs in the last places of an engine, which other hosts may take at
    *     the same moment, in value
    * @param memoryMargin the part of an engine's memory that is left free
-   * @param longTokens prompts from this length on may be read by several engines
+   * @param longTokens prompts from this length on do not count as short
    */
   public record Settings(
       double lateLoss,
@@ -72,7 +73,7 @@
       double caution,
       double perEngine,
       double otherZoneMs,
-      double speedWeight,
+      double slowLoss,
       double opening,
       double packing,
       double crowding,
@@ -80,7 +81,7 @@
       long longTokens) {
     /** Weights tried on played days; docs/ROUNDS.md has the figures. */
     public static final Settings DEFAULT =
-        new Settings(0.75, 1, 13_000, 0.07, 0.8, 0.003, 2, 0.1, 0.3, 0.15, 0.1, 0.02, 25_000);
+        new Settings(0.75, 1, 13_000, 0.05, 0.85, 0.001, 2, 0.1, 0.3, 0.15, 0.1, 0.02, 25_000);
   }
 
   /** Makes the policy with its weights. */
@@ -149,10 +150,10 @@
 
   /** Returns the plan that costs least; null when no engine can take the request. */
   private Plan best(Query query, List<Candidate> candidates, Turn turn) {
-    int most = isLong(query.facts()) ? Math.min(MOST_ENGINES, candidates.size()) : 1;
+    int most = Math.min(mostEngines(query.facts(), candidates), candidates.size());
     Plan best = null;
     for (int engines = 1; engines <= most; engines++) {
-      Plan plan = plan(query.facts(), candidates, engines, turn);
+      Plan plan = plan(query, candidates, engines, turn);
       if (plan != null && (best == null || plan.cost() < best.cost())) {
         best = plan;
       }
@@ -160,6 +161,16 @@
     return best;
   }
 
+  /** Returns how many engines could read a prompt: each reads the tokens of a step or more. */
+  private static int mostEngines(RequestFacts facts, List<Candidate> candidates) {
+    if (candidates.isEmpty()) {
+      return 0;
+    }
+    EngineProfile profile = candidates.get(0).state().endpoint().engine().orElseThrow();
+    long steps = facts.promptTokens() / Math.max(1, profile.chunkTokens());
+    return (int) Math.max(1, Math.min(MOST_ENGINES, steps));
+  }
+
   private boolean isLong(RequestFacts facts) {
     return facts.promptTokens() >= settings.longTokens();
   }
@@ -192,7 +203,9 @@
   }
 
   /** Returns the best plan of so many engines, or null when fewer can take part. */
-  private Plan plan(RequestFacts facts, List<Candidate> candidates, int engines, Turn turn) {
+  private Plan plan(Query query, List<Candidate> candidates, int engines, Turn turn) {
+    RequestFacts facts = query.facts();
+    long waitedMs = query.nowMs() - facts.arrivedMs();
     List<Option> options = new ArrayList<>();
     for (Candidate candidate : candidates) {
       Option option = option(facts, candidate, engines, turn);
@@ -203,21 +216,23 @@
     if (options.size() < engines) {
       return null;
     }
-    List<Option> chosen = cheapest(facts, options, engines);
+    List<Option> chosen = cheapest(query, options, engines);
     if (!canWrite(chosen.get(0))) {
       return null;
     }
     double latest = chosen.stream().mapToDouble(Option::firstTokenMs).max().orElse(0);
     double harm = chosen.stream().mapToDouble(Option::harm).sum();
-    double cost = harm + lateness(facts, latest) + settings.perEngine() * (engines - 1);
+    double cost = harm + lateness(facts, waitedMs + latest) + settings.perEngine() * (engines - 1);
     return new Plan(chosen, latest, cost);
   }
 
   /** Returns so many of the options, the one that writes the answer first. */
-  private List<Option> cheapest(RequestFacts facts, List<Option> options, int engines) {
+  private List<Option> cheapest(Query query, List<Option> options, int engines) {
+    RequestFacts facts = query.facts();
+    long waitedMs = query.nowMs() - facts.arrivedMs();
     options.sort(
         Comparator.comparingDouble(
-            option -> option.harm() + lateness(facts, option.firstTokenMs())));
+            option -> option.harm() + lateness(facts, waitedMs + option.firstTokenMs())));
     List<Option> chosen = new ArrayList<>(options.subList(0, engines));
     // The one with the fewest streams writes: its steps slow down what is written there.
     chosen.sort(
@@ -254,7 +269,7 @@
     boolean before = engines > 1 && turn == Turn.BEFORE_OTHERS;
     double harm =
         harmToWriting(outlook, part)
-            + harmToUnread(outlook, partMs, before)
+            + harmToUnread(outlook, partMs, engines, before)
             + orderCost(facts, candidate);
     return new Option(candidate, harm, firstMs);
   }
@@ -315,16 +330,18 @@
    *
    * @param beforeOthers whether the new part goes before parts of prompts on several engines too
    */
-  private double harmToUnread(EngineOutlook outlook, double partMs, boolean beforeOthers) {
+  private double harmToUnread(
+      EngineOutlook outlook, double partMs, int engines, boolean beforeOthers) {
     double harm = 0;
     for (EngineOutlook.Unread one : outlook.unread()) {
       long aimMs = one.job().aims().firstTokenMs();
       boolean shared = one.job().parts() > 1;
       boolean later = one.inPass() ? beforeOthers && outlook.stoppable() : !shared || beforeOthers;
       if (later && aimMs > 0) {
-        double more = step(one.firstTokenMs() + partMs, aimMs) - step(one.firstTokenMs(), aimMs);
+        double more = loss(one.firstTokenMs() + partMs, aimMs) - loss(one.firstTokenMs(), aimMs);
         // A prompt on several engines is held up once, however many of them have more to read.
-        harm += lateLoss(one.job()) * more / one.job().parts();
+        int together = Math.min(engines, one.job().parts());
+        harm += value(one.job().promptTokens()) * more / together;
       }
     }
     return harm;
@@ -335,11 +352,18 @@
   }
 
   private double lateness(RequestFacts facts, double firstTokenMs) {
-    double aimMs = aimMs(facts);
+    return value(facts.promptTokens()) * loss(firstTokenMs, aimMs(facts));
+  }
+
+  /**
+   * Returns what part of its value a request loses whose first token comes after a time. It grows
+   * faster the later it is, so that one that has waited for long is not put behind newer ones.
+   */
+  private double loss(double firstTokenMs, double aimMs) {
     double late = settings.lateLoss() * step(firstTokenMs, aimMs);
     double lost = (1 - settings.lateLoss()) * step(firstTokenMs, PATIENCE_AIMS * aimMs);
-    double slow = settings.speedWeight() * firstTokenMs / aimMs;
-    return value(facts.promptTokens()) * (late + lost + slow);
+    double aims = firstTokenMs / aimMs;
+    return late + lost + settings.slowLoss() * aims * aims;
   }
 
   private static double aimMs(RequestFacts facts) {
--- a/org.fawndrum/src/org/fawndrum/state/RequestAims.java
+++ b/org.fawndrum/src/org/fawndrum/state/RequestAims.java
@@ -13,4 +13,12 @@
 public record RequestAims(long firstTokenMs, long pauseMs, int mostAttempts) {
   /** Says nothing. */
   public static final RequestAims NONE = new RequestAims(0, 0, 0);
+
+  /** Returns what is still expected after a time, in milliseconds. */
+  public RequestAims after(long passedMs) {
+    boolean unchanged = firstTokenMs == 0 || passedMs <= 0;
+    return unchanged
+        ? this
+        : new RequestAims(Math.max(1, firstTokenMs - passedMs), pauseMs, mostAttempts);
+  }
 }
