Give back what a pass that ended sooner than foreseen cannot have read

Cause: a first token that came sooner than foreseen ended the model's pass with everything that seemed to be in it, parts of other prompts too, so that the model took engines for free that still read. Test, which failed before: aPassThatEndsSoonerHasNotReadTheOtherPartsInIt.

--- a/org.fawndrum/src/org/fawndrum/coordination/engine/EnginePasses.java
+++ b/org.fawndrum/src/org/fawndrum/coordination/engine/EnginePasses.java
@@ -98,17 +98,25 @@
       running = startPass(Math.max(passEndMs, sentMs));
       advance(nowMs);
     } else if (stoppable && entry.shared()) {
-      stopPass(nowMs);
+      stopPass(nowMs - passStartMs, nowMs);
     } else if (sentMs < passStartMs && roomTokens > 0) {
       passEndMs += join(entry) * slowness;
     }
   }
 
-  /** Ends the pass under way now and begins the next with what it did not read. */
-  private void stopPass(long nowMs) {
-    double partNotRead = (passEndMs - nowMs) / Math.max(1, passEndMs - passStartMs);
+  /**
+   * Ends the pass under way now and begins the next with what it did not read.
+   *
+   * @param readMs for how long it has read what is in it
+   */
+  private void stopPass(double readMs, long nowMs) {
+    double plannedMs = 0;
+    for (EngineEntry entry : entries.values()) {
+      plannedMs += entry.inPassMs * slowness;
+    }
+    double notRead = plannedMs <= 0 ? 0 : 1 - Math.max(0, readMs) / plannedMs;
     for (EngineEntry entry : entries.values()) {
-      entry.giveBack(Math.min(1, partNotRead));
+      entry.giveBack(Math.max(0, notRead));
     }
     endPass(nowMs);
     passEndMs = nowMs;
@@ -134,11 +142,11 @@
     advance(nowMs);
     boolean sooner = !entry.isRead();
     double lateMs = sooner ? 0 : nowMs - entry.readAtMs - NEWS_MS;
+    double readMs = nowMs - passStartMs - (entry.inPassMs + stepsMs()) * slowness;
     entry.confirm(nowMs);
     if (sooner) {
-      endPass(nowMs);
-      passEndMs = nowMs;
-      running = startPass(nowMs);
+      // The pass was shorter than foreseen: it did not read all that seemed to be in it.
+      stopPass(readMs, nowMs);
     } else if (lateMs > 0 && !entry.shared() && running) {
       passEndMs += lateMs;
     }
--- a/org.fawndrum/tst/org/fawndrum/coordination/engine/EngineLoadTest.java
+++ b/org.fawndrum/tst/org/fawndrum/coordination/engine/EngineLoadTest.java
@@ -175,6 +175,18 @@
     assertTrue(outlook(200).remainMs() < 2 * STEPS_MS);
   }
 
+  @Test
+  void aPassThatEndsSoonerHasNotReadTheOtherPartsInIt() {
+    load.add(job(1, 5_000, 1, 0), 0);
+    load.read(1, 70);
+    load.add(job(2, 5_000, 1, 71), 71);
+    load.add(partOf(3, 200_000, 4, 72), 72);
+    double wholeMs = outlook(72).sharedMs();
+    // Both are in the pass that begins next; the first token of one shows that the other was not.
+    load.read(2, 200);
+    assertTrue(outlook(200).sharedMs() > wholeMs / 2, outlook(200) + " of " + wholeMs);
+  }
+
   @Test
   void anEngineThatIsBehindIsExpectedToStayBehind() {
     load.add(job(1, 20_000, 1, 0), 0);
--- a/org.fawndrum/tst/org/fawndrum/coordination/engine/EngineModelPlacementTest.java
+++ b/org.fawndrum/tst/org/fawndrum/coordination/engine/EngineModelPlacementTest.java
@@ -192,6 +192,8 @@
         again.helpers().stream().noneMatch(one -> one.endpoint().identity().equals(atFault)));
     assertNotEquals(atFault, again.endpoint().identity());
     assertEquals(send.endpoint(), again.endpoint());
+    // While it is read, another prompt of its length would wait for its turn.
+    coordinator.attempt(again.attempt(), AttemptEvent.ANSWERED, 8);
     Action.Send other = ask(400_000, LONG_AIMS, 10).orElseThrow();
     assertTrue(
         other.helpers().stream().noneMatch(one -> one.endpoint().identity().equals(atFault)));
