Write long answers on few engines so that the others only read

Change: the engine that writes is chosen for itself: one that writes already and holds the prompt costs less; reading a part beside answers costs a little.

--- a/org.fawndrum/src/org/fawndrum/coordination/engine/EngineModelPlacement.java
+++ b/org.fawndrum/src/org/fawndrum/coordination/engine/EngineModelPlacement.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.function.ToDoubleFunction;
 import org.fawndrum.coordination.EndpointState;
 import org.fawndrum.coordination.PassedOver;
 import org.fawndrum.coordination.Placement;
@@ -60,6 +61,7 @@
    *     proportion to the square of the time
    * @param opening what a short prompt costs on an engine that has none, in value
    * @param packing what each of its empty places costs, in parts of all its places, in value
+   * @param beside what it costs that an engine with answers reads a part, in value
    * @param crowding what it costs in the last places of an engine, which other hosts may take at
    *     the same moment, in value
    * @param memoryMargin the part of an engine's memory that is left free
@@ -76,12 +78,14 @@
       double slowLoss,
       double opening,
       double packing,
+      double beside,
       double crowding,
       double memoryMargin,
       long longTokens) {
     /** Weights tried on played days; docs/ROUNDS.md has the figures. */
     public static final Settings DEFAULT =
-        new Settings(0.75, 1, 13_000, 0.05, 0.85, 0.001, 2, 0.1, 0.3, 0.15, 0.1, 0.02, 25_000);
+        new Settings(
+            0.75, 1, 13_000, 0.05, 0.85, 0.001, 2, 0.1, 0.3, 0.15, 0.05, 0.1, 0.02, 25_000);
   }
 
   /** Makes the policy with its weights. */
@@ -217,7 +221,7 @@
       return null;
     }
     List<Option> chosen = cheapest(query, options, engines);
-    if (!canWrite(chosen.get(0))) {
+    if (chosen.isEmpty()) {
       return null;
     }
     double latest = chosen.stream().mapToDouble(Option::firstTokenMs).max().orElse(0);
@@ -226,23 +230,50 @@
     return new Plan(chosen, latest, cost);
   }
 
-  /** Returns so many of the options, the one that writes the answer first. */
+  /** Returns so many of the options, the one that writes the answer first; none if none can. */
   private List<Option> cheapest(Query query, List<Option> options, int engines) {
     RequestFacts facts = query.facts();
     long waitedMs = query.nowMs() - facts.arrivedMs();
-    options.sort(
-        Comparator.comparingDouble(
-            option -> option.harm() + lateness(facts, waitedMs + option.firstTokenMs())));
-    List<Option> chosen = new ArrayList<>(options.subList(0, engines));
-    // The one with the fewest streams writes: its steps slow down what is written there.
-    chosen.sort(
-        Comparator.comparing((Option option) -> !canWrite(option))
-            .thenComparing(option -> freeTokens(option.state()) < facts.workTokens())
-            .thenComparingInt(option -> option.candidate().outlook().streams())
-            .thenComparingDouble(option -> option.candidate().part()));
+    ToDoubleFunction<Option> cost =
+        option -> option.harm() + lateness(facts, waitedMs + option.firstTokenMs());
+    Optional<Option> first =
+        options.stream()
+            .filter(EngineModelPlacement::canWrite)
+            .min(
+                Comparator.comparingDouble(
+                    option -> cost.applyAsDouble(option) + writingCost(facts, option, engines)));
+    if (first.isEmpty()) {
+      return List.of();
+    }
+    List<Option> chosen = new ArrayList<>(engines);
+    chosen.add(first.get());
+    options.stream()
+        .filter(option -> option != first.get())
+        .sorted(
+            Comparator.comparingDouble(option -> cost.applyAsDouble(option) + besideCost(option)))
+        .limit(engines - 1)
+        .forEach(chosen::add);
     return chosen;
   }
 
+  /**
+   * Returns what it costs that an engine writes an answer of several engines. Where nothing else is
+   * written, passes have no steps and can be stopped, so that engines which only read are kept.
+   */
+  private double writingCost(RequestFacts facts, Option option, int engines) {
+    if (engines == 1) {
+      return 0;
+    }
+    boolean opens = option.candidate().outlook().streams() == 0;
+    boolean needsOthers = freeTokens(option.state()) < facts.workTokens();
+    return (opens ? settings.opening() : 0) + (needsOthers ? settings.opening() : 0);
+  }
+
+  /** Returns what it costs that an engine reads a part beside the answers that it writes. */
+  private double besideCost(Option option) {
+    return option.candidate().outlook().streams() == 0 ? 0 : settings.beside();
+  }
+
   private static boolean canWrite(Option option) {
     return option.candidate().outlook().streams() < slots(option.candidate());
   }
