--- a/org.fawndrum/src/org/fawndrum/coordination/engine/EngineModelPlacement.java
+++ b/org.fawndrum/src/org/fawndrum/coordination/engine/EngineModelPlacement.java
@@ -85,7 +85,7 @@
     /** Weights tried on played days; docs/ROUNDS.md has the figures. */
     public static final Settings DEFAULT =
         new Settings(
-            0.75, 1, 13_000, 0.05, 0.85, 0.001, 2, 0.1, 0.3, 0.15, 0.05, 0.1, 0.02, 25_000);
+            0.75, 1, 13_000, 0.05, 0.85, 0.001, 2, 0.1, 0.3, 0.15, 0.05, 0.5, 0.02, 25_000);
   }
 
   /** Makes the policy with its weights. */
