Pass over reports of an incarnation before the one that is alive

Cause: a gathered report of a host's last incarnation that came after its new one was heard took the new one's place and was passed on; so did the new one's next. Ruled out: the engines' model; the messages are heartbeats of membership. Change: such a report is no news while the later incarnation is alive. Messages of a daemon itself still count, because its clock may have gone back. Tests, which failed before: aLateReportOfTheIncarnationBeforeIsNoNews, reportsOfTwoIncarnationsDoNotRunInCircles (100 hops and no end).

--- a/org.fawndrum/src/org/fawndrum/coordination/membership/FleetOverlay.java
+++ b/org.fawndrum/src/org/fawndrum/coordination/membership/FleetOverlay.java
@@ -17,7 +17,8 @@
  * the zone subscribe to it; it passes their reports on to its subscribers and to the speakers of
  * other zones. There is no vote: daemons with different views may use different speakers for a
  * while, and whoever has subscribers passes on. A report that comes a second time is passed over,
- * so that no report runs in circles.
+ * and so is one of an incarnation before the one that is alive, so that no report runs in circles.
+ * A message from a daemon itself is believed in any case: its clock may have gone back.
  *
  * <p>Confined to one thread. Times are those of the host's clock, in milliseconds.
  */
@@ -72,10 +73,10 @@
    *     and newer than all before
    */
   public boolean take(FleetReport report, long nowMs) {
-    if (isSelf(report.from())) {
+    KnownDaemon one = known.get(report.from().host());
+    if (isSelf(report.from()) || one != null && one.isNewerThan(report.from())) {
       return false;
     }
-    KnownDaemon one = known.get(report.from().host());
     boolean same = one != null && one.isAlive(report.from());
     boolean old = same && report.sequence() <= one.lastSequence();
     if (old || !same && report.member().isEmpty()) {
--- a/org.fawndrum/src/org/fawndrum/coordination/membership/KnownDaemon.java
+++ b/org.fawndrum/src/org/fawndrum/coordination/membership/KnownDaemon.java
@@ -76,6 +76,11 @@
     return alive && member.identity().equals(incarnation);
   }
 
+  /** Tells whether a later incarnation of it than this one is alive. */
+  boolean isNewerThan(HostIdentity incarnation) {
+    return alive && member.identity().incarnation() > incarnation.incarnation();
+  }
+
   /** Tells whether it wanted reports not long ago. */
   boolean isSubscriber(long nowMs) {
     return alive && nowMs - subscribedMs <= FleetOverlay.GONE_MS;
--- a/org.fawndrum/tst/org/fawndrum/coordination/membership/FleetOverlayTest.java
+++ b/org.fawndrum/tst/org/fawndrum/coordination/membership/FleetOverlayTest.java
@@ -55,6 +55,39 @@
     assertEquals(List.of(member("a-3", 2, "a", 1)), overlay.alive());
   }
 
+  @Test
+  void aLateReportOfTheIncarnationBeforeIsNoNews() {
+    FleetMember before = member("a-3", 1, "a", 1);
+    FleetMember now = member("a-3", 2, "a", 1);
+    assertTrue(overlay.take(whole(before, 30), 0));
+    assertTrue(overlay.take(whole(now, 1), 10));
+    assertFalse(overlay.take(whole(before, 31), 20));
+    assertFalse(overlay.take(whole(now, 1), 30));
+    assertEquals(List.of(now), overlay.alive());
+  }
+
+  /** Two speakers that passed such reports to each other did so for ever. */
+  @Test
+  void reportsOfTwoIncarnationsDoNotRunInCircles() {
+    FleetOverlay other = new FleetOverlay(member("b-1", 1, "b", 20), new Watch());
+    List<FleetReport> passed =
+        List.of(whole(member("a-3", 1, "a", 1), 30), whole(member("a-3", 2, "a", 1), 1));
+    int hops = 0;
+    while (!passed.isEmpty() && hops < 100) {
+      FleetOverlay next = hops % 2 == 0 ? overlay : other;
+      passed = passed.stream().filter(report -> next.take(report, 0)).toList();
+      hops++;
+    }
+    assertTrue(hops <= 4, "hops " + hops);
+  }
+
+  @Test
+  void aHostThatStartsAfterItsClockWentBackIsHeardFromItself() {
+    overlay.heardDirectly(member("a-3", 9, "a", 1), true, 0);
+    overlay.heardDirectly(member("a-3", 4, "a", 1), true, 10);
+    assertEquals(List.of(member("a-3", 4, "a", 1)), overlay.alive());
+  }
+
   @Test
   void aSilentDaemonIsGoneOnceAndItsAddressIsTriedForAMinute() {
     FleetMember other = member("a-3", 1, "a", 1);
