Let what is late already cost no more until its caller leaves

Cause: the square of the time went on above the aim, so that a prompt of 725,921 tokens, which no choice could have read in time, outweighed all others. Change: the square ends at the aim; the loss of a caller that leaves stays.

--- a/org.fawndrum/src/org/fawndrum/coordination/engine/EngineModelPlacement.java
+++ b/org.fawndrum/src/org/fawndrum/coordination/engine/EngineModelPlacement.java
@@ -58,7 +58,7 @@
    * @param perEngine what each further engine costs, in value
    * @param otherZoneMs what an endpoint in another zone must be faster by, in milliseconds
    * @param slowLoss the part of its value that an answer loses which takes as long as its aim; in
-   *     proportion to the square of the time
+   *     proportion to the square of the time up to there
    * @param opening what a short prompt costs on an engine that has none, in value
    * @param packing what each of its empty places costs, in parts of all its places, in value
    * @param beside what it costs that an engine with answers reads a part, in value
@@ -388,12 +388,13 @@
 
   /**
    * Returns what part of its value a request loses whose first token comes after a time. It grows
-   * faster the later it is, so that one that has waited for long is not put behind newer ones.
+   * faster the nearer its aim is, so that one that has waited for long is not put behind newer
+   * ones; one that is late anyway loses no more until its caller leaves.
    */
   private double loss(double firstTokenMs, double aimMs) {
     double late = settings.lateLoss() * step(firstTokenMs, aimMs);
     double lost = (1 - settings.lateLoss()) * step(firstTokenMs, PATIENCE_AIMS * aimMs);
-    double aims = firstTokenMs / aimMs;
+    double aims = Math.min(1, firstTokenMs / aimMs);
     return late + lost + settings.slowLoss() * aims * aims;
   }
 
