Split the costs and weights of a placement from the choice of engines

Change: PlacementWeights, PlacementCosts and EngineCandidate; DeadlineChecks holds when requests are looked at again. Behaviour is the same.

--- a/org.fawndrum/src/org/fawndrum/coordination/Policies.java
+++ b/org.fawndrum/src/org/fawndrum/coordination/Policies.java
@@ -3,6 +3,7 @@
 
 import java.util.function.BooleanSupplier;
 import org.fawndrum.coordination.engine.EngineModelPlacement;
+import org.fawndrum.coordination.engine.PlacementWeights;
 
 /**
  * The exchangeable parts of the decisions of one host. Each instance belongs to one coordinator.
@@ -53,8 +54,7 @@
    */
   public static Policies engineModel(RetryBudget retries, BooleanSupplier byZone) {
     return new Policies(
-        new OwnZonePlacement(
-            new EngineModelPlacement(EngineModelPlacement.Settings.DEFAULT), byZone),
+        new OwnZonePlacement(new EngineModelPlacement(PlacementWeights.DEFAULT), byZone),
         new FairWorkOrder(SHORT_CREDIT),
         new LengthMix(SHORT_PART),
         retries,
--- a/org.fawndrum/src/org/fawndrum/coordination/RequestCoordinator.java
+++ b/org.fawndrum/src/org/fawndrum/coordination/RequestCoordinator.java
@@ -3,12 +3,10 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
-import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.PriorityQueue;
 import org.fawndrum.coordination.engine.EngineNews;
 import org.fawndrum.state.CallerGroup;
 import org.fawndrum.state.CellKey;
@@ -37,8 +35,7 @@
   private final Admission admission;
   private final Map<CallerGroup, GroupUsage> usages = new HashMap<>();
   private final Map<String, LiveRequest> requests = new HashMap<>();
-  private final PriorityQueue<Check> checks =
-      new PriorityQueue<>(Comparator.comparingLong(Check::atMs));
+  private final DeadlineChecks checks = new DeadlineChecks();
   private final List<Action> out = new ArrayList<>();
   private final Explainer explainer = new Explainer(out);
   private final EngineWork work;
@@ -46,9 +43,6 @@
   private boolean draining;
   private double part = 1.0;
 
-  /** A time at which a request is looked at again. */
-  private record Check(long atMs, String requestId) {}
-
   /**
    * Makes the coordinator of a host that has just started.
    *
@@ -150,7 +144,7 @@
 
   /** Returns when {@link #tick} has something to do next, or {@link Long#MAX_VALUE}. */
   public long nextCheckMs() {
-    return checks.isEmpty() ? Long.MAX_VALUE : checks.peek().atMs();
+    return checks.nextMs();
   }
 
   /** Takes a request that has just arrived. */
@@ -194,7 +188,7 @@
     enqueue(request);
     long lastStartMs = request.deadlineMs - admission.shortestServiceMs(request.facts);
     long firstCheckMs = policies.refuseEarly() ? lastStartMs : request.deadlineMs;
-    checks.add(new Check(firstCheckMs, request.facts.requestId()));
+    checks.add(firstCheckMs, request.facts.requestId());
   }
 
   private void enqueue(LiveRequest request) {
@@ -278,8 +272,8 @@
 
   /** Gives up on what cannot end in time and sends what can be sent. */
   public List<Action> tick(long nowMs) {
-    while (!checks.isEmpty() && checks.peek().atMs() <= nowMs) {
-      LiveRequest request = requests.get(checks.poll().requestId());
+    for (String due = checks.takeDue(nowMs); due != null; due = checks.takeDue(nowMs)) {
+      LiveRequest request = requests.get(due);
       if (request != null) {
         checkDeadline(request, nowMs);
       }
@@ -293,7 +287,7 @@
     } else if (request.waiting && policies.refuseEarly()) {
       giveUpAsLate(request, RefusalKind.CANNOT_FINISH, nowMs);
     } else {
-      checks.add(new Check(request.deadlineMs, request.facts.requestId()));
+      checks.add(request.deadlineMs, request.facts.requestId());
     }
   }
 
