--- a/org.fawndrum/tst/org/fawndrum/coordination/engine/EngineModelPlacementTest.java
+++ b/org.fawndrum/tst/org/fawndrum/coordination/engine/EngineModelPlacementTest.java
@@ -2,13 +2,19 @@
 package org.fawndrum.coordination.engine;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertNotEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import net.jqwik.api.constraints.Size;
 import org.fawndrum.coordination.Action;
 import org.fawndrum.coordination.AttemptEvent;
 import org.fawndrum.coordination.EarnedRetryBudget;
@@ -83,10 +89,7 @@
             true,
             List.of(),
             aims);
-    return coordinator.arrive(facts, nowMs).stream()
-        .filter(action -> action instanceof Action.Send)
-        .map(action -> (Action.Send) action)
-        .findFirst();
+    return sends(coordinator.arrive(facts, nowMs)).stream().findFirst();
   }
 
   private void answering(Action.Send send, long nowMs) {
@@ -198,4 +201,90 @@
     assertTrue(
         other.helpers().stream().noneMatch(one -> one.endpoint().identity().equals(atFault)));
   }
+
+  @Test
+  void shortPromptsGatherAndLeaveOneEnginesLastPlaceFree() {
+    engines(6);
+    Set<HostIdentity> used = new HashSet<>();
+    for (int i = 0; i < PROFILE.slots() - 1; i++) {
+      Action.Send send = ask(1_000, SHORT_AIMS, 200 * i).orElseThrow();
+      answering(send, 200 * i + 60);
+      used.add(send.endpoint().identity());
+    }
+    assertEquals(1, used.size());
+    Action.Send next = ask(1_000, SHORT_AIMS, 3_000).orElseThrow();
+    assertFalse(used.contains(next.endpoint().identity()));
+  }
+
+  @Test
+  void aLongPromptIsReadByEveryEngineThatWritesNothing() {
+    engines(8);
+    answering(ask(1_000, SHORT_AIMS, 0).orElseThrow(), 60);
+    Action.Send send = ask(200_000, LONG_AIMS, 100).orElseThrow();
+    assertEquals(6, send.helpers().size());
+  }
+
+  @Test
+  void longAnswersAreWrittenWhereOthersAre() {
+    engines(8);
+    Action.Send first = ask(90_000, LONG_AIMS, 0).orElseThrow();
+    answering(first, 200);
+    Action.Send second = ask(90_000, LONG_AIMS, 300).orElseThrow();
+    assertEquals(first.endpoint(), second.endpoint());
+    answering(second, 500);
+    // Two such prompts fill the memory of an engine.
+    Action.Send third = ask(90_000, LONG_AIMS, 600).orElseThrow();
+    assertNotEquals(first.endpoint(), third.endpoint());
+  }
+
+  @Test
+  void aPromptWaitsWhileAnOlderOneIsReadAndIsSentAfterIt() {
+    engines(8);
+    Action.Send older = ask(400_000, LONG_AIMS, 0).orElseThrow();
+    assertTrue(ask(400_000, LONG_AIMS, 100).isEmpty());
+    assertEquals(1, coordinator.waiting());
+    answering(older, 1_900);
+    coordinator.attempt(older.attempt(), AttemptEvent.ANSWERED, 1_950);
+    coordinator.tick(2_000);
+    assertEquals(0, coordinator.waiting());
+  }
+
+  /** Each number is a step: a prompt of some length, or the end of the oldest one. */
+  @Property(seed = "7", tries = 200)
+  void noEngineWritesMoreThanItHasPlacesForAndNoneIsNamedTwice(
+      @ForAll @Size(max = 80) List<@IntRange(min = 0, max = 9) Integer> steps) {
+    engines(5);
+    List<Action.Send> open = new ArrayList<>();
+    long nowMs = 0;
+    for (int step : steps) {
+      nowMs += 15;
+      if (step == 0 && !open.isEmpty()) {
+        Action.Send oldest = open.remove(0);
+        open.addAll(sends(coordinator.attempt(oldest.attempt(), AttemptEvent.ANSWERED, nowMs)));
+      } else {
+        ask(1L << (9 + step), step < 5 ? SHORT_AIMS : LONG_AIMS, nowMs).ifPresent(open::add);
+      }
+      open.addAll(sends(coordinator.tick(nowMs)));
+      for (Action.Send one : open) {
+        HostIdentity writes = one.endpoint().identity();
+        long there = open.stream().filter(other -> writes.equals(identity(other))).count();
+        assertTrue(there <= PROFILE.slots(), there + " at " + writes);
+        Set<HostIdentity> all = new HashSet<>();
+        all.add(writes);
+        one.helpers().forEach(helper -> all.add(helper.endpoint().identity()));
+        assertEquals(1 + one.helpers().size(), all.size());
+      }
+    }
+  }
+
+  private static HostIdentity identity(Action.Send send) {
+    return send.endpoint().identity();
+  }
+
+  private static List<Action.Send> sends(List<Action> actions) {
+    return actions.stream()
+        .filter(action -> action instanceof Action.Send)
+        .map(action -> (Action.Send) action)
+        .toList();
+  }
 }
