Give a pass of the model a shortest time

Cause: with an engine profile whose figures for steps are missing a pass took no time, so that the model never came to the present and the thread that decides hung (found by reading; no site has such figures). Change: a pass takes 1 ms at least. Test, which did not end before (stopped after 60 s): anEngineWithoutFiguresForItsStepsHasPassesAllTheSame.

--- a/org.fawndrum/src/org/fawndrum/coordination/engine/EnginePasses.java
+++ b/org.fawndrum/src/org/fawndrum/coordination/engine/EnginePasses.java
@@ -22,6 +22,12 @@
   /** By how much news of a first token may come late, in milliseconds: two daemons gather them. */
   private static final double NEWS_MS = 40;
 
+  /**
+   * A pass takes this long at least, in milliseconds, so that the model comes to the present also
+   * where the operators' figures are missing.
+   */
+  private static final double SHORTEST_MS = 1;
+
   private final EngineProfile profile;
   private final Map<Long, EngineEntry> entries = new LinkedHashMap<>();
   private boolean running;
@@ -178,7 +184,7 @@
     for (EngineEntry entry : waiting) {
       readMs += join(entry);
     }
-    double passMs = (readMs + (writes ? stepsMs() : 0)) * slowness;
+    double passMs = Math.max(SHORTEST_MS, (readMs + (writes ? stepsMs() : 0)) * slowness);
     passStartMs = atMs;
     passEndMs = atMs + passMs;
     notePauses(writing, passMs);
--- a/org.fawndrum/tst/org/fawndrum/coordination/engine/EngineLoadTest.java
+++ b/org.fawndrum/tst/org/fawndrum/coordination/engine/EngineLoadTest.java
@@ -202,6 +202,16 @@
     assertTrue(load.slowness(30_000) < 1.1);
   }
 
+  /** Operators may leave figures out; the model must still come to the present. */
+  @Test
+  void anEngineWithoutFiguresForItsStepsHasPassesAllTheSame() {
+    EngineLoad odd = new EngineLoad(new EngineProfile(11, 232_000, 0, 0, 0, 0, 206, 0, 0, 0));
+    odd.add(job(1, 1_000, 1, 0), 0);
+    odd.read(1, 10);
+    odd.add(job(2, 1_000, 1, 20), 20);
+    assertEquals(2, odd.outlook(LONG_TOKENS, 1_000).streams());
+  }
+
   @Test
   void aPlainServiceIsOnlyCounted() {
     EngineLoad plain = new EngineLoad(null);
