Leave out engines of zones from which no daemon is heard

Ruled out: suspecting a zone by its failed engines; with 0.5 s of suspicion and 1.5 s to each failure half a zone is never suspected at the same time. Change: a zone whose daemons have all been silent for 2 s is left out of the choice while any other endpoint can take the request. Tests: aSilentZoneTakesNoPartInAPromptOfSeveralEngines, aSilentZoneServesWhereNoOtherEngineIs, aZoneIsSilentWhenNoDaemonOfItIsHeard; the first failed without the change by construction, the methods being new.

--- a/org.fawndrum/src/org/fawndrum/coordination/Policies.java
+++ b/org.fawndrum/src/org/fawndrum/coordination/Policies.java
@@ -1,7 +1,9 @@
 // SPDX-License-Identifier: Apache-2.0
 package org.fawndrum.coordination;
 
+import java.util.Set;
 import java.util.function.BooleanSupplier;
+import java.util.function.Supplier;
 import org.fawndrum.coordination.engine.EngineModelPlacement;
 import org.fawndrum.coordination.engine.PlacementWeights;
 
@@ -51,10 +53,13 @@
    *
    * @param retries the budget for sending again
    * @param byZone whether daemons tell each other at once only of the engines of their own zone
+   * @param silentZones the availability zones from which no daemon is heard
    */
-  public static Policies engineModel(RetryBudget retries, BooleanSupplier byZone) {
+  public static Policies engineModel(
+      RetryBudget retries, BooleanSupplier byZone, Supplier<Set<String>> silentZones) {
+    Placement engines = new EngineModelPlacement(PlacementWeights.DEFAULT);
     return new Policies(
-        new OwnZonePlacement(new EngineModelPlacement(PlacementWeights.DEFAULT), byZone),
+        new ReachableZonePlacement(new OwnZonePlacement(engines, byZone), silentZones),
         new FairWorkOrder(SHORT_CREDIT),
         new LengthMix(SHORT_PART),
         retries,
--- a/org.fawndrum/src/org/fawndrum/coordination/membership/FleetOverlay.java
+++ b/org.fawndrum/src/org/fawndrum/coordination/membership/FleetOverlay.java
@@ -3,9 +3,11 @@
 
 import java.util.Collection;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import org.fawndrum.state.HostAddress;
 import org.fawndrum.state.HostIdentity;
 
@@ -29,6 +31,12 @@
   /** How long the address of a silent daemon is kept, in milliseconds. */
   static final long FORGET_MS = 60_000;
 
+  /**
+   * When nothing was heard of any daemon of a zone for so long, the zone is silent, in
+   * milliseconds: a heartbeat, and twice the time for which speakers gather.
+   */
+  static final long SILENT_ZONE_MS = 2_000;
+
   private final FleetMember self;
   private final Watcher watcher;
   private final Map<String, KnownDaemon> known = new HashMap<>();
@@ -167,6 +175,19 @@
     return known.values().stream().filter(KnownDaemon::isAlive).map(KnownDaemon::member).toList();
   }
 
+  /** Returns the other availability zones that have daemons and from which none is heard. */
+  public Set<String> silentZones(long nowMs) {
+    Set<String> silent = new HashSet<>();
+    Set<String> heard = new HashSet<>();
+    heard.add(self.zone());
+    for (KnownDaemon one : known.values()) {
+      boolean lately = one.silentMs(nowMs) <= SILENT_ZONE_MS;
+      (lately ? heard : silent).add(one.member().zone());
+    }
+    silent.removeAll(heard);
+    return Set.copyOf(silent);
+  }
+
   /** Returns where daemons were that are silent now, and so may come back. */
   public List<HostAddress> silent() {
     return known.values().stream()
--- a/org.fawndrum/src/org/fawndrum/transport/relay/FleetDuty.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/FleetDuty.java
@@ -70,6 +70,7 @@
   private volatile HostAddress speaker;
   private volatile int others;
   private volatile boolean manyDaemons;
+  private volatile Set<String> silentZones = Set.of();
   private long sequence;
   private long nextHeartbeatMs;
 
@@ -145,6 +146,11 @@
     return manyDaemons;
   }
 
+  /** Returns the availability zones from which no daemon is heard now. */
+  Set<String> silentZones() {
+    return silentZones;
+  }
+
   /** Returns where the daemon is that speaks for this host's zone; null when it is this host. */
   HostAddress speaker() {
     return speaker;
@@ -199,6 +205,7 @@
     long nowMs = clock.nowMs();
     reportOwn(nowMs);
     follow(nowMs);
+    silentZones = overlay.silentZones(nowMs);
     boolean passesOn = overlay.passesOn(nowMs);
     if (passesOn && nowMs >= passOnMs(nowMs)) {
       passOn(nowMs);
--- a/org.fawndrum/src/org/fawndrum/transport/relay/RelayRuntime.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/RelayRuntime.java
@@ -6,6 +6,7 @@
 import io.vertx.core.Vertx;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Consumer;
 import org.fawndrum.coordination.Action;
@@ -82,7 +83,9 @@
     RetryShare retries = new RetryShare(settings.bounds(), this::others, this::seeded);
     RequestCoordinator coordinator =
         new RequestCoordinator(
-            self, settings.zone(), Policies.engineModel(retries.budget(), this::manyDaemons));
+            self,
+            settings.zone(),
+            Policies.engineModel(retries.budget(), this::manyDaemons, this::silentZones));
     MetricRegistry registry = new MetricRegistry();
     this.decisionLog =
         new DecisionLog(new RequestMetrics(registry, clock), this::basis, clock, log);
@@ -239,6 +242,10 @@
     return fleet.manyDaemons();
   }
 
+  private Set<String> silentZones() {
+    return fleet.silentZones();
+  }
+
   /** Starts everything; fails when an address cannot be had. */
   public Future<Void> start() {
     decisions.start();
--- a/org.fawndrum/tst/org/fawndrum/coordination/engine/EngineModelPlacementTest.java
+++ b/org.fawndrum/tst/org/fawndrum/coordination/engine/EngineModelPlacementTest.java
@@ -45,9 +45,12 @@
   private static final RequestAims LONG_AIMS = new RequestAims(2_500, 1_000, 2);
 
   private boolean byZone;
+  private Set<String> silentZones = Set.of();
   private final RequestCoordinator coordinator =
       new RequestCoordinator(
-          SELF, "zone-a", Policies.engineModel(new EarnedRetryBudget(0.1, 10), () -> byZone));
+          SELF,
+          "zone-a",
+          Policies.engineModel(new EarnedRetryBudget(0.1, 10), () -> byZone, () -> silentZones));
   private int next;
 
   EngineModelPlacementTest() {
@@ -124,6 +127,23 @@
     assertEquals("zone-b", ask(1_000, SHORT_AIMS, 0).orElseThrow().endpoint().zone());
   }
 
+  @Test
+  void aSilentZoneTakesNoPartInAPromptOfSeveralEngines() {
+    engines(8, 4);
+    silentZones = Set.of("zone-b");
+    Action.Send send = ask(200_000, LONG_AIMS, 0).orElseThrow();
+    assertEquals("zone-a", send.endpoint().zone());
+    assertEquals(3, send.helpers().size());
+    assertTrue(send.helpers().stream().allMatch(one -> one.endpoint().zone().equals("zone-a")));
+  }
+
+  @Test
+  void aSilentZoneServesWhereNoOtherEngineIs() {
+    engines(3, 3);
+    silentZones = Set.of("zone-b");
+    assertEquals("zone-b", ask(1_000, SHORT_AIMS, 0).orElseThrow().endpoint().zone());
+  }
+
   @Test
   void newsSayWhichZoneTheyConcern() {
     engines(1, 1);
--- a/org.fawndrum/tst/org/fawndrum/coordination/membership/FleetOverlayTest.java
+++ b/org.fawndrum/tst/org/fawndrum/coordination/membership/FleetOverlayTest.java
@@ -8,6 +8,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import org.fawndrum.state.HostAddress;
 import org.fawndrum.state.HostIdentity;
 import org.junit.jupiter.api.Test;
@@ -88,6 +89,17 @@
     assertEquals(List.of(member("a-3", 4, "a", 1)), overlay.alive());
   }
 
+  @Test
+  void aZoneIsSilentWhenNoDaemonOfItIsHeard() {
+    overlay.heardDirectly(member("b-1", 1, "b", 1), false, 0);
+    overlay.heardDirectly(member("b-2", 1, "b", 1), false, 1_500);
+    overlay.heardDirectly(member("a-3", 1, "a", 1), false, 0);
+    assertEquals(Set.of(), overlay.silentZones(3_500));
+    assertEquals(Set.of("b"), overlay.silentZones(3_501));
+    assertTrue(overlay.take(whole(member("b-1", 1, "b", 1), 5), 4_000));
+    assertEquals(Set.of(), overlay.silentZones(4_001));
+  }
+
   @Test
   void aSilentDaemonIsGoneOnceAndItsAddressIsTriedForAMinute() {
     FleetMember other = member("a-3", 1, "a", 1);
