Renew leases on engine memory by signs of life of the engine that uses it

When the engine that was asked went dark, the memory stayed set aside until the caller's deadline. Class: a lease kept alive by its holder's own clock instead of by evidence that what it protects is still used. The same acted on streams that may not run again (never watched) and on streams with long pauses (ended after 5 s of silence, while unused memory may last 4 s). Ruled out: lost releases (the memory would lapse 3.5 s after the last renewal, not at the deadline); a limit on the time to the first token (a long prompt may well take ten seconds); keep-alive probes of TCP (they see a host, not its engine, and cannot be played over loopback). Change: an engine that is silent for a second is probed; two probes without an answer end the attempt as lost, so that it goes elsewhere, its engine rests and its memory is released. Leases are renewed by signs of life only and never go further beyond one than their length, whatever becomes of the host. A release waits for the order before it.

--- a/org.fawndrum/src/org/fawndrum/internal/log/LogEvent.java
+++ b/org.fawndrum/src/org/fawndrum/internal/log/LogEvent.java
@@ -37,6 +37,7 @@
   TURNED_AWAY(56, Level.INFO, "{0}"),
   LINES_LEFT_OUT(57, Level.WARN, "lines left out: {0} about failures, {1} about successes"),
   STREAM_ENDED(58, Level.INFO, "{0}"),
+  ENGINE_SILENT(59, Level.WARN, "{0}"),
   SWEPT(60, Level.INFO, "endpoint {0}: freed {1} streams of {2}"),
   REGISTERED(61, Level.INFO, "registered for calls that may not be repeated, at {0}"),
   HANDED_OVER(62, Level.INFO, "{0} claims handed over to {1} peers"),
--- a/org.fawndrum/src/org/fawndrum/transport/relay/DecisionLog.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/DecisionLog.java
@@ -69,6 +69,13 @@
       String requestId, String endpoint, long events, long longestPauseMs, long longestPauseAfter)
       implements LogDetails {}
 
+  /**
+   * The details of an attempt that ended because its engine gave no sign of life.
+   *
+   * @param silentMs how long ago the last one was, in milliseconds
+   */
+  record SilentDetails(String requestId, String endpoint, long silentMs) implements LogDetails {}
+
   DecisionLog(RequestMetrics metrics, Supplier<Basis> basis, HostClock clock, HostLog log) {
     this.metrics = metrics;
     this.basis = basis;
@@ -111,6 +118,13 @@
     }
   }
 
+  /** Writes a line for an attempt that ended because its engine gave no sign of life. */
+  void engineSilent(String requestId, String endpoint, long silentMs) {
+    if (failures.take(clock.nowMs())) {
+      log.details(LogEvent.ENGINE_SILENT, new SilentDetails(requestId, endpoint, silentMs));
+    }
+  }
+
   private synchronized void tellLeftOut() {
     long nowMs = clock.nowMs();
     if (nowMs < nextLeftOutMs) {
--- a/org.fawndrum/src/org/fawndrum/transport/relay/EngineOrders.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/EngineOrders.java
@@ -4,7 +4,10 @@
 import io.vertx.core.Future;
 import org.fawndrum.state.Endpoint;
 
-/** Orders to engines about their cache memory. Futures complete on the caller's event loop. */
+/**
+ * Orders to engines about their cache memory, and the question whether they live. Futures complete
+ * on the caller's event loop.
+ */
 public interface EngineOrders {
   /**
    * Sets memory aside for a time, or prolongs that time. Gives false when the engine has not enough
@@ -18,4 +21,7 @@
 
   /** Frees memory that was set aside. */
   Future<Void> release(Endpoint engine, String ticket);
+
+  /** Asks an engine for a sign of life; fails when it gives none in time. */
+  Future<Void> probe(Endpoint engine);
 }
--- a/org.fawndrum/src/org/fawndrum/transport/relay/PromptMemory.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/PromptMemory.java
@@ -2,7 +2,6 @@
 package org.fawndrum.transport.relay;
 
 import io.vertx.core.Future;
-import io.vertx.core.Vertx;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
@@ -11,40 +10,59 @@
 import org.fawndrum.errors.EndpointMemoryShortException;
 import org.fawndrum.internal.log.HostLog;
 import org.fawndrum.internal.log.LogEvent;
+import org.fawndrum.transport.HostClock;
 
 /**
  * The memory that one attempt has set aside on several engines: all of it or none. It is held by
- * short leases that are renewed while the attempt lasts, so that the memory of a daemon that died
- * becomes free by itself. Confined to one event loop.
+ * short leases, so that the memory of a daemon that died becomes free by itself. They are renewed
+ * by signs of life of the engine that uses the memory, never by this host's own time: nobody uses
+ * the memory of an engine that is gone, however long its request stays open here. Confined to one
+ * event loop.
  */
 final class PromptMemory {
-  /** The length of a lease, in milliseconds; below what operators allow unused. */
-  private static final long LEASE_MS = 3_500;
+  /**
+   * How long a lease goes beyond the last sign of life that it rests on, in milliseconds; operators
+   * allow memory to lie unused for 4 s, and an order may take 0.3 s.
+   */
+  static final long LEASE_MS = 3_500;
 
-  /** The interval of renewals, in milliseconds: two may be lost before the lease is over. */
-  private static final long RENEWAL_MS = 1_200;
+  /**
+   * The shortest time between renewals, in milliseconds: engines that write give signs every few
+   * milliseconds, and one order in a second is enough to let two be lost.
+   */
+  static final long RENEWAL_MS = 1_000;
 
-  private static final int RELEASE_TRIES = 3;
-  private static final long NO_TIMER = -1;
+  /** How often an order is sent again that got no answer. */
+  private static final int TRIES = 3;
 
-  private final Vertx vertx;
+  private final HostClock clock;
   private final EngineOrders orders;
   private final List<Part> parts;
   private final HostLog log;
-  private final List<Part> held = new ArrayList<>();
-  private long timer = NO_TIMER;
+  private final List<Lease> leases = new ArrayList<>();
+  private long renewedMs;
   private boolean freed;
 
   /** Memory on one engine. */
   private record Part(Action.Helper helper, String ticket) {}
 
+  /** A part that is, or may be, set aside, with the last order about it. */
+  private static final class Lease {
+    final Part part;
+    Future<Boolean> lastOrder;
+
+    Lease(Part part) {
+      this.part = part;
+    }
+  }
+
   PromptMemory(
-      Vertx vertx,
+      HostClock clock,
       EngineOrders orders,
       AttemptId attempt,
       List<Action.Helper> helpers,
       HostLog log) {
-    this.vertx = vertx;
+    this.clock = clock;
     this.orders = orders;
     this.log = log;
     String owner = Integer.toHexString(attempt.owner().hashCode());
@@ -66,24 +84,20 @@
         .toList();
   }
 
+  /** Tells whether any memory is, or may be, set aside. */
+  boolean held() {
+    return !freed && !leases.isEmpty();
+  }
+
   /** Sets all memory aside; fails, with nothing held, when any of it cannot be had. */
   Future<Void> reserve() {
+    renewedMs = clock.nowMs();
     List<Part> inOrder =
         parts.stream()
             .filter(part -> !part.ticket().isEmpty())
             .sorted(Comparator.comparing(part -> part.helper().endpoint().name()))
             .toList();
-    if (inOrder.isEmpty()) {
-      return Future.succeededFuture();
-    }
-    return reserveFrom(inOrder, 0)
-        .onSuccess(
-            v -> {
-              if (!freed) {
-                timer = vertx.setPeriodic(RENEWAL_MS, id -> renew());
-              }
-            })
-        .onFailure(cause -> free());
+    return reserveFrom(inOrder, 0).onFailure(cause -> free());
   }
 
   private Future<Void> reserveFrom(List<Part> inOrder, int index) {
@@ -92,8 +106,9 @@
     }
     Part part = inOrder.get(index);
     // It counts as held from here on: an order without an answer may have been carried out.
-    held.add(part);
-    return order(part)
+    Lease lease = new Lease(part);
+    leases.add(lease);
+    return order(lease, LEASE_MS)
         .compose(
             granted ->
                 granted && !freed
@@ -102,15 +117,41 @@
                         new EndpointMemoryShortException(part.helper().endpoint().name())));
   }
 
-  private Future<Boolean> order(Part part) {
-    return orders.reserve(
-        part.helper().endpoint(), part.ticket(), part.helper().memoryTokens(), LEASE_MS);
+  private Future<Boolean> order(Lease lease, long holdMs) {
+    Part part = lease.part;
+    lease.lastOrder =
+        orders.reserve(
+            part.helper().endpoint(), part.ticket(), part.helper().memoryTokens(), holdMs);
+    return lease.lastOrder;
   }
 
-  private void renew() {
-    for (Part part : held) {
-      order(part).onFailure(cause -> log.event(LogEvent.MEMORY_ORDER_FAILED, part.ticket(), cause));
+  /**
+   * Takes a sign of life of the engine that uses the memory and renews the leases if that is due.
+   *
+   * @param atMs at this time or later the engine was alive, in milliseconds of the host's clock
+   */
+  void engineAlive(long atMs) {
+    if (freed || atMs - renewedMs < RENEWAL_MS) {
+      return;
     }
+    renewedMs = atMs;
+    leases.forEach(lease -> renew(lease, atMs, TRIES));
+  }
+
+  private void renew(Lease lease, long aliveMs, int tries) {
+    long leftMs = aliveMs + LEASE_MS - clock.nowMs();
+    if (freed || leftMs <= 0) {
+      return;
+    }
+    order(lease, leftMs)
+        .onFailure(
+            cause -> {
+              if (tries > 1) {
+                renew(lease, aliveMs, tries - 1);
+              } else {
+                log.event(LogEvent.MEMORY_ORDER_FAILED, lease.part.ticket(), cause);
+              }
+            });
   }
 
   /** Frees everything; does nothing when called again. */
@@ -119,10 +160,8 @@
       return;
     }
     freed = true;
-    if (timer != NO_TIMER) {
-      vertx.cancelTimer(timer);
-    }
-    held.forEach(part -> release(part, RELEASE_TRIES));
+    // An order on its way could be carried out after the release and set the memory aside again.
+    leases.forEach(lease -> lease.lastOrder.onComplete(done -> release(lease.part, TRIES)));
   }
 
   private void release(Part part, int tries) {
--- a/org.fawndrum/src/org/fawndrum/transport/relay/RelayAttempt.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/RelayAttempt.java
@@ -11,6 +11,7 @@
 import org.fawndrum.coordination.AttemptEvent;
 import org.fawndrum.coordination.AttemptId;
 import org.fawndrum.state.Endpoint;
+import org.fawndrum.state.EndpointKind;
 import org.fawndrum.state.HostIdentity;
 import org.fawndrum.state.RequestAims;
 import org.fawndrum.state.RouteKind;
@@ -35,6 +36,7 @@
   private final RelayTools tools;
   private final PromptMemory memory;
   private final Owner owner;
+  private final EngineLiveness liveness;
   private HttpClientRequest request;
   private HttpClientResponse answer;
   private long progressMs;
@@ -75,6 +77,9 @@
     this.tools = tools;
     this.memory = memory;
     this.owner = owner;
+    this.liveness =
+        new EngineLiveness(
+            send.endpoint(), tools.orders(), tools.clock(), memory::engineAlive, this::engineDead);
   }
 
   AttemptId id() {
@@ -142,6 +147,27 @@
     return call.route().aims();
   }
 
+  boolean repeatable() {
+    return call.route().repeatable();
+  }
+
+  /** Looks whether the engine is alive, where anything depends on it. */
+  void look() {
+    boolean engine = send.endpoint().kind() == EndpointKind.MODEL;
+    boolean silenceSaysNothing = !begun && StallWatch.mayBeLong(aims());
+    if (engine && (silenceSaysNothing || memory.held())) {
+      liveness.look();
+    }
+  }
+
+  private void engineDead() {
+    tools.decisions().engineSilent(call.request().requestId(), endpointName(), liveness.silentMs());
+    // Ended first: closing the connection reports a loss of its own.
+    end();
+    request.reset();
+    owner.failed(this, AttemptEvent.LOST);
+  }
+
   /** Ends the attempt because nothing comes any more. */
   void stalled() {
     // Ended first: closing the connection reports a loss, which would blame the endpoint.
@@ -168,7 +194,8 @@
     request.exceptionHandler(cause -> fail(AttemptEvent.LOST));
     owner.handedOver();
     progressMs = tools.clock().nowMs();
-    if (call.route().repeatable()) {
+    liveness.heard();
+    if (repeatable() || memory.held()) {
       tools.stalls().add(this);
     }
     request
@@ -288,6 +315,7 @@
   private void pass(List<EventSplitter.StreamEvent> events) {
     if (!events.isEmpty()) {
       progressMs = tools.clock().nowMs();
+      liveness.heard();
       begun = true;
     }
     for (EventSplitter.StreamEvent event : events) {
@@ -310,6 +338,7 @@
   private void end() {
     ended = true;
     tools.stalls().remove(this);
+    liveness.end();
     memory.free();
   }
 }
--- a/org.fawndrum/src/org/fawndrum/transport/relay/RelayExchange.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/RelayExchange.java
@@ -61,7 +61,7 @@
     }
     PromptMemory memory =
         new PromptMemory(
-            context.owner(), tools.orders(), send.attempt(), send.helpers(), tools.log());
+            tools.clock(), tools.orders(), send.attempt(), send.helpers(), tools.log());
     current = new RelayAttempt(send, call, lastEventId, tools, memory, this);
     current.start();
   }
--- a/org.fawndrum/src/org/fawndrum/transport/relay/StallWatch.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/StallWatch.java
@@ -2,7 +2,6 @@
 package org.fawndrum.transport.relay;
 
 import io.vertx.core.Vertx;
-import java.util.ArrayList;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
@@ -11,7 +10,9 @@
 
 /**
  * Ends attempts from which nothing has come for so long that their callers would soon give up, so
- * that another endpoint can go on. Only what may run again is watched. Confined to one event loop.
+ * that another endpoint can go on; only what may run again ends so. Where silence alone says
+ * nothing, or memory is held, has the attempt look whether its engine is alive. Confined to one
+ * event loop.
  */
 final class StallWatch {
   private static final long LOOK_MS = 200;
@@ -19,7 +20,7 @@
   /** The shortest wait for a first event or answer, in milliseconds; callers wait two seconds. */
   private static final long SHORTEST_FIRST_MS = 1_000;
 
-  /** Above this aim a first event may well take long, so that silence says nothing. */
+  /** Above this aim a first event may well take long, so that silence says nothing by itself. */
   private static final long LONGEST_WATCHED_AIM_MS = 2_000;
 
   /** The wait for a first event or answer as a multiple of its aim; callers wait four aims. */
@@ -52,13 +53,23 @@
       return;
     }
     long nowMs = clock.nowMs();
-    List<RelayAttempt> stalled = new ArrayList<>();
-    for (RelayAttempt attempt : attempts) {
-      if (nowMs - attempt.progressMs() > limitMs(attempt.aims(), attempt.begun())) {
-        stalled.add(attempt);
+    // Looking may end attempts, which then leave the set.
+    for (RelayAttempt attempt : List.copyOf(attempts)) {
+      if (attempt.repeatable() && nowMs - attempt.progressMs() > limitMs(attempt)) {
+        attempt.stalled();
+      } else {
+        attempt.look();
       }
     }
-    stalled.forEach(RelayAttempt::stalled);
+  }
+
+  private static long limitMs(RelayAttempt attempt) {
+    return limitMs(attempt.aims(), attempt.begun());
+  }
+
+  /** Tells whether silence alone never ends an attempt before its first event. */
+  static boolean mayBeLong(RequestAims aims) {
+    return limitMs(aims, false) == Long.MAX_VALUE;
   }
 
   /** Returns how long an attempt may be silent, in milliseconds. */
--- /dev/null
+++ b/org.fawndrum/tst/org/fawndrum/transport/relay/EngineLivenessTest.java
@@ -0,0 +1,130 @@
+// SPDX-License-Identifier: Apache-2.0
+package org.fawndrum.transport.relay;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.vertx.core.Future;
+import io.vertx.core.Promise;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.List;
+import java.util.Set;
+import org.fawndrum.errors.EndpointUnreachableException;
+import org.fawndrum.state.Endpoint;
+import org.fawndrum.state.EndpointKind;
+import org.fawndrum.state.HostAddress;
+import org.fawndrum.state.HostIdentity;
+import org.junit.jupiter.api.Test;
+
+/** An engine that is silent is probed, and taken for dead when it does not answer. */
+class EngineLivenessTest {
+  private static final Endpoint ENGINE =
+      new Endpoint(
+          new HostIdentity("e-1", 0),
+          "a",
+          EndpointKind.MODEL,
+          new HostAddress("127.0.0.1", 1),
+          Set.of("pool"),
+          100);
+
+  private final HandClock clock = new HandClock();
+  private final Deque<Promise<Void>> probes = new ArrayDeque<>();
+  private final List<Long> signs = new ArrayList<>();
+  private int deaths;
+  private final EngineLiveness liveness =
+      new EngineLiveness(ENGINE, new Probes(), clock, signs::add, () -> deaths++);
+
+  /** Takes probes only; they are answered by hand. */
+  private final class Probes implements EngineOrders {
+    @Override
+    public Future<Boolean> reserve(Endpoint engine, String ticket, long tokens, long holdMs) {
+      throw new UnsupportedOperationException(ticket);
+    }
+
+    @Override
+    public Future<Void> release(Endpoint engine, String ticket) {
+      throw new UnsupportedOperationException(ticket);
+    }
+
+    @Override
+    public Future<Void> probe(Endpoint engine) {
+      Promise<Void> answer = Promise.promise();
+      probes.addLast(answer);
+      return answer.future();
+    }
+  }
+
+  private void lookAfter(long ms) {
+    clock.pass(ms);
+    liveness.look();
+  }
+
+  private void noAnswer() {
+    probes.removeFirst().fail(new EndpointUnreachableException(ENGINE.address(), null));
+  }
+
+  @Test
+  void whatSpeaksIsNotProbed() {
+    for (int i = 0; i < 10; i++) {
+      lookAfter(EngineLiveness.SILENCE_MS - 1);
+      liveness.heard();
+    }
+    assertTrue(probes.isEmpty());
+    assertEquals(10, signs.size());
+  }
+
+  @Test
+  void aSilentEngineThatAnswersProbesIsAliveForAsLongAsItDoes() {
+    for (int i = 0; i < 20; i++) {
+      lookAfter(EngineLiveness.SILENCE_MS);
+      probes.removeFirst().complete();
+    }
+    assertEquals(0, deaths);
+    assertEquals(20, signs.size());
+  }
+
+  @Test
+  void twoProbesWithoutAnAnswerAreADeathAndOnlyOne() {
+    lookAfter(EngineLiveness.SILENCE_MS);
+    noAnswer();
+    assertEquals(0, deaths);
+    noAnswer();
+    assertEquals(1, deaths);
+    lookAfter(EngineLiveness.SILENCE_MS);
+    assertTrue(probes.isEmpty());
+    assertEquals(1, deaths);
+  }
+
+  @Test
+  void oneLostAnswerIsForgivenEachTime() {
+    for (int i = 0; i < 5; i++) {
+      lookAfter(EngineLiveness.SILENCE_MS);
+      noAnswer();
+      probes.removeFirst().complete();
+    }
+    assertEquals(0, deaths);
+  }
+
+  @Test
+  void aSignCountsFromTheProbeAndNotFromItsAnswer() {
+    lookAfter(EngineLiveness.SILENCE_MS);
+    clock.pass(400);
+    probes.removeFirst().complete();
+    assertEquals(List.of(EngineLiveness.SILENCE_MS), signs);
+    assertEquals(400, liveness.silentMs());
+  }
+
+  @Test
+  void oneProbeAtATimeAndNoneAfterTheEnd() {
+    lookAfter(EngineLiveness.SILENCE_MS);
+    lookAfter(100);
+    assertEquals(1, probes.size());
+    liveness.end();
+    noAnswer();
+    lookAfter(EngineLiveness.SILENCE_MS);
+    assertTrue(probes.isEmpty());
+    assertEquals(0, deaths);
+  }
+}
--- a/org.fawndrum/tst/org/fawndrum/transport/relay/PromptMemoryTest.java
+++ b/org.fawndrum/tst/org/fawndrum/transport/relay/PromptMemoryTest.java
@@ -7,7 +7,6 @@
 
 import io.vertx.core.Future;
 import io.vertx.core.Promise;
-import io.vertx.core.Vertx;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Deque;
@@ -22,14 +21,13 @@
 import org.fawndrum.state.EndpointKind;
 import org.fawndrum.state.HostAddress;
 import org.fawndrum.state.HostIdentity;
-import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 
 /** Memory on several engines is had wholly or not at all, and never kept. */
 class PromptMemoryTest {
   private static final HostIdentity SELF = new HostIdentity("host-1", 1);
 
-  private final Vertx vertx = Vertx.vertx();
+  private final HandClock clock = new HandClock();
   private final Orders orders = new Orders();
 
   /** Engines that are answered by hand. */
@@ -38,6 +36,7 @@
     final List<String> engines = new ArrayList<>();
     final List<String> released = new ArrayList<>();
     final Set<String> tickets = new HashSet<>();
+    final List<Long> holds = new ArrayList<>();
     int releasesToFail;
 
     @Override
@@ -46,6 +45,7 @@
       asked.addLast(answer);
       engines.add(engine.name());
       tickets.add(ticket);
+      holds.add(holdMs);
       return answer.future();
     }
 
@@ -58,6 +58,28 @@
       }
       return Future.succeededFuture();
     }
+
+    @Override
+    public Future<Void> probe(Endpoint engine) {
+      throw new UnsupportedOperationException(engine.name());
+    }
+
+    void grantAll() {
+      while (!asked.isEmpty()) {
+        asked.removeFirst().complete(true);
+      }
+    }
+
+    void loseNext() {
+      asked.removeFirst().fail(new EndpointUnreachableException(null, null));
+    }
+  }
+
+  private PromptMemory held(Action.Helper... helpers) {
+    PromptMemory memory = memory(1, helpers);
+    memory.reserve();
+    orders.grantAll();
+    return memory;
   }
 
   private static Action.Helper helper(String name, long tokens) {
@@ -70,12 +92,7 @@
 
   private PromptMemory memory(int attempt, Action.Helper... helpers) {
     AttemptId id = new AttemptId(SELF, "r-1", attempt);
-    return new PromptMemory(vertx, orders, id, List.of(helpers), new HostLog("test"));
-  }
-
-  @AfterEach
-  void close() {
-    vertx.close().await();
+    return new PromptMemory(clock, orders, id, List.of(helpers), new HostLog("test"));
   }
 
   @Test
@@ -145,4 +162,75 @@
     assertEquals(2, two.helpers().stream().map(RelayCodec.Helper::ticket).distinct().count());
     assertEquals(2, orders.tickets.size());
   }
+
+  @Test
+  void timeAloneRenewsNoLease() {
+    PromptMemory memory = held(helper("e-1", 10));
+    clock.pass(10 * PromptMemory.LEASE_MS);
+    assertTrue(memory.held());
+    assertEquals(1, orders.engines.size(), "orders without a sign of life");
+  }
+
+  @Test
+  void signsOfLifeRenewAllLeasesButNotAtEachSign() {
+    PromptMemory memory = held(helper("e-1", 10), helper("e-2", 10));
+    for (int i = 0; i < 10; i++) {
+      clock.pass(PromptMemory.RENEWAL_MS / 10);
+      memory.engineAlive(clock.nowMs());
+      orders.grantAll();
+    }
+    assertEquals(List.of("e-1", "e-2", "e-1", "e-2"), orders.engines);
+    assertEquals(PromptMemory.LEASE_MS, orders.holds.get(3));
+  }
+
+  @Test
+  void aLeaseNeverGoesFurtherBeyondTheSignOfLifeThanItsLength() {
+    PromptMemory memory = held(helper("e-1", 10));
+    clock.pass(PromptMemory.RENEWAL_MS);
+    long aliveMs = clock.nowMs();
+    clock.pass(400);
+    memory.engineAlive(aliveMs);
+    clock.pass(300);
+    orders.loseNext();
+    assertEquals(
+        List.of(PromptMemory.LEASE_MS, PromptMemory.LEASE_MS - 400, PromptMemory.LEASE_MS - 700),
+        orders.holds);
+    clock.pass(PromptMemory.LEASE_MS);
+    orders.loseNext();
+    assertEquals(3, orders.holds.size(), "an order for a time that is over");
+  }
+
+  @Test
+  void aRenewalWithoutAnAnswerIsTriedAgainAsOftenAsItHelps() {
+    PromptMemory memory = held(helper("e-1", 10));
+    clock.pass(PromptMemory.RENEWAL_MS);
+    memory.engineAlive(clock.nowMs());
+    orders.loseNext();
+    orders.loseNext();
+    orders.loseNext();
+    assertTrue(orders.asked.isEmpty());
+    assertEquals(4, orders.engines.size());
+  }
+
+  @Test
+  void aReleaseIsNotOvertakenByTheRenewalBeforeIt() {
+    PromptMemory memory = held(helper("e-1", 10));
+    clock.pass(PromptMemory.RENEWAL_MS);
+    memory.engineAlive(clock.nowMs());
+    memory.free();
+    assertTrue(orders.released.isEmpty(), "released while a renewal is on its way");
+    orders.asked.removeFirst().complete(true);
+    assertEquals(List.of("e-1"), orders.released);
+  }
+
+  @Test
+  void aRenewalThatIsLostAfterTheEndIsNotTriedAgain() {
+    PromptMemory memory = held(helper("e-1", 10));
+    clock.pass(PromptMemory.RENEWAL_MS);
+    memory.engineAlive(clock.nowMs());
+    memory.free();
+    orders.loseNext();
+    assertTrue(orders.asked.isEmpty());
+    assertEquals(List.of("e-1"), orders.released);
+  }
 }
--- a/org.fawndrum/tst/org/fawndrum/transport/relay/StallWatchTest.java
+++ b/org.fawndrum/tst/org/fawndrum/transport/relay/StallWatchTest.java
@@ -2,6 +2,7 @@
 package org.fawndrum.transport.relay;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import org.fawndrum.state.RequestAims;
@@ -28,4 +29,10 @@
   void silenceBeforeAVeryLongPromptIsReadSaysNothing() {
     assertEquals(Long.MAX_VALUE, StallWatch.limitMs(new RequestAims(2_500, 1_000, 2), false));
   }
+
+  @Test
+  void whereSilenceSaysNothingTheEngineIsAsked() {
+    assertTrue(StallWatch.mayBeLong(new RequestAims(2_500, 1_000, 2)));
+    assertFalse(StallWatch.mayBeLong(new RequestAims(300, 250, 2)));
+  }
 }
