Tell how many requests hold memory and how long an engine has been silent

Cause: neither logs nor figures told an engine that reads for long from one that is gone, nor memory in use from memory that is only renewed; the incident's hypotheses had to be told apart by arithmetic on deadlines.

--- a/org.fawndrum/src/org/fawndrum/transport/relay/RelayAttempt.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/RelayAttempt.java
@@ -151,6 +151,15 @@
     return call.route().repeatable();
   }
 
+  boolean holdsMemory() {
+    return memory.held();
+  }
+
+  /** Returns how long ago the endpoint last gave a sign of life, in milliseconds. */
+  long silentMs() {
+    return liveness.silentMs();
+  }
+
   /** Looks whether the engine is alive, where anything depends on it. */
   void look() {
     boolean engine = send.endpoint().kind() == EndpointKind.MODEL;
--- a/org.fawndrum/src/org/fawndrum/transport/relay/RelayRuntime.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/RelayRuntime.java
@@ -54,6 +54,7 @@
   private final PeerKnowledge knowledge;
   private final MetricsServer metrics;
   private final DecisionLog decisionLog;
+  private final StallWatch stalls;
   private volatile long listingVersion = -1;
   private volatile long listedAtMs;
 
@@ -97,6 +98,7 @@
     this.fleet =
         new FleetDuty(
             self, this::settingsInForce, this::storeView, network, clock, new Told(), log);
+    this.stalls = new StallWatch(vertx, clock);
     this.callers = callerServer(adapter);
     this.drain = new RelayDrain(vertx, callers, decisions, this::bounds, clock, log);
     this.readiness = new ReadinessServer(vertx, settings.readiness(), this::ready);
@@ -170,7 +172,7 @@
             new EndpointClient(vertx),
             adapter.codec(),
             adapter.orders(),
-            new StallWatch(vertx, clock),
+            stalls,
             clock,
             decisionLog,
             log);
@@ -227,6 +229,8 @@
     registry.registerGauge("decisionsRingFill", decisions::ringFill);
     registry.registerGauge("callerConnections", () -> callers.connections());
     registry.registerGauge("peerBytesSent", network::bytesSent);
+    registry.registerGauge("attemptsHoldingMemory", stalls::holdingMemory);
+    registry.registerGauge("longestSilenceMs", stalls::longestSilenceMs);
     registry.registerGauge("peers", () -> fleet.alive().size());
   }
 
--- a/org.fawndrum/src/org/fawndrum/transport/relay/StallWatch.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/StallWatch.java
@@ -34,6 +34,8 @@
 
   private final HostClock clock;
   private final Set<RelayAttempt> attempts = new LinkedHashSet<>();
+  private volatile int holdingMemory;
+  private volatile long longestSilenceMs;
 
   StallWatch(Vertx vertx, HostClock clock) {
     this.clock = clock;
@@ -48,10 +50,22 @@
     attempts.remove(attempt);
   }
 
+  /** Returns how many attempts hold memory on other engines; safe for all threads. */
+  int holdingMemory() {
+    return holdingMemory;
+  }
+
+  /**
+   * Returns for how long the engine of some watched attempt has given no sign of life, in
+   * milliseconds; safe for all threads.
+   */
+  long longestSilenceMs() {
+    return longestSilenceMs;
+  }
+
   private void look() {
-    if (attempts.isEmpty()) {
-      return;
-    }
+    holdingMemory = (int) attempts.stream().filter(RelayAttempt::holdsMemory).count();
+    longestSilenceMs = attempts.stream().mapToLong(RelayAttempt::silentMs).max().orElse(0);
     long nowMs = clock.nowMs();
     // Looking may end attempts, which then leave the set.
     for (RelayAttempt attempt : List.copyOf(attempts)) {
