Refuse at once what may outlast a stopping host, and answer what is open at its end

Cause: nothing asked whether a request that comes to a stopping host can end before the host does. RelayDrain only looked whether anything was left; 0.4 s before the end of the grace period it ended the process and cut what was open, with the line "no request was cut".

Ruled out: that the host ended too soon (7.8 s of 8 s in the record), and that the engine broke off (its run ended 3 ms before the caller's connection; in the test the engine is still writing).

Change: - StopWindow, a pure decision: everything is taken for 2.8 s after the order (3/8 of a shorter grace period); after that only what ends before the host does even if it takes all of its time, by the deadline that the coordinator works out itself. The rest gets 503, not run, at once, to come back in 20 ms. Judged when the request is whole, on the decisions' thread, so that slow bodies and requests that waited in the ring are judged too. - When the host ends, every open request gets a final answer: 503 if it surely did not run, else 502; attempts are cancelled, which frees memory set aside. The process ends 0.1 s after that. - Answers given since the order say "Connection: close", also to requests that came before it. A host that stops before it knows a configuration keeps nobody waiting for one. - A grace period below the balancer's 2.5 s was never looked at: such a host was killed with everything open. The end is now looked at first. - FAWN0003 and FAWN0004 tell how many were open, turned away and given up; "no request was cut" is said only by the other daemon, where it is true. - The daemon with the project's own interface refuses with the same short time, and now closes the connection with it, or the caller would come back to the same host.

Weighed and left: judging by deadline from the order on (the balancer goes on for 2 s, and most prompts end in a fraction of their deadline); expected instead of latest ends (would serve more prompts with long deadlines, but an estimate is no proof, and a cut costs more than a refusal); closing the listening socket (callers with kept connections would still come, and those refused learn no time to come back); the decision in RelayIntake (it would work out the deadline a second time). The grace period is now that of the settings when the order comes; one that is reloaded during a stop changes nothing, because the decisions rest on it. What is wrong with it: a prompt with a long deadline is turned away late in a stop though it would mostly have ended; when all hosts of a zone stop at once, callers use up their tries sooner than with 250 ms.

CoordinatorHistoryTest plays stops (1,000 histories); it fails without the question at arrival ("was taken and may not end in time"), without the cancel ("attempts that nobody cancelled"), when all is said not to have run ("said not run, may have run"), and, like StopWindowTest, with an end 0.4 s too late. Its model of refusals no longer forgets attempts by itself: an attempt is gone only when it ended or was cancelled, which is stricter.

Conclusion: a prompt that comes late in a stop is refused instead of cut.

--- a/org.fawndrum/src/org/fawndrum/coordination/Admission.java
+++ b/org.fawndrum/src/org/fawndrum/coordination/Admission.java
@@ -81,6 +81,14 @@
     return new Refusal(kind, Ran.NO, retryMs, Optional.of(new CellKey(facts.group(), column)));
   }
 
+  /** Returns when a request that is given up as late may come back, in milliseconds. */
+  long retryAfterMs(LiveRequest request, long nowMs) {
+    if (!request.facts.repeatable() && request.ran() != Ran.NO) {
+      return Refusal.NEVER;
+    }
+    return Math.max(SHORTEST_RETRY_MS, expectedWaitMs(request.facts, nowMs));
+  }
+
   /** Returns how long a request would wait behind what waits now, in milliseconds. */
   long expectedWaitMs(RequestFacts facts, long nowMs) {
     long ahead = waiting.tokensAhead(facts);
--- a/org.fawndrum/src/org/fawndrum/coordination/EndRules.java
+++ b/org.fawndrum/src/org/fawndrum/coordination/EndRules.java
@@ -3,18 +3,35 @@
 
 /** How requests end that get no whole answer. Stateless: the same input gives the same end. */
 final class EndRules {
+  /**
+   * After how long a caller is asked back by a host that stops, in milliseconds: others can take
+   * the request at once, and the shortest requests have 300 ms in all.
+   */
+  private static final long STOPPING_RETRY_MS = 20;
+
   private EndRules() {}
 
   /** Returns the end of a request that arrives while its host stops. */
   static Refusal draining() {
-    return Refusal.of(RefusalKind.DRAINING, Ran.NO, Admission.OTHER_HOST_RETRY_MS);
+    return Refusal.of(RefusalKind.DRAINING, Ran.NO, STOPPING_RETRY_MS);
+  }
+
+  /** Returns the end of a request that is still open when its host ends. */
+  static Refusal hostEnds(LiveRequest request) {
+    if (request.ran() == Ran.NO) {
+      return draining();
+    }
+    return lost(request, request.facts.repeatable() ? STOPPING_RETRY_MS : Refusal.NEVER);
   }
 
   /** Returns the end of a request whose last attempt failed and that is not sent again. */
   static Refusal afterFailure(LiveRequest request, LiveRequest.Attempt last) {
+    return lost(request, mayRepeat(request, last) ? Admission.OTHER_HOST_RETRY_MS : Refusal.NEVER);
+  }
+
+  private static Refusal lost(LiveRequest request, long retryMs) {
     boolean unknown = request.ran() == Ran.UNKNOWN && !request.facts.repeatable();
     RefusalKind kind = unknown ? RefusalKind.OUTCOME_UNKNOWN : RefusalKind.ENDPOINT_FAILED;
-    long retryMs = mayRepeat(request, last) ? Admission.OTHER_HOST_RETRY_MS : Refusal.NEVER;
     return Refusal.of(kind, request.ran(), retryMs);
   }
 
--- a/org.fawndrum/src/org/fawndrum/coordination/LiveRequest.java
+++ b/org.fawndrum/src/org/fawndrum/coordination/LiveRequest.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import org.fawndrum.state.Column;
 import org.fawndrum.state.HostIdentity;
 import org.fawndrum.state.Row;
 
@@ -55,6 +56,14 @@
     }
   }
 
+  /** Returns a request that has just arrived; its time is the shorter of the row's and its own. */
+  static LiveRequest of(RequestFacts facts, Row row) {
+    long allowedMs = row.number(Column.DEADLINE_MS);
+    long limitMs = facts.wantedMs() > 0 ? Math.min(allowedMs, facts.wantedMs()) : allowedMs;
+    int priority = PromptPriority.of(row, facts.promptTokens());
+    return new LiveRequest(facts, row, facts.arrivedMs() + limitMs, priority);
+  }
+
   LiveRequest(RequestFacts facts, Row row, long deadlineMs, int priority) {
     this.facts = facts;
     this.row = row;
--- a/org.fawndrum/src/org/fawndrum/coordination/RequestCoordinator.java
+++ b/org.fawndrum/src/org/fawndrum/coordination/RequestCoordinator.java
@@ -40,7 +40,7 @@
   private final Explainer explainer = new Explainer(out);
   private final EngineWork work;
   private TableRevision table = TableRevision.EMPTY;
-  private boolean draining;
+  private StopWindow stop = StopWindow.OPEN;
   private double part = 1.0;
 
   /**
@@ -122,9 +122,18 @@
     return work.all();
   }
 
-  /** Admits no new request from now on; those admitted go on to their end. */
-  public void drain() {
-    draining = true;
+  /** Admits only what the window allows from now on; requests admitted go on to their end. */
+  public void stop(StopWindow window) {
+    stop = window;
+  }
+
+  /** Ends every open request with a final answer that is true, because the host ends now. */
+  public List<Action> giveUpAll(long nowMs) {
+    stop = StopWindow.CLOSED;
+    for (LiveRequest request : List.copyOf(requests.values())) {
+      giveUp(request, EndRules.hostEnds(request), Reason.DRAINING, nowMs);
+    }
+    return flush(nowMs);
   }
 
   /** Returns how many requests have no final answer yet. */
@@ -149,9 +158,6 @@
 
   /** Takes a request that has just arrived. */
   public List<Action> arrive(RequestFacts facts, long nowMs) {
-    if (draining) {
-      return refuseNew(facts, EndRules.draining(), Reason.DRAINING, nowMs);
-    }
     if (table.revision() < 0) {
       Refusal none = Refusal.of(RefusalKind.NO_TABLE, Ran.NO, Admission.OTHER_HOST_RETRY_MS);
       return refuseNew(facts, none, Reason.LIMIT, nowMs);
@@ -161,7 +167,11 @@
       Refusal unknown = Refusal.notRun(RefusalKind.UNKNOWN_WORKSPACE);
       return refuseNew(facts, unknown, Reason.LIMIT, nowMs);
     }
-    LiveRequest request = live(facts, row.get(), nowMs);
+    LiveRequest request = LiveRequest.of(facts, row.get());
+    if (!stop.takes(nowMs, request.deadlineMs)) {
+      // The host's end would cut the answer, and another host can give it whole.
+      return refuseNew(facts, EndRules.draining(), Reason.DRAINING, nowMs);
+    }
     GroupUsage usage =
         usages.computeIfAbsent(facts.group(), g -> new GroupUsage(row.get(), part, nowMs));
     policies.lengths().arrived(facts.promptTokens());
@@ -173,13 +183,6 @@
     return flush(nowMs);
   }
 
-  private LiveRequest live(RequestFacts facts, Row row, long nowMs) {
-    long allowedMs = row.number(Column.DEADLINE_MS);
-    long limitMs = facts.wantedMs() > 0 ? Math.min(allowedMs, facts.wantedMs()) : allowedMs;
-    int priority = PromptPriority.of(row, facts.promptTokens());
-    return new LiveRequest(facts, row, facts.arrivedMs() + limitMs, priority);
-  }
-
   private void admit(LiveRequest request, GroupUsage usage, long nowMs) {
     requests.put(request.facts.requestId(), request);
     usage.inFlight++;
@@ -293,19 +296,11 @@
 
   private void giveUpAsLate(LiveRequest request, RefusalKind kind, long nowMs) {
     CellKey cell = new CellKey(request.facts.group(), Column.DEADLINE_MS);
-    long retryMs = retryAfterMs(request, nowMs);
+    long retryMs = admission.retryAfterMs(request, nowMs);
     Refusal late = new Refusal(kind, request.ran(), retryMs, Optional.of(cell));
     giveUp(request, late, Reason.DEADLINE, nowMs);
   }
 
-  private long retryAfterMs(LiveRequest request, long nowMs) {
-    if (!request.facts.repeatable() && request.ran() != Ran.NO) {
-      return Refusal.NEVER;
-    }
-    long waitMs = admission.expectedWaitMs(request.facts, nowMs);
-    return Math.max(Admission.SHORTEST_RETRY_MS, waitMs);
-  }
-
   private void giveUp(LiveRequest request, Refusal refusal, Reason why, long nowMs) {
     if (request.waiting) {
       waiting.remove(request);
--- /dev/null
+++ b/org.fawndrum/src/org/fawndrum/coordination/StopWindow.java
@@ -0,0 +1,62 @@
+// SPDX-License-Identifier: Apache-2.0
+package org.fawndrum.coordination;
+
+/**
+ * What a host that was told to stop may still take: at first everything, because callers come until
+ * the balancer knows, and most requests end by far within the grace period; after that only what
+ * ends before the host does even if it takes all of its time. Immutable; reads no clock.
+ */
+public final class StopWindow {
+  /** The window of a host that nobody told to stop: it takes everything. */
+  public static final StopWindow OPEN = new StopWindow(Long.MAX_VALUE, Long.MAX_VALUE);
+
+  /** The window of a host that takes nothing more. */
+  public static final StopWindow CLOSED = new StopWindow(Long.MIN_VALUE, Long.MIN_VALUE);
+
+  /**
+   * How long everything is taken, in milliseconds from the order: operators excuse the cut of an
+   * answer that was asked for within 3 s of the order to stop, less the order's way to this host.
+   */
+  private static final long ALL_MS = 2_800;
+
+  /** The same for short grace periods, as a part of them; 3 s are this part of the usual 8 s. */
+  private static final double ALL_PART = 3.0 / 8.0;
+
+  /** How long before the end of the grace period the host ends by itself, in milliseconds. */
+  private static final long BEFORE_KILL_MS = 400;
+
+  private final long allUntilMs;
+  private final long endMs;
+
+  private StopWindow(long allUntilMs, long endMs) {
+    this.allUntilMs = allUntilMs;
+    this.endMs = endMs;
+  }
+
+  /**
+   * Returns the window of a host that is told to stop.
+   *
+   * @param orderedMs when the order came, in milliseconds of the host's clock
+   * @param graceMs the time between the order and the end by force, in milliseconds
+   */
+  public static StopWindow from(long orderedMs, long graceMs) {
+    long lastsMs = Math.max(0, graceMs - BEFORE_KILL_MS);
+    long allMs = Math.min(lastsMs, Math.min(ALL_MS, (long) (graceMs * ALL_PART)));
+    return new StopWindow(orderedMs + allMs, orderedMs + lastsMs);
+  }
+
+  /**
+   * Tells whether a request may be taken.
+   *
+   * @param nowMs when it is whole, in milliseconds of the host's clock
+   * @param deadlineMs when it has its final answer at the latest, by the same clock
+   */
+  public boolean takes(long nowMs, long deadlineMs) {
+    return nowMs < allUntilMs || deadlineMs < endMs;
+  }
+
+  /** Returns when the host ends at the latest, in milliseconds of its clock. */
+  public long endMs() {
+    return endMs;
+  }
+}
--- a/org.fawndrum/src/org/fawndrum/transport/CallerResponse.java
+++ b/org.fawndrum/src/org/fawndrum/transport/CallerResponse.java
@@ -5,6 +5,7 @@
 import io.vertx.core.http.HttpServerResponse;
 import java.util.concurrent.TimeUnit;
 import org.fawndrum.coordination.Refusal;
+import org.fawndrum.coordination.RefusalKind;
 import org.fawndrum.protocol.ErrorBodies;
 import org.fawndrum.protocol.Json;
 
@@ -33,6 +34,10 @@
         .putHeader("content-type", "application/json")
         .putHeader("x-request-id", requestId)
         .putHeader("x-fawndrum-ran", refusal.ran().word());
+    if (refusal.kind() == RefusalKind.DRAINING) {
+      // The caller is to come back at once, but to another host.
+      response.putHeader("connection", "close");
+    }
     if (refusal.retryAfterMs() >= 0) {
       long seconds = (refusal.retryAfterMs() + MS_PER_SECOND - 1) / MS_PER_SECOND;
       response.putHeader("retry-after", Long.toString(Math.max(1, seconds)));
--- a/org.fawndrum/src/org/fawndrum/transport/DecisionDuty.java
+++ b/org.fawndrum/src/org/fawndrum/transport/DecisionDuty.java
@@ -15,6 +15,7 @@
 import org.fawndrum.coordination.Refusal;
 import org.fawndrum.coordination.RequestCoordinator;
 import org.fawndrum.coordination.RequestFacts;
+import org.fawndrum.coordination.StopWindow;
 import org.fawndrum.coordination.once.ClaimAnswer;
 import org.fawndrum.coordination.once.ClaimKey;
 import org.fawndrum.internal.duty.Duty;
@@ -219,7 +220,7 @@
         offerEndpoints(nowMs);
       }
     } else if (event instanceof HostEvent.DrainOrdered) {
-      coordinator.drain();
+      coordinator.stop(StopWindow.CLOSED);
     } else {
       handleClaim(event, nowMs);
     }
--- a/org.fawndrum/src/org/fawndrum/transport/EntryHostRuntime.java
+++ b/org.fawndrum/src/org/fawndrum/transport/EntryHostRuntime.java
@@ -353,7 +353,7 @@
         .call(keys)
         .whenComplete(
             (handedOver, failure) -> {
-              log.event(LogEvent.DRAIN_ENDED);
+              log.event(LogEvent.DRAIN_ENDED, "no request was cut");
               drained.complete(null);
             });
   }
--- a/org.fawndrum/src/org/fawndrum/transport/relay/RelayDrain.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/RelayDrain.java
@@ -3,44 +3,59 @@
 
 import io.vertx.core.Vertx;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.Consumer;
 import java.util.function.Supplier;
+import org.fawndrum.coordination.StopWindow;
 import org.fawndrum.internal.log.HostLog;
 import org.fawndrum.internal.log.LogEvent;
 import org.fawndrum.transport.HostClock;
 
 /**
  * The end of a host that relays requests: what is in progress ends, as far as the grace period
- * allows, and nothing new comes in once the balancer knows. Safe for all threads.
+ * allows; what is new is taken as far as it surely ends in time; and what is still open in the end
+ * gets a final answer before the process goes. Safe for all threads.
  */
 final class RelayDrain {
   /** After this the balancer sends no new connections, in milliseconds from the order to stop. */
   private static final long BALANCER_MS = 2_500;
 
-  /** How long before the end of the grace period the host ends by itself, in milliseconds. */
-  private static final long BEFORE_KILL_MS = 400;
-
   /** How often the host looks whether anything is left, in milliseconds. */
   private static final long LOOK_MS = 100;
 
+  /**
+   * How long the last answers have to leave, and then the last lines of the log, in milliseconds:
+   * each is handed on within a few, and both together stay well within what is left of the grace
+   * period when the host ends by itself.
+   */
+  private static final long LEAVE_MS = 50;
+
   private final Vertx vertx;
   private final RelayServer callers;
   private final RelayDuty decisions;
+  private final Consumer<RelayEvent> orders;
   private final Supplier<RelayBounds> bounds;
   private final HostClock clock;
   private final HostLog log;
   private final CompletableFuture<Void> done = new CompletableFuture<>();
   private volatile boolean begun;
 
+  /**
+   * Makes the end of a host, not begun.
+   *
+   * @param orders hands events to the decisions without losing any
+   */
   RelayDrain(
       Vertx vertx,
       RelayServer callers,
       RelayDuty decisions,
+      Consumer<RelayEvent> orders,
       Supplier<RelayBounds> bounds,
       HostClock clock,
       HostLog log) {
     this.vertx = vertx;
     this.callers = callers;
     this.decisions = decisions;
+    this.orders = orders;
     this.bounds = bounds;
     this.clock = clock;
     this.log = log;
@@ -58,23 +73,37 @@
     }
     begun = true;
     long begunMs = clock.nowMs();
+    StopWindow window = StopWindow.from(begunMs, bounds.get().graceMs());
     log.event(LogEvent.DRAIN_BEGAN, Integer.toString(decisions.open()));
+    orders.accept(new RelayEvent.StopOrdered(window));
     vertx.runOnContext(v -> callers.stop());
-    vertx.setPeriodic(LOOK_MS, id -> look(id, begunMs));
+    vertx.setPeriodic(LOOK_MS, id -> look(id, begunMs, window));
     return done;
   }
 
-  private void look(long timer, long begunMs) {
-    long sinceMs = clock.nowMs() - begunMs;
-    if (sinceMs < BALANCER_MS) {
+  private void look(long timer, long begunMs, StopWindow window) {
+    long nowMs = clock.nowMs();
+    boolean last = nowMs >= window.endMs();
+    if (!last && nowMs - begunMs < BALANCER_MS) {
       return;
     }
     callers.closeIdle();
-    boolean last = sinceMs > bounds.get().graceMs() - BEFORE_KILL_MS;
     if (last || decisions.open() == 0 && callers.connections() == 0) {
       vertx.cancelTimer(timer);
-      log.event(LogEvent.DRAIN_ENDED);
-      done.complete(null);
+      end();
     }
   }
+
+  /** Has what is open answered, because the end of the process would cut it without a word. */
+  private void end() {
+    orders.accept(new RelayEvent.Ending());
+    vertx.setTimer(LEAVE_MS, id -> ended());
+  }
+
+  private void ended() {
+    log.event(
+        LogEvent.DRAIN_ENDED,
+        decisions.turnedAway() + " requests turned away, " + decisions.givenUp() + " given up");
+    vertx.setTimer(LEAVE_MS, id -> done.complete(null));
+  }
 }
--- a/org.fawndrum/src/org/fawndrum/transport/relay/RelayDuty.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/RelayDuty.java
@@ -7,6 +7,8 @@
 import org.fawndrum.coordination.Action;
 import org.fawndrum.coordination.Decision;
 import org.fawndrum.coordination.EndpointRoster;
+import org.fawndrum.coordination.Refusal;
+import org.fawndrum.coordination.RefusalKind;
 import org.fawndrum.coordination.RequestCoordinator;
 import org.fawndrum.coordination.membership.FleetReport;
 import org.fawndrum.internal.duty.Duty;
@@ -39,7 +41,10 @@
   private final OpenExchanges exchanges;
   private final Duty<RelayEvent> duty;
   private RouteTable routes = RouteTable.NONE;
+  private boolean ending;
   private volatile int open;
+  private volatile int turnedAway;
+  private volatile int givenUp;
 
   /**
    * Makes the duty, not started.
@@ -69,6 +74,16 @@
     return open + duty.ring().size();
   }
 
+  /** Returns how many new requests were turned away because the host stops. */
+  int turnedAway() {
+    return turnedAway;
+  }
+
+  /** Returns how many requests were open when the host ended, and were given up. */
+  int givenUp() {
+    return givenUp;
+  }
+
   /** Returns how many events wait for the thread. */
   int ringFill() {
     return duty.ring().size();
@@ -106,6 +121,8 @@
       handle(ofDaemon, nowMs);
     } else if (event instanceof RelayEvent.OfStore ofStore) {
       handle(ofStore, nowMs);
+    } else if (event instanceof RelayEvent.OfHost ofHost) {
+      handle(ofHost, nowMs);
     }
     open = coordinator.open();
   }
@@ -149,6 +166,16 @@
     }
   }
 
+  private void handle(RelayEvent.OfHost event, long nowMs) {
+    if (event instanceof RelayEvent.StopOrdered ordered) {
+      coordinator.stop(ordered.window());
+    } else if (event instanceof RelayEvent.Ending) {
+      ending = true;
+      givenUp = coordinator.open();
+      carryOut(coordinator.giveUpAll(nowMs));
+    }
+  }
+
   /** Offers the endpoints with what the configuration says of their services. */
   private void offerEndpoints(long nowMs) {
     carryOut(coordinator.endpoints(roster.open().stream().map(this::described).toList(), nowMs));
@@ -169,6 +196,12 @@
         news.accept(announce);
       }
     }
-    exchanges.carryOut(actions, (requestId, refusal) -> {}, true);
+    exchanges.carryOut(actions, this::refused, true);
+  }
+
+  private void refused(String requestId, Refusal refusal) {
+    if (refusal.kind() == RefusalKind.DRAINING && !ending) {
+      turnedAway = turnedAway + 1;
+    }
   }
 }
--- a/org.fawndrum/src/org/fawndrum/transport/relay/RelayEvent.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/RelayEvent.java
@@ -6,6 +6,7 @@
 import org.fawndrum.coordination.AttemptEvent;
 import org.fawndrum.coordination.AttemptId;
 import org.fawndrum.coordination.RequestFacts;
+import org.fawndrum.coordination.StopWindow;
 import org.fawndrum.coordination.engine.EngineNews;
 import org.fawndrum.coordination.membership.FleetReport;
 import org.fawndrum.state.HostIdentity;
@@ -24,6 +25,9 @@
   /** An event of the platform's store. */
   sealed interface OfStore extends RelayEvent {}
 
+  /** An event of this host's own life. */
+  sealed interface OfHost extends RelayEvent {}
+
   /** A request came in. */
   record Arrived(RequestFacts facts) implements OfRequest {}
 
@@ -50,4 +54,10 @@
 
   /** The list of endpoints changed. */
   record Listed(HostListing listing) implements OfStore {}
+
+  /** This host was told to stop. */
+  record StopOrdered(StopWindow window) implements OfHost {}
+
+  /** This host ends now; what is open gets its final answer. */
+  record Ending() implements OfHost {}
 }
--- a/org.fawndrum/src/org/fawndrum/transport/relay/RelayRuntime.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/RelayRuntime.java
@@ -98,7 +98,8 @@
         new FleetDuty(
             self, this::settingsInForce, this::storeView, network, clock, new Told(), log);
     this.callers = callerServer(adapter);
-    this.drain = new RelayDrain(vertx, callers, decisions, this::bounds, clock, log);
+    this.drain =
+        new RelayDrain(vertx, callers, decisions, this::offerSurely, this::bounds, clock, log);
     this.readiness = new ReadinessServer(vertx, settings.readiness(), this::ready);
     this.reading =
         new StoreReading(
--- a/org.fawndrum/src/org/fawndrum/transport/relay/RelayServer.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/RelayServer.java
@@ -159,9 +159,13 @@
               busy.computeIfPresent(connection, (key, count) -> Math.max(0, count - 1));
               idle.ended(connection);
             });
-    if (stopping) {
-      http.response().putHeader("connection", "close");
-    }
+    http.response()
+        .headersEndHandler(
+            v -> {
+              if (stopping) {
+                http.response().putHeader("connection", "close");
+              }
+            });
     long arrivedMs = clock.nowMs();
     Context context = vertx.getOrCreateContext();
     RelayRequest request;
@@ -199,7 +203,7 @@
   /**
    * Hands a request on as soon as this host knows what it needs. A host that has just started
    * learns it within some hundred milliseconds, in which turning callers away would only bring them
-   * back.
+   * back. A host that stops before it knows anything keeps nobody waiting for that.
    */
   private void takeWhenKnown(Incoming incoming) {
     String requestId = incoming.request().requestId();
@@ -212,7 +216,7 @@
       } catch (RefusedException e) {
         refuse(incoming.http(), requestId, e.refusal());
       }
-    } else if (clock.nowMs() - incoming.arrivedMs() > LONGEST_START_MS) {
+    } else if (stopping || clock.nowMs() - incoming.arrivedMs() > LONGEST_START_MS) {
       Refusal none = Refusal.of(RefusalKind.NO_TABLE, Ran.NO, RelayIntake.OTHER_HOST_RETRY_MS);
       turnAwayAndClose(incoming.http(), requestId, none);
     } else {
--- a/org.fawndrum/tst/org/fawndrum/coordination/CoordinatorHistoryTest.java
+++ b/org.fawndrum/tst/org/fawndrum/coordination/CoordinatorHistoryTest.java
@@ -40,6 +40,11 @@
     new History(seed).play();
   }
 
+  @Property(tries = 1_000, seed = "42")
+  void everyRequestEndsOnceWhenItsHostStops(@ForAll long seed) {
+    new History(seed).playUntilTheHostEnds();
+  }
+
   private static final class History {
     private final Random random;
     private final RequestCoordinator coordinator;
@@ -48,6 +53,7 @@
     private final Set<String> ended = new HashSet<>();
     private final Map<String, Integer> mayHaveRun = new HashMap<>();
     private final Map<AttemptId, Endpoint> onTheWay = new HashMap<>();
+    private final Set<String> sentAtAll = new HashSet<>();
     private long nowMs = 1_000;
 
     History(long seed) {
@@ -97,23 +103,56 @@
 
     void play() {
       for (int step = 0; step < 150; step++) {
-        nowMs += random.nextInt(120);
-        int chance = random.nextInt(20);
-        if (chance < 6) {
-          arrive();
-        } else if (chance < 15) {
-          attemptEvent();
-        } else if (chance == 15) {
-          offerSome();
-        } else if (chance == 16 && !arrived.isEmpty()) {
-          callerGone();
-        } else {
-          take(coordinator.tick(nowMs));
-          nobodyIsOverdue();
-        }
+        step();
       }
       nowMs += DEADLINE_MS + 1;
       take(coordinator.tick(nowMs));
+      nothingIsLeft();
+    }
+
+    void playUntilTheHostEnds() {
+      for (int step = random.nextInt(100); step > 0; step--) {
+        step();
+      }
+      long graceMs = random.nextInt(12_000);
+      long orderedMs = nowMs;
+      StopWindow window = StopWindow.from(orderedMs, graceMs);
+      coordinator.stop(window);
+      while (nowMs < window.endMs()) {
+        step();
+      }
+      for (String id : sentAtAll) {
+        long at = arrived.get(id);
+        assertTrue(
+            at < orderedMs + graceMs * 3 / 8 || at + DEADLINE_MS < window.endMs(),
+            id + " was taken and may not end in time");
+      }
+      take(coordinator.giveUpAll(nowMs));
+      assertEquals(Set.of(), onTheWay.keySet(), "attempts that nobody cancelled");
+      int sent = sentAtAll.size();
+      arrive();
+      assertEquals(sent, sentAtAll.size(), "sent after the host's end");
+      nothingIsLeft();
+    }
+
+    private void step() {
+      nowMs += random.nextInt(120);
+      int chance = random.nextInt(20);
+      if (chance < 6) {
+        arrive();
+      } else if (chance < 15) {
+        attemptEvent();
+      } else if (chance == 15) {
+        offerSome();
+      } else if (chance == 16 && !arrived.isEmpty()) {
+        callerGone();
+      } else {
+        take(coordinator.tick(nowMs));
+        nobodyIsOverdue();
+      }
+    }
+
+    private void nothingIsLeft() {
       assertEquals(arrived.keySet(), ended);
       assertEquals(0, coordinator.open());
       assertEquals(0, coordinator.waiting());
@@ -171,6 +210,8 @@
       for (Action action : actions) {
         if (action instanceof Action.Send send) {
           sent(send);
+        } else if (action instanceof Action.Cancel cancel) {
+          onTheWay.remove(cancel.attempt());
         } else if (action instanceof Action.Refuse refuse) {
           refused(refuse);
         }
@@ -183,12 +224,12 @@
       int before = mayHaveRun.merge(id, 1, Integer::sum);
       assertTrue(repeatable.get(id) || before == 1, id + " may run twice");
       onTheWay.put(send.attempt(), send.endpoint());
+      sentAtAll.add(id);
     }
 
     private void refused(Action.Refuse refuse) {
       String id = refuse.requestId();
       assertTrue(ended.add(id), id + " ended twice");
-      onTheWay.keySet().removeIf(attempt -> attempt.requestId().equals(id));
       if (refuse.refusal().ran() == Ran.NO) {
         assertEquals(0, mayHaveRun.getOrDefault(id, 0), id + " said not run, may have run");
       }
--- /dev/null
+++ b/org.fawndrum/tst/org/fawndrum/coordination/StopWindowTest.java
@@ -0,0 +1,69 @@
+// SPDX-License-Identifier: Apache-2.0
+package org.fawndrum.coordination;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.LongRange;
+import org.junit.jupiter.api.Test;
+
+/** What a host that was told to stop takes. */
+class StopWindowTest {
+  private static final long ORDERED_MS = 1_000_000;
+  private static final long USUAL_GRACE_MS = 8_000;
+
+  private static StopWindow usual() {
+    return StopWindow.from(ORDERED_MS, USUAL_GRACE_MS);
+  }
+
+  private static boolean takes(long sinceOrderMs, long limitMs) {
+    return usual().takes(ORDERED_MS + sinceOrderMs, ORDERED_MS + sinceOrderMs + limitMs);
+  }
+
+  @Test
+  void atFirstEverythingIsTaken() {
+    assertTrue(takes(0, 600_000));
+    assertTrue(takes(2_799, 600_000));
+  }
+
+  @Test
+  void afterThatWhatMayOutlastTheHostIsNot() {
+    assertFalse(takes(2_800, 10_000));
+    assertFalse(takes(5_248, 10_000));
+    assertFalse(takes(5_248, 2_352));
+    assertTrue(takes(5_248, 2_351));
+    assertTrue(takes(7_299, 300));
+    assertFalse(takes(7_300, 300));
+  }
+
+  @Test
+  void theHostEndsBeforeItIsEnded() {
+    assertEquals(ORDERED_MS + 7_600, usual().endMs());
+  }
+
+  @Test
+  void aHostThatNobodyToldToStopTakesEverything() {
+    assertTrue(StopWindow.OPEN.takes(ORDERED_MS, Long.MAX_VALUE));
+  }
+
+  @Test
+  void aClosedWindowTakesNothing() {
+    assertFalse(StopWindow.CLOSED.takes(0, 1));
+  }
+
+  @Property(tries = 2_000, seed = "43")
+  void whateverIsTakenComesEarlyOrEndsInTime(
+      @ForAll @LongRange(min = 0, max = 120_000) long graceMs,
+      @ForAll @LongRange(min = 0, max = 130_000) long sinceOrderMs,
+      @ForAll @LongRange(min = 1, max = 130_000) long limitMs) {
+    StopWindow window = StopWindow.from(ORDERED_MS, graceMs);
+    boolean early = sinceOrderMs < 3_000 && sinceOrderMs * 8 < graceMs * 3;
+    boolean inTime = sinceOrderMs + limitMs < graceMs;
+    long nowMs = ORDERED_MS + sinceOrderMs;
+    assertTrue(early || inTime || !window.takes(nowMs, nowMs + limitMs));
+    assertTrue(window.endMs() >= ORDERED_MS && window.endMs() <= ORDERED_MS + graceMs);
+  }
+}
