--- a/org.fawndrum/src/org/fawndrum/transport/relay/RelayRuntime.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/RelayRuntime.java
@@ -100,7 +100,8 @@
             self, this::settingsInForce, this::storeView, network, clock, new Told(), log);
     this.stalls = new StallWatch(vertx, clock);
     this.callers = callerServer(adapter);
-    this.drain = new RelayDrain(vertx, callers, decisions, this::bounds, clock, log);
+    this.drain =
+        new RelayDrain(vertx, callers, decisions, this::offerSurely, this::bounds, clock, log);
     this.readiness = new ReadinessServer(vertx, settings.readiness(), this::ready);
     this.reading =
         new StoreReading(
