Round the share of an engine up in one place

Cause: EngineModelPlacement.share and EngineCandidate.partOf both rounded up. Change: EngineCandidate.share serves the part of the prompt and the memory. Behaviour is unchanged. Conclusion: one place to read.

--- a/org.fawndrum/src/org/fawndrum/coordination/engine/EngineCandidate.java
+++ b/org.fawndrum/src/org/fawndrum/coordination/engine/EngineCandidate.java
@@ -36,6 +36,11 @@
   /** Returns what a part of a prompt is for it, by its present pace. */
   EngineOutlook.Amount partOf(long promptTokens, int engines) {
     double ms = profile().readMs(promptTokens) / engines * outlook.slowness();
-    return new EngineOutlook.Amount(ms, (promptTokens + engines - 1) / engines);
+    return new EngineOutlook.Amount(ms, share(promptTokens, engines));
+  }
+
+  /** Returns what each of some engines takes of so many tokens, rounded up. */
+  static long share(long tokens, int engines) {
+    return (tokens + engines - 1) / engines;
   }
 }
--- a/org.fawndrum/src/org/fawndrum/coordination/engine/EngineModelPlacement.java
+++ b/org.fawndrum/src/org/fawndrum/coordination/engine/EngineModelPlacement.java
@@ -204,7 +204,7 @@
   /** Returns the option of one engine, or null when it cannot take its part. */
   private Option option(RequestFacts facts, EngineCandidate candidate, int engines, Turn turn) {
     boolean able = engines == 1 ? candidate.canWrite() : candidate.canHelp();
-    if (!able || candidate.freeTokens() < share(facts.workTokens(), engines)) {
+    if (!able || candidate.freeTokens() < EngineCandidate.share(facts.workTokens(), engines)) {
       return null;
     }
     EngineOutlook outlook = candidate.outlook();
@@ -232,17 +232,13 @@
     return memory - margin - state.load().memoryTokens();
   }
 
-  private static long share(long tokens, int engines) {
-    return (tokens + engines - 1) / engines;
-  }
-
   private Choice choice(Query query, List<EngineCandidate> candidates, Plan plan) {
     RequestFacts facts = query.facts();
     Option first = plan.options().get(0);
     List<Helper> helpers = new ArrayList<>();
     long need = facts.workTokens();
     boolean alone = first.candidate().freeTokens() >= need;
-    long share = share(need, plan.options().size());
+    long share = EngineCandidate.share(need, plan.options().size());
     for (Option option : plan.options().subList(1, plan.options().size())) {
       helpers.add(new Helper(option.state(), alone ? 0 : share));
     }
