Cost each option of a placement once

Cause: the lateness of an option was worked out again in every comparison, and what does not depend on the turn was worked out for both turns at each offer. Change: an option carries its cost. What an engine would read, the harm to answers there and its place in the order are worked out once for both turns, the last of these once for all numbers of engines. The second turn is not weighed where no engine reads parts that a prompt would wait for: its plan could not be chosen there. Sums are added in the same order as before. Conclusion: the same choices for less work.

--- a/org.fawndrum/src/org/fawndrum/coordination/engine/EngineModelPlacement.java
+++ b/org.fawndrum/src/org/fawndrum/coordination/engine/EngineModelPlacement.java
@@ -6,7 +6,6 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
-import java.util.function.ToDoubleFunction;
 import org.fawndrum.coordination.EndpointState;
 import org.fawndrum.coordination.PassedOver;
 import org.fawndrum.coordination.Placement;
@@ -47,13 +46,27 @@
     this.costs = new PlacementCosts(weights);
   }
 
+  /**
+   * What one engine would read if so many took part; the same whenever that is sent.
+   *
+   * @param harmToWriting what answers there would lose, in value
+   * @param ofOrder what the engine's place in the order costs, in value
+   */
+  private record Share(
+      EngineCandidate candidate,
+      int engines,
+      EngineOutlook.Amount part,
+      double harmToWriting,
+      double ofOrder) {}
+
   /**
    * One engine that could read a part.
    *
    * @param harm what others there would lose, in value, the order among equals included
    * @param firstTokenMs when its part would be read, in milliseconds
+   * @param cost the harm, and what the request would lose if this part were read last, in value
    */
-  private record Option(EngineCandidate candidate, double harm, double firstTokenMs) {
+  private record Option(EngineCandidate candidate, double harm, double firstTokenMs, double cost) {
     EndpointState state() {
       return candidate.state();
     }
@@ -84,25 +97,54 @@
       return plain(query);
     }
     List<EngineCandidate> candidates = candidates(query);
-    Plan now = best(query, candidates, Turn.BEFORE_OTHERS);
-    if (now == null) {
+    List<List<Share>> shares = shares(query.facts(), candidates);
+    Plan now = best(query, shares, Turn.BEFORE_OTHERS);
+    if (now == null || now.options().size() > 1 && shouldWait(query, candidates, shares, now)) {
       return Optional.empty();
     }
-    if (now.options().size() > 1) {
-      Plan later = best(query, candidates, Turn.AFTER_OTHERS);
-      if (later != null && later.cost() < now.cost() && later.waitMs() > SOON_MS) {
-        return Optional.empty();
+    return Optional.of(choice(query, candidates, now));
+  }
+
+  /** Tells whether a plan of several engines costs less when those have read what they have. */
+  private boolean shouldWait(
+      Query query, List<EngineCandidate> candidates, List<List<Share>> shares, Plan now) {
+    if (candidates.stream().noneMatch(one -> one.outlook().sharedMs() > SOON_MS)) {
+      return false;
+    }
+    Plan later = best(query, shares, Turn.AFTER_OTHERS);
+    return later != null && later.cost() < now.cost() && later.waitMs() > SOON_MS;
+  }
+
+  /** Returns what each engine that can take part would read, for one engine, for two and so on. */
+  private List<List<Share>> shares(RequestFacts facts, List<EngineCandidate> candidates) {
+    int most = Math.min(mostEngines(facts, candidates), candidates.size());
+    List<List<Share>> shares = new ArrayList<>(most);
+    for (int engines = 1; engines <= most; engines++) {
+      shares.add(new ArrayList<>(candidates.size()));
+    }
+    for (EngineCandidate candidate : candidates) {
+      double ofOrder = costs.ofOrder(facts, candidate);
+      for (int engines = 1; engines <= most; engines++) {
+        if (canTake(facts, candidate, engines)) {
+          EngineOutlook.Amount part = candidate.partOf(facts.promptTokens(), engines);
+          double harm = costs.harmToWriting(candidate.outlook(), part);
+          shares.get(engines - 1).add(new Share(candidate, engines, part, harm, ofOrder));
+        }
       }
     }
-    return Optional.of(choice(query, candidates, now));
+    return shares;
+  }
+
+  private static boolean canTake(RequestFacts facts, EngineCandidate candidate, int engines) {
+    boolean able = engines == 1 ? candidate.canWrite() : candidate.canHelp();
+    return able && candidate.freeTokens() >= EngineCandidate.share(facts.workTokens(), engines);
   }
 
   /** Returns the plan that costs least; null when no engine can take the request. */
-  private Plan best(Query query, List<EngineCandidate> candidates, Turn turn) {
-    int most = Math.min(mostEngines(query.facts(), candidates), candidates.size());
+  private Plan best(Query query, List<List<Share>> shares, Turn turn) {
     Plan best = null;
-    for (int engines = 1; engines <= most; engines++) {
-      Plan plan = plan(query, candidates, engines, turn);
+    for (int engines = 1; engines <= shares.size(); engines++) {
+      Plan plan = plan(query, shares.get(engines - 1), engines, turn);
       if (plan != null && (best == null || plan.cost() < best.cost())) {
         best = plan;
       }
@@ -148,44 +190,38 @@
   }
 
   /** Returns the best plan of so many engines, or null when fewer can take part. */
-  private Plan plan(Query query, List<EngineCandidate> candidates, int engines, Turn turn) {
-    RequestFacts facts = query.facts();
-    long waitedMs = query.nowMs() - facts.arrivedMs();
-    List<Option> options = new ArrayList<>();
-    for (EngineCandidate candidate : candidates) {
-      Option option = option(facts, candidate, engines, turn);
-      if (option != null) {
-        options.add(option);
-      }
-    }
-    if (options.size() < engines) {
+  private Plan plan(Query query, List<Share> shares, int engines, Turn turn) {
+    if (shares.size() < engines) {
       return null;
     }
-    List<Option> chosen = cheapest(query, options, engines);
+    List<Option> options = new ArrayList<>(shares.size());
+    for (Share share : shares) {
+      options.add(option(query, share, turn));
+    }
+    List<Option> chosen = cheapest(query.facts(), options, engines);
     if (chosen.isEmpty()) {
       return null;
     }
     double latest = chosen.stream().mapToDouble(Option::firstTokenMs).max().orElse(0);
     double harm = chosen.stream().mapToDouble(Option::harm).sum();
-    double cost =
-        harm + costs.lateness(facts, waitedMs + latest) + weights.perEngine() * (engines - 1);
+    double cost = harm + lateness(query, latest) + weights.perEngine() * (engines - 1);
     return new Plan(chosen, latest, cost);
   }
 
+  /** Returns what the request loses whose first token comes after a time from now, in value. */
+  private double lateness(Query query, double firstTokenMs) {
+    long waitedMs = query.nowMs() - query.facts().arrivedMs();
+    return costs.lateness(query.facts(), waitedMs + firstTokenMs);
+  }
+
   /** Returns so many of the options, the one that writes the answer first; none if none can. */
-  private List<Option> cheapest(Query query, List<Option> options, int engines) {
-    RequestFacts facts = query.facts();
-    long waitedMs = query.nowMs() - facts.arrivedMs();
-    ToDoubleFunction<Option> cost =
-        option -> option.harm() + costs.lateness(facts, waitedMs + option.firstTokenMs());
+  private List<Option> cheapest(RequestFacts facts, List<Option> options, int engines) {
     Optional<Option> first =
         options.stream()
             .filter(option -> option.candidate().canWrite())
             .min(
                 Comparator.comparingDouble(
-                    option ->
-                        cost.applyAsDouble(option)
-                            + costs.ofWriting(facts, option.candidate(), engines)));
+                    option -> option.cost() + costs.ofWriting(facts, option.candidate(), engines)));
     if (first.isEmpty()) {
       return List.of();
     }
@@ -195,27 +231,24 @@
         .filter(option -> option != first.get())
         .sorted(
             Comparator.comparingDouble(
-                option -> cost.applyAsDouble(option) + costs.ofReadingBeside(option.candidate())))
+                option -> option.cost() + costs.ofReadingBeside(option.candidate())))
         .limit(engines - 1)
         .forEach(chosen::add);
     return chosen;
   }
 
-  /** Returns the option of one engine, or null when it cannot take its part. */
-  private Option option(RequestFacts facts, EngineCandidate candidate, int engines, Turn turn) {
-    boolean able = engines == 1 ? candidate.canWrite() : candidate.canHelp();
-    if (!able || candidate.freeTokens() < EngineCandidate.share(facts.workTokens(), engines)) {
-      return null;
-    }
-    EngineOutlook outlook = candidate.outlook();
-    EngineOutlook.Amount part = candidate.partOf(facts.promptTokens(), engines);
-    double firstMs = firstTokenMs(outlook, part, engines, turn) + candidate.zoneMs();
+  /** Returns what it costs that an engine takes its share at its turn. */
+  private Option option(Query query, Share share, Turn turn) {
+    EngineCandidate candidate = share.candidate();
+    int engines = share.engines();
+    double firstMs =
+        firstTokenMs(candidate.outlook(), share.part(), engines, turn) + candidate.zoneMs();
     boolean before = engines > 1 && turn == Turn.BEFORE_OTHERS;
     double harm =
-        costs.harmToWriting(outlook, part)
-            + costs.harmToUnread(outlook, part.ms(), engines, before)
-            + costs.ofOrder(facts, candidate);
-    return new Option(candidate, harm, firstMs);
+        share.harmToWriting()
+            + costs.harmToUnread(candidate.outlook(), share.part().ms(), engines, before)
+            + share.ofOrder();
+    return new Option(candidate, harm, firstMs, harm + lateness(query, firstMs));
   }
 
   private static double firstTokenMs(
