Name the time of a pass's steps for what it is

Cause: startPass set roomTokens twice, and stepsMs said it was the time of a pass's steps while it also counts steps for an engine that only reads, which takes none. Change: roomTokens is set once, when it is known whether the pass writes. The time is called stepsIfWritingMs, in the outlook too, and its comment says which answers it counts. A condition that the other implied is gone. No figure changes; the two tests that read the time use its new name. Conclusion: the name tells the truth.

--- a/org.fawndrum/src/org/fawndrum/coordination/engine/EngineLoad.java
+++ b/org.fawndrum/src/org/fawndrum/coordination/engine/EngineLoad.java
@@ -150,7 +150,7 @@
         passes.remainMs(nowMs),
         passes.stoppable(),
         overdueMs(nowMs),
-        passes.stepsMs() * pace,
+        passes.stepsIfWritingMs() * pace,
         waiting,
         sharedMs(pace, nowMs),
         passes.passTokens(),
--- a/org.fawndrum/src/org/fawndrum/coordination/engine/EngineOutlook.java
+++ b/org.fawndrum/src/org/fawndrum/coordination/engine/EngineOutlook.java
@@ -10,7 +10,8 @@
  * @param remainMs how long the pass under way still takes
  * @param stoppable whether a part of a prompt on several engines would be read at once
  * @param overdueMs by how much the engine is behind what was expected of it
- * @param stepsMs the time of the steps of a pass
+ * @param stepsIfWritingMs the time of the steps of a pass in which an answer is written; an engine
+ *     that only reads does not take it
  * @param waiting what waits for the next pass and later ones
  * @param sharedMs how long parts of prompts on several engines are still read, in all
  * @param passTokens the most tokens read in a pass while answers are written
@@ -25,7 +26,7 @@
     double remainMs,
     boolean stoppable,
     double overdueMs,
-    double stepsMs,
+    double stepsIfWritingMs,
     Amount waiting,
     double sharedMs,
     long passTokens,
@@ -52,12 +53,12 @@
 
   /** Returns how long answers there pause in the next pass as it is now. */
   double pauseMs() {
-    return cappedMs(waiting) + stepsMs;
+    return cappedMs(waiting) + stepsIfWritingMs;
   }
 
   /** Returns the same with one more part to read. */
   double pauseMs(Amount part) {
-    return cappedMs(waiting.plus(part)) + stepsMs;
+    return cappedMs(waiting.plus(part)) + stepsIfWritingMs;
   }
 
   private double cappedMs(Amount amount) {
@@ -66,17 +67,17 @@
 
   /** Returns when a prompt that this engine alone is sent now gives its first token. */
   double aloneMs(Amount prompt) {
-    return remainMs + overdueMs + waiting.ms + prompt.ms + stepsMs;
+    return remainMs + overdueMs + waiting.ms + prompt.ms + stepsIfWritingMs;
   }
 
   /** Returns when a part of a prompt on several engines that is sent now is read and answered. */
   double sharedMs(Amount part) {
     double beforeMs = stoppable ? 0 : remainMs + overdueMs + cappedMs(waiting);
-    return beforeMs + part.ms + stepsMs;
+    return beforeMs + part.ms + stepsIfWritingMs;
   }
 
   /** Returns the same if the part is only sent when those sent before it have been read. */
   double afterOthersMs(Amount part) {
-    return Math.max(sharedMs, stoppable ? 0 : remainMs) + overdueMs + part.ms + stepsMs;
+    return Math.max(sharedMs, stoppable ? 0 : remainMs) + overdueMs + part.ms + stepsIfWritingMs;
   }
 }
--- a/org.fawndrum/src/org/fawndrum/coordination/engine/EnginePasses.java
+++ b/org.fawndrum/src/org/fawndrum/coordination/engine/EnginePasses.java
@@ -85,7 +85,7 @@
 
   /** Passes that read nothing are all alike: goes to the last of them that began before a time. */
   private void skipIdlePasses(long nowMs) {
-    double stepsMs = stepsMs() * slowness;
+    double stepsMs = stepsIfWritingMs() * slowness;
     if (stepsMs > 0 && waiting().isEmpty()) {
       passEndMs += Math.floor((nowMs - passEndMs) / stepsMs) * stepsMs;
     }
@@ -148,7 +148,7 @@
     advance(nowMs);
     boolean sooner = !entry.isRead();
     double lateMs = sooner ? 0 : nowMs - entry.readAtMs - NEWS_MS;
-    double readMs = nowMs - passStartMs - (entry.inPassMs + stepsMs()) * slowness;
+    double readMs = nowMs - passStartMs - (entry.inPassMs + stepsIfWritingMs()) * slowness;
     entry.confirm(nowMs);
     if (sooner) {
       // The pass was shorter than foreseen: it did not read all that seemed to be in it.
@@ -174,17 +174,16 @@
     double readMs = 0;
     boolean writes = !writing.isEmpty();
     stoppable = !writes;
-    roomTokens = writes ? passTokens() : 0;
     if (!writes) {
       EngineEntry head = waiting.remove(0);
       readMs += head.take(head.leftTokens());
       writes = head.job.writes();
-      roomTokens = writes ? passTokens() : 0;
     }
+    roomTokens = writes ? passTokens() : 0;
     for (EngineEntry entry : waiting) {
       readMs += join(entry);
     }
-    double passMs = Math.max(SHORTEST_MS, (readMs + (writes ? stepsMs() : 0)) * slowness);
+    double passMs = Math.max(SHORTEST_MS, (readMs + (writes ? stepsIfWritingMs() : 0)) * slowness);
     passStartMs = atMs;
     passEndMs = atMs + passMs;
     notePauses(writing, passMs);
@@ -198,8 +197,13 @@
     }
   }
 
-  /** Returns the time of the steps of one pass at the usual pace, in milliseconds. */
-  double stepsMs() {
+  /**
+   * Returns how long the steps of a pass take at the usual pace if an answer is written in it, in
+   * milliseconds; 0 when there is no work at all. The answers counted are those being written and
+   * those that begin when the pass under way ends. With none of them this is the time that steps
+   * take by themselves, which an engine that only reads does not take.
+   */
+  double stepsIfWritingMs() {
     int streams = 0;
     long context = 0;
     for (EngineEntry entry : entries.values()) {
@@ -208,7 +212,7 @@
         context += entry.tokens;
       }
     }
-    return streams == 0 && entries.isEmpty() ? 0 : profile.passMs(streams, context);
+    return entries.isEmpty() ? 0 : profile.passMs(streams, context);
   }
 
   private List<EngineEntry> writing() {
--- a/org.fawndrum/tst/org/fawndrum/coordination/engine/EngineLoadTest.java
+++ b/org.fawndrum/tst/org/fawndrum/coordination/engine/EngineLoadTest.java
@@ -144,7 +144,8 @@
     double partMs = PROFILE.readMs(40_000) / 2;
     assertEquals(partMs, outlook(500).remainMs(), 1);
     assertEquals(wholeMs - 500 + partMs, outlook(500).sharedMs(), 1);
-    assertEquals(partMs, outlook(500).sharedMs(part(40_000, 2)) - outlook(500).stepsMs(), 0.001);
+    assertEquals(
+        partMs, outlook(500).sharedMs(part(40_000, 2)) - outlook(500).stepsIfWritingMs(), 0.001);
   }
 
   @Test
--- a/org.fawndrum/tst/org/fawndrum/coordination/engine/EngineOutlookTest.java
+++ b/org.fawndrum/tst/org/fawndrum/coordination/engine/EngineOutlookTest.java
@@ -130,7 +130,7 @@
         remainMs,
         passes.stoppable(),
         overdueMs,
-        passes.stepsMs() * pace,
+        passes.stepsIfWritingMs() * pace,
         waiting,
         sharedInPass ? sharedMs + remainMs : sharedMs,
         passes.passTokens(),
