Work the fields of an outlook out one by one

Change: a method for each field that needs a loop; outlook only puts them together. The sums are the same, in the same order. Conclusion: each field can be read alone.

--- a/org.fawndrum/src/org/fawndrum/coordination/engine/EngineLoad.java
+++ b/org.fawndrum/src/org/fawndrum/coordination/engine/EngineLoad.java
@@ -125,27 +125,10 @@
    * @param longTokens the length from which on a prompt does not count as short
    */
   EngineOutlook outlook(long longTokens, long nowMs) {
-    passes.pace(slowness(nowMs));
-    passes.advance(nowMs);
     double pace = slowness(nowMs);
+    passes.pace(pace);
+    passes.advance(nowMs);
     EngineOutlook.Amount waiting = waiting(pace);
-    double firstTokenMs = passes.remainMs(nowMs) + overdueMs(nowMs) + waiting.ms();
-    List<EngineJob> writing = new ArrayList<>();
-    List<EngineOutlook.Unread> unread = new ArrayList<>();
-    int shortStreams = 0;
-    int helping = 0;
-    for (EngineEntry entry : passes.entries()) {
-      EngineJob job = entry.job;
-      if (!entry.isRead()) {
-        boolean inPass = entry.leftTokens() == 0;
-        double afterMs = inPass ? passes.remainMs(nowMs) : firstTokenMs;
-        unread.add(new EngineOutlook.Unread(job, inPass, nowMs - job.sentMs() + afterMs));
-        helping += job.writes() ? 0 : 1;
-      } else if (job.writes() && !entry.paused) {
-        writing.add(job);
-      }
-      shortStreams += job.writes() && job.promptTokens() < longTokens ? 1 : 0;
-    }
     return new EngineOutlook(
         passes.remainMs(nowMs),
         passes.stoppable(),
@@ -156,10 +139,53 @@
         passes.passTokens(),
         pace,
         streams(),
-        shortStreams,
-        helping,
-        writing,
-        unread);
+        shortStreams(longTokens),
+        helping(),
+        writing(),
+        unread(waiting, nowMs));
+  }
+
+  /** Returns the answers written there, read or not, whose prompts are short. */
+  private int shortStreams(long longTokens) {
+    int count = 0;
+    for (EngineEntry entry : passes.entries()) {
+      count += entry.job.writes() && entry.job.promptTokens() < longTokens ? 1 : 0;
+    }
+    return count;
+  }
+
+  /** Returns the parts that it still has to read for other engines. */
+  private int helping() {
+    int count = 0;
+    for (EngineEntry entry : passes.entries()) {
+      count += !entry.isRead() && !entry.job.writes() ? 1 : 0;
+    }
+    return count;
+  }
+
+  /** Returns the answers being written there that have not paused for too long yet. */
+  private List<EngineJob> writing() {
+    List<EngineJob> writing = new ArrayList<>();
+    for (EngineEntry entry : passes.entries()) {
+      if (entry.writing() && !entry.paused) {
+        writing.add(entry.job);
+      }
+    }
+    return writing;
+  }
+
+  private List<EngineOutlook.Unread> unread(EngineOutlook.Amount waiting, long nowMs) {
+    double passMs = passes.remainMs(nowMs);
+    double allMs = passMs + overdueMs(nowMs) + waiting.ms();
+    List<EngineOutlook.Unread> unread = new ArrayList<>();
+    for (EngineEntry entry : passes.entries()) {
+      if (!entry.isRead()) {
+        boolean inPass = entry.leftTokens() == 0;
+        double firstMs = nowMs - entry.job.sentMs() + (inPass ? passMs : allMs);
+        unread.add(new EngineOutlook.Unread(entry.job, inPass, firstMs));
+      }
+    }
+    return unread;
   }
 
   private EngineOutlook.Amount waiting(double pace) {
