--- a/org.fawndrum/tst/org/fawndrum/coordination/ExplainerTest.java
+++ b/org.fawndrum/tst/org/fawndrum/coordination/ExplainerTest.java
@@ -95,14 +95,13 @@
 
   /** Checks the only record, which names no endpoint. */
   private void saidOfRequest(DecisionKind kind, Reason reason) {
-    Optional<CellKey> cell = Optional.empty();
     said(
         1_010,
         kind,
         reason,
         Optional.empty(),
         0,
-        cell,
+        Optional.empty(),
         Optional.empty(),
         List.of(),
         Optional.empty());
