Let the stand-ins that are one small server share its start and stop

Change: JsonStandin has them. Left as they are: the same three one-line methods in CallerServer and OperatorServer, the first lines of ChatExchange and PlainExchange, and the fields of RequestFacts, which its constructor repeats. Conclusion: one place to start and stop them.

--- a/org.fawndrum.standin/src/org/fawndrum/standin/PlainStandin.java
+++ b/org.fawndrum.standin/src/org/fawndrum/standin/PlainStandin.java
@@ -1,10 +1,8 @@
 // SPDX-License-Identifier: Apache-2.0
 package org.fawndrum.standin;
 
-import io.vertx.core.Future;
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
-import io.vertx.core.http.HttpServer;
 import io.vertx.core.http.HttpServerRequest;
 import java.util.Map;
 import java.util.TreeMap;
@@ -13,11 +11,10 @@
  * A plain service's stand-in. It runs any call and counts the runs of each key, where the key is
  * the Idempotency-Key header or else the path with its query. Confined to one event loop.
  */
-public final class PlainStandin {
+public final class PlainStandin extends JsonStandin {
   private static final int UNAVAILABLE = 503;
 
   private final Vertx vertx;
-  private final JsonServer server;
   private final String name;
   private final Map<String, Integer> runs = new TreeMap<>();
   private Faults faults = new Faults(false, false, 0);
@@ -39,31 +36,15 @@
 
   /** Makes a service that has not started; port 0 takes a free one. */
   public PlainStandin(Vertx vertx, String ip, int port, String name) {
+    super(vertx, ip, port);
     this.vertx = vertx;
     this.name = name;
-    this.server =
-        new JsonServer(vertx, ip, port)
-            .on(
-                "GET /runs",
-                (request, body) ->
-                    JsonServer.answer(request.response(), new Runs(new TreeMap<>(runs))))
-            .on("POST /faults", Faults.class, this::faults)
-            .otherwise(this::run);
-  }
-
-  /** Starts listening. */
-  public Future<HttpServer> listen() {
-    return server.listen();
-  }
-
-  /** Stops listening. */
-  public Future<Void> close() {
-    return server.close();
-  }
-
-  /** Returns the port it listens on. */
-  public int port() {
-    return server.port();
+    server
+        .on(
+            "GET /runs",
+            (request, body) -> JsonServer.answer(request.response(), new Runs(new TreeMap<>(runs))))
+        .on("POST /faults", Faults.class, this::faults)
+        .otherwise(this::run);
   }
 
   private void faults(HttpServerRequest request, Faults wanted) {
--- a/org.fawndrum.standin/src/org/fawndrum/standin/PlatformStandin.java
+++ b/org.fawndrum.standin/src/org/fawndrum/standin/PlatformStandin.java
@@ -1,9 +1,7 @@
 // SPDX-License-Identifier: Apache-2.0
 package org.fawndrum.standin;
 
-import io.vertx.core.Future;
 import io.vertx.core.Vertx;
-import io.vertx.core.http.HttpServer;
 import io.vertx.core.http.HttpServerRequest;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
@@ -21,7 +19,7 @@
  * The platform's stand-in: an append-only log with offsets and limited retention, and a list of
  * hosts that lags. All state is confined to one event loop.
  */
-public final class PlatformStandin {
+public final class PlatformStandin extends JsonStandin {
   private static final int TOO_MANY = 429;
   private static final int UNAVAILABLE = 503;
   private static final int DEFAULT_MOST = 500;
@@ -29,7 +27,6 @@
   private static final long WINDOW_MS = 1_000;
 
   private final Vertx vertx;
-  private final JsonServer server;
   private final int appendsPerSecond;
   private final int retention;
   private final Deque<StoredRecord> records = new ArrayDeque<>();
@@ -55,32 +52,17 @@
    * @param retention how many records it keeps
    */
   public PlatformStandin(Vertx vertx, String ip, int port, int appendsPerSecond, int retention) {
+    super(vertx, ip, port);
     this.vertx = vertx;
     this.appendsPerSecond = appendsPerSecond;
     this.retention = retention;
     listings.add(new Listing(0, new HostList(0, List.of())));
-    this.server =
-        new JsonServer(vertx, ip, port)
-            .on("POST /log", Append.class, this::append)
-            .on("GET /log", (request, body) -> read(request))
-            .on("GET /hosts", (request, body) -> hosts(request))
-            .on("POST /hosts", ListedHost.class, this::list)
-            .on("POST /faults", Faults.class, this::faults);
-  }
-
-  /** Starts listening. */
-  public Future<HttpServer> listen() {
-    return server.listen();
-  }
-
-  /** Stops listening. */
-  public Future<Void> close() {
-    return server.close();
-  }
-
-  /** Returns the port it listens on. */
-  public int port() {
-    return server.port();
+    server
+        .on("POST /log", Append.class, this::append)
+        .on("GET /log", (request, body) -> read(request))
+        .on("GET /hosts", (request, body) -> hosts(request))
+        .on("POST /hosts", ListedHost.class, this::list)
+        .on("POST /faults", Faults.class, this::faults);
   }
 
   private void faults(HttpServerRequest request, Faults faults) {
