Take an engine for dead only after two seconds of silence

Change: at least two unanswered probes and at least 2 s of silence; the next probe comes with the next look. A test sums the worst case up: silence, looks, probes and releases stay within the 4 s for which memory may lie unused.

--- a/org.fawndrum/src/org/fawndrum/transport/relay/EngineLiveness.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/EngineLiveness.java
@@ -21,9 +21,15 @@
    */
   static final long SILENCE_MS = 1_000;
 
-  /** How many probes in a row may stay without an answer: one answer may be lost. */
+  /** How many probes in a row stay without an answer before an engine may be taken for dead. */
   private static final int MOST_UNANSWERED = 2;
 
+  /**
+   * How long an engine is silent at least before it is taken for dead, in milliseconds: what is
+   * lost on the way is sent again within a second. Memory must be free 4 s after its last use.
+   */
+  static final long DEAD_MS = 2_000;
+
   private final Endpoint engine;
   private final EngineOrders orders;
   private final HostClock clock;
@@ -103,9 +109,7 @@
 
   private void unanswered() {
     unanswered++;
-    if (unanswered < MOST_UNANSWERED) {
-      probe();
-    } else {
+    if (unanswered >= MOST_UNANSWERED && silentMs() >= DEAD_MS) {
       end();
       dead.run();
     }
--- a/org.fawndrum/tst/org/fawndrum/transport/relay/EngineLivenessTest.java
+++ b/org.fawndrum/tst/org/fawndrum/transport/relay/EngineLivenessTest.java
@@ -29,6 +29,9 @@
           Set.of("pool"),
           100);
 
+  private static final long PROBE_MS = 500;
+  private static final long LOOK_MS = 200;
+
   private final HandClock clock = new HandClock();
   private final Deque<Promise<Void>> probes = new ArrayDeque<>();
   private final List<Long> signs = new ArrayList<>();
@@ -61,7 +64,9 @@
     liveness.look();
   }
 
+  /** A probe that got no answer in its time; the engine is looked at again a moment later. */
   private void noAnswer() {
+    clock.pass(PROBE_MS);
     probes.removeFirst().fail(new EndpointUnreachableException(ENGINE.address(), null));
   }
 
@@ -90,8 +95,10 @@
     lookAfter(EngineLiveness.SILENCE_MS);
     noAnswer();
     assertEquals(0, deaths);
+    lookAfter(LOOK_MS);
     noAnswer();
     assertEquals(1, deaths);
+    assertTrue(liveness.silentMs() >= EngineLiveness.DEAD_MS);
     lookAfter(EngineLiveness.SILENCE_MS);
     assertTrue(probes.isEmpty());
     assertEquals(1, deaths);
@@ -102,11 +109,39 @@
     for (int i = 0; i < 5; i++) {
       lookAfter(EngineLiveness.SILENCE_MS);
       noAnswer();
+      lookAfter(LOOK_MS);
       probes.removeFirst().complete();
     }
     assertEquals(0, deaths);
   }
 
+  @Test
+  void probesThatFailWithinMillisecondsAreNoDeathBeforeItsTime() {
+    clock.pass(EngineLiveness.SILENCE_MS);
+    while (liveness.silentMs() < EngineLiveness.DEAD_MS) {
+      liveness.look();
+      assertEquals(0, deaths, "dead after " + liveness.silentMs());
+      probes.removeFirst().fail(new EndpointUnreachableException(ENGINE.address(), null));
+      clock.pass(LOOK_MS);
+    }
+  }
+
+  @Test
+  void memoryOfADeadEngineIsFreeWithinFourSeconds() {
+    long unusedMs = 4_000;
+    long releaseMs = 3 * 300;
+    // The worst case: each look comes as late as it can, each probe fails as late as it can.
+    lookAfter(EngineLiveness.SILENCE_MS - 1);
+    lookAfter(LOOK_MS);
+    while (deaths == 0) {
+      noAnswer();
+      if (deaths == 0) {
+        lookAfter(LOOK_MS);
+      }
+    }
+    assertTrue(liveness.silentMs() + releaseMs < unusedMs, "silent " + liveness.silentMs());
+  }
+
   @Test
   void aSignCountsFromTheProbeAndNotFromItsAnswer() {
     lookAfter(EngineLiveness.SILENCE_MS);
