--- a/org.fawndrum/src/org/fawndrum/transport/relay/PromptMemory.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/PromptMemory.java
@@ -5,11 +5,13 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
+import java.util.Optional;
 import org.fawndrum.coordination.Action;
 import org.fawndrum.coordination.AttemptId;
 import org.fawndrum.errors.EndpointMemoryShortException;
 import org.fawndrum.internal.log.HostLog;
 import org.fawndrum.internal.log.LogEvent;
+import org.fawndrum.state.HostIdentity;
 import org.fawndrum.transport.HostClock;
 
 /**
@@ -32,17 +34,32 @@
    */
   static final long RENEWAL_MS = 1_000;
 
-  /** How often an order is sent again that got no answer. */
-  private static final int TRIES = 3;
+  private static final int RELEASE_TRIES = 3;
+
+  /** How long after its sending an order that got no answer may still be carried out, in ms. */
+  static final long LATE_MS = 12_000;
+
+  /**
+   * The interval at which memory is released again that a late order may have set aside, in
+   * milliseconds; shorter than a lease, so that several late orders never add up to a long one.
+   */
+  static final long RELEASE_AGAIN_MS = 2_500;
 
   private final HostClock clock;
+  private final Timer timer;
   private final EngineOrders orders;
   private final List<Part> parts;
   private final HostLog log;
   private final List<Lease> leases = new ArrayList<>();
+  private HostIdentity unreachable;
   private long renewedMs;
   private boolean freed;
 
+  /** Runs steps later, on the same event loop. */
+  interface Timer {
+    void after(long ms, Runnable step);
+  }
+
   /** Memory on one engine. */
   private record Part(Action.Helper helper, String ticket) {}
 
@@ -50,6 +67,7 @@
   private static final class Lease {
     final Part part;
     Future<Boolean> lastOrder;
+    long lateUntilMs = HostClock.NEVER_MS;
 
     Lease(Part part) {
       this.part = part;
@@ -58,11 +76,13 @@
 
   PromptMemory(
       HostClock clock,
+      Timer timer,
       EngineOrders orders,
       AttemptId attempt,
       List<Action.Helper> helpers,
       HostLog log) {
     this.clock = clock;
+    this.timer = timer;
     this.orders = orders;
     this.log = log;
     String owner = Integer.toHexString(attempt.owner().hashCode());
@@ -120,38 +140,36 @@
   private Future<Boolean> order(Lease lease, long holdMs) {
     Part part = lease.part;
     lease.lastOrder =
-        orders.reserve(
-            part.helper().endpoint(), part.ticket(), part.helper().memoryTokens(), holdMs);
+        orders
+            .reserve(part.helper().endpoint(), part.ticket(), part.helper().memoryTokens(), holdMs)
+            .onFailure(cause -> unanswered(lease, cause));
     return lease.lastOrder;
   }
 
+  private void unanswered(Lease lease, Throwable cause) {
+    lease.lateUntilMs = clock.nowMs() + LATE_MS;
+    unreachable = lease.part.helper().endpoint().identity();
+    log.event(LogEvent.MEMORY_ORDER_FAILED, lease.part.ticket(), cause);
+  }
+
+  /** Returns the engine that did not answer the last order that got no answer. */
+  Optional<HostIdentity> unreachable() {
+    return Optional.ofNullable(unreachable);
+  }
+
   /**
    * Takes a sign of life of the engine that uses the memory and renews the leases if that is due.
    *
    * @param atMs at this time or later the engine was alive, in milliseconds of the host's clock
    */
   void engineAlive(long atMs) {
-    if (freed || atMs - renewedMs < RENEWAL_MS) {
+    boolean over = clock.nowMs() - atMs >= LEASE_MS;
+    if (freed || over || atMs - renewedMs < RENEWAL_MS) {
       return;
     }
     renewedMs = atMs;
-    leases.forEach(lease -> renew(lease, atMs, TRIES));
-  }
-
-  private void renew(Lease lease, long aliveMs, int tries) {
-    long leftMs = aliveMs + LEASE_MS - clock.nowMs();
-    if (freed || leftMs <= 0) {
-      return;
-    }
-    order(lease, leftMs)
-        .onFailure(
-            cause -> {
-              if (tries > 1) {
-                renew(lease, aliveMs, tries - 1);
-              } else {
-                log.event(LogEvent.MEMORY_ORDER_FAILED, lease.part.ticket(), cause);
-              }
-            });
+    // One that gets no answer is sent again with the next sign: each may be carried out late.
+    leases.forEach(lease -> order(lease, atMs + LEASE_MS - clock.nowMs()));
   }
 
   /** Frees everything; does nothing when called again. */
@@ -160,8 +178,16 @@
       return;
     }
     freed = true;
-    // An order on its way could be carried out after the release and set the memory aside again.
-    leases.forEach(lease -> lease.lastOrder.onComplete(done -> release(lease.part, TRIES)));
+    leases.forEach(lease -> lease.lastOrder.onComplete(done -> end(lease, RELEASE_TRIES)));
+  }
+
+  /** Frees a part once no order about it is on its way, which could set it aside again. */
+  private void end(Lease lease, int tries) {
+    release(lease.part, tries);
+    if (clock.nowMs() < lease.lateUntilMs) {
+      // What an order without an answer sets aside late is taken back each time.
+      timer.after(RELEASE_AGAIN_MS, () -> end(lease, 1));
+    }
   }
 
   private void release(Part part, int tries) {
--- a/org.fawndrum/src/org/fawndrum/transport/relay/RelayAttempt.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/RelayAttempt.java
@@ -111,6 +111,8 @@
               if (held.succeeded()) {
                 connect();
               } else {
+                // The engine that did not answer is at fault, not the one that was to be asked.
+                memory.unreachable().ifPresent(helper -> owner.helperRefused(this, helper));
                 fail(AttemptEvent.CONNECT_FAILED);
               }
             });
--- a/org.fawndrum/src/org/fawndrum/transport/relay/RelayExchange.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/RelayExchange.java
@@ -61,7 +61,12 @@
     }
     PromptMemory memory =
         new PromptMemory(
-            tools.clock(), tools.orders(), send.attempt(), send.helpers(), tools.log());
+            tools.clock(),
+            (ms, step) -> context.owner().setTimer(ms, id -> step.run()),
+            tools.orders(),
+            send.attempt(),
+            send.helpers(),
+            tools.log());
     current = new RelayAttempt(send, call, lastEventId, tools, memory, this);
     current.start();
   }
