End a stalled attempt only when another may take its place

Cause: StallWatch ended an attempt after 1.25 s of silence (five pauses) whether or not the request could be sent again; when the route's attempts or the budget were used up, the host itself broke off an answer that its engine was still writing. Class: silence taken for an end. Ruled out: longer limits (callers give up after eight pauses; the second engine is worth trying before that). Change: a stall is reported; the decisions either cancel the attempt and place another, or let it go on, and its engine is probed meanwhile. An answer that ends before it can be cancelled counts. The model of CoordinatorHistoryTest lets a stalled attempt go on until it is cancelled, which is stricter: it may still end. Before: StalledAttemptTest 1 of 2 failed. After: 2 of 2; CoordinatorHistoryTest, PlannedStopTest 6, SilentEngineTest 3, SilentBodyTest 6 and RelayPathTest 14 passed.

--- /dev/null
+++ b/org.fawndrum/src/org/fawndrum/coordination/AttemptEnds.java
@@ -0,0 +1,58 @@
+// SPDX-License-Identifier: Apache-2.0
+package org.fawndrum.coordination;
+
+import java.util.List;
+
+/**
+ * How attempts end without a whole answer: what they hold is freed, their endpoint is blamed where
+ * due, and it is decided whether another attempt may follow. Confined to the coordinator's thread;
+ * times are those of the host's clock, in milliseconds.
+ */
+final class AttemptEnds {
+  private final EngineWork work;
+  private final RetryRule retries;
+  private final Explainer explainer;
+  private final List<Action> out;
+
+  AttemptEnds(EngineWork work, RetryRule retries, Explainer explainer, List<Action> out) {
+    this.work = work;
+    this.retries = retries;
+    this.explainer = explainer;
+    this.out = out;
+  }
+
+  /** Takes note that an attempt failed; returns why none may follow, or null when one may. */
+  Reason failed(LiveRequest request, LiveRequest.Attempt attempt, AttemptEvent event, long nowMs) {
+    explainer.attempt(request, attempt, DecisionKind.ATTEMPT_FAILED, Reason.ENDPOINT_FAILED, nowMs);
+    if (attempt.helperAtFault == null) {
+      EndRules.blame(request, attempt, event, nowMs);
+    }
+    return retries.whyNot(request, attempt, event, nowMs);
+  }
+
+  /**
+   * Ends an attempt from which nothing comes if another may take its place, and tells whether it
+   * did. Where none may, it goes on: silence alone is no reason to break off what an endpoint may
+   * still be writing.
+   */
+  boolean stalled(LiveRequest request, LiveRequest.Attempt attempt, long nowMs) {
+    boolean stays =
+        attempt.state.ended()
+            || retries.whyNot(request, attempt, AttemptEvent.STALLED, nowMs) != null;
+    if (stays) {
+      return false;
+    }
+    attempt.state = AttemptStates.after(attempt.state, AttemptEvent.STALLED);
+    abandon(attempt, nowMs);
+    explainer.attempt(request, attempt, DecisionKind.ATTEMPT_FAILED, Reason.ENDPOINT_FAILED, nowMs);
+    EndRules.blame(request, attempt, AttemptEvent.STALLED, nowMs);
+    return true;
+  }
+
+  /** Frees what an attempt holds here and at its endpoint, because nobody waits for it any more. */
+  void abandon(LiveRequest.Attempt attempt, long nowMs) {
+    attempt.endpoint.ended(attempt.id);
+    work.ended(attempt, false, nowMs);
+    out.add(new Action.Cancel(attempt.id, attempt.endpoint.endpoint()));
+  }
+}
--- a/org.fawndrum/src/org/fawndrum/coordination/AttemptEvent.java
+++ b/org.fawndrum/src/org/fawndrum/coordination/AttemptEvent.java
@@ -15,7 +15,7 @@
   ANSWERED,
   /** The endpoint says that it ran the request and failed. */
   FAILED_BY_ENDPOINT,
-  /** Nothing came for so long that another endpoint is tried; this one may only be slow. */
+  /** Nothing came for so long that another endpoint is tried if it may be; this one may be slow. */
   STALLED,
   /** The connection was lost, or the time to wait is over. */
   LOST
--- /dev/null
+++ b/org.fawndrum/src/org/fawndrum/coordination/GroupUsages.java
@@ -0,0 +1,36 @@
+// SPDX-License-Identifier: Apache-2.0
+package org.fawndrum.coordination;
+
+import java.util.HashMap;
+import java.util.Map;
+import org.fawndrum.state.CallerGroup;
+import org.fawndrum.state.Row;
+import org.fawndrum.state.TableRevision;
+
+/** What each caller group uses of its limits on this host. Confined to one thread. */
+final class GroupUsages {
+  private final Map<CallerGroup, GroupUsage> usages = new HashMap<>();
+  private double part = 1.0;
+
+  /** Returns the usage of a group, which begins now if there is none; its row is the table's. */
+  GroupUsage begin(CallerGroup group, Row row, long nowMs) {
+    return usages.computeIfAbsent(group, key -> new GroupUsage(row, part, nowMs));
+  }
+
+  /** Returns the usage of a group that has begun one. */
+  GroupUsage of(LiveRequest request) {
+    return usages.get(request.facts.group());
+  }
+
+  /** Takes over the limits of a newer table. */
+  void table(TableRevision newer, long nowMs) {
+    usages.forEach(
+        (group, usage) -> usage.update(newer.row(group).orElse(usage.row()), part, nowMs));
+  }
+
+  /** Takes over this host's part of the limits, above 0 and at most 1. */
+  void limitPart(double newPart, long nowMs) {
+    part = newPart;
+    usages.values().forEach(usage -> usage.update(usage.row(), newPart, nowMs));
+  }
+}
--- a/org.fawndrum/src/org/fawndrum/coordination/Placement.java
+++ b/org.fawndrum/src/org/fawndrum/coordination/Placement.java
@@ -73,6 +73,15 @@
               .toList();
       return Optional.of(new Reading(engines, expectedMs.getAsLong(), Reading.NOT_YET));
     }
+
+    /** Returns the order to send an attempt to what was chosen. */
+    Action.Send order(AttemptId attempt, int priority, long deadlineMs) {
+      List<Action.Helper> others =
+          helpers.stream()
+              .map(one -> new Action.Helper(one.state().endpoint(), one.memoryTokens()))
+              .toList();
+      return new Action.Send(attempt, state.endpoint(), priority, deadlineMs, others);
+    }
   }
 
   /**
--- a/org.fawndrum/src/org/fawndrum/coordination/RequestCoordinator.java
+++ b/org.fawndrum/src/org/fawndrum/coordination/RequestCoordinator.java
@@ -8,7 +8,6 @@
 import java.util.Map;
 import java.util.Optional;
 import org.fawndrum.coordination.engine.EngineNews;
-import org.fawndrum.state.CallerGroup;
 import org.fawndrum.state.CellKey;
 import org.fawndrum.state.Column;
 import org.fawndrum.state.Endpoint;
@@ -28,20 +27,19 @@
   private final HostIdentity self;
   private final String zone;
   private final Policies policies;
-  private final RetryRule retries;
   private final EndpointBook endpoints = new EndpointBook();
   private final WaitingRequests waiting;
   private final DrainRate drained = new DrainRate();
   private final Admission admission;
-  private final Map<CallerGroup, GroupUsage> usages = new HashMap<>();
+  private final GroupUsages usages = new GroupUsages();
   private final Map<String, LiveRequest> requests = new HashMap<>();
   private final DeadlineChecks checks = new DeadlineChecks();
   private final List<Action> out = new ArrayList<>();
   private final Explainer explainer = new Explainer(out);
   private final EngineWork work;
+  private final AttemptEnds ends;
   private TableRevision table = TableRevision.EMPTY;
   private StopWindow stop = StopWindow.OPEN;
-  private double part = 1.0;
 
   /**
    * Makes the coordinator of a host that has just started.
@@ -54,9 +52,9 @@
     this.self = self;
     this.zone = zone;
     this.policies = policies;
-    this.retries = new RetryRule(policies);
     this.waiting = new WaitingRequests(policies.order(), policies.lengths());
     this.work = new EngineWork(self, endpoints, out);
+    this.ends = new AttemptEnds(work, new RetryRule(policies), explainer, out);
     this.admission = new Admission(waiting, drained, endpoints, policies.refuseEarly());
   }
 
@@ -64,16 +62,14 @@
   public List<Action> table(TableRevision newer, long nowMs) {
     if (newer.position() > table.position()) {
       table = newer;
-      usages.forEach(
-          (group, usage) -> usage.update(newer.row(group).orElse(usage.row()), part, nowMs));
+      usages.table(newer, nowMs);
     }
     return flush(nowMs);
   }
 
   /** Takes over this host's part of the limits of the table, above 0 and at most 1. */
   public List<Action> limitPart(double newPart, long nowMs) {
-    part = newPart;
-    usages.forEach((group, usage) -> usage.update(usage.row(), newPart, nowMs));
+    usages.limitPart(newPart, nowMs);
     return flush(nowMs);
   }
 
@@ -172,8 +168,7 @@
       // The host's end would cut the answer, and another host can give it whole.
       return refuseNew(facts, EndRules.draining(), Reason.DRAINING, nowMs);
     }
-    GroupUsage usage =
-        usages.computeIfAbsent(facts.group(), g -> new GroupUsage(row.get(), part, nowMs));
+    GroupUsage usage = usages.begin(facts.group(), row.get(), nowMs);
     policies.lengths().arrived(facts.promptTokens());
     Refusal refusal = admission.check(request, usage, nowMs);
     if (refusal != null) {
@@ -189,16 +184,15 @@
     policies.retries().firstSend(request.facts.target(), nowMs);
     explainer.admitted(request.facts, nowMs);
     enqueue(request);
-    long lastStartMs = request.deadlineMs - admission.shortestServiceMs(request.facts);
-    long firstCheckMs = policies.refuseEarly() ? lastStartMs : request.deadlineMs;
-    checks.add(firstCheckMs, request.facts.requestId());
+    long earlyMs = policies.refuseEarly() ? admission.shortestServiceMs(request.facts) : 0;
+    checks.add(request.deadlineMs - earlyMs, request.facts.requestId());
   }
 
   private void enqueue(LiveRequest request) {
     request.waiting = true;
     request.offerAgainMs = 0;
     waiting.add(request);
-    usages.get(request.facts.group()).waiting++;
+    usages.of(request).waiting++;
   }
 
   /** Takes note that an attempt is refused because of one of its helpers, before it ends. */
@@ -224,6 +218,15 @@
     if (attempt == null) {
       return flush(nowMs);
     }
+    if (event == AttemptEvent.STALLED) {
+      if (ends.stalled(request, attempt, nowMs)) {
+        enqueue(request);
+      }
+      return flush(nowMs);
+    }
+    if (event == AttemptEvent.ANSWERED && attempt.state.ended()) {
+      return answeredLate(request, attempt, nowMs);
+    }
     AttemptState before = attempt.state;
     attempt.state = AttemptStates.after(before, event);
     if (attempt.state == AttemptState.RUNNING) {
@@ -243,6 +246,27 @@
     return flush(nowMs);
   }
 
+  /** Takes the whole answer of an attempt that came to its end before it could be cancelled. */
+  private List<Action> answeredLate(LiveRequest request, LiveRequest.Attempt attempt, long nowMs) {
+    abandonLast(request, nowMs);
+    explainer.attempt(request, attempt, DecisionKind.FINISHED, Reason.COMPLETE, nowMs);
+    end(request);
+    return flush(nowMs);
+  }
+
+  /** Takes a request out of the queue, or ends its last attempt. */
+  private void abandonLast(LiveRequest request, long nowMs) {
+    if (request.waiting) {
+      waiting.remove(request);
+      usages.of(request).waiting--;
+      request.waiting = false;
+    }
+    LiveRequest.Attempt last = request.last();
+    if (last != null && !last.state.ended()) {
+      ends.abandon(last, nowMs);
+    }
+  }
+
   private void attemptEnded(
       LiveRequest request, LiveRequest.Attempt attempt, AttemptEvent event, long nowMs) {
     if (attempt.state == AttemptState.DONE) {
@@ -251,11 +275,7 @@
       end(request);
       return;
     }
-    explainer.attempt(request, attempt, DecisionKind.ATTEMPT_FAILED, Reason.ENDPOINT_FAILED, nowMs);
-    if (attempt.helperAtFault == null) {
-      EndRules.blame(request, attempt, event, nowMs);
-    }
-    Reason whyNot = retries.whyNot(request, attempt, event, nowMs);
+    Reason whyNot = ends.failed(request, attempt, event, nowMs);
     if (whyNot == null) {
       enqueue(request);
       return;
@@ -302,17 +322,7 @@
   }
 
   private void giveUp(LiveRequest request, Refusal refusal, Reason why, long nowMs) {
-    if (request.waiting) {
-      waiting.remove(request);
-      usages.get(request.facts.group()).waiting--;
-      request.waiting = false;
-    }
-    LiveRequest.Attempt last = request.last();
-    if (last != null && !last.state.ended()) {
-      last.endpoint.ended(last.id);
-      work.ended(last, false, nowMs);
-      out.add(new Action.Cancel(last.id, last.endpoint.endpoint()));
-    }
+    abandonLast(request, nowMs);
     explainer.refused(request.facts, refusal, why, nowMs);
     out.add(new Action.Refuse(request.facts.requestId(), refusal));
     end(request);
@@ -320,7 +330,7 @@
 
   private void end(LiveRequest request) {
     requests.remove(request.facts.requestId());
-    usages.get(request.facts.group()).inFlight--;
+    usages.of(request).inFlight--;
   }
 
   /** Refuses a request that was not admitted, for a reason that was found elsewhere. */
@@ -371,18 +381,14 @@
     attempt.state = AttemptStates.after(attempt.state, AttemptEvent.SENDING);
     request.attempts.add(attempt);
     request.waiting = false;
-    usages.get(facts.group()).waiting--;
+    usages.of(request).waiting--;
     boolean model = facts.target().kind() == EndpointKind.MODEL;
     state.sending(id, priority, facts.promptTokens(), model ? facts.workTokens() : 0, nowMs);
     state.prefixes().stored(facts.prefixes());
     work.placed(attempt, facts, choice, nowMs);
     drained.sent(facts.target(), facts.workTokens(), nowMs);
     explainer.placed(request, choice, number, nowMs);
-    List<Action.Helper> helpers =
-        choice.helpers().stream()
-            .map(one -> new Action.Helper(one.state().endpoint(), one.memoryTokens()))
-            .toList();
-    out.add(new Action.Send(id, state.endpoint(), priority, request.deadlineMs, helpers));
+    out.add(choice.order(id, priority, request.deadlineMs));
   }
 
   private List<Action> flush(long nowMs) {
--- a/org.fawndrum/src/org/fawndrum/transport/relay/RelayAttempt.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/RelayAttempt.java
@@ -41,6 +41,7 @@
   private HttpClientResponse answer;
   private long progressMs;
   private boolean begun;
+  private boolean stallReported;
   private boolean ended;
 
   /** Whom an attempt reports to. */
@@ -57,6 +58,9 @@
     /** The stream came to its end. */
     void streamEnded(RelayAttempt attempt);
 
+    /** Nothing has come for so long that another attempt may take the place of this one. */
+    void stalled(RelayAttempt attempt);
+
     /** One of the attempt's helpers keeps it from being taken; it fails next. */
     void helperRefused(RelayAttempt attempt, HostIdentity helper);
 
@@ -179,12 +183,17 @@
     owner.failed(this, AttemptEvent.LOST);
   }
 
-  /** Ends the attempt because nothing comes any more. */
+  /**
+   * Reports that nothing comes any more; another attempt may take the place of this one, which is
+   * then cancelled. Until then it goes on, and its engine is asked whether it lives.
+   */
   void stalled() {
-    // Ended first: closing the connection reports a loss, which would blame the endpoint.
-    end();
-    request.reset();
-    owner.failed(this, AttemptEvent.STALLED);
+    if (!stallReported) {
+      stallReported = true;
+      owner.stalled(this);
+    } else if (send.endpoint().kind() == EndpointKind.MODEL) {
+      liveness.look();
+    }
   }
 
   /** Ends the attempt because nobody waits for it any more; its owner hears nothing. */
@@ -328,6 +337,7 @@
       progressMs = tools.clock().nowMs();
       liveness.heard();
       begun = true;
+      stallReported = false;
     }
     for (EventSplitter.StreamEvent event : events) {
       if (ended) {
--- a/org.fawndrum/src/org/fawndrum/transport/relay/RelayExchange.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/RelayExchange.java
@@ -161,6 +161,11 @@
     attempts.helperRefused(attempt.id(), helper);
   }
 
+  @Override
+  public void stalled(RelayAttempt attempt) {
+    attempts.happened(attempt.id(), AttemptEvent.STALLED);
+  }
+
   @Override
   public void failed(RelayAttempt attempt, AttemptEvent event) {
     attempts.happened(attempt.id(), event);
--- a/org.fawndrum/src/org/fawndrum/transport/relay/StallWatch.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/StallWatch.java
@@ -9,8 +9,8 @@
 import org.fawndrum.transport.HostClock;
 
 /**
- * Ends attempts from which nothing has come for so long that their callers would soon give up, so
- * that another endpoint can go on; only what may run again ends so. Where silence alone says
+ * Finds attempts from which nothing has come for so long that their callers would soon give up, so
+ * that another endpoint can go on; only what may run again makes way so. Where silence alone says
  * nothing, or memory is held, has the attempt look whether its engine is alive. Confined to one
  * event loop.
  */
