End a host only when what was open has its answers, however busy the host is

Cause: RelayDrain posted Ending and ended after two timers of 50 ms, whether or not the decisions' thread had seen it and the answers were out. On a host whose decisions are held up requests were cut without an answer, and FAWN0004 counted before the counting was done.

Ruled out: longer timers; whatever their length, they say nothing of the answers.

Change: Ending carries a reply that comes back on the event loop behind the answers that were ordered before it. Then the host waits until no caller connection has a request in progress, leaves the last bytes 50 ms and ends. It begins its end 600 ms before the end of the grace period instead of 400 (StopWindow.BEFORE_KILL_MS) and is gone 150 ms before it at the latest, by its own clock. FAWN0004 tells on how many connections a request was cut, if the host could not answer in time. What is wrong with it: late in a stop what takes 200 ms less than before is refused; a caller who is still sending a body at the end holds the process for up to 450 ms.

Conclusion: the end of a host follows its decisions instead of a timer.

--- a/org.fawndrum/src/org/fawndrum/coordination/StopWindow.java
+++ b/org.fawndrum/src/org/fawndrum/coordination/StopWindow.java
@@ -8,10 +8,12 @@
  */
 public final class StopWindow {
   /** The window of a host that nobody told to stop: it takes everything. */
-  public static final StopWindow OPEN = new StopWindow(Long.MAX_VALUE, Long.MAX_VALUE);
+  public static final StopWindow OPEN =
+      new StopWindow(Long.MAX_VALUE, Long.MAX_VALUE, Long.MAX_VALUE);
 
   /** The window of a host that takes nothing more. */
-  public static final StopWindow CLOSED = new StopWindow(Long.MIN_VALUE, Long.MIN_VALUE);
+  public static final StopWindow CLOSED =
+      new StopWindow(Long.MIN_VALUE, Long.MIN_VALUE, Long.MIN_VALUE);
 
   /**
    * How long everything is taken, in milliseconds from the order: operators excuse the cut of an
@@ -22,15 +24,27 @@
   /** The same for short grace periods, as a part of them; 3 s are this part of the usual 8 s. */
   private static final double ALL_PART = 3.0 / 8.0;
 
-  /** How long before the end of the grace period the host ends by itself, in milliseconds. */
-  private static final long BEFORE_KILL_MS = 400;
+  /**
+   * How long before the end of the grace period the host begins to end by itself, in milliseconds:
+   * a host with three quarters of a core stalls for some tenths of a second, and what is open still
+   * has to get its answer after that.
+   */
+  private static final long BEFORE_KILL_MS = 600;
+
+  /**
+   * How long before the end of the grace period the process is gone whatever holds it up, in
+   * milliseconds: the order to stop takes some time to come, and the process some tens to end.
+   */
+  private static final long GONE_BEFORE_KILL_MS = 150;
 
   private final long allUntilMs;
   private final long endMs;
+  private final long goneMs;
 
-  private StopWindow(long allUntilMs, long endMs) {
+  private StopWindow(long allUntilMs, long endMs, long goneMs) {
     this.allUntilMs = allUntilMs;
     this.endMs = endMs;
+    this.goneMs = goneMs;
   }
 
   /**
@@ -42,7 +56,8 @@
   public static StopWindow from(long orderedMs, long graceMs) {
     long lastsMs = Math.max(0, graceMs - BEFORE_KILL_MS);
     long allMs = Math.min(lastsMs, Math.min(ALL_MS, (long) (graceMs * ALL_PART)));
-    return new StopWindow(orderedMs + allMs, orderedMs + lastsMs);
+    long goneMs = Math.max(0, graceMs - GONE_BEFORE_KILL_MS);
+    return new StopWindow(orderedMs + allMs, orderedMs + lastsMs, orderedMs + goneMs);
   }
 
   /**
@@ -55,8 +70,13 @@
     return nowMs < allUntilMs || deadlineMs < endMs;
   }
 
-  /** Returns when the host ends at the latest, in milliseconds of its clock. */
+  /** Returns when the host begins its end at the latest, in milliseconds of its clock. */
   public long endMs() {
     return endMs;
   }
+
+  /** Returns when the process is gone at the latest, in milliseconds of the host's clock. */
+  public long goneMs() {
+    return goneMs;
+  }
 }
--- a/org.fawndrum/src/org/fawndrum/transport/relay/RelayDrain.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/RelayDrain.java
@@ -22,10 +22,12 @@
   /** How often the host looks whether anything is left, in milliseconds. */
   private static final long LOOK_MS = 100;
 
+  /** How often the host looks whether its last answers are given, in milliseconds. */
+  private static final long ANSWERS_LOOK_MS = 5;
+
   /**
-   * How long the last answers have to leave, and then the last lines of the log, in milliseconds:
-   * each is handed on within a few, and both together stay well within what is left of the grace
-   * period when the host ends by itself.
+   * How long the last bytes to callers and the last lines of the log have to leave, in
+   * milliseconds: they are handed to the system within a few.
    */
   private static final long LEAVE_MS = 50;
 
@@ -38,6 +40,7 @@
   private final HostLog log;
   private final CompletableFuture<Void> done = new CompletableFuture<>();
   private volatile boolean begun;
+  private volatile boolean decided;
 
   /**
    * Makes the end of a host, not begun.
@@ -90,20 +93,37 @@
     callers.closeIdle();
     if (last || decisions.open() == 0 && callers.connections() == 0) {
       vertx.cancelTimer(timer);
-      end();
+      end(window);
     }
   }
 
-  /** Has what is open answered, because the end of the process would cut it without a word. */
-  private void end() {
-    orders.accept(new RelayEvent.Ending());
-    vertx.setTimer(LEAVE_MS, id -> ended());
+  /**
+   * Has what is open answered, because the end of the process would cut it without a word, and
+   * waits for that: a busy host may take long until it comes to it. The decisions' word is taken on
+   * the event loop, behind the answers that were ordered before it.
+   */
+  private void end(StopWindow window) {
+    orders.accept(new RelayEvent.Ending(() -> vertx.runOnContext(v -> decided = true)));
+    vertx.setPeriodic(ANSWERS_LOOK_MS, id -> lookForAnswers(id, window));
+  }
+
+  private void lookForAnswers(long timer, StopWindow window) {
+    boolean answered = decided && callers.busy() == 0;
+    if (answered || clock.nowMs() >= window.goneMs() - LEAVE_MS) {
+      vertx.cancelTimer(timer);
+      ended();
+    }
   }
 
   private void ended() {
-    log.event(
-        LogEvent.DRAIN_ENDED,
-        decisions.turnedAway() + " requests turned away, " + decisions.givenUp() + " given up");
+    log.event(LogEvent.DRAIN_ENDED, account());
     vertx.setTimer(LEAVE_MS, id -> done.complete(null));
   }
+
+  private String account() {
+    String decisionsSay =
+        decisions.turnedAway() + " requests turned away, " + decisions.givenUp() + " given up";
+    int cut = callers.busy();
+    return cut == 0 ? decisionsSay : decisionsSay + ", " + cut + " cut without an answer";
+  }
 }
--- a/org.fawndrum/src/org/fawndrum/transport/relay/RelayDuty.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/RelayDuty.java
@@ -169,10 +169,11 @@
   private void handle(RelayEvent.OfHost event, long nowMs) {
     if (event instanceof RelayEvent.StopOrdered ordered) {
       coordinator.stop(ordered.window());
-    } else if (event instanceof RelayEvent.Ending) {
+    } else if (event instanceof RelayEvent.Ending end) {
       ending = true;
       givenUp = coordinator.open();
       carryOut(coordinator.giveUpAll(nowMs));
+      end.decided().run();
     }
   }
 
--- a/org.fawndrum/src/org/fawndrum/transport/relay/RelayEvent.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/RelayEvent.java
@@ -58,6 +58,10 @@
   /** This host was told to stop. */
   record StopOrdered(StopWindow window) implements OfHost {}
 
-  /** This host ends now; what is open gets its final answer. */
-  record Ending() implements OfHost {}
+  /**
+   * This host ends now; what is open gets its final answer.
+   *
+   * @param decided runs once all of these were ordered; must not block
+   */
+  record Ending(Runnable decided) implements OfHost {}
 }
--- a/org.fawndrum/src/org/fawndrum/transport/relay/RelayServer.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/RelayServer.java
@@ -134,6 +134,11 @@
     return busy.size();
   }
 
+  /** Returns on how many connections a request is in progress. */
+  int busy() {
+    return (int) busy.values().stream().filter(requests -> requests > 0).count();
+  }
+
   private void opened(HttpConnection connection) {
     busy.put(connection, 0);
     idle.opened(connection);
--- /dev/null
+++ b/org.fawndrum/tst/org/fawndrum/transport/relay/RelayDrainTest.java
@@ -0,0 +1,223 @@
+// SPDX-License-Identifier: Apache-2.0
+package org.fawndrum.transport.relay;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+
+import io.vertx.core.Future;
+import io.vertx.core.MultiMap;
+import io.vertx.core.Vertx;
+import io.vertx.core.VertxOptions;
+import io.vertx.core.http.HttpClientResponse;
+import io.vertx.core.http.HttpMethod;
+import java.io.IOException;
+import java.net.ServerSocket;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import org.fawndrum.coordination.Policies;
+import org.fawndrum.coordination.Refusal;
+import org.fawndrum.coordination.RequestCoordinator;
+import org.fawndrum.coordination.RequestTarget;
+import org.fawndrum.coordination.RetryBudget;
+import org.fawndrum.internal.log.HostLog;
+import org.fawndrum.state.HostAddress;
+import org.fawndrum.state.HostIdentity;
+import org.fawndrum.transport.HostClock;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/**
+ * The last moments of a host that stops: it ends when what was open has its answers, however busy
+ * it is, but before it would be killed. The host's clock is moved by hand.
+ */
+class RelayDrainTest {
+  private static final long BEGUN_MS = 1_000;
+
+  /** After the time at which the host begins its end, in milliseconds from the order to stop. */
+  private static final long OVER_MS = 7_650;
+
+  /** When a host with a grace period of 8 s is gone at the latest, in the same. */
+  private static final long GONE_MS = 7_850;
+
+  /** Timers of the host that were set long before this one fired before it, in milliseconds. */
+  private static final long AFTER_TIMERS_MS = 500;
+
+  /** The longest wait for what must come, in seconds. */
+  private static final long LONGEST_S = 20;
+
+  private final HostLog log = new HostLog("test");
+  private final Vertx vertx = Vertx.vertx(new VertxOptions().setEventLoopPoolSize(1));
+  private final CountDownLatch heldUp = new CountDownLatch(1);
+  private final CompletableFuture<RelayServer.Incoming> taken = new CompletableFuture<>();
+  private final RelayBounds bounds =
+      new RelayBounds(false, 5_000, 2_000, 8_000, 0.2, 100, 10_000, 120);
+  private volatile long nowMs = BEGUN_MS;
+  private HostAddress address;
+  private RelayDuty decisions;
+  private RelayServer callers;
+  private RelayDrain drain;
+
+  /** Sends nothing a second time. */
+  private static final class NoRetries implements RetryBudget {
+    @Override
+    public void firstSend(RequestTarget target, long atMs) {}
+
+    @Override
+    public boolean tryRetry(RequestTarget target, long atMs) {
+      return false;
+    }
+  }
+
+  /** Reads nothing from requests, which all look alike. */
+  private static final class BlindCodec implements RelayCodec {
+    @Override
+    public RelayRequest read(MultiMap headers) {
+      return new RelayRequest("r-1", Optional.empty(), 0, 0, 0, List.of(), 0);
+    }
+
+    @Override
+    public MultiMap forEndpoint(MultiMap fromCaller, Sending sending) {
+      throw new UnsupportedOperationException();
+    }
+
+    @Override
+    public Answer answer(int status, MultiMap headers, String requestId) {
+      throw new UnsupportedOperationException();
+    }
+
+    @Override
+    public Optional<String> endpointAtFault(MultiMap headers) {
+      throw new UnsupportedOperationException();
+    }
+
+    @Override
+    public MultiMap forCaller(MultiMap fromEndpoint) {
+      throw new UnsupportedOperationException();
+    }
+
+    @Override
+    public MultiMap ofRefusal(String requestId, Refusal refusal) {
+      throw new UnsupportedOperationException();
+    }
+  }
+
+  @BeforeEach
+  void makeHost() throws IOException {
+    HostClock clock = () -> nowMs;
+    RequestCoordinator coordinator =
+        new RequestCoordinator(
+            new HostIdentity("host-1", 1),
+            "zone-a",
+            Policies.engineModel(new NoRetries(), () -> false, Set::of));
+    decisions = new RelayDuty(coordinator, clock, decision -> {}, news -> {}, log);
+    decisions.start();
+    try (ServerSocket free = new ServerSocket(0)) {
+      address = new HostAddress("127.0.0.1", free.getLocalPort());
+    }
+    RouteStore routes = new RouteStore((table, cells) -> {});
+    callers =
+        new RelayServer(
+            vertx, address, routes, new BlindCodec(), clock, taken::complete, null, () -> true);
+    drain = new RelayDrain(vertx, callers, decisions, decisions::offer, () -> bounds, clock, log);
+  }
+
+  @AfterEach
+  void closeAll() throws Exception {
+    heldUp.countDown();
+    soon(vertx.close());
+  }
+
+  private static <T> T soon(CompletableFuture<T> future) throws Exception {
+    return future.get(LONGEST_S, TimeUnit.SECONDS);
+  }
+
+  private static <T> T soon(Future<T> future) throws Exception {
+    return soon(future.toCompletionStage().toCompletableFuture());
+  }
+
+  /** Holds up the decisions' thread, as a host with much to do does. */
+  private void holdUp() throws Exception {
+    CompletableFuture<Void> held = new CompletableFuture<>();
+    decisions.offer(
+        new RelayEvent.WorkWanted(
+            work -> {
+              held.complete(null);
+              try {
+                heldUp.await();
+              } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+              }
+            }));
+    soon(held);
+  }
+
+  private void atMs(long sinceOrderMs) {
+    nowMs = BEGUN_MS + sinceOrderMs;
+  }
+
+  /** Waits until the host's event loop fired whatever it had set for the next moments. */
+  private void letTimersFire() throws Exception {
+    CompletableFuture<Void> fired = new CompletableFuture<>();
+    vertx.setTimer(AFTER_TIMERS_MS, id -> fired.complete(null));
+    soon(fired);
+  }
+
+  private Future<HttpClientResponse> ask() {
+    return vertx
+        .createHttpClient()
+        .request(HttpMethod.GET, address.port(), address.ip(), "/")
+        .compose(request -> request.send());
+  }
+
+  @Test
+  void theHostEndsOnlyAfterItsEndWasDecided() throws Exception {
+    CompletableFuture<Void> done = drain.begin();
+    holdUp();
+    atMs(OVER_MS);
+    letTimersFire();
+    assertEquals(1, decisions.ringFill(), "the end waits for the decisions");
+    assertFalse(done.isDone(), "the host ends though nothing was decided about what is open");
+    heldUp.countDown();
+    soon(done);
+  }
+
+  @Test
+  void theHostEndsOnlyAfterTheAnswersLeft() throws Exception {
+    soon(callers.listen());
+    Future<HttpClientResponse> answer = ask();
+    RelayServer.Incoming request = soon(taken);
+    CompletableFuture<Void> done = drain.begin();
+    atMs(OVER_MS);
+    letTimersFire();
+    assertFalse(done.isDone(), "the host ends though a caller has no answer");
+    vertx.runOnContext(v -> request.http().response().setStatusCode(502).end());
+    assertEquals(502, soon(answer).statusCode());
+    soon(done);
+  }
+
+  @Test
+  void theHostIsGoneBeforeItIsKilledWhateverHoldsItUp() throws Exception {
+    soon(callers.listen());
+    ask();
+    soon(taken);
+    CompletableFuture<Void> done = drain.begin();
+    holdUp();
+    atMs(GONE_MS);
+    soon(done);
+  }
+
+  @Test
+  void aHostWithAlmostNoGracePeriodIsGoneToo() throws Exception {
+    RelayBounds shortest = new RelayBounds(false, 5_000, 2_000, 100, 0.2, 100, 10_000, 120);
+    drain =
+        new RelayDrain(
+            vertx, callers, decisions, decisions::offer, () -> shortest, () -> nowMs, log);
+    holdUp();
+    soon(drain.begin());
+  }
+}
