Spare a connection just opened while the host stops

Cause: closeIdle closed every connection without a request in progress, also one that the balancer had just sent and whose first request was about to come. That caller lost a try without a word.

Change: a connection on which nothing came yet is spared for its first 300 ms.

Conclusion: a stopping host no longer costs a new connection its first request.

--- a/org.fawndrum/src/org/fawndrum/transport/relay/RelayServer.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/RelayServer.java
@@ -34,6 +34,13 @@
   /** The rest of a connection after its answer while the host stops, in milliseconds. */
   private static final long STOPPING_IDLE_MS = 100;
 
+  /**
+   * How long a connection on which nothing came yet is spared while the host stops, in
+   * milliseconds: the balancer sends new connections to stopping hosts when few others are in, and
+   * closing one that is about to carry a request costs its caller a try.
+   */
+  private static final long FRESH_MS = 300;
+
   /** How long a request waits for a host that has just started, in milliseconds. */
   private static final long LONGEST_START_MS = 700;
 
@@ -51,6 +58,10 @@
   private final BooleanSupplier known;
   private final IdleConnections idle;
   private final Map<HttpConnection, Integer> busy = new HashMap<>();
+
+  /** When connections that carried no request yet were opened, by the host's clock. */
+  private final Map<HttpConnection, Long> unused = new HashMap<>();
+
   private boolean stopping;
 
   /** Takes requests that are whole. */
@@ -120,15 +131,20 @@
     stopping = true;
   }
 
-  /** Closes the connections on which no request is in progress. */
+  /** Closes the connections on which no request is in progress, but for those just opened. */
   void closeIdle() {
     for (Map.Entry<HttpConnection, Integer> connection : Map.copyOf(busy).entrySet()) {
-      if (connection.getValue() == 0) {
+      if (connection.getValue() == 0 && !fresh(connection.getKey())) {
         connection.getKey().close();
       }
     }
   }
 
+  private boolean fresh(HttpConnection connection) {
+    Long openedMs = unused.get(connection);
+    return openedMs != null && clock.nowMs() - openedMs < FRESH_MS;
+  }
+
   /** Returns how many connections are open. */
   int connections() {
     return busy.size();
@@ -141,10 +157,12 @@
 
   private void opened(HttpConnection connection) {
     busy.put(connection, 0);
+    unused.put(connection, clock.nowMs());
     idle.opened(connection);
     connection.closeHandler(
         v -> {
           busy.remove(connection);
+          unused.remove(connection);
           idle.closed(connection);
         });
   }
@@ -157,6 +175,7 @@
   private void handle(HttpServerRequest http) {
     HttpConnection connection = http.connection();
     idle.began(connection);
+    unused.remove(connection);
     busy.merge(connection, 1, Integer::sum);
     http.response()
         .endHandler(
--- a/org.fawndrum/tst/org/fawndrum/transport/relay/RelayDrainTest.java
+++ b/org.fawndrum/tst/org/fawndrum/transport/relay/RelayDrainTest.java
@@ -44,9 +44,17 @@
   /** When a host with a grace period of 8 s is gone at the latest, in the same. */
   private static final long GONE_MS = 7_850;
 
+  /** Just before the host begins to close resting connections, in the same. */
+  private static final long RESTING_CLOSE_MS = 2_499;
+
+  /** How long a connection on which nothing came yet is spared, in milliseconds. */
+  private static final long FRESH_MS = 300;
+
   /** Timers of the host that were set long before this one fired before it, in milliseconds. */
   private static final long AFTER_TIMERS_MS = 500;
 
+  private static final long LOOK_MS = 5;
+
   /** The longest wait for what must come, in seconds. */
   private static final long LONGEST_S = 20;
 
@@ -167,6 +175,19 @@
     soon(fired);
   }
 
+  /** Waits until the host knows of its one connection. */
+  private void untilConnected() throws Exception {
+    CompletableFuture<Void> connected = new CompletableFuture<>();
+    vertx.setPeriodic(
+        LOOK_MS,
+        id -> {
+          if (callers.connections() == 1 && vertx.cancelTimer(id)) {
+            connected.complete(null);
+          }
+        });
+    soon(connected);
+  }
+
   private Future<HttpClientResponse> ask() {
     return vertx
         .createHttpClient()
@@ -200,6 +221,24 @@
     soon(done);
   }
 
+  @Test
+  void aConnectionThatWasJustOpenedIsNotClosedBeforeItsRequestCanCome() throws Exception {
+    soon(callers.listen());
+    CompletableFuture<Void> done = drain.begin();
+    atMs(RESTING_CLOSE_MS);
+    CompletableFuture<Void> closed = new CompletableFuture<>();
+    soon(vertx.createNetClient().connect(address.port(), address.ip()))
+        .closeHandler(v -> closed.complete(null));
+    untilConnected();
+    atMs(RESTING_CLOSE_MS + FRESH_MS - 1);
+    letTimersFire();
+    assertFalse(closed.isDone(), "closed before its first request could come");
+    assertFalse(done.isDone(), "the host ends though a request may be about to come");
+    atMs(RESTING_CLOSE_MS + FRESH_MS);
+    soon(closed);
+    soon(done);
+  }
+
   @Test
   void theHostIsGoneBeforeItIsKilledWhateverHoldsItUp() throws Exception {
     soon(callers.listen());
