Let only answers that have begun outlast a stall, and ask their engine sooner

Change: an attempt without a first event ends at its stall as before, so that the caller can go elsewhere; an answer that has begun goes on, and where the engine should have spoken one unanswered probe is enough.

--- a/org.fawndrum/src/org/fawndrum/coordination/AttemptEnds.java
+++ b/org.fawndrum/src/org/fawndrum/coordination/AttemptEnds.java
@@ -31,22 +31,23 @@
   }
 
   /**
-   * Ends an attempt from which nothing comes if another may take its place, and tells whether it
-   * did. Where none may, it goes on: silence alone is no reason to break off what an endpoint may
-   * still be writing.
+   * Takes note that nothing comes from an attempt, and ends it if another may take its place or the
+   * caller has nothing of its answer yet. An answer that has begun goes on where none may follow:
+   * silence alone is no reason to break off what an endpoint may still be writing.
+   *
+   * @return why no other attempt may follow, or null when one may
    */
-  boolean stalled(LiveRequest request, LiveRequest.Attempt attempt, long nowMs) {
-    boolean stays =
-        attempt.state.ended()
-            || retries.whyNot(request, attempt, AttemptEvent.STALLED, nowMs) != null;
-    if (stays) {
-      return false;
+  Reason stalled(LiveRequest request, LiveRequest.Attempt attempt, long nowMs) {
+    Reason whyNot = retries.whyNot(request, attempt, AttemptEvent.STALLED, nowMs);
+    boolean begun = attempt.state == AttemptState.RUNNING;
+    if (whyNot == null || !begun) {
+      attempt.state = AttemptStates.after(attempt.state, AttemptEvent.STALLED);
+      abandon(attempt, nowMs);
+      explainer.attempt(
+          request, attempt, DecisionKind.ATTEMPT_FAILED, Reason.ENDPOINT_FAILED, nowMs);
+      EndRules.blame(request, attempt, AttemptEvent.STALLED, nowMs);
     }
-    attempt.state = AttemptStates.after(attempt.state, AttemptEvent.STALLED);
-    abandon(attempt, nowMs);
-    explainer.attempt(request, attempt, DecisionKind.ATTEMPT_FAILED, Reason.ENDPOINT_FAILED, nowMs);
-    EndRules.blame(request, attempt, AttemptEvent.STALLED, nowMs);
-    return true;
+    return whyNot;
   }
 
   /** Frees what an attempt holds here and at its endpoint, because nobody waits for it any more. */
--- a/org.fawndrum/src/org/fawndrum/coordination/EndRules.java
+++ b/org.fawndrum/src/org/fawndrum/coordination/EndRules.java
@@ -11,6 +11,11 @@
 
   private EndRules() {}
 
+  /** Returns the end of a request that arrives before its host knows any table. */
+  static Refusal noTable() {
+    return Refusal.of(RefusalKind.NO_TABLE, Ran.NO, Admission.OTHER_HOST_RETRY_MS);
+  }
+
   /** Returns the end of a request that arrives while its host stops. */
   static Refusal draining() {
     return Refusal.of(RefusalKind.DRAINING, Ran.NO, STOPPING_RETRY_MS);
--- a/org.fawndrum/src/org/fawndrum/coordination/RequestCoordinator.java
+++ b/org.fawndrum/src/org/fawndrum/coordination/RequestCoordinator.java
@@ -155,8 +155,7 @@
   /** Takes a request that has just arrived. */
   public List<Action> arrive(RequestFacts facts, long nowMs) {
     if (table.revision() < 0) {
-      Refusal none = Refusal.of(RefusalKind.NO_TABLE, Ran.NO, Admission.OTHER_HOST_RETRY_MS);
-      return refuseNew(facts, none, Reason.LIMIT, nowMs);
+      return refuseNew(facts, EndRules.noTable(), Reason.LIMIT, nowMs);
     }
     Optional<Row> row = table.row(facts.group());
     if (row.isEmpty()) {
@@ -215,17 +214,18 @@
   public List<Action> attempt(AttemptId id, AttemptEvent event, long nowMs) {
     LiveRequest request = requests.get(id.requestId());
     LiveRequest.Attempt attempt = own(request, id);
-    if (attempt == null) {
+    if (attempt == null || event == AttemptEvent.STALLED && attempt.state.ended()) {
       return flush(nowMs);
     }
     if (event == AttemptEvent.STALLED) {
-      if (ends.stalled(request, attempt, nowMs)) {
-        enqueue(request);
-      }
+      goOn(request, attempt, ends.stalled(request, attempt, nowMs), nowMs);
       return flush(nowMs);
     }
     if (event == AttemptEvent.ANSWERED && attempt.state.ended()) {
-      return answeredLate(request, attempt, nowMs);
+      // It came to its end before it could be cancelled.
+      abandonLast(request, nowMs);
+      finish(request, attempt, nowMs);
+      return flush(nowMs);
     }
     AttemptState before = attempt.state;
     attempt.state = AttemptStates.after(before, event);
@@ -246,14 +246,6 @@
     return flush(nowMs);
   }
 
-  /** Takes the whole answer of an attempt that came to its end before it could be cancelled. */
-  private List<Action> answeredLate(LiveRequest request, LiveRequest.Attempt attempt, long nowMs) {
-    abandonLast(request, nowMs);
-    explainer.attempt(request, attempt, DecisionKind.FINISHED, Reason.COMPLETE, nowMs);
-    end(request);
-    return flush(nowMs);
-  }
-
   /** Takes a request out of the queue, or ends its last attempt. */
   private void abandonLast(LiveRequest request, long nowMs) {
     if (request.waiting) {
@@ -271,16 +263,24 @@
       LiveRequest request, LiveRequest.Attempt attempt, AttemptEvent event, long nowMs) {
     if (attempt.state == AttemptState.DONE) {
       attempt.endpoint.answered();
-      explainer.attempt(request, attempt, DecisionKind.FINISHED, Reason.COMPLETE, nowMs);
-      end(request);
-      return;
+      finish(request, attempt, nowMs);
+    } else {
+      goOn(request, attempt, ends.failed(request, attempt, event, nowMs), nowMs);
     }
-    Reason whyNot = ends.failed(request, attempt, event, nowMs);
+  }
+
+  private void finish(LiveRequest request, LiveRequest.Attempt attempt, long nowMs) {
+    explainer.attempt(request, attempt, DecisionKind.FINISHED, Reason.COMPLETE, nowMs);
+    end(request);
+  }
+
+  /** Sends a request again, or gives it up for a reason unless its attempt lasts. */
+  private void goOn(LiveRequest request, LiveRequest.Attempt last, Reason whyNot, long nowMs) {
     if (whyNot == null) {
       enqueue(request);
-      return;
+    } else if (last.state.ended()) {
+      giveUp(request, EndRules.afterFailure(request, last), whyNot, nowMs);
     }
-    giveUp(request, EndRules.afterFailure(request, attempt), whyNot, nowMs);
   }
 
   /** Takes note that the caller closed its connection; what the request holds is freed. */
--- a/org.fawndrum/src/org/fawndrum/transport/relay/EngineLiveness.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/EngineLiveness.java
@@ -38,6 +38,7 @@
   private long lastSignMs;
   private int unanswered;
   private boolean probing;
+  private boolean suspected;
   private boolean ended;
 
   /**
@@ -67,6 +68,15 @@
     sign(clock.nowMs());
   }
 
+  /**
+   * Probes an engine that should have spoken by now, if it has been silent for long; one probe
+   * without an answer is then enough, because callers wait two seconds for the next event.
+   */
+  void suspect() {
+    suspected = true;
+    look();
+  }
+
   /** Probes the engine if it has been silent for long. */
   void look() {
     if (!ended && !probing && silentMs() >= SILENCE_MS) {
@@ -103,13 +113,15 @@
     if (!ended) {
       lastSignMs = Math.max(lastSignMs, atMs);
       unanswered = 0;
+      suspected = false;
       alive.accept(atMs);
     }
   }
 
   private void unanswered() {
     unanswered++;
-    if (unanswered >= MOST_UNANSWERED && silentMs() >= DEAD_MS) {
+    boolean gone = unanswered >= MOST_UNANSWERED && silentMs() >= DEAD_MS;
+    if (gone || suspected) {
       end();
       dead.run();
     }
--- a/org.fawndrum/src/org/fawndrum/transport/relay/RelayAttempt.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/RelayAttempt.java
@@ -191,8 +191,9 @@
     if (!stallReported) {
       stallReported = true;
       owner.stalled(this);
-    } else if (send.endpoint().kind() == EndpointKind.MODEL) {
-      liveness.look();
+    }
+    if (send.endpoint().kind() == EndpointKind.MODEL) {
+      liveness.suspect();
     }
   }
 
--- a/org.fawndrum/tst/org/fawndrum/coordination/StalledAttemptTest.java
+++ b/org.fawndrum/tst/org/fawndrum/coordination/StalledAttemptTest.java
@@ -106,6 +106,16 @@
     assertEquals(2, sent.size());
   }
 
+  @Test
+  void aCallerWhoHasNothingYetIsToldAtOnceThatNoOtherAttemptFollows() {
+    ask();
+    happens(AttemptEvent.STALLED);
+    others.clear();
+    happens(AttemptEvent.STALLED);
+    assertEquals(2, others.size(), "cancelled and refused: " + others);
+    assertEquals(0, coordinator.open());
+  }
+
   @Test
   void theLastAttemptGoesOnHoweverLongItIsSilent() {
     ask();
--- a/org.fawndrum/tst/org/fawndrum/transport/relay/EngineLivenessTest.java
+++ b/org.fawndrum/tst/org/fawndrum/transport/relay/EngineLivenessTest.java
@@ -104,6 +104,19 @@
     assertEquals(1, deaths);
   }
 
+  @Test
+  void oneProbeIsEnoughWhereTheEngineShouldHaveSpoken() {
+    clock.pass(EngineLiveness.SILENCE_MS);
+    liveness.suspect();
+    probes.removeFirst().complete();
+    assertEquals(0, deaths);
+    clock.pass(EngineLiveness.SILENCE_MS);
+    liveness.suspect();
+    noAnswer();
+    assertEquals(1, deaths);
+    assertTrue(liveness.silentMs() < EngineLiveness.DEAD_MS);
+  }
+
   @Test
   void oneLostAnswerIsForgivenEachTime() {
     for (int i = 0; i < 5; i++) {
