--- a/org.fawndrum.soak/tst/org/fawndrum/soak/SoakTest.java
+++ b/org.fawndrum.soak/tst/org/fawndrum/soak/SoakTest.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Random;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.CleanupMode;
 import org.junit.jupiter.api.io.TempDir;
 
 /**
@@ -16,7 +17,8 @@
   private static final int HOSTS = 3;
   private static final long LENGTH_MS = 6_000;
 
-  @TempDir private Path folder;
+  @TempDir(factory = KeptFolders.class, cleanup = CleanupMode.ON_SUCCESS)
+  private Path folder;
 
   private void holds(long seed) throws Exception {
     holds(seed, HOSTS, LENGTH_MS);
@@ -24,7 +26,8 @@
 
   private void holds(long seed, int hosts, long lengthMs) throws Exception {
     Soak.Result result = new Soak(new Soak.Order(seed, hosts, lengthMs, false, folder)).call();
-    assertEquals(List.of(), result.broken(), result.summary());
+    String where = ", settings and logs of the daemons in " + folder;
+    assertEquals(List.of(), result.broken(), result.summary() + where);
   }
 
   @Test
