End the daemons of a soak that a signal ends

Cause: daemons were ended at the end of a seed only, so that a soak that was stopped by hand left its daemons running. Ruled out: ending them by name; only processes that this soak started are ended, by their handles. Change: a hook of the Java machine ends them and lets none start after that.

--- a/org.fawndrum.soak/src/org/fawndrum/soak/HostProcess.java
+++ b/org.fawndrum.soak/src/org/fawndrum/soak/HostProcess.java
@@ -11,7 +11,7 @@
 
 /**
  * One daemon as a process, started again by order. It signals only the process that it started.
- * Confined to one thread.
+ * Confined to one thread, but for its end for good.
  */
 final class HostProcess {
   /** The heap of a daemon; a few dozen fit into half of a machine's memory. */
@@ -23,7 +23,8 @@
   private final String name;
   private final Path settings;
   private final Path output;
-  private Process process;
+  private volatile Process process;
+  private boolean over;
   private boolean endExpected;
   private long outputBefore;
 
@@ -40,7 +41,10 @@
   }
 
   /** Starts a new incarnation; its output goes after that of the ones before. */
-  void start() throws IOException {
+  synchronized void start() throws IOException {
+    if (over) {
+      return;
+    }
     ProcessBuilder builder =
         new ProcessBuilder(
             Path.of(System.getProperty("java.home"), "bin", "java").toString(),
@@ -83,6 +87,14 @@
     process.waitFor();
   }
 
+  /** Ends the process at once, and starts no other from then on. Safe for all threads. */
+  synchronized void endForGood() {
+    over = true;
+    if (process != null) {
+      process.destroyForcibly().onExit().join();
+    }
+  }
+
   /**
    * Asks the process to stop.
    *
--- a/org.fawndrum.soak/src/org/fawndrum/soak/Soak.java
+++ b/org.fawndrum.soak/src/org/fawndrum/soak/Soak.java
@@ -24,7 +24,8 @@
   private final Order order;
   private final SoakLoop loop = new SoakLoop();
   private final Ledger ledger = new Ledger(SoakSite.REVOKE_MS);
-  private SoakSite site;
+  private volatile SoakSite site;
+  private volatile boolean over;
 
   /**
    * What is to be played.
@@ -56,30 +57,55 @@
 
   /** Plays the seed. */
   Result call() throws InterruptedException, IOException {
+    Thread atSignal = new Thread(this::endDaemons, "end of the soak");
+    Runtime.getRuntime().addShutdownHook(atSignal);
     try {
-      startSite();
-      Random random = new Random(order.seed());
-      Callers callers = loop.call(() -> new Callers(loop.vertx(), site.callers(), ledger, random));
-      untilAllServe("after the start");
-      loop.run(callers::start);
-      playFaults();
-      untilAllServe("after all faults");
-      loop.run(callers::stop);
-      Thread.sleep(LAST_ANSWERS_MS);
-      return loop.call(() -> new Result(order.seed(), ledger.verdict(), ledger.summary()));
+      return play();
     } finally {
-      for (HostProcess host : site == null ? List.<HostProcess>of() : site.hosts()) {
-        host.kill();
-      }
+      endDaemons();
       loop.close();
+      dropHook(atSignal);
+    }
+  }
+
+  /** Ends what the soak started; a signal may end the soak at any moment. */
+  private void endDaemons() {
+    over = true;
+    SoakSite started = site;
+    if (started != null) {
+      started.end();
     }
   }
 
+  private static void dropHook(Thread hook) {
+    try {
+      Runtime.getRuntime().removeShutdownHook(hook);
+    } catch (IllegalStateException e) {
+      // A signal ends this process, and the hook runs.
+    }
+  }
+
+  private Result play() throws InterruptedException, IOException {
+    startSite();
+    Random random = new Random(order.seed());
+    Callers callers = loop.call(() -> new Callers(loop.vertx(), site.callers(), ledger, random));
+    untilAllServe("after the start");
+    loop.run(callers::start);
+    playFaults();
+    untilAllServe("after all faults");
+    loop.run(callers::stop);
+    Thread.sleep(LAST_ANSWERS_MS);
+    return loop.call(() -> new Result(order.seed(), ledger.verdict(), ledger.summary()));
+  }
+
   private void startSite() throws InterruptedException, IOException {
     site = loop.call(() -> new SoakSite(loop.vertx(), ledger, order.hosts(), order.folder()));
     loop.callAndAwait(site::start);
     for (HostProcess host : site.hosts()) {
       host.start();
+      if (over) {
+        host.endForGood();
+      }
     }
   }
 
--- a/org.fawndrum.soak/src/org/fawndrum/soak/SoakSite.java
+++ b/org.fawndrum.soak/src/org/fawndrum/soak/SoakSite.java
@@ -9,6 +9,7 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.stream.Collectors;
 import java.util.stream.IntStream;
 import org.fawndrum.platform.standin.StandinSite;
@@ -64,7 +65,7 @@
   private final StoreStandin store;
   private final List<FaultProxy> storeLinks = new ArrayList<>();
   private final List<SoakEndpoint> endpoints = new ArrayList<>();
-  private final List<HostProcess> hosts = new ArrayList<>();
+  private final List<HostProcess> hosts = new CopyOnWriteArrayList<>();
   private final List<HostAddress> callers = new ArrayList<>();
   private boolean revoked;
   private long version;
@@ -180,6 +181,11 @@
     }
   }
 
+  /** Ends every daemon for good. Safe for all threads. */
+  void end() {
+    hosts.forEach(HostProcess::endForGood);
+  }
+
   /** Returns the daemons, by their number. */
   List<HostProcess> hosts() {
     return hosts;
