Give soak daemons ports that nobody takes while they are down

Cause: the soak chose a port by binding to none and closing it, and a daemon used it later. The system gives such a port to whoever asks next. Change: ports come from outside the range that the system gives by itself, and each is held by a listener on another address of loopback until the soak ends, so that another soak passes over it.

--- a/org.fawndrum.soak/src/org/fawndrum/soak/HostSettings.java
+++ b/org.fawndrum.soak/src/org/fawndrum/soak/HostSettings.java
@@ -1,8 +1,6 @@
 // SPDX-License-Identifier: Apache-2.0
 package org.fawndrum.soak;
 
-import java.io.IOException;
-import java.net.ServerSocket;
 import java.util.Locale;
 import java.util.stream.Collectors;
 import java.util.stream.IntStream;
@@ -24,12 +22,14 @@
 
   private static final int MS_PER_SECOND = 1_000;
 
+  private final FixedPorts ports;
   private final String seeds;
   private final int peerPort;
 
   /** Makes the settings of a number of hosts. */
-  HostSettings(int hosts) {
-    this.peerPort = freeAddress().port();
+  HostSettings(int hosts, FixedPorts ports) {
+    this.ports = ports;
+    this.peerPort = ports.next();
     this.seeds =
         IntStream.range(0, Math.min(SEEDS, hosts))
             .mapToObj(host -> "\"" + peerIp(host) + ":1\"")
@@ -72,13 +72,9 @@
     return "host-" + host;
   }
 
-  /** Returns an address on loopback that nobody listens on now. */
-  static HostAddress freeAddress() {
-    try (ServerSocket socket = new ServerSocket(0)) {
-      return new HostAddress(LOOPBACK, socket.getLocalPort());
-    } catch (IOException e) {
-      throw new SoakFailedException("a free port", e);
-    }
+  /** Returns an address on loopback that nobody else listens on. */
+  HostAddress freeAddress() {
+    return new HostAddress(LOOPBACK, ports.next());
   }
 
   private static String peerIp(int host) {
--- a/org.fawndrum.soak/src/org/fawndrum/soak/SoakSite.java
+++ b/org.fawndrum.soak/src/org/fawndrum/soak/SoakSite.java
@@ -62,6 +62,7 @@
   private final Ledger ledger;
   private final int count;
   private final Path folder;
+  private final FixedPorts ports = new FixedPorts();
   private final StoreStandin store;
   private final List<FaultProxy> storeLinks = new ArrayList<>();
   private final List<SoakEndpoint> endpoints = new ArrayList<>();
@@ -117,9 +118,9 @@
   }
 
   private Void makeHosts(List<HostAddress> links) {
-    HostSettings settings = new HostSettings(count);
+    HostSettings settings = new HostSettings(count, ports);
     for (int host = 0; host < count; host++) {
-      HostAddress at = HostSettings.freeAddress();
+      HostAddress at = settings.freeAddress();
       callers.add(at);
       String text = settings.text(host, at, links.get(host));
       try {
@@ -181,9 +182,10 @@
     }
   }
 
-  /** Ends every daemon for good. Safe for all threads. */
+  /** Ends every daemon for good, and frees their ports. Safe for all threads. */
   void end() {
     hosts.forEach(HostProcess::endForGood);
+    ports.close();
   }
 
   /** Returns the daemons, by their number. */
--- /dev/null
+++ b/org.fawndrum.soak/tst/org/fawndrum/soak/FixedPortsTest.java
@@ -0,0 +1,53 @@
+// SPDX-License-Identifier: Apache-2.0
+package org.fawndrum.soak;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.net.BindException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.util.HashSet;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+
+/** Ports of daemons are theirs while they are down, too. */
+class FixedPortsTest {
+  private static final int PORTS = 200;
+
+  @Test
+  void noPortIsOneThatTheSystemGivesAndNoneIsGivenTwice() {
+    Set<Integer> seen = new HashSet<>();
+    try (FixedPorts ports = new FixedPorts();
+        FixedPorts ofAnother = new FixedPorts()) {
+      for (int i = 0; i < PORTS; i++) {
+        for (int port : new int[] {ports.next(), ofAnother.next()}) {
+          assertFalse(ports.givenBySystem(port), "port " + port);
+          assertTrue(seen.add(port), "port " + port);
+        }
+      }
+    }
+  }
+
+  @Test
+  void whatTheSystemGivesIsKnown() throws IOException {
+    try (FixedPorts ports = new FixedPorts();
+        ServerSocket any = new ServerSocket(0)) {
+      assertTrue(ports.givenBySystem(any.getLocalPort()));
+    }
+  }
+
+  @Test
+  void aPortIsHeldUntilItIsClosedAndItsDaemonCanListenAllTheTime() throws IOException {
+    try (FixedPorts ports = new FixedPorts()) {
+      int port = ports.next();
+      try (ServerSocket daemon = new ServerSocket(port, 1, InetAddress.getByName("127.0.0.1"))) {
+        assertEquals(port, daemon.getLocalPort());
+      }
+      assertThrows(BindException.class, () -> new ServerSocket(port).close());
+    }
+  }
+}
--- a/org.fawndrum/src/org/fawndrum/internal/text/MessageText.java
+++ b/org.fawndrum/src/org/fawndrum/internal/text/MessageText.java
@@ -7,6 +7,7 @@
 
 /** A text of the message bundle. Each constant has an entry of the same name in the bundle. */
 public enum MessageText {
+  ADDRESS_UNAVAILABLE,
   BAD_CELLS,
   BAD_CSV,
   BAD_PEER_FRAME,
--- a/org.fawndrum/src/org/fawndrum/transport/relay/RelayRuntime.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/RelayRuntime.java
@@ -16,6 +16,7 @@
 import org.fawndrum.coordination.RequestCoordinator;
 import org.fawndrum.coordination.engine.EngineNews;
 import org.fawndrum.coordination.membership.FleetReport;
+import org.fawndrum.errors.AddressUnavailableException;
 import org.fawndrum.internal.log.HostLog;
 import org.fawndrum.internal.log.LogEvent;
 import org.fawndrum.protocol.wire.KnowledgeRequest;
@@ -250,10 +251,13 @@
   public Future<Void> start() {
     decisions.start();
     fleet.start();
-    return Future.fromCompletionStage(network.listen(), vertx.getOrCreateContext())
-        .compose(listening -> readiness.listen())
-        .compose(server -> metrics.listen())
-        .compose(server -> callers.listen())
+    return had(
+            "peers",
+            settings.peers(),
+            Future.fromCompletionStage(network.listen(), vertx.getOrCreateContext()))
+        .compose(listening -> had("readiness", settings.readiness(), readiness.listen()))
+        .compose(server -> had("metrics", settings.metrics(), metrics.listen()))
+        .compose(server -> had("callers", settings.callers(), callers.listen()))
         .map(
             server -> {
               reading.start();
@@ -263,6 +267,11 @@
             });
   }
 
+  private static <T> Future<T> had(String purpose, HostAddress address, Future<T> listening) {
+    return listening.recover(
+        cause -> Future.failedFuture(new AddressUnavailableException(purpose, address, cause)));
+  }
+
   /** Tells whether this host takes callers: it knows what it needs and is not stopping. */
   public boolean ready() {
     return !drain.begun() && known() && trusted();
