Let the soak see memory that nobody uses and requests that a planned stop cuts

A use whose answer may be lost on a harmed connection is not judged, since its host cannot know its end. A request counts as taken by a stopping host when it ran, when its answer had begun or after 250 ms: an idle connection may close just as a request arrives. Change: engines of 100,000 tokens, two more of them, which read prompts of 110,000 to 150,000 for 1 to 2.5 s with an aim of 2.5 s and a deadline of 12 s; they hold tickets for their time and answer GET /-/report. Two callers ask a stopping host for long prompts one after the other. MemoryLedger: no more than 4 s after the last use is over at its first engine. StopLedger: nothing wholly sent to a stopping host is cut, but for a deadline that passed, an engine that broke off, and what was sent by 3 s after the order and is at work in the last sixth of the grace period.

--- a/org.fawndrum.soak/src/org/fawndrum/soak/Callers.java
+++ b/org.fawndrum.soak/src/org/fawndrum/soak/Callers.java
@@ -1,14 +1,16 @@
 // SPDX-License-Identifier: Apache-2.0
 package org.fawndrum.soak;
 
+import io.vertx.core.Future;
 import io.vertx.core.Vertx;
 import io.vertx.core.http.HttpClientAgent;
 import io.vertx.core.http.HttpClientOptions;
+import io.vertx.core.http.HttpClientRequest;
 import io.vertx.core.http.HttpClientResponse;
 import io.vertx.core.http.PoolOptions;
-import io.vertx.core.http.RequestOptions;
 import java.util.List;
 import java.util.Random;
+import java.util.concurrent.atomic.AtomicBoolean;
 import org.fawndrum.platform.standin.CallerStandin;
 import org.fawndrum.state.HostAddress;
 
@@ -37,35 +39,108 @@
 
   private static final int PROMPT_SPREAD = 50_000;
 
+  /** The route of long prompts, whose first token may take longer than two seconds. */
+  static final String LONG = "review";
+
+  /** The time between two long prompts, in milliseconds. */
+  private static final long LONG_GAP_MS = 1_200;
+
+  /** How long the caller of a long prompt waits, in milliseconds. */
+  static final long LONG_DEADLINE_MS = 12_000;
+
+  /** The length of a long prompt, in tokens: more than an engine's memory. */
+  private static final int SHORTEST_LONG = 110_000;
+
+  private static final int LONG_SPREAD = 40_000;
+
+  /** How many callers ask a stopping host again and again, on connections of their own. */
+  private static final int STAYING = 2;
+
+  /** The pause of such a caller after an answer, in milliseconds. */
+  private static final long STAYING_PAUSE_MS = 20;
+
   private static final List<String> ROUTES = List.of("ask", "tell", "once", "look");
 
   private final Vertx vertx;
   private final List<HostAddress> hosts;
   private final Ledger ledger;
   private final Random random;
+
+  /** Decides on long prompts, so that the other requests of a seed stay. */
+  private final Random longRandom;
+
   private final HttpClientAgent client;
+  private final HttpClientAgent stayingClient;
   private long timer;
+  private long longTimer;
+  private HostAddress stopping;
   private int count;
+  private int open;
 
-  Callers(Vertx vertx, List<HostAddress> hosts, Ledger ledger, Random random) {
+  Callers(Vertx vertx, List<HostAddress> hosts, Ledger ledger, long seed) {
     this.vertx = vertx;
     this.hosts = hosts;
     this.ledger = ledger;
-    this.random = random;
-    this.client =
-        vertx.createHttpClient(
-            new HttpClientOptions().setConnectTimeout(CONNECT_MS),
-            new PoolOptions().setHttp1MaxSize(CONNECTIONS));
+    this.random = new Random(seed);
+    this.longRandom = new Random(~seed);
+    this.client = client(CONNECTIONS);
+    this.stayingClient = client(STAYING);
+  }
+
+  private HttpClientAgent client(int connections) {
+    return vertx.createHttpClient(
+        new HttpClientOptions().setConnectTimeout(CONNECT_MS),
+        new PoolOptions().setHttp1MaxSize(connections));
   }
 
   /** Begins to send. */
   void start() {
     timer = vertx.setPeriodic(GAP_MS, id -> send(hosts.get(random.nextInt(hosts.size()))));
+    longTimer = vertx.setPeriodic(LONG_GAP_MS, id -> sendLong(client, anyHost()));
   }
 
   /** Sends nothing more; answers still come. */
   void stop() {
     vertx.cancelTimer(timer);
+    vertx.cancelTimer(longTimer);
+  }
+
+  /** Returns how many requests wait for the end of their answers. */
+  int open() {
+    return open;
+  }
+
+  /** Lets some callers ask one host for long prompts, one after the other, until it has ended. */
+  void stay(int host) {
+    stopping = hosts.get(host);
+    for (int i = 0; i < STAYING; i++) {
+      ask(stopping);
+    }
+  }
+
+  /** Ends what the method before began. */
+  void leave() {
+    stopping = null;
+  }
+
+  private void ask(HostAddress host) {
+    if (host.equals(stopping)) {
+      sendLong(stayingClient, host)
+          .onComplete(done -> vertx.setTimer(STAYING_PAUSE_MS, id -> ask(host)));
+    }
+  }
+
+  private HostAddress anyHost() {
+    return hosts.get(longRandom.nextInt(hosts.size()));
+  }
+
+  private Future<Void> sendLong(HttpClientAgent over, HostAddress host) {
+    String id = "s-" + ++count;
+    String path = "/" + LONG + "/" + count;
+    ledger.sent(id, new Ledger.Sent(path, true, SoakSite.KEY, SoakSite.STREAM, Soak.nowMs()));
+    long prompt = SHORTEST_LONG + longRandom.nextInt(LONG_SPREAD);
+    return send(
+        over, new CallerStandin.Request(host, path, id, SoakSite.KEY, LONG_DEADLINE_MS, prompt));
   }
 
   /** Sends one request to a host. */
@@ -79,17 +154,40 @@
     String body = stream ? SoakSite.STREAM : SoakSite.PLAIN;
     ledger.sent(id, new Ledger.Sent(path, repeatable, key, body, Soak.nowMs()));
     long prompt = stream ? SHORTEST_PROMPT + random.nextInt(PROMPT_SPREAD) : 0;
-    RequestOptions options =
-        new CallerStandin.Request(host, path, id, key, DEADLINE_MS, prompt).options();
-    client
-        .request(options)
-        .compose(request -> request.send("body"))
-        .compose(answer -> answer.body().onSuccess(got -> answered(id, answer, got.toString())))
-        .onFailure(cause -> ledger.failed());
+    send(client, new CallerStandin.Request(host, path, id, key, DEADLINE_MS, prompt));
+  }
+
+  /** Sends a request; what is given completes with its end, whatever that is. */
+  private Future<Void> send(HttpClientAgent over, CallerStandin.Request sent) {
+    open++;
+    return over.request(sent.options())
+        .compose(request -> exchange(request, sent))
+        .onFailure(cause -> ledger.failed())
+        .recover(cause -> Future.succeededFuture())
+        .onComplete(done -> open--);
+  }
+
+  private Future<Void> exchange(HttpClientRequest request, CallerStandin.Request sent) {
+    String host = HostSettings.name(hosts.indexOf(sent.host()));
+    AtomicBoolean begun = new AtomicBoolean();
+    Future<Void> answered =
+        request
+            .response()
+            .compose(
+                answer -> {
+                  begun.set(true);
+                  return answer.body().map(body -> answered(sent.id(), answer, body.toString()));
+                })
+            .onFailure(cause -> ledger.stops().cut(sent.id(), begun.get(), Soak.nowMs()));
+    request
+        .end("body")
+        .onSuccess(v -> ledger.stops().sent(sent.id(), host, sent.deadlineMs(), Soak.nowMs()));
+    return answered;
   }
 
-  private void answered(String id, HttpClientResponse answer, String body) {
+  private Void answered(String id, HttpClientResponse answer, String body) {
     ledger.answered(
         id, answer.statusCode(), CallerStandin.requestId(answer), CallerStandin.seal(answer), body);
+    return null;
   }
 }
--- a/org.fawndrum.soak/src/org/fawndrum/soak/Fault.java
+++ b/org.fawndrum.soak/src/org/fawndrum/soak/Fault.java
@@ -34,6 +34,9 @@
   /** The longest time between two faults of a series, in milliseconds: they overlap. */
   private static final int SERIES_GAP_MS = 400;
 
+  /** How many engines at most fall silent for good: enough others are left. */
+  static final int MOST_SILENT = 2;
+
   /** What happens. */
   enum Kind {
     /** A host is killed and started again. */
@@ -63,12 +66,16 @@
     /** A newer configuration, with the same meaning. */
     CONFIGURE,
     /** A key is taken away. */
-    REVOKE;
+    REVOKE,
+    /**
+     * An engine answers nothing any more, for good; one that reads a long prompt if there is one.
+     */
+    ENGINE_SILENT;
 
     /** Tells whether it happens at one moment, and so has no end. */
     boolean momentary() {
       return switch (this) {
-        case KILL, STOP, STORE_FORGETS, CONFIGURE, REVOKE -> true;
+        case KILL, STOP, STORE_FORGETS, CONFIGURE, REVOKE, ENGINE_SILENT -> true;
         default -> false;
       };
     }
@@ -79,13 +86,18 @@
     List<Fault> plan = new ArrayList<>();
     long atMs = random.nextInt(GAP_MS);
     while (atMs < lengthMs) {
-      Kind kind = Kind.values()[random.nextInt(Kind.values().length)];
+      // Engines that are gone for good come below, so that the other faults of a seed stay.
+      Kind kind = Kind.values()[random.nextInt(Kind.ENGINE_SILENT.ordinal())];
       int series = random.nextInt(SERIES_PART) == 0 ? 1 + random.nextInt(targets) : 1;
       for (int i = 0; i < series; i++) {
         plan.add(fault(random, atMs + i * random.nextInt(SERIES_GAP_MS), kind, targets));
       }
       atMs += random.nextInt(GAP_MS);
     }
+    int silent = 1 + random.nextInt(MOST_SILENT);
+    for (int i = 0; i < silent; i++) {
+      plan.add(fault(random, random.nextInt((int) lengthMs), Kind.ENGINE_SILENT, targets));
+    }
     plan.sort(Comparator.comparingLong(Fault::atMs));
     return plan;
   }
--- a/org.fawndrum.soak/src/org/fawndrum/soak/FaultPlayer.java
+++ b/org.fawndrum.soak/src/org/fawndrum/soak/FaultPlayer.java
@@ -13,17 +13,22 @@
  * connections, store and endpoints on the event loop. Confined to one thread.
  */
 final class FaultPlayer {
+  /** The time for callers to reach a host before it is told to stop, in milliseconds. */
+  private static final long BEFORE_STOP_MS = 300;
+
   private final SoakSite site;
   private final Ledger ledger;
+  private final Callers callers;
   private final SoakLoop loop;
   private final Map<HostProcess, Integer> pauses = new HashMap<>();
 
   /** The beginning or the end of a fault, in milliseconds after the traffic. */
   private record Step(long atMs, Fault fault, boolean begins) {}
 
-  FaultPlayer(SoakSite site, Ledger ledger, SoakLoop loop) {
+  FaultPlayer(SoakSite site, Ledger ledger, Callers callers, SoakLoop loop) {
     this.site = site;
     this.ledger = ledger;
+    this.callers = callers;
     this.loop = loop;
   }
 
@@ -95,9 +100,18 @@
   }
 
   private void stop(HostProcess host) throws InterruptedException {
+    // They are there when the order comes, and use their connections while the host lets them.
+    loop.run(() -> callers.stay(site.hosts().indexOf(host)));
+    Thread.sleep(BEFORE_STOP_MS);
+    loop.run(() -> ledger.stops().ordered(host.name(), Soak.nowMs()));
     if (!host.stop(SoakSite.GRACE_MS)) {
       loop.run(() -> ledger.broken(host.name() + " did not stop within its grace period"));
     }
+    loop.run(
+        () -> {
+          ledger.stops().ended(Soak.nowMs());
+          callers.leave();
+        });
   }
 
   /** Pauses may overlap: a host goes on when the last of them ends. */
--- a/org.fawndrum.soak/src/org/fawndrum/soak/Ledger.java
+++ b/org.fawndrum.soak/src/org/fawndrum/soak/Ledger.java
@@ -26,6 +26,8 @@
   private final Map<String, Long> revokedMs = new HashMap<>();
   private final List<String> broken = new ArrayList<>();
   private final Map<Integer, Integer> answers = new HashMap<>();
+  private final MemoryLedger memory = new MemoryLedger();
+  private final StopLedger stops = new StopLedger(SoakSite.GRACE_MS);
   private final long revokeMs;
   private int failed;
 
@@ -49,6 +51,24 @@
     this.revokeMs = revokeMs;
   }
 
+  /** Returns the memory that engines set aside. */
+  MemoryLedger memory() {
+    return memory;
+  }
+
+  /** Returns the planned stops. */
+  StopLedger stops() {
+    return stops;
+  }
+
+  /** Takes note that a request arrived at an endpoint, with its tickets for memory elsewhere. */
+  EndpointRun arrived(String id, List<String> tickets) {
+    EndpointRun run = new EndpointRun();
+    stops.arrived(id, run);
+    tickets.forEach(ticket -> memory.used(ticket, run));
+    return run;
+  }
+
   /** Takes note of a request before it is sent. */
   void sent(String id, Sent request) {
     sent.put(id, request);
@@ -118,9 +138,11 @@
     broken.add(what);
   }
 
-  /** Returns what was broken, refusals that were not true included. */
-  List<String> verdict() {
+  /** Returns what was broken up to now, refusals that were not true included. */
+  List<String> verdict(long nowMs) {
     List<String> all = new ArrayList<>(broken);
+    all.addAll(memory.broken(nowMs));
+    all.addAll(stops.broken());
     refusals.forEach(
         (id, status) -> {
           if (runs.getOrDefault(id, 0) > 0) {
@@ -132,7 +154,15 @@
 
   /** Returns how many requests were sent, and how they ended. */
   String summary() {
-    return sent.size() + " requests, " + answers + ", " + failed + " without an answer";
+    return sent.size()
+        + " requests, "
+        + answers
+        + ", "
+        + failed
+        + " without an answer; "
+        + memory.summary()
+        + "; "
+        + stops.summary();
   }
 
   /** Returns how many requests were answered with success. */
--- a/org.fawndrum.soak/src/org/fawndrum/soak/Soak.java
+++ b/org.fawndrum.soak/src/org/fawndrum/soak/Soak.java
@@ -18,7 +18,10 @@
   /** The time between two looks at whether all hosts serve, in milliseconds. */
   private static final long LOOK_MS = 250;
 
-  /** The time for last answers after the last request, in milliseconds: above its deadline. */
+  /**
+   * The time for last answers after the last request, in milliseconds: above its deadline. It is
+   * longer only where a long prompt is still asked.
+   */
   private static final long LAST_ANSWERS_MS = Callers.DEADLINE_MS + 1_000;
 
   private final Order order;
@@ -87,15 +90,16 @@
 
   private Result play() throws InterruptedException, IOException {
     startSite();
-    Random random = new Random(order.seed());
-    Callers callers = loop.call(() -> new Callers(loop.vertx(), site.callers(), ledger, random));
+    Callers callers =
+        loop.call(() -> new Callers(loop.vertx(), site.callers(), ledger, order.seed()));
     untilAllServe("after the start");
     loop.run(callers::start);
-    playFaults();
+    playFaults(callers);
     untilAllServe("after all faults");
     loop.run(callers::stop);
     Thread.sleep(LAST_ANSWERS_MS);
-    return loop.call(() -> new Result(order.seed(), ledger.verdict(), ledger.summary()));
+    untilAnswered(callers);
+    return loop.call(() -> new Result(order.seed(), ledger.verdict(nowMs()), ledger.summary()));
   }
 
   private void startSite() throws InterruptedException, IOException {
@@ -109,9 +113,17 @@
     }
   }
 
+  /** Waits for the answers of long prompts; their callers give up at their deadlines. */
+  private void untilAnswered(Callers callers) throws InterruptedException {
+    long untilMs = nowMs() + Callers.LONG_DEADLINE_MS;
+    while (loop.call(callers::open) > 0 && nowMs() < untilMs) {
+      Thread.sleep(LOOK_MS);
+    }
+  }
+
   /** Lets the faults of the seed come, or as much time pass, and ends them all. */
-  private void playFaults() throws InterruptedException, IOException {
-    FaultPlayer faults = new FaultPlayer(site, ledger, loop);
+  private void playFaults(Callers callers) throws InterruptedException, IOException {
+    FaultPlayer faults = new FaultPlayer(site, ledger, callers, loop);
     if (order.calm()) {
       Thread.sleep(order.lengthMs());
     } else {
--- a/org.fawndrum.soak/src/org/fawndrum/soak/SoakEndpoint.java
+++ b/org.fawndrum.soak/src/org/fawndrum/soak/SoakEndpoint.java
@@ -4,8 +4,14 @@
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
 import io.vertx.core.http.HttpServerRequest;
+import io.vertx.core.http.HttpServerResponse;
 import io.vertx.core.net.NetClient;
+import java.util.Arrays;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
 import org.fawndrum.platform.standin.EndpointStandin;
+import org.fawndrum.platform.wire.ReserveMessage;
 import org.fawndrum.state.HostAddress;
 
 /**
@@ -15,17 +21,37 @@
 final class SoakEndpoint implements EndpointStandin.Behaviour {
   private static final String ZONE = "zone-a";
 
+  /** What the paths of long prompts begin with. */
+  private static final String LONG = "/" + Callers.LONG + "/";
+
+  /** How long an engine reads a long prompt, in milliseconds: from the shortest up, in steps. */
+  private static final long SHORTEST_READ_MS = 1_000;
+
+  private static final long READ_STEP_MS = 500;
+  private static final int READ_STEPS = 4;
+
+  private static final String REPORT_PATH = "/-/report";
+
+  /** What a live engine tells of itself. */
+  private static final String REPORT =
+      "{\"Stage\":\"hybrid\",\"Queued\":0,\"Running\":1,\"KvUsed\":0,\"KvTotal\":232000,"
+          + "\"Handles\":0}";
+
   private final Vertx vertx;
   private final NetClient client;
   private final Ledger ledger;
   private final String id;
   private final String service;
+  private final int events;
   private final EndpointStandin standin;
   private FaultProxy link;
   private HostAddress at;
   private HostAddress linkAt;
   private boolean losesAnswers;
   private boolean sheds;
+  private boolean harmed;
+  private boolean silent;
+  private final Map<EndpointRun, Boolean> open = new HashMap<>();
 
   /**
    * Makes an endpoint that does not listen yet.
@@ -42,6 +68,7 @@
     this.ledger = ledger;
     this.id = id;
     this.service = service;
+    this.events = events;
     this.standin = new EndpointStandin(vertx, id, events, this);
   }
 
@@ -72,7 +99,44 @@
 
   /** Chooses what happens to the bytes of its connections from now on. */
   void link(FaultProxy.Mode mode) {
-    link.mode(mode);
+    if (!silent) {
+      link.mode(mode);
+      setHarmed(mode != FaultProxy.Mode.PASS);
+    }
+  }
+
+  private void setHarmed(boolean isHarmed) {
+    if (isHarmed) {
+      open.keySet().forEach(EndpointRun::harmed);
+    }
+    if (isHarmed && !harmed) {
+      ledger.stops().harmBegan(Soak.nowMs());
+    } else if (harmed && !isHarmed) {
+      ledger.stops().harmEnded(Soak.nowMs());
+    }
+    harmed = isHarmed;
+  }
+
+  /**
+   * Answers nothing any more, for good, and leaves its connections open. Its memory is gone, and
+   * what it worked on is over.
+   */
+  void fallSilent() {
+    long nowMs = Soak.nowMs();
+    open.keySet().forEach(run -> run.brokenOff(nowMs));
+    open.clear();
+    ledger.memory().gone(id, nowMs);
+    link(FaultProxy.Mode.SILENT);
+    silent = true;
+  }
+
+  boolean isSilent() {
+    return silent;
+  }
+
+  /** Tells whether it reads a long prompt with memory of others, and is sound. */
+  boolean readsLongPrompt() {
+    return !silent && !harmed && open.containsValue(true);
   }
 
   /** Chooses whether it runs requests and closes the connection instead of answering. */
@@ -85,17 +149,72 @@
     sheds = turnsAway;
   }
 
+  @Override
+  public void ordered(ReserveMessage order) {
+    if (order.operation().equals("reserve")) {
+      ledger.memory().reserved(order.ticket(), id, order.holdMs(), Soak.nowMs());
+    } else {
+      ledger.memory().released(order.ticket(), Soak.nowMs());
+    }
+  }
+
   @Override
   public boolean answer(EndpointStandin endpoint, HttpServerRequest request, int number) {
+    if (request.path().equals(REPORT_PATH)) {
+      request.response().putHeader("Content-Type", "application/json").end(REPORT);
+      return true;
+    }
+    EndpointStandin.Seen seen = EndpointStandin.seen(request);
+    EndpointRun run = begin(seen.requestId(), request);
     if (sheds) {
       endpoint.turnAway(request);
       return true;
     }
-    EndpointStandin.Seen seen = EndpointStandin.seen(request);
     ledger.ran(seen.requestId(), seen.uri(), seen.workspace());
     if (losesAnswers) {
+      run.brokenOff(Soak.nowMs());
       request.connection().close();
+      return true;
     }
-    return losesAnswers;
+    boolean reads = request.path().startsWith(LONG) && seen.lastEventId() == null;
+    if (reads) {
+      long readMs = SHORTEST_READ_MS + number % READ_STEPS * READ_STEP_MS;
+      vertx.setTimer(readMs, timer -> answerLate(endpoint, request));
+    }
+    return reads;
+  }
+
+  private void answerLate(EndpointStandin endpoint, HttpServerRequest request) {
+    if (!request.response().closed()) {
+      endpoint.answer(request, events);
+    }
+  }
+
+  private EndpointRun begin(String requestId, HttpServerRequest request) {
+    List<String> tickets = tickets(request.getHeader("Helpers"));
+    EndpointRun run = ledger.arrived(requestId, tickets);
+    if (harmed) {
+      run.harmed();
+    }
+    open.put(run, !tickets.isEmpty());
+    HttpServerResponse response = request.response();
+    response.endHandler(v -> end(run));
+    response.closeHandler(v -> end(run));
+    return run;
+  }
+
+  private void end(EndpointRun run) {
+    open.remove(run);
+    run.over(Soak.nowMs());
+  }
+
+  /** Returns the tickets in a list of helpers, each an address and perhaps a ticket. */
+  private static List<String> tickets(String helpers) {
+    return helpers == null
+        ? List.of()
+        : Arrays.stream(helpers.split(","))
+            .filter(helper -> helper.contains("/"))
+            .map(helper -> helper.substring(helper.indexOf('/') + 1).trim())
+            .toList();
   }
 }
--- a/org.fawndrum.soak/src/org/fawndrum/soak/SoakSite.java
+++ b/org.fawndrum.soak/src/org/fawndrum/soak/SoakSite.java
@@ -9,6 +9,7 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.stream.Collectors;
 import java.util.stream.IntStream;
@@ -49,8 +50,17 @@
   static final long GRACE_MS = 8_000;
 
   private static final int ENGINES = 3;
+
+  /** Engines that come after the service, so that the faults of a seed strike whom they did. */
+  private static final int MORE_ENGINES = 2;
+
+  /** The memory of an engine, in tokens: small, so that engines soon need that of others. */
+  private static final String MEMORY = "\"KvCapacity\":100000";
+
+  private static final String USUAL_MEMORY = "\"KvCapacity\":232000";
   private static final String OPERATORS = "keyed.op";
   private static final String ENDPOINTS = "keyed.servers";
+  private static final String SERVICE = "service";
   private static final String READY = "ready";
   private static final String LEAVING = "draining";
 
@@ -85,7 +95,10 @@
     for (int i = 0; i < ENGINES; i++) {
       endpoints.add(endpoint("engine-" + i, "pool", EVENTS));
     }
-    endpoints.add(endpoint("service", "orders", 0));
+    endpoints.add(endpoint(SERVICE, "orders", 0));
+    for (int i = ENGINES; i < ENGINES + MORE_ENGINES; i++) {
+      endpoints.add(endpoint("engine-" + i, "pool", EVENTS));
+    }
     Future<Void> started = Future.succeededFuture();
     for (SoakEndpoint endpoint : endpoints) {
       started = started.compose(v -> endpoint.listen());
@@ -133,14 +146,17 @@
   }
 
   private void endpointSays(SoakEndpoint endpoint, String state) {
-    store.put(ENDPOINTS, endpoint.id(), endpoint.entry(state));
+    if (!endpoint.isSilent()) {
+      store.put(ENDPOINTS, endpoint.id(), endpoint.entry(state));
+    }
   }
 
   /** Brings a newer configuration into the store. */
   void configure() {
     version += 2;
     String[] keys = revoked ? new String[] {KEY} : new String[] {KEY, VICTIM_KEY};
-    store.put(OPERATORS, "config", StandinSite.configuration(version, keys));
+    String configuration = StandinSite.configuration(version, keys);
+    store.put(OPERATORS, "config", configuration.replace(USUAL_MEMORY, MEMORY));
   }
 
   /** Takes the one key away. */
@@ -166,11 +182,24 @@
       case LEAVES -> endpointSays(endpoint, begins ? LEAVING : READY);
       case CONFIGURE -> configure();
       case REVOKE -> revoke();
+      case ENGINE_SILENT -> silence(endpoint);
       default -> throw new SoakFailedException("fault " + fault, null);
     }
   }
 
-  /** Ends every fault of the store and the endpoints. */
+  /** Lets an engine fall silent for good: one that reads a long prompt if there is one. */
+  private void silence(SoakEndpoint otherwise) {
+    long silent = endpoints.stream().filter(SoakEndpoint::isSilent).count();
+    if (silent < Fault.MOST_SILENT) {
+      endpoints.stream()
+          .filter(SoakEndpoint::readsLongPrompt)
+          .findFirst()
+          .or(() -> Optional.of(otherwise).filter(endpoint -> !endpoint.id().equals(SERVICE)))
+          .ifPresent(SoakEndpoint::fallSilent);
+    }
+  }
+
+  /** Ends every fault of the store and the endpoints but the silence for good. */
   void heal() {
     store.mode(StoreStandin.Mode.SERVING);
     storeLinks.forEach(link -> link.mode(FaultProxy.Mode.PASS));
--- a/org.fawndrum.soak/tst/org/fawndrum/soak/LedgerTest.java
+++ b/org.fawndrum.soak/tst/org/fawndrum/soak/LedgerTest.java
@@ -13,6 +13,7 @@
   private static final long REVOKE_MS = 5_000;
 
   private final Ledger ledger = new Ledger(REVOKE_MS);
+  private long nowMs = 20_000;
 
   @BeforeEach
   void send() {
@@ -21,7 +22,7 @@
   }
 
   private void broken(String what) {
-    List<String> verdict = ledger.verdict();
+    List<String> verdict = ledger.verdict(nowMs);
     assertEquals(1, verdict.size(), verdict.toString());
     assertTrue(verdict.get(0).contains(what), verdict.get(0));
   }
@@ -38,7 +39,7 @@
     ledger.answered("once", 200, "once", "seal", "whole");
     ledger.answered("look", 503, null, null, "");
     ledger.failed();
-    assertEquals(List.of(), ledger.verdict());
+    assertEquals(List.of(), ledger.verdict(nowMs));
     assertEquals(1, ledger.served());
   }
 
@@ -52,7 +53,7 @@
   @Test
   void aRunAfterARefusal() {
     ledger.answered("once", 503, null, null, "");
-    assertEquals(List.of(), ledger.verdict());
+    assertEquals(List.of(), ledger.verdict(nowMs));
     ran("once", "/once/1");
     broken("though it was refused with 503");
   }
@@ -103,9 +104,191 @@
   void aRunLongAfterItsKeyWasRevoked() {
     ledger.revoked("k", 0);
     ran("once", "/once/1");
-    assertEquals(List.of(), ledger.verdict());
+    assertEquals(List.of(), ledger.verdict(nowMs));
     ledger.sent("late", new Ledger.Sent("/look/9", true, "k", "whole", REVOKE_MS + 1));
     ran("late", "/look/9");
     broken("after its key was revoked");
   }
+
+  /** Sets memory aside from 1,000 ms on with a lease that is renewed until a time. */
+  private void holdUntil(long untilMs) {
+    for (long atMs = 1_000; atMs < untilMs; atMs += 1_000) {
+      ledger.memory().reserved("ticket", "engine-1", 3_500, atMs);
+    }
+    ledger.memory().released("ticket", untilMs);
+  }
+
+  @Test
+  void memoryThatIsFreedSoonAfterItsUseIsFine() {
+    EndpointRun run = ledger.arrived("look", List.of("ticket"));
+    run.over(8_000);
+    holdUntil(12_000);
+    assertEquals(List.of(), ledger.verdict(nowMs));
+  }
+
+  @Test
+  void memoryThatIsHeldLongAfterItsUse() {
+    EndpointRun run = ledger.arrived("look", List.of("ticket"));
+    run.over(8_000);
+    holdUntil(12_400);
+    broken("memory ticket of engine-1 stayed set aside for 4400 ms");
+  }
+
+  @Test
+  void memoryThatIsHeldLongAfterItsFirstEngineFellSilent() {
+    EndpointRun run = ledger.arrived("look", List.of("ticket"));
+    run.brokenOff(8_000);
+    holdUntil(13_000);
+    broken("memory ticket of engine-1 stayed set aside for 5000 ms");
+  }
+
+  @Test
+  void memoryThatIsStillHeldAtTheEnd() {
+    ledger.arrived("look", List.of("ticket")).over(1_500);
+    ledger.memory().reserved("ticket", "engine-1", 60_000, 1_000);
+    nowMs = 5_500;
+    assertEquals(List.of(), ledger.verdict(nowMs));
+    nowMs = 6_000;
+    broken("stayed set aside for 4500 ms");
+  }
+
+  @Test
+  void memoryCountsFromTheLastUse() {
+    ledger.arrived("look", List.of("ticket")).over(2_000);
+    ledger.arrived("look", List.of("ticket")).over(8_000);
+    holdUntil(12_000);
+    assertEquals(List.of(), ledger.verdict(nowMs));
+  }
+
+  @Test
+  void aLeaseThatLapsedAndCameAgainIsNotOneSpan() {
+    ledger.arrived("look", List.of("ticket")).over(2_000);
+    ledger.memory().reserved("ticket", "engine-1", 3_500, 1_000);
+    ledger.memory().reserved("ticket", "engine-1", 3_500, 7_000);
+    assertEquals(List.of(), ledger.verdict(nowMs));
+  }
+
+  @Test
+  void memoryOfAnEngineThatIsGoneAndUsesWhoseEndNobodyCanSeeAreNotJudged() {
+    ledger.arrived("look", List.of("ticket")).over(2_000);
+    ledger.memory().reserved("ticket", "engine-1", 60_000, 1_000);
+    ledger.memory().gone("engine-1", 3_000);
+    EndpointRun lost = ledger.arrived("look", List.of("other"));
+    lost.harmed();
+    lost.over(2_000);
+    ledger.memory().reserved("other", "engine-2", 60_000, 1_000);
+    ledger.arrived("look", List.of("open"));
+    ledger.memory().reserved("open", "engine-2", 60_000, 1_000);
+    assertEquals(List.of(), ledger.verdict(nowMs));
+  }
+
+  /** A host is told to stop at 10,000 ms and ends at a time; its grace period is 8 s. */
+  private void stop(long endedMs) {
+    ledger.stops().ordered("host-1", 10_000);
+    ledger.stops().ended(endedMs);
+  }
+
+  private void sentToStopping(long atMs) {
+    ledger.stops().sent("look", "host-1", 12_000, atMs);
+  }
+
+  private EndpointRun runAndCut(long sentMs, long cutMs) {
+    sentToStopping(sentMs);
+    EndpointRun run = ledger.arrived("look", List.of());
+    run.over(cutMs);
+    ledger.stops().cut("look", false, cutMs);
+    return run;
+  }
+
+  @Test
+  void aRequestThatAStoppingHostTookLateAndCut() {
+    stop(17_700);
+    runAndCut(15_200, 17_600);
+    broken("look was cut 7600 ms after host-1 was told to stop, sent at 5200 ms");
+  }
+
+  @Test
+  void aRequestInProgressThatAStoppingHostCutEarly() {
+    stop(12_500);
+    runAndCut(9_000, 12_500);
+    broken("look was cut 2500 ms after");
+  }
+
+  @Test
+  void anAnswerThatAStoppingHostCutInTheMiddle() {
+    stop(12_500);
+    sentToStopping(12_400);
+    ledger.stops().cut("look", true, 12_500);
+    broken("look was cut");
+  }
+
+  @Test
+  void aRequestThatWaitedAtAStoppingHostAndWasCut() {
+    stop(12_500);
+    sentToStopping(12_000);
+    ledger.stops().cut("look", false, 12_500);
+    broken("look was cut");
+  }
+
+  @Test
+  void aConnectionThatClosedBeforeTheRequestWasReadIsFine() {
+    stop(12_500);
+    sentToStopping(12_400);
+    ledger.stops().cut("look", false, 12_401);
+    assertEquals(List.of(), ledger.verdict(nowMs));
+  }
+
+  @Test
+  void workFromBeforeThatIsStillDoneInTheLastSixthMayBeCut() {
+    stop(17_700);
+    runAndCut(12_900, 17_600);
+    assertEquals(List.of(), ledger.verdict(nowMs));
+  }
+
+  @Test
+  void workFromBeforeThatIsCutBeforeTheLastSixth() {
+    stop(17_700);
+    runAndCut(12_900, 16_000);
+    broken("look was cut 6000 ms after");
+  }
+
+  @Test
+  void aRequestWhoseDeadlinePassedMayEnd() {
+    stop(17_700);
+    ledger.stops().sent("look", "host-1", 4_000, 13_500);
+    ledger.stops().cut("look", true, 17_500);
+    assertEquals(List.of(), ledger.verdict(nowMs));
+  }
+
+  @Test
+  void aRequestThatItsEngineBrokeOffMayEnd() {
+    stop(17_700);
+    sentToStopping(13_500);
+    ledger.arrived("look", List.of()).brokenOff(15_000);
+    ledger.stops().cut("look", true, 15_001);
+    assertEquals(List.of(), ledger.verdict(nowMs));
+  }
+
+  @Test
+  void aRequestOnItsWayToAHarmedEndpointMayEndAndNoOther() {
+    stop(17_700);
+    ledger.stops().harmBegan(14_000);
+    ledger.stops().harmEnded(15_000);
+    ledger.stops().sent("once", "host-1", 12_000, 14_500);
+    ledger.stops().cut("once", false, 17_600);
+    assertEquals(List.of(), ledger.verdict(nowMs));
+    sentToStopping(15_500);
+    ledger.stops().cut("look", false, 17_600);
+    broken("look was cut");
+  }
+
+  @Test
+  void aRequestToAHostThatWasNotStoppingMayFail() {
+    stop(17_700);
+    ledger.stops().sent("look", "host-2", 12_000, 12_000);
+    ledger.stops().cut("look", true, 13_000);
+    ledger.stops().sent("once", "host-1", 12_000, 18_000);
+    ledger.stops().cut("once", true, 18_100);
+    assertEquals(List.of(), ledger.verdict(nowMs));
+  }
 }
--- a/org.fawndrum.soak/tst/org/fawndrum/soak/SoakTest.java
+++ b/org.fawndrum.soak/tst/org/fawndrum/soak/SoakTest.java
@@ -46,6 +46,21 @@
     holds(4);
   }
 
+  /**
+   * Engines fell silent for good while they read long prompts; their hosts renewed the leases on
+   * the memory of others until the deadline of the prompt, ten seconds later.
+   */
+  @Test
+  void seedNine() throws Exception {
+    holds(9);
+  }
+
+  /** A stopping host took what could not end any more, and cut it when its own time was over. */
+  @Test
+  void seedThirtyOne() throws Exception {
+    holds(31);
+  }
+
   @Test
   void aSeedAlwaysPlansTheSameFaults() {
     List<Fault> plan = Fault.plan(new Random(7), 60_000, HOSTS);
