--- a/org.fawndrum/src/org/fawndrum/transport/relay/StallWatch.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/StallWatch.java
@@ -2,7 +2,6 @@
 package org.fawndrum.transport.relay;
 
 import io.vertx.core.Vertx;
-import java.util.ArrayList;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
@@ -11,7 +10,9 @@
 
 /**
  * Ends attempts from which nothing has come for so long that their callers would soon give up, so
- * that another endpoint can go on. Only what may run again is watched. Confined to one event loop.
+ * that another endpoint can go on; only what may run again ends so. Where silence alone says
+ * nothing, or memory is held, has the attempt look whether its engine is alive. Confined to one
+ * event loop.
  */
 final class StallWatch {
   private static final long LOOK_MS = 200;
@@ -19,7 +20,7 @@
   /** The shortest wait for a first event or answer, in milliseconds; callers wait two seconds. */
   private static final long SHORTEST_FIRST_MS = 1_000;
 
-  /** Above this aim a first event may well take long, so that silence says nothing. */
+  /** Above this aim a first event may well take long, so that silence says nothing by itself. */
   private static final long LONGEST_WATCHED_AIM_MS = 2_000;
 
   /** The wait for a first event or answer as a multiple of its aim; callers wait four aims. */
@@ -33,6 +34,8 @@
 
   private final HostClock clock;
   private final Set<RelayAttempt> attempts = new LinkedHashSet<>();
+  private volatile int holdingMemory;
+  private volatile long longestSilenceMs;
 
   StallWatch(Vertx vertx, HostClock clock) {
     this.clock = clock;
@@ -47,18 +50,40 @@
     attempts.remove(attempt);
   }
 
+  /** Returns how many attempts hold memory on other engines; safe for all threads. */
+  int holdingMemory() {
+    return holdingMemory;
+  }
+
+  /**
+   * Returns for how long the engine of some watched attempt has given no sign of life, in
+   * milliseconds; safe for all threads.
+   */
+  long longestSilenceMs() {
+    return longestSilenceMs;
+  }
+
   private void look() {
-    if (attempts.isEmpty()) {
-      return;
-    }
+    holdingMemory = (int) attempts.stream().filter(RelayAttempt::holdsMemory).count();
+    longestSilenceMs = attempts.stream().mapToLong(RelayAttempt::silentMs).max().orElse(0);
     long nowMs = clock.nowMs();
-    List<RelayAttempt> stalled = new ArrayList<>();
-    for (RelayAttempt attempt : attempts) {
-      if (nowMs - attempt.progressMs() > limitMs(attempt.aims(), attempt.begun())) {
-        stalled.add(attempt);
+    // Looking may end attempts, which then leave the set.
+    for (RelayAttempt attempt : List.copyOf(attempts)) {
+      if (attempt.repeatable() && nowMs - attempt.progressMs() > limitMs(attempt)) {
+        attempt.stalled();
+      } else {
+        attempt.look();
       }
     }
-    stalled.forEach(RelayAttempt::stalled);
+  }
+
+  private static long limitMs(RelayAttempt attempt) {
+    return limitMs(attempt.aims(), attempt.begun());
+  }
+
+  /** Tells whether silence alone never ends an attempt before its first event. */
+  static boolean mayBeLong(RequestAims aims) {
+    return limitMs(aims, false) == Long.MAX_VALUE;
   }
 
   /** Returns how long an attempt may be silent, in milliseconds. */
