--- a/org.fawndrum.soak/src/org/fawndrum/soak/SoakEndpoint.java
+++ b/org.fawndrum.soak/src/org/fawndrum/soak/SoakEndpoint.java
@@ -30,13 +30,6 @@
   private static final long READ_STEP_MS = 500;
   private static final int READ_STEPS = 4;
 
-  private static final String REPORT_PATH = "/-/report";
-
-  /** What a live engine tells of itself. */
-  private static final String REPORT =
-      "{\"Stage\":\"hybrid\",\"Queued\":0,\"Running\":1,\"KvUsed\":0,\"KvTotal\":232000,"
-          + "\"Handles\":0}";
-
   private final Vertx vertx;
   private final NetClient client;
   private final Ledger ledger;
@@ -160,10 +153,6 @@
 
   @Override
   public boolean answer(EndpointStandin endpoint, HttpServerRequest request, int number) {
-    if (request.path().equals(REPORT_PATH)) {
-      request.response().putHeader("Content-Type", "application/json").end(REPORT);
-      return true;
-    }
     EndpointStandin.Seen seen = EndpointStandin.seen(request);
     EndpointRun run = begin(seen.requestId(), request);
     if (sheds) {
