Count a request as read by a stopping host after a second without an answer, not 250 ms

Cause: the check was wrong. Ruled out: requests that were taken; each one that is decided on has a line. Change: 1,000 ms. What ran at an endpoint or had begun its answer is judged without any time, as before.

--- a/org.fawndrum.soak/src/org/fawndrum/soak/StopLedger.java
+++ b/org.fawndrum.soak/src/org/fawndrum/soak/StopLedger.java
@@ -21,10 +21,10 @@
   private static final long PARTS = 6;
 
   /**
-   * A host that closes an idle connection may not have read what just arrived there; what got no
-   * answer for longer than this was read, in milliseconds.
+   * A host that closes an idle connection, or ends, may not have read what just arrived there; what
+   * got no answer for longer than this was read, in milliseconds. On a busy machine 400 ms passed.
    */
-  private static final long READ_MS = 250;
+  private static final long READ_MS = 1_000;
 
   /** By how much the soak may see a close late, in milliseconds. */
   private static final long LATE_MS = 500;
