--- a/org.fawndrum/src/org/fawndrum/transport/relay/RelayExchange.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/RelayExchange.java
@@ -61,7 +61,12 @@
     }
     PromptMemory memory =
         new PromptMemory(
-            tools.clock(), tools.orders(), send.attempt(), send.helpers(), tools.log());
+            tools.clock(),
+            (ms, step) -> context.owner().setTimer(ms, id -> step.run()),
+            tools.orders(),
+            send.attempt(),
+            send.helpers(),
+            tools.log());
     current = new RelayAttempt(send, call, lastEventId, tools, memory, this);
     current.start();
   }
@@ -156,6 +161,11 @@
     attempts.helperRefused(attempt.id(), helper);
   }
 
+  @Override
+  public void stalled(RelayAttempt attempt) {
+    attempts.happened(attempt.id(), AttemptEvent.STALLED);
+  }
+
   @Override
   public void failed(RelayAttempt attempt, AttemptEvent event) {
     attempts.happened(attempt.id(), event);
