--- a/org.fawndrum.soak/src/org/fawndrum/soak/Soak.java
+++ b/org.fawndrum.soak/src/org/fawndrum/soak/Soak.java
@@ -18,13 +18,17 @@
   /** The time between two looks at whether all hosts serve, in milliseconds. */
   private static final long LOOK_MS = 250;
 
-  /** The time for last answers after the last request, in milliseconds: above its deadline. */
+  /**
+   * The time for last answers after the last request, in milliseconds: above its deadline. It is
+   * longer only where a long prompt is still asked.
+   */
   private static final long LAST_ANSWERS_MS = Callers.DEADLINE_MS + 1_000;
 
   private final Order order;
   private final SoakLoop loop = new SoakLoop();
   private final Ledger ledger = new Ledger(SoakSite.REVOKE_MS);
-  private SoakSite site;
+  private volatile SoakSite site;
+  private volatile boolean over;
 
   /**
    * What is to be played.
@@ -56,36 +60,70 @@
 
   /** Plays the seed. */
   Result call() throws InterruptedException, IOException {
+    Thread atSignal = new Thread(this::endDaemons, "end of the soak");
+    Runtime.getRuntime().addShutdownHook(atSignal);
     try {
-      startSite();
-      Random random = new Random(order.seed());
-      Callers callers = loop.call(() -> new Callers(loop.vertx(), site.callers(), ledger, random));
-      untilAllServe("after the start");
-      loop.run(callers::start);
-      playFaults();
-      untilAllServe("after all faults");
-      loop.run(callers::stop);
-      Thread.sleep(LAST_ANSWERS_MS);
-      return loop.call(() -> new Result(order.seed(), ledger.verdict(), ledger.summary()));
+      return play();
     } finally {
-      for (HostProcess host : site == null ? List.<HostProcess>of() : site.hosts()) {
-        host.kill();
-      }
+      endDaemons();
       loop.close();
+      dropHook(atSignal);
     }
   }
 
+  /** Ends what the soak started; a signal may end the soak at any moment. */
+  private void endDaemons() {
+    over = true;
+    SoakSite started = site;
+    if (started != null) {
+      started.end();
+    }
+  }
+
+  private static void dropHook(Thread hook) {
+    try {
+      Runtime.getRuntime().removeShutdownHook(hook);
+    } catch (IllegalStateException e) {
+      // A signal ends this process, and the hook runs.
+    }
+  }
+
+  private Result play() throws InterruptedException, IOException {
+    startSite();
+    Callers callers =
+        loop.call(() -> new Callers(loop.vertx(), site.callers(), ledger, order.seed()));
+    untilAllServe("after the start");
+    loop.run(callers::start);
+    playFaults(callers);
+    untilAllServe("after all faults");
+    loop.run(callers::stop);
+    Thread.sleep(LAST_ANSWERS_MS);
+    untilAnswered(callers);
+    return loop.call(() -> new Result(order.seed(), ledger.verdict(nowMs()), ledger.summary()));
+  }
+
   private void startSite() throws InterruptedException, IOException {
     site = loop.call(() -> new SoakSite(loop.vertx(), ledger, order.hosts(), order.folder()));
     loop.callAndAwait(site::start);
     for (HostProcess host : site.hosts()) {
       host.start();
+      if (over) {
+        host.endForGood();
+      }
+    }
+  }
+
+  /** Waits for the answers of long prompts; their callers give up at their deadlines. */
+  private void untilAnswered(Callers callers) throws InterruptedException {
+    long untilMs = nowMs() + Callers.LONG_DEADLINE_MS;
+    while (loop.call(callers::open) > 0 && nowMs() < untilMs) {
+      Thread.sleep(LOOK_MS);
     }
   }
 
   /** Lets the faults of the seed come, or as much time pass, and ends them all. */
-  private void playFaults() throws InterruptedException, IOException {
-    FaultPlayer faults = new FaultPlayer(site, ledger, loop);
+  private void playFaults(Callers callers) throws InterruptedException, IOException {
+    FaultPlayer faults = new FaultPlayer(site, ledger, callers, loop);
     if (order.calm()) {
       Thread.sleep(order.lengthMs());
     } else {
