--- a/org.fawndrum/tst/org/fawndrum/transport/relay/RelayDrainTest.java
+++ b/org.fawndrum/tst/org/fawndrum/transport/relay/RelayDrainTest.java
@@ -8,6 +8,7 @@
 import io.vertx.core.MultiMap;
 import io.vertx.core.Vertx;
 import io.vertx.core.VertxOptions;
+import io.vertx.core.http.HttpClientAgent;
 import io.vertx.core.http.HttpClientResponse;
 import io.vertx.core.http.HttpMethod;
 import java.io.IOException;
@@ -60,6 +61,10 @@
 
   private final HostLog log = new HostLog("test");
   private final Vertx vertx = Vertx.vertx(new VertxOptions().setEventLoopPoolSize(1));
+
+  /** Held, because a client that nothing refers to is closed with what it sends. */
+  private final HttpClientAgent client = vertx.createHttpClient();
+
   private final CountDownLatch heldUp = new CountDownLatch(1);
   private final CompletableFuture<RelayServer.Incoming> taken = new CompletableFuture<>();
   private final RelayBounds bounds =
@@ -189,8 +194,7 @@
   }
 
   private Future<HttpClientResponse> ask() {
-    return vertx
-        .createHttpClient()
+    return client
         .request(HttpMethod.GET, address.port(), address.ip(), "/")
         .compose(request -> request.send());
   }
