--- a/org.fawndrum/src/org/fawndrum/coordination/AttemptEnds.java
+++ b/org.fawndrum/src/org/fawndrum/coordination/AttemptEnds.java
@@ -23,10 +23,7 @@
 
   /** Takes note that an attempt failed; returns why none may follow, or null when one may. */
   Reason failed(LiveRequest request, LiveRequest.Attempt attempt, AttemptEvent event, long nowMs) {
-    explainer.attempt(request, attempt, DecisionKind.ATTEMPT_FAILED, Reason.ENDPOINT_FAILED, nowMs);
-    if (attempt.helperAtFault == null) {
-      EndRules.blame(request, attempt, event, nowMs);
-    }
+    showAndBlame(request, attempt, event, nowMs);
     return retries.whyNot(request, attempt, event, nowMs);
   }
 
@@ -42,13 +39,19 @@
     if (whyNot == null || !request.firstTokenSeen) {
       attempt.state = AttemptStates.after(attempt.state, AttemptEvent.STALLED);
       abandon(attempt, nowMs);
-      explainer.attempt(
-          request, attempt, DecisionKind.ATTEMPT_FAILED, Reason.ENDPOINT_FAILED, nowMs);
-      EndRules.blame(request, attempt, AttemptEvent.STALLED, nowMs);
+      showAndBlame(request, attempt, AttemptEvent.STALLED, nowMs);
     }
     return whyNot;
   }
 
+  private void showAndBlame(
+      LiveRequest request, LiveRequest.Attempt attempt, AttemptEvent event, long nowMs) {
+    explainer.attempt(request, attempt, DecisionKind.ATTEMPT_FAILED, Reason.ENDPOINT_FAILED, nowMs);
+    if (attempt.helperAtFault == null) {
+      EndRules.blame(request, attempt, event, nowMs);
+    }
+  }
+
   /** Frees what an attempt holds here and at its endpoint, because nobody waits for it any more. */
   void abandon(LiveRequest.Attempt attempt, long nowMs) {
     attempt.endpoint.ended(attempt.id);
