Tell what became of memory that an attempt had set aside

Cause: of the three hypotheses on memory that outlives its request no log line told one from the other. At the end of an attempt a line now says how long the memory was held, how old the evidence for its leases was, and how many orders got no answer and may be carried out late.

--- a/org.fawndrum/src/org/fawndrum/internal/log/LogEvent.java
+++ b/org.fawndrum/src/org/fawndrum/internal/log/LogEvent.java
@@ -41,6 +41,7 @@
   SWEPT(60, Level.INFO, "endpoint {0}: freed {1} streams of {2}"),
   REGISTERED(61, Level.INFO, "registered for calls that may not be repeated, at {0}"),
   HANDED_OVER(62, Level.INFO, "{0} claims handed over to {1} peers"),
+  MEMORY_FREED(63, Level.INFO, "{0}"),
   OPERATOR_PUBLISHED(70, Level.INFO, "operator {0} published {1}: {2}");
 
   private final int number;
--- a/org.fawndrum/src/org/fawndrum/transport/relay/DecisionLog.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/DecisionLog.java
@@ -76,6 +76,10 @@
    */
   record SilentDetails(String requestId, String endpoint, long silentMs) implements LogDetails {}
 
+  /** The details of memory that an attempt at an endpoint gave back. */
+  record MemoryDetails(String requestId, String endpoint, PromptMemory.Usage usage)
+      implements LogDetails {}
+
   DecisionLog(RequestMetrics metrics, Supplier<Basis> basis, HostClock clock, HostLog log) {
     this.metrics = metrics;
     this.basis = basis;
@@ -125,6 +129,13 @@
     }
   }
 
+  /** Writes a line for memory of other engines that an attempt gives back at its end. */
+  void memoryFreed(String requestId, String endpoint, PromptMemory.Usage usage) {
+    if (successes.take(clock.nowMs())) {
+      log.details(LogEvent.MEMORY_FREED, new MemoryDetails(requestId, endpoint, usage));
+    }
+  }
+
   private synchronized void tellLeftOut() {
     long nowMs = clock.nowMs();
     if (nowMs < nextLeftOutMs) {
--- a/org.fawndrum/src/org/fawndrum/transport/relay/PromptMemory.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/PromptMemory.java
@@ -52,7 +52,10 @@
   private final HostLog log;
   private final List<Lease> leases = new ArrayList<>();
   private HostIdentity unreachable;
+  private long reservedMs;
   private long renewedMs;
+  private int ordersSent;
+  private int ordersUnanswered;
   private boolean freed;
 
   /** Runs steps later, on the same event loop. */
@@ -60,6 +63,19 @@
     void after(long ms, Runnable step);
   }
 
+  /**
+   * What became of the memory up to now.
+   *
+   * @param engines those that hold it, or may do so
+   * @param heldMs how long ago the first order was sent, in milliseconds
+   * @param sinceEvidenceMs how long ago the evidence dates on which the leases rest, in
+   *     milliseconds
+   * @param orders how many orders to set it aside were sent, renewals among them
+   * @param unanswered how many of them got no answer, and may be carried out late
+   */
+  record Usage(
+      List<String> engines, long heldMs, long sinceEvidenceMs, int orders, int unanswered) {}
+
   /** Memory on one engine. */
   private record Part(Action.Helper helper, String ticket) {}
 
@@ -109,9 +125,18 @@
     return !freed && !leases.isEmpty();
   }
 
+  /** Tells what became of the memory up to now. */
+  Usage usage() {
+    List<String> engines =
+        leases.stream().map(lease -> lease.part.helper().endpoint().name()).toList();
+    long nowMs = clock.nowMs();
+    return new Usage(engines, nowMs - reservedMs, nowMs - renewedMs, ordersSent, ordersUnanswered);
+  }
+
   /** Sets all memory aside; fails, with nothing held, when any of it cannot be had. */
   Future<Void> reserve() {
-    renewedMs = clock.nowMs();
+    reservedMs = clock.nowMs();
+    renewedMs = reservedMs;
     List<Part> inOrder =
         parts.stream()
             .filter(part -> !part.ticket().isEmpty())
@@ -139,6 +164,7 @@
 
   private Future<Boolean> order(Lease lease, long holdMs) {
     Part part = lease.part;
+    ordersSent++;
     lease.lastOrder =
         orders
             .reserve(part.helper().endpoint(), part.ticket(), part.helper().memoryTokens(), holdMs)
@@ -147,6 +173,7 @@
   }
 
   private void unanswered(Lease lease, Throwable cause) {
+    ordersUnanswered++;
     lease.lateUntilMs = clock.nowMs() + LATE_MS;
     unreachable = lease.part.helper().endpoint().identity();
     log.event(LogEvent.MEMORY_ORDER_FAILED, lease.part.ticket(), cause);
--- a/org.fawndrum/src/org/fawndrum/transport/relay/RelayAttempt.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/RelayAttempt.java
@@ -364,6 +364,9 @@
     ended = true;
     tools.stalls().remove(this);
     liveness.end();
+    if (memory.held()) {
+      tools.decisions().memoryFreed(call.request().requestId(), endpointName(), memory.usage());
+    }
     memory.free();
   }
 }
--- a/org.fawndrum/tst/org/fawndrum/transport/relay/PromptMemoryTest.java
+++ b/org.fawndrum/tst/org/fawndrum/transport/relay/PromptMemoryTest.java
@@ -271,6 +271,19 @@
     assertEquals(List.of("e-1"), orders.released);
   }
 
+  @Test
+  void whatBecameOfTheMemoryIsTold() {
+    PromptMemory memory = held(helper("e-1", 10), helper("e-2", 10));
+    clock.pass(PromptMemory.RENEWAL_MS);
+    memory.engineAlive(clock.nowMs());
+    orders.loseNext();
+    orders.grantAll();
+    clock.pass(300);
+    assertEquals(
+        new PromptMemory.Usage(List.of("e-1", "e-2"), PromptMemory.RENEWAL_MS + 300, 300, 4, 1),
+        memory.usage());
+  }
+
   @Test
   void aRenewalThatIsLostAfterTheEndIsNotTriedAgain() {
     PromptMemory memory = held(helper("e-1", 10));
