--- a/org.fawndrum.soak/src/org/fawndrum/soak/SoakEndpoint.java
+++ b/org.fawndrum.soak/src/org/fawndrum/soak/SoakEndpoint.java
@@ -6,11 +6,11 @@
 import io.vertx.core.http.HttpServerRequest;
 import io.vertx.core.http.HttpServerResponse;
 import io.vertx.core.net.NetClient;
-import java.util.Arrays;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import org.fawndrum.platform.standin.EndpointStandin;
+import org.fawndrum.platform.standin.TicketUses;
 import org.fawndrum.platform.wire.ReserveMessage;
 import org.fawndrum.state.HostAddress;
 
@@ -44,25 +44,33 @@
   private boolean sheds;
   private boolean harmed;
   private boolean silent;
+  private int forgotten;
   private final Map<EndpointRun, Boolean> open = new HashMap<>();
 
   /**
    * Makes an endpoint that does not listen yet.
    *
    * @param client opens the connections of its proxy
+   * @param uses shared by all endpoints
    * @param id its name, and the key of its record in the store
    * @param service the service that it belongs to
    * @param events how many events it streams; 0 for plain answers
    */
   SoakEndpoint(
-      Vertx vertx, NetClient client, Ledger ledger, String id, String service, int events) {
+      Vertx vertx,
+      NetClient client,
+      Ledger ledger,
+      TicketUses uses,
+      String id,
+      String service,
+      int events) {
     this.vertx = vertx;
     this.client = client;
     this.ledger = ledger;
     this.id = id;
     this.service = service;
     this.events = events;
-    this.standin = new EndpointStandin(vertx, id, events, this);
+    this.standin = new EndpointStandin(vertx, id, events, this, uses);
   }
 
   /** Listens, with its proxy. */
@@ -115,12 +123,19 @@
    * what it worked on is over.
    */
   void fallSilent() {
+    forget();
+    ledger.memory().gone(id, Soak.nowMs());
+    link(FaultProxy.Mode.SILENT);
+    silent = true;
+  }
+
+  /** Drops what it works on and leaves the connections open without a word; it serves on. */
+  void forget() {
     long nowMs = Soak.nowMs();
     open.keySet().forEach(run -> run.brokenOff(nowMs));
     open.clear();
-    ledger.memory().gone(id, nowMs);
-    link(FaultProxy.Mode.SILENT);
-    silent = true;
+    standin.forget();
+    forgotten++;
   }
 
   boolean isSilent() {
@@ -168,19 +183,20 @@
     boolean reads = request.path().startsWith(LONG) && seen.lastEventId() == null;
     if (reads) {
       long readMs = SHORTEST_READ_MS + number % READ_STEPS * READ_STEP_MS;
-      vertx.setTimer(readMs, timer -> answerLate(endpoint, request));
+      int before = forgotten;
+      vertx.setTimer(readMs, timer -> answerLate(endpoint, request, before));
     }
     return reads;
   }
 
-  private void answerLate(EndpointStandin endpoint, HttpServerRequest request) {
-    if (!request.response().closed()) {
+  private void answerLate(EndpointStandin endpoint, HttpServerRequest request, int before) {
+    if (forgotten == before && !request.response().closed()) {
       endpoint.answer(request, events);
     }
   }
 
   private EndpointRun begin(String requestId, HttpServerRequest request) {
-    List<String> tickets = tickets(request.getHeader("Helpers"));
+    List<String> tickets = TicketUses.tickets(request.getHeader("Helpers"));
     EndpointRun run = ledger.arrived(requestId, tickets);
     if (harmed) {
       run.harmed();
@@ -196,14 +212,4 @@
     open.remove(run);
     run.over(Soak.nowMs());
   }
-
-  /** Returns the tickets in a list of helpers, each an address and perhaps a ticket. */
-  private static List<String> tickets(String helpers) {
-    return helpers == null
-        ? List.of()
-        : Arrays.stream(helpers.split(","))
-            .filter(helper -> helper.contains("/"))
-            .map(helper -> helper.substring(helper.indexOf('/') + 1).trim())
-            .toList();
-  }
 }
--- a/org.fawndrum.soak/src/org/fawndrum/soak/SoakSite.java
+++ b/org.fawndrum.soak/src/org/fawndrum/soak/SoakSite.java
@@ -15,6 +15,7 @@
 import java.util.stream.IntStream;
 import org.fawndrum.platform.standin.StandinSite;
 import org.fawndrum.platform.standin.StoreStandin;
+import org.fawndrum.platform.standin.TicketUses;
 import org.fawndrum.state.HostAddress;
 
 /**
@@ -74,6 +75,7 @@
   private final Path folder;
   private final FixedPorts ports = new FixedPorts();
   private final StoreStandin store;
+  private final TicketUses uses = new TicketUses();
   private final List<FaultProxy> storeLinks = new ArrayList<>();
   private final List<SoakEndpoint> endpoints = new ArrayList<>();
   private final List<HostProcess> hosts = new CopyOnWriteArrayList<>();
@@ -107,7 +109,7 @@
   }
 
   private SoakEndpoint endpoint(String id, String service, int events) {
-    return new SoakEndpoint(vertx, client, ledger, id, service, events);
+    return new SoakEndpoint(vertx, client, ledger, uses, id, service, events);
   }
 
   private Future<List<HostAddress>> startLinks(HostAddress storeAt) {
