Keep the memory of a request that still waits for its turn

Change: MemoryUse decides from both reports. Memory that was used and is not any more is proof that the run is over; memory that was never used is so only where nothing waits at the request's own engine, or after 6.5 s, below the 9 s for which operators let memory lie unused. Probes and questions are one report.

--- a/org.fawndrum/src/org/fawndrum/transport/relay/EngineOrders.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/EngineOrders.java
@@ -5,8 +5,8 @@
 import org.fawndrum.state.Endpoint;
 
 /**
- * Orders to engines about their cache memory, and the questions whether they live and whether that
- * memory is used. Futures complete on the caller's event loop.
+ * Orders to engines about their cache memory, and the question how they are. Futures complete on
+ * the caller's event loop.
  */
 public interface EngineOrders {
   /**
@@ -22,12 +22,6 @@
   /** Frees memory that was set aside. */
   Future<Void> release(Endpoint engine, String ticket);
 
-  /** Asks an engine for a sign of life; fails when it gives none in time. */
-  Future<Void> probe(Endpoint engine);
-
-  /**
-   * Asks an engine whether an open request uses memory that was set aside on it; fails when it does
-   * not answer in time. What it says is a few hundred milliseconds old.
-   */
-  Future<MemoryUse> memoryUse(Endpoint engine, String ticket);
+  /** Asks an engine for its report, a sign of life in any case; fails when none comes in time. */
+  Future<EngineReport> report(Endpoint engine);
 }
--- a/org.fawndrum/src/org/fawndrum/transport/relay/PromptMemory.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/PromptMemory.java
@@ -53,6 +53,7 @@
   private final List<Part> parts;
   private final HostLog log;
   private final List<Lease> leases = new ArrayList<>();
+  private final MemoryUse use = new MemoryUse();
   private HostIdentity unreachable;
   private long reservedMs;
   private long renewedMs;
@@ -187,27 +188,35 @@
     return Optional.ofNullable(unreachable);
   }
 
+  /** Takes note that the answer of the request has begun. */
+  void begun() {
+    use.begun();
+  }
+
   /**
-   * Asks one of the engines that hold the memory, each time the next, whether this request still
-   * uses it; fails when it does not, or when no answer comes. Each of them hears of the end of the
-   * request from the engine that was asked, even when that says nothing to this host.
+   * Asks one of the engines that hold the memory, each time the next, whether this request may
+   * still use it; fails when it does not, or when no answer comes. Each of them hears of the end of
+   * the request from the engine that reads it, even when that says nothing to this host.
    *
    * <p>What it buys: memory that nobody uses is given back within 3 s, where it had stayed set
    * aside until the caller's deadline, with an engine that lives and has dropped the request.
+   *
+   * @param reader the report of the engine that the request was sent to, as it comes
    */
-  Future<Void> stillUsed() {
+  Future<Void> stillUsed(Future<EngineReport> reader) {
     if (!held()) {
-      return Future.succeededFuture();
+      return reader.mapEmpty();
     }
     Part part = leases.get(questions++ % leases.size()).part;
-    Endpoint holder = part.helper().endpoint();
-    return orders
-        .memoryUse(holder, part.ticket())
+    Endpoint engine = part.helper().endpoint();
+    Future<EngineReport> holder = orders.report(engine);
+    return Future.join(reader, holder)
         .compose(
-            use ->
-                use == MemoryUse.UNUSED
-                    ? Future.failedFuture(new MemoryUnusedException(holder.name()))
-                    : Future.succeededFuture());
+            both ->
+                use.possible(
+                        reader.result(), holder.result(), part.ticket(), clock.nowMs() - reservedMs)
+                    ? Future.succeededFuture()
+                    : Future.failedFuture(new MemoryUnusedException(engine.name())));
   }
 
   /**
--- a/org.fawndrum/src/org/fawndrum/transport/relay/RelayAttempt.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/RelayAttempt.java
@@ -182,7 +182,7 @@
 
   /** Asks whether the engine lives, and those that hold memory whether it is still used. */
   private Future<Void> probe() {
-    return Future.join(tools.orders().probe(send.endpoint()), memory.stillUsed()).mapEmpty();
+    return memory.stillUsed(tools.orders().report(send.endpoint()));
   }
 
   private void engineDead(Throwable why) {
@@ -347,6 +347,7 @@
     if (!events.isEmpty()) {
       progressMs = tools.clock().nowMs();
       liveness.heard();
+      memory.begun();
       begun = true;
       stallReported = false;
     }
