Let an entry that its endpoint cannot have written name no endpoint, also over a sound one

Cause: a record that could not be decoded was logged and changed nothing, so that the endpoint it had been written over went on getting work; and the JSON library takes a number for a text and a missing field for null, so that most malformed entries passed.

Ruled out: checking only what the system uses. An entry with one field in another form was not written by its endpoint, whichever field that is.

--- a/org.fawndrum/src/org/fawndrum/state/Endpoint.java
+++ b/org.fawndrum/src/org/fawndrum/state/Endpoint.java
@@ -23,6 +23,9 @@
     Set<String> serves,
     long memoryTokens,
     Optional<EngineProfile> engine) {
+  /** The incarnation of an endpoint that does not tell when it started. */
+  public static final long START_NOT_TOLD = 0;
+
   /** Copies the served names, so that the endpoint cannot change. */
   public Endpoint {
     serves = Set.copyOf(serves);
--- a/org.fawndrum/src/org/fawndrum/transport/relay/EndpointReader.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/EndpointReader.java
@@ -12,6 +12,7 @@
 import java.util.function.Consumer;
 import org.fawndrum.errors.RecordUnreadableException;
 import org.fawndrum.internal.log.HostLog;
+import org.fawndrum.internal.log.LineBudget;
 import org.fawndrum.internal.log.LogEvent;
 import org.fawndrum.protocol.KeyedPage;
 import org.fawndrum.protocol.KeyedPage.KeyedRecord;
@@ -22,15 +23,28 @@
 
 /**
  * Keeps the list of endpoints from their own records. Entries that lapsed while the platform was
- * away are kept for a while after its return, because living endpoints write themselves again.
- * Records that cannot be read are logged and change nothing. Confined to one event loop, but for
- * {@link #readTo}, {@link #changedTo}, {@link #ageMs} and {@link #records}, which all threads may
- * call.
+ * away are kept for a while after its return, because living endpoints write themselves again. A
+ * record that is no entry was written by somebody else: its key names no endpoint from then on,
+ * whatever stood there, and every other entry holds. Confined to one event loop, but for {@link
+ * #readTo}, {@link #changedTo}, {@link #ageMs}, {@link #records} and {@link #unusable}, which all
+ * threads may call.
  */
 final class EndpointReader implements TopicFollower.Reader {
   /** How long after its return the platform may still lack living endpoints, in milliseconds. */
   private static final long RETURN_MS = 2_000;
 
+  /** The most lines about unusable entries a second; a counter tells of all. */
+  private static final int LINES_PER_SECOND = 5;
+
+  /**
+   * Where at least this part of the entries tells when the endpoint started, one that does not was
+   * written by somebody else. Below one, because several may have been; well above a half, because
+   * endpoints may be replaced one by one by others that do not tell it yet, or do.
+   */
+  private static final double MOST_TELL_PART = 0.75;
+
+  private static final byte[] NOTHING = {};
+
   private final RelayDecoder decoder;
   private final Consumer<HostListing> listed;
   private final HostClock clock;
@@ -38,10 +52,13 @@
   private final Map<String, RelayDecoder.EndpointEntry> entries = new LinkedHashMap<>();
   private final Map<String, KeyedRecord> records = new ConcurrentHashMap<>();
   private final Set<String> lapsed = new HashSet<>();
+  private Set<String> startless = Set.of();
+  private final LineBudget lines = new LineBudget(LINES_PER_SECOND);
   private long returnedMs = HostClock.NEVER_MS;
   private volatile long readTo = -1;
   private volatile long changedTo = -1;
   private volatile long knownAtMs = HostClock.NEVER_MS;
+  private volatile long unusable;
   private long version;
 
   EndpointReader(RelayDecoder decoder, Consumer<HostListing> listed, HostClock clock, HostLog log) {
@@ -60,9 +77,18 @@
   public void whole(KeyedPage page, long askedMs) {
     Set<String> present = new HashSet<>();
     page.records().forEach(record -> present.add(record.key()));
-    Set<String> missing = new HashSet<>(entries.keySet());
+    Set<String> missing = new HashSet<>(records.keySet());
     missing.removeAll(present);
-    take(page, missing);
+    List<KeyedRecord> held = new ArrayList<>();
+    for (KeyedRecord record : page.records()) {
+      if (record.drops()) {
+        // Another host tells the newest of each key, and found this one unusable.
+        namesNone(record);
+      } else {
+        held.add(record);
+      }
+    }
+    take(new KeyedPage(held, page.end()), missing);
     confirmed(page.end(), askedMs);
   }
 
@@ -99,11 +125,19 @@
     return nowMs - knownAtMs;
   }
 
-  /** Returns the records of the entries, as they were read. */
+  /**
+   * Returns the records of the entries, as they were read; one without a value where an entry has
+   * become unusable.
+   */
   List<KeyedRecord> records() {
     return List.copyOf(records.values());
   }
 
+  /** Returns how many records were no entry. */
+  long unusable() {
+    return unusable;
+  }
+
   private void take(KeyedPage page, Set<String> missing) {
     readTo = Math.max(readTo, page.end());
     for (KeyedRecord record : page.records()) {
@@ -128,7 +162,24 @@
       records.put(record.key(), record);
       lapsed.remove(record.key());
     } catch (RecordUnreadableException e) {
-      log.failure(LogEvent.RECORD_PASSED_OVER, e, Long.toString(record.offset()));
+      tellUnusable(record, e.getCause());
+      namesNone(record);
+    }
+  }
+
+  private void tellUnusable(KeyedRecord record, Object why) {
+    unusable = unusable + 1;
+    if (lines.take(clock.nowMs())) {
+      log.event(LogEvent.ENTRY_UNUSABLE, record.key(), record.offset(), why);
+    }
+  }
+
+  /** Ends an entry for good; nothing lapsed that could come back by itself. */
+  private void namesNone(KeyedRecord record) {
+    if (entries.containsKey(record.key())) {
+      drop(record.key());
+      // Hosts that ask this one learn of it too, in few bytes, whatever was written.
+      records.put(record.key(), new KeyedRecord(record.offset(), record.key(), NOTHING));
     }
   }
 
@@ -165,10 +216,31 @@
     }
   }
 
+  /** Returns the keys whose entries lack the start that most others tell. */
+  private Set<String> startless() {
+    Set<String> without = new HashSet<>();
+    entries.forEach(
+        (key, entry) -> {
+          if (entry.endpoint().incarnation() == Endpoint.START_NOT_TOLD) {
+            without.add(key);
+          }
+        });
+    boolean mostTell = entries.size() - without.size() >= MOST_TELL_PART * entries.size();
+    return mostTell ? without : Set.of();
+  }
+
   private void publish() {
+    Set<String> before = startless;
+    startless = startless();
+    startless.stream()
+        .filter(key -> !before.contains(key))
+        .forEach(key -> tellUnusable(records.get(key), "the time of its start"));
     List<Endpoint> endpoints = new ArrayList<>();
     Set<HostIdentity> leaving = new HashSet<>();
     for (RelayDecoder.EndpointEntry entry : entries.values()) {
+      if (startless.contains(entry.endpoint().name())) {
+        continue;
+      }
       endpoints.add(entry.endpoint());
       if (entry.leaving()) {
         leaving.add(entry.endpoint().identity());
--- a/org.fawndrum/src/org/fawndrum/transport/relay/RelayDuty.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/RelayDuty.java
@@ -2,7 +2,7 @@
 package org.fawndrum.transport.relay;
 
 import java.util.List;
-import java.util.Objects;
+import java.util.Optional;
 import java.util.function.Consumer;
 import org.fawndrum.coordination.Action;
 import org.fawndrum.coordination.Decision;
@@ -180,16 +180,17 @@
 
   /** Offers the endpoints with what the configuration says of their services. */
   private void offerEndpoints(long nowMs) {
-    carryOut(coordinator.endpoints(roster.open().stream().map(this::described).toList(), nowMs));
+    List<Endpoint> known =
+        roster.open().stream().map(this::described).flatMap(Optional::stream).toList();
+    carryOut(coordinator.endpoints(known, nowMs));
   }
 
-  private Endpoint described(Endpoint endpoint) {
+  /** Returns an endpoint with the profile of its service; none where no service is named so. */
+  private Optional<Endpoint> described(Endpoint endpoint) {
     return endpoint.serves().stream()
-        .map(name -> routes.service(name).orElse(null))
-        .filter(Objects::nonNull)
+        .flatMap(name -> routes.service(name).stream())
         .findFirst()
-        .map(profile -> endpoint.describedBy(profile))
-        .orElse(endpoint);
+        .map(endpoint::describedBy);
   }
 
   private void carryOut(List<Action> actions) {
--- a/org.fawndrum/src/org/fawndrum/transport/relay/RelayRuntime.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/RelayRuntime.java
@@ -227,6 +227,7 @@
     registry.registerGauge("configurationRevision", () -> routes.table().revision());
     registry.registerGauge("configurationAgeMs", () -> routes.ageMs(clock.nowMs()));
     registry.registerGauge("endpointsAgeMs", () -> clock.nowMs() - listedAtMs);
+    registry.registerGauge("unusableEntries", () -> reading.endpoints().unusable());
     registry.registerGauge("openRequests", decisions::open);
     registry.registerGauge("decisionsRingFill", decisions::ringFill);
     registry.registerGauge("callerConnections", () -> callers.connections());
