End whatever a host keeps of an endpoint with the start that it is about

Cause: the time at which an endpoint started was read nowhere, so that two starts under one id were one. What was in flight waited at a process that had never heard of it; leases were renewed there for nobody; the later start inherited blame, rest, pace, work, and that it was leaving.

Ruled out: waiting for connections to break.

Change: the incarnation of an endpoint is the time of its start, from its entry, its reports or work that others place there, whichever comes first. What hangs on an earlier start is cancelled and sent again, or answered at once where it may not be; leases are not renewed at another start; connections are kept for each start by itself. News of work at an endpoint that was missing for a while are counted again with the next heartbeat.

--- a/org.fawndrum.soak/src/org/fawndrum/soak/Fault.java
+++ b/org.fawndrum.soak/src/org/fawndrum/soak/Fault.java
@@ -3,8 +3,10 @@
 
 import java.util.ArrayList;
 import java.util.Comparator;
+import java.util.EnumSet;
 import java.util.List;
 import java.util.Random;
+import java.util.Set;
 
 /**
  * One fault.
@@ -40,6 +42,18 @@
   /** How often engines forget what they work on in a seed. */
   private static final int FORGETTING = 2;
 
+  /** How often engines start again in a seed. */
+  private static final int RESTARTS = 3;
+
+  /** How often entries are written over in a seed. */
+  private static final int SPOILED = 3;
+
+  /** The kinds before engines could start again: seeds that showed a fault keep what they had. */
+  static final Set<Kind> FIRST = EnumSet.range(Kind.KILL, Kind.ENGINE_FORGETS);
+
+  /** All kinds. */
+  static final Set<Kind> ALL = EnumSet.allOf(Kind.class);
+
   /** What happens. */
   enum Kind {
     /** A host is killed and started again. */
@@ -78,19 +92,31 @@
      * An engine drops what it works on without a word and serves on; one that reads a long prompt
      * if there is one.
      */
-    ENGINE_FORGETS;
+    ENGINE_FORGETS,
+    /**
+     * An engine starts again under its id and knows nothing of before; one that reads a long prompt
+     * if there is one.
+     */
+    ENGINE_RESTARTS,
+    /** Somebody else writes over the entry of an engine, until the engine writes its own again. */
+    ENTRY_SPOILED;
 
     /** Tells whether it happens at one moment, and so has no end. */
     boolean momentary() {
       return switch (this) {
-        case KILL, STOP, STORE_FORGETS, CONFIGURE, REVOKE, ENGINE_SILENT, ENGINE_FORGETS -> true;
+        case KILL, STOP, STORE_FORGETS, CONFIGURE, REVOKE -> true;
+        case ENGINE_SILENT, ENGINE_FORGETS, ENGINE_RESTARTS -> true;
         default -> false;
       };
     }
   }
 
-  /** Returns the faults of a seed, by time: single ones and series that overlap. */
-  static List<Fault> plan(Random random, long lengthMs, int targets) {
+  /**
+   * Returns the faults of a seed, by time: single ones and series that overlap.
+   *
+   * @param kinds {@link #FIRST} or {@link #ALL}
+   */
+  static List<Fault> plan(Random random, long lengthMs, int targets, Set<Kind> kinds) {
     List<Fault> plan = new ArrayList<>();
     long atMs = random.nextInt(GAP_MS);
     while (atMs < lengthMs) {
@@ -109,6 +135,16 @@
     for (int i = 0; i < FORGETTING; i++) {
       plan.add(fault(random, random.nextInt((int) lengthMs), Kind.ENGINE_FORGETS, targets));
     }
+    if (kinds.contains(Kind.ENGINE_RESTARTS)) {
+      for (int i = 0; i < RESTARTS; i++) {
+        plan.add(fault(random, random.nextInt((int) lengthMs), Kind.ENGINE_RESTARTS, targets));
+      }
+    }
+    if (kinds.contains(Kind.ENTRY_SPOILED)) {
+      for (int i = 0; i < SPOILED; i++) {
+        plan.add(fault(random, random.nextInt((int) lengthMs), Kind.ENTRY_SPOILED, targets));
+      }
+    }
     plan.sort(Comparator.comparingLong(Fault::atMs));
     return plan;
   }
--- a/org.fawndrum.soak/src/org/fawndrum/soak/Soak.java
+++ b/org.fawndrum.soak/src/org/fawndrum/soak/Soak.java
@@ -5,6 +5,7 @@
 import java.nio.file.Path;
 import java.util.List;
 import java.util.Random;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 
 /**
@@ -36,10 +37,10 @@
    * @param seed decides on the faults and the requests
    * @param hosts how many daemons there are
    * @param lengthMs how long faults begin, in milliseconds
-   * @param calm whether there are no faults
+   * @param kinds the faults that come; none for a calm play
    * @param folder where settings and logs of the daemons go
    */
-  record Order(long seed, int hosts, long lengthMs, boolean calm, Path folder) {}
+  record Order(long seed, int hosts, long lengthMs, Set<Fault.Kind> kinds, Path folder) {}
 
   /**
    * What a seed showed.
@@ -125,10 +126,11 @@
   /** Lets the faults of the seed come, or as much time pass, and ends them all. */
   private void playFaults(Callers callers) throws InterruptedException, IOException {
     FaultPlayer faults = new FaultPlayer(site, ledger, callers, loop);
-    if (order.calm()) {
+    if (order.kinds().isEmpty()) {
       Thread.sleep(order.lengthMs());
     } else {
-      faults.play(Fault.plan(new Random(order.seed()), order.lengthMs(), order.hosts()));
+      Random random = new Random(order.seed());
+      faults.play(Fault.plan(random, order.lengthMs(), order.hosts(), order.kinds()));
     }
     faults.heal();
   }
--- a/org.fawndrum.soak/src/org/fawndrum/soak/SoakEndpoint.java
+++ b/org.fawndrum.soak/src/org/fawndrum/soak/SoakEndpoint.java
@@ -28,6 +28,10 @@
   private static final long SHORTEST_READ_MS = 1_000;
 
   private static final long READ_STEP_MS = 500;
+
+  /** The time between two starts that it tells, in milliseconds; any would do. */
+  private static final long RESTART_MS = 1_000;
+
   private static final int READ_STEPS = 4;
 
   private final Vertx vertx;
@@ -138,6 +142,13 @@
     forgotten++;
   }
 
+  /** Starts again under its id: it holds and knows nothing of before, and tells a later start. */
+  void startAgain() {
+    forget();
+    ledger.memory().gone(id, Soak.nowMs());
+    standin.startAgain(standin.bornMs() + RESTART_MS);
+  }
+
   boolean isSilent() {
     return silent;
   }
--- a/org.fawndrum.soak/src/org/fawndrum/soak/SoakMain.java
+++ b/org.fawndrum.soak/src/org/fawndrum/soak/SoakMain.java
@@ -4,6 +4,7 @@
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.Set;
 import org.kohsuke.args4j.CmdLineException;
 import org.kohsuke.args4j.CmdLineParser;
 import org.kohsuke.args4j.Option;
@@ -52,8 +53,9 @@
     boolean whole = true;
     for (long seed = from; seed < from + seeds; seed++) {
       Path folder = Files.createDirectories(keep.resolve("seed-" + seed));
+      Set<Fault.Kind> kinds = calm ? Set.of() : Fault.ALL;
       Soak.Result result =
-          new Soak(new Soak.Order(seed, hosts, seconds * MS_PER_SECOND, calm, folder)).call();
+          new Soak(new Soak.Order(seed, hosts, seconds * MS_PER_SECOND, kinds, folder)).call();
       System.out.println("seed " + seed + ": " + result.summary());
       result.broken().forEach(what -> System.out.println("  broken: " + what));
       whole &= result.broken().isEmpty();
--- a/org.fawndrum.soak/src/org/fawndrum/soak/SoakSite.java
+++ b/org.fawndrum.soak/src/org/fawndrum/soak/SoakSite.java
@@ -65,6 +65,11 @@
   private static final String READY = "ready";
   private static final String LEAVING = "draining";
 
+  /** What another writer may leave in place of an entry. */
+  private static final String[] NO_ENTRIES = {
+    "{\"Service\":\"pool\"}", "{\"Service\":7,\"State\":", "no entry", "[]"
+  };
+
   /** How long a proxy tries to connect, in milliseconds. */
   private static final int CONNECT_MS = 1_000;
 
@@ -82,6 +87,7 @@
   private final List<HostAddress> callers = new ArrayList<>();
   private boolean revoked;
   private long version;
+  private int spoiled;
 
   SoakSite(Vertx vertx, Ledger ledger, int hosts, Path folder) {
     this.vertx = vertx;
@@ -186,6 +192,8 @@
       case REVOKE -> revoke();
       case ENGINE_SILENT -> silence(endpoint);
       case ENGINE_FORGETS -> engineInsteadOf(endpoint).ifPresent(SoakEndpoint::forget);
+      case ENGINE_RESTARTS -> engineInsteadOf(endpoint).ifPresent(this::restart);
+      case ENTRY_SPOILED -> spoil(endpoint, begins);
       default -> throw new SoakFailedException("fault " + fault, null);
     }
   }
@@ -198,6 +206,20 @@
     }
   }
 
+  private void restart(SoakEndpoint engine) {
+    engine.startAgain();
+    endpointSays(engine, READY);
+  }
+
+  /** Writes over the entry of an engine, as another writer does, or lets it write its own again. */
+  private void spoil(SoakEndpoint endpoint, boolean begins) {
+    if (!begins) {
+      endpointSays(endpoint, READY);
+    } else if (!endpoint.id().equals(SERVICE)) {
+      store.put(ENDPOINTS, endpoint.id(), NO_ENTRIES[spoiled++ % NO_ENTRIES.length]);
+    }
+  }
+
   /** Returns an engine that reads a long prompt; if there is none, the one given, if it is one. */
   private Optional<SoakEndpoint> engineInsteadOf(SoakEndpoint otherwise) {
     return endpoints.stream()
--- a/org.fawndrum.soak/tst/org/fawndrum/soak/SoakTest.java
+++ b/org.fawndrum.soak/tst/org/fawndrum/soak/SoakTest.java
@@ -6,6 +6,7 @@
 import java.nio.file.Path;
 import java.util.List;
 import java.util.Random;
+import java.util.Set;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.CleanupMode;
 import org.junit.jupiter.api.io.TempDir;
@@ -25,7 +26,11 @@
   }
 
   private void holds(long seed, int hosts, long lengthMs) throws Exception {
-    Soak.Result result = new Soak(new Soak.Order(seed, hosts, lengthMs, false, folder)).call();
+    holds(seed, hosts, lengthMs, Fault.FIRST);
+  }
+
+  private void holds(long seed, int hosts, long lengthMs, Set<Fault.Kind> kinds) throws Exception {
+    Soak.Result result = new Soak(new Soak.Order(seed, hosts, lengthMs, kinds, folder)).call();
     String where = ", settings and logs of the daemons in " + folder;
     assertEquals(List.of(), result.broken(), result.summary() + where);
   }
@@ -76,10 +81,16 @@
     holds(8_003, 4, 12_000);
   }
 
+  /** Engines start again under their ids, and somebody else writes over their entries. */
+  @Test
+  void seedTwelveThousandAndOne() throws Exception {
+    holds(12_001, HOSTS, LENGTH_MS, Fault.ALL);
+  }
+
   @Test
   void aSeedAlwaysPlansTheSameFaults() {
-    List<Fault> plan = Fault.plan(new Random(7), 60_000, HOSTS);
-    assertEquals(plan, Fault.plan(new Random(7), 60_000, HOSTS));
+    List<Fault> plan = Fault.plan(new Random(7), 60_000, HOSTS, Fault.ALL);
+    assertEquals(plan, Fault.plan(new Random(7), 60_000, HOSTS, Fault.ALL));
     assertEquals(
         Fault.Kind.values().length, plan.stream().map(Fault::kind).distinct().count(), "kinds");
   }
--- a/org.fawndrum/src/org/fawndrum/coordination/Admission.java
+++ b/org.fawndrum/src/org/fawndrum/coordination/Admission.java
@@ -81,8 +81,14 @@
     return new Refusal(kind, Ran.NO, retryMs, Optional.of(new CellKey(facts.group(), column)));
   }
 
+  /** Returns the end of a request that is given up as late. */
+  Refusal late(LiveRequest request, RefusalKind kind, long nowMs) {
+    CellKey cell = new CellKey(request.facts.group(), Column.DEADLINE_MS);
+    return new Refusal(kind, request.ran(), retryAfterMs(request, nowMs), Optional.of(cell));
+  }
+
   /** Returns when a request that is given up as late may come back, in milliseconds. */
-  long retryAfterMs(LiveRequest request, long nowMs) {
+  private long retryAfterMs(LiveRequest request, long nowMs) {
     if (!request.facts.repeatable() && request.ran() != Ran.NO) {
       return Refusal.NEVER;
     }
--- a/org.fawndrum/src/org/fawndrum/coordination/AttemptEnds.java
+++ b/org.fawndrum/src/org/fawndrum/coordination/AttemptEnds.java
@@ -44,6 +44,20 @@
     return whyNot;
   }
 
+  /**
+   * Ends an attempt because an endpoint on which it hangs has started again and knows nothing of
+   * it. Nobody is blamed: the start that failed is over, and the later one has done nothing.
+   *
+   * @return why no other attempt may follow, or null when one may
+   */
+  Reason restarted(LiveRequest request, LiveRequest.Attempt attempt, long nowMs) {
+    attempt.state = AttemptStates.after(attempt.state, AttemptEvent.LOST);
+    abandon(attempt, nowMs);
+    Reason why = Reason.ENDPOINT_RESTARTED;
+    explainer.attempt(request, attempt, DecisionKind.ATTEMPT_FAILED, why, nowMs);
+    return retries.whyNot(request, attempt, AttemptEvent.LOST, nowMs);
+  }
+
   private void showAndBlame(
       LiveRequest request, LiveRequest.Attempt attempt, AttemptEvent event, long nowMs) {
     explainer.attempt(request, attempt, DecisionKind.ATTEMPT_FAILED, Reason.ENDPOINT_FAILED, nowMs);
--- a/org.fawndrum/src/org/fawndrum/coordination/EndpointBook.java
+++ b/org.fawndrum/src/org/fawndrum/coordination/EndpointBook.java
@@ -6,6 +6,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.Consumer;
 import org.fawndrum.state.Endpoint;
 import org.fawndrum.state.HostIdentity;
 
@@ -62,6 +63,14 @@
     return several ? largestMemory * serving(target).size() : largestMemory;
   }
 
+  /** Does something with the state of an endpoint incarnation, if it is known. */
+  void ifKnown(HostIdentity identity, Consumer<EndpointState> step) {
+    EndpointState state = states.get(identity);
+    if (state != null) {
+      step.accept(state);
+    }
+  }
+
   /** Returns the state of an endpoint incarnation, or null when it is not known. */
   EndpointState state(HostIdentity identity) {
     return states.get(identity);
--- a/org.fawndrum/src/org/fawndrum/coordination/EndpointRoster.java
+++ b/org.fawndrum/src/org/fawndrum/coordination/EndpointRoster.java
@@ -39,8 +39,7 @@
    * is news.
    */
   public boolean saidLeaving(HostIdentity endpoint) {
-    boolean isOld = endpoint.incarnation() < newest(endpoint);
-    return !isOld && leaving.add(endpoint);
+    return !isOver(endpoint) && leaving.add(endpoint);
   }
 
   /** Takes note that an incarnation answered: earlier ones of its host are gone. */
@@ -48,6 +47,19 @@
     return seen(endpoint);
   }
 
+  /**
+   * Takes somebody's word that a listed endpoint has started again; returns whether it is news. An
+   * endpoint that is not listed is passed over: only its own entry names one to use.
+   */
+  public boolean startedAgain(HostIdentity start) {
+    return newestIncarnations.containsKey(start.host()) && seen(start);
+  }
+
+  /** Tells whether a later start of the endpoint is known. */
+  public boolean isOver(HostIdentity start) {
+    return start.incarnation() < newest(start);
+  }
+
   private boolean seen(HostIdentity endpoint) {
     Long before = newestIncarnations.get(endpoint.host());
     if (before != null && before >= endpoint.incarnation()) {
@@ -58,7 +70,7 @@
   }
 
   private void forgetGone() {
-    leaving.removeIf(one -> one.incarnation() < newest(one));
+    leaving.removeIf(this::isOver);
   }
 
   private long newest(HostIdentity endpoint) {
--- a/org.fawndrum/src/org/fawndrum/coordination/EngineWork.java
+++ b/org.fawndrum/src/org/fawndrum/coordination/EngineWork.java
@@ -9,6 +9,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.function.Consumer;
+import java.util.function.Predicate;
 import org.fawndrum.coordination.engine.EngineJob;
 import org.fawndrum.coordination.engine.EngineLoad;
 import org.fawndrum.coordination.engine.EngineNews;
@@ -107,10 +108,24 @@
 
   /** Changes the load of a job's endpoint, if the endpoint is known. */
   private void onLoad(EngineJob job, Consumer<EngineLoad> change) {
-    EndpointState state = endpoints.state(job.endpoint());
-    if (state != null) {
-      change.accept(state.load());
+    endpoints.ifKnown(job.endpoint(), state -> change.accept(state.load()));
+  }
+
+  /**
+   * Tells whether an attempt hangs on one of some starts of endpoints: one that writes its answer,
+   * holds memory for it, or still reads a part of its prompt.
+   */
+  boolean hangsOn(LiveRequest.Attempt attempt, Predicate<HostIdentity> starts) {
+    for (long id : attempt.jobs) {
+      EngineJob job = own.get(id);
+      if (job != null && starts.test(job.endpoint())) {
+        boolean stillNeeded = job.writes() || job.memoryTokens() > 0 || !ownRead.contains(id);
+        if (stillNeeded) {
+          return true;
+        }
+      }
     }
+    return false;
   }
 
   /** Returns this host's work as news that tell all of it. */
@@ -131,7 +146,9 @@
     if (news instanceof EngineNews.Placed placed) {
       EngineJob job = placed.job();
       EndpointState state = endpoints.state(job.endpoint());
-      if (state != null && jobs.putIfAbsent(job.id(), job) == null) {
+      if (state != null) {
+        // Also what was heard before: an endpoint that was missing for a while begins without work.
+        jobs.putIfAbsent(job.id(), job);
         state.load().add(job, nowMs);
       }
     } else if (news instanceof EngineNews.Read read) {
@@ -150,10 +167,7 @@
 
   /** Lets an endpoint rest for a while. */
   void failed(HostIdentity endpoint, long nowMs) {
-    EndpointState state = endpoints.state(endpoint);
-    if (state != null) {
-      state.failed(nowMs);
-    }
+    endpoints.ifKnown(endpoint, state -> state.failed(nowMs));
   }
 
   private void heardEnded(EngineJob job, boolean failed, long nowMs) {
--- a/org.fawndrum/src/org/fawndrum/coordination/LiveRequest.java
+++ b/org.fawndrum/src/org/fawndrum/coordination/LiveRequest.java
@@ -71,6 +71,13 @@
     this.priority = priority;
   }
 
+  /** Forgets which endpoints it is kept from when that leaves none of so many. */
+  void allowAllIfNoneIsLeft(int candidates) {
+    if (excluded.size() >= candidates) {
+      excluded.clear();
+    }
+  }
+
   Attempt last() {
     return attempts.isEmpty() ? null : attempts.get(attempts.size() - 1);
   }
--- a/org.fawndrum/src/org/fawndrum/coordination/Reason.java
+++ b/org.fawndrum/src/org/fawndrum/coordination/Reason.java
@@ -21,6 +21,8 @@
   ENDPOINTS_BUSY,
   /** Another endpoint took over after a failure. */
   ENDPOINT_FAILED,
+  /** The endpoint started again and knows nothing of the attempt. */
+  ENDPOINT_RESTARTED,
   /** The deadline would pass before the end. */
   DEADLINE,
   /** No endpoint serves the target. */
--- a/org.fawndrum/src/org/fawndrum/coordination/RequestCoordinator.java
+++ b/org.fawndrum/src/org/fawndrum/coordination/RequestCoordinator.java
@@ -7,9 +7,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.Predicate;
 import org.fawndrum.coordination.engine.EngineNews;
-import org.fawndrum.state.CellKey;
-import org.fawndrum.state.Column;
 import org.fawndrum.state.Endpoint;
 import org.fawndrum.state.EndpointKind;
 import org.fawndrum.state.HostIdentity;
@@ -79,21 +78,26 @@
     return flush(nowMs);
   }
 
+  /** Sends again what hangs on starts of endpoints that are over, where it may be. */
+  public List<Action> restarted(Predicate<HostIdentity> over, long nowMs) {
+    for (LiveRequest request : List.copyOf(requests.values())) {
+      LiveRequest.Attempt last = request.last();
+      if (last != null && !last.state.ended() && work.hangsOn(last, over)) {
+        goOn(request, last, ends.restarted(request, last, nowMs), nowMs);
+      }
+    }
+    return flush(nowMs);
+  }
+
   /** Takes a load report of an endpoint. */
   public List<Action> load(HostIdentity endpoint, LoadReport report, long nowMs) {
-    EndpointState state = endpoints.state(endpoint);
-    if (state != null) {
-      state.reported(report, nowMs);
-    }
+    endpoints.ifKnown(endpoint, state -> state.reported(report, nowMs));
     return flush(nowMs);
   }
 
   /** Takes a load that a peer told; a late report of the endpoint itself goes before it. */
   public List<Action> loadTold(HostIdentity endpoint, LoadReport load, long nowMs) {
-    EndpointState state = endpoints.state(endpoint);
-    if (state != null) {
-      state.told(load, nowMs);
-    }
+    endpoints.ifKnown(endpoint, state -> state.told(load, nowMs));
     return flush(nowMs);
   }
 
@@ -315,10 +319,7 @@
   }
 
   private void giveUpAsLate(LiveRequest request, RefusalKind kind, long nowMs) {
-    CellKey cell = new CellKey(request.facts.group(), Column.DEADLINE_MS);
-    long retryMs = admission.retryAfterMs(request, nowMs);
-    Refusal late = new Refusal(kind, request.ran(), retryMs, Optional.of(cell));
-    giveUp(request, late, Reason.DEADLINE, nowMs);
+    giveUp(request, admission.late(request, kind, nowMs), Reason.DEADLINE, nowMs);
   }
 
   private void giveUp(LiveRequest request, Refusal refusal, Reason why, long nowMs) {
@@ -350,9 +351,7 @@
     }
     request.offerAgainMs = nowMs + OFFER_AGAIN_MS;
     List<EndpointState> candidates = endpoints.serving(request.facts.target());
-    if (request.excluded.size() >= candidates.size()) {
-      request.excluded.clear();
-    }
+    request.allowAllIfNoneIsLeft(candidates.size());
     int priority = waiting.shouldYield(request, nowMs) ? 0 : request.priority;
     Optional<Placement.Choice> choice =
         policies
--- a/org.fawndrum/src/org/fawndrum/transport/DecisionDuty.java
+++ b/org.fawndrum/src/org/fawndrum/transport/DecisionDuty.java
@@ -304,6 +304,7 @@
     byNameHash.clear();
     open.forEach(endpoint -> byNameHash.put(LoadDigest.nameHash(endpoint.name()), endpoint));
     carryOut(coordinator.endpoints(open, nowMs));
+    carryOut(coordinator.restarted(roster::isOver, nowMs));
     view =
         new View(
             coordinator.open() + claims.waiting(),
--- a/org.fawndrum/src/org/fawndrum/transport/relay/EndpointClient.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/EndpointClient.java
@@ -45,12 +45,7 @@
   /** Gives a request whose connection is open; nothing has been written to it. */
   Future<HttpClientRequest> request(
       Endpoint endpoint, HttpMethod method, String uri, boolean repeatable) {
-    RequestOptions options =
-        new RequestOptions()
-            .setMethod(method)
-            .setHost(endpoint.address().ip())
-            .setPort(endpoint.address().port())
-            .setURI(uri);
+    RequestOptions options = EndpointConnections.options(endpoint).setMethod(method).setURI(uri);
     return (repeatable ? kept : fresh).request(options);
   }
 }
--- a/org.fawndrum/src/org/fawndrum/transport/relay/RelayDuty.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/RelayDuty.java
@@ -10,6 +10,7 @@
 import org.fawndrum.coordination.Refusal;
 import org.fawndrum.coordination.RefusalKind;
 import org.fawndrum.coordination.RequestCoordinator;
+import org.fawndrum.coordination.engine.EngineNews;
 import org.fawndrum.coordination.membership.FleetReport;
 import org.fawndrum.internal.duty.Duty;
 import org.fawndrum.internal.duty.Ring;
@@ -119,8 +120,8 @@
       handle(ofRequest, nowMs);
     } else if (event instanceof RelayEvent.OfDaemon ofDaemon) {
       handle(ofDaemon, nowMs);
-    } else if (event instanceof RelayEvent.OfStore ofStore) {
-      handle(ofStore, nowMs);
+    } else if (event instanceof RelayEvent.OfEndpoints ofEndpoints) {
+      handle(ofEndpoints, nowMs);
     } else if (event instanceof RelayEvent.OfHost ofHost) {
       handle(ofHost, nowMs);
     }
@@ -144,6 +145,7 @@
 
   private void handle(RelayEvent.OfDaemon event, long nowMs) {
     if (event instanceof RelayEvent.Told told) {
+      learnStarts(told.reports(), nowMs);
       for (FleetReport report : told.reports()) {
         carryOut(coordinator.told(report.from(), report.news(), report.whole(), nowMs));
       }
@@ -154,7 +156,21 @@
     }
   }
 
-  private void handle(RelayEvent.OfStore event, long nowMs) {
+  /** Work that others place at a later start of an endpoint says that it has started again. */
+  private void learnStarts(List<FleetReport> reports, long nowMs) {
+    boolean news = false;
+    for (FleetReport report : reports) {
+      for (EngineNews one : report.news()) {
+        news |=
+            one instanceof EngineNews.Placed placed && roster.startedAgain(placed.job().endpoint());
+      }
+    }
+    if (news) {
+      offerEndpoints(nowMs);
+    }
+  }
+
+  private void handle(RelayEvent.OfEndpoints event, long nowMs) {
     if (event instanceof RelayEvent.RoutesChanged changed) {
       routes = changed.routes();
       carryOut(coordinator.table(changed.table(), nowMs));
@@ -163,6 +179,10 @@
       if (roster.listed(listed.listing())) {
         offerEndpoints(nowMs);
       }
+    } else if (event instanceof RelayEvent.Restarted restarted) {
+      if (roster.startedAgain(restarted.start())) {
+        offerEndpoints(nowMs);
+      }
     }
   }
 
@@ -183,6 +203,7 @@
     List<Endpoint> known =
         roster.open().stream().map(this::described).flatMap(Optional::stream).toList();
     carryOut(coordinator.endpoints(known, nowMs));
+    carryOut(coordinator.restarted(roster::isOver, nowMs));
   }
 
   /** Returns an endpoint with the profile of its service; none where no service is named so. */
--- a/org.fawndrum/src/org/fawndrum/transport/relay/RelayEvent.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/RelayEvent.java
@@ -22,8 +22,8 @@
   /** An event of another daemon, or for one. */
   sealed interface OfDaemon extends RelayEvent {}
 
-  /** An event of the platform's store. */
-  sealed interface OfStore extends RelayEvent {}
+  /** An event of the operators' configuration or of the endpoints. */
+  sealed interface OfEndpoints extends RelayEvent {}
 
   /** An event of this host's own life. */
   sealed interface OfHost extends RelayEvent {}
@@ -41,7 +41,7 @@
   record CallerGone(String requestId) implements OfRequest {}
 
   /** A newer configuration is in force. */
-  record RoutesChanged(RouteTable routes, TableRevision table) implements OfStore {}
+  record RoutesChanged(RouteTable routes, TableRevision table) implements OfEndpoints {}
 
   /** Other daemons tell about their work at endpoints. */
   record Told(List<FleetReport> reports) implements OfDaemon {}
@@ -53,7 +53,10 @@
   record WorkWanted(Consumer<List<EngineNews>> reply) implements OfDaemon {}
 
   /** The list of endpoints changed. */
-  record Listed(HostListing listing) implements OfStore {}
+  record Listed(HostListing listing) implements OfEndpoints {}
+
+  /** An endpoint says that it has started again. */
+  record Restarted(HostIdentity start) implements OfEndpoints {}
 
   /** This host was told to stop. */
   record StopOrdered(StopWindow window) implements OfHost {}
--- a/org.fawndrum/src/org/fawndrum/transport/relay/RelayRuntime.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/RelayRuntime.java
@@ -56,6 +56,7 @@
   private final MetricsServer metrics;
   private final DecisionLog decisionLog;
   private final StallWatch stalls;
+  private final CurrentStarts orders;
   private volatile long listingVersion = -1;
   private volatile long listedAtMs;
 
@@ -100,6 +101,7 @@
         new FleetDuty(
             self, this::settingsInForce, this::storeView, network, clock, new Told(), log);
     this.stalls = new StallWatch(vertx, clock);
+    this.orders = new CurrentStarts(adapter.orders(), this::restarted);
     this.callers = callerServer(adapter);
     this.drain =
         new RelayDrain(vertx, callers, decisions, this::offerSurely, this::bounds, clock, log);
@@ -171,13 +173,7 @@
   private RelayServer callerServer(RelayAdapter adapter) {
     RelayTools tools =
         new RelayTools(
-            new EndpointClient(vertx),
-            adapter.codec(),
-            adapter.orders(),
-            stalls,
-            clock,
-            decisionLog,
-            log);
+            new EndpointClient(vertx), adapter.codec(), orders, stalls, clock, decisionLog, log);
     RelayIntake intake =
         new RelayIntake(routes, decisions, tools, () -> settings.bounds(), new Attempts());
     return new RelayServer(
@@ -308,9 +304,15 @@
   private void listed(HostListing listing) {
     listingVersion = listing.version();
     listedAtMs = clock.nowMs();
+    orders.listed(listing);
     offerSurely(new RelayEvent.Listed(listing));
   }
 
+  private void restarted(HostIdentity start) {
+    log.event(LogEvent.ENDPOINT_RESTARTED, start);
+    offerSurely(new RelayEvent.Restarted(start));
+  }
+
   /**
    * Begins a planned stop: not ready from now on, takes only what surely ends in time, and gives a
    * future that completes when the process may end: when nothing is left, or shortly before it
--- a/org.fawndrum/tst/org/fawndrum/transport/relay/MemoryUseTest.java
+++ b/org.fawndrum/tst/org/fawndrum/transport/relay/MemoryUseTest.java
@@ -10,10 +10,10 @@
 /** What engines report tells a request that waits from one that was dropped. */
 class MemoryUseTest {
   private static final String TICKET = "t-1";
-  private static final EngineReport UNUSED = new EngineReport(0, Set.of("t-2"));
-  private static final EngineReport USED = new EngineReport(0, Set.of("t-2", TICKET));
-  private static final EngineReport IDLE = new EngineReport(0, Set.of());
-  private static final EngineReport BUSY = new EngineReport(1, Set.of());
+  private static final EngineReport UNUSED = new EngineReport(0, 0, Set.of("t-2"));
+  private static final EngineReport USED = new EngineReport(0, 0, Set.of("t-2", TICKET));
+  private static final EngineReport IDLE = new EngineReport(0, 0, Set.of());
+  private static final EngineReport BUSY = new EngineReport(0, 1, Set.of());
 
   private final MemoryUse use = new MemoryUse();
 
--- a/org.fawndrum/tst/org/fawndrum/transport/relay/PromptMemoryTest.java
+++ b/org.fawndrum/tst/org/fawndrum/transport/relay/PromptMemoryTest.java
@@ -30,7 +30,7 @@
   private static final HostIdentity SELF = new HostIdentity("host-1", 1);
 
   private static final Future<EngineReport> IDLE =
-      Future.succeededFuture(new EngineReport(0, Set.of()));
+      Future.succeededFuture(new EngineReport(0, 0, Set.of()));
 
   private final HandClock clock = new HandClock();
   private final Orders orders = new Orders();
@@ -88,7 +88,7 @@
     @Override
     public Future<EngineReport> report(Endpoint engine) {
       questioned.add(engine.name());
-      return Future.succeededFuture(new EngineReport(0, used));
+      return Future.succeededFuture(new EngineReport(0, 0, used));
     }
 
     void grantAll() {
--- /dev/null
+++ b/org.fawndrum/tst/org/fawndrum/transport/relay/RelayDutyTest.java
@@ -0,0 +1,178 @@
+// SPDX-License-Identifier: Apache-2.0
+package org.fawndrum.transport.relay;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import org.fawndrum.coordination.Action;
+import org.fawndrum.coordination.EarnedRetryBudget;
+import org.fawndrum.coordination.Policies;
+import org.fawndrum.coordination.Refusal;
+import org.fawndrum.coordination.RequestCoordinator;
+import org.fawndrum.coordination.RequestFacts;
+import org.fawndrum.coordination.RequestTarget;
+import org.fawndrum.coordination.engine.EngineJob;
+import org.fawndrum.coordination.engine.EngineNews;
+import org.fawndrum.coordination.membership.FleetReport;
+import org.fawndrum.internal.log.HostLog;
+import org.fawndrum.state.CallerGroup;
+import org.fawndrum.state.CallerLimits;
+import org.fawndrum.state.Endpoint;
+import org.fawndrum.state.EndpointKind;
+import org.fawndrum.state.EngineProfile;
+import org.fawndrum.state.HostAddress;
+import org.fawndrum.state.HostIdentity;
+import org.fawndrum.state.HostListing;
+import org.fawndrum.state.RequestAims;
+import org.fawndrum.state.Route;
+import org.fawndrum.state.Route.WeightedService;
+import org.fawndrum.state.RouteKind;
+import org.fawndrum.state.RouteTable;
+import org.fawndrum.state.ServiceProfile;
+import org.fawndrum.state.Workspace;
+import org.fawndrum.transport.Exchange;
+import org.junit.jupiter.api.Test;
+
+/** What the decisions' thread makes of the endpoints' entries and of what others tell of them. */
+class RelayDutyTest {
+  private static final long PATIENCE_S = 20;
+  private static final HostIdentity SELF = new HostIdentity("host-1", 1);
+  private static final RequestAims AIMS = new RequestAims(2_500, 1_000, 2);
+
+  private final BlockingQueue<String> orders = new LinkedBlockingQueue<>();
+  private final RelayDuty duty =
+      new RelayDuty(
+          new RequestCoordinator(
+              SELF,
+              "zone-a",
+              Policies.engineModel(new EarnedRetryBudget(0.1, 10), () -> false, Set::of)),
+          () -> 1_000,
+          decision -> {},
+          news -> {},
+          new HostLog("test"));
+
+  /** A caller's request that writes down what is ordered for it. */
+  private final class Caller implements Exchange {
+    @Override
+    public void send(Action.Send send) {
+      orders.add("send to " + send.endpoint().identity());
+    }
+
+    @Override
+    public void cancel(Action.Cancel cancel) {
+      orders.add("cancel");
+    }
+
+    @Override
+    public void refuse(Refusal refusal) {
+      orders.add("refuse");
+    }
+
+    @Override
+    public void onLoop(Runnable step) {
+      step.run();
+    }
+
+    @Override
+    public boolean everHandedOver() {
+      return false;
+    }
+  }
+
+  private static RouteTable routes(String service) {
+    EngineProfile engine =
+        new EngineProfile(11, 232_000, 43, 1.02, 0.0033, 0.0043, 206, 0.138, 2_048, 0.075);
+    Route route =
+        new Route(
+            "ask",
+            "desk.example",
+            "/ask/",
+            RouteKind.STREAM,
+            true,
+            60_000,
+            AIMS,
+            1,
+            true,
+            List.of(new WeightedService("pool", 1)));
+    return new RouteTable(
+        1,
+        List.of(route),
+        List.of(new ServiceProfile(service, 100, Optional.of(engine))),
+        Map.of(),
+        false,
+        new CallerLimits(4_096, 65_536, 1_000, 15_000));
+  }
+
+  private void begin(String service, String entryNames) {
+    duty.start();
+    RouteTable routes = routes(service);
+    duty.offer(new RelayEvent.RoutesChanged(routes, RouteRows.of(routes)));
+    Endpoint engine =
+        new Endpoint(
+            new HostIdentity("e-1", 1),
+            "zone-a",
+            EndpointKind.MODEL,
+            new HostAddress("127.0.0.1", 9_000),
+            Set.of(entryNames),
+            0);
+    duty.offer(new RelayEvent.Listed(new HostListing(1, List.of(engine), Set.of(), List.of())));
+  }
+
+  private void ask() {
+    RequestFacts facts =
+        new RequestFacts(
+            "r-1",
+            new CallerGroup(Workspace.ANYBODY.name(), "ask"),
+            new RequestTarget(EndpointKind.MODEL, "pool"),
+            5_000,
+            100,
+            1_000,
+            0,
+            true,
+            List.of(),
+            AIMS);
+    duty.arrived(new RelayEvent.Arrived(facts), new Caller());
+  }
+
+  private String next() throws InterruptedException {
+    return orders.poll(PATIENCE_S, TimeUnit.SECONDS);
+  }
+
+  @Test
+  void workThatAnotherHostPlacesAtALaterStartSaysThatTheEarlierOneIsOver() throws Exception {
+    begin("pool", "pool");
+    ask();
+    assertEquals("send to e-1#1", next());
+    HostIdentity later = new HostIdentity("e-1", 2);
+    EngineJob job = new EngineJob(7, later, 1_000, 1_000, 1, true, AIMS, 1_000);
+    HostIdentity other = new HostIdentity("host-2", 1);
+    FleetReport report =
+        new FleetReport(other, Optional.empty(), 1, "", false, List.of(new EngineNews.Placed(job)));
+    duty.offer(new RelayEvent.Told(List.of(report)));
+    assertEquals("cancel", next());
+    assertEquals("send to e-1#2", next());
+  }
+
+  @Test
+  void anEndpointThatSaysItselfThatItStartedAgainIsUsedAsANewOne() throws Exception {
+    begin("pool", "pool");
+    ask();
+    assertEquals("send to e-1#1", next());
+    duty.offer(new RelayEvent.Restarted(new HostIdentity("e-1", 2)));
+    assertEquals("cancel", next());
+    assertEquals("send to e-1#2", next());
+  }
+
+  @Test
+  void anEntryOfAServiceThatNoConfigurationNamesNamesNoEndpoint() throws Exception {
+    begin("other", "pool");
+    ask();
+    assertEquals("refuse", next());
+  }
+}
