--- /dev/null
+++ b/org.fawndrum.daemon/tst/org/fawndrum/daemon/OwnLogSetupTest.java
@@ -0,0 +1,26 @@
+// SPDX-License-Identifier: Apache-2.0
+package org.fawndrum.daemon;
+
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+import static org.junit.jupiter.api.Assertions.assertSame;
+
+import java.util.Comparator;
+import java.util.ServiceLoader;
+import org.fawndrum.daemon.internal.OwnLogSetup;
+import org.jboss.logmanager.ConfiguratorFactory;
+import org.jboss.logmanager.LogContextConfigurator;
+import org.junit.jupiter.api.Test;
+
+/** The log manager finds that there is nothing for it to configure. */
+class OwnLogSetupTest {
+  @Test
+  void theLogManagerTakesItBeforeItsOwn() {
+    ConfiguratorFactory first =
+        ServiceLoader.load(ConfiguratorFactory.class).stream()
+            .map(ServiceLoader.Provider::get)
+            .min(Comparator.comparingInt(ConfiguratorFactory::priority))
+            .orElseThrow();
+    assertInstanceOf(OwnLogSetup.class, first);
+    assertSame(LogContextConfigurator.EMPTY, first.create());
+  }
+}
