--- a/org.fawndrum.soak/src/org/fawndrum/soak/SoakEndpoint.java
+++ b/org.fawndrum.soak/src/org/fawndrum/soak/SoakEndpoint.java
@@ -9,6 +9,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.BooleanSupplier;
 import org.fawndrum.platform.standin.EndpointStandin;
 import org.fawndrum.platform.standin.TicketUses;
 import org.fawndrum.platform.wire.ReserveMessage;
@@ -48,7 +49,6 @@
   private boolean sheds;
   private boolean harmed;
   private boolean silent;
-  private int forgotten;
   private final Map<EndpointRun, Boolean> open = new HashMap<>();
 
   /**
@@ -139,7 +139,6 @@
     open.keySet().forEach(run -> run.brokenOff(nowMs));
     open.clear();
     standin.forget();
-    forgotten++;
   }
 
   /** Starts again under its id: it holds and knows nothing of before, and tells a later start. */
@@ -194,14 +193,15 @@
     boolean reads = request.path().startsWith(LONG) && seen.lastEventId() == null;
     if (reads) {
       long readMs = SHORTEST_READ_MS + number % READ_STEPS * READ_STEP_MS;
-      int before = forgotten;
-      vertx.setTimer(readMs, timer -> answerLate(endpoint, request, before));
+      BooleanSupplier remembered = standin.remembered();
+      vertx.setTimer(readMs, timer -> answerLate(endpoint, request, remembered));
     }
     return reads;
   }
 
-  private void answerLate(EndpointStandin endpoint, HttpServerRequest request, int before) {
-    if (forgotten == before && !request.response().closed()) {
+  private void answerLate(
+      EndpointStandin endpoint, HttpServerRequest request, BooleanSupplier remembered) {
+    if (remembered.getAsBoolean() && !request.response().closed()) {
       endpoint.answer(request, events);
     }
   }
--- a/org.fawndrum/src/org/fawndrum/transport/relay/PromptMemory.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/PromptMemory.java
@@ -19,9 +19,10 @@
 /**
  * The memory that one attempt has set aside on several engines: all of it or none. It is held by
  * short leases, so that the memory of a daemon that died becomes free by itself. They are renewed
- * on evidence that this request still uses the memory, which is what comes from its engine or what
- * the holders of the memory say; never on this host's own time, nor because the engine lives. A
- * request may be open here long after its engine has dropped it. Confined to one event loop.
+ * on evidence that this request still needs the memory, which is what comes from its engine or what
+ * the holders of the memory say; one that waits for its turn needs what it does not use yet; never
+ * on this host's own time, nor because the engine lives. A request may be open here long after its
+ * engine has dropped it. Confined to one event loop.
  */
 final class PromptMemory {
   /**
@@ -220,11 +221,11 @@
   }
 
   /**
-   * Takes evidence that the request uses the memory and renews the leases if that is due.
+   * Takes evidence that the request needs the memory and renews the leases if that is due.
    *
-   * @param atMs at this time or later it was used, in milliseconds of the host's clock
+   * @param atMs at this time or later it was needed, in milliseconds of the host's clock
    */
-  void usedAt(long atMs) {
+  void neededAt(long atMs) {
     boolean over = clock.nowMs() - atMs >= LEASE_MS;
     if (freed || over || atMs - renewedMs < RENEWAL_MS) {
       return;
--- a/org.fawndrum/src/org/fawndrum/transport/relay/RelayAttempt.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/RelayAttempt.java
@@ -83,7 +83,7 @@
     this.memory = memory;
     this.owner = owner;
     this.liveness =
-        new EngineLiveness(this::probe, tools.clock(), memory::usedAt, this::engineDead);
+        new EngineLiveness(this::probe, tools.clock(), memory::neededAt, this::engineDead);
   }
 
   AttemptId id() {
--- a/org.fawndrum/tst/org/fawndrum/transport/relay/PromptMemoryTest.java
+++ b/org.fawndrum/tst/org/fawndrum/transport/relay/PromptMemoryTest.java
@@ -203,7 +203,7 @@
     PromptMemory memory = held(helper("e-1", 10), helper("e-2", 10));
     for (int i = 0; i < 10; i++) {
       clock.pass(PromptMemory.RENEWAL_MS / 10);
-      memory.usedAt(clock.nowMs());
+      memory.neededAt(clock.nowMs());
       orders.grantAll();
     }
     assertEquals(List.of("e-1", "e-2", "e-1", "e-2"), orders.engines);
@@ -216,10 +216,10 @@
     clock.pass(PromptMemory.RENEWAL_MS);
     long aliveMs = clock.nowMs();
     clock.pass(400);
-    memory.usedAt(aliveMs);
+    memory.neededAt(aliveMs);
     assertEquals(List.of(PromptMemory.LEASE_MS, PromptMemory.LEASE_MS - 400), orders.holds);
     clock.pass(PromptMemory.LEASE_MS);
-    memory.usedAt(aliveMs + PromptMemory.RENEWAL_MS - 400);
+    memory.neededAt(aliveMs + PromptMemory.RENEWAL_MS - 400);
     assertEquals(2, orders.holds.size(), "an order for a time that is over");
   }
 
@@ -228,7 +228,7 @@
     PromptMemory memory = held(helper("e-1", 10));
     for (int i = 0; i < 3; i++) {
       clock.pass(PromptMemory.RENEWAL_MS);
-      memory.usedAt(clock.nowMs());
+      memory.neededAt(clock.nowMs());
       orders.loseNext();
       assertTrue(orders.asked.isEmpty(), "sent again at once");
     }
@@ -239,7 +239,7 @@
   void whatALateOrderMaySetAsideIsReleasedUntilNoneCanBeLate() {
     PromptMemory memory = held(helper("e-1", 10), helper("e-2", 10));
     clock.pass(PromptMemory.RENEWAL_MS);
-    memory.usedAt(clock.nowMs());
+    memory.neededAt(clock.nowMs());
     orders.loseNext();
     orders.grantAll();
     memory.free();
@@ -272,7 +272,7 @@
   void aReleaseIsNotOvertakenByTheRenewalBeforeIt() {
     PromptMemory memory = held(helper("e-1", 10));
     clock.pass(PromptMemory.RENEWAL_MS);
-    memory.usedAt(clock.nowMs());
+    memory.neededAt(clock.nowMs());
     memory.free();
     assertTrue(orders.released.isEmpty(), "released while a renewal is on its way");
     orders.asked.removeFirst().complete(true);
@@ -283,7 +283,7 @@
   void whatBecameOfTheMemoryIsTold() {
     PromptMemory memory = held(helper("e-1", 10), helper("e-2", 10));
     clock.pass(PromptMemory.RENEWAL_MS);
-    memory.usedAt(clock.nowMs());
+    memory.neededAt(clock.nowMs());
     orders.loseNext();
     orders.grantAll();
     clock.pass(300);
@@ -321,7 +321,7 @@
   void aRenewalThatIsLostAfterTheEndIsNotTriedAgain() {
     PromptMemory memory = held(helper("e-1", 10));
     clock.pass(PromptMemory.RENEWAL_MS);
-    memory.usedAt(clock.nowMs());
+    memory.neededAt(clock.nowMs());
     memory.free();
     orders.loseNext();
     assertTrue(orders.asked.isEmpty());
