--- a/org.fawndrum/tst/org/fawndrum/coordination/EndpointRestartTest.java
+++ b/org.fawndrum/tst/org/fawndrum/coordination/EndpointRestartTest.java
@@ -99,6 +99,20 @@
     assertEquals(0, state(2).load().size());
   }
 
+  @Test
+  void workAtAnEndpointThatWasMissingForAWhileCountsAgain() {
+    EngineNews.Placed placed = new EngineNews.Placed(job(7, 1));
+    heard(placed);
+    book.offer(List.of());
+    book.offer(List.of(engine("e-1", 1)));
+    assertEquals(0, state(1).load().size());
+    work.heardAll(OTHER_HOST, List.of(placed), 20);
+    work.heardAll(OTHER_HOST, List.of(placed), 30);
+    assertEquals(1, state(1).load().size());
+    work.heardAll(OTHER_HOST, List.of(), 40);
+    assertEquals(0, state(1).load().size());
+  }
+
   @Test
   void blameAndRest() {
     for (int i = 0; i < 4; i++) {
