--- a/org.fawndrum.soak/tst/org/fawndrum/soak/SoakTest.java
+++ b/org.fawndrum.soak/tst/org/fawndrum/soak/SoakTest.java
@@ -89,8 +89,8 @@
 
   /**
    * A host was killed at the end of its grace period: its handler of the order to stop ran 1.9 s
-   * after the order, and no thread of it had written a line for the last 1.45 s of these. Why is not
-   * known; the machine had three times as much to do as it has cores.
+   * after the order, and no thread of it had written a line for the last 1.45 s of these. Why is
+   * not known; the machine had three times as much to do as it has cores.
    */
   @Test
   void seedTwelveThousandAndTen() throws Exception {
