Write down what endpoints say about themselves in their answers

The hosts' lines could not tell whether an answer said that its endpoint leaves, or for how long a refusal asked for rest: each read no more of an answer than whose it is and whether it ran. The adapter now decodes both into a notice, from the heads of answers to requests, orders and questions for reports; line FAWN0071 names it, five a second. Answers that belong to another request or were given by another endpoint say nothing. No decision changes.

--- a/org.fawndrum/src/org/fawndrum/transport/relay/CurrentStarts.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/CurrentStarts.java
@@ -43,6 +43,11 @@
     return newest.getOrDefault(engine.name(), Long.MIN_VALUE) > engine.incarnation();
   }
 
+  @Override
+  public void hearNotices(EndpointNotices listener) {
+    orders.hearNotices(listener);
+  }
+
   @Override
   public Future<Boolean> reserve(Endpoint engine, String ticket, long tokens, long holdMs) {
     return isOver(engine) ? restarted(engine) : orders.reserve(engine, ticket, tokens, holdMs);
--- a/org.fawndrum/src/org/fawndrum/transport/relay/EngineOrders.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/EngineOrders.java
@@ -9,6 +9,12 @@
  * the caller's event loop.
  */
 public interface EngineOrders {
+  /**
+   * Chooses who hears what engines say about themselves in their answers. Called before the first
+   * order; until then nobody does.
+   */
+  void hearNotices(EndpointNotices listener);
+
   /**
    * Sets memory aside for a time, or prolongs that time. Gives false when the engine has not enough
    * free; fails when it does not answer in time, and may have done it then.
--- a/org.fawndrum/src/org/fawndrum/transport/relay/FleetDuty.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/FleetDuty.java
@@ -10,11 +10,9 @@
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.TreeSet;
-import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
 import org.fawndrum.coordination.Action;
-import org.fawndrum.coordination.crash.CrashNews;
 import org.fawndrum.coordination.engine.EngineNews;
 import org.fawndrum.coordination.membership.FleetMember;
 import org.fawndrum.coordination.membership.FleetOverlay;
@@ -64,7 +62,7 @@
   private final LongSupplier crashSummary;
   private final PeerNetwork network;
   private final HostClock clock;
-  private final Listener listener;
+  private final FleetListener listener;
   private final HostLog log;
   private final Duty<FleetEvent> duty;
   private final FleetOverlay overlay;
@@ -79,45 +77,6 @@
   private long sequence;
   private long nextHeartbeatMs;
 
-  /** An event of this thread. */
-  sealed interface FleetEvent {
-    /** This host's work changed. */
-    record Changed(Action.Announce news) implements FleetEvent {}
-
-    /** All of this host's work, for a heartbeat. */
-    record All(List<EngineNews> work) implements FleetEvent {}
-
-    /** Another daemon sent something. */
-    record Heard(
-        FleetMember from,
-        boolean subscribes,
-        List<FleetReport> reports,
-        List<FleetMember> known,
-        CrashesFrom crashes)
-        implements FleetEvent {}
-
-    /** Others should know of endpoints that ended: one daemon all of it, or all what is news. */
-    record Crashes(Optional<HostAddress> to, CrashNews news) implements FleetEvent {}
-  }
-
-  /** Takes what this thread learns. Its methods must not block. */
-  interface Listener {
-    /** Other daemons reported. */
-    void reported(List<FleetReport> reports);
-
-    /** Another daemon is gone. */
-    void gone(HostIdentity daemon);
-
-    /** All of this host's work is wanted. */
-    void workWanted(Consumer<List<EngineNews>> reply);
-
-    /** Another daemon told about endpoints that ended under requests. */
-    void crashesTold(CrashesFrom told);
-
-    /** Another daemon may know less about such endpoints. */
-    void crashesWanted(HostAddress by);
-  }
-
   FleetDuty(
       HostIdentity self,
       Supplier<RelaySettings> current,
@@ -125,7 +84,7 @@
       LongSupplier crashSummary,
       PeerNetwork network,
       HostClock clock,
-      Listener listener,
+      FleetListener listener,
       HostLog log) {
     this.self = self;
     this.current = current;
--- a/org.fawndrum/src/org/fawndrum/transport/relay/FleetReceiver.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/FleetReceiver.java
@@ -19,7 +19,7 @@
  * passed over. Safe for all threads.
  */
 final class FleetReceiver implements PeerNetwork.Receiver {
-  private final Consumer<FleetDuty.FleetEvent> fleet;
+  private final Consumer<FleetEvent> fleet;
   private final Knowledge knowledge;
   private final HostClock clock;
 
@@ -32,7 +32,7 @@
     void told(HostAddress at, StoreView view);
   }
 
-  FleetReceiver(Consumer<FleetDuty.FleetEvent> fleet, Knowledge knowledge, HostClock clock) {
+  FleetReceiver(Consumer<FleetEvent> fleet, Knowledge knowledge, HostClock clock) {
     this.fleet = fleet;
     this.knowledge = knowledge;
     this.clock = clock;
@@ -59,8 +59,7 @@
             CrashCodec.read(news.getCrashes(), nowMs),
             news.getCrashes().getWhole(),
             news.getCrashSummary());
-    fleet.accept(
-        new FleetDuty.FleetEvent.Heard(sender, news.getSubscribes(), reports, known, crashes));
+    fleet.accept(new FleetEvent.Heard(sender, news.getSubscribes(), reports, known, crashes));
     knowledge.told(
         sender.address(),
         new StoreView(news.getConfigurationRevision(), news.getEndpointsChanged()));
--- a/org.fawndrum/src/org/fawndrum/transport/relay/RelayAttempt.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/RelayAttempt.java
@@ -228,14 +228,16 @@
   }
 
   private void answered(HttpClientResponse head) {
+    String requestId = call.request().requestId();
+    RelayCodec.Answer kind = tools.codec().answer(head.statusCode(), head.headers(), requestId);
+    hearNotice(kind, head);
     if (ended) {
       return;
     }
     answer = head;
     liveness.heard();
     head.exceptionHandler(cause -> connectionLost());
-    String requestId = call.request().requestId();
-    switch (tools.codec().answer(head.statusCode(), head.headers(), requestId)) {
+    switch (kind) {
       case NOT_RUN, OTHER_ENDPOINT -> refused(head.headers());
       case FOREIGN -> abandon();
       default -> {
@@ -249,6 +251,16 @@
     }
   }
 
+  /** Hands on what the endpoint says about itself, also where nobody waits for its answer. */
+  private void hearNotice(RelayCodec.Answer kind, HttpClientResponse head) {
+    boolean its = kind == RelayCodec.Answer.OWN || kind == RelayCodec.Answer.NOT_RUN;
+    EndpointNotice notice =
+        its ? tools.codec().notice(head.statusCode(), head.headers()) : EndpointNotice.NONE;
+    if (!notice.equals(EndpointNotice.NONE)) {
+      tools.notices().heard(send.endpoint().identity(), notice);
+    }
+  }
+
   private void refused(MultiMap headers) {
     if (!ended) {
       tools
--- a/org.fawndrum/src/org/fawndrum/transport/relay/RelayCodec.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/RelayCodec.java
@@ -23,6 +23,9 @@
   /** Returns what the head of an endpoint's answer says. */
   Answer answer(int status, MultiMap headers, String requestId);
 
+  /** Returns what an endpoint says about itself in the head of an answer that is its own. */
+  EndpointNotice notice(int status, MultiMap headers);
+
   /** Returns what a refusal names as the endpoint at fault: an id or an address; or nothing. */
   Optional<String> endpointAtFault(MultiMap headers);
 
--- a/org.fawndrum/src/org/fawndrum/transport/relay/RelayRuntime.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/RelayRuntime.java
@@ -8,17 +8,13 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
-import java.util.function.Consumer;
 import org.fawndrum.coordination.Action;
-import org.fawndrum.coordination.AttemptEvent;
-import org.fawndrum.coordination.AttemptId;
 import org.fawndrum.coordination.Policies;
 import org.fawndrum.coordination.RequestCoordinator;
 import org.fawndrum.coordination.crash.CrashNews;
-import org.fawndrum.coordination.engine.EngineNews;
-import org.fawndrum.coordination.membership.FleetReport;
 import org.fawndrum.errors.AddressUnavailableException;
 import org.fawndrum.internal.log.HostLog;
+import org.fawndrum.internal.log.LineBudget;
 import org.fawndrum.internal.log.LogEvent;
 import org.fawndrum.protocol.wire.KnowledgeRequest;
 import org.fawndrum.protocol.wire.PeerMessage;
@@ -37,8 +33,8 @@
  * decides, wired together. A daemon is this class with settings and signals around it.
  */
 public final class RelayRuntime {
-  /** The pause before an event that found no room in the ring is offered again, in milliseconds. */
-  private static final long RING_RETRY_MS = 1;
+  /** The most lines a second about what endpoints say of themselves. */
+  private static final int NOTICE_LINES = 5;
 
   private final Vertx vertx;
   private volatile RelaySettings settings;
@@ -47,6 +43,7 @@
   private final HostLog log;
   private final RouteStore routes;
   private final RelayDuty decisions;
+  private final SureEvents events;
   private final RelayServer callers;
   private final RelayDrain drain;
   private final ReadinessServer readiness;
@@ -58,6 +55,7 @@
   private final DecisionLog decisionLog;
   private final StallWatch stalls;
   private final CurrentStarts orders;
+  private final LineBudget noticeLines = new LineBudget(NOTICE_LINES);
   private volatile long listingVersion = -1;
   private volatile long listedAtMs;
 
@@ -96,6 +94,7 @@
         new DecisionLog(new RequestMetrics(registry, clock), this::basis, clock, log);
     this.decisions =
         new RelayDuty(coordinator, clock, decisionLog, this::announced, new Crashes(), log);
+    this.events = new SureEvents(vertx, decisions, log);
     this.metrics =
         new MetricsServer(vertx, settings.metrics(), registry, decisions::refusedRequests, log);
     FleetReceiver receiver = new FleetReceiver(this::heard, new LateKnowledge(), clock);
@@ -109,13 +108,13 @@
             decisions::crashSummary,
             network,
             clock,
-            new Told(),
+            new FleetReports(events),
             log);
     this.stalls = new StallWatch(vertx, clock);
     this.orders = new CurrentStarts(adapter.orders(), this::restarted);
+    this.orders.hearNotices(this::noticed);
     this.callers = callerServer(adapter);
-    this.drain =
-        new RelayDrain(vertx, callers, decisions, this::offerSurely, this::bounds, clock, log);
+    this.drain = new RelayDrain(vertx, callers, decisions, events, this::bounds, clock, log);
     this.readiness = new ReadinessServer(vertx, settings.readiness(), this::ready);
     this.reading =
         new StoreReading(
@@ -163,53 +162,33 @@
     }
   }
 
-  /** Hands what other daemons report to the decisions. */
-  private final class Told implements FleetDuty.Listener {
-    @Override
-    public void reported(List<FleetReport> reports) {
-      offerSurely(new RelayEvent.Told(reports));
-    }
-
-    @Override
-    public void gone(HostIdentity daemon) {
-      offerSurely(new RelayEvent.DaemonGone(daemon));
-    }
-
-    @Override
-    public void workWanted(Consumer<List<EngineNews>> reply) {
-      offerSurely(new RelayEvent.WorkWanted(reply));
-    }
-
-    @Override
-    public void crashesTold(CrashesFrom told) {
-      offerSurely(new RelayEvent.CrashesTold(told));
-    }
-
-    @Override
-    public void crashesWanted(HostAddress by) {
-      offerSurely(new RelayEvent.CrashesWanted(by));
-    }
-  }
-
   /** Hands what the decisions know of crashes to the thread that knows the other daemons. */
   private final class Crashes implements CrashTeller {
     @Override
     public void news(CrashNews news) {
-      fleet.offer(new FleetDuty.FleetEvent.Crashes(Optional.empty(), news));
+      fleet.offer(new FleetEvent.Crashes(Optional.empty(), news));
     }
 
     @Override
     public void all(HostAddress to, CrashNews all) {
-      fleet.offer(new FleetDuty.FleetEvent.Crashes(Optional.of(to), all));
+      fleet.offer(new FleetEvent.Crashes(Optional.of(to), all));
     }
   }
 
   private RelayServer callerServer(RelayAdapter adapter) {
     RelayTools tools =
         new RelayTools(
-            new EndpointClient(vertx), adapter.codec(), orders, stalls, clock, decisionLog, log);
+            new EndpointClient(vertx),
+            adapter.codec(),
+            orders,
+            this::noticed,
+            stalls,
+            clock,
+            decisionLog,
+            log);
     RelayIntake intake =
-        new RelayIntake(routes, decisions, tools, () -> settings.bounds(), new Attempts());
+        new RelayIntake(
+            routes, decisions, tools, () -> settings.bounds(), new AttemptReports(events));
     return new RelayServer(
         vertx,
         settings.callers(),
@@ -221,36 +200,13 @@
         this::known);
   }
 
-  /** Tells the decisions what happens to attempts and callers. */
-  private final class Attempts implements RelayIntake.Attempts {
-    @Override
-    public void happened(AttemptId attempt, AttemptEvent event) {
-      offerSurely(new RelayEvent.Attempted(attempt, event));
-    }
-
-    @Override
-    public void endpointEnded(AttemptId attempt) {
-      offerSurely(new RelayEvent.EndpointEnded(attempt));
-    }
-
-    @Override
-    public void helperRefused(AttemptId attempt, HostIdentity helper) {
-      offerSurely(new RelayEvent.HelperRefused(attempt, helper));
-    }
-
-    @Override
-    public void callerGone(String requestId) {
-      offerSurely(new RelayEvent.CallerGone(requestId));
-    }
-  }
-
   /** Takes over what can change while the host runs: bounds and seeds, but no addresses. */
   public void reload(RelaySettings newer) {
     List<String> before = settings.letGo();
     settings = newer;
     newer.letGo().stream()
         .filter(one -> !before.contains(one))
-        .forEach(one -> offerSurely(new RelayEvent.LetGo(one)));
+        .forEach(one -> events.accept(new RelayEvent.LetGo(one)));
   }
 
   private DecisionLog.Basis basis() {
@@ -277,7 +233,7 @@
     registry.registerGauge("peers", this::peers);
   }
 
-  private void heard(FleetDuty.FleetEvent event) {
+  private void heard(FleetEvent event) {
     fleet.offer(event);
   }
 
@@ -342,28 +298,26 @@
     return listingVersion >= 0 && routes.table().revision() >= 0;
   }
 
-  /** Events about work already taken must not be lost: when the ring is full, they come again. */
-  private void offerSurely(RelayEvent event) {
-    if (!decisions.offer(event)) {
-      log.event(LogEvent.RING_REFUSED, "decisions");
-      vertx.setTimer(RING_RETRY_MS, id -> offerSurely(event));
-    }
-  }
-
   private void routesChanged(RouteTable table, TableRevision cells) {
-    offerSurely(new RelayEvent.RoutesChanged(table, cells));
+    events.accept(new RelayEvent.RoutesChanged(table, cells));
   }
 
   private void listed(HostListing listing) {
     listingVersion = listing.version();
     listedAtMs = clock.nowMs();
     orders.listed(listing);
-    offerSurely(new RelayEvent.Listed(listing));
+    events.accept(new RelayEvent.Listed(listing));
+  }
+
+  private void noticed(HostIdentity endpoint, EndpointNotice notice) {
+    if (noticeLines.take(clock.nowMs())) {
+      log.event(LogEvent.ENDPOINT_NOTICE, endpoint, notice.leaving(), notice.restMs());
+    }
   }
 
   private void restarted(HostIdentity start) {
     log.event(LogEvent.ENDPOINT_RESTARTED, start);
-    offerSurely(new RelayEvent.Restarted(start));
+    events.accept(new RelayEvent.Restarted(start));
   }
 
   /**
--- a/org.fawndrum/src/org/fawndrum/transport/relay/RelayTools.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/RelayTools.java
@@ -10,6 +10,7 @@
  * @param client the connections to endpoints
  * @param codec knows the messages of callers and endpoints
  * @param orders sends orders to engines
+ * @param notices hears what endpoints say about themselves
  * @param stalls ends attempts from which nothing comes
  * @param clock the host's clock
  * @param decisions where lines about requests go
@@ -19,6 +20,7 @@
     EndpointClient client,
     RelayCodec codec,
     EngineOrders orders,
+    EndpointNotices notices,
     StallWatch stalls,
     HostClock clock,
     DecisionLog decisions,
--- a/org.fawndrum/tst/org/fawndrum/transport/relay/CurrentStartsTest.java
+++ b/org.fawndrum/tst/org/fawndrum/transport/relay/CurrentStartsTest.java
@@ -26,6 +26,9 @@
 
   /** An engine that takes whatever comes, and says which start it is. */
   private final class Engine implements EngineOrders {
+    @Override
+    public void hearNotices(EndpointNotices listener) {}
+
     @Override
     public Future<Boolean> reserve(Endpoint engine, String ticket, long tokens, long holdMs) {
       sent.add("reserve");
--- a/org.fawndrum/tst/org/fawndrum/transport/relay/PromptMemoryTest.java
+++ b/org.fawndrum/tst/org/fawndrum/transport/relay/PromptMemoryTest.java
@@ -65,6 +65,9 @@
     Set<String> used = Set.of();
     int releasesToFail;
 
+    @Override
+    public void hearNotices(EndpointNotices listener) {}
+
     @Override
     public Future<Boolean> reserve(Endpoint engine, String ticket, long tokens, long holdMs) {
       Promise<Boolean> answer = Promise.promise();
--- a/org.fawndrum/tst/org/fawndrum/transport/relay/RelayDrainTest.java
+++ b/org.fawndrum/tst/org/fawndrum/transport/relay/RelayDrainTest.java
@@ -103,6 +103,11 @@
       throw new UnsupportedOperationException();
     }
 
+    @Override
+    public EndpointNotice notice(int status, MultiMap headers) {
+      throw new UnsupportedOperationException();
+    }
+
     @Override
     public Optional<String> endpointAtFault(MultiMap headers) {
       throw new UnsupportedOperationException();
