Send nothing more to endpoints that say in an answer that they leave

Callers were sent to an endpoint for as long as its entry said that it was ready; with the store down that is until the store is back, 12 s in the case seen, and the endpoint may end under them at any moment.

Cause: of an answer's head only whose it is and whether the request ran was kept. What the endpoint said of itself was lost between the place where it is read and the roster that would have kept it.

Now the notice goes to the roster: from the head of any answer of its own, whatever its status, of orders and reports as well, and in the same order as the next requests of callers, so that none of these can be placed there. Other daemons hear of it at once and with each message of the next five seconds, each passing on what is news to it; about 20 bytes an endpoint, 64 at most. It is final for that start: no entry, list or peer takes it back. The roster keeps at most 1,024 that the list does not name any more.

LeavingAnswerTest: 6 of 12 requests after the answer reached the endpoint before, none now. All tests of the modules up to platform pass.

Weighed: to ask peers only with heartbeats (a second more in which they send), and to let a list that was read after the answer take the word back (the endpoint may have no store to write to).

--- a/org.fawndrum/src/org/fawndrum/coordination/EndpointRoster.java
+++ b/org.fawndrum/src/org/fawndrum/coordination/EndpointRoster.java
@@ -4,6 +4,7 @@
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -13,13 +14,23 @@
 
 /**
  * Which endpoint incarnations may get new work. An incarnation that is leaving stays leaving,
- * whoever said so first: the platform's list, the endpoint itself or a peer. A restarted endpoint
- * is another incarnation and comes back at once. An older list is never taken over a newer one.
- * Confined to one thread.
+ * whoever said so first: the platform's list, the endpoint itself in any of its answers, or a peer.
+ * Nothing takes that back: an entry that still says otherwise is older, since an endpoint that
+ * leaves may have no store to write to. A restarted endpoint is another incarnation and comes back
+ * at once. An older list is never taken over a newer one. Confined to one thread.
  */
 public final class EndpointRoster {
+  /**
+   * How many leaving incarnations are kept that the list does not name any more: more than are
+   * replaced in a fleet of 10,000 endpoints while a copy of the store that may name them is in use.
+   */
+  private static final int MOST_UNLISTED = 1_024;
+
   private HostListing listing = HostListing.NONE;
-  private final Set<HostIdentity> leaving = new HashSet<>();
+
+  /** In the order in which they were heard of. */
+  private final Set<HostIdentity> leaving = new LinkedHashSet<>();
+
   private final Map<String, Long> newestIncarnations = new HashMap<>();
 
   /** Takes a reading of the list; returns whether anything changed. */
@@ -71,6 +82,11 @@
 
   private void forgetGone() {
     leaving.removeIf(this::isOver);
+    Set<HostIdentity> listed = new HashSet<>();
+    listing.endpoints().forEach(endpoint -> listed.add(endpoint.identity()));
+    List<HostIdentity> unlisted =
+        leaving.stream().filter(endpoint -> !listed.contains(endpoint)).toList();
+    unlisted.stream().limit(Math.max(0, unlisted.size() - MOST_UNLISTED)).forEach(leaving::remove);
   }
 
   private long newest(HostIdentity endpoint) {
@@ -90,6 +106,11 @@
     return open;
   }
 
+  /** Returns how many endpoints of the list are known to be leaving. */
+  public int listedLeaving() {
+    return listing.endpoints().size() - open().size();
+  }
+
   /** Returns the newest reading of the list. */
   public HostListing listing() {
     return listing;
--- a/org.fawndrum/src/org/fawndrum/internal/log/LogEvent.java
+++ b/org.fawndrum/src/org/fawndrum/internal/log/LogEvent.java
@@ -50,7 +50,8 @@
   HOST_SUSPENDED(68, Level.WARN, "this host was suspended for {0} ms"),
   REQUEST_LET_GO(69, Level.INFO, "request {0} is let go, by the settings"),
   OPERATOR_PUBLISHED(70, Level.INFO, "operator {0} published {1}: {2}"),
-  ENDPOINT_NOTICE(71, Level.INFO, "endpoint {0} answered that it leaves: {1}, rests: {2} ms");
+  ENDPOINT_NOTICE(71, Level.INFO, "endpoint {0} answered that it leaves: {1}, rests: {2} ms"),
+  ENDPOINT_LEAVES(72, Level.INFO, "endpoint {0} leaves and gets nothing more, told by {1}");
 
   private final int number;
   private final Level level;
--- a/org.fawndrum/src/org/fawndrum/protocol/FleetCodec.java
+++ b/org.fawndrum/src/org/fawndrum/protocol/FleetCodec.java
@@ -9,6 +9,7 @@
 import org.fawndrum.coordination.membership.FleetMember;
 import org.fawndrum.coordination.membership.FleetReport;
 import org.fawndrum.protocol.wire.DaemonPlace;
+import org.fawndrum.protocol.wire.EndpointWord;
 import org.fawndrum.protocol.wire.WorkPlaced;
 import org.fawndrum.protocol.wire.WorkReport;
 import org.fawndrum.state.HostAddress;
@@ -44,6 +45,25 @@
     return new HostIdentity(place.getHost(), place.getIncarnation());
   }
 
+  /** Returns starts of endpoints as messages. */
+  public static List<EndpointWord> writeEndpoints(List<HostIdentity> endpoints) {
+    return endpoints.stream()
+        .map(
+            one ->
+                EndpointWord.newBuilder()
+                    .setHost(one.host())
+                    .setIncarnation(one.incarnation())
+                    .build())
+        .toList();
+  }
+
+  /** Returns the starts of endpoints in messages. */
+  public static List<HostIdentity> readEndpoints(List<EndpointWord> messages) {
+    return messages.stream()
+        .map(one -> new HostIdentity(one.getHost(), one.getIncarnation()))
+        .toList();
+  }
+
   /** Returns a report as a message; times are written as ages, because clocks differ. */
   public static WorkReport write(FleetReport report, long nowMs) {
     WorkReport.Builder message =
--- a/org.fawndrum/src/org/fawndrum/protocol/wire/FleetNews.java
+++ b/org.fawndrum/src/org/fawndrum/protocol/wire/FleetNews.java
@@ -34,6 +34,7 @@
   private FleetNews() {
     reports_ = java.util.Collections.emptyList();
     known_ = java.util.Collections.emptyList();
+    leaving_ = java.util.Collections.emptyList();
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -284,6 +285,67 @@
     return crashSummary_;
   }
 
+  public static final int LEAVING_FIELD_NUMBER = 9;
+  @SuppressWarnings("serial")
+  private java.util.List<org.fawndrum.protocol.wire.EndpointWord> leaving_;
+  /**
+   * <pre>
+   * Endpoints that the sender learned to be leaving within the last seconds.
+   * </pre>
+   *
+   * <code>repeated .fawndrum.EndpointWord leaving = 9;</code>
+   */
+  @java.lang.Override
+  public java.util.List<org.fawndrum.protocol.wire.EndpointWord> getLeavingList() {
+    return leaving_;
+  }
+  /**
+   * <pre>
+   * Endpoints that the sender learned to be leaving within the last seconds.
+   * </pre>
+   *
+   * <code>repeated .fawndrum.EndpointWord leaving = 9;</code>
+   */
+  @java.lang.Override
+  public java.util.List<? extends org.fawndrum.protocol.wire.EndpointWordOrBuilder> 
+      getLeavingOrBuilderList() {
+    return leaving_;
+  }
+  /**
+   * <pre>
+   * Endpoints that the sender learned to be leaving within the last seconds.
+   * </pre>
+   *
+   * <code>repeated .fawndrum.EndpointWord leaving = 9;</code>
+   */
+  @java.lang.Override
+  public int getLeavingCount() {
+    return leaving_.size();
+  }
+  /**
+   * <pre>
+   * Endpoints that the sender learned to be leaving within the last seconds.
+   * </pre>
+   *
+   * <code>repeated .fawndrum.EndpointWord leaving = 9;</code>
+   */
+  @java.lang.Override
+  public org.fawndrum.protocol.wire.EndpointWord getLeaving(int index) {
+    return leaving_.get(index);
+  }
+  /**
+   * <pre>
+   * Endpoints that the sender learned to be leaving within the last seconds.
+   * </pre>
+   *
+   * <code>repeated .fawndrum.EndpointWord leaving = 9;</code>
+   */
+  @java.lang.Override
+  public org.fawndrum.protocol.wire.EndpointWordOrBuilder getLeavingOrBuilder(
+      int index) {
+    return leaving_.get(index);
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -322,6 +384,9 @@
     if (crashSummary_ != 0L) {
       output.writeSFixed64(8, crashSummary_);
     }
+    for (int i = 0; i < leaving_.size(); i++) {
+      output.writeMessage(9, leaving_.get(i));
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -363,6 +428,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeSFixed64Size(8, crashSummary_);
     }
+    for (int i = 0; i < leaving_.size(); i++) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(9, leaving_.get(i));
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -400,6 +469,8 @@
     }
     if (getCrashSummary()
         != other.getCrashSummary()) return false;
+    if (!getLeavingList()
+        .equals(other.getLeavingList())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -439,6 +510,10 @@
     hash = (37 * hash) + CRASH_SUMMARY_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
         getCrashSummary());
+    if (getLeavingCount() > 0) {
+      hash = (37 * hash) + LEAVING_FIELD_NUMBER;
+      hash = (53 * hash) + getLeavingList().hashCode();
+    }
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -577,6 +652,7 @@
         internalGetReportsFieldBuilder();
         internalGetKnownFieldBuilder();
         internalGetCrashesFieldBuilder();
+        internalGetLeavingFieldBuilder();
       }
     }
     @java.lang.Override
@@ -611,6 +687,13 @@
         crashesBuilder_ = null;
       }
       crashSummary_ = 0L;
+      if (leavingBuilder_ == null) {
+        leaving_ = java.util.Collections.emptyList();
+      } else {
+        leaving_ = null;
+        leavingBuilder_.clear();
+      }
+      bitField0_ = (bitField0_ & ~0x00000100);
       return this;
     }
 
@@ -662,6 +745,15 @@
       } else {
         result.known_ = knownBuilder_.build();
       }
+      if (leavingBuilder_ == null) {
+        if (((bitField0_ & 0x00000100) != 0)) {
+          leaving_ = java.util.Collections.unmodifiableList(leaving_);
+          bitField0_ = (bitField0_ & ~0x00000100);
+        }
+        result.leaving_ = leaving_;
+      } else {
+        result.leaving_ = leavingBuilder_.build();
+      }
     }
 
     private void buildPartial0(org.fawndrum.protocol.wire.FleetNews result) {
@@ -776,6 +868,32 @@
       if (other.getCrashSummary() != 0L) {
         setCrashSummary(other.getCrashSummary());
       }
+      if (leavingBuilder_ == null) {
+        if (!other.leaving_.isEmpty()) {
+          if (leaving_.isEmpty()) {
+            leaving_ = other.leaving_;
+            bitField0_ = (bitField0_ & ~0x00000100);
+          } else {
+            ensureLeavingIsMutable();
+            leaving_.addAll(other.leaving_);
+          }
+          onChanged();
+        }
+      } else {
+        if (!other.leaving_.isEmpty()) {
+          if (leavingBuilder_.isEmpty()) {
+            leavingBuilder_.dispose();
+            leavingBuilder_ = null;
+            leaving_ = other.leaving_;
+            bitField0_ = (bitField0_ & ~0x00000100);
+            leavingBuilder_ = 
+              com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
+                 internalGetLeavingFieldBuilder() : null;
+          } else {
+            leavingBuilder_.addAllMessages(other.leaving_);
+          }
+        }
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -862,6 +980,19 @@
               bitField0_ |= 0x00000080;
               break;
             } // case 65
+            case 74: {
+              org.fawndrum.protocol.wire.EndpointWord m =
+                  input.readMessage(
+                      org.fawndrum.protocol.wire.EndpointWord.parser(),
+                      extensionRegistry);
+              if (leavingBuilder_ == null) {
+                ensureLeavingIsMutable();
+                leaving_.add(m);
+              } else {
+                leavingBuilder_.addMessage(m);
+              }
+              break;
+            } // case 74
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1909,6 +2040,318 @@
       return this;
     }
 
+    private java.util.List<org.fawndrum.protocol.wire.EndpointWord> leaving_ =
+      java.util.Collections.emptyList();
+    private void ensureLeavingIsMutable() {
+      if (!((bitField0_ & 0x00000100) != 0)) {
+        leaving_ = new java.util.ArrayList<org.fawndrum.protocol.wire.EndpointWord>(leaving_);
+        bitField0_ |= 0x00000100;
+       }
+    }
+
+    private com.google.protobuf.RepeatedFieldBuilder<
+        org.fawndrum.protocol.wire.EndpointWord, org.fawndrum.protocol.wire.EndpointWord.Builder, org.fawndrum.protocol.wire.EndpointWordOrBuilder> leavingBuilder_;
+
+    /**
+     * <pre>
+     * Endpoints that the sender learned to be leaving within the last seconds.
+     * </pre>
+     *
+     * <code>repeated .fawndrum.EndpointWord leaving = 9;</code>
+     */
+    public java.util.List<org.fawndrum.protocol.wire.EndpointWord> getLeavingList() {
+      if (leavingBuilder_ == null) {
+        return java.util.Collections.unmodifiableList(leaving_);
+      } else {
+        return leavingBuilder_.getMessageList();
+      }
+    }
+    /**
+     * <pre>
+     * Endpoints that the sender learned to be leaving within the last seconds.
+     * </pre>
+     *
+     * <code>repeated .fawndrum.EndpointWord leaving = 9;</code>
+     */
+    public int getLeavingCount() {
+      if (leavingBuilder_ == null) {
+        return leaving_.size();
+      } else {
+        return leavingBuilder_.getCount();
+      }
+    }
+    /**
+     * <pre>
+     * Endpoints that the sender learned to be leaving within the last seconds.
+     * </pre>
+     *
+     * <code>repeated .fawndrum.EndpointWord leaving = 9;</code>
+     */
+    public org.fawndrum.protocol.wire.EndpointWord getLeaving(int index) {
+      if (leavingBuilder_ == null) {
+        return leaving_.get(index);
+      } else {
+        return leavingBuilder_.getMessage(index);
+      }
+    }
+    /**
+     * <pre>
+     * Endpoints that the sender learned to be leaving within the last seconds.
+     * </pre>
+     *
+     * <code>repeated .fawndrum.EndpointWord leaving = 9;</code>
+     */
+    public Builder setLeaving(
+        int index, org.fawndrum.protocol.wire.EndpointWord value) {
+      if (leavingBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        ensureLeavingIsMutable();
+        leaving_.set(index, value);
+        onChanged();
+      } else {
+        leavingBuilder_.setMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Endpoints that the sender learned to be leaving within the last seconds.
+     * </pre>
+     *
+     * <code>repeated .fawndrum.EndpointWord leaving = 9;</code>
+     */
+    public Builder setLeaving(
+        int index, org.fawndrum.protocol.wire.EndpointWord.Builder builderForValue) {
+      if (leavingBuilder_ == null) {
+        ensureLeavingIsMutable();
+        leaving_.set(index, builderForValue.build());
+        onChanged();
+      } else {
+        leavingBuilder_.setMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Endpoints that the sender learned to be leaving within the last seconds.
+     * </pre>
+     *
+     * <code>repeated .fawndrum.EndpointWord leaving = 9;</code>
+     */
+    public Builder addLeaving(org.fawndrum.protocol.wire.EndpointWord value) {
+      if (leavingBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        ensureLeavingIsMutable();
+        leaving_.add(value);
+        onChanged();
+      } else {
+        leavingBuilder_.addMessage(value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Endpoints that the sender learned to be leaving within the last seconds.
+     * </pre>
+     *
+     * <code>repeated .fawndrum.EndpointWord leaving = 9;</code>
+     */
+    public Builder addLeaving(
+        int index, org.fawndrum.protocol.wire.EndpointWord value) {
+      if (leavingBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        ensureLeavingIsMutable();
+        leaving_.add(index, value);
+        onChanged();
+      } else {
+        leavingBuilder_.addMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Endpoints that the sender learned to be leaving within the last seconds.
+     * </pre>
+     *
+     * <code>repeated .fawndrum.EndpointWord leaving = 9;</code>
+     */
+    public Builder addLeaving(
+        org.fawndrum.protocol.wire.EndpointWord.Builder builderForValue) {
+      if (leavingBuilder_ == null) {
+        ensureLeavingIsMutable();
+        leaving_.add(builderForValue.build());
+        onChanged();
+      } else {
+        leavingBuilder_.addMessage(builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Endpoints that the sender learned to be leaving within the last seconds.
+     * </pre>
+     *
+     * <code>repeated .fawndrum.EndpointWord leaving = 9;</code>
+     */
+    public Builder addLeaving(
+        int index, org.fawndrum.protocol.wire.EndpointWord.Builder builderForValue) {
+      if (leavingBuilder_ == null) {
+        ensureLeavingIsMutable();
+        leaving_.add(index, builderForValue.build());
+        onChanged();
+      } else {
+        leavingBuilder_.addMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Endpoints that the sender learned to be leaving within the last seconds.
+     * </pre>
+     *
+     * <code>repeated .fawndrum.EndpointWord leaving = 9;</code>
+     */
+    public Builder addAllLeaving(
+        java.lang.Iterable<? extends org.fawndrum.protocol.wire.EndpointWord> values) {
+      if (leavingBuilder_ == null) {
+        ensureLeavingIsMutable();
+        com.google.protobuf.AbstractMessageLite.Builder.addAll(
+            values, leaving_);
+        onChanged();
+      } else {
+        leavingBuilder_.addAllMessages(values);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Endpoints that the sender learned to be leaving within the last seconds.
+     * </pre>
+     *
+     * <code>repeated .fawndrum.EndpointWord leaving = 9;</code>
+     */
+    public Builder clearLeaving() {
+      if (leavingBuilder_ == null) {
+        leaving_ = java.util.Collections.emptyList();
+        bitField0_ = (bitField0_ & ~0x00000100);
+        onChanged();
+      } else {
+        leavingBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Endpoints that the sender learned to be leaving within the last seconds.
+     * </pre>
+     *
+     * <code>repeated .fawndrum.EndpointWord leaving = 9;</code>
+     */
+    public Builder removeLeaving(int index) {
+      if (leavingBuilder_ == null) {
+        ensureLeavingIsMutable();
+        leaving_.remove(index);
+        onChanged();
+      } else {
+        leavingBuilder_.remove(index);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Endpoints that the sender learned to be leaving within the last seconds.
+     * </pre>
+     *
+     * <code>repeated .fawndrum.EndpointWord leaving = 9;</code>
+     */
+    public org.fawndrum.protocol.wire.EndpointWord.Builder getLeavingBuilder(
+        int index) {
+      return internalGetLeavingFieldBuilder().getBuilder(index);
+    }
+    /**
+     * <pre>
+     * Endpoints that the sender learned to be leaving within the last seconds.
+     * </pre>
+     *
+     * <code>repeated .fawndrum.EndpointWord leaving = 9;</code>
+     */
+    public org.fawndrum.protocol.wire.EndpointWordOrBuilder getLeavingOrBuilder(
+        int index) {
+      if (leavingBuilder_ == null) {
+        return leaving_.get(index);  } else {
+        return leavingBuilder_.getMessageOrBuilder(index);
+      }
+    }
+    /**
+     * <pre>
+     * Endpoints that the sender learned to be leaving within the last seconds.
+     * </pre>
+     *
+     * <code>repeated .fawndrum.EndpointWord leaving = 9;</code>
+     */
+    public java.util.List<? extends org.fawndrum.protocol.wire.EndpointWordOrBuilder> 
+         getLeavingOrBuilderList() {
+      if (leavingBuilder_ != null) {
+        return leavingBuilder_.getMessageOrBuilderList();
+      } else {
+        return java.util.Collections.unmodifiableList(leaving_);
+      }
+    }
+    /**
+     * <pre>
+     * Endpoints that the sender learned to be leaving within the last seconds.
+     * </pre>
+     *
+     * <code>repeated .fawndrum.EndpointWord leaving = 9;</code>
+     */
+    public org.fawndrum.protocol.wire.EndpointWord.Builder addLeavingBuilder() {
+      return internalGetLeavingFieldBuilder().addBuilder(
+          org.fawndrum.protocol.wire.EndpointWord.getDefaultInstance());
+    }
+    /**
+     * <pre>
+     * Endpoints that the sender learned to be leaving within the last seconds.
+     * </pre>
+     *
+     * <code>repeated .fawndrum.EndpointWord leaving = 9;</code>
+     */
+    public org.fawndrum.protocol.wire.EndpointWord.Builder addLeavingBuilder(
+        int index) {
+      return internalGetLeavingFieldBuilder().addBuilder(
+          index, org.fawndrum.protocol.wire.EndpointWord.getDefaultInstance());
+    }
+    /**
+     * <pre>
+     * Endpoints that the sender learned to be leaving within the last seconds.
+     * </pre>
+     *
+     * <code>repeated .fawndrum.EndpointWord leaving = 9;</code>
+     */
+    public java.util.List<org.fawndrum.protocol.wire.EndpointWord.Builder> 
+         getLeavingBuilderList() {
+      return internalGetLeavingFieldBuilder().getBuilderList();
+    }
+    private com.google.protobuf.RepeatedFieldBuilder<
+        org.fawndrum.protocol.wire.EndpointWord, org.fawndrum.protocol.wire.EndpointWord.Builder, org.fawndrum.protocol.wire.EndpointWordOrBuilder> 
+        internalGetLeavingFieldBuilder() {
+      if (leavingBuilder_ == null) {
+        leavingBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+            org.fawndrum.protocol.wire.EndpointWord, org.fawndrum.protocol.wire.EndpointWord.Builder, org.fawndrum.protocol.wire.EndpointWordOrBuilder>(
+                leaving_,
+                ((bitField0_ & 0x00000100) != 0),
+                getParentForChildren(),
+                isClean());
+        leaving_ = null;
+      }
+      return leavingBuilder_;
+    }
+
     // @@protoc_insertion_point(builder_scope:fawndrum.FleetNews)
   }
 
--- a/org.fawndrum/src/org/fawndrum/protocol/wire/FleetNewsOrBuilder.java
+++ b/org.fawndrum/src/org/fawndrum/protocol/wire/FleetNewsOrBuilder.java
@@ -167,4 +167,48 @@
    * @return The crashSummary.
    */
   long getCrashSummary();
+
+  /**
+   * <pre>
+   * Endpoints that the sender learned to be leaving within the last seconds.
+   * </pre>
+   *
+   * <code>repeated .fawndrum.EndpointWord leaving = 9;</code>
+   */
+  java.util.List<org.fawndrum.protocol.wire.EndpointWord> 
+      getLeavingList();
+  /**
+   * <pre>
+   * Endpoints that the sender learned to be leaving within the last seconds.
+   * </pre>
+   *
+   * <code>repeated .fawndrum.EndpointWord leaving = 9;</code>
+   */
+  org.fawndrum.protocol.wire.EndpointWord getLeaving(int index);
+  /**
+   * <pre>
+   * Endpoints that the sender learned to be leaving within the last seconds.
+   * </pre>
+   *
+   * <code>repeated .fawndrum.EndpointWord leaving = 9;</code>
+   */
+  int getLeavingCount();
+  /**
+   * <pre>
+   * Endpoints that the sender learned to be leaving within the last seconds.
+   * </pre>
+   *
+   * <code>repeated .fawndrum.EndpointWord leaving = 9;</code>
+   */
+  java.util.List<? extends org.fawndrum.protocol.wire.EndpointWordOrBuilder> 
+      getLeavingOrBuilderList();
+  /**
+   * <pre>
+   * Endpoints that the sender learned to be leaving within the last seconds.
+   * </pre>
+   *
+   * <code>repeated .fawndrum.EndpointWord leaving = 9;</code>
+   */
+  org.fawndrum.protocol.wire.EndpointWordOrBuilder getLeavingOrBuilder(
+      int index);
 }
--- a/org.fawndrum/src/org/fawndrum/transport/relay/FleetDuty.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/FleetDuty.java
@@ -67,6 +67,7 @@
   private final Duty<FleetEvent> duty;
   private final FleetOverlay overlay;
   private final Map<String, List<EngineNews>> ownNews = new LinkedHashMap<>();
+  private final LeavingWords leavingWords = new LeavingWords();
   private final ReportBuffer gathered = new ReportBuffer();
   private volatile List<HostAddress> alive = List.of();
   private volatile HostAddress speaker;
@@ -155,8 +156,15 @@
     } else if (event instanceof FleetEvent.Heard heard) {
       heard(heard);
       compareCrashes(heard);
+      if (!heard.leaving().isEmpty()) {
+        listener.leavingTold(heard.from().identity(), heard.leaving());
+      }
     } else if (event instanceof FleetEvent.Crashes crashes) {
       tell(crashes);
+    } else if (event instanceof FleetEvent.Leaving leaving) {
+      long nowMs = clock.nowMs();
+      leavingWords.learned(leaving.endpoints(), nowMs);
+      send(news(), everyone(nowMs));
     }
   }
 
@@ -198,11 +206,16 @@
   private void tell(FleetEvent.Crashes crashes) {
     long nowMs = clock.nowMs();
     boolean whole = crashes.to().isPresent();
-    Set<HostAddress> to = addresses(overlay.near(nowMs));
-    to.addAll(addresses(overlay.far(nowMs)));
     send(
         news().setCrashes(CrashCodec.write(crashes.news(), whole, nowMs)),
-        whole ? Set.of(crashes.to().get()) : to);
+        whole ? Set.of(crashes.to().get()) : everyone(nowMs));
+  }
+
+  /** Returns where the daemons are that this one tells things at once. */
+  private Set<HostAddress> everyone(long nowMs) {
+    Set<HostAddress> to = addresses(overlay.near(nowMs));
+    to.addAll(addresses(overlay.far(nowMs)));
+    return to;
   }
 
   private void tellKnown(FleetMember to) {
@@ -323,6 +336,7 @@
         .setSender(FleetCodec.write(member))
         .setConfigurationRevision(view.configurationRevision())
         .setEndpointsChanged(view.endpointsChanged())
+        .addAllLeaving(FleetCodec.writeEndpoints(leavingWords.toTell(clock.nowMs())))
         .setCrashSummary(crashSummary.getAsLong());
   }
 
--- a/org.fawndrum/src/org/fawndrum/transport/relay/FleetEvent.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/FleetEvent.java
@@ -9,6 +9,7 @@
 import org.fawndrum.coordination.membership.FleetMember;
 import org.fawndrum.coordination.membership.FleetReport;
 import org.fawndrum.state.HostAddress;
+import org.fawndrum.state.HostIdentity;
 
 /** An event for the thread that knows the other daemons. */
 sealed interface FleetEvent {
@@ -24,9 +25,13 @@
       boolean subscribes,
       List<FleetReport> reports,
       List<FleetMember> known,
-      CrashesFrom crashes)
+      CrashesFrom crashes,
+      List<HostIdentity> leaving)
       implements FleetEvent {}
 
+  /** Others should know of endpoints that leave. */
+  record Leaving(List<HostIdentity> endpoints) implements FleetEvent {}
+
   /** Others should know of endpoints that ended: one daemon all of it, or all what is news. */
   record Crashes(Optional<HostAddress> to, CrashNews news) implements FleetEvent {}
 }
--- a/org.fawndrum/src/org/fawndrum/transport/relay/FleetListener.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/FleetListener.java
@@ -22,6 +22,9 @@
   /** Another daemon told about endpoints that ended under requests. */
   void crashesTold(CrashesFrom told);
 
+  /** Another daemon told about endpoints that leave. */
+  void leavingTold(HostIdentity by, List<HostIdentity> endpoints);
+
   /** Another daemon may know less about such endpoints. */
   void crashesWanted(HostAddress by);
 }
--- a/org.fawndrum/src/org/fawndrum/transport/relay/FleetReceiver.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/FleetReceiver.java
@@ -11,6 +11,7 @@
 import org.fawndrum.protocol.wire.KnowledgeRequest;
 import org.fawndrum.protocol.wire.PeerMessage;
 import org.fawndrum.state.HostAddress;
+import org.fawndrum.state.HostIdentity;
 import org.fawndrum.transport.HostClock;
 import org.fawndrum.transport.peer.PeerNetwork;
 
@@ -59,7 +60,9 @@
             CrashCodec.read(news.getCrashes(), nowMs),
             news.getCrashes().getWhole(),
             news.getCrashSummary());
-    fleet.accept(new FleetEvent.Heard(sender, news.getSubscribes(), reports, known, crashes));
+    List<HostIdentity> leaving = FleetCodec.readEndpoints(news.getLeavingList());
+    fleet.accept(
+        new FleetEvent.Heard(sender, news.getSubscribes(), reports, known, crashes, leaving));
     knowledge.told(
         sender.address(),
         new StoreView(news.getConfigurationRevision(), news.getEndpointsChanged()));
--- a/org.fawndrum/src/org/fawndrum/transport/relay/FleetReports.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/FleetReports.java
@@ -30,6 +30,11 @@
     decisions.accept(new RelayEvent.CrashesTold(told));
   }
 
+  @Override
+  public void leavingTold(HostIdentity by, List<HostIdentity> endpoints) {
+    decisions.accept(new RelayEvent.Leaving(endpoints, by.toString()));
+  }
+
   @Override
   public void crashesWanted(HostAddress by) {
     decisions.accept(new RelayEvent.CrashesWanted(by));
--- a/org.fawndrum/src/org/fawndrum/transport/relay/RelayDuty.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/RelayDuty.java
@@ -18,6 +18,7 @@
 import org.fawndrum.internal.log.HostLog;
 import org.fawndrum.internal.log.LogEvent;
 import org.fawndrum.state.Endpoint;
+import org.fawndrum.state.HostIdentity;
 import org.fawndrum.state.RouteTable;
 import org.fawndrum.transport.Exchange;
 import org.fawndrum.transport.HostClock;
@@ -41,7 +42,7 @@
   private final EndpointRoster roster = new EndpointRoster();
   private final HostClock clock;
   private final Consumer<Action.Announce> news;
-  private final CrashTeller crashes;
+  private final FleetTeller fleet;
   private final HostLog log;
   private final OpenExchanges exchanges;
   private final Duty<RelayEvent> duty;
@@ -50,6 +51,7 @@
   private volatile int open;
   private volatile long crashSummary;
   private volatile List<RefusedRequest> refused = List.of();
+  private volatile int leavingEndpoints;
   private volatile int turnedAway;
   private volatile int givenUp;
 
@@ -58,19 +60,19 @@
    *
    * @param feed takes each decision; must not block
    * @param news takes what other daemons should know; must not block
-   * @param crashes tells other daemons of endpoints that ended
+   * @param fleet tells other daemons of endpoints that ended or leave
    */
   RelayDuty(
       RequestCoordinator coordinator,
       HostClock clock,
       Consumer<Decision> feed,
       Consumer<Action.Announce> news,
-      CrashTeller crashes,
+      FleetTeller fleet,
       HostLog log) {
     this.coordinator = coordinator;
     this.clock = clock;
     this.news = news;
-    this.crashes = crashes;
+    this.fleet = fleet;
     this.log = log;
     this.exchanges = new OpenExchanges(feed);
     this.duty = new Duty<>("decisions", new Ring<>(RING_EVENTS), this::handle, this::tick, log);
@@ -105,6 +107,11 @@
     return refused;
   }
 
+  /** Returns how many endpoints of the list get nothing more because they leave. */
+  int leavingEndpoints() {
+    return leavingEndpoints;
+  }
+
   /** Returns how many events wait for the thread. */
   int ringFill() {
     return duty.ring().size();
@@ -185,7 +192,7 @@
     } else if (event instanceof RelayEvent.CrashesTold told) {
       toldCrashes(told.told(), nowMs);
     } else if (event instanceof RelayEvent.CrashesWanted wanted) {
-      crashes.all(wanted.by(), coordinator.suspects().all());
+      fleet.allCrashes(wanted.by(), coordinator.suspects().all());
     }
   }
 
@@ -193,7 +200,7 @@
   private void toldCrashes(CrashesFrom told, long nowMs) {
     carryOut(coordinator.suspects(one -> one.heard(told.news(), nowMs), nowMs));
     if (told.whole() && told.summary() != coordinator.suspects().summary()) {
-      crashes.news(coordinator.suspects().all());
+      fleet.crashes(coordinator.suspects().all());
     }
   }
 
@@ -220,6 +227,8 @@
       if (roster.listed(listed.listing())) {
         offerEndpoints(nowMs);
       }
+    } else if (event instanceof RelayEvent.Leaving leaving) {
+      leaving(leaving, nowMs);
     } else if (event instanceof RelayEvent.Restarted restarted) {
       if (roster.startedAgain(restarted.start())) {
         offerEndpoints(nowMs);
@@ -227,6 +236,19 @@
     }
   }
 
+  /**
+   * Sends nothing more to endpoints that leave. Their own word is the first there is of it, and the
+   * only one while the store takes none; the other daemons hear of it once, from each that learns.
+   */
+  private void leaving(RelayEvent.Leaving event, long nowMs) {
+    List<HostIdentity> news = event.endpoints().stream().filter(roster::saidLeaving).toList();
+    if (!news.isEmpty()) {
+      news.forEach(one -> log.event(LogEvent.ENDPOINT_LEAVES, one, event.by()));
+      offerEndpoints(nowMs);
+      fleet.leaving(news);
+    }
+  }
+
   private void handle(RelayEvent.OfHost event, long nowMs) {
     if (event instanceof RelayEvent.LetGo letGo) {
       log.event(LogEvent.REQUEST_LET_GO, letGo.fingerprint());
@@ -246,6 +268,7 @@
   private void offerEndpoints(long nowMs) {
     List<Endpoint> known =
         roster.open().stream().map(this::described).flatMap(Optional::stream).toList();
+    leavingEndpoints = roster.listedLeaving();
     carryOut(coordinator.endpoints(known, nowMs));
     carryOut(coordinator.restarted(roster::isOver, nowMs));
   }
@@ -263,7 +286,7 @@
       if (action instanceof Action.Announce announce) {
         news.accept(announce);
       } else if (action instanceof Action.TellCrashes tell) {
-        crashes.news(tell.news());
+        fleet.crashes(tell.news());
         tell.news().refused().forEach(this::logRefused);
       }
     }
--- a/org.fawndrum/src/org/fawndrum/transport/relay/RelayEvent.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/RelayEvent.java
@@ -68,6 +68,14 @@
   /** An endpoint says that it has started again. */
   record Restarted(HostIdentity start) implements OfEndpoints {}
 
+  /**
+   * An endpoint says that it leaves.
+   *
+   * @param endpoints the starts that do
+   * @param by who told: the endpoint itself, or another daemon
+   */
+  record Leaving(List<HostIdentity> endpoints, String by) implements OfEndpoints {}
+
   /** An operator lets a request go that was turned away. */
   record LetGo(String fingerprint) implements OfHost {}
 
--- a/org.fawndrum/src/org/fawndrum/transport/relay/RelayRuntime.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/RelayRuntime.java
@@ -93,7 +93,7 @@
     this.decisionLog =
         new DecisionLog(new RequestMetrics(registry, clock), this::basis, clock, log);
     this.decisions =
-        new RelayDuty(coordinator, clock, decisionLog, this::announced, new Crashes(), log);
+        new RelayDuty(coordinator, clock, decisionLog, this::announced, new Teller(), log);
     this.events = new SureEvents(vertx, decisions, log);
     this.metrics =
         new MetricsServer(vertx, settings.metrics(), registry, decisions::refusedRequests, log);
@@ -162,17 +162,22 @@
     }
   }
 
-  /** Hands what the decisions know of crashes to the thread that knows the other daemons. */
-  private final class Crashes implements CrashTeller {
+  /** Hands what the decisions learn of endpoints to the thread that knows the other daemons. */
+  private final class Teller implements FleetTeller {
     @Override
-    public void news(CrashNews news) {
+    public void crashes(CrashNews news) {
       fleet.offer(new FleetEvent.Crashes(Optional.empty(), news));
     }
 
     @Override
-    public void all(HostAddress to, CrashNews all) {
+    public void allCrashes(HostAddress to, CrashNews all) {
       fleet.offer(new FleetEvent.Crashes(Optional.of(to), all));
     }
+
+    @Override
+    public void leaving(List<HostIdentity> endpoints) {
+      fleet.offer(new FleetEvent.Leaving(endpoints));
+    }
   }
 
   private RelayServer callerServer(RelayAdapter adapter) {
@@ -223,6 +228,7 @@
     registry.registerGauge("configurationAgeMs", () -> routes.ageMs(clock.nowMs()));
     registry.registerGauge("endpointsAgeMs", () -> clock.nowMs() - listedAtMs);
     registry.registerGauge("unusableEntries", () -> reading.endpoints().unusable());
+    registry.registerGauge("leavingEndpoints", decisions::leavingEndpoints);
     registry.registerGauge("openRequests", decisions::open);
     registry.registerGauge("refusedRequests", () -> decisions.refusedRequests().size());
     registry.registerGauge("decisionsRingFill", decisions::ringFill);
@@ -313,6 +319,9 @@
     if (noticeLines.take(clock.nowMs())) {
       log.event(LogEvent.ENDPOINT_NOTICE, endpoint, notice.leaving(), notice.restMs());
     }
+    if (notice.leaving()) {
+      events.accept(new RelayEvent.Leaving(List.of(endpoint), "itself"));
+    }
   }
 
   private void restarted(HostIdentity start) {
--- a/org.fawndrum/tst/org/fawndrum/coordination/EndpointRosterTest.java
+++ b/org.fawndrum/tst/org/fawndrum/coordination/EndpointRosterTest.java
@@ -89,4 +89,20 @@
     assertTrue(open(roster, new HostIdentity("a", 2)));
     assertFalse(open(roster, a.identity()));
   }
+
+  @Test
+  void whatLeftLongAgoIsForgottenAndWhatIsListedNever() {
+    EndpointRoster roster = new EndpointRoster();
+    Endpoint listed = endpoint("listed", 1);
+    roster.listed(listing(1, List.of(listed)));
+    roster.saidLeaving(listed.identity());
+    for (int i = 0; i < 5_000; i++) {
+      roster.saidLeaving(new HostIdentity("gone-" + i, 1));
+    }
+    roster.listed(listing(2, List.of(listed)));
+    assertFalse(open(roster, listed.identity()));
+    assertEquals(1, roster.listedLeaving());
+    assertTrue(roster.leaving().size() < 1_100, "kept: " + roster.leaving().size());
+    assertTrue(roster.leaving().contains(new HostIdentity("gone-4999", 1)), "the last to leave");
+  }
 }
--- a/org.fawndrum/tst/org/fawndrum/transport/relay/RelayDutyTest.java
+++ b/org.fawndrum/tst/org/fawndrum/transport/relay/RelayDutyTest.java
@@ -55,7 +55,7 @@
           () -> 1_000,
           decision -> {},
           news -> {},
-          new UntoldCrashes(),
+          new UntoldFleet(),
           new HostLog("test"));
 
   /** A caller's request that writes down what is ordered for it. */
