Send nothing to an endpoint for as long as it asked for rest

Callers' requests went to endpoints that had turned their host away and named the time for which they want nothing from it: half a second after the refusal, or at once after the next whole answer, whichever came first.

Cause: the time was read by nobody. A refusal counted as a failure of the endpoint, and a whole answer ended every rest, also an answer to a request of before.

Now a start of an endpoint rests until the time that it named, in EndpointRests: one owner, read when a request is placed and again when it is sent, because a connection may take until after the word. Success, probes, lists and shorter wishes don't end it; a later start does, and it is kept apart from the list, so that an entry that is missing for a moment does not. It counts by the host's clock, suspended time included, and for this host alone: others may still be welcome, and a host that starts again knows nothing of it. The endpoint is not blamed, and what was chosen and not sent goes elsewhere without a retry of the budget.

Where every endpoint of a service rests, or none is left, requests are refused at once unless the first rest ends early enough for the aim: 503 where nothing was sent, and asked back when the first rest ends, after a second at most because another host may serve sooner. That holds for requests that wait or would be sent again as well; before, these waited for their deadline. A stalled answer goes on where nobody could take it over.

Renewals, releases and probes for requests that an endpoint has taken go on while it rests: without them these would end.

Tests changed: the properties on attempts know the third word that nothing was sent (ENDPOINT_RESTS) beside the two there were; SuspectRequestsTest.anEndpointThatWasToLeaveSaysNothing let all endpoints go and come back, which now refuses the request at once; it lets just that one go, and still fails when its end counts as a crash. To make room, how open requests are given up moved from RequestCoordinator to OpenRequests, unchanged.

--- a/org.fawndrum/src/org/fawndrum/coordination/Admission.java
+++ b/org.fawndrum/src/org/fawndrum/coordination/Admission.java
@@ -37,8 +37,9 @@
         && !usage.row().allowsModel(facts.target().name())) {
       return byCell(RefusalKind.MODEL_NOT_ALLOWED, Refusal.NEVER, facts, Column.MODELS);
     }
-    if (endpoints.serving(facts.target()).isEmpty()) {
-      return Refusal.of(RefusalKind.NO_ENDPOINT, Ran.NO, OTHER_HOST_RETRY_MS);
+    Refusal unavailable = unavailable(request, nowMs);
+    if (unavailable != null) {
+      return unavailable;
     }
     if (fitsNowhere(facts)) {
       return Refusal.notRun(RefusalKind.PROMPT_TOO_LONG);
@@ -62,6 +63,33 @@
     return null;
   }
 
+  /**
+   * Returns the end of a request that no endpoint can take in time: there is none, or all of them
+   * want nothing from this host until it would come late. Null when one may take it. The caller is
+   * asked back when the first of them is to be had again, or when another host, which they may not
+   * have asked for rest, can help sooner.
+   */
+  Refusal unavailable(LiveRequest request, long nowMs) {
+    List<EndpointState> serving = endpoints.serving(request.facts.target());
+    if (serving.isEmpty()) {
+      return EndRules.unavailable(request, RefusalKind.NO_ENDPOINT, OTHER_HOST_RETRY_MS);
+    }
+    long restEndMs =
+        serving.stream().mapToLong(EndpointState::restEndMs).min().orElse(Long.MIN_VALUE);
+    boolean inTime = restEndMs + shortestServiceMs(request.facts) <= aimedAtMs(request);
+    if (restEndMs <= nowMs || inTime) {
+      return null;
+    }
+    long retryMs = Math.min(OTHER_HOST_RETRY_MS, restEndMs - nowMs);
+    return EndRules.unavailable(request, RefusalKind.ENDPOINTS_REST, retryMs);
+  }
+
+  /** Returns by when the first part of the answer is wanted; the deadline where nothing is. */
+  private static long aimedAtMs(LiveRequest request) {
+    long aimMs = request.facts.aims().firstTokenMs();
+    return aimMs > 0 ? request.facts.arrivedMs() + aimMs : request.deadlineMs;
+  }
+
   /** Tells whether no endpoint could ever hold the request, however long it waited. */
   private boolean fitsNowhere(RequestFacts facts) {
     return facts.target().kind() == EndpointKind.MODEL
--- a/org.fawndrum/src/org/fawndrum/coordination/AttemptEvent.java
+++ b/org.fawndrum/src/org/fawndrum/coordination/AttemptEvent.java
@@ -7,6 +7,8 @@
   SENDING,
   /** The transport's word that nothing was handed to the network and nothing will be. */
   CONNECT_FAILED,
+  /** The endpoint asked for rest before anything was handed to the network; nothing will be. */
+  ENDPOINT_RESTS,
   /** The endpoint says that it did not and will not run the request. */
   REFUSED_BY_ENDPOINT,
   /** A part of the answer arrived. */
--- a/org.fawndrum/src/org/fawndrum/coordination/AttemptStates.java
+++ b/org.fawndrum/src/org/fawndrum/coordination/AttemptStates.java
@@ -20,7 +20,7 @@
     }
     return switch (event) {
       case SENDING -> state == AttemptState.WAITING ? AttemptState.SENT : state;
-      case CONNECT_FAILED ->
+      case CONNECT_FAILED, ENDPOINT_RESTS ->
           state == AttemptState.RUNNING ? AttemptState.FAILED : AttemptState.NOT_RUN;
       case REFUSED_BY_ENDPOINT ->
           state == AttemptState.RUNNING ? AttemptState.FAILED : AttemptState.NOT_RUN;
--- a/org.fawndrum/src/org/fawndrum/coordination/EndRules.java
+++ b/org.fawndrum/src/org/fawndrum/coordination/EndRules.java
@@ -42,6 +42,14 @@
     return lost(request, mayRepeat(request, last) ? Admission.OTHER_HOST_RETRY_MS : Refusal.NEVER);
   }
 
+  /** Returns the end of a request that no endpoint can take in time. */
+  static Refusal unavailable(LiveRequest request, RefusalKind kind, long retryMs) {
+    if (request.ran() == Ran.NO) {
+      return Refusal.of(kind, Ran.NO, retryMs);
+    }
+    return lost(request, request.facts.repeatable() ? retryMs : Refusal.NEVER);
+  }
+
   private static Refusal lost(LiveRequest request, long retryMs) {
     boolean unknown = request.ran() == Ran.UNKNOWN && !request.facts.repeatable();
     RefusalKind kind = unknown ? RefusalKind.OUTCOME_UNKNOWN : RefusalKind.ENDPOINT_FAILED;
@@ -56,8 +64,13 @@
   /** Keeps a request from the endpoint of its failed attempt, and lets that rest where due. */
   static void blame(
       LiveRequest request, LiveRequest.Attempt attempt, AttemptEvent event, long nowMs) {
-    boolean rests = event != AttemptEvent.FAILED_BY_ENDPOINT && event != AttemptEvent.STALLED;
-    if (rests) {
+    if (event == AttemptEvent.ENDPOINT_RESTS) {
+      return;
+    }
+    // One that asks for rest as it turns a request away has named the time, and has not failed.
+    boolean onlyRests = event == AttemptEvent.REFUSED_BY_ENDPOINT && attempt.endpoint.rests(nowMs);
+    boolean mayBeSlow = event == AttemptEvent.FAILED_BY_ENDPOINT || event == AttemptEvent.STALLED;
+    if (!onlyRests && !mayBeSlow) {
       attempt.endpoint.failed(nowMs);
     }
     request.excluded.add(attempt.endpoint.endpoint().identity());
@@ -66,7 +79,7 @@
   /** Returns the reason that is shown for a refusal of a new request. */
   static Reason reasonOf(RefusalKind kind) {
     return switch (kind) {
-      case NO_ENDPOINT -> Reason.NO_ENDPOINT;
+      case NO_ENDPOINT, ENDPOINTS_REST -> Reason.NO_ENDPOINT;
       case CANNOT_FINISH -> Reason.DEADLINE;
       default -> Reason.LIMIT;
     };
--- a/org.fawndrum/src/org/fawndrum/coordination/EndpointBook.java
+++ b/org.fawndrum/src/org/fawndrum/coordination/EndpointBook.java
@@ -15,10 +15,15 @@
  * have. Confined to one thread.
  */
 final class EndpointBook {
+  private final EndpointRests rests;
   private final Map<HostIdentity, EndpointState> states = new HashMap<>();
   private final Map<RequestTarget, List<EndpointState>> open = new HashMap<>();
   private final Map<RequestTarget, Long> largest = new HashMap<>();
 
+  EndpointBook(EndpointRests rests) {
+    this.rests = rests;
+  }
+
   /**
    * Takes over the endpoints that may get new work. Endpoints not named get none any more; what
    * they have in flight goes on.
@@ -30,7 +35,7 @@
     for (Endpoint endpoint : endpoints) {
       EndpointState state = states.get(endpoint.identity());
       if (state == null) {
-        state = new EndpointState(endpoint, endpoints.size());
+        state = new EndpointState(endpoint, endpoints.size(), rests);
       } else {
         state.describe(endpoint);
       }
--- a/org.fawndrum/src/org/fawndrum/coordination/EndpointState.java
+++ b/org.fawndrum/src/org/fawndrum/coordination/EndpointState.java
@@ -26,6 +26,7 @@
 
   private static final double MS_PER_SECOND = 1000.0;
 
+  private final EndpointRests rests;
   private Endpoint endpoint;
   private LoadReport report;
   private long reportedAtMs;
@@ -53,8 +54,9 @@
     }
   }
 
-  EndpointState(Endpoint endpoint, int engines) {
+  EndpointState(Endpoint endpoint, int engines, EndpointRests rests) {
     this.endpoint = endpoint;
+    this.rests = rests;
     this.prefixes = new CachedPrefixes(engines);
     this.load = new EngineLoad(endpoint.engine().orElse(null));
   }
@@ -177,6 +179,16 @@
     return nowMs < avoidUntilMs;
   }
 
+  /** Tells whether the endpoint wants nothing from this host now, by its own word. */
+  public boolean rests(long nowMs) {
+    return rests.lasts(endpoint.identity(), nowMs);
+  }
+
+  /** Returns the end of the endpoint's rest, which may be over. */
+  long restEndMs() {
+    return rests.endMs(endpoint.identity());
+  }
+
   /** Returns the engine's reading speed in prompt tokens a second. */
   public long tokensPerSecond() {
     return report == null ? ASSUMED_TOKENS_PER_SECOND : Math.max(1, report.tokensPerSecond());
--- a/org.fawndrum/src/org/fawndrum/coordination/Explainer.java
+++ b/org.fawndrum/src/org/fawndrum/coordination/Explainer.java
@@ -17,7 +17,12 @@
     show(new DecisionBuilder(facts, nowMs, DecisionKind.ADMITTED, Reason.WITHIN_LIMITS));
   }
 
-  void waiting(RequestFacts facts, long nowMs) {
+  void waiting(LiveRequest request, long nowMs) {
+    if (request.shownWaiting) {
+      return;
+    }
+    request.shownWaiting = true;
+    RequestFacts facts = request.facts;
     show(new DecisionBuilder(facts, nowMs, DecisionKind.WAITING, Reason.ENDPOINTS_BUSY));
   }
 
--- a/org.fawndrum/src/org/fawndrum/coordination/Placement.java
+++ b/org.fawndrum/src/org/fawndrum/coordination/Placement.java
@@ -37,7 +37,9 @@
 
     /** Tells whether an endpoint may be used at all. */
     public boolean usable(EndpointState state) {
-      return !state.avoided(nowMs) && !excluded.contains(state.endpoint().identity());
+      return !state.avoided(nowMs)
+          && !state.rests(nowMs)
+          && !excluded.contains(state.endpoint().identity());
     }
   }
 
--- a/org.fawndrum/src/org/fawndrum/coordination/RefusalKind.java
+++ b/org.fawndrum/src/org/fawndrum/coordination/RefusalKind.java
@@ -41,6 +41,8 @@
   DEADLINE_PASSED(504, "timeout_error", "the deadline passed"),
   /** No live endpoint serves the target. */
   NO_ENDPOINT(503, "overloaded_error", "no live endpoint serves the target"),
+  /** Every endpoint that serves the target wants nothing from this host for a while. */
+  ENDPOINTS_REST(503, "overloaded_error", "every endpoint that serves the target asked for rest"),
   /** The host is being stopped. */
   DRAINING(503, "overloaded_error", "this host is being stopped"),
   /** A duty's ring is full. */
--- a/org.fawndrum/src/org/fawndrum/coordination/RequestCoordinator.java
+++ b/org.fawndrum/src/org/fawndrum/coordination/RequestCoordinator.java
@@ -3,9 +3,7 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.function.Consumer;
 import java.util.function.Predicate;
@@ -25,12 +23,13 @@
   private final HostIdentity self;
   private final String zone;
   private final Policies policies;
-  private final EndpointBook endpoints = new EndpointBook();
+  private final EndpointRests rests;
+  private final EndpointBook endpoints;
   private final WaitingRequests waiting;
   private final DrainRate drained = new DrainRate();
   private final Admission admission;
   private final GroupUsages usages = new GroupUsages();
-  private final Map<String, LiveRequest> requests = new HashMap<>();
+  private final OpenRequests requests;
   private final DeadlineChecks checks = new DeadlineChecks();
   private final List<Action> out = new ArrayList<>();
   private final Explainer explainer = new Explainer(out);
@@ -48,7 +47,15 @@
    * @param policies the exchangeable parts, owned by this coordinator
    */
   public RequestCoordinator(HostIdentity self, String zone, Policies policies) {
+    this(self, zone, policies, new EndpointRests());
+  }
+
+  /** The same; the rests of endpoints are shared with what sends requests to them. */
+  public RequestCoordinator(
+      HostIdentity self, String zone, Policies policies, EndpointRests rests) {
     this.self = self;
+    this.rests = rests;
+    this.endpoints = new EndpointBook(rests);
     this.zone = zone;
     this.policies = policies;
     this.waiting = new WaitingRequests(policies.order(), policies.lengths());
@@ -58,6 +65,7 @@
     this.ends = new AttemptEnds(work, new RetryRule(policies), explainer, out);
     this.admission = new Admission(waiting, drained, endpoints, policies.refuseEarly());
     this.arrivals = new Arrivals(usages, policies.lengths(), suspects, admission);
+    this.requests = new OpenRequests(waiting, usages, suspects, ends, explainer, out);
   }
 
   /** Takes over a newer table; an older one is passed over. */
@@ -75,12 +83,25 @@
   /** Takes over the endpoints that may get new work. */
   public List<Action> endpoints(Collection<Endpoint> open, long nowMs) {
     endpoints.offer(open);
+    giveUpUnavailable(nowMs);
+    return flush(nowMs);
+  }
+
+  /** Takes note that some endpoint wants nothing from this host for a while. */
+  public List<Action> endpointRests(long nowMs) {
+    giveUpUnavailable(nowMs);
     return flush(nowMs);
   }
 
+  /** Gives up what waits for endpoints of which none can take it in time any more. */
+  private void giveUpUnavailable(long nowMs) {
+    requests.giveUpWaiting(
+        request -> admission.unavailable(request, nowMs), Reason.NO_ENDPOINT, nowMs);
+  }
+
   /** Sends again what hangs on starts of endpoints that are over, where it may be. */
   public List<Action> restarted(Predicate<HostIdentity> over, long nowMs) {
-    for (LiveRequest request : List.copyOf(requests.values())) {
+    for (LiveRequest request : requests.all()) {
       LiveRequest.Attempt last = request.last();
       if (last != null && !last.state.ended() && work.hangsOn(last, over)) {
         if (over.test(last.endpoint.endpoint().identity())) {
@@ -129,8 +150,8 @@
   /** Ends every open request with a final answer that is true, because the host ends now. */
   public List<Action> giveUpAll(long nowMs) {
     arrivals.stop(StopWindow.CLOSED);
-    for (LiveRequest request : List.copyOf(requests.values())) {
-      giveUp(request, EndRules.hostEnds(request), Reason.DRAINING, nowMs);
+    for (LiveRequest request : requests.all()) {
+      requests.giveUp(request, EndRules.hostEnds(request), Reason.DRAINING, nowMs);
     }
     return flush(nowMs);
   }
@@ -142,7 +163,7 @@
 
   /** Tells whether a request has no final answer yet. */
   public boolean isOpen(String requestId) {
-    return requests.containsKey(requestId);
+    return requests.contains(requestId);
   }
 
   /** Returns how many requests wait for an endpoint. */
@@ -166,7 +187,7 @@
   }
 
   private void admit(LiveRequest request, long nowMs) {
-    requests.put(request.facts.requestId(), request);
+    requests.add(request);
     policies.retries().firstSend(request.facts.target(), nowMs);
     explainer.admitted(request.facts, nowMs);
     enqueue(request, nowMs);
@@ -178,6 +199,11 @@
     if (suspects.holds(request, nowMs)) {
       return;
     }
+    Refusal unavailable = admission.unavailable(request, nowMs);
+    if (unavailable != null) {
+      requests.giveUp(request, unavailable, Reason.NO_ENDPOINT, nowMs);
+      return;
+    }
     request.offerAgainMs = 0;
     waiting.add(request);
     usages.waits(request, true);
@@ -227,13 +253,17 @@
     if (attempt == null || event == AttemptEvent.STALLED && attempt.state.ended()) {
       return flush(nowMs);
     }
+    if (event == AttemptEvent.STALLED && admission.unavailable(request, nowMs) != null) {
+      // Nobody could go on with it; its endpoint may still be writing.
+      return flush(nowMs);
+    }
     if (event == AttemptEvent.STALLED) {
       goOn(request, attempt, ends.stalled(request, attempt, nowMs), nowMs);
       return flush(nowMs);
     }
     if (event == AttemptEvent.ANSWERED && attempt.state.ended()) {
       // It came to its end before it could be cancelled.
-      abandonLast(request, nowMs);
+      requests.abandonLast(request, nowMs);
       finish(request, attempt, nowMs);
       return flush(nowMs);
     }
@@ -251,18 +281,6 @@
     return flush(nowMs);
   }
 
-  /** Takes a request out of the queue, or ends its last attempt. */
-  private void abandonLast(LiveRequest request, long nowMs) {
-    if (request.waiting) {
-      waiting.remove(request);
-      usages.waits(request, false);
-    }
-    LiveRequest.Attempt last = request.last();
-    if (last != null && !last.state.ended()) {
-      ends.abandon(last, nowMs);
-    }
-  }
-
   private void attemptEnded(
       LiveRequest request, LiveRequest.Attempt attempt, AttemptEvent event, long nowMs) {
     if (attempt.state == AttemptState.DONE) {
@@ -276,17 +294,17 @@
 
   private void finish(LiveRequest request, LiveRequest.Attempt attempt, long nowMs) {
     explainer.attempt(request, attempt, DecisionKind.FINISHED, Reason.COMPLETE, nowMs);
-    end(request);
+    requests.end(request);
   }
 
   /** Sends a request again, or gives it up for a reason unless its attempt lasts. */
   private void goOn(LiveRequest request, LiveRequest.Attempt last, Reason whyNot, long nowMs) {
     if (last.state.ended() && suspects.refuses(request.facts, nowMs)) {
-      giveUpSuspect(request, nowMs);
+      requests.giveUp(request, EndRules.endsEndpoints(request), Reason.ENDS_ENDPOINTS, nowMs);
     } else if (whyNot == null) {
       enqueue(request, nowMs);
     } else if (last.state.ended()) {
-      giveUp(request, EndRules.afterFailure(request, last), whyNot, nowMs);
+      requests.giveUp(request, EndRules.afterFailure(request, last), whyNot, nowMs);
     }
   }
 
@@ -295,7 +313,7 @@
     LiveRequest request = requests.get(requestId);
     if (request != null) {
       Refusal gone = Refusal.of(RefusalKind.CALLER_GONE, request.ran(), Refusal.NEVER);
-      giveUp(request, gone, Reason.CALLER_GONE, nowMs);
+      requests.giveUp(request, gone, Reason.CALLER_GONE, nowMs);
     }
     return flush(nowMs);
   }
@@ -322,20 +340,7 @@
   }
 
   private void giveUpAsLate(LiveRequest request, RefusalKind kind, long nowMs) {
-    giveUp(request, admission.late(request, kind, nowMs), Reason.DEADLINE, nowMs);
-  }
-
-  private void giveUp(LiveRequest request, Refusal refusal, Reason why, long nowMs) {
-    abandonLast(request, nowMs);
-    explainer.refused(request.facts, refusal, why, nowMs);
-    out.add(new Action.Refuse(request.facts.requestId(), refusal));
-    end(request);
-  }
-
-  private void end(LiveRequest request) {
-    suspects.end(request);
-    requests.remove(request.facts.requestId());
-    usages.of(request).inFlight--;
+    requests.giveUp(request, admission.late(request, kind, nowMs), Reason.DEADLINE, nowMs);
   }
 
   /** Refuses a request that was not admitted, for a reason that was found elsewhere. */
@@ -364,10 +369,7 @@
                 new Placement.Query(
                     request.facts, priority, candidates, request.excluded, zone, nowMs));
     if (choice.isEmpty()) {
-      if (!request.shownWaiting) {
-        request.shownWaiting = true;
-        explainer.waiting(request.facts, nowMs);
-      }
+      explainer.waiting(request, nowMs);
       return false;
     }
     usages.waits(request, false);
@@ -375,17 +377,13 @@
     return true;
   }
 
-  private void giveUpSuspect(LiveRequest request, long nowMs) {
-    giveUp(request, EndRules.endsEndpoints(request), Reason.ENDS_ENDPOINTS, nowMs);
-  }
-
   /** Gives up what waits and is turned away from now on. */
   private void giveUpSuspects(long nowMs) {
     if (suspects.takeNewlyRefused()) {
-      requests.values().stream()
-          .filter(request -> request.waiting && suspects.refuses(request.facts, nowMs))
-          .toList()
-          .forEach(request -> giveUpSuspect(request, nowMs));
+      requests.giveUpWaiting(
+          one -> suspects.refuses(one.facts, nowMs) ? EndRules.endsEndpoints(one) : null,
+          Reason.ENDS_ENDPOINTS,
+          nowMs);
     }
   }
 
--- a/org.fawndrum/src/org/fawndrum/coordination/RetryRule.java
+++ b/org.fawndrum/src/org/fawndrum/coordination/RetryRule.java
@@ -17,7 +17,7 @@
     if (!EndRules.mayRepeat(request, attempt)) {
       return Reason.NOT_REPEATABLE;
     }
-    if (event == AttemptEvent.CONNECT_FAILED) {
+    if (event == AttemptEvent.CONNECT_FAILED || event == AttemptEvent.ENDPOINT_RESTS) {
       // No endpoint saw it, so that it counts against nothing but the patience for it.
       request.unsent++;
       return request.unsent < MOST_UNSENT ? null : Reason.RETRY_BUDGET;
--- a/org.fawndrum/src/org/fawndrum/transport/relay/RelayAttempt.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/RelayAttempt.java
@@ -196,6 +196,12 @@
       ready.reset();
       return;
     }
+    if (tools.rests().lasts(send.endpoint().identity(), tools.clock().nowMs())) {
+      // The endpoint was chosen before it asked for rest; the connection took until after that.
+      ready.reset();
+      fail(AttemptEvent.ENDPOINT_RESTS);
+      return;
+    }
     request = ready;
     request.headers().addAll(tools.codec().forEndpoint(call.headers(), sending()));
     request.exceptionHandler(cause -> connectionLost());
--- a/org.fawndrum/src/org/fawndrum/transport/relay/RelayDuty.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/RelayDuty.java
@@ -229,6 +229,8 @@
       }
     } else if (event instanceof RelayEvent.Leaving leaving) {
       leaving(leaving, nowMs);
+    } else if (event instanceof RelayEvent.RestAsked) {
+      carryOut(coordinator.endpointRests(nowMs));
     } else if (event instanceof RelayEvent.Restarted restarted) {
       if (roster.startedAgain(restarted.start())) {
         offerEndpoints(nowMs);
--- a/org.fawndrum/src/org/fawndrum/transport/relay/RelayEvent.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/RelayEvent.java
@@ -76,6 +76,9 @@
    */
   record Leaving(List<HostIdentity> endpoints, String by) implements OfEndpoints {}
 
+  /** Some endpoint asked this host for rest. */
+  record RestAsked() implements OfEndpoints {}
+
   /** An operator lets a request go that was turned away. */
   record LetGo(String fingerprint) implements OfHost {}
 
--- a/org.fawndrum/src/org/fawndrum/transport/relay/RelayRuntime.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/RelayRuntime.java
@@ -9,6 +9,7 @@
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import org.fawndrum.coordination.Action;
+import org.fawndrum.coordination.EndpointRests;
 import org.fawndrum.coordination.Policies;
 import org.fawndrum.coordination.RequestCoordinator;
 import org.fawndrum.coordination.crash.CrashNews;
@@ -55,6 +56,7 @@
   private final DecisionLog decisionLog;
   private final StallWatch stalls;
   private final CurrentStarts orders;
+  private final EndpointRests rests = new EndpointRests();
   private final LineBudget noticeLines = new LineBudget(NOTICE_LINES);
   private volatile long listingVersion = -1;
   private volatile long listedAtMs;
@@ -88,7 +90,8 @@
             self,
             settings.zone(),
             Policies.engineModel(retries.budget(), this::manyDaemons, this::silentZones)
-                .hearing(this::hearsAll));
+                .hearing(this::hearsAll),
+            rests);
     MetricRegistry registry = new MetricRegistry();
     this.decisionLog =
         new DecisionLog(new RequestMetrics(registry, clock), this::basis, clock, log);
@@ -186,6 +189,7 @@
             new EndpointClient(vertx),
             adapter.codec(),
             orders,
+            rests,
             this::noticed,
             stalls,
             clock,
@@ -229,6 +233,7 @@
     registry.registerGauge("endpointsAgeMs", () -> clock.nowMs() - listedAtMs);
     registry.registerGauge("unusableEntries", () -> reading.endpoints().unusable());
     registry.registerGauge("leavingEndpoints", decisions::leavingEndpoints);
+    registry.registerGauge("restingEndpoints", () -> rests.count(clock.nowMs()));
     registry.registerGauge("openRequests", decisions::open);
     registry.registerGauge("refusedRequests", () -> decisions.refusedRequests().size());
     registry.registerGauge("decisionsRingFill", decisions::ringFill);
@@ -319,6 +324,10 @@
     if (noticeLines.take(clock.nowMs())) {
       log.event(LogEvent.ENDPOINT_NOTICE, endpoint, notice.leaving(), notice.restMs());
     }
+    if (notice.restMs() > 0) {
+      rests.asked(endpoint, notice.restMs(), clock.nowMs());
+      events.accept(new RelayEvent.RestAsked());
+    }
     if (notice.leaving()) {
       events.accept(new RelayEvent.Leaving(List.of(endpoint), "itself"));
     }
--- a/org.fawndrum/tst/org/fawndrum/coordination/AttemptStatesTest.java
+++ b/org.fawndrum/tst/org/fawndrum/coordination/AttemptStatesTest.java
@@ -20,6 +20,7 @@
     for (AttemptEvent event : events) {
       sending |= event == AttemptEvent.SENDING && !state.ended();
       word |= event == AttemptEvent.CONNECT_FAILED || event == AttemptEvent.REFUSED_BY_ENDPOINT;
+      word |= event == AttemptEvent.ENDPOINT_RESTS;
       state = AttemptStates.after(state, event);
       showed |= state == AttemptState.RUNNING;
       if (state.ran() == Ran.NO) {
--- a/org.fawndrum/tst/org/fawndrum/coordination/CoordinatorHistoryTest.java
+++ b/org.fawndrum/tst/org/fawndrum/coordination/CoordinatorHistoryTest.java
@@ -183,7 +183,9 @@
         ended.add(id.requestId());
       }
       boolean word =
-          event == AttemptEvent.CONNECT_FAILED || event == AttemptEvent.REFUSED_BY_ENDPOINT;
+          event == AttemptEvent.CONNECT_FAILED
+              || event == AttemptEvent.ENDPOINT_RESTS
+              || event == AttemptEvent.REFUSED_BY_ENDPOINT;
       boolean started = onTheWay.get(id) == null;
       if (word && !started) {
         mayHaveRun.merge(id.requestId(), -1, Integer::sum);
--- /dev/null
+++ b/org.fawndrum/tst/org/fawndrum/coordination/EndpointRestTest.java
@@ -0,0 +1,265 @@
+// SPDX-License-Identifier: Apache-2.0
+package org.fawndrum.coordination;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
+import org.fawndrum.state.CallerGroup;
+import org.fawndrum.state.Cell;
+import org.fawndrum.state.Column;
+import org.fawndrum.state.Endpoint;
+import org.fawndrum.state.EndpointKind;
+import org.fawndrum.state.EngineProfile;
+import org.fawndrum.state.HostAddress;
+import org.fawndrum.state.HostIdentity;
+import org.fawndrum.state.RequestAims;
+import org.fawndrum.state.Row;
+import org.fawndrum.state.TableParts;
+import org.junit.jupiter.api.Test;
+
+/**
+ * An endpoint that asked for rest gets nothing until its time is over, whatever else is heard of
+ * it, and is not taken for one that failed.
+ */
+class EndpointRestTest {
+  private static final EngineProfile PROFILE =
+      new EngineProfile(11, 232_000, 43, 1.02, 0.0033, 0.0043, 206, 0.138, 2_048, 0.075);
+  private static final CallerGroup GROUP = new CallerGroup("desk", "ask");
+  private static final HostIdentity FIRST = new HostIdentity("e-1", 1);
+  private static final HostIdentity SECOND = new HostIdentity("e-2", 1);
+  private static final long REST_MS = 3_000;
+
+  private final EndpointRests rests = new EndpointRests();
+  private final EndpointBook book = new EndpointBook(rests);
+  private final RequestCoordinator coordinator =
+      new RequestCoordinator(
+          new HostIdentity("host-1", 1),
+          "zone-a",
+          Policies.engineModel(new EarnedRetryBudget(0.1, 10), () -> false, Set::of),
+          rests);
+  private final List<Action> done = new ArrayList<>();
+  private int requests;
+
+  EndpointRestTest() {
+    Row row = Row.EMPTY.with(Column.DEADLINE_MS, new Cell("60000", 0, "ana"));
+    coordinator.table(new TableParts(0, 0).row(GROUP, row).build(), 0);
+    coordinator.endpoints(engines(FIRST, SECOND), 0);
+    book.offer(engines(FIRST));
+  }
+
+  private static List<Endpoint> engines(HostIdentity... identities) {
+    return Stream.of(identities).map(EndpointRestTest::engine).toList();
+  }
+
+  private static Endpoint engine(HostIdentity identity) {
+    return new Endpoint(
+        identity,
+        "zone-a",
+        EndpointKind.MODEL,
+        new HostAddress("127.0.0.1", 9_000),
+        Set.of("pool"),
+        PROFILE.memoryTokens(),
+        Optional.of(PROFILE));
+  }
+
+  private boolean restsAt(long nowMs) {
+    return book.state(FIRST).rests(nowMs);
+  }
+
+  /** A request comes; returns what was sent for it, if anything was. */
+  private Optional<Action.Send> ask(long promptTokens, RequestAims aims, long nowMs) {
+    RequestFacts facts =
+        new RequestFacts(
+            "r-" + ++requests,
+            GROUP,
+            new RequestTarget(EndpointKind.MODEL, "pool"),
+            promptTokens,
+            100,
+            nowMs,
+            0,
+            true,
+            List.of(),
+            aims);
+    done.clear();
+    done.addAll(coordinator.arrive(facts, nowMs));
+    return sent();
+  }
+
+  private Optional<Action.Send> ask(long nowMs) {
+    return ask(5_000, new RequestAims(300, 250, 4), nowMs);
+  }
+
+  private Optional<Action.Send> sent() {
+    return of(Action.Send.class).reduce((a, b) -> b);
+  }
+
+  private Optional<Refusal> refused() {
+    return of(Action.Refuse.class).map(Action.Refuse::refusal).reduce((a, b) -> b);
+  }
+
+  private <T> Stream<T> of(Class<T> kind) {
+    return done.stream().filter(kind::isInstance).map(kind::cast);
+  }
+
+  @Test
+  void itEndsWithItsTimeAndNotBefore() {
+    rests.asked(FIRST, REST_MS, 0);
+    assertTrue(restsAt(2_999));
+    assertFalse(restsAt(3_000));
+  }
+
+  @Test
+  void noWholeAnswerEndsIt() {
+    rests.asked(FIRST, REST_MS, 0);
+    book.state(FIRST).answered();
+    assertTrue(restsAt(1));
+  }
+
+  @Test
+  void aSecondWishLengthensItAndDoesNotShortenIt() {
+    rests.asked(FIRST, REST_MS, 0);
+    rests.asked(FIRST, 100, 1_000);
+    assertTrue(restsAt(2_999));
+    rests.asked(FIRST, REST_MS, 2_000);
+    assertTrue(restsAt(4_999));
+    assertFalse(restsAt(5_000));
+  }
+
+  @Test
+  void aLaterStartDoesNotRest() {
+    rests.asked(FIRST, REST_MS, 0);
+    HostIdentity later = new HostIdentity("e-1", 2);
+    book.offer(engines(later));
+    assertFalse(book.state(later).rests(1));
+  }
+
+  @Test
+  void itOutlastsTheListThatLacksTheEndpointForAMoment() {
+    rests.asked(FIRST, REST_MS, 0);
+    book.offer(List.of());
+    book.offer(engines(FIRST));
+    assertTrue(restsAt(1));
+  }
+
+  @Test
+  void itIsKeptForNoLongerThanItLasts() {
+    for (int i = 0; i < 1_000; i++) {
+      rests.asked(new HostIdentity("e-" + i, 1), 10, 100L * i);
+    }
+    assertEquals(1, rests.count(99_900));
+  }
+
+  @Test
+  void theEndpointIsNotBlamed() {
+    Action.Send send = ask(0).orElseThrow();
+    rests.asked(send.endpoint().identity(), 100, 1);
+    done.addAll(coordinator.attempt(send.attempt(), AttemptEvent.REFUSED_BY_ENDPOINT, 1));
+    HostIdentity other = sent().orElseThrow().endpoint().identity();
+    assertFalse(other.equals(send.endpoint().identity()), "asked again");
+    rests.asked(other, REST_MS, 1);
+    // The end of its rest, long before that of the blame for one failure.
+    assertEquals(send.endpoint(), ask(101).orElseThrow().endpoint());
+  }
+
+  @Test
+  void whatWasChosenAndNotSentGoesElsewhereWithoutBlameOrBudget() {
+    Action.Send send = ask(0).orElseThrow();
+    rests.asked(send.endpoint().identity(), 100, 1);
+    done.addAll(coordinator.attempt(send.attempt(), AttemptEvent.ENDPOINT_RESTS, 1));
+    Action.Send second = sent().orElseThrow();
+    assertFalse(second.endpoint().equals(send.endpoint()), "sent to one that rests");
+    done.addAll(coordinator.attempt(second.attempt(), AttemptEvent.REFUSED_BY_ENDPOINT, 101));
+    assertEquals(send.endpoint(), sent().orElseThrow().endpoint());
+  }
+
+  private static Set<HostIdentity> readers(Action.Send send) {
+    Stream<Endpoint> helpers = send.helpers().stream().map(Action.Helper::endpoint);
+    return Stream.concat(Stream.of(send.endpoint()), helpers)
+        .map(Endpoint::identity)
+        .collect(Collectors.toSet());
+  }
+
+  @Test
+  void itIsNoHelperOfALongPrompt() {
+    HostIdentity third = new HostIdentity("e-3", 1);
+    RequestAims aims = new RequestAims(2_500, 1_000, 4);
+    coordinator.endpoints(engines(FIRST, SECOND, third, new HostIdentity("e-4", 1)), 0);
+    Action.Send all = ask(200_000, aims, 0).orElseThrow();
+    assertTrue(readers(all).contains(third), () -> "read by " + readers(all));
+    coordinator.attempt(all.attempt(), AttemptEvent.ANSWERED, 900);
+    rests.asked(third, REST_MS, 1_000);
+    Action.Send others = ask(200_000, aims, 1_000).orElseThrow();
+    assertFalse(readers(others).contains(third));
+    assertFalse(others.helpers().isEmpty(), "read alone");
+  }
+
+  private void allRest(long restMs) {
+    rests.asked(FIRST, restMs, 0);
+    rests.asked(SECOND, REST_MS, 0);
+  }
+
+  @Test
+  void whereAllRestForTooLongCallersHearWhenTheFirstIsBack() {
+    allRest(700);
+    assertEquals(Optional.empty(), ask(100));
+    Refusal refusal = refused().orElseThrow();
+    assertEquals(RefusalKind.ENDPOINTS_REST, refusal.kind());
+    assertEquals(Ran.NO, refusal.ran());
+    assertEquals(600, refusal.retryAfterMs());
+    assertEquals(0, coordinator.open());
+  }
+
+  @Test
+  void whereAllRestForLongOtherHostsMayHelpSooner() {
+    allRest(3_600_000);
+    rests.asked(SECOND, 3_600_000, 0);
+    ask(100);
+    assertEquals(1_000, refused().orElseThrow().retryAfterMs());
+  }
+
+  @Test
+  void whatStillComesInTimeWaitsForTheEndOfTheRest() {
+    allRest(150);
+    assertEquals(Optional.empty(), ask(100));
+    assertEquals(1, coordinator.waiting());
+    done.addAll(coordinator.tick(160));
+    assertEquals(FIRST, sent().orElseThrow().endpoint().identity());
+  }
+
+  @Test
+  void whatWaitsIsGivenUpWhenTheLastOneAsksForRest() {
+    allRest(150);
+    ask(100);
+    rests.asked(FIRST, REST_MS, 110);
+    done.addAll(coordinator.endpointRests(110));
+    assertEquals(RefusalKind.ENDPOINTS_REST, refused().orElseThrow().kind());
+    assertEquals(0, coordinator.open());
+  }
+
+  @Test
+  void whatWaitsIsGivenUpWhenTheLastOneLeaves() {
+    allRest(150);
+    ask(100);
+    done.addAll(coordinator.endpoints(List.of(), 110));
+    assertEquals(RefusalKind.NO_ENDPOINT, refused().orElseThrow().kind());
+    assertEquals(Ran.NO, refused().orElseThrow().ran());
+    assertEquals(0, coordinator.open());
+  }
+
+  @Test
+  void whatMayHaveRunIsNotToldThatItDidNot() {
+    Action.Send send = ask(0).orElseThrow();
+    rests.asked(FIRST, REST_MS, 1);
+    rests.asked(SECOND, REST_MS, 1);
+    done.addAll(coordinator.attempt(send.attempt(), AttemptEvent.LOST, 1));
+    assertEquals(Ran.UNKNOWN, refused().orElseThrow().ran());
+    assertEquals(RefusalKind.ENDPOINT_FAILED, refused().orElseThrow().kind());
+  }
+}
--- a/org.fawndrum/tst/org/fawndrum/coordination/EndpointRestartTest.java
+++ b/org.fawndrum/tst/org/fawndrum/coordination/EndpointRestartTest.java
@@ -36,7 +36,7 @@
   private static final HostIdentity OTHER_HOST = new HostIdentity("host-2", 1);
   private static final RequestAims AIMS = new RequestAims(2_500, 1_000, 2);
 
-  private final EndpointBook book = new EndpointBook();
+  private final EndpointBook book = new EndpointBook(new EndpointRests());
   private final EngineWork work =
       new EngineWork(new HostIdentity("host-1", 1), book, new ArrayList<>());
   private final EndpointRoster roster = new EndpointRoster();
--- a/org.fawndrum/tst/org/fawndrum/coordination/ExplainerTest.java
+++ b/org.fawndrum/tst/org/fawndrum/coordination/ExplainerTest.java
@@ -47,7 +47,8 @@
             Set.of("pool"),
             1_000,
             Optional.empty()),
-        1);
+        1,
+        new EndpointRests());
   }
 
   private LiveRequest.Attempt attempt() {
@@ -115,7 +116,7 @@
 
   @Test
   void waitingNamesNoEndpoint() {
-    explainer.waiting(FACTS, 1_010);
+    explainer.waiting(request, 1_010);
     saidOfRequest(DecisionKind.WAITING, Reason.ENDPOINTS_BUSY);
   }
 
--- a/org.fawndrum/tst/org/fawndrum/coordination/SuspectRequestsTest.java
+++ b/org.fawndrum/tst/org/fawndrum/coordination/SuspectRequestsTest.java
@@ -185,11 +185,15 @@
   void anEndpointThatWasToLeaveSaysNothing() {
     twoCrashesElsewhere(1);
     Action.Send send = sent(arrive("r-1", 1));
-    offer(0);
-    ends(send);
-    later();
-    offer(6);
-    assertEquals("r-1", sent(later()).attempt().requestId());
+    coordinator.endpoints(
+        IntStream.range(0, 6)
+            .mapToObj(SuspectRequestsTest::engine)
+            .filter(engine -> !engine.equals(send.endpoint()))
+            .toList(),
+        nowMs);
+    List<Action> done = new ArrayList<>(ends(send));
+    done.addAll(later());
+    assertEquals("r-1", sent(done).attempt().requestId());
     sent(arrive("r-2", 1));
   }
 
--- a/org.fawndrum/tst/org/fawndrum/coordination/TestEndpoints.java
+++ b/org.fawndrum/tst/org/fawndrum/coordination/TestEndpoints.java
@@ -9,6 +9,6 @@
 
   /** Returns the state of an endpoint that nothing has been sent to. */
   public static EndpointState state(Endpoint endpoint) {
-    return new EndpointState(endpoint, 1);
+    return new EndpointState(endpoint, 1, new EndpointRests());
   }
 }
