Read a store anew that has gone back to a copy of itself

Hosts would have run requests of a revoked key, and sent others to endpoints that leave, for as long as they live: where the log had grown past the place that they had read to, they read on from there and missed what stood below; where it had not, they asked for the newest records and for those beyond the end in turn without a pause.

Cause: a position in a log was taken for one that only rises, here and between hosts. It is one only within an era of the store, which its answers name.

StorePosition is an offset with its era; a later era comes after all of an earlier one. A page of a later era is not taken: the newest record of each key is read. Revisions of the configuration only rise, as before. What an endpoint wrote last goes before what the copy holds of it, by its start and its own count of writings, also when its entry was gone; what the copy lacks is kept for two seconds, because endpoints that live write themselves again. Hosts name the era with each position; a peer of an earlier one proves nothing. Entries now keep their count of writings.

--- a/org.fawndrum/src/org/fawndrum/internal/log/LogEvent.java
+++ b/org.fawndrum/src/org/fawndrum/internal/log/LogEvent.java
@@ -51,7 +51,9 @@
   REQUEST_LET_GO(69, Level.INFO, "request {0} is let go, by the settings"),
   OPERATOR_PUBLISHED(70, Level.INFO, "operator {0} published {1}: {2}"),
   ENDPOINT_NOTICE(71, Level.INFO, "endpoint {0} answered that it leaves: {1}, rests: {2} ms"),
-  ENDPOINT_LEAVES(72, Level.INFO, "endpoint {0} leaves and gets nothing more, told by {1}");
+  ENDPOINT_LEAVES(72, Level.INFO, "endpoint {0} leaves and gets nothing more, told by {1}"),
+  STORE_WENT_BACK(
+      73, Level.WARN, "{0} went back to a copy: era {2} follows {1}; the newest are read");
 
   private final int number;
   private final Level level;
--- a/org.fawndrum/src/org/fawndrum/protocol/KeyedPage.java
+++ b/org.fawndrum/src/org/fawndrum/protocol/KeyedPage.java
@@ -8,8 +8,9 @@
  *
  * @param records the records in their order
  * @param end the offset after the last record that the log holds
+ * @param era the store's era, in which all these offsets are; 0 where it does not tell it
  */
-public record KeyedPage(List<KeyedRecord> records, long end) {
+public record KeyedPage(List<KeyedRecord> records, long end, long era) {
   /**
    * One record.
    *
@@ -28,4 +29,19 @@
   public KeyedPage {
     records = List.copyOf(records);
   }
+
+  /** Makes the page of a store that does not tell its era. */
+  public KeyedPage(List<KeyedRecord> records, long end) {
+    this(records, end, 0);
+  }
+
+  /** Returns where the log ends. */
+  public StorePosition endPosition() {
+    return new StorePosition(era, end);
+  }
+
+  /** Returns the place after a record of this page. */
+  public StorePosition after(KeyedRecord record) {
+    return new StorePosition(era, record.offset() + 1);
+  }
 }
--- a/org.fawndrum/src/org/fawndrum/protocol/wire/FleetNews.java
+++ b/org.fawndrum/src/org/fawndrum/protocol/wire/FleetNews.java
@@ -346,6 +346,21 @@
     return leaving_.get(index);
   }
 
+  public static final int ENDPOINTS_ERA_FIELD_NUMBER = 10;
+  private long endpointsEra_ = 0L;
+  /**
+   * <pre>
+   * The store's era in which `endpoints_changed` is; -1 for nothing.
+   * </pre>
+   *
+   * <code>int64 endpoints_era = 10;</code>
+   * @return The endpointsEra.
+   */
+  @java.lang.Override
+  public long getEndpointsEra() {
+    return endpointsEra_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -387,6 +402,9 @@
     for (int i = 0; i < leaving_.size(); i++) {
       output.writeMessage(9, leaving_.get(i));
     }
+    if (endpointsEra_ != 0L) {
+      output.writeInt64(10, endpointsEra_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -432,6 +450,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeMessageSize(9, leaving_.get(i));
     }
+    if (endpointsEra_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeInt64Size(10, endpointsEra_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -471,6 +493,8 @@
         != other.getCrashSummary()) return false;
     if (!getLeavingList()
         .equals(other.getLeavingList())) return false;
+    if (getEndpointsEra()
+        != other.getEndpointsEra()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -514,6 +538,9 @@
       hash = (37 * hash) + LEAVING_FIELD_NUMBER;
       hash = (53 * hash) + getLeavingList().hashCode();
     }
+    hash = (37 * hash) + ENDPOINTS_ERA_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getEndpointsEra());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -694,6 +721,7 @@
         leavingBuilder_.clear();
       }
       bitField0_ = (bitField0_ & ~0x00000100);
+      endpointsEra_ = 0L;
       return this;
     }
 
@@ -783,6 +811,9 @@
       if (((from_bitField0_ & 0x00000080) != 0)) {
         result.crashSummary_ = crashSummary_;
       }
+      if (((from_bitField0_ & 0x00000200) != 0)) {
+        result.endpointsEra_ = endpointsEra_;
+      }
       result.bitField0_ |= to_bitField0_;
     }
 
@@ -894,6 +925,9 @@
           }
         }
       }
+      if (other.getEndpointsEra() != 0L) {
+        setEndpointsEra(other.getEndpointsEra());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -993,6 +1027,11 @@
               }
               break;
             } // case 74
+            case 80: {
+              endpointsEra_ = input.readInt64();
+              bitField0_ |= 0x00000200;
+              break;
+            } // case 80
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -2352,6 +2391,50 @@
       return leavingBuilder_;
     }
 
+    private long endpointsEra_ ;
+    /**
+     * <pre>
+     * The store's era in which `endpoints_changed` is; -1 for nothing.
+     * </pre>
+     *
+     * <code>int64 endpoints_era = 10;</code>
+     * @return The endpointsEra.
+     */
+    @java.lang.Override
+    public long getEndpointsEra() {
+      return endpointsEra_;
+    }
+    /**
+     * <pre>
+     * The store's era in which `endpoints_changed` is; -1 for nothing.
+     * </pre>
+     *
+     * <code>int64 endpoints_era = 10;</code>
+     * @param value The endpointsEra to set.
+     * @return This builder for chaining.
+     */
+    public Builder setEndpointsEra(long value) {
+
+      endpointsEra_ = value;
+      bitField0_ |= 0x00000200;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * The store's era in which `endpoints_changed` is; -1 for nothing.
+     * </pre>
+     *
+     * <code>int64 endpoints_era = 10;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearEndpointsEra() {
+      bitField0_ = (bitField0_ & ~0x00000200);
+      endpointsEra_ = 0L;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:fawndrum.FleetNews)
   }
 
--- a/org.fawndrum/src/org/fawndrum/protocol/wire/FleetNewsOrBuilder.java
+++ b/org.fawndrum/src/org/fawndrum/protocol/wire/FleetNewsOrBuilder.java
@@ -211,4 +211,14 @@
    */
   org.fawndrum.protocol.wire.EndpointWordOrBuilder getLeavingOrBuilder(
       int index);
+
+  /**
+   * <pre>
+   * The store's era in which `endpoints_changed` is; -1 for nothing.
+   * </pre>
+   *
+   * <code>int64 endpoints_era = 10;</code>
+   * @return The endpointsEra.
+   */
+  long getEndpointsEra();
 }
--- a/org.fawndrum/src/org/fawndrum/protocol/wire/KnowledgeReply.java
+++ b/org.fawndrum/src/org/fawndrum/protocol/wire/KnowledgeReply.java
@@ -211,6 +211,21 @@
     return endpointsLeftOut_;
   }
 
+  public static final int ENDPOINTS_ERA_FIELD_NUMBER = 8;
+  private long endpointsEra_ = 0L;
+  /**
+   * <pre>
+   * The store's era in which `endpoints_end` and the offsets are.
+   * </pre>
+   *
+   * <code>int64 endpoints_era = 8;</code>
+   * @return The endpointsEra.
+   */
+  @java.lang.Override
+  public long getEndpointsEra() {
+    return endpointsEra_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -246,6 +261,9 @@
     if (endpointsLeftOut_ != false) {
       output.writeBool(7, endpointsLeftOut_);
     }
+    if (endpointsEra_ != 0L) {
+      output.writeInt64(8, endpointsEra_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -283,6 +301,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeBoolSize(7, endpointsLeftOut_);
     }
+    if (endpointsEra_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeInt64Size(8, endpointsEra_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -315,6 +337,8 @@
         != other.getEndpointsAgeMs()) return false;
     if (getEndpointsLeftOut()
         != other.getEndpointsLeftOut()) return false;
+    if (getEndpointsEra()
+        != other.getEndpointsEra()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -349,6 +373,9 @@
     hash = (37 * hash) + ENDPOINTS_LEFT_OUT_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
         getEndpointsLeftOut());
+    hash = (37 * hash) + ENDPOINTS_ERA_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getEndpointsEra());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -504,6 +531,7 @@
       bitField0_ = (bitField0_ & ~0x00000010);
       endpointsAgeMs_ = 0L;
       endpointsLeftOut_ = false;
+      endpointsEra_ = 0L;
       return this;
     }
 
@@ -572,6 +600,9 @@
       if (((from_bitField0_ & 0x00000040) != 0)) {
         result.endpointsLeftOut_ = endpointsLeftOut_;
       }
+      if (((from_bitField0_ & 0x00000080) != 0)) {
+        result.endpointsEra_ = endpointsEra_;
+      }
       result.bitField0_ |= to_bitField0_;
     }
 
@@ -631,6 +662,9 @@
       if (other.getEndpointsLeftOut() != false) {
         setEndpointsLeftOut(other.getEndpointsLeftOut());
       }
+      if (other.getEndpointsEra() != 0L) {
+        setEndpointsEra(other.getEndpointsEra());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -702,6 +736,11 @@
               bitField0_ |= 0x00000040;
               break;
             } // case 56
+            case 64: {
+              endpointsEra_ = input.readInt64();
+              bitField0_ |= 0x00000080;
+              break;
+            } // case 64
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1384,6 +1423,50 @@
       return this;
     }
 
+    private long endpointsEra_ ;
+    /**
+     * <pre>
+     * The store's era in which `endpoints_end` and the offsets are.
+     * </pre>
+     *
+     * <code>int64 endpoints_era = 8;</code>
+     * @return The endpointsEra.
+     */
+    @java.lang.Override
+    public long getEndpointsEra() {
+      return endpointsEra_;
+    }
+    /**
+     * <pre>
+     * The store's era in which `endpoints_end` and the offsets are.
+     * </pre>
+     *
+     * <code>int64 endpoints_era = 8;</code>
+     * @param value The endpointsEra to set.
+     * @return This builder for chaining.
+     */
+    public Builder setEndpointsEra(long value) {
+
+      endpointsEra_ = value;
+      bitField0_ |= 0x00000080;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * The store's era in which `endpoints_end` and the offsets are.
+     * </pre>
+     *
+     * <code>int64 endpoints_era = 8;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearEndpointsEra() {
+      bitField0_ = (bitField0_ & ~0x00000080);
+      endpointsEra_ = 0L;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:fawndrum.KnowledgeReply)
   }
 
--- a/org.fawndrum/src/org/fawndrum/protocol/wire/KnowledgeReplyOrBuilder.java
+++ b/org.fawndrum/src/org/fawndrum/protocol/wire/KnowledgeReplyOrBuilder.java
@@ -122,4 +122,14 @@
    * @return The endpointsLeftOut.
    */
   boolean getEndpointsLeftOut();
+
+  /**
+   * <pre>
+   * The store's era in which `endpoints_end` and the offsets are.
+   * </pre>
+   *
+   * <code>int64 endpoints_era = 8;</code>
+   * @return The endpointsEra.
+   */
+  long getEndpointsEra();
 }
--- a/org.fawndrum/src/org/fawndrum/protocol/wire/KnowledgeRequest.java
+++ b/org.fawndrum/src/org/fawndrum/protocol/wire/KnowledgeRequest.java
@@ -69,6 +69,21 @@
     return endpointsEnd_;
   }
 
+  public static final int ENDPOINTS_ERA_FIELD_NUMBER = 3;
+  private long endpointsEra_ = 0L;
+  /**
+   * <pre>
+   * The store's era in which `endpoints_end` is.
+   * </pre>
+   *
+   * <code>int64 endpoints_era = 3;</code>
+   * @return The endpointsEra.
+   */
+  @java.lang.Override
+  public long getEndpointsEra() {
+    return endpointsEra_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -89,6 +104,9 @@
     if (endpointsEnd_ != 0L) {
       output.writeInt64(2, endpointsEnd_);
     }
+    if (endpointsEra_ != 0L) {
+      output.writeInt64(3, endpointsEra_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -106,6 +124,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeInt64Size(2, endpointsEnd_);
     }
+    if (endpointsEra_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeInt64Size(3, endpointsEra_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -125,6 +147,8 @@
         != other.getConfigurationRevision()) return false;
     if (getEndpointsEnd()
         != other.getEndpointsEnd()) return false;
+    if (getEndpointsEra()
+        != other.getEndpointsEra()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -142,6 +166,9 @@
     hash = (37 * hash) + ENDPOINTS_END_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
         getEndpointsEnd());
+    hash = (37 * hash) + ENDPOINTS_ERA_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getEndpointsEra());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -279,6 +306,7 @@
       bitField0_ = 0;
       configurationRevision_ = 0L;
       endpointsEnd_ = 0L;
+      endpointsEra_ = 0L;
       return this;
     }
 
@@ -318,6 +346,9 @@
       if (((from_bitField0_ & 0x00000002) != 0)) {
         result.endpointsEnd_ = endpointsEnd_;
       }
+      if (((from_bitField0_ & 0x00000004) != 0)) {
+        result.endpointsEra_ = endpointsEra_;
+      }
     }
 
     @java.lang.Override
@@ -338,6 +369,9 @@
       if (other.getEndpointsEnd() != 0L) {
         setEndpointsEnd(other.getEndpointsEnd());
       }
+      if (other.getEndpointsEra() != 0L) {
+        setEndpointsEra(other.getEndpointsEra());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -374,6 +408,11 @@
               bitField0_ |= 0x00000002;
               break;
             } // case 16
+            case 24: {
+              endpointsEra_ = input.readInt64();
+              bitField0_ |= 0x00000004;
+              break;
+            } // case 24
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -455,6 +494,50 @@
       return this;
     }
 
+    private long endpointsEra_ ;
+    /**
+     * <pre>
+     * The store's era in which `endpoints_end` is.
+     * </pre>
+     *
+     * <code>int64 endpoints_era = 3;</code>
+     * @return The endpointsEra.
+     */
+    @java.lang.Override
+    public long getEndpointsEra() {
+      return endpointsEra_;
+    }
+    /**
+     * <pre>
+     * The store's era in which `endpoints_end` is.
+     * </pre>
+     *
+     * <code>int64 endpoints_era = 3;</code>
+     * @param value The endpointsEra to set.
+     * @return This builder for chaining.
+     */
+    public Builder setEndpointsEra(long value) {
+
+      endpointsEra_ = value;
+      bitField0_ |= 0x00000004;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * The store's era in which `endpoints_end` is.
+     * </pre>
+     *
+     * <code>int64 endpoints_era = 3;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearEndpointsEra() {
+      bitField0_ = (bitField0_ & ~0x00000004);
+      endpointsEra_ = 0L;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:fawndrum.KnowledgeRequest)
   }
 
--- a/org.fawndrum/src/org/fawndrum/protocol/wire/KnowledgeRequestOrBuilder.java
+++ b/org.fawndrum/src/org/fawndrum/protocol/wire/KnowledgeRequestOrBuilder.java
@@ -21,4 +21,14 @@
    * @return The endpointsEnd.
    */
   long getEndpointsEnd();
+
+  /**
+   * <pre>
+   * The store's era in which `endpoints_end` is.
+   * </pre>
+   *
+   * <code>int64 endpoints_era = 3;</code>
+   * @return The endpointsEra.
+   */
+  long getEndpointsEra();
 }
--- a/org.fawndrum/src/org/fawndrum/transport/relay/ConfigurationReader.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/ConfigurationReader.java
@@ -6,10 +6,13 @@
 import org.fawndrum.internal.log.LogEvent;
 import org.fawndrum.protocol.KeyedPage;
 import org.fawndrum.protocol.KeyedPage.KeyedRecord;
+import org.fawndrum.protocol.StorePosition;
 
 /**
  * Brings the operators' configuration into force. One that cannot be read is logged and confirms
- * nothing. Confined to one event loop, but for {@link #newest}, which all threads may call.
+ * nothing. Revisions only rise, also where the store has gone back to a copy that holds an earlier
+ * one: what was in force once is written there again. Confined to one event loop, but for {@link
+ * #newest}, which all threads may call.
  */
 final class ConfigurationReader implements TopicFollower.Reader {
   private final RelayDecoder decoder;
@@ -24,9 +27,9 @@
   }
 
   @Override
-  public long readTo() {
-    KeyedRecord record = newest;
-    return record == null ? -1 : record.offset() + 1;
+  public StorePosition readTo() {
+    // Others tell a revision without its place, so that what this host read itself is all there is.
+    return StorePosition.NONE;
   }
 
   @Override
--- a/org.fawndrum/src/org/fawndrum/transport/relay/EndpointReader.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/EndpointReader.java
@@ -16,6 +16,7 @@
 import org.fawndrum.internal.log.LogEvent;
 import org.fawndrum.protocol.KeyedPage;
 import org.fawndrum.protocol.KeyedPage.KeyedRecord;
+import org.fawndrum.protocol.StorePosition;
 import org.fawndrum.state.Endpoint;
 import org.fawndrum.state.HostIdentity;
 import org.fawndrum.state.HostListing;
@@ -25,9 +26,10 @@
  * Keeps the list of endpoints from their own records. Entries that lapsed while the platform was
  * away are kept for a while after its return, because living endpoints write themselves again. A
  * record that is no entry was written by somebody else: its key names no endpoint from then on,
- * whatever stood there, and every other entry holds. Confined to one event loop, but for {@link
- * #readTo}, {@link #changedTo}, {@link #ageMs}, {@link #records} and {@link #unusable}, which all
- * threads may call.
+ * whatever stood there, and every other entry holds. Where the store has gone back to a copy of
+ * itself, what is known of each endpoint goes before what the copy holds, and what the copy lacks
+ * is kept for a while as well. Confined to one event loop, but for {@link #readTo}, {@link
+ * #changedTo}, {@link #ageMs}, {@link #records} and {@link #unusable}, which all threads may call.
  */
 final class EndpointReader implements TopicFollower.Reader {
   /** How long after its return the platform may still lack living endpoints, in milliseconds. */
@@ -52,11 +54,12 @@
   private final Map<String, RelayDecoder.EndpointEntry> entries = new LinkedHashMap<>();
   private final Map<String, KeyedRecord> records = new ConcurrentHashMap<>();
   private final Set<String> lapsed = new HashSet<>();
+  private final EntryHistory history = new EntryHistory();
   private Set<String> startless = Set.of();
   private final LineBudget lines = new LineBudget(LINES_PER_SECOND);
   private long returnedMs = HostClock.NEVER_MS;
-  private volatile long readTo = -1;
-  private volatile long changedTo = -1;
+  private volatile StorePosition readTo = StorePosition.NONE;
+  private volatile StorePosition changedTo = StorePosition.NONE;
   private volatile long knownAtMs = HostClock.NEVER_MS;
   private volatile long unusable;
   private long version;
@@ -75,6 +78,14 @@
 
   @Override
   public void whole(KeyedPage page, long askedMs) {
+    if (page.era() < readTo.era()) {
+      // Of before the store went back.
+      return;
+    }
+    boolean wentBack = readTo.isKnown() && page.era() > readTo.era();
+    if (wentBack) {
+      returnedMs = clock.nowMs();
+    }
     Set<String> present = new HashSet<>();
     page.records().forEach(record -> present.add(record.key()));
     Set<String> missing = new HashSet<>(records.keySet());
@@ -88,35 +99,42 @@
         held.add(record);
       }
     }
-    take(new KeyedPage(held, page.end()), missing);
-    confirmed(page.end(), askedMs);
+    if (wentBack) {
+      // A copy lacks those that came into being after it; they write themselves again.
+      lapsed.addAll(missing);
+      missing.clear();
+    }
+    take(new KeyedPage(held, page.end(), page.era()), missing);
+    confirmed(page.endPosition(), askedMs);
   }
 
   @Override
   public void changes(KeyedPage page, long provedMs) {
     take(page, new HashSet<>());
-    confirmed(page.end(), provedMs);
+    confirmed(page.endPosition(), provedMs);
   }
 
   /**
-   * Takes note that nothing else was in the log.
+   * Takes note that nothing else was in the log. That says something only of the era in which it
+   * was read.
    *
    * @param end the end of the log
    * @param atMs when the log surely ended there, by the host's clock
    */
-  void confirmed(long end, long atMs) {
-    readTo = Math.max(readTo, end);
-    knownAtMs = Math.max(knownAtMs, atMs);
+  void confirmed(StorePosition end, long atMs) {
+    if (end.era() == readTo.era()) {
+      readTo = readTo.max(end);
+      knownAtMs = Math.max(knownAtMs, atMs);
+    }
   }
 
-  /** Returns the end of the log as it was read; -1 before anything was. */
   @Override
-  public long readTo() {
+  public StorePosition readTo() {
     return readTo;
   }
 
-  /** Returns the end of the log after the last change of an entry; -1 before any. */
-  long changedTo() {
+  /** Returns the end of the log after the last change of an entry. */
+  StorePosition changedTo() {
     return changedTo;
   }
 
@@ -139,13 +157,13 @@
   }
 
   private void take(KeyedPage page, Set<String> missing) {
-    readTo = Math.max(readTo, page.end());
+    readTo = readTo.max(page.endPosition());
     for (KeyedRecord record : page.records()) {
       if (record.drops()) {
         missing.add(record.key());
       } else {
         missing.remove(record.key());
-        put(record);
+        put(record, page);
       }
     }
     settle(missing);
@@ -153,11 +171,15 @@
     publish();
   }
 
-  private void put(KeyedRecord record) {
+  private void put(KeyedRecord record, KeyedPage page) {
     try {
       RelayDecoder.EndpointEntry entry = decoder.endpoint(record);
-      if (!entry.equals(entries.put(record.key(), entry))) {
-        changedTo = Math.max(changedTo, record.offset() + 1);
+      if (history.isOfACopy(record.key(), entry, page.era())) {
+        return;
+      }
+      history.read(record.key(), entry, page.era());
+      if (!entry.saysTheSame(entries.put(record.key(), entry))) {
+        changedTo = changedTo.max(page.after(record));
       }
       records.put(record.key(), record);
       lapsed.remove(record.key());
@@ -203,8 +225,9 @@
 
   private void drop(String key) {
     if (entries.remove(key) != null) {
+      history.gone(key, readTo.era());
       // Beyond the end, so that hosts that have read up to the end learn of it too.
-      changedTo = readTo + 1;
+      changedTo = new StorePosition(readTo.era(), readTo.offset() + 1);
     }
     records.remove(key);
     lapsed.remove(key);
--- a/org.fawndrum/src/org/fawndrum/transport/relay/FleetDuty.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/FleetDuty.java
@@ -335,7 +335,8 @@
     return FleetNews.newBuilder()
         .setSender(FleetCodec.write(member))
         .setConfigurationRevision(view.configurationRevision())
-        .setEndpointsChanged(view.endpointsChanged())
+        .setEndpointsEra(view.endpointsChanged().era())
+        .setEndpointsChanged(view.endpointsChanged().offset())
         .addAllLeaving(FleetCodec.writeEndpoints(leavingWords.toTell(clock.nowMs())))
         .setCrashSummary(crashSummary.getAsLong());
   }
--- a/org.fawndrum/src/org/fawndrum/transport/relay/FleetReceiver.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/FleetReceiver.java
@@ -7,6 +7,7 @@
 import org.fawndrum.coordination.membership.FleetReport;
 import org.fawndrum.protocol.CrashCodec;
 import org.fawndrum.protocol.FleetCodec;
+import org.fawndrum.protocol.StorePosition;
 import org.fawndrum.protocol.wire.FleetNews;
 import org.fawndrum.protocol.wire.KnowledgeRequest;
 import org.fawndrum.protocol.wire.PeerMessage;
@@ -65,6 +66,8 @@
         new FleetEvent.Heard(sender, news.getSubscribes(), reports, known, crashes, leaving));
     knowledge.told(
         sender.address(),
-        new StoreView(news.getConfigurationRevision(), news.getEndpointsChanged()));
+        new StoreView(
+            news.getConfigurationRevision(),
+            new StorePosition(news.getEndpointsEra(), news.getEndpointsChanged())));
   }
 }
--- a/org.fawndrum/src/org/fawndrum/transport/relay/PeerKnowledge.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/PeerKnowledge.java
@@ -13,6 +13,7 @@
 import org.fawndrum.protocol.KeyedPage;
 import org.fawndrum.protocol.KeyedPage.KeyedRecord;
 import org.fawndrum.protocol.PeerCodec;
+import org.fawndrum.protocol.StorePosition;
 import org.fawndrum.protocol.wire.KnowledgeReply;
 import org.fawndrum.protocol.wire.KnowledgeRequest;
 import org.fawndrum.protocol.wire.PeerMessage;
@@ -95,7 +96,7 @@
   public void told(HostAddress at, StoreView view) {
     boolean newer =
         view.configurationRevision() > routes.table().revision()
-            || view.endpointsChanged() > endpoints.readTo();
+            || view.endpointsChanged().isAfter(endpoints.readTo());
     Context on = loop;
     if (newer && on != null) {
       on.runOnContext(v -> ask(at));
@@ -110,7 +111,8 @@
     KnowledgeRequest request =
         KnowledgeRequest.newBuilder()
             .setConfigurationRevision(routes.table().revision())
-            .setEndpointsEnd(endpoints.readTo())
+            .setEndpointsEra(endpoints.readTo().era())
+            .setEndpointsEnd(endpoints.readTo().offset())
             .build();
     long askedMs = clock.nowMs();
     network
@@ -129,27 +131,29 @@
   }
 
   private void take(KnowledgeReply reply, long askedMs) {
+    StorePosition end = new StorePosition(reply.getEndpointsEra(), reply.getEndpointsEnd());
     boolean understood =
         !reply.hasConfiguration() || configuration.take(record(reply.getConfiguration()));
     boolean same = routes.table().revision() >= reply.getConfigurationRevision();
-    if (understood && same && reply.getConfigurationAgeMs() >= 0) {
+    // One that reads the store of before it went back proves nothing to one that knows better.
+    boolean oldEra = end.era() < endpoints.readTo().era();
+    if (understood && same && !oldEra && reply.getConfigurationAgeMs() >= 0) {
       routes.confirmed(askedMs - reply.getConfigurationAgeMs());
     }
-    takeEndpoints(reply, askedMs);
+    takeEndpoints(reply, end, askedMs);
   }
 
-  private void takeEndpoints(KnowledgeReply reply, long askedMs) {
-    boolean older = reply.getEndpointsEnd() < endpoints.readTo();
-    if (older || reply.getEndpointsEnd() < 0 || reply.getEndpointsAgeMs() < 0) {
+  private void takeEndpoints(KnowledgeReply reply, StorePosition end, long askedMs) {
+    if (endpoints.readTo().isAfter(end) || !end.isKnown() || reply.getEndpointsAgeMs() < 0) {
       return;
     }
     long provedMs = askedMs - reply.getEndpointsAgeMs();
     if (reply.getEndpointsLeftOut()) {
-      endpoints.confirmed(reply.getEndpointsEnd(), provedMs);
+      endpoints.confirmed(end, provedMs);
     } else {
       List<KeyedRecord> records =
           reply.getEndpointsList().stream().map(PeerKnowledge::record).toList();
-      endpoints.whole(new KeyedPage(records, reply.getEndpointsEnd()), provedMs);
+      endpoints.whole(new KeyedPage(records, end.offset(), end.era()), provedMs);
     }
   }
 
@@ -157,13 +161,17 @@
   public PeerMessage.Builder reply(KnowledgeRequest request) {
     long nowMs = clock.nowMs();
     long ageMs = routes.ageMs(nowMs);
-    boolean leftOut = endpoints.changedTo() <= request.getEndpointsEnd();
+    StorePosition end = endpoints.readTo();
+    boolean leftOut =
+        end.era() == request.getEndpointsEra()
+            && endpoints.changedTo().offset() <= request.getEndpointsEnd();
     KnowledgeReply.Builder reply =
         KnowledgeReply.newBuilder()
             .setConfigurationAgeMs(ageMs)
             .setConfigurationRevision(routes.table().revision())
-            .setEndpointsEnd(endpoints.readTo())
-            .setEndpointsAgeMs(endpoints.readTo() < 0 ? -1 : endpoints.ageMs(nowMs))
+            .setEndpointsEra(end.era())
+            .setEndpointsEnd(end.offset())
+            .setEndpointsAgeMs(end.isKnown() ? endpoints.ageMs(nowMs) : -1)
             .setEndpointsLeftOut(leftOut);
     KeyedRecord newest = configuration.newest();
     if (newest != null && routes.table().revision() > request.getConfigurationRevision()) {
--- a/org.fawndrum/src/org/fawndrum/transport/relay/RelayDecoder.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/RelayDecoder.java
@@ -29,6 +29,19 @@
    *
    * @param endpoint the endpoint
    * @param leaving whether it is leaving
+   * @param sequence rises with each time that the endpoint writes its entry
    */
-  record EndpointEntry(Endpoint endpoint, boolean leaving) {}
+  record EndpointEntry(Endpoint endpoint, boolean leaving, long sequence) {
+    /** Tells whether another entry says the same, whenever it was written. */
+    boolean saysTheSame(EndpointEntry other) {
+      return other != null && endpoint.equals(other.endpoint) && leaving == other.leaving;
+    }
+
+    /** Tells whether the endpoint wrote this before another entry of its, or at the same time. */
+    boolean isNotAfter(EndpointEntry other) {
+      long start = endpoint.incarnation();
+      long otherStart = other.endpoint.incarnation();
+      return start < otherStart || start == otherStart && sequence <= other.sequence;
+    }
+  }
 }
--- a/org.fawndrum/src/org/fawndrum/transport/relay/TopicFollower.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/TopicFollower.java
@@ -8,13 +8,14 @@
 import org.fawndrum.internal.log.LogEvent;
 import org.fawndrum.protocol.KeyedLog;
 import org.fawndrum.protocol.KeyedPage;
+import org.fawndrum.protocol.StorePosition;
 import org.fawndrum.transport.HostClock;
 
 /**
  * Follows one keyed log from its newest records on, whenever that is wanted: what another daemon
  * tells need not be read again. While the platform does not answer it is asked again and again, at
- * growing intervals; when records are gone before they were read, the newest are read again.
- * Confined to one event loop.
+ * growing intervals; when records are gone before they were read, or the store has gone back to a
+ * copy of itself, the newest are read again. Confined to one event loop.
  */
 final class TopicFollower {
   /** The pause before the first retry, in milliseconds; doubled with each. */
@@ -29,6 +30,9 @@
   /** By how much a wait may end early, in milliseconds: timers and clocks are not exact. */
   private static final long WAIT_MARGIN_MS = 50;
 
+  /** The pause before the newest records are read again, in milliseconds. */
+  private static final long NEWEST_AGAIN_MS = 1;
+
   private final Vertx vertx;
   private final KeyedLog log;
   private final KeyedLog.Topic topic;
@@ -37,7 +41,7 @@
   private final Reader reader;
   private final HostClock clock;
   private final HostLog hostLog;
-  private long next = -1;
+  private StorePosition next = StorePosition.NONE;
   private long provedMs = HostClock.NEVER_MS;
   private long retryMs = FIRST_RETRY_MS;
   private boolean lost;
@@ -63,11 +67,8 @@
 
   /** Takes what was read. */
   interface Reader {
-    /**
-     * Returns the end of the log as far as it is known here, also from other daemons; -1 before
-     * anything is known.
-     */
-    long readTo();
+    /** Returns the end of the log as far as it is known here, also from other daemons. */
+    StorePosition readTo();
 
     /** Takes note that the platform answers again; what it holds is read next. */
     void regained();
@@ -117,11 +118,11 @@
       vertx.setTimer(Math.min(LONGEST_LOOK_MS, dueInMs), id -> ask());
       return;
     }
-    next = next < 0 ? next : Math.max(next, reader.readTo());
+    next = next.isKnown() ? next.max(reader.readTo()) : next;
     long askedMs = clock.nowMs();
-    boolean whole = next < 0;
+    boolean whole = !next.isKnown();
     long waitMs = askedMs - provedMs > LONGEST_UNPROVED_MS ? 0 : pace.waitMs();
-    (whole ? log.newest(topic) : log.read(topic, next, waitMs))
+    (whole ? log.newest(topic) : log.read(topic, next.offset(), waitMs))
         .whenComplete(
             (page, failure) -> {
               if (failure == null) {
@@ -135,8 +136,15 @@
   private void answered(KeyedPage page, boolean whole, long askedMs, long waitMs) {
     tellRegained();
     retryMs = FIRST_RETRY_MS;
-    if (page.end() >= next) {
-      next = page.end();
+    if (!whole && page.era() > next.era()) {
+      // Its offsets are others now, so that nothing says what lies before this page.
+      hostLog.event(LogEvent.STORE_WENT_BACK, topic, next.era(), page.era());
+      next = StorePosition.NONE;
+      askAfter(NEWEST_AGAIN_MS);
+      return;
+    }
+    if (!next.isAfter(page.endPosition())) {
+      next = page.endPosition();
       provedMs = whole ? askedMs : provedMs(page, askedMs, waitMs);
       if (whole) {
         reader.whole(page, askedMs);
@@ -168,9 +176,9 @@
     Throwable cause = failure instanceof CompletionException ? failure.getCause() : failure;
     if (cause instanceof RecordsExpiredException) {
       // What was missed is gone; the newest record of every key says all that matters.
-      hostLog.event(LogEvent.STORE_GAP, topic, Long.toString(next));
-      next = -1;
-      askAfter(1);
+      hostLog.event(LogEvent.STORE_GAP, topic, Long.toString(next.offset()));
+      next = StorePosition.NONE;
+      askAfter(NEWEST_AGAIN_MS);
       return;
     }
     if (!lost) {
--- a/org.fawndrum/tst/org/fawndrum/transport/relay/EndpointReaderTest.java
+++ b/org.fawndrum/tst/org/fawndrum/transport/relay/EndpointReaderTest.java
@@ -11,6 +11,7 @@
 import org.fawndrum.internal.log.HostLog;
 import org.fawndrum.protocol.KeyedPage;
 import org.fawndrum.protocol.KeyedPage.KeyedRecord;
+import org.fawndrum.protocol.StorePosition;
 import org.fawndrum.state.Endpoint;
 import org.fawndrum.state.EndpointKind;
 import org.fawndrum.state.HostAddress;
@@ -55,7 +56,8 @@
               new HostAddress("127.0.0.1", 1),
               Set.of("s"),
               0);
-      return new EndpointEntry(endpoint, record.value()[0] == 'l');
+      long sequence = record.value().length > 1 ? record.value()[1] : 0;
+      return new EndpointEntry(endpoint, record.value()[0] == 'l', sequence);
     }
   }
 
@@ -141,9 +143,9 @@
   @Test
   void hostsThatAskLearnThatAnEntryHasBecomeUnusable() {
     reader.whole(page("a", READY, "b", READY, "c", READY), 0);
-    long before = reader.changedTo();
+    long before = reader.changedTo().offset();
     reader.changes(new KeyedPage(List.of(new KeyedRecord(9, "a", new byte[] {'x'})), 10), 0);
-    assertTrue(reader.changedTo() > before, "nothing to ask for");
+    assertTrue(reader.changedTo().offset() > before, "nothing to ask for");
     List<HostListing> heard = new ArrayList<>();
     EndpointReader asking =
         new EndpointReader(new Decoder(), heard::add, () -> nowMs, new HostLog("test"));
@@ -166,24 +168,123 @@
   @Test
   void onlyChangesThatMatterMoveTheirEnd() {
     reader.whole(page("a", READY, "b", READY), 0);
-    assertEquals(3, reader.changedTo());
+    assertEquals(3, reader.changedTo().offset());
     reader.changes(new KeyedPage(List.of(new KeyedRecord(9, "a", READY)), 10), 0);
-    assertEquals(10, reader.readTo());
-    assertEquals(3, reader.changedTo());
+    assertEquals(10, reader.readTo().offset());
+    assertEquals(3, reader.changedTo().offset());
     reader.changes(new KeyedPage(List.of(new KeyedRecord(10, "a", LEAVING)), 11), 0);
-    assertEquals(11, reader.changedTo());
+    assertEquals(11, reader.changedTo().offset());
     reader.changes(new KeyedPage(List.of(new KeyedRecord(11, "a", NONE)), 12), 0);
-    assertEquals(13, reader.changedTo());
+    assertEquals(13, reader.changedTo().offset());
   }
 
   @Test
   void theAgeCountsFromTheLatestProof() {
     reader.whole(page("a", READY), 900);
     assertEquals(100, reader.ageMs(nowMs));
-    reader.confirmed(7, 950);
-    assertEquals(7, reader.readTo());
-    reader.confirmed(5, 300);
-    assertEquals(7, reader.readTo());
+    reader.confirmed(new StorePosition(0, 7), 950);
+    assertEquals(7, reader.readTo().offset());
+    reader.confirmed(new StorePosition(0, 5), 300);
+    assertEquals(7, reader.readTo().offset());
     assertEquals(50, reader.ageMs(nowMs));
   }
+
+  private static byte[] written(char state, int sequence) {
+    return new byte[] {(byte) state, (byte) sequence};
+  }
+
+  private static KeyedPage inEra(long era, KeyedPage page) {
+    return new KeyedPage(page.records(), page.end(), era);
+  }
+
+  private void wholeIn(long era, Object... keysAndValues) {
+    reader.whole(inEra(era, page(keysAndValues)), nowMs);
+  }
+
+  @Test
+  void anEndpointThatWasGoneComesBackOnlyWithWhatItWroteSince() {
+    wholeIn(1, "a", written('r', 5), "b", written('r', 5));
+    reader.changes(inEra(1, page("a", NONE)), nowMs);
+    wholeIn(2, "a", written('r', 4), "b", written('r', 4));
+    assertEquals(List.of("b"), names());
+    reader.changes(inEra(2, page("a", written('r', 6))), nowMs);
+    assertEquals(List.of("a", "b"), names());
+  }
+
+  @Test
+  void inOneEraWhatComesLaterCountsWhateverItsNumber() {
+    wholeIn(1, "a", written('r', 5), "b", written('r', 5));
+    reader.changes(inEra(1, page("a", NONE)), nowMs);
+    reader.changes(inEra(1, page("a", written('r', 1))), nowMs);
+    assertEquals(List.of("a", "b"), names());
+  }
+
+  @Test
+  void anEndpointThatIsLeavingStaysSoUntilItWritesOtherwise() {
+    wholeIn(1, "a", written('r', 5));
+    reader.changes(inEra(1, page("a", written('l', 6))), nowMs);
+    wholeIn(2, "a", written('r', 5));
+    assertEquals(Set.of(new HostIdentity("a", 0)), listing.leaving());
+    // Hosts that ask this one learn the same.
+    assertEquals('l', reader.records().get(0).value()[0]);
+  }
+
+  @Test
+  void whatTheCopyLacksIsKeptForTwoSeconds() {
+    wholeIn(1, "a", written('r', 1), "b", written('r', 1), "c", written('r', 1));
+    wholeIn(2, "a", written('r', 1), "b", written('r', 1));
+    assertEquals(List.of("a", "b", "c"), names());
+    nowMs += 2_001;
+    reader.changes(inEra(2, page()), nowMs);
+    assertEquals(List.of("a", "b"), names());
+  }
+
+  @Test
+  void whatTheCopyLacksAndWritesItselfAgainStays() {
+    wholeIn(1, "a", written('r', 1), "b", written('r', 1), "c", written('r', 1));
+    wholeIn(2, "a", written('r', 1), "b", written('r', 1));
+    nowMs += 1_000;
+    reader.changes(inEra(2, page("c", written('r', 2))), nowMs);
+    nowMs += 2_001;
+    reader.changes(inEra(2, page()), nowMs);
+    assertEquals(List.of("a", "b", "c"), names());
+  }
+
+  @Test
+  void anEntryThatGoesAfterTheStoreCameBackIsGoneAtOnce() {
+    wholeIn(1, "a", written('r', 1), "b", written('r', 1), "c", written('r', 1));
+    wholeIn(2, "a", written('r', 1), "b", written('r', 1), "c", written('r', 1));
+    reader.changes(inEra(2, page("a", NONE)), nowMs);
+    assertEquals(List.of("b", "c"), names());
+  }
+
+  @Test
+  void whatWasReadBeforeTheStoreWentBackProvesNothing() {
+    wholeIn(2, "a", READY);
+    nowMs += 500;
+    reader.whole(inEra(1, page("a", LEAVING, "b", READY)), nowMs);
+    reader.confirmed(new StorePosition(1, 90), nowMs);
+    assertEquals(List.of("a"), names());
+    assertEquals(500, reader.ageMs(nowMs));
+    assertEquals(new StorePosition(2, 1), reader.readTo());
+  }
+
+  @Test
+  void lowerOffsetsOfALaterEraComeAfterAll() {
+    wholeIn(1, "a", READY, "b", READY, "c", READY);
+    wholeIn(2, "a", READY);
+    assertEquals(new StorePosition(2, 1), reader.readTo());
+    reader.changes(inEra(2, page("a", LEAVING)), nowMs);
+    assertEquals(new StorePosition(2, 1), reader.changedTo());
+  }
+
+  @Test
+  void theStoreMayGoBackAgainAndAgain() {
+    wholeIn(1, "a", written('r', 5), "b", written('r', 5));
+    reader.changes(inEra(1, page("a", NONE)), nowMs);
+    for (long era = 2; era < 6; era++) {
+      wholeIn(era, "a", written('r', 5), "b", written('r', 5));
+      assertEquals(List.of("b"), names(), "era " + era);
+    }
+  }
 }
--- a/org.fawndrum/tst/org/fawndrum/transport/relay/TopicFollowerTest.java
+++ b/org.fawndrum/tst/org/fawndrum/transport/relay/TopicFollowerTest.java
@@ -16,6 +16,7 @@
 import org.fawndrum.protocol.KeyedLog;
 import org.fawndrum.protocol.KeyedPage;
 import org.fawndrum.protocol.KeyedPage.KeyedRecord;
+import org.fawndrum.protocol.StorePosition;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 
@@ -33,7 +34,7 @@
   private long nowMs = 10_000;
   private volatile boolean speaks = true;
   private volatile long ageMs;
-  private volatile long toldTo = -1;
+  private volatile StorePosition toldTo = StorePosition.NONE;
 
   /** A store that is answered by hand. */
   private static final class Questions implements KeyedLog {
@@ -69,7 +70,7 @@
     TopicFollower.Reader reader =
         new TopicFollower.Reader() {
           @Override
-          public long readTo() {
+          public StorePosition readTo() {
             return toldTo;
           }
 
@@ -189,7 +190,7 @@
   void readingGoesOnAfterWhatOthersTold() {
     start();
     questions.answer(new KeyedPage(List.of(), 3));
-    toldTo = 9;
+    toldTo = new StorePosition(0, 9);
     questions.answer(new KeyedPage(List.of(), 3));
     assertEquals(List.of(3L, 9L), questions.reads);
   }
@@ -201,4 +202,36 @@
     questions.open.removeFirst().completeExceptionally(new RecordsExpiredException(3, 8));
     untilNewestIsAsked(2);
   }
+
+  @Test
+  void whenTheStoreHasGoneBackTheNewestAreReadAndNothingOfThePageCounts() throws Exception {
+    start();
+    questions.answer(new KeyedPage(List.of(), 9, 1));
+    questions.answer(new KeyedPage(List.of(RECORD), 12, 2));
+    untilNewestIsAsked(2);
+    assertEquals(List.of(), proved);
+    questions.answer(new KeyedPage(List.of(RECORD), 4, 2));
+    assertEquals(2, whole.size());
+    assertEquals(List.of(9L, 4L), questions.reads);
+  }
+
+  @Test
+  void anAnswerOfAnEarlierEraIsNotTaken() {
+    start();
+    questions.answer(new KeyedPage(List.of(), 3, 2));
+    questions.answer(new KeyedPage(List.of(RECORD), 90, 1));
+    assertTrue(proved.isEmpty());
+    assertEquals(List.of(3L, 3L), questions.reads);
+  }
+
+  @Test
+  void readingGoesOnInTheEraThatOthersTold() {
+    start();
+    questions.answer(new KeyedPage(List.of(), 90, 1));
+    toldTo = new StorePosition(2, 7);
+    questions.answer(new KeyedPage(List.of(), 90, 1));
+    questions.answer(new KeyedPage(List.of(RECORD), 8, 2));
+    assertEquals(List.of(90L, 7L, 8L), questions.reads);
+    assertEquals(1, whole.size());
+  }
 }
