Count two ends of an endpoint that was back in between as two

A request that ends endpoints is turned away after so many of these. Where an endpoint is back within a second and ends again before hosts have read of its new start, its ends counted as one, so that callers' other requests went down with more endpoints than it takes: three ends of one request at half a second each counted as one (CrashLedgerTest, red before).

An end now says when the endpoint had last taken one of the requests that it had: a host that sent it one after another end knows that it had started again. Two reports are of one end only if neither had; times of other hosts may be late by the way of the news, 0.2 s at most. Hosts tell it with the end. Where each start has an id of its own nothing changes.

--- a/org.fawndrum/src/org/fawndrum/coordination/SuspectRequests.java
+++ b/org.fawndrum/src/org/fawndrum/coordination/SuspectRequests.java
@@ -56,21 +56,22 @@
   void endpointEnded(LiveRequest request, LiveRequest.Attempt attempt, long nowMs) {
     HostIdentity endpoint = attempt.endpoint.endpoint().identity();
     if (endpoints.isOpen(endpoint)) {
-      crashed(request, endpoint, nowMs);
+      crashed(request, attempt, nowMs);
     }
   }
 
   /** Takes note that the endpoint of an attempt started again and took the request with it. */
   void endpointRestarted(LiveRequest request, LiveRequest.Attempt attempt, long nowMs) {
-    crashed(request, attempt.endpoint.endpoint().identity(), nowMs);
+    crashed(request, attempt, nowMs);
   }
 
-  private void crashed(LiveRequest request, HostIdentity endpoint, long nowMs) {
+  private void crashed(LiveRequest request, LiveRequest.Attempt attempt, long nowMs) {
+    HostIdentity endpoint = attempt.endpoint.endpoint().identity();
     request
         .facts
         .content()
         .fingerprint()
-        .ifPresent(one -> tell(ledger.crashed(endpoint, one, nowMs)));
+        .ifPresent(one -> tell(ledger.crashed(endpoint, one, attempt.sentMs, nowMs)));
   }
 
   /** Takes note that an endpoint gave a request's whole answer and lived on. */
--- a/org.fawndrum/src/org/fawndrum/coordination/crash/CrashHistory.java
+++ b/org.fawndrum/src/org/fawndrum/coordination/crash/CrashHistory.java
@@ -10,7 +10,6 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.function.Predicate;
-import org.fawndrum.state.HostIdentity;
 
 /**
  * The last endpoints that ended while they had requests, and what may have ended them. Confined to
@@ -44,7 +43,7 @@
   /** Adds a crash, or what is new of a known one; returns what was new, or null. */
   EndpointCrash add(EndpointCrash crash, long nowMs) {
     crashes.stream().filter(old -> nowMs - old.atMs() > KEEP_MS).toList().forEach(this::remove);
-    EndpointCrash known = known(crash.endpoint(), crash.atMs());
+    EndpointCrash known = known(crash);
     if (known == null) {
       EndpointCrash bounded = bounded(crash, crash.under());
       put(bounded);
@@ -58,7 +57,9 @@
     }
     Set<RequestFingerprint> under = new HashSet<>(known.under());
     under.addAll(crash.under());
-    EndpointCrash merged = bounded(known, under);
+    long takenMs = Math.max(known.takenMs(), crash.takenMs());
+    EndpointCrash merged =
+        bounded(new EndpointCrash(known.endpoint(), takenMs, known.atMs(), under), under);
     if (merged.equals(known)) {
       return null;
     }
@@ -77,21 +78,18 @@
     crash.under().forEach(one -> times.computeIfPresent(one, (key, n) -> n > 1 ? n - 1 : null));
   }
 
-  private EndpointCrash known(HostIdentity endpoint, long atMs) {
-    for (EndpointCrash crash : crashes) {
-      boolean near = Math.abs(crash.atMs() - atMs) <= SAME_CRASH_MS;
-      if (near && crash.endpoint().equals(endpoint)) {
-        return crash;
-      }
-    }
-    return null;
+  private EndpointCrash known(EndpointCrash crash) {
+    return crashes.stream()
+        .filter(old -> old.isTheEndOf(crash, SAME_CRASH_MS))
+        .findFirst()
+        .orElse(null);
   }
 
   private static EndpointCrash bounded(EndpointCrash crash, Set<RequestFingerprint> under) {
     Set<RequestFingerprint> kept = new HashSet<>();
     // Every host keeps the same ones.
     under.stream().sorted(BY_HASH).limit(MOST_UNDER).forEach(kept::add);
-    return new EndpointCrash(crash.endpoint(), crash.atMs(), kept);
+    return crash.with(kept);
   }
 
   /** Takes a request out of the crashes up to a time: it did not cause them. */
@@ -101,7 +99,7 @@
         Set<RequestFingerprint> others = new HashSet<>(crash.under());
         others.remove(request);
         remove(crash);
-        put(new EndpointCrash(crash.endpoint(), crash.atMs(), others));
+        put(crash.with(others));
       }
     }
   }
--- a/org.fawndrum/src/org/fawndrum/coordination/crash/CrashLedger.java
+++ b/org.fawndrum/src/org/fawndrum/coordination/crash/CrashLedger.java
@@ -95,9 +95,14 @@
     hearsAll = all;
   }
 
-  /** Takes note that an endpoint ended while it had a request; returns what is news. */
-  public CrashNews crashed(HostIdentity endpoint, RequestFingerprint request, long nowMs) {
-    EndpointCrash crash = new EndpointCrash(endpoint, nowMs, Set.of(request));
+  /**
+   * Takes note that an endpoint ended while it had a request; returns what is news.
+   *
+   * @param takenMs when it was sent the request
+   */
+  public CrashNews crashed(
+      HostIdentity endpoint, RequestFingerprint request, long takenMs, long nowMs) {
+    EndpointCrash crash = new EndpointCrash(endpoint, takenMs, nowMs, Set.of(request));
     EndpointCrash news = add(crash, nowMs);
     return news == null ? CrashNews.NONE : CrashNews.of(news);
   }
--- a/org.fawndrum/src/org/fawndrum/coordination/crash/EndpointCrash.java
+++ b/org.fawndrum/src/org/fawndrum/coordination/crash/EndpointCrash.java
@@ -8,12 +8,37 @@
  * An endpoint that ended while it had requests.
  *
  * @param endpoint the start of the endpoint that is over
+ * @param takenMs when it last took one of these requests, as far as is known
  * @param atMs when a host saw it, in milliseconds of this host's clock
  * @param under the requests that it had, as far as is known
  */
-public record EndpointCrash(HostIdentity endpoint, long atMs, Set<RequestFingerprint> under) {
+public record EndpointCrash(
+    HostIdentity endpoint, long takenMs, long atMs, Set<RequestFingerprint> under) {
+  /**
+   * By how much a request may seem to have been taken too late, in milliseconds: times of other
+   * hosts come as ages, to which the way of the news adds 10 to 50 ms. Endpoints are gone for
+   * longer.
+   */
+  private static final long NEWS_MS = 200;
+
   /** Copies the set, so that the crash cannot change. */
   public EndpointCrash {
     under = Set.copyOf(under);
   }
+
+  /** Returns the same with other requests. */
+  EndpointCrash with(Set<RequestFingerprint> others) {
+    return new EndpointCrash(endpoint, takenMs, atMs, others);
+  }
+
+  /**
+   * Tells whether another report is of the same end: of one start, within a time of each other, and
+   * neither had taken a request after the end of the other. One that had was back by then, whatever
+   * is known yet of its new start; else two requests that end endpoints in turn would stand under
+   * each other's ends, and could not be told apart.
+   */
+  boolean isTheEndOf(EndpointCrash other, long withinMs) {
+    boolean inTurn = takenMs > other.atMs + NEWS_MS || other.takenMs > atMs + NEWS_MS;
+    return endpoint.equals(other.endpoint) && Math.abs(atMs - other.atMs) <= withinMs && !inTurn;
+  }
 }
--- a/org.fawndrum/src/org/fawndrum/protocol/CrashCodec.java
+++ b/org.fawndrum/src/org/fawndrum/protocol/CrashCodec.java
@@ -34,6 +34,7 @@
           CrashRecord.newBuilder()
               .setEndpoint(crash.endpoint().host())
               .setEndpointIncarnation(crash.endpoint().incarnation())
+              .setTakenAgeMs(nowMs - crash.takenMs())
               .setAgeMs(nowMs - crash.atMs());
       crash.under().forEach(request -> one.addUnder(write(request)));
       report.addCrashes(one);
@@ -76,7 +77,8 @@
     HostIdentity endpoint = new HostIdentity(one.getEndpoint(), one.getEndpointIncarnation());
     Set<RequestFingerprint> under =
         one.getUnderList().stream().map(CrashCodec::read).collect(Collectors.toSet());
-    return new EndpointCrash(endpoint, at(one.getAgeMs(), nowMs), under);
+    return new EndpointCrash(
+        endpoint, at(one.getTakenAgeMs(), nowMs), at(one.getAgeMs(), nowMs), under);
   }
 
   private static RefusedRequest refused(RefusedRecord one, long nowMs) {
--- a/org.fawndrum/src/org/fawndrum/protocol/wire/CrashRecord.java
+++ b/org.fawndrum/src/org/fawndrum/protocol/wire/CrashRecord.java
@@ -147,6 +147,21 @@
     return under_.get(index);
   }
 
+  public static final int TAKEN_AGE_MS_FIELD_NUMBER = 5;
+  private long takenAgeMs_ = 0L;
+  /**
+   * <pre>
+   * How long ago the endpoint last took one of these requests.
+   * </pre>
+   *
+   * <code>int64 taken_age_ms = 5;</code>
+   * @return The takenAgeMs.
+   */
+  @java.lang.Override
+  public long getTakenAgeMs() {
+    return takenAgeMs_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -173,6 +188,9 @@
     for (int i = 0; i < under_.size(); i++) {
       output.writeMessage(4, under_.get(i));
     }
+    if (takenAgeMs_ != 0L) {
+      output.writeInt64(5, takenAgeMs_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -197,6 +215,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeMessageSize(4, under_.get(i));
     }
+    if (takenAgeMs_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeInt64Size(5, takenAgeMs_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -220,6 +242,8 @@
         != other.getAgeMs()) return false;
     if (!getUnderList()
         .equals(other.getUnderList())) return false;
+    if (getTakenAgeMs()
+        != other.getTakenAgeMs()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -243,6 +267,9 @@
       hash = (37 * hash) + UNDER_FIELD_NUMBER;
       hash = (53 * hash) + getUnderList().hashCode();
     }
+    hash = (37 * hash) + TAKEN_AGE_MS_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getTakenAgeMs());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -384,6 +411,7 @@
         underBuilder_.clear();
       }
       bitField0_ = (bitField0_ & ~0x00000008);
+      takenAgeMs_ = 0L;
       return this;
     }
 
@@ -439,6 +467,9 @@
       if (((from_bitField0_ & 0x00000004) != 0)) {
         result.ageMs_ = ageMs_;
       }
+      if (((from_bitField0_ & 0x00000010) != 0)) {
+        result.takenAgeMs_ = takenAgeMs_;
+      }
     }
 
     @java.lang.Override
@@ -490,6 +521,9 @@
           }
         }
       }
+      if (other.getTakenAgeMs() != 0L) {
+        setTakenAgeMs(other.getTakenAgeMs());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -544,6 +578,11 @@
               }
               break;
             } // case 34
+            case 40: {
+              takenAgeMs_ = input.readInt64();
+              bitField0_ |= 0x00000010;
+              break;
+            } // case 40
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -937,6 +976,50 @@
       return underBuilder_;
     }
 
+    private long takenAgeMs_ ;
+    /**
+     * <pre>
+     * How long ago the endpoint last took one of these requests.
+     * </pre>
+     *
+     * <code>int64 taken_age_ms = 5;</code>
+     * @return The takenAgeMs.
+     */
+    @java.lang.Override
+    public long getTakenAgeMs() {
+      return takenAgeMs_;
+    }
+    /**
+     * <pre>
+     * How long ago the endpoint last took one of these requests.
+     * </pre>
+     *
+     * <code>int64 taken_age_ms = 5;</code>
+     * @param value The takenAgeMs to set.
+     * @return This builder for chaining.
+     */
+    public Builder setTakenAgeMs(long value) {
+
+      takenAgeMs_ = value;
+      bitField0_ |= 0x00000010;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * How long ago the endpoint last took one of these requests.
+     * </pre>
+     *
+     * <code>int64 taken_age_ms = 5;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearTakenAgeMs() {
+      bitField0_ = (bitField0_ & ~0x00000010);
+      takenAgeMs_ = 0L;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:fawndrum.CrashRecord)
   }
 
--- a/org.fawndrum/src/org/fawndrum/protocol/wire/CrashRecordOrBuilder.java
+++ b/org.fawndrum/src/org/fawndrum/protocol/wire/CrashRecordOrBuilder.java
@@ -57,4 +57,14 @@
    */
   org.fawndrum.protocol.wire.FingerprintOrBuilder getUnderOrBuilder(
       int index);
+
+  /**
+   * <pre>
+   * How long ago the endpoint last took one of these requests.
+   * </pre>
+   *
+   * <code>int64 taken_age_ms = 5;</code>
+   * @return The takenAgeMs.
+   */
+  long getTakenAgeMs();
 }
--- a/org.fawndrum/tst/org/fawndrum/coordination/SuspectRequestsTest.java
+++ b/org.fawndrum/tst/org/fawndrum/coordination/SuspectRequestsTest.java
@@ -122,7 +122,8 @@
   /** Another host saw an endpoint end under a request. */
   private List<Action> told(String endpoint, long content) {
     RequestFingerprint request = new Content(content).fingerprint().orElseThrow();
-    EndpointCrash crash = new EndpointCrash(new HostIdentity(endpoint, 1), nowMs, Set.of(request));
+    EndpointCrash crash =
+        new EndpointCrash(new HostIdentity(endpoint, 1), nowMs, nowMs, Set.of(request));
     CrashNews news = new CrashNews(List.of(crash), List.of(), List.of());
     return decisive(coordinator.suspects(one -> one.heard(news, nowMs), nowMs));
   }
@@ -200,35 +201,32 @@
     sent(arrive("r-2", 1));
   }
 
-  /** A request ends the endpoint that it is sent to, and its caller does not wait for more. */
-  private void endsItsEndpoint(String id, long content) {
-    ends(sent(arrive(id, content)));
+  /** A request comes, and ends its endpoint unless it is turned away; tells whether it was sent. */
+  private boolean isSentAndEndsItsEndpoint(String id, long content) {
+    List<Action> done = arrive(id, content);
+    boolean sent = !done.isEmpty() && done.get(0) instanceof Action.Send;
+    if (sent) {
+      ends(sent(done));
+    }
     coordinator.callerGone(id, nowMs);
+    return sent;
   }
 
-  /**
-   * Seen: of two requests that ended endpoints at the same time, one was run four times after it
-   * should have been known, not three. Its endpoints were back after half a second, and ended again
-   * before any host had read of their new start.
-   *
-   * <p>Cause: two ends of one known start within a second were taken for one, so that each request
-   * stood under the ends that the other had caused, and neither could be told from the other. An
-   * endpoint that was sent a request after its end had started again, whatever its entry says yet.
-   *
-   * <p>Proof: both requests of this test ran on without an end.
-   */
+  /** Endpoints that are back soon and end again, before any host has read of their new start. */
   @Test
   void twoRequestsThatEndTheSameEndpointsOneAfterTheOtherAreToldApart() {
-    for (int i = 0; i < 3; i++) {
-      coordinator.endpoints(List.of(engine(i)), nowMs);
-      endsItsEndpoint("a-" + i, 1);
+    int first = 0;
+    int second = 0;
+    for (int i = 0; i < 12; i++) {
+      coordinator.endpoints(List.of(engine(i % 3)), nowMs);
+      first += isSentAndEndsItsEndpoint("a-" + i, 1) ? 1 : 0;
+      nowMs += BACK_MS;
+      second += isSentAndEndsItsEndpoint("b-" + i, 2) ? 1 : 0;
       nowMs += BACK_MS;
-      endsItsEndpoint("b-" + i, 2);
-      later();
     }
-    offer(6);
-    assertEquals(RefusalKind.ENDS_ENDPOINTS, refused(arrive("a", 1)).kind());
-    assertEquals(RefusalKind.ENDS_ENDPOINTS, refused(arrive("b", 2)).kind());
+    // Operators allow for three ends, and for three more.
+    assertTrue(first <= 6, "sent " + first + " times");
+    assertTrue(second <= 6, "sent " + second + " times");
     sent(arrive("c", 3));
   }
 
--- a/org.fawndrum/tst/org/fawndrum/coordination/crash/CrashFleet.java
+++ b/org.fawndrum/tst/org/fawndrum/coordination/crash/CrashFleet.java
@@ -70,6 +70,9 @@
   /** One request at one engine. */
   private record Run(TestContent request, boolean deadly, int host, int triesLeft) {}
 
+  /** When engines took what they had; no matter here, since each start is told. */
+  private static final long TAKEN = 0;
+
   /** An engine and what it works on; each start is another one. */
   private static final class Engine {
     long start = 1;
@@ -255,7 +258,7 @@
   }
 
   private void lost(HostIdentity identity, Run run) {
-    tell(run.host(), ledgers[run.host()].crashed(identity, run.request().print(), nowMs));
+    tell(run.host(), ledgers[run.host()].crashed(identity, run.request().print(), TAKEN, nowMs));
     if (run.triesLeft() > 1) {
       send(new Run(run.request(), run.deadly(), run.host(), run.triesLeft() - 1));
     } else if (!run.deadly()) {
--- a/org.fawndrum/tst/org/fawndrum/coordination/crash/CrashLedgerTest.java
+++ b/org.fawndrum/tst/org/fawndrum/coordination/crash/CrashLedgerTest.java
@@ -17,6 +17,10 @@
 class CrashLedgerTest {
   private static final long START_MS = 1_000_000;
   private static final long APART_MS = CrashHistory.TOGETHER_MS + 50;
+
+  /** When endpoints took requests, where that does not matter: long before they end. */
+  private static final long TAKEN = START_MS - 1_000;
+
   private static final TestContent DEADLY = new TestContent(1);
   private static final TestContent INNOCENT = new TestContent(2);
 
@@ -25,7 +29,7 @@
 
   private void crash(String endpoint, TestContent... under) {
     for (TestContent one : under) {
-      ledger.crashed(new HostIdentity(endpoint, 1), one.print(), nowMs);
+      ledger.crashed(new HostIdentity(endpoint, 1), one.print(), TAKEN, nowMs);
     }
   }
 
@@ -115,10 +119,45 @@
     assertEquals(CrashVerdict.FREE, verdict(DEADLY));
   }
 
+  /**
+   * Seen: of two requests that ended endpoints at the same time, one was run four times after it
+   * should have been known, not three. Its endpoints were back after half a second, and ended again
+   * before any host had read of their new start; of its eight ends not all counted.
+   *
+   * <p>Cause: two ends of one known start within a second were taken for one. An endpoint that was
+   * sent a request after its end had started again, whatever its entry says yet.
+   *
+   * <p>Proof: the three ends of this test counted as one. That this alone made the fourth run is
+   * likely and not shown: it depends on the moments at which three hosts hear of each other.
+   */
+  @Test
+  void oneThatTookARequestAfterItsEndHasEndedAgain() {
+    HostIdentity endpoint = new HostIdentity("e-1", 1);
+    for (int i = 0; i < 3; i++) {
+      ledger.crashed(endpoint, DEADLY.print(), nowMs - 50, nowMs);
+      pass(500);
+    }
+    assertEquals(CrashVerdict.REFUSED, verdict(DEADLY));
+  }
+
+  @Test
+  void whatOthersSayOfWhenItTookARequestMayBeLateByTheWayOfTheNews() {
+    HostIdentity endpoint = new HostIdentity("e-1", 1);
+    for (int i = 0; i < 3; i++) {
+      long endedMs = nowMs;
+      ledger.crashed(endpoint, DEADLY.print(), endedMs - 50, endedMs);
+      pass(CrashLedger.SETTLE_MS);
+      // Another host saw the same end, and had sent the request just before it.
+      ledger.crashed(endpoint, DEADLY.print(), endedMs + 100, nowMs);
+    }
+    settle();
+    assertEquals(CrashVerdict.FREE, verdict(DEADLY));
+  }
+
   @Test
   void anEndpointThatTellsNoStartMayEndAgain() {
     for (int i = 0; i < 3; i++) {
-      ledger.crashed(new HostIdentity("e-1", 0), DEADLY.print(), nowMs);
+      ledger.crashed(new HostIdentity("e-1", 0), DEADLY.print(), TAKEN, nowMs);
       pass(3_000);
     }
     assertEquals(CrashVerdict.REFUSED, verdict(DEADLY));
@@ -207,9 +246,10 @@
   void oneSeesOneAndAnotherTwo() {
     CrashLedger second = new CrashLedger();
     CrashLedger third = new CrashLedger();
-    CrashNews one = ledger.crashed(new HostIdentity("e-1", 1), DEADLY.print(), nowMs);
-    CrashNews two = second.crashed(new HostIdentity("e-2", 1), DEADLY.print(), nowMs + 300);
-    CrashNews three = second.crashed(new HostIdentity("e-3", 1), DEADLY.print(), nowMs + 600);
+    CrashNews one = ledger.crashed(new HostIdentity("e-1", 1), DEADLY.print(), TAKEN, nowMs);
+    CrashNews two = second.crashed(new HostIdentity("e-2", 1), DEADLY.print(), TAKEN, nowMs + 300);
+    CrashNews three =
+        second.crashed(new HostIdentity("e-3", 1), DEADLY.print(), TAKEN, nowMs + 600);
     // Late, in another order, and twice.
     List.of(three, one, two, one, three).forEach(news -> third.heard(news, nowMs + 700));
     third.decide(nowMs + 900);
