--- a/org.fawndrum/tst/org/fawndrum/coordination/SuspectRequestsTest.java
+++ b/org.fawndrum/tst/org/fawndrum/coordination/SuspectRequestsTest.java
@@ -34,6 +34,9 @@
   private static final RequestAims AIMS = new RequestAims(300, 250, 2);
 
   /** Longer than crashes at one moment are apart, and than one takes to settle, in milliseconds. */
+  /** After how long an endpoint is back that ended, and not avoided any more, in milliseconds. */
+  private static final long BACK_MS = 600;
+
   private static final long LATER_MS = 250;
 
   private final RequestCoordinator coordinator =
@@ -119,7 +122,8 @@
   /** Another host saw an endpoint end under a request. */
   private List<Action> told(String endpoint, long content) {
     RequestFingerprint request = new Content(content).fingerprint().orElseThrow();
-    EndpointCrash crash = new EndpointCrash(new HostIdentity(endpoint, 1), nowMs, Set.of(request));
+    EndpointCrash crash =
+        new EndpointCrash(new HostIdentity(endpoint, 1), nowMs, nowMs, Set.of(request));
     CrashNews news = new CrashNews(List.of(crash), List.of(), List.of());
     return decisive(coordinator.suspects(one -> one.heard(news, nowMs), nowMs));
   }
@@ -197,6 +201,35 @@
     sent(arrive("r-2", 1));
   }
 
+  /** A request comes, and ends its endpoint unless it is turned away; tells whether it was sent. */
+  private boolean isSentAndEndsItsEndpoint(String id, long content) {
+    List<Action> done = arrive(id, content);
+    boolean sent = !done.isEmpty() && done.get(0) instanceof Action.Send;
+    if (sent) {
+      ends(sent(done));
+    }
+    coordinator.callerGone(id, nowMs);
+    return sent;
+  }
+
+  /** Endpoints that are back soon and end again, before any host has read of their new start. */
+  @Test
+  void twoRequestsThatEndTheSameEndpointsOneAfterTheOtherAreToldApart() {
+    int first = 0;
+    int second = 0;
+    for (int i = 0; i < 12; i++) {
+      coordinator.endpoints(List.of(engine(i % 3)), nowMs);
+      first += isSentAndEndsItsEndpoint("a-" + i, 1) ? 1 : 0;
+      nowMs += BACK_MS;
+      second += isSentAndEndsItsEndpoint("b-" + i, 2) ? 1 : 0;
+      nowMs += BACK_MS;
+    }
+    // Operators allow for three ends, and for three more.
+    assertTrue(first <= 6, "sent " + first + " times");
+    assertTrue(second <= 6, "sent " + second + " times");
+    sent(arrive("c", 3));
+  }
+
   @Test
   void aCallerThatLeavesWhileItsRequestIsHeldLeavesNothing() {
     twoCrashesElsewhere(1);
