Show two ways in which an endpoint that lives is dropped after the store went back

An answer of the earlier era that comes after a peer has told the later one was taken like any other; and an endpoint that the copy lacks, and that writes its lost entry again as it was, was taken for one that only the copy brings back.

--- a/org.fawndrum/tst/org/fawndrum/transport/relay/EndpointReaderTest.java
+++ b/org.fawndrum/tst/org/fawndrum/transport/relay/EndpointReaderTest.java
@@ -287,4 +287,24 @@
       assertEquals(List.of("b"), names(), "era " + era);
     }
   }
+
+  @Test
+  void anAnswerOfTheEarlierEraThatComesLateChangesNothing() {
+    wholeIn(1, "a", written('r', 1), "b", written('r', 1));
+    wholeIn(2, "a", written('r', 1), "b", written('r', 1));
+    KeyedRecord late = new KeyedRecord(90, "a", NONE);
+    reader.changes(new KeyedPage(List.of(late), 91, 1), nowMs);
+    assertEquals(List.of("a", "b"), names());
+    assertEquals(2, reader.readTo().era());
+  }
+
+  @Test
+  void whatIsWrittenAgainAsItWasStays() {
+    wholeIn(1, "a", written('r', 1), "b", written('r', 1), "c", written('r', 1));
+    wholeIn(2, "a", written('r', 1), "b", written('r', 1));
+    reader.changes(inEra(2, page("c", written('r', 1))), nowMs);
+    nowMs += 2_001;
+    reader.changes(inEra(2, page()), nowMs);
+    assertEquals(List.of("a", "b", "c"), names());
+  }
 }
