Take nothing of an earlier era, and let endpoints write again what they wrote

After the store went back, an endpoint that lives could be dropped, so that callers had one endpoint less, or none.

Causes: EndpointReader.whole passed over what a host had read before the store went back, and changes did not, although a peer may have told the later era in between. And an entry was believed to come from the copy unless its endpoint had written it later than the last one known; where the copy lacks it, the endpoint may write the lost one again as it was. An entry that is still there may now be written again as it was; one that went still needs a later writing.

--- a/org.fawndrum/src/org/fawndrum/transport/relay/EndpointReader.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/EndpointReader.java
@@ -78,8 +78,7 @@
 
   @Override
   public void whole(KeyedPage page, long askedMs) {
-    if (page.era() < readTo.era()) {
-      // Of before the store went back.
+    if (isOfAnEarlierEra(page)) {
       return;
     }
     boolean wentBack = readTo.isKnown() && page.era() > readTo.era();
@@ -110,10 +109,18 @@
 
   @Override
   public void changes(KeyedPage page, long provedMs) {
+    if (isOfAnEarlierEra(page)) {
+      return;
+    }
     take(page, new HashSet<>());
     confirmed(page.endPosition(), provedMs);
   }
 
+  /** Tells whether a page comes late: another host may have told what the store holds since. */
+  private boolean isOfAnEarlierEra(KeyedPage page) {
+    return page.era() < readTo.era();
+  }
+
   /**
    * Takes note that nothing else was in the log. That says something only of the era in which it
    * was read.
--- a/org.fawndrum/src/org/fawndrum/transport/relay/RelayDecoder.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/RelayDecoder.java
@@ -37,11 +37,11 @@
       return other != null && endpoint.equals(other.endpoint) && leaving == other.leaving;
     }
 
-    /** Tells whether the endpoint wrote this before another entry of its, or at the same time. */
-    boolean isNotAfter(EndpointEntry other) {
+    /** Tells whether the endpoint wrote this before another entry of its. */
+    boolean isBefore(EndpointEntry other) {
       long start = endpoint.incarnation();
       long otherStart = other.endpoint.incarnation();
-      return start < otherStart || start == otherStart && sequence <= other.sequence;
+      return start < otherStart || start == otherStart && sequence < other.sequence;
     }
   }
 }
--- a/org.fawndrum/src/org/fawndrum/transport/relay/TopicFollower.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/TopicFollower.java
@@ -143,14 +143,17 @@
       askAfter(NEWEST_AGAIN_MS);
       return;
     }
-    if (!next.isAfter(page.endPosition())) {
-      next = page.endPosition();
-      provedMs = whole ? askedMs : provedMs(page, askedMs, waitMs);
-      if (whole) {
-        reader.whole(page, askedMs);
-      } else {
-        reader.changes(page, provedMs);
-      }
+    if (next.isAfter(page.endPosition())) {
+      // Of before what is known here; asked at once, the same might come without a pause.
+      askAfter(Math.max(FIRST_RETRY_MS, pace.pauseMs()));
+      return;
+    }
+    next = page.endPosition();
+    provedMs = whole ? askedMs : provedMs(page, askedMs, waitMs);
+    if (whole) {
+      reader.whole(page, askedMs);
+    } else {
+      reader.changes(page, provedMs);
     }
     askAfter(pace.pauseMs());
   }
