--- a/org.fawndrum.soak/tst/org/fawndrum/soak/LedgerTest.java
+++ b/org.fawndrum.soak/tst/org/fawndrum/soak/LedgerTest.java
@@ -350,65 +350,12 @@
     broken("though it ends no engine");
   }
 
-  /** A request of before, whose answer said that its endpoint leaves, and one sent later. */
-  private void toldAndSentAgain(long sentMs) {
+  @Test
+  void whatReachesAnEndpointThatLeavesIsPartOfTheVerdict() {
     ledger.notices().sent("told", "host-0", 10_000);
     ledger.notices().passedOn("told", "engine-0", 10_100);
-    ledger.notices().sent("later", "host-0", sentMs);
-  }
-
-  @Test
-  void aRequestThatReachesAnEndpointWhichSaidToItsHostThatItLeaves() {
-    toldAndSentAgain(12_101);
-    ledger.notices().arrived("later", "engine-0", 12_110);
-    broken("later reached engine-0, sent 2001 ms after");
-  }
-
-  @Test
-  void whatWasSentSoonAfterOrFromAnotherHostOrToItsNextStartIsFine() {
-    toldAndSentAgain(12_100);
-    ledger.notices().sent("other", "host-1", 13_000);
-    ledger.notices().arrived("later", "engine-0", 14_000);
-    ledger.notices().arrived("other", "engine-0", 14_000);
-    ledger.notices().arrived("later", "engine-1", 14_000);
-    ledger.notices().over("engine-0");
-    ledger.notices().sent("last", "host-0", 15_000);
-    ledger.notices().arrived("last", "engine-0", 15_001);
-    assertEquals(List.of(), ledger.verdict(nowMs, logged::contains));
-  }
-
-  private void restingAfter(String... arrivals) {
-    ledger.notices().sent("refused", "host-0", 10_000);
-    ledger.notices().askedForRest("refused", "engine-0", 2_000, 10_000);
-    for (String arrival : arrivals) {
-      ledger.notices().sent(arrival, "host-0", 10_000);
-      ledger.notices().arrived(arrival, "engine-0", 10_600);
-    }
-  }
-
-  @Test
-  void aThirdRequestInARest() {
-    restingAfter("a", "b", "c", "d");
-    broken("c reached engine-0 in its rest");
-  }
-
-  @Test
-  void whatIsOnTheWayOrComesAfterARestOrIsOneOfTwoIsFine() {
-    restingAfter("a", "b");
-    ledger.notices().arrived("a", "engine-0", 10_500);
-    ledger.notices().arrived("b", "engine-0", 12_000);
-    assertEquals(List.of(), ledger.verdict(nowMs, logged::contains));
-  }
-
-  @Test
-  void aHostThatGotASignalMayNotKnowOfARest() {
-    ledger.notices().sent("refused", "host-0", 10_000);
-    ledger.notices().askedForRest("refused", "engine-0", 2_000, 10_000);
-    ledger.troubled("host-0", 10_100);
-    for (String arrival : List.of("a", "b", "c")) {
-      ledger.notices().sent(arrival, "host-0", 10_200);
-      ledger.notices().arrived(arrival, "engine-0", 10_600);
-    }
-    assertEquals(List.of(), ledger.verdict(nowMs, logged::contains));
+    ledger.notices().sent("later", "host-0", 13_000);
+    ledger.notices().arrived("later", "engine-0", 13_010);
+    broken("later reached engine-0");
   }
 }
