Look at leaving endpoints only where there are any

Each reading of the list, several a second, built a set of all its endpoints in order to forget some that had left, although nothing is forgotten below 1,024; and the figure of leaving endpoints made the list of open ones a second time. Both are skipped while there is nothing to do, and the rule that a listed endpoint may have started since stands once. What is decided stays as it is; tests as they were.

--- a/org.fawndrum/src/org/fawndrum/coordination/EndpointRoster.java
+++ b/org.fawndrum/src/org/fawndrum/coordination/EndpointRoster.java
@@ -82,6 +82,10 @@
 
   private void forgetGone() {
     leaving.removeIf(this::isOver);
+    if (leaving.size() <= MOST_UNLISTED) {
+      // So it is with each reading but in a large fleet that is replaced.
+      return;
+    }
     Set<HostIdentity> listed = new HashSet<>();
     listing.endpoints().forEach(endpoint -> listed.add(endpoint.identity()));
     List<HostIdentity> unlisted =
@@ -97,8 +101,7 @@
   public List<Endpoint> open() {
     List<Endpoint> open = new ArrayList<>();
     for (Endpoint endpoint : listing.endpoints()) {
-      // The list may still name an earlier life of an endpoint that has answered since.
-      Endpoint newest = endpoint.at(Math.max(endpoint.incarnation(), newest(endpoint.identity())));
+      Endpoint newest = atItsNewestStart(endpoint);
       if (!leaving.contains(newest.identity())) {
         open.add(newest);
       }
@@ -106,9 +109,21 @@
     return open;
   }
 
+  /** The list may still name an earlier life of an endpoint that has answered since. */
+  private Endpoint atItsNewestStart(Endpoint listed) {
+    return listed.at(Math.max(listed.incarnation(), newest(listed.identity())));
+  }
+
   /** Returns how many endpoints of the list are known to be leaving. */
   public int listedLeaving() {
-    return listing.endpoints().size() - open().size();
+    if (leaving.isEmpty()) {
+      return 0;
+    }
+    return (int)
+        listing.endpoints().stream()
+            .map(this::atItsNewestStart)
+            .filter(endpoint -> leaving.contains(endpoint.identity()))
+            .count();
   }
 
   /** Returns the newest reading of the list. */
