--- a/org.fawndrum.soak/tst/org/fawndrum/soak/SoakTest.java
+++ b/org.fawndrum.soak/tst/org/fawndrum/soak/SoakTest.java
@@ -106,6 +106,18 @@
     holds(14_004, HOSTS, 12_000, Fault.ALL);
   }
 
+  /** Two requests that ended engines at the same time: one ran on; rest asked by a later start. */
+  @Test
+  void seedTwentyOneThousandAndThree() throws Exception {
+    holds(21_003, HOSTS, 12_000, Fault.ALL);
+  }
+
+  /** The same two failures, of requests that end engines and of rest. */
+  @Test
+  void seedTwentyOneThousandAndSeven() throws Exception {
+    holds(21_007, HOSTS, 12_000, Fault.ALL);
+  }
+
   /**
    * A host was killed at the end of its grace period: its handler of the order to stop ran 1.9 s
    * after the order, and no thread of it had written a line for the last 1.45 s of these. Why is
