Let a copy that waited for an endpoint take its turn anew

Lines: two copies that had arrived 1.8 s apart were placed on one engine within 4 ms.

Cause: a turn was taken before the request went into the queue for an endpoint. While no engine was free it passed, the second copy had its own, and both went to the first engine that was back. And a copy that ended gave back whatever turn the request had, also another copy's.

Change: a request for which there is an endpoint needs a turn that lasts, and leaves the queue to take one if it has none; a copy keeps the turn that it took, and gives back that one only.

--- a/org.fawndrum/src/org/fawndrum/coordination/LiveRequest.java
+++ b/org.fawndrum/src/org/fawndrum/coordination/LiveRequest.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import org.fawndrum.coordination.crash.SuspectTurn;
 import org.fawndrum.state.Column;
 import org.fawndrum.state.HostIdentity;
 import org.fawndrum.state.Row;
@@ -35,8 +36,8 @@
 
   boolean firstTokenSeen;
 
-  /** Whether it is the copy of a suspected request that may run now. */
-  boolean hasTurn;
+  /** The turn of a suspected request, where this is the copy that may run; null for most. */
+  SuspectTurn turn;
 
   /** One attempt with its endpoint and where it stands. */
   static final class Attempt {
--- a/org.fawndrum/src/org/fawndrum/coordination/RequestCoordinator.java
+++ b/org.fawndrum/src/org/fawndrum/coordination/RequestCoordinator.java
@@ -360,6 +360,11 @@
     if (nowMs < request.offerAgainMs) {
       return false;
     }
+    if (suspects.holdsAgain(request, nowMs)) {
+      // It leaves the queue, and comes back with its turn.
+      usages.waits(request, false);
+      return true;
+    }
     request.offerAgainMs = nowMs + OFFER_AGAIN_MS;
     int priority = waiting.shouldYield(request, nowMs) ? 0 : request.priority;
     Optional<Placement.Choice> chosen = choice.choose(request, priority, nowMs);
--- a/org.fawndrum/src/org/fawndrum/coordination/SuspectRequests.java
+++ b/org.fawndrum/src/org/fawndrum/coordination/SuspectRequests.java
@@ -45,12 +45,22 @@
   /** Keeps a request for a moment if it must not be sent before more is known; tells whether. */
   boolean holds(LiveRequest request, long nowMs) {
     giveBackTurn(request);
-    boolean holds = !mayGo(request, nowMs);
-    if (holds) {
-      held.add(request);
-      lookMs = Math.min(lookMs, nowMs + LOOK_MS);
-    }
-    return holds;
+    return !mayGo(request, nowMs) && hold(request, nowMs);
+  }
+
+  /**
+   * Does the same with a request for which there is an endpoint now: what is known of it may have
+   * changed while it waited, or its turn may have passed.
+   */
+  boolean holdsAgain(LiveRequest request, long nowMs) {
+    RequestContent content = request.facts.content();
+    boolean hasTurn = request.turn != null && ledger.lasts(request.turn, nowMs);
+    return !hasTurn && ledger.needsTurn(content) && holds(request, nowMs);
+  }
+
+  private boolean hold(LiveRequest request, long nowMs) {
+    lookMs = Math.min(lookMs, nowMs + LOOK_MS);
+    return held.add(request);
   }
 
   /** Tells whether a request that is not turned away may go on now; it has its turn then. */
@@ -61,14 +71,14 @@
       return verdict != CrashVerdict.HELD;
     }
     tell(ledger.askTurn(content, nowMs));
-    request.hasTurn = ledger.beginTurn(content, nowMs);
-    return request.hasTurn;
+    request.turn = ledger.beginTurn(content, nowMs).orElse(null);
+    return request.turn != null;
   }
 
   private void giveBackTurn(LiveRequest request) {
-    if (request.hasTurn) {
-      request.hasTurn = false;
-      ledger.endTurn(request.facts.content());
+    if (request.turn != null) {
+      ledger.endTurn(request.turn);
+      request.turn = null;
     }
   }
 
--- a/org.fawndrum/src/org/fawndrum/coordination/crash/CrashLedger.java
+++ b/org.fawndrum/src/org/fawndrum/coordination/crash/CrashLedger.java
@@ -185,17 +185,19 @@
         .orElse(CrashNews.NONE);
   }
 
-  /** Takes the turn that this host asked for, once all others have heard it; tells whether. */
-  public boolean beginTurn(RequestContent content, long nowMs) {
-    Optional<RequestFingerprint> mine =
-        content.fingerprint().filter(request -> turns.mayBegin(request, nowMs));
-    mine.ifPresent(turns::begin);
-    return mine.isPresent();
+  /** Takes the turn that this host asked for, once all others have heard of it. */
+  public Optional<SuspectTurn> beginTurn(RequestContent content, long nowMs) {
+    return content.fingerprint().flatMap(request -> turns.begin(request, nowMs));
+  }
+
+  /** Tells whether a turn that was taken lasts. */
+  public boolean lasts(SuspectTurn turn, long nowMs) {
+    return turns.lasts(turn, nowMs);
   }
 
   /** Gives back a turn that was taken: no endpoint ended in it. */
-  public void endTurn(RequestContent content) {
-    content.fingerprint().ifPresent(turns::end);
+  public void endTurn(SuspectTurn turn) {
+    turns.end(turn);
   }
 
   /** Tells whether a request runs on other endpoints than other suspected ones. */
--- a/org.fawndrum/src/org/fawndrum/coordination/crash/SuspectTurns.java
+++ b/org.fawndrum/src/org/fawndrum/coordination/crash/SuspectTurns.java
@@ -1,9 +1,11 @@
 // SPDX-License-Identifier: Apache-2.0
 package org.fawndrum.coordination.crash;
 
-import java.util.Iterator;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
 import org.fawndrum.state.HostIdentity;
 
 /**
@@ -27,7 +29,7 @@
 
   private final HostIdentity self;
   private final Map<RequestFingerprint, SuspectTurn> turns = new LinkedHashMap<>();
-  private final Map<RequestFingerprint, SuspectTurn> begun = new LinkedHashMap<>();
+  private final Set<SuspectTurn> begun = new HashSet<>();
 
   SuspectTurns(HostIdentity self) {
     this.self = self;
@@ -43,28 +45,24 @@
     return own;
   }
 
-  /** Tells whether this host may send now: the turn is its own, not used yet, and was heard. */
-  boolean mayBegin(RequestFingerprint request, long nowMs) {
+  /**
+   * Takes this host's turn, once the others have heard of it; empty before that, or if it is taken.
+   */
+  Optional<SuspectTurn> begin(RequestFingerprint request, long nowMs) {
     SuspectTurn turn = current(request, nowMs);
-    return turn != null
-        && turn.host().equals(self)
-        && nowMs - turn.atMs() >= HEARD_MS
-        && !turn.equals(begun.get(request));
+    boolean mine = turn != null && turn.host().equals(self) && nowMs - turn.atMs() >= HEARD_MS;
+    return mine && begun.add(turn) ? Optional.of(turn) : Optional.empty();
   }
 
-  /** Takes note that this host sends the request now. */
-  void begin(RequestFingerprint request) {
-    SuspectTurn turn = turns.get(request);
-    if (turn != null && turn.host().equals(self)) {
-      begun.put(request, turn);
-    }
+  /** Tells whether a turn that was taken lasts. */
+  boolean lasts(SuspectTurn turn, long nowMs) {
+    return turn.equals(current(turn.request(), nowMs));
   }
 
-  /** Ends a turn of this host: its attempt is over, and no endpoint ended under it. */
-  void end(RequestFingerprint request) {
-    SuspectTurn turn = turns.get(request);
-    if (turn != null && turn.equals(begun.get(request))) {
-      forget(request);
+  /** Ends a turn that was taken: its attempt is over, and no endpoint ended under it. */
+  void end(SuspectTurn turn) {
+    if (turn.equals(turns.get(turn.request()))) {
+      forget(turn.request());
     }
   }
 
@@ -77,8 +75,7 @@
   }
 
   private void forget(RequestFingerprint request) {
-    turns.remove(request);
-    begun.remove(request);
+    begun.remove(turns.remove(request));
   }
 
   /** Takes another host's turn; returns whether it goes before what was known. */
@@ -111,8 +108,7 @@
     forget(turn.request());
     turns.put(turn.request(), turn);
     if (turns.size() > MOST_TURNS) {
-      Iterator<RequestFingerprint> oldest = turns.keySet().iterator();
-      forget(oldest.next());
+      forget(turns.keySet().iterator().next());
     }
   }
 }
--- a/org.fawndrum/tst/org/fawndrum/coordination/SuspectRequestsTest.java
+++ b/org.fawndrum/tst/org/fawndrum/coordination/SuspectRequestsTest.java
@@ -2,6 +2,7 @@
 package org.fawndrum.coordination;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.ArrayList;
@@ -185,6 +186,65 @@
     assertEquals(0, coordinator.waiting());
   }
 
+  /** Three endpoints ended under a request, and one without it, so that more are needed. */
+  private void threeCrashesAmongOthers(long content) {
+    told("x-1", 99);
+    later();
+    twoCrashesElsewhere(content);
+    told("f-3", content);
+    later();
+  }
+
+  @Test
+  void oneCopyRunsAtATimeAndTheNextWhenNothingBecameOfIt() {
+    threeCrashesAmongOthers(1);
+    assertEquals(List.of(), arrive("r-1", 1));
+    assertEquals(List.of(), arrive("r-2", 1));
+    Action.Send first = sent(later());
+    assertEquals(List.of(), later(), "two at a time");
+    coordinator.attempt(first.attempt(), AttemptEvent.REFUSED_BY_ENDPOINT, nowMs);
+    List<Action> done = later();
+    assertFalse(sent(done).attempt().requestId().equals(first.attempt().requestId()));
+  }
+
+  /**
+   * Seen: copies that had waited for an endpoint while none was free were sent to it together,
+   * since each had had its turn before.
+   */
+  @Test
+  void copiesThatWaitedForAnEndpointDoNotGoTogether() {
+    List<Action.Send> before = new ArrayList<>();
+    for (int i = 0; i < 400 && coordinator.waiting() == 0; i++) {
+      arrive("r-" + i, 5).forEach(one -> before.add((Action.Send) one));
+    }
+    threeCrashesAmongOthers(1);
+    arrive("c-1", 1);
+    arrive("c-2", 1);
+    for (int i = 0; i < 20; i++) {
+      later();
+    }
+    assertEquals(3, coordinator.waiting(), "both copies, and the one that found no room");
+    int copies = 0;
+    for (Action.Send one : before) {
+      copies += copies(coordinator.attempt(one.attempt(), AttemptEvent.ANSWERED, nowMs));
+    }
+    for (int i = 0; i < 2; i++) {
+      nowMs += LATER_MS;
+      copies += copies(coordinator.tick(nowMs));
+    }
+    assertEquals(1, copies);
+  }
+
+  private static long copies(List<Action> actions) {
+    return actions.stream()
+        .filter(one -> one instanceof Action.Send send && isCopy(send.attempt().requestId()))
+        .count();
+  }
+
+  private static boolean isCopy(String requestId) {
+    return requestId.startsWith("c-");
+  }
+
   @Test
   void anEndpointThatWasToLeaveSaysNothing() {
     twoCrashesElsewhere(1);
--- a/org.fawndrum/tst/org/fawndrum/coordination/crash/CrashFleet.java
+++ b/org.fawndrum/tst/org/fawndrum/coordination/crash/CrashFleet.java
@@ -74,7 +74,12 @@
   record Arrival(TestContent request, long atMs, boolean inTouch) {}
 
   /** One request at one engine. */
-  private record Run(TestContent request, boolean deadly, int host, int triesLeft) {}
+  private record Run(
+      TestContent request, boolean deadly, int host, int triesLeft, SuspectTurn turn) {
+    Run with(SuspectTurn taken) {
+      return new Run(request, deadly, host, triesLeft, taken);
+    }
+  }
 
   /** When engines took what they had; no matter here, since each start is told. */
   private static final long TAKEN = 0;
@@ -194,7 +199,7 @@
 
   /** Lets a request come to a host. */
   void send(TestContent request, boolean deadly, int host) {
-    send(new Run(request, deadly, host, TRIES));
+    send(new Run(request, deadly, host, TRIES, null));
   }
 
   private void send(Run run) {
@@ -208,20 +213,25 @@
     } else if (verdict == CrashVerdict.REFUSED) {
       boolean innocent = !run.deadly() && inTouch(run.host());
       innocentsRefused += innocent ? 1 : 0;
-    } else if (hasTurn(run)) {
+    } else if (!ledgers[run.host()].needsTurn(run.request())) {
       place(run);
     } else {
-      after(10, () -> send(run));
+      takeTurn(run);
     }
   }
 
-  private boolean hasTurn(Run run) {
+  private void takeTurn(Run run) {
     CrashLedger ledger = ledgers[run.host()];
-    if (!ledger.needsTurn(run.request())) {
-      return true;
-    }
     tell(run.host(), ledger.askTurn(run.request(), nowMs));
-    return ledger.beginTurn(run.request(), nowMs);
+    ledger
+        .beginTurn(run.request(), nowMs)
+        .ifPresentOrElse(turn -> place(run.with(turn)), () -> after(10, () -> send(run)));
+  }
+
+  private void endTurn(Run run) {
+    if (run.turn() != null) {
+      ledgers[run.host()].endTurn(run.turn());
+    }
   }
 
   private void decide(int host) {
@@ -244,7 +254,7 @@
   private void place(Run run) {
     Engine engine = free(one -> isApart(run, one)).orElseGet(() -> free(one -> true).orElse(null));
     if (engine == null) {
-      ledgers[run.host()].endTurn(run.request());
+      endTurn(run);
       return;
     }
     Engine at = engine;
@@ -321,9 +331,9 @@
 
   private void lost(HostIdentity identity, Run run) {
     tell(run.host(), ledgers[run.host()].crashed(identity, run.request().print(), TAKEN, nowMs));
-    ledgers[run.host()].endTurn(run.request());
+    endTurn(run);
     if (run.triesLeft() > 1) {
-      send(new Run(run.request(), run.deadly(), run.host(), run.triesLeft() - 1));
+      send(new Run(run.request(), run.deadly(), run.host(), run.triesLeft() - 1, null));
     } else if (!run.deadly()) {
       // Its caller comes again, at any host.
       after(100, () -> send(run.request(), false, random.nextInt(hosts)));
--- a/org.fawndrum/tst/org/fawndrum/coordination/crash/CrashLedgerTest.java
+++ b/org.fawndrum/tst/org/fawndrum/coordination/crash/CrashLedgerTest.java
@@ -305,13 +305,13 @@
     // Both ask at the same time; the one with the lower name goes first.
     CrashNews otherTurn = other.askTurn(DEADLY, nowMs);
     CrashNews ownTurn = ledger.askTurn(DEADLY, nowMs);
-    assertFalse(ledger.beginTurn(DEADLY, nowMs), "nobody can have heard of it");
+    assertTrue(ledger.beginTurn(DEADLY, nowMs).isEmpty(), "nobody can have heard of it");
     assertTrue(ledger.heard(otherTurn, nowMs + 30).isEmpty());
     assertFalse(other.heard(ownTurn, nowMs + 30).isEmpty(), "to be told on");
     nowMs += SuspectTurns.HEARD_MS;
-    assertFalse(other.beginTurn(DEADLY, nowMs));
-    assertTrue(ledger.beginTurn(DEADLY, nowMs));
-    assertFalse(ledger.beginTurn(DEADLY, nowMs), "one copy");
+    assertTrue(other.beginTurn(DEADLY, nowMs).isEmpty());
+    assertTrue(ledger.beginTurn(DEADLY, nowMs).isPresent());
+    assertTrue(ledger.beginTurn(DEADLY, nowMs).isEmpty(), "one copy");
     // It ends an endpoint; the next turn is for whoever asks first.
     other.heard(ledger.crashed(new HostIdentity("e-4", 1), DEADLY.print(), nowMs, nowMs), nowMs);
     pass(APART_MS);
@@ -323,14 +323,25 @@
     CrashLedger other = new CrashLedger(new HostIdentity("host-2", 1));
     other.heard(ledger.askTurn(DEADLY, nowMs), nowMs);
     pass(SuspectTurns.HEARD_MS);
-    assertTrue(ledger.beginTurn(DEADLY, nowMs));
-    ledger.endTurn(DEADLY);
+    SuspectTurn turn = ledger.beginTurn(DEADLY, nowMs).orElseThrow();
+    assertTrue(ledger.lasts(turn, nowMs));
+    ledger.endTurn(turn);
+    assertFalse(ledger.lasts(turn, nowMs));
     assertFalse(ledger.askTurn(DEADLY, nowMs).isEmpty());
     assertTrue(other.askTurn(DEADLY, nowMs).isEmpty(), "it has not heard that");
+    SuspectTurn second = begunTurn();
+    ledger.endTurn(turn);
+    assertTrue(ledger.lasts(second, nowMs), "ended by the copy that had the one before");
     pass(SuspectTurns.TURN_MS);
+    assertFalse(ledger.lasts(second, nowMs));
     assertFalse(other.askTurn(DEADLY, nowMs).isEmpty());
   }
 
+  private SuspectTurn begunTurn() {
+    pass(SuspectTurns.HEARD_MS);
+    return ledger.beginTurn(DEADLY, nowMs).orElseThrow();
+  }
+
   @Test
   void oneSeesOneAndAnotherTwo() {
     CrashLedger second = new CrashLedger(HOST);
