Count the end of one start once, however late a host learns of it

Cause: an endpoint that started again without an end that hosts could see. A host that learns of the later start counts the attempt there as ended with its start; where the attempt lasts, each later reading of the list counted it again, and two reports of one start more than a second apart were two ends.

Change: an endpoint that tells its start ends once for it, unless it was sent a request after that end; only endpoints that tell no start are told apart by time. Why it works: a report of the same end, at whatever time, names a start that had taken nothing since.

CrashLedgerTest.oneStartEndsOnceHoweverLateItIsReportedAgain (innocent turned away) and SuspectRequestsTest.aStartThatIsOverEndsOnceUnderAnAttemptThatLasts (several ends) failed before.

--- a/org.fawndrum/src/org/fawndrum/coordination/crash/CrashHistory.java
+++ b/org.fawndrum/src/org/fawndrum/coordination/crash/CrashHistory.java
@@ -25,7 +25,7 @@
   /** How long a crash is kept: a caller that comes again after more is rare. */
   static final long KEEP_MS = 600_000;
 
-  /** Two reports of one start within this time are of one crash; starts without a time recur. */
+  /** Two reports of an endpoint that tells no start, within this time, are of one crash. */
   private static final long SAME_CRASH_MS = 1_000;
 
   /**
--- a/org.fawndrum/src/org/fawndrum/coordination/crash/EndpointCrash.java
+++ b/org.fawndrum/src/org/fawndrum/coordination/crash/EndpointCrash.java
@@ -2,6 +2,7 @@
 package org.fawndrum.coordination.crash;
 
 import java.util.Set;
+import org.fawndrum.state.Endpoint;
 import org.fawndrum.state.HostIdentity;
 
 /**
@@ -32,13 +33,18 @@
   }
 
   /**
-   * Tells whether another report is of the same end: of one start, within a time of each other, and
-   * neither had taken a request after the end of the other. One that had was back by then, whatever
-   * is known yet of its new start; else two requests that end endpoints in turn would stand under
-   * each other's ends, and could not be told apart.
+   * Tells whether another report is of the same end: of one start, and neither had taken a request
+   * after the end of the other. One that had was back by then, whatever is known yet of its new
+   * start; else two requests that end endpoints in turn would stand under each other's ends, and
+   * could not be told apart. A start ends once, however late a host learns that it is over; only
+   * endpoints that tell no start have ends that are told apart by their time.
+   *
+   * @param withinMs how long two ends of an endpoint that tells no start are apart
    */
   boolean isTheEndOf(EndpointCrash other, long withinMs) {
     boolean inTurn = takenMs > other.atMs + NEWS_MS || other.takenMs > atMs + NEWS_MS;
-    return endpoint.equals(other.endpoint) && Math.abs(atMs - other.atMs) <= withinMs && !inTurn;
+    boolean tellsStart = endpoint.incarnation() != Endpoint.START_NOT_TOLD;
+    boolean sameTime = tellsStart || Math.abs(atMs - other.atMs) <= withinMs;
+    return endpoint.equals(other.endpoint) && sameTime && !inTurn;
   }
 }
--- a/org.fawndrum/tst/org/fawndrum/coordination/SuspectRequestsTest.java
+++ b/org.fawndrum/tst/org/fawndrum/coordination/SuspectRequestsTest.java
@@ -207,6 +207,23 @@
     assertFalse(sent(done).attempt().requestId().equals(first.attempt().requestId()));
   }
 
+  /**
+   * Seen: a request that ends nothing was turned away. Its endpoint had started again without an
+   * end that its host could see; the attempt lasted, and each later reading of the list counted as
+   * another end of the same start.
+   */
+  @Test
+  void aStartThatIsOverEndsOnceUnderAnAttemptThatLasts() {
+    Action.Send send = sent(arrive("r-1", 1));
+    for (int i = 0; i < 10; i++) {
+      nowMs += 1_500;
+      decisive(coordinator.restarted(send.endpoint().identity()::equals, nowMs));
+      coordinator.tick(nowMs);
+    }
+    assertEquals(List.of(), coordinator.suspects().refused());
+    assertTrue(coordinator.suspects().all().crashes().size() <= 1, "one start, one end");
+  }
+
   /**
    * Seen: copies that had waited for an endpoint while none was free were sent to it together,
    * since each had had its turn before.
--- a/org.fawndrum/tst/org/fawndrum/coordination/crash/CrashLedgerTest.java
+++ b/org.fawndrum/tst/org/fawndrum/coordination/crash/CrashLedgerTest.java
@@ -155,6 +155,22 @@
     assertEquals(CrashVerdict.FREE, verdict(DEADLY));
   }
 
+  /** Seen: ends of one start that were reported again and again turned an innocent away. */
+  @Test
+  void oneStartEndsOnceHoweverLateItIsReportedAgain() {
+    crash("x-1", DEADLY);
+    for (int i = 0; i < 2 * CrashRules.ENOUGH_AMONG_OTHERS; i++) {
+      crash("e-1", INNOCENT);
+      pass(3_000);
+    }
+    assertEquals(CrashVerdict.FREE, verdict(INNOCENT));
+    assertEquals(1, ledger.all().crashes().stream().filter(this::isOfInnocent).count());
+  }
+
+  private boolean isOfInnocent(EndpointCrash crash) {
+    return crash.under().contains(INNOCENT.print());
+  }
+
   @Test
   void anEndpointThatTellsNoStartMayEndAgain() {
     for (int i = 0; i < 3; i++) {
