Keep the rest that an endpoint asks for when its start becomes known later

Cause, from the lines: engine-1 asked at 11.75 to 11.87 s, filed under its start ...000; at 12.289 s its report told start ...001, and requests went there from 12.323 s on. The engine had started again before it asked, which the store, being away, had told nobody. An answer does not name the start that gave it; the word was kept for the start that was known, and lost with it.

Change: a rest belongs to the endpoint. It ends with its time, or with an end of the endpoint that this host or another saw after the word.

The same for the word that an endpoint leaves is listed as open.

--- a/org.fawndrum/src/org/fawndrum/coordination/EndpointBook.java
+++ b/org.fawndrum/src/org/fawndrum/coordination/EndpointBook.java
@@ -74,6 +74,11 @@
     return several ? largestMemory * serving(target).size() : largestMemory;
   }
 
+  /** Takes note that an endpoint was seen to end, by this host or by another one. */
+  void ended(HostIdentity endpoint, long atMs) {
+    rests.ended(endpoint, atMs);
+  }
+
   /** Does something with the state of an endpoint incarnation, if it is known. */
   void ifKnown(HostIdentity identity, Consumer<EndpointState> step) {
     EndpointState state = states.get(identity);
--- a/org.fawndrum/src/org/fawndrum/coordination/SuspectRequests.java
+++ b/org.fawndrum/src/org/fawndrum/coordination/SuspectRequests.java
@@ -105,6 +105,7 @@
    */
   void endpointEnded(LiveRequest request, LiveRequest.Attempt attempt, long nowMs) {
     HostIdentity endpoint = attempt.endpoint.endpoint().identity();
+    endpoints.ended(endpoint, nowMs);
     if (endpoints.isOpen(endpoint)) {
       crashed(request, attempt, nowMs);
     }
@@ -131,6 +132,7 @@
 
   /** Takes what another host tells. */
   public void heard(CrashNews news, long nowMs) {
+    news.crashes().forEach(one -> endpoints.ended(one.endpoint(), one.atMs()));
     tell(ledger.heard(news, nowMs));
   }
 
