Work out the sum over known crashes when they change, not after each event

The thread that decides showed the sum over all crashes and the list of requests that are turned away after every event, for up to 64 crashes with 32 requests each. Both are now worked out when something changes, and only the sum when it is asked for. Behaviour is as it was (CrashLedgerTest, CrashSpreadTest); processor time was not measured apart.

--- a/org.fawndrum/src/org/fawndrum/coordination/crash/CrashLedger.java
+++ b/org.fawndrum/src/org/fawndrum/coordination/crash/CrashLedger.java
@@ -37,6 +37,9 @@
   private final SuspectTurns turns;
   private Set<RequestFingerprint> suspects = Set.of();
   private Set<Long> lengths = Set.of();
+  private long summary;
+  private boolean summaryIsOld;
+  private List<RefusedRequest> refusedNow = List.of();
   private long dueMs = Long.MAX_VALUE;
 
   /** A request that is turned away, and when it came last. */
@@ -78,9 +81,11 @@
 
   private EndpointCrash add(EndpointCrash crash, long nowMs) {
     EndpointCrash news = history.add(crash, nowMs);
+    // Also where only old ones went.
+    summaryIsOld = true;
     if (news != null) {
-      news.under().forEach(one -> turns.over(one, news.atMs()));
       suspectsChanged();
+      news.under().forEach(one -> turns.over(one, news.atMs()));
       dueMs = Math.min(dueMs, nowMs + CrashRules.SETTLE_MS);
     }
     return news;
@@ -94,6 +99,8 @@
     all.forEach(one -> allLengths.add(one.bytes()));
     lengths = allLengths;
     rules.changed();
+    summaryIsOld = true;
+    refusedNow = refused.values().stream().map(one -> one.record).toList();
   }
 
   /** Returns the fingerprint of a request that is suspected; only such ones are computed. */
@@ -224,7 +231,9 @@
     if (nowMs < dueMs) {
       return List.of();
     }
-    refused.values().removeIf(one -> nowMs - one.lastMs > FORGIVE_MS);
+    if (refused.values().removeIf(one -> nowMs - one.lastMs > FORGIVE_MS)) {
+      suspectsChanged();
+    }
     List<RefusedRequest> news = new ArrayList<>();
     for (RequestFingerprint suspect : history.requests()) {
       if (history.times(suspect) < CrashRules.ENOUGH) {
@@ -293,15 +302,23 @@
         history.where(crash -> !rules.isExplained(crash)), pardons, refused(), List.of());
   }
 
-  /** Returns the requests that are turned away now, the one that came last longest ago first. */
+  /** Returns the requests that are turned away now. */
   public List<RefusedRequest> refused() {
-    return refused.values().stream().map(one -> one.record).toList();
+    return refusedNow;
   }
 
   /**
    * Returns a number that two hosts which know the same have in common; 0 when nothing is known.
    */
   public long summary() {
+    if (summaryIsOld) {
+      summary = sumOfAll();
+      summaryIsOld = false;
+    }
+    return summary;
+  }
+
+  private long sumOfAll() {
     long sum = sumOf(refused.keySet());
     for (EndpointCrash crash : history.where(one -> !rules.isExplained(one))) {
       long start = crash.endpoint().host().hashCode() + crash.endpoint().incarnation();
