Count an end that is proved later for what was lost with it

Change: what was lost without proof is kept for 10 s. An end of the same start that this host or another proves within a second of it, or a later start that becomes known, counts for it too, at the time at which its connection broke. It asks no endpoint anything more.

SuspectRequestsTest.anEndThatIsProvedLaterCountsForWhatWasLostWithIt and anEndThatAnotherHostSaw... show it; the code before kept nothing of such an attempt. An end long after a broken connection still says nothing.

--- a/org.fawndrum/src/org/fawndrum/coordination/LiveRequest.java
+++ b/org.fawndrum/src/org/fawndrum/coordination/LiveRequest.java
@@ -50,6 +50,9 @@
     /** The engine that kept the others from taking the request; null when none did. */
     HostIdentity helperAtFault;
 
+    /** Whether its endpoint was seen to end under it. */
+    boolean endSeen;
+
     AttemptState state = AttemptState.WAITING;
 
     Attempt(AttemptId id, Placement.Choice choice, long sentMs) {
--- a/org.fawndrum/src/org/fawndrum/coordination/RequestCoordinator.java
+++ b/org.fawndrum/src/org/fawndrum/coordination/RequestCoordinator.java
@@ -99,6 +99,7 @@
 
   /** Sends again what hangs on starts of endpoints that are over, where it may be. */
   public List<Action> restarted(Predicate<HostIdentity> over, long nowMs) {
+    suspects.startsAreOver(over, nowMs);
     for (LiveRequest request : requests.all()) {
       LiveRequest.Attempt last = request.last();
       if (last != null && !last.state.ended() && work.hangsOn(last, over)) {
@@ -278,6 +279,7 @@
       attempt.endpoint.ended(id);
       boolean lost = attempt.state != AttemptState.DONE && event == AttemptEvent.LOST;
       work.ended(attempt, lost, nowMs);
+      suspects.attemptEnded(request, attempt, lost, nowMs);
       attemptEnded(request, attempt, event, nowMs);
     }
     return flush(nowMs);
--- a/org.fawndrum/src/org/fawndrum/coordination/SuspectRequests.java
+++ b/org.fawndrum/src/org/fawndrum/coordination/SuspectRequests.java
@@ -5,9 +5,11 @@
 import java.util.List;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
+import java.util.function.Predicate;
 import org.fawndrum.coordination.crash.CrashLedger;
 import org.fawndrum.coordination.crash.CrashNews;
 import org.fawndrum.coordination.crash.CrashVerdict;
+import org.fawndrum.coordination.crash.EndpointCrash;
 import org.fawndrum.coordination.crash.RefusedRequest;
 import org.fawndrum.coordination.crash.RequestContent;
 import org.fawndrum.state.HostIdentity;
@@ -23,6 +25,7 @@
 
   private final CrashLedger ledger;
   private final List<LiveRequest> held = new ArrayList<>();
+  private final LostAttempts lost = new LostAttempts();
   private final EndpointBook endpoints;
   private final BooleanSupplier hearsAll;
   private final List<Action> out;
@@ -107,22 +110,40 @@
     HostIdentity endpoint = attempt.endpoint.endpoint().identity();
     endpoints.ended(endpoint, nowMs);
     if (endpoints.isOpen(endpoint)) {
-      crashed(request, attempt, nowMs);
+      attempt.endSeen = true;
+      crashed(lost(request, attempt, nowMs));
+      lost.endedWith(endpoint, nowMs).forEach(this::crashed);
+    }
+  }
+
+  /** Takes note of the end of an attempt; why its connection broke may be heard later. */
+  void attemptEnded(LiveRequest request, LiveRequest.Attempt attempt, boolean isLost, long nowMs) {
+    boolean unexplained = isLost && !attempt.endSeen;
+    if (unexplained && endpoints.isOpen(attempt.endpoint.endpoint().identity())) {
+      lost.add(lost(request, attempt, nowMs));
     }
   }
 
   /** Takes note that the endpoint of an attempt started again and took the request with it. */
   void endpointRestarted(LiveRequest request, LiveRequest.Attempt attempt, long nowMs) {
-    crashed(request, attempt, nowMs);
+    crashed(lost(request, attempt, nowMs));
+  }
+
+  /** Takes note of starts that are over: connections that broke lately ended with them. */
+  void startsAreOver(Predicate<HostIdentity> over, long nowMs) {
+    lost.startedAgain(over, nowMs).forEach(this::crashed);
   }
 
-  private void crashed(LiveRequest request, LiveRequest.Attempt attempt, long nowMs) {
+  private static LostAttempts.Lost lost(
+      LiveRequest request, LiveRequest.Attempt attempt, long nowMs) {
     HostIdentity endpoint = attempt.endpoint.endpoint().identity();
-    request
-        .facts
-        .content()
+    return new LostAttempts.Lost(request.facts.content(), endpoint, attempt.sentMs, nowMs);
+  }
+
+  private void crashed(LostAttempts.Lost one) {
+    one.content()
         .fingerprint()
-        .ifPresent(one -> tell(ledger.crashed(endpoint, one, attempt.sentMs, nowMs)));
+        .ifPresent(print -> tell(ledger.crashed(one.endpoint(), print, one.sentMs(), one.atMs())));
   }
 
   /** Takes note that an endpoint gave a request's whole answer and lived on. */
@@ -132,8 +153,11 @@
 
   /** Takes what another host tells. */
   public void heard(CrashNews news, long nowMs) {
-    news.crashes().forEach(one -> endpoints.ended(one.endpoint(), one.atMs()));
     tell(ledger.heard(news, nowMs));
+    for (EndpointCrash crash : news.crashes()) {
+      endpoints.ended(crash.endpoint(), crash.atMs());
+      lost.endedWith(crash.endpoint(), crash.atMs()).forEach(this::crashed);
+    }
   }
 
   /** Decides on what is old enough, and hands back the requests that were held until now. */
--- a/org.fawndrum/tst/org/fawndrum/coordination/SuspectRequestsTest.java
+++ b/org.fawndrum/tst/org/fawndrum/coordination/SuspectRequestsTest.java
@@ -207,6 +207,52 @@
     assertFalse(sent(done).attempt().requestId().equals(first.attempt().requestId()));
   }
 
+  private List<Action> lost(Action.Send send) {
+    return decisive(coordinator.attempt(send.attempt(), AttemptEvent.LOST, nowMs));
+  }
+
+  private int crashesKnown() {
+    return coordinator.suspects().all().crashes().size();
+  }
+
+  /**
+   * Seen: of the first two engines that a request ended no host had proof, because their ports took
+   * connections a moment too long, or again. It ran four times more than it should have.
+   */
+  @Test
+  void anEndThatIsProvedLaterCountsForWhatWasLostWithIt() {
+    Action.Send first = sent(arrive("r-1", 1));
+    lost(first);
+    assertEquals(0, crashesKnown(), "a connection may break for other reasons");
+    nowMs += 300;
+    coordinator.restarted(first.endpoint().identity()::equals, nowMs);
+    assertEquals(1, crashesKnown());
+    coordinator.restarted(first.endpoint().identity()::equals, nowMs);
+    assertEquals(1, crashesKnown(), "counted twice");
+  }
+
+  @Test
+  void anEndThatAnotherHostSawCountsForWhatWasLostWithIt() {
+    Action.Send first = sent(arrive("r-1", 1));
+    lost(first);
+    nowMs += 100;
+    told(first.endpoint().name(), 2);
+    EndpointCrash crash = coordinator.suspects().all().crashes().get(0);
+    assertEquals(2, crash.under().size(), crash.toString());
+  }
+
+  @Test
+  void anEndLongAfterAConnectionBrokeSaysNothingAboutIt() {
+    Action.Send first = sent(arrive("r-1", 1));
+    lost(first);
+    nowMs += 2_000;
+    told(first.endpoint().name(), 2);
+    assertEquals(1, coordinator.suspects().all().crashes().get(0).under().size());
+    nowMs += 20_000;
+    coordinator.restarted(first.endpoint().identity()::equals, nowMs);
+    assertEquals(1, crashesKnown());
+  }
+
   /**
    * Seen: a request that ends nothing was turned away. Its endpoint had started again without an
    * end that its host could see; the attempt lasted, and each later reading of the list counted as
