Let the soak's ledger tell by which start an endpoint said that it leaves

So the case is allowed: the word binds for the start that gave it.

The ledger now notes at which start of its endpoint a request arrived, and takes the word for that start only. It judges the same otherwise; LedgerTest has both, the one before unchanged.

--- a/org.fawndrum.soak/src/org/fawndrum/soak/NoticeLedger.java
+++ b/org.fawndrum.soak/src/org/fawndrum/soak/NoticeLedger.java
@@ -31,6 +31,11 @@
   private final Map<String, Long> troubledMs = new HashMap<>();
   private final Map<Pair, Long> toldMs = new HashMap<>();
   private final Map<Pair, Rest> rests = new HashMap<>();
+  private final Map<String, Integer> starts = new HashMap<>();
+
+  /** Which start of its endpoint each request arrived at last. */
+  private final Map<Arrival, Integer> startOf = new HashMap<>();
+
   private final List<String> broken = new ArrayList<>();
   private int told;
   private int asked;
@@ -38,6 +43,9 @@
   /** A host and an endpoint. */
   private record Pair(String host, String endpoint) {}
 
+  /** A request at an endpoint. */
+  private record Arrival(String id, String endpoint) {}
+
   /** A request, as it was sent to a host. */
   private record Sent(String host, long atMs) {}
 
@@ -62,7 +70,10 @@
   void passedOn(String id, String endpoint, long nowMs) {
     told++;
     Sent request = sent.get(id);
-    if (request != null && !isTroubled(request.host(), nowMs)) {
+    // An answer may come when the start that gave it is over; it binds nobody at the next one.
+    int start = starts.getOrDefault(endpoint, 0);
+    boolean ofThisStart = startOf.getOrDefault(new Arrival(id, endpoint), 0) == start;
+    if (request != null && ofThisStart && !isTroubled(request.host(), nowMs)) {
       toldMs.putIfAbsent(new Pair(request.host(), endpoint), nowMs);
     }
   }
@@ -98,6 +109,7 @@
 
   /** Takes note that an endpoint starts again: its earlier start said what it said. */
   void over(String endpoint) {
+    starts.merge(endpoint, 1, Integer::sum);
     toldMs.keySet().removeIf(pair -> pair.endpoint().equals(endpoint));
     rests.keySet().removeIf(pair -> pair.endpoint().equals(endpoint));
   }
@@ -108,6 +120,7 @@
     if (request == null) {
       return;
     }
+    startOf.put(new Arrival(id, endpoint), starts.getOrDefault(endpoint, 0));
     Pair pair = new Pair(request.host(), endpoint);
     Long since = toldMs.get(pair);
     if (since != null && request.atMs() > since + LEAVING_MS) {
--- a/org.fawndrum.soak/tst/org/fawndrum/soak/LedgerTest.java
+++ b/org.fawndrum.soak/tst/org/fawndrum/soak/LedgerTest.java
@@ -358,4 +358,19 @@
     ledger.notices().arrived("later", "engine-0", 13_010);
     broken("later reached engine-0");
   }
+
+  @Test
+  void whatAnEarlierStartSaidBindsNobodyAtTheNextOneHoweverLateItsAnswerComes() {
+    ledger.notices().sent("told", "host-0", 10_000);
+    ledger.notices().arrived("told", "engine-0", 10_010);
+    ledger.notices().over("engine-0");
+    ledger.notices().passedOn("told", "engine-0", 10_100);
+    ledger.notices().sent("later", "host-0", 13_000);
+    ledger.notices().arrived("later", "engine-0", 13_010);
+    assertEquals(List.of(), ledger.verdict(nowMs, logged::contains));
+    ledger.notices().passedOn("later", "engine-0", 13_100);
+    ledger.notices().sent("again", "host-0", 15_200);
+    ledger.notices().arrived("again", "engine-0", 15_210);
+    broken("again reached engine-0");
+  }
 }
