Let the soak excuse an answer whose endpoint ended just behind it

Operators do not count answers that the endpoint broke off. The ledger excused that only where the endpoint had not finished writing.

Narrow: the caller had the beginning of the answer, and the endpoint ended at most 500 ms after it had answered.

--- a/org.fawndrum.soak/src/org/fawndrum/soak/EndpointRun.java
+++ b/org.fawndrum.soak/src/org/fawndrum/soak/EndpointRun.java
@@ -3,9 +3,13 @@
 
 /** One arrival of a request at an endpoint, until its end there. Confined to one event loop. */
 final class EndpointRun {
+  /** For how long the last bytes of an answer may be on their way, in milliseconds. */
+  private static final long ON_ITS_WAY_MS = 500;
+
   private boolean open = true;
   private boolean harmed;
   private boolean brokenOff;
+  private boolean lostOnItsWay;
   private long overMs;
 
   /** Takes note that it answered, that its connection closed or that the endpoint is gone. */
@@ -27,6 +31,16 @@
     harmed = true;
   }
 
+  /** Takes note that its endpoint ended: what had left it lately may not have reached its host. */
+  void endpointEnded(long nowMs) {
+    lostOnItsWay |= !open && nowMs - overMs <= ON_ITS_WAY_MS;
+  }
+
+  /** Tells whether its endpoint ended just after it had answered. */
+  boolean isLostOnItsWay() {
+    return lostOnItsWay;
+  }
+
   boolean isHarmed() {
     return harmed;
   }
--- a/org.fawndrum.soak/src/org/fawndrum/soak/SoakEndpoint.java
+++ b/org.fawndrum.soak/src/org/fawndrum/soak/SoakEndpoint.java
@@ -6,6 +6,7 @@
 import io.vertx.core.http.HttpServerRequest;
 import io.vertx.core.http.HttpServerResponse;
 import io.vertx.core.net.NetClient;
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -65,6 +66,7 @@
   private boolean gone;
   private boolean inUse = true;
   private final Map<EndpointRun, Boolean> open = new HashMap<>();
+  private final List<EndpointRun> answered = new ArrayList<>();
 
   /**
    * Makes an endpoint that does not listen yet.
@@ -177,6 +179,8 @@
       ledger.crashes().crashed(path, Soak.nowMs());
     }
     gone = true;
+    answered.forEach(run -> run.endpointEnded(Soak.nowMs()));
+    answered.clear();
     startAgain();
     link.refuse(GONE_MS)
         .onSuccess(
@@ -289,5 +293,6 @@
   private void end(EndpointRun run) {
     open.remove(run);
     run.over(Soak.nowMs());
+    answered.add(run);
   }
 }
--- a/org.fawndrum.soak/src/org/fawndrum/soak/StopLedger.java
+++ b/org.fawndrum.soak/src/org/fawndrum/soak/StopLedger.java
@@ -147,6 +147,9 @@
     if (last != null && (last.isHarmed() || last.isBrokenOff())) {
       return true;
     }
+    if (last != null && cut.midAnswer() && last.isLostOnItsWay()) {
+      return true;
+    }
     boolean elsewhere = last == null || !last.atWork(cut.atMs() - LATE_MS);
     if (elsewhere && harmed(request.atMs(), cut.atMs())) {
       return true;
--- a/org.fawndrum.soak/tst/org/fawndrum/soak/LedgerTest.java
+++ b/org.fawndrum.soak/tst/org/fawndrum/soak/LedgerTest.java
@@ -228,6 +228,25 @@
     broken("look was cut");
   }
 
+  @Test
+  void anAnswerWhoseEndpointEndedJustBehindItIsNotCutByTheStop() {
+    stop(17_700);
+    EndpointRun run = runAndCut(12_000, 12_300);
+    run.endpointEnded(12_400);
+    broken("look was cut 2300 ms after");
+    ledger.stops().cut("look", true, 12_450);
+    assertEquals(List.of(), ledger.verdict(nowMs, logged::contains));
+  }
+
+  @Test
+  void anEndpointThatEndsLongAfterItsAnswerExcusesNothing() {
+    stop(17_700);
+    EndpointRun run = runAndCut(12_000, 12_300);
+    run.endpointEnded(12_900);
+    ledger.stops().cut("look", true, 12_950);
+    broken("look was cut 2950 ms after");
+  }
+
   @Test
   void aRequestThatWaitedAtAStoppingHostAndWasCut() {
     stop(13_500);
