Answer who connects to a stopping host between its last answer and its end

Lines: FAWN0004 at 55.027 s, the request refused as draining at 55.101, the process gone before its answer left.

Cause: a host with nothing open ends 50 ms after it has found that; who connects in between was read, refused and cut. Change: it looks again before it leaves, and goes on while somebody is connected and there is time.

No test of its own: the moment lies between two timers. What is left is the time that the process takes to end.

--- a/org.fawndrum/src/org/fawndrum/transport/relay/RelayDrain.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/RelayDrain.java
@@ -127,7 +127,17 @@
     if (answered || clock.nowMs() >= window.goneMs() - LEAVE_MS) {
       vertx.cancelTimer(timer);
       log.event(LogEvent.DRAIN_ENDED, account());
-      vertx.setTimer(LEAVE_MS, id -> done.complete(null));
+      vertx.setTimer(LEAVE_MS, id -> leave(window));
+    }
+  }
+
+  /** Ends, unless somebody connected meanwhile who would be cut, and there is time to answer. */
+  private void leave(StopWindow window) {
+    callers.closeIdle();
+    if (callers.connections() == 0 || clock.nowMs() >= window.goneMs() - LEAVE_MS) {
+      done.complete(null);
+    } else {
+      vertx.setTimer(LEAVE_MS, id -> leave(window));
     }
   }
 
