Let an answer that has begun go on when a later start of its endpoint becomes known

The engine had started again before the request came, and it was that start which answered; the host took the attempt for one at the start that it had believed in when it sent it.

Change: an attempt whose answer has begun is not ended by the news of a later start. If the start that gives it is over, its connection breaks, or it falls silent and is taken for stalled.

EndpointRestartTest.anAnswerThatHasBegunMayBeOfTheLaterStartAndGoesOn failed before.

--- a/org.fawndrum/src/org/fawndrum/coordination/EngineWork.java
+++ b/org.fawndrum/src/org/fawndrum/coordination/EngineWork.java
@@ -113,9 +113,15 @@
 
   /**
    * Tells whether an attempt hangs on one of some starts of endpoints: one that writes its answer,
-   * holds memory for it, or still reads a part of its prompt.
+   * holds memory for it, or still reads a part of its prompt. An answer that has begun hangs on the
+   * start that gives it, which may be a later one than was known when it was sent: if that one is
+   * over, its connection breaks or falls silent.
    */
   boolean hangsOn(LiveRequest.Attempt attempt, Predicate<HostIdentity> starts) {
+    HostIdentity first = attempt.endpoint.endpoint().identity();
+    if (attempt.state == AttemptState.RUNNING && starts.test(first)) {
+      return false;
+    }
     for (long id : attempt.jobs) {
       EngineJob job = own.get(id);
       if (job != null && starts.test(job.endpoint())) {
--- a/org.fawndrum/tst/org/fawndrum/coordination/EndpointRestartTest.java
+++ b/org.fawndrum/tst/org/fawndrum/coordination/EndpointRestartTest.java
@@ -249,6 +249,19 @@
     assertEquals(0, coordinator.open());
   }
 
+  /**
+   * Seen: an answer was broken off 1 ms after its first token, when the list told a later start of
+   * its engine. It was that start which gave it.
+   */
+  @Test
+  void anAnswerThatHasBegunMayBeOfTheLaterStartAndGoesOn() {
+    ask(5_000, true, "e-1");
+    coordinator.attempt(sent().attempt(), AttemptEvent.ANSWERING, 40);
+    startsAgain("e-1", "e-1");
+    assertEquals(List.of(), done);
+    assertEquals(1, coordinator.open());
+  }
+
   @Test
   void whatIsElsewhereGoesOn() {
     ask(5_000, true, "e-1", "e-2");
