Count an order to stop from when it may have come to a host that stood still

Which thing kept all its threads is not known (its load average was 20 to 34); that they all stood is what the lines show. Ruled out by a scratch copy with the times of order, handler and end, 47 orders at load averages of 28 to 45: that load alone delays the handler (at most 36 ms).

Change: the host looks every 200 ms (the watch that it has). An order that is handled within 100 ms after a look that came late may have come at any time since the look before, and counts from then, but from half of the grace period at most. FAWN0003 tells by how much. The soak writes down when it gives the order.

RelayDrainTest.anOrderThatCameWhileTheHostStoodStill... fails without it (the end would come 1.9 s later, after the kill); AwakeTimesTest, StopWindowTest.anOrderThatMayHaveComeEarlier...

--- a/org.fawndrum.soak/src/org/fawndrum/soak/FaultPlayer.java
+++ b/org.fawndrum.soak/src/org/fawndrum/soak/FaultPlayer.java
@@ -110,7 +110,7 @@
     host.signal("CONT");
   }
 
-  private void stop(HostProcess host) throws InterruptedException {
+  private void stop(HostProcess host) throws InterruptedException, IOException {
     // They are there when the order comes, and use their connections while the host lets them.
     loop.run(() -> callers.stay(site.hosts().indexOf(host)));
     Thread.sleep(BEFORE_STOP_MS);
--- a/org.fawndrum.soak/src/org/fawndrum/soak/HostProcess.java
+++ b/org.fawndrum.soak/src/org/fawndrum/soak/HostProcess.java
@@ -7,6 +7,8 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.nio.file.StandardOpenOption;
+import java.time.Instant;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 
@@ -24,6 +26,10 @@
   private final String name;
   private final Path settings;
   private final Path output;
+
+  /** When this host was told to stop, to be compared with the lines of its log. */
+  private final Path signals;
+
   private volatile Process process;
   private boolean over;
   private boolean endExpected;
@@ -34,6 +40,7 @@
     this.name = name;
     this.settings = folder.resolve(name + ".json");
     this.output = folder.resolve(name + ".log");
+    this.signals = folder.resolve(name + ".signals");
     Files.writeString(settings, settingsText);
   }
 
@@ -114,8 +121,10 @@
    *
    * @return whether it did so within the time given, in milliseconds; if not, it is killed
    */
-  boolean stop(long withinMs) throws InterruptedException {
+  boolean stop(long withinMs) throws InterruptedException, IOException {
     endExpected = true;
+    String order = Instant.now() + " order to stop " + process.pid() + System.lineSeparator();
+    Files.writeString(signals, order, StandardOpenOption.CREATE, StandardOpenOption.APPEND);
     process.destroy();
     boolean stopped = process.waitFor(withinMs, TimeUnit.MILLISECONDS);
     if (!stopped) {
--- a/org.fawndrum/src/org/fawndrum/coordination/StopWindow.java
+++ b/org.fawndrum/src/org/fawndrum/coordination/StopWindow.java
@@ -70,6 +70,19 @@
         orderedMs + allMs, orderedMs + lastsMs, orderedMs + earliestMs, orderedMs + goneMs);
   }
 
+  /**
+   * Returns the window of a host that may have been told to stop before it could handle that. At
+   * most half of the grace period is taken for gone: what is in progress gets the other half.
+   *
+   * @param earliestMs when the order may have come at the earliest, in milliseconds of the host's
+   *     clock
+   * @param handledMs when it was handled
+   * @param graceMs the time between the order and the end by force, in milliseconds
+   */
+  public static StopWindow from(long earliestMs, long handledMs, long graceMs) {
+    return from(Math.max(earliestMs, handledMs - graceMs / 2), graceMs);
+  }
+
   /**
    * Tells whether a request may be taken.
    *
--- a/org.fawndrum/src/org/fawndrum/internal/log/LogEvent.java
+++ b/org.fawndrum/src/org/fawndrum/internal/log/LogEvent.java
@@ -8,7 +8,8 @@
 public enum LogEvent {
   HOST_STARTED(1, Level.INFO, "host {0} started in availability zone {1}"),
   HOST_READY(2, Level.INFO, "ready: table revision {0}, {1} endpoints"),
-  DRAIN_BEGAN(3, Level.INFO, "stopping: {0} requests in progress"),
+  DRAIN_BEGAN(
+      3, Level.INFO, "stopping: {0} requests in progress; the order may have come {1} ms before"),
   DRAIN_ENDED(4, Level.INFO, "stopped: {0}"),
   SECOND_SIGNAL(5, Level.WARN, "second signal: {0} requests in progress are cut now"),
   SETTINGS_UNCHANGED(6, Level.INFO, "asked to read the settings again; none changed"),
--- a/org.fawndrum/src/org/fawndrum/transport/EntryHostRuntime.java
+++ b/org.fawndrum/src/org/fawndrum/transport/EntryHostRuntime.java
@@ -326,7 +326,7 @@
   public CompletableFuture<Void> drain() {
     if (!draining) {
       draining = true;
-      log.event(LogEvent.DRAIN_BEGAN, Integer.toString(decisions.view().open()));
+      log.event(LogEvent.DRAIN_BEGAN, Integer.toString(decisions.view().open()), 0);
       offerSurely(new HostEvent.DrainOrdered());
       vertx.setPeriodic(DRAIN_LOOK_MS, this::lookIfDrained);
     }
--- a/org.fawndrum/src/org/fawndrum/transport/relay/RelayDrain.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/RelayDrain.java
@@ -6,6 +6,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
+import org.fawndrum.coordination.AwakeTimes;
 import org.fawndrum.coordination.StopWindow;
 import org.fawndrum.internal.log.HostLog;
 import org.fawndrum.internal.log.LogEvent;
@@ -37,6 +38,7 @@
   private final RelayDuty decisions;
   private final Consumer<RelayEvent> orders;
   private final Supplier<RelayBounds> bounds;
+  private final AwakeTimes awake;
   private final HostClock clock;
   private final HostLog log;
   private final CompletableFuture<Void> done = new CompletableFuture<>();
@@ -52,6 +54,7 @@
    * Makes the end of a host, not begun.
    *
    * @param orders hands events to the decisions without losing any
+   * @param awake when the host last was awake
    */
   RelayDrain(
       Vertx vertx,
@@ -59,6 +62,7 @@
       RelayDuty decisions,
       Consumer<RelayEvent> orders,
       Supplier<RelayBounds> bounds,
+      AwakeTimes awake,
       HostClock clock,
       HostLog log) {
     this.vertx = vertx;
@@ -66,6 +70,7 @@
     this.decisions = decisions;
     this.orders = orders;
     this.bounds = bounds;
+    this.awake = awake;
     this.clock = clock;
     this.log = log;
   }
@@ -82,8 +87,9 @@
     }
     begun = true;
     long begunMs = clock.nowMs();
-    StopWindow window = StopWindow.from(begunMs, bounds.get().graceMs());
-    log.event(LogEvent.DRAIN_BEGAN, Integer.toString(decisions.open()));
+    long orderedMs = awake.earliestMs(begunMs);
+    log.event(LogEvent.DRAIN_BEGAN, Integer.toString(decisions.open()), begunMs - orderedMs);
+    StopWindow window = StopWindow.from(orderedMs, begunMs, bounds.get().graceMs());
     orders.accept(new RelayEvent.StopOrdered(window));
     vertx.runOnContext(v -> callers.stop());
     lookedNanos = System.nanoTime();
@@ -131,10 +137,13 @@
     }
   }
 
-  /** Ends, unless somebody connected meanwhile who would be cut, and there is time to answer. */
+  /**
+   * Ends. A host that ends early, because nothing was left, first looks whether somebody connected
+   * meanwhile who would be cut.
+   */
   private void leave(StopWindow window) {
     callers.closeIdle();
-    if (callers.connections() == 0 || clock.nowMs() >= window.goneMs() - LEAVE_MS) {
+    if (callers.connections() == 0 || clock.nowMs() >= window.endMs(lateMs)) {
       done.complete(null);
     } else {
       vertx.setTimer(LEAVE_MS, id -> leave(window));
--- a/org.fawndrum/src/org/fawndrum/transport/relay/RelayRuntime.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/RelayRuntime.java
@@ -117,7 +117,7 @@
     this.orders = new CurrentStarts(adapter.orders(), this::restarted);
     this.orders.hearNotices(this::noticed);
     this.callers = callerServer(adapter);
-    this.drain = new RelayDrain(vertx, callers, decisions, events, this::bounds, clock, log);
+    this.drain = newDrain();
     this.readiness = new ReadinessServer(vertx, settings.readiness(), this::ready);
     this.reading =
         new StoreReading(
@@ -183,6 +183,11 @@
     }
   }
 
+  private RelayDrain newDrain() {
+    return new RelayDrain(
+        vertx, callers, decisions, events, this::bounds, stalls.awake(), clock, log);
+  }
+
   private RelayServer callerServer(RelayAdapter adapter) {
     RelayTools tools =
         new RelayTools(
--- a/org.fawndrum/src/org/fawndrum/transport/relay/StallWatch.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/StallWatch.java
@@ -5,6 +5,7 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
+import org.fawndrum.coordination.AwakeTimes;
 import org.fawndrum.state.RequestAims;
 import org.fawndrum.transport.HostClock;
 
@@ -33,6 +34,7 @@
   private static final long NEXT_PER_PAUSE = 5;
 
   private final HostClock clock;
+  private final AwakeTimes awake = new AwakeTimes(LOOK_MS);
   private final Set<RelayAttempt> attempts = new LinkedHashSet<>();
   private volatile int holdingMemory;
   private volatile long longestSilenceMs;
@@ -63,7 +65,13 @@
     return longestSilenceMs;
   }
 
+  /** Returns when this host looks, and so when it last was awake; safe for all threads. */
+  AwakeTimes awake() {
+    return awake;
+  }
+
   private void look() {
+    awake.looked(clock.nowMs());
     holdingMemory = (int) attempts.stream().filter(RelayAttempt::holdsMemory).count();
     longestSilenceMs =
         attempts.stream()
--- a/org.fawndrum/tst/org/fawndrum/coordination/StopWindowTest.java
+++ b/org.fawndrum/tst/org/fawndrum/coordination/StopWindowTest.java
@@ -57,6 +57,19 @@
     assertEquals(lastSixthMs, usual().endMs(60_000), "what an endpoint still works on goes on");
   }
 
+  /**
+   * Seen: hosts that had stood still while the order to stop came counted their grace period from
+   * when they handled it, and were killed before they began their end.
+   */
+  @Test
+  void anOrderThatMayHaveComeEarlierCountsFromThen() {
+    long handledMs = ORDERED_MS + 1_900;
+    StopWindow window = StopWindow.from(ORDERED_MS, handledMs, USUAL_GRACE_MS);
+    assertEquals(usual().endMs(), window.endMs());
+    StopWindow late = StopWindow.from(handledMs - 60_000, handledMs, USUAL_GRACE_MS);
+    assertEquals(handledMs + 3_400, late.endMs(), "half is left for what is in progress");
+  }
+
   @Test
   void aHostThatNobodyToldToStopTakesEverything() {
     assertTrue(StopWindow.OPEN.takes(ORDERED_MS, Long.MAX_VALUE));
--- a/org.fawndrum/tst/org/fawndrum/transport/relay/RelayDrainTest.java
+++ b/org.fawndrum/tst/org/fawndrum/transport/relay/RelayDrainTest.java
@@ -19,6 +19,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import org.fawndrum.coordination.AwakeTimes;
 import org.fawndrum.coordination.Policies;
 import org.fawndrum.coordination.Refusal;
 import org.fawndrum.coordination.RequestCoordinator;
@@ -56,6 +57,12 @@
 
   private static final long LOOK_MS = 5;
 
+  /** The time between two looks of a host that is awake, in milliseconds. */
+  private static final long AWAKE_LOOK_MS = 200;
+
+  /** How long a host stands still, in milliseconds. */
+  private static final long STILL_MS = 1_900;
+
   /** The longest wait for what must come, in seconds. */
   private static final long LONGEST_S = 20;
 
@@ -69,6 +76,7 @@
   private final CompletableFuture<RelayServer.Incoming> taken = new CompletableFuture<>();
   private final RelayBounds bounds =
       new RelayBounds(false, 5_000, 2_000, 8_000, 0.2, 100, 10_000, 120);
+  private final AwakeTimes awake = new AwakeTimes(AWAKE_LOOK_MS);
   private volatile long nowMs = BEGUN_MS;
   private HostAddress address;
   private RelayDuty decisions;
@@ -142,7 +150,9 @@
     callers =
         new RelayServer(
             vertx, address, routes, new BlindCodec(), clock, taken::complete, null, () -> true);
-    drain = new RelayDrain(vertx, callers, decisions, decisions::offer, () -> bounds, clock, log);
+    drain =
+        new RelayDrain(
+            vertx, callers, decisions, decisions::offer, () -> bounds, awake, clock, log);
   }
 
   @AfterEach
@@ -217,6 +227,19 @@
     soon(done);
   }
 
+  /**
+   * Seen: a host handled the order to stop 1.9 s late, after none of its threads had run for 1.45
+   * s, and was killed before it began its end.
+   */
+  @Test
+  void anOrderThatCameWhileTheHostStoodStillCountsFromItsLastLook() throws Exception {
+    awake.looked(nowMs);
+    nowMs += STILL_MS;
+    CompletableFuture<Void> done = drain.begin();
+    atMs(OVER_MS);
+    soon(done);
+  }
+
   @Test
   void theHostEndsOnlyAfterTheAnswersLeft() throws Exception {
     soon(callers.listen());
@@ -265,7 +288,7 @@
     RelayBounds shortest = new RelayBounds(false, 5_000, 2_000, 100, 0.2, 100, 10_000, 120);
     drain =
         new RelayDrain(
-            vertx, callers, decisions, decisions::offer, () -> shortest, () -> nowMs, log);
+            vertx, callers, decisions, decisions::offer, () -> shortest, awake, () -> nowMs, log);
     holdUp();
     soon(drain.begin());
   }
