--- a/org.fawndrum/tst/org/fawndrum/transport/relay/RelayDrainTest.java
+++ b/org.fawndrum/tst/org/fawndrum/transport/relay/RelayDrainTest.java
@@ -233,10 +233,13 @@
    */
   @Test
   void anOrderThatCameWhileTheHostStoodStillCountsFromItsLastLook() throws Exception {
+    soon(callers.listen());
+    ask();
+    soon(taken);
     awake.looked(nowMs);
     nowMs += STILL_MS;
     CompletableFuture<Void> done = drain.begin();
-    atMs(OVER_MS);
+    atMs(GONE_MS);
     soon(done);
   }
 
