--- /dev/null
+++ b/org.fawndrum/tst/org/fawndrum/coordination/crash/SuspectTurnsTest.java
@@ -0,0 +1,115 @@
+// SPDX-License-Identifier: Apache-2.0
+package org.fawndrum.coordination.crash;
+
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import org.fawndrum.state.HostIdentity;
+import org.junit.jupiter.api.Test;
+
+/**
+ * Where and when requests run that are suspected, until it is known which of them ends endpoints.
+ */
+class SuspectTurnsTest {
+  /** Longer than two crashes that count as one moment are apart, in milliseconds. */
+  private static final long APART_MS = CrashHistory.TOGETHER_MS + 50;
+
+  private static final long START_MS = 1_000_000;
+
+  /** When endpoints took requests: long before they end. */
+  private static final long TAKEN = START_MS - 1_000;
+
+  private static final TestContent DEADLY = new TestContent(1);
+  private static final TestContent INNOCENT = new TestContent(2);
+
+  private final CrashLedger ledger = new CrashLedger(new HostIdentity("host-1", 1));
+  private long nowMs = START_MS;
+
+  private void crash(String endpoint, TestContent... under) {
+    for (TestContent one : under) {
+      ledger.crashed(new HostIdentity(endpoint, 1), one.print(), TAKEN, nowMs);
+    }
+  }
+
+  private void pass(long ms) {
+    nowMs += ms;
+    ledger.decide(nowMs);
+  }
+
+  private void settle() {
+    pass(CrashRules.SETTLE_MS + 1);
+  }
+
+  @Test
+  void oneOfSeveralSuspectsRunsOnEndpointsOfItsOwn() {
+    TestContent second = new TestContent(9);
+    crash("e-1", DEADLY, second, INNOCENT);
+    pass(APART_MS);
+    assertFalse(ledger.runsApart(DEADLY), "one crash each");
+    crash("e-2", DEADLY, second);
+    settle();
+    assertTrue(ledger.runsApart(DEADLY));
+    assertFalse(ledger.runsApart(INNOCENT));
+    for (int i = 0; i < 20; i++) {
+      HostIdentity endpoint = new HostIdentity("e-" + i, 1);
+      assertNotEquals(ledger.isApart(DEADLY, endpoint), ledger.isApart(second, endpoint));
+    }
+    ledger.served(second, nowMs);
+    assertFalse(ledger.runsApart(DEADLY), "the only one left");
+  }
+
+  @Test
+  void oneUnderWhichThreeEndedRunsOnceAtATime() {
+    CrashLedger other = new CrashLedger(new HostIdentity("host-2", 1));
+    crash("x-1", INNOCENT);
+    pass(3_000);
+    crash("e-1", DEADLY);
+    pass(APART_MS);
+    crash("e-2", DEADLY);
+    settle();
+    assertFalse(ledger.needsTurn(DEADLY));
+    crash("e-3", DEADLY);
+    settle();
+    assertTrue(ledger.needsTurn(DEADLY));
+    other.heard(ledger.all(), nowMs);
+    // Both ask at the same time; the one with the lower name goes first.
+    CrashNews otherTurn = other.askTurn(DEADLY, nowMs);
+    CrashNews ownTurn = ledger.askTurn(DEADLY, nowMs);
+    assertTrue(ledger.beginTurn(DEADLY, nowMs).isEmpty(), "nobody can have heard of it");
+    assertTrue(ledger.heard(otherTurn, nowMs + 30).isEmpty());
+    assertFalse(other.heard(ownTurn, nowMs + 30).isEmpty(), "to be told on");
+    nowMs += SuspectTurns.HEARD_MS;
+    assertTrue(other.beginTurn(DEADLY, nowMs).isEmpty());
+    assertTrue(ledger.beginTurn(DEADLY, nowMs).isPresent());
+    assertTrue(ledger.beginTurn(DEADLY, nowMs).isEmpty(), "one copy");
+    // It ends an endpoint; the next turn is for whoever asks first.
+    other.heard(ledger.crashed(new HostIdentity("e-4", 1), DEADLY.print(), nowMs, nowMs), nowMs);
+    pass(APART_MS);
+    assertFalse(other.askTurn(DEADLY, nowMs).isEmpty());
+  }
+
+  @Test
+  void aTurnThatCameToNothingIsGivenBackAndOneOfAHostThatIsGoneEnds() {
+    CrashLedger other = new CrashLedger(new HostIdentity("host-2", 1));
+    other.heard(ledger.askTurn(DEADLY, nowMs), nowMs);
+    pass(SuspectTurns.HEARD_MS);
+    SuspectTurn turn = ledger.beginTurn(DEADLY, nowMs).orElseThrow();
+    assertTrue(ledger.lasts(turn, nowMs));
+    ledger.endTurn(turn);
+    assertFalse(ledger.lasts(turn, nowMs));
+    assertFalse(ledger.askTurn(DEADLY, nowMs).isEmpty());
+    assertTrue(other.askTurn(DEADLY, nowMs).isEmpty(), "it has not heard that");
+    SuspectTurn second = begunTurn();
+    ledger.endTurn(turn);
+    assertTrue(ledger.lasts(second, nowMs), "ended by the copy that had the one before");
+    pass(SuspectTurns.TURN_MS);
+    assertFalse(ledger.lasts(second, nowMs));
+    assertFalse(other.askTurn(DEADLY, nowMs).isEmpty());
+  }
+
+  private SuspectTurn begunTurn() {
+    pass(SuspectTurns.HEARD_MS);
+    return ledger.beginTurn(DEADLY, nowMs).orElseThrow();
+  }
+}
