Let the soak excuse a begun answer that its endpoint broke off, whoever was tried after

Trace of s-88: its stream had begun at engine-3, which ended under another request (FAWN0066 for s-88); the host asked engine-0 to go on with it, which turned it away and asked for rest; no budget was left for a third. The ledger looked at the last arrival only, which had ended as it should, and took the cut for one of the planned stop. s-40 is of the same form: begun at engine-4, which ended, and its second engine ended too.

Only answers that had begun are excused so; LedgerTest has both sides.

--- a/org.fawndrum.soak/src/org/fawndrum/soak/StopLedger.java
+++ b/org.fawndrum.soak/src/org/fawndrum/soak/StopLedger.java
@@ -147,7 +147,7 @@
     if (last != null && (last.isHarmed() || last.isBrokenOff())) {
       return true;
     }
-    if (last != null && cut.midAnswer() && last.isLostOnItsWay()) {
+    if (cut.midAnswer() && all.stream().anyMatch(StopLedger::brokeOff)) {
       return true;
     }
     boolean elsewhere = last == null || !last.atWork(cut.atMs() - LATE_MS);
@@ -160,6 +160,11 @@
         && last.atWork(lastSixthMs);
   }
 
+  /** Tells whether an endpoint broke an answer off; the host may have tried others in vain. */
+  private static boolean brokeOff(EndpointRun run) {
+    return run.isBrokenOff() || run.isLostOnItsWay();
+  }
+
   /**
    * Tells whether at some time in a span a request may have been on its way to no sound endpoint.
    */
--- a/org.fawndrum.soak/tst/org/fawndrum/soak/LedgerTest.java
+++ b/org.fawndrum.soak/tst/org/fawndrum/soak/LedgerTest.java
@@ -2,6 +2,7 @@
 package org.fawndrum.soak;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.HashSet;
@@ -238,6 +239,19 @@
     assertEquals(List.of(), ledger.verdict(nowMs, logged::contains));
   }
 
+  @Test
+  void anAnswerThatItsEndpointBrokeOffAndNoOtherWentOnWithIsNotCutByTheStop() {
+    stop(17_700);
+    EndpointRun first = ledger.arrived("look", List.of());
+    first.over(12_100);
+    first.endpointEnded(12_200);
+    EndpointRun second = runAndCut(12_000, 12_300);
+    assertFalse(second.isBrokenOff(), "it was turned away there");
+    broken("look was cut 2300 ms after");
+    ledger.stops().cut("look", true, 12_300);
+    assertEquals(List.of(), ledger.verdict(nowMs, logged::contains));
+  }
+
   @Test
   void anEndpointThatEndsLongAfterItsAnswerExcusesNothing() {
     stop(17_700);
