Let only an end that this host saw end the rest of an endpoint

Cause, from the lines: engine-1 ended at 44.28 s; started again, it asked host-1 for rest at 46.380 s. At 47.5 s the list told its later start; a host with an attempt that still hung at the earlier one told all others of an end as of that moment, the moment at which it learned, and host-1 took it for an end after the word.

Change: an end that others tell does not end a rest. A host that has not seen it leaves the endpoint alone until the named time, as it was asked to.

EndpointRestTest.whatAnotherHostTellsOfAnEndDoesNotEndARest failed before.

--- a/org.fawndrum/src/org/fawndrum/coordination/EndpointBook.java
+++ b/org.fawndrum/src/org/fawndrum/coordination/EndpointBook.java
@@ -74,7 +74,7 @@
     return several ? largestMemory * serving(target).size() : largestMemory;
   }
 
-  /** Takes note that an endpoint was seen to end, by this host or by another one. */
+  /** Takes note that this host saw an endpoint end. */
   void ended(HostIdentity endpoint, long atMs) {
     rests.ended(endpoint, atMs);
   }
--- a/org.fawndrum/src/org/fawndrum/coordination/EndpointRests.java
+++ b/org.fawndrum/src/org/fawndrum/coordination/EndpointRests.java
@@ -7,9 +7,9 @@
 
 /**
  * Until when endpoints want nothing from this host, by their own word. Only that time and an end of
- * the endpoint that was seen after the word end it: an endpoint that answers a request of before,
- * or a probe, has not taken its word back, and one that shed its load is sound by the time it asks
- * for.
+ * the endpoint that this host saw after the word end it: an endpoint that answers a request of
+ * before, or a probe, has not taken its word back, and one that shed its load is sound by the time
+ * it asks for.
  *
  * <p>An answer does not name the start that gave it. An endpoint may have started again unnoticed
  * before it asked, so that a start which becomes known after the word may be the one that spoke; it
@@ -57,7 +57,10 @@
     wishes.merge(endpoint.host(), wish, Wish::and);
   }
 
-  /** Takes note that an endpoint was seen to end; what it asked for before is over. */
+  /**
+   * Takes note that this host saw an endpoint end; what it asked for before is over. What others
+   * tell of an end may bear the time at which they learned of it, long after the word.
+   */
   void ended(HostIdentity endpoint, long atMs) {
     wishes.computeIfPresent(endpoint.host(), (host, one) -> one.askedMs() <= atMs ? null : one);
   }
--- a/org.fawndrum/src/org/fawndrum/coordination/SuspectRequests.java
+++ b/org.fawndrum/src/org/fawndrum/coordination/SuspectRequests.java
@@ -155,7 +155,6 @@
   public void heard(CrashNews news, long nowMs) {
     tell(ledger.heard(news, nowMs));
     for (EndpointCrash crash : news.crashes()) {
-      endpoints.ended(crash.endpoint(), crash.atMs());
       lost.endedWith(crash.endpoint(), crash.atMs()).forEach(this::crashed);
     }
   }
--- a/org.fawndrum/tst/org/fawndrum/coordination/EndpointRestTest.java
+++ b/org.fawndrum/tst/org/fawndrum/coordination/EndpointRestTest.java
@@ -11,6 +11,9 @@
 import java.util.Set;
 import java.util.stream.Collectors;
 import java.util.stream.Stream;
+import org.fawndrum.coordination.crash.CrashNews;
+import org.fawndrum.coordination.crash.EndpointCrash;
+import org.fawndrum.coordination.crash.RequestFingerprint;
 import org.fawndrum.state.CallerGroup;
 import org.fawndrum.state.Cell;
 import org.fawndrum.state.Column;
@@ -152,6 +155,20 @@
     assertFalse(restsAt(11));
   }
 
+  /**
+   * Seen: an endpoint that had ended and started again asked for rest; 1.1 s later another host
+   * learned of that start, and told the end of the earlier one as of then.
+   */
+  @Test
+  void whatAnotherHostTellsOfAnEndDoesNotEndARest() {
+    rests.asked(FIRST, REST_MS, 0);
+    EndpointCrash told =
+        new EndpointCrash(FIRST, 900, 1_100, Set.of(new RequestFingerprint(1, 2, 3)));
+    CrashNews news = new CrashNews(List.of(told), List.of(), List.of(), List.of());
+    coordinator.suspects(one -> one.heard(news, 1_150), 1_150);
+    assertTrue(laterStartRestsAt(2_999));
+  }
+
   @Test
   void anEndThatWasSeenBeforeTheWordSaysNothingAboutIt() {
     rests.asked(FIRST, REST_MS, 10);
