--- a/org.fawndrum.soak/tst/org/fawndrum/soak/SoakTest.java
+++ b/org.fawndrum.soak/tst/org/fawndrum/soak/SoakTest.java
@@ -87,10 +87,7 @@
     holds(12_001, HOSTS, LENGTH_MS, Fault.SECOND);
   }
 
-  /**
-   * Requests end engines, among all other faults. Once one of two such requests ran four times
-   * after it should have been known; see the list of known failures.
-   */
+  /** Of two requests that end engines, one ran on when the other had been turned away. */
   @Test
   void seedThirteenThousandAndOne() throws Exception {
     holds(13_001, HOSTS, 12_000, Fault.THIRD);
@@ -106,22 +103,21 @@
     holds(14_004, HOSTS, 12_000, Fault.ALL);
   }
 
-  /** Two requests that ended engines at the same time: one ran on; rest asked by a later start. */
+  /** What an endpoint said of itself was lost when a later start of it became known. */
   @Test
   void seedTwentyOneThousandAndThree() throws Exception {
     holds(21_003, HOSTS, 12_000, Fault.ALL);
   }
 
-  /** The same two failures, of requests that end engines and of rest. */
+  /** Requests that end engines ran on, among them where no host could prove the end of one. */
   @Test
   void seedTwentyOneThousandAndSeven() throws Exception {
     holds(21_007, HOSTS, 12_000, Fault.ALL);
   }
 
   /**
-   * A host was killed at the end of its grace period: its handler of the order to stop ran 1.9 s
-   * after the order, and no thread of it had written a line for the last 1.45 s of these. Why is
-   * not known; the machine had three times as much to do as it has cores.
+   * A host that had stood still while the order to stop came counted its grace period from when it
+   * handled the order, and was killed with requests open.
    */
   @Test
   void seedTwelveThousandAndTen() throws Exception {
