Bind the soak's excuse for a cut answer to the endpoint that sent it

The ledger now takes note of which runs began to send a successful answer, and excuses only where the last of these broke off or was lost on its way.

--- a/org.fawndrum.soak/src/org/fawndrum/soak/EndpointRun.java
+++ b/org.fawndrum.soak/src/org/fawndrum/soak/EndpointRun.java
@@ -7,11 +7,22 @@
   private static final long ON_ITS_WAY_MS = 500;
 
   private boolean open = true;
+  private boolean answers;
   private boolean harmed;
   private boolean brokenOff;
   private boolean lostOnItsWay;
   private long overMs;
 
+  /** Takes note that it began to send a successful answer. */
+  void answerBegan() {
+    answers = true;
+  }
+
+  /** Tells whether it began to send a successful answer. */
+  boolean hasAnswered() {
+    return answers;
+  }
+
   /** Takes note that it answered, that its connection closed or that the endpoint is gone. */
   void over(long nowMs) {
     if (open) {
--- a/org.fawndrum.soak/src/org/fawndrum/soak/SoakEndpoint.java
+++ b/org.fawndrum.soak/src/org/fawndrum/soak/SoakEndpoint.java
@@ -23,6 +23,7 @@
  */
 final class SoakEndpoint implements EndpointStandin.Behaviour {
   private static final String ZONE = "zone-a";
+  private static final int SUCCESS = 200;
 
   /** How long a request that ends engines runs before, and the engine is gone, in milliseconds. */
   private static final long DEADLY_MS = 50;
@@ -285,6 +286,12 @@
     }
     open.put(run, !tickets.isEmpty());
     HttpServerResponse response = request.response();
+    response.headersEndHandler(
+        v -> {
+          if (response.getStatusCode() == SUCCESS) {
+            run.answerBegan();
+          }
+        });
     response.endHandler(v -> end(run));
     response.closeHandler(v -> end(run));
     return run;
--- a/org.fawndrum.soak/src/org/fawndrum/soak/StopLedger.java
+++ b/org.fawndrum.soak/src/org/fawndrum/soak/StopLedger.java
@@ -147,7 +147,7 @@
     if (last != null && (last.isHarmed() || last.isBrokenOff())) {
       return true;
     }
-    if (cut.midAnswer() && all.stream().anyMatch(StopLedger::brokeOff)) {
+    if (cut.midAnswer() && brokeOff(all)) {
       return true;
     }
     boolean elsewhere = last == null || !last.atWork(cut.atMs() - LATE_MS);
@@ -160,9 +160,16 @@
         && last.atWork(lastSixthMs);
   }
 
-  /** Tells whether an endpoint broke an answer off; the host may have tried others in vain. */
-  private static boolean brokeOff(EndpointRun run) {
-    return run.isBrokenOff() || run.isLostOnItsWay();
+  /**
+   * Tells whether the endpoint that sent the answer last broke it off. The host may have tried
+   * others in vain since; once another goes on with the answer, the earlier break no longer counts.
+   */
+  private static boolean brokeOff(List<EndpointRun> all) {
+    EndpointRun sender = null;
+    for (EndpointRun run : all) {
+      sender = run.hasAnswered() ? run : sender;
+    }
+    return sender != null && (sender.isBrokenOff() || sender.isLostOnItsWay());
   }
 
   /**
--- a/org.fawndrum.soak/tst/org/fawndrum/soak/LedgerTest.java
+++ b/org.fawndrum.soak/tst/org/fawndrum/soak/LedgerTest.java
@@ -233,6 +233,7 @@
   void anAnswerWhoseEndpointEndedJustBehindItIsNotCutByTheStop() {
     stop(17_700);
     EndpointRun run = runAndCut(12_000, 12_300);
+    run.answerBegan();
     run.endpointEnded(12_400);
     broken("look was cut 2300 ms after");
     ledger.stops().cut("look", true, 12_450);
@@ -243,6 +244,7 @@
   void anAnswerThatItsEndpointBrokeOffAndNoOtherWentOnWithIsNotCutByTheStop() {
     stop(17_700);
     EndpointRun first = ledger.arrived("look", List.of());
+    first.answerBegan();
     first.over(12_100);
     first.endpointEnded(12_200);
     EndpointRun second = runAndCut(12_000, 12_300);
@@ -252,10 +254,32 @@
     assertEquals(List.of(), ledger.verdict(nowMs, logged::contains));
   }
 
+  @Test
+  void anAnswerThatAnotherEndpointWentOnWithIsCutByTheStop() {
+    stop(17_700);
+    EndpointRun first = ledger.arrived("look", List.of());
+    first.answerBegan();
+    first.brokenOff(12_100);
+    EndpointRun second = runAndCut(12_000, 12_300);
+    second.answerBegan();
+    ledger.stops().cut("look", true, 12_300);
+    broken("look was cut 2300 ms after");
+  }
+
+  @Test
+  void anEndpointThatBrokeOffBeforeItAnsweredExcusesNoCutOfAnothersAnswer() {
+    stop(17_700);
+    ledger.arrived("look", List.of()).brokenOff(12_050);
+    runAndCut(12_000, 12_300).answerBegan();
+    ledger.stops().cut("look", true, 12_300);
+    broken("look was cut 2300 ms after");
+  }
+
   @Test
   void anEndpointThatEndsLongAfterItsAnswerExcusesNothing() {
     stop(17_700);
     EndpointRun run = runAndCut(12_000, 12_300);
+    run.answerBegan();
     run.endpointEnded(12_900);
     ledger.stops().cut("look", true, 12_950);
     broken("look was cut 2950 ms after");
