Ask a start that becomes known after its endpoint said it leaves

Cause: an answer does not name the start that gave it. The word was filed under the start that was known and lost when the list told a later one, which was the one that had spoken; a request was placed there 1 ms later.

Where the entry itself said so the start is known, and nothing is asked. Weighed: keeping the word as a rest of some seconds, which leaves out every start that is sound, and ends too early for one that leaves.

Cost: one question a host for each such start, and the start waits for one round trip.

--- a/org.fawndrum/src/org/fawndrum/coordination/EndpointRoster.java
+++ b/org.fawndrum/src/org/fawndrum/coordination/EndpointRoster.java
@@ -31,6 +31,13 @@
   /** In the order in which they were heard of. */
   private final Set<HostIdentity> leaving = new LinkedHashSet<>();
 
+  /** Those of them that said so in an answer, which may have been a later start's. */
+  private final Set<HostIdentity> saidInAnswer = new HashSet<>();
+
+  /** Starts that may have given such an answer; they get no work until they have been asked. */
+  private final Set<HostIdentity> unclear = new HashSet<>();
+
+  private final Set<HostIdentity> notAskedYet = new LinkedHashSet<>();
   private final Map<String, Long> newestIncarnations = new HashMap<>();
 
   /** Takes a reading of the list; returns whether anything changed. */
@@ -41,6 +48,7 @@
     listing = reading;
     reading.endpoints().forEach(endpoint -> seen(endpoint.identity()));
     leaving.addAll(reading.leaving());
+    saidInAnswer.removeAll(reading.leaving());
     forgetGone();
     return true;
   }
@@ -53,6 +61,41 @@
     return !isOver(endpoint) && leaving.add(endpoint);
   }
 
+  /**
+   * Takes the same from an answer, which does not name the start that gave it. The endpoint may
+   * have started again unnoticed before; a start that becomes known later is unclear until it has
+   * been asked.
+   */
+  public boolean saidLeavingInAnswer(HostIdentity endpoint) {
+    boolean news = saidLeaving(endpoint);
+    if (news) {
+      saidInAnswer.add(endpoint);
+    }
+    return news;
+  }
+
+  /** Returns the endpoints at starts that are unclear; each start once. */
+  public List<Endpoint> takeUnclear() {
+    if (notAskedYet.isEmpty()) {
+      return List.of();
+    }
+    List<Endpoint> toAsk =
+        listing.endpoints().stream()
+            .map(this::atItsNewestStart)
+            .filter(endpoint -> notAskedYet.contains(endpoint.identity()))
+            .toList();
+    toAsk.forEach(endpoint -> notAskedYet.remove(endpoint.identity()));
+    return toAsk;
+  }
+
+  /**
+   * Takes note that a start was asked; if it leaves, it has said so before this. Returns whether it
+   * was unclear.
+   */
+  public boolean asked(HostIdentity start) {
+    return unclear.remove(start);
+  }
+
   /** Takes note that an incarnation answered: earlier ones of its host are gone. */
   public boolean answered(HostIdentity endpoint) {
     return seen(endpoint);
@@ -77,9 +120,21 @@
       return false;
     }
     newestIncarnations.put(endpoint.host(), endpoint.incarnation());
+    if (before != null) {
+      startFollows(new HostIdentity(endpoint.host(), before), endpoint);
+    }
     return before != null;
   }
 
+  private void startFollows(HostIdentity earlier, HostIdentity later) {
+    boolean said = saidInAnswer.remove(earlier);
+    notAskedYet.remove(earlier);
+    if (unclear.remove(earlier) || said) {
+      unclear.add(later);
+      notAskedYet.add(later);
+    }
+  }
+
   private void forgetGone() {
     leaving.removeIf(this::isOver);
     if (leaving.size() <= MOST_UNLISTED) {
@@ -90,7 +145,12 @@
     listing.endpoints().forEach(endpoint -> listed.add(endpoint.identity()));
     List<HostIdentity> unlisted =
         leaving.stream().filter(endpoint -> !listed.contains(endpoint)).toList();
-    unlisted.stream().limit(Math.max(0, unlisted.size() - MOST_UNLISTED)).forEach(leaving::remove);
+    unlisted.stream().limit(Math.max(0, unlisted.size() - MOST_UNLISTED)).forEach(this::forget);
+  }
+
+  private void forget(HostIdentity endpoint) {
+    leaving.remove(endpoint);
+    saidInAnswer.remove(endpoint);
   }
 
   private long newest(HostIdentity endpoint) {
@@ -102,7 +162,7 @@
     List<Endpoint> open = new ArrayList<>();
     for (Endpoint endpoint : listing.endpoints()) {
       Endpoint newest = atItsNewestStart(endpoint);
-      if (!leaving.contains(newest.identity())) {
+      if (!leaving.contains(newest.identity()) && !unclear.contains(newest.identity())) {
         open.add(newest);
       }
     }
--- a/org.fawndrum/src/org/fawndrum/transport/relay/RelayDuty.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/RelayDuty.java
@@ -43,6 +43,7 @@
   private final HostClock clock;
   private final Consumer<Action.Announce> news;
   private final FleetTeller fleet;
+  private final Consumer<Endpoint> startQuestions;
   private final HostLog log;
   private final OpenExchanges exchanges;
   private final Duty<RelayEvent> duty;
@@ -61,6 +62,7 @@
    * @param feed takes each decision; must not block
    * @param news takes what other daemons should know; must not block
    * @param fleet tells other daemons of endpoints that ended or leave
+   * @param startQuestions asks an endpoint whether this start of it leaves; must not block
    */
   RelayDuty(
       RequestCoordinator coordinator,
@@ -68,11 +70,13 @@
       Consumer<Decision> feed,
       Consumer<Action.Announce> news,
       FleetTeller fleet,
+      Consumer<Endpoint> startQuestions,
       HostLog log) {
     this.coordinator = coordinator;
     this.clock = clock;
     this.news = news;
     this.fleet = fleet;
+    this.startQuestions = startQuestions;
     this.log = log;
     this.exchanges = new OpenExchanges(feed);
     this.duty = new Duty<>("decisions", new Ring<>(RING_EVENTS), this::handle, this::tick, log);
@@ -229,6 +233,10 @@
       }
     } else if (event instanceof RelayEvent.Leaving leaving) {
       leaving(leaving, nowMs);
+    } else if (event instanceof RelayEvent.StartAsked asked) {
+      if (roster.asked(asked.start())) {
+        offerEndpoints(nowMs);
+      }
     } else if (event instanceof RelayEvent.RestAsked) {
       carryOut(coordinator.endpointRests(nowMs));
     } else if (event instanceof RelayEvent.Restarted restarted) {
@@ -243,7 +251,8 @@
    * only one while the store takes none; the other daemons hear of it once, from each that learns.
    */
   private void leaving(RelayEvent.Leaving event, long nowMs) {
-    List<HostIdentity> news = event.endpoints().stream().filter(roster::saidLeaving).toList();
+    List<HostIdentity> news =
+        event.endpoints().stream().filter(roster::saidLeavingInAnswer).toList();
     if (!news.isEmpty()) {
       news.forEach(one -> log.event(LogEvent.ENDPOINT_LEAVES, one, event.by()));
       offerEndpoints(nowMs);
@@ -271,6 +280,7 @@
     List<Endpoint> known =
         roster.open().stream().map(this::described).flatMap(Optional::stream).toList();
     leavingEndpoints = roster.listedLeaving();
+    roster.takeUnclear().forEach(startQuestions);
     carryOut(coordinator.endpoints(known, nowMs));
     carryOut(coordinator.restarted(roster::isOver, nowMs));
   }
--- a/org.fawndrum/src/org/fawndrum/transport/relay/RelayEvent.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/RelayEvent.java
@@ -76,6 +76,9 @@
    */
   record Leaving(List<HostIdentity> endpoints, String by) implements OfEndpoints {}
 
+  /** A start of an endpoint was asked whether it leaves; if so, that event came before. */
+  record StartAsked(HostIdentity start) implements OfEndpoints {}
+
   /** Some endpoint asked this host for rest. */
   record RestAsked() implements OfEndpoints {}
 
--- a/org.fawndrum/src/org/fawndrum/transport/relay/RelayRuntime.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/RelayRuntime.java
@@ -20,6 +20,7 @@
 import org.fawndrum.protocol.wire.KnowledgeRequest;
 import org.fawndrum.protocol.wire.PeerMessage;
 import org.fawndrum.settings.ListenSettings;
+import org.fawndrum.state.Endpoint;
 import org.fawndrum.state.HostAddress;
 import org.fawndrum.state.HostIdentity;
 import org.fawndrum.state.HostListing;
@@ -56,6 +57,7 @@
   private final DecisionLog decisionLog;
   private final StallWatch stalls;
   private final CurrentStarts orders;
+  private final StartQuestions startQuestions;
   private final EndpointRests rests = new EndpointRests();
   private final LineBudget noticeLines = new LineBudget(NOTICE_LINES);
   private volatile long listingVersion = -1;
@@ -96,26 +98,19 @@
     this.decisionLog =
         new DecisionLog(new RequestMetrics(registry, clock), this::basis, clock, log);
     this.decisions =
-        new RelayDuty(coordinator, clock, decisionLog, this::announced, new Teller(), log);
+        new RelayDuty(
+            coordinator, clock, decisionLog, this::announced, new Teller(), this::askStart, log);
     this.events = new SureEvents(vertx, decisions, log);
     this.metrics =
         new MetricsServer(vertx, settings.metrics(), registry, decisions::refusedRequests, log);
     FleetReceiver receiver = new FleetReceiver(this::heard, new LateKnowledge(), clock);
     ListenSettings peers = new ListenSettings(settings.peers(), Optional.empty());
     this.network = new NettyPeerNetwork(peers, receiver, log);
-    this.fleet =
-        new FleetDuty(
-            self,
-            this::settingsInForce,
-            this::storeView,
-            decisions::crashSummary,
-            network,
-            clock,
-            new FleetReports(events),
-            log);
+    this.fleet = newFleet();
     this.stalls = new StallWatch(vertx, clock);
     this.orders = new CurrentStarts(adapter.orders(), this::restarted);
     this.orders.hearNotices(this::noticed);
+    this.startQuestions = new StartQuestions(vertx, orders, this::startAsked);
     this.callers = callerServer(adapter);
     this.drain = newDrain();
     this.readiness = new ReadinessServer(vertx, settings.readiness(), this::ready);
@@ -183,6 +178,18 @@
     }
   }
 
+  private FleetDuty newFleet() {
+    return new FleetDuty(
+        self,
+        this::settingsInForce,
+        this::storeView,
+        decisions::crashSummary,
+        network,
+        clock,
+        new FleetReports(events),
+        log);
+  }
+
   private RelayDrain newDrain() {
     return new RelayDrain(
         vertx, callers, decisions, events, this::bounds, stalls.awake(), clock, log);
@@ -338,6 +345,14 @@
     }
   }
 
+  private void askStart(Endpoint endpoint) {
+    startQuestions.ask(endpoint);
+  }
+
+  private void startAsked(Endpoint endpoint) {
+    events.accept(new RelayEvent.StartAsked(endpoint.identity()));
+  }
+
   private void restarted(HostIdentity start) {
     log.event(LogEvent.ENDPOINT_RESTARTED, start);
     events.accept(new RelayEvent.Restarted(start));
--- a/org.fawndrum/tst/org/fawndrum/coordination/EndpointRosterTest.java
+++ b/org.fawndrum/tst/org/fawndrum/coordination/EndpointRosterTest.java
@@ -90,6 +90,46 @@
     assertFalse(open(roster, a.identity()));
   }
 
+  /** The answer may have been the later start's, of which nobody knew yet. */
+  @Test
+  void aStartThatBecomesKnownAfterAnAnswerThatSaidLeavingIsAskedBeforeItIsUsed() {
+    EndpointRoster roster = new EndpointRoster();
+    Endpoint before = endpoint("a", 1);
+    Endpoint after = endpoint("a", 2);
+    roster.listed(listing(1, List.of(before)));
+    assertTrue(roster.saidLeavingInAnswer(before.identity()));
+    roster.listed(listing(2, List.of(after)));
+    assertFalse(open(roster, after.identity()));
+    assertEquals(List.of(after), roster.takeUnclear());
+    assertEquals(List.of(), roster.takeUnclear(), "asked twice");
+    assertTrue(roster.asked(after.identity()));
+    assertTrue(open(roster, after.identity()));
+  }
+
+  @Test
+  void aStartThatLeavesWhenItIsAskedStaysOut() {
+    EndpointRoster roster = new EndpointRoster();
+    Endpoint after = endpoint("a", 2);
+    roster.listed(listing(1, List.of(endpoint("a", 1))));
+    roster.saidLeavingInAnswer(new HostIdentity("a", 1));
+    roster.listed(listing(2, List.of(after)));
+    roster.saidLeavingInAnswer(after.identity());
+    roster.asked(after.identity());
+    assertFalse(open(roster, after.identity()));
+  }
+
+  @Test
+  void aStartAfterOneWhoseEntrySaidLeavingNeedsNoQuestion() {
+    EndpointRoster roster = new EndpointRoster();
+    Endpoint before = endpoint("a", 1);
+    roster.listed(listing(1, List.of(before)));
+    roster.saidLeavingInAnswer(before.identity());
+    roster.listed(listing(2, List.of(before), before.identity()));
+    roster.listed(listing(3, List.of(endpoint("a", 2))));
+    assertTrue(open(roster, new HostIdentity("a", 2)));
+    assertEquals(List.of(), roster.takeUnclear());
+  }
+
   @Test
   void whatLeftLongAgoIsForgottenAndWhatIsListedNever() {
     EndpointRoster roster = new EndpointRoster();
--- a/org.fawndrum/tst/org/fawndrum/transport/relay/RelayDrainTest.java
+++ b/org.fawndrum/tst/org/fawndrum/transport/relay/RelayDrainTest.java
@@ -141,7 +141,8 @@
             "zone-a",
             Policies.engineModel(new NoRetries(), () -> false, Set::of));
     decisions =
-        new RelayDuty(coordinator, clock, decision -> {}, news -> {}, new UntoldFleet(), log);
+        new RelayDuty(
+            coordinator, clock, decision -> {}, news -> {}, new UntoldFleet(), endpoint -> {}, log);
     decisions.start();
     try (ServerSocket free = new ServerSocket(0)) {
       address = new HostAddress("127.0.0.1", free.getLocalPort());
--- a/org.fawndrum/tst/org/fawndrum/transport/relay/RelayDutyTest.java
+++ b/org.fawndrum/tst/org/fawndrum/transport/relay/RelayDutyTest.java
@@ -56,6 +56,7 @@
           decision -> {},
           news -> {},
           new UntoldFleet(),
+          endpoint -> {},
           new HostLog("test"));
 
   /** A caller's request that writes down what is ordered for it. */
