Ask a peer for each change of the endpoints once, and tell only what changed

What falls over at size: an endpoint that goes counts as a change beyond the end of what its host has read. Hosts that listen to that host compared the place with what they had read themselves, so that each of its messages, some fifty a second, made each of them ask for the whole list again until the store was read anew, and all through an outage. Each list was all entries, each decoded anew.

Change: a host remembers up to where it took over each peer's view (PeerViews) and asks for each view once; a question names that place; the answer holds only the entries that changed since (EntryChanges), all of them for a host that is far behind, of another era, or where an entry was written over. Each change has a place of its own, since two drops in one standstill, or a drop and the next record, had the same one. An era without a change yet no longer has the whole list sent each second.

Ruled out: skipping the decoding of equal records alone (endpoints write a new count each second, so that no two are equal).

--- a/org.fawndrum/src/org/fawndrum/protocol/wire/KnowledgeReply.java
+++ b/org.fawndrum/src/org/fawndrum/protocol/wire/KnowledgeReply.java
@@ -226,6 +226,22 @@
     return endpointsEra_;
   }
 
+  public static final int ENDPOINTS_CHANGES_ONLY_FIELD_NUMBER = 9;
+  private boolean endpointsChangesOnly_ = false;
+  /**
+   * <pre>
+   * Whether `endpoints` holds only what changed since the asking host's last reading; an entry that
+   * is gone has no value there.
+   * </pre>
+   *
+   * <code>bool endpoints_changes_only = 9;</code>
+   * @return The endpointsChangesOnly.
+   */
+  @java.lang.Override
+  public boolean getEndpointsChangesOnly() {
+    return endpointsChangesOnly_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -264,6 +280,9 @@
     if (endpointsEra_ != 0L) {
       output.writeInt64(8, endpointsEra_);
     }
+    if (endpointsChangesOnly_ != false) {
+      output.writeBool(9, endpointsChangesOnly_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -305,6 +324,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeInt64Size(8, endpointsEra_);
     }
+    if (endpointsChangesOnly_ != false) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeBoolSize(9, endpointsChangesOnly_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -339,6 +362,8 @@
         != other.getEndpointsLeftOut()) return false;
     if (getEndpointsEra()
         != other.getEndpointsEra()) return false;
+    if (getEndpointsChangesOnly()
+        != other.getEndpointsChangesOnly()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -376,6 +401,9 @@
     hash = (37 * hash) + ENDPOINTS_ERA_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
         getEndpointsEra());
+    hash = (37 * hash) + ENDPOINTS_CHANGES_ONLY_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+        getEndpointsChangesOnly());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -532,6 +560,7 @@
       endpointsAgeMs_ = 0L;
       endpointsLeftOut_ = false;
       endpointsEra_ = 0L;
+      endpointsChangesOnly_ = false;
       return this;
     }
 
@@ -603,6 +632,9 @@
       if (((from_bitField0_ & 0x00000080) != 0)) {
         result.endpointsEra_ = endpointsEra_;
       }
+      if (((from_bitField0_ & 0x00000100) != 0)) {
+        result.endpointsChangesOnly_ = endpointsChangesOnly_;
+      }
       result.bitField0_ |= to_bitField0_;
     }
 
@@ -665,6 +697,9 @@
       if (other.getEndpointsEra() != 0L) {
         setEndpointsEra(other.getEndpointsEra());
       }
+      if (other.getEndpointsChangesOnly() != false) {
+        setEndpointsChangesOnly(other.getEndpointsChangesOnly());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -741,6 +776,11 @@
               bitField0_ |= 0x00000080;
               break;
             } // case 64
+            case 72: {
+              endpointsChangesOnly_ = input.readBool();
+              bitField0_ |= 0x00000100;
+              break;
+            } // case 72
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1467,6 +1507,53 @@
       return this;
     }
 
+    private boolean endpointsChangesOnly_ ;
+    /**
+     * <pre>
+     * Whether `endpoints` holds only what changed since the asking host's last reading; an entry that
+     * is gone has no value there.
+     * </pre>
+     *
+     * <code>bool endpoints_changes_only = 9;</code>
+     * @return The endpointsChangesOnly.
+     */
+    @java.lang.Override
+    public boolean getEndpointsChangesOnly() {
+      return endpointsChangesOnly_;
+    }
+    /**
+     * <pre>
+     * Whether `endpoints` holds only what changed since the asking host's last reading; an entry that
+     * is gone has no value there.
+     * </pre>
+     *
+     * <code>bool endpoints_changes_only = 9;</code>
+     * @param value The endpointsChangesOnly to set.
+     * @return This builder for chaining.
+     */
+    public Builder setEndpointsChangesOnly(boolean value) {
+
+      endpointsChangesOnly_ = value;
+      bitField0_ |= 0x00000100;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Whether `endpoints` holds only what changed since the asking host's last reading; an entry that
+     * is gone has no value there.
+     * </pre>
+     *
+     * <code>bool endpoints_changes_only = 9;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearEndpointsChangesOnly() {
+      bitField0_ = (bitField0_ & ~0x00000100);
+      endpointsChangesOnly_ = false;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:fawndrum.KnowledgeReply)
   }
 
--- a/org.fawndrum/src/org/fawndrum/protocol/wire/KnowledgeReplyOrBuilder.java
+++ b/org.fawndrum/src/org/fawndrum/protocol/wire/KnowledgeReplyOrBuilder.java
@@ -132,4 +132,15 @@
    * @return The endpointsEra.
    */
   long getEndpointsEra();
+
+  /**
+   * <pre>
+   * Whether `endpoints` holds only what changed since the asking host's last reading; an entry that
+   * is gone has no value there.
+   * </pre>
+   *
+   * <code>bool endpoints_changes_only = 9;</code>
+   * @return The endpointsChangesOnly.
+   */
+  boolean getEndpointsChangesOnly();
 }
--- a/org.fawndrum/src/org/fawndrum/protocol/wire/Peer.java
+++ b/org.fawndrum/src/org/fawndrum/protocol/wire/Peer.java
@@ -289,29 +289,30 @@
       "\r\n\005ended\030\006 \003(\020\022\016\n\006failed\030\007 \003(\020\022\022\n\nabout_" +
       "zone\030\010 \001(\t\"`\n\020KnowledgeRequest\022\036\n\026config" +
       "uration_revision\030\001 \001(\003\022\025\n\rendpoints_end\030" +
-      "\002 \001(\003\022\025\n\rendpoints_era\030\003 \001(\003\"\241\002\n\016Knowled" +
+      "\002 \001(\003\022\025\n\rendpoints_era\030\003 \001(\003\"\301\002\n\016Knowled" +
       "geReply\022\034\n\024configuration_age_ms\030\001 \001(\003\022\036\n" +
       "\026configuration_revision\030\002 \001(\003\0221\n\rconfigu" +
       "ration\030\003 \001(\0132\025.fawndrum.StoreRecordH\000\210\001\001" +
       "\022\025\n\rendpoints_end\030\004 \001(\003\022(\n\tendpoints\030\005 \003" +
       "(\0132\025.fawndrum.StoreRecord\022\030\n\020endpoints_a" +
       "ge_ms\030\006 \001(\003\022\032\n\022endpoints_left_out\030\007 \001(\010\022" +
-      "\025\n\rendpoints_era\030\010 \001(\003B\020\n\016_configuration" +
-      "\"9\n\013StoreRecord\022\016\n\006offset\030\001 \001(\003\022\013\n\003key\030\002" +
-      " \001(\t\022\r\n\005value\030\003 \001(\014\"\327\001\n\nWorkPlaced\022\n\n\002id" +
-      "\030\001 \001(\020\022\020\n\010endpoint\030\002 \001(\t\022\034\n\024endpoint_inc" +
-      "arnation\030\003 \001(\003\022\025\n\rprompt_tokens\030\004 \001(\003\022\025\n" +
-      "\rmemory_tokens\030\005 \001(\003\022\r\n\005parts\030\006 \001(\005\022\016\n\006w" +
-      "rites\030\007 \001(\010\022\032\n\022first_token_aim_ms\030\010 \001(\003\022" +
-      "\024\n\014pause_aim_ms\030\t \001(\003\022\016\n\006age_ms\030\n \001(\003\"\033\n" +
-      "\014ClaimRequest\022\013\n\003key\030\001 \001(\t\"q\n\nClaimReply" +
-      "\022+\n\006answer\030\001 \001(\0162\033.fawndrum.ClaimReply.A" +
-      "nswer\"6\n\006Answer\022\017\n\013UNSPECIFIED\020\000\022\010\n\004FREE" +
-      "\020\001\022\010\n\004HELD\020\002\022\007\n\003RAN\020\003\"8\n\016LedgerHandover\022" +
-      "&\n\007entries\030\001 \003(\0132\025.fawndrum.LedgerEntry\"" +
-      "7\n\013LedgerEntry\022\013\n\003key\030\001 \001(\t\022\013\n\003ran\030\002 \001(\010" +
-      "\022\016\n\006age_ms\030\003 \001(\003\"\021\n\017AcknowledgementB\036\n\032o" +
-      "rg.fawndrum.protocol.wireP\001b\006proto3"
+      "\025\n\rendpoints_era\030\010 \001(\003\022\036\n\026endpoints_chan" +
+      "ges_only\030\t \001(\010B\020\n\016_configuration\"9\n\013Stor" +
+      "eRecord\022\016\n\006offset\030\001 \001(\003\022\013\n\003key\030\002 \001(\t\022\r\n\005" +
+      "value\030\003 \001(\014\"\327\001\n\nWorkPlaced\022\n\n\002id\030\001 \001(\020\022\020" +
+      "\n\010endpoint\030\002 \001(\t\022\034\n\024endpoint_incarnation" +
+      "\030\003 \001(\003\022\025\n\rprompt_tokens\030\004 \001(\003\022\025\n\rmemory_" +
+      "tokens\030\005 \001(\003\022\r\n\005parts\030\006 \001(\005\022\016\n\006writes\030\007 " +
+      "\001(\010\022\032\n\022first_token_aim_ms\030\010 \001(\003\022\024\n\014pause" +
+      "_aim_ms\030\t \001(\003\022\016\n\006age_ms\030\n \001(\003\"\033\n\014ClaimRe" +
+      "quest\022\013\n\003key\030\001 \001(\t\"q\n\nClaimReply\022+\n\006answ" +
+      "er\030\001 \001(\0162\033.fawndrum.ClaimReply.Answer\"6\n" +
+      "\006Answer\022\017\n\013UNSPECIFIED\020\000\022\010\n\004FREE\020\001\022\010\n\004HE" +
+      "LD\020\002\022\007\n\003RAN\020\003\"8\n\016LedgerHandover\022&\n\007entri" +
+      "es\030\001 \003(\0132\025.fawndrum.LedgerEntry\"7\n\013Ledge" +
+      "rEntry\022\013\n\003key\030\001 \001(\t\022\013\n\003ran\030\002 \001(\010\022\016\n\006age_" +
+      "ms\030\003 \001(\003\"\021\n\017AcknowledgementB\036\n\032org.fawnd" +
+      "rum.protocol.wireP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -466,7 +467,7 @@
     internal_static_fawndrum_KnowledgeReply_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_fawndrum_KnowledgeReply_descriptor,
-        new java.lang.String[] { "ConfigurationAgeMs", "ConfigurationRevision", "Configuration", "EndpointsEnd", "Endpoints", "EndpointsAgeMs", "EndpointsLeftOut", "EndpointsEra", });
+        new java.lang.String[] { "ConfigurationAgeMs", "ConfigurationRevision", "Configuration", "EndpointsEnd", "Endpoints", "EndpointsAgeMs", "EndpointsLeftOut", "EndpointsEra", "EndpointsChangesOnly", });
     internal_static_fawndrum_StoreRecord_descriptor =
       getDescriptor().getMessageType(25);
     internal_static_fawndrum_StoreRecord_fieldAccessorTable = new
--- a/org.fawndrum/src/org/fawndrum/transport/relay/EndpointReader.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/EndpointReader.java
@@ -7,6 +7,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.Consumer;
@@ -29,7 +30,8 @@
  * whatever stood there, and every other entry holds. Where the store has gone back to a copy of
  * itself, what is known of each endpoint goes before what the copy holds, and what the copy lacks
  * is kept for a while as well. Confined to one event loop, but for {@link #readTo}, {@link
- * #changedTo}, {@link #ageMs}, {@link #records} and {@link #unusable}, which all threads may call.
+ * #changedTo}, {@link #ageMs}, {@link #records}, {@link #changesSince} and {@link #unusable}, which
+ * all threads may call.
  */
 final class EndpointReader implements TopicFollower.Reader {
   /** How long after its return the platform may still lack living endpoints, in milliseconds. */
@@ -55,6 +57,7 @@
   private final Map<String, KeyedRecord> records = new ConcurrentHashMap<>();
   private final Set<String> lapsed = new HashSet<>();
   private final EntryHistory history = new EntryHistory();
+  private final EntryChanges changes = new EntryChanges();
   private Set<String> startless = Set.of();
   private final LineBudget lines = new LineBudget(LINES_PER_SECOND);
   private long returnedMs = HostClock.NEVER_MS;
@@ -158,6 +161,27 @@
     return List.copyOf(records.values());
   }
 
+  /**
+   * Returns what changed after a place: the records of entries as they were read, and one without a
+   * value for each entry that is gone; empty when a host that knows the rest needs all of them.
+   */
+  Optional<List<KeyedRecord>> changesSince(StorePosition from) {
+    Optional<Set<String>> keys = changes.since(from);
+    if (keys.isEmpty()) {
+      return Optional.empty();
+    }
+    List<KeyedRecord> changed = new ArrayList<>();
+    for (String key : keys.get()) {
+      KeyedRecord record = records.get(key);
+      if (record != null && record.drops()) {
+        // Among changes it would say that the entry lapsed, and might come back.
+        return Optional.empty();
+      }
+      changed.add(record == null ? new KeyedRecord(from.offset(), key, NOTHING) : record);
+    }
+    return Optional.of(changed);
+  }
+
   /** Returns how many records were no entry. */
   long unusable() {
     return unusable;
@@ -186,7 +210,7 @@
       }
       history.read(record.key(), entry, page.era());
       if (!entry.saysTheSame(entries.put(record.key(), entry))) {
-        changedTo = changedTo.max(page.after(record));
+        changedTo = changes.changed(record.key(), page.after(record));
       }
       records.put(record.key(), record);
       lapsed.remove(record.key());
@@ -234,7 +258,8 @@
     if (entries.remove(key) != null) {
       history.gone(key, readTo.era());
       // Beyond the end, so that hosts that have read up to the end learn of it too.
-      changedTo = new StorePosition(readTo.era(), readTo.offset() + 1);
+      StorePosition beyond = new StorePosition(readTo.era(), readTo.offset() + 1);
+      changedTo = changes.changed(key, beyond);
     }
     records.remove(key);
     lapsed.remove(key);
--- a/org.fawndrum/src/org/fawndrum/transport/relay/PeerKnowledge.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/PeerKnowledge.java
@@ -6,6 +6,7 @@
 import io.vertx.core.Vertx;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.ThreadLocalRandom;
 import org.fawndrum.internal.log.HostLog;
@@ -48,6 +49,7 @@
   private final HostClock clock;
   private final HostLog log;
   private final Set<HostAddress> asked = new HashSet<>();
+  private final PeerViews views = new PeerViews();
   private volatile Context loop;
 
   PeerKnowledge(
@@ -94,9 +96,8 @@
 
   @Override
   public void told(HostAddress at, StoreView view) {
-    boolean newer =
-        view.configurationRevision() > routes.table().revision()
-            || view.endpointsChanged().isAfter(endpoints.readTo());
+    boolean endpointsChanged = views.told(at, view.endpointsChanged(), endpoints.readTo());
+    boolean newer = endpointsChanged || view.configurationRevision() > routes.table().revision();
     Context on = loop;
     if (newer && on != null) {
       on.runOnContext(v -> ask(at));
@@ -108,23 +109,28 @@
     if (!asked.add(peer)) {
       return;
     }
+    StorePosition known = views.knownOf(peer, endpoints.readTo());
     KnowledgeRequest request =
         KnowledgeRequest.newBuilder()
             .setConfigurationRevision(routes.table().revision())
-            .setEndpointsEra(endpoints.readTo().era())
-            .setEndpointsEnd(endpoints.readTo().offset())
+            .setEndpointsEra(known.era())
+            .setEndpointsEnd(known.offset())
             .build();
     long askedMs = clock.nowMs();
+    StorePosition covered = views.lastTold(peer);
     network
         .ask(peer, PeerCodec.from(self).setKnowledgeRequest(request))
         .whenComplete(
-            (reply, failure) -> loop.runOnContext(v -> answered(peer, askedMs, reply, failure)));
+            (reply, failure) ->
+                loop.runOnContext(v -> answered(peer, covered, askedMs, reply, failure)));
   }
 
-  private void answered(HostAddress peer, long askedMs, PeerMessage reply, Throwable failure) {
+  private void answered(
+      HostAddress peer, StorePosition covered, long askedMs, PeerMessage reply, Throwable failure) {
     asked.remove(peer);
     if (failure == null) {
       take(reply.getKnowledgeReply(), askedMs);
+      views.taken(peer, covered);
     } else {
       log.event(LogEvent.PEER_GAVE_NOTHING, peer, String.valueOf(failure));
     }
@@ -150,10 +156,15 @@
     long provedMs = askedMs - reply.getEndpointsAgeMs();
     if (reply.getEndpointsLeftOut()) {
       endpoints.confirmed(end, provedMs);
+      return;
+    }
+    List<KeyedRecord> records =
+        reply.getEndpointsList().stream().map(PeerKnowledge::record).toList();
+    KeyedPage page = new KeyedPage(records, end.offset(), end.era());
+    if (reply.getEndpointsChangesOnly()) {
+      endpoints.changes(page, provedMs);
     } else {
-      List<KeyedRecord> records =
-          reply.getEndpointsList().stream().map(PeerKnowledge::record).toList();
-      endpoints.whole(new KeyedPage(records, end.offset(), end.era()), provedMs);
+      endpoints.whole(page, provedMs);
     }
   }
 
@@ -162,9 +173,8 @@
     long nowMs = clock.nowMs();
     long ageMs = routes.ageMs(nowMs);
     StorePosition end = endpoints.readTo();
-    boolean leftOut =
-        end.era() == request.getEndpointsEra()
-            && endpoints.changedTo().offset() <= request.getEndpointsEnd();
+    StorePosition known = new StorePosition(request.getEndpointsEra(), request.getEndpointsEnd());
+    boolean leftOut = end.era() == known.era() && !endpoints.changedTo().isAfter(known);
     KnowledgeReply.Builder reply =
         KnowledgeReply.newBuilder()
             .setConfigurationAgeMs(ageMs)
@@ -178,7 +188,9 @@
       reply.setConfiguration(record(newest));
     }
     if (!leftOut) {
-      endpoints.records().forEach(one -> reply.addEndpoints(record(one)));
+      Optional<List<KeyedRecord>> changes = endpoints.changesSince(known);
+      reply.setEndpointsChangesOnly(changes.isPresent());
+      changes.orElseGet(endpoints::records).forEach(one -> reply.addEndpoints(record(one)));
     }
     return PeerCodec.from(self).setKnowledgeReply(reply);
   }
--- a/org.fawndrum/tst/org/fawndrum/transport/relay/EndpointReaderTest.java
+++ b/org.fawndrum/tst/org/fawndrum/transport/relay/EndpointReaderTest.java
@@ -7,6 +7,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Set;
+import java.util.stream.Collectors;
 import org.fawndrum.errors.RecordUnreadableException;
 import org.fawndrum.internal.log.HostLog;
 import org.fawndrum.protocol.KeyedPage;
@@ -307,4 +308,69 @@
     reader.changes(inEra(2, page()), nowMs);
     assertEquals(List.of("a", "b", "c"), names());
   }
+
+  private Set<String> keysChangedSince(StorePosition place) {
+    return reader.changesSince(place).orElseThrow().stream()
+        .map(KeyedRecord::key)
+        .collect(Collectors.toSet());
+  }
+
+  @Test
+  void eachChangeHasAPlaceAfterTheOneBefore() {
+    reader.whole(page("a", READY, "b", READY, "c", READY), 0);
+    StorePosition read = reader.changedTo();
+    reader.whole(page("b", READY, "c", READY), 0);
+    StorePosition dropped = reader.changedTo();
+    assertTrue(dropped.isAfter(read));
+    reader.whole(page("c", READY), 0);
+    StorePosition droppedAgain = reader.changedTo();
+    assertTrue(droppedAgain.isAfter(dropped), "the log stood still between the two");
+    reader.changes(page("c", LEAVING), 0);
+    assertTrue(reader.changedTo().isAfter(droppedAgain), "read behind a place beyond the end");
+  }
+
+  @Test
+  void aHostThatKnowsTheRestIsToldOnlyWhatChanged() {
+    reader.whole(page("a", READY, "b", READY, "c", READY), 0);
+    StorePosition known = reader.changedTo();
+    reader.changes(page("a", LEAVING), 0);
+    reader.changes(page("b", NONE), 0);
+    assertEquals(Set.of("a", "b"), keysChangedSince(known));
+    assertEquals(Set.of(), keysChangedSince(reader.changedTo()));
+  }
+
+  @Test
+  void whatItIsToldBringsItToTheSameList() {
+    reader.whole(page("a", READY, "b", READY, "c", READY), 0);
+    EndpointReader other =
+        new EndpointReader(
+            new Decoder(), newer -> listing = newer, () -> nowMs, new HostLog("test"));
+    other.whole(new KeyedPage(reader.records(), reader.readTo().offset()), 0);
+    StorePosition known = reader.changedTo();
+    reader.changes(page("a", LEAVING), 0);
+    reader.changes(page("b", NONE), 0);
+    List<KeyedRecord> told = reader.changesSince(known).orElseThrow();
+    other.changes(new KeyedPage(told, reader.readTo().offset()), 0);
+    assertEquals(List.of("a", "c"), names());
+    assertEquals(Set.of(new HostIdentity("a", 0)), listing.leaving());
+  }
+
+  @Test
+  void aHostOfAnotherEraOrFarBehindIsToldAll() {
+    reader.whole(page("a", READY), 0);
+    assertTrue(reader.changesSince(StorePosition.NONE).isEmpty());
+    for (int i = 0; i <= EntryChanges.MOST; i++) {
+      reader.changes(page("e" + i, READY), 0);
+    }
+    assertTrue(reader.changesSince(new StorePosition(0, 0)).isEmpty());
+    assertEquals(Set.of(), keysChangedSince(reader.changedTo()));
+  }
+
+  @Test
+  void anEntryThatWasWrittenOverIsToldWithAllOthers() {
+    reader.whole(page("a", READY, "b", READY), 0);
+    StorePosition known = reader.changedTo();
+    reader.changes(page("a", new byte[] {'x'}), 0);
+    assertTrue(reader.changesSince(known).isEmpty());
+  }
 }
