Read a caller's leaving together with what it sent

Cause: the connections of callers were accepted by the system while the host started. A read stops when it did not fill its buffer, and the end of the connection comes with the next turn of the loop; a host that finds twenty such connections reads all requests, decides and sends them before that turn.

Change: callers' connections are read until nothing is left, at the cost of one more read for each that brings something; and a request whose caller has left is not sent.

--- a/org.fawndrum/src/org/fawndrum/transport/relay/RelayExchange.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/RelayExchange.java
@@ -55,7 +55,7 @@
 
   @Override
   public void send(Action.Send send) {
-    if (over) {
+    if (over || response.closed()) {
       attempts.happened(send.attempt(), AttemptEvent.CONNECT_FAILED);
       return;
     }
--- a/org.fawndrum/src/org/fawndrum/transport/relay/RelayServer.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/RelayServer.java
@@ -1,6 +1,8 @@
 // SPDX-License-Identifier: Apache-2.0
 package org.fawndrum.transport.relay;
 
+import io.netty.channel.DefaultMaxMessagesRecvByteBufAllocator;
+import io.netty.channel.RecvByteBufAllocator;
 import io.vertx.core.Context;
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
@@ -9,6 +11,7 @@
 import io.vertx.core.http.HttpServer;
 import io.vertx.core.http.HttpServerOptions;
 import io.vertx.core.http.HttpServerRequest;
+import io.vertx.core.http.impl.HttpServerConnection;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.function.BooleanSupplier;
@@ -159,6 +162,7 @@
     busy.put(connection, 0);
     unused.put(connection, clock.nowMs());
     idle.opened(connection);
+    readToEnd(connection);
     connection.closeHandler(
         v -> {
           busy.remove(connection);
@@ -167,6 +171,21 @@
         });
   }
 
+  /**
+   * Lets a connection be read until nothing is left, so that a caller's leaving is read together
+   * with what it sent. A host that starts, or was busy, finds requests whose callers have left
+   * already; none of these may reach an endpoint.
+   */
+  private static void readToEnd(HttpConnection connection) {
+    if (connection instanceof HttpServerConnection server) {
+      RecvByteBufAllocator allocator =
+          server.channelHandlerContext().channel().config().getRecvByteBufAllocator();
+      if (allocator instanceof DefaultMaxMessagesRecvByteBufAllocator buffers) {
+        buffers.respectMaybeMoreData(false);
+      }
+    }
+  }
+
   private void invalid(HttpServerRequest request) {
     RefusalKind kind = UnreadableHead.kind(request);
     turnAwayAndClose(request, "", Refusal.notRun(kind));
