Decide once for all reports of a message, and log starts that are asked

A message of a speaker holds the reports of several hosts, and each was followed by a round of decisions: suspects, what waits, copies of lists; with 95 hosts 94 whole reports a second. They are taken over together now and decided on once. Decisions are the same, but that a waiting request is offered after the last report of a message and not between two of them. No measurement of its own.

FAWN0074 names each start that is asked whether it leaves before it is used.

--- a/org.fawndrum/src/org/fawndrum/coordination/RequestCoordinator.java
+++ b/org.fawndrum/src/org/fawndrum/coordination/RequestCoordinator.java
@@ -8,6 +8,7 @@
 import java.util.function.Consumer;
 import java.util.function.Predicate;
 import org.fawndrum.coordination.engine.EngineNews;
+import org.fawndrum.coordination.membership.FleetReport;
 import org.fawndrum.state.Endpoint;
 import org.fawndrum.state.HostIdentity;
 import org.fawndrum.state.TableRevision;
@@ -81,8 +82,7 @@
   /** Takes over the endpoints that may get new work. */
   public List<Action> endpoints(Collection<Endpoint> open, long nowMs) {
     endpoints.offer(open);
-    giveUpUnavailable(nowMs);
-    return flush(nowMs);
+    return endpointRests(nowMs);
   }
 
   /** Takes note that some endpoint wants nothing from this host for a while. */
@@ -124,9 +124,9 @@
     return flush(nowMs);
   }
 
-  /** Takes what another daemon tells about its work; {@code all} when it names all of it. */
-  public List<Action> told(HostIdentity from, List<EngineNews> news, boolean all, long nowMs) {
-    work.heard(from, news, all, nowMs);
+  /** Takes what other daemons tell about their work, and decides once for all of it. */
+  public List<Action> told(List<FleetReport> reports, long nowMs) {
+    reports.forEach(one -> work.heard(one.from(), one.news(), one.whole(), nowMs));
     return flush(nowMs);
   }
 
@@ -234,7 +234,7 @@
     return flush(nowMs);
   }
 
-  /** Takes news about requests under which endpoints end, or an operator's word on them. */
+  /** Takes news about requests under which endpoints end, or an operator's order on them. */
   public List<Action> suspects(Consumer<SuspectRequests> step, long nowMs) {
     step.accept(suspects);
     return flush(nowMs);
--- a/org.fawndrum/src/org/fawndrum/internal/log/LogEvent.java
+++ b/org.fawndrum/src/org/fawndrum/internal/log/LogEvent.java
@@ -53,7 +53,11 @@
   ENDPOINT_NOTICE(71, Level.INFO, "endpoint {0} answered that it leaves: {1}, rests: {2} ms"),
   ENDPOINT_LEAVES(72, Level.INFO, "endpoint {0} leaves and gets nothing more, told by {1}"),
   STORE_WENT_BACK(
-      73, Level.WARN, "{0} went back to a copy: era {2} follows {1}; the newest are read");
+      73, Level.WARN, "{0} went back to a copy: era {2} follows {1}; the newest are read"),
+  START_UNCLEAR(
+      74,
+      Level.INFO,
+      "start {0} may be the one that said it leaves; it is asked before it is used");
 
   /** Added to a number so that its digits have leading zeros. */
   private static final int FOUR_DIGITS = 10_000;
--- a/org.fawndrum/src/org/fawndrum/transport/relay/RelayDuty.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/RelayDuty.java
@@ -186,9 +186,7 @@
   private void handle(RelayEvent.OfDaemon event, long nowMs) {
     if (event instanceof RelayEvent.Told told) {
       learnStarts(told.reports(), nowMs);
-      for (FleetReport report : told.reports()) {
-        carryOut(coordinator.told(report.from(), report.news(), report.whole(), nowMs));
-      }
+      carryOut(coordinator.told(told.reports(), nowMs));
     } else if (event instanceof RelayEvent.DaemonGone gone) {
       carryOut(coordinator.daemonGone(gone.daemon(), nowMs));
     } else if (event instanceof RelayEvent.WorkWanted wanted) {
@@ -247,8 +245,9 @@
   }
 
   /**
-   * Sends nothing more to endpoints that leave. Their own word is the first there is of it, and the
-   * only one while the store takes none; the other daemons hear of it once, from each that learns.
+   * Sends nothing more to endpoints that leave. Their own notice is the first there is of it, and
+   * the only one while the store takes none; the other daemons hear of it once, from each that
+   * learns.
    */
   private void leaving(RelayEvent.Leaving event, long nowMs) {
     List<HostIdentity> news =
@@ -280,11 +279,16 @@
     List<Endpoint> known =
         roster.open().stream().map(this::described).flatMap(Optional::stream).toList();
     leavingEndpoints = roster.listedLeaving();
-    roster.takeUnclear().forEach(startQuestions);
+    roster.takeUnclear().forEach(this::ask);
     carryOut(coordinator.endpoints(known, nowMs));
     carryOut(coordinator.restarted(roster::isOver, nowMs));
   }
 
+  private void ask(Endpoint endpoint) {
+    log.event(LogEvent.START_UNCLEAR, endpoint.identity());
+    startQuestions.accept(endpoint);
+  }
+
   /** Returns an endpoint with the profile of its service; none where no service is named so. */
   private Optional<Endpoint> described(Endpoint endpoint) {
     return endpoint.serves().stream()
--- a/org.fawndrum/tst/org/fawndrum/coordination/engine/EngineModelPlacementTest.java
+++ b/org.fawndrum/tst/org/fawndrum/coordination/engine/EngineModelPlacementTest.java
@@ -22,6 +22,7 @@
 import org.fawndrum.coordination.RequestCoordinator;
 import org.fawndrum.coordination.RequestFacts;
 import org.fawndrum.coordination.RequestTarget;
+import org.fawndrum.coordination.membership.FleetReport;
 import org.fawndrum.state.CallerGroup;
 import org.fawndrum.state.Cell;
 import org.fawndrum.state.Column;
@@ -193,7 +194,9 @@
     HostIdentity busy = ask(5_000, SHORT_AIMS, 0).orElseThrow().endpoint().identity();
     HostIdentity other = new HostIdentity("host-2", 1);
     EngineJob job = new EngineJob(1, busy, 200_000, 201_000, 1, true, LONG_AIMS, 10);
-    coordinator.told(other, List.of(new EngineNews.Placed(job)), false, 10);
+    List<EngineNews> news = List.of(new EngineNews.Placed(job));
+    FleetReport report = new FleetReport(other, Optional.empty(), 1, "zone-a", false, news);
+    coordinator.told(List.of(report), 10);
     assertNotEquals(busy, ask(5_000, SHORT_AIMS, 20).orElseThrow().endpoint().identity());
     coordinator.daemonGone(other, 30);
     assertEquals(busy, ask(5_000, SHORT_AIMS, 40).orElseThrow().endpoint().identity());
