--- a/org.fawndrum.soak/src/org/fawndrum/soak/Fault.java
+++ b/org.fawndrum.soak/src/org/fawndrum/soak/Fault.java
@@ -106,8 +106,8 @@
      */
     ENGINE_SILENT,
     /**
-     * An engine drops what it works on without a word and serves on; one that reads a long prompt
-     * if there is one.
+     * An engine drops what it works on without an answer and serves on; one that reads a long
+     * prompt if there is one.
      */
     ENGINE_FORGETS,
     /**
--- a/org.fawndrum.soak/src/org/fawndrum/soak/SoakEndpoint.java
+++ b/org.fawndrum.soak/src/org/fawndrum/soak/SoakEndpoint.java
@@ -155,7 +155,7 @@
     silent = true;
   }
 
-  /** Drops what it works on and leaves the connections open without a word; it serves on. */
+  /** Drops what it works on and leaves the connections open without an answer; it serves on. */
   void forget() {
     long nowMs = Soak.nowMs();
     open.keySet().forEach(run -> run.brokenOff(nowMs));
--- a/org.fawndrum/src/org/fawndrum/coordination/AttemptEvent.java
+++ b/org.fawndrum/src/org/fawndrum/coordination/AttemptEvent.java
@@ -5,7 +5,7 @@
 public enum AttemptEvent {
   /** The order to send was given; from now on bytes may leave at any moment. */
   SENDING,
-  /** The transport's word that nothing was handed to the network and nothing will be. */
+  /** The transport says that nothing was handed to the network and nothing will be. */
   CONNECT_FAILED,
   /** The endpoint asked for rest before anything was handed to the network; nothing will be. */
   ENDPOINT_RESTS,
--- a/org.fawndrum/src/org/fawndrum/coordination/AttemptStates.java
+++ b/org.fawndrum/src/org/fawndrum/coordination/AttemptStates.java
@@ -2,7 +2,8 @@
 package org.fawndrum.coordination;
 
 /**
- * The transitions of an attempt. "Not run" can only come from where nothing was sent, or by word.
+ * The transitions of an attempt. "Not run" can only come from where nothing was sent, or the
+ * endpoint says so.
  */
 public final class AttemptStates {
   private AttemptStates() {}
--- a/org.fawndrum/src/org/fawndrum/coordination/EndpointChoice.java
+++ b/org.fawndrum/src/org/fawndrum/coordination/EndpointChoice.java
@@ -32,9 +32,9 @@
   Optional<Placement.Choice> choose(LiveRequest request, int priority, long nowMs) {
     List<EndpointState> all = endpoints.serving(request.facts.target());
     request.allowAllIfNoneIsLeft(all.size());
-    List<EndpointState> apart = suspects.apart(request, all);
-    Optional<Placement.Choice> choice = choose(request, apart, priority, nowMs);
-    boolean widens = choice.isEmpty() && apart.size() < all.size();
+    List<EndpointState> isolated = suspects.isolated(request, all);
+    Optional<Placement.Choice> choice = choose(request, isolated, priority, nowMs);
+    boolean widens = choice.isEmpty() && isolated.size() < all.size();
     return widens ? choose(request, all, priority, nowMs) : choice;
   }
 
--- a/org.fawndrum/src/org/fawndrum/coordination/EndpointRests.java
+++ b/org.fawndrum/src/org/fawndrum/coordination/EndpointRests.java
@@ -6,13 +6,12 @@
 import org.fawndrum.state.HostIdentity;
 
 /**
- * Until when endpoints want nothing from this host, by their own word. Only that time and an end of
- * the endpoint that this host saw after the word end it: an endpoint that answers a request of
- * before, or a probe, has not taken its word back, and one that shed its load is sound by the time
- * it asks for.
+ * Until when endpoints want nothing from this host, as they asked. Only that time and an end of the
+ * endpoint that this host saw after that end it: an endpoint that answers a request of before, or a
+ * probe, has not taken its wish back, and one that shed its load is sound by the time it asks for.
  *
  * <p>An answer does not name the start that gave it. An endpoint may have started again unnoticed
- * before it asked, so that a start which becomes known after the word may be the one that spoke; it
+ * before it asked, so that a start which becomes known after the wish may be the one that spoke; it
  * rests as well, for as long as starts take to become known.
  *
  * <p>Load, blame and crashes of an endpoint are kept elsewhere; a rest is none of these. Kept apart
@@ -23,7 +22,7 @@
 public final class EndpointRests {
   private static final long NONE = Long.MIN_VALUE;
 
-  /** How long after its first word a start may become known: an outage of the store. */
+  /** How long after its first answer a start may become known: an outage of the store. */
   static final long KNOWN_LATE_MS = 30_000;
 
   private final Map<String, Wish> wishes = new ConcurrentHashMap<>();
@@ -59,7 +58,7 @@
 
   /**
    * Takes note that this host saw an endpoint end; what it asked for before is over. What others
-   * tell of an end may bear the time at which they learned of it, long after the word.
+   * tell of an end may bear the time at which they learned of it, long after the wish.
    */
   void ended(HostIdentity endpoint, long atMs) {
     wishes.computeIfPresent(endpoint.host(), (host, one) -> one.askedMs() <= atMs ? null : one);
--- a/org.fawndrum/src/org/fawndrum/coordination/EndpointRoster.java
+++ b/org.fawndrum/src/org/fawndrum/coordination/EndpointRoster.java
@@ -54,7 +54,7 @@
   }
 
   /**
-   * Takes the word that an incarnation is leaving, from itself or from a peer; returns whether it
+   * Takes the notice that an incarnation is leaving, from itself or from a peer; returns whether it
    * is news.
    */
   public boolean saidLeaving(HostIdentity endpoint) {
@@ -102,7 +102,7 @@
   }
 
   /**
-   * Takes somebody's word that a listed endpoint has started again; returns whether it is news. An
+   * Takes the notice that a listed endpoint has started again; returns whether it is news. An
    * endpoint that is not listed is passed over: only its own entry names one to use.
    */
   public boolean startedAgain(HostIdentity start) {
--- a/org.fawndrum/src/org/fawndrum/coordination/EndpointState.java
+++ b/org.fawndrum/src/org/fawndrum/coordination/EndpointState.java
@@ -179,7 +179,7 @@
     return nowMs < avoidUntilMs;
   }
 
-  /** Tells whether the endpoint wants nothing from this host now, by its own word. */
+  /** Tells whether the endpoint wants nothing from this host now, as it asked. */
   public boolean rests(long nowMs) {
     return rests.lasts(endpoint.identity(), nowMs);
   }
--- a/org.fawndrum/src/org/fawndrum/coordination/SuspectRequests.java
+++ b/org.fawndrum/src/org/fawndrum/coordination/SuspectRequests.java
@@ -86,13 +86,13 @@
   }
 
   /** Returns those of some endpoints at which a request meets no other that is suspected. */
-  List<EndpointState> apart(LiveRequest request, List<EndpointState> candidates) {
+  List<EndpointState> isolated(LiveRequest request, List<EndpointState> candidates) {
     RequestContent content = request.facts.content();
-    if (!ledger.runsApart(content)) {
+    if (!ledger.isIsolated(content)) {
       return candidates;
     }
     return candidates.stream()
-        .filter(one -> ledger.isApart(content, one.endpoint().identity()))
+        .filter(one -> ledger.mayRunAt(content, one.endpoint().identity()))
         .toList();
   }
 
--- a/org.fawndrum/src/org/fawndrum/coordination/crash/CrashLedger.java
+++ b/org.fawndrum/src/org/fawndrum/coordination/crash/CrashLedger.java
@@ -118,7 +118,7 @@
         .orElse(CrashNews.NONE);
   }
 
-  /** Lets a request go that was turned away, by an operator's word; returns what is news. */
+  /** Lets a request go that was turned away, by an operator's order; returns what is news. */
   public CrashNews letGo(RequestFingerprint request, long nowMs) {
     return clear(new ServedRequest(request, nowMs));
   }
@@ -208,16 +208,16 @@
   }
 
   /** Tells whether a request runs on other endpoints than other suspected ones. */
-  public boolean runsApart(RequestContent content) {
-    return suspected(content).filter(one -> rules.apart().contains(one)).isPresent()
-        && rules.apart().size() > 1;
+  public boolean isIsolated(RequestContent content) {
+    return suspected(content).filter(one -> rules.isolated().contains(one)).isPresent()
+        && rules.isolated().size() > 1;
   }
 
   /**
    * Tells whether such a request may be sent to an endpoint without meeting another one there: of
    * two that were always together, only an end without the other tells which it is.
    */
-  public boolean isApart(RequestContent content, HostIdentity endpoint) {
+  public boolean mayRunAt(RequestContent content, HostIdentity endpoint) {
     return content.fingerprint().filter(one -> one.equals(rules.ownerOf(endpoint))).isPresent();
   }
 
--- a/org.fawndrum/src/org/fawndrum/coordination/crash/CrashRules.java
+++ b/org.fawndrum/src/org/fawndrum/coordination/crash/CrashRules.java
@@ -52,8 +52,8 @@
   private final CrashHistory history;
   private final Map<RequestFingerprint, ?> refused;
   private final Map<RequestFingerprint, Long> servedMs;
-  private Set<RequestFingerprint> apart = Set.of();
-  private boolean apartIsOld;
+  private Set<RequestFingerprint> isolated = Set.of();
+  private boolean isolatedIsOld;
 
   /**
    * Makes rules over what a ledger keeps.
@@ -106,19 +106,19 @@
 
   /** Takes note that something has changed of what the rules read. */
   void changed() {
-    apartIsOld = true;
+    isolatedIsOld = true;
   }
 
   /**
    * Returns the requests that run on other endpoints than each other, so that the next end tells
    * which of those that were always together it is.
    */
-  Set<RequestFingerprint> apart() {
-    if (apartIsOld) {
-      apart = history.requests().stream().filter(this::isDoubtful).collect(Collectors.toSet());
-      apartIsOld = false;
+  Set<RequestFingerprint> isolated() {
+    if (isolatedIsOld) {
+      isolated = history.requests().stream().filter(this::isDoubtful).collect(Collectors.toSet());
+      isolatedIsOld = false;
     }
-    return apart;
+    return isolated;
   }
 
   private boolean isDoubtful(RequestFingerprint request) {
@@ -212,13 +212,13 @@
   }
 
   /**
-   * Returns which of the requests that run apart an endpoint is for, so that no two of them run
-   * there. All hosts that know the same come to the same answer, each endpoint by itself.
+   * Returns which of the isolated requests an endpoint is for, so that no two of them run there.
+   * All hosts that know the same come to the same answer, each endpoint by itself.
    */
   RequestFingerprint ownerOf(HostIdentity endpoint) {
     RequestFingerprint owner = null;
     long highest = Long.MIN_VALUE;
-    for (RequestFingerprint one : apart()) {
+    for (RequestFingerprint one : isolated()) {
       long weight = weight(endpoint.host(), one);
       if (owner == null || weight > highest) {
         owner = one;
--- a/org.fawndrum/src/org/fawndrum/coordination/crash/SuspectTurn.java
+++ b/org.fawndrum/src/org/fawndrum/coordination/crash/SuspectTurn.java
@@ -4,7 +4,7 @@
 import org.fawndrum.state.HostIdentity;
 
 /**
- * A host's word that it sends a suspected request next. The others keep theirs until it is over.
+ * A host's notice that it sends a suspected request next. The others keep theirs until it is over.
  *
  * @param request which request
  * @param host the host that sends it
--- a/org.fawndrum/src/org/fawndrum/protocol/FleetCodec.java
+++ b/org.fawndrum/src/org/fawndrum/protocol/FleetCodec.java
@@ -9,7 +9,7 @@
 import org.fawndrum.coordination.membership.FleetMember;
 import org.fawndrum.coordination.membership.FleetReport;
 import org.fawndrum.protocol.wire.DaemonPlace;
-import org.fawndrum.protocol.wire.EndpointWord;
+import org.fawndrum.protocol.wire.EndpointStart;
 import org.fawndrum.protocol.wire.WorkPlaced;
 import org.fawndrum.protocol.wire.WorkReport;
 import org.fawndrum.state.HostAddress;
@@ -46,11 +46,11 @@
   }
 
   /** Returns starts of endpoints as messages. */
-  public static List<EndpointWord> writeEndpoints(List<HostIdentity> endpoints) {
+  public static List<EndpointStart> writeEndpoints(List<HostIdentity> endpoints) {
     return endpoints.stream()
         .map(
             one ->
-                EndpointWord.newBuilder()
+                EndpointStart.newBuilder()
                     .setHost(one.host())
                     .setIncarnation(one.incarnation())
                     .build())
@@ -58,7 +58,7 @@
   }
 
   /** Returns the starts of endpoints in messages. */
-  public static List<HostIdentity> readEndpoints(List<EndpointWord> messages) {
+  public static List<HostIdentity> readEndpoints(List<EndpointStart> messages) {
     return messages.stream()
         .map(one -> new HostIdentity(one.getHost(), one.getIncarnation()))
         .toList();
--- a/org.fawndrum/src/org/fawndrum/protocol/wire/EndpointWord.java
+++ b/org.fawndrum/src/org/fawndrum/protocol/wire/EndpointStart.java
@@ -6,13 +6,13 @@
 package org.fawndrum.protocol.wire;
 
 /**
- * Protobuf type {@code fawndrum.EndpointWord}
+ * Protobuf type {@code fawndrum.EndpointStart}
  */
 @com.google.protobuf.Generated
-public final class EndpointWord extends
+public final class EndpointStart extends
     com.google.protobuf.GeneratedMessage implements
-    // @@protoc_insertion_point(message_implements:fawndrum.EndpointWord)
-    EndpointWordOrBuilder {
+    // @@protoc_insertion_point(message_implements:fawndrum.EndpointStart)
+    EndpointStartOrBuilder {
 private static final long serialVersionUID = 0L;
   static {
     com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
@@ -21,27 +21,27 @@
       /* minor= */ 33,
       /* patch= */ 4,
       /* suffix= */ "",
-      "EndpointWord");
+      "EndpointStart");
   }
-  // Use EndpointWord.newBuilder() to construct.
-  private EndpointWord(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+  // Use EndpointStart.newBuilder() to construct.
+  private EndpointStart(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
     super(builder);
   }
-  private EndpointWord() {
+  private EndpointStart() {
     host_ = "";
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
       getDescriptor() {
-    return org.fawndrum.protocol.wire.Peer.internal_static_fawndrum_EndpointWord_descriptor;
+    return org.fawndrum.protocol.wire.Peer.internal_static_fawndrum_EndpointStart_descriptor;
   }
 
   @java.lang.Override
   protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internalGetFieldAccessorTable() {
-    return org.fawndrum.protocol.wire.Peer.internal_static_fawndrum_EndpointWord_fieldAccessorTable
+    return org.fawndrum.protocol.wire.Peer.internal_static_fawndrum_EndpointStart_fieldAccessorTable
         .ensureFieldAccessorsInitialized(
-            org.fawndrum.protocol.wire.EndpointWord.class, org.fawndrum.protocol.wire.EndpointWord.Builder.class);
+            org.fawndrum.protocol.wire.EndpointStart.class, org.fawndrum.protocol.wire.EndpointStart.Builder.class);
   }
 
   public static final int HOST_FIELD_NUMBER = 1;
@@ -140,10 +140,10 @@
     if (obj == this) {
      return true;
     }
-    if (!(obj instanceof org.fawndrum.protocol.wire.EndpointWord)) {
+    if (!(obj instanceof org.fawndrum.protocol.wire.EndpointStart)) {
       return super.equals(obj);
     }
-    org.fawndrum.protocol.wire.EndpointWord other = (org.fawndrum.protocol.wire.EndpointWord) obj;
+    org.fawndrum.protocol.wire.EndpointStart other = (org.fawndrum.protocol.wire.EndpointStart) obj;
 
     if (!getHost()
         .equals(other.getHost())) return false;
@@ -170,44 +170,44 @@
     return hash;
   }
 
-  public static org.fawndrum.protocol.wire.EndpointWord parseFrom(
+  public static org.fawndrum.protocol.wire.EndpointStart parseFrom(
       java.nio.ByteBuffer data)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data);
   }
-  public static org.fawndrum.protocol.wire.EndpointWord parseFrom(
+  public static org.fawndrum.protocol.wire.EndpointStart parseFrom(
       java.nio.ByteBuffer data,
       com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data, extensionRegistry);
   }
-  public static org.fawndrum.protocol.wire.EndpointWord parseFrom(
+  public static org.fawndrum.protocol.wire.EndpointStart parseFrom(
       com.google.protobuf.ByteString data)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data);
   }
-  public static org.fawndrum.protocol.wire.EndpointWord parseFrom(
+  public static org.fawndrum.protocol.wire.EndpointStart parseFrom(
       com.google.protobuf.ByteString data,
       com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data, extensionRegistry);
   }
-  public static org.fawndrum.protocol.wire.EndpointWord parseFrom(byte[] data)
+  public static org.fawndrum.protocol.wire.EndpointStart parseFrom(byte[] data)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data);
   }
-  public static org.fawndrum.protocol.wire.EndpointWord parseFrom(
+  public static org.fawndrum.protocol.wire.EndpointStart parseFrom(
       byte[] data,
       com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data, extensionRegistry);
   }
-  public static org.fawndrum.protocol.wire.EndpointWord parseFrom(java.io.InputStream input)
+  public static org.fawndrum.protocol.wire.EndpointStart parseFrom(java.io.InputStream input)
       throws java.io.IOException {
     return com.google.protobuf.GeneratedMessage
         .parseWithIOException(PARSER, input);
   }
-  public static org.fawndrum.protocol.wire.EndpointWord parseFrom(
+  public static org.fawndrum.protocol.wire.EndpointStart parseFrom(
       java.io.InputStream input,
       com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws java.io.IOException {
@@ -215,26 +215,26 @@
         .parseWithIOException(PARSER, input, extensionRegistry);
   }
 
-  public static org.fawndrum.protocol.wire.EndpointWord parseDelimitedFrom(java.io.InputStream input)
+  public static org.fawndrum.protocol.wire.EndpointStart parseDelimitedFrom(java.io.InputStream input)
       throws java.io.IOException {
     return com.google.protobuf.GeneratedMessage
         .parseDelimitedWithIOException(PARSER, input);
   }
 
-  public static org.fawndrum.protocol.wire.EndpointWord parseDelimitedFrom(
+  public static org.fawndrum.protocol.wire.EndpointStart parseDelimitedFrom(
       java.io.InputStream input,
       com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws java.io.IOException {
     return com.google.protobuf.GeneratedMessage
         .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
   }
-  public static org.fawndrum.protocol.wire.EndpointWord parseFrom(
+  public static org.fawndrum.protocol.wire.EndpointStart parseFrom(
       com.google.protobuf.CodedInputStream input)
       throws java.io.IOException {
     return com.google.protobuf.GeneratedMessage
         .parseWithIOException(PARSER, input);
   }
-  public static org.fawndrum.protocol.wire.EndpointWord parseFrom(
+  public static org.fawndrum.protocol.wire.EndpointStart parseFrom(
       com.google.protobuf.CodedInputStream input,
       com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws java.io.IOException {
@@ -247,7 +247,7 @@
   public static Builder newBuilder() {
     return DEFAULT_INSTANCE.toBuilder();
   }
-  public static Builder newBuilder(org.fawndrum.protocol.wire.EndpointWord prototype) {
+  public static Builder newBuilder(org.fawndrum.protocol.wire.EndpointStart prototype) {
     return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
   }
   @java.lang.Override
@@ -263,26 +263,26 @@
     return builder;
   }
   /**
-   * Protobuf type {@code fawndrum.EndpointWord}
+   * Protobuf type {@code fawndrum.EndpointStart}
    */
   public static final class Builder extends
       com.google.protobuf.GeneratedMessage.Builder<Builder> implements
-      // @@protoc_insertion_point(builder_implements:fawndrum.EndpointWord)
-      org.fawndrum.protocol.wire.EndpointWordOrBuilder {
+      // @@protoc_insertion_point(builder_implements:fawndrum.EndpointStart)
+      org.fawndrum.protocol.wire.EndpointStartOrBuilder {
     public static final com.google.protobuf.Descriptors.Descriptor
         getDescriptor() {
-      return org.fawndrum.protocol.wire.Peer.internal_static_fawndrum_EndpointWord_descriptor;
+      return org.fawndrum.protocol.wire.Peer.internal_static_fawndrum_EndpointStart_descriptor;
     }
 
     @java.lang.Override
     protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
         internalGetFieldAccessorTable() {
-      return org.fawndrum.protocol.wire.Peer.internal_static_fawndrum_EndpointWord_fieldAccessorTable
+      return org.fawndrum.protocol.wire.Peer.internal_static_fawndrum_EndpointStart_fieldAccessorTable
           .ensureFieldAccessorsInitialized(
-              org.fawndrum.protocol.wire.EndpointWord.class, org.fawndrum.protocol.wire.EndpointWord.Builder.class);
+              org.fawndrum.protocol.wire.EndpointStart.class, org.fawndrum.protocol.wire.EndpointStart.Builder.class);
     }
 
-    // Construct using org.fawndrum.protocol.wire.EndpointWord.newBuilder()
+    // Construct using org.fawndrum.protocol.wire.EndpointStart.newBuilder()
     private Builder() {
 
     }
@@ -304,17 +304,17 @@
     @java.lang.Override
     public com.google.protobuf.Descriptors.Descriptor
         getDescriptorForType() {
-      return org.fawndrum.protocol.wire.Peer.internal_static_fawndrum_EndpointWord_descriptor;
+      return org.fawndrum.protocol.wire.Peer.internal_static_fawndrum_EndpointStart_descriptor;
     }
 
     @java.lang.Override
-    public org.fawndrum.protocol.wire.EndpointWord getDefaultInstanceForType() {
-      return org.fawndrum.protocol.wire.EndpointWord.getDefaultInstance();
+    public org.fawndrum.protocol.wire.EndpointStart getDefaultInstanceForType() {
+      return org.fawndrum.protocol.wire.EndpointStart.getDefaultInstance();
     }
 
     @java.lang.Override
-    public org.fawndrum.protocol.wire.EndpointWord build() {
-      org.fawndrum.protocol.wire.EndpointWord result = buildPartial();
+    public org.fawndrum.protocol.wire.EndpointStart build() {
+      org.fawndrum.protocol.wire.EndpointStart result = buildPartial();
       if (!result.isInitialized()) {
         throw newUninitializedMessageException(result);
       }
@@ -322,14 +322,14 @@
     }
 
     @java.lang.Override
-    public org.fawndrum.protocol.wire.EndpointWord buildPartial() {
-      org.fawndrum.protocol.wire.EndpointWord result = new org.fawndrum.protocol.wire.EndpointWord(this);
+    public org.fawndrum.protocol.wire.EndpointStart buildPartial() {
+      org.fawndrum.protocol.wire.EndpointStart result = new org.fawndrum.protocol.wire.EndpointStart(this);
       if (bitField0_ != 0) { buildPartial0(result); }
       onBuilt();
       return result;
     }
 
-    private void buildPartial0(org.fawndrum.protocol.wire.EndpointWord result) {
+    private void buildPartial0(org.fawndrum.protocol.wire.EndpointStart result) {
       int from_bitField0_ = bitField0_;
       if (((from_bitField0_ & 0x00000001) != 0)) {
         result.host_ = host_;
@@ -341,16 +341,16 @@
 
     @java.lang.Override
     public Builder mergeFrom(com.google.protobuf.Message other) {
-      if (other instanceof org.fawndrum.protocol.wire.EndpointWord) {
-        return mergeFrom((org.fawndrum.protocol.wire.EndpointWord)other);
+      if (other instanceof org.fawndrum.protocol.wire.EndpointStart) {
+        return mergeFrom((org.fawndrum.protocol.wire.EndpointStart)other);
       } else {
         super.mergeFrom(other);
         return this;
       }
     }
 
-    public Builder mergeFrom(org.fawndrum.protocol.wire.EndpointWord other) {
-      if (other == org.fawndrum.protocol.wire.EndpointWord.getDefaultInstance()) return this;
+    public Builder mergeFrom(org.fawndrum.protocol.wire.EndpointStart other) {
+      if (other == org.fawndrum.protocol.wire.EndpointStart.getDefaultInstance()) return this;
       if (!other.getHost().isEmpty()) {
         host_ = other.host_;
         bitField0_ |= 0x00000001;
@@ -516,23 +516,23 @@
       return this;
     }
 
-    // @@protoc_insertion_point(builder_scope:fawndrum.EndpointWord)
+    // @@protoc_insertion_point(builder_scope:fawndrum.EndpointStart)
   }
 
-  // @@protoc_insertion_point(class_scope:fawndrum.EndpointWord)
-  private static final org.fawndrum.protocol.wire.EndpointWord DEFAULT_INSTANCE;
+  // @@protoc_insertion_point(class_scope:fawndrum.EndpointStart)
+  private static final org.fawndrum.protocol.wire.EndpointStart DEFAULT_INSTANCE;
   static {
-    DEFAULT_INSTANCE = new org.fawndrum.protocol.wire.EndpointWord();
+    DEFAULT_INSTANCE = new org.fawndrum.protocol.wire.EndpointStart();
   }
 
-  public static org.fawndrum.protocol.wire.EndpointWord getDefaultInstance() {
+  public static org.fawndrum.protocol.wire.EndpointStart getDefaultInstance() {
     return DEFAULT_INSTANCE;
   }
 
-  private static final com.google.protobuf.Parser<EndpointWord>
-      PARSER = new com.google.protobuf.AbstractParser<EndpointWord>() {
+  private static final com.google.protobuf.Parser<EndpointStart>
+      PARSER = new com.google.protobuf.AbstractParser<EndpointStart>() {
     @java.lang.Override
-    public EndpointWord parsePartialFrom(
+    public EndpointStart parsePartialFrom(
         com.google.protobuf.CodedInputStream input,
         com.google.protobuf.ExtensionRegistryLite extensionRegistry)
         throws com.google.protobuf.InvalidProtocolBufferException {
@@ -551,17 +551,17 @@
     }
   };
 
-  public static com.google.protobuf.Parser<EndpointWord> parser() {
+  public static com.google.protobuf.Parser<EndpointStart> parser() {
     return PARSER;
   }
 
   @java.lang.Override
-  public com.google.protobuf.Parser<EndpointWord> getParserForType() {
+  public com.google.protobuf.Parser<EndpointStart> getParserForType() {
     return PARSER;
   }
 
   @java.lang.Override
-  public org.fawndrum.protocol.wire.EndpointWord getDefaultInstanceForType() {
+  public org.fawndrum.protocol.wire.EndpointStart getDefaultInstanceForType() {
     return DEFAULT_INSTANCE;
   }
 
--- a/org.fawndrum/src/org/fawndrum/protocol/wire/EndpointWordOrBuilder.java
+++ b/org.fawndrum/src/org/fawndrum/protocol/wire/EndpointStartOrBuilder.java
@@ -6,8 +6,8 @@
 package org.fawndrum.protocol.wire;
 
 @com.google.protobuf.Generated
-public interface EndpointWordOrBuilder extends
-    // @@protoc_insertion_point(interface_extends:fawndrum.EndpointWord)
+public interface EndpointStartOrBuilder extends
+    // @@protoc_insertion_point(interface_extends:fawndrum.EndpointStart)
     com.google.protobuf.MessageOrBuilder {
 
   /**
--- a/org.fawndrum/src/org/fawndrum/protocol/wire/FleetNews.java
+++ b/org.fawndrum/src/org/fawndrum/protocol/wire/FleetNews.java
@@ -287,16 +287,16 @@
 
   public static final int LEAVING_FIELD_NUMBER = 9;
   @SuppressWarnings("serial")
-  private java.util.List<org.fawndrum.protocol.wire.EndpointWord> leaving_;
+  private java.util.List<org.fawndrum.protocol.wire.EndpointStart> leaving_;
   /**
    * <pre>
    * Endpoints that the sender learned to be leaving within the last seconds.
    * </pre>
    *
-   * <code>repeated .fawndrum.EndpointWord leaving = 9;</code>
+   * <code>repeated .fawndrum.EndpointStart leaving = 9;</code>
    */
   @java.lang.Override
-  public java.util.List<org.fawndrum.protocol.wire.EndpointWord> getLeavingList() {
+  public java.util.List<org.fawndrum.protocol.wire.EndpointStart> getLeavingList() {
     return leaving_;
   }
   /**
@@ -304,10 +304,10 @@
    * Endpoints that the sender learned to be leaving within the last seconds.
    * </pre>
    *
-   * <code>repeated .fawndrum.EndpointWord leaving = 9;</code>
+   * <code>repeated .fawndrum.EndpointStart leaving = 9;</code>
    */
   @java.lang.Override
-  public java.util.List<? extends org.fawndrum.protocol.wire.EndpointWordOrBuilder> 
+  public java.util.List<? extends org.fawndrum.protocol.wire.EndpointStartOrBuilder> 
       getLeavingOrBuilderList() {
     return leaving_;
   }
@@ -316,7 +316,7 @@
    * Endpoints that the sender learned to be leaving within the last seconds.
    * </pre>
    *
-   * <code>repeated .fawndrum.EndpointWord leaving = 9;</code>
+   * <code>repeated .fawndrum.EndpointStart leaving = 9;</code>
    */
   @java.lang.Override
   public int getLeavingCount() {
@@ -327,10 +327,10 @@
    * Endpoints that the sender learned to be leaving within the last seconds.
    * </pre>
    *
-   * <code>repeated .fawndrum.EndpointWord leaving = 9;</code>
+   * <code>repeated .fawndrum.EndpointStart leaving = 9;</code>
    */
   @java.lang.Override
-  public org.fawndrum.protocol.wire.EndpointWord getLeaving(int index) {
+  public org.fawndrum.protocol.wire.EndpointStart getLeaving(int index) {
     return leaving_.get(index);
   }
   /**
@@ -338,10 +338,10 @@
    * Endpoints that the sender learned to be leaving within the last seconds.
    * </pre>
    *
-   * <code>repeated .fawndrum.EndpointWord leaving = 9;</code>
+   * <code>repeated .fawndrum.EndpointStart leaving = 9;</code>
    */
   @java.lang.Override
-  public org.fawndrum.protocol.wire.EndpointWordOrBuilder getLeavingOrBuilder(
+  public org.fawndrum.protocol.wire.EndpointStartOrBuilder getLeavingOrBuilder(
       int index) {
     return leaving_.get(index);
   }
@@ -1015,9 +1015,9 @@
               break;
             } // case 65
             case 74: {
-              org.fawndrum.protocol.wire.EndpointWord m =
+              org.fawndrum.protocol.wire.EndpointStart m =
                   input.readMessage(
-                      org.fawndrum.protocol.wire.EndpointWord.parser(),
+                      org.fawndrum.protocol.wire.EndpointStart.parser(),
                       extensionRegistry);
               if (leavingBuilder_ == null) {
                 ensureLeavingIsMutable();
@@ -2079,26 +2079,26 @@
       return this;
     }
 
-    private java.util.List<org.fawndrum.protocol.wire.EndpointWord> leaving_ =
+    private java.util.List<org.fawndrum.protocol.wire.EndpointStart> leaving_ =
       java.util.Collections.emptyList();
     private void ensureLeavingIsMutable() {
       if (!((bitField0_ & 0x00000100) != 0)) {
-        leaving_ = new java.util.ArrayList<org.fawndrum.protocol.wire.EndpointWord>(leaving_);
+        leaving_ = new java.util.ArrayList<org.fawndrum.protocol.wire.EndpointStart>(leaving_);
         bitField0_ |= 0x00000100;
        }
     }
 
     private com.google.protobuf.RepeatedFieldBuilder<
-        org.fawndrum.protocol.wire.EndpointWord, org.fawndrum.protocol.wire.EndpointWord.Builder, org.fawndrum.protocol.wire.EndpointWordOrBuilder> leavingBuilder_;
+        org.fawndrum.protocol.wire.EndpointStart, org.fawndrum.protocol.wire.EndpointStart.Builder, org.fawndrum.protocol.wire.EndpointStartOrBuilder> leavingBuilder_;
 
     /**
      * <pre>
      * Endpoints that the sender learned to be leaving within the last seconds.
      * </pre>
      *
-     * <code>repeated .fawndrum.EndpointWord leaving = 9;</code>
+     * <code>repeated .fawndrum.EndpointStart leaving = 9;</code>
      */
-    public java.util.List<org.fawndrum.protocol.wire.EndpointWord> getLeavingList() {
+    public java.util.List<org.fawndrum.protocol.wire.EndpointStart> getLeavingList() {
       if (leavingBuilder_ == null) {
         return java.util.Collections.unmodifiableList(leaving_);
       } else {
@@ -2110,7 +2110,7 @@
      * Endpoints that the sender learned to be leaving within the last seconds.
      * </pre>
      *
-     * <code>repeated .fawndrum.EndpointWord leaving = 9;</code>
+     * <code>repeated .fawndrum.EndpointStart leaving = 9;</code>
      */
     public int getLeavingCount() {
       if (leavingBuilder_ == null) {
@@ -2124,9 +2124,9 @@
      * Endpoints that the sender learned to be leaving within the last seconds.
      * </pre>
      *
-     * <code>repeated .fawndrum.EndpointWord leaving = 9;</code>
+     * <code>repeated .fawndrum.EndpointStart leaving = 9;</code>
      */
-    public org.fawndrum.protocol.wire.EndpointWord getLeaving(int index) {
+    public org.fawndrum.protocol.wire.EndpointStart getLeaving(int index) {
       if (leavingBuilder_ == null) {
         return leaving_.get(index);
       } else {
@@ -2138,10 +2138,10 @@
      * Endpoints that the sender learned to be leaving within the last seconds.
      * </pre>
      *
-     * <code>repeated .fawndrum.EndpointWord leaving = 9;</code>
+     * <code>repeated .fawndrum.EndpointStart leaving = 9;</code>
      */
     public Builder setLeaving(
-        int index, org.fawndrum.protocol.wire.EndpointWord value) {
+        int index, org.fawndrum.protocol.wire.EndpointStart value) {
       if (leavingBuilder_ == null) {
         if (value == null) {
           throw new NullPointerException();
@@ -2159,10 +2159,10 @@
      * Endpoints that the sender learned to be leaving within the last seconds.
      * </pre>
      *
-     * <code>repeated .fawndrum.EndpointWord leaving = 9;</code>
+     * <code>repeated .fawndrum.EndpointStart leaving = 9;</code>
      */
     public Builder setLeaving(
-        int index, org.fawndrum.protocol.wire.EndpointWord.Builder builderForValue) {
+        int index, org.fawndrum.protocol.wire.EndpointStart.Builder builderForValue) {
       if (leavingBuilder_ == null) {
         ensureLeavingIsMutable();
         leaving_.set(index, builderForValue.build());
@@ -2177,9 +2177,9 @@
      * Endpoints that the sender learned to be leaving within the last seconds.
      * </pre>
      *
-     * <code>repeated .fawndrum.EndpointWord leaving = 9;</code>
+     * <code>repeated .fawndrum.EndpointStart leaving = 9;</code>
      */
-    public Builder addLeaving(org.fawndrum.protocol.wire.EndpointWord value) {
+    public Builder addLeaving(org.fawndrum.protocol.wire.EndpointStart value) {
       if (leavingBuilder_ == null) {
         if (value == null) {
           throw new NullPointerException();
@@ -2197,10 +2197,10 @@
      * Endpoints that the sender learned to be leaving within the last seconds.
      * </pre>
      *
-     * <code>repeated .fawndrum.EndpointWord leaving = 9;</code>
+     * <code>repeated .fawndrum.EndpointStart leaving = 9;</code>
      */
     public Builder addLeaving(
-        int index, org.fawndrum.protocol.wire.EndpointWord value) {
+        int index, org.fawndrum.protocol.wire.EndpointStart value) {
       if (leavingBuilder_ == null) {
         if (value == null) {
           throw new NullPointerException();
@@ -2218,10 +2218,10 @@
      * Endpoints that the sender learned to be leaving within the last seconds.
      * </pre>
      *
-     * <code>repeated .fawndrum.EndpointWord leaving = 9;</code>
+     * <code>repeated .fawndrum.EndpointStart leaving = 9;</code>
      */
     public Builder addLeaving(
-        org.fawndrum.protocol.wire.EndpointWord.Builder builderForValue) {
+        org.fawndrum.protocol.wire.EndpointStart.Builder builderForValue) {
       if (leavingBuilder_ == null) {
         ensureLeavingIsMutable();
         leaving_.add(builderForValue.build());
@@ -2236,10 +2236,10 @@
      * Endpoints that the sender learned to be leaving within the last seconds.
      * </pre>
      *
-     * <code>repeated .fawndrum.EndpointWord leaving = 9;</code>
+     * <code>repeated .fawndrum.EndpointStart leaving = 9;</code>
      */
     public Builder addLeaving(
-        int index, org.fawndrum.protocol.wire.EndpointWord.Builder builderForValue) {
+        int index, org.fawndrum.protocol.wire.EndpointStart.Builder builderForValue) {
       if (leavingBuilder_ == null) {
         ensureLeavingIsMutable();
         leaving_.add(index, builderForValue.build());
@@ -2254,10 +2254,10 @@
      * Endpoints that the sender learned to be leaving within the last seconds.
      * </pre>
      *
-     * <code>repeated .fawndrum.EndpointWord leaving = 9;</code>
+     * <code>repeated .fawndrum.EndpointStart leaving = 9;</code>
      */
     public Builder addAllLeaving(
-        java.lang.Iterable<? extends org.fawndrum.protocol.wire.EndpointWord> values) {
+        java.lang.Iterable<? extends org.fawndrum.protocol.wire.EndpointStart> values) {
       if (leavingBuilder_ == null) {
         ensureLeavingIsMutable();
         com.google.protobuf.AbstractMessageLite.Builder.addAll(
@@ -2273,7 +2273,7 @@
      * Endpoints that the sender learned to be leaving within the last seconds.
      * </pre>
      *
-     * <code>repeated .fawndrum.EndpointWord leaving = 9;</code>
+     * <code>repeated .fawndrum.EndpointStart leaving = 9;</code>
      */
     public Builder clearLeaving() {
       if (leavingBuilder_ == null) {
@@ -2290,7 +2290,7 @@
      * Endpoints that the sender learned to be leaving within the last seconds.
      * </pre>
      *
-     * <code>repeated .fawndrum.EndpointWord leaving = 9;</code>
+     * <code>repeated .fawndrum.EndpointStart leaving = 9;</code>
      */
     public Builder removeLeaving(int index) {
       if (leavingBuilder_ == null) {
@@ -2307,9 +2307,9 @@
      * Endpoints that the sender learned to be leaving within the last seconds.
      * </pre>
      *
-     * <code>repeated .fawndrum.EndpointWord leaving = 9;</code>
+     * <code>repeated .fawndrum.EndpointStart leaving = 9;</code>
      */
-    public org.fawndrum.protocol.wire.EndpointWord.Builder getLeavingBuilder(
+    public org.fawndrum.protocol.wire.EndpointStart.Builder getLeavingBuilder(
         int index) {
       return internalGetLeavingFieldBuilder().getBuilder(index);
     }
@@ -2318,9 +2318,9 @@
      * Endpoints that the sender learned to be leaving within the last seconds.
      * </pre>
      *
-     * <code>repeated .fawndrum.EndpointWord leaving = 9;</code>
+     * <code>repeated .fawndrum.EndpointStart leaving = 9;</code>
      */
-    public org.fawndrum.protocol.wire.EndpointWordOrBuilder getLeavingOrBuilder(
+    public org.fawndrum.protocol.wire.EndpointStartOrBuilder getLeavingOrBuilder(
         int index) {
       if (leavingBuilder_ == null) {
         return leaving_.get(index);  } else {
@@ -2332,9 +2332,9 @@
      * Endpoints that the sender learned to be leaving within the last seconds.
      * </pre>
      *
-     * <code>repeated .fawndrum.EndpointWord leaving = 9;</code>
+     * <code>repeated .fawndrum.EndpointStart leaving = 9;</code>
      */
-    public java.util.List<? extends org.fawndrum.protocol.wire.EndpointWordOrBuilder> 
+    public java.util.List<? extends org.fawndrum.protocol.wire.EndpointStartOrBuilder> 
          getLeavingOrBuilderList() {
       if (leavingBuilder_ != null) {
         return leavingBuilder_.getMessageOrBuilderList();
@@ -2347,41 +2347,41 @@
      * Endpoints that the sender learned to be leaving within the last seconds.
      * </pre>
      *
-     * <code>repeated .fawndrum.EndpointWord leaving = 9;</code>
+     * <code>repeated .fawndrum.EndpointStart leaving = 9;</code>
      */
-    public org.fawndrum.protocol.wire.EndpointWord.Builder addLeavingBuilder() {
+    public org.fawndrum.protocol.wire.EndpointStart.Builder addLeavingBuilder() {
       return internalGetLeavingFieldBuilder().addBuilder(
-          org.fawndrum.protocol.wire.EndpointWord.getDefaultInstance());
+          org.fawndrum.protocol.wire.EndpointStart.getDefaultInstance());
     }
     /**
      * <pre>
      * Endpoints that the sender learned to be leaving within the last seconds.
      * </pre>
      *
-     * <code>repeated .fawndrum.EndpointWord leaving = 9;</code>
+     * <code>repeated .fawndrum.EndpointStart leaving = 9;</code>
      */
-    public org.fawndrum.protocol.wire.EndpointWord.Builder addLeavingBuilder(
+    public org.fawndrum.protocol.wire.EndpointStart.Builder addLeavingBuilder(
         int index) {
       return internalGetLeavingFieldBuilder().addBuilder(
-          index, org.fawndrum.protocol.wire.EndpointWord.getDefaultInstance());
+          index, org.fawndrum.protocol.wire.EndpointStart.getDefaultInstance());
     }
     /**
      * <pre>
      * Endpoints that the sender learned to be leaving within the last seconds.
      * </pre>
      *
-     * <code>repeated .fawndrum.EndpointWord leaving = 9;</code>
+     * <code>repeated .fawndrum.EndpointStart leaving = 9;</code>
      */
-    public java.util.List<org.fawndrum.protocol.wire.EndpointWord.Builder> 
+    public java.util.List<org.fawndrum.protocol.wire.EndpointStart.Builder> 
          getLeavingBuilderList() {
       return internalGetLeavingFieldBuilder().getBuilderList();
     }
     private com.google.protobuf.RepeatedFieldBuilder<
-        org.fawndrum.protocol.wire.EndpointWord, org.fawndrum.protocol.wire.EndpointWord.Builder, org.fawndrum.protocol.wire.EndpointWordOrBuilder> 
+        org.fawndrum.protocol.wire.EndpointStart, org.fawndrum.protocol.wire.EndpointStart.Builder, org.fawndrum.protocol.wire.EndpointStartOrBuilder> 
         internalGetLeavingFieldBuilder() {
       if (leavingBuilder_ == null) {
         leavingBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
-            org.fawndrum.protocol.wire.EndpointWord, org.fawndrum.protocol.wire.EndpointWord.Builder, org.fawndrum.protocol.wire.EndpointWordOrBuilder>(
+            org.fawndrum.protocol.wire.EndpointStart, org.fawndrum.protocol.wire.EndpointStart.Builder, org.fawndrum.protocol.wire.EndpointStartOrBuilder>(
                 leaving_,
                 ((bitField0_ & 0x00000100) != 0),
                 getParentForChildren(),
--- a/org.fawndrum/src/org/fawndrum/protocol/wire/FleetNewsOrBuilder.java
+++ b/org.fawndrum/src/org/fawndrum/protocol/wire/FleetNewsOrBuilder.java
@@ -173,24 +173,24 @@
    * Endpoints that the sender learned to be leaving within the last seconds.
    * </pre>
    *
-   * <code>repeated .fawndrum.EndpointWord leaving = 9;</code>
+   * <code>repeated .fawndrum.EndpointStart leaving = 9;</code>
    */
-  java.util.List<org.fawndrum.protocol.wire.EndpointWord> 
+  java.util.List<org.fawndrum.protocol.wire.EndpointStart> 
       getLeavingList();
   /**
    * <pre>
    * Endpoints that the sender learned to be leaving within the last seconds.
    * </pre>
    *
-   * <code>repeated .fawndrum.EndpointWord leaving = 9;</code>
+   * <code>repeated .fawndrum.EndpointStart leaving = 9;</code>
    */
-  org.fawndrum.protocol.wire.EndpointWord getLeaving(int index);
+  org.fawndrum.protocol.wire.EndpointStart getLeaving(int index);
   /**
    * <pre>
    * Endpoints that the sender learned to be leaving within the last seconds.
    * </pre>
    *
-   * <code>repeated .fawndrum.EndpointWord leaving = 9;</code>
+   * <code>repeated .fawndrum.EndpointStart leaving = 9;</code>
    */
   int getLeavingCount();
   /**
@@ -198,18 +198,18 @@
    * Endpoints that the sender learned to be leaving within the last seconds.
    * </pre>
    *
-   * <code>repeated .fawndrum.EndpointWord leaving = 9;</code>
+   * <code>repeated .fawndrum.EndpointStart leaving = 9;</code>
    */
-  java.util.List<? extends org.fawndrum.protocol.wire.EndpointWordOrBuilder> 
+  java.util.List<? extends org.fawndrum.protocol.wire.EndpointStartOrBuilder> 
       getLeavingOrBuilderList();
   /**
    * <pre>
    * Endpoints that the sender learned to be leaving within the last seconds.
    * </pre>
    *
-   * <code>repeated .fawndrum.EndpointWord leaving = 9;</code>
+   * <code>repeated .fawndrum.EndpointStart leaving = 9;</code>
    */
-  org.fawndrum.protocol.wire.EndpointWordOrBuilder getLeavingOrBuilder(
+  org.fawndrum.protocol.wire.EndpointStartOrBuilder getLeavingOrBuilder(
       int index);
 
   /**
--- a/org.fawndrum/src/org/fawndrum/protocol/wire/LeavingNews.java
+++ b/org.fawndrum/src/org/fawndrum/protocol/wire/LeavingNews.java
@@ -50,41 +50,41 @@
 
   public static final int ENDPOINTS_FIELD_NUMBER = 1;
   @SuppressWarnings("serial")
-  private java.util.List<org.fawndrum.protocol.wire.EndpointWord> endpoints_;
+  private java.util.List<org.fawndrum.protocol.wire.EndpointStart> endpoints_;
   /**
-   * <code>repeated .fawndrum.EndpointWord endpoints = 1;</code>
+   * <code>repeated .fawndrum.EndpointStart endpoints = 1;</code>
    */
   @java.lang.Override
-  public java.util.List<org.fawndrum.protocol.wire.EndpointWord> getEndpointsList() {
+  public java.util.List<org.fawndrum.protocol.wire.EndpointStart> getEndpointsList() {
     return endpoints_;
   }
   /**
-   * <code>repeated .fawndrum.EndpointWord endpoints = 1;</code>
+   * <code>repeated .fawndrum.EndpointStart endpoints = 1;</code>
    */
   @java.lang.Override
-  public java.util.List<? extends org.fawndrum.protocol.wire.EndpointWordOrBuilder> 
+  public java.util.List<? extends org.fawndrum.protocol.wire.EndpointStartOrBuilder> 
       getEndpointsOrBuilderList() {
     return endpoints_;
   }
   /**
-   * <code>repeated .fawndrum.EndpointWord endpoints = 1;</code>
+   * <code>repeated .fawndrum.EndpointStart endpoints = 1;</code>
    */
   @java.lang.Override
   public int getEndpointsCount() {
     return endpoints_.size();
   }
   /**
-   * <code>repeated .fawndrum.EndpointWord endpoints = 1;</code>
+   * <code>repeated .fawndrum.EndpointStart endpoints = 1;</code>
    */
   @java.lang.Override
-  public org.fawndrum.protocol.wire.EndpointWord getEndpoints(int index) {
+  public org.fawndrum.protocol.wire.EndpointStart getEndpoints(int index) {
     return endpoints_.get(index);
   }
   /**
-   * <code>repeated .fawndrum.EndpointWord endpoints = 1;</code>
+   * <code>repeated .fawndrum.EndpointStart endpoints = 1;</code>
    */
   @java.lang.Override
-  public org.fawndrum.protocol.wire.EndpointWordOrBuilder getEndpointsOrBuilder(
+  public org.fawndrum.protocol.wire.EndpointStartOrBuilder getEndpointsOrBuilder(
       int index) {
     return endpoints_.get(index);
   }
@@ -406,9 +406,9 @@
               done = true;
               break;
             case 10: {
-              org.fawndrum.protocol.wire.EndpointWord m =
+              org.fawndrum.protocol.wire.EndpointStart m =
                   input.readMessage(
-                      org.fawndrum.protocol.wire.EndpointWord.parser(),
+                      org.fawndrum.protocol.wire.EndpointStart.parser(),
                       extensionRegistry);
               if (endpointsBuilder_ == null) {
                 ensureEndpointsIsMutable();
@@ -435,22 +435,22 @@
     }
     private int bitField0_;
 
-    private java.util.List<org.fawndrum.protocol.wire.EndpointWord> endpoints_ =
+    private java.util.List<org.fawndrum.protocol.wire.EndpointStart> endpoints_ =
       java.util.Collections.emptyList();
     private void ensureEndpointsIsMutable() {
       if (!((bitField0_ & 0x00000001) != 0)) {
-        endpoints_ = new java.util.ArrayList<org.fawndrum.protocol.wire.EndpointWord>(endpoints_);
+        endpoints_ = new java.util.ArrayList<org.fawndrum.protocol.wire.EndpointStart>(endpoints_);
         bitField0_ |= 0x00000001;
        }
     }
 
     private com.google.protobuf.RepeatedFieldBuilder<
-        org.fawndrum.protocol.wire.EndpointWord, org.fawndrum.protocol.wire.EndpointWord.Builder, org.fawndrum.protocol.wire.EndpointWordOrBuilder> endpointsBuilder_;
+        org.fawndrum.protocol.wire.EndpointStart, org.fawndrum.protocol.wire.EndpointStart.Builder, org.fawndrum.protocol.wire.EndpointStartOrBuilder> endpointsBuilder_;
 
     /**
-     * <code>repeated .fawndrum.EndpointWord endpoints = 1;</code>
+     * <code>repeated .fawndrum.EndpointStart endpoints = 1;</code>
      */
-    public java.util.List<org.fawndrum.protocol.wire.EndpointWord> getEndpointsList() {
+    public java.util.List<org.fawndrum.protocol.wire.EndpointStart> getEndpointsList() {
       if (endpointsBuilder_ == null) {
         return java.util.Collections.unmodifiableList(endpoints_);
       } else {
@@ -458,7 +458,7 @@
       }
     }
     /**
-     * <code>repeated .fawndrum.EndpointWord endpoints = 1;</code>
+     * <code>repeated .fawndrum.EndpointStart endpoints = 1;</code>
      */
     public int getEndpointsCount() {
       if (endpointsBuilder_ == null) {
@@ -468,9 +468,9 @@
       }
     }
     /**
-     * <code>repeated .fawndrum.EndpointWord endpoints = 1;</code>
+     * <code>repeated .fawndrum.EndpointStart endpoints = 1;</code>
      */
-    public org.fawndrum.protocol.wire.EndpointWord getEndpoints(int index) {
+    public org.fawndrum.protocol.wire.EndpointStart getEndpoints(int index) {
       if (endpointsBuilder_ == null) {
         return endpoints_.get(index);
       } else {
@@ -478,10 +478,10 @@
       }
     }
     /**
-     * <code>repeated .fawndrum.EndpointWord endpoints = 1;</code>
+     * <code>repeated .fawndrum.EndpointStart endpoints = 1;</code>
      */
     public Builder setEndpoints(
-        int index, org.fawndrum.protocol.wire.EndpointWord value) {
+        int index, org.fawndrum.protocol.wire.EndpointStart value) {
       if (endpointsBuilder_ == null) {
         if (value == null) {
           throw new NullPointerException();
@@ -495,10 +495,10 @@
       return this;
     }
     /**
-     * <code>repeated .fawndrum.EndpointWord endpoints = 1;</code>
+     * <code>repeated .fawndrum.EndpointStart endpoints = 1;</code>
      */
     public Builder setEndpoints(
-        int index, org.fawndrum.protocol.wire.EndpointWord.Builder builderForValue) {
+        int index, org.fawndrum.protocol.wire.EndpointStart.Builder builderForValue) {
       if (endpointsBuilder_ == null) {
         ensureEndpointsIsMutable();
         endpoints_.set(index, builderForValue.build());
@@ -509,9 +509,9 @@
       return this;
     }
     /**
-     * <code>repeated .fawndrum.EndpointWord endpoints = 1;</code>
+     * <code>repeated .fawndrum.EndpointStart endpoints = 1;</code>
      */
-    public Builder addEndpoints(org.fawndrum.protocol.wire.EndpointWord value) {
+    public Builder addEndpoints(org.fawndrum.protocol.wire.EndpointStart value) {
       if (endpointsBuilder_ == null) {
         if (value == null) {
           throw new NullPointerException();
@@ -525,10 +525,10 @@
       return this;
     }
     /**
-     * <code>repeated .fawndrum.EndpointWord endpoints = 1;</code>
+     * <code>repeated .fawndrum.EndpointStart endpoints = 1;</code>
      */
     public Builder addEndpoints(
-        int index, org.fawndrum.protocol.wire.EndpointWord value) {
+        int index, org.fawndrum.protocol.wire.EndpointStart value) {
       if (endpointsBuilder_ == null) {
         if (value == null) {
           throw new NullPointerException();
@@ -542,10 +542,10 @@
       return this;
     }
     /**
-     * <code>repeated .fawndrum.EndpointWord endpoints = 1;</code>
+     * <code>repeated .fawndrum.EndpointStart endpoints = 1;</code>
      */
     public Builder addEndpoints(
-        org.fawndrum.protocol.wire.EndpointWord.Builder builderForValue) {
+        org.fawndrum.protocol.wire.EndpointStart.Builder builderForValue) {
       if (endpointsBuilder_ == null) {
         ensureEndpointsIsMutable();
         endpoints_.add(builderForValue.build());
@@ -556,10 +556,10 @@
       return this;
     }
     /**
-     * <code>repeated .fawndrum.EndpointWord endpoints = 1;</code>
+     * <code>repeated .fawndrum.EndpointStart endpoints = 1;</code>
      */
     public Builder addEndpoints(
-        int index, org.fawndrum.protocol.wire.EndpointWord.Builder builderForValue) {
+        int index, org.fawndrum.protocol.wire.EndpointStart.Builder builderForValue) {
       if (endpointsBuilder_ == null) {
         ensureEndpointsIsMutable();
         endpoints_.add(index, builderForValue.build());
@@ -570,10 +570,10 @@
       return this;
     }
     /**
-     * <code>repeated .fawndrum.EndpointWord endpoints = 1;</code>
+     * <code>repeated .fawndrum.EndpointStart endpoints = 1;</code>
      */
     public Builder addAllEndpoints(
-        java.lang.Iterable<? extends org.fawndrum.protocol.wire.EndpointWord> values) {
+        java.lang.Iterable<? extends org.fawndrum.protocol.wire.EndpointStart> values) {
       if (endpointsBuilder_ == null) {
         ensureEndpointsIsMutable();
         com.google.protobuf.AbstractMessageLite.Builder.addAll(
@@ -585,7 +585,7 @@
       return this;
     }
     /**
-     * <code>repeated .fawndrum.EndpointWord endpoints = 1;</code>
+     * <code>repeated .fawndrum.EndpointStart endpoints = 1;</code>
      */
     public Builder clearEndpoints() {
       if (endpointsBuilder_ == null) {
@@ -598,7 +598,7 @@
       return this;
     }
     /**
-     * <code>repeated .fawndrum.EndpointWord endpoints = 1;</code>
+     * <code>repeated .fawndrum.EndpointStart endpoints = 1;</code>
      */
     public Builder removeEndpoints(int index) {
       if (endpointsBuilder_ == null) {
@@ -611,16 +611,16 @@
       return this;
     }
     /**
-     * <code>repeated .fawndrum.EndpointWord endpoints = 1;</code>
+     * <code>repeated .fawndrum.EndpointStart endpoints = 1;</code>
      */
-    public org.fawndrum.protocol.wire.EndpointWord.Builder getEndpointsBuilder(
+    public org.fawndrum.protocol.wire.EndpointStart.Builder getEndpointsBuilder(
         int index) {
       return internalGetEndpointsFieldBuilder().getBuilder(index);
     }
     /**
-     * <code>repeated .fawndrum.EndpointWord endpoints = 1;</code>
+     * <code>repeated .fawndrum.EndpointStart endpoints = 1;</code>
      */
-    public org.fawndrum.protocol.wire.EndpointWordOrBuilder getEndpointsOrBuilder(
+    public org.fawndrum.protocol.wire.EndpointStartOrBuilder getEndpointsOrBuilder(
         int index) {
       if (endpointsBuilder_ == null) {
         return endpoints_.get(index);  } else {
@@ -628,9 +628,9 @@
       }
     }
     /**
-     * <code>repeated .fawndrum.EndpointWord endpoints = 1;</code>
+     * <code>repeated .fawndrum.EndpointStart endpoints = 1;</code>
      */
-    public java.util.List<? extends org.fawndrum.protocol.wire.EndpointWordOrBuilder> 
+    public java.util.List<? extends org.fawndrum.protocol.wire.EndpointStartOrBuilder> 
          getEndpointsOrBuilderList() {
       if (endpointsBuilder_ != null) {
         return endpointsBuilder_.getMessageOrBuilderList();
@@ -639,33 +639,33 @@
       }
     }
     /**
-     * <code>repeated .fawndrum.EndpointWord endpoints = 1;</code>
+     * <code>repeated .fawndrum.EndpointStart endpoints = 1;</code>
      */
-    public org.fawndrum.protocol.wire.EndpointWord.Builder addEndpointsBuilder() {
+    public org.fawndrum.protocol.wire.EndpointStart.Builder addEndpointsBuilder() {
       return internalGetEndpointsFieldBuilder().addBuilder(
-          org.fawndrum.protocol.wire.EndpointWord.getDefaultInstance());
+          org.fawndrum.protocol.wire.EndpointStart.getDefaultInstance());
     }
     /**
-     * <code>repeated .fawndrum.EndpointWord endpoints = 1;</code>
+     * <code>repeated .fawndrum.EndpointStart endpoints = 1;</code>
      */
-    public org.fawndrum.protocol.wire.EndpointWord.Builder addEndpointsBuilder(
+    public org.fawndrum.protocol.wire.EndpointStart.Builder addEndpointsBuilder(
         int index) {
       return internalGetEndpointsFieldBuilder().addBuilder(
-          index, org.fawndrum.protocol.wire.EndpointWord.getDefaultInstance());
+          index, org.fawndrum.protocol.wire.EndpointStart.getDefaultInstance());
     }
     /**
-     * <code>repeated .fawndrum.EndpointWord endpoints = 1;</code>
+     * <code>repeated .fawndrum.EndpointStart endpoints = 1;</code>
      */
-    public java.util.List<org.fawndrum.protocol.wire.EndpointWord.Builder> 
+    public java.util.List<org.fawndrum.protocol.wire.EndpointStart.Builder> 
          getEndpointsBuilderList() {
       return internalGetEndpointsFieldBuilder().getBuilderList();
     }
     private com.google.protobuf.RepeatedFieldBuilder<
-        org.fawndrum.protocol.wire.EndpointWord, org.fawndrum.protocol.wire.EndpointWord.Builder, org.fawndrum.protocol.wire.EndpointWordOrBuilder> 
+        org.fawndrum.protocol.wire.EndpointStart, org.fawndrum.protocol.wire.EndpointStart.Builder, org.fawndrum.protocol.wire.EndpointStartOrBuilder> 
         internalGetEndpointsFieldBuilder() {
       if (endpointsBuilder_ == null) {
         endpointsBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
-            org.fawndrum.protocol.wire.EndpointWord, org.fawndrum.protocol.wire.EndpointWord.Builder, org.fawndrum.protocol.wire.EndpointWordOrBuilder>(
+            org.fawndrum.protocol.wire.EndpointStart, org.fawndrum.protocol.wire.EndpointStart.Builder, org.fawndrum.protocol.wire.EndpointStartOrBuilder>(
                 endpoints_,
                 ((bitField0_ & 0x00000001) != 0),
                 getParentForChildren(),
--- a/org.fawndrum/src/org/fawndrum/protocol/wire/LeavingNewsOrBuilder.java
+++ b/org.fawndrum/src/org/fawndrum/protocol/wire/LeavingNewsOrBuilder.java
@@ -11,26 +11,26 @@
     com.google.protobuf.MessageOrBuilder {
 
   /**
-   * <code>repeated .fawndrum.EndpointWord endpoints = 1;</code>
+   * <code>repeated .fawndrum.EndpointStart endpoints = 1;</code>
    */
-  java.util.List<org.fawndrum.protocol.wire.EndpointWord> 
+  java.util.List<org.fawndrum.protocol.wire.EndpointStart> 
       getEndpointsList();
   /**
-   * <code>repeated .fawndrum.EndpointWord endpoints = 1;</code>
+   * <code>repeated .fawndrum.EndpointStart endpoints = 1;</code>
    */
-  org.fawndrum.protocol.wire.EndpointWord getEndpoints(int index);
+  org.fawndrum.protocol.wire.EndpointStart getEndpoints(int index);
   /**
-   * <code>repeated .fawndrum.EndpointWord endpoints = 1;</code>
+   * <code>repeated .fawndrum.EndpointStart endpoints = 1;</code>
    */
   int getEndpointsCount();
   /**
-   * <code>repeated .fawndrum.EndpointWord endpoints = 1;</code>
+   * <code>repeated .fawndrum.EndpointStart endpoints = 1;</code>
    */
-  java.util.List<? extends org.fawndrum.protocol.wire.EndpointWordOrBuilder> 
+  java.util.List<? extends org.fawndrum.protocol.wire.EndpointStartOrBuilder> 
       getEndpointsOrBuilderList();
   /**
-   * <code>repeated .fawndrum.EndpointWord endpoints = 1;</code>
+   * <code>repeated .fawndrum.EndpointStart endpoints = 1;</code>
    */
-  org.fawndrum.protocol.wire.EndpointWordOrBuilder getEndpointsOrBuilder(
+  org.fawndrum.protocol.wire.EndpointStartOrBuilder getEndpointsOrBuilder(
       int index);
 }
--- a/org.fawndrum/src/org/fawndrum/protocol/wire/Peer.java
+++ b/org.fawndrum/src/org/fawndrum/protocol/wire/Peer.java
@@ -77,10 +77,10 @@
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_fawndrum_Heartbeat_fieldAccessorTable;
   static final com.google.protobuf.Descriptors.Descriptor
-    internal_static_fawndrum_EndpointWord_descriptor;
+    internal_static_fawndrum_EndpointStart_descriptor;
   static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
-      internal_static_fawndrum_EndpointWord_fieldAccessorTable;
+      internal_static_fawndrum_EndpointStart_fieldAccessorTable;
   static final com.google.protobuf.Descriptors.Descriptor
     internal_static_fawndrum_LeavingNews_descriptor;
   static final 
@@ -248,71 +248,71 @@
       "ition\030\006 \001(\003\022\027\n\017listing_version\030\007 \001(\003\022\020\n\010" +
       "draining\030\010 \001(\010\022\026\n\016waiting_tokens\030\t \001(\003\022\030" +
       "\n\020running_requests\030\n \001(\003\022\023\n\013load_digest\030" +
-      "\013 \001(\014\"1\n\014EndpointWord\022\014\n\004host\030\001 \001(\t\022\023\n\013i" +
-      "ncarnation\030\002 \001(\003\"8\n\013LeavingNews\022)\n\tendpo" +
-      "ints\030\001 \003(\0132\026.fawndrum.EndpointWord\"M\n\016Ca" +
-      "tchUpRequest\022\034\n\024table_after_position\030\001 \001" +
-      "(\003\022\035\n\025listing_after_version\030\002 \001(\003\"P\n\014Cat" +
-      "chUpReply\022*\n\010snapshot\030\001 \001(\0132\030.fawndrum.S" +
-      "napshotRecord\022\024\n\014listing_json\030\002 \001(\014\"\315\002\n\t" +
-      "FleetNews\022%\n\006sender\030\001 \001(\0132\025.fawndrum.Dae" +
-      "monPlace\022\022\n\nsubscribes\030\002 \001(\010\022%\n\007reports\030" +
-      "\003 \003(\0132\024.fawndrum.WorkReport\022$\n\005known\030\004 \003" +
-      "(\0132\025.fawndrum.DaemonPlace\022\036\n\026configurati" +
-      "on_revision\030\005 \001(\003\022\031\n\021endpoints_changed\030\006" +
-      " \001(\003\022&\n\007crashes\030\007 \001(\0132\025.fawndrum.CrashRe" +
-      "port\022\025\n\rcrash_summary\030\010 \001(\020\022\'\n\007leaving\030\t" +
-      " \003(\0132\026.fawndrum.EndpointWord\022\025\n\rendpoint" +
-      "s_era\030\n \001(\003\"\273\001\n\013CrashReport\022&\n\007crashes\030\001" +
-      " \003(\0132\025.fawndrum.CrashRecord\022&\n\006served\030\002 " +
-      "\003(\0132\026.fawndrum.ServedRecord\022(\n\007refused\030\003" +
-      " \003(\0132\027.fawndrum.RefusedRecord\022\r\n\005whole\030\004" +
-      " \001(\010\022#\n\005turns\030\005 \003(\0132\024.fawndrum.TurnRecor" +
-      "d\"7\n\013Fingerprint\022\r\n\005bytes\030\001 \001(\003\022\014\n\004high\030" +
-      "\002 \001(\020\022\013\n\003low\030\003 \001(\020\"\211\001\n\013CrashRecord\022\020\n\010en" +
-      "dpoint\030\001 \001(\t\022\034\n\024endpoint_incarnation\030\002 \001" +
-      "(\003\022\016\n\006age_ms\030\003 \001(\003\022$\n\005under\030\004 \003(\0132\025.fawn" +
-      "drum.Fingerprint\022\024\n\014taken_age_ms\030\005 \001(\003\"F" +
-      "\n\014ServedRecord\022&\n\007request\030\001 \001(\0132\025.fawndr" +
-      "um.Fingerprint\022\016\n\006age_ms\030\002 \001(\003\"l\n\nTurnRe" +
-      "cord\022&\n\007request\030\001 \001(\0132\025.fawndrum.Fingerp" +
-      "rint\022\014\n\004host\030\002 \001(\t\022\030\n\020host_incarnation\030\003" +
-      " \001(\003\022\016\n\006age_ms\030\004 \001(\003\"Z\n\rRefusedRecord\022&\n" +
-      "\007request\030\001 \001(\0132\025.fawndrum.Fingerprint\022\016\n" +
-      "\006age_ms\030\002 \001(\003\022\021\n\tendpoints\030\003 \003(\t\"j\n\013Daem" +
-      "onPlace\022\014\n\004host\030\001 \001(\t\022\023\n\013incarnation\030\002 \001" +
-      "(\003\022\014\n\004zone\030\003 \001(\t\022\n\n\002ip\030\004 \001(\t\022\014\n\004port\030\005 \001" +
-      "(\005\022\020\n\010capacity\030\006 \001(\003\"\273\001\n\nWorkReport\022%\n\006d" +
-      "aemon\030\001 \001(\0132\025.fawndrum.DaemonPlace\022\020\n\010se" +
-      "quence\030\002 \001(\003\022\r\n\005whole\030\003 \001(\010\022$\n\006placed\030\004 " +
-      "\003(\0132\024.fawndrum.WorkPlaced\022\014\n\004read\030\005 \003(\020\022" +
-      "\r\n\005ended\030\006 \003(\020\022\016\n\006failed\030\007 \003(\020\022\022\n\nabout_" +
-      "zone\030\010 \001(\t\"`\n\020KnowledgeRequest\022\036\n\026config" +
-      "uration_revision\030\001 \001(\003\022\025\n\rendpoints_end\030" +
-      "\002 \001(\003\022\025\n\rendpoints_era\030\003 \001(\003\"\301\002\n\016Knowled" +
-      "geReply\022\034\n\024configuration_age_ms\030\001 \001(\003\022\036\n" +
-      "\026configuration_revision\030\002 \001(\003\0221\n\rconfigu" +
-      "ration\030\003 \001(\0132\025.fawndrum.StoreRecordH\000\210\001\001" +
-      "\022\025\n\rendpoints_end\030\004 \001(\003\022(\n\tendpoints\030\005 \003" +
-      "(\0132\025.fawndrum.StoreRecord\022\030\n\020endpoints_a" +
-      "ge_ms\030\006 \001(\003\022\032\n\022endpoints_left_out\030\007 \001(\010\022" +
-      "\025\n\rendpoints_era\030\010 \001(\003\022\036\n\026endpoints_chan" +
-      "ges_only\030\t \001(\010B\020\n\016_configuration\"9\n\013Stor" +
-      "eRecord\022\016\n\006offset\030\001 \001(\003\022\013\n\003key\030\002 \001(\t\022\r\n\005" +
-      "value\030\003 \001(\014\"\327\001\n\nWorkPlaced\022\n\n\002id\030\001 \001(\020\022\020" +
-      "\n\010endpoint\030\002 \001(\t\022\034\n\024endpoint_incarnation" +
-      "\030\003 \001(\003\022\025\n\rprompt_tokens\030\004 \001(\003\022\025\n\rmemory_" +
-      "tokens\030\005 \001(\003\022\r\n\005parts\030\006 \001(\005\022\016\n\006writes\030\007 " +
-      "\001(\010\022\032\n\022first_token_aim_ms\030\010 \001(\003\022\024\n\014pause" +
-      "_aim_ms\030\t \001(\003\022\016\n\006age_ms\030\n \001(\003\"\033\n\014ClaimRe" +
-      "quest\022\013\n\003key\030\001 \001(\t\"q\n\nClaimReply\022+\n\006answ" +
-      "er\030\001 \001(\0162\033.fawndrum.ClaimReply.Answer\"6\n" +
-      "\006Answer\022\017\n\013UNSPECIFIED\020\000\022\010\n\004FREE\020\001\022\010\n\004HE" +
-      "LD\020\002\022\007\n\003RAN\020\003\"8\n\016LedgerHandover\022&\n\007entri" +
-      "es\030\001 \003(\0132\025.fawndrum.LedgerEntry\"7\n\013Ledge" +
-      "rEntry\022\013\n\003key\030\001 \001(\t\022\013\n\003ran\030\002 \001(\010\022\016\n\006age_" +
-      "ms\030\003 \001(\003\"\021\n\017AcknowledgementB\036\n\032org.fawnd" +
-      "rum.protocol.wireP\001b\006proto3"
+      "\013 \001(\014\"2\n\rEndpointStart\022\014\n\004host\030\001 \001(\t\022\023\n\013" +
+      "incarnation\030\002 \001(\003\"9\n\013LeavingNews\022*\n\tendp" +
+      "oints\030\001 \003(\0132\027.fawndrum.EndpointStart\"M\n\016" +
+      "CatchUpRequest\022\034\n\024table_after_position\030\001" +
+      " \001(\003\022\035\n\025listing_after_version\030\002 \001(\003\"P\n\014C" +
+      "atchUpReply\022*\n\010snapshot\030\001 \001(\0132\030.fawndrum" +
+      ".SnapshotRecord\022\024\n\014listing_json\030\002 \001(\014\"\316\002" +
+      "\n\tFleetNews\022%\n\006sender\030\001 \001(\0132\025.fawndrum.D" +
+      "aemonPlace\022\022\n\nsubscribes\030\002 \001(\010\022%\n\007report" +
+      "s\030\003 \003(\0132\024.fawndrum.WorkReport\022$\n\005known\030\004" +
+      " \003(\0132\025.fawndrum.DaemonPlace\022\036\n\026configura" +
+      "tion_revision\030\005 \001(\003\022\031\n\021endpoints_changed" +
+      "\030\006 \001(\003\022&\n\007crashes\030\007 \001(\0132\025.fawndrum.Crash" +
+      "Report\022\025\n\rcrash_summary\030\010 \001(\020\022(\n\007leaving" +
+      "\030\t \003(\0132\027.fawndrum.EndpointStart\022\025\n\rendpo" +
+      "ints_era\030\n \001(\003\"\273\001\n\013CrashReport\022&\n\007crashe" +
+      "s\030\001 \003(\0132\025.fawndrum.CrashRecord\022&\n\006served" +
+      "\030\002 \003(\0132\026.fawndrum.ServedRecord\022(\n\007refuse" +
+      "d\030\003 \003(\0132\027.fawndrum.RefusedRecord\022\r\n\005whol" +
+      "e\030\004 \001(\010\022#\n\005turns\030\005 \003(\0132\024.fawndrum.TurnRe" +
+      "cord\"7\n\013Fingerprint\022\r\n\005bytes\030\001 \001(\003\022\014\n\004hi" +
+      "gh\030\002 \001(\020\022\013\n\003low\030\003 \001(\020\"\211\001\n\013CrashRecord\022\020\n" +
+      "\010endpoint\030\001 \001(\t\022\034\n\024endpoint_incarnation\030" +
+      "\002 \001(\003\022\016\n\006age_ms\030\003 \001(\003\022$\n\005under\030\004 \003(\0132\025.f" +
+      "awndrum.Fingerprint\022\024\n\014taken_age_ms\030\005 \001(" +
+      "\003\"F\n\014ServedRecord\022&\n\007request\030\001 \001(\0132\025.faw" +
+      "ndrum.Fingerprint\022\016\n\006age_ms\030\002 \001(\003\"l\n\nTur" +
+      "nRecord\022&\n\007request\030\001 \001(\0132\025.fawndrum.Fing" +
+      "erprint\022\014\n\004host\030\002 \001(\t\022\030\n\020host_incarnatio" +
+      "n\030\003 \001(\003\022\016\n\006age_ms\030\004 \001(\003\"Z\n\rRefusedRecord" +
+      "\022&\n\007request\030\001 \001(\0132\025.fawndrum.Fingerprint" +
+      "\022\016\n\006age_ms\030\002 \001(\003\022\021\n\tendpoints\030\003 \003(\t\"j\n\013D" +
+      "aemonPlace\022\014\n\004host\030\001 \001(\t\022\023\n\013incarnation\030" +
+      "\002 \001(\003\022\014\n\004zone\030\003 \001(\t\022\n\n\002ip\030\004 \001(\t\022\014\n\004port\030" +
+      "\005 \001(\005\022\020\n\010capacity\030\006 \001(\003\"\273\001\n\nWorkReport\022%" +
+      "\n\006daemon\030\001 \001(\0132\025.fawndrum.DaemonPlace\022\020\n" +
+      "\010sequence\030\002 \001(\003\022\r\n\005whole\030\003 \001(\010\022$\n\006placed" +
+      "\030\004 \003(\0132\024.fawndrum.WorkPlaced\022\014\n\004read\030\005 \003" +
+      "(\020\022\r\n\005ended\030\006 \003(\020\022\016\n\006failed\030\007 \003(\020\022\022\n\nabo" +
+      "ut_zone\030\010 \001(\t\"`\n\020KnowledgeRequest\022\036\n\026con" +
+      "figuration_revision\030\001 \001(\003\022\025\n\rendpoints_e" +
+      "nd\030\002 \001(\003\022\025\n\rendpoints_era\030\003 \001(\003\"\301\002\n\016Know" +
+      "ledgeReply\022\034\n\024configuration_age_ms\030\001 \001(\003" +
+      "\022\036\n\026configuration_revision\030\002 \001(\003\0221\n\rconf" +
+      "iguration\030\003 \001(\0132\025.fawndrum.StoreRecordH\000" +
+      "\210\001\001\022\025\n\rendpoints_end\030\004 \001(\003\022(\n\tendpoints\030" +
+      "\005 \003(\0132\025.fawndrum.StoreRecord\022\030\n\020endpoint" +
+      "s_age_ms\030\006 \001(\003\022\032\n\022endpoints_left_out\030\007 \001" +
+      "(\010\022\025\n\rendpoints_era\030\010 \001(\003\022\036\n\026endpoints_c" +
+      "hanges_only\030\t \001(\010B\020\n\016_configuration\"9\n\013S" +
+      "toreRecord\022\016\n\006offset\030\001 \001(\003\022\013\n\003key\030\002 \001(\t\022" +
+      "\r\n\005value\030\003 \001(\014\"\327\001\n\nWorkPlaced\022\n\n\002id\030\001 \001(" +
+      "\020\022\020\n\010endpoint\030\002 \001(\t\022\034\n\024endpoint_incarnat" +
+      "ion\030\003 \001(\003\022\025\n\rprompt_tokens\030\004 \001(\003\022\025\n\rmemo" +
+      "ry_tokens\030\005 \001(\003\022\r\n\005parts\030\006 \001(\005\022\016\n\006writes" +
+      "\030\007 \001(\010\022\032\n\022first_token_aim_ms\030\010 \001(\003\022\024\n\014pa" +
+      "use_aim_ms\030\t \001(\003\022\016\n\006age_ms\030\n \001(\003\"\033\n\014Clai" +
+      "mRequest\022\013\n\003key\030\001 \001(\t\"q\n\nClaimReply\022+\n\006a" +
+      "nswer\030\001 \001(\0162\033.fawndrum.ClaimReply.Answer" +
+      "\"6\n\006Answer\022\017\n\013UNSPECIFIED\020\000\022\010\n\004FREE\020\001\022\010\n" +
+      "\004HELD\020\002\022\007\n\003RAN\020\003\"8\n\016LedgerHandover\022&\n\007en" +
+      "tries\030\001 \003(\0132\025.fawndrum.LedgerEntry\"7\n\013Le" +
+      "dgerEntry\022\013\n\003key\030\001 \001(\t\022\013\n\003ran\030\002 \001(\010\022\016\n\006a" +
+      "ge_ms\030\003 \001(\003\"\021\n\017AcknowledgementB\036\n\032org.fa" +
+      "wndrum.protocol.wireP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -378,11 +378,11 @@
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_fawndrum_Heartbeat_descriptor,
         new java.lang.String[] { "Zone", "PeerIp", "PeerPort", "Sequence", "TableRevision", "TablePosition", "ListingVersion", "Draining", "WaitingTokens", "RunningRequests", "LoadDigest", });
-    internal_static_fawndrum_EndpointWord_descriptor =
+    internal_static_fawndrum_EndpointStart_descriptor =
       getDescriptor().getMessageType(10);
-    internal_static_fawndrum_EndpointWord_fieldAccessorTable = new
+    internal_static_fawndrum_EndpointStart_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
-        internal_static_fawndrum_EndpointWord_descriptor,
+        internal_static_fawndrum_EndpointStart_descriptor,
         new java.lang.String[] { "Host", "Incarnation", });
     internal_static_fawndrum_LeavingNews_descriptor =
       getDescriptor().getMessageType(11);
--- a/org.fawndrum/src/org/fawndrum/transport/EntryHostRuntime.java
+++ b/org.fawndrum/src/org/fawndrum/transport/EntryHostRuntime.java
@@ -24,7 +24,7 @@
 import org.fawndrum.protocol.OperatorMessages.Status;
 import org.fawndrum.protocol.PeerCodec;
 import org.fawndrum.protocol.wire.ClaimRequest;
-import org.fawndrum.protocol.wire.EndpointWord;
+import org.fawndrum.protocol.wire.EndpointStart;
 import org.fawndrum.protocol.wire.LeavingNews;
 import org.fawndrum.protocol.wire.PeerMessage;
 import org.fawndrum.protocol.wire.SnapshotRecord;
@@ -259,13 +259,13 @@
   }
 
   private void tellLeaving(HostIdentity endpoint) {
-    EndpointWord word =
-        EndpointWord.newBuilder()
+    EndpointStart start =
+        EndpointStart.newBuilder()
             .setHost(endpoint.host())
             .setIncarnation(endpoint.incarnation())
             .build();
     PeerMessage news =
-        PeerCodec.from(self).setLeavingNews(LeavingNews.newBuilder().addEndpoints(word)).build();
+        PeerCodec.from(self).setLeavingNews(LeavingNews.newBuilder().addEndpoints(start)).build();
     members.peers().forEach(peer -> network.tell(peer.facts().address(), news));
   }
 
--- a/org.fawndrum/src/org/fawndrum/transport/PeerDesk.java
+++ b/org.fawndrum/src/org/fawndrum/transport/PeerDesk.java
@@ -6,7 +6,7 @@
 import org.fawndrum.protocol.LoadDigest;
 import org.fawndrum.protocol.PeerCodec;
 import org.fawndrum.protocol.wire.Acknowledgement;
-import org.fawndrum.protocol.wire.EndpointWord;
+import org.fawndrum.protocol.wire.EndpointStart;
 import org.fawndrum.protocol.wire.Heartbeat;
 import org.fawndrum.protocol.wire.PeerMessage;
 import org.fawndrum.state.HostIdentity;
@@ -44,9 +44,9 @@
                   PeerCodec.inherited(message.getLedgerHandover(), clock.nowMs()),
                   () -> reply.accept(acknowledgement())));
       case LEAVING_NEWS -> {
-        for (EndpointWord word : message.getLeavingNews().getEndpointsList()) {
+        for (EndpointStart start : message.getLeavingNews().getEndpointsList()) {
           decisions.accept(
-              new HostEvent.SaidLeaving(new HostIdentity(word.getHost(), word.getIncarnation())));
+              new HostEvent.SaidLeaving(new HostIdentity(start.getHost(), start.getIncarnation())));
         }
       }
       default -> {}
--- a/org.fawndrum/src/org/fawndrum/transport/PlainExchange.java
+++ b/org.fawndrum/src/org/fawndrum/transport/PlainExchange.java
@@ -21,7 +21,7 @@
  * never handed on.
  */
 final class PlainExchange implements Exchange {
-  /** A service's word that it did not and will not run the call: this header with value "no". */
+  /** A service says that it did not and will not run the call: this header with value "no". */
   static final String RAN_HEADER = "x-ran";
 
   private static final Set<String> NOT_HANDED_ON =
--- a/org.fawndrum/src/org/fawndrum/transport/relay/CurrentStarts.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/CurrentStarts.java
@@ -13,9 +13,9 @@
 /**
  * Orders to engines that reach only the start of an engine for which they are meant. An engine that
  * has started again holds nothing of before, so that a lease renewed there would set memory aside
- * for nobody, and its word that it lives says nothing about a request that its earlier start had.
- * Which start is the newest is learned from the endpoints' entries and from engines' reports, which
- * tell it also while the store is down. Safe for all threads.
+ * for nobody, and its sign of life says nothing about a request that its earlier start had. Which
+ * start is the newest is learned from the endpoints' entries and from engines' reports, which tell
+ * it also while the store is down. Safe for all threads.
  */
 final class CurrentStarts implements EngineOrders {
   private final EngineOrders orders;
--- a/org.fawndrum/src/org/fawndrum/transport/relay/FleetDuty.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/FleetDuty.java
@@ -73,7 +73,7 @@
   private final Duty<FleetEvent> duty;
   private final FleetOverlay overlay;
   private final Map<String, List<EngineNews>> ownNews = new LinkedHashMap<>();
-  private final LeavingWords leavingWords = new LeavingWords();
+  private final LeavingNotices leavingNotices = new LeavingNotices();
   private final ReportBuffer gathered = new ReportBuffer();
   private volatile List<HostAddress> alive = List.of();
   private volatile HostAddress speaker;
@@ -170,7 +170,7 @@
       tell(crashes);
     } else if (event instanceof FleetEvent.Leaving leaving) {
       long nowMs = clock.nowMs();
-      leavingWords.learned(leaving.endpoints(), nowMs);
+      leavingNotices.learned(leaving.endpoints(), nowMs);
       send(news(), everyone(nowMs));
     }
   }
@@ -347,7 +347,7 @@
         .setConfigurationRevision(view.configurationRevision())
         .setEndpointsEra(view.endpointsChanged().era())
         .setEndpointsChanged(view.endpointsChanged().offset())
-        .addAllLeaving(FleetCodec.writeEndpoints(leavingWords.toTell(clock.nowMs())))
+        .addAllLeaving(FleetCodec.writeEndpoints(leavingNotices.toTell(clock.nowMs())))
         .setCrashSummary(crashSummary.getAsLong());
   }
 
--- a/org.fawndrum/src/org/fawndrum/transport/relay/LeavingWords.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/LeavingNotices.java
@@ -12,7 +12,7 @@
  * hears of none of them learns it from the first answer of the endpoint. Confined to one thread;
  * times are those of the host's clock, in milliseconds.
  */
-final class LeavingWords {
+final class LeavingNotices {
   /** For how long an endpoint is named, in milliseconds: five heartbeats. */
   private static final long TOLD_MS = 5_000;
 
--- a/org.fawndrum/src/org/fawndrum/transport/relay/RelayAttempt.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/RelayAttempt.java
@@ -18,7 +18,7 @@
 import org.fawndrum.state.RouteKind;
 
 /**
- * One sending of a request to one endpoint. It ends with exactly one word to its owner, unless it
+ * One sending of a request to one endpoint. It ends with exactly one report to its owner, unless it
  * is cancelled. Confined to its owner's event loop.
  */
 final class RelayAttempt {
--- a/org.fawndrum/src/org/fawndrum/transport/relay/RelayDrain.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/RelayDrain.java
@@ -119,9 +119,9 @@
   }
 
   /**
-   * Has what is open answered, because the end of the process would cut it without a word, and
-   * waits for that: a busy host may take long until it comes to it. The decisions' word is taken on
-   * the event loop, behind the answers that were ordered before it.
+   * Has what is open answered, because the end of the process would cut it without an answer, and
+   * waits for that: a busy host may take long until it comes to it. The decisions' report is taken
+   * on the event loop, behind the answers that were ordered before it.
    */
   private void end(StopWindow window) {
     orders.accept(new RelayEvent.Ending(() -> vertx.runOnContext(v -> decided = true)));
--- a/org.fawndrum/tst/org/fawndrum/coordination/crash/CrashFleet.java
+++ b/org.fawndrum/tst/org/fawndrum/coordination/crash/CrashFleet.java
@@ -252,7 +252,7 @@
   }
 
   private void place(Run run) {
-    Engine engine = free(one -> isApart(run, one)).orElseGet(() -> free(one -> true).orElse(null));
+    Engine engine = free(one -> mayRunAt(run, one)).orElseGet(() -> free(one -> true).orElse(null));
     if (engine == null) {
       endTurn(run);
       return;
@@ -269,9 +269,9 @@
     }
   }
 
-  private boolean isApart(Run run, Engine engine) {
+  private boolean mayRunAt(Run run, Engine engine) {
     CrashLedger ledger = ledgers[run.host()];
-    return !ledger.runsApart(run.request()) || ledger.isApart(run.request(), identity(engine));
+    return !ledger.isIsolated(run.request()) || ledger.mayRunAt(run.request(), identity(engine));
   }
 
   /** Returns one of the engines that have room and pass a test. */
--- a/org.fawndrum/tst/org/fawndrum/coordination/crash/SuspectTurnsTest.java
+++ b/org.fawndrum/tst/org/fawndrum/coordination/crash/SuspectTurnsTest.java
@@ -46,17 +46,17 @@
     TestContent second = new TestContent(9);
     crash("e-1", DEADLY, second, INNOCENT);
     pass(APART_MS);
-    assertFalse(ledger.runsApart(DEADLY), "one crash each");
+    assertFalse(ledger.isIsolated(DEADLY), "one crash each");
     crash("e-2", DEADLY, second);
     settle();
-    assertTrue(ledger.runsApart(DEADLY));
-    assertFalse(ledger.runsApart(INNOCENT));
+    assertTrue(ledger.isIsolated(DEADLY));
+    assertFalse(ledger.isIsolated(INNOCENT));
     for (int i = 0; i < 20; i++) {
       HostIdentity endpoint = new HostIdentity("e-" + i, 1);
-      assertNotEquals(ledger.isApart(DEADLY, endpoint), ledger.isApart(second, endpoint));
+      assertNotEquals(ledger.mayRunAt(DEADLY, endpoint), ledger.mayRunAt(second, endpoint));
     }
     ledger.served(second, nowMs);
-    assertFalse(ledger.runsApart(DEADLY), "the only one left");
+    assertFalse(ledger.isIsolated(DEADLY), "the only one left");
   }
 
   @Test
--- a/org.fawndrum/tst/org/fawndrum/transport/relay/LeavingWordsTest.java
+++ b/org.fawndrum/tst/org/fawndrum/transport/relay/LeavingNoticesTest.java
@@ -11,8 +11,8 @@
 import org.junit.jupiter.api.Test;
 
 /** For how long other daemons are told that endpoints leave, and of how many. */
-class LeavingWordsTest {
-  private final LeavingWords words = new LeavingWords();
+class LeavingNoticesTest {
+  private final LeavingNotices words = new LeavingNotices();
 
   private static HostIdentity endpoint(int number) {
     return new HostIdentity("e-" + number, 1);
