Tell peers what was read only when all of it is, and ask anew when one starts again

A host named a page as read before its entries were taken over, and another thread answers peers from both. A peer that asked in between noted the new end without the entries and, since only changes are told, was never told again. The end follows the entries now, and an entry's record is there before its change is. EndpointReaderTest.nobodyIsToldThatAPageIsRead... failed with the end set first.

A place beyond the end means something only within one incarnation of the host that names it. A host that started again may name lower places than were taken over before. Views are kept by incarnation, and an answer of another incarnation than the question was for is not taken over. PeerViewsTest.aPeerThatStartsAgain... and anAnswerOfALaterIncarnation...

--- a/org.fawndrum/src/org/fawndrum/transport/relay/EndpointReader.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/EndpointReader.java
@@ -61,6 +61,10 @@
   private Set<String> startless = Set.of();
   private final LineBudget lines = new LineBudget(LINES_PER_SECOND);
   private long returnedMs = HostClock.NEVER_MS;
+
+  /** The end of what is being taken over; {@link #readTo} follows when all of it is. */
+  private StorePosition reading = StorePosition.NONE;
+
   private volatile StorePosition readTo = StorePosition.NONE;
   private volatile StorePosition changedTo = StorePosition.NONE;
   private volatile long knownAtMs = HostClock.NEVER_MS;
@@ -88,6 +92,7 @@
     if (wentBack) {
       returnedMs = clock.nowMs();
     }
+    reading = readTo.max(page.endPosition());
     Set<String> present = new HashSet<>();
     page.records().forEach(record -> present.add(record.key()));
     Set<String> missing = new HashSet<>(records.keySet());
@@ -188,7 +193,7 @@
   }
 
   private void take(KeyedPage page, Set<String> missing) {
-    readTo = readTo.max(page.endPosition());
+    reading = readTo.max(page.endPosition());
     for (KeyedRecord record : page.records()) {
       if (record.drops()) {
         missing.add(record.key());
@@ -199,6 +204,8 @@
     }
     settle(missing);
     dropLapsed();
+    // Only now: whoever is told that this host has read so far is told all of it.
+    readTo = reading;
     publish();
   }
 
@@ -209,10 +216,10 @@
         return;
       }
       history.read(record.key(), entry, page.era());
+      records.put(record.key(), record);
       if (!entry.saysTheSame(entries.put(record.key(), entry))) {
         changedTo = changes.changed(record.key(), page.after(record));
       }
-      records.put(record.key(), record);
       lapsed.remove(record.key());
     } catch (RecordUnreadableException e) {
       tellUnusable(record, e.getCause());
@@ -255,14 +262,14 @@
   }
 
   private void drop(String key) {
+    records.remove(key);
+    lapsed.remove(key);
     if (entries.remove(key) != null) {
-      history.gone(key, readTo.era());
+      history.gone(key, reading.era());
       // Beyond the end, so that hosts that have read up to the end learn of it too.
-      StorePosition beyond = new StorePosition(readTo.era(), readTo.offset() + 1);
+      StorePosition beyond = new StorePosition(reading.era(), reading.offset() + 1);
       changedTo = changes.changed(key, beyond);
     }
-    records.remove(key);
-    lapsed.remove(key);
   }
 
   private void dropLapsed() {
--- a/org.fawndrum/src/org/fawndrum/transport/relay/FleetReceiver.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/FleetReceiver.java
@@ -11,7 +11,6 @@
 import org.fawndrum.protocol.wire.FleetNews;
 import org.fawndrum.protocol.wire.KnowledgeRequest;
 import org.fawndrum.protocol.wire.PeerMessage;
-import org.fawndrum.state.HostAddress;
 import org.fawndrum.state.HostIdentity;
 import org.fawndrum.transport.HostClock;
 import org.fawndrum.transport.peer.PeerNetwork;
@@ -31,7 +30,7 @@
     PeerMessage.Builder reply(KnowledgeRequest request);
 
     /** Takes note of how far another daemon has read. */
-    void told(HostAddress at, StoreView view);
+    void told(FleetMember peer, StoreView view);
   }
 
   FleetReceiver(Consumer<FleetEvent> fleet, Knowledge knowledge, HostClock clock) {
@@ -65,7 +64,7 @@
     fleet.accept(
         new FleetEvent.Heard(sender, news.getSubscribes(), reports, known, crashes, leaving));
     knowledge.told(
-        sender.address(),
+        sender,
         new StoreView(
             news.getConfigurationRevision(),
             new StorePosition(news.getEndpointsEra(), news.getEndpointsChanged())));
--- a/org.fawndrum/src/org/fawndrum/transport/relay/PeerKnowledge.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/PeerKnowledge.java
@@ -9,6 +9,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.ThreadLocalRandom;
+import org.fawndrum.coordination.membership.FleetMember;
 import org.fawndrum.internal.log.HostLog;
 import org.fawndrum.internal.log.LogEvent;
 import org.fawndrum.protocol.KeyedPage;
@@ -95,12 +96,12 @@
   }
 
   @Override
-  public void told(HostAddress at, StoreView view) {
-    boolean endpointsChanged = views.told(at, view.endpointsChanged(), endpoints.readTo());
+  public void told(FleetMember peer, StoreView view) {
+    boolean endpointsChanged = views.told(peer, view.endpointsChanged(), endpoints.readTo());
     boolean newer = endpointsChanged || view.configurationRevision() > routes.table().revision();
     Context on = loop;
     if (newer && on != null) {
-      on.runOnContext(v -> ask(at));
+      on.runOnContext(v -> ask(peer.address()));
     }
   }
 
@@ -109,47 +110,52 @@
     if (!asked.add(peer)) {
       return;
     }
-    StorePosition known = views.knownOf(peer, endpoints.readTo());
+    PeerViews.Question question = views.question(peer, endpoints.readTo());
     KnowledgeRequest request =
         KnowledgeRequest.newBuilder()
             .setConfigurationRevision(routes.table().revision())
-            .setEndpointsEra(known.era())
-            .setEndpointsEnd(known.offset())
+            .setEndpointsEra(question.known().era())
+            .setEndpointsEnd(question.known().offset())
             .build();
     long askedMs = clock.nowMs();
-    StorePosition covered = views.lastTold(peer);
     network
         .ask(peer, PeerCodec.from(self).setKnowledgeRequest(request))
         .whenComplete(
             (reply, failure) ->
-                loop.runOnContext(v -> answered(peer, covered, askedMs, reply, failure)));
+                loop.runOnContext(v -> answered(peer, question, askedMs, reply, failure)));
   }
 
   private void answered(
-      HostAddress peer, StorePosition covered, long askedMs, PeerMessage reply, Throwable failure) {
+      HostAddress peer,
+      PeerViews.Question question,
+      long askedMs,
+      PeerMessage reply,
+      Throwable failure) {
     asked.remove(peer);
     if (failure == null) {
-      take(reply.getKnowledgeReply(), askedMs);
-      views.taken(peer, covered);
+      takeConfiguration(reply.getKnowledgeReply(), askedMs);
+      if (question.isAnsweredBy(reply.getFromIncarnation())) {
+        takeEndpoints(reply.getKnowledgeReply(), askedMs);
+        views.taken(peer, question);
+      }
     } else {
       log.event(LogEvent.PEER_GAVE_NOTHING, peer, String.valueOf(failure));
     }
   }
 
-  private void take(KnowledgeReply reply, long askedMs) {
-    StorePosition end = new StorePosition(reply.getEndpointsEra(), reply.getEndpointsEnd());
+  private void takeConfiguration(KnowledgeReply reply, long askedMs) {
     boolean understood =
         !reply.hasConfiguration() || configuration.take(record(reply.getConfiguration()));
     boolean same = routes.table().revision() >= reply.getConfigurationRevision();
     // One that reads the store of before it went back proves nothing to one that knows better.
-    boolean oldEra = end.era() < endpoints.readTo().era();
+    boolean oldEra = reply.getEndpointsEra() < endpoints.readTo().era();
     if (understood && same && !oldEra && reply.getConfigurationAgeMs() >= 0) {
       routes.confirmed(askedMs - reply.getConfigurationAgeMs());
     }
-    takeEndpoints(reply, end, askedMs);
   }
 
-  private void takeEndpoints(KnowledgeReply reply, StorePosition end, long askedMs) {
+  private void takeEndpoints(KnowledgeReply reply, long askedMs) {
+    StorePosition end = new StorePosition(reply.getEndpointsEra(), reply.getEndpointsEnd());
     if (endpoints.readTo().isAfter(end) || !end.isKnown() || reply.getEndpointsAgeMs() < 0) {
       return;
     }
--- a/org.fawndrum/src/org/fawndrum/transport/relay/RelayRuntime.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/RelayRuntime.java
@@ -13,6 +13,7 @@
 import org.fawndrum.coordination.Policies;
 import org.fawndrum.coordination.RequestCoordinator;
 import org.fawndrum.coordination.crash.CrashNews;
+import org.fawndrum.coordination.membership.FleetMember;
 import org.fawndrum.errors.AddressUnavailableException;
 import org.fawndrum.internal.log.HostLog;
 import org.fawndrum.internal.log.LineBudget;
@@ -155,8 +156,8 @@
     }
 
     @Override
-    public void told(HostAddress at, StoreView view) {
-      knowledge.told(at, view);
+    public void told(FleetMember peer, StoreView view) {
+      knowledge.told(peer, view);
     }
   }
 
--- a/org.fawndrum/tst/org/fawndrum/transport/relay/EndpointReaderTest.java
+++ b/org.fawndrum/tst/org/fawndrum/transport/relay/EndpointReaderTest.java
@@ -29,11 +29,12 @@
 
   private long nowMs = 1_000;
   private HostListing listing = HostListing.NONE;
+  private Runnable whenDecoded = () -> {};
   private final EndpointReader reader =
       new EndpointReader(new Decoder(), newer -> listing = newer, () -> nowMs, new HostLog("test"));
 
   /** Reads records of one letter. */
-  private static final class Decoder implements RelayDecoder {
+  private final class Decoder implements RelayDecoder {
     @Override
     public boolean isConfiguration(KeyedRecord record) {
       return false;
@@ -46,6 +47,7 @@
 
     @Override
     public EndpointEntry endpoint(KeyedRecord record) {
+      whenDecoded.run();
       if (record.value()[0] == 'x') {
         throw new RecordUnreadableException(record.offset(), null);
       }
@@ -373,4 +375,16 @@
     reader.changes(page("a", new byte[] {'x'}), 0);
     assertTrue(reader.changesSince(known).isEmpty());
   }
+
+  /** Another thread tells peers how far this host has read, and what changed up to there. */
+  @Test
+  void nobodyIsToldThatAPageIsReadBeforeAllOfItIs() {
+    reader.whole(page("a", READY), 0);
+    StorePosition before = reader.readTo();
+    List<StorePosition> whileReading = new ArrayList<>();
+    whenDecoded = () -> whileReading.add(reader.readTo());
+    reader.changes(page("a", LEAVING, "b", READY, "c", READY), 0);
+    assertEquals(List.of(before, before, before), whileReading);
+    assertTrue(reader.readTo().isAfter(before));
+  }
 }
--- a/org.fawndrum/tst/org/fawndrum/transport/relay/PeerViewsTest.java
+++ b/org.fawndrum/tst/org/fawndrum/transport/relay/PeerViewsTest.java
@@ -5,8 +5,10 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import org.fawndrum.coordination.membership.FleetMember;
 import org.fawndrum.protocol.StorePosition;
 import org.fawndrum.state.HostAddress;
+import org.fawndrum.state.HostIdentity;
 import org.junit.jupiter.api.Test;
 
 /**
@@ -14,8 +16,8 @@
  * message of that one names the change, fifty in a second; each host asks for it once.
  */
 class PeerViewsTest {
-  private static final HostAddress SPEAKER = new HostAddress("10.0.0.1", 1);
-  private static final HostAddress OTHER = new HostAddress("10.0.0.2", 1);
+  private static final FleetMember SPEAKER = member(1, 1);
+  private static final FleetMember OTHER = member(2, 1);
   private static final StorePosition READ_TO = new StorePosition(0, 100);
 
   /** Where a host that read up to 100 and dropped an entry then says that it changed. */
@@ -23,13 +25,25 @@
 
   private final PeerViews views = new PeerViews();
 
+  private static FleetMember member(int host, long incarnation) {
+    return new FleetMember(
+        new HostIdentity("host-" + host, incarnation),
+        new HostAddress("10.0.0." + host, 1),
+        "zone-a",
+        1);
+  }
+
+  private void ask(FleetMember peer) {
+    views.taken(peer.address(), views.question(peer.address(), READ_TO));
+  }
+
   /** Hears so many messages and asks with each that calls for it; returns how often it asked. */
-  private int asksIn(int messages, HostAddress peer, StorePosition changed) {
+  private int asksIn(int messages, FleetMember peer, StorePosition changed) {
     int asks = 0;
     for (int i = 0; i < messages; i++) {
       if (views.told(peer, changed, READ_TO)) {
         asks++;
-        views.taken(peer, views.lastTold(peer));
+        ask(peer);
       }
     }
     return asks;
@@ -38,7 +52,8 @@
   @Test
   void anEntryThatWentIsAskedForOnceAndNotWithEachMessage() {
     assertEquals(1, asksIn(50, SPEAKER, DROPPED));
-    assertEquals(DROPPED, views.knownOf(SPEAKER, READ_TO), "the next regular question names it");
+    StorePosition known = views.question(SPEAKER.address(), READ_TO).known();
+    assertEquals(DROPPED, known, "the next regular question names it");
   }
 
   @Test
@@ -63,9 +78,9 @@
   @Test
   void anAnswerCoversOnlyWhatWasToldBeforeItsQuestion() {
     views.told(SPEAKER, DROPPED, READ_TO);
-    StorePosition covered = views.lastTold(SPEAKER);
+    PeerViews.Question question = views.question(SPEAKER.address(), READ_TO);
     views.told(SPEAKER, new StorePosition(0, 102), READ_TO);
-    views.taken(SPEAKER, covered);
+    views.taken(SPEAKER.address(), question);
     assertTrue(views.told(SPEAKER, new StorePosition(0, 102), READ_TO));
   }
 
@@ -73,4 +88,23 @@
   void whatThisHostHasReadIsNotAskedFor() {
     assertFalse(views.told(SPEAKER, READ_TO, READ_TO));
   }
+
+  /** It counts its own drops anew, so that its places say nothing of those of before. */
+  @Test
+  void aPeerThatStartsAgainIsAskedFromWhatThisHostHasRead() {
+    asksIn(1, SPEAKER, new StorePosition(0, 160));
+    FleetMember later = member(1, 2);
+    assertTrue(views.told(later, DROPPED, READ_TO));
+    assertEquals(READ_TO, views.question(later.address(), READ_TO).known());
+  }
+
+  @Test
+  void anAnswerOfALaterIncarnationThanTheQuestionWasForIsNone() {
+    PeerViews.Question first = views.question(SPEAKER.address(), READ_TO);
+    assertTrue(first.isAnsweredBy(7), "whoever is there, nothing was told before");
+    views.told(SPEAKER, DROPPED, READ_TO);
+    PeerViews.Question question = views.question(SPEAKER.address(), READ_TO);
+    assertTrue(question.isAnsweredBy(1));
+    assertFalse(question.isAnsweredBy(2));
+  }
 }
