--- a/org.fawndrum.soak/src/org/fawndrum/soak/HostSettings.java
+++ b/org.fawndrum.soak/src/org/fawndrum/soak/HostSettings.java
@@ -4,6 +4,7 @@
 import java.util.Locale;
 import java.util.stream.Collectors;
 import java.util.stream.IntStream;
+import org.fawndrum.platform.standin.FixedPorts;
 import org.fawndrum.state.HostAddress;
 
 /**
--- a/org.fawndrum.soak/src/org/fawndrum/soak/SoakSite.java
+++ b/org.fawndrum.soak/src/org/fawndrum/soak/SoakSite.java
@@ -17,6 +17,7 @@
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.stream.Collectors;
 import java.util.stream.IntStream;
+import org.fawndrum.platform.standin.FixedPorts;
 import org.fawndrum.platform.standin.StandinSite;
 import org.fawndrum.platform.standin.StoreStandin;
 import org.fawndrum.platform.standin.TicketUses;
--- a/org.fawndrum.soak/tst/org/fawndrum/soak/TakenAddressTest.java
+++ b/org.fawndrum.soak/tst/org/fawndrum/soak/TakenAddressTest.java
@@ -8,6 +8,7 @@
 import java.net.ServerSocket;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import org.fawndrum.platform.standin.FixedPorts;
 import org.fawndrum.state.HostAddress;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
