Keep the place of the last change once, and ask in one way whether a caller has left

Found on reading the whole change; behaviour is as it was.

The reader of entries kept the place of the last change that EntryChanges keeps too, and worked out the end of a page twice; the soak had its own code of success beside the ledger's. A request that waits for its host to start and one that is about to be sent now ask the same question, which looks at the connection and at the response. Three comments say what they mean.

--- a/org.fawndrum.soak/src/org/fawndrum/soak/Ledger.java
+++ b/org.fawndrum.soak/src/org/fawndrum/soak/Ledger.java
@@ -19,7 +19,7 @@
   /** Answers that say the request itself is wrong; callers of the soak send none that is. */
   private static final Set<Integer> DENIED = Set.of(400, 401, 404, 413, 431);
 
-  private static final int SUCCESS = 200;
+  static final int SUCCESS = 200;
 
   private final Map<String, Sent> sent = new HashMap<>();
   private final Map<String, Integer> runs = new HashMap<>();
--- a/org.fawndrum.soak/src/org/fawndrum/soak/SoakEndpoint.java
+++ b/org.fawndrum.soak/src/org/fawndrum/soak/SoakEndpoint.java
@@ -23,7 +23,6 @@
  */
 final class SoakEndpoint implements EndpointStandin.Behaviour {
   private static final String ZONE = "zone-a";
-  private static final int SUCCESS = 200;
 
   /** How long a request that ends engines runs before, and the engine is gone, in milliseconds. */
   private static final long DEADLY_MS = 50;
@@ -288,7 +287,7 @@
     HttpServerResponse response = request.response();
     response.headersEndHandler(
         v -> {
-          if (response.getStatusCode() == SUCCESS) {
+          if (response.getStatusCode() == Ledger.SUCCESS) {
             run.answerBegan();
           }
         });
--- a/org.fawndrum/src/org/fawndrum/coordination/Refusal.java
+++ b/org.fawndrum/src/org/fawndrum/coordination/Refusal.java
@@ -26,7 +26,7 @@
     return of(kind, Ran.NO, NEVER);
   }
 
-  /** Returns this refusal that says otherwise whether the request ran. */
+  /** Returns the same refusal with another statement of whether the request ran. */
   public Refusal with(Ran other) {
     return new Refusal(kind, other, retryAfterMs, cell);
   }
--- a/org.fawndrum/src/org/fawndrum/transport/relay/EndpointReader.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/EndpointReader.java
@@ -66,7 +66,6 @@
   private StorePosition reading = StorePosition.NONE;
 
   private volatile StorePosition readTo = StorePosition.NONE;
-  private volatile StorePosition changedTo = StorePosition.NONE;
   private volatile long knownAtMs = HostClock.NEVER_MS;
   private volatile long unusable;
   private long version;
@@ -85,14 +84,13 @@
 
   @Override
   public void whole(KeyedPage page, long askedMs) {
-    if (isOfAnEarlierEra(page)) {
+    if (!begins(page)) {
       return;
     }
     boolean wentBack = readTo.isKnown() && page.era() > readTo.era();
     if (wentBack) {
       returnedMs = clock.nowMs();
     }
-    reading = readTo.max(page.endPosition());
     Set<String> present = new HashSet<>();
     page.records().forEach(record -> present.add(record.key()));
     Set<String> missing = new HashSet<>(records.keySet());
@@ -117,16 +115,23 @@
 
   @Override
   public void changes(KeyedPage page, long provedMs) {
-    if (isOfAnEarlierEra(page)) {
+    if (!begins(page)) {
       return;
     }
     take(page, new HashSet<>());
     confirmed(page.endPosition(), provedMs);
   }
 
-  /** Tells whether a page comes late: another host may have told what the store holds since. */
-  private boolean isOfAnEarlierEra(KeyedPage page) {
-    return page.era() < readTo.era();
+  /**
+   * Begins to take a page over, unless it is of an earlier era: another host may have told what the
+   * store holds since.
+   */
+  private boolean begins(KeyedPage page) {
+    if (page.era() < readTo.era()) {
+      return false;
+    }
+    reading = readTo.max(page.endPosition());
+    return true;
   }
 
   /**
@@ -150,7 +155,7 @@
 
   /** Returns the end of the log after the last change of an entry. */
   StorePosition changedTo() {
-    return changedTo;
+    return changes.last();
   }
 
   /** Returns how long ago the entries were surely those, in milliseconds. */
@@ -193,7 +198,6 @@
   }
 
   private void take(KeyedPage page, Set<String> missing) {
-    reading = readTo.max(page.endPosition());
     for (KeyedRecord record : page.records()) {
       if (record.drops()) {
         missing.add(record.key());
@@ -218,7 +222,7 @@
       history.read(record.key(), entry, page.era());
       records.put(record.key(), record);
       if (!entry.saysTheSame(entries.put(record.key(), entry))) {
-        changedTo = changes.changed(record.key(), page.after(record));
+        changes.changed(record.key(), page.after(record));
       }
       lapsed.remove(record.key());
     } catch (RecordUnreadableException e) {
@@ -268,7 +272,7 @@
       history.gone(key, reading.era());
       // Beyond the end, so that hosts that have read up to the end learn of it too.
       StorePosition beyond = new StorePosition(reading.era(), reading.offset() + 1);
-      changedTo = changes.changed(key, beyond);
+      changes.changed(key, beyond);
     }
   }
 
--- a/org.fawndrum/src/org/fawndrum/transport/relay/EntryChanges.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/EntryChanges.java
@@ -25,16 +25,20 @@
   /**
    * Takes note that an entry came, went or says something else.
    *
-   * @param at the place after what said so, or any place before it
-   * @return where it counts as changed: a place of its own, after those of all changes before
+   * @param at the place after what said so; if that is not after all changes before, the change
+   *     counts at the next place after them, so that each has a place of its own
    */
-  synchronized StorePosition changed(String key, StorePosition at) {
+  synchronized void changed(String key, StorePosition at) {
     last = at.isAfter(last) ? at : new StorePosition(last.era(), last.offset() + 1);
     places.remove(key);
     places.put(key, last);
     if (places.size() > MOST) {
       forgottenTo = places.remove(places.keySet().iterator().next());
     }
+  }
+
+  /** Returns the place of the last change. */
+  synchronized StorePosition last() {
     return last;
   }
 
--- a/org.fawndrum/src/org/fawndrum/transport/relay/FleetDuty.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/FleetDuty.java
@@ -53,8 +53,8 @@
   private static final int MANY_DAEMONS = 24;
 
   /**
-   * How often it is looked which daemons and zones are silent, in milliseconds: well below the time
-   * after which they are, and not with each of some fifty messages a second.
+   * How often it is looked which daemons and zones are silent, in milliseconds: seldom beside the
+   * messages that come, often beside the time after which a zone is silent.
    */
   private static final long VIEW_MS = 100;
 
--- a/org.fawndrum/src/org/fawndrum/transport/relay/RelayServer.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/RelayServer.java
@@ -87,11 +87,12 @@
   record Incoming(
       HttpServerRequest http, RelayRequest request, Buffer body, long arrivedMs, Context context) {
     /**
-     * Tells whether the caller has closed its connection. Handlers of the close run only after what
-     * was queued on the loop before, such as the order to send this request.
+     * Tells whether the caller has closed its connection. The response learns of that only after
+     * what was queued on the loop before, such as the order to send this request.
      */
     boolean callerLeft() {
-      return channel(http.connection()).map(channel -> !channel.isOpen()).orElse(false);
+      boolean closed = channel(http.connection()).map(channel -> !channel.isOpen()).orElse(false);
+      return closed || http.response().closed();
     }
   }
 
@@ -264,7 +265,7 @@
    */
   private void takeWhenKnown(Incoming incoming) {
     String requestId = incoming.request().requestId();
-    if (incoming.http().response().closed()) {
+    if (incoming.callerLeft()) {
       return;
     }
     if (known.getAsBoolean()) {
