--- a/org.fawndrum.soak/tst/org/fawndrum/soak/SoakTest.java
+++ b/org.fawndrum.soak/tst/org/fawndrum/soak/SoakTest.java
@@ -115,6 +115,18 @@
     holds(21_007, HOSTS, 12_000, Fault.ALL);
   }
 
+  /** A request ran on after three endpoints had ended under it, each of which was seen to end. */
+  @Test
+  void seedFortyOneThousandAndEight() throws Exception {
+    holds(41_008, HOSTS, 12_000, Fault.ALL);
+  }
+
+  /** A host that was about to end refused a request, and its caller got no answer. */
+  @Test
+  void seedFortyOneThousandAndTwentyOne() throws Exception {
+    holds(41_021, HOSTS, 12_000, Fault.ALL);
+  }
+
   /**
    * A host that had stood still while the order to stop came counted its grace period from when it
    * handled the order, and was killed with requests open.
