Log why a request under which many engines ended is not turned away

41008 was turned away 7.4 s after the third end, and no line said which rule had stood against it, nor which ends did not count. CrashRules.judge now gives a CrashFinding: the rule that decided, what it rests on (the ends without the request, or the other request), the ends that count and those that do not, each with its reason. The ledger keeps what changed since the last look, and FAWN0075 says it, five lines a second at most. No rule is changed: conditions and their order are as before.

--- a/org.fawndrum/src/org/fawndrum/coordination/SuspectRequests.java
+++ b/org.fawndrum/src/org/fawndrum/coordination/SuspectRequests.java
@@ -6,6 +6,7 @@
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import java.util.function.Predicate;
+import org.fawndrum.coordination.crash.CrashFinding;
 import org.fawndrum.coordination.crash.CrashLedger;
 import org.fawndrum.coordination.crash.CrashNews;
 import org.fawndrum.coordination.crash.CrashVerdict;
@@ -195,6 +196,11 @@
     return some;
   }
 
+  /** Returns why requests with many ends were not turned away, when that changed since last. */
+  public List<CrashFinding> takeFindings() {
+    return ledger.takeFindings();
+  }
+
   /** Returns when {@link #decide} has something to do next, or {@link Long#MAX_VALUE}. */
   long dueMs() {
     return Math.min(lookMs, ledger.dueMs());
--- a/org.fawndrum/src/org/fawndrum/coordination/crash/CrashLedger.java
+++ b/org.fawndrum/src/org/fawndrum/coordination/crash/CrashLedger.java
@@ -40,6 +40,8 @@
   private long summary;
   private boolean summaryIsOld;
   private List<RefusedRequest> refusedNow = List.of();
+  private final Map<RequestFingerprint, CrashFinding> found = new LinkedHashMap<>();
+  private final List<CrashFinding> newlyFound = new ArrayList<>();
   private long dueMs = Long.MAX_VALUE;
 
   /** A request that is turned away, and when it came last. */
@@ -236,15 +238,13 @@
     }
     List<RefusedRequest> news = new ArrayList<>();
     for (RequestFingerprint suspect : history.requests()) {
-      if (history.times(suspect) < CrashRules.ENOUGH) {
-        continue;
-      }
-      List<EndpointCrash> settled =
-          history.under(suspect).stream()
-              .filter(crash -> nowMs - crash.atMs() >= CrashRules.SETTLE_MS)
-              .toList();
-      if (!refused.containsKey(suspect) && rules.isCause(suspect, settled)) {
-        news.add(refuse(new RefusedRequest(suspect, nowMs, names(settled)), nowMs));
+      if (history.times(suspect) >= CrashRules.ENOUGH && !refused.containsKey(suspect)) {
+        List<EndpointCrash> settled = settled(suspect, nowMs);
+        CrashFinding finding = rules.judge(suspect, settled);
+        note(finding, settled.size());
+        if (finding.isCause()) {
+          news.add(refuse(new RefusedRequest(suspect, nowMs, names(settled)), nowMs));
+        }
       }
     }
     dueMs = Long.MAX_VALUE;
@@ -256,6 +256,28 @@
     return news;
   }
 
+  private List<EndpointCrash> settled(RequestFingerprint suspect, long nowMs) {
+    return history.under(suspect).stream()
+        .filter(crash -> nowMs - crash.atMs() >= CrashRules.SETTLE_MS)
+        .toList();
+  }
+
+  /** Keeps what stands against turning a request away, when that is another thing than before. */
+  private void note(CrashFinding finding, int settled) {
+    boolean isNews = !finding.isCause() && settled >= CrashRules.ENOUGH;
+    if (isNews && !finding.equals(found.put(finding.request(), finding))) {
+      newlyFound.add(finding);
+      bound(found);
+    }
+  }
+
+  /** Returns what was found since this was last asked and turned no request away. */
+  public List<CrashFinding> takeFindings() {
+    List<CrashFinding> some = List.copyOf(newlyFound);
+    newlyFound.clear();
+    return some;
+  }
+
   private static List<String> names(List<EndpointCrash> crashes) {
     return crashes.stream()
         .map(crash -> crash.endpoint().toString())
--- a/org.fawndrum/src/org/fawndrum/coordination/crash/CrashRules.java
+++ b/org.fawndrum/src/org/fawndrum/coordination/crash/CrashRules.java
@@ -1,11 +1,16 @@
 // SPDX-License-Identifier: Apache-2.0
 package org.fawndrum.coordination.crash;
 
+import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.stream.Collectors;
+import org.fawndrum.coordination.crash.CrashFinding.Discount;
+import org.fawndrum.coordination.crash.CrashFinding.Discounted;
+import org.fawndrum.coordination.crash.CrashFinding.Standing;
 import org.fawndrum.state.HostIdentity;
 
 /**
@@ -72,8 +77,12 @@
 
   /** Returns the crashes under a request that no whole answer speaks against. */
   private List<EndpointCrash> untrusted(RequestFingerprint request, List<EndpointCrash> crashes) {
-    long trustedMs = servedMs.containsKey(request) ? servedMs.get(request) + TRUSTED_MS : 0;
-    return crashes.stream().filter(crash -> crash.atMs() > trustedMs).toList();
+    return crashes.stream().filter(crash -> isUntrusted(request, crash)).toList();
+  }
+
+  private boolean isUntrusted(RequestFingerprint request, EndpointCrash crash) {
+    Long answeredMs = servedMs.get(request);
+    return answeredMs == null || crash.atMs() > answeredMs + TRUSTED_MS;
   }
 
   private List<EndpointCrash> unexplained(List<EndpointCrash> crashes) {
@@ -128,42 +137,91 @@
   }
 
   /** Tells whether crashes under a request say that it causes them. */
-  boolean isCause(RequestFingerprint request, List<EndpointCrash> crashes) {
-    List<EndpointCrash> untrusted = untrusted(request, crashes);
-    List<EndpointCrash> unexplained = unexplained(untrusted);
-    if (unexplained.size() < ENOUGH) {
-      return false;
+  private boolean isCause(RequestFingerprint request, List<EndpointCrash> crashes) {
+    return crashes.size() >= ENOUGH && judge(request, crashes).isCause();
+  }
+
+  /** Says whether crashes under a request say that it causes them, and why not. */
+  CrashFinding judge(RequestFingerprint request, List<EndpointCrash> crashes) {
+    List<EndpointCrash> counted = new ArrayList<>();
+    List<Discounted> discounted = new ArrayList<>();
+    for (EndpointCrash crash : crashes) {
+      Optional<Discount> why = discount(request, crash);
+      why.ifPresentOrElse(
+          one -> discounted.add(new Discounted(crash.endpoint(), one)), () -> counted.add(crash));
+    }
+    Standing standing = standing(request, counted, discounted);
+    return new CrashFinding(
+        request,
+        standing,
+        against(standing, request, counted),
+        counted.stream().map(EndpointCrash::endpoint).toList(),
+        discounted);
+  }
+
+  /** Returns why a crash does not count; empty when it does. */
+  private Optional<Discount> discount(RequestFingerprint request, EndpointCrash crash) {
+    if (!isUntrusted(request, crash)) {
+      return Optional.of(Discount.ANSWERED);
     }
-    List<EndpointCrash> counted =
-        unexplained.stream()
-            .filter(crash -> !hasLikelierCause(crash, request))
-            .filter(crash -> !history.isOneOfSeveral(crash, request, this::mayHaveCause))
-            .toList();
-    int explained = untrusted.size() - unexplained.size();
-    return isEnough(request, counted, explained)
-        && moments(counted) >= MOMENTS
-        && !anotherIsOnAll(request, counted);
+    if (isExplained(crash)) {
+      return Optional.of(Discount.EXPLAINED);
+    }
+    if (hasLikelierCause(crash, request)) {
+      return Optional.of(Discount.LIKELIER_CAUSE);
+    }
+    return history.isOneOfSeveral(crash, request, this::mayHaveCause)
+        ? Optional.of(Discount.ONE_OF_SEVERAL)
+        : Optional.empty();
   }
 
   /**
-   * Tells whether so many crashes are enough. One that a request which is turned away explains does
-   * not count by itself; but where a request goes on to end as many endpoints without that one, it
-   * had its part in the earlier ones.
+   * Returns the rule that decides. A crash that a request which is turned away explains does not
+   * count by itself; but where a request goes on to end as many endpoints without that one, it had
+   * its part in the earlier ones.
    */
-  private boolean isEnough(RequestFingerprint request, List<EndpointCrash> counted, int explained) {
-    return counted.size() >= ENOUGH
-        && (counted.size() + explained >= ENOUGH_AMONG_OTHERS
-            || counted.size() >= enough(request, counted));
+  private Standing standing(
+      RequestFingerprint request, List<EndpointCrash> counted, List<Discounted> discounted) {
+    if (counted.size() < ENOUGH) {
+      return Standing.TOO_FEW;
+    }
+    long explained = discounted.stream().filter(one -> one.why() == Discount.EXPLAINED).count();
+    boolean many = counted.size() + explained >= ENOUGH_AMONG_OTHERS;
+    if (!many && !history.hearsAll()) {
+      return Standing.NOT_ALL_HEARD;
+    }
+    if (!many && !othersWithout(request, counted).isEmpty()) {
+      return Standing.OTHERS_ENDED;
+    }
+    if (moments(counted) < MOMENTS) {
+      return Standing.ONE_MOMENT;
+    }
+    return alsoOnAll(request, counted).isEmpty() ? Standing.CAUSE : Standing.ANOTHER_ON_ALL;
+  }
+
+  private List<String> against(
+      Standing standing, RequestFingerprint request, List<EndpointCrash> counted) {
+    return switch (standing) {
+      case OTHERS_ENDED ->
+          othersWithout(request, counted).stream()
+              .map(crash -> crash.endpoint().toString())
+              .limit(ENOUGH_AMONG_OTHERS)
+              .toList();
+      case ANOTHER_ON_ALL ->
+          alsoOnAll(request, counted).stream()
+              .map(RequestFingerprint::toString)
+              .limit(ENOUGH_AMONG_OTHERS)
+              .toList();
+      default -> List.of();
+    };
   }
 
-  /** Returns how many crashes are enough: more while endpoints end without the request as well. */
-  private int enough(RequestFingerprint request, List<EndpointCrash> counted) {
+  /** Returns the crashes without a request, near those under it, that nothing explains. */
+  private List<EndpointCrash> othersWithout(
+      RequestFingerprint request, List<EndpointCrash> counted) {
     long sinceMs = counted.stream().mapToLong(EndpointCrash::atMs).max().orElse(0) - OTHERS_MS;
-    List<EndpointCrash> others =
-        history.where(
-            crash ->
-                crash.atMs() > sinceMs && !crash.under().contains(request) && !hasCause(crash));
-    return !history.hearsAll() || !others.isEmpty() ? ENOUGH_AMONG_OTHERS : ENOUGH;
+    return history.where(
+        crash -> crash.atMs() > sinceMs && !crash.under().contains(request) && !hasCause(crash));
   }
 
   /** Tells whether a request that is turned away was on the endpoint. */
@@ -203,12 +261,13 @@
     return moments;
   }
 
-  /** Tells whether another request was on all these endpoints too, so that either may be it. */
-  private static boolean anotherIsOnAll(RequestFingerprint request, List<EndpointCrash> crashes) {
+  /** Returns the other requests that were on all these endpoints too: either may be it. */
+  private static Set<RequestFingerprint> alsoOnAll(
+      RequestFingerprint request, List<EndpointCrash> crashes) {
     Set<RequestFingerprint> all = new HashSet<>(crashes.get(0).under());
     crashes.forEach(crash -> all.retainAll(crash.under()));
     all.remove(request);
-    return !all.isEmpty();
+    return all;
   }
 
   /**
--- a/org.fawndrum/src/org/fawndrum/internal/log/LogEvent.java
+++ b/org.fawndrum/src/org/fawndrum/internal/log/LogEvent.java
@@ -57,7 +57,9 @@
   START_UNCLEAR(
       74,
       Level.INFO,
-      "start {0} may be the one that said it leaves; it is asked before it is used");
+      "start {0} may be the one that said it leaves; it is asked before it is used"),
+  REQUEST_NOT_TURNED_AWAY(
+      75, Level.INFO, "request {0} is not turned away, though endpoints ended under it: {1}");
 
   /** Added to a number so that its digits have leading zeros. */
   private static final int FOUR_DIGITS = 10_000;
--- a/org.fawndrum/src/org/fawndrum/transport/relay/RelayDuty.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/RelayDuty.java
@@ -10,12 +10,14 @@
 import org.fawndrum.coordination.Refusal;
 import org.fawndrum.coordination.RefusalKind;
 import org.fawndrum.coordination.RequestCoordinator;
+import org.fawndrum.coordination.crash.CrashFinding;
 import org.fawndrum.coordination.crash.RefusedRequest;
 import org.fawndrum.coordination.engine.EngineNews;
 import org.fawndrum.coordination.membership.FleetReport;
 import org.fawndrum.internal.duty.Duty;
 import org.fawndrum.internal.duty.Ring;
 import org.fawndrum.internal.log.HostLog;
+import org.fawndrum.internal.log.LineBudget;
 import org.fawndrum.internal.log.LogEvent;
 import org.fawndrum.state.Endpoint;
 import org.fawndrum.state.HostIdentity;
@@ -38,6 +40,9 @@
   /** How often waiting requests are offered again, in milliseconds. */
   private static final long WAITING_MS = 10;
 
+  /** The most lines a second about requests that are suspected and not turned away. */
+  private static final int FINDING_LINES = 5;
+
   private final RequestCoordinator coordinator;
   private final EndpointRoster roster = new EndpointRoster();
   private final HostClock clock;
@@ -48,6 +53,7 @@
   private final OpenExchanges exchanges;
   private final Duty<RelayEvent> duty;
   private RouteTable routes = RouteTable.NONE;
+  private final LineBudget findingLines = new LineBudget(FINDING_LINES);
   private boolean givingUp;
   private volatile int open;
   private volatile long crashSummary;
@@ -306,6 +312,7 @@
         tell.news().refused().forEach(this::logRefused);
       }
     }
+    coordinator.suspects().takeFindings().forEach(this::logFinding);
     exchanges.carryOut(actions, this::refused, true);
   }
 
@@ -314,6 +321,12 @@
     log.event(LogEvent.REQUEST_ENDS_ENDPOINTS, refused.request(), endpoints);
   }
 
+  private void logFinding(CrashFinding finding) {
+    if (findingLines.take(clock.nowMs())) {
+      log.event(LogEvent.REQUEST_NOT_TURNED_AWAY, finding.request(), finding.text());
+    }
+  }
+
   private void refused(String requestId, Refusal refusal) {
     if (refusal.kind() == RefusalKind.DRAINING && !givingUp) {
       turnedAway = turnedAway + 1;
