Let the soak's endpoints say again that they leave

Cause: had the soak listen for the end of an answer's head, and a response keeps one such handler: it replaced the stand-in's, which writes the notice. So the check on requests that reach an endpoint which leaves had nothing to check. The stand-in now keeps the handler and does what the soak wants beside it.

SoakEndpointTest.oneThatLeavesSaysSoInItsAnswers failed before (no such header) and passes now. No check is changed.

--- a/org.fawndrum.soak/src/org/fawndrum/soak/SoakEndpoint.java
+++ b/org.fawndrum.soak/src/org/fawndrum/soak/SoakEndpoint.java
@@ -285,8 +285,9 @@
     }
     open.put(run, !tickets.isEmpty());
     HttpServerResponse response = request.response();
-    response.headersEndHandler(
-        v -> {
+    standin.whenHeadEnds(
+        response,
+        () -> {
           if (response.getStatusCode() == Ledger.SUCCESS) {
             run.answerBegan();
           }
