Take an end for one however early the start is that a host believes in

Mend: an endpoint has one process at a time, so reports of ends whose times overlap are of one end, whatever start each host believes in; who believes in an earlier one may learn late, but not before it. Merged, the end keeps the later start and the earlier time, on every host alike, whichever it hears first.

CrashFleet told no time at which engines took what they had, which counts now: it tells the true one, and hosts may read the list late.

--- a/org.fawndrum/src/org/fawndrum/coordination/crash/CrashHistory.java
+++ b/org.fawndrum/src/org/fawndrum/coordination/crash/CrashHistory.java
@@ -25,7 +25,7 @@
   /** How long a crash is kept: a caller that comes again after more is rare. */
   static final long KEEP_MS = 600_000;
 
-  /** Two reports of an endpoint that tells no start, within this time, are of one crash. */
+  /** Two reports that no start tells apart, within this time, are of one crash. */
   private static final long SAME_CRASH_MS = 1_000;
 
   /**
@@ -63,15 +63,10 @@
       }
       return bounded;
     }
-    if (known.under().containsAll(crash.under())) {
-      return null;
-    }
     Set<RequestFingerprint> under = new HashSet<>(known.under());
     under.addAll(crash.under());
-    long takenMs = Math.max(known.takenMs(), crash.takenMs());
-    EndpointCrash merged =
-        bounded(new EndpointCrash(known.endpoint(), takenMs, known.atMs(), under), under);
-    if (merged.equals(known)) {
+    EndpointCrash merged = bounded(known.and(crash, under), under);
+    if (merged.endpoint().equals(known.endpoint()) && merged.under().equals(known.under())) {
       return null;
     }
     remove(known);
--- a/org.fawndrum/src/org/fawndrum/coordination/crash/EndpointCrash.java
+++ b/org.fawndrum/src/org/fawndrum/coordination/crash/EndpointCrash.java
@@ -33,18 +33,51 @@
   }
 
   /**
-   * Tells whether another report is of the same end: of one start, and neither had taken a request
-   * after the end of the other. One that had was back by then, whatever is known yet of its new
-   * start; else two requests that end endpoints in turn would stand under each other's ends, and
-   * could not be told apart. A start ends once, however late a host learns that it is over; only
-   * endpoints that tell no start have ends that are told apart by their time.
+   * Tells whether another report is of the same end: of one endpoint, and neither had taken a
+   * request after the end of the other. One that had was back by then, whatever is known yet of its
+   * new start; else two requests that end endpoints in turn would stand under each other's ends,
+   * and could not be told apart. A start ends once, however late a host learns that it is over;
+   * only endpoints that tell no start have ends that are told apart by their time.
    *
-   * @param withinMs how long two ends of an endpoint that tells no start are apart
+   * @param withinMs how long two ends of an endpoint are apart at least, where its start does not
+   *     tell them apart
    */
   boolean isTheEndOf(EndpointCrash other, long withinMs) {
-    boolean inTurn = takenMs > other.atMs + NEWS_MS || other.takenMs > atMs + NEWS_MS;
+    if (!endpoint.host().equals(other.endpoint.host()) || isInTurnWith(other)) {
+      return false;
+    }
+    if (endpoint.incarnation() != other.endpoint.incarnation()) {
+      return isOfEarlierStart(other)
+          ? mayEndWith(other, withinMs)
+          : other.mayEndWith(this, withinMs);
+    }
     boolean tellsStart = endpoint.incarnation() != Endpoint.START_NOT_TOLD;
-    boolean sameTime = tellsStart || Math.abs(atMs - other.atMs) <= withinMs;
-    return endpoint.equals(other.endpoint) && sameTime && !inTurn;
+    return tellsStart || Math.abs(atMs - other.atMs) <= withinMs;
+  }
+
+  private boolean isInTurnWith(EndpointCrash other) {
+    return takenMs > other.atMs + NEWS_MS || other.takenMs > atMs + NEWS_MS;
+  }
+
+  private boolean isOfEarlierStart(EndpointCrash other) {
+    return endpoint.incarnation() < other.endpoint.incarnation();
+  }
+
+  /**
+   * Tells whether this end, filed under an earlier start, may be that of a later one. Who believes
+   * in an earlier start may have sent its request to a later one, and may learn of the end late,
+   * but not before it.
+   */
+  private boolean mayEndWith(EndpointCrash later, long withinMs) {
+    return later.atMs <= atMs + withinMs;
+  }
+
+  /** Returns this end with what another report of it says: the later start, the earlier time. */
+  EndpointCrash and(EndpointCrash other, Set<RequestFingerprint> all) {
+    return new EndpointCrash(
+        isOfEarlierStart(other) ? other.endpoint : endpoint,
+        Math.max(takenMs, other.takenMs),
+        Math.min(atMs, other.atMs),
+        all);
   }
 }
--- a/org.fawndrum/tst/org/fawndrum/coordination/crash/CrashFleet.java
+++ b/org.fawndrum/tst/org/fawndrum/coordination/crash/CrashFleet.java
@@ -51,6 +51,7 @@
   private final boolean[] cut;
   private final boolean[] still;
   private final long[] troubledMs;
+  private final long[] listAgeMs;
   private final Engine[] engines;
   private final PriorityQueue<Step> steps = new PriorityQueue<>();
   private final Map<TestContent, List<Long>> crashesUnder = new HashMap<>();
@@ -73,20 +74,32 @@
   /** One sending of a request that ends engines, at an engine. */
   record Arrival(TestContent request, long atMs, boolean inTouch) {}
 
-  /** One request at one engine. */
+  /** One request at one engine, or on its way there. */
   private record Run(
-      TestContent request, boolean deadly, int host, int triesLeft, SuspectTurn turn) {
+      TestContent request,
+      boolean deadly,
+      int host,
+      int triesLeft,
+      SuspectTurn turn,
+      HostIdentity sentTo,
+      long takenMs) {
+    Run(TestContent request, boolean deadly, int host, int triesLeft) {
+      this(request, deadly, host, triesLeft, null, null, 0);
+    }
+
     Run with(SuspectTurn taken) {
-      return new Run(request, deadly, host, triesLeft, taken);
+      return new Run(request, deadly, host, triesLeft, taken, sentTo, takenMs);
     }
-  }
 
-  /** When engines took what they had; no matter here, since each start is told. */
-  private static final long TAKEN = 0;
+    Run sent(HostIdentity start, long atMs) {
+      return new Run(request, deadly, host, triesLeft, turn, start, atMs);
+    }
+  }
 
   /** An engine and what it works on; each start is another one. */
   private static final class Engine {
     long start = 1;
+    long bornMs;
     boolean up = true;
     final List<Run> runs = new ArrayList<>();
   }
@@ -108,6 +121,7 @@
     cut = new boolean[hosts];
     still = new boolean[hosts];
     troubledMs = new long[hosts];
+    listAgeMs = new long[hosts];
     engines = new Engine[engineCount];
     for (int i = 0; i < hosts; i++) {
       ledgers[i] = ledger(i);
@@ -181,6 +195,11 @@
     troubledMs[host] = nowMs;
   }
 
+  /** Lets a host learn of starts of engines so much later than they begin. */
+  void readsListLate(int host, long ageMs) {
+    listAgeMs[host] = ageMs;
+  }
+
   /** Lets a host stand still, or go on; what comes to it meanwhile is lost. */
   void standStill(int host, boolean stands) {
     cut(host, stands);
@@ -199,7 +218,7 @@
 
   /** Lets a request come to a host. */
   void send(TestContent request, boolean deadly, int host) {
-    send(new Run(request, deadly, host, TRIES, null));
+    send(new Run(request, deadly, host, TRIES));
   }
 
   private void send(Run run) {
@@ -251,14 +270,16 @@
     return false;
   }
 
-  private void place(Run run) {
-    Engine engine = free(one -> mayRunAt(run, one)).orElseGet(() -> free(one -> true).orElse(null));
+  private void place(Run waiting) {
+    Engine engine =
+        free(one -> mayRunAt(waiting, one)).orElseGet(() -> free(one -> true).orElse(null));
     if (engine == null) {
-      endTurn(run);
+      endTurn(waiting);
       return;
     }
     Engine at = engine;
     long start = at.start;
+    Run run = waiting.sent(believed(waiting.host(), at), nowMs);
     at.runs.add(run);
     if (run.deadly()) {
       deadlyArrivals.add(new Arrival(run.request(), nowMs, inTouch(run.host())));
@@ -271,7 +292,8 @@
 
   private boolean mayRunAt(Run run, Engine engine) {
     CrashLedger ledger = ledgers[run.host()];
-    return !ledger.isIsolated(run.request()) || ledger.mayRunAt(run.request(), identity(engine));
+    return !ledger.isIsolated(run.request())
+        || ledger.mayRunAt(run.request(), believed(run.host(), engine));
   }
 
   /** Returns one of the engines that have room and pass a test. */
@@ -311,29 +333,33 @@
     }
     at.up = false;
     engineCrashes++;
-    HostIdentity identity = identity(at);
     List<Run> lost = List.copyOf(at.runs);
     at.runs.clear();
     for (Run run : lost) {
-      after(2 + random.nextInt(6), () -> lost(identity, run));
+      after(2 + random.nextInt(6), () -> lost(run));
     }
     after(
         goneMs,
         () -> {
           at.start++;
+          at.bornMs = nowMs;
           at.up = true;
         });
   }
 
-  private HostIdentity identity(Engine engine) {
-    return new HostIdentity("engine-" + List.of(engines).indexOf(engine), engine.start);
+  /** Returns an engine with the start that a host knows: the one before, until it reads anew. */
+  private HostIdentity believed(int host, Engine engine) {
+    boolean stale = engine.start > 1 && nowMs - engine.bornMs < listAgeMs[host];
+    String name = "engine-" + List.of(engines).indexOf(engine);
+    return new HostIdentity(name, stale ? engine.start - 1 : engine.start);
   }
 
-  private void lost(HostIdentity identity, Run run) {
-    tell(run.host(), ledgers[run.host()].crashed(identity, run.request().print(), TAKEN, nowMs));
+  private void lost(Run run) {
+    CrashLedger ledger = ledgers[run.host()];
+    tell(run.host(), ledger.crashed(run.sentTo(), run.request().print(), run.takenMs(), nowMs));
     endTurn(run);
     if (run.triesLeft() > 1) {
-      send(new Run(run.request(), run.deadly(), run.host(), run.triesLeft() - 1, null));
+      send(new Run(run.request(), run.deadly(), run.host(), run.triesLeft() - 1));
     } else if (!run.deadly()) {
       // Its caller comes again, at any host.
       after(100, () -> send(run.request(), false, random.nextInt(hosts)));
--- a/org.fawndrum/tst/org/fawndrum/coordination/crash/CrashSpreadTest.java
+++ b/org.fawndrum/tst/org/fawndrum/coordination/crash/CrashSpreadTest.java
@@ -175,6 +175,26 @@
         });
   }
 
+  /**
+   * Seen: while hosts read the list of endpoints at different times, one filed an end under an
+   * earlier start than the others did; that made two ends of it, of which one asked for six.
+   */
+  @Test
+  void norWhileHostsKnowDifferentStartsOfTheEngines() {
+    TestContent other = new TestContent(3);
+    seeds(
+        seed -> {
+          CrashFleet fleet = small(seed);
+          together(fleet, 800, DEADLY, other);
+          fleet.readsListLate(0, 3_000);
+          fleet.readsListLate(1, 1_000);
+          fleet.runTo(LENGTH_MS);
+          check(fleet, DEADLY, seed);
+          check(fleet, other, seed);
+          assertEquals(0, fleet.innocentsRefused(), "seed " + seed);
+        });
+  }
+
   /** The same with four, before more engines, seldom enough that three seconds help nothing. */
   @Test
   void norWithFourThatComeNowAndThen() {
