Count no second end for a connection that broke while its endpoint lived

Cause, by reading with these lines: an attempt whose connection broke without proof of an end is kept for 10 s. When the later start is known, or an end up to a second later is proved, it was reported with the time at which it broke. That is an end of its own where another had taken a request since, and so one "without" the request that did end the engine.

Mend: what broke up to a second from a proved end is put to that end, with its time. When only a later start is known, the last one that broke counts, unless an end of that start is known; the endpoint lived when those before it broke.

Left: two real ends of one start that no host proved, because it started again unnoticed, now count once.

--- a/org.fawndrum/src/org/fawndrum/coordination/LostAttempts.java
+++ b/org.fawndrum/src/org/fawndrum/coordination/LostAttempts.java
@@ -2,6 +2,7 @@
 package org.fawndrum.coordination;
 
 import java.util.ArrayDeque;
+import java.util.Comparator;
 import java.util.Deque;
 import java.util.List;
 import java.util.function.Predicate;
@@ -34,7 +35,11 @@
    * @param sentMs when it was sent
    * @param atMs when the connection broke
    */
-  record Lost(RequestContent content, HostIdentity endpoint, long sentMs, long atMs) {}
+  record Lost(RequestContent content, HostIdentity endpoint, long sentMs, long atMs) {
+    Lost at(long otherMs) {
+      return new Lost(content, endpoint, sentMs, otherMs);
+    }
+  }
 
   /** Keeps an attempt. */
   void add(Lost lost) {
@@ -45,15 +50,23 @@
     }
   }
 
-  /** Takes those out that an end of their endpoint, seen at a time, explains. */
+  /** Takes those out that an end of their endpoint, seen at a time, explains; with that time. */
   List<Lost> endedWith(HostIdentity endpoint, long atMs) {
     return take(
-        one -> one.endpoint().equals(endpoint) && Math.abs(one.atMs() - atMs) <= SAME_END_MS);
+            one -> one.endpoint().equals(endpoint) && Math.abs(one.atMs() - atMs) <= SAME_END_MS)
+        .stream()
+        .map(one -> one.at(atMs))
+        .toList();
   }
 
-  /** Takes those out whose start is over, as is known now. */
+  /**
+   * Takes those out whose start is over, as is known now; the last one first, because the endpoint
+   * lived when those before it broke.
+   */
   List<Lost> startedAgain(Predicate<HostIdentity> over, long nowMs) {
-    return take(one -> nowMs - one.atMs() <= KEEP_MS && over.test(one.endpoint()));
+    return take(one -> nowMs - one.atMs() <= KEEP_MS && over.test(one.endpoint())).stream()
+        .sorted(Comparator.comparingLong(Lost::atMs).reversed())
+        .toList();
   }
 
   private List<Lost> take(Predicate<Lost> test) {
--- a/org.fawndrum/src/org/fawndrum/coordination/SuspectRequests.java
+++ b/org.fawndrum/src/org/fawndrum/coordination/SuspectRequests.java
@@ -132,7 +132,14 @@
 
   /** Takes note of starts that are over: connections that broke lately ended with them. */
   void startsAreOver(Predicate<HostIdentity> over, long nowMs) {
-    lost.startedAgain(over, nowMs).forEach(this::crashed);
+    lost.startedAgain(over, nowMs).forEach(this::brokeBefore);
+  }
+
+  private void brokeBefore(LostAttempts.Lost one) {
+    one.content()
+        .fingerprint()
+        .ifPresent(
+            print -> tell(ledger.startIsOver(one.endpoint(), print, one.sentMs(), one.atMs())));
   }
 
   private static LostAttempts.Lost lost(
--- a/org.fawndrum/src/org/fawndrum/coordination/crash/CrashHistory.java
+++ b/org.fawndrum/src/org/fawndrum/coordination/crash/CrashHistory.java
@@ -91,6 +91,12 @@
         .orElse(null);
   }
 
+  /** Tells whether the start that ended is known to have ended at another time. */
+  boolean knowsAnotherEnd(EndpointCrash crash) {
+    return known(crash) == null
+        && crashes.stream().anyMatch(one -> one.endpoint().equals(crash.endpoint()));
+  }
+
   private static EndpointCrash bounded(EndpointCrash crash, Set<RequestFingerprint> under) {
     Set<RequestFingerprint> kept = new HashSet<>();
     // Every host keeps the same ones.
--- a/org.fawndrum/src/org/fawndrum/coordination/crash/CrashLedger.java
+++ b/org.fawndrum/src/org/fawndrum/coordination/crash/CrashLedger.java
@@ -81,6 +81,21 @@
     return news == null ? CrashNews.NONE : CrashNews.of(news);
   }
 
+  /**
+   * Takes note that a start is over to which the connection of a request had broken before, for a
+   * cause that no host saw. A start whose end is known at another time did not end then.
+   *
+   * @param takenMs when it was sent the request
+   * @param brokenMs when the connection broke
+   */
+  public CrashNews startIsOver(
+      HostIdentity start, RequestFingerprint request, long takenMs, long brokenMs) {
+    EndpointCrash crash = new EndpointCrash(start, takenMs, brokenMs, Set.of(request));
+    return history.knowsAnotherEnd(crash)
+        ? CrashNews.NONE
+        : crashed(start, request, takenMs, brokenMs);
+  }
+
   private EndpointCrash add(EndpointCrash crash, long nowMs) {
     EndpointCrash news = history.add(crash, nowMs);
     // Also where only old ones went.
