Answer what a stopping host has read before its process ends

Cause: between the last look for answers and the end of the process the host goes on reading, for 50 ms so that the last bytes leave, and longer where a connection was just opened. At the end of that pause it looked at its time alone: past it, it ended, whatever it had read meanwhile. The refusal was decided and on its way to the event loop, on which the process ended first.

Mend: a host whose time is over reads nothing more, from open connections and new ones; it ends when whatever it read until then has its answer, and that has had its 50 ms to leave, and at the latest when it did before. What it no longer reads is closed unread, as before, within the tenth of a second that this takes.

RelayDrainTest.theHostEndsOnlyAfterTheAnswerToWhatItReadLast failed before and passes now, by a clock that is moved by hand.

--- a/org.fawndrum/src/org/fawndrum/transport/relay/RelayDrain.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/RelayDrain.java
@@ -139,14 +139,26 @@
 
   /**
    * Ends. A host that ends early, because nothing was left, first looks whether somebody connected
-   * meanwhile who would be cut.
+   * meanwhile who would be cut. One whose time is over reads nothing more, and ends when whatever
+   * it read until then has its answer.
    */
   private void leave(StopWindow window) {
     callers.closeIdle();
-    if (callers.connections() == 0 || clock.nowMs() >= window.endMs(lateMs)) {
+    long nowMs = clock.nowMs();
+    if (callers.connections() == 0 || nowMs >= window.goneMs()) {
       done.complete(null);
-    } else {
+    } else if (nowMs < window.endMs(lateMs)) {
       vertx.setTimer(LEAVE_MS, id -> leave(window));
+    } else {
+      callers.stopReading();
+      vertx.setPeriodic(ANSWERS_LOOK_MS, id -> lookForLastAnswers(id, window));
+    }
+  }
+
+  private void lookForLastAnswers(long timer, StopWindow window) {
+    if (callers.busy() == 0 || clock.nowMs() >= window.goneMs() - LEAVE_MS) {
+      vertx.cancelTimer(timer);
+      vertx.setTimer(LEAVE_MS, id -> done.complete(null));
     }
   }
 
--- a/org.fawndrum/src/org/fawndrum/transport/relay/RelayServer.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/RelayServer.java
@@ -68,6 +68,7 @@
   private final Map<HttpConnection, Long> unused = new HashMap<>();
 
   private boolean stopping;
+  private boolean ended;
 
   /** Takes requests that are whole. */
   interface Intake {
@@ -145,6 +146,19 @@
     stopping = true;
   }
 
+  /**
+   * Reads nothing more from callers, because what is taken now could not be answered any more. What
+   * was read before gets its answer.
+   */
+  void stopReading() {
+    ended = true;
+    Map.copyOf(busy).keySet().forEach(RelayServer::readNoMore);
+  }
+
+  private static void readNoMore(HttpConnection connection) {
+    channel(connection).ifPresent(channel -> channel.config().setAutoRead(false));
+  }
+
   /** Closes the connections on which no request is in progress, but for those just opened. */
   void closeIdle() {
     for (Map.Entry<HttpConnection, Integer> connection : Map.copyOf(busy).entrySet()) {
@@ -174,6 +188,9 @@
     unused.put(connection, clock.nowMs());
     idle.opened(connection);
     readToEnd(connection);
+    if (ended) {
+      readNoMore(connection);
+    }
     connection.closeHandler(
         v -> {
           busy.remove(connection);
--- a/org.fawndrum/tst/org/fawndrum/transport/relay/RelayDrainTest.java
+++ b/org.fawndrum/tst/org/fawndrum/transport/relay/RelayDrainTest.java
@@ -11,6 +11,7 @@
 import io.vertx.core.http.HttpClientAgent;
 import io.vertx.core.http.HttpClientResponse;
 import io.vertx.core.http.HttpMethod;
+import io.vertx.core.net.NetSocket;
 import java.io.IOException;
 import java.net.ServerSocket;
 import java.util.List;
@@ -19,6 +20,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import org.fawndrum.coordination.AwakeTimes;
 import org.fawndrum.coordination.Policies;
 import org.fawndrum.coordination.Refusal;
@@ -200,14 +202,18 @@
   /** Waits until the host knows of its one connection. */
   private void untilConnected() throws Exception {
     CompletableFuture<Void> connected = new CompletableFuture<>();
+    whenConnected(() -> connected.complete(null));
+    soon(connected);
+  }
+
+  private void whenConnected(Runnable step) {
     vertx.setPeriodic(
         LOOK_MS,
         id -> {
           if (callers.connections() == 1 && vertx.cancelTimer(id)) {
-            connected.complete(null);
+            step.run();
           }
         });
-    soon(connected);
   }
 
   private Future<HttpClientResponse> ask() {
@@ -258,6 +264,49 @@
     soon(done);
   }
 
+  /** Has a caller connect before it is decided about what is open, when nothing is. */
+  private void connectBeforeDecided(RelayEvent event, CompletableFuture<NetSocket> caller) {
+    if (event instanceof RelayEvent.Ending) {
+      vertx
+          .createNetClient()
+          .connect(address.port(), address.ip())
+          .onSuccess(socket -> whenConnected(() -> offerAndTell(event, caller, socket)));
+    } else {
+      decisions.offer(event);
+    }
+  }
+
+  private void offerAndTell(
+      RelayEvent event, CompletableFuture<NetSocket> caller, NetSocket socket) {
+    decisions.offer(event);
+    caller.complete(socket);
+  }
+
+  /**
+   * Seen: a host read a request 60 ms after it had said that it stopped, refused it, and ended
+   * before the refusal had left; the caller saw a closed connection.
+   */
+  @Test
+  void theHostEndsOnlyAfterTheAnswerToWhatItReadLast() throws Exception {
+    CompletableFuture<NetSocket> caller = new CompletableFuture<>();
+    Consumer<RelayEvent> orders = event -> connectBeforeDecided(event, caller);
+    drain =
+        new RelayDrain(vertx, callers, decisions, orders, () -> bounds, awake, () -> nowMs, log);
+    soon(callers.listen());
+    CompletableFuture<Void> done = drain.begin();
+    atMs(RESTING_CLOSE_MS + 1);
+    NetSocket socket = soon(caller);
+    letTimersFire();
+    assertFalse(done.isDone(), "the host ends though a request may be about to come");
+    socket.write("GET / HTTP/1.1\r\nhost: h\r\n\r\n");
+    RelayServer.Incoming request = soon(taken);
+    atMs(OVER_MS);
+    letTimersFire();
+    assertFalse(done.isDone(), "the host ends though it read a request and gave no answer");
+    vertx.runOnContext(v -> request.http().response().setStatusCode(503).end());
+    soon(done);
+  }
+
   @Test
   void aConnectionThatWasJustOpenedIsNotClosedBeforeItsRequestCanCome() throws Exception {
     soon(callers.listen());
