--- a/org.fawndrum.soak/src/org/fawndrum/soak/Fault.java
+++ b/org.fawndrum.soak/src/org/fawndrum/soak/Fault.java
@@ -136,6 +136,13 @@
     }
   }
 
+  /** Returns the faults of a play; none for a calm one. */
+  static List<Fault> plan(Soak.Order order) {
+    return order.kinds().isEmpty()
+        ? List.of()
+        : plan(new Random(order.seed()), order.lengthMs(), order.hosts(), order.kinds());
+  }
+
   /**
    * Returns the faults of a seed, by time: single ones and series that overlap.
    *
--- a/org.fawndrum.soak/src/org/fawndrum/soak/Soak.java
+++ b/org.fawndrum.soak/src/org/fawndrum/soak/Soak.java
@@ -4,7 +4,6 @@
 import java.io.IOException;
 import java.nio.file.Path;
 import java.util.List;
-import java.util.Random;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 
@@ -26,6 +25,7 @@
   private static final long LAST_ANSWERS_MS = Callers.DEADLINE_MS + 1_000;
 
   private final Order order;
+  private final List<Fault> plan;
   private final SoakLoop loop = new SoakLoop();
   private final Ledger ledger = new Ledger(SoakSite.REVOKE_MS);
   private volatile SoakSite site;
@@ -50,8 +50,15 @@
    */
   record Result(long seed, List<String> broken, String summary) {}
 
+  /** Makes a play of the faults that a seed plans. */
   Soak(Order order) {
+    this(order, Fault.plan(order));
+  }
+
+  /** Makes a play of chosen faults, which begin in their order. */
+  Soak(Order order, List<Fault> plan) {
     this.order = order;
+    this.plan = List.copyOf(plan);
   }
 
   /** Returns the steady clock in milliseconds. */
@@ -126,11 +133,10 @@
   /** Lets the faults of the seed come, or as much time pass, and ends them all. */
   private void playFaults(Callers callers) throws InterruptedException, IOException {
     FaultPlayer faults = new FaultPlayer(site, ledger, callers, loop);
-    if (order.kinds().isEmpty()) {
+    if (plan.isEmpty()) {
       Thread.sleep(order.lengthMs());
     } else {
-      Random random = new Random(order.seed());
-      faults.play(Fault.plan(random, order.lengthMs(), order.hosts(), order.kinds()));
+      faults.play(plan);
     }
     faults.heal();
   }
