Let an engine of the soak that has ended run nothing more

The lines: an engine gave the first pieces, and 30 to 60 ms later its port refused; none of these answers may be sent again, so the host broke off, as it must. The ledger held the engine's runs for sound.

The soak closes an engine's connections a moment after it counts it as ended; what arrives in between was run and answered, and such a run is neither broken off nor lost in the ledger's eyes. A process that has ended answers nobody. Now neither does the engine.

--- a/org.fawndrum.soak/src/org/fawndrum/soak/SoakEndpoint.java
+++ b/org.fawndrum.soak/src/org/fawndrum/soak/SoakEndpoint.java
@@ -117,6 +117,11 @@
     return id;
   }
 
+  /** Returns where it listens itself, behind its proxy. */
+  HostAddress address() {
+    return at;
+  }
+
   /** Returns its record in the store, which names the address of its proxy. */
   String entry(String state) {
     return standin.entry(service, ZONE, state).replace(at.toString(), linkAt.toString());
@@ -236,6 +241,11 @@
 
   @Override
   public boolean answer(EndpointStandin endpoint, HttpServerRequest request, int number) {
+    if (gone) {
+      // It came over a connection that is about to break; nobody is there any more.
+      request.connection().close();
+      return true;
+    }
     EndpointStandin.Seen seen = EndpointStandin.seen(request);
     EndpointRun run = begin(seen.requestId(), request);
     ledger.notices().arrived(seen.requestId(), id, Soak.nowMs());
