Bound the wait for what a stopping host read last

The host that reads nothing more waited for the answers of all that it had begun to read, at most until 150 ms before its kill. A request of which only a part was read is never whole then, so that it always waited for so long. The wait is now a tenth of a second, and as much longer as the host was late.

--- a/org.fawndrum/src/org/fawndrum/transport/relay/RelayDrain.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/RelayDrain.java
@@ -33,6 +33,12 @@
    */
   private static final long LEAVE_MS = 50;
 
+  /**
+   * How long requests that were read last have for their answers, in milliseconds: all of them are
+   * refusals that are decided within a few.
+   */
+  private static final long LAST_ANSWERS_MS = 100;
+
   private final Vertx vertx;
   private final RelayServer callers;
   private final RelayDuty decisions;
@@ -151,12 +157,14 @@
       vertx.setTimer(LEAVE_MS, id -> leave(window));
     } else {
       callers.stopReading();
-      vertx.setPeriodic(ANSWERS_LOOK_MS, id -> lookForLastAnswers(id, window));
+      long untilMs = Math.min(nowMs + LAST_ANSWERS_MS + lateMs, window.goneMs() - LEAVE_MS);
+      vertx.setPeriodic(ANSWERS_LOOK_MS, id -> lookForLastAnswers(id, untilMs));
     }
   }
 
-  private void lookForLastAnswers(long timer, StopWindow window) {
-    if (callers.busy() == 0 || clock.nowMs() >= window.goneMs() - LEAVE_MS) {
+  /** What was read in part only is never whole: it is no reason to stay for longer. */
+  private void lookForLastAnswers(long timer, long untilMs) {
+    if (callers.busy() == 0 || clock.nowMs() >= untilMs) {
       vertx.cancelTimer(timer);
       vertx.setTimer(LEAVE_MS, id -> done.complete(null));
     }
