--- a/org.fawndrum.soak/tst/org/fawndrum/soak/SoakTest.java
+++ b/org.fawndrum.soak/tst/org/fawndrum/soak/SoakTest.java
@@ -127,6 +127,30 @@
     holds(41_021, HOSTS, 12_000, Fault.ALL);
   }
 
+  /** Hosts that knew different starts of an engine made two ends of one. */
+  @Test
+  void seedFiftyOneThousandAndThirteen() throws Exception {
+    holds(51_013, HOSTS, 12_000, Fault.ALL);
+  }
+
+  /** An engine ended in the middle of answers of a host that was stopping. */
+  @Test
+  void seedFiftyOneThousandAndThree() throws Exception {
+    holds(51_003, HOSTS, 12_000, Fault.ALL);
+  }
+
+  /** The same, later in the stop. */
+  @Test
+  void seedFiftyOneThousandAndTwentyOne() throws Exception {
+    holds(51_021, HOSTS, 12_000, Fault.ALL);
+  }
+
+  /** A host that was told to stop was still there at the end of its grace period. */
+  @Test
+  void seedFiftyThreeThousandAndTwo() throws Exception {
+    holds(53_002, HOSTS, 12_000, Fault.ALL);
+  }
+
   /**
    * A host that had stood still while the order to stop came counted its grace period from when it
    * handled the order, and was killed with requests open.
