--- a/org.fawndrum/tst/org/fawndrum/coordination/membership/FleetOverlayTest.java
+++ b/org.fawndrum/tst/org/fawndrum/coordination/membership/FleetOverlayTest.java
@@ -56,6 +56,16 @@
     assertEquals(List.of(member("a-3", 2, "a", 1)), overlay.alive());
   }
 
+  /** What a host saw of endpoints counts for more while some other is not heard. */
+  @Test
+  void allAreHeardAgainOnceOneHasStartedAnew() {
+    overlay.heardDirectly(member("a-3", 1, "a", 1), true, 0);
+    assertTrue(overlay.hearsAll(1_000));
+    assertFalse(overlay.hearsAll(5_000));
+    overlay.heardDirectly(member("a-3", 2, "a", 1), true, 5_000);
+    assertTrue(overlay.hearsAll(5_000));
+  }
+
   @Test
   void aLateReportOfTheIncarnationBeforeIsNoNews() {
     FleetMember before = member("a-3", 1, "a", 1);
