Call the pause of a suspected request a quarantine

The field's word for a request that is kept from running because it harms what runs it; rest is what endpoints ask for. No behaviour is changed, but the code of the refusal, which is quarantined.

--- a/org.fawndrum/src/org/fawndrum/coordination/Admission.java
+++ b/org.fawndrum/src/org/fawndrum/coordination/Admission.java
@@ -71,12 +71,12 @@
 
   /**
    * Returns the end of a request that no endpoint can take in time: there is none, all of them want
-   * nothing from this host until it would come late, or it is suspected and rests itself. Null when
-   * one may take it. The caller is asked back when the first of them is to be had again, or when
+   * nothing from this host until it would come late, or it is in quarantine itself. Null when one
+   * may take it. The caller is asked back when the first of them is to be had again, or when
    * another host, which they may not have asked for rest, can help sooner.
    */
   Refusal unavailable(LiveRequest request, long nowMs) {
-    Refusal suspected = suspects.restsTooLong(request, nowMs);
+    Refusal suspected = suspects.quarantinedTooLong(request, nowMs);
     if (suspected != null) {
       return suspected;
     }
--- a/org.fawndrum/src/org/fawndrum/coordination/RefusalKind.java
+++ b/org.fawndrum/src/org/fawndrum/coordination/RefusalKind.java
@@ -56,7 +56,7 @@
   /** Endpoints end under the request, so that it is not run any more. */
   ENDS_ENDPOINTS(422, "invalid_request_error", "endpoints end when they run this request"),
   /** Endpoints ended under the request, and nothing became known of copies that ran since. */
-  UNDER_SUSPICION(503, "overloaded_error", "the request is under suspicion and is not run now"),
+  QUARANTINED(503, "overloaded_error", "the request is in quarantine and is not run now"),
   /** The caller went away. */
   CALLER_GONE(499, "api_error", "the caller closed the connection"),
   /** A fault of the daemon itself. */
--- a/org.fawndrum/src/org/fawndrum/coordination/SuspectRequests.java
+++ b/org.fawndrum/src/org/fawndrum/coordination/SuspectRequests.java
@@ -80,13 +80,13 @@
   }
 
   /**
-   * Returns the end of a request that rests until after its deadline; null for one that does not.
-   * Its caller is asked back for the time at which a copy may run again.
+   * Returns the end of a request that is in quarantine until after its deadline; null for any
+   * other. Its caller is asked back for the time at which a copy may run again.
    */
-  Refusal restsTooLong(LiveRequest request, long nowMs) {
-    long untilMs = ledger.restsUntilMs(request.facts.content());
+  Refusal quarantinedTooLong(LiveRequest request, long nowMs) {
+    long untilMs = ledger.quarantinedUntilMs(request.facts.content());
     return untilMs > request.deadlineMs
-        ? EndRules.unavailable(request, RefusalKind.UNDER_SUSPICION, untilMs - nowMs)
+        ? EndRules.unavailable(request, RefusalKind.QUARANTINED, untilMs - nowMs)
         : null;
   }
 
@@ -201,7 +201,7 @@
 
   private void release(long nowMs, Consumer<LiveRequest> released) {
     for (LiveRequest request : List.copyOf(held)) {
-      if (mayGo(request, nowMs) || restsTooLong(request, nowMs) != null) {
+      if (mayGo(request, nowMs) || quarantinedTooLong(request, nowMs) != null) {
         held.remove(request);
         released.accept(request);
       }
--- a/org.fawndrum/src/org/fawndrum/coordination/crash/CrashLedger.java
+++ b/org.fawndrum/src/org/fawndrum/coordination/crash/CrashLedger.java
@@ -201,23 +201,25 @@
     return suspected(content).filter(rules::runsAlone).isPresent();
   }
 
-  /** Asks for a turn, unless somebody has it or it rests; returns what is news. */
+  /**
+   * Asks for a turn, unless somebody has it or the request is quarantined; returns what is news.
+   */
   public CrashNews askTurn(RequestContent content, long nowMs) {
     return content
         .fingerprint()
-        .filter(request -> restsUntilMs(request) <= nowMs)
+        .filter(request -> quarantinedUntilMs(request) <= nowMs)
         .map(request -> turns.ask(request, nowMs))
         .map(CrashNews::of)
         .orElse(CrashNews.NONE);
   }
 
   /** Returns until when no copy of a request is sent; a time that has passed for most. */
-  public long restsUntilMs(RequestContent content) {
-    return suspected(content).filter(rules::runsAlone).map(this::restsUntilMs).orElse(0L);
+  public long quarantinedUntilMs(RequestContent content) {
+    return suspected(content).filter(rules::runsAlone).map(this::quarantinedUntilMs).orElse(0L);
   }
 
-  private long restsUntilMs(RequestFingerprint request) {
-    return spent.restsUntilMs(request, rules.endsInTurns(request));
+  private long quarantinedUntilMs(RequestFingerprint request) {
+    return spent.quarantinedUntilMs(request, rules.endsInTurns(request));
   }
 
   /** Takes the turn that this host asked for, once all others have heard of it. */
--- a/org.fawndrum/src/org/fawndrum/coordination/crash/SpentTurns.java
+++ b/org.fawndrum/src/org/fawndrum/coordination/crash/SpentTurns.java
@@ -13,11 +13,11 @@
  * Confined to the ledger's thread; times are those of the host's clock, in milliseconds.
  */
 final class SpentTurns {
-  /** In how many turns a request runs without an answer before it rests; operators allow three. */
+  /** After how many turns without an answer a request is quarantined; operators allow three. */
   static final int MOST_TURNS = 3;
 
-  /** For how long it rests after each from then on: longer than a request and its repeats last. */
-  static final long REST_MS = 60_000;
+  /** For how long, after each from then on: longer than a request and its repeats last. */
+  static final long QUARANTINE_MS = 60_000;
 
   /** The requests that are kept at most; beyond, the one whose turn was spent longest ago goes. */
   private static final int MOST_REQUESTS = 256;
@@ -54,19 +54,19 @@
   }
 
   /**
-   * Returns until when a request rests; 0 for one that does not. Evidence that does not come is no
-   * reason to risk one endpoint after the other.
+   * Returns until when no copy of a request runs; 0 for one that is not quarantined. Evidence that
+   * does not come is no reason to risk one endpoint after the other.
    *
    * @param ends the endpoints that ended under it in its turns, whatever else may explain them
    */
-  long restsUntilMs(RequestFingerprint request, List<EndpointCrash> ends) {
+  long quarantinedUntilMs(RequestFingerprint request, List<EndpointCrash> ends) {
     int turns = ends.size();
     long lastMs = ends.stream().mapToLong(EndpointCrash::atMs).max().orElse(0);
     for (SpentTurn one : of(request).values()) {
       turns += one.turns();
       lastMs = Math.max(lastMs, one.atMs());
     }
-    return turns < MOST_TURNS ? 0 : lastMs + REST_MS;
+    return turns < MOST_TURNS ? 0 : lastMs + QUARANTINE_MS;
   }
 
   /** Returns the counts of all requests. */
--- a/org.fawndrum/tst/org/fawndrum/coordination/SuspectRequestsTest.java
+++ b/org.fawndrum/tst/org/fawndrum/coordination/SuspectRequestsTest.java
@@ -227,7 +227,7 @@
     }
     assertEquals(3, sent);
     Refusal later = refused(arrive("r-last", 1));
-    assertEquals(RefusalKind.UNDER_SUSPICION, later.kind());
+    assertEquals(RefusalKind.QUARANTINED, later.kind());
     assertEquals(Ran.NO, later.ran());
     assertTrue(later.retryAfterMs() > 10_000, "asked back before it may run");
   }
--- a/org.fawndrum/tst/org/fawndrum/coordination/crash/CrashFleet.java
+++ b/org.fawndrum/tst/org/fawndrum/coordination/crash/CrashFleet.java
@@ -209,7 +209,7 @@
 
   private void takeTurn(CrashRun run) {
     CrashLedger ledger = ledgers[run.host()];
-    if (ledger.restsUntilMs(run.request()) > nowMs + LONGEST_WAIT_MS) {
+    if (ledger.quarantinedUntilMs(run.request()) > nowMs + LONGEST_WAIT_MS) {
       innocentsAskedBack += run.deadly() ? 0 : 1;
       return;
     }
--- a/org.fawndrum/tst/org/fawndrum/coordination/crash/CrashSpreadTest.java
+++ b/org.fawndrum/tst/org/fawndrum/coordination/crash/CrashSpreadTest.java
@@ -255,7 +255,7 @@
     }
   }
 
-  /** What the rest of suspects costs innocents where engines end and links lose answers. */
+  /** What the quarantine of suspects costs innocents where engines end and links lose answers. */
   @Test
   void fewInnocentsAreAskedBackWhileGroupsEndAndLinksLoseAnswers() {
     int[] askedBack = new int[1];
--- a/org.fawndrum/tst/org/fawndrum/coordination/crash/SuspectTurnsTest.java
+++ b/org.fawndrum/tst/org/fawndrum/coordination/crash/SuspectTurnsTest.java
@@ -137,21 +137,21 @@
    * could prove an end; they counted nowhere, and three more followed.
    */
   @Test
-  void aRequestThatRanInThreeTurnsWithoutAnswerOrEndRestsAtAllHosts() {
+  void aRequestThatRanInThreeTurnsWithoutAnswerOrEndIsQuarantinedAtAllHosts() {
     CrashLedger other = new CrashLedger(new HostIdentity("host-2", 1));
     threeAmongOthers();
     for (int i = 0; i < SpentTurns.MOST_TURNS; i++) {
-      assertEquals(0, ledger.restsUntilMs(DEADLY));
+      assertEquals(0, ledger.quarantinedUntilMs(DEADLY));
       CrashNews news = spentTurn();
       assertFalse(other.heard(news, nowMs).isEmpty(), "to be told on");
       assertTrue(other.heard(news, nowMs + 40).isEmpty(), "told twice");
     }
     other.heard(ledger.all(), nowMs);
     for (CrashLedger one : List.of(ledger, other)) {
-      long untilMs = one.restsUntilMs(DEADLY);
-      assertTrue(untilMs > nowMs + SpentTurns.REST_MS / 2);
+      long untilMs = one.quarantinedUntilMs(DEADLY);
+      assertTrue(untilMs > nowMs + SpentTurns.QUARANTINE_MS / 2);
       assertTrue(one.askTurn(DEADLY, untilMs - 1).isEmpty());
-      assertFalse(one.askTurn(DEADLY, untilMs).isEmpty(), "one more after the rest");
+      assertFalse(one.askTurn(DEADLY, untilMs).isEmpty(), "one more after it");
     }
   }
 
@@ -159,18 +159,18 @@
   void endsThatDoNotCountElsewhereCountAsTurns() {
     threeAmongOthers();
     for (int i = 0; i < SpentTurns.MOST_TURNS; i++) {
-      assertEquals(0, ledger.restsUntilMs(DEADLY));
+      assertEquals(0, ledger.quarantinedUntilMs(DEADLY));
       crash("f-" + i, DEADLY);
       // An endpoint without it ends at the same moment.
       crash("g-" + i, new TestContent(10 + i));
       pass(3_000);
     }
     assertNotEquals(CrashVerdict.REFUSED, ledger.verdict(DEADLY, nowMs));
-    assertTrue(ledger.restsUntilMs(DEADLY) > nowMs);
+    assertTrue(ledger.quarantinedUntilMs(DEADLY) > nowMs);
   }
 
   @Test
-  void anAnswerEndsTheRestEverywhere() {
+  void anAnswerEndsTheQuarantineEverywhere() {
     CrashLedger other = new CrashLedger(new HostIdentity("host-2", 1));
     threeAmongOthers();
     for (int i = 0; i < SpentTurns.MOST_TURNS; i++) {
@@ -179,8 +179,8 @@
     other.heard(ledger.all(), nowMs);
     CrashNews answered = ledger.served(DEADLY, nowMs);
     other.heard(answered, nowMs);
-    assertEquals(0, ledger.restsUntilMs(DEADLY));
-    assertEquals(0, other.restsUntilMs(DEADLY));
+    assertEquals(0, ledger.quarantinedUntilMs(DEADLY));
+    assertEquals(0, other.quarantinedUntilMs(DEADLY));
   }
 
   @Test
