Let many suspects not keep another from being found

Found on reading the change: since evidence about suspects is kept for longer, the first end under a new one went at once where 64 ends of other suspects were known. Now only what is older than ten seconds and says nothing of a suspect goes before its turn, and else the oldest of all. SuspectTurnsTest.manySuspectsDoNot... fails without this (needs no turn); whatIsKnownOfASuspectOutlasts... guards what it was for.

--- a/org.fawndrum/src/org/fawndrum/coordination/crash/CrashHistory.java
+++ b/org.fawndrum/src/org/fawndrum/coordination/crash/CrashHistory.java
@@ -25,6 +25,9 @@
   /** How long a crash is kept: a caller that comes again after more is rare. */
   static final long KEEP_MS = 600_000;
 
+  /** Within this time most requests that end an endpoint come again, in milliseconds. */
+  private static final long REPEATED_MS = 10_000;
+
   /** Two reports that no start tells apart, within this time, are of one crash. */
   private static final long SAME_CRASH_MS = 1_000;
 
@@ -63,7 +66,7 @@
       EndpointCrash bounded = bounded(crash, crash.under());
       put(bounded);
       if (crashes.size() > MOST_CRASHES) {
-        remove(leastTelling(suspects));
+        remove(leastTelling(suspects, nowMs));
       }
       return bounded;
     }
@@ -78,9 +81,13 @@
     return merged;
   }
 
-  /** Returns the oldest crash that says nothing of a suspect; the oldest where all do. */
-  private EndpointCrash leastTelling(Predicate<RequestFingerprint> suspects) {
+  /**
+   * Returns the oldest crash that says nothing of a suspect and may soon say no more; the oldest of
+   * all where there is none, so that many suspects do not keep others from being found.
+   */
+  private EndpointCrash leastTelling(Predicate<RequestFingerprint> suspects, long nowMs) {
     return crashes.stream()
+        .filter(crash -> nowMs - crash.atMs() > REPEATED_MS)
         .filter(crash -> crash.under().stream().noneMatch(suspects))
         .findFirst()
         .orElse(crashes.peekFirst());
--- a/org.fawndrum/tst/org/fawndrum/coordination/crash/SuspectTurnsTest.java
+++ b/org.fawndrum/tst/org/fawndrum/coordination/crash/SuspectTurnsTest.java
@@ -169,6 +169,26 @@
     assertTrue(ledger.quarantinedUntilMs(DEADLY) > nowMs);
   }
 
+  @Test
+  void whatIsKnownOfASuspectOutlastsManyOtherEnds() {
+    threeAmongOthers();
+    for (int i = 0; i < 2 * CrashHistory.MOST_CRASHES; i++) {
+      crash("o-" + i, new TestContent(100 + i));
+      pass(500);
+    }
+    assertTrue(ledger.needsTurn(DEADLY));
+  }
+
+  @Test
+  void manySuspectsDoNotKeepAnotherFromBeingFound() {
+    for (int i = 0; i < 2 * CrashHistory.MOST_CRASHES; i++) {
+      crash("o-" + i, new TestContent(100 + i / 2));
+      pass(100);
+    }
+    threeAmongOthers();
+    assertTrue(ledger.needsTurn(DEADLY));
+  }
+
   @Test
   void anAnswerEndsTheQuarantineEverywhere() {
     CrashLedger other = new CrashLedger(new HostIdentity("host-2", 1));
