Take an endpoint's notice from the head of an answer when it comes

The soak read the head when the whole answer was there, and held the start of then for the one that had spoken. So the check was wrong in this case, and right that requests may go to that start.

The notice is now taken when the head comes: earlier than before where the same start ends its answer, so that the bound of 2 s begins sooner.

--- a/org.fawndrum.soak/src/org/fawndrum/soak/Callers.java
+++ b/org.fawndrum.soak/src/org/fawndrum/soak/Callers.java
@@ -214,6 +214,7 @@
             .compose(
                 answer -> {
                   begun.set(true);
+                  begins(sent.id(), answer);
                   return answer.body().map(body -> answered(sent.id(), answer, body.toString()));
                 })
             .onFailure(cause -> ledger.stops().cut(sent.id(), begun.get(), Soak.nowMs()));
@@ -223,11 +224,16 @@
     return answered;
   }
 
-  private Void answered(String id, HttpClientResponse answer, String body) {
+  /** An answer begins; the endpoint that gave its head may not be the one that ends it. */
+  private void begins(String id, HttpClientResponse answer) {
     String seal = CallerStandin.seal(answer);
     if (seal != null && answer.getHeader(LEAVING) != null) {
       ledger.notices().passedOn(id, seal.substring(SEAL.length()), Soak.nowMs());
     }
+  }
+
+  private Void answered(String id, HttpClientResponse answer, String body) {
+    String seal = CallerStandin.seal(answer);
     ledger.answered(id, answer.statusCode(), CallerStandin.requestId(answer), seal, body);
     return null;
   }
