Tell news about ends on three times at most, and know late copies

Hosts took late copies of an end for later ends, and told them on without end. Each telling shifts the times of news by their way, and ends are told apart by these times.

Mend: a bound of three tellings, whatever is told; a copy is known by the time that it spans; an end took nothing after it; of several known ends the nearest is meant; a slack of 0.4 s in place of 0.2.

CrashOfOneStartTest.anEndOfManyReports... failed before; whateverAHostKnows... guards the choice of the nearest.

--- a/org.fawndrum/src/org/fawndrum/coordination/crash/CrashHistory.java
+++ b/org.fawndrum/src/org/fawndrum/coordination/crash/CrashHistory.java
@@ -103,13 +103,19 @@
     crash.under().forEach(one -> times.computeIfPresent(one, (key, n) -> n > 1 ? n - 1 : null));
   }
 
+  /** Returns the known crash that one is, the nearest of several; null where it is another. */
   private EndpointCrash known(EndpointCrash crash) {
     return crashes.stream()
         .filter(old -> old.isTheEndOf(crash, SAME_CRASH_MS))
-        .findFirst()
+        .min(Comparator.comparingLong(old -> Math.abs(old.atMs() - crash.atMs())))
         .orElse(null);
   }
 
+  /** Tells whether a report that was told is a late copy of what is known. */
+  boolean covers(EndpointCrash told) {
+    return crashes.stream().anyMatch(one -> one.covers(told));
+  }
+
   /** Tells whether the start that ended is known to have ended at another time. */
   boolean knowsAnotherEnd(EndpointCrash crash) {
     return known(crash) == null
--- a/org.fawndrum/src/org/fawndrum/coordination/crash/CrashLedger.java
+++ b/org.fawndrum/src/org/fawndrum/coordination/crash/CrashLedger.java
@@ -328,7 +328,7 @@
         news.refused().stream().filter(this::isNews).map(one -> refuse(one, nowMs)).toList();
     List<EndpointCrash> crashes = new ArrayList<>();
     for (EndpointCrash crash : news.crashes()) {
-      EndpointCrash fresh = add(crash, nowMs);
+      EndpointCrash fresh = history.covers(crash) ? null : add(crash, nowMs);
       if (fresh != null) {
         crashes.add(fresh);
       }
@@ -336,7 +336,7 @@
     List<SuspectTurn> turnsNow =
         news.turns().stream().filter(one -> turns.heard(one, nowMs)).toList();
     List<SpentTurn> spentNow = news.spent().stream().filter(this::isSpentNow).toList();
-    return new CrashNews(crashes, served, refusedNow, turnsNow, spentNow);
+    return new CrashNews(crashes, served, refusedNow, turnsNow, spentNow, news.hops() + 1);
   }
 
   private boolean isSpentNow(SpentTurn told) {
@@ -360,7 +360,8 @@
         pardons,
         refused(),
         List.of(),
-        spent.all());
+        spent.all(),
+        0);
   }
 
   /** Returns the requests that are turned away now. */
--- a/org.fawndrum/src/org/fawndrum/coordination/crash/CrashNews.java
+++ b/org.fawndrum/src/org/fawndrum/coordination/crash/CrashNews.java
@@ -12,13 +12,22 @@
  * @param refused requests that are turned away
  * @param turns who sends a suspected request next
  * @param spent how often such a request ran in vain
+ * @param hops how often it was told on
  */
 public record CrashNews(
     List<EndpointCrash> crashes,
     List<ServedRequest> served,
     List<RefusedRequest> refused,
     List<SuspectTurn> turns,
-    List<SpentTurn> spent) {
+    List<SpentTurn> spent,
+    int hops) {
+  /**
+   * How often news are told on at most: from a host through the speakers of two zones to the hosts
+   * of the other. Each telling shifts their times by their way, so that a host which hears late
+   * news of its own may take them for others, and would tell them on for ever.
+   */
+  public static final int MOST_HOPS = 3;
+
   /** Tells nothing. */
   public static final CrashNews NONE = new CrashNews(List.of(), List.of(), List.of(), List.of());
 
@@ -28,7 +37,7 @@
       List<ServedRequest> served,
       List<RefusedRequest> refused,
       List<SuspectTurn> turns) {
-    this(crashes, served, refused, turns, List.of());
+    this(crashes, served, refused, turns, List.of(), 0);
   }
 
   /** Copies the lists, so that the news cannot change. */
@@ -62,7 +71,7 @@
 
   /** Returns news of turns that were spent. */
   static CrashNews of(SpentTurn turn) {
-    return new CrashNews(List.of(), List.of(), List.of(), List.of(), List.of(turn));
+    return new CrashNews(List.of(), List.of(), List.of(), List.of(), List.of(turn), 0);
   }
 
   /** Tells whether there is nothing in it. */
--- a/org.fawndrum/src/org/fawndrum/coordination/crash/EndpointCrash.java
+++ b/org.fawndrum/src/org/fawndrum/coordination/crash/EndpointCrash.java
@@ -20,7 +20,7 @@
    * hosts come as ages, to which the way of the news adds 10 to 50 ms. Endpoints are gone for
    * longer.
    */
-  private static final long NEWS_MS = 200;
+  private static final long NEWS_MS = 400;
 
   /** Copies the set, so that the crash cannot change. */
   public EndpointCrash {
@@ -55,6 +55,17 @@
     return tellsStart || Math.abs(atMs - other.atMs) <= withinMs;
   }
 
+  /**
+   * Tells whether a report that was told says nothing new: it is of the same start, names no other
+   * request and spans the same time. Each telling shifts its times by the way of the news, so that
+   * their difference alone tells a late copy from another end.
+   */
+  boolean covers(EndpointCrash told) {
+    return endpoint.equals(told.endpoint)
+        && under.containsAll(told.under)
+        && atMs - takenMs == told.atMs - told.takenMs;
+  }
+
   private boolean isInTurnWith(EndpointCrash other) {
     return takenMs > other.atMs + NEWS_MS || other.takenMs > atMs + NEWS_MS;
   }
@@ -72,12 +83,16 @@
     return later.atMs <= atMs + withinMs;
   }
 
-  /** Returns this end with what another report of it says: the later start, the earlier time. */
+  /**
+   * Returns this end with what another report of it says: the later start, the earlier time. It
+   * took nothing after that time; else it would not be the same end as what others tell of it.
+   */
   EndpointCrash and(EndpointCrash other, Set<RequestFingerprint> all) {
+    long endedMs = Math.min(atMs, other.atMs);
     return new EndpointCrash(
         isOfEarlierStart(other) ? other.endpoint : endpoint,
-        Math.max(takenMs, other.takenMs),
-        Math.min(atMs, other.atMs),
+        Math.min(Math.max(takenMs, other.takenMs), endedMs),
+        endedMs,
         all);
   }
 }
--- a/org.fawndrum/src/org/fawndrum/protocol/CrashCodec.java
+++ b/org.fawndrum/src/org/fawndrum/protocol/CrashCodec.java
@@ -31,7 +31,7 @@
    * @param whole whether these are all that is known here
    */
   public static CrashReport write(CrashNews news, boolean whole, long nowMs) {
-    CrashReport.Builder report = CrashReport.newBuilder().setWhole(whole);
+    CrashReport.Builder report = CrashReport.newBuilder().setWhole(whole).setHops(news.hops());
     for (EndpointCrash crash : news.crashes()) {
       CrashRecord.Builder one =
           CrashRecord.newBuilder()
@@ -89,7 +89,8 @@
             .toList(),
         report.getRefusedList().stream().map(one -> refused(one, nowMs)).toList(),
         report.getTurnsList().stream().map(one -> turn(one, nowMs)).toList(),
-        report.getSpentList().stream().map(one -> spent(one, nowMs)).toList());
+        report.getSpentList().stream().map(one -> spent(one, nowMs)).toList(),
+        report.getHops());
   }
 
   private static SuspectTurn turn(TurnRecord one, long nowMs) {
--- a/org.fawndrum/src/org/fawndrum/protocol/wire/CrashReport.java
+++ b/org.fawndrum/src/org/fawndrum/protocol/wire/CrashReport.java
@@ -292,6 +292,21 @@
     return spent_.get(index);
   }
 
+  public static final int HOPS_FIELD_NUMBER = 7;
+  private int hops_ = 0;
+  /**
+   * <pre>
+   * How often this was told on.
+   * </pre>
+   *
+   * <code>int32 hops = 7;</code>
+   * @return The hops.
+   */
+  @java.lang.Override
+  public int getHops() {
+    return hops_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -324,6 +339,9 @@
     for (int i = 0; i < spent_.size(); i++) {
       output.writeMessage(6, spent_.get(i));
     }
+    if (hops_ != 0) {
+      output.writeInt32(7, hops_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -357,6 +375,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeMessageSize(6, spent_.get(i));
     }
+    if (hops_ != 0) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeInt32Size(7, hops_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -384,6 +406,8 @@
         .equals(other.getTurnsList())) return false;
     if (!getSpentList()
         .equals(other.getSpentList())) return false;
+    if (getHops()
+        != other.getHops()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -418,6 +442,8 @@
       hash = (37 * hash) + SPENT_FIELD_NUMBER;
       hash = (53 * hash) + getSpentList().hashCode();
     }
+    hash = (37 * hash) + HOPS_FIELD_NUMBER;
+    hash = (53 * hash) + getHops();
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -589,6 +615,7 @@
         spentBuilder_.clear();
       }
       bitField0_ = (bitField0_ & ~0x00000020);
+      hops_ = 0;
       return this;
     }
 
@@ -674,6 +701,9 @@
       if (((from_bitField0_ & 0x00000008) != 0)) {
         result.whole_ = whole_;
       }
+      if (((from_bitField0_ & 0x00000040) != 0)) {
+        result.hops_ = hops_;
+      }
     }
 
     @java.lang.Override
@@ -821,6 +851,9 @@
           }
         }
       }
+      if (other.getHops() != 0) {
+        setHops(other.getHops());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -917,6 +950,11 @@
               }
               break;
             } // case 50
+            case 56: {
+              hops_ = input.readInt32();
+              bitField0_ |= 0x00000040;
+              break;
+            } // case 56
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -2250,6 +2288,50 @@
       return spentBuilder_;
     }
 
+    private int hops_ ;
+    /**
+     * <pre>
+     * How often this was told on.
+     * </pre>
+     *
+     * <code>int32 hops = 7;</code>
+     * @return The hops.
+     */
+    @java.lang.Override
+    public int getHops() {
+      return hops_;
+    }
+    /**
+     * <pre>
+     * How often this was told on.
+     * </pre>
+     *
+     * <code>int32 hops = 7;</code>
+     * @param value The hops to set.
+     * @return This builder for chaining.
+     */
+    public Builder setHops(int value) {
+
+      hops_ = value;
+      bitField0_ |= 0x00000040;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * How often this was told on.
+     * </pre>
+     *
+     * <code>int32 hops = 7;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearHops() {
+      bitField0_ = (bitField0_ & ~0x00000040);
+      hops_ = 0;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:fawndrum.CrashReport)
   }
 
--- a/org.fawndrum/src/org/fawndrum/protocol/wire/CrashReportOrBuilder.java
+++ b/org.fawndrum/src/org/fawndrum/protocol/wire/CrashReportOrBuilder.java
@@ -159,4 +159,14 @@
    */
   org.fawndrum.protocol.wire.TurnRecordOrBuilder getSpentOrBuilder(
       int index);
+
+  /**
+   * <pre>
+   * How often this was told on.
+   * </pre>
+   *
+   * <code>int32 hops = 7;</code>
+   * @return The hops.
+   */
+  int getHops();
 }
--- a/org.fawndrum/src/org/fawndrum/protocol/wire/Peer.java
+++ b/org.fawndrum/src/org/fawndrum/protocol/wire/Peer.java
@@ -263,58 +263,58 @@
       "\030\006 \001(\003\022&\n\007crashes\030\007 \001(\0132\025.fawndrum.Crash" +
       "Report\022\025\n\rcrash_summary\030\010 \001(\020\022(\n\007leaving" +
       "\030\t \003(\0132\027.fawndrum.EndpointStart\022\025\n\rendpo" +
-      "ints_era\030\n \001(\003\"\340\001\n\013CrashReport\022&\n\007crashe" +
+      "ints_era\030\n \001(\003\"\356\001\n\013CrashReport\022&\n\007crashe" +
       "s\030\001 \003(\0132\025.fawndrum.CrashRecord\022&\n\006served" +
       "\030\002 \003(\0132\026.fawndrum.ServedRecord\022(\n\007refuse" +
       "d\030\003 \003(\0132\027.fawndrum.RefusedRecord\022\r\n\005whol" +
       "e\030\004 \001(\010\022#\n\005turns\030\005 \003(\0132\024.fawndrum.TurnRe" +
       "cord\022#\n\005spent\030\006 \003(\0132\024.fawndrum.TurnRecor" +
-      "d\"7\n\013Fingerprint\022\r\n\005bytes\030\001 \001(\003\022\014\n\004high\030" +
-      "\002 \001(\020\022\013\n\003low\030\003 \001(\020\"\211\001\n\013CrashRecord\022\020\n\010en" +
-      "dpoint\030\001 \001(\t\022\034\n\024endpoint_incarnation\030\002 \001" +
-      "(\003\022\016\n\006age_ms\030\003 \001(\003\022$\n\005under\030\004 \003(\0132\025.fawn" +
-      "drum.Fingerprint\022\024\n\014taken_age_ms\030\005 \001(\003\"F" +
-      "\n\014ServedRecord\022&\n\007request\030\001 \001(\0132\025.fawndr" +
-      "um.Fingerprint\022\016\n\006age_ms\030\002 \001(\003\"{\n\nTurnRe" +
-      "cord\022&\n\007request\030\001 \001(\0132\025.fawndrum.Fingerp" +
-      "rint\022\014\n\004host\030\002 \001(\t\022\030\n\020host_incarnation\030\003" +
-      " \001(\003\022\016\n\006age_ms\030\004 \001(\003\022\r\n\005spent\030\005 \001(\005\"Z\n\rR" +
-      "efusedRecord\022&\n\007request\030\001 \001(\0132\025.fawndrum" +
-      ".Fingerprint\022\016\n\006age_ms\030\002 \001(\003\022\021\n\tendpoint" +
-      "s\030\003 \003(\t\"j\n\013DaemonPlace\022\014\n\004host\030\001 \001(\t\022\023\n\013" +
-      "incarnation\030\002 \001(\003\022\014\n\004zone\030\003 \001(\t\022\n\n\002ip\030\004 " +
-      "\001(\t\022\014\n\004port\030\005 \001(\005\022\020\n\010capacity\030\006 \001(\003\"\273\001\n\n" +
-      "WorkReport\022%\n\006daemon\030\001 \001(\0132\025.fawndrum.Da" +
-      "emonPlace\022\020\n\010sequence\030\002 \001(\003\022\r\n\005whole\030\003 \001" +
-      "(\010\022$\n\006placed\030\004 \003(\0132\024.fawndrum.WorkPlaced" +
-      "\022\014\n\004read\030\005 \003(\020\022\r\n\005ended\030\006 \003(\020\022\016\n\006failed\030" +
-      "\007 \003(\020\022\022\n\nabout_zone\030\010 \001(\t\"`\n\020KnowledgeRe" +
-      "quest\022\036\n\026configuration_revision\030\001 \001(\003\022\025\n" +
-      "\rendpoints_end\030\002 \001(\003\022\025\n\rendpoints_era\030\003 " +
-      "\001(\003\"\301\002\n\016KnowledgeReply\022\034\n\024configuration_" +
-      "age_ms\030\001 \001(\003\022\036\n\026configuration_revision\030\002" +
-      " \001(\003\0221\n\rconfiguration\030\003 \001(\0132\025.fawndrum.S" +
-      "toreRecordH\000\210\001\001\022\025\n\rendpoints_end\030\004 \001(\003\022(" +
-      "\n\tendpoints\030\005 \003(\0132\025.fawndrum.StoreRecord" +
-      "\022\030\n\020endpoints_age_ms\030\006 \001(\003\022\032\n\022endpoints_" +
-      "left_out\030\007 \001(\010\022\025\n\rendpoints_era\030\010 \001(\003\022\036\n" +
-      "\026endpoints_changes_only\030\t \001(\010B\020\n\016_config" +
-      "uration\"9\n\013StoreRecord\022\016\n\006offset\030\001 \001(\003\022\013" +
-      "\n\003key\030\002 \001(\t\022\r\n\005value\030\003 \001(\014\"\327\001\n\nWorkPlace" +
-      "d\022\n\n\002id\030\001 \001(\020\022\020\n\010endpoint\030\002 \001(\t\022\034\n\024endpo" +
-      "int_incarnation\030\003 \001(\003\022\025\n\rprompt_tokens\030\004" +
-      " \001(\003\022\025\n\rmemory_tokens\030\005 \001(\003\022\r\n\005parts\030\006 \001" +
-      "(\005\022\016\n\006writes\030\007 \001(\010\022\032\n\022first_token_aim_ms" +
-      "\030\010 \001(\003\022\024\n\014pause_aim_ms\030\t \001(\003\022\016\n\006age_ms\030\n" +
-      " \001(\003\"\033\n\014ClaimRequest\022\013\n\003key\030\001 \001(\t\"q\n\nCla" +
-      "imReply\022+\n\006answer\030\001 \001(\0162\033.fawndrum.Claim" +
-      "Reply.Answer\"6\n\006Answer\022\017\n\013UNSPECIFIED\020\000\022" +
-      "\010\n\004FREE\020\001\022\010\n\004HELD\020\002\022\007\n\003RAN\020\003\"8\n\016LedgerHa" +
-      "ndover\022&\n\007entries\030\001 \003(\0132\025.fawndrum.Ledge" +
-      "rEntry\"7\n\013LedgerEntry\022\013\n\003key\030\001 \001(\t\022\013\n\003ra" +
-      "n\030\002 \001(\010\022\016\n\006age_ms\030\003 \001(\003\"\021\n\017Acknowledgeme" +
-      "ntB\036\n\032org.fawndrum.protocol.wireP\001b\006prot" +
-      "o3"
+      "d\022\014\n\004hops\030\007 \001(\005\"7\n\013Fingerprint\022\r\n\005bytes\030" +
+      "\001 \001(\003\022\014\n\004high\030\002 \001(\020\022\013\n\003low\030\003 \001(\020\"\211\001\n\013Cra" +
+      "shRecord\022\020\n\010endpoint\030\001 \001(\t\022\034\n\024endpoint_i" +
+      "ncarnation\030\002 \001(\003\022\016\n\006age_ms\030\003 \001(\003\022$\n\005unde" +
+      "r\030\004 \003(\0132\025.fawndrum.Fingerprint\022\024\n\014taken_" +
+      "age_ms\030\005 \001(\003\"F\n\014ServedRecord\022&\n\007request\030" +
+      "\001 \001(\0132\025.fawndrum.Fingerprint\022\016\n\006age_ms\030\002" +
+      " \001(\003\"{\n\nTurnRecord\022&\n\007request\030\001 \001(\0132\025.fa" +
+      "wndrum.Fingerprint\022\014\n\004host\030\002 \001(\t\022\030\n\020host" +
+      "_incarnation\030\003 \001(\003\022\016\n\006age_ms\030\004 \001(\003\022\r\n\005sp" +
+      "ent\030\005 \001(\005\"Z\n\rRefusedRecord\022&\n\007request\030\001 " +
+      "\001(\0132\025.fawndrum.Fingerprint\022\016\n\006age_ms\030\002 \001" +
+      "(\003\022\021\n\tendpoints\030\003 \003(\t\"j\n\013DaemonPlace\022\014\n\004" +
+      "host\030\001 \001(\t\022\023\n\013incarnation\030\002 \001(\003\022\014\n\004zone\030" +
+      "\003 \001(\t\022\n\n\002ip\030\004 \001(\t\022\014\n\004port\030\005 \001(\005\022\020\n\010capac" +
+      "ity\030\006 \001(\003\"\273\001\n\nWorkReport\022%\n\006daemon\030\001 \001(\013" +
+      "2\025.fawndrum.DaemonPlace\022\020\n\010sequence\030\002 \001(" +
+      "\003\022\r\n\005whole\030\003 \001(\010\022$\n\006placed\030\004 \003(\0132\024.fawnd" +
+      "rum.WorkPlaced\022\014\n\004read\030\005 \003(\020\022\r\n\005ended\030\006 " +
+      "\003(\020\022\016\n\006failed\030\007 \003(\020\022\022\n\nabout_zone\030\010 \001(\t\"" +
+      "`\n\020KnowledgeRequest\022\036\n\026configuration_rev" +
+      "ision\030\001 \001(\003\022\025\n\rendpoints_end\030\002 \001(\003\022\025\n\ren" +
+      "dpoints_era\030\003 \001(\003\"\301\002\n\016KnowledgeReply\022\034\n\024" +
+      "configuration_age_ms\030\001 \001(\003\022\036\n\026configurat" +
+      "ion_revision\030\002 \001(\003\0221\n\rconfiguration\030\003 \001(" +
+      "\0132\025.fawndrum.StoreRecordH\000\210\001\001\022\025\n\rendpoin" +
+      "ts_end\030\004 \001(\003\022(\n\tendpoints\030\005 \003(\0132\025.fawndr" +
+      "um.StoreRecord\022\030\n\020endpoints_age_ms\030\006 \001(\003" +
+      "\022\032\n\022endpoints_left_out\030\007 \001(\010\022\025\n\rendpoint" +
+      "s_era\030\010 \001(\003\022\036\n\026endpoints_changes_only\030\t " +
+      "\001(\010B\020\n\016_configuration\"9\n\013StoreRecord\022\016\n\006" +
+      "offset\030\001 \001(\003\022\013\n\003key\030\002 \001(\t\022\r\n\005value\030\003 \001(\014" +
+      "\"\327\001\n\nWorkPlaced\022\n\n\002id\030\001 \001(\020\022\020\n\010endpoint\030" +
+      "\002 \001(\t\022\034\n\024endpoint_incarnation\030\003 \001(\003\022\025\n\rp" +
+      "rompt_tokens\030\004 \001(\003\022\025\n\rmemory_tokens\030\005 \001(" +
+      "\003\022\r\n\005parts\030\006 \001(\005\022\016\n\006writes\030\007 \001(\010\022\032\n\022firs" +
+      "t_token_aim_ms\030\010 \001(\003\022\024\n\014pause_aim_ms\030\t \001" +
+      "(\003\022\016\n\006age_ms\030\n \001(\003\"\033\n\014ClaimRequest\022\013\n\003ke" +
+      "y\030\001 \001(\t\"q\n\nClaimReply\022+\n\006answer\030\001 \001(\0162\033." +
+      "fawndrum.ClaimReply.Answer\"6\n\006Answer\022\017\n\013" +
+      "UNSPECIFIED\020\000\022\010\n\004FREE\020\001\022\010\n\004HELD\020\002\022\007\n\003RAN" +
+      "\020\003\"8\n\016LedgerHandover\022&\n\007entries\030\001 \003(\0132\025." +
+      "fawndrum.LedgerEntry\"7\n\013LedgerEntry\022\013\n\003k" +
+      "ey\030\001 \001(\t\022\013\n\003ran\030\002 \001(\010\022\016\n\006age_ms\030\003 \001(\003\"\021\n" +
+      "\017AcknowledgementB\036\n\032org.fawndrum.protoco" +
+      "l.wireP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -415,7 +415,7 @@
     internal_static_fawndrum_CrashReport_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_fawndrum_CrashReport_descriptor,
-        new java.lang.String[] { "Crashes", "Served", "Refused", "Whole", "Turns", "Spent", });
+        new java.lang.String[] { "Crashes", "Served", "Refused", "Whole", "Turns", "Spent", "Hops", });
     internal_static_fawndrum_Fingerprint_descriptor =
       getDescriptor().getMessageType(16);
     internal_static_fawndrum_Fingerprint_fieldAccessorTable = new
--- a/org.fawndrum/src/org/fawndrum/transport/relay/RelayRuntime.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/RelayRuntime.java
@@ -165,7 +165,9 @@
   private final class Teller implements FleetTeller {
     @Override
     public void crashes(CrashNews news) {
-      fleet.offer(new FleetEvent.Crashes(Optional.empty(), news));
+      if (news.hops() <= CrashNews.MOST_HOPS) {
+        fleet.offer(new FleetEvent.Crashes(Optional.empty(), news));
+      }
     }
 
     @Override
--- a/org.fawndrum/tst/org/fawndrum/coordination/crash/CrashFleet.java
+++ b/org.fawndrum/tst/org/fawndrum/coordination/crash/CrashFleet.java
@@ -65,6 +65,8 @@
   private long nowMs = 1;
   private long order;
   private int engineCrashes;
+  private int newsSpreadMs = NEWS_SPREAD_MS;
+  private int messages;
   private int innocentsRefused;
   private int innocentsServed;
   private int innocentsAskedBack;
@@ -140,20 +142,31 @@
   }
 
   private void tell(int from, CrashNews news) {
-    for (int to = 0; to < hosts && !news.isEmpty(); to++) {
+    boolean told = !news.isEmpty() && news.hops() <= CrashNews.MOST_HOPS;
+    for (int to = 0; to < hosts && told; to++) {
       tellOne(from, to, news);
     }
   }
 
   private void tellOne(int from, int to, CrashNews news) {
     if (to != from && !cut[from] && !cut[to]) {
-      after(
-          NEWS_MS + random.nextInt(NEWS_SPREAD_MS),
-          () -> {
-            if (!cut[to]) {
-              ledgers[to].heard(news, nowMs);
-            }
-          });
+      long lateMs = NEWS_MS + random.nextInt(newsSpreadMs);
+      messages++;
+      after(lateMs, () -> heard(to, news, lateMs));
+    }
+  }
+
+  /**
+   * Where news may be late, a host takes their times for later ones, and tells on what it learns.
+   */
+  private void heard(int host, CrashNews news, long lateMs) {
+    if (cut[host]) {
+      return;
+    }
+    if (newsSpreadMs == NEWS_SPREAD_MS) {
+      ledgers[host].heard(news, nowMs);
+    } else {
+      tell(host, ledgers[host].heard(LateNews.of(news, lateMs), nowMs));
     }
   }
 
@@ -361,6 +374,16 @@
     }
   }
 
+  /** Lets news take up to so much longer than the fastest ones. */
+  void newsTake(int spreadMs) {
+    newsSpreadMs = spreadMs;
+  }
+
+  /** Returns how many messages the hosts sent each other. */
+  int messages() {
+    return messages;
+  }
+
   int engineCrashes() {
     return engineCrashes;
   }
--- a/org.fawndrum/tst/org/fawndrum/coordination/crash/CrashOfOneStartTest.java
+++ b/org.fawndrum/tst/org/fawndrum/coordination/crash/CrashOfOneStartTest.java
@@ -3,8 +3,10 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.List;
+import java.util.Random;
 import org.fawndrum.state.HostIdentity;
 import org.junit.jupiter.api.Test;
 
@@ -105,4 +107,32 @@
     assertEquals(first.summary(), second.summary());
     assertEquals(1, first.all().crashes().size());
   }
+
+  /**
+   * Seen: hosts took their own ends, as others told them back, for new ones, and told them on for
+   * ever. An end that several reports made up had taken a request after its end.
+   */
+  @Test
+  void anEndOfManyReportsIsNoNewsToWhoKnowsIt() {
+    crash(EARLIER, INNOCENT, nowMs - 1_000);
+    ledger.crashed(LATER, DEADLY.print(), nowMs + 150, nowMs + 300);
+    ledger.crashed(EARLIER, new TestContent(3).print(), nowMs - 1_000, nowMs - 100);
+    assertTrue(ledger.heard(ledger.all(), nowMs).isEmpty());
+    assertEquals(1, ledger.all().crashes().size());
+  }
+
+  @Test
+  void whateverAHostKnowsIsNoNewsToIt() {
+    for (long seed = 1; seed <= 500; seed++) {
+      Random random = new Random(seed);
+      CrashLedger host = new CrashLedger(HOST);
+      for (int i = 0; i < 30; i++) {
+        HostIdentity endpoint = new HostIdentity("e-" + random.nextInt(2), random.nextInt(4));
+        TestContent under = new TestContent(random.nextInt(5));
+        long endedMs = nowMs - random.nextInt(3_000);
+        host.crashed(endpoint, under.print(), endedMs - random.nextInt(800), endedMs);
+      }
+      assertTrue(host.heard(host.all(), nowMs).isEmpty(), "seed " + seed);
+    }
+  }
 }
--- a/org.fawndrum/tst/org/fawndrum/coordination/crash/CrashSpreadTest.java
+++ b/org.fawndrum/tst/org/fawndrum/coordination/crash/CrashSpreadTest.java
@@ -30,6 +30,14 @@
   /** How often an innocent of some three thousand in a minute is asked back in the mean at most. */
   private static final double MOST_ASKED_BACK = 0.5;
 
+  /** How long news take between very busy hosts at most, in milliseconds. */
+  private static final int LATE_NEWS_MS = 800;
+
+  /** What three hosts tell each other in a minute at most, where news are so late. */
+  private static final int MOST_MESSAGES = 10_000;
+
+  private static final int FEW_SEEDS = 12;
+
   private static final TestContent DEADLY = new TestContent(1);
   private static final TestContent POPULAR = new TestContent(2);
 
@@ -218,6 +226,24 @@
         });
   }
 
+  /**
+   * Seen: hosts so busy that news between them took long told each other the same for ever, until
+   * they could do nothing else. Each telling shifts the times of what is told.
+   */
+  @Test
+  void newsThatAreLateAreNotToldForEver() {
+    TestContent other = new TestContent(3);
+    for (long seed = 1; seed <= FEW_SEEDS; seed++) {
+      CrashFleet fleet = small(seed);
+      together(fleet, 800, DEADLY, other);
+      fleet.newsTake(LATE_NEWS_MS);
+      for (long atMs = 1_000; atMs <= LENGTH_MS && fleet.messages() < MOST_MESSAGES; atMs += 500) {
+        fleet.runTo(atMs);
+      }
+      assertTrue(fleet.messages() < MOST_MESSAGES, "seed " + seed);
+    }
+  }
+
   /** The links to engines are harmed one after the other, several at a time. */
   private static void harmed(CrashFleet fleet) {
     for (long atMs = 3_000; atMs < LENGTH_MS; atMs += 700) {
--- a/org.fawndrum/tst/org/fawndrum/protocol/CrashCodecTest.java
+++ b/org.fawndrum/tst/org/fawndrum/protocol/CrashCodecTest.java
@@ -31,7 +31,8 @@
             List.of(new ServedRequest(REQUEST, NOW_MS - 30)),
             List.of(new RefusedRequest(REQUEST, NOW_MS - 20, List.of("e-1#1000"))),
             List.of(new SuspectTurn(REQUEST, HOST, NOW_MS - 10)),
-            List.of(new SpentTurn(REQUEST, HOST, 2, NOW_MS - 5)));
+            List.of(new SpentTurn(REQUEST, HOST, 2, NOW_MS - 5)),
+            1);
     assertEquals(news, CrashCodec.read(CrashCodec.write(news, false, NOW_MS), NOW_MS));
   }
 }
