Keep one way of dropping the oldest, and build findings for the log only

The ledger's rule for bounded maps (put last, drop the first beyond a bound) was written again in SpentTurns and in CrashFindings; all three call BoundedMaps now. SuspectTurns keeps its own, because dropping a turn there also forgets that it was begun. Each look at a held request, every 20 ms, built a whole CrashFinding with its texts to read one flag; it asks for the rule alone now. LostAttemptsTest had its own copy of a record of SuspectRequestsTest; both use NumberedContent.

Behaviour is as it was, but for one thing beyond 256 suspects: the finding that is forgotten first is now the one that changed longest ago, not the one that was first; it decides only whether a line is written twice. Assertions are unchanged.

--- a/org.fawndrum/src/org/fawndrum/coordination/crash/CrashFindings.java
+++ b/org.fawndrum/src/org/fawndrum/coordination/crash/CrashFindings.java
@@ -23,10 +23,7 @@
     if (!enough || finding.isCause() || finding.equals(last.get(finding.request()))) {
       return;
     }
-    last.put(finding.request(), finding);
-    if (last.size() > MOST) {
-      last.remove(last.keySet().iterator().next());
-    }
+    BoundedMaps.putLast(last, finding.request(), finding, MOST);
     news.add(finding);
   }
 
--- a/org.fawndrum/src/org/fawndrum/coordination/crash/CrashLedger.java
+++ b/org.fawndrum/src/org/fawndrum/coordination/crash/CrashLedger.java
@@ -160,15 +160,7 @@
   }
 
   private static void put(Map<RequestFingerprint, Long> map, ServedRequest served) {
-    map.remove(served.request());
-    map.put(served.request(), served.atMs());
-    bound(map);
-  }
-
-  private static <T> void bound(Map<RequestFingerprint, T> map) {
-    if (map.size() > MOST_REFUSED) {
-      map.remove(map.keySet().iterator().next());
-    }
+    BoundedMaps.putLast(map, served.request(), served.atMs(), MOST_REFUSED);
   }
 
   /** Returns what may be done with a request that comes or waits. */
@@ -314,8 +306,7 @@
   }
 
   private RefusedRequest refuse(RefusedRequest record, long nowMs) {
-    refused.put(record.request(), new Refused(record, nowMs));
-    bound(refused);
+    BoundedMaps.putLast(refused, record.request(), new Refused(record, nowMs), MOST_REFUSED);
     suspectsChanged();
     return record;
   }
--- a/org.fawndrum/src/org/fawndrum/coordination/crash/CrashRules.java
+++ b/org.fawndrum/src/org/fawndrum/coordination/crash/CrashRules.java
@@ -166,25 +166,34 @@
 
   /** Tells whether crashes under a request say that it causes them. */
   private boolean isCause(RequestFingerprint request, List<EndpointCrash> crashes) {
-    return crashes.size() >= ENOUGH && judge(request, crashes).isCause();
+    return crashes.size() >= ENOUGH && standing(request, weigh(request, crashes)) == Standing.CAUSE;
   }
 
-  /** Says whether crashes under a request say that it causes them, and why not. */
-  CrashFinding judge(RequestFingerprint request, List<EndpointCrash> crashes) {
+  /** Crashes under a request that count, and those that do not. */
+  private record Weighed(List<EndpointCrash> counted, List<Discounted> discounted) {}
+
+  private Weighed weigh(RequestFingerprint request, List<EndpointCrash> crashes) {
     List<EndpointCrash> counted = new ArrayList<>();
     List<Discounted> discounted = new ArrayList<>();
     for (EndpointCrash crash : crashes) {
-      Optional<Discount> why = discount(request, crash);
-      why.ifPresentOrElse(
-          one -> discounted.add(new Discounted(crash.endpoint(), one)), () -> counted.add(crash));
+      discount(request, crash)
+          .ifPresentOrElse(
+              why -> discounted.add(new Discounted(crash.endpoint(), why)),
+              () -> counted.add(crash));
     }
-    Standing standing = standing(request, counted, discounted);
+    return new Weighed(counted, discounted);
+  }
+
+  /** Says whether crashes under a request say that it causes them, and why not. */
+  CrashFinding judge(RequestFingerprint request, List<EndpointCrash> crashes) {
+    Weighed weighed = weigh(request, crashes);
+    Standing standing = standing(request, weighed);
     return new CrashFinding(
         request,
         standing,
-        against(standing, request, counted),
-        counted.stream().map(EndpointCrash::endpoint).toList(),
-        discounted);
+        against(standing, request, weighed.counted()),
+        weighed.counted().stream().map(EndpointCrash::endpoint).toList(),
+        weighed.discounted());
   }
 
   /** Returns why a crash does not count; empty when it does. */
@@ -208,12 +217,13 @@
    * count by itself; but where a request goes on to end as many endpoints without that one, it had
    * its part in the earlier ones.
    */
-  private Standing standing(
-      RequestFingerprint request, List<EndpointCrash> counted, List<Discounted> discounted) {
+  private Standing standing(RequestFingerprint request, Weighed weighed) {
+    List<EndpointCrash> counted = weighed.counted();
     if (counted.size() < ENOUGH) {
       return Standing.TOO_FEW;
     }
-    long explained = discounted.stream().filter(one -> one.why() == Discount.EXPLAINED).count();
+    long explained =
+        weighed.discounted().stream().filter(one -> one.why() == Discount.EXPLAINED).count();
     boolean many = counted.size() + explained >= ENOUGH_AMONG_OTHERS;
     if (!many && !history.hearsAll()) {
       return Standing.NOT_ALL_HEARD;
--- a/org.fawndrum/src/org/fawndrum/coordination/crash/SpentTurns.java
+++ b/org.fawndrum/src/org/fawndrum/coordination/crash/SpentTurns.java
@@ -41,11 +41,7 @@
     }
     Map<HostIdentity, SpentTurn> all = new HashMap<>(of(told.request()));
     all.put(told.host(), told);
-    spent.remove(told.request());
-    spent.put(told.request(), all);
-    if (spent.size() > MOST_REQUESTS) {
-      spent.remove(spent.keySet().iterator().next());
-    }
+    BoundedMaps.putLast(spent, told.request(), all, MOST_REQUESTS);
     return true;
   }
 
--- a/org.fawndrum/tst/org/fawndrum/coordination/LostAttemptsTest.java
+++ b/org.fawndrum/tst/org/fawndrum/coordination/LostAttemptsTest.java
@@ -5,11 +5,8 @@
 import static org.junit.jupiter.api.Assertions.assertNotEquals;
 
 import java.util.List;
-import java.util.Optional;
 import org.fawndrum.coordination.crash.CrashLedger;
 import org.fawndrum.coordination.crash.CrashVerdict;
-import org.fawndrum.coordination.crash.RequestContent;
-import org.fawndrum.coordination.crash.RequestFingerprint;
 import org.fawndrum.state.HostIdentity;
 import org.junit.jupiter.api.Test;
 
@@ -29,27 +26,10 @@
   private final CrashLedger ledger = new CrashLedger(new HostIdentity("host-1", 1));
   private long nowMs = 1_000_000;
 
-  /** What a request asks, by a number. */
-  private record Content(long number) implements RequestContent {
-    @Override
-    public long bytes() {
-      return 7;
-    }
-
-    @Override
-    public Optional<RequestFingerprint> fingerprint() {
-      return Optional.of(print());
-    }
-
-    RequestFingerprint print() {
-      return new RequestFingerprint(7, number, number);
-    }
-  }
-
-  private static final Content DEADLY = new Content(1);
-  private static final Content OTHER = new Content(2);
+  private static final NumberedContent DEADLY = new NumberedContent(1);
+  private static final NumberedContent OTHER = new NumberedContent(2);
 
-  private void loses(Content request) {
+  private void loses(NumberedContent request) {
     lost.add(new LostAttempts.Lost(request, ENGINE, nowMs - RUN_MS, nowMs));
   }
 
--- a/org.fawndrum/tst/org/fawndrum/coordination/SuspectRequestsTest.java
+++ b/org.fawndrum/tst/org/fawndrum/coordination/SuspectRequestsTest.java
@@ -12,7 +12,6 @@
 import java.util.stream.IntStream;
 import org.fawndrum.coordination.crash.CrashNews;
 import org.fawndrum.coordination.crash.EndpointCrash;
-import org.fawndrum.coordination.crash.RequestContent;
 import org.fawndrum.coordination.crash.RequestFingerprint;
 import org.fawndrum.state.CallerGroup;
 import org.fawndrum.state.Cell;
@@ -47,19 +46,6 @@
           Policies.engineModel(new EarnedRetryBudget(0.1, 10), () -> false, Set::of));
   private long nowMs = 1_000;
 
-  /** What a request asks, by a number. */
-  private record Content(long number) implements RequestContent {
-    @Override
-    public long bytes() {
-      return 7;
-    }
-
-    @Override
-    public Optional<RequestFingerprint> fingerprint() {
-      return Optional.of(new RequestFingerprint(7, number, number));
-    }
-  }
-
   SuspectRequestsTest() {
     Row row = Row.EMPTY.with(Column.DEADLINE_MS, new Cell("10000", 0, "ana"));
     coordinator.table(new TableParts(0, 0).row(GROUP, row).build(), nowMs);
@@ -87,7 +73,17 @@
     return decisive(
         coordinator.arrive(
             new RequestFacts(
-                id, GROUP, pool, 500, 100, nowMs, 0, true, List.of(), AIMS, new Content(content)),
+                id,
+                GROUP,
+                pool,
+                500,
+                100,
+                nowMs,
+                0,
+                true,
+                List.of(),
+                AIMS,
+                new NumberedContent(content)),
             nowMs));
   }
 
@@ -122,7 +118,7 @@
 
   /** Another host saw an endpoint end under a request. */
   private List<Action> told(String endpoint, long content) {
-    RequestFingerprint request = new Content(content).fingerprint().orElseThrow();
+    RequestFingerprint request = new NumberedContent(content).print();
     EndpointCrash crash =
         new EndpointCrash(new HostIdentity(endpoint, 1), nowMs, nowMs, Set.of(request));
     CrashNews news = new CrashNews(List.of(crash), List.of(), List.of(), List.of());
