Gather what keeps requests from an endpoint in one place

The placement, the admission and the check before the first byte asked for requested backoffs and rates one by one.

A drained zone is one that operators have emptied: its endpoints get nothing new. Nothing sets one yet.

--- a/org.fawndrum/src/org/fawndrum/coordination/AttemptEvent.java
+++ b/org.fawndrum/src/org/fawndrum/coordination/AttemptEvent.java
@@ -16,6 +16,11 @@
    * any more before anything was written to the network; nothing will be.
    */
   ENDPOINT_LIMITED,
+  /**
+   * The endpoint's availability zone was drained before anything was written to the network;
+   * nothing will be.
+   */
+  ZONE_DRAINED,
   /** The endpoint reports that it did not run the request and will not. */
   REFUSED_BY_ENDPOINT,
   /** Part of the answer arrived. */
--- a/org.fawndrum/src/org/fawndrum/coordination/AttemptTransitions.java
+++ b/org.fawndrum/src/org/fawndrum/coordination/AttemptTransitions.java
@@ -21,7 +21,7 @@
     }
     return switch (event) {
       case SENDING -> state == AttemptState.WAITING ? AttemptState.SENT : state;
-      case CONNECT_FAILED, ENDPOINT_BACKOFF, ENDPOINT_LIMITED ->
+      case CONNECT_FAILED, ENDPOINT_BACKOFF, ENDPOINT_LIMITED, ZONE_DRAINED ->
           state == AttemptState.RUNNING ? AttemptState.FAILED : AttemptState.NOT_RUN;
       case REFUSED_BY_ENDPOINT ->
           state == AttemptState.RUNNING ? AttemptState.FAILED : AttemptState.NOT_RUN;
--- /dev/null
+++ b/org.fawndrum/src/org/fawndrum/coordination/EndpointRestrictions.java
@@ -0,0 +1,39 @@
+// SPDX-License-Identifier: Apache-2.0
+package org.fawndrum.coordination;
+
+import org.fawndrum.coordination.limit.EndpointRateLimits;
+import org.fawndrum.state.Endpoint;
+
+/**
+ * What keeps requests from endpoints, apart from their load: shared by the thread that places
+ * requests and those that send them, because a restriction may arise in between. All parts are
+ * thread-safe.
+ *
+ * @param backoffs the backoffs that endpoints requested of this host
+ * @param rateLimits the rates that endpoints accept from all hosts together
+ * @param drainedZones the zones that operators have drained
+ */
+public record EndpointRestrictions(
+    RequestedBackoffs backoffs, EndpointRateLimits rateLimits, DrainedZones drainedZones) {
+  /** Creates restrictions of which none is in force. */
+  public EndpointRestrictions() {
+    this(new RequestedBackoffs(), new EndpointRateLimits(), new DrainedZones());
+  }
+
+  /**
+   * Returns why a request that was placed on an endpoint must not be sent there any more; null if
+   * it may be.
+   *
+   * @param permitEndMs until when it may be sent under its permit
+   */
+  public AttemptEvent obstacle(Endpoint endpoint, long permitEndMs, long nowMs) {
+    if (drainedZones.contains(endpoint.zone())) {
+      return AttemptEvent.ZONE_DRAINED;
+    }
+    if (backoffs.isActive(endpoint.identity(), nowMs)) {
+      return AttemptEvent.ENDPOINT_BACKOFF;
+    }
+    boolean withoutPermit = rateLimits.isLimited(endpoint.name()) && nowMs > permitEndMs;
+    return withoutPermit ? AttemptEvent.ENDPOINT_LIMITED : null;
+  }
+}
--- a/org.fawndrum/src/org/fawndrum/coordination/RefusalRules.java
+++ b/org.fawndrum/src/org/fawndrum/coordination/RefusalRules.java
@@ -1,6 +1,9 @@
 // SPDX-License-Identifier: Apache-2.0
 package org.fawndrum.coordination;
 
+import java.util.EnumSet;
+import java.util.Set;
+
 /**
  * Determines the refusal of requests that get no whole answer, and how failures of attempts affect
  * their endpoints. Stateless.
@@ -12,6 +15,11 @@
    */
   private static final long SHUTDOWN_RETRY_AFTER_MS = 20;
 
+  /** Events of attempts that were not sent because the endpoint must not get them now. */
+  private static final Set<AttemptEvent> NOT_AT_FAULT =
+      EnumSet.of(
+          AttemptEvent.ENDPOINT_BACKOFF, AttemptEvent.ENDPOINT_LIMITED, AttemptEvent.ZONE_DRAINED);
+
   private RefusalRules() {}
 
   /** Returns the refusal of a request that arrives before the host has a table. */
@@ -71,7 +79,7 @@
    */
   static void recordEndpointFailure(
       OpenRequest request, OpenRequest.Attempt attempt, AttemptEvent event, long nowMs) {
-    if (event == AttemptEvent.ENDPOINT_BACKOFF || event == AttemptEvent.ENDPOINT_LIMITED) {
+    if (NOT_AT_FAULT.contains(event)) {
       return;
     }
     // A refusal with a requested backoff names the time itself and is not counted as a failure.
--- a/org.fawndrum/src/org/fawndrum/coordination/RequestCoordinator.java
+++ b/org.fawndrum/src/org/fawndrum/coordination/RequestCoordinator.java
@@ -8,7 +8,6 @@
 import java.util.function.Predicate;
 import org.fawndrum.coordination.engine.EngineUpdate;
 import org.fawndrum.coordination.limit.EndpointPermits;
-import org.fawndrum.coordination.limit.EndpointRateLimits;
 import org.fawndrum.coordination.limit.PermitDemand;
 import org.fawndrum.coordination.limit.PermitGrant;
 import org.fawndrum.coordination.membership.FleetReport;
@@ -48,19 +47,15 @@
    * @param policies the policies, owned by this coordinator
    */
   public RequestCoordinator(HostIdentity self, String zone, Policies policies) {
-    this(self, zone, policies, new RequestedBackoffs(), new EndpointRateLimits());
+    this(self, zone, policies, new EndpointRestrictions());
   }
 
-  /** Creates a coordinator that shares with the sending layer what endpoints stated. */
+  /** Creates a coordinator that shares the restrictions of endpoints with the sending layer. */
   public RequestCoordinator(
-      HostIdentity self,
-      String zone,
-      Policies policies,
-      RequestedBackoffs backoffs,
-      EndpointRateLimits rateLimits) {
+      HostIdentity self, String zone, Policies policies, EndpointRestrictions restrictions) {
     this.self = self;
-    this.permits = new EndpointPermits(rateLimits);
-    this.registry = new EndpointRegistry(backoffs, permits);
+    this.permits = new EndpointPermits(restrictions.rateLimits());
+    this.registry = new EndpointRegistry(restrictions.backoffs(), permits);
     this.policies = policies;
     this.queue = new WaitingRequests(policies.order(), policies.lengthClassifier());
     this.engineWork = new EngineWork(self, registry, pending);
--- a/org.fawndrum/src/org/fawndrum/coordination/RetryRule.java
+++ b/org.fawndrum/src/org/fawndrum/coordination/RetryRule.java
@@ -14,7 +14,8 @@
       EnumSet.of(
           AttemptEvent.CONNECT_FAILED,
           AttemptEvent.ENDPOINT_BACKOFF,
-          AttemptEvent.ENDPOINT_LIMITED);
+          AttemptEvent.ENDPOINT_LIMITED,
+          AttemptEvent.ZONE_DRAINED);
 
   private final Policies policies;
 
--- a/org.fawndrum/src/org/fawndrum/transport/relay/EndpointNotices.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/EndpointNotices.java
@@ -6,12 +6,14 @@
 import java.util.List;
 import java.util.function.Consumer;
 import org.fawndrum.coordination.AttemptEvent;
+import org.fawndrum.coordination.EndpointRestrictions;
 import org.fawndrum.coordination.RequestedBackoffs;
 import org.fawndrum.coordination.limit.EndpointRateLimits;
 import org.fawndrum.coordination.limit.EndpointRateLimits.Statement;
 import org.fawndrum.internal.log.HostLog;
 import org.fawndrum.internal.log.LogEvent;
 import org.fawndrum.internal.log.LogRateLimiter;
+import org.fawndrum.state.Endpoint;
 import org.fawndrum.state.HostIdentity;
 import org.fawndrum.transport.HostClock;
 
@@ -26,6 +28,7 @@
   /** Maximum time that the answer to a control request takes, in milliseconds. */
   private static final long MAX_CONTROL_MS = 500;
 
+  private final EndpointRestrictions restrictions;
   private final RequestedBackoffs backoffs;
   private final EndpointRateLimits rateLimits;
   private final Consumer<RelayEvent> events;
@@ -38,15 +41,15 @@
   private final Counter heldBack;
 
   EndpointNotices(
-      RequestedBackoffs backoffs,
-      EndpointRateLimits rateLimits,
+      EndpointRestrictions restrictions,
       Consumer<RelayEvent> events,
       Consumer<FleetEvent> fleet,
       HostClock clock,
       MetricRegistry registry,
       HostLog log) {
-    this.backoffs = backoffs;
-    this.rateLimits = rateLimits;
+    this.restrictions = restrictions;
+    this.backoffs = restrictions.backoffs();
+    this.rateLimits = restrictions.rateLimits();
     this.events = events;
     this.fleet = fleet;
     this.clock = clock;
@@ -63,16 +66,12 @@
    *
    * @param permitEndMs until when it may be sent under its permit
    */
-  AttemptEvent obstacle(HostIdentity endpoint, long permitEndMs) {
-    long nowMs = clock.nowMs();
-    if (backoffs.isActive(endpoint, nowMs)) {
-      return AttemptEvent.ENDPOINT_BACKOFF;
-    }
-    boolean withoutPermit = rateLimits.isLimited(endpoint.host()) && nowMs > permitEndMs;
-    if (withoutPermit) {
+  AttemptEvent obstacle(Endpoint endpoint, long permitEndMs) {
+    AttemptEvent obstacle = restrictions.obstacle(endpoint, permitEndMs, clock.nowMs());
+    if (obstacle == AttemptEvent.ENDPOINT_LIMITED) {
       heldBack.inc();
     }
-    return withoutPermit ? AttemptEvent.ENDPOINT_LIMITED : null;
+    return obstacle;
   }
 
   /** Called when a request is sent to an endpoint. */
--- a/org.fawndrum/src/org/fawndrum/transport/relay/RelayAttempt.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/RelayAttempt.java
@@ -191,8 +191,7 @@
       connectedRequest.reset();
       return;
     }
-    AttemptEvent obstacle =
-        relay.notices().obstacle(send.endpoint().identity(), send.permitEndMs());
+    AttemptEvent obstacle = relay.notices().obstacle(send.endpoint(), send.permitEndMs());
     if (obstacle != null) {
       // It arose while the connection was established.
       connectedRequest.reset();
--- a/org.fawndrum/src/org/fawndrum/transport/relay/RelayRuntime.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/RelayRuntime.java
@@ -9,9 +9,9 @@
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import org.fawndrum.coordination.Action;
+import org.fawndrum.coordination.EndpointRestrictions;
 import org.fawndrum.coordination.Policies;
 import org.fawndrum.coordination.RequestCoordinator;
-import org.fawndrum.coordination.RequestedBackoffs;
 import org.fawndrum.coordination.crash.CrashUpdate;
 import org.fawndrum.coordination.limit.EndpointPermits;
 import org.fawndrum.coordination.limit.EndpointRateLimits;
@@ -86,9 +86,8 @@
     this.log = log;
     this.self = new HostIdentity(settings.host(), incarnation);
     this.routes = new RouteStore(this::routesChanged);
-    RequestedBackoffs backoffs = new RequestedBackoffs();
-    EndpointRateLimits rateLimits = new EndpointRateLimits();
-    RequestCoordinator coordinator = newCoordinator(backoffs, rateLimits);
+    EndpointRestrictions restrictions = new EndpointRestrictions();
+    RequestCoordinator coordinator = newCoordinator(restrictions);
     MetricRegistry registry = new MetricRegistry();
     this.decisionLog =
         new DecisionLog(new RequestMetrics(registry, clock), this::basis, clock, log);
@@ -103,13 +102,13 @@
             log);
     this.events = new ReliableEventSink(vertx, decisions, log);
     this.notices =
-        new EndpointNotices(backoffs, rateLimits, events, this::offerToFleet, clock, registry, log);
+        new EndpointNotices(restrictions, events, this::offerToFleet, clock, registry, log);
     this.metrics =
         new MetricsServer(vertx, settings.metrics(), registry, decisions::crashingRequests, log);
     FleetReceiver receiver = new FleetReceiver(this::offerToFleet, new LazyStoreSync(), clock);
     ListenSettings peers = new ListenSettings(settings.peers(), Optional.empty());
     this.network = new NettyPeerNetwork(peers, receiver, log);
-    this.fleet = newFleet(rateLimits);
+    this.fleet = newFleet(restrictions.rateLimits());
     this.stallWatch = new StallWatch(vertx, clock);
     this.engineControl = new IncarnationGuard(adapter.engineControl(), this::restarted);
     this.engineControl.setNoticeListener(notices);
@@ -126,13 +125,12 @@
     gauges(registry, coordinator.permits());
   }
 
-  private RequestCoordinator newCoordinator(
-      RequestedBackoffs backoffs, EndpointRateLimits rateLimits) {
+  private RequestCoordinator newCoordinator(EndpointRestrictions restrictions) {
     RetryShare retries = new RetryShare(settings.bounds(), this::otherDaemons, this::hasSeeds);
     Policies policies =
         Policies.engineModel(retries.budget(), this::manyDaemons, this::silentZones)
             .withAllHostsReporting(this::allHostsReporting);
-    return new RequestCoordinator(self, settings.zone(), policies, backoffs, rateLimits);
+    return new RequestCoordinator(self, settings.zone(), policies, restrictions);
   }
 
   private RelaySettings settingsInForce() {
--- a/org.fawndrum/tst/org/fawndrum/coordination/AttemptTransitionsTest.java
+++ b/org.fawndrum/tst/org/fawndrum/coordination/AttemptTransitionsTest.java
@@ -23,6 +23,7 @@
           event == AttemptEvent.CONNECT_FAILED || event == AttemptEvent.REFUSED_BY_ENDPOINT;
       reportedNotRun |= event == AttemptEvent.ENDPOINT_BACKOFF;
       reportedNotRun |= event == AttemptEvent.ENDPOINT_LIMITED;
+      reportedNotRun |= event == AttemptEvent.ZONE_DRAINED;
       state = AttemptTransitions.next(state, event);
       wasRunning |= state == AttemptState.RUNNING;
       if (state.ran() == Ran.NO) {
--- a/org.fawndrum/tst/org/fawndrum/coordination/CoordinatorHistoryTest.java
+++ b/org.fawndrum/tst/org/fawndrum/coordination/CoordinatorHistoryTest.java
@@ -187,6 +187,7 @@
           event == AttemptEvent.CONNECT_FAILED
               || event == AttemptEvent.ENDPOINT_BACKOFF
               || event == AttemptEvent.ENDPOINT_LIMITED
+              || event == AttemptEvent.ZONE_DRAINED
               || event == AttemptEvent.REFUSED_BY_ENDPOINT;
       boolean started = inFlight.get(id) == null;
       if (reportedNotRun && !started) {
--- a/org.fawndrum/tst/org/fawndrum/coordination/LimitedEndpointTest.java
+++ b/org.fawndrum/tst/org/fawndrum/coordination/LimitedEndpointTest.java
@@ -41,8 +41,7 @@
           new HostIdentity("host-1", 1),
           "zone-a",
           Policies.engineModel(new EarnedRetryBudget(0.1, 10), () -> false, Set::of),
-          new RequestedBackoffs(),
-          limits);
+          new EndpointRestrictions(new RequestedBackoffs(), limits, new DrainedZones()));
   private final List<Action> actions = new ArrayList<>();
   private int requestCount;
 
--- a/org.fawndrum/tst/org/fawndrum/coordination/RequestedBackoffsTest.java
+++ b/org.fawndrum/tst/org/fawndrum/coordination/RequestedBackoffsTest.java
@@ -49,8 +49,7 @@
           new HostIdentity("host-1", 1),
           "zone-a",
           Policies.engineModel(new EarnedRetryBudget(0.1, 10), () -> false, Set::of),
-          backoffs,
-          new EndpointRateLimits());
+          new EndpointRestrictions(backoffs, new EndpointRateLimits(), new DrainedZones()));
   private final List<Action> actions = new ArrayList<>();
   private int requestCount;
 
