--- a/org.fawndrum/src/org/fawndrum/coordination/Admission.java
+++ b/org.fawndrum/src/org/fawndrum/coordination/Admission.java
@@ -83,12 +83,12 @@
 
   /**
    * Returns the refusal of a request that no endpoint can take in time, or null if one may. No
-   * endpoint can take it if none serves the target, if all of them have asked this host for a
-   * backoff that lasts too long or accept too few requests a second, or if the request is
-   * quarantined past its deadline. The retry delay ends when the first endpoint becomes available
-   * again. After a backoff it is limited to {@link #OTHER_HOST_RETRY_AFTER_MS} because the
-   * endpoints may accept requests from other hosts; a rate is that of all hosts, and callers are
-   * given different times.
+   * endpoint can take it if none serves the target outside drained zones, if all of them have asked
+   * this host for a backoff that lasts too long or accept too few requests a second, or if the
+   * request is quarantined past its deadline. The retry delay ends when the first endpoint becomes
+   * available again. After a backoff it is limited to {@link #OTHER_HOST_RETRY_AFTER_MS} because
+   * the endpoints may accept requests from other hosts; a rate is that of all hosts, and callers
+   * are given different times.
    *
    * @param before the number of waiting requests for the same target that are sent first
    */
@@ -99,7 +99,11 @@
     }
     List<EndpointState> serving = endpoints.serving(request.facts.target());
     if (serving.isEmpty()) {
-      return RefusalRules.unavailable(request, RefusalKind.NO_ENDPOINT, OTHER_HOST_RETRY_AFTER_MS);
+      RefusalKind kind =
+          endpoints.isDrained(request.facts.target())
+              ? RefusalKind.ZONES_DRAINED
+              : RefusalKind.NO_ENDPOINT;
+      return RefusalRules.unavailable(request, kind, OTHER_HOST_RETRY_AFTER_MS);
     }
     int beforeAtEach = before / serving.size();
     EndpointState first = null;
--- a/org.fawndrum/src/org/fawndrum/coordination/AttemptFailures.java
+++ b/org.fawndrum/src/org/fawndrum/coordination/AttemptFailures.java
@@ -64,8 +64,9 @@
 
   private void recordFailure(
       OpenRequest request, OpenRequest.Attempt attempt, AttemptEvent event, long nowMs) {
-    decisionRecorder.attempt(
-        request, attempt, DecisionKind.ATTEMPT_FAILED, Reason.ENDPOINT_FAILED, nowMs);
+    boolean zoneDrained = event == AttemptEvent.ZONE_DRAINED;
+    Reason reason = zoneDrained ? Reason.ZONES_DRAINED : Reason.ENDPOINT_FAILED;
+    decisionRecorder.attempt(request, attempt, DecisionKind.ATTEMPT_FAILED, reason, nowMs);
     if (attempt.failedHelper == null) {
       RefusalRules.recordEndpointFailure(request, attempt, event, nowMs);
     }
--- a/org.fawndrum/src/org/fawndrum/coordination/EndpointRegistry.java
+++ b/org.fawndrum/src/org/fawndrum/coordination/EndpointRegistry.java
@@ -19,23 +19,32 @@
 final class EndpointRegistry {
   private final RequestedBackoffs requestedBackoffs;
   private final EndpointPermits permits;
+  private final DrainedZones drainedZones;
+  private Collection<Endpoint> listed = List.of();
   private final Map<HostIdentity, EndpointState> states = new HashMap<>();
   private final Map<RequestTarget, List<EndpointState>> eligibleByTarget = new HashMap<>();
   private final Map<RequestTarget, Long> maxMemoryByTarget = new HashMap<>();
 
-  EndpointRegistry(RequestedBackoffs requestedBackoffs, EndpointPermits permits) {
+  /** The number of endpoints by target, with those in drained zones. */
+  private final Map<RequestTarget, Integer> countByTarget = new HashMap<>();
+
+  EndpointRegistry(
+      RequestedBackoffs requestedBackoffs, EndpointPermits permits, DrainedZones drainedZones) {
     this.requestedBackoffs = requestedBackoffs;
     this.permits = permits;
+    this.drainedZones = drainedZones;
   }
 
   /**
-   * Replaces the set of endpoints eligible for new work. Endpoints not in it receive no new work,
-   * but what they have in flight continues.
+   * Replaces the set of endpoints eligible for new work unless their zone is drained. Other
+   * endpoints receive no new work, but what they have in flight continues.
    */
   void update(Collection<Endpoint> endpoints) {
+    listed = List.copyOf(endpoints);
     Map<HostIdentity, EndpointState> updated = new HashMap<>();
     eligibleByTarget.clear();
     maxMemoryByTarget.clear();
+    countByTarget.clear();
     for (Endpoint endpoint : endpoints) {
       EndpointState state = states.get(endpoint.identity());
       if (state == null) {
@@ -47,7 +56,10 @@
       for (String name : endpoint.serves()) {
         RequestTarget target = new RequestTarget(endpoint.kind(), name);
         maxMemoryByTarget.merge(target, endpoint.memoryTokens(), Math::max);
-        eligibleByTarget.computeIfAbsent(target, key -> new ArrayList<>()).add(state);
+        countByTarget.merge(target, 1, Integer::sum);
+        if (!drainedZones.contains(endpoint.zone())) {
+          eligibleByTarget.computeIfAbsent(target, key -> new ArrayList<>()).add(state);
+        }
       }
     }
     for (EndpointState state : states.values()) {
@@ -59,6 +71,16 @@
     states.putAll(updated);
   }
 
+  /** Applies a change of the drained zones; the known work at their endpoints is kept. */
+  void zonesChanged() {
+    update(listed);
+  }
+
+  /** Whether all endpoints of a target are in drained zones. */
+  boolean isDrained(RequestTarget target) {
+    return serving(target).isEmpty() && countByTarget.containsKey(target);
+  }
+
   /** Returns the endpoints eligible for new work of a target; empty if there are none. */
   List<EndpointState> serving(RequestTarget target) {
     return eligibleByTarget.getOrDefault(target, List.of());
@@ -79,14 +101,14 @@
   }
 
   /**
-   * Returns the maximum memory that one request can get at a target, in tokens. Several engines
-   * together can hold one prompt if they have engine profiles.
+   * Returns the maximum memory that one request can get at a target while no zone is drained, in
+   * tokens. Several engines together can hold one prompt if they have engine profiles.
    */
   long maxRequestMemory(RequestTarget target) {
     long largestMemory = maxMemoryByTarget.getOrDefault(target, 0L);
     boolean several =
         serving(target).stream().anyMatch(state -> state.endpoint().engine().isPresent());
-    return several ? largestMemory * serving(target).size() : largestMemory;
+    return several ? largestMemory * countByTarget.getOrDefault(target, 0) : largestMemory;
   }
 
   /** Records that this host saw an endpoint terminate. */
--- a/org.fawndrum/src/org/fawndrum/coordination/EndpointRestrictions.java
+++ b/org.fawndrum/src/org/fawndrum/coordination/EndpointRestrictions.java
@@ -36,4 +36,9 @@
     boolean withoutPermit = rateLimits.isLimited(endpoint.name()) && nowMs > permitEndMs;
     return withoutPermit ? AttemptEvent.ENDPOINT_LIMITED : null;
   }
+
+  /** Returns why an engine must not help with a request any more; null if it may. */
+  public AttemptEvent helperObstacle(Endpoint helper) {
+    return drainedZones.contains(helper.zone()) ? AttemptEvent.ZONE_DRAINED : null;
+  }
 }
--- a/org.fawndrum/src/org/fawndrum/coordination/Reason.java
+++ b/org.fawndrum/src/org/fawndrum/coordination/Reason.java
@@ -21,6 +21,8 @@
   ENDPOINTS_BUSY,
   /** The endpoints that could take the request accept a number of requests a second only. */
   ENDPOINTS_LIMITED,
+  /** The zones of the endpoints, or of one that was chosen, are drained. */
+  ZONES_DRAINED,
   /** Another endpoint was chosen after a failure. */
   ENDPOINT_FAILED,
   /** The endpoint restarted and lost the attempt. */
--- a/org.fawndrum/src/org/fawndrum/coordination/RefusalKind.java
+++ b/org.fawndrum/src/org/fawndrum/coordination/RefusalKind.java
@@ -48,6 +48,8 @@
   /** Every endpoint that serves the target accepts no more requests a second than it gets. */
   ENDPOINTS_LIMITED(
       503, "overloaded_error", "the endpoints that serve the target accept no more requests now"),
+  /** Every endpoint that serves the target is in a zone that operators have drained. */
+  ZONES_DRAINED(503, "overloaded_error", "the zones of the endpoints for the target are drained"),
   /** The host is shutting down. */
   DRAINING(503, "overloaded_error", "this host is being stopped"),
   /** The event queue of a duty is full. */
--- a/org.fawndrum/src/org/fawndrum/coordination/RefusalRules.java
+++ b/org.fawndrum/src/org/fawndrum/coordination/RefusalRules.java
@@ -97,6 +97,7 @@
     return switch (kind) {
       case NO_ENDPOINT, ENDPOINTS_REST -> Reason.NO_ENDPOINT;
       case ENDPOINTS_LIMITED -> Reason.ENDPOINTS_LIMITED;
+      case ZONES_DRAINED -> Reason.ZONES_DRAINED;
       case CANNOT_FINISH -> Reason.DEADLINE;
       default -> Reason.LIMIT;
     };
--- a/org.fawndrum/src/org/fawndrum/coordination/RequestCoordinator.java
+++ b/org.fawndrum/src/org/fawndrum/coordination/RequestCoordinator.java
@@ -55,7 +55,8 @@
       HostIdentity self, String zone, Policies policies, EndpointRestrictions restrictions) {
     this.self = self;
     this.permits = new EndpointPermits(restrictions.rateLimits());
-    this.registry = new EndpointRegistry(restrictions.backoffs(), permits);
+    this.registry =
+        new EndpointRegistry(restrictions.backoffs(), permits, restrictions.drainedZones());
     this.policies = policies;
     this.queue = new WaitingRequests(policies.order(), policies.lengthClassifier());
     this.engineWork = new EngineWork(self, registry, pending);
@@ -91,6 +92,13 @@
     return backoffRequested(nowMs);
   }
 
+  /** Called when zones were drained or taken back. */
+  public List<Action> drainedZonesChanged(long nowMs) {
+    registry.zonesChanged();
+    offers.giveUpUnavailable(nowMs);
+    return flush(nowMs);
+  }
+
   /** Called when an endpoint has asked this host to send nothing for a time. */
   public List<Action> backoffRequested(long nowMs) {
     offers.giveUpUnavailable(nowMs);
--- a/org.fawndrum/src/org/fawndrum/coordination/RequestOffers.java
+++ b/org.fawndrum/src/org/fawndrum/coordination/RequestOffers.java
@@ -61,8 +61,11 @@
   }
 
   private static Reason reasonOf(Refusal refusal) {
-    boolean limited = refusal.kind() == RefusalKind.ENDPOINTS_LIMITED;
-    return limited ? Reason.ENDPOINTS_LIMITED : Reason.NO_ENDPOINT;
+    return switch (refusal.kind()) {
+      case ENDPOINTS_LIMITED -> Reason.ENDPOINTS_LIMITED;
+      case ZONES_DRAINED -> Reason.ZONES_DRAINED;
+      default -> Reason.NO_ENDPOINT;
+    };
   }
 
   /**
--- a/org.fawndrum/src/org/fawndrum/internal/log/LogEvent.java
+++ b/org.fawndrum/src/org/fawndrum/internal/log/LogEvent.java
@@ -84,7 +84,12 @@
   PERMITS_ISSUED(
       77,
       Level.INFO,
-      "this host issues permits for endpoint {0}, which accepts {1} requests/s; its part is {2}");
+      "this host issues permits for endpoint {0}, which accepts {1} requests/s; its part is {2}"),
+  ZONE_DRAINED(
+      91,
+      Level.INFO,
+      "zone {0} is drained, its endpoints get no new requests; epoch {1}, offset {2}, from {3}"),
+  ZONE_TAKEN_BACK(92, Level.INFO, "zone {0} is no longer drained; epoch {1}, offset {2}, from {3}");
 
   /** Added to a number before formatting, so that the id has four digits with leading zeros. */
   private static final int FOUR_DIGITS = 10_000;
--- a/org.fawndrum/src/org/fawndrum/protocol/wire/FleetNews.java
+++ b/org.fawndrum/src/org/fawndrum/protocol/wire/FleetNews.java
@@ -429,6 +429,44 @@
     return rates_.get(index);
   }
 
+  public static final int ZONE_DRAINS_FIELD_NUMBER = 12;
+  private org.fawndrum.protocol.wire.ZoneDrainsRecord zoneDrains_;
+  /**
+   * <pre>
+   * The drained zones as far as the sender knows. Absent if it has not learned them yet.
+   * </pre>
+   *
+   * <code>.fawndrum.ZoneDrainsRecord zone_drains = 12;</code>
+   * @return Whether the zoneDrains field is set.
+   */
+  @java.lang.Override
+  public boolean hasZoneDrains() {
+    return ((bitField0_ & 0x00000004) != 0);
+  }
+  /**
+   * <pre>
+   * The drained zones as far as the sender knows. Absent if it has not learned them yet.
+   * </pre>
+   *
+   * <code>.fawndrum.ZoneDrainsRecord zone_drains = 12;</code>
+   * @return The zoneDrains.
+   */
+  @java.lang.Override
+  public org.fawndrum.protocol.wire.ZoneDrainsRecord getZoneDrains() {
+    return zoneDrains_ == null ? org.fawndrum.protocol.wire.ZoneDrainsRecord.getDefaultInstance() : zoneDrains_;
+  }
+  /**
+   * <pre>
+   * The drained zones as far as the sender knows. Absent if it has not learned them yet.
+   * </pre>
+   *
+   * <code>.fawndrum.ZoneDrainsRecord zone_drains = 12;</code>
+   */
+  @java.lang.Override
+  public org.fawndrum.protocol.wire.ZoneDrainsRecordOrBuilder getZoneDrainsOrBuilder() {
+    return zoneDrains_ == null ? org.fawndrum.protocol.wire.ZoneDrainsRecord.getDefaultInstance() : zoneDrains_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -476,6 +514,9 @@
     for (int i = 0; i < rates_.size(); i++) {
       output.writeMessage(11, rates_.get(i));
     }
+    if (((bitField0_ & 0x00000004) != 0)) {
+      output.writeMessage(12, getZoneDrains());
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -529,6 +570,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeMessageSize(11, rates_.get(i));
     }
+    if (((bitField0_ & 0x00000004) != 0)) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(12, getZoneDrains());
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -572,6 +617,11 @@
         != other.getEndpointsEra()) return false;
     if (!getRatesList()
         .equals(other.getRatesList())) return false;
+    if (hasZoneDrains() != other.hasZoneDrains()) return false;
+    if (hasZoneDrains()) {
+      if (!getZoneDrains()
+          .equals(other.getZoneDrains())) return false;
+    }
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -622,6 +672,10 @@
       hash = (37 * hash) + RATES_FIELD_NUMBER;
       hash = (53 * hash) + getRatesList().hashCode();
     }
+    if (hasZoneDrains()) {
+      hash = (37 * hash) + ZONE_DRAINS_FIELD_NUMBER;
+      hash = (53 * hash) + getZoneDrains().hashCode();
+    }
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -762,6 +816,7 @@
         internalGetCrashesFieldBuilder();
         internalGetLeavingFieldBuilder();
         internalGetRatesFieldBuilder();
+        internalGetZoneDrainsFieldBuilder();
       }
     }
     @java.lang.Override
@@ -811,6 +866,11 @@
         ratesBuilder_.clear();
       }
       bitField0_ = (bitField0_ & ~0x00000400);
+      zoneDrains_ = null;
+      if (zoneDrainsBuilder_ != null) {
+        zoneDrainsBuilder_.dispose();
+        zoneDrainsBuilder_ = null;
+      }
       return this;
     }
 
@@ -912,6 +972,12 @@
       if (((from_bitField0_ & 0x00000200) != 0)) {
         result.endpointsEra_ = endpointsEra_;
       }
+      if (((from_bitField0_ & 0x00000800) != 0)) {
+        result.zoneDrains_ = zoneDrainsBuilder_ == null
+            ? zoneDrains_
+            : zoneDrainsBuilder_.build();
+        to_bitField0_ |= 0x00000004;
+      }
       result.bitField0_ |= to_bitField0_;
     }
 
@@ -1052,6 +1118,9 @@
           }
         }
       }
+      if (other.hasZoneDrains()) {
+        mergeZoneDrains(other.getZoneDrains());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -1169,6 +1238,13 @@
               }
               break;
             } // case 90
+            case 98: {
+              input.readMessage(
+                  internalGetZoneDrainsFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              bitField0_ |= 0x00000800;
+              break;
+            } // case 98
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -2908,6 +2984,163 @@
       return ratesBuilder_;
     }
 
+    private org.fawndrum.protocol.wire.ZoneDrainsRecord zoneDrains_;
+    private com.google.protobuf.SingleFieldBuilder<
+        org.fawndrum.protocol.wire.ZoneDrainsRecord, org.fawndrum.protocol.wire.ZoneDrainsRecord.Builder, org.fawndrum.protocol.wire.ZoneDrainsRecordOrBuilder> zoneDrainsBuilder_;
+    /**
+     * <pre>
+     * The drained zones as far as the sender knows. Absent if it has not learned them yet.
+     * </pre>
+     *
+     * <code>.fawndrum.ZoneDrainsRecord zone_drains = 12;</code>
+     * @return Whether the zoneDrains field is set.
+     */
+    public boolean hasZoneDrains() {
+      return ((bitField0_ & 0x00000800) != 0);
+    }
+    /**
+     * <pre>
+     * The drained zones as far as the sender knows. Absent if it has not learned them yet.
+     * </pre>
+     *
+     * <code>.fawndrum.ZoneDrainsRecord zone_drains = 12;</code>
+     * @return The zoneDrains.
+     */
+    public org.fawndrum.protocol.wire.ZoneDrainsRecord getZoneDrains() {
+      if (zoneDrainsBuilder_ == null) {
+        return zoneDrains_ == null ? org.fawndrum.protocol.wire.ZoneDrainsRecord.getDefaultInstance() : zoneDrains_;
+      } else {
+        return zoneDrainsBuilder_.getMessage();
+      }
+    }
+    /**
+     * <pre>
+     * The drained zones as far as the sender knows. Absent if it has not learned them yet.
+     * </pre>
+     *
+     * <code>.fawndrum.ZoneDrainsRecord zone_drains = 12;</code>
+     */
+    public Builder setZoneDrains(org.fawndrum.protocol.wire.ZoneDrainsRecord value) {
+      if (zoneDrainsBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        zoneDrains_ = value;
+      } else {
+        zoneDrainsBuilder_.setMessage(value);
+      }
+      bitField0_ |= 0x00000800;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * The drained zones as far as the sender knows. Absent if it has not learned them yet.
+     * </pre>
+     *
+     * <code>.fawndrum.ZoneDrainsRecord zone_drains = 12;</code>
+     */
+    public Builder setZoneDrains(
+        org.fawndrum.protocol.wire.ZoneDrainsRecord.Builder builderForValue) {
+      if (zoneDrainsBuilder_ == null) {
+        zoneDrains_ = builderForValue.build();
+      } else {
+        zoneDrainsBuilder_.setMessage(builderForValue.build());
+      }
+      bitField0_ |= 0x00000800;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * The drained zones as far as the sender knows. Absent if it has not learned them yet.
+     * </pre>
+     *
+     * <code>.fawndrum.ZoneDrainsRecord zone_drains = 12;</code>
+     */
+    public Builder mergeZoneDrains(org.fawndrum.protocol.wire.ZoneDrainsRecord value) {
+      if (zoneDrainsBuilder_ == null) {
+        if (((bitField0_ & 0x00000800) != 0) &&
+          zoneDrains_ != null &&
+          zoneDrains_ != org.fawndrum.protocol.wire.ZoneDrainsRecord.getDefaultInstance()) {
+          getZoneDrainsBuilder().mergeFrom(value);
+        } else {
+          zoneDrains_ = value;
+        }
+      } else {
+        zoneDrainsBuilder_.mergeFrom(value);
+      }
+      if (zoneDrains_ != null) {
+        bitField0_ |= 0x00000800;
+        onChanged();
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * The drained zones as far as the sender knows. Absent if it has not learned them yet.
+     * </pre>
+     *
+     * <code>.fawndrum.ZoneDrainsRecord zone_drains = 12;</code>
+     */
+    public Builder clearZoneDrains() {
+      bitField0_ = (bitField0_ & ~0x00000800);
+      zoneDrains_ = null;
+      if (zoneDrainsBuilder_ != null) {
+        zoneDrainsBuilder_.dispose();
+        zoneDrainsBuilder_ = null;
+      }
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * The drained zones as far as the sender knows. Absent if it has not learned them yet.
+     * </pre>
+     *
+     * <code>.fawndrum.ZoneDrainsRecord zone_drains = 12;</code>
+     */
+    public org.fawndrum.protocol.wire.ZoneDrainsRecord.Builder getZoneDrainsBuilder() {
+      bitField0_ |= 0x00000800;
+      onChanged();
+      return internalGetZoneDrainsFieldBuilder().getBuilder();
+    }
+    /**
+     * <pre>
+     * The drained zones as far as the sender knows. Absent if it has not learned them yet.
+     * </pre>
+     *
+     * <code>.fawndrum.ZoneDrainsRecord zone_drains = 12;</code>
+     */
+    public org.fawndrum.protocol.wire.ZoneDrainsRecordOrBuilder getZoneDrainsOrBuilder() {
+      if (zoneDrainsBuilder_ != null) {
+        return zoneDrainsBuilder_.getMessageOrBuilder();
+      } else {
+        return zoneDrains_ == null ?
+            org.fawndrum.protocol.wire.ZoneDrainsRecord.getDefaultInstance() : zoneDrains_;
+      }
+    }
+    /**
+     * <pre>
+     * The drained zones as far as the sender knows. Absent if it has not learned them yet.
+     * </pre>
+     *
+     * <code>.fawndrum.ZoneDrainsRecord zone_drains = 12;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        org.fawndrum.protocol.wire.ZoneDrainsRecord, org.fawndrum.protocol.wire.ZoneDrainsRecord.Builder, org.fawndrum.protocol.wire.ZoneDrainsRecordOrBuilder> 
+        internalGetZoneDrainsFieldBuilder() {
+      if (zoneDrainsBuilder_ == null) {
+        zoneDrainsBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            org.fawndrum.protocol.wire.ZoneDrainsRecord, org.fawndrum.protocol.wire.ZoneDrainsRecord.Builder, org.fawndrum.protocol.wire.ZoneDrainsRecordOrBuilder>(
+                getZoneDrains(),
+                getParentForChildren(),
+                isClean());
+        zoneDrains_ = null;
+      }
+      return zoneDrainsBuilder_;
+    }
+
     // @@protoc_insertion_point(builder_scope:fawndrum.FleetNews)
   }
 
--- a/org.fawndrum/src/org/fawndrum/protocol/wire/FleetNewsOrBuilder.java
+++ b/org.fawndrum/src/org/fawndrum/protocol/wire/FleetNewsOrBuilder.java
@@ -271,4 +271,31 @@
    */
   org.fawndrum.protocol.wire.EndpointRateOrBuilder getRatesOrBuilder(
       int index);
+
+  /**
+   * <pre>
+   * The drained zones as far as the sender knows. Absent if it has not learned them yet.
+   * </pre>
+   *
+   * <code>.fawndrum.ZoneDrainsRecord zone_drains = 12;</code>
+   * @return Whether the zoneDrains field is set.
+   */
+  boolean hasZoneDrains();
+  /**
+   * <pre>
+   * The drained zones as far as the sender knows. Absent if it has not learned them yet.
+   * </pre>
+   *
+   * <code>.fawndrum.ZoneDrainsRecord zone_drains = 12;</code>
+   * @return The zoneDrains.
+   */
+  org.fawndrum.protocol.wire.ZoneDrainsRecord getZoneDrains();
+  /**
+   * <pre>
+   * The drained zones as far as the sender knows. Absent if it has not learned them yet.
+   * </pre>
+   *
+   * <code>.fawndrum.ZoneDrainsRecord zone_drains = 12;</code>
+   */
+  org.fawndrum.protocol.wire.ZoneDrainsRecordOrBuilder getZoneDrainsOrBuilder();
 }
--- a/org.fawndrum/src/org/fawndrum/protocol/wire/KnowledgeReply.java
+++ b/org.fawndrum/src/org/fawndrum/protocol/wire/KnowledgeReply.java
@@ -256,6 +256,47 @@
     return endpointsChangesOnly_;
   }
 
+  public static final int ZONE_DRAINS_FIELD_NUMBER = 10;
+  private org.fawndrum.protocol.wire.ZoneDrainsRecord zoneDrains_;
+  /**
+   * <pre>
+   * The drained zones known there, at least as new as the configuration's confirmation. Absent if
+   * there are none known yet.
+   * </pre>
+   *
+   * <code>.fawndrum.ZoneDrainsRecord zone_drains = 10;</code>
+   * @return Whether the zoneDrains field is set.
+   */
+  @java.lang.Override
+  public boolean hasZoneDrains() {
+    return ((bitField0_ & 0x00000002) != 0);
+  }
+  /**
+   * <pre>
+   * The drained zones known there, at least as new as the configuration's confirmation. Absent if
+   * there are none known yet.
+   * </pre>
+   *
+   * <code>.fawndrum.ZoneDrainsRecord zone_drains = 10;</code>
+   * @return The zoneDrains.
+   */
+  @java.lang.Override
+  public org.fawndrum.protocol.wire.ZoneDrainsRecord getZoneDrains() {
+    return zoneDrains_ == null ? org.fawndrum.protocol.wire.ZoneDrainsRecord.getDefaultInstance() : zoneDrains_;
+  }
+  /**
+   * <pre>
+   * The drained zones known there, at least as new as the configuration's confirmation. Absent if
+   * there are none known yet.
+   * </pre>
+   *
+   * <code>.fawndrum.ZoneDrainsRecord zone_drains = 10;</code>
+   */
+  @java.lang.Override
+  public org.fawndrum.protocol.wire.ZoneDrainsRecordOrBuilder getZoneDrainsOrBuilder() {
+    return zoneDrains_ == null ? org.fawndrum.protocol.wire.ZoneDrainsRecord.getDefaultInstance() : zoneDrains_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -297,6 +338,9 @@
     if (endpointsChangesOnly_ != false) {
       output.writeBool(9, endpointsChangesOnly_);
     }
+    if (((bitField0_ & 0x00000002) != 0)) {
+      output.writeMessage(10, getZoneDrains());
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -342,6 +386,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeBoolSize(9, endpointsChangesOnly_);
     }
+    if (((bitField0_ & 0x00000002) != 0)) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(10, getZoneDrains());
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -378,6 +426,11 @@
         != other.getEndpointsEra()) return false;
     if (getEndpointsChangesOnly()
         != other.getEndpointsChangesOnly()) return false;
+    if (hasZoneDrains() != other.hasZoneDrains()) return false;
+    if (hasZoneDrains()) {
+      if (!getZoneDrains()
+          .equals(other.getZoneDrains())) return false;
+    }
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -418,6 +471,10 @@
     hash = (37 * hash) + ENDPOINTS_CHANGES_ONLY_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
         getEndpointsChangesOnly());
+    if (hasZoneDrains()) {
+      hash = (37 * hash) + ZONE_DRAINS_FIELD_NUMBER;
+      hash = (53 * hash) + getZoneDrains().hashCode();
+    }
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -554,6 +611,7 @@
               .alwaysUseFieldBuilders) {
         internalGetConfigurationFieldBuilder();
         internalGetEndpointsFieldBuilder();
+        internalGetZoneDrainsFieldBuilder();
       }
     }
     @java.lang.Override
@@ -579,6 +637,11 @@
       endpointsLeftOut_ = false;
       endpointsEra_ = 0L;
       endpointsChangesOnly_ = false;
+      zoneDrains_ = null;
+      if (zoneDrainsBuilder_ != null) {
+        zoneDrainsBuilder_.dispose();
+        zoneDrainsBuilder_ = null;
+      }
       return this;
     }
 
@@ -653,6 +716,12 @@
       if (((from_bitField0_ & 0x00000100) != 0)) {
         result.endpointsChangesOnly_ = endpointsChangesOnly_;
       }
+      if (((from_bitField0_ & 0x00000200) != 0)) {
+        result.zoneDrains_ = zoneDrainsBuilder_ == null
+            ? zoneDrains_
+            : zoneDrainsBuilder_.build();
+        to_bitField0_ |= 0x00000002;
+      }
       result.bitField0_ |= to_bitField0_;
     }
 
@@ -718,6 +787,9 @@
       if (other.getEndpointsChangesOnly() != false) {
         setEndpointsChangesOnly(other.getEndpointsChangesOnly());
       }
+      if (other.hasZoneDrains()) {
+        mergeZoneDrains(other.getZoneDrains());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -799,6 +871,13 @@
               bitField0_ |= 0x00000100;
               break;
             } // case 72
+            case 82: {
+              input.readMessage(
+                  internalGetZoneDrainsFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              bitField0_ |= 0x00000200;
+              break;
+            } // case 82
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1602,6 +1681,172 @@
       return this;
     }
 
+    private org.fawndrum.protocol.wire.ZoneDrainsRecord zoneDrains_;
+    private com.google.protobuf.SingleFieldBuilder<
+        org.fawndrum.protocol.wire.ZoneDrainsRecord, org.fawndrum.protocol.wire.ZoneDrainsRecord.Builder, org.fawndrum.protocol.wire.ZoneDrainsRecordOrBuilder> zoneDrainsBuilder_;
+    /**
+     * <pre>
+     * The drained zones known there, at least as new as the configuration's confirmation. Absent if
+     * there are none known yet.
+     * </pre>
+     *
+     * <code>.fawndrum.ZoneDrainsRecord zone_drains = 10;</code>
+     * @return Whether the zoneDrains field is set.
+     */
+    public boolean hasZoneDrains() {
+      return ((bitField0_ & 0x00000200) != 0);
+    }
+    /**
+     * <pre>
+     * The drained zones known there, at least as new as the configuration's confirmation. Absent if
+     * there are none known yet.
+     * </pre>
+     *
+     * <code>.fawndrum.ZoneDrainsRecord zone_drains = 10;</code>
+     * @return The zoneDrains.
+     */
+    public org.fawndrum.protocol.wire.ZoneDrainsRecord getZoneDrains() {
+      if (zoneDrainsBuilder_ == null) {
+        return zoneDrains_ == null ? org.fawndrum.protocol.wire.ZoneDrainsRecord.getDefaultInstance() : zoneDrains_;
+      } else {
+        return zoneDrainsBuilder_.getMessage();
+      }
+    }
+    /**
+     * <pre>
+     * The drained zones known there, at least as new as the configuration's confirmation. Absent if
+     * there are none known yet.
+     * </pre>
+     *
+     * <code>.fawndrum.ZoneDrainsRecord zone_drains = 10;</code>
+     */
+    public Builder setZoneDrains(org.fawndrum.protocol.wire.ZoneDrainsRecord value) {
+      if (zoneDrainsBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        zoneDrains_ = value;
+      } else {
+        zoneDrainsBuilder_.setMessage(value);
+      }
+      bitField0_ |= 0x00000200;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * The drained zones known there, at least as new as the configuration's confirmation. Absent if
+     * there are none known yet.
+     * </pre>
+     *
+     * <code>.fawndrum.ZoneDrainsRecord zone_drains = 10;</code>
+     */
+    public Builder setZoneDrains(
+        org.fawndrum.protocol.wire.ZoneDrainsRecord.Builder builderForValue) {
+      if (zoneDrainsBuilder_ == null) {
+        zoneDrains_ = builderForValue.build();
+      } else {
+        zoneDrainsBuilder_.setMessage(builderForValue.build());
+      }
+      bitField0_ |= 0x00000200;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * The drained zones known there, at least as new as the configuration's confirmation. Absent if
+     * there are none known yet.
+     * </pre>
+     *
+     * <code>.fawndrum.ZoneDrainsRecord zone_drains = 10;</code>
+     */
+    public Builder mergeZoneDrains(org.fawndrum.protocol.wire.ZoneDrainsRecord value) {
+      if (zoneDrainsBuilder_ == null) {
+        if (((bitField0_ & 0x00000200) != 0) &&
+          zoneDrains_ != null &&
+          zoneDrains_ != org.fawndrum.protocol.wire.ZoneDrainsRecord.getDefaultInstance()) {
+          getZoneDrainsBuilder().mergeFrom(value);
+        } else {
+          zoneDrains_ = value;
+        }
+      } else {
+        zoneDrainsBuilder_.mergeFrom(value);
+      }
+      if (zoneDrains_ != null) {
+        bitField0_ |= 0x00000200;
+        onChanged();
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * The drained zones known there, at least as new as the configuration's confirmation. Absent if
+     * there are none known yet.
+     * </pre>
+     *
+     * <code>.fawndrum.ZoneDrainsRecord zone_drains = 10;</code>
+     */
+    public Builder clearZoneDrains() {
+      bitField0_ = (bitField0_ & ~0x00000200);
+      zoneDrains_ = null;
+      if (zoneDrainsBuilder_ != null) {
+        zoneDrainsBuilder_.dispose();
+        zoneDrainsBuilder_ = null;
+      }
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * The drained zones known there, at least as new as the configuration's confirmation. Absent if
+     * there are none known yet.
+     * </pre>
+     *
+     * <code>.fawndrum.ZoneDrainsRecord zone_drains = 10;</code>
+     */
+    public org.fawndrum.protocol.wire.ZoneDrainsRecord.Builder getZoneDrainsBuilder() {
+      bitField0_ |= 0x00000200;
+      onChanged();
+      return internalGetZoneDrainsFieldBuilder().getBuilder();
+    }
+    /**
+     * <pre>
+     * The drained zones known there, at least as new as the configuration's confirmation. Absent if
+     * there are none known yet.
+     * </pre>
+     *
+     * <code>.fawndrum.ZoneDrainsRecord zone_drains = 10;</code>
+     */
+    public org.fawndrum.protocol.wire.ZoneDrainsRecordOrBuilder getZoneDrainsOrBuilder() {
+      if (zoneDrainsBuilder_ != null) {
+        return zoneDrainsBuilder_.getMessageOrBuilder();
+      } else {
+        return zoneDrains_ == null ?
+            org.fawndrum.protocol.wire.ZoneDrainsRecord.getDefaultInstance() : zoneDrains_;
+      }
+    }
+    /**
+     * <pre>
+     * The drained zones known there, at least as new as the configuration's confirmation. Absent if
+     * there are none known yet.
+     * </pre>
+     *
+     * <code>.fawndrum.ZoneDrainsRecord zone_drains = 10;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        org.fawndrum.protocol.wire.ZoneDrainsRecord, org.fawndrum.protocol.wire.ZoneDrainsRecord.Builder, org.fawndrum.protocol.wire.ZoneDrainsRecordOrBuilder> 
+        internalGetZoneDrainsFieldBuilder() {
+      if (zoneDrainsBuilder_ == null) {
+        zoneDrainsBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            org.fawndrum.protocol.wire.ZoneDrainsRecord, org.fawndrum.protocol.wire.ZoneDrainsRecord.Builder, org.fawndrum.protocol.wire.ZoneDrainsRecordOrBuilder>(
+                getZoneDrains(),
+                getParentForChildren(),
+                isClean());
+        zoneDrains_ = null;
+      }
+      return zoneDrainsBuilder_;
+    }
+
     // @@protoc_insertion_point(builder_scope:fawndrum.KnowledgeReply)
   }
 
--- a/org.fawndrum/src/org/fawndrum/protocol/wire/KnowledgeReplyOrBuilder.java
+++ b/org.fawndrum/src/org/fawndrum/protocol/wire/KnowledgeReplyOrBuilder.java
@@ -153,4 +153,34 @@
    * @return The endpointsChangesOnly.
    */
   boolean getEndpointsChangesOnly();
+
+  /**
+   * <pre>
+   * The drained zones known there, at least as new as the configuration's confirmation. Absent if
+   * there are none known yet.
+   * </pre>
+   *
+   * <code>.fawndrum.ZoneDrainsRecord zone_drains = 10;</code>
+   * @return Whether the zoneDrains field is set.
+   */
+  boolean hasZoneDrains();
+  /**
+   * <pre>
+   * The drained zones known there, at least as new as the configuration's confirmation. Absent if
+   * there are none known yet.
+   * </pre>
+   *
+   * <code>.fawndrum.ZoneDrainsRecord zone_drains = 10;</code>
+   * @return The zoneDrains.
+   */
+  org.fawndrum.protocol.wire.ZoneDrainsRecord getZoneDrains();
+  /**
+   * <pre>
+   * The drained zones known there, at least as new as the configuration's confirmation. Absent if
+   * there are none known yet.
+   * </pre>
+   *
+   * <code>.fawndrum.ZoneDrainsRecord zone_drains = 10;</code>
+   */
+  org.fawndrum.protocol.wire.ZoneDrainsRecordOrBuilder getZoneDrainsOrBuilder();
 }
--- a/org.fawndrum/src/org/fawndrum/protocol/wire/Peer.java
+++ b/org.fawndrum/src/org/fawndrum/protocol/wire/Peer.java
@@ -101,6 +101,11 @@
   static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_fawndrum_FleetNews_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_fawndrum_ZoneDrainsRecord_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_fawndrum_ZoneDrainsRecord_fieldAccessorTable;
   static final com.google.protobuf.Descriptors.Descriptor
     internal_static_fawndrum_EndpointRate_descriptor;
   static final 
@@ -276,7 +281,7 @@
       "ion\030\001 \001(\003\022\035\n\025listing_after_version\030\002 \001(\003" +
       "\"P\n\014CatchUpReply\022*\n\010snapshot\030\001 \001(\0132\030.faw" +
       "ndrum.SnapshotRecord\022\024\n\014listing_json\030\002 \001" +
-      "(\014\"\365\002\n\tFleetNews\022%\n\006sender\030\001 \001(\0132\025.fawnd" +
+      "(\014\"\246\003\n\tFleetNews\022%\n\006sender\030\001 \001(\0132\025.fawnd" +
       "rum.DaemonPlace\022\022\n\nsubscribes\030\002 \001(\010\022%\n\007r" +
       "eports\030\003 \003(\0132\024.fawndrum.WorkReport\022$\n\005kn" +
       "own\030\004 \003(\0132\025.fawndrum.DaemonPlace\022\036\n\026conf" +
@@ -285,71 +290,75 @@
       "CrashReport\022\025\n\rcrash_summary\030\010 \001(\020\022(\n\007le" +
       "aving\030\t \003(\0132\027.fawndrum.EndpointStart\022\025\n\r" +
       "endpoints_era\030\n \001(\003\022%\n\005rates\030\013 \003(\0132\026.faw" +
-      "ndrum.EndpointRate\"b\n\014EndpointRate\022\020\n\010en" +
-      "dpoint\030\001 \001(\t\022\022\n\nper_second\030\002 \001(\001\022\023\n\013sent" +
-      "_age_ms\030\003 \001(\003\022\027\n\017received_age_ms\030\004 \001(\003\"\217" +
-      "\001\n\nPermitNews\022%\n\006sender\030\001 \001(\0132\025.fawndrum" +
-      ".DaemonPlace\022-\n\007demands\030\002 \003(\0132\034.fawndrum" +
-      ".PermitDemandRecord\022+\n\006grants\030\003 \003(\0132\033.fa" +
-      "wndrum.PermitGrantRecord\"d\n\022PermitDemand" +
-      "Record\022\020\n\010endpoint\030\001 \001(\t\022\n\n\002id\030\002 \001(\003\022\017\n\007" +
-      "permits\030\003 \001(\005\022\016\n\006urgent\030\004 \001(\010\022\017\n\007urgency" +
-      "\030\005 \001(\005\"\204\001\n\021PermitGrantRecord\022\020\n\010endpoint" +
-      "\030\001 \001(\t\022\021\n\tdemand_id\030\002 \001(\003\022\017\n\007permits\030\003 \001" +
-      "(\005\022\027\n\017since_demand_ms\030\004 \001(\003\022\020\n\010first_ms\030" +
-      "\005 \001(\003\022\016\n\006gap_ms\030\006 \001(\003\"\356\001\n\013CrashReport\022&\n" +
-      "\007crashes\030\001 \003(\0132\025.fawndrum.CrashRecord\022&\n" +
-      "\006served\030\002 \003(\0132\026.fawndrum.ServedRecord\022(\n" +
-      "\007refused\030\003 \003(\0132\027.fawndrum.RefusedRecord\022" +
-      "\r\n\005whole\030\004 \001(\010\022#\n\005turns\030\005 \003(\0132\024.fawndrum" +
-      ".TurnRecord\022#\n\005spent\030\006 \003(\0132\024.fawndrum.Tu" +
-      "rnRecord\022\014\n\004hops\030\007 \001(\005\"7\n\013Fingerprint\022\r\n" +
-      "\005bytes\030\001 \001(\003\022\014\n\004high\030\002 \001(\020\022\013\n\003low\030\003 \001(\020\"" +
-      "\211\001\n\013CrashRecord\022\020\n\010endpoint\030\001 \001(\t\022\034\n\024end" +
-      "point_incarnation\030\002 \001(\003\022\016\n\006age_ms\030\003 \001(\003\022" +
-      "$\n\005under\030\004 \003(\0132\025.fawndrum.Fingerprint\022\024\n" +
-      "\014taken_age_ms\030\005 \001(\003\"F\n\014ServedRecord\022&\n\007r" +
-      "equest\030\001 \001(\0132\025.fawndrum.Fingerprint\022\016\n\006a" +
-      "ge_ms\030\002 \001(\003\"{\n\nTurnRecord\022&\n\007request\030\001 \001" +
-      "(\0132\025.fawndrum.Fingerprint\022\014\n\004host\030\002 \001(\t\022" +
-      "\030\n\020host_incarnation\030\003 \001(\003\022\016\n\006age_ms\030\004 \001(" +
-      "\003\022\r\n\005spent\030\005 \001(\005\"Z\n\rRefusedRecord\022&\n\007req" +
-      "uest\030\001 \001(\0132\025.fawndrum.Fingerprint\022\016\n\006age" +
-      "_ms\030\002 \001(\003\022\021\n\tendpoints\030\003 \003(\t\"\202\001\n\013DaemonP" +
-      "lace\022\014\n\004host\030\001 \001(\t\022\023\n\013incarnation\030\002 \001(\003\022" +
-      "\014\n\004zone\030\003 \001(\t\022\n\n\002ip\030\004 \001(\t\022\014\n\004port\030\005 \001(\005\022" +
-      "\020\n\010capacity\030\006 \001(\003\022\026\n\016issues_permits\030\007 \001(" +
-      "\010\"\273\001\n\nWorkReport\022%\n\006daemon\030\001 \001(\0132\025.fawnd" +
-      "rum.DaemonPlace\022\020\n\010sequence\030\002 \001(\003\022\r\n\005who" +
-      "le\030\003 \001(\010\022$\n\006placed\030\004 \003(\0132\024.fawndrum.Work" +
-      "Placed\022\014\n\004read\030\005 \003(\020\022\r\n\005ended\030\006 \003(\020\022\016\n\006f" +
-      "ailed\030\007 \003(\020\022\022\n\nabout_zone\030\010 \001(\t\"`\n\020Knowl" +
-      "edgeRequest\022\036\n\026configuration_revision\030\001 " +
-      "\001(\003\022\025\n\rendpoints_end\030\002 \001(\003\022\025\n\rendpoints_" +
-      "era\030\003 \001(\003\"\301\002\n\016KnowledgeReply\022\034\n\024configur" +
-      "ation_age_ms\030\001 \001(\003\022\036\n\026configuration_revi" +
-      "sion\030\002 \001(\003\0221\n\rconfiguration\030\003 \001(\0132\025.fawn" +
-      "drum.StoreRecordH\000\210\001\001\022\025\n\rendpoints_end\030\004" +
-      " \001(\003\022(\n\tendpoints\030\005 \003(\0132\025.fawndrum.Store" +
-      "Record\022\030\n\020endpoints_age_ms\030\006 \001(\003\022\032\n\022endp" +
-      "oints_left_out\030\007 \001(\010\022\025\n\rendpoints_era\030\010 " +
-      "\001(\003\022\036\n\026endpoints_changes_only\030\t \001(\010B\020\n\016_" +
-      "configuration\"9\n\013StoreRecord\022\016\n\006offset\030\001" +
-      " \001(\003\022\013\n\003key\030\002 \001(\t\022\r\n\005value\030\003 \001(\014\"\327\001\n\nWor" +
-      "kPlaced\022\n\n\002id\030\001 \001(\020\022\020\n\010endpoint\030\002 \001(\t\022\034\n" +
-      "\024endpoint_incarnation\030\003 \001(\003\022\025\n\rprompt_to" +
-      "kens\030\004 \001(\003\022\025\n\rmemory_tokens\030\005 \001(\003\022\r\n\005par" +
-      "ts\030\006 \001(\005\022\016\n\006writes\030\007 \001(\010\022\032\n\022first_token_" +
-      "aim_ms\030\010 \001(\003\022\024\n\014pause_aim_ms\030\t \001(\003\022\016\n\006ag" +
-      "e_ms\030\n \001(\003\"\033\n\014ClaimRequest\022\013\n\003key\030\001 \001(\t\"" +
-      "q\n\nClaimReply\022+\n\006answer\030\001 \001(\0162\033.fawndrum" +
-      ".ClaimReply.Answer\"6\n\006Answer\022\017\n\013UNSPECIF" +
-      "IED\020\000\022\010\n\004FREE\020\001\022\010\n\004HELD\020\002\022\007\n\003RAN\020\003\"8\n\016Le" +
-      "dgerHandover\022&\n\007entries\030\001 \003(\0132\025.fawndrum" +
-      ".LedgerEntry\"7\n\013LedgerEntry\022\013\n\003key\030\001 \001(\t" +
-      "\022\013\n\003ran\030\002 \001(\010\022\016\n\006age_ms\030\003 \001(\003\"\021\n\017Acknowl" +
-      "edgementB\036\n\032org.fawndrum.protocol.wireP\001" +
-      "b\006proto3"
+      "ndrum.EndpointRate\022/\n\013zone_drains\030\014 \001(\0132" +
+      "\032.fawndrum.ZoneDrainsRecord\";\n\020ZoneDrain" +
+      "sRecord\022\r\n\005zones\030\001 \003(\t\022\013\n\003era\030\002 \001(\003\022\013\n\003e" +
+      "nd\030\003 \001(\003\"b\n\014EndpointRate\022\020\n\010endpoint\030\001 \001" +
+      "(\t\022\022\n\nper_second\030\002 \001(\001\022\023\n\013sent_age_ms\030\003 " +
+      "\001(\003\022\027\n\017received_age_ms\030\004 \001(\003\"\217\001\n\nPermitN" +
+      "ews\022%\n\006sender\030\001 \001(\0132\025.fawndrum.DaemonPla" +
+      "ce\022-\n\007demands\030\002 \003(\0132\034.fawndrum.PermitDem" +
+      "andRecord\022+\n\006grants\030\003 \003(\0132\033.fawndrum.Per" +
+      "mitGrantRecord\"d\n\022PermitDemandRecord\022\020\n\010" +
+      "endpoint\030\001 \001(\t\022\n\n\002id\030\002 \001(\003\022\017\n\007permits\030\003 " +
+      "\001(\005\022\016\n\006urgent\030\004 \001(\010\022\017\n\007urgency\030\005 \001(\005\"\204\001\n" +
+      "\021PermitGrantRecord\022\020\n\010endpoint\030\001 \001(\t\022\021\n\t" +
+      "demand_id\030\002 \001(\003\022\017\n\007permits\030\003 \001(\005\022\027\n\017sinc" +
+      "e_demand_ms\030\004 \001(\003\022\020\n\010first_ms\030\005 \001(\003\022\016\n\006g" +
+      "ap_ms\030\006 \001(\003\"\356\001\n\013CrashReport\022&\n\007crashes\030\001" +
+      " \003(\0132\025.fawndrum.CrashRecord\022&\n\006served\030\002 " +
+      "\003(\0132\026.fawndrum.ServedRecord\022(\n\007refused\030\003" +
+      " \003(\0132\027.fawndrum.RefusedRecord\022\r\n\005whole\030\004" +
+      " \001(\010\022#\n\005turns\030\005 \003(\0132\024.fawndrum.TurnRecor" +
+      "d\022#\n\005spent\030\006 \003(\0132\024.fawndrum.TurnRecord\022\014" +
+      "\n\004hops\030\007 \001(\005\"7\n\013Fingerprint\022\r\n\005bytes\030\001 \001" +
+      "(\003\022\014\n\004high\030\002 \001(\020\022\013\n\003low\030\003 \001(\020\"\211\001\n\013CrashR" +
+      "ecord\022\020\n\010endpoint\030\001 \001(\t\022\034\n\024endpoint_inca" +
+      "rnation\030\002 \001(\003\022\016\n\006age_ms\030\003 \001(\003\022$\n\005under\030\004" +
+      " \003(\0132\025.fawndrum.Fingerprint\022\024\n\014taken_age" +
+      "_ms\030\005 \001(\003\"F\n\014ServedRecord\022&\n\007request\030\001 \001" +
+      "(\0132\025.fawndrum.Fingerprint\022\016\n\006age_ms\030\002 \001(" +
+      "\003\"{\n\nTurnRecord\022&\n\007request\030\001 \001(\0132\025.fawnd" +
+      "rum.Fingerprint\022\014\n\004host\030\002 \001(\t\022\030\n\020host_in" +
+      "carnation\030\003 \001(\003\022\016\n\006age_ms\030\004 \001(\003\022\r\n\005spent" +
+      "\030\005 \001(\005\"Z\n\rRefusedRecord\022&\n\007request\030\001 \001(\013" +
+      "2\025.fawndrum.Fingerprint\022\016\n\006age_ms\030\002 \001(\003\022" +
+      "\021\n\tendpoints\030\003 \003(\t\"\202\001\n\013DaemonPlace\022\014\n\004ho" +
+      "st\030\001 \001(\t\022\023\n\013incarnation\030\002 \001(\003\022\014\n\004zone\030\003 " +
+      "\001(\t\022\n\n\002ip\030\004 \001(\t\022\014\n\004port\030\005 \001(\005\022\020\n\010capacit" +
+      "y\030\006 \001(\003\022\026\n\016issues_permits\030\007 \001(\010\"\273\001\n\nWork" +
+      "Report\022%\n\006daemon\030\001 \001(\0132\025.fawndrum.Daemon" +
+      "Place\022\020\n\010sequence\030\002 \001(\003\022\r\n\005whole\030\003 \001(\010\022$" +
+      "\n\006placed\030\004 \003(\0132\024.fawndrum.WorkPlaced\022\014\n\004" +
+      "read\030\005 \003(\020\022\r\n\005ended\030\006 \003(\020\022\016\n\006failed\030\007 \003(" +
+      "\020\022\022\n\nabout_zone\030\010 \001(\t\"`\n\020KnowledgeReques" +
+      "t\022\036\n\026configuration_revision\030\001 \001(\003\022\025\n\rend" +
+      "points_end\030\002 \001(\003\022\025\n\rendpoints_era\030\003 \001(\003\"" +
+      "\362\002\n\016KnowledgeReply\022\034\n\024configuration_age_" +
+      "ms\030\001 \001(\003\022\036\n\026configuration_revision\030\002 \001(\003" +
+      "\0221\n\rconfiguration\030\003 \001(\0132\025.fawndrum.Store" +
+      "RecordH\000\210\001\001\022\025\n\rendpoints_end\030\004 \001(\003\022(\n\ten" +
+      "dpoints\030\005 \003(\0132\025.fawndrum.StoreRecord\022\030\n\020" +
+      "endpoints_age_ms\030\006 \001(\003\022\032\n\022endpoints_left" +
+      "_out\030\007 \001(\010\022\025\n\rendpoints_era\030\010 \001(\003\022\036\n\026end" +
+      "points_changes_only\030\t \001(\010\022/\n\013zone_drains" +
+      "\030\n \001(\0132\032.fawndrum.ZoneDrainsRecordB\020\n\016_c" +
+      "onfiguration\"9\n\013StoreRecord\022\016\n\006offset\030\001 " +
+      "\001(\003\022\013\n\003key\030\002 \001(\t\022\r\n\005value\030\003 \001(\014\"\327\001\n\nWork" +
+      "Placed\022\n\n\002id\030\001 \001(\020\022\020\n\010endpoint\030\002 \001(\t\022\034\n\024" +
+      "endpoint_incarnation\030\003 \001(\003\022\025\n\rprompt_tok" +
+      "ens\030\004 \001(\003\022\025\n\rmemory_tokens\030\005 \001(\003\022\r\n\005part" +
+      "s\030\006 \001(\005\022\016\n\006writes\030\007 \001(\010\022\032\n\022first_token_a" +
+      "im_ms\030\010 \001(\003\022\024\n\014pause_aim_ms\030\t \001(\003\022\016\n\006age" +
+      "_ms\030\n \001(\003\"\033\n\014ClaimRequest\022\013\n\003key\030\001 \001(\t\"q" +
+      "\n\nClaimReply\022+\n\006answer\030\001 \001(\0162\033.fawndrum." +
+      "ClaimReply.Answer\"6\n\006Answer\022\017\n\013UNSPECIFI" +
+      "ED\020\000\022\010\n\004FREE\020\001\022\010\n\004HELD\020\002\022\007\n\003RAN\020\003\"8\n\016Led" +
+      "gerHandover\022&\n\007entries\030\001 \003(\0132\025.fawndrum." +
+      "LedgerEntry\"7\n\013LedgerEntry\022\013\n\003key\030\001 \001(\t\022" +
+      "\013\n\003ran\030\002 \001(\010\022\016\n\006age_ms\030\003 \001(\003\"\021\n\017Acknowle" +
+      "dgementB\036\n\032org.fawndrum.protocol.wireP\001b" +
+      "\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -444,129 +453,135 @@
     internal_static_fawndrum_FleetNews_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_fawndrum_FleetNews_descriptor,
-        new java.lang.String[] { "Sender", "Subscribes", "Reports", "Known", "ConfigurationRevision", "EndpointsChanged", "Crashes", "CrashSummary", "Leaving", "EndpointsEra", "Rates", });
-    internal_static_fawndrum_EndpointRate_descriptor =
+        new java.lang.String[] { "Sender", "Subscribes", "Reports", "Known", "ConfigurationRevision", "EndpointsChanged", "Crashes", "CrashSummary", "Leaving", "EndpointsEra", "Rates", "ZoneDrains", });
+    internal_static_fawndrum_ZoneDrainsRecord_descriptor =
       getDescriptor().getMessageType(15);
+    internal_static_fawndrum_ZoneDrainsRecord_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_fawndrum_ZoneDrainsRecord_descriptor,
+        new java.lang.String[] { "Zones", "Era", "End", });
+    internal_static_fawndrum_EndpointRate_descriptor =
+      getDescriptor().getMessageType(16);
     internal_static_fawndrum_EndpointRate_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_fawndrum_EndpointRate_descriptor,
         new java.lang.String[] { "Endpoint", "PerSecond", "SentAgeMs", "ReceivedAgeMs", });
     internal_static_fawndrum_PermitNews_descriptor =
-      getDescriptor().getMessageType(16);
+      getDescriptor().getMessageType(17);
     internal_static_fawndrum_PermitNews_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_fawndrum_PermitNews_descriptor,
         new java.lang.String[] { "Sender", "Demands", "Grants", });
     internal_static_fawndrum_PermitDemandRecord_descriptor =
-      getDescriptor().getMessageType(17);
+      getDescriptor().getMessageType(18);
     internal_static_fawndrum_PermitDemandRecord_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_fawndrum_PermitDemandRecord_descriptor,
         new java.lang.String[] { "Endpoint", "Id", "Permits", "Urgent", "Urgency", });
     internal_static_fawndrum_PermitGrantRecord_descriptor =
-      getDescriptor().getMessageType(18);
+      getDescriptor().getMessageType(19);
     internal_static_fawndrum_PermitGrantRecord_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_fawndrum_PermitGrantRecord_descriptor,
         new java.lang.String[] { "Endpoint", "DemandId", "Permits", "SinceDemandMs", "FirstMs", "GapMs", });
     internal_static_fawndrum_CrashReport_descriptor =
-      getDescriptor().getMessageType(19);
+      getDescriptor().getMessageType(20);
     internal_static_fawndrum_CrashReport_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_fawndrum_CrashReport_descriptor,
         new java.lang.String[] { "Crashes", "Served", "Refused", "Whole", "Turns", "Spent", "Hops", });
     internal_static_fawndrum_Fingerprint_descriptor =
-      getDescriptor().getMessageType(20);
+      getDescriptor().getMessageType(21);
     internal_static_fawndrum_Fingerprint_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_fawndrum_Fingerprint_descriptor,
         new java.lang.String[] { "Bytes", "High", "Low", });
     internal_static_fawndrum_CrashRecord_descriptor =
-      getDescriptor().getMessageType(21);
+      getDescriptor().getMessageType(22);
     internal_static_fawndrum_CrashRecord_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_fawndrum_CrashRecord_descriptor,
         new java.lang.String[] { "Endpoint", "EndpointIncarnation", "AgeMs", "Under", "TakenAgeMs", });
     internal_static_fawndrum_ServedRecord_descriptor =
-      getDescriptor().getMessageType(22);
+      getDescriptor().getMessageType(23);
     internal_static_fawndrum_ServedRecord_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_fawndrum_ServedRecord_descriptor,
         new java.lang.String[] { "Request", "AgeMs", });
     internal_static_fawndrum_TurnRecord_descriptor =
-      getDescriptor().getMessageType(23);
+      getDescriptor().getMessageType(24);
     internal_static_fawndrum_TurnRecord_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_fawndrum_TurnRecord_descriptor,
         new java.lang.String[] { "Request", "Host", "HostIncarnation", "AgeMs", "Spent", });
     internal_static_fawndrum_RefusedRecord_descriptor =
-      getDescriptor().getMessageType(24);
+      getDescriptor().getMessageType(25);
     internal_static_fawndrum_RefusedRecord_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_fawndrum_RefusedRecord_descriptor,
         new java.lang.String[] { "Request", "AgeMs", "Endpoints", });
     internal_static_fawndrum_DaemonPlace_descriptor =
-      getDescriptor().getMessageType(25);
+      getDescriptor().getMessageType(26);
     internal_static_fawndrum_DaemonPlace_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_fawndrum_DaemonPlace_descriptor,
         new java.lang.String[] { "Host", "Incarnation", "Zone", "Ip", "Port", "Capacity", "IssuesPermits", });
     internal_static_fawndrum_WorkReport_descriptor =
-      getDescriptor().getMessageType(26);
+      getDescriptor().getMessageType(27);
     internal_static_fawndrum_WorkReport_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_fawndrum_WorkReport_descriptor,
         new java.lang.String[] { "Daemon", "Sequence", "Whole", "Placed", "Read", "Ended", "Failed", "AboutZone", });
     internal_static_fawndrum_KnowledgeRequest_descriptor =
-      getDescriptor().getMessageType(27);
+      getDescriptor().getMessageType(28);
     internal_static_fawndrum_KnowledgeRequest_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_fawndrum_KnowledgeRequest_descriptor,
         new java.lang.String[] { "ConfigurationRevision", "EndpointsEnd", "EndpointsEra", });
     internal_static_fawndrum_KnowledgeReply_descriptor =
-      getDescriptor().getMessageType(28);
+      getDescriptor().getMessageType(29);
     internal_static_fawndrum_KnowledgeReply_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_fawndrum_KnowledgeReply_descriptor,
-        new java.lang.String[] { "ConfigurationAgeMs", "ConfigurationRevision", "Configuration", "EndpointsEnd", "Endpoints", "EndpointsAgeMs", "EndpointsLeftOut", "EndpointsEra", "EndpointsChangesOnly", });
+        new java.lang.String[] { "ConfigurationAgeMs", "ConfigurationRevision", "Configuration", "EndpointsEnd", "Endpoints", "EndpointsAgeMs", "EndpointsLeftOut", "EndpointsEra", "EndpointsChangesOnly", "ZoneDrains", });
     internal_static_fawndrum_StoreRecord_descriptor =
-      getDescriptor().getMessageType(29);
+      getDescriptor().getMessageType(30);
     internal_static_fawndrum_StoreRecord_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_fawndrum_StoreRecord_descriptor,
         new java.lang.String[] { "Offset", "Key", "Value", });
     internal_static_fawndrum_WorkPlaced_descriptor =
-      getDescriptor().getMessageType(30);
+      getDescriptor().getMessageType(31);
     internal_static_fawndrum_WorkPlaced_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_fawndrum_WorkPlaced_descriptor,
         new java.lang.String[] { "Id", "Endpoint", "EndpointIncarnation", "PromptTokens", "MemoryTokens", "Parts", "Writes", "FirstTokenAimMs", "PauseAimMs", "AgeMs", });
     internal_static_fawndrum_ClaimRequest_descriptor =
-      getDescriptor().getMessageType(31);
+      getDescriptor().getMessageType(32);
     internal_static_fawndrum_ClaimRequest_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_fawndrum_ClaimRequest_descriptor,
         new java.lang.String[] { "Key", });
     internal_static_fawndrum_ClaimReply_descriptor =
-      getDescriptor().getMessageType(32);
+      getDescriptor().getMessageType(33);
     internal_static_fawndrum_ClaimReply_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_fawndrum_ClaimReply_descriptor,
         new java.lang.String[] { "Answer", });
     internal_static_fawndrum_LedgerHandover_descriptor =
-      getDescriptor().getMessageType(33);
+      getDescriptor().getMessageType(34);
     internal_static_fawndrum_LedgerHandover_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_fawndrum_LedgerHandover_descriptor,
         new java.lang.String[] { "Entries", });
     internal_static_fawndrum_LedgerEntry_descriptor =
-      getDescriptor().getMessageType(34);
+      getDescriptor().getMessageType(35);
     internal_static_fawndrum_LedgerEntry_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_fawndrum_LedgerEntry_descriptor,
         new java.lang.String[] { "Key", "Ran", "AgeMs", });
     internal_static_fawndrum_Acknowledgement_descriptor =
-      getDescriptor().getMessageType(35);
+      getDescriptor().getMessageType(36);
     internal_static_fawndrum_Acknowledgement_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_fawndrum_Acknowledgement_descriptor,
--- a/org.fawndrum/src/org/fawndrum/transport/relay/ConfigurationReader.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/ConfigurationReader.java
@@ -1,23 +1,32 @@
 // SPDX-License-Identifier: Apache-2.0
 package org.fawndrum.transport.relay;
 
+import java.util.HashSet;
+import java.util.Optional;
+import java.util.Set;
 import org.fawndrum.errors.RecordUnreadableException;
 import org.fawndrum.internal.log.HostLog;
 import org.fawndrum.internal.log.LogEvent;
 import org.fawndrum.protocol.KeyedPage;
 import org.fawndrum.protocol.KeyedPage.KeyedRecord;
 import org.fawndrum.protocol.StorePosition;
+import org.fawndrum.protocol.ZoneDrains;
 
 /**
- * Applies the operators' configuration. A record that cannot be decoded is logged and does not
- * confirm the current configuration. Revisions only increase, even if the store was restored from a
- * copy with an earlier revision: the later configuration is written there again. Confined to one
- * event loop, except {@link #newest}, which is thread-safe.
+ * Applies the operators' configuration and their drains of zones. A record that cannot be decoded
+ * is logged and does not confirm the current configuration. A page confirms nothing if later drains
+ * are known. Revisions only increase, even if the store was restored from a copy with an earlier
+ * revision: the later configuration is written there again. Confined to one event loop, except
+ * {@link #newest}, which is thread-safe.
  */
 final class ConfigurationReader implements TopicFollower.Reader {
   private final RelayDecoder decoder;
   private final RouteStore routes;
   private final HostLog log;
+
+  /** The drained zones up to the last page that this host read itself. */
+  private final Set<String> readDrains = new HashSet<>();
+
   private volatile KeyedRecord newest;
 
   ConfigurationReader(RelayDecoder decoder, RouteStore routes, HostLog log) {
@@ -40,22 +49,41 @@
 
   @Override
   public void applySnapshot(KeyedPage page, long queriedMs) {
+    readDrains.clear();
     applyChanges(page, queriedMs);
   }
 
   @Override
   public void applyChanges(KeyedPage page, long confirmedMs) {
+    page.records().forEach(this::readDrain);
+    boolean upToDate =
+        routes.drains().offer(new ZoneDrains(readDrains, page.endPosition()), "the store");
     KeyedRecord latest = null;
     for (KeyedRecord record : page.records()) {
       if (decoder.isConfiguration(record) && !record.isTombstone()) {
         latest = record;
       }
     }
-    if (latest == null || apply(latest)) {
+    boolean applied = latest == null || apply(latest);
+    if (applied && upToDate) {
       routes.confirm(confirmedMs);
     }
   }
 
+  /** Applies a record that drains a zone or takes it back; its key alone says which. */
+  private void readDrain(KeyedRecord record) {
+    try {
+      Optional<String> zone = decoder.drainedZone(record);
+      if (zone.isPresent() && record.isTombstone()) {
+        readDrains.remove(zone.get());
+      } else {
+        zone.ifPresent(readDrains::add);
+      }
+    } catch (RecordUnreadableException e) {
+      log.failure(LogEvent.RECORD_SKIPPED, e, Long.toString(record.offset()));
+    }
+  }
+
   /** Returns the record of the revision in force, or null before the first one. */
   KeyedRecord newest() {
     return newest;
--- a/org.fawndrum/src/org/fawndrum/transport/relay/EndpointNotices.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/EndpointNotices.java
@@ -5,6 +5,7 @@
 import com.codahale.metrics.MetricRegistry;
 import java.util.List;
 import java.util.function.Consumer;
+import org.fawndrum.coordination.Action;
 import org.fawndrum.coordination.AttemptEvent;
 import org.fawndrum.coordination.EndpointRestrictions;
 import org.fawndrum.coordination.RequestedBackoffs;
@@ -13,7 +14,6 @@
 import org.fawndrum.internal.log.HostLog;
 import org.fawndrum.internal.log.LogEvent;
 import org.fawndrum.internal.log.LogRateLimiter;
-import org.fawndrum.state.Endpoint;
 import org.fawndrum.state.HostIdentity;
 import org.fawndrum.transport.HostClock;
 
@@ -61,13 +61,18 @@
   }
 
   /**
-   * Returns why a request must not be sent to an endpoint now, although it was placed there; null
-   * if it may be.
-   *
-   * @param permitEndMs until when it may be sent under its permit
+   * Returns why a request must not be sent now to the endpoint on which it was placed, with the
+   * helper engines chosen for it; null if it may be.
    */
-  AttemptEvent obstacle(Endpoint endpoint, long permitEndMs) {
-    AttemptEvent obstacle = restrictions.obstacle(endpoint, permitEndMs, clock.nowMs());
+  AttemptEvent obstacle(Action.Send send) {
+    for (Action.Helper helper : send.helpers()) {
+      AttemptEvent obstacle = restrictions.helperObstacle(helper.endpoint());
+      if (obstacle != null) {
+        return obstacle;
+      }
+    }
+    AttemptEvent obstacle =
+        restrictions.obstacle(send.endpoint(), send.permitEndMs(), clock.nowMs());
     if (obstacle == AttemptEvent.ENDPOINT_LIMITED) {
       heldBack.inc();
     }
--- a/org.fawndrum/src/org/fawndrum/transport/relay/FleetDuty.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/FleetDuty.java
@@ -205,6 +205,8 @@
       long nowMs = clock.nowMs();
       shutdownNotices.add(shutdowns.endpoints(), nowMs);
       messenger.send(messenger.newMessage(), broadcastAddresses(nowMs));
+    } else if (event instanceof FleetEvent.DrainedZonesChanged) {
+      messenger.send(messenger.newMessage(), broadcastAddresses(clock.nowMs()));
     }
   }
 
--- a/org.fawndrum/src/org/fawndrum/transport/relay/FleetEvent.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/FleetEvent.java
@@ -49,6 +49,9 @@
   /** Endpoints are shutting down; the other daemons are to be notified. */
   record EndpointsShuttingDown(List<HostIdentity> endpoints) implements FleetEvent {}
 
+  /** The drained zones have changed; the other daemons are to be notified. */
+  record DrainedZonesChanged() implements FleetEvent {}
+
   /** Endpoints crashed; one daemon receives all crashes known here, or all daemons the new ones. */
   record EndpointCrashes(Optional<HostAddress> to, CrashUpdate crashes) implements FleetEvent {}
 }
--- a/org.fawndrum/src/org/fawndrum/transport/relay/FleetMessenger.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/FleetMessenger.java
@@ -68,14 +68,19 @@
   FleetNews.Builder newMessage() {
     StorePositions positions = storePositions.get();
     long nowMs = clock.nowMs();
-    return FleetNews.newBuilder()
-        .setSender(FleetCodec.write(self))
-        .setConfigurationRevision(positions.configurationRevision())
-        .setEndpointsEra(positions.endpointsChanged().epoch())
-        .setEndpointsChanged(positions.endpointsChanged().offset())
-        .addAllLeaving(FleetCodec.writeEndpoints(shutdownNotices.current(nowMs)))
-        .addAllRates(PermitCodec.writeRates(rateReports.current(nowMs), nowMs))
-        .setCrashSummary(crashSummary.getAsLong());
+    FleetNews.Builder builder =
+        FleetNews.newBuilder()
+            .setSender(FleetCodec.write(self))
+            .setConfigurationRevision(positions.configurationRevision())
+            .setEndpointsEra(positions.endpointsChanged().epoch())
+            .setEndpointsChanged(positions.endpointsChanged().offset())
+            .addAllLeaving(FleetCodec.writeEndpoints(shutdownNotices.current(nowMs)))
+            .addAllRates(PermitCodec.writeRates(rateReports.current(nowMs), nowMs))
+            .setCrashSummary(crashSummary.getAsLong());
+    if (positions.zoneDrains().position().isKnown()) {
+      builder.setZoneDrains(positions.zoneDrains().write());
+    }
+    return builder;
   }
 
   /** Replaces the rates in a message, the newest only, by all that are known. */
--- a/org.fawndrum/src/org/fawndrum/transport/relay/FleetReceiver.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/FleetReceiver.java
@@ -9,6 +9,7 @@
 import org.fawndrum.protocol.FleetCodec;
 import org.fawndrum.protocol.PermitCodec;
 import org.fawndrum.protocol.StorePosition;
+import org.fawndrum.protocol.ZoneDrains;
 import org.fawndrum.protocol.wire.FleetNews;
 import org.fawndrum.protocol.wire.KnowledgeRequest;
 import org.fawndrum.protocol.wire.PeerMessage;
@@ -83,6 +84,7 @@
         sender,
         new StorePositions(
             message.getConfigurationRevision(),
-            new StorePosition(message.getEndpointsEra(), message.getEndpointsChanged())));
+            new StorePosition(message.getEndpointsEra(), message.getEndpointsChanged()),
+            message.hasZoneDrains() ? ZoneDrains.read(message.getZoneDrains()) : ZoneDrains.NONE));
   }
 }
--- a/org.fawndrum/src/org/fawndrum/transport/relay/PeerStoreSync.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/PeerStoreSync.java
@@ -16,6 +16,7 @@
 import org.fawndrum.protocol.KeyedPage.KeyedRecord;
 import org.fawndrum.protocol.PeerCodec;
 import org.fawndrum.protocol.StorePosition;
+import org.fawndrum.protocol.ZoneDrains;
 import org.fawndrum.protocol.wire.KnowledgeReply;
 import org.fawndrum.protocol.wire.KnowledgeRequest;
 import org.fawndrum.protocol.wire.PeerMessage;
@@ -97,6 +98,7 @@
 
   @Override
   public void peerUpdated(FleetMember peer, StorePositions positions) {
+    routes.drains().offer(positions.zoneDrains(), peer.identity().toString());
     boolean endpointsChanged =
         peerPositions.positionReported(peer, positions.endpointsChanged(), endpoints.knownEnd());
     boolean newer =
@@ -135,7 +137,7 @@
       Throwable failure) {
     pendingPeers.remove(peer);
     if (failure == null) {
-      applyConfiguration(reply.getKnowledgeReply(), queriedMs);
+      applyConfiguration(reply.getKnowledgeReply(), queriedMs, peer);
       if (query.isAnsweredBy(reply.getFromIncarnation())) {
         applyEndpoints(reply.getKnowledgeReply(), queriedMs);
         peerPositions.replyApplied(peer, query);
@@ -145,14 +147,19 @@
     }
   }
 
-  private void applyConfiguration(KnowledgeReply reply, long queriedMs) {
+  private void applyConfiguration(KnowledgeReply reply, long queriedMs, HostAddress peer) {
+    // A peer with older drains cannot confirm that no newer record exists.
+    boolean drainsKnown =
+        reply.hasZoneDrains()
+            && routes.drains().offer(ZoneDrains.read(reply.getZoneDrains()), peer.toString());
     boolean decoded =
         !reply.hasConfiguration() || configuration.apply(record(reply.getConfiguration()));
     boolean upToDate = routes.table().revision() >= reply.getConfigurationRevision();
     // A peer that reads the store of an earlier epoch cannot confirm a configuration for a host
     // that knows a later one.
     boolean oldEpoch = reply.getEndpointsEra() < endpoints.knownEnd().epoch();
-    if (decoded && upToDate && !oldEpoch && reply.getConfigurationAgeMs() >= 0) {
+    boolean current = decoded && upToDate && drainsKnown && !oldEpoch;
+    if (current && reply.getConfigurationAgeMs() >= 0) {
       routes.confirm(queriedMs - reply.getConfigurationAgeMs());
     }
   }
@@ -194,6 +201,11 @@
             .setEndpointsEnd(end.offset())
             .setEndpointsAgeMs(end.isKnown() ? endpoints.ageMs(nowMs) : -1)
             .setEndpointsLeftOut(unchanged);
+    // Read after the age, so that they are at least as new.
+    ZoneDrains known = routes.drains().current();
+    if (known.position().isKnown()) {
+      reply.setZoneDrains(known.write());
+    }
     KeyedRecord newest = configuration.newest();
     if (newest != null && routes.table().revision() > request.getConfigurationRevision()) {
       reply.setConfiguration(record(newest));
--- a/org.fawndrum/src/org/fawndrum/transport/relay/RelayAttempt.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/RelayAttempt.java
@@ -81,6 +81,11 @@
 
   /** Reserves memory if needed, then connects and sends. */
   void start() {
+    AttemptEvent obstacle = send.helpers().isEmpty() ? null : relay.notices().obstacle(send);
+    if (obstacle != null) {
+      fail(obstacle);
+      return;
+    }
     memory
         .reserve()
         .onComplete(
@@ -191,7 +196,7 @@
       connectedRequest.reset();
       return;
     }
-    AttemptEvent obstacle = relay.notices().obstacle(send.endpoint(), send.permitEndMs());
+    AttemptEvent obstacle = relay.notices().obstacle(send);
     if (obstacle != null) {
       // It arose while the connection was established.
       connectedRequest.reset();
--- a/org.fawndrum/src/org/fawndrum/transport/relay/RelayDecoder.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/RelayDecoder.java
@@ -1,6 +1,7 @@
 // SPDX-License-Identifier: Apache-2.0
 package org.fawndrum.transport.relay;
 
+import java.util.Optional;
 import org.fawndrum.protocol.KeyedPage.KeyedRecord;
 import org.fawndrum.state.Endpoint;
 import org.fawndrum.state.RouteTable;
@@ -10,6 +11,14 @@
   /** Returns whether a record of the operators' log contains the configuration. */
   boolean isConfiguration(KeyedRecord record);
 
+  /**
+   * Returns the availability zone that a record of the operators' log drains, or takes back if it
+   * deletes its key; empty for other records. The value of the record has no meaning.
+   *
+   * @throws org.fawndrum.errors.RecordUnreadableException if the record names no zone
+   */
+  Optional<String> drainedZone(KeyedRecord record);
+
   /**
    * Decodes the configuration in a record.
    *
--- a/org.fawndrum/src/org/fawndrum/transport/relay/RelayDuty.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/RelayDuty.java
@@ -257,6 +257,8 @@
       if (eligibility.markVerified(probed.incarnation())) {
         passEndpoints(nowMs);
       }
+    } else if (event instanceof RelayEvent.DrainedZonesChanged) {
+      carryOut(coordinator.drainedZonesChanged(nowMs));
     } else if (event instanceof RelayEvent.BackoffRequested) {
       carryOut(coordinator.backoffRequested(nowMs));
     } else if (event instanceof RelayEvent.RateChanged) {
--- a/org.fawndrum/src/org/fawndrum/transport/relay/RelayEvent.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/RelayEvent.java
@@ -83,6 +83,9 @@
   /** An incarnation of an endpoint was probed; if it is shutting down, that event came before. */
   record IncarnationProbed(HostIdentity incarnation) implements EndpointEvent {}
 
+  /** The drained zones have changed. */
+  record DrainedZonesChanged() implements EndpointEvent {}
+
   /** An endpoint requested a backoff of this host. */
   record BackoffRequested() implements EndpointEvent {}
 
--- a/org.fawndrum/src/org/fawndrum/transport/relay/RelayRuntime.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/RelayRuntime.java
@@ -85,8 +85,10 @@
     this.clock = clock;
     this.log = log;
     this.self = new HostIdentity(settings.host(), incarnation);
-    this.routes = new RouteStore(this::routesChanged);
     EndpointRestrictions restrictions = new EndpointRestrictions();
+    ZoneDrainNotifier onDrain = new ZoneDrainNotifier(this::decide, this::offerToFleet, log);
+    ZoneDrainStore drains = new ZoneDrainStore(restrictions.drainedZones(), onDrain);
+    this.routes = new RouteStore(this::routesChanged, drains);
     RequestCoordinator coordinator = newCoordinator(restrictions);
     MetricRegistry registry = new MetricRegistry();
     this.decisionLog =
@@ -264,6 +266,7 @@
     registry.registerGauge("configurationRevision", () -> routes.table().revision());
     registry.registerGauge("configurationAgeMs", () -> routes.ageMs(clock.nowMs()));
     registry.registerGauge("endpointsAgeMs", () -> clock.nowMs() - listedAtMs);
+    registry.registerGauge("drainedZones", () -> routes.drains().current().zones().size());
     registry.registerGauge("unusableEntries", () -> store.endpoints().unusableCount());
     registry.registerGauge("leavingEndpoints", decisions::drainingEndpoints);
     registry.registerGauge("openRequests", decisions::openRequests);
@@ -279,6 +282,10 @@
     registry.registerGauge("permitsExpired", permits::expiredCount);
   }
 
+  private void decide(RelayEvent event) {
+    events.accept(event);
+  }
+
   private void offerToFleet(FleetEvent event) {
     fleet.offer(event);
   }
--- a/org.fawndrum/src/org/fawndrum/transport/relay/RouteStore.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/RouteStore.java
@@ -7,22 +7,29 @@
 import org.fawndrum.transport.HostClock;
 
 /**
- * Holds the configuration in force on this host, and the age of the evidence that no newer one
- * exists. Revisions only increase. Thread-safe.
+ * Holds the configuration in force on this host, the drained zones, and the age of the evidence
+ * that neither has changed since. Revisions only increase. Thread-safe.
  */
 final class RouteStore {
   private final BiConsumer<RouteTable, TableRevision> onNewer;
+  private final ZoneDrainStore drains;
   private volatile RouteTable table = RouteTable.NONE;
   private volatile long confirmedAtMs = HostClock.NEVER_MS;
 
-  RouteStore(BiConsumer<RouteTable, TableRevision> onNewer) {
+  RouteStore(BiConsumer<RouteTable, TableRevision> onNewer, ZoneDrainStore drains) {
     this.onNewer = onNewer;
+    this.drains = drains;
   }
 
   RouteTable table() {
     return table;
   }
 
+  /** Returns the drained zones. */
+  ZoneDrainStore drains() {
+    return drains;
+  }
+
   /** Applies a revision if it is newer than the one in force; returns whether it was. */
   synchronized boolean offer(RouteTable newer) {
     if (newer.revision() <= table.revision()) {
@@ -35,7 +42,8 @@
   }
 
   /**
-   * Records that the revision in force was the newest one at a given time.
+   * Records that the revision in force was the newest one at a given time, and that no drains later
+   * than those known existed then.
    *
    * @param atMs the time at which the query was sent that confirmed this, by the host's clock
    */
--- a/org.fawndrum/src/org/fawndrum/transport/relay/StoreReader.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/StoreReader.java
@@ -54,7 +54,7 @@
    * Creates a reader that has not started.
    *
    * @param adapter provides the store and decodes its records
-   * @param routes receives the configuration
+   * @param routes receives the configuration and the drained zones
    * @param bounds the limits for revoked keys and for drains
    * @param leader whether this host is the leader of its zone
    * @param onListing receives each new list of endpoints
@@ -128,6 +128,7 @@
 
   /** Returns the store positions that this host has read, to be sent to peers. */
   StorePositions positions() {
-    return new StorePositions(routes.table().revision(), endpoints.lastChange());
+    return new StorePositions(
+        routes.table().revision(), endpoints.lastChange(), routes.drains().current());
   }
 }
--- a/org.fawndrum/tst/org/fawndrum/coordination/EndpointRestartTest.java
+++ b/org.fawndrum/tst/org/fawndrum/coordination/EndpointRestartTest.java
@@ -39,7 +39,10 @@
   private static final LatencyTargets TARGETS = new LatencyTargets(2_500, 1_000, 2);
 
   private final EndpointRegistry registry =
-      new EndpointRegistry(new RequestedBackoffs(), new EndpointPermits(new EndpointRateLimits()));
+      new EndpointRegistry(
+          new RequestedBackoffs(),
+          new EndpointPermits(new EndpointRateLimits()),
+          new DrainedZones());
   private final EngineWork engineWork =
       new EngineWork(new HostIdentity("host-1", 1), registry, new ArrayList<>());
   private final EndpointEligibility eligibility = new EndpointEligibility();
--- a/org.fawndrum/tst/org/fawndrum/coordination/RequestedBackoffsTest.java
+++ b/org.fawndrum/tst/org/fawndrum/coordination/RequestedBackoffsTest.java
@@ -43,7 +43,8 @@
 
   private final RequestedBackoffs backoffs = new RequestedBackoffs();
   private final EndpointRegistry registry =
-      new EndpointRegistry(backoffs, new EndpointPermits(new EndpointRateLimits()));
+      new EndpointRegistry(
+          backoffs, new EndpointPermits(new EndpointRateLimits()), new DrainedZones());
   private final RequestCoordinator coordinator =
       new RequestCoordinator(
           new HostIdentity("host-1", 1),
--- a/org.fawndrum/tst/org/fawndrum/transport/relay/EndpointReaderTest.java
+++ b/org.fawndrum/tst/org/fawndrum/transport/relay/EndpointReaderTest.java
@@ -6,6 +6,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
 import java.util.stream.Collectors;
 import org.fawndrum.errors.RecordUnreadableException;
@@ -40,6 +41,11 @@
       return false;
     }
 
+    @Override
+    public Optional<String> drainedZone(KeyedRecord record) {
+      return Optional.empty();
+    }
+
     @Override
     public RouteTable configuration(KeyedRecord record) {
       return RouteTable.NONE;
--- a/org.fawndrum/tst/org/fawndrum/transport/relay/RelayDrainTest.java
+++ b/org.fawndrum/tst/org/fawndrum/transport/relay/RelayDrainTest.java
@@ -21,6 +21,7 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import org.fawndrum.coordination.DrainedZones;
 import org.fawndrum.coordination.PauseDetector;
 import org.fawndrum.coordination.Policies;
 import org.fawndrum.coordination.Refusal;
@@ -157,7 +158,8 @@
     try (ServerSocket free = new ServerSocket(0)) {
       address = new HostAddress("127.0.0.1", free.getLocalPort());
     }
-    RouteStore routes = new RouteStore((table, cells) -> {});
+    ZoneDrainStore drains = new ZoneDrainStore(new DrainedZones(), (added, ended, now, by) -> {});
+    RouteStore routes = new RouteStore((table, cells) -> {}, drains);
     callers =
         new RelayServer(
             vertx, address, routes, new FixedCodec(), clock, accepted::complete, null, () -> true);
