Bound what a host holds for callers and endpoints that read slowly

Cause: events and whole answers were written to callers without a look at their write queue, bodies of up to 4 MB went to endpoints in one write (which copies them), and a whole answer or a partial event could grow without limit.

Change: HeldBytes (pure) counts bodies, incomplete answers and queued bytes, and decides which request ends; CallerHolds samples the callers' write queues and resets the connections of callers that read nothing for hold.unreadMs. At hold.totalBytes the request that holds most for a slow reader ends, else new ones are refused as not run (host_memory_full).

--- a/org.fawndrum/src/org/fawndrum/coordination/Reason.java
+++ b/org.fawndrum/src/org/fawndrum/coordination/Reason.java
@@ -31,6 +31,12 @@
   NO_ENDPOINT,
   /** The caller closed its connection. */
   CALLER_GONE,
+  /** The caller left its answer unread, or the host had to free what it held for it. */
+  CALLER_TOO_SLOW,
+  /** The endpoint did not read the request while the host held all that it may. */
+  ENDPOINT_TOO_SLOW,
+  /** The host holds all that it may for callers and endpoints. */
+  HOST_MEMORY_FULL,
   /** The retry budget is exhausted. */
   RETRY_BUDGET,
   /** Endpoints crash while running the request, whichever host sends it. */
--- a/org.fawndrum/src/org/fawndrum/coordination/RefusalKind.java
+++ b/org.fawndrum/src/org/fawndrum/coordination/RefusalKind.java
@@ -52,6 +52,8 @@
   DRAINING(503, "overloaded_error", "this host is being stopped"),
   /** The event queue of a duty is full. */
   HOST_BUSY(503, "overloaded_error", "this host has no room for more events"),
+  /** The host holds all that it may for callers and endpoints. */
+  HOST_MEMORY_FULL(503, "overloaded_error", "this host has no memory left for more requests"),
   /** The host has not received a table yet. */
   NO_TABLE(503, "overloaded_error", "this host has no table yet"),
   /** The host is not yet registered to run requests that must not be repeated. */
@@ -66,6 +68,8 @@
   QUARANTINED(503, "overloaded_error", "the request is in quarantine and is not run now"),
   /** The caller closed its connection. */
   CALLER_GONE(499, "api_error", "the caller closed the connection"),
+  /** The caller did not read its answer. */
+  CALLER_TOO_SLOW(499, "api_error", "the caller left its answer unread for too long"),
   /** An internal error of the daemon. */
   INTERNAL(500, "api_error", "the daemon failed");
 
--- a/org.fawndrum/src/org/fawndrum/coordination/RequestCoordinator.java
+++ b/org.fawndrum/src/org/fawndrum/coordination/RequestCoordinator.java
@@ -314,10 +314,22 @@
 
   /** Gives up a request whose caller closed the connection, and releases what it holds. */
   public List<Action> callerGone(String requestId, long nowMs) {
+    return giveUp(requestId, RefusalKind.CALLER_GONE, Reason.CALLER_GONE, Refusal.NEVER, nowMs);
+  }
+
+  /**
+   * Gives up a request for a reason determined elsewhere, and releases what it holds. No endpoint
+   * is at fault.
+   *
+   * @param retryAfterMs the delay after which a retry makes sense if the request did not run
+   */
+  public List<Action> giveUp(
+      String requestId, RefusalKind kind, Reason reason, long retryAfterMs, long nowMs) {
     OpenRequest request = requests.get(requestId);
     if (request != null) {
-      Refusal gone = Refusal.of(RefusalKind.CALLER_GONE, request.ran(), Refusal.NEVER);
-      requests.giveUp(request, gone, Reason.CALLER_GONE, nowMs);
+      Ran ran = request.ran();
+      Refusal refusal = Refusal.of(kind, ran, ran == Ran.NO ? retryAfterMs : Refusal.NEVER);
+      requests.giveUp(request, refusal, reason, nowMs);
     }
     return flush(nowMs);
   }
--- /dev/null
+++ b/org.fawndrum/src/org/fawndrum/coordination/backpressure/RequestHold.java
@@ -0,0 +1,62 @@
+// SPDX-License-Identifier: Apache-2.0
+package org.fawndrum.coordination.backpressure;
+
+/** What a host keeps for one request until it ends. Confined to one thread. */
+public final class RequestHold {
+  private static final long NONE = Long.MIN_VALUE;
+
+  private final String id;
+  private long keptBytes;
+  private long bodyBlockedSinceMs = NONE;
+  private boolean ended;
+
+  RequestHold(String id) {
+    this.id = id;
+  }
+
+  /** Returns the id of the request; empty if it is not known. */
+  public String id() {
+    return id;
+  }
+
+  /** Returns the bytes of the request's body and of its answer before that is complete. */
+  public long keptBytes() {
+    return keptBytes;
+  }
+
+  /**
+   * Records whether the endpoint has stopped reading the request's body.
+   *
+   * @param nowMs the time by the host's clock, in milliseconds
+   */
+  public void bodyBlocked(boolean blocked, long nowMs) {
+    if (!blocked || ended) {
+      bodyBlockedSinceMs = NONE;
+    } else if (bodyBlockedSinceMs == NONE) {
+      bodyBlockedSinceMs = nowMs;
+    }
+  }
+
+  /** Returns for how long the endpoint has not read the body, in ms; 0 if it reads it. */
+  long bodyBlockedMs(long nowMs) {
+    return bodyBlockedSinceMs == NONE ? 0 : nowMs - bodyBlockedSinceMs;
+  }
+
+  /** Adds bytes, which may be negative, and returns the bytes added: 0 after the end. */
+  long add(long bytes) {
+    if (ended) {
+      return 0;
+    }
+    keptBytes += bytes;
+    return bytes;
+  }
+
+  /** Ends the request and returns the bytes that are no longer kept. */
+  long end() {
+    long released = keptBytes;
+    keptBytes = 0;
+    ended = true;
+    bodyBlockedSinceMs = NONE;
+    return released;
+  }
+}
--- a/org.fawndrum/src/org/fawndrum/internal/log/LogEvent.java
+++ b/org.fawndrum/src/org/fawndrum/internal/log/LogEvent.java
@@ -84,7 +84,8 @@
   PERMITS_ISSUED(
       77,
       Level.INFO,
-      "this host issues permits for endpoint {0}, which accepts {1} requests/s; its part is {2}");
+      "this host issues permits for endpoint {0}, which accepts {1} requests/s; its part is {2}"),
+  SLOW_READER(85, Level.WARN, "{0}");
 
   /** Added to a number before formatting, so that the id has four digits with leading zeros. */
   private static final int FOUR_DIGITS = 10_000;
--- a/org.fawndrum/src/org/fawndrum/transport/BodyReader.java
+++ b/org.fawndrum/src/org/fawndrum/transport/BodyReader.java
@@ -14,6 +14,21 @@
   private final Vertx vertx;
   private final long maxBytes;
   private final long silenceMs;
+  private final Budget budget;
+
+  /** Limits what is held in memory for all requests together. */
+  public interface Budget {
+    /** Permits any number of bytes. */
+    Budget UNLIMITED = bytes -> true;
+
+    /** Returns whether this number of bytes more may be held, and counts them if so. */
+    boolean tryHold(int bytes);
+
+    /** Returns the refusal of a request that exceeds the budget. */
+    default Refusal refusal() {
+      return Refusal.notRun(RefusalKind.HOST_MEMORY_FULL);
+    }
+  }
 
   /**
    * Creates a reader.
@@ -22,14 +37,24 @@
    * @param silenceMs the maximum time between two chunks of a body, in milliseconds
    */
   public BodyReader(Vertx vertx, long maxBytes, long silenceMs) {
+    this(vertx, maxBytes, silenceMs, Budget.UNLIMITED);
+  }
+
+  /**
+   * Creates a reader.
+   *
+   * @param budget counts the bytes that are read
+   */
+  public BodyReader(Vertx vertx, long maxBytes, long silenceMs, Budget budget) {
     this.vertx = vertx;
     this.maxBytes = maxBytes;
     this.silenceMs = silenceMs;
+    this.budget = budget;
   }
 
   /**
-   * Reads the whole body. The future fails with {@code RefusedException} when the body is too
-   * large, the sender is silent for too long or the connection fails.
+   * Reads the whole body. The future fails with {@code RefusedException} when the body is too large
+   * or exceeds the budget, the sender is silent for too long or the connection fails.
    */
   public CompletableFuture<Buffer> read(HttpServerRequest request, String requestId) {
     CompletableFuture<Buffer> result = new CompletableFuture<>();
@@ -48,6 +73,8 @@
           restartTimer.run();
           if (body.length() + (long) chunk.length() > maxBytes) {
             fail(result, requestId, RefusalKind.BODY_TOO_LARGE);
+          } else if (!result.isDone() && !budget.tryHold(chunk.length())) {
+            result.completeExceptionally(new RefusedException(requestId, budget.refusal()));
           } else if (!result.isDone()) {
             body.appendBuffer(chunk);
           }
--- /dev/null
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/AnswerReader.java
@@ -0,0 +1,135 @@
+// SPDX-License-Identifier: Apache-2.0
+package org.fawndrum.transport.relay;
+
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpClientResponse;
+import java.util.List;
+
+/**
+ * Reads the body of an endpoint's answer, whole or event by event, within the limits of what this
+ * host holds. Confined to one event loop.
+ */
+final class AnswerReader {
+  private static final int MIN_SUCCESS_STATUS = 200;
+  private static final int MIN_REDIRECT_STATUS = 300;
+
+  private final HttpClientResponse head;
+  private final HeldRequest held;
+  private final Receiver receiver;
+  private final EventSplitter splitter = new EventSplitter();
+  private Buffer whole = Buffer.buffer();
+  private boolean paused;
+  private boolean stopped;
+
+  /** Receives what was read. None of its methods is called after {@link AnswerReader#stop}. */
+  interface Receiver {
+    /** Called when the whole answer was read; its bytes stay counted until the request ends. */
+    void wholeReceived(Buffer body);
+
+    /** Called when bytes of a stream were read, with the events that are now complete. */
+    void eventsReceived(List<EventSplitter.StreamEvent> events);
+
+    /** Called when a stream ended, maybe in the middle of an event. */
+    void streamEnded(boolean partialEvent);
+
+    /** Called when the answer, or one of its events, is larger than any may be. */
+    void answerTooLarge();
+  }
+
+  AnswerReader(HttpClientResponse head, HeldRequest held, Receiver receiver) {
+    this.head = head;
+    this.held = held;
+    this.receiver = receiver;
+  }
+
+  /**
+   * Starts to read.
+   *
+   * @param stream whether the answer is a stream, unless its status tells of a failure
+   */
+  void read(boolean stream) {
+    int status = head.statusCode();
+    if (stream && status >= MIN_SUCCESS_STATUS && status < MIN_REDIRECT_STATUS) {
+      readEvents();
+    } else {
+      readWhole();
+    }
+  }
+
+  private void readWhole() {
+    head.handler(this::keep);
+    head.endHandler(
+        v -> {
+          if (!stopped) {
+            Buffer body = whole;
+            whole = Buffer.buffer();
+            receiver.wholeReceived(body);
+          }
+        });
+  }
+
+  private void keep(Buffer part) {
+    if (stopped) {
+      return;
+    }
+    if (whole.length() + (long) part.length() > held.limits().answerBytes()) {
+      receiver.answerTooLarge();
+    } else if (held.tryHold(part.length())) {
+      whole.appendBuffer(part);
+    } else {
+      // The request ends, which cancels its attempt.
+      pause();
+      held.endForLackOfMemory();
+    }
+  }
+
+  private void readEvents() {
+    head.handler(this::split);
+    head.endHandler(
+        v -> {
+          if (!stopped) {
+            receiver.streamEnded(splitter.hasPartialEvent());
+          }
+        });
+  }
+
+  private void split(Buffer bytes) {
+    if (stopped) {
+      return;
+    }
+    receiver.eventsReceived(splitter.append(bytes));
+    if (!stopped && splitter.partialBytes() > held.limits().eventBytes()) {
+      receiver.answerTooLarge();
+    }
+  }
+
+  /** Stops reading for a time, so that the endpoint has to stop sending. */
+  void pause() {
+    if (!stopped && !paused) {
+      paused = true;
+      head.pause();
+    }
+  }
+
+  /** Reads on after a pause; returns false if there was none. */
+  boolean resume() {
+    if (stopped || !paused) {
+      return false;
+    }
+    paused = false;
+    head.resume();
+    return true;
+  }
+
+  /** Returns whether nothing is read for a time. */
+  boolean paused() {
+    return paused;
+  }
+
+  /** Drops what was read of an incomplete answer, and all that arrives later. */
+  void stop() {
+    stopped = true;
+    held.release(whole.length());
+    whole = Buffer.buffer();
+  }
+}
--- a/org.fawndrum/src/org/fawndrum/transport/relay/DecisionLog.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/DecisionLog.java
@@ -95,6 +95,24 @@
   record EndpointCrashDetails(String requestId, String endpoint, long start, String fingerprint)
       implements LogDetails {}
 
+  /**
+   * Log details of a request that this host ended because its caller or its endpoint read slowly.
+   *
+   * @param reason who read slowly
+   * @param unreadMs how long the caller left queued bytes unread, in milliseconds
+   * @param queuedBytes the bytes queued for the caller
+   * @param keptBytes the bytes of the request's body and of its incomplete answer
+   * @param totalBytes the bytes held for all requests of this host
+   */
+  record SlowReaderDetails(
+      String requestId,
+      String reason,
+      long unreadMs,
+      long queuedBytes,
+      long keptBytes,
+      long totalBytes)
+      implements LogDetails {}
+
   DecisionLog(RequestMetrics metrics, Supplier<Basis> basis, HostClock clock, HostLog log) {
     this.metrics = metrics;
     this.basis = basis;
@@ -163,6 +181,13 @@
     }
   }
 
+  /** Logs a request that this host ended because its caller or its endpoint read slowly. */
+  void slowReader(SlowReaderDetails details) {
+    if (failureLimiter.tryAcquire(clock.nowMs())) {
+      log.details(LogEvent.SLOW_READER, details);
+    }
+  }
+
   /** Logs that an attempt released its memory on other engines. */
   void memoryReleased(String requestId, String endpoint, PromptMemory.Usage usage) {
     if (successLimiter.tryAcquire(clock.nowMs())) {
--- a/org.fawndrum/src/org/fawndrum/transport/relay/EventSplitter.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/EventSplitter.java
@@ -43,6 +43,11 @@
     return events;
   }
 
+  /** Returns the bytes of the incomplete event that is buffered. */
+  int partialBytes() {
+    return pending.length();
+  }
+
   /** Returns whether an incomplete event is buffered. */
   boolean hasPartialEvent() {
     return pending.length() > 0;
--- /dev/null
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/HeldRequest.java
@@ -0,0 +1,20 @@
+// SPDX-License-Identifier: Apache-2.0
+package org.fawndrum.transport.relay;
+
+import org.fawndrum.coordination.backpressure.HoldLimits;
+import org.fawndrum.transport.BodyReader;
+
+/** What this host holds for one request of a caller. Confined to one event loop. */
+interface HeldRequest extends BodyReader.Budget {
+  /** Returns the limits in force. */
+  HoldLimits limits();
+
+  /** Removes bytes that are no longer held. */
+  void release(int bytes);
+
+  /** Called when the endpoint has stopped reading the body of the request, or reads it again. */
+  void bodyBlocked(boolean blocked);
+
+  /** Ends the request because this host has no memory for its answer. */
+  void endForLackOfMemory();
+}
--- a/org.fawndrum/src/org/fawndrum/transport/relay/RelayAttempt.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/RelayAttempt.java
@@ -18,12 +18,9 @@
  * One attempt to run a request on one endpoint. It reports exactly one outcome to its owner, unless
  * it is cancelled. Confined to its owner's event loop.
  */
-final class RelayAttempt {
+final class RelayAttempt implements AnswerReader.Receiver {
   static final int MIN_FAILURE_STATUS = 500;
 
-  private static final int MIN_SUCCESS_STATUS = 200;
-  private static final int MIN_REDIRECT_STATUS = 300;
-
   /** The highest priority; it corresponds to urgency 0. */
   private static final int MAX_PRIORITY = 9;
 
@@ -36,6 +33,8 @@
   private final EngineLiveness liveness;
   private HttpClientRequest request;
   private HttpClientResponse response;
+  private BodyWriter bodyWriter;
+  private AnswerReader answer;
   private long lastProgressMs;
   private boolean hasFirstEvent;
   private boolean stallReported;
@@ -208,8 +207,10 @@
     if (repeatable() || memory.isReserved()) {
       relay.stallWatch().add(this);
     }
+    bodyWriter = new BodyWriter(request, request.headers(), call.body(), call.held()::bodyBlocked);
+    bodyWriter.write();
     request
-        .send(call.body())
+        .response()
         .onComplete(
             head -> {
               if (head.succeeded()) {
@@ -245,12 +246,8 @@
       case NOT_RUN, WRONG_ENDPOINT -> refusedByEndpoint(head.headers());
       case MISMATCHED -> abandon();
       default -> {
-        boolean success = isSuccess(head.statusCode());
-        if (success && call.route().kind() == RouteKind.STREAM) {
-          readEvents(head);
-        } else {
-          readBody(head);
-        }
+        answer = new AnswerReader(head, call.held(), this);
+        answer.read(call.route().kind() == RouteKind.STREAM);
       }
     }
   }
@@ -275,10 +272,6 @@
     fail(AttemptEvent.REFUSED_BY_ENDPOINT);
   }
 
-  private static boolean isSuccess(int status) {
-    return status >= MIN_SUCCESS_STATUS && status < MIN_REDIRECT_STATUS;
-  }
-
   /** Fails the attempt because the data on its connection is unreliable. */
   private void abandon() {
     request.reset();
@@ -308,37 +301,15 @@
             });
   }
 
-  private void readBody(HttpClientResponse head) {
-    head.body()
-        .onComplete(
-            body -> {
-              if (body.succeeded()) {
-                completeAnswer(head, body.result());
-              } else {
-                connectionLost();
-              }
-            });
-  }
-
-  private void completeAnswer(HttpClientResponse head, Buffer body) {
-    if (!finished) {
-      finish();
-      owner.answered(this, new RelayExchange.FullAnswer(head.statusCode(), head.headers(), body));
-    }
-  }
-
-  private void readEvents(HttpClientResponse head) {
-    EventSplitter splitter = new EventSplitter();
-    head.handler(bytes -> forwardEvents(splitter.append(bytes)));
-    head.endHandler(
-        v -> {
-          if (!finished) {
-            completeStream(splitter.hasPartialEvent());
-          }
-        });
+  @Override
+  public void wholeReceived(Buffer body) {
+    finish();
+    owner.answered(
+        this, new RelayExchange.FullAnswer(response.statusCode(), response.headers(), body));
   }
 
-  private void completeStream(boolean partialEvent) {
+  @Override
+  public void streamEnded(boolean partialEvent) {
     if (partialEvent) {
       abandon();
       return;
@@ -347,7 +318,8 @@
     owner.streamCompleted(this);
   }
 
-  private void forwardEvents(List<EventSplitter.StreamEvent> events) {
+  @Override
+  public void eventsReceived(List<EventSplitter.StreamEvent> events) {
     if (!events.isEmpty()) {
       lastProgressMs = relay.clock().nowMs();
       liveness.recordActivity();
@@ -365,6 +337,29 @@
     }
   }
 
+  @Override
+  public void answerTooLarge() {
+    abandon();
+  }
+
+  /** Stops reading the answer, because the caller does not read it. */
+  void pause() {
+    answer.pause();
+  }
+
+  /** Reads the answer again. The time until now tells nothing about the endpoint. */
+  void resume() {
+    if (answer.resume()) {
+      lastProgressMs = relay.clock().nowMs();
+      liveness.recordActivity();
+    }
+  }
+
+  /** Returns whether the answer is not being read, so that the endpoint cannot send. */
+  boolean paused() {
+    return answer != null && answer.paused();
+  }
+
   private void fail(AttemptEvent event) {
     if (!finished) {
       finish();
@@ -374,6 +369,12 @@
 
   private void finish() {
     finished = true;
+    if (answer != null) {
+      answer.stop();
+    }
+    if (bodyWriter != null && bodyWriter.stop()) {
+      request.reset();
+    }
     relay.stallWatch().remove(this);
     liveness.stop();
     if (memory.isReserved()) {
--- a/org.fawndrum/src/org/fawndrum/transport/relay/RelayCall.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/RelayCall.java
@@ -18,6 +18,7 @@
  * @param uri path and query, as received
  * @param headers its headers, as received
  * @param body its body
+ * @param held what this host holds for the request
  * @param content the parts of the request that identify it for comparison with other requests
  */
 record RelayCall(
@@ -28,4 +29,5 @@
     String uri,
     MultiMap headers,
     Buffer body,
+    HeldRequest held,
     RequestContent content) {}
--- a/org.fawndrum/src/org/fawndrum/transport/relay/RelayDuty.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/RelayDuty.java
@@ -191,6 +191,14 @@
       carryOut(coordinator.helperRefused(refused.attempt(), refused.helper(), nowMs));
     } else if (event instanceof RelayEvent.CallerGone gone) {
       carryOut(coordinator.callerGone(gone.requestId(), nowMs));
+    } else if (event instanceof RelayEvent.RequestEnded ended) {
+      carryOut(
+          coordinator.giveUp(
+              ended.requestId(),
+              ended.kind(),
+              ended.reason(),
+              RelayIntake.OTHER_HOST_RETRY_MS,
+              nowMs));
     }
   }
 
--- a/org.fawndrum/src/org/fawndrum/transport/relay/RelayEvent.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/RelayEvent.java
@@ -5,6 +5,8 @@
 import java.util.function.Consumer;
 import org.fawndrum.coordination.AttemptEvent;
 import org.fawndrum.coordination.AttemptId;
+import org.fawndrum.coordination.Reason;
+import org.fawndrum.coordination.RefusalKind;
 import org.fawndrum.coordination.RequestFacts;
 import org.fawndrum.coordination.ShutdownWindow;
 import org.fawndrum.coordination.engine.EngineUpdate;
@@ -45,6 +47,9 @@
   /** A caller closed its connection. */
   record CallerGone(String requestId) implements RequestEvent {}
 
+  /** A caller or an endpoint read too slowly, so that this host ends the request. */
+  record RequestEnded(String requestId, RefusalKind kind, Reason reason) implements RequestEvent {}
+
   /** A newer configuration is in force. */
   record RoutesChanged(RouteTable routes, TableRevision table) implements EndpointEvent {}
 
--- a/org.fawndrum/src/org/fawndrum/transport/relay/RelayExchange.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/RelayExchange.java
@@ -125,7 +125,8 @@
       return;
     }
     response.headers().addAll(relay.codec().callerHeaders(answer.headers()));
-    response.setStatusCode(answer.status()).end(answer.body());
+    response.setStatusCode(answer.status());
+    new BodyWriter(response, response.headers(), answer.body(), blocked -> {}).write();
   }
 
   @Override
@@ -140,6 +141,10 @@
     setHead(attempt);
     lastEventId = event.id();
     response.write(event.bytes());
+    if (response.writeQueueFull()) {
+      attempt.pause();
+      response.drainHandler(v -> attempt.resume());
+    }
     streamPace.recordEvent(relay.clock().nowMs());
     if (attempt != answeringAttempt) {
       answeringAttempt = attempt;
--- a/org.fawndrum/src/org/fawndrum/transport/relay/RelayIntake.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/RelayIntake.java
@@ -85,6 +85,7 @@
             http.uri(),
             http.headers(),
             incoming.body(),
+            incoming.held(),
             content);
     HttpServerResponse response = http.response();
     RelayExchange exchange =
--- a/org.fawndrum/src/org/fawndrum/transport/relay/RelayRuntime.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/RelayRuntime.java
@@ -57,6 +57,7 @@
   private final MetricsServer metrics;
   private final DecisionLog decisionLog;
   private final StallWatch stallWatch;
+  private final CallerHolds holds;
   private final IncarnationGuard engineControl;
   private final IncarnationProbes incarnationProbes;
   private final EndpointNotices notices;
@@ -113,6 +114,7 @@
     this.engineControl = new IncarnationGuard(adapter.engineControl(), this::restarted);
     this.engineControl.setNoticeListener(notices);
     this.incarnationProbes = new IncarnationProbes(vertx, engineControl, this::incarnationProbed);
+    this.holds = new CallerHolds(vertx, () -> settingsInForce().hold(), clock, events, decisionLog);
     this.callers = callerServer(adapter);
     this.drain = newDrain();
     this.readiness = new ReadinessServer(vertx, settings.readiness(), this::isReady);
@@ -236,7 +238,8 @@
         clock,
         intake,
         decisionLog,
-        this::hasState);
+        this::hasState,
+        holds);
   }
 
   /**
@@ -270,6 +273,8 @@
     registry.registerGauge("refusedRequests", () -> decisions.crashingRequests().size());
     registry.registerGauge("decisionsRingFill", decisions::queuedEvents);
     registry.registerGauge("callerConnections", () -> callers.connections());
+    registry.registerGauge("bytesHeld", holds::totalBytes);
+    registry.registerGauge("slowCallers", holds::slowCallers);
     registry.registerGauge("peerBytesSent", network::bytesSent);
     registry.registerGauge("attemptsHoldingMemory", stallWatch::attemptsWithMemory);
     registry.registerGauge("longestSilenceMs", stallWatch::longestSilenceMs);
--- a/org.fawndrum/src/org/fawndrum/transport/relay/RelayServer.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/RelayServer.java
@@ -2,6 +2,7 @@
 package org.fawndrum.transport.relay;
 
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.DefaultMaxMessagesRecvByteBufAllocator;
 import io.netty.channel.RecvByteBufAllocator;
 import io.vertx.core.Context;
@@ -12,7 +13,6 @@
 import io.vertx.core.http.HttpServer;
 import io.vertx.core.http.HttpServerOptions;
 import io.vertx.core.http.HttpServerRequest;
-import io.vertx.core.http.impl.HttpServerConnection;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
@@ -49,6 +49,12 @@
   /** How long a request waits for a host that has just started, in milliseconds. */
   private static final long MAX_START_WAIT_MS = 700;
 
+  /**
+   * What the operating system queues for one caller, in bytes. With more, a caller that reads
+   * slowly but steadily would seem to read nothing for seconds.
+   */
+  private static final int SEND_BUFFER_BYTES = 64 << 10;
+
   private static final long START_POLL_MS = 20;
   private static final int HEADER_SEPARATOR_BYTES = 4;
   private static final int MAX_LINE_BYTES = 16_384;
@@ -61,6 +67,7 @@
   private final Intake intake;
   private final DecisionLog decisions;
   private final BooleanSupplier hasState;
+  private final CallerHolds holds;
   private final IdleConnections idleConnections;
   private final Map<HttpConnection, Integer> requestsInProgress = new HashMap<>();
 
@@ -82,11 +89,17 @@
    * @param http the request as the server received it
    * @param request the content of its headers
    * @param body its body
+   * @param held what this host holds for it
    * @param arrivedMs when its headers arrived, by the host's clock
    * @param context its event loop
    */
   record IncomingRequest(
-      HttpServerRequest http, RelayRequest request, Buffer body, long arrivedMs, Context context) {
+      HttpServerRequest http,
+      RelayRequest request,
+      Buffer body,
+      HeldRequest held,
+      long arrivedMs,
+      Context context) {
     /**
      * Returns whether the caller has closed its connection. The response learns of that only after
      * the steps that were queued on the event loop before, such as sending this request.
@@ -105,7 +118,8 @@
       HostClock clock,
       Intake intake,
       DecisionLog decisions,
-      BooleanSupplier hasState) {
+      BooleanSupplier hasState,
+      CallerHolds holds) {
     this.vertx = vertx;
     this.address = address;
     this.routes = routes;
@@ -114,6 +128,7 @@
     this.intake = intake;
     this.decisions = decisions;
     this.hasState = hasState;
+    this.holds = holds;
     this.idleConnections =
         new IdleConnections(
             vertx,
@@ -134,6 +149,7 @@
             .setMaxInitialLineLength(MAX_LINE_BYTES)
             .setHttp2ClearTextEnabled(false)
             .setUseAlpn(false)
+            .setSendBufferSize(SEND_BUFFER_BYTES)
             .setTcpNoDelay(true);
     return vertx
         .createHttpServer(options)
@@ -190,6 +206,7 @@
     requestsInProgress.put(connection, 0);
     unusedSinceMs.put(connection, clock.nowMs());
     idleConnections.opened(connection);
+    holds.opened(connection);
     readUntilEmpty(connection);
     if (readingStopped) {
       disableReads(connection);
@@ -199,6 +216,7 @@
           requestsInProgress.remove(connection);
           unusedSinceMs.remove(connection);
           idleConnections.closed(connection);
+          holds.closed(connection);
         });
   }
 
@@ -216,9 +234,7 @@
   }
 
   private static Optional<Channel> channel(HttpConnection connection) {
-    return connection instanceof HttpServerConnection server
-        ? Optional.of(server.channelHandlerContext().channel())
-        : Optional.empty();
+    return CallerHolds.context(connection).map(ChannelHandlerContext::channel);
   }
 
   private void refuseInvalid(HttpServerRequest request) {
@@ -234,6 +250,7 @@
     http.response()
         .endHandler(
             v -> {
+              holds.requestEnded(connection);
               requestsInProgress.computeIfPresent(
                   connection, (key, count) -> Math.max(0, count - 1));
               idleConnections.requestCompleted(connection);
@@ -245,17 +262,35 @@
                 http.response().putHeader("connection", "close");
               }
             });
+    if (http.response().writeQueueFull()) {
+      // The caller sends requests without reading the answers to earlier ones.
+      http.pause();
+      http.response()
+          .drainHandler(
+              v -> {
+                http.resume();
+                readRequest(http);
+              });
+    } else {
+      readRequest(http);
+    }
+  }
+
+  private void readRequest(HttpServerRequest http) {
     long arrivedMs = clock.nowMs();
-    Context context = vertx.getOrCreateContext();
     RelayRequest request;
     try {
       checkHeaders(http);
       request = codec.readRequest(http.headers());
+      if (!holds.hasRoom()) {
+        throw new RefusedException(request.requestId(), CallerHolds.MEMORY_FULL);
+      }
     } catch (RefusedException e) {
       refuseAndClose(http, e.requestId(), e.refusal());
       return;
     }
-    readBody(http, request, arrivedMs, context);
+    HeldRequest held = holds.requestStarted(http.connection(), request.requestId());
+    readBody(http, request, held, arrivedMs);
   }
 
   private void checkHeaders(HttpServerRequest http) {
@@ -269,11 +304,13 @@
   }
 
   private void readBody(
-      HttpServerRequest http, RelayRequest request, long arrivedMs, Context context) {
-    new BodyReader(vertx, limits().maxBodyBytes(), limits().headerTimeoutMs())
+      HttpServerRequest http, RelayRequest request, HeldRequest held, long arrivedMs) {
+    Context context = vertx.getOrCreateContext();
+    new BodyReader(vertx, limits().maxBodyBytes(), limits().headerTimeoutMs(), held)
         .read(http, request.requestId())
         .thenAccept(
-            body -> acceptWhenReady(new IncomingRequest(http, request, body, arrivedMs, context)))
+            body ->
+                acceptWhenReady(new IncomingRequest(http, request, body, held, arrivedMs, context)))
         .exceptionally(
             failure -> {
               refuse(http, request.requestId(), RefusedException.refusalOf(failure));
@@ -313,6 +350,7 @@
   private void refuse(HttpServerRequest http, String requestId, Refusal refusal) {
     boolean incompletelyRead =
         refusal.kind() == RefusalKind.BODY_TOO_LARGE
+            || refusal.kind() == RefusalKind.HOST_MEMORY_FULL
             || refusal.kind() == RefusalKind.REQUEST_INCOMPLETE;
     if (incompletelyRead) {
       refuseAndClose(http, requestId, refusal);
--- a/org.fawndrum/src/org/fawndrum/transport/relay/RelaySettings.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/RelaySettings.java
@@ -2,6 +2,7 @@
 package org.fawndrum.transport.relay;
 
 import java.util.List;
+import org.fawndrum.coordination.backpressure.HoldLimits;
 import org.fawndrum.state.HostAddress;
 
 /**
@@ -17,6 +18,7 @@
  * @param linkMegabits the capacity of the host's network link, in megabits a second
  * @param seeds addresses of hosts that may know other daemons
  * @param bounds the limits that operators guarantee or permit
+ * @param hold the limits of what is held in memory for callers and endpoints
  * @param clearedFingerprints fingerprints of requests whose rejection the operators cleared ({@code
  *     letGo} in the file); the metrics server lists the rejected requests
  * @param debugLog whether each decision is logged
@@ -32,6 +34,7 @@
     double linkMegabits,
     List<HostAddress> seeds,
     RelayBounds bounds,
+    HoldLimits hold,
     List<String> clearedFingerprints,
     boolean debugLog) {
   /** Copies the lists, so that the settings are immutable. */
--- a/org.fawndrum/src/org/fawndrum/transport/relay/RelaySettingsReader.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/RelaySettingsReader.java
@@ -4,6 +4,7 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import org.fawndrum.coordination.backpressure.HoldLimits;
 import org.fawndrum.errors.BadSettingsException;
 import org.fawndrum.settings.SettingsFault;
 import org.fawndrum.settings.SettingsFile;
@@ -18,6 +19,19 @@
   private static final double MAX_LINK_MEGABITS = 1e6;
   private static final double MAX_RETRIES = 1e9;
 
+  private static final int KILOBYTE = 1 << 10;
+  private static final int MEGABYTE = 1 << 20;
+  private static final int MAX_BYTES = 1 << 30;
+
+  /** Above the interval at which callers' connections are checked, in milliseconds. */
+  private static final long MIN_UNREAD_MS = 500;
+
+  /**
+   * Maximum time for which an answer may be unread, in milliseconds. Endpoints end it after some
+   * seconds, and memory reserved on other engines expires before that.
+   */
+  private static final long MAX_UNREAD_MS = 2_500;
+
   private static final String FINGERPRINT = "[0-9a-f]{32}";
 
   private final Path file;
@@ -50,6 +64,7 @@
                 .map(seed -> new HostAddress(seed.ip(), peers.port()))
                 .toList(),
             bounds(root.object("bounds")),
+            root.has("hold") ? hold(root.object("hold")) : HoldLimits.DEFAULT,
             root.texts("letGo", FINGERPRINT, "write a fingerprint of 32 hexadecimal digits"),
             root.flag("debug", false));
     root.reportUnknownKeys();
@@ -73,4 +88,22 @@
     node.reportUnknownKeys();
     return bounds;
   }
+
+  private static HoldLimits hold(SettingsNode node) {
+    HoldLimits limits =
+        new HoldLimits(
+            node.number("totalBytes", MEGABYTE, MAX_BYTES, HoldLimits.DEFAULT_TOTAL_BYTES),
+            (int) node.number("callerBytes", KILOBYTE, MAX_BYTES, HoldLimits.DEFAULT_CALLER_BYTES),
+            (int) node.number("answerBytes", KILOBYTE, MAX_BYTES, HoldLimits.DEFAULT_ANSWER_BYTES),
+            (int) node.number("eventBytes", KILOBYTE, MAX_BYTES, HoldLimits.DEFAULT_EVENT_BYTES),
+            node.number("unreadMs", MIN_UNREAD_MS, MAX_UNREAD_MS, HoldLimits.DEFAULT_UNREAD_MS));
+    if (Math.max(limits.callerBytes(), limits.answerBytes()) > limits.totalBytes()) {
+      node.fault(
+          "totalBytes",
+          limits.totalBytes(),
+          "write at least the bytes of one caller and one answer");
+    }
+    node.reportUnknownKeys();
+    return limits;
+  }
 }
--- a/org.fawndrum/src/org/fawndrum/transport/relay/StallWatch.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/StallWatch.java
@@ -83,13 +83,17 @@
     attemptsWithMemory = (int) attempts.stream().filter(RelayAttempt::hasReservedMemory).count();
     longestSilenceMs =
         attempts.stream()
-            .filter(RelayAttempt::dependsOnEngine)
+            .filter(attempt -> attempt.dependsOnEngine() && !attempt.paused())
             .mapToLong(RelayAttempt::silentMs)
             .max()
             .orElse(0);
     long nowMs = clock.nowMs();
     // Polling may complete attempts, which are then removed from the set.
     for (RelayAttempt attempt : List.copyOf(attempts)) {
+      if (attempt.paused()) {
+        // Its engine cannot send; a complete answer may wait to be read.
+        continue;
+      }
       if (attempt.repeatable() && nowMs - attempt.lastProgressMs() > limitMs(attempt)) {
         attempt.stalled();
       } else {
--- /dev/null
+++ b/org.fawndrum/tst/org/fawndrum/coordination/backpressure/HeldBytesTest.java
@@ -0,0 +1,148 @@
+// SPDX-License-Identifier: Apache-2.0
+package org.fawndrum.coordination.backpressure;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** Which requests end because their callers or endpoints read too slowly. */
+class HeldBytesTest {
+  private static final HoldLimits LIMITS = new HoldLimits(1_000, 100, 500, 500, 2_000);
+  private static final long POLL_MS = 200;
+
+  private final HeldBytes<String> held = new HeldBytes<>(() -> LIMITS);
+  private final Map<String, WriteQueue> queues = new HashMap<>();
+  private long nowMs = 10_000;
+
+  @BeforeEach
+  void open() {
+    for (String connection : List.of("a", "b", "c")) {
+      held.opened(connection);
+    }
+  }
+
+  private void sampleFor(long ms) {
+    for (long untilMs = nowMs + ms; nowMs < untilMs; nowMs += POLL_MS) {
+      sample();
+    }
+    sample();
+  }
+
+  private void sample() {
+    held.sample(connection -> queues.getOrDefault(connection, WriteQueue.EMPTY), nowMs);
+  }
+
+  /** A caller that never reads, beside one that reads slowly but steadily and one that is fast. */
+  @Test
+  void onlyTheCallerThatReadsNothingIsEnded() {
+    queues.put("a", new WriteQueue(90, "first", 0));
+    for (int read = 1; read <= 20; read++) {
+      queues.put("b", new WriteQueue(90, "first", read));
+      sample();
+      nowMs += POLL_MS;
+    }
+    assertEquals(List.of("a"), held.unreadTooLong(nowMs));
+    assertEquals(1, held.slowCallers());
+  }
+
+  @Test
+  void unreadBytesMayStayForTheWholeLimit() {
+    queues.put("a", new WriteQueue(90, "first", 0));
+    sampleFor(LIMITS.unreadMs() - POLL_MS);
+    assertEquals(List.of(), held.unreadTooLong(nowMs));
+    sampleFor(POLL_MS);
+    assertEquals(List.of("a"), held.unreadTooLong(nowMs));
+  }
+
+  /** Each of these shows that the caller read something. */
+  @Test
+  void anyProgressStartsTheTimeAnew() {
+    for (WriteQueue later :
+        List.of(
+            new WriteQueue(90, "second", 0),
+            new WriteQueue(90, "second", 1),
+            new WriteQueue(80, "second", 1),
+            WriteQueue.EMPTY)) {
+      queues.putIfAbsent("a", new WriteQueue(90, "first", 0));
+      sampleFor(LIMITS.unreadMs());
+      assertEquals(List.of("a"), held.unreadTooLong(nowMs));
+      queues.put("a", later);
+      sample();
+      assertEquals(List.of(), held.unreadTooLong(nowMs));
+    }
+  }
+
+  /** Bytes that this host adds are no sign that the caller reads. */
+  @Test
+  void growingQueueIsNoProgress() {
+    for (int bytes = 1; bytes <= 11; bytes++) {
+      queues.put("a", new WriteQueue(bytes, "first", 0));
+      sample();
+      nowMs += POLL_MS;
+    }
+    assertEquals(List.of("a"), held.unreadTooLong(nowMs));
+  }
+
+  @Test
+  void bytesOfAllRequestsAndQueuesCount() {
+    held.keep(held.requestStarted("a", "r-1"), 400);
+    queues.put("b", new WriteQueue(100, "first", 0));
+    sample();
+    assertEquals(500, held.totalBytes());
+    assertTrue(held.hasRoomFor(500));
+    assertFalse(held.hasRoomFor(501));
+  }
+
+  @Test
+  void nothingIsCountedForEndedRequestsAndClosedConnections() {
+    RequestHold ended = held.requestStarted("a", "r-1");
+    held.keep(ended, 400);
+    held.requestEnded(ended);
+    held.keep(ended, 100);
+    held.keep(ended, -100);
+    RequestHold closed = held.requestStarted("b", "r-2");
+    held.keep(closed, 300);
+    queues.put("b", new WriteQueue(100, "first", 0));
+    sample();
+    held.closed("b");
+    held.closed("b");
+    held.keep(closed, 100);
+    held.keep(held.requestStarted("b", "r-3"), 100);
+    assertEquals(0, held.totalBytes());
+  }
+
+  /** The limit of all is reached: a fast caller with a large body is not ended. */
+  @Test
+  void requestThatHoldsMostForASlowReaderEndsFirst() {
+    held.keep(held.requestStarted("a", "r-1"), 600);
+    held.keep(held.requestStarted("b", "r-2"), 50);
+    held.requestStarted("c", "r-3");
+    queues.put("b", new WriteQueue(60, "first", 0));
+    queues.put("c", new WriteQueue(90, "first", 0));
+    sample();
+    assertEquals(Optional.empty(), held.largestSlow(nowMs));
+    sampleFor(2 * POLL_MS);
+    assertEquals(Optional.of("b"), held.largestSlow(nowMs));
+    held.closed("b");
+    assertEquals(Optional.of("c"), held.largestSlow(nowMs));
+  }
+
+  @Test
+  void endpointThatDoesNotReadABodyIsASlowReader() {
+    RequestHold request = held.requestStarted("a", "r-1");
+    held.keep(request, 600);
+    request.bodyBlocked(true, nowMs);
+    nowMs += HeldBytes.SLOW_AFTER_MS;
+    request.bodyBlocked(true, nowMs);
+    assertEquals(Optional.of("a"), held.largestSlow(nowMs));
+    request.bodyBlocked(false, nowMs);
+    assertEquals(Optional.empty(), held.largestSlow(nowMs));
+  }
+}
--- a/org.fawndrum/tst/org/fawndrum/transport/relay/RelayDrainTest.java
+++ b/org.fawndrum/tst/org/fawndrum/transport/relay/RelayDrainTest.java
@@ -27,6 +27,7 @@
 import org.fawndrum.coordination.RequestCoordinator;
 import org.fawndrum.coordination.RequestTarget;
 import org.fawndrum.coordination.RetryBudget;
+import org.fawndrum.coordination.backpressure.HoldLimits;
 import org.fawndrum.internal.log.HostLog;
 import org.fawndrum.state.HostAddress;
 import org.fawndrum.state.HostIdentity;
@@ -160,7 +161,15 @@
     RouteStore routes = new RouteStore((table, cells) -> {});
     callers =
         new RelayServer(
-            vertx, address, routes, new FixedCodec(), clock, accepted::complete, null, () -> true);
+            vertx,
+            address,
+            routes,
+            new FixedCodec(),
+            clock,
+            accepted::complete,
+            null,
+            () -> true,
+            new CallerHolds(vertx, () -> HoldLimits.DEFAULT, clock, event -> {}, null));
     drain =
         new RelayDrain(
             vertx, callers, decisions, decisions::offer, () -> bounds, pauseDetector, clock, log);
