--- a/org.fawndrum/src/org/fawndrum/internal/log/LogEvent.java
+++ b/org.fawndrum/src/org/fawndrum/internal/log/LogEvent.java
@@ -89,7 +89,8 @@
       91,
       Level.INFO,
       "zone {0} is drained, its endpoints get no new requests; epoch {1}, offset {2}, from {3}"),
-  ZONE_TAKEN_BACK(92, Level.INFO, "zone {0} is no longer drained; epoch {1}, offset {2}, from {3}");
+  ZONE_TAKEN_BACK(92, Level.INFO, "zone {0} is no longer drained; epoch {1}, offset {2}, from {3}"),
+  SLOW_READER(85, Level.WARN, "{0}");
 
   /** Added to a number before formatting, so that the id has four digits with leading zeros. */
   private static final int FOUR_DIGITS = 10_000;
