--- a/org.fawndrum/src/org/fawndrum/coordination/RequestCoordinator.java
+++ b/org.fawndrum/src/org/fawndrum/coordination/RequestCoordinator.java
@@ -89,24 +89,17 @@
   /** Replaces the set of endpoints eligible for new work. */
   public List<Action> updateEndpoints(Collection<Endpoint> eligible, long nowMs) {
     registry.update(eligible);
-    return backoffRequested(nowMs);
+    return restrictionsChanged(nowMs);
   }
 
   /** Called when zones were drained or taken back. */
   public List<Action> drainedZonesChanged(long nowMs) {
     registry.zonesChanged();
-    offers.giveUpUnavailable(nowMs);
-    return flush(nowMs);
-  }
-
-  /** Called when an endpoint has asked this host to send nothing for a time. */
-  public List<Action> backoffRequested(long nowMs) {
-    offers.giveUpUnavailable(nowMs);
-    return flush(nowMs);
+    return restrictionsChanged(nowMs);
   }
 
-  /** Called when the rate that an endpoint accepts has changed. */
-  public List<Action> rateChanged(long nowMs) {
+  /** Called when a backoff or a rate of an endpoint has changed. */
+  public List<Action> restrictionsChanged(long nowMs) {
     offers.giveUpUnavailable(nowMs);
     return flush(nowMs);
   }
--- a/org.fawndrum/src/org/fawndrum/transport/relay/EndpointNotices.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/EndpointNotices.java
@@ -120,7 +120,7 @@
     if (rateLimits.answered(statement)) {
       logRate(statement, "itself");
       fleet.accept(new FleetEvent.RateChanged(endpoint.host()));
-      events.accept(new RelayEvent.RateChanged());
+      events.accept(new RelayEvent.RestrictionsChanged());
     }
   }
 
@@ -144,7 +144,7 @@
     }
     if (notice.backoffMs() > 0) {
       backoffs.requested(endpoint, notice.backoffMs(), clock.nowMs());
-      events.accept(new RelayEvent.BackoffRequested());
+      events.accept(new RelayEvent.RestrictionsChanged());
     }
     if (notice.draining()) {
       events.accept(new RelayEvent.EndpointsShuttingDown(List.of(endpoint), "itself"));
--- a/org.fawndrum/src/org/fawndrum/transport/relay/FleetEventForwarder.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/FleetEventForwarder.java
@@ -38,7 +38,7 @@
 
   @Override
   public void rateChanged() {
-    decisions.accept(new RelayEvent.RateChanged());
+    decisions.accept(new RelayEvent.RestrictionsChanged());
   }
 
   @Override
--- a/org.fawndrum/src/org/fawndrum/transport/relay/RelayDuty.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/RelayDuty.java
@@ -267,10 +267,8 @@
       }
     } else if (event instanceof RelayEvent.DrainedZonesChanged) {
       carryOut(coordinator.drainedZonesChanged(nowMs));
-    } else if (event instanceof RelayEvent.BackoffRequested) {
-      carryOut(coordinator.backoffRequested(nowMs));
-    } else if (event instanceof RelayEvent.RateChanged) {
-      carryOut(coordinator.rateChanged(nowMs));
+    } else if (event instanceof RelayEvent.RestrictionsChanged) {
+      carryOut(coordinator.restrictionsChanged(nowMs));
     } else if (event instanceof RelayEvent.EndpointRestarted restarted) {
       if (eligibility.incarnationReported(restarted.incarnation())) {
         passEndpoints(nowMs);
--- a/org.fawndrum/src/org/fawndrum/transport/relay/RelayEvent.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/RelayEvent.java
@@ -91,11 +91,8 @@
   /** The drained zones have changed. */
   record DrainedZonesChanged() implements EndpointEvent {}
 
-  /** An endpoint requested a backoff of this host. */
-  record BackoffRequested() implements EndpointEvent {}
-
-  /** The rate that an endpoint accepts from all hosts together has changed. */
-  record RateChanged() implements EndpointEvent {}
+  /** A backoff or a rate of an endpoint has changed. */
+  record RestrictionsChanged() implements EndpointEvent {}
 
   /** An operator cleared the rejection of a request. */
   record RejectionCleared(String fingerprint) implements LifecycleEvent {}
--- a/org.fawndrum/tst/org/fawndrum/coordination/RequestedBackoffsTest.java
+++ b/org.fawndrum/tst/org/fawndrum/coordination/RequestedBackoffsTest.java
@@ -299,7 +299,7 @@
     allInBackoff(150);
     arrive(100);
     backoffs.requested(FIRST, BACKOFF_MS, 110);
-    actions.addAll(coordinator.backoffRequested(110));
+    actions.addAll(coordinator.restrictionsChanged(110));
     assertEquals(RefusalKind.ENDPOINTS_REST, refused().orElseThrow().kind());
     assertEquals(0, coordinator.openCount());
   }
