Play drains of zones in the soak, and describe them

SoakStore takes over the faults of the store, since it tells the checker which drains hosts can have read; two of the engines are now in another zone.

--- a/org.fawndrum.soak/src/org/fawndrum/soak/SoakEndpoint.java
+++ b/org.fawndrum.soak/src/org/fawndrum/soak/SoakEndpoint.java
@@ -22,8 +22,6 @@
  * the checker. Confined to one event loop.
  */
 final class SoakEndpoint implements EndpointStandin.Behaviour {
-  private static final String ZONE = "zone-a";
-
   /** How long a request runs before it crashes the engine, in milliseconds. */
   private static final long CRASH_DELAY_MS = 50;
 
@@ -53,6 +51,7 @@
   private final PromiseChecker checker;
   private final String id;
   private final String service;
+  private final String zone;
   private final int events;
   private final EndpointStandin standin;
   private final Consumer<SoakEndpoint> onRestart;
@@ -76,6 +75,7 @@
    * @param ticketUsage the ticket usage, shared by all endpoints
    * @param id the name, and the key of its entry in the store
    * @param service the service to which it belongs
+   * @param zone its availability zone
    * @param events the number of events in a stream; 0 for plain answers
    * @param onRestart called when it listens again after a crash
    */
@@ -86,6 +86,7 @@
       TicketUsage ticketUsage,
       String id,
       String service,
+      String zone,
       int events,
       Consumer<SoakEndpoint> onRestart) {
     this.vertx = vertx;
@@ -93,6 +94,7 @@
     this.checker = checker;
     this.id = id;
     this.service = service;
+    this.zone = zone;
     this.events = events;
     this.onRestart = onRestart;
     this.standin = new EndpointStandin(vertx, id, events, this, ticketUsage);
@@ -119,6 +121,11 @@
     return id;
   }
 
+  /** Returns the endpoint's availability zone. */
+  String zone() {
+    return zone;
+  }
+
   /** Returns the endpoint's own address, behind the proxy. */
   HostAddress address() {
     return ownAddress;
@@ -127,7 +134,7 @@
   /** Returns the entry for the store, with the address of the proxy. */
   String entry(String state) {
     return standin
-        .entry(service, ZONE, state)
+        .entry(service, zone, state)
         .replace(ownAddress.toString(), proxyAddress.toString());
   }
 
@@ -142,6 +149,7 @@
   private void setImpaired(boolean isNowImpaired) {
     if (isNowImpaired) {
       checker.rates().recordImpaired(id);
+      checker.drains().recordImpaired(id);
       openRuns.keySet().forEach(EndpointRun::markImpaired);
       checker.notices().recordLinkImpaired(id);
     }
@@ -150,6 +158,7 @@
     } else if (impaired && !isNowImpaired) {
       checker.shutdowns().recordImpairmentEnd(Soak.nowMs());
       checker.rates().recordSound(id, Soak.nowMs());
+      checker.drains().recordSound(id, Soak.nowMs());
     }
     impaired = isNowImpaired;
   }
@@ -270,6 +279,7 @@
     EndpointRun run = begin(received.requestId(), request);
     checker.notices().recordArrival(received.requestId(), id, Soak.nowMs());
     checker.rates().recordArrival(received.requestId(), id, Soak.nowMs());
+    checker.drains().recordArrival(received.requestId(), id, zone, Soak.nowMs());
     if (requestsBackoff) {
       endpoint.rejectWithBackoff(request, BACKOFF_S);
       if (!impaired) {
--- a/org.fawndrum.soak/src/org/fawndrum/soak/SoakSite.java
+++ b/org.fawndrum.soak/src/org/fawndrum/soak/SoakSite.java
@@ -68,6 +68,11 @@
   private static final String OPERATORS = "keyed.op";
   private static final String ENDPOINTS = "keyed.servers";
   private static final String SERVICE = "service";
+  private static final String ZONE = "zone-a";
+
+  /** The zone of the extra engines. */
+  private static final String OTHER_ZONE = "zone-b";
+
   private static final String READY = "ready";
   private static final String DRAINING = "draining";
 
@@ -107,6 +112,7 @@
   private final Path folder;
   private final FixedPorts ports = new FixedPorts();
   private final StoreStandin store;
+  private final SoakStore storeFaults;
   private final TicketUsage ticketUsage = new TicketUsage();
   private final List<FaultProxy> storeLinks = new ArrayList<>();
   private final List<SoakEndpoint> endpoints = new ArrayList<>();
@@ -126,16 +132,17 @@
     this.hostCount = hosts;
     this.folder = folder;
     this.store = new StoreStandin(vertx);
+    this.storeFaults = new SoakStore(vertx, store, storeLinks, checker.drains());
   }
 
   /** Starts the store, endpoints and proxies, and creates the hosts. */
   Future<Void> start() {
     for (int i = 0; i < ENGINES; i++) {
-      endpoints.add(endpoint("engine-" + i, "pool", EVENTS));
+      endpoints.add(endpoint("engine-" + i, "pool", ZONE, EVENTS));
     }
-    endpoints.add(endpoint(SERVICE, "orders", 0));
+    endpoints.add(endpoint(SERVICE, "orders", ZONE, 0));
     for (int i = ENGINES; i < ENGINES + EXTRA_ENGINES; i++) {
-      endpoints.add(endpoint("engine-" + i, "pool", EVENTS));
+      endpoints.add(endpoint("engine-" + i, "pool", OTHER_ZONE, EVENTS));
     }
     Future<Void> started = Future.succeededFuture();
     for (SoakEndpoint endpoint : endpoints) {
@@ -144,7 +151,7 @@
     return started.compose(v -> store.listen()).compose(this::startLinks).map(this::makeHosts);
   }
 
-  private SoakEndpoint endpoint(String id, String service, int events) {
+  private SoakEndpoint endpoint(String id, String service, String zone, int events) {
     return new SoakEndpoint(
         vertx,
         client,
@@ -152,6 +159,7 @@
         ticketUsage,
         id,
         service,
+        zone,
         events,
         restarted -> publishEntry(restarted, READY));
   }
@@ -220,11 +228,12 @@
     SoakEndpoint endpoint = endpoints.get(fault.target() % endpoints.size());
     FaultProxy.Mode mode = begins ? fault.mode() : FaultProxy.Mode.PASS;
     switch (fault.kind()) {
-      case STORE_BUSY -> store.mode(begins ? StoreStandin.Mode.BUSY : StoreStandin.Mode.SERVING);
+      case STORE_BUSY ->
+          storeFaults.mode(begins ? StoreStandin.Mode.BUSY : StoreStandin.Mode.SERVING);
       case STORE_UNRESPONSIVE ->
-          store.mode(begins ? StoreStandin.Mode.SILENT : StoreStandin.Mode.SERVING);
+          storeFaults.mode(begins ? StoreStandin.Mode.SILENT : StoreStandin.Mode.SERVING);
       case STORE_EXPIRES_RECORDS -> store.expireAll();
-      case STORE_LINK -> storeLinks.get(fault.target() % storeLinks.size()).mode(mode);
+      case STORE_LINK -> storeFaults.linkMode(fault.target(), mode);
       case ENDPOINT_LINK -> endpoint.setLinkMode(mode);
       case ANSWERS_LOST -> endpoint.setLosesAnswers(begins);
       case REJECTS -> endpoint.setRejects(begins);
@@ -238,6 +247,7 @@
       case DRAINING_NOTICE -> announceDraining(endpoint, begins);
       case BACKOFF_NOTICE -> endpoint.setRequestsBackoff(begins);
       case STORE_RESTORED -> restoreStore(begins);
+      case ZONE_DRAINED -> storeFaults.drain(endpoint.zone(), begins);
       case RATE_NAMED -> nameRate(endpoint, fault, begins);
       default -> throw new SoakFailedException("fault " + fault, null);
     }
@@ -292,14 +302,14 @@
    */
   private void restoreStore(boolean begins) {
     if (begins) {
-      store.mode(StoreStandin.Mode.BUSY);
+      storeFaults.mode(StoreStandin.Mode.BUSY);
       return;
     }
-    store.restoreFrom(copies.getFirst());
+    storeFaults.restoreFrom(copies.getFirst());
     copies.clear();
     copies.add(store.copy());
     publishConfiguration();
-    store.mode(StoreStandin.Mode.SERVING);
+    storeFaults.mode(StoreStandin.Mode.SERVING);
     long afterMs = 0;
     for (SoakEndpoint endpoint : endpoints) {
       afterMs += REWRITE_GAP_MS;
@@ -340,8 +350,7 @@
 
   /** Ends every fault of the store and the endpoints, except permanent hangs. */
   void endFaults() {
-    store.mode(StoreStandin.Mode.SERVING);
-    storeLinks.forEach(link -> link.mode(FaultProxy.Mode.PASS));
+    storeFaults.endFaults();
     for (SoakEndpoint endpoint : endpoints) {
       endpoint.setLinkMode(FaultProxy.Mode.PASS);
       endpoint.setLosesAnswers(false);
--- /dev/null
+++ b/org.fawndrum.soak/src/org/fawndrum/soak/SoakStore.java
@@ -0,0 +1,106 @@
+// SPDX-License-Identifier: Apache-2.0
+package org.fawndrum.soak;
+
+import io.vertx.core.Vertx;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.TreeSet;
+import org.fawndrum.platform.standin.StoreStandin;
+
+/**
+ * The faults of the store and of its connections, and the operators' drains of zones in it. Tells
+ * the checker which drains hosts can know. Confined to one event loop.
+ */
+final class SoakStore {
+  /** Additional duration of a drain, in milliseconds: it must outlast the time to apply it. */
+  private static final long EXTRA_DRAIN_MS = DrainChecker.APPLY_MS + 2_000;
+
+  private static final String OPERATORS = "keyed.op";
+
+  private final Vertx vertx;
+  private final StoreStandin store;
+  private final List<FaultProxy> links;
+  private final DrainChecker checker;
+  private final Set<Integer> impairedLinks = new HashSet<>();
+  private final Set<String> drained = new TreeSet<>();
+  private StoreStandin.Mode mode = StoreStandin.Mode.SERVING;
+
+  /**
+   * Creates a store without faults.
+   *
+   * @param links the connection of each host to it
+   */
+  SoakStore(Vertx vertx, StoreStandin store, List<FaultProxy> links, DrainChecker checker) {
+    this.vertx = vertx;
+    this.store = store;
+    this.links = links;
+    this.checker = checker;
+  }
+
+  /** Sets the behaviour of the store. */
+  void mode(StoreStandin.Mode newMode) {
+    mode = newMode;
+    store.mode(newMode);
+    recordReachable();
+  }
+
+  /** Sets the behaviour of a host's connections to the store. */
+  void linkMode(int host, FaultProxy.Mode newMode) {
+    int link = host % links.size();
+    links.get(link).mode(newMode);
+    if (newMode == FaultProxy.Mode.PASS) {
+      impairedLinks.remove(link);
+    } else {
+      impairedLinks.add(link);
+    }
+    recordReachable();
+  }
+
+  private void recordReachable() {
+    boolean reachable = mode == StoreStandin.Mode.SERVING && impairedLinks.size() < links.size();
+    checker.recordStoreDown(!reachable, Soak.nowMs());
+  }
+
+  /** Drains a zone, or takes it back when the drain has lasted long enough to be checked. */
+  void drain(String zone, boolean begins) {
+    if (begins) {
+      drained.add(zone);
+      writeDrain(zone);
+    } else {
+      vertx.setTimer(EXTRA_DRAIN_MS, timer -> takeBack(zone));
+    }
+  }
+
+  private void writeDrain(String zone) {
+    store.put(OPERATORS, key(zone), "{}");
+    checker.recordDrained(zone, Soak.nowMs());
+  }
+
+  private void takeBack(String zone) {
+    if (drained.remove(zone)) {
+      store.put(OPERATORS, key(zone), "");
+      checker.recordTakenBack(zone);
+    }
+  }
+
+  private static String key(String zone) {
+    return "evacuate/" + zone;
+  }
+
+  /** Restores the store from a copy; the operators write what is drained again at once. */
+  void restoreFrom(StoreStandin.Copy copy) {
+    store.restoreFrom(copy);
+    drained.forEach(checker::recordTakenBack);
+    drained.forEach(this::writeDrain);
+  }
+
+  /** Ends all faults and takes all zones back. */
+  void endFaults() {
+    mode(StoreStandin.Mode.SERVING);
+    for (int host = 0; host < links.size(); host++) {
+      linkMode(host, FaultProxy.Mode.PASS);
+    }
+    Set.copyOf(drained).forEach(this::takeBack);
+  }
+}
--- a/org.fawndrum.soak/tst/org/fawndrum/soak/SoakEndpointTest.java
+++ b/org.fawndrum.soak/tst/org/fawndrum/soak/SoakEndpointTest.java
@@ -37,6 +37,7 @@
           new TicketUsage(),
           "engine-1",
           "pool",
+          "zone-a",
           0,
           restarted -> hasRestarted.set(true));
 
