Send endpoints that are starting only the rate that operators state

ColdRemainingMs of entries was validated and dropped; ColdStartS, ColdPerS and X-Cold-Start-Ms were read nowhere, so that an engine that had just started got as much as any other one.

StartingEndpoints derives from entries, answers, discovered restarts and zones taken back until when an endpoint starts; LowestRates combines it with the rate that an endpoint names, for placement, permits, their issue and the check before the first byte. An entry whose rest only got shorter is no change for other hosts. An issuer that does not know of a rate yet grants nothing, and meets the demand once it does: a host that was refused would ask again only after a second.

--- a/org.fawndrum/src/org/fawndrum/coordination/EndpointRestrictions.java
+++ b/org.fawndrum/src/org/fawndrum/coordination/EndpointRestrictions.java
@@ -2,6 +2,9 @@
 package org.fawndrum.coordination;
 
 import org.fawndrum.coordination.limit.EndpointRateLimits;
+import org.fawndrum.coordination.limit.EndpointRates;
+import org.fawndrum.coordination.limit.LowestRates;
+import org.fawndrum.coordination.limit.StartingEndpoints;
 import org.fawndrum.state.Endpoint;
 
 /**
@@ -12,14 +15,29 @@
  * @param backoffs the backoffs that endpoints requested of this host
  * @param rateLimits the rates that endpoints accept from all hosts together
  * @param drainedZones the zones that operators have drained
+ * @param starts the endpoints that have started lately
  */
 public record EndpointRestrictions(
-    RequestedBackoffs backoffs, EndpointRateLimits rateLimits, DrainedZones drainedZones) {
+    RequestedBackoffs backoffs,
+    EndpointRateLimits rateLimits,
+    DrainedZones drainedZones,
+    StartingEndpoints starts) {
   /** Creates restrictions of which none is in force. */
   public EndpointRestrictions() {
     this(new RequestedBackoffs(), new EndpointRateLimits(), new DrainedZones());
   }
 
+  /** Creates restrictions of endpoints none of which has started lately. */
+  public EndpointRestrictions(
+      RequestedBackoffs backoffs, EndpointRateLimits rateLimits, DrainedZones drainedZones) {
+    this(backoffs, rateLimits, drainedZones, new StartingEndpoints());
+  }
+
+  /** Returns the rates of endpoints, for whatever reason; the lowest counts. */
+  public EndpointRates rates() {
+    return new LowestRates(rateLimits, starts);
+  }
+
   /**
    * Returns why a request that was placed on an endpoint must not be sent there any more; null if
    * it may be.
@@ -33,7 +51,7 @@
     if (backoffs.isActive(endpoint.identity(), nowMs)) {
       return AttemptEvent.ENDPOINT_BACKOFF;
     }
-    boolean withoutPermit = rateLimits.isLimited(endpoint.name()) && nowMs > permitEndMs;
+    boolean withoutPermit = rates().isLimited(endpoint.name(), nowMs) && nowMs > permitEndMs;
     return withoutPermit ? AttemptEvent.ENDPOINT_LIMITED : null;
   }
 }
--- a/org.fawndrum/src/org/fawndrum/coordination/RequestCoordinator.java
+++ b/org.fawndrum/src/org/fawndrum/coordination/RequestCoordinator.java
@@ -54,7 +54,7 @@
   public RequestCoordinator(
       HostIdentity self, String zone, Policies policies, EndpointRestrictions restrictions) {
     this.self = self;
-    this.permits = new EndpointPermits(restrictions.rateLimits());
+    this.permits = new EndpointPermits(restrictions.rates());
     this.registry = new EndpointRegistry(restrictions.backoffs(), permits);
     this.policies = policies;
     this.queue = new WaitingRequests(policies.order(), policies.lengthClassifier());
--- a/org.fawndrum/src/org/fawndrum/coordination/limit/EndpointPermits.java
+++ b/org.fawndrum/src/org/fawndrum/coordination/limit/EndpointPermits.java
@@ -54,7 +54,7 @@
   /** Number of demands for an endpoint whose grants are still accepted. */
   private static final int KEPT_DEMANDS = 4;
 
-  private final EndpointRateLimits limits;
+  private final EndpointRates rates;
   private final Map<String, Account> accounts = new HashMap<>();
   private final Map<String, PermitDemand> due = new LinkedHashMap<>();
   private long lastId;
@@ -112,13 +112,13 @@
   }
 
   /** Creates the permits of a host that has none. */
-  public EndpointPermits(EndpointRateLimits limits) {
-    this.limits = limits;
+  public EndpointPermits(EndpointRates rates) {
+    this.rates = rates;
   }
 
   /** Whether an endpoint may get no request now because this host has no permit for it. */
   public boolean isLacking(String endpoint, long nowMs) {
-    return limits.isLimited(endpoint) && valid(endpoint, nowMs) == 0;
+    return rates.isLimited(endpoint, nowMs) && valid(endpoint, nowMs) == 0;
   }
 
   private int valid(String endpoint, long nowMs) {
@@ -139,7 +139,7 @@
    * @return until when the request may be sent; {@link #NO_PERMIT} if the endpoint has no limit
    */
   public long take(String endpoint, long nowMs) {
-    if (!limits.isLimited(endpoint) || valid(endpoint, nowMs) == 0) {
+    if (!rates.isLimited(endpoint, nowMs) || valid(endpoint, nowMs) == 0) {
       return NO_PERMIT;
     }
     Account account = accounts.get(endpoint);
@@ -155,9 +155,9 @@
     }
   }
 
-  private Account accountOf(String endpoint) {
+  private Account accountOf(String endpoint, long nowMs) {
     if (accounts.size() >= MAX_ACCOUNTS) {
-      accounts.keySet().removeIf(name -> !limits.isLimited(name));
+      accounts.keySet().removeIf(name -> !rates.isLimited(name, nowMs));
       due.keySet().retainAll(accounts.keySet());
     }
     return accounts.computeIfAbsent(endpoint, name -> new Account());
@@ -171,7 +171,7 @@
 
   /** Records that an endpoint would have served a request best, which went elsewhere. */
   public void prefer(String endpoint, long nowMs) {
-    Account account = accountOf(endpoint);
+    Account account = accountOf(endpoint, nowMs);
     recordUse(account, nowMs);
     if (isRenewable(account, nowMs)) {
       // Half of what recent requests would use: the others are served while it is on its way.
@@ -182,7 +182,7 @@
 
   /** Records that requests wait for an endpoint. */
   public void require(String endpoint, int requests, int urgency, long nowMs) {
-    Account account = accountOf(endpoint);
+    Account account = accountOf(endpoint, nowMs);
     int permits = Math.min(MAX_DEMAND, Math.max(1, requests));
     int missing = account.isRequired() ? account.demand.permits() - account.granted : 0;
     boolean different = permits > 2 * missing || missing > 2 * permits;
@@ -260,9 +260,12 @@
    * @param before the number of requests that get permits for the endpoint first
    */
   public long expectedMs(String endpoint, int before, long nowMs) {
-    if (!limits.isLimited(endpoint)) {
-      return nowMs;
-    }
+    return rates.isLimited(endpoint, nowMs)
+        ? Math.min(expectedPermitMs(endpoint, before, nowMs), rates.endMs(endpoint, nowMs))
+        : nowMs;
+  }
+
+  private long expectedPermitMs(String endpoint, int before, long nowMs) {
     int permits = valid(endpoint, nowMs);
     Account account = accounts.get(endpoint);
     if (account == null || permits > before) {
--- a/org.fawndrum/src/org/fawndrum/coordination/limit/EndpointRateLimits.java
+++ b/org.fawndrum/src/org/fawndrum/coordination/limit/EndpointRateLimits.java
@@ -19,10 +19,7 @@
  * that are discovered later, until their first answer. Thread-safe. Times are those of the host's
  * clock, in milliseconds.
  */
-public final class EndpointRateLimits {
-  /** The rate of an endpoint that states none, in requests a second. */
-  public static final double UNLIMITED = Double.POSITIVE_INFINITY;
-
+public final class EndpointRateLimits implements EndpointRates {
   /**
    * Uncertainty of the times that another host reports, in milliseconds: its message was on its way
    * for an unknown time.
@@ -126,6 +123,26 @@
     return statement == null ? UNLIMITED : statement.perSecond();
   }
 
+  @Override
+  public double perSecond(String endpoint, long nowMs) {
+    return perSecond(endpoint);
+  }
+
+  @Override
+  public boolean isLimited(String endpoint, long nowMs) {
+    return isLimited(endpoint);
+  }
+
+  @Override
+  public long endMs(String endpoint, long nowMs) {
+    return UNKNOWN_END_MS;
+  }
+
+  @Override
+  public List<String> limited(long nowMs) {
+    return limited();
+  }
+
   /** Returns the statements in force, for other hosts; also those that ended a limit. */
   public Collection<Statement> statements() {
     return List.copyOf(statements.values());
--- a/org.fawndrum/src/org/fawndrum/coordination/limit/PermitIssuer.java
+++ b/org.fawndrum/src/org/fawndrum/coordination/limit/PermitIssuer.java
@@ -35,6 +35,9 @@
   /** How long a demand is kept unless it is renewed, in milliseconds: one renewal and a half. */
   private static final long DEMAND_TTL_MS = 1_500;
 
+  /** Interval at which this host checks whether early demands can be met, in milliseconds. */
+  private static final long EARLY_CHECK_MS = 50;
+
   private static final double MS_PER_SECOND = 1_000;
 
   private static final Comparator<Waiting> CLASS =
@@ -44,6 +47,10 @@
   private static final Comparator<Waiting> ORDER = CLASS.thenComparing(waiting -> waiting.turn);
 
   private final Map<String, Line> lines = new HashMap<>();
+
+  /** The latest demands for endpoints for which this host issues no permits, or not yet. */
+  private final Map<String, Map<FleetMember, Waiting>> early = new HashMap<>();
+
   private long lastTurn;
   private long issuedCount;
 
@@ -94,7 +101,7 @@
     double bounded = Math.min(perSecond, MAX_PER_SECOND);
     Line line = lines.get(endpoint);
     if (line == null) {
-      lines.put(endpoint, new Line(bounded, nowMs));
+      lines.put(endpoint, newLine(endpoint, bounded, nowMs));
       return true;
     }
     if (line.perSecond != bounded) {
@@ -103,6 +110,15 @@
     return false;
   }
 
+  private Line newLine(String endpoint, double perSecond, long nowMs) {
+    Line line = new Line(perSecond, nowMs);
+    Map<FleetMember, Waiting> waiting = early.remove(endpoint);
+    if (waiting != null) {
+      line.hosts.putAll(waiting);
+    }
+    return line;
+  }
+
   /** Returns the endpoints for which this host issues permits. */
   public List<String> endpoints() {
     return List.copyOf(lines.keySet());
@@ -113,23 +129,31 @@
     return issuedCount;
   }
 
-  /** Handles a demand; the answer says at once what the host may expect. */
+  /**
+   * Handles a demand; the answer says at once what the host may expect. Hosts learn at different
+   * times that an endpoint has a rate: a demand that arrives before this host knows of one gets no
+   * permit, but is met if the host issues some soon.
+   */
   public List<Issued> demanded(FleetMember from, PermitDemand demand, long nowMs) {
     Line line = lines.get(demand.endpoint());
-    if (line == null) {
-      return List.of(new Issued(from, PermitGrant.notIssued(demand)));
-    }
+    Map<FleetMember, Waiting> hosts =
+        line == null
+            ? early.computeIfAbsent(demand.endpoint(), name -> new LinkedHashMap<>())
+            : line.hosts;
     if (demand.permits() <= 0) {
-      line.hosts.remove(from);
-      return List.of();
+      hosts.remove(from);
+      return line == null ? List.of(new Issued(from, PermitGrant.notIssued(demand))) : List.of();
     }
-    Waiting waiting = line.hosts.computeIfAbsent(from, host -> new Waiting());
+    Waiting waiting = hosts.computeIfAbsent(from, host -> new Waiting());
     if (waiting.demand == null) {
       waiting.turn = ++lastTurn;
     }
     waiting.demand = demand;
     waiting.receivedMs = nowMs;
     waiting.missing = demand.permits();
+    if (line == null) {
+      return List.of(new Issued(from, PermitGrant.notIssued(demand)));
+    }
     List<Issued> issued = issue(demand.endpoint(), line, nowMs);
     if (issued.stream().noneMatch(grant -> grant.to().equals(from))) {
       issued.add(new Issued(from, grant(demand.endpoint(), line, waiting, 0, nowMs)));
@@ -141,12 +165,14 @@
   public List<Issued> issueDue(long nowMs) {
     List<Issued> issued = new ArrayList<>();
     lines.forEach((endpoint, line) -> issued.addAll(issue(endpoint, line, nowMs)));
+    early.values().forEach(waiting -> removeOld(waiting, nowMs));
+    early.values().removeIf(Map::isEmpty);
     return issued;
   }
 
   /** Returns when the next permit is due; {@link Long#MAX_VALUE} if no host wants one. */
   public long nextDueMs(long nowMs) {
-    long dueMs = Long.MAX_VALUE;
+    long dueMs = early.isEmpty() ? Long.MAX_VALUE : nowMs + EARLY_CHECK_MS;
     for (Line line : lines.values()) {
       Waiting next = next(line);
       if (next != null) {
@@ -162,7 +188,7 @@
   }
 
   private List<Issued> issue(String endpoint, Line line, long nowMs) {
-    line.hosts.values().removeIf(waiting -> nowMs - waiting.receivedMs > DEMAND_TTL_MS);
+    removeOld(line.hosts, nowMs);
     Map<FleetMember, Waiting> served = new LinkedHashMap<>();
     Map<FleetMember, Integer> counts = new HashMap<>();
     Waiting next = next(line);
@@ -185,6 +211,10 @@
     return issued;
   }
 
+  private static void removeOld(Map<FleetMember, Waiting> hosts, long nowMs) {
+    hosts.values().removeIf(waiting -> nowMs - waiting.receivedMs > DEMAND_TTL_MS);
+  }
+
   private static FleetMember hostOf(Line line, Waiting waiting) {
     return line.hosts.entrySet().stream()
         .filter(entry -> entry.getValue() == waiting)
--- a/org.fawndrum/src/org/fawndrum/internal/log/LogEvent.java
+++ b/org.fawndrum/src/org/fawndrum/internal/log/LogEvent.java
@@ -84,7 +84,12 @@
   PERMITS_ISSUED(
       77,
       Level.INFO,
-      "this host issues permits for endpoint {0}, which accepts {1} requests/s; its part is {2}");
+      "this host issues permits for endpoint {0}, which accepts {1} requests/s; its part is {2}"),
+  ENDPOINT_STARTING(
+      84,
+      Level.INFO,
+      "endpoint {0} is starting for {1} ms more and accepts {2} requests/s meanwhile; known from {3}"),
+  ENDPOINTS_STARTED(85, Level.INFO, "endpoints have started and accept any rate: {0}");
 
   /** Added to a number before formatting, so that the id has four digits with leading zeros. */
   private static final int FOUR_DIGITS = 10_000;
--- a/org.fawndrum/src/org/fawndrum/state/RouteTable.java
+++ b/org.fawndrum/src/org/fawndrum/state/RouteTable.java
@@ -2,6 +2,8 @@
 package org.fawndrum.state;
 
 import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Collections;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
@@ -93,6 +95,11 @@
     return Optional.ofNullable(services.get(name));
   }
 
+  /** Returns all services. */
+  public Collection<ServiceProfile> services() {
+    return Collections.unmodifiableCollection(services.values());
+  }
+
   /** Whether callers must send a key. */
   public boolean needsKeys() {
     return needsKeys;
--- a/org.fawndrum/src/org/fawndrum/transport/relay/EndpointEventPublisher.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/EndpointEventPublisher.java
@@ -7,7 +7,7 @@
 import org.fawndrum.state.HostAddress;
 import org.fawndrum.state.HostIdentity;
 
-/** Sends this host's findings about endpoints to other daemons. Never blocks. */
+/** Passes on this host's findings about endpoints, most of them to other daemons. Never blocks. */
 interface EndpointEventPublisher {
   /** Sends endpoint crashes to all daemons. */
   void publishCrashes(CrashUpdate crashes);
@@ -18,6 +18,9 @@
   /** Demands permits of the daemons that issue them. */
   void demandPermits(List<PermitDemand> demands);
 
+  /** Called when a later incarnation of an endpoint was discovered before its entry was read. */
+  void restartDiscovered(HostIdentity later);
+
   /** Sends to all daemons that endpoints are shutting down. */
   void publishShutdowns(List<HostIdentity> endpoints);
 }
--- a/org.fawndrum/src/org/fawndrum/transport/relay/EndpointNotices.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/EndpointNotices.java
@@ -10,6 +10,7 @@
 import org.fawndrum.coordination.RequestedBackoffs;
 import org.fawndrum.coordination.limit.EndpointRateLimits;
 import org.fawndrum.coordination.limit.EndpointRateLimits.Statement;
+import org.fawndrum.coordination.limit.EndpointRates;
 import org.fawndrum.internal.log.HostLog;
 import org.fawndrum.internal.log.LogEvent;
 import org.fawndrum.internal.log.LogRateLimiter;
@@ -31,6 +32,8 @@
   private final EndpointRestrictions restrictions;
   private final RequestedBackoffs backoffs;
   private final EndpointRateLimits rateLimits;
+  private final EndpointRates rates;
+  private final EndpointStarts starts;
   private final Consumer<RelayEvent> events;
   private final Consumer<FleetEvent> fleet;
   private final HostClock clock;
@@ -42,6 +45,7 @@
 
   EndpointNotices(
       EndpointRestrictions restrictions,
+      EndpointStarts starts,
       Consumer<RelayEvent> events,
       Consumer<FleetEvent> fleet,
       HostClock clock,
@@ -50,6 +54,8 @@
     this.restrictions = restrictions;
     this.backoffs = restrictions.backoffs();
     this.rateLimits = restrictions.rateLimits();
+    this.rates = restrictions.rates();
+    this.starts = starts;
     this.events = events;
     this.fleet = fleet;
     this.clock = clock;
@@ -76,7 +82,7 @@
 
   /** Called when a request is sent to an endpoint. */
   void requestSent(HostIdentity endpoint) {
-    if (rateLimits.isLimited(endpoint.host())) {
+    if (rates.isLimited(endpoint.host(), clock.nowMs())) {
       sentToLimited.inc();
     }
   }
@@ -141,6 +147,9 @@
       backoffs.requested(endpoint, notice.backoffMs(), clock.nowMs());
       events.accept(new RelayEvent.BackoffRequested());
     }
+    if (notice.startingMs() > 0) {
+      starts.answered(endpoint, notice.startingMs());
+    }
     if (notice.draining()) {
       events.accept(new RelayEvent.EndpointsShuttingDown(List.of(endpoint), "itself"));
     }
--- a/org.fawndrum/src/org/fawndrum/transport/relay/EndpointReader.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/EndpointReader.java
@@ -3,6 +3,7 @@
 
 import java.util.ArrayList;
 import java.util.Comparator;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -52,10 +53,12 @@
 
   private final RelayDecoder decoder;
   private final Consumer<HostListing> onListing;
+  private final StartListener starts;
   private final HostClock clock;
   private final HostLog log;
   private final Map<String, RelayDecoder.EndpointEntry> entries = new LinkedHashMap<>();
   private final Map<String, KeyedRecord> records = new ConcurrentHashMap<>();
+  private final Map<String, RelayDecoder.EndpointEntry> newest = new HashMap<>();
   private final Set<String> expiredKeys = new HashSet<>();
   private final EntryHistory entryHistory = new EntryHistory();
   private final EntryChanges entryChanges = new EntryChanges();
@@ -74,9 +77,14 @@
   private long version;
 
   EndpointReader(
-      RelayDecoder decoder, Consumer<HostListing> onListing, HostClock clock, HostLog log) {
+      RelayDecoder decoder,
+      Consumer<HostListing> onListing,
+      StartListener starts,
+      HostClock clock,
+      HostLog log) {
     this.decoder = decoder;
     this.onListing = onListing;
+    this.starts = starts;
     this.clock = clock;
     this.log = log;
   }
@@ -226,7 +234,10 @@
       }
       entryHistory.recordEntry(record.key(), entry, page.epoch());
       records.put(record.key(), record);
-      if (!entry.hasSameContent(entries.put(record.key(), entry))) {
+      RelayDecoder.EndpointEntry before = entries.put(record.key(), entry);
+      boolean startChanged =
+          isNewest(record.key(), entry) && starts.entryRead(entry.endpoint(), entry.startingMs());
+      if (startChanged || !entry.hasSameContent(before)) {
         entryChanges.recordChange(record.key(), page.positionAfter(record));
       }
       expiredKeys.remove(record.key());
@@ -236,6 +247,18 @@
     }
   }
 
+  /**
+   * Whether an endpoint wrote an entry after all that were read; a copy of an old one may follow.
+   */
+  private boolean isNewest(String key, RelayDecoder.EndpointEntry entry) {
+    RelayDecoder.EndpointEntry known = newest.get(key);
+    boolean isNewest = known == null || entry.isWrittenAfter(known);
+    if (isNewest) {
+      newest.put(key, entry);
+    }
+    return isNewest;
+  }
+
   private void logUnusable(KeyedRecord record, Object why) {
     unusableCount = unusableCount + 1;
     if (logLimiter.tryAcquire(clock.nowMs())) {
@@ -273,6 +296,7 @@
   private void removeEntry(String key) {
     records.remove(key);
     expiredKeys.remove(key);
+    newest.remove(key);
     if (entries.remove(key) != null) {
       entryHistory.recordRemoval(key, pageEnd.epoch());
       // One position beyond the end, so that hosts that have read up to the end receive the change,
--- a/org.fawndrum/src/org/fawndrum/transport/relay/FleetDuty.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/FleetDuty.java
@@ -12,6 +12,7 @@
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
 import org.fawndrum.coordination.Action;
+import org.fawndrum.coordination.EndpointRestrictions;
 import org.fawndrum.coordination.engine.EngineUpdate;
 import org.fawndrum.coordination.limit.EndpointRateLimits;
 import org.fawndrum.coordination.membership.FleetMember;
@@ -92,7 +93,7 @@
       Supplier<RelaySettings> currentSettings,
       Supplier<StorePositions> storePositions,
       LongSupplier crashSummary,
-      EndpointRateLimits rateLimits,
+      EndpointRestrictions restrictions,
       BiConsumer<EndpointRateLimits.Statement, String> rateLog,
       PeerNetwork network,
       HostClock clock,
@@ -109,13 +110,20 @@
     this.member = new FleetMember(self, settings.peers(), settings.zone(), capacity);
     this.overlay =
         new FleetOverlay(member, new MemberWatcher(listener, network, log), this::hasSeeds);
-    this.rateReports = new RateReports(rateLimits);
+    this.rateReports = new RateReports(restrictions.rateLimits());
     this.messenger =
         new FleetMessenger(
             member, storePositions, crashSummary, network, clock, shutdownNotices, rateReports);
     this.permits =
         new PermitExchange(
-            member, overlay.issuers(), rateLimits, rateReports, rateLog, messenger, listener, log);
+            member,
+            overlay.issuers(),
+            restrictions,
+            rateReports,
+            rateLog,
+            messenger,
+            listener,
+            log);
     this.duty = new Duty<>("fleet", new Ring<>(RING_SIZE), this::handle, this::tick, log);
   }
 
--- a/org.fawndrum/src/org/fawndrum/transport/relay/PermitExchange.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/PermitExchange.java
@@ -8,8 +8,10 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.function.BiConsumer;
+import org.fawndrum.coordination.EndpointRestrictions;
 import org.fawndrum.coordination.limit.EndpointRateLimits;
 import org.fawndrum.coordination.limit.EndpointRateLimits.Statement;
+import org.fawndrum.coordination.limit.EndpointRates;
 import org.fawndrum.coordination.limit.PermitDemand;
 import org.fawndrum.coordination.limit.PermitGrant;
 import org.fawndrum.coordination.limit.PermitIssuer;
@@ -33,6 +35,7 @@
   private final FleetMember self;
   private final IssuerSelector issuers;
   private final EndpointRateLimits limits;
+  private final EndpointRates rates;
   private final RateReports rateReports;
   private final BiConsumer<Statement, String> rateLog;
   private final FleetMessenger messenger;
@@ -45,7 +48,7 @@
   PermitExchange(
       FleetMember self,
       IssuerSelector issuers,
-      EndpointRateLimits limits,
+      EndpointRestrictions restrictions,
       RateReports rateReports,
       BiConsumer<Statement, String> rateLog,
       FleetMessenger messenger,
@@ -53,7 +56,8 @@
       HostLog log) {
     this.self = self;
     this.issuers = issuers;
-    this.limits = limits;
+    this.limits = restrictions.rateLimits();
+    this.rates = restrictions.rates();
     this.rateReports = rateReports;
     this.rateLog = rateLog;
     this.messenger = messenger;
@@ -136,15 +140,15 @@
       return;
     }
     nextRefreshMs = nowMs + REFRESH_MS;
-    List<String> limited = limits.limited();
+    List<String> limited = rates.limited(nowMs);
     if (limited.isEmpty() && issuer.endpoints().isEmpty()) {
       return;
     }
     Set<String> endpoints = new HashSet<>(issuer.endpoints());
     endpoints.addAll(limited);
     for (String endpoint : endpoints) {
-      double part = limits.isLimited(endpoint) ? issuers.part(endpoint, nowMs) : 0;
-      double perSecond = Math.max(PermitIssuer.MIN_PER_SECOND, limits.perSecond(endpoint));
+      double part = rates.isLimited(endpoint, nowMs) ? issuers.part(endpoint, nowMs) : 0;
+      double perSecond = Math.max(PermitIssuer.MIN_PER_SECOND, rates.perSecond(endpoint, nowMs));
       if (issuer.setRate(endpoint, part == 0 ? 0 : part * perSecond, nowMs)) {
         log.event(LogEvent.PERMITS_ISSUED, endpoint, part == 0 ? 0 : perSecond, part);
       }
--- a/org.fawndrum/src/org/fawndrum/transport/relay/RelayDecoder.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/RelayDecoder.java
@@ -30,13 +30,28 @@
    * @param endpoint the endpoint
    * @param draining whether it is shutting down
    * @param sequence increases each time that the endpoint writes its entry
+   * @param startingMs how long the endpoint still accepts less because it has started lately, in
+   *     milliseconds; 0 if it does not
    */
-  record EndpointEntry(Endpoint endpoint, boolean draining, long sequence) {
-    /** Returns whether another entry is equal apart from the time at which it was written. */
+  record EndpointEntry(Endpoint endpoint, boolean draining, long sequence, long startingMs) {
+    /**
+     * Returns whether another entry is equal apart from the time at which it was written, and from
+     * the rest of its start, which gets shorter in each entry.
+     */
     boolean hasSameContent(EndpointEntry other) {
       return other != null && endpoint.equals(other.endpoint) && draining == other.draining;
     }
 
+    /**
+     * Returns whether the endpoint wrote this entry after another one. If the start time is
+     * unknown, a lower sequence may be that of a later incarnation.
+     */
+    boolean isWrittenAfter(EndpointEntry other) {
+      boolean restarted =
+          endpoint.incarnation() == Endpoint.UNKNOWN_INCARNATION && sequence < other.sequence;
+      return other.isOlderThan(this) || restarted;
+    }
+
     /** Returns whether the endpoint wrote this entry before another one. */
     boolean isOlderThan(EndpointEntry other) {
       long start = endpoint.incarnation();
--- a/org.fawndrum/src/org/fawndrum/transport/relay/RelayDuty.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/RelayDuty.java
@@ -234,7 +234,7 @@
       for (EngineUpdate update : report.updates()) {
         restarted |=
             update instanceof EngineUpdate.Placed placed
-                && eligibility.incarnationReported(placed.job().endpoint());
+                && discoverRestart(placed.job().endpoint());
       }
     }
     if (restarted) {
@@ -242,6 +242,14 @@
     }
   }
 
+  private boolean discoverRestart(HostIdentity incarnation) {
+    boolean restarted = eligibility.incarnationReported(incarnation);
+    if (restarted) {
+      publisher.restartDiscovered(incarnation);
+    }
+    return restarted;
+  }
+
   private void handle(RelayEvent.EndpointEvent event, long nowMs) {
     if (event instanceof RelayEvent.RoutesChanged changed) {
       routes = changed.routes();
@@ -262,7 +270,7 @@
     } else if (event instanceof RelayEvent.RateChanged) {
       carryOut(coordinator.rateChanged(nowMs));
     } else if (event instanceof RelayEvent.EndpointRestarted restarted) {
-      if (eligibility.incarnationReported(restarted.incarnation())) {
+      if (discoverRestart(restarted.incarnation())) {
         passEndpoints(nowMs);
       }
     }
--- a/org.fawndrum/src/org/fawndrum/transport/relay/RelayRuntime.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/RelayRuntime.java
@@ -12,10 +12,8 @@
 import org.fawndrum.coordination.EndpointRestrictions;
 import org.fawndrum.coordination.Policies;
 import org.fawndrum.coordination.RequestCoordinator;
-import org.fawndrum.coordination.crash.CrashUpdate;
 import org.fawndrum.coordination.limit.EndpointPermits;
-import org.fawndrum.coordination.limit.EndpointRateLimits;
-import org.fawndrum.coordination.limit.PermitDemand;
+import org.fawndrum.coordination.limit.StartingEndpoints;
 import org.fawndrum.coordination.membership.FleetMember;
 import org.fawndrum.errors.AddressUnavailableException;
 import org.fawndrum.internal.log.HostLog;
@@ -60,6 +58,7 @@
   private final IncarnationGuard engineControl;
   private final IncarnationProbes incarnationProbes;
   private final EndpointNotices notices;
+  private final EndpointStarts starts;
   private volatile long listingVersion = -1;
   private volatile long listedAtMs;
 
@@ -91,24 +90,17 @@
     MetricRegistry registry = new MetricRegistry();
     this.decisionLog =
         new DecisionLog(new RequestMetrics(registry, clock), this::basis, clock, log);
-    this.decisions =
-        new RelayDuty(
-            coordinator,
-            clock,
-            decisionLog,
-            this::announce,
-            new FleetPublisher(),
-            this::probe,
-            log);
+    this.decisions = newDecisions(coordinator);
     this.events = new ReliableEventSink(vertx, decisions, log);
+    this.starts = newStarts(restrictions.starts(), registry);
     this.notices =
-        new EndpointNotices(restrictions, events, this::offerToFleet, clock, registry, log);
+        new EndpointNotices(restrictions, starts, events, this::offerToFleet, clock, registry, log);
     this.metrics =
         new MetricsServer(vertx, settings.metrics(), registry, decisions::crashingRequests, log);
     FleetReceiver receiver = new FleetReceiver(this::offerToFleet, new LazyStoreSync(), clock);
     ListenSettings peers = new ListenSettings(settings.peers(), Optional.empty());
     this.network = new NettyPeerNetwork(peers, receiver, log);
-    this.fleet = newFleet(restrictions.rateLimits());
+    this.fleet = newFleet(restrictions);
     this.stallWatch = new StallWatch(vertx, clock);
     this.engineControl = new IncarnationGuard(adapter.engineControl(), this::restarted);
     this.engineControl.setNoticeListener(notices);
@@ -118,7 +110,15 @@
     this.readiness = new ReadinessServer(vertx, settings.readiness(), this::isReady);
     this.store =
         new StoreReader(
-            vertx, adapter, routes, this::bounds, this::isLeader, this::applyListing, clock, log);
+            vertx,
+            adapter,
+            routes,
+            this::bounds,
+            this::isLeader,
+            this::applyListing,
+            starts,
+            clock,
+            log);
     this.storeSync =
         new PeerStoreSync(
             self, network, fleet, routes, store.configuration(), store.endpoints(), clock, log);
@@ -133,6 +133,17 @@
     return new RequestCoordinator(self, settings.zone(), policies, restrictions);
   }
 
+  private RelayDuty newDecisions(RequestCoordinator coordinator) {
+    return new RelayDuty(
+        coordinator,
+        clock,
+        decisionLog,
+        this::announce,
+        new FleetPublisher(this::offerToFleet, this::restartDiscovered),
+        this::probe,
+        log);
+  }
+
   private RelaySettings settingsInForce() {
     return settings;
   }
@@ -170,38 +181,27 @@
     }
   }
 
-  /** Passes the decision duty's findings about endpoints to the fleet duty. */
-  private final class FleetPublisher implements EndpointEventPublisher {
-    @Override
-    public void publishCrashes(CrashUpdate crashes) {
-      if (crashes.hops() <= CrashUpdate.MAX_HOPS) {
-        fleet.offer(new FleetEvent.EndpointCrashes(Optional.empty(), crashes));
-      }
-    }
-
-    @Override
-    public void sendAllCrashes(HostAddress to, CrashUpdate all) {
-      fleet.offer(new FleetEvent.EndpointCrashes(Optional.of(to), all));
-    }
-
-    @Override
-    public void demandPermits(List<PermitDemand> demands) {
-      fleet.offer(new FleetEvent.PermitsDemanded(demands));
-    }
+  private void restartDiscovered(HostIdentity incarnation) {
+    starts.restarted(incarnation);
+  }
 
-    @Override
-    public void publishShutdowns(List<HostIdentity> endpoints) {
-      fleet.offer(new FleetEvent.EndpointsShuttingDown(endpoints));
-    }
+  private EndpointStarts newStarts(StartingEndpoints starting, MetricRegistry registry) {
+    return new EndpointStarts(
+        starting,
+        events,
+        (delayMs, step) -> vertx.setTimer(delayMs, id -> step.run()),
+        clock,
+        registry,
+        log);
   }
 
-  private FleetDuty newFleet(EndpointRateLimits rateLimits) {
+  private FleetDuty newFleet(EndpointRestrictions restrictions) {
     return new FleetDuty(
         self,
         this::settingsInForce,
         this::storePositions,
         decisions::crashSummary,
-        rateLimits,
+        restrictions,
         notices::logRate,
         network,
         clock,
@@ -345,6 +345,7 @@
   }
 
   private void routesChanged(RouteTable table, TableRevision rows) {
+    starts.routesChanged(table);
     events.accept(new RelayEvent.RoutesChanged(table, rows));
   }
 
@@ -352,6 +353,7 @@
     listingVersion = listing.version();
     listedAtMs = clock.nowMs();
     engineControl.updateListing(listing);
+    starts.listingChanged(listing);
     events.accept(new RelayEvent.ListingChanged(listing));
   }
 
--- a/org.fawndrum/src/org/fawndrum/transport/relay/StoreReader.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/StoreReader.java
@@ -58,6 +58,7 @@
    * @param bounds the limits for revoked keys and for drains
    * @param leader whether this host is the leader of its zone
    * @param onListing receives each new list of endpoints
+   * @param starts receives what the entries of endpoints say about their starts
    */
   StoreReader(
       Vertx vertx,
@@ -66,6 +67,7 @@
       Supplier<RelayBounds> bounds,
       BooleanSupplier leader,
       Consumer<HostListing> onListing,
+      StartListener starts,
       HostClock clock,
       HostLog log) {
     this.vertx = vertx;
@@ -76,7 +78,7 @@
     this.clock = clock;
     this.log = log;
     this.configuration = new ConfigurationReader(adapter.decoder(), routes, log);
-    this.endpoints = new EndpointReader(adapter.decoder(), onListing, clock, log);
+    this.endpoints = new EndpointReader(adapter.decoder(), onListing, starts, clock, log);
     this.configurationFollower = configurationFollower();
     this.endpointsFollower = endpointsFollower();
   }
--- a/org.fawndrum/tst/org/fawndrum/coordination/limit/PermitIssuerTest.java
+++ b/org.fawndrum/tst/org/fawndrum/coordination/limit/PermitIssuerTest.java
@@ -132,6 +132,27 @@
     assertFalse(demand("host-1", 1, true, 0, 200).get(0).grant().isIssued());
   }
 
+  /** A start lasts three seconds, and a host that was refused asks again after one. */
+  @Test
+  void aDemandBeforeThisHostKnowsOfTheRateIsMetSoon() {
+    assertFalse(demand("host-1", 2, true, 0, 0).get(0).grant().isIssued());
+    demand("host-2", 1, true, 0, 0);
+    demand("host-2", 0, false, 0, 100);
+    assertEquals(450, issuer.nextDueMs(400));
+    issuer.setRate(ENDPOINT, RATE, 400);
+    assertEquals(Map.of("host-1", 1), issue(400, 900));
+    assertEquals(Map.of("host-1", 1), issue(910, 1_400));
+  }
+
+  @Test
+  void earlyDemandsAreForgottenLikeOthers() {
+    demand("host-1", 2, true, 0, 0);
+    issue(0, 2_000);
+    assertEquals(Long.MAX_VALUE, issuer.nextDueMs(2_000));
+    issuer.setRate(ENDPOINT, RATE, 2_000);
+    assertEquals(Map.of(), issue(2_000, 5_000));
+  }
+
   @Test
   void beginsWithoutPermitsAgainAfterAnotherHostIssued() {
     issuer.setRate(ENDPOINT, RATE, 0);
--- a/org.fawndrum/tst/org/fawndrum/transport/relay/EndpointReaderTest.java
+++ b/org.fawndrum/tst/org/fawndrum/transport/relay/EndpointReaderTest.java
@@ -31,7 +31,12 @@
   private HostListing listing = HostListing.NONE;
   private Runnable onDecode = () -> {};
   private final EndpointReader reader =
-      new EndpointReader(new Decoder(), newer -> listing = newer, () -> nowMs, new HostLog("test"));
+      new EndpointReader(
+          new Decoder(),
+          newer -> listing = newer,
+          (e, remainingMs) -> false,
+          () -> nowMs,
+          new HostLog("test"));
 
   /** Decodes records of one letter. */
   private final class Decoder implements RelayDecoder {
@@ -60,7 +65,7 @@
               Set.of("s"),
               0);
       long sequence = record.value().length > 1 ? record.value()[1] : 0;
-      return new EndpointEntry(endpoint, record.value()[0] == 'l', sequence);
+      return new EndpointEntry(endpoint, record.value()[0] == 'l', sequence, 0);
     }
   }
 
@@ -151,7 +156,12 @@
     assertTrue(reader.lastChange().offset() > before, "no change to query");
     List<HostListing> listings = new ArrayList<>();
     EndpointReader peer =
-        new EndpointReader(new Decoder(), listings::add, () -> nowMs, new HostLog("test"));
+        new EndpointReader(
+            new Decoder(),
+            listings::add,
+            (e, remainingMs) -> false,
+            () -> nowMs,
+            new HostLog("test"));
     peer.applySnapshot(page("a", READY, "b", EMPTY, "c", EMPTY), 0);
     // The platform has just become available for it, so entries that are only missing are kept for
     // a while.
@@ -348,7 +358,11 @@
     reader.applySnapshot(page("a", READY, "b", READY, "c", READY), 0);
     EndpointReader peer =
         new EndpointReader(
-            new Decoder(), newer -> listing = newer, () -> nowMs, new HostLog("test"));
+            new Decoder(),
+            newer -> listing = newer,
+            (e, remainingMs) -> false,
+            () -> nowMs,
+            new HostLog("test"));
     peer.applySnapshot(new KeyedPage(reader.records(), reader.knownEnd().offset()), 0);
     StorePosition known = reader.lastChange();
     reader.applyChanges(page("a", DRAINING), 0);
--- a/org.fawndrum/tst/org/fawndrum/transport/relay/NoOpEndpointEventPublisher.java
+++ b/org.fawndrum/tst/org/fawndrum/transport/relay/NoOpEndpointEventPublisher.java
@@ -24,6 +24,11 @@
     // Nobody issues permits.
   }
 
+  @Override
+  public void restartDiscovered(HostIdentity later) {
+    // No endpoint has a rate while it starts.
+  }
+
   @Override
   public void publishShutdowns(List<HostIdentity> endpoints) {
     // There are no peers.
