--- a/org.fawndrum/src/org/fawndrum/internal/log/LogEvent.java
+++ b/org.fawndrum/src/org/fawndrum/internal/log/LogEvent.java
@@ -90,7 +90,12 @@
       Level.INFO,
       "zone {0} is drained, its endpoints get no new requests; epoch {1}, offset {2}, from {3}"),
   ZONE_TAKEN_BACK(92, Level.INFO, "zone {0} is no longer drained; epoch {1}, offset {2}, from {3}"),
-  SLOW_READER(85, Level.WARN, "{0}");
+  SLOW_READER(85, Level.WARN, "{0}"),
+  ENDPOINT_STARTING(
+      93,
+      Level.INFO,
+      "endpoint {0} is starting for {1} ms more and accepts {2} requests/s meanwhile; known from {3}"),
+  ENDPOINTS_STARTED(94, Level.INFO, "endpoints have started and accept any rate: {0}");
 
   /** Added to a number before formatting, so that the id has four digits with leading zeros. */
   private static final int FOUR_DIGITS = 10_000;
--- a/org.fawndrum/src/org/fawndrum/transport/relay/RelayDuty.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/RelayDuty.java
@@ -242,7 +242,7 @@
       for (EngineUpdate update : report.updates()) {
         restarted |=
             update instanceof EngineUpdate.Placed placed
-                && eligibility.incarnationReported(placed.job().endpoint());
+                && discoverRestart(placed.job().endpoint());
       }
     }
     if (restarted) {
@@ -250,6 +250,14 @@
     }
   }
 
+  private boolean discoverRestart(HostIdentity incarnation) {
+    boolean restarted = eligibility.incarnationReported(incarnation);
+    if (restarted) {
+      publisher.restartDiscovered(incarnation);
+    }
+    return restarted;
+  }
+
   private void handle(RelayEvent.EndpointEvent event, long nowMs) {
     if (event instanceof RelayEvent.RoutesChanged changed) {
       routes = changed.routes();
@@ -270,7 +278,7 @@
     } else if (event instanceof RelayEvent.RestrictionsChanged) {
       carryOut(coordinator.restrictionsChanged(nowMs));
     } else if (event instanceof RelayEvent.EndpointRestarted restarted) {
-      if (eligibility.incarnationReported(restarted.incarnation())) {
+      if (discoverRestart(restarted.incarnation())) {
         passEndpoints(nowMs);
       }
     }
--- a/org.fawndrum/src/org/fawndrum/transport/relay/ZoneDrainNotifier.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/ZoneDrainNotifier.java
@@ -7,9 +7,22 @@
 import org.fawndrum.internal.log.LogEvent;
 import org.fawndrum.protocol.ZoneDrains;
 
-/** Logs changes of the drained zones, and passes them to the decisions and to the other daemons. */
-record ZoneDrainNotifier(Consumer<RelayEvent> decisions, Consumer<FleetEvent> fleet, HostLog log)
+/**
+ * Logs changes of the drained zones, and passes them to the decisions and to the other daemons.
+ *
+ * @param starts receives the zones that were taken back, before their endpoints are used
+ */
+record ZoneDrainNotifier(
+    Consumer<Set<String>> starts,
+    Consumer<RelayEvent> decisions,
+    Consumer<FleetEvent> fleet,
+    HostLog log)
     implements ZoneDrainStore.Listener {
+  @Override
+  public void beforeTakenBack(Set<String> takenBack) {
+    starts.accept(takenBack);
+  }
+
   @Override
   public void changed(Set<String> drained, Set<String> takenBack, ZoneDrains now, String source) {
     drained.forEach(zone -> log(LogEvent.ZONE_DRAINED, zone, now, source));
