--- a/org.fawndrum/src/org/fawndrum/transport/BodyReader.java
+++ b/org.fawndrum/src/org/fawndrum/transport/BodyReader.java
@@ -81,7 +81,14 @@
         });
     request.endHandler(v -> result.complete(body));
     request.exceptionHandler(cause -> fail(result, requestId, RefusalKind.REQUEST_INCOMPLETE));
-    result.whenComplete((done, failure) -> vertx.cancelTimer(timer[0]));
+    result.whenComplete(
+        (done, failure) -> {
+          vertx.cancelTimer(timer[0]);
+          if (failure != null) {
+            // What arrives later is dropped, and so is what was read.
+            request.handler(chunk -> {}).endHandler(v -> {});
+          }
+        });
     return result;
   }
 
--- a/org.fawndrum/src/org/fawndrum/transport/relay/EndpointClient.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/EndpointClient.java
@@ -32,6 +32,12 @@
    */
   private static final int KEEP_ALIVE_SECONDS = 8;
 
+  /**
+   * What the operating system queues for one connection, in bytes; with more, an endpoint that does
+   * not read a body would be noticed late.
+   */
+  private static final int SEND_BUFFER_BYTES = 64 << 10;
+
   private final NetClient probeClient;
   private final HttpClientAgent pooledClient;
   private final HttpClientAgent unpooledClient;
@@ -42,6 +48,7 @@
         new HttpClientOptions()
             .setConnectTimeout(CONNECT_TIMEOUT_MS)
             .setKeepAliveTimeout(KEEP_ALIVE_SECONDS)
+            .setSendBufferSize(SEND_BUFFER_BYTES)
             .setTcpNoDelay(true);
     this.probeClient =
         vertx.createNetClient(new NetClientOptions().setConnectTimeout(CONNECT_TIMEOUT_MS));
--- a/org.fawndrum/src/org/fawndrum/transport/relay/RelayServer.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/RelayServer.java
@@ -282,13 +282,14 @@
     try {
       checkHeaders(http);
       request = codec.readRequest(http.headers());
-      if (!holds.hasRoom()) {
-        throw new RefusedException(request.requestId(), CallerHolds.MEMORY_FULL);
-      }
     } catch (RefusedException e) {
       refuseAndClose(http, e.requestId(), e.refusal());
       return;
     }
+    if (!holds.hasRoom()) {
+      refuse(http, request.requestId(), CallerHolds.MEMORY_FULL);
+      return;
+    }
     HeldRequest held = holds.requestStarted(http.connection(), request.requestId());
     readBody(http, request, held, arrivedMs);
   }
@@ -347,10 +348,13 @@
     RelayRefusals.answerAndClose(http, codec, requestId, refusal);
   }
 
+  /**
+   * Refuses a request. What is left of its body is read and dropped unless it is faulty: closing a
+   * connection with unread bytes could lose the refusal.
+   */
   private void refuse(HttpServerRequest http, String requestId, Refusal refusal) {
     boolean incompletelyRead =
         refusal.kind() == RefusalKind.BODY_TOO_LARGE
-            || refusal.kind() == RefusalKind.HOST_MEMORY_FULL
             || refusal.kind() == RefusalKind.REQUEST_INCOMPLETE;
     if (incompletelyRead) {
       refuseAndClose(http, requestId, refusal);
--- a/org.fawndrum/tst/org/fawndrum/transport/relay/SettingsWatchTest.java
+++ b/org.fawndrum/tst/org/fawndrum/transport/relay/SettingsWatchTest.java
@@ -8,6 +8,7 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import org.fawndrum.coordination.backpressure.HoldLimits;
 import org.fawndrum.errors.BadSettingsException;
 import org.fawndrum.internal.log.HostLog;
 import org.junit.jupiter.api.Test;
@@ -48,6 +49,38 @@
     assertEquals(2, bad.faults().size());
   }
 
+  private Path writeWithHold(String hold) throws Exception {
+    return write(
+        text("127.0.0.1:5", 5_000).replace("\"bounds\"", "\"hold\": " + hold + ", \"bounds\""));
+  }
+
+  @Test
+  void limitsOfHeldBytesHaveDefaults() throws Exception {
+    assertEquals(
+        HoldLimits.DEFAULT,
+        new RelaySettingsReader(write(text("127.0.0.1:5", 5_000))).read().hold());
+    HoldLimits limits =
+        new RelaySettingsReader(writeWithHold("{ \"unreadMs\": 900 }")).read().hold();
+    assertEquals(900, limits.unreadMs());
+    assertEquals(HoldLimits.DEFAULT_TOTAL_BYTES, limits.totalBytes());
+  }
+
+  /** One caller must not be able to use all memory, and a lease must outlast an unread answer. */
+  @Test
+  void faultyLimitsOfHeldBytesAreReported() throws Exception {
+    for (String hold :
+        List.of(
+            "{ \"totalBytes\": 1048576, \"callerBytes\": 1048577, \"answerBytes\": 1024 }",
+            "{ \"unreadMs\": 3000 }",
+            "{ \"totalBytes\": 0, \"answerBytes\": 1024, \"callerBytes\": 1024 }",
+            "{ \"total\": 1048576 }")) {
+      Path file = writeWithHold(hold);
+      BadSettingsException bad =
+          assertThrows(BadSettingsException.class, () -> new RelaySettingsReader(file).read());
+      assertEquals(1, bad.faults().size(), bad.getMessage());
+    }
+  }
+
   @Test
   void onlyChangedAndValidSettingsAreApplied() throws Exception {
     Path file = write(text("127.0.0.1:5", 5_000));
