Write equality of the records that are keys as plain code

Cause: equality and hashes that the compiler generates for records are made of method handles at their first use, at each start of a daemon, and are slow in code compiled by the first tier. An empty queue is left at once by a round of dispatching.

--- a/org.fawndrum/src/org/fawndrum/coordination/RequestTarget.java
+++ b/org.fawndrum/src/org/fawndrum/coordination/RequestTarget.java
@@ -9,4 +9,15 @@
  * @param kind a model or a plain service
  * @param name the name of the model or service
  */
-public record RequestTarget(EndpointKind kind, String name) {}
+public record RequestTarget(EndpointKind kind, String name) {
+  // Explicit, because the generated ones build their code at run time, at each start of a daemon.
+  @Override
+  public boolean equals(Object object) {
+    return object instanceof RequestTarget other && kind == other.kind && name.equals(other.name);
+  }
+
+  @Override
+  public int hashCode() {
+    return 31 * kind.hashCode() + name.hashCode();
+  }
+}
--- a/org.fawndrum/src/org/fawndrum/coordination/WaitingRequests.java
+++ b/org.fawndrum/src/org/fawndrum/coordination/WaitingRequests.java
@@ -9,6 +9,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Set;
 import java.util.function.Predicate;
 import org.fawndrum.state.CallerGroup;
@@ -29,7 +30,21 @@
   private int size;
 
   /** Identifies a lane. */
-  private record LaneKey(CallerGroup group, RequestTarget target, int lengthClass) {}
+  private record LaneKey(CallerGroup group, RequestTarget target, int lengthClass) {
+    // Explicit, because the generated ones build their code at run time, at each start of a daemon.
+    @Override
+    public boolean equals(Object object) {
+      return object instanceof LaneKey other
+          && lengthClass == other.lengthClass
+          && Objects.equals(group, other.group)
+          && target.equals(other.target);
+    }
+
+    @Override
+    public int hashCode() {
+      return 31 * (31 * Objects.hashCode(group) + target.hashCode()) + lengthClass;
+    }
+  }
 
   /** A lane with the sort key of its oldest request. */
   private record LanePosition(LaneKey key, double sortKey, long arrivedMs) {}
@@ -152,6 +167,9 @@
    * @param taker accepts a request and returns whether it was sent
    */
   void dispatch(Predicate<OpenRequest> taker) {
+    if (size == 0) {
+      return;
+    }
     Set<LaneKey> blocked = new HashSet<>();
     boolean taken = true;
     while (taken && size > 0) {
--- a/org.fawndrum/src/org/fawndrum/coordination/crash/RequestFingerprint.java
+++ b/org.fawndrum/src/org/fawndrum/coordination/crash/RequestFingerprint.java
@@ -15,6 +15,20 @@
    * Returns the fingerprint as it appears in the log and in operator commands: 32 hexadecimal
    * digits.
    */
+  // Explicit, because the generated ones build their code at run time, at each start of a daemon.
+  @Override
+  public boolean equals(Object object) {
+    return object instanceof RequestFingerprint other
+        && bytes == other.bytes
+        && high == other.high
+        && low == other.low;
+  }
+
+  @Override
+  public int hashCode() {
+    return 31 * (31 * Long.hashCode(bytes) + Long.hashCode(high)) + Long.hashCode(low);
+  }
+
   @Override
   public String toString() {
     return String.format("%016x%016x", high, low);
--- a/org.fawndrum/src/org/fawndrum/coordination/membership/FleetMember.java
+++ b/org.fawndrum/src/org/fawndrum/coordination/membership/FleetMember.java
@@ -25,4 +25,23 @@
   public FleetMember stopping() {
     return new FleetMember(identity, address, zone, capacity, false);
   }
+
+  // Explicit, because the generated ones build their code at run time, at each start of a daemon.
+  @Override
+  public boolean equals(Object object) {
+    return object instanceof FleetMember other
+        && capacity == other.capacity
+        && issuesPermits == other.issuesPermits
+        && identity.equals(other.identity)
+        && address.equals(other.address)
+        && zone.equals(other.zone);
+  }
+
+  @Override
+  public int hashCode() {
+    return 31
+            * (31 * (31 * (31 * identity.hashCode() + address.hashCode()) + zone.hashCode())
+                + Long.hashCode(capacity))
+        + Boolean.hashCode(issuesPermits);
+  }
 }
--- a/org.fawndrum/src/org/fawndrum/state/CallerGroup.java
+++ b/org.fawndrum/src/org/fawndrum/state/CallerGroup.java
@@ -25,6 +25,19 @@
     return byWorkspace != 0 ? byWorkspace : className.compareTo(other.className);
   }
 
+  // Explicit, because the generated ones build their code at run time, at each start of a daemon.
+  @Override
+  public boolean equals(Object object) {
+    return object instanceof CallerGroup other
+        && workspace.equals(other.workspace)
+        && className.equals(other.className);
+  }
+
+  @Override
+  public int hashCode() {
+    return 31 * workspace.hashCode() + className.hashCode();
+  }
+
   @Override
   public String toString() {
     return workspace + SEPARATOR + className;
--- a/org.fawndrum/src/org/fawndrum/state/HostAddress.java
+++ b/org.fawndrum/src/org/fawndrum/state/HostAddress.java
@@ -25,6 +25,17 @@
     }
   }
 
+  // Explicit, because the generated ones build their code at run time, at each start of a daemon.
+  @Override
+  public boolean equals(Object object) {
+    return object instanceof HostAddress other && port == other.port && ip.equals(other.ip);
+  }
+
+  @Override
+  public int hashCode() {
+    return 31 * ip.hashCode() + port;
+  }
+
   @Override
   public String toString() {
     return ip + ":" + port;
--- a/org.fawndrum/src/org/fawndrum/state/HostIdentity.java
+++ b/org.fawndrum/src/org/fawndrum/state/HostIdentity.java
@@ -22,6 +22,19 @@
     }
   }
 
+  // Explicit, because the generated ones build their code at run time, at each start of a daemon.
+  @Override
+  public boolean equals(Object object) {
+    return object instanceof HostIdentity other
+        && incarnation == other.incarnation
+        && host.equals(other.host);
+  }
+
+  @Override
+  public int hashCode() {
+    return 31 * host.hashCode() + Long.hashCode(incarnation);
+  }
+
   @Override
   public String toString() {
     return host + "#" + incarnation;
