--- a/org.fawndrum.daemon/src/org/fawndrum/daemon/JsonLineFormatter.java
+++ b/org.fawndrum.daemon/src/org/fawndrum/daemon/JsonLineFormatter.java
@@ -38,6 +38,12 @@
     return Json.write(line) + "\n";
   }
 
+  /** A line does not name the code that logs it, which each record would have to look up. */
+  @Override
+  public boolean isCallerCalculationRequired() {
+    return false;
+  }
+
   private static String message(String text, boolean hasId) {
     return hasId ? text.substring(ID_LENGTH + 1) : text;
   }
