--- a/org.fawndrum.soak/src/org/fawndrum/soak/FaultInjector.java
+++ b/org.fawndrum.soak/src/org/fawndrum/soak/FaultInjector.java
@@ -25,16 +25,23 @@
   private final SoakSite site;
   private final PromiseChecker checker;
   private final Callers callers;
+  private final UnreadCallers unreadCallers;
   private final SoakLoop loop;
   private final Map<HostProcess, Integer> activePauses = new HashMap<>();
 
   /** The start or the end of a fault, in milliseconds after the traffic starts. */
   private record Step(long atMs, Fault fault, boolean begins) {}
 
-  FaultInjector(SoakSite site, PromiseChecker checker, Callers callers, SoakLoop loop) {
+  FaultInjector(
+      SoakSite site,
+      PromiseChecker checker,
+      Callers callers,
+      UnreadCallers unreadCallers,
+      SoakLoop loop) {
     this.site = site;
     this.checker = checker;
     this.callers = callers;
+    this.unreadCallers = unreadCallers;
     this.loop = loop;
   }
 
@@ -95,6 +102,10 @@
       case PAUSE -> pause(host, begins);
       case RELOAD -> reload(host);
       case CRASHING_REQUEST -> loop.run(callers::sendCrashing);
+      case UNREAD_ANSWERS -> {
+        int index = site.hosts().indexOf(host);
+        loop.run(() -> unreadCallers.start(index));
+      }
       default -> loop.run(() -> site.apply(fault, begins));
     }
   }
--- a/org.fawndrum.soak/src/org/fawndrum/soak/HostSettings.java
+++ b/org.fawndrum.soak/src/org/fawndrum/soak/HostSettings.java
@@ -23,6 +23,9 @@
 
   private static final int MS_PER_SECOND = 1_000;
 
+  /** The most bytes that a host may hold for its callers and endpoints. */
+  static final long MAX_HELD_BYTES = 2 << 20;
+
   private final FixedPorts ports;
   private final String seeds;
   private final int peerPort;
@@ -37,14 +40,20 @@
             .collect(Collectors.joining(","));
   }
 
+  /** Returns the text of a host's settings; readiness and metrics get free addresses. */
+  String text(int host, HostAddress callers, HostAddress platform) {
+    return text(host, callers, freeAddress(), platform);
+  }
+
   /**
-   * Returns the text of a host's settings; readiness and metrics get free addresses.
+   * Returns the text of a host's settings; readiness gets a free address.
    *
    * @param host the host's index, from 0
    * @param callers the address for callers
+   * @param metrics the address of its metrics
    * @param platform the address of the store
    */
-  String text(int host, HostAddress callers, HostAddress platform) {
+  String text(int host, HostAddress callers, HostAddress metrics, HostAddress platform) {
     return String.format(
         Locale.ROOT,
         """
@@ -52,7 +61,8 @@
           "peers": "%s:%d", "metrics": "%s", "platform": "%s", "linkMegabits": %d,
           "seeds": [%s],
           "bounds": { "keysNeedProof": true, "revokeMs": %d, "drainMs": 2000, "graceS": %d, "retryRatio": 0.2,
-            "retrySlack": 100, "retryWindowS": 10, "streamPassMs": 120 } }
+            "retrySlack": 100, "retryWindowS": 10, "streamPassMs": 120 },
+          "hold": { "totalBytes": %d, "answerBytes": 65536 } }
         """,
         name(host),
         host % 2 == 0 ? "a" : "b",
@@ -60,12 +70,13 @@
         freeAddress(),
         peerIp(host),
         peerPort,
-        freeAddress(),
+        metrics,
         platform,
         FIRST_LINK_MEGABITS + host,
         seeds,
         SoakSite.REVOKE_MS,
-        SoakSite.GRACE_MS / MS_PER_SECOND);
+        SoakSite.GRACE_MS / MS_PER_SECOND,
+        MAX_HELD_BYTES);
   }
 
   /** Returns the name of a host. */
--- a/org.fawndrum.soak/src/org/fawndrum/soak/PromiseChecker.java
+++ b/org.fawndrum.soak/src/org/fawndrum/soak/PromiseChecker.java
@@ -33,6 +33,7 @@
   private final NoticeChecker notices = new NoticeChecker();
   private final RateChecker rates = new RateChecker(notices::hostOf);
   private final ShutdownChecker shutdowns = new ShutdownChecker(SoakSite.GRACE_MS);
+  private final HeldBytesChecker held = new HeldBytesChecker(HostSettings.MAX_HELD_BYTES);
   private final long revokeMs;
   private int failureCount;
 
@@ -76,6 +77,11 @@
     return rates;
   }
 
+  /** Returns the checker of what hosts hold for their callers. */
+  HeldBytesChecker held() {
+    return held;
+  }
+
   /** Records a signal to a host. */
   void recordSignal(String host, long nowMs) {
     crashes.recordSignal(host, nowMs);
@@ -180,6 +186,7 @@
     all.addAll(crashes.violations());
     all.addAll(notices.violations());
     all.addAll(rates.violations());
+    all.addAll(held.violations());
     refusalStatuses.forEach(
         (id, status) -> {
           if (runCounts.getOrDefault(id, 0) > 0) {
@@ -205,7 +212,9 @@
         + "; "
         + notices.summary()
         + "; "
-        + rates.summary();
+        + rates.summary()
+        + "; "
+        + held.summary();
   }
 
   /** Returns the number of successful answers. */
--- a/org.fawndrum.soak/src/org/fawndrum/soak/Soak.java
+++ b/org.fawndrum.soak/src/org/fawndrum/soak/Soak.java
@@ -137,7 +137,12 @@
 
   /** Injects the planned faults, or waits if there are none, and ends all faults. */
   private void injectFaults(Callers callers) throws InterruptedException, IOException {
-    FaultInjector faults = new FaultInjector(site, checker, callers, loop);
+    UnreadCallers unreadCallers =
+        loop.call(
+            () ->
+                new UnreadCallers(
+                    loop.vertx(), site.callerAddresses(), site.metricsAddresses(), checker));
+    FaultInjector faults = new FaultInjector(site, checker, callers, unreadCallers, loop);
     if (plan.isEmpty()) {
       Thread.sleep(config.lengthMs());
     } else {
--- a/org.fawndrum.soak/src/org/fawndrum/soak/SoakEndpoint.java
+++ b/org.fawndrum.soak/src/org/fawndrum/soak/SoakEndpoint.java
@@ -13,6 +13,7 @@
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import org.fawndrum.platform.standin.EndpointStandin;
+import org.fawndrum.platform.standin.LongStream;
 import org.fawndrum.platform.standin.TicketUsage;
 import org.fawndrum.platform.wire.ReserveMessage;
 import org.fawndrum.state.HostAddress;
@@ -35,6 +36,11 @@
 
   private static final long BACKOFF_MS = 2_000;
 
+  /**
+   * Events of a stream that is larger than the buffers towards a caller; its proxy keeps it all.
+   */
+  private static final int WIDE_EVENTS = 100;
+
   /** Path prefix of long prompts. */
   private static final String LONG_PATH = "/" + Callers.LONG_ROUTE + "/";
 
@@ -292,6 +298,10 @@
       request.connection().close();
       return true;
     }
+    if (request.path().startsWith(UnreadCallers.PATH)) {
+      LongStream.send(request, "seal-" + id, WIDE_EVENTS);
+      return true;
+    }
     boolean prefills = request.path().startsWith(LONG_PATH) && received.lastEventId() == null;
     if (prefills) {
       long prefillMs = MIN_PREFILL_MS + number % PREFILL_STEPS * PREFILL_STEP_MS;
--- a/org.fawndrum.soak/src/org/fawndrum/soak/SoakSite.java
+++ b/org.fawndrum.soak/src/org/fawndrum/soak/SoakSite.java
@@ -112,6 +112,7 @@
   private final List<SoakEndpoint> endpoints = new ArrayList<>();
   private final List<HostProcess> hosts = new CopyOnWriteArrayList<>();
   private final List<HostAddress> callerAddresses = new ArrayList<>();
+  private final List<HostAddress> metricsAddresses = new ArrayList<>();
   private final Map<SoakEndpoint, String> lastState = new HashMap<>();
   private final Deque<StoreStandin.Copy> copies = new ArrayDeque<>();
   private boolean revoked;
@@ -183,7 +184,9 @@
     for (int host = 0; host < hostCount; host++) {
       HostAddress at = settings.freeAddress();
       callerAddresses.add(at);
-      String text = settings.text(host, at, links.get(host));
+      HostAddress metrics = settings.freeAddress();
+      metricsAddresses.add(metrics);
+      String text = settings.text(host, at, metrics, links.get(host));
       try {
         hosts.add(new HostProcess(HostSettings.name(host), folder, text));
       } catch (IOException e) {
@@ -373,4 +376,9 @@
   List<HostAddress> callerAddresses() {
     return callerAddresses;
   }
+
+  /** Returns the address of the metrics of each daemon, by index. */
+  List<HostAddress> metricsAddresses() {
+    return metricsAddresses;
+  }
 }
--- a/org.fawndrum.soak/tst/org/fawndrum/soak/SoakTest.java
+++ b/org.fawndrum.soak/tst/org/fawndrum/soak/SoakTest.java
@@ -2,6 +2,7 @@
 package org.fawndrum.soak;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 
 import java.nio.file.Path;
 import java.util.List;
@@ -158,7 +159,22 @@
    */
   @Test
   void seedSixtyOneThousandAndFour() throws Exception {
-    verify(61_004, 4, 12_000, Fault.ALL);
+    verify(61_004, 4, 12_000, Fault.GENERATION_5);
+  }
+
+  /** Callers read nothing of large streams; what hosts hold for them stays within the limit. */
+  @Test
+  void callersThatReadNothing() throws Exception {
+    List<Fault> plan =
+        List.of(
+            new Fault(500, 0, Fault.Kind.UNREAD_ANSWERS, 0, FaultProxy.Mode.PASS),
+            new Fault(2_000, 0, Fault.Kind.UNREAD_ANSWERS, 1, FaultProxy.Mode.PASS),
+            new Fault(3_000, 0, Fault.Kind.UNREAD_ANSWERS, 0, FaultProxy.Mode.PASS));
+    Soak.Config config = new Soak.Config(1, HOSTS, LENGTH_MS, Set.of(), folder);
+    Soak.Result result = new Soak(config, plan).run();
+    String where = result.summary() + ", settings and logs of the daemons in " + folder;
+    assertEquals(List.of(), result.violations(), where);
+    assertFalse(result.summary().endsWith("at most 0 bytes held"), where);
   }
 
   /**
