--- a/org.fawndrum.soak/src/org/fawndrum/soak/Fault.java
+++ b/org.fawndrum.soak/src/org/fawndrum/soak/Fault.java
@@ -55,10 +55,14 @@
     extra.put(Kind.STORE_RESTORED, 2);
     extra.put(Kind.RATE_NAMED, 4);
     extra.put(Kind.ZONE_DRAINED, 3);
+    extra.put(Kind.UNREAD_ANSWERS, 2);
     return extra;
   }
 
-  /** The kinds before drains of zones were added; see {@link #GENERATION_1}. */
+  /**
+   * The kinds before drains of zones and callers that read nothing were added; see {@link
+   * #GENERATION_1}.
+   */
   static final Set<Kind> GENERATION_5 = EnumSet.range(Kind.KILL, Kind.RATE_NAMED);
 
   /** The kinds before endpoints' rates were added; see {@link #GENERATION_1}. */
@@ -138,13 +142,16 @@
     /** An endpoint names in its answers how many requests a second it accepts from all hosts. */
     RATE_NAMED,
     /** Operators drain the zone of an endpoint and take it back some seconds later. */
-    ZONE_DRAINED;
+    ZONE_DRAINED,
+    /** Callers send requests to a host and read nothing of their answers. */
+    UNREAD_ANSWERS;
 
     /** Whether the fault happens at one instant and has no end. */
     boolean isInstant() {
       return switch (this) {
         case KILL, STOP, STORE_EXPIRES_RECORDS, CONFIGURE, REVOKE_KEY -> true;
         case ENGINE_HANGS, ENGINE_DROPS_WORK, ENGINE_RESTARTS, CRASHING_REQUEST -> true;
+        case UNREAD_ANSWERS -> true;
         default -> false;
       };
     }
--- a/org.fawndrum.soak/src/org/fawndrum/soak/PromiseChecker.java
+++ b/org.fawndrum.soak/src/org/fawndrum/soak/PromiseChecker.java
@@ -34,6 +34,7 @@
   private final RateChecker rates = new RateChecker(notices::hostOf);
   private final DrainChecker drains = new DrainChecker(notices::hostOf);
   private final ShutdownChecker shutdowns = new ShutdownChecker(SoakSite.GRACE_MS);
+  private final HeldBytesChecker held = new HeldBytesChecker(HostSettings.MAX_HELD_BYTES);
   private final long revokeMs;
   private int failureCount;
 
@@ -82,6 +83,11 @@
     return drains;
   }
 
+  /** Returns the checker of what hosts hold for their callers. */
+  HeldBytesChecker held() {
+    return held;
+  }
+
   /** Records a signal to a host. */
   void recordSignal(String host, long nowMs) {
     crashes.recordSignal(host, nowMs);
@@ -188,6 +194,7 @@
     all.addAll(notices.violations());
     all.addAll(rates.violations());
     all.addAll(drains.violations());
+    all.addAll(held.violations());
     refusalStatuses.forEach(
         (id, status) -> {
           if (runCounts.getOrDefault(id, 0) > 0) {
@@ -215,7 +222,9 @@
         + "; "
         + rates.summary()
         + "; "
-        + drains.summary();
+        + drains.summary()
+        + "; "
+        + held.summary();
   }
 
   /** Returns the number of successful answers. */
