--- a/org.fawndrum.soak/tst/org/fawndrum/soak/SoakTest.java
+++ b/org.fawndrum.soak/tst/org/fawndrum/soak/SoakTest.java
@@ -170,6 +170,12 @@
     verify(12_010, HOSTS, 12_000, Fault.GENERATION_2);
   }
 
+  /** Zones are drained for some seconds, among other faults. */
+  @Test
+  void seedSeventyOneThousandAndOne() throws Exception {
+    verify(71_001, HOSTS, 12_000, Fault.ALL);
+  }
+
   @Test
   void aSeedAlwaysPlansTheSameFaults() {
     List<Fault> plan = Fault.plan(new Random(7), 60_000, HOSTS, Fault.ALL);
