--- a/org.fawndrum/tst/org/fawndrum/coordination/limit/PermitFleet.java
+++ b/org.fawndrum/tst/org/fawndrum/coordination/limit/PermitFleet.java
@@ -8,15 +8,20 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.PriorityQueue;
 import java.util.Random;
+import java.util.Set;
 import java.util.function.BiPredicate;
 import java.util.function.Consumer;
 import org.fawndrum.coordination.limit.EndpointRateLimits.Statement;
 import org.fawndrum.coordination.membership.FleetMember;
 import org.fawndrum.coordination.membership.IssuerSelector;
+import org.fawndrum.state.Endpoint;
+import org.fawndrum.state.EndpointKind;
 import org.fawndrum.state.HostAddress;
 import org.fawndrum.state.HostIdentity;
+import org.fawndrum.state.ServiceProfile;
 
 /**
  * Simulates the hosts of a fleet that send to one endpoint which names a rate: their heartbeats,
@@ -25,6 +30,15 @@
 final class PermitFleet {
   static final String ENDPOINT = "e-1";
 
+  private static final Endpoint STARTING =
+      new Endpoint(
+          new HostIdentity(ENDPOINT, 1),
+          "zone",
+          EndpointKind.PLAIN,
+          new HostAddress(ENDPOINT, 1),
+          Set.of("pool"),
+          0);
+
   private static final long HEARTBEAT_MS = 1_000;
   private static final long TICK_MS = 20;
   private static final long ANSWER_MS = 50;
@@ -42,6 +56,11 @@
   private long eventCount;
   private long nowMs;
 
+  /** What the endpoint accepts while it starts; 0 if any number. */
+  double startPerSecond;
+
+  private long startedUntilMs;
+
   /** What the endpoint names in its answers now. */
   double rate = EndpointRateLimits.UNLIMITED;
 
@@ -65,15 +84,20 @@
     final FleetMember member;
     final IssuerSelector issuers;
     final EndpointRateLimits limits = new EndpointRateLimits();
-    final EndpointPermits permits = new EndpointPermits(limits);
+    final StartingEndpoints starts = new StartingEndpoints();
+    final EndpointRates rates = new LowestRates(limits, starts);
+    final EndpointPermits permits = new EndpointPermits(rates);
     final PermitIssuer issuer = new PermitIssuer();
     Deque<Long> waiting = new ArrayDeque<>();
     long frozenUntilMs;
+    boolean knowsEndpoint;
 
     Host(String name, long incarnation) {
       member =
           new FleetMember(new HostIdentity(name, incarnation), new HostAddress(name, 1), "zone", 1);
       issuers = new IssuerSelector(member, () -> true);
+      starts.updateServices(
+          List.of(new ServiceProfile("pool", 1, Optional.empty(), 3_000, startPerSecond)));
     }
 
     String name() {
@@ -113,8 +137,8 @@
 
     void refresh() {
       issuers.check(nowMs);
-      double part = limits.isLimited(ENDPOINT) ? issuers.part(ENDPOINT, nowMs) : 0;
-      double perSecond = Math.max(PermitIssuer.MIN_PER_SECOND, limits.perSecond(ENDPOINT));
+      double part = rates.isLimited(ENDPOINT, nowMs) ? issuers.part(ENDPOINT, nowMs) : 0;
+      double perSecond = Math.max(PermitIssuer.MIN_PER_SECOND, rates.perSecond(ENDPOINT, nowMs));
       issuer.setRate(ENDPOINT, part == 0 ? 0 : part * perSecond, nowMs);
     }
 
@@ -142,6 +166,9 @@
     /** Sends what may be sent, and demands permits for the rest. */
     void offer() {
       refuseLate();
+      if (!knowsEndpoint) {
+        return;
+      }
       while (!waiting.isEmpty() && !permits.isLacking(ENDPOINT, nowMs)) {
         permits.take(ENDPOINT, nowMs);
         waiting.removeFirst();
@@ -226,9 +253,32 @@
     }
   }
 
+  /**
+   * Starts the endpoint anew: each host reads its entry some time later, and then knows of it.
+   *
+   * @param remainingMs how long the endpoint accepts only {@link #startPerSecond}
+   */
+  void startEndpoint(long remainingMs, int maxReadMs) {
+    startedUntilMs = nowMs + remainingMs;
+    hosts.values().forEach(host -> readEntry(host, maxReadMs));
+  }
+
+  private void readEntry(Host host, int maxReadMs) {
+    host.knowsEndpoint = false;
+    after(
+        1 + random.nextInt(maxReadMs),
+        host,
+        reader -> {
+          reader.knowsEndpoint = true;
+          reader.starts.reported(STARTING, Math.max(0, startedUntilMs - nowMs), nowMs);
+          reader.offer();
+        });
+  }
+
   /** Starts a host, or starts it again without what it knew. */
   void start(String name) {
     Host host = new Host(name, nowMs + 1);
+    readEntry(host, 50);
     hosts.put(name, host);
     host.heartbeat();
     host.tick();
