Soak: engines that start and accept a rate only

ENGINE_STARTS restarts an engine whose entry and answers then say for 6 s that it starts; a second RateChecker counts any second of requests from hosts that passed on such an answer: at most 1.5 times the rate and 5. RateChecker takes its window as a parameter, with the bounds of named rates as before. The kinds before are generation 5, 6 is all.

--- a/org.fawndrum.soak/src/org/fawndrum/soak/Callers.java
+++ b/org.fawndrum.soak/src/org/fawndrum/soak/Callers.java
@@ -73,6 +73,9 @@
   /** Response header of an endpoint that accepts a rate only. */
   private static final String RATE_HEADER = "Server-Limit";
 
+  /** Response header of an endpoint that has just started. */
+  private static final String STARTING_HEADER = "X-Cold-Start-Ms";
+
   /** What precedes the endpoint's name in its seal. */
   private static final String SEAL_PREFIX = "seal-";
 
@@ -259,6 +262,9 @@
     if (answer.getHeader(RATE_HEADER) != null) {
       checker.rates().recordPassedOn(id, endpoint, Soak.nowMs());
     }
+    if (answer.getHeader(STARTING_HEADER) != null) {
+      checker.starts().recordPassedOn(id, endpoint, Soak.nowMs());
+    }
   }
 
   private Void responseCompleted(String id, HttpClientResponse answer, String body) {
--- a/org.fawndrum.soak/src/org/fawndrum/soak/Fault.java
+++ b/org.fawndrum.soak/src/org/fawndrum/soak/Fault.java
@@ -54,9 +54,13 @@
     extra.put(Kind.BACKOFF_NOTICE, 2);
     extra.put(Kind.STORE_RESTORED, 2);
     extra.put(Kind.RATE_NAMED, 4);
+    extra.put(Kind.ENGINE_STARTS, 3);
     return extra;
   }
 
+  /** The kinds before starts of engines were added; see {@link #GENERATION_1}. */
+  static final Set<Kind> GENERATION_5 = EnumSet.range(Kind.KILL, Kind.RATE_NAMED);
+
   /** The kinds before endpoints' rates were added; see {@link #GENERATION_1}. */
   static final Set<Kind> GENERATION_4 = EnumSet.range(Kind.KILL, Kind.STORE_RESTORED);
 
@@ -77,7 +81,7 @@
 
   /** The sets of kinds that seeds were first run with, oldest first. */
   static final List<Set<Kind>> GENERATIONS =
-      List.of(GENERATION_1, GENERATION_2, GENERATION_3, GENERATION_4, ALL);
+      List.of(GENERATION_1, GENERATION_2, GENERATION_3, GENERATION_4, GENERATION_5, ALL);
 
   /** Kinds of faults. The order is part of what a seed plans. */
   enum Kind {
@@ -132,13 +136,16 @@
     /** The store is unavailable for a time and then restored from an older copy. */
     STORE_RESTORED,
     /** An endpoint names in its answers how many requests a second it accepts from all hosts. */
-    RATE_NAMED;
+    RATE_NAMED,
+    /** An engine restarts, and accepts only a rate for some seconds. */
+    ENGINE_STARTS;
 
     /** Whether the fault happens at one instant and has no end. */
     boolean isInstant() {
       return switch (this) {
         case KILL, STOP, STORE_EXPIRES_RECORDS, CONFIGURE, REVOKE_KEY -> true;
-        case ENGINE_HANGS, ENGINE_DROPS_WORK, ENGINE_RESTARTS, CRASHING_REQUEST -> true;
+        case ENGINE_HANGS, ENGINE_DROPS_WORK, ENGINE_RESTARTS, CRASHING_REQUEST, ENGINE_STARTS ->
+            true;
         default -> false;
       };
     }
--- a/org.fawndrum.soak/src/org/fawndrum/soak/PromiseChecker.java
+++ b/org.fawndrum.soak/src/org/fawndrum/soak/PromiseChecker.java
@@ -31,7 +31,8 @@
   private final ReservationChecker reservations = new ReservationChecker();
   private final CrashChecker crashes = new CrashChecker();
   private final NoticeChecker notices = new NoticeChecker();
-  private final RateChecker rates = new RateChecker(notices::hostOf);
+  private final RateChecker rates = new RateChecker(notices::hostOf, RateChecker.Bounds.NAMED);
+  private final RateChecker starts = new RateChecker(notices::hostOf, RateChecker.Bounds.STARTING);
   private final ShutdownChecker shutdowns = new ShutdownChecker(SoakSite.GRACE_MS);
   private final long revokeMs;
   private int failureCount;
@@ -76,11 +77,17 @@
     return rates;
   }
 
+  /** Returns the checker of the rates of endpoints that start. */
+  RateChecker starts() {
+    return starts;
+  }
+
   /** Records a signal to a host. */
   void recordSignal(String host, long nowMs) {
     crashes.recordSignal(host, nowMs);
     notices.recordSignal(host, nowMs);
     rates.recordSignal(host, nowMs);
+    starts.recordSignal(host, nowMs);
   }
 
   /** Returns the checker of planned shutdowns. */
@@ -180,6 +187,7 @@
     all.addAll(crashes.violations());
     all.addAll(notices.violations());
     all.addAll(rates.violations());
+    all.addAll(starts.violations());
     refusalStatuses.forEach(
         (id, status) -> {
           if (runCounts.getOrDefault(id, 0) > 0) {
@@ -205,7 +213,9 @@
         + "; "
         + notices.summary()
         + "; "
-        + rates.summary();
+        + rates.summary()
+        + "; of starting endpoints "
+        + starts.summary();
   }
 
   /** Returns the number of successful answers. */
--- a/org.fawndrum.soak/src/org/fawndrum/soak/RateChecker.java
+++ b/org.fawndrum.soak/src/org/fawndrum/soak/RateChecker.java
@@ -11,18 +11,15 @@
 
 /**
  * Checks that all hosts together send an endpoint no more than one and a half times the rate that
- * it names in its answers, and 5 requests, in any 4 s. Hosts count from half a second after they
- * passed on such an answer; one that restarts or is suspended counts again after the next. Times
- * are those of {@link System#nanoTime} in milliseconds. Confined to one event loop.
+ * it names in its answers, and 5 requests, in any 4 s, or in any second while it starts. Hosts
+ * count from half a second after they passed on such an answer; one that restarts or is suspended
+ * counts again after the next. Times are those of {@link System#nanoTime} in milliseconds. Confined
+ * to one event loop.
  */
 final class RateChecker {
-  private static final long WINDOW_MS = 4_000;
   private static final double RATE_FACTOR = 1.5;
   private static final int SLACK_REQUESTS = 5;
 
-  /** Time for hosts to apply a rate that an endpoint names first, in milliseconds. */
-  private static final long CONTACT_MS = 3_000;
-
   /** Time after which a host that passed on an answer counts, in milliseconds. */
   private static final long PASSED_ON_MS = 500;
 
@@ -33,6 +30,7 @@
   private static final long SIGNAL_GRACE_MS = 1_000;
 
   private final UnaryOperator<String> hostOf;
+  private final Bounds bounds;
   private final Map<String, Named> named = new HashMap<>();
   private final Map<HostEndpoint, Long> toldMs = new HashMap<>();
   private final Map<String, Long> signalledAtMs = new HashMap<>();
@@ -41,6 +39,24 @@
   private int countedArrivals;
   private int mostInWindow;
 
+  /**
+   * How the rates are judged.
+   *
+   * @param windowMs the time in which requests are counted, in milliseconds
+   * @param contactMs the time for hosts to apply a rate that an endpoint names first
+   */
+  record Bounds(long windowMs, long contactMs) {
+    /** Those of rates that endpoints name for as long as they are short of capacity. */
+    static final Bounds NAMED = new Bounds(4_000, 3_000);
+
+    /** Those of endpoints that start; each host counts from when it passed on an answer. */
+    static final Bounds STARTING = new Bounds(1_000, 0);
+
+    long memoryMs() {
+      return windowMs + contactMs;
+    }
+  }
+
   /** A host and an endpoint, by name. */
   private record HostEndpoint(String host, String endpoint) {}
 
@@ -61,8 +77,8 @@
     }
 
     /** Returns the highest rate that hosts may go by, since they may not know a newer one. */
-    double highest(long nowMs) {
-      while (rates.size() > 1 && secondFromMs() < nowMs - WINDOW_MS - CONTACT_MS) {
+    double highest(long fromMs) {
+      while (rates.size() > 1 && secondFromMs() < fromMs) {
         rates.removeFirst();
       }
       return rates.stream().mapToDouble(Rate::perSecond).max().orElse(0);
@@ -78,8 +94,9 @@
    *
    * @param hostOf returns the host that a request was sent to, by its id; null if it is unknown
    */
-  RateChecker(UnaryOperator<String> hostOf) {
+  RateChecker(UnaryOperator<String> hostOf, Bounds bounds) {
     this.hostOf = hostOf;
+    this.bounds = bounds;
   }
 
   /** Records that an endpoint names a rate from now on. */
@@ -130,19 +147,19 @@
     }
     countedArrivals++;
     rates.arrivals.addLast(nowMs);
-    while (rates.arrivals.peekFirst() <= nowMs - WINDOW_MS) {
+    while (rates.arrivals.peekFirst() <= nowMs - bounds.windowMs()) {
       rates.arrivals.removeFirst();
     }
     mostInWindow = Math.max(mostInWindow, rates.arrivals.size());
-    double highest = rates.highest(nowMs);
-    double allowed = RATE_FACTOR * highest * WINDOW_MS / 1_000 + SLACK_REQUESTS;
-    boolean judged = !rates.reported && nowMs - rates.firstMs >= CONTACT_MS;
+    double highest = rates.highest(nowMs - bounds.memoryMs());
+    double allowed = RATE_FACTOR * highest * bounds.windowMs() / 1_000 + SLACK_REQUESTS;
+    boolean judged = !rates.reported && nowMs - rates.firstMs >= bounds.contactMs();
     if (judged && rates.arrivals.size() > allowed) {
       rates.reported = true;
       violations.add(
           String.format(
-              "%s is one of %d requests in 4 s at %s, which named %s a second",
-              id, rates.arrivals.size(), endpoint, highest));
+              "%s is one of %d requests in %d s at %s, which named %s a second",
+              id, rates.arrivals.size(), bounds.windowMs() / 1_000, endpoint, highest));
     }
   }
 
--- a/org.fawndrum.soak/src/org/fawndrum/soak/SoakEndpoint.java
+++ b/org.fawndrum.soak/src/org/fawndrum/soak/SoakEndpoint.java
@@ -142,6 +142,7 @@
   private void setImpaired(boolean isNowImpaired) {
     if (isNowImpaired) {
       checker.rates().recordImpaired(id);
+      checker.starts().recordImpaired(id);
       openRuns.keySet().forEach(EndpointRun::markImpaired);
       checker.notices().recordLinkImpaired(id);
     }
@@ -150,6 +151,7 @@
     } else if (impaired && !isNowImpaired) {
       checker.shutdowns().recordImpairmentEnd(Soak.nowMs());
       checker.rates().recordSound(id, Soak.nowMs());
+      checker.starts().recordSound(id, Soak.nowMs());
     }
     impaired = isNowImpaired;
   }
@@ -179,9 +181,24 @@
     checker.reservations().recordEngineEnd(id, Soak.nowMs());
     checker.notices().recordRestart(id);
     checker.rates().recordNoRate(id);
+    checker.starts().recordNoRate(id);
     standin.restart(standin.startMs() + INCARNATION_STEP_MS);
   }
 
+  /** Accepts a rate only for a time from now on, and says how long in its answers and entry. */
+  void startSlowly(long durationMs, double perSecond) {
+    long incarnation = standin.startMs();
+    standin.startSlowly(durationMs);
+    checker.starts().recordRate(id, perSecond, Soak.nowMs());
+    vertx.setTimer(
+        durationMs,
+        timer -> {
+          if (standin.startMs() == incarnation) {
+            checker.starts().recordNoRate(id);
+          }
+        });
+  }
+
   /** Crashes with all open requests, and restarts after a while. */
   private void crash(String path) {
     if (hung || down) {
@@ -270,6 +287,7 @@
     EndpointRun run = begin(received.requestId(), request);
     checker.notices().recordArrival(received.requestId(), id, Soak.nowMs());
     checker.rates().recordArrival(received.requestId(), id, Soak.nowMs());
+    checker.starts().recordArrival(received.requestId(), id, Soak.nowMs());
     if (requestsBackoff) {
       endpoint.rejectWithBackoff(request, BACKOFF_S);
       if (!impaired) {
--- a/org.fawndrum.soak/src/org/fawndrum/soak/SoakSite.java
+++ b/org.fawndrum.soak/src/org/fawndrum/soak/SoakSite.java
@@ -65,6 +65,16 @@
   private static final String MEMORY = "\"KvCapacity\":100000";
 
   private static final String DEFAULT_MEMORY = "\"KvCapacity\":232000";
+  private static final String CONNECTIONS = "\"MaxConnections\":264";
+
+  /** How long an engine that starts accepts a rate only, in milliseconds. */
+  private static final int START_MS = 6_000;
+
+  /** That rate, in requests a second: well below what the callers would send. */
+  private static final double START_PER_SECOND = 2;
+
+  private static final String STARTS =
+      "\"ColdStartS\":" + START_MS / 1_000 + ",\"ColdPerS\":" + START_PER_SECOND + ",";
   private static final String OPERATORS = "keyed.op";
   private static final String ENDPOINTS = "keyed.servers";
   private static final String SERVICE = "service";
@@ -205,7 +215,10 @@
     version += 2;
     String[] keys = revoked ? new String[] {KEY} : new String[] {KEY, REVOCABLE_KEY};
     String configuration = StandinSite.configuration(version, keys);
-    store.put(OPERATORS, "config", configuration.replace(DEFAULT_MEMORY, MEMORY));
+    store.put(
+        OPERATORS,
+        "config",
+        configuration.replace(DEFAULT_MEMORY, MEMORY).replace(CONNECTIONS, STARTS + CONNECTIONS));
   }
 
   /** Revokes the revocable key. */
@@ -239,6 +252,7 @@
       case BACKOFF_NOTICE -> endpoint.setRequestsBackoff(begins);
       case STORE_RESTORED -> restoreStore(begins);
       case RATE_NAMED -> nameRate(endpoint, fault, begins);
+      case ENGINE_STARTS -> start(endpoint);
       default -> throw new SoakFailedException("fault " + fault, null);
     }
   }
@@ -256,6 +270,15 @@
     publishEntry(engine, READY);
   }
 
+  /** Restarts an engine that then accepts only a rate; its entry and its answers say so. */
+  private void start(SoakEndpoint engine) {
+    if (!engine.id().equals(SERVICE) && !engine.isHung()) {
+      engine.restart();
+      engine.startSlowly(START_MS, START_PER_SECOND);
+      publishEntry(engine, READY);
+    }
+  }
+
   /**
    * Makes an endpoint signal only in its answers that it is shutting down; at the end restarts it.
    */
--- a/org.fawndrum.soak/tst/org/fawndrum/soak/RateCheckerTest.java
+++ b/org.fawndrum.soak/tst/org/fawndrum/soak/RateCheckerTest.java
@@ -9,7 +9,12 @@
 
 /** Verifies that more requests than an endpoint's rate allows are reported, and no others. */
 class RateCheckerTest {
-  private final RateChecker rates = new RateChecker(id -> id.substring(0, id.indexOf('/')));
+  private final RateChecker rates =
+      new RateChecker(RateCheckerTest::hostOf, RateChecker.Bounds.NAMED);
+
+  private static String hostOf(String id) {
+    return id.substring(0, id.indexOf('/'));
+  }
 
   /** An endpoint names 1 request a second at 10 s and tells two hosts soon after. */
   private void nameOneASecond() {
@@ -45,6 +50,21 @@
     assertEquals(List.of(), rates.violations());
   }
 
+  @Test
+  void anEndpointThatStartsIsJudgedEachSecond() {
+    RateChecker starts = new RateChecker(RateCheckerTest::hostOf, RateChecker.Bounds.STARTING);
+    starts.recordRate("engine-0", 2, 10_000);
+    starts.recordPassedOn("host-0/told", "engine-0", 10_100);
+    for (int i = 0; i < 9; i++) {
+      starts.recordArrival("host-0/" + i, "engine-0", 10_700 + (i < 8 ? 0 : 1_000));
+    }
+    assertEquals(List.of(), starts.violations());
+    for (int i = 0; i < 8; i++) {
+      starts.recordArrival("host-0/b" + i, "engine-0", 12_000);
+    }
+    assertTrue(starts.violations().get(0).contains("9 requests in 1 s"));
+  }
+
   @Test
   void hostsThatPassedOnNoAnswerDoNotCount() {
     nameOneASecond();
