Notice the end of a start also while no entries are read

With the store down, or at a host that hears only of changed entries, the log and the decisions learned of an end only with the next entry, or at the first one that was expected. They now look each quarter of a second while anybody starts, and never otherwise. Endpoints without a rate are not reported as started.

--- a/org.fawndrum/src/org/fawndrum/coordination/limit/StartingEndpoints.java
+++ b/org.fawndrum/src/org/fawndrum/coordination/limit/StartingEndpoints.java
@@ -122,13 +122,16 @@
     return !starts.isEmpty();
   }
 
-  /** Forgets the endpoints that have started, and returns them. */
+  /** Forgets the endpoints that have started, and returns those that accepted only a rate. */
   public synchronized List<String> takeEnded(long nowMs) {
     Map<String, Start> left = new HashMap<>(starts);
     left.values().removeIf(start -> start.endMs() <= nowMs);
     List<String> ended =
-        starts.keySet().stream().filter(endpoint -> !left.containsKey(endpoint)).toList();
-    if (!ended.isEmpty()) {
+        starts.keySet().stream()
+            .filter(endpoint -> !left.containsKey(endpoint))
+            .filter(endpoint -> perSecond(starts.get(endpoint).serves()) < UNLIMITED)
+            .toList();
+    if (left.size() < starts.size()) {
       starts = Map.copyOf(left);
     }
     return ended;
--- a/org.fawndrum/src/org/fawndrum/transport/relay/EndpointStarts.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/EndpointStarts.java
@@ -4,6 +4,7 @@
 import com.codahale.metrics.MetricRegistry;
 import java.util.List;
 import java.util.Optional;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.Consumer;
 import java.util.function.LongConsumer;
 import java.util.function.Predicate;
@@ -25,12 +26,16 @@
   /** Maximum log lines a second; a whole zone may start at once. */
   private static final int MAX_LINES_PER_SECOND = 5;
 
+  /** Interval at which ends are looked for while endpoints start, in milliseconds. */
+  private static final long CHECK_MS = 250;
+
   private final StartingEndpoints starts;
   private final Consumer<RelayEvent> events;
   private final Timer timer;
   private final HostClock clock;
   private final HostLog log;
   private final LogRateLimiter lineLimiter = new LogRateLimiter(MAX_LINES_PER_SECOND);
+  private final AtomicBoolean checking = new AtomicBoolean();
   private volatile HostListing listing = HostListing.NONE;
 
   /** Runs steps later. */
@@ -126,10 +131,21 @@
       double perSecond = starts.perSecond(endpoint.name(), nowMs);
       log.event(LogEvent.ENDPOINT_STARTING, endpoint.identity(), remainingMs, perSecond, why);
     }
-    timer.runAfter(remainingMs, this::logEnds);
+    if (checking.compareAndSet(false, true)) {
+      timer.runAfter(CHECK_MS, this::checkEnds);
+    }
     events.accept(new RelayEvent.RateChanged());
   }
 
+  /** Logs ends in time as long as endpoints start; an end may move, and entries may be missing. */
+  private void checkEnds() {
+    logEnds();
+    checking.set(false);
+    if (starts.isAnyKnown() && checking.compareAndSet(false, true)) {
+      timer.runAfter(CHECK_MS, this::checkEnds);
+    }
+  }
+
   private void logEnds() {
     long nowMs = clock.nowMs();
     List<String> ended = starts.takeEnded(nowMs);
