--- a/org.fawndrum.soak/src/org/fawndrum/soak/PromiseChecker.java
+++ b/org.fawndrum.soak/src/org/fawndrum/soak/PromiseChecker.java
@@ -31,7 +31,8 @@
   private final ReservationChecker reservations = new ReservationChecker();
   private final CrashChecker crashes = new CrashChecker();
   private final NoticeChecker notices = new NoticeChecker();
-  private final RateChecker rates = new RateChecker(notices::hostOf);
+  private final RateChecker rates = new RateChecker(notices::hostOf, RateChecker.Bounds.NAMED);
+  private final RateChecker starts = new RateChecker(notices::hostOf, RateChecker.Bounds.STARTING);
   private final DrainChecker drains = new DrainChecker(notices::hostOf);
   private final ShutdownChecker shutdowns = new ShutdownChecker(SoakSite.GRACE_MS);
   private final HeldBytesChecker held = new HeldBytesChecker(HostSettings.MAX_HELD_BYTES);
@@ -88,12 +89,18 @@
     return held;
   }
 
+  /** Returns the checker of the rates of endpoints that start. */
+  RateChecker starts() {
+    return starts;
+  }
+
   /** Records a signal to a host. */
   void recordSignal(String host, long nowMs) {
     crashes.recordSignal(host, nowMs);
     notices.recordSignal(host, nowMs);
     rates.recordSignal(host, nowMs);
     drains.recordSignal(host, nowMs);
+    starts.recordSignal(host, nowMs);
   }
 
   /** Returns the checker of planned shutdowns. */
@@ -195,6 +202,7 @@
     all.addAll(rates.violations());
     all.addAll(drains.violations());
     all.addAll(held.violations());
+    all.addAll(starts.violations());
     refusalStatuses.forEach(
         (id, status) -> {
           if (runCounts.getOrDefault(id, 0) > 0) {
@@ -221,6 +229,8 @@
         + notices.summary()
         + "; "
         + rates.summary()
+        + "; of starting endpoints "
+        + starts.summary()
         + "; "
         + drains.summary()
         + "; "
--- a/org.fawndrum.soak/src/org/fawndrum/soak/SoakEndpoint.java
+++ b/org.fawndrum.soak/src/org/fawndrum/soak/SoakEndpoint.java
@@ -156,6 +156,7 @@
     if (isNowImpaired) {
       checker.rates().recordImpaired(id);
       checker.drains().recordImpaired(id);
+      checker.starts().recordImpaired(id);
       openRuns.keySet().forEach(EndpointRun::markImpaired);
       checker.notices().recordLinkImpaired(id);
     }
@@ -165,6 +166,7 @@
       checker.shutdowns().recordImpairmentEnd(Soak.nowMs());
       checker.rates().recordSound(id, Soak.nowMs());
       checker.drains().recordSound(id, Soak.nowMs());
+      checker.starts().recordSound(id, Soak.nowMs());
     }
     impaired = isNowImpaired;
   }
@@ -194,9 +196,24 @@
     checker.reservations().recordEngineEnd(id, Soak.nowMs());
     checker.notices().recordRestart(id);
     checker.rates().recordNoRate(id);
+    checker.starts().recordNoRate(id);
     standin.restart(standin.startMs() + INCARNATION_STEP_MS);
   }
 
+  /** Accepts a rate only for a time from now on, and says how long in its answers and entry. */
+  void startSlowly(long durationMs, double perSecond) {
+    long incarnation = standin.startMs();
+    standin.startSlowly(durationMs);
+    checker.starts().recordRate(id, perSecond, Soak.nowMs());
+    vertx.setTimer(
+        durationMs,
+        timer -> {
+          if (standin.startMs() == incarnation) {
+            checker.starts().recordNoRate(id);
+          }
+        });
+  }
+
   /** Crashes with all open requests, and restarts after a while. */
   private void crash(String path) {
     if (hung || down) {
@@ -286,6 +303,7 @@
     checker.notices().recordArrival(received.requestId(), id, Soak.nowMs());
     checker.rates().recordArrival(received.requestId(), id, Soak.nowMs());
     checker.drains().recordArrival(received.requestId(), id, zone, Soak.nowMs());
+    checker.starts().recordArrival(received.requestId(), id, Soak.nowMs());
     if (requestsBackoff) {
       endpoint.rejectWithBackoff(request, BACKOFF_S);
       if (!impaired) {
--- a/org.fawndrum.soak/src/org/fawndrum/soak/SoakSite.java
+++ b/org.fawndrum.soak/src/org/fawndrum/soak/SoakSite.java
@@ -7,9 +7,7 @@
 import io.vertx.core.net.NetClientOptions;
 import java.io.IOException;
 import java.nio.file.Path;
-import java.util.ArrayDeque;
 import java.util.ArrayList;
-import java.util.Deque;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -65,6 +63,16 @@
   private static final String MEMORY = "\"KvCapacity\":100000";
 
   private static final String DEFAULT_MEMORY = "\"KvCapacity\":232000";
+  private static final String CONNECTIONS = "\"MaxConnections\":264";
+
+  /** How long an engine that starts accepts a rate only, in milliseconds. */
+  private static final int START_MS = 6_000;
+
+  /** That rate, in requests a second: well below what the callers would send. */
+  private static final double START_PER_SECOND = 2;
+
+  private static final String STARTS =
+      "\"ColdStartS\":" + START_MS / 1_000 + ",\"ColdPerS\":" + START_PER_SECOND + ",";
   private static final String OPERATORS = "keyed.op";
   private static final String ENDPOINTS = "keyed.servers";
   private static final String SERVICE = "service";
@@ -93,12 +101,6 @@
   /** Additional duration of a named rate, in milliseconds: two windows of its checker. */
   private static final long EXTRA_RATE_MS = 8_000;
 
-  /** Interval between copies of the store, in milliseconds. */
-  private static final long COPY_MS = 500;
-
-  /** Number of copies of the store that are kept. */
-  private static final int COPIES = 6;
-
   /** Interval at which endpoints rewrite their entries after a restore, in milliseconds. */
   private static final long REWRITE_GAP_MS = 250;
 
@@ -120,7 +122,6 @@
   private final List<HostAddress> callerAddresses = new ArrayList<>();
   private final List<HostAddress> metricsAddresses = new ArrayList<>();
   private final Map<SoakEndpoint, String> lastState = new HashMap<>();
-  private final Deque<StoreStandin.Copy> copies = new ArrayDeque<>();
   private boolean revoked;
   private long version;
   private int overwrittenCount;
@@ -168,8 +169,7 @@
   private Future<List<HostAddress>> startLinks(HostAddress storeAt) {
     publishConfiguration();
     endpoints.forEach(endpoint -> publishEntry(endpoint, READY));
-    keepCopy();
-    vertx.setPeriodic(COPY_MS, timer -> keepCopy());
+    storeFaults.keepCopies();
     List<HostAddress> links = new ArrayList<>();
     Future<Void> started = Future.succeededFuture();
     for (int i = 0; i < hostCount; i++) {
@@ -216,7 +216,10 @@
     version += 2;
     String[] keys = revoked ? new String[] {KEY} : new String[] {KEY, REVOCABLE_KEY};
     String configuration = StandinSite.configuration(version, keys);
-    store.put(OPERATORS, "config", configuration.replace(DEFAULT_MEMORY, MEMORY));
+    store.put(
+        OPERATORS,
+        "config",
+        configuration.replace(DEFAULT_MEMORY, MEMORY).replace(CONNECTIONS, STARTS + CONNECTIONS));
   }
 
   /** Revokes the revocable key. */
@@ -252,6 +255,7 @@
       case STORE_RESTORED -> restoreStore(begins);
       case ZONE_DRAINED -> storeFaults.drain(endpoint.zone(), begins);
       case RATE_NAMED -> nameRate(endpoint, fault, begins);
+      case ENGINE_STARTS -> start(endpoint);
       default -> throw new SoakFailedException("fault " + fault, null);
     }
   }
@@ -269,6 +273,15 @@
     publishEntry(engine, READY);
   }
 
+  /** Restarts an engine that then accepts only a rate; its entry and its answers say so. */
+  private void start(SoakEndpoint engine) {
+    if (!engine.id().equals(SERVICE) && !engine.isHung()) {
+      engine.restart();
+      engine.startSlowly(START_MS, START_PER_SECOND);
+      publishEntry(engine, READY);
+    }
+  }
+
   /**
    * Makes an endpoint signal only in its answers that it is shutting down; at the end restarts it.
    */
@@ -308,9 +321,7 @@
       storeFaults.mode(StoreStandin.Mode.BUSY);
       return;
     }
-    storeFaults.restoreFrom(copies.getFirst());
-    copies.clear();
-    copies.add(store.copy());
+    storeFaults.restoreOldestCopy();
     publishConfiguration();
     storeFaults.mode(StoreStandin.Mode.SERVING);
     long afterMs = 0;
@@ -320,13 +331,6 @@
     }
   }
 
-  private void keepCopy() {
-    copies.add(store.copy());
-    if (copies.size() > COPIES) {
-      copies.removeFirst();
-    }
-  }
-
   private void drain(SoakEndpoint endpoint, boolean begins) {
     endpoint.setInUse(!begins);
     publishEntry(endpoint, begins ? DRAINING : READY);
--- a/org.fawndrum.soak/src/org/fawndrum/soak/SoakStore.java
+++ b/org.fawndrum.soak/src/org/fawndrum/soak/SoakStore.java
@@ -2,6 +2,8 @@
 package org.fawndrum.soak;
 
 import io.vertx.core.Vertx;
+import java.util.ArrayDeque;
+import java.util.Deque;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
@@ -16,6 +18,12 @@
   /** Additional duration of a drain, in milliseconds: it must outlast the time to apply it. */
   private static final long EXTRA_DRAIN_MS = DrainChecker.APPLY_MS + 2_000;
 
+  /** Interval between copies of the store, in milliseconds. */
+  private static final long COPY_MS = 500;
+
+  /** Number of copies of the store that are kept. */
+  private static final int COPIES = 6;
+
   private static final String OPERATORS = "keyed.op";
 
   private final Vertx vertx;
@@ -24,6 +32,7 @@
   private final DrainChecker checker;
   private final Set<Integer> impairedLinks = new HashSet<>();
   private final Set<String> drained = new TreeSet<>();
+  private final Deque<StoreStandin.Copy> copies = new ArrayDeque<>();
   private StoreStandin.Mode mode = StoreStandin.Mode.SERVING;
 
   /**
@@ -88,9 +97,24 @@
     return "evacuate/" + zone;
   }
 
-  /** Restores the store from a copy; the operators write what is drained again at once. */
-  void restoreFrom(StoreStandin.Copy copy) {
-    store.restoreFrom(copy);
+  /** Starts to keep copies of the store. */
+  void keepCopies() {
+    keepCopy();
+    vertx.setPeriodic(COPY_MS, timer -> keepCopy());
+  }
+
+  private void keepCopy() {
+    copies.add(store.copy());
+    if (copies.size() > COPIES) {
+      copies.removeFirst();
+    }
+  }
+
+  /** Restores the oldest copy; the operators write what is drained again at once. */
+  void restoreOldestCopy() {
+    store.restoreFrom(copies.getFirst());
+    copies.clear();
+    copies.add(store.copy());
     drained.forEach(checker::recordTakenBack);
     drained.forEach(this::writeDrain);
   }
