--- a/org.fawndrum.bench/src/org/fawndrum/bench/SlopeBench.java
+++ b/org.fawndrum.bench/src/org/fawndrum/bench/SlopeBench.java
@@ -50,6 +50,7 @@
   public int call() {
     decisions();
     heartbeats();
+    FleetSlope.print();
     tableBytes();
     catchUp();
     return 0;
