Count the bytes of a stream until they are written to its caller

Found by breaking the pause on purpose: SlowReaderTest still passed, because the connection's own queue has only a part of what the HTTP server queues while it is full, so that bytesHeld missed the rest. Bytes of events now count until their write completes.

Measured: without the pause SlowReaderTest fails (16,251,152 bytes held for ten callers); with it SlowReaderTest and HeldBytesTest pass.

--- a/org.fawndrum/src/org/fawndrum/coordination/backpressure/ConnectionHold.java
+++ b/org.fawndrum/src/org/fawndrum/coordination/backpressure/ConnectionHold.java
@@ -30,9 +30,12 @@
     queue = newer;
   }
 
-  /** Returns the bytes queued for the caller. */
+  /**
+   * Returns the bytes queued for the caller. The connection's own queue has only a part of those of
+   * a stream while it is full.
+   */
   public long queuedBytes() {
-    return queue.bytes();
+    return Math.max(queue.bytes(), request.unwrittenBytes());
   }
 
   /** Returns for how long the caller has left queued bytes unread; 0 if it has not. */
@@ -46,6 +49,6 @@
   }
 
   long totalBytes() {
-    return request.keptBytes() + queue.bytes();
+    return request.keptBytes() + queuedBytes();
   }
 }
--- a/org.fawndrum/src/org/fawndrum/coordination/backpressure/HeldBytes.java
+++ b/org.fawndrum/src/org/fawndrum/coordination/backpressure/HeldBytes.java
@@ -45,7 +45,7 @@
   public void closed(K connection) {
     ConnectionHold hold = holds.remove(connection);
     if (hold != null) {
-      queuedBytes -= hold.queuedBytes();
+      queuedBytes = Math.max(0, queuedBytes - hold.queuedBytes());
       requestEnded(hold.request());
     }
   }
--- a/org.fawndrum/src/org/fawndrum/coordination/backpressure/RequestHold.java
+++ b/org.fawndrum/src/org/fawndrum/coordination/backpressure/RequestHold.java
@@ -7,6 +7,7 @@
 
   private final String id;
   private long keptBytes;
+  private long unwrittenBytes;
   private long bodyBlockedSinceMs = NONE;
   private boolean ended;
 
@@ -42,6 +43,16 @@
     return bodyBlockedSinceMs == NONE ? 0 : nowMs - bodyBlockedSinceMs;
   }
 
+  /** Adds bytes of a stream that are queued for the caller; negative ones have been written. */
+  public void queued(long bytes) {
+    unwrittenBytes += bytes;
+  }
+
+  /** Returns the bytes of the stream that the operating system has not accepted yet. */
+  long unwrittenBytes() {
+    return unwrittenBytes;
+  }
+
   /** Adds bytes, which may be negative, and returns the bytes added: 0 after the end. */
   long add(long bytes) {
     if (ended) {
--- a/org.fawndrum/src/org/fawndrum/transport/relay/CallerHolds.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/CallerHolds.java
@@ -223,6 +223,11 @@
       held.keep(request, -bytes);
     }
 
+    @Override
+    public void queued(int bytes) {
+      request.queued(bytes);
+    }
+
     @Override
     public void bodyBlocked(boolean blocked) {
       request.bodyBlocked(blocked, clock.nowMs());
--- a/org.fawndrum/src/org/fawndrum/transport/relay/HeldRequest.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/HeldRequest.java
@@ -12,6 +12,9 @@
   /** Removes bytes that are no longer held. */
   void release(int bytes);
 
+  /** Adds bytes of a stream that are queued for the caller; negative ones have been written. */
+  void queued(int bytes);
+
   /** Called when the endpoint has stopped reading the body of the request, or reads it again. */
   void bodyBlocked(boolean blocked);
 
--- a/org.fawndrum/src/org/fawndrum/transport/relay/RelayExchange.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/RelayExchange.java
@@ -140,7 +140,9 @@
     }
     setHead(attempt);
     lastEventId = event.id();
-    response.write(event.bytes());
+    int bytes = event.bytes().length();
+    call.held().queued(bytes);
+    response.write(event.bytes()).onComplete(written -> call.held().queued(-bytes));
     if (response.writeQueueFull()) {
       attempt.pause();
       response.drainHandler(v -> attempt.resume());
--- a/org.fawndrum/tst/org/fawndrum/coordination/backpressure/HeldBytesTest.java
+++ b/org.fawndrum/tst/org/fawndrum/coordination/backpressure/HeldBytesTest.java
@@ -100,6 +100,21 @@
     assertFalse(held.hasRoomFor(501));
   }
 
+  /** A full connection's queue has only a part of what is queued for the caller. */
+  @Test
+  void bytesOfAStreamCountUntilTheyAreWritten() {
+    RequestHold request = held.requestStarted("a", "r-1");
+    request.queued(700);
+    queues.put("a", new WriteQueue(100, "first", 0));
+    sample();
+    assertEquals(700, held.totalBytes());
+    request.queued(-650);
+    sample();
+    assertEquals(100, held.totalBytes());
+    held.closed("a");
+    assertEquals(0, held.totalBytes());
+  }
+
   @Test
   void nothingIsCountedForEndedRequestsAndClosedConnections() {
     RequestHold ended = held.requestStarted("a", "r-1");
