--- a/org.fawndrum.soak/src/org/fawndrum/soak/Fault.java
+++ b/org.fawndrum.soak/src/org/fawndrum/soak/Fault.java
@@ -54,11 +54,11 @@
     extra.put(Kind.BACKOFF_NOTICE, 2);
     extra.put(Kind.STORE_RESTORED, 2);
     extra.put(Kind.RATE_NAMED, 4);
-    extra.put(Kind.ENGINE_STARTS, 3);
+    extra.put(Kind.ENGINES_WARM_UP, 1);
     return extra;
   }
 
-  /** The kinds before starts of engines were added; see {@link #GENERATION_1}. */
+  /** The kinds before engines that warm up were added; see {@link #GENERATION_1}. */
   static final Set<Kind> GENERATION_5 = EnumSet.range(Kind.KILL, Kind.RATE_NAMED);
 
   /** The kinds before endpoints' rates were added; see {@link #GENERATION_1}. */
@@ -137,14 +137,14 @@
     STORE_RESTORED,
     /** An endpoint names in its answers how many requests a second it accepts from all hosts. */
     RATE_NAMED,
-    /** An engine restarts, and accepts only a rate for some seconds. */
-    ENGINE_STARTS;
+    /** All engines accept only a rate for some seconds, as after a start. */
+    ENGINES_WARM_UP;
 
     /** Whether the fault happens at one instant and has no end. */
     boolean isInstant() {
       return switch (this) {
         case KILL, STOP, STORE_EXPIRES_RECORDS, CONFIGURE, REVOKE_KEY -> true;
-        case ENGINE_HANGS, ENGINE_DROPS_WORK, ENGINE_RESTARTS, CRASHING_REQUEST, ENGINE_STARTS ->
+        case ENGINE_HANGS, ENGINE_DROPS_WORK, ENGINE_RESTARTS, CRASHING_REQUEST, ENGINES_WARM_UP ->
             true;
         default -> false;
       };
--- a/org.fawndrum.soak/src/org/fawndrum/soak/SoakEndpoint.java
+++ b/org.fawndrum.soak/src/org/fawndrum/soak/SoakEndpoint.java
@@ -66,6 +66,7 @@
   private boolean hung;
   private boolean down;
   private boolean inUse = true;
+  private int startCount;
   private final Map<EndpointRun, Boolean> openRuns = new HashMap<>();
   private final List<EndpointRun> completedRuns = new ArrayList<>();
 
@@ -182,18 +183,19 @@
     checker.notices().recordRestart(id);
     checker.rates().recordNoRate(id);
     checker.starts().recordNoRate(id);
+    startCount++;
     standin.restart(standin.startMs() + INCARNATION_STEP_MS);
   }
 
   /** Accepts a rate only for a time from now on, and says how long in its answers and entry. */
   void startSlowly(long durationMs, double perSecond) {
-    long incarnation = standin.startMs();
+    int number = ++startCount;
     standin.startSlowly(durationMs);
     checker.starts().recordRate(id, perSecond, Soak.nowMs());
     vertx.setTimer(
         durationMs,
         timer -> {
-          if (standin.startMs() == incarnation) {
+          if (startCount == number) {
             checker.starts().recordNoRate(id);
           }
         });
--- a/org.fawndrum.soak/src/org/fawndrum/soak/SoakSite.java
+++ b/org.fawndrum.soak/src/org/fawndrum/soak/SoakSite.java
@@ -67,7 +67,7 @@
   private static final String DEFAULT_MEMORY = "\"KvCapacity\":232000";
   private static final String CONNECTIONS = "\"MaxConnections\":264";
 
-  /** How long an engine that starts accepts a rate only, in milliseconds. */
+  /** How long an engine that warms up accepts a rate only, in milliseconds. */
   private static final int START_MS = 6_000;
 
   /** That rate, in requests a second: well below what the callers would send. */
@@ -252,7 +252,7 @@
       case BACKOFF_NOTICE -> endpoint.setRequestsBackoff(begins);
       case STORE_RESTORED -> restoreStore(begins);
       case RATE_NAMED -> nameRate(endpoint, fault, begins);
-      case ENGINE_STARTS -> start(endpoint);
+      case ENGINES_WARM_UP -> endpoints.forEach(this::warmUp);
       default -> throw new SoakFailedException("fault " + fault, null);
     }
   }
@@ -270,10 +270,9 @@
     publishEntry(engine, READY);
   }
 
-  /** Restarts an engine that then accepts only a rate; its entry and its answers say so. */
-  private void start(SoakEndpoint engine) {
+  /** Makes an engine accept only a rate for some seconds; its entry and its answers say so. */
+  private void warmUp(SoakEndpoint engine) {
     if (!engine.id().equals(SERVICE) && !engine.isHung()) {
-      engine.restart();
       engine.startSlowly(START_MS, START_PER_SECOND);
       publishEntry(engine, READY);
     }
