--- a/org.fawndrum.soak/src/org/fawndrum/soak/Fault.java
+++ b/org.fawndrum.soak/src/org/fawndrum/soak/Fault.java
@@ -56,12 +56,12 @@
     extra.put(Kind.RATE_NAMED, 4);
     extra.put(Kind.ZONE_DRAINED, 3);
     extra.put(Kind.UNREAD_ANSWERS, 2);
-    extra.put(Kind.ENGINE_STARTS, 3);
+    extra.put(Kind.ENGINES_WARM_UP, 1);
     return extra;
   }
 
   /**
-   * The kinds before drains of zones, callers that read nothing and starts of engines were added;
+   * The kinds before drains of zones, callers that read nothing and engines that warm up were added;
    * see {@link #GENERATION_1}.
    */
   static final Set<Kind> GENERATION_5 = EnumSet.range(Kind.KILL, Kind.RATE_NAMED);
@@ -146,15 +146,15 @@
     ZONE_DRAINED,
     /** Callers send requests to a host and read nothing of their answers. */
     UNREAD_ANSWERS,
-    /** An engine restarts, and accepts only a rate for some seconds. */
-    ENGINE_STARTS;
+    /** All engines accept only a rate for some seconds, as after a start. */
+    ENGINES_WARM_UP;
 
     /** Whether the fault happens at one instant and has no end. */
     boolean isInstant() {
       return switch (this) {
         case KILL, STOP, STORE_EXPIRES_RECORDS, CONFIGURE, REVOKE_KEY -> true;
         case ENGINE_HANGS, ENGINE_DROPS_WORK, ENGINE_RESTARTS, CRASHING_REQUEST -> true;
-        case UNREAD_ANSWERS, ENGINE_STARTS -> true;
+        case UNREAD_ANSWERS, ENGINES_WARM_UP -> true;
         default -> false;
       };
     }
