Let a short prompt wait for a slot rather than for a long prefill

Change: such a prompt stays on its host until a slot is free, at most as long as it can still be in time (SlotWait). PlacementFormulaTest: the formula has the new wait too, compared as strictly as before.

--- a/org.fawndrum/src/org/fawndrum/coordination/engine/EngineModelPlacement.java
+++ b/org.fawndrum/src/org/fawndrum/coordination/engine/EngineModelPlacement.java
@@ -44,11 +44,13 @@
 
   private final PlacementWeights weights;
   private final PlacementCosts costs;
+  private final SlotWait slotWait;
 
   /** Creates the placement policy with its weights. */
   public EngineModelPlacement(PlacementWeights weights) {
     this.weights = weights;
     this.costs = new PlacementCosts(weights);
+    this.slotWait = new SlotWait(costs);
   }
 
   /**
@@ -109,8 +111,8 @@
     List<List<SegmentCost>> segmentCosts = segmentCosts(query.facts(), candidates);
     Plan immediate = cheapestPlan(query, segmentCosts, Dispatch.IMMEDIATE);
     if (immediate == null
-        || immediate.options().size() > 1
-            && shouldWait(query, candidates, segmentCosts, immediate)) {
+        || immediate.options().size() > 1 && shouldWait(query, candidates, segmentCosts, immediate)
+        || slotWait.shouldWait(query, candidates, immediate.cost())) {
       return Optional.empty();
     }
     return Optional.of(choice(query, candidates, immediate));
--- a/org.fawndrum/src/org/fawndrum/coordination/engine/PlacementCosts.java
+++ b/org.fawndrum/src/org/fawndrum/coordination/engine/PlacementCosts.java
@@ -95,6 +95,11 @@
     return value(facts.promptTokens()) * loss(firstTokenMs, targetMs(facts));
   }
 
+  /** Returns the value that a request loses by a late first token. */
+  double lateCost(RequestFacts facts) {
+    return value(facts.promptTokens()) * weights.lateLoss();
+  }
+
   /**
    * Returns the fraction of its value that a request loses if its first token comes after a time.
    * The loss grows faster towards the target, so a request that has waited for long is not placed
--- a/org.fawndrum/tst/org/fawndrum/coordination/engine/PlacementFormulaTest.java
+++ b/org.fawndrum/tst/org/fawndrum/coordination/engine/PlacementFormulaTest.java
@@ -177,7 +177,19 @@
               && deferred.cost < immediate.cost
               && deferred.engines.stream()
                   .anyMatch(candidate -> candidate.forecast().sharedMs() > MIN_WAIT_MS);
-      return shouldWait ? Optional.empty() : Optional.of(choice(immediate));
+      return shouldWait || waitsForSlot(immediate)
+          ? Optional.empty()
+          : Optional.of(choice(immediate));
+    }
+
+    /** A full engine would cost less by half of the value of an answer in time. */
+    private boolean waitsForSlot(Plan plan) {
+      double value = WEIGHTS.baseValue() + facts.promptTokens() / WEIGHTS.tokensPerValue();
+      double gain = value * WEIGHTS.lateLoss() / 2;
+      return candidates.stream()
+          .filter(candidate -> !candidate.canDecode())
+          .filter(candidate -> candidate.freeTokens() >= facts.workTokens())
+          .anyMatch(candidate -> optionCost(candidate, 1, true) < plan.cost - gain);
     }
 
     private Placement.Choice choice(Plan plan) {
