Say how connections to endpoints fail, and how many endpoints a host does not reach

The lines of the incident name an endpoint that failed, and not whether it refused, did not answer or was lost on the way; nothing showed that one host reached none. RelayGauges takes the gauges out of RelayRuntime, which was full.

--- a/org.fawndrum/src/org/fawndrum/internal/log/LogEvent.java
+++ b/org.fawndrum/src/org/fawndrum/internal/log/LogEvent.java
@@ -95,7 +95,11 @@
       93,
       Level.INFO,
       "endpoint {0} is starting for {1} ms more and accepts {2} requests/s meanwhile; known from {3}"),
-  ENDPOINTS_STARTED(94, Level.INFO, "endpoints have started and accept any rate: {0}");
+  ENDPOINTS_STARTED(94, Level.INFO, "endpoints have started and accept any rate: {0}"),
+  CONNECT_FAILED(
+      95,
+      Level.WARN,
+      "no connection to endpoint {0}: {1}; number of endpoints to which the last one failed: {2}");
 
   /** Added to a number before formatting, so that the id has four digits with leading zeros. */
   private static final int FOUR_DIGITS = 10_000;
--- a/org.fawndrum/src/org/fawndrum/transport/relay/EndpointClient.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/EndpointClient.java
@@ -1,7 +1,6 @@
 // SPDX-License-Identifier: Apache-2.0
 package org.fawndrum.transport.relay;
 
-import io.netty.channel.ConnectTimeoutException;
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
 import io.vertx.core.http.HttpClientAgent;
@@ -12,7 +11,6 @@
 import io.vertx.core.http.RequestOptions;
 import io.vertx.core.net.NetClient;
 import io.vertx.core.net.NetClientOptions;
-import java.net.ConnectException;
 import org.fawndrum.state.Endpoint;
 import org.fawndrum.state.HostAddress;
 
@@ -38,11 +36,13 @@
    */
   private static final int SEND_BUFFER_BYTES = 64 << 10;
 
+  private final ConnectLog connectLog;
   private final NetClient probeClient;
   private final HttpClientAgent pooledClient;
   private final HttpClientAgent unpooledClient;
 
-  EndpointClient(Vertx vertx) {
+  EndpointClient(Vertx vertx, ConnectLog connectLog) {
+    this.connectLog = connectLog;
     PoolOptions pool = new PoolOptions().setHttp1MaxSize(MAX_CONNECTIONS_PER_ENDPOINT);
     HttpClientOptions options =
         new HttpClientOptions()
@@ -73,17 +73,16 @@
               socket.close();
               return Future.succeededFuture(false);
             },
-            cause -> Future.succeededFuture(isRefusal(cause)));
-  }
-
-  private static boolean isRefusal(Throwable cause) {
-    return cause instanceof ConnectException && !(cause instanceof ConnectTimeoutException);
+            cause -> Future.succeededFuture(ConnectFailure.of(cause) == ConnectFailure.REFUSED));
   }
 
   /** Returns a request on an open connection; nothing has been written to it. */
   Future<HttpClientRequest> request(
       Endpoint endpoint, HttpMethod method, String uri, boolean repeatable) {
     RequestOptions options = EndpointConnections.options(endpoint).setMethod(method).setURI(uri);
-    return (repeatable ? pooledClient : unpooledClient).request(options);
+    return (repeatable ? pooledClient : unpooledClient)
+        .request(options)
+        .onSuccess(connected -> connectLog.connected(endpoint.name()))
+        .onFailure(cause -> connectLog.failed(endpoint.name(), cause));
   }
 }
--- /dev/null
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/RelayGauges.java
@@ -0,0 +1,41 @@
+// SPDX-License-Identifier: Apache-2.0
+package org.fawndrum.transport.relay;
+
+import com.codahale.metrics.MetricRegistry;
+import org.fawndrum.coordination.limit.EndpointPermits;
+import org.fawndrum.transport.peer.NettyPeerNetwork;
+
+/** Registers the gauges of a host's components. Their names are those of docs/OPERATIONS.md. */
+final class RelayGauges {
+  private final MetricRegistry registry;
+
+  RelayGauges(MetricRegistry registry) {
+    this.registry = registry;
+  }
+
+  /** Registers the gauges about requests and decisions. */
+  void decisions(RelayDuty decisions, StallWatch stallWatch, EndpointPermits permits) {
+    registry.registerGauge("leavingEndpoints", decisions::drainingEndpoints);
+    registry.registerGauge("openRequests", decisions::openRequests);
+    registry.registerGauge("refusedRequests", () -> decisions.crashingRequests().size());
+    registry.registerGauge("decisionsRingFill", decisions::queuedEvents);
+    registry.registerGauge("attemptsHoldingMemory", stallWatch::attemptsWithMemory);
+    registry.registerGauge("longestSilenceMs", stallWatch::longestSilenceMs);
+    registry.registerGauge("permitsUsed", permits::usedCount);
+    registry.registerGauge("permitsExpired", permits::expiredCount);
+  }
+
+  /** Registers the gauges about callers. */
+  void callers(RelayServer callers, CallerHolds holds) {
+    registry.registerGauge("callerConnections", callers::connections);
+    registry.registerGauge("bytesHeld", holds::totalBytes);
+    registry.registerGauge("slowCallers", holds::slowCallers);
+  }
+
+  /** Registers the gauges about other daemons. */
+  void fleet(FleetDuty fleet, NettyPeerNetwork network) {
+    registry.registerGauge("peerBytesSent", network::bytesSent);
+    registry.registerGauge("peers", () -> fleet.livePeers().size());
+    registry.registerGauge("permitsIssued", fleet::issuedPermits);
+  }
+}
--- a/org.fawndrum/src/org/fawndrum/transport/relay/RelayRuntime.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/RelayRuntime.java
@@ -8,6 +8,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
+import java.util.stream.Collectors;
 import org.fawndrum.coordination.Action;
 import org.fawndrum.coordination.EndpointRestrictions;
 import org.fawndrum.coordination.Policies;
@@ -60,6 +61,7 @@
   private final IncarnationProbes incarnationProbes;
   private final EndpointNotices notices;
   private final EndpointStarts starts;
+  private final ConnectLog connectLog;
   private volatile long listingVersion = -1;
   private volatile long listedAtMs;
 
@@ -110,26 +112,30 @@
     this.engineControl.setNoticeListener(notices);
     this.incarnationProbes = new IncarnationProbes(vertx, engineControl, this::incarnationProbed);
     this.holds = new CallerHolds(vertx, () -> settingsInForce().hold(), clock, events, decisionLog);
+    this.connectLog = new ConnectLog(registry, clock, log);
     this.callers = callerServer(adapter);
     this.drain = newDrain();
     this.readiness = new ReadinessServer(vertx, settings.readiness(), this::isReady);
-    this.store =
-        new StoreReader(
-            vertx,
-            adapter,
-            routes,
-            this::bounds,
-            this::isLeader,
-            this::applyListing,
-            starts,
-            clock,
-            log);
+    this.store = newStore(adapter);
     this.storeSync =
         new PeerStoreSync(
             self, network, fleet, routes, store.configuration(), store.endpoints(), clock, log);
     gauges(registry, coordinator.permits());
   }
 
+  private StoreReader newStore(RelayAdapter adapter) {
+    return new StoreReader(
+        vertx,
+        adapter,
+        routes,
+        this::bounds,
+        this::isLeader,
+        this::applyListing,
+        starts,
+        clock,
+        log);
+  }
+
   private RequestCoordinator newCoordinator(EndpointRestrictions restrictions) {
     RetryShare retries = new RetryShare(settings.bounds(), this::otherDaemons, this::hasSeeds);
     Policies policies =
@@ -226,7 +232,7 @@
   private RelayServer callerServer(RelayAdapter adapter) {
     RelayContext relay =
         new RelayContext(
-            new EndpointClient(vertx),
+            new EndpointClient(vertx, connectLog),
             adapter.codec(),
             engineControl,
             notices,
@@ -276,20 +282,10 @@
     registry.registerGauge("endpointsAgeMs", () -> clock.nowMs() - listedAtMs);
     registry.registerGauge("drainedZones", () -> routes.drains().current().zones().size());
     registry.registerGauge("unusableEntries", () -> store.endpoints().unusableCount());
-    registry.registerGauge("leavingEndpoints", decisions::drainingEndpoints);
-    registry.registerGauge("openRequests", decisions::openRequests);
-    registry.registerGauge("refusedRequests", () -> decisions.crashingRequests().size());
-    registry.registerGauge("decisionsRingFill", decisions::queuedEvents);
-    registry.registerGauge("callerConnections", () -> callers.connections());
-    registry.registerGauge("bytesHeld", holds::totalBytes);
-    registry.registerGauge("slowCallers", holds::slowCallers);
-    registry.registerGauge("peerBytesSent", network::bytesSent);
-    registry.registerGauge("attemptsHoldingMemory", stallWatch::attemptsWithMemory);
-    registry.registerGauge("longestSilenceMs", stallWatch::longestSilenceMs);
-    registry.registerGauge("peers", this::livePeerCount);
-    registry.registerGauge("permitsIssued", fleet::issuedPermits);
-    registry.registerGauge("permitsUsed", permits::usedCount);
-    registry.registerGauge("permitsExpired", permits::expiredCount);
+    RelayGauges gauges = new RelayGauges(registry);
+    gauges.decisions(decisions, stallWatch, permits);
+    gauges.callers(callers, holds);
+    gauges.fleet(fleet, network);
   }
 
   private void decide(RelayEvent event) {
@@ -371,6 +367,8 @@
     listedAtMs = clock.nowMs();
     engineControl.updateListing(listing);
     starts.listingChanged(listing);
+    connectLog.retain(
+        listing.endpoints().stream().map(Endpoint::name).collect(Collectors.toUnmodifiableSet()));
     events.accept(new RelayEvent.ListingChanged(listing));
   }
 
--- a/org.fawndrum/tst/org/fawndrum/transport/relay/EndpointConnectionsTest.java
+++ b/org.fawndrum/tst/org/fawndrum/transport/relay/EndpointConnectionsTest.java
@@ -3,16 +3,19 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
+import com.codahale.metrics.MetricRegistry;
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
 import io.vertx.core.http.HttpMethod;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
+import org.fawndrum.internal.log.HostLog;
 import org.fawndrum.state.Endpoint;
 import org.fawndrum.state.EndpointKind;
 import org.fawndrum.state.HostAddress;
 import org.fawndrum.state.HostIdentity;
+import org.fawndrum.transport.HostClock;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 
@@ -58,7 +61,9 @@
                     .requestHandler(request -> request.response().end(request.getHeader("Host")))
                     .listen(0, "127.0.0.1"))
             .actualPort();
-    EndpointClient client = new EndpointClient(vertx);
+    HostLog log = new HostLog("org.fawndrum.test");
+    ConnectLog connects = new ConnectLog(new MetricRegistry(), HostClock.system(log), log);
+    EndpointClient client = new EndpointClient(vertx, connects);
     assertEquals("desk.example", sendRequest(client, endpoint(port, 1)));
     int before = untilConnectionIsReused(client, endpoint(port, 1));
     sendRequest(client, endpoint(port, 2));
