--- a/org.fawndrum/src/org/fawndrum/coordination/AttemptEvent.java
+++ b/org.fawndrum/src/org/fawndrum/coordination/AttemptEvent.java
@@ -7,6 +7,11 @@
   SENDING,
   /** The transport reports that nothing was written to the network and nothing will be. */
   CONNECT_FAILED,
+  /**
+   * This host has lost its link to the endpoint and no other host could help; nothing was written
+   * to the network and nothing will be.
+   */
+  NO_PATH,
   /**
    * The endpoint requested a backoff before anything was written to the network; nothing will be.
    */
@@ -35,5 +40,10 @@
    */
   STALLED,
   /** The connection was lost, or the attempt timed out. */
-  LOST
+  LOST,
+  /**
+   * The way to the endpoint was lost after the request was sent: this host's link, or the host that
+   * proxied it. The endpoint is not the cause.
+   */
+  PATH_LOST
 }
--- a/org.fawndrum/src/org/fawndrum/coordination/AttemptFailures.java
+++ b/org.fawndrum/src/org/fawndrum/coordination/AttemptFailures.java
@@ -64,8 +64,12 @@
 
   private void recordFailure(
       OpenRequest request, OpenRequest.Attempt attempt, AttemptEvent event, long nowMs) {
-    boolean zoneDrained = event == AttemptEvent.ZONE_DRAINED;
-    Reason reason = zoneDrained ? Reason.ZONES_DRAINED : Reason.ENDPOINT_FAILED;
+    Reason reason =
+        switch (event) {
+          case ZONE_DRAINED -> Reason.ZONES_DRAINED;
+          case NO_PATH, PATH_LOST -> Reason.NO_PATH;
+          default -> Reason.ENDPOINT_FAILED;
+        };
     decisionRecorder.attempt(request, attempt, DecisionKind.ATTEMPT_FAILED, reason, nowMs);
     if (attempt.failedHelper == null) {
       RefusalRules.recordEndpointFailure(request, attempt, event, nowMs);
--- a/org.fawndrum/src/org/fawndrum/coordination/AttemptTransitions.java
+++ b/org.fawndrum/src/org/fawndrum/coordination/AttemptTransitions.java
@@ -21,14 +21,14 @@
     }
     return switch (event) {
       case SENDING -> state == AttemptState.WAITING ? AttemptState.SENT : state;
-      case CONNECT_FAILED, ENDPOINT_BACKOFF, ENDPOINT_LIMITED, ZONE_DRAINED ->
+      case CONNECT_FAILED, NO_PATH, ENDPOINT_BACKOFF, ENDPOINT_LIMITED, ZONE_DRAINED ->
           state == AttemptState.RUNNING ? AttemptState.FAILED : AttemptState.NOT_RUN;
       case REFUSED_BY_ENDPOINT ->
           state == AttemptState.RUNNING ? AttemptState.FAILED : AttemptState.NOT_RUN;
       case ANSWERING -> AttemptState.RUNNING;
       case ANSWERED -> AttemptState.DONE;
       case FAILED_BY_ENDPOINT -> AttemptState.FAILED;
-      case STALLED, LOST -> afterLoss(state);
+      case STALLED, LOST, PATH_LOST -> afterLoss(state);
     };
   }
 
--- a/org.fawndrum/src/org/fawndrum/coordination/OpenRequest.java
+++ b/org.fawndrum/src/org/fawndrum/coordination/OpenRequest.java
@@ -25,6 +25,8 @@
   /** Number of attempts that failed before anything was sent. */
   int unsentAttempts;
 
+  int attemptsWithoutPath;
+
   /**
    * The lane that it waits in. Kept because the length classes of lanes change over time, so that
    * the lane cannot be recomputed.
--- a/org.fawndrum/src/org/fawndrum/coordination/Reason.java
+++ b/org.fawndrum/src/org/fawndrum/coordination/Reason.java
@@ -25,6 +25,8 @@
   ZONES_DRAINED,
   /** Another endpoint was chosen after a failure. */
   ENDPOINT_FAILED,
+  /** This host's link to the endpoint, or the host that proxied the request, was lost. */
+  NO_PATH,
   /** The endpoint restarted and lost the attempt. */
   ENDPOINT_RESTARTED,
   /** The deadline has passed or would pass before completion. */
--- a/org.fawndrum/src/org/fawndrum/coordination/RefusalKind.java
+++ b/org.fawndrum/src/org/fawndrum/coordination/RefusalKind.java
@@ -43,6 +43,8 @@
   DEADLINE_PASSED(504, "timeout_error", "the deadline passed"),
   /** No live endpoint serves the target. */
   NO_ENDPOINT(503, "overloaded_error", "no live endpoint serves the target"),
+  /** This host has lost its links to the endpoints, and no other host could help. */
+  NO_PATH(503, "overloaded_error", "this host reaches no endpoint that serves the target"),
   /** Every endpoint that serves the target asked this host to send nothing for a time. */
   ENDPOINTS_REST(503, "overloaded_error", "every endpoint that serves the target asked for rest"),
   /** Every endpoint that serves the target accepts no more requests a second than it gets. */
--- a/org.fawndrum/src/org/fawndrum/coordination/RefusalRules.java
+++ b/org.fawndrum/src/org/fawndrum/coordination/RefusalRules.java
@@ -15,10 +15,14 @@
    */
   private static final long SHUTDOWN_RETRY_AFTER_MS = 20;
 
-  /** Events of attempts that were not sent because the endpoint must not get them now. */
+  /** Events of attempts whose endpoint is not the cause. */
   private static final Set<AttemptEvent> NOT_AT_FAULT =
       EnumSet.of(
-          AttemptEvent.ENDPOINT_BACKOFF, AttemptEvent.ENDPOINT_LIMITED, AttemptEvent.ZONE_DRAINED);
+          AttemptEvent.NO_PATH,
+          AttemptEvent.ENDPOINT_BACKOFF,
+          AttemptEvent.ENDPOINT_LIMITED,
+          AttemptEvent.ZONE_DRAINED,
+          AttemptEvent.PATH_LOST);
 
   private RefusalRules() {}
 
@@ -48,8 +52,15 @@
     return failed(request, request.facts.repeatable() ? SHUTDOWN_RETRY_AFTER_MS : Refusal.NEVER);
   }
 
-  /** Returns the refusal of a request whose last attempt failed and that is not sent again. */
-  static Refusal afterFailure(OpenRequest request, OpenRequest.Attempt last) {
+  /**
+   * Returns the refusal of a request whose last attempt failed and that is not sent again.
+   *
+   * @param reason why it is not sent again
+   */
+  static Refusal afterFailure(OpenRequest request, OpenRequest.Attempt last, Reason reason) {
+    if (reason == Reason.NO_PATH) {
+      return unavailable(request, RefusalKind.NO_PATH, Admission.OTHER_HOST_RETRY_AFTER_MS);
+    }
     return failed(
         request, mayRetry(request, last) ? Admission.OTHER_HOST_RETRY_AFTER_MS : Refusal.NEVER);
   }
--- a/org.fawndrum/src/org/fawndrum/coordination/RequestCoordinator.java
+++ b/org.fawndrum/src/org/fawndrum/coordination/RequestCoordinator.java
@@ -131,6 +131,15 @@
     return flush(nowMs);
   }
 
+  /**
+   * Ends the failure backoff of an endpoint to which a way was found: the failures were those of
+   * this host's link.
+   */
+  public List<Action> endpointReachable(HostIdentity endpoint, long nowMs) {
+    registry.ifPresent(endpoint, EndpointState::recordSuccess);
+    return flush(nowMs);
+  }
+
   /** Applies a load report of an endpoint. */
   public List<Action> loadReported(HostIdentity endpoint, LoadReport report, long nowMs) {
     registry.ifPresent(endpoint, state -> state.loadReported(report, nowMs));
@@ -309,7 +318,7 @@
     } else if (reason == null) {
       offers.enqueue(request, nowMs);
     } else if (last.state.ended()) {
-      requests.giveUp(request, RefusalRules.afterFailure(request, last), reason, nowMs);
+      requests.giveUp(request, RefusalRules.afterFailure(request, last, reason), reason, nowMs);
     }
   }
 
@@ -339,27 +348,13 @@
   public List<Action> tick(long nowMs) {
     for (String due = checks.pollDue(nowMs); due != null; due = checks.pollDue(nowMs)) {
       OpenRequest request = requests.get(due);
-      if (request != null) {
-        checkDeadline(request, nowMs);
+      if (request != null && !offers.giveUpIfLate(request, policies.refuseEarly(), nowMs)) {
+        checks.add(request.deadlineMs, due);
       }
     }
     return flush(nowMs);
   }
 
-  private void checkDeadline(OpenRequest request, long nowMs) {
-    if (nowMs >= request.deadlineMs) {
-      giveUpAsLate(request, RefusalKind.DEADLINE_PASSED, nowMs);
-    } else if (request.waiting && policies.refuseEarly()) {
-      giveUpAsLate(request, RefusalKind.CANNOT_FINISH, nowMs);
-    } else {
-      checks.add(request.deadlineMs, request.facts.requestId());
-    }
-  }
-
-  private void giveUpAsLate(OpenRequest request, RefusalKind kind, long nowMs) {
-    requests.giveUp(request, admission.lateRefusal(request, kind, nowMs), Reason.DEADLINE, nowMs);
-  }
-
   /** Refuses a request that was not admitted, for a reason determined elsewhere. */
   public List<Action> refuse(RequestFacts facts, Refusal refusal, long nowMs) {
     return refuseNew(facts, refusal, Reason.NOT_REPEATABLE, nowMs);
--- a/org.fawndrum/src/org/fawndrum/coordination/RequestOffers.java
+++ b/org.fawndrum/src/org/fawndrum/coordination/RequestOffers.java
@@ -90,6 +90,22 @@
     }
   }
 
+  /**
+   * Gives up a request whose deadline has passed, or that waits and cannot finish in time. Returns
+   * whether it did.
+   *
+   * @param early whether requests are refused before their deadline
+   */
+  boolean giveUpIfLate(OpenRequest request, boolean early, long nowMs) {
+    boolean passed = nowMs >= request.deadlineMs;
+    if (!passed && !(request.waiting && early)) {
+      return false;
+    }
+    RefusalKind kind = passed ? RefusalKind.DEADLINE_PASSED : RefusalKind.CANNOT_FINISH;
+    requests.giveUp(request, admission.lateRefusal(request, kind, nowMs), Reason.DEADLINE, nowMs);
+    return true;
+  }
+
   /** Sends the waiting requests that can be sent now. */
   void dispatch(long nowMs) {
     queue.dispatch(request -> tryDispatch(request, nowMs));
--- a/org.fawndrum/src/org/fawndrum/coordination/RetryRule.java
+++ b/org.fawndrum/src/org/fawndrum/coordination/RetryRule.java
@@ -9,10 +9,17 @@
   /** Maximum number of attempts of one request that may fail before anything was sent. */
   private static final int MAX_UNSENT_ATTEMPTS = 12;
 
+  /**
+   * Maximum number of attempts of one request for which no way to the endpoint was found. Ways are
+   * much the same for all endpoints, and a caller that is refused at once can try another host.
+   */
+  private static final int MAX_ATTEMPTS_WITHOUT_PATH = 2;
+
   /** Events of attempts of which nothing reached an endpoint. */
   private static final Set<AttemptEvent> UNSENT =
       EnumSet.of(
           AttemptEvent.CONNECT_FAILED,
+          AttemptEvent.NO_PATH,
           AttemptEvent.ENDPOINT_BACKOFF,
           AttemptEvent.ENDPOINT_LIMITED,
           AttemptEvent.ZONE_DRAINED);
@@ -32,6 +39,10 @@
     if (!RefusalRules.mayRetry(request, attempt)) {
       return Reason.NOT_REPEATABLE;
     }
+    if (event == AttemptEvent.NO_PATH
+        && ++request.attemptsWithoutPath >= MAX_ATTEMPTS_WITHOUT_PATH) {
+      return Reason.NO_PATH;
+    }
     if (UNSENT.contains(event)) {
       // Nothing reached an endpoint, so only the limit on unsent attempts applies.
       request.unsentAttempts++;
--- /dev/null
+++ b/org.fawndrum/src/org/fawndrum/coordination/link/ProxySelector.java
@@ -0,0 +1,68 @@
+// SPDX-License-Identifier: Apache-2.0
+package org.fawndrum.coordination.link;
+
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.fawndrum.coordination.membership.FleetMember;
+import org.fawndrum.state.HostIdentity;
+
+/**
+ * Selects the other host that proxies a request: the one with the fewest of this host's requests,
+ * so that the work of a host without links is spread over all that have some; of those, one in this
+ * host's availability zone. A host that could not help is passed over for a time. Thread-safe;
+ * times are those of the host's clock, in milliseconds.
+ */
+public final class ProxySelector {
+  /** How long a host that could not help is passed over. */
+  private static final long REST_MS = 1_000;
+
+  private final String zone;
+  private final Map<HostIdentity, Integer> inUse = new HashMap<>();
+  private final Map<HostIdentity, Long> restUntilMs = new HashMap<>();
+
+  /**
+   * Creates a selector.
+   *
+   * @param zone this host's availability zone
+   */
+  public ProxySelector(String zone) {
+    this.zone = zone;
+  }
+
+  /**
+   * Returns the host to ask, and counts a request there until {@link #released}; empty if none can
+   * be expected to help.
+   *
+   * @param live the live hosts
+   * @param asked hosts that were asked for this request before
+   */
+  public synchronized Optional<FleetMember> take(
+      Collection<FleetMember> live, Set<HostIdentity> asked, long nowMs) {
+    restUntilMs.values().removeIf(untilMs -> nowMs >= untilMs);
+    Optional<FleetMember> chosen =
+        live.stream()
+            .filter(member -> member.proxyPort() > 0)
+            .filter(member -> !asked.contains(member.identity()))
+            .filter(member -> !restUntilMs.containsKey(member.identity()))
+            .min(
+                Comparator.comparingInt((FleetMember m) -> inUse.getOrDefault(m.identity(), 0))
+                    .thenComparing(member -> !member.zone().equals(zone))
+                    .thenComparing(member -> member.identity().host()));
+    chosen.ifPresent(member -> inUse.merge(member.identity(), 1, Integer::sum));
+    return chosen;
+  }
+
+  /** Records that a request at a host has ended. */
+  public synchronized void released(HostIdentity host) {
+    inUse.computeIfPresent(host, (identity, count) -> count > 1 ? count - 1 : null);
+  }
+
+  /** Records that a host could not help. */
+  public synchronized void failed(HostIdentity host, long nowMs) {
+    restUntilMs.put(host, nowMs + REST_MS);
+  }
+}
--- a/org.fawndrum/src/org/fawndrum/internal/log/LogEvent.java
+++ b/org.fawndrum/src/org/fawndrum/internal/log/LogEvent.java
@@ -99,7 +99,15 @@
   CONNECT_FAILED(
       95,
       Level.WARN,
-      "no connection to endpoint {0}: {1}; number of endpoints to which the last one failed: {2}");
+      "no connection to endpoint {0}: {1}; number of endpoints to which the last one failed: {2}"),
+  LINK_LOST(
+      96,
+      Level.WARN,
+      "this host has lost its link to endpoint {0}; requests go through other hosts; lost links: {1}"),
+  LINK_RESTORED(
+      97, Level.INFO, "link to endpoint {0} is intact again after {1} ms; lost links: {2}"),
+  REQUEST_SENT_THROUGH(98, Level.INFO, "request {0} to endpoint {1} goes through host {2}"),
+  REQUEST_PROXIED(99, Level.INFO, "request {0} of host {1} goes through this host to endpoint {2}");
 
   /** Added to a number before formatting, so that the id has four digits with leading zeros. */
   private static final int FOUR_DIGITS = 10_000;
--- a/org.fawndrum/src/org/fawndrum/protocol/FleetCodec.java
+++ b/org.fawndrum/src/org/fawndrum/protocol/FleetCodec.java
@@ -30,6 +30,7 @@
         .setPort(member.address().port())
         .setCapacity(member.capacity())
         .setIssuesPermits(member.issuesPermits())
+        .setProxyPort(member.proxyPort())
         .build();
   }
 
@@ -40,7 +41,8 @@
         new HostAddress(place.getIp(), place.getPort()),
         place.getZone(),
         place.getCapacity(),
-        place.getIssuesPermits());
+        place.getIssuesPermits(),
+        place.getProxyPort());
   }
 
   private static HostIdentity identity(DaemonPlace place) {
--- a/org.fawndrum/src/org/fawndrum/protocol/wire/DaemonPlace.java
+++ b/org.fawndrum/src/org/fawndrum/protocol/wire/DaemonPlace.java
@@ -219,6 +219,22 @@
     return issuesPermits_;
   }
 
+  public static final int PROXY_PORT_FIELD_NUMBER = 8;
+  private int proxyPort_ = 0;
+  /**
+   * <pre>
+   * The port, at `ip`, at which the daemon proxies requests for other daemons that have lost their
+   * links to endpoints. 0 if it does not: once it shuts down, and in builds before this field.
+   * </pre>
+   *
+   * <code>int32 proxy_port = 8;</code>
+   * @return The proxyPort.
+   */
+  @java.lang.Override
+  public int getProxyPort() {
+    return proxyPort_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -254,6 +270,9 @@
     if (issuesPermits_ != false) {
       output.writeBool(7, issuesPermits_);
     }
+    if (proxyPort_ != 0) {
+      output.writeInt32(8, proxyPort_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -288,6 +307,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeBoolSize(7, issuesPermits_);
     }
+    if (proxyPort_ != 0) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeInt32Size(8, proxyPort_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -317,6 +340,8 @@
         != other.getCapacity()) return false;
     if (getIssuesPermits()
         != other.getIssuesPermits()) return false;
+    if (getProxyPort()
+        != other.getProxyPort()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -345,6 +370,8 @@
     hash = (37 * hash) + ISSUES_PERMITS_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
         getIssuesPermits());
+    hash = (37 * hash) + PROXY_PORT_FIELD_NUMBER;
+    hash = (53 * hash) + getProxyPort();
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -487,6 +514,7 @@
       port_ = 0;
       capacity_ = 0L;
       issuesPermits_ = false;
+      proxyPort_ = 0;
       return this;
     }
 
@@ -541,6 +569,9 @@
       if (((from_bitField0_ & 0x00000040) != 0)) {
         result.issuesPermits_ = issuesPermits_;
       }
+      if (((from_bitField0_ & 0x00000080) != 0)) {
+        result.proxyPort_ = proxyPort_;
+      }
     }
 
     @java.lang.Override
@@ -582,6 +613,9 @@
       if (other.getIssuesPermits() != false) {
         setIssuesPermits(other.getIssuesPermits());
       }
+      if (other.getProxyPort() != 0) {
+        setProxyPort(other.getProxyPort());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -643,6 +677,11 @@
               bitField0_ |= 0x00000040;
               break;
             } // case 56
+            case 64: {
+              proxyPort_ = input.readInt32();
+              bitField0_ |= 0x00000080;
+              break;
+            } // case 64
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1028,6 +1067,53 @@
       return this;
     }
 
+    private int proxyPort_ ;
+    /**
+     * <pre>
+     * The port, at `ip`, at which the daemon proxies requests for other daemons that have lost their
+     * links to endpoints. 0 if it does not: once it shuts down, and in builds before this field.
+     * </pre>
+     *
+     * <code>int32 proxy_port = 8;</code>
+     * @return The proxyPort.
+     */
+    @java.lang.Override
+    public int getProxyPort() {
+      return proxyPort_;
+    }
+    /**
+     * <pre>
+     * The port, at `ip`, at which the daemon proxies requests for other daemons that have lost their
+     * links to endpoints. 0 if it does not: once it shuts down, and in builds before this field.
+     * </pre>
+     *
+     * <code>int32 proxy_port = 8;</code>
+     * @param value The proxyPort to set.
+     * @return This builder for chaining.
+     */
+    public Builder setProxyPort(int value) {
+
+      proxyPort_ = value;
+      bitField0_ |= 0x00000080;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * The port, at `ip`, at which the daemon proxies requests for other daemons that have lost their
+     * links to endpoints. 0 if it does not: once it shuts down, and in builds before this field.
+     * </pre>
+     *
+     * <code>int32 proxy_port = 8;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearProxyPort() {
+      bitField0_ = (bitField0_ & ~0x00000080);
+      proxyPort_ = 0;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:fawndrum.DaemonPlace)
   }
 
--- a/org.fawndrum/src/org/fawndrum/protocol/wire/DaemonPlaceOrBuilder.java
+++ b/org.fawndrum/src/org/fawndrum/protocol/wire/DaemonPlaceOrBuilder.java
@@ -77,4 +77,15 @@
    * @return The issuesPermits.
    */
   boolean getIssuesPermits();
+
+  /**
+   * <pre>
+   * The port, at `ip`, at which the daemon proxies requests for other daemons that have lost their
+   * links to endpoints. 0 if it does not: once it shuts down, and in builds before this field.
+   * </pre>
+   *
+   * <code>int32 proxy_port = 8;</code>
+   * @return The proxyPort.
+   */
+  int getProxyPort();
 }
--- a/org.fawndrum/src/org/fawndrum/protocol/wire/Peer.java
+++ b/org.fawndrum/src/org/fawndrum/protocol/wire/Peer.java
@@ -211,6 +211,46 @@
   static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_fawndrum_Acknowledgement_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_fawndrum_ProxyMessage_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_fawndrum_ProxyMessage_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_fawndrum_ProxyOpen_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_fawndrum_ProxyOpen_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_fawndrum_ProxyOpened_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_fawndrum_ProxyOpened_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_fawndrum_ProxyFailure_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_fawndrum_ProxyFailure_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_fawndrum_ProxyHeader_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_fawndrum_ProxyHeader_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_fawndrum_ProxyHead_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_fawndrum_ProxyHead_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_fawndrum_ProxyAnswer_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_fawndrum_ProxyAnswer_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_fawndrum_ProxyData_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_fawndrum_ProxyData_fieldAccessorTable;
 
   public static com.google.protobuf.Descriptors.FileDescriptor
       getDescriptor() {
@@ -323,42 +363,62 @@
       "carnation\030\003 \001(\003\022\016\n\006age_ms\030\004 \001(\003\022\r\n\005spent" +
       "\030\005 \001(\005\"Z\n\rRefusedRecord\022&\n\007request\030\001 \001(\013" +
       "2\025.fawndrum.Fingerprint\022\016\n\006age_ms\030\002 \001(\003\022" +
-      "\021\n\tendpoints\030\003 \003(\t\"\202\001\n\013DaemonPlace\022\014\n\004ho" +
+      "\021\n\tendpoints\030\003 \003(\t\"\226\001\n\013DaemonPlace\022\014\n\004ho" +
       "st\030\001 \001(\t\022\023\n\013incarnation\030\002 \001(\003\022\014\n\004zone\030\003 " +
       "\001(\t\022\n\n\002ip\030\004 \001(\t\022\014\n\004port\030\005 \001(\005\022\020\n\010capacit" +
-      "y\030\006 \001(\003\022\026\n\016issues_permits\030\007 \001(\010\"\273\001\n\nWork" +
-      "Report\022%\n\006daemon\030\001 \001(\0132\025.fawndrum.Daemon" +
-      "Place\022\020\n\010sequence\030\002 \001(\003\022\r\n\005whole\030\003 \001(\010\022$" +
-      "\n\006placed\030\004 \003(\0132\024.fawndrum.WorkPlaced\022\014\n\004" +
-      "read\030\005 \003(\020\022\r\n\005ended\030\006 \003(\020\022\016\n\006failed\030\007 \003(" +
-      "\020\022\022\n\nabout_zone\030\010 \001(\t\"`\n\020KnowledgeReques" +
-      "t\022\036\n\026configuration_revision\030\001 \001(\003\022\025\n\rend" +
-      "points_end\030\002 \001(\003\022\025\n\rendpoints_era\030\003 \001(\003\"" +
-      "\362\002\n\016KnowledgeReply\022\034\n\024configuration_age_" +
-      "ms\030\001 \001(\003\022\036\n\026configuration_revision\030\002 \001(\003" +
-      "\0221\n\rconfiguration\030\003 \001(\0132\025.fawndrum.Store" +
-      "RecordH\000\210\001\001\022\025\n\rendpoints_end\030\004 \001(\003\022(\n\ten" +
-      "dpoints\030\005 \003(\0132\025.fawndrum.StoreRecord\022\030\n\020" +
-      "endpoints_age_ms\030\006 \001(\003\022\032\n\022endpoints_left" +
-      "_out\030\007 \001(\010\022\025\n\rendpoints_era\030\010 \001(\003\022\036\n\026end" +
-      "points_changes_only\030\t \001(\010\022/\n\013zone_drains" +
-      "\030\n \001(\0132\032.fawndrum.ZoneDrainsRecordB\020\n\016_c" +
-      "onfiguration\"9\n\013StoreRecord\022\016\n\006offset\030\001 " +
-      "\001(\003\022\013\n\003key\030\002 \001(\t\022\r\n\005value\030\003 \001(\014\"\327\001\n\nWork" +
-      "Placed\022\n\n\002id\030\001 \001(\020\022\020\n\010endpoint\030\002 \001(\t\022\034\n\024" +
-      "endpoint_incarnation\030\003 \001(\003\022\025\n\rprompt_tok" +
-      "ens\030\004 \001(\003\022\025\n\rmemory_tokens\030\005 \001(\003\022\r\n\005part" +
-      "s\030\006 \001(\005\022\016\n\006writes\030\007 \001(\010\022\032\n\022first_token_a" +
-      "im_ms\030\010 \001(\003\022\024\n\014pause_aim_ms\030\t \001(\003\022\016\n\006age" +
-      "_ms\030\n \001(\003\"\033\n\014ClaimRequest\022\013\n\003key\030\001 \001(\t\"q" +
-      "\n\nClaimReply\022+\n\006answer\030\001 \001(\0162\033.fawndrum." +
-      "ClaimReply.Answer\"6\n\006Answer\022\017\n\013UNSPECIFI" +
-      "ED\020\000\022\010\n\004FREE\020\001\022\010\n\004HELD\020\002\022\007\n\003RAN\020\003\"8\n\016Led" +
-      "gerHandover\022&\n\007entries\030\001 \003(\0132\025.fawndrum." +
-      "LedgerEntry\"7\n\013LedgerEntry\022\013\n\003key\030\001 \001(\t\022" +
-      "\013\n\003ran\030\002 \001(\010\022\016\n\006age_ms\030\003 \001(\003\"\021\n\017Acknowle" +
-      "dgementB\036\n\032org.fawndrum.protocol.wireP\001b" +
-      "\006proto3"
+      "y\030\006 \001(\003\022\026\n\016issues_permits\030\007 \001(\010\022\022\n\nproxy" +
+      "_port\030\010 \001(\005\"\273\001\n\nWorkReport\022%\n\006daemon\030\001 \001" +
+      "(\0132\025.fawndrum.DaemonPlace\022\020\n\010sequence\030\002 " +
+      "\001(\003\022\r\n\005whole\030\003 \001(\010\022$\n\006placed\030\004 \003(\0132\024.faw" +
+      "ndrum.WorkPlaced\022\014\n\004read\030\005 \003(\020\022\r\n\005ended\030" +
+      "\006 \003(\020\022\016\n\006failed\030\007 \003(\020\022\022\n\nabout_zone\030\010 \001(" +
+      "\t\"`\n\020KnowledgeRequest\022\036\n\026configuration_r" +
+      "evision\030\001 \001(\003\022\025\n\rendpoints_end\030\002 \001(\003\022\025\n\r" +
+      "endpoints_era\030\003 \001(\003\"\362\002\n\016KnowledgeReply\022\034" +
+      "\n\024configuration_age_ms\030\001 \001(\003\022\036\n\026configur" +
+      "ation_revision\030\002 \001(\003\0221\n\rconfiguration\030\003 " +
+      "\001(\0132\025.fawndrum.StoreRecordH\000\210\001\001\022\025\n\rendpo" +
+      "ints_end\030\004 \001(\003\022(\n\tendpoints\030\005 \003(\0132\025.fawn" +
+      "drum.StoreRecord\022\030\n\020endpoints_age_ms\030\006 \001" +
+      "(\003\022\032\n\022endpoints_left_out\030\007 \001(\010\022\025\n\rendpoi" +
+      "nts_era\030\010 \001(\003\022\036\n\026endpoints_changes_only\030" +
+      "\t \001(\010\022/\n\013zone_drains\030\n \001(\0132\032.fawndrum.Zo" +
+      "neDrainsRecordB\020\n\016_configuration\"9\n\013Stor" +
+      "eRecord\022\016\n\006offset\030\001 \001(\003\022\013\n\003key\030\002 \001(\t\022\r\n\005" +
+      "value\030\003 \001(\014\"\327\001\n\nWorkPlaced\022\n\n\002id\030\001 \001(\020\022\020" +
+      "\n\010endpoint\030\002 \001(\t\022\034\n\024endpoint_incarnation" +
+      "\030\003 \001(\003\022\025\n\rprompt_tokens\030\004 \001(\003\022\025\n\rmemory_" +
+      "tokens\030\005 \001(\003\022\r\n\005parts\030\006 \001(\005\022\016\n\006writes\030\007 " +
+      "\001(\010\022\032\n\022first_token_aim_ms\030\010 \001(\003\022\024\n\014pause" +
+      "_aim_ms\030\t \001(\003\022\016\n\006age_ms\030\n \001(\003\"\033\n\014ClaimRe" +
+      "quest\022\013\n\003key\030\001 \001(\t\"q\n\nClaimReply\022+\n\006answ" +
+      "er\030\001 \001(\0162\033.fawndrum.ClaimReply.Answer\"6\n" +
+      "\006Answer\022\017\n\013UNSPECIFIED\020\000\022\010\n\004FREE\020\001\022\010\n\004HE" +
+      "LD\020\002\022\007\n\003RAN\020\003\"8\n\016LedgerHandover\022&\n\007entri" +
+      "es\030\001 \003(\0132\025.fawndrum.LedgerEntry\"7\n\013Ledge" +
+      "rEntry\022\013\n\003key\030\001 \001(\t\022\013\n\003ran\030\002 \001(\010\022\016\n\006age_" +
+      "ms\030\003 \001(\003\"\021\n\017Acknowledgement\"\202\002\n\014ProxyMes" +
+      "sage\022#\n\004open\030\001 \001(\0132\023.fawndrum.ProxyOpenH" +
+      "\000\022\'\n\006opened\030\002 \001(\0132\025.fawndrum.ProxyOpened" +
+      "H\000\022)\n\007failure\030\003 \001(\0132\026.fawndrum.ProxyFail" +
+      "ureH\000\022#\n\004head\030\004 \001(\0132\023.fawndrum.ProxyHead" +
+      "H\000\022\'\n\006answer\030\005 \001(\0132\025.fawndrum.ProxyAnswe" +
+      "rH\000\022#\n\004data\030\006 \001(\0132\023.fawndrum.ProxyDataH\000" +
+      "B\006\n\004body\"\257\001\n\tProxyOpen\022\020\n\010endpoint\030\001 \001(\t" +
+      "\022\023\n\013incarnation\030\002 \001(\003\022\016\n\006method\030\003 \001(\t\022\013\n" +
+      "\003uri\030\004 \001(\t\022\022\n\nrepeatable\030\005 \001(\010\022\r\n\005check\030" +
+      "\006 \001(\010\022\021\n\tfrom_host\030\007 \001(\t\022\022\n\nrequest_id\030\010" +
+      " \001(\t\022\024\n\014remaining_ms\030\t \001(\003\"\r\n\013ProxyOpene" +
+      "d\"\217\001\n\014ProxyFailure\022)\n\004kind\030\001 \001(\0162\033.fawnd" +
+      "rum.ProxyFailure.Kind\"T\n\004Kind\022\017\n\013UNSPECI" +
+      "FIED\020\000\022\013\n\007REFUSED\020\001\022\r\n\tUNREACHED\020\002\022\013\n\007NO" +
+      "_LINK\020\003\022\010\n\004BUSY\020\004\022\010\n\004LOST\020\005\"*\n\013ProxyHead" +
+      "er\022\014\n\004name\030\001 \001(\t\022\r\n\005value\030\002 \001(\t\"3\n\tProxy" +
+      "Head\022&\n\007headers\030\001 \003(\0132\025.fawndrum.ProxyHe" +
+      "ader\"E\n\013ProxyAnswer\022\016\n\006status\030\001 \001(\005\022&\n\007h" +
+      "eaders\030\002 \003(\0132\025.fawndrum.ProxyHeader\"(\n\tP" +
+      "roxyData\022\r\n\005bytes\030\001 \001(\014\022\014\n\004last\030\002 \001(\010B\036\n" +
+      "\032org.fawndrum.protocol.wireP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -525,7 +585,7 @@
     internal_static_fawndrum_DaemonPlace_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_fawndrum_DaemonPlace_descriptor,
-        new java.lang.String[] { "Host", "Incarnation", "Zone", "Ip", "Port", "Capacity", "IssuesPermits", });
+        new java.lang.String[] { "Host", "Incarnation", "Zone", "Ip", "Port", "Capacity", "IssuesPermits", "ProxyPort", });
     internal_static_fawndrum_WorkReport_descriptor =
       getDescriptor().getMessageType(27);
     internal_static_fawndrum_WorkReport_fieldAccessorTable = new
@@ -586,6 +646,54 @@
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_fawndrum_Acknowledgement_descriptor,
         new java.lang.String[] { });
+    internal_static_fawndrum_ProxyMessage_descriptor =
+      getDescriptor().getMessageType(37);
+    internal_static_fawndrum_ProxyMessage_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_fawndrum_ProxyMessage_descriptor,
+        new java.lang.String[] { "Open", "Opened", "Failure", "Head", "Answer", "Data", "Body", });
+    internal_static_fawndrum_ProxyOpen_descriptor =
+      getDescriptor().getMessageType(38);
+    internal_static_fawndrum_ProxyOpen_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_fawndrum_ProxyOpen_descriptor,
+        new java.lang.String[] { "Endpoint", "Incarnation", "Method", "Uri", "Repeatable", "Check", "FromHost", "RequestId", "RemainingMs", });
+    internal_static_fawndrum_ProxyOpened_descriptor =
+      getDescriptor().getMessageType(39);
+    internal_static_fawndrum_ProxyOpened_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_fawndrum_ProxyOpened_descriptor,
+        new java.lang.String[] { });
+    internal_static_fawndrum_ProxyFailure_descriptor =
+      getDescriptor().getMessageType(40);
+    internal_static_fawndrum_ProxyFailure_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_fawndrum_ProxyFailure_descriptor,
+        new java.lang.String[] { "Kind", });
+    internal_static_fawndrum_ProxyHeader_descriptor =
+      getDescriptor().getMessageType(41);
+    internal_static_fawndrum_ProxyHeader_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_fawndrum_ProxyHeader_descriptor,
+        new java.lang.String[] { "Name", "Value", });
+    internal_static_fawndrum_ProxyHead_descriptor =
+      getDescriptor().getMessageType(42);
+    internal_static_fawndrum_ProxyHead_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_fawndrum_ProxyHead_descriptor,
+        new java.lang.String[] { "Headers", });
+    internal_static_fawndrum_ProxyAnswer_descriptor =
+      getDescriptor().getMessageType(43);
+    internal_static_fawndrum_ProxyAnswer_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_fawndrum_ProxyAnswer_descriptor,
+        new java.lang.String[] { "Status", "Headers", });
+    internal_static_fawndrum_ProxyData_descriptor =
+      getDescriptor().getMessageType(44);
+    internal_static_fawndrum_ProxyData_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_fawndrum_ProxyData_descriptor,
+        new java.lang.String[] { "Bytes", "Last", });
     descriptor.resolveAllFeaturesImmutable();
   }
 
--- /dev/null
+++ b/org.fawndrum/src/org/fawndrum/transport/proxy/EndpointAnswer.java
@@ -0,0 +1,15 @@
+// SPDX-License-Identifier: Apache-2.0
+package org.fawndrum.transport.proxy;
+
+import io.vertx.core.MultiMap;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.streams.ReadStream;
+
+/**
+ * The head of an endpoint's answer, and its body as it arrives.
+ *
+ * @param statusCode its HTTP status
+ * @param headers its headers
+ * @param body its body; it ends only if the answer is complete
+ */
+public record EndpointAnswer(int statusCode, MultiMap headers, ReadStream<Buffer> body) {}
--- a/org.fawndrum/src/org/fawndrum/transport/relay/AnswerReader.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/AnswerReader.java
@@ -2,8 +2,8 @@
 package org.fawndrum.transport.relay;
 
 import io.vertx.core.buffer.Buffer;
-import io.vertx.core.http.HttpClientResponse;
 import java.util.List;
+import org.fawndrum.transport.proxy.EndpointAnswer;
 
 /**
  * Reads the body of an endpoint's answer, whole or event by event, within the limits of what this
@@ -13,7 +13,7 @@
   private static final int MIN_SUCCESS_STATUS = 200;
   private static final int MIN_REDIRECT_STATUS = 300;
 
-  private final HttpClientResponse head;
+  private final EndpointAnswer head;
   private final HeldRequest held;
   private final Receiver receiver;
   private final EventSplitter splitter = new EventSplitter();
@@ -36,7 +36,7 @@
     void answerTooLarge();
   }
 
-  AnswerReader(HttpClientResponse head, HeldRequest held, Receiver receiver) {
+  AnswerReader(EndpointAnswer head, HeldRequest held, Receiver receiver) {
     this.head = head;
     this.held = held;
     this.receiver = receiver;
@@ -57,15 +57,16 @@
   }
 
   private void readWhole() {
-    head.handler(this::keep);
-    head.endHandler(
-        v -> {
-          if (!stopped) {
-            Buffer body = whole;
-            whole = Buffer.buffer();
-            receiver.wholeReceived(body);
-          }
-        });
+    head.body().handler(this::keep);
+    head.body()
+        .endHandler(
+            v -> {
+              if (!stopped) {
+                Buffer body = whole;
+                whole = Buffer.buffer();
+                receiver.wholeReceived(body);
+              }
+            });
   }
 
   private void keep(Buffer part) {
@@ -84,13 +85,14 @@
   }
 
   private void readEvents() {
-    head.handler(this::split);
-    head.endHandler(
-        v -> {
-          if (!stopped) {
-            receiver.streamEnded(splitter.hasPartialEvent());
-          }
-        });
+    head.body().handler(this::split);
+    head.body()
+        .endHandler(
+            v -> {
+              if (!stopped) {
+                receiver.streamEnded(splitter.hasPartialEvent());
+              }
+            });
   }
 
   private void split(Buffer bytes) {
@@ -107,7 +109,7 @@
   void pause() {
     if (!stopped && !paused) {
       paused = true;
-      head.pause();
+      head.body().pause();
     }
   }
 
@@ -117,7 +119,7 @@
       return false;
     }
     paused = false;
-    head.resume();
+    head.body().resume();
     return true;
   }
 
--- /dev/null
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/AttemptPath.java
@@ -0,0 +1,89 @@
+// SPDX-License-Identifier: Apache-2.0
+package org.fawndrum.transport.relay;
+
+import io.vertx.core.Future;
+import org.fawndrum.coordination.AttemptEvent;
+import org.fawndrum.errors.ProxyFailedException;
+import org.fawndrum.state.Endpoint;
+import org.fawndrum.transport.proxy.EndpointRequest;
+
+/**
+ * The way that one attempt takes to its endpoint: this host's own link, or another host. Confined
+ * to one event loop.
+ */
+final class AttemptPath {
+  private final EndpointPaths paths;
+  private final Endpoint endpoint;
+  private EndpointRequest request;
+
+  AttemptPath(EndpointPaths paths, Endpoint endpoint) {
+    this.paths = paths;
+    this.endpoint = endpoint;
+  }
+
+  /**
+   * Returns a request on an open connection; nothing has been sent to the endpoint.
+   *
+   * @param remainingMs how long it may take from now on, in milliseconds
+   */
+  Future<EndpointRequest> open(RelayCall call, long remainingMs) {
+    EndpointRequests.Call summary =
+        new EndpointRequests.Call(
+            call.method(),
+            call.uri(),
+            call.route().repeatable(),
+            call.request().requestId(),
+            remainingMs);
+    return paths.request(endpoint, summary).onSuccess(opened -> request = opened);
+  }
+
+  /** Returns the event of an attempt that found no connection. */
+  static AttemptEvent notOpened(Throwable cause) {
+    boolean noPath = cause instanceof ProxyFailedException failure && !failure.isEndpointAtFault();
+    return noPath ? AttemptEvent.NO_PATH : AttemptEvent.CONNECT_FAILED;
+  }
+
+  private boolean usesOwnLink() {
+    return request != null && !request.isProxied();
+  }
+
+  /** Records that data of the endpoint arrived. */
+  void heard() {
+    if (usesOwnLink()) {
+      paths.heard(endpoint);
+    }
+  }
+
+  /** Returns whether the attempt depends on a link that has been lost since it was sent. */
+  boolean isLost() {
+    return usesOwnLink() && paths.isLinkLost(endpoint);
+  }
+
+  /** Returns whether this host failed to connect to the endpoint since its last data. */
+  boolean isEndpointUnreached() {
+    return paths.isUnreached(endpoint);
+  }
+
+  /** Checks the link to the endpoint if nothing has arrived from it for long. */
+  void checkIfSilent(long silentMs) {
+    if (usesOwnLink()) {
+      paths.checkIfSilent(endpoint, silentMs);
+    }
+  }
+
+  /** Returns the event of an attempt that is ended because nothing reliable arrives. */
+  AttemptEvent abandoned() {
+    return isLost() ? AttemptEvent.PATH_LOST : AttemptEvent.LOST;
+  }
+
+  /** Determines why the connection was lost. */
+  Future<EndpointPaths.Loss> whyLost(Throwable cause) {
+    if (usesOwnLink()) {
+      return paths.whyLost(endpoint);
+    }
+    boolean byEndpoint =
+        cause instanceof ProxyFailedException failure && failure.isEndpointAtFault();
+    return Future.succeededFuture(
+        byEndpoint ? EndpointPaths.Loss.UNKNOWN : EndpointPaths.Loss.PATH);
+  }
+}
--- a/org.fawndrum/src/org/fawndrum/transport/relay/EndpointClient.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/EndpointClient.java
@@ -11,6 +11,7 @@
 import io.vertx.core.http.RequestOptions;
 import io.vertx.core.net.NetClient;
 import io.vertx.core.net.NetClientOptions;
+import java.util.Optional;
 import org.fawndrum.state.Endpoint;
 import org.fawndrum.state.HostAddress;
 
@@ -36,13 +37,13 @@
    */
   private static final int SEND_BUFFER_BYTES = 64 << 10;
 
-  private final ConnectLog connectLog;
+  private final LinkLog linkLog;
   private final NetClient probeClient;
   private final HttpClientAgent pooledClient;
   private final HttpClientAgent unpooledClient;
 
-  EndpointClient(Vertx vertx, ConnectLog connectLog) {
-    this.connectLog = connectLog;
+  EndpointClient(Vertx vertx, LinkLog linkLog) {
+    this.linkLog = linkLog;
     PoolOptions pool = new PoolOptions().setHttp1MaxSize(MAX_CONNECTIONS_PER_ENDPOINT);
     HttpClientOptions options =
         new HttpClientOptions()
@@ -60,29 +61,36 @@
   }
 
   /**
-   * Returns whether the endpoint's address refuses connections, which shows that no process listens
-   * there. The result is false if the endpoint accepts the connection or cannot be reached, because
-   * it may be alive then. Completes within the connect timeout.
+   * Connects to an endpoint and closes the connection. Returns why the endpoint accepts none; empty
+   * if it does. Never fails; completes within the connect timeout.
    */
-  Future<Boolean> refusesConnections(Endpoint endpoint) {
+  Future<Optional<ConnectFailure>> check(Endpoint endpoint) {
     HostAddress address = endpoint.address();
+    linkLog.checked();
     return probeClient
         .connect(address.port(), address.ip())
-        .compose(
-            socket -> {
-              socket.close();
-              return Future.succeededFuture(false);
-            },
-            cause -> Future.succeededFuture(ConnectFailure.of(cause) == ConnectFailure.REFUSED));
+        .transform(
+            connected -> {
+              if (connected.succeeded()) {
+                connected.result().close();
+                return Future.succeededFuture(Optional.empty());
+              }
+              return Future.succeededFuture(Optional.of(ConnectFailure.of(connected.cause())));
+            });
   }
 
-  /** Returns a request on an open connection; nothing has been written to it. */
+  /**
+   * Returns a request on an open connection; nothing has been written to it.
+   *
+   * @param losses how often the link to the endpoint was lost: connections from before the last
+   *     loss are not used
+   */
   Future<HttpClientRequest> request(
-      Endpoint endpoint, HttpMethod method, String uri, boolean repeatable) {
-    RequestOptions options = EndpointConnections.options(endpoint).setMethod(method).setURI(uri);
+      Endpoint endpoint, int losses, HttpMethod method, String uri, boolean repeatable) {
+    RequestOptions options =
+        EndpointConnections.options(endpoint, losses).setMethod(method).setURI(uri);
     return (repeatable ? pooledClient : unpooledClient)
         .request(options)
-        .onSuccess(connected -> connectLog.connected(endpoint.name()))
-        .onFailure(cause -> connectLog.failed(endpoint.name(), cause));
+        .onFailure(cause -> linkLog.connectFailed(endpoint.name(), cause));
   }
 }
--- a/org.fawndrum/src/org/fawndrum/transport/relay/EndpointConnections.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/EndpointConnections.java
@@ -14,14 +14,19 @@
 public final class EndpointConnections {
   private EndpointConnections() {}
 
-  /** Returns request options that use connections to this incarnation of the endpoint. */
-  public static RequestOptions options(Endpoint endpoint) {
+  /**
+   * Returns request options that use connections to this incarnation of the endpoint, opened after
+   * the link to it was last lost.
+   *
+   * @param losses how often the link was lost
+   */
+  public static RequestOptions options(Endpoint endpoint, int losses) {
     HostAddress address = endpoint.address();
     // The client pools connections by server and host. The host name is only part of that key: the
     // Host header is set by the callers' requests and by the requests to engines.
     return new RequestOptions()
         .setServer(SocketAddress.inetSocketAddress(address.port(), address.ip()))
-        .setHost(endpoint.name() + "." + endpoint.incarnation())
+        .setHost(endpoint.name() + "." + endpoint.incarnation() + "." + losses)
         .setPort(address.port());
   }
 }
--- a/org.fawndrum/src/org/fawndrum/transport/relay/EngineControl.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/EngineControl.java
@@ -15,6 +15,12 @@
    */
   void setNoticeListener(EndpointNoticeListener listener);
 
+  /**
+   * Sets the ways to engines. Called before the first request; without them, only this host's own
+   * links are used.
+   */
+  void setPaths(EndpointRequests paths);
+
   /**
    * Reserves memory for a time, or extends a reservation. Returns false if the engine does not have
    * enough free memory. Fails if the engine does not answer in time; the reservation may have been
--- a/org.fawndrum/src/org/fawndrum/transport/relay/FleetDuty.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/FleetDuty.java
@@ -77,7 +77,7 @@
   private final FleetMessenger messenger;
   private final PermitExchange permits;
   private final ReportBuffer reportBuffer = new ReportBuffer();
-  private volatile List<HostAddress> livePeers = List.of();
+  private volatile List<FleetMember> livePeers = List.of();
   private volatile HostAddress zoneLeader;
   private volatile int knownPeerCount;
   private volatile boolean manyDaemons;
@@ -107,7 +107,9 @@
     this.log = log;
     RelaySettings settings = currentSettings.get();
     long capacity = Math.round(settings.linkMegabits());
-    this.member = new FleetMember(self, settings.peers(), settings.zone(), capacity);
+    int proxyPort = settings.proxy().map(HostAddress::port).orElse(FleetMember.NO_PROXY);
+    this.member =
+        new FleetMember(self, settings.peers(), settings.zone(), capacity, true, proxyPort);
     this.overlay =
         new FleetOverlay(member, new MemberWatcher(listener, network, log), this::hasSeeds);
     this.rateReports = new RateReports(restrictions.rateLimits());
@@ -145,8 +147,8 @@
     duty.offer(new FleetEvent.WorkChanged(update));
   }
 
-  /** Returns the addresses of the live peers, as last determined. */
-  List<HostAddress> livePeers() {
+  /** Returns the live peers, as last determined. */
+  List<FleetMember> livePeers() {
     return livePeers;
   }
 
@@ -308,7 +310,7 @@
   /** Publishes the live peers to other threads. */
   private void publishPeers(long nowMs) {
     overlay.expire(nowMs);
-    livePeers = overlay.alive().stream().map(FleetMember::address).toList();
+    livePeers = overlay.alive();
     knownPeerCount = livePeers.size() + overlay.silentAddresses().size();
     manyDaemons = livePeers.size() >= MANY_DAEMONS;
   }
--- a/org.fawndrum/src/org/fawndrum/transport/relay/FleetReceiver.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/FleetReceiver.java
@@ -4,6 +4,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.function.Consumer;
+import java.util.function.Supplier;
 import org.fawndrum.coordination.crash.CrashUpdate;
 import org.fawndrum.coordination.membership.FleetMember;
 import org.fawndrum.coordination.membership.FleetReport;
@@ -27,7 +28,7 @@
  */
 final class FleetReceiver implements PeerNetwork.Receiver {
   private final Consumer<FleetEvent> fleet;
-  private final StoreSync storeSync;
+  private final Supplier<StoreSync> storeSync;
   private final HostClock clock;
 
   /** Exchanges cached store state with peers. */
@@ -39,7 +40,7 @@
     void peerUpdated(FleetMember peer, StorePositions positions);
   }
 
-  FleetReceiver(Consumer<FleetEvent> fleet, StoreSync storeSync, HostClock clock) {
+  FleetReceiver(Consumer<FleetEvent> fleet, Supplier<StoreSync> storeSync, HostClock clock) {
     this.fleet = fleet;
     this.storeSync = storeSync;
     this.clock = clock;
@@ -48,7 +49,7 @@
   @Override
   public void received(PeerMessage message, Consumer<PeerMessage.Builder> reply) {
     if (message.hasKnowledgeRequest()) {
-      reply.accept(storeSync.reply(message.getKnowledgeRequest()));
+      reply.accept(storeSync.get().reply(message.getKnowledgeRequest()));
     } else if (message.hasFleetNews()) {
       received(message.getFleetNews());
     } else if (message.hasPermitNews()) {
@@ -88,11 +89,15 @@
             crashes,
             shuttingDown,
             PermitCodec.readRates(message.getRatesList(), nowMs)));
-    storeSync.peerUpdated(
-        sender,
-        new StorePositions(
-            message.getConfigurationRevision(),
-            new StorePosition(message.getEndpointsEra(), message.getEndpointsChanged()),
-            message.hasZoneDrains() ? ZoneDrains.read(message.getZoneDrains()) : ZoneDrains.NONE));
+    storeSync
+        .get()
+        .peerUpdated(
+            sender,
+            new StorePositions(
+                message.getConfigurationRevision(),
+                new StorePosition(message.getEndpointsEra(), message.getEndpointsChanged()),
+                message.hasZoneDrains()
+                    ? ZoneDrains.read(message.getZoneDrains())
+                    : ZoneDrains.NONE));
   }
 }
--- a/org.fawndrum/src/org/fawndrum/transport/relay/IncarnationGuard.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/IncarnationGuard.java
@@ -56,6 +56,11 @@
     delegate.setNoticeListener(listener);
   }
 
+  @Override
+  public void setPaths(EndpointRequests paths) {
+    delegate.setPaths(paths);
+  }
+
   @Override
   public Future<Boolean> reserve(Endpoint engine, String ticket, long tokens, long holdMs) {
     return isSuperseded(engine)
--- a/org.fawndrum/src/org/fawndrum/transport/relay/PeerStoreSync.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/PeerStoreSync.java
@@ -90,9 +90,9 @@
     }
     long nowMs = clock.nowMs();
     boolean stale = routes.ageMs(nowMs) > MAX_AGE_MS || endpoints.ageMs(nowMs) > MAX_AGE_MS;
-    List<HostAddress> peers = fleet.livePeers();
+    List<FleetMember> peers = fleet.livePeers();
     if (stale && !peers.isEmpty()) {
-      query(peers.get(ThreadLocalRandom.current().nextInt(peers.size())));
+      query(peers.get(ThreadLocalRandom.current().nextInt(peers.size())).address());
     }
   }
 
--- a/org.fawndrum/src/org/fawndrum/transport/relay/RelayAttempt.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/RelayAttempt.java
@@ -4,8 +4,6 @@
 import io.vertx.core.Future;
 import io.vertx.core.MultiMap;
 import io.vertx.core.buffer.Buffer;
-import io.vertx.core.http.HttpClientRequest;
-import io.vertx.core.http.HttpClientResponse;
 import java.util.List;
 import org.fawndrum.coordination.Action;
 import org.fawndrum.coordination.AttemptEvent;
@@ -13,6 +11,8 @@
 import org.fawndrum.state.EndpointKind;
 import org.fawndrum.state.LatencyTargets;
 import org.fawndrum.state.RouteKind;
+import org.fawndrum.transport.proxy.EndpointAnswer;
+import org.fawndrum.transport.proxy.EndpointRequest;
 
 /**
  * One attempt to run a request on one endpoint. It reports exactly one outcome to its owner, unless
@@ -31,8 +31,9 @@
   private final PromptMemory memory;
   private final AttemptOwner owner;
   private final EngineLiveness liveness;
-  private HttpClientRequest request;
-  private HttpClientResponse response;
+  private final AttemptPath path;
+  private EndpointRequest request;
+  private EndpointAnswer response;
   private BodyWriter bodyWriter;
   private AnswerReader answer;
   private long lastProgressMs;
@@ -54,6 +55,7 @@
     this.relay = relay;
     this.memory = memory;
     this.owner = owner;
+    this.path = new AttemptPath(relay.paths(), send.endpoint());
     this.liveness =
         new EngineLiveness(this::probe, relay.clock(), memory::renewOnEvidence, this::engineFailed);
   }
@@ -93,7 +95,10 @@
                 connect();
               } else {
                 // The helper engine that did not answer is at fault, not this attempt's endpoint.
-                memory.unreachable().ifPresent(helper -> owner.helperRefused(this, helper));
+                memory
+                    .unreachable()
+                    .filter(helper -> !relay.paths().isLinkLost(helper))
+                    .ifPresent(helper -> owner.helperRefused(this, helper));
                 fail(AttemptEvent.CONNECT_FAILED);
               }
             });
@@ -103,17 +108,13 @@
     if (finished) {
       return;
     }
-    relay
-        .client()
-        .request(send.endpoint(), call.method(), call.uri(), call.route().repeatable())
-        .onComplete(
-            connected -> {
-              if (connected.succeeded()) {
-                connected(connected.result());
-              } else {
-                fail(AttemptEvent.CONNECT_FAILED);
-              }
-            });
+    path.open(call, remainingMs())
+        .onSuccess(this::connected)
+        .onFailure(cause -> fail(AttemptPath.notOpened(cause)));
+  }
+
+  private long remainingMs() {
+    return Math.max(1, send.deadlineMs() - relay.clock().nowMs());
   }
 
   /** Returns the time of the last data from the endpoint, by the host's clock. */
@@ -190,7 +191,7 @@
     }
   }
 
-  private void connected(HttpClientRequest connectedRequest) {
+  private void connected(EndpointRequest connectedRequest) {
     if (finished) {
       connectedRequest.reset();
       return;
@@ -204,7 +205,7 @@
     }
     request = connectedRequest;
     request.headers().addAll(relay.codec().endpointHeaders(call.headers(), sending()));
-    request.exceptionHandler(cause -> connectionLost());
+    request.onLost(this::connectionLost);
     owner.handedOver();
     relay.notices().requestSent(send.endpoint().identity());
     lastProgressMs = relay.clock().nowMs();
@@ -212,31 +213,23 @@
     if (repeatable() || memory.isReserved()) {
       relay.stallWatch().add(this);
     }
-    bodyWriter = new BodyWriter(request, request.headers(), call.body(), call.held()::bodyBlocked);
+    bodyWriter =
+        new BodyWriter(request.body(), request.headers(), call.body(), call.held()::bodyBlocked);
     bodyWriter.write();
-    request
-        .response()
-        .onComplete(
-            head -> {
-              if (head.succeeded()) {
-                headReceived(head.result());
-              } else {
-                connectionLost();
-              }
-            });
+    request.answer().onSuccess(this::headReceived).onFailure(this::connectionLost);
   }
 
   private RelayCodec.Sending sending() {
     return new RelayCodec.Sending(
         send.endpoint(),
         call.workspace().name(),
-        Math.max(1, send.deadlineMs() - relay.clock().nowMs()),
+        remainingMs(),
         MAX_PRIORITY - send.priority(),
         lastEventId,
         memory.helpers());
   }
 
-  private void headReceived(HttpClientResponse head) {
+  private void headReceived(EndpointAnswer head) {
     String requestId = call.request().requestId();
     RelayCodec.Answer kind =
         relay.codec().classifyAnswer(head.statusCode(), head.headers(), requestId);
@@ -245,8 +238,8 @@
       return;
     }
     response = head;
-    liveness.recordActivity();
-    head.exceptionHandler(cause -> connectionLost());
+    recordActivity();
+    head.body().exceptionHandler(this::connectionLost);
     switch (kind) {
       case NOT_RUN, WRONG_ENDPOINT -> refusedByEndpoint(head.headers());
       case MISMATCHED -> abandon();
@@ -258,7 +251,7 @@
   }
 
   /** Forwards a notice of the endpoint, even if its answer is no longer needed. */
-  private void forwardNotice(RelayCodec.Answer kind, HttpClientResponse head) {
+  private void forwardNotice(RelayCodec.Answer kind, EndpointAnswer head) {
     boolean trusted = kind == RelayCodec.Answer.VALID || kind == RelayCodec.Answer.NOT_RUN;
     if (trusted) {
       EndpointNotice notice = relay.codec().readNotice(head.statusCode(), head.headers());
@@ -277,33 +270,40 @@
     fail(AttemptEvent.REFUSED_BY_ENDPOINT);
   }
 
-  /** Fails the attempt because the data on its connection is unreliable. */
+  private void recordActivity() {
+    liveness.recordActivity();
+    path.heard();
+  }
+
+  /** Returns the way to the endpoint. */
+  AttemptPath path() {
+    return path;
+  }
+
+  /** Fails the attempt because nothing reliable arrives on its connection. */
   private void abandon() {
     request.reset();
-    fail(AttemptEvent.LOST);
+    fail(path.abandoned());
   }
 
   /**
    * Fails the attempt after determining whether the endpoint crashed, maybe due to the request, or
-   * only the connection was lost. A live endpoint answers within one or two milliseconds.
+   * the way to it was lost, or only the connection. A live endpoint answers within one or two
+   * milliseconds.
    */
-  private void connectionLost() {
-    if (finished || checkingEndpoint) {
-      return;
+  private void connectionLost(Throwable cause) {
+    if (!finished && !checkingEndpoint) {
+      checkingEndpoint = true;
+      path.whyLost(cause).onSuccess(this::lostBecause);
     }
-    checkingEndpoint = true;
-    relay
-        .client()
-        .refusesConnections(send.endpoint())
-        .onComplete(
-            refuses -> {
-              boolean crashed = refuses.succeeded() && refuses.result();
-              if (crashed && !finished) {
-                relay.decisionLog().endpointCrashed(call, send.endpoint());
-                owner.endpointCrashed(this);
-              }
-              fail(AttemptEvent.LOST);
-            });
+  }
+
+  private void lostBecause(EndpointPaths.Loss loss) {
+    if (loss == EndpointPaths.Loss.ENDPOINT_ENDED && !finished) {
+      relay.decisionLog().endpointCrashed(call, send.endpoint());
+      owner.endpointCrashed(this);
+    }
+    fail(loss == EndpointPaths.Loss.PATH ? AttemptEvent.PATH_LOST : AttemptEvent.LOST);
   }
 
   @Override
@@ -327,7 +327,7 @@
   public void eventsReceived(List<EventSplitter.StreamEvent> events) {
     if (!events.isEmpty()) {
       lastProgressMs = relay.clock().nowMs();
-      liveness.recordActivity();
+      recordActivity();
       memory.answerStarted();
       hasFirstEvent = true;
       stallReported = false;
--- a/org.fawndrum/src/org/fawndrum/transport/relay/RelayContext.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/RelayContext.java
@@ -7,7 +7,7 @@
 /**
  * The components that every relayed request uses.
  *
- * @param client the connections to endpoints
+ * @param paths the ways to endpoints
  * @param codec reads and writes the headers of callers and endpoints
  * @param engineControl sends control requests to engines
  * @param notices what endpoints stated in their answers
@@ -17,7 +17,7 @@
  * @param log receives other log events
  */
 record RelayContext(
-    EndpointClient client,
+    EndpointPaths paths,
     RelayCodec codec,
     EngineControl engineControl,
     EndpointNotices notices,
--- a/org.fawndrum/src/org/fawndrum/transport/relay/RelayDrain.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/RelayDrain.java
@@ -11,6 +11,7 @@
 import org.fawndrum.internal.log.HostLog;
 import org.fawndrum.internal.log.LogEvent;
 import org.fawndrum.transport.HostClock;
+import org.fawndrum.transport.proxy.ProxyServer;
 
 /**
  * Drains a host that relays requests. Requests in progress complete as far as the grace period
@@ -44,6 +45,7 @@
 
   private final Vertx vertx;
   private final RelayServer callers;
+  private final ProxyServer proxy;
   private final RelayDuty decisions;
   private final Consumer<RelayEvent> events;
   private final Supplier<RelayBounds> bounds;
@@ -62,12 +64,14 @@
   /**
    * Creates a drain that has not started.
    *
+   * @param proxy sends requests of other hosts
    * @param events delivers events to the decision duty without losing any
    * @param pauseDetector determines since when the stop signal may have been pending
    */
   RelayDrain(
       Vertx vertx,
       RelayServer callers,
+      ProxyServer proxy,
       RelayDuty decisions,
       Consumer<RelayEvent> events,
       Supplier<RelayBounds> bounds,
@@ -76,6 +80,7 @@
       HostLog log) {
     this.vertx = vertx;
     this.callers = callers;
+    this.proxy = proxy;
     this.decisions = decisions;
     this.events = events;
     this.bounds = bounds;
@@ -105,6 +110,7 @@
     ShutdownWindow window = ShutdownWindow.from(signaledMs, startedMs, bounds.get().graceMs());
     events.accept(new RelayEvent.StopSignaled(window));
     vertx.runOnContext(v -> callers.startDraining());
+    proxy.drain();
     polledNanos = System.nanoTime();
     vertx.setPeriodic(POLL_MS, id -> poll(id, startedMs, window));
     return completion;
@@ -118,12 +124,17 @@
       return;
     }
     callers.closeIdle();
-    if (expired || decisions.openRequests() == 0 && callers.connections() == 0) {
+    if (expired || openRequests() == 0 && callers.connections() == 0) {
       vertx.cancelTimer(timer);
       answerOpenRequests(window);
     }
   }
 
+  /** Returns the number of open requests, those of other hosts included. */
+  private int openRequests() {
+    return decisions.openRequests() + proxy.openRequests();
+  }
+
   /** Records the delay of a check on the event loop; answers are delayed as much. */
   private void recordDelay(long nanos) {
     long betweenMs = TimeUnit.NANOSECONDS.toMillis(nanos - polledNanos);
--- a/org.fawndrum/src/org/fawndrum/transport/relay/RelayDuty.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/RelayDuty.java
@@ -275,6 +275,8 @@
       }
     } else if (event instanceof RelayEvent.DrainedZonesChanged) {
       carryOut(coordinator.drainedZonesChanged(nowMs));
+    } else if (event instanceof RelayEvent.EndpointReachable reachable) {
+      carryOut(coordinator.endpointReachable(reachable.endpoint(), nowMs));
     } else if (event instanceof RelayEvent.RestrictionsChanged) {
       carryOut(coordinator.restrictionsChanged(nowMs));
     } else if (event instanceof RelayEvent.EndpointRestarted restarted) {
--- a/org.fawndrum/src/org/fawndrum/transport/relay/RelayEvent.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/RelayEvent.java
@@ -94,6 +94,9 @@
   /** A backoff or a rate of an endpoint has changed. */
   record RestrictionsChanged() implements EndpointEvent {}
 
+  /** A way to an endpoint was found: this host's link, or another host. */
+  record EndpointReachable(HostIdentity endpoint) implements EndpointEvent {}
+
   /** An operator cleared the rejection of a request. */
   record RejectionCleared(String fingerprint) implements LifecycleEvent {}
 
--- a/org.fawndrum/src/org/fawndrum/transport/relay/RelayGauges.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/RelayGauges.java
@@ -4,6 +4,7 @@
 import com.codahale.metrics.MetricRegistry;
 import org.fawndrum.coordination.limit.EndpointPermits;
 import org.fawndrum.transport.peer.NettyPeerNetwork;
+import org.fawndrum.transport.proxy.ProxyServer;
 
 /** Registers the gauges of a host's components. Their names are those of docs/OPERATIONS.md. */
 final class RelayGauges {
@@ -32,6 +33,11 @@
     registry.registerGauge("slowCallers", holds::slowCallers);
   }
 
+  /** Registers the gauges about requests that this host proxies for other daemons. */
+  void proxy(ProxyServer proxy) {
+    registry.registerGauge("proxiedRequests", proxy::openRequests);
+  }
+
   /** Registers the gauges about other daemons. */
   void fleet(FleetDuty fleet, NettyPeerNetwork network) {
     registry.registerGauge("peerBytesSent", network::bytesSent);
--- a/org.fawndrum/src/org/fawndrum/transport/relay/RelayRuntime.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/RelayRuntime.java
@@ -8,19 +8,15 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
-import java.util.stream.Collectors;
 import org.fawndrum.coordination.Action;
 import org.fawndrum.coordination.EndpointRestrictions;
 import org.fawndrum.coordination.Policies;
 import org.fawndrum.coordination.RequestCoordinator;
 import org.fawndrum.coordination.limit.EndpointPermits;
 import org.fawndrum.coordination.limit.StartingEndpoints;
-import org.fawndrum.coordination.membership.FleetMember;
 import org.fawndrum.errors.AddressUnavailableException;
 import org.fawndrum.internal.log.HostLog;
 import org.fawndrum.internal.log.LogEvent;
-import org.fawndrum.protocol.wire.KnowledgeRequest;
-import org.fawndrum.protocol.wire.PeerMessage;
 import org.fawndrum.settings.ListenSettings;
 import org.fawndrum.state.Endpoint;
 import org.fawndrum.state.HostAddress;
@@ -31,6 +27,7 @@
 import org.fawndrum.transport.HostClock;
 import org.fawndrum.transport.RequestMetrics;
 import org.fawndrum.transport.peer.NettyPeerNetwork;
+import org.fawndrum.transport.proxy.ProxyServer;
 
 /**
  * A complete host that relays requests: creates and connects the servers, the followers of the
@@ -61,7 +58,8 @@
   private final IncarnationProbes incarnationProbes;
   private final EndpointNotices notices;
   private final EndpointStarts starts;
-  private final ConnectLog connectLog;
+  private final EndpointPaths paths;
+  private final ProxyServer proxy;
   private volatile long listingVersion = -1;
   private volatile long listedAtMs;
 
@@ -103,7 +101,7 @@
         new EndpointNotices(restrictions, starts, events, this::offerToFleet, clock, registry, log);
     this.metrics =
         new MetricsServer(vertx, settings.metrics(), registry, decisions::crashingRequests, log);
-    FleetReceiver receiver = new FleetReceiver(this::offerToFleet, new LazyStoreSync(), clock);
+    FleetReceiver receiver = new FleetReceiver(this::offerToFleet, this::storeSync, clock);
     ListenSettings peers = new ListenSettings(settings.peers(), Optional.empty());
     this.network = new NettyPeerNetwork(peers, receiver, log);
     this.fleet = newFleet(restrictions);
@@ -112,7 +110,10 @@
     this.engineControl.setNoticeListener(notices);
     this.incarnationProbes = new IncarnationProbes(vertx, engineControl, this::incarnationProbed);
     this.holds = new CallerHolds(vertx, () -> settingsInForce().hold(), clock, events, decisionLog);
-    this.connectLog = new ConnectLog(registry, clock, log);
+    this.paths =
+        EndpointPaths.create(vertx, settings, fleet::livePeers, clock, registry, log, events);
+    this.engineControl.setPaths(paths);
+    this.proxy = new ProxyServer(vertx, settings.proxy(), paths, clock, log);
     this.callers = callerServer(adapter);
     this.drain = newDrain();
     this.readiness = new ReadinessServer(vertx, settings.readiness(), this::isReady);
@@ -179,17 +180,9 @@
     return !settings.otherSeeds().isEmpty();
   }
 
-  /** Delegates to the store synchronization, which is created after the network. */
-  private final class LazyStoreSync implements FleetReceiver.StoreSync {
-    @Override
-    public PeerMessage.Builder reply(KnowledgeRequest request) {
-      return storeSync.reply(request);
-    }
-
-    @Override
-    public void peerUpdated(FleetMember peer, StorePositions positions) {
-      storeSync.peerUpdated(peer, positions);
-    }
+  /** Returns the store synchronization, which is created after the network. */
+  private PeerStoreSync storeSync() {
+    return storeSync;
   }
 
   private void restartDiscovered(HostIdentity incarnation) {
@@ -226,20 +219,21 @@
 
   private RelayDrain newDrain() {
     return new RelayDrain(
-        vertx, callers, decisions, events, this::bounds, stallWatch.pauseDetector(), clock, log);
+        vertx,
+        callers,
+        proxy,
+        decisions,
+        events,
+        this::bounds,
+        stallWatch.pauseDetector(),
+        clock,
+        log);
   }
 
   private RelayServer callerServer(RelayAdapter adapter) {
     RelayContext relay =
         new RelayContext(
-            new EndpointClient(vertx, connectLog),
-            adapter.codec(),
-            engineControl,
-            notices,
-            stallWatch,
-            clock,
-            decisionLog,
-            log);
+            paths, adapter.codec(), engineControl, notices, stallWatch, clock, decisionLog, log);
     RelayIntake intake =
         new RelayIntake(
             routes, decisions, relay, () -> settings.bounds(), new AttemptEventForwarder(events));
@@ -286,6 +280,7 @@
     gauges.decisions(decisions, stallWatch, permits);
     gauges.callers(callers, holds);
     gauges.fleet(fleet, network);
+    gauges.proxy(proxy);
   }
 
   private void decide(RelayEvent event) {
@@ -320,12 +315,14 @@
             "peers",
             settings.peers(),
             Future.fromCompletionStage(network.listen(), vertx.getOrCreateContext()))
+        .compose(listening -> proxy.listen())
         .compose(listening -> listenOn("readiness", settings.readiness(), readiness.listen()))
         .compose(server -> listenOn("metrics", settings.metrics(), metrics.listen()))
         .compose(server -> listenOn("callers", settings.callers(), callers.listen()))
         .map(
             server -> {
               store.start();
+              paths.checks().start(vertx);
               storeSync.start(vertx, settings.bounds().drainMs());
               log.event(LogEvent.HOST_STARTED, self, settings.zone());
               return null;
@@ -367,8 +364,7 @@
     listedAtMs = clock.nowMs();
     engineControl.updateListing(listing);
     starts.listingChanged(listing);
-    connectLog.retain(
-        listing.endpoints().stream().map(Endpoint::name).collect(Collectors.toUnmodifiableSet()));
+    paths.checks().listingChanged(listing);
     events.accept(new RelayEvent.ListingChanged(listing));
   }
 
--- a/org.fawndrum/src/org/fawndrum/transport/relay/RelaySettings.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/RelaySettings.java
@@ -2,6 +2,7 @@
 package org.fawndrum.transport.relay;
 
 import java.util.List;
+import java.util.Optional;
 import org.fawndrum.coordination.backpressure.HoldLimits;
 import org.fawndrum.state.HostAddress;
 
@@ -13,6 +14,8 @@
  * @param callers the address for callers
  * @param readiness the address of the load balancer's health check
  * @param peers the address for other daemons
+ * @param proxy the address at which it proxies requests for other daemons that have lost their
+ *     links to endpoints; empty if it does not
  * @param metrics the address that serves the metrics
  * @param platform the address of the platform's store
  * @param linkMegabits the capacity of the host's network link, in megabits a second
@@ -29,6 +32,7 @@
     HostAddress callers,
     HostAddress readiness,
     HostAddress peers,
+    Optional<HostAddress> proxy,
     HostAddress metrics,
     HostAddress platform,
     double linkMegabits,
--- a/org.fawndrum/src/org/fawndrum/transport/relay/RelaySettingsReader.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/RelaySettingsReader.java
@@ -4,6 +4,7 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import org.fawndrum.coordination.backpressure.HoldLimits;
 import org.fawndrum.errors.BadSettingsException;
 import org.fawndrum.settings.SettingsFault;
@@ -57,6 +58,7 @@
             root.address("callers"),
             root.address("readiness"),
             peers,
+            proxy(root, peers),
             root.address("metrics"),
             root.address("platform"),
             root.fraction("linkMegabits", 0, MAX_LINK_MEGABITS),
@@ -74,6 +76,17 @@
     return settings;
   }
 
+  private static Optional<HostAddress> proxy(SettingsNode root, HostAddress peers) {
+    if (!root.has("proxy")) {
+      return Optional.empty();
+    }
+    HostAddress proxy = root.address("proxy");
+    if (!proxy.ip().equals(peers.ip())) {
+      root.fault("proxy", proxy, "write the IP address of peers, with another port");
+    }
+    return Optional.of(proxy);
+  }
+
   private static RelayBounds bounds(SettingsNode node) {
     RelayBounds bounds =
         new RelayBounds(
--- a/org.fawndrum/src/org/fawndrum/transport/relay/StallWatch.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/StallWatch.java
@@ -17,7 +17,10 @@
 final class StallWatch {
   private static final long POLL_MS = 200;
 
-  /** Minimum wait for a first event or answer, in milliseconds; callers wait two seconds. */
+  /**
+   * Minimum wait for a first event or answer, in milliseconds, of an endpoint that this host cannot
+   * connect to any more; callers wait two seconds.
+   */
   private static final long MIN_FIRST_EVENT_MS = 1_000;
 
   /**
@@ -32,7 +35,7 @@
    */
   private static final long FIRST_EVENT_TARGETS = 3;
 
-  /** Minimum wait for a subsequent event, in milliseconds. */
+  /** Minimum wait for a subsequent event of an endpoint that cannot be reached, in milliseconds. */
   private static final long MIN_NEXT_EVENT_MS = 1_200;
 
   /**
@@ -94,6 +97,7 @@
         // Its engine cannot send; a complete answer may wait to be read.
         continue;
       }
+      attempt.path().checkIfSilent(attempt.silentMs());
       if (attempt.repeatable() && nowMs - attempt.lastProgressMs() > limitMs(attempt)) {
         attempt.stalled();
       } else {
@@ -103,7 +107,11 @@
   }
 
   private static long limitMs(RelayAttempt attempt) {
-    return limitMs(attempt.latencyTargets(), attempt.hasFirstEvent());
+    if (attempt.path().isLost()) {
+      return 0;
+    }
+    long limitMs = limitMs(attempt.latencyTargets(), attempt.hasFirstEvent());
+    return limitMs;
   }
 
   /** Returns whether silence alone never ends an attempt before its first event. */
--- a/org.fawndrum/tst/org/fawndrum/coordination/AttemptTransitionsTest.java
+++ b/org.fawndrum/tst/org/fawndrum/coordination/AttemptTransitionsTest.java
@@ -24,6 +24,7 @@
       reportedNotRun |= event == AttemptEvent.ENDPOINT_BACKOFF;
       reportedNotRun |= event == AttemptEvent.ENDPOINT_LIMITED;
       reportedNotRun |= event == AttemptEvent.ZONE_DRAINED;
+      reportedNotRun |= event == AttemptEvent.NO_PATH;
       state = AttemptTransitions.next(state, event);
       wasRunning |= state == AttemptState.RUNNING;
       if (state.ran() == Ran.NO) {
--- a/org.fawndrum/tst/org/fawndrum/coordination/CoordinatorHistoryTest.java
+++ b/org.fawndrum/tst/org/fawndrum/coordination/CoordinatorHistoryTest.java
@@ -188,6 +188,7 @@
               || event == AttemptEvent.ENDPOINT_BACKOFF
               || event == AttemptEvent.ENDPOINT_LIMITED
               || event == AttemptEvent.ZONE_DRAINED
+              || event == AttemptEvent.NO_PATH
               || event == AttemptEvent.REFUSED_BY_ENDPOINT;
       boolean started = inFlight.get(id) == null;
       if (reportedNotRun && !started) {
--- a/org.fawndrum/tst/org/fawndrum/transport/relay/EndpointConnectionsTest.java
+++ b/org.fawndrum/tst/org/fawndrum/transport/relay/EndpointConnectionsTest.java
@@ -10,6 +10,7 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
+import org.fawndrum.coordination.link.EndpointLinks;
 import org.fawndrum.internal.log.HostLog;
 import org.fawndrum.state.Endpoint;
 import org.fawndrum.state.EndpointKind;
@@ -62,8 +63,9 @@
                     .listen(0, "127.0.0.1"))
             .actualPort();
     HostLog log = new HostLog("org.fawndrum.test");
-    ConnectLog connects = new ConnectLog(new MetricRegistry(), HostClock.system(log), log);
-    EndpointClient client = new EndpointClient(vertx, connects);
+    LinkLog links =
+        new LinkLog(new EndpointLinks(), new MetricRegistry(), HostClock.system(log), log);
+    EndpointClient client = new EndpointClient(vertx, links);
     assertEquals("desk.example", sendRequest(client, endpoint(port, 1)));
     int before = untilConnectionIsReused(client, endpoint(port, 1));
     sendRequest(client, endpoint(port, 2));
@@ -88,7 +90,7 @@
   private static String sendRequest(EndpointClient client, Endpoint endpoint) throws Exception {
     return await(
         client
-            .request(endpoint, HttpMethod.GET, "/", true)
+            .request(endpoint, 0, HttpMethod.GET, "/", true)
             .compose(request -> request.putHeader("Host", "desk.example").send())
             .compose(answer -> answer.body())
             .map(Object::toString));
--- a/org.fawndrum/tst/org/fawndrum/transport/relay/IncarnationGuardTest.java
+++ b/org.fawndrum/tst/org/fawndrum/transport/relay/IncarnationGuardTest.java
@@ -26,6 +26,9 @@
 
   /** An engine that accepts all requests and reports its incarnation. */
   private final class Engine implements EngineControl {
+    @Override
+    public void setPaths(EndpointRequests paths) {}
+
     @Override
     public void setNoticeListener(EndpointNoticeListener listener) {}
 
--- a/org.fawndrum/tst/org/fawndrum/transport/relay/PromptMemoryTest.java
+++ b/org.fawndrum/tst/org/fawndrum/transport/relay/PromptMemoryTest.java
@@ -65,6 +65,9 @@
     Set<String> ticketsInUse = Set.of();
     int releasesToFail;
 
+    @Override
+    public void setPaths(EndpointRequests paths) {}
+
     @Override
     public void setNoticeListener(EndpointNoticeListener listener) {}
 
--- a/org.fawndrum/tst/org/fawndrum/transport/relay/RelayDrainTest.java
+++ b/org.fawndrum/tst/org/fawndrum/transport/relay/RelayDrainTest.java
@@ -33,6 +33,7 @@
 import org.fawndrum.state.HostAddress;
 import org.fawndrum.state.HostIdentity;
 import org.fawndrum.transport.HostClock;
+import org.fawndrum.transport.proxy.ProxyServer;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -174,7 +175,20 @@
             new CallerHolds(vertx, () -> HoldLimits.DEFAULT, clock, event -> {}, null));
     drain =
         new RelayDrain(
-            vertx, callers, decisions, decisions::offer, () -> bounds, pauseDetector, clock, log);
+            vertx,
+            callers,
+            noProxy(),
+            decisions,
+            decisions::offer,
+            () -> bounds,
+            pauseDetector,
+            clock,
+            log);
+  }
+
+  /** Returns a proxy of a host that sends no requests of other hosts. */
+  private ProxyServer noProxy() {
+    return new ProxyServer(vertx, Optional.empty(), null, () -> nowMs, log);
   }
 
   @AfterEach
@@ -312,7 +326,15 @@
     Consumer<RelayEvent> events = event -> connectBeforeDecided(event, caller);
     drain =
         new RelayDrain(
-            vertx, callers, decisions, events, () -> bounds, pauseDetector, () -> nowMs, log);
+            vertx,
+            callers,
+            noProxy(),
+            decisions,
+            events,
+            () -> bounds,
+            pauseDetector,
+            () -> nowMs,
+            log);
     await(callers.listen());
     CompletableFuture<Void> done = drain.start();
     advanceTo(IDLE_CLOSE_MS + 1);
@@ -364,6 +386,7 @@
         new RelayDrain(
             vertx,
             callers,
+            noProxy(),
             decisions,
             decisions::offer,
             () -> shortest,
