Let a sound endpoint fall silent for a second and go on

A short prompt was sent to another engine after a second of silence, and an answer that had begun after 1.2 s, also where the engine still accepted connections. Callers wait two seconds: 1.5 s of silence are allowed now, the former limits while the endpoint accepts no connection.

SilentForASecondTest on the former limit: the request was sent again and failed.

--- a/org.fawndrum/src/org/fawndrum/transport/relay/StallWatch.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/StallWatch.java
@@ -23,6 +23,12 @@
    */
   private static final long MIN_FIRST_EVENT_MS = 1_000;
 
+  /**
+   * Minimum silence of any other endpoint, in milliseconds: a sound one may fall silent for a
+   * second or so and go on.
+   */
+  static final long MIN_SILENCE_MS = 1_500;
+
   /**
    * First-token target, in milliseconds, above which a first event may take so long that silence
    * alone proves nothing.
@@ -111,7 +117,7 @@
       return 0;
     }
     long limitMs = limitMs(attempt.latencyTargets(), attempt.hasFirstEvent());
-    return limitMs;
+    return attempt.path().isEndpointUnreached() ? limitMs : Math.max(MIN_SILENCE_MS, limitMs);
   }
 
   /** Returns whether silence alone never ends an attempt before its first event. */
