A refusal that only one host gets proves no crash of an endpoint

A host took a refused connection as proof that the endpoint had ended. Links may refuse and reset too: a host cut off like that proved the crash of each endpoint under the requests that it had open, to all hosts, which quarantine such requests.

A host that has no peer that can be asked judges alone, as before. The counter endpointCrashes shows them.

--- a/org.fawndrum/src/org/fawndrum/transport/RequestMetrics.java
+++ b/org.fawndrum/src/org/fawndrum/transport/RequestMetrics.java
@@ -44,6 +44,7 @@
   public RequestMetrics(MetricRegistry registry, HostClock clock) {
     this.registry = registry;
     this.clock = clock;
+    registry.counter("endpointCrashes");
   }
 
   private String workspace(String name) {
@@ -86,6 +87,11 @@
         MetricRegistry.name(what, workspace(workspace), lengthClass(promptTokens)));
   }
 
+  /** Counts an endpoint that ended while it had a request of this host. */
+  public void onEndpointCrash() {
+    registry.counter("endpointCrashes").inc();
+  }
+
   /** Records a decision in the histograms and counters. */
   public void onDecision(Decision decision) {
     String workspace = decision.group().workspace();
--- a/org.fawndrum/src/org/fawndrum/transport/relay/DecisionLog.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/DecisionLog.java
@@ -172,6 +172,7 @@
 
   /** Logs a crash of an endpoint that had a request. */
   void endpointCrashed(RelayCall call, Endpoint endpoint) {
+    metrics.onEndpointCrash();
     if (failureLimiter.tryAcquire(clock.nowMs())) {
       String fingerprint = call.content().fingerprint().map(Object::toString).orElse("");
       log.details(
--- a/org.fawndrum/src/org/fawndrum/transport/relay/EndpointPaths.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/EndpointPaths.java
@@ -222,10 +222,40 @@
                 return Future.succeededFuture(Loss.UNKNOWN);
               }
               boolean refused = failure.get() == ConnectFailure.REFUSED;
-              return Future.succeededFuture(refused ? Loss.ENDPOINT_ENDED : Loss.UNKNOWN);
+              return checks
+                  .reachesOthers(endpoint)
+                  .compose(reaches -> reaches ? compare(endpoint, refused) : ownLoss(endpoint));
             });
   }
 
+  /**
+   * Returns the loss of a host that does not reach other endpoints either. The link is recorded as
+   * lost before, so that the request is not sent over it again.
+   */
+  private Future<Loss> ownLoss(Endpoint endpoint) {
+    return confirmLoss(endpoint).transform(any -> Future.succeededFuture(Loss.PATH));
+  }
+
+  /**
+   * Asks another host why a connection was lost.
+   *
+   * @param refused whether the endpoint refuses connections of this host
+   */
+  private Future<Loss> compare(Endpoint endpoint, boolean refused) {
+    Loss alone = refused ? Loss.ENDPOINT_ENDED : Loss.UNKNOWN;
+    if (!proxies.hasProxies()) {
+      return Future.succeededFuture(alone);
+    }
+    return confirmLoss(endpoint)
+        .map(accepted -> Loss.PATH)
+        .recover(cause -> Future.succeededFuture(isRefusal(cause) ? alone : Loss.UNKNOWN));
+  }
+
+  private static boolean isRefusal(Throwable cause) {
+    return cause instanceof ProxyFailedException failure
+        && failure.kind() == ProxyFailure.Kind.REFUSED;
+  }
+
   @Override
   public boolean isLinkLost(Endpoint endpoint) {
     return links.isLost(endpoint.name());
