Spread the requests of hosts without links over different hosts

Hosts that asked others for the first time all took the same ones, by name: with a zone of 124 hosts cut, 12 of 246 hosts got everything (found by ProxySelectorTest, which failed for that before this commit). Each host has an order of its own now; at most twice the mean and two more at 6, 82 and 370 hosts.

--- a/org.fawndrum/src/org/fawndrum/coordination/link/ProxySelector.java
+++ b/org.fawndrum/src/org/fawndrum/coordination/link/ProxySelector.java
@@ -13,13 +13,20 @@
 /**
  * Selects the other host that proxies a request: the one with the fewest of this host's requests,
  * so that the work of a host without links is spread over all that have some; of those, one in this
- * host's availability zone. A host that could not help is passed over for a time. Thread-safe;
- * times are those of the host's clock, in milliseconds.
+ * host's availability zone, and of those one that differs from host to host. A host that could not
+ * help is passed over for a time. Thread-safe; times are those of the host's clock, in
+ * milliseconds.
  */
 public final class ProxySelector {
   /** How long a host that could not help is passed over. */
   private static final long REST_MS = 1_000;
 
+  /** An odd number with evenly spread bits: 2^32 divided by the golden ratio. */
+  private static final int HASH_FACTOR = 0x9E3779B1;
+
+  private static final int HASH_ROTATION = 15;
+
+  private final String self;
   private final String zone;
   private final Map<HostIdentity, Integer> inUse = new HashMap<>();
   private final Map<HostIdentity, Long> restUntilMs = new HashMap<>();
@@ -27,9 +34,11 @@
   /**
    * Creates a selector.
    *
-   * @param zone this host's availability zone
+   * @param self the name of this host
+   * @param zone its availability zone
    */
-  public ProxySelector(String zone) {
+  public ProxySelector(String self, String zone) {
+    this.self = self;
     this.zone = zone;
   }
 
@@ -51,11 +60,17 @@
             .min(
                 Comparator.comparingInt((FleetMember m) -> inUse.getOrDefault(m.identity(), 0))
                     .thenComparing(member -> !member.zone().equals(zone))
-                    .thenComparing(member -> member.identity().host()));
+                    .thenComparingInt(member -> order(member.identity().host())));
     chosen.ifPresent(member -> inUse.merge(member.identity(), 1, Integer::sum));
     return chosen;
   }
 
+  /** Returns the place of a host in this host's own order of all hosts. */
+  private int order(String host) {
+    // The multiplication spreads names that differ only in their last digits.
+    return Integer.rotateLeft((self + host).hashCode() * HASH_FACTOR, HASH_ROTATION) * HASH_FACTOR;
+  }
+
   /** Records that a request at a host has ended. */
   public synchronized void released(HostIdentity host) {
     inUse.computeIfPresent(host, (identity, count) -> count > 1 ? count - 1 : null);
--- a/org.fawndrum/src/org/fawndrum/transport/relay/EndpointPaths.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/EndpointPaths.java
@@ -87,7 +87,7 @@
       Consumer<RelayEvent> events) {
     EndpointLinks links = new EndpointLinks();
     LinkLog linkLog = new LinkLog(links, registry, clock, log);
-    ProxySelector selector = new ProxySelector(settings.zone());
+    ProxySelector selector = new ProxySelector(settings.host(), settings.zone());
     EndpointClient client = new EndpointClient(vertx, linkLog);
     return new EndpointPaths(
         client,
--- a/org.fawndrum/tst/org/fawndrum/coordination/link/ProxySelectorTest.java
+++ b/org.fawndrum/tst/org/fawndrum/coordination/link/ProxySelectorTest.java
@@ -20,7 +20,7 @@
   private static final int PORT = 7_355;
   private static final long NOW_MS = 10_000;
 
-  private final ProxySelector selector = new ProxySelector("zone-a");
+  private final ProxySelector selector = new ProxySelector("a-0", "zone-a");
 
   private static FleetMember member(String host, String zone, int proxyPort) {
     HostIdentity identity = new HostIdentity(host, 1);
@@ -71,7 +71,7 @@
       List<ProxySelector> cut = new ArrayList<>();
       for (int i = 0; i < hosts; i++) {
         if (i % 3 == 0) {
-          cut.add(new ProxySelector("zone-0"));
+          cut.add(new ProxySelector("h-" + i, "zone-0"));
         } else {
           live.add(member("h-" + i, "zone-" + i % 3, PORT));
         }
@@ -84,6 +84,7 @@
           carried.merge(chosen.identity().host(), 1, Integer::sum);
         }
       }
+      assertEquals(cut.size() * each, carried.values().stream().mapToInt(n -> n).sum());
       int most = carried.values().stream().mapToInt(Integer::intValue).max().orElseThrow();
       int mean = cut.size() * each / live.size();
       assertTrue(most <= 2 * (mean + 1), hosts + " hosts: one carries " + most + " of " + mean);
