Soak: hosts lose their links to all endpoints

A host, or all hosts of a zone, lose their links by silence, resets or refusals, for six seconds and more. LinkChecker counts first requests by host, with the users' numbers. Daemons whose links can fail run SoakHostMain: the daemon, with addresses of paths in place of those of endpoints.

--- a/org.fawndrum.soak/src/org/fawndrum/soak/Callers.java
+++ b/org.fawndrum.soak/src/org/fawndrum/soak/Callers.java
@@ -206,6 +206,7 @@
     String body = stream ? SoakSite.STREAM : SoakSite.PLAIN;
     checker.recordSent(
         id, new PromiseChecker.SentRequest(path, repeatable, key, body, Soak.nowMs()));
+    checker.links().recordSent(id, HostSettings.name(hosts.indexOf(host)), Soak.nowMs());
     long prompt = stream ? MIN_PROMPT_TOKENS + random.nextInt(PROMPT_SPREAD_TOKENS) : 0;
     send(client, new CallerStandin.Request(host, path, id, key, DEADLINE_MS, prompt));
   }
--- a/org.fawndrum.soak/src/org/fawndrum/soak/Fault.java
+++ b/org.fawndrum.soak/src/org/fawndrum/soak/Fault.java
@@ -57,6 +57,7 @@
     extra.put(Kind.ZONE_DRAINED, 3);
     extra.put(Kind.UNREAD_ANSWERS, 2);
     extra.put(Kind.ENGINES_WARM_UP, 1);
+    extra.put(Kind.LINKS_LOST, 3);
     return extra;
   }
 
@@ -66,6 +67,9 @@
    */
   static final Set<Kind> GENERATION_5 = EnumSet.range(Kind.KILL, Kind.RATE_NAMED);
 
+  /** The kinds before losses of links were added; see {@link #GENERATION_1}. */
+  static final Set<Kind> GENERATION_6 = EnumSet.range(Kind.KILL, Kind.ENGINES_WARM_UP);
+
   /** The kinds before endpoints' rates were added; see {@link #GENERATION_1}. */
   static final Set<Kind> GENERATION_4 = EnumSet.range(Kind.KILL, Kind.STORE_RESTORED);
 
@@ -86,7 +90,8 @@
 
   /** The sets of kinds that seeds were first run with, oldest first. */
   static final List<Set<Kind>> GENERATIONS =
-      List.of(GENERATION_1, GENERATION_2, GENERATION_3, GENERATION_4, GENERATION_5, ALL);
+      List.of(
+          GENERATION_1, GENERATION_2, GENERATION_3, GENERATION_4, GENERATION_5, GENERATION_6, ALL);
 
   /** Kinds of faults. The order is part of what a seed plans. */
   enum Kind {
@@ -147,7 +152,9 @@
     /** Callers send requests to a host and read nothing of their answers. */
     UNREAD_ANSWERS,
     /** All engines accept only a rate for some seconds, as after a start. */
-    ENGINES_WARM_UP;
+    ENGINES_WARM_UP,
+    /** A host, or all hosts of a zone, lose their links to all endpoints for some seconds. */
+    LINKS_LOST;
 
     /** Whether the fault happens at one instant and has no end. */
     boolean isInstant() {
--- a/org.fawndrum.soak/src/org/fawndrum/soak/HostProcess.java
+++ b/org.fawndrum.soak/src/org/fawndrum/soak/HostProcess.java
@@ -10,7 +10,11 @@
 import java.nio.file.StandardOpenOption;
 import java.time.Instant;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Collectors;
+import org.fawndrum.platform.PlatformMain;
+import org.fawndrum.state.HostAddress;
 
 /**
  * A daemon that runs as a separate process and can be restarted. Signals only the process that it
@@ -30,6 +34,8 @@
   /** File of the times of the stop signals, to be compared with the host's log. */
   private final Path signalLog;
 
+  private final Map<HostAddress, HostAddress> links;
+
   private volatile Process process;
   private boolean closed;
   private boolean exitExpected;
@@ -37,6 +43,17 @@
 
   /** Creates a daemon that is not started, and writes its settings into a folder. */
   HostProcess(String name, Path folder, String settingsText) throws IOException {
+    this(name, folder, settingsText, Map.of());
+  }
+
+  /**
+   * Creates a daemon that is not started, and writes its settings into a folder.
+   *
+   * @param links its path to each endpoint; empty if its paths cannot fail
+   */
+  HostProcess(String name, Path folder, String settingsText, Map<HostAddress, HostAddress> links)
+      throws IOException {
+    this.links = Map.copyOf(links);
     this.name = name;
     this.settings = folder.resolve(name + ".json");
     this.output = folder.resolve(name + ".log");
@@ -66,7 +83,8 @@
             "-Xlog:safepoint,gc:file=" + output + ".%p.jvm:time,uptimemillis",
             "-cp",
             System.getProperty("java.class.path"),
-            "org.fawndrum.platform.PlatformMain");
+            "-D" + SoakHostMain.LINKS + "=" + linksText(),
+            links.isEmpty() ? PlatformMain.class.getName() : SoakHostMain.class.getName());
     builder.environment().put("FAWNDRUM_SETTINGS", settings.toString());
     File log = output.toFile();
     builder.redirectErrorStream(true).redirectOutput(ProcessBuilder.Redirect.appendTo(log));
@@ -75,6 +93,12 @@
     exitExpected = false;
   }
 
+  private String linksText() {
+    return links.entrySet().stream()
+        .map(link -> link.getKey() + "=" + link.getValue())
+        .collect(Collectors.joining(","));
+  }
+
   /**
    * Whether this incarnation has logged that it is starting. Before that the JVM itself starts, and
    * a signal terminates it (docs/OPEN-FINDINGS.md).
--- a/org.fawndrum.soak/src/org/fawndrum/soak/HostSettings.java
+++ b/org.fawndrum.soak/src/org/fawndrum/soak/HostSettings.java
@@ -29,11 +29,13 @@
   private final FixedPorts ports;
   private final String seeds;
   private final int peerPort;
+  private final int proxyPort;
 
   /** Creates the settings of a number of hosts. */
   HostSettings(int hosts, FixedPorts ports) {
     this.ports = ports;
     this.peerPort = ports.next();
+    this.proxyPort = ports.next();
     this.seeds =
         IntStream.range(0, Math.min(SEEDS, hosts))
             .mapToObj(host -> "\"" + peerIp(host) + ":1\"")
@@ -58,7 +60,7 @@
         Locale.ROOT,
         """
         { "host": "%s", "zone": "zone-%s", "callers": "%s", "readiness": "%s",
-          "peers": "%s:%d", "metrics": "%s", "platform": "%s", "linkMegabits": %d,
+          "peers": "%s:%d", "proxy": "%s:%d", "metrics": "%s", "platform": "%s", "linkMegabits": %d,
           "seeds": [%s],
           "bounds": { "keysNeedProof": true, "revokeMs": %d, "drainMs": 2000, "graceS": %d, "retryRatio": 0.2,
             "retrySlack": 100, "retryWindowS": 10, "streamPassMs": 120 },
@@ -70,6 +72,8 @@
         freeAddress(),
         peerIp(host),
         peerPort,
+        peerIp(host),
+        proxyPort,
         metrics,
         platform,
         FIRST_LINK_MEGABITS + host,
--- a/org.fawndrum.soak/src/org/fawndrum/soak/PromiseChecker.java
+++ b/org.fawndrum.soak/src/org/fawndrum/soak/PromiseChecker.java
@@ -36,6 +36,7 @@
   private final DrainChecker drains = new DrainChecker(notices::hostOf);
   private final ShutdownChecker shutdowns = new ShutdownChecker(SoakSite.GRACE_MS);
   private final HeldBytesChecker held = new HeldBytesChecker(HostSettings.MAX_HELD_BYTES);
+  private final LinkChecker links = new LinkChecker();
   private final long revokeMs;
   private int failureCount;
 
@@ -94,8 +95,14 @@
     return starts;
   }
 
+  /** Returns the checker of hosts that lose their links to endpoints. */
+  LinkChecker links() {
+    return links;
+  }
+
   /** Records a signal to a host. */
   void recordSignal(String host, long nowMs) {
+    links.recordSignal(host, nowMs);
     crashes.recordSignal(host, nowMs);
     notices.recordSignal(host, nowMs);
     rates.recordSignal(host, nowMs);
@@ -158,6 +165,7 @@
     crashes.recordAnswer(id, body);
     SentRequest request = sentRequests.get(id);
     if (status == SUCCESS) {
+      links.recordServed(id);
       boolean valid = seal != null && id.equals(answeredId) && body.equals(request.body());
       if (!valid) {
         recordViolation(
@@ -203,6 +211,7 @@
     all.addAll(drains.violations());
     all.addAll(held.violations());
     all.addAll(starts.violations());
+    all.addAll(links.violations());
     refusalStatuses.forEach(
         (id, status) -> {
           if (runCounts.getOrDefault(id, 0) > 0) {
@@ -234,7 +243,9 @@
         + "; "
         + drains.summary()
         + "; "
-        + held.summary();
+        + held.summary()
+        + "; "
+        + links.summary();
   }
 
   /** Returns the number of successful answers. */
--- a/org.fawndrum.soak/src/org/fawndrum/soak/Soak.java
+++ b/org.fawndrum.soak/src/org/fawndrum/soak/Soak.java
@@ -117,7 +117,10 @@
   }
 
   private void startSite() throws InterruptedException, IOException {
-    site = loop.call(() -> new SoakSite(loop.vertx(), checker, config.hosts(), config.folder()));
+    boolean linksFail = plan.stream().anyMatch(fault -> fault.kind() == Fault.Kind.LINKS_LOST);
+    site =
+        loop.call(
+            () -> new SoakSite(loop.vertx(), checker, config.hosts(), linksFail, config.folder()));
     loop.callAndAwait(site::start);
     for (HostProcess host : site.hosts()) {
       host.start();
--- a/org.fawndrum.soak/src/org/fawndrum/soak/SoakEndpoint.java
+++ b/org.fawndrum.soak/src/org/fawndrum/soak/SoakEndpoint.java
@@ -138,6 +138,11 @@
     return ownAddress;
   }
 
+  /** Returns the address in its entry, that of the proxy. */
+  HostAddress entryAddress() {
+    return proxyAddress;
+  }
+
   /** Returns the entry for the store, with the address of the proxy. */
   String entry(String state) {
     return standin
@@ -153,7 +158,8 @@
     }
   }
 
-  private void setImpaired(boolean isNowImpaired) {
+  /** Records whether connections to the endpoint, of any host, are impaired. */
+  void setImpaired(boolean isNowImpaired) {
     if (isNowImpaired) {
       checker.rates().recordImpaired(id);
       checker.drains().recordImpaired(id);
--- a/org.fawndrum.soak/src/org/fawndrum/soak/SoakSite.java
+++ b/org.fawndrum.soak/src/org/fawndrum/soak/SoakSite.java
@@ -16,7 +16,6 @@
 import java.util.stream.Collectors;
 import java.util.stream.IntStream;
 import org.fawndrum.platform.standin.FixedPorts;
-import org.fawndrum.platform.standin.StandinSite;
 import org.fawndrum.platform.standin.StoreStandin;
 import org.fawndrum.platform.standin.TicketUsage;
 import org.fawndrum.state.HostAddress;
@@ -59,21 +58,12 @@
   /** Engines added after the service, so that the targets of a seed's faults don't change. */
   private static final int EXTRA_ENGINES = 2;
 
-  /** Memory of an engine, in tokens: small, so that long prompts need helper engines. */
-  private static final String MEMORY = "\"KvCapacity\":100000";
-
-  private static final String DEFAULT_MEMORY = "\"KvCapacity\":232000";
-  private static final String CONNECTIONS = "\"MaxConnections\":264";
-
   /** How long an engine that warms up accepts a rate only, in milliseconds. */
   private static final int START_MS = 6_000;
 
   /** That rate, in requests a second: well below what the callers would send. */
   private static final double START_PER_SECOND = 2;
 
-  private static final String STARTS =
-      "\"ColdStartS\":" + START_MS / 1_000 + ",\"ColdPerS\":" + START_PER_SECOND + ",";
-  private static final String OPERATORS = "keyed.op";
   private static final String ENDPOINTS = "keyed.servers";
   private static final String SERVICE = "service";
   private static final String ZONE = "zone-a";
@@ -111,9 +101,11 @@
   private final NetClient client;
   private final PromiseChecker checker;
   private final int hostCount;
+  private final SoakLinks hostLinks;
   private final Path folder;
   private final FixedPorts ports = new FixedPorts();
   private final StoreStandin store;
+  private final SoakConfiguration configuration;
   private final SoakStore storeFaults;
   private final TicketUsage ticketUsage = new TicketUsage();
   private final List<FaultProxy> storeLinks = new ArrayList<>();
@@ -122,18 +114,24 @@
   private final List<HostAddress> callerAddresses = new ArrayList<>();
   private final List<HostAddress> metricsAddresses = new ArrayList<>();
   private final Map<SoakEndpoint, String> lastState = new HashMap<>();
-  private boolean revoked;
-  private long version;
   private int overwrittenCount;
 
-  SoakSite(Vertx vertx, PromiseChecker checker, int hosts, Path folder) {
+  /**
+   * Creates a site without starting it.
+   *
+   * @param linksFail whether the daemons' paths to endpoints can fail
+   * @param folder the folder for settings and logs of the daemons
+   */
+  SoakSite(Vertx vertx, PromiseChecker checker, int hosts, boolean linksFail, Path folder) {
     this.vertx = vertx;
     this.client =
         vertx.createNetClient(new NetClientOptions().setConnectTimeout(CONNECT_TIMEOUT_MS));
     this.checker = checker;
     this.hostCount = hosts;
+    this.hostLinks = new SoakLinks(vertx, checker.links(), hosts, linksFail, this::setImpaired);
     this.folder = folder;
     this.store = new StoreStandin(vertx);
+    this.configuration = new SoakConfiguration(store, START_MS, START_PER_SECOND);
     this.storeFaults = new SoakStore(vertx, store, storeLinks, checker.drains());
   }
 
@@ -167,7 +165,7 @@
   }
 
   private Future<List<HostAddress>> startLinks(HostAddress storeAt) {
-    publishConfiguration();
+    configuration.publish();
     endpoints.forEach(endpoint -> publishEntry(endpoint, READY));
     storeFaults.keepCopies();
     List<HostAddress> links = new ArrayList<>();
@@ -196,7 +194,9 @@
       metricsAddresses.add(metrics);
       String text = settings.text(host, at, metrics, links.get(host));
       try {
-        hosts.add(new HostProcess(HostSettings.name(host), folder, text));
+        hosts.add(
+            new HostProcess(
+                HostSettings.name(host), folder, text, hostLinks.open(endpoints, settings)));
       } catch (IOException e) {
         throw new SoakFailedException("settings of host " + host, e);
       }
@@ -204,6 +204,10 @@
     return null;
   }
 
+  private void setImpaired(boolean impaired) {
+    endpoints.forEach(endpoint -> endpoint.setImpaired(impaired));
+  }
+
   private void publishEntry(SoakEndpoint endpoint, String state) {
     if (!endpoint.isHung()) {
       lastState.put(endpoint, state);
@@ -211,21 +215,9 @@
     }
   }
 
-  /** Publishes a newer version of the configuration to the store. */
-  void publishConfiguration() {
-    version += 2;
-    String[] keys = revoked ? new String[] {KEY} : new String[] {KEY, REVOCABLE_KEY};
-    String configuration = StandinSite.configuration(version, keys);
-    store.put(
-        OPERATORS,
-        "config",
-        configuration.replace(DEFAULT_MEMORY, MEMORY).replace(CONNECTIONS, STARTS + CONNECTIONS));
-  }
-
   /** Revokes the revocable key. */
   void revokeKey() {
-    revoked = true;
-    publishConfiguration();
+    configuration.revokeKey();
     checker.recordRevocation(REVOCABLE_KEY, Soak.nowMs());
   }
 
@@ -244,7 +236,7 @@
       case ANSWERS_LOST -> endpoint.setLosesAnswers(begins);
       case REJECTS -> endpoint.setRejects(begins);
       case DRAINS -> drain(endpoint, begins);
-      case CONFIGURE -> publishConfiguration();
+      case CONFIGURE -> configuration.publish();
       case REVOKE_KEY -> revokeKey();
       case ENGINE_HANGS -> hangEngine(endpoint);
       case ENGINE_DROPS_WORK -> prefillingEngineOr(endpoint).ifPresent(SoakEndpoint::dropWork);
@@ -255,6 +247,7 @@
       case STORE_RESTORED -> restoreStore(begins);
       case ZONE_DRAINED -> storeFaults.drain(endpoint.zone(), begins);
       case RATE_NAMED -> nameRate(endpoint, fault, begins);
+      case LINKS_LOST -> hostLinks.lose(fault, begins);
       case ENGINES_WARM_UP -> endpoints.forEach(this::warmUp);
       default -> throw new SoakFailedException("fault " + fault, null);
     }
@@ -321,7 +314,7 @@
       return;
     }
     storeFaults.restoreOldestCopy();
-    publishConfiguration();
+    configuration.publish();
     storeFaults.mode(StoreStandin.Mode.SERVING);
     long afterMs = 0;
     for (SoakEndpoint endpoint : endpoints) {
@@ -357,6 +350,7 @@
   /** Ends every fault of the store and the endpoints, except permanent hangs. */
   void endFaults() {
     storeFaults.endFaults();
+    hostLinks.endFaults();
     for (SoakEndpoint endpoint : endpoints) {
       endpoint.setLinkMode(FaultProxy.Mode.PASS);
       endpoint.setLosesAnswers(false);
@@ -371,6 +365,7 @@
   /** Terminates all daemons and releases their ports. Safe for all threads. */
   void close() {
     hosts.forEach(HostProcess::terminate);
+    hostLinks.close();
     ports.close();
   }
 
--- a/org.fawndrum.soak/tst/org/fawndrum/soak/SoakTest.java
+++ b/org.fawndrum.soak/tst/org/fawndrum/soak/SoakTest.java
@@ -3,6 +3,7 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.nio.file.Path;
 import java.util.List;
@@ -189,7 +190,30 @@
   /** Zones are drained for some seconds, among other faults. */
   @Test
   void seedSeventyOneThousandAndOne() throws Exception {
-    verify(71_001, HOSTS, 12_000, Fault.ALL);
+    verify(71_001, HOSTS, 12_000, Fault.GENERATION_6);
+  }
+
+  /**
+   * Callers of hosts that had lost their links to all endpoints were served far worse than others:
+   * all hosts of a zone lose them, by silence and then by resets.
+   */
+  @Test
+  void hostsThatLoseTheirLinksServeTheirCallers() throws Exception {
+    List<Fault> plan =
+        List.of(
+            new Fault(500, 7_002, Fault.Kind.LINKS_LOST, 0, FaultProxy.Mode.PASS),
+            new Fault(14_000, 7_004, Fault.Kind.LINKS_LOST, 1, FaultProxy.Mode.PASS));
+    Soak.Config config = new Soak.Config(1, 4, LENGTH_MS, Set.of(), folder);
+    Soak.Result result = new Soak(config, plan).run();
+    String where = result.summary() + ", settings and logs of the daemons in " + folder;
+    assertEquals(List.of(), result.violations(), where);
+    assertTrue(result.summary().contains("4 losses of links"), where);
+  }
+
+  /** Hosts lose their links among all other faults. */
+  @Test
+  void seedNinetyThousandAndOne() throws Exception {
+    verify(90_001, 4, 12_000, Fault.ALL);
   }
 
   @Test
