A pause of the host is no silence of its endpoints

After a pause of 2 s all open attempts counted as stalled, before what had arrived meanwhile was read, and were sent again. Silence counts anew now when the check of all attempts comes more than 0.6 s late.

SuspendedHostTest: without this, a request whose endpoint answered after 0.7 s was sent twice because its host had been paused.

--- a/org.fawndrum/src/org/fawndrum/transport/relay/RelayAttempt.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/RelayAttempt.java
@@ -11,6 +11,7 @@
 import org.fawndrum.state.EndpointKind;
 import org.fawndrum.state.LatencyTargets;
 import org.fawndrum.state.RouteKind;
+import org.fawndrum.transport.HostClock;
 import org.fawndrum.transport.proxy.EndpointAnswer;
 import org.fawndrum.transport.proxy.EndpointRequest;
 
@@ -37,6 +38,7 @@
   private BodyWriter bodyWriter;
   private AnswerReader answer;
   private long lastProgressMs;
+  private long excusedMs = HostClock.NEVER_MS;
   private boolean hasFirstEvent;
   private boolean stallReported;
   private boolean checkingEndpoint;
@@ -117,9 +119,14 @@
     return Math.max(1, send.deadlineMs() - relay.clock().nowMs());
   }
 
-  /** Returns the time of the last data from the endpoint, by the host's clock. */
-  long lastProgressMs() {
-    return lastProgressMs;
+  /** Returns since when the endpoint has been silent, by the host's clock. */
+  long silentSinceMs() {
+    return Math.max(lastProgressMs, excusedMs);
+  }
+
+  /** Begins to count the silence of the endpoint anew, because this host was paused. */
+  void excuseSilence() {
+    excusedMs = relay.clock().nowMs();
   }
 
   boolean hasFirstEvent() {
--- a/org.fawndrum/src/org/fawndrum/transport/relay/StallWatch.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/StallWatch.java
@@ -17,6 +17,12 @@
 final class StallWatch {
   private static final long POLL_MS = 200;
 
+  /**
+   * Time since the last poll from which on this host was paused, in milliseconds: what arrived
+   * meanwhile is not read yet, and its endpoints were not silent.
+   */
+  private static final long PAUSED_MS = 3 * POLL_MS;
+
   /**
    * Minimum wait for a first event or answer, in milliseconds, of an endpoint that this host cannot
    * connect to any more; callers wait two seconds.
@@ -53,11 +59,13 @@
   private final HostClock clock;
   private final PauseDetector pauseDetector = new PauseDetector(POLL_MS);
   private final Set<RelayAttempt> attempts = new LinkedHashSet<>();
+  private long lastPollMs;
   private volatile int attemptsWithMemory;
   private volatile long longestSilenceMs;
 
   StallWatch(Vertx vertx, HostClock clock) {
     this.clock = clock;
+    this.lastPollMs = clock.nowMs();
     vertx.setPeriodic(POLL_MS, id -> poll());
   }
 
@@ -88,7 +96,12 @@
   }
 
   private void poll() {
-    pauseDetector.recordTick(clock.nowMs());
+    long polledMs = clock.nowMs();
+    pauseDetector.recordTick(polledMs);
+    if (polledMs - lastPollMs > PAUSED_MS) {
+      attempts.forEach(RelayAttempt::excuseSilence);
+    }
+    lastPollMs = polledMs;
     attemptsWithMemory = (int) attempts.stream().filter(RelayAttempt::hasReservedMemory).count();
     longestSilenceMs =
         attempts.stream()
@@ -104,7 +117,7 @@
         continue;
       }
       attempt.path().checkIfSilent(attempt.silentMs());
-      if (attempt.repeatable() && nowMs - attempt.lastProgressMs() > limitMs(attempt)) {
+      if (attempt.repeatable() && nowMs - attempt.silentSinceMs() > limitMs(attempt)) {
         attempt.stalled();
       } else {
         attempt.probeEngineIfSilent();
