Check links only while some are lost, each once

Each host woke ten times a second to look for lost links, and asked its links again for each one that was intact again: with n links n squared checks (EndpointLinksTest, failing before). A timer runs only while links are lost.

--- a/org.fawndrum/src/org/fawndrum/coordination/link/EndpointLinks.java
+++ b/org.fawndrum/src/org/fawndrum/coordination/link/EndpointLinks.java
@@ -35,6 +35,9 @@
   /** Minimum interval between two checks of one lost link. */
   private static final long RECHECK_INTERVAL_MS = 500;
 
+  /** Time after which a check has ended. */
+  private static final long CHECK_MS = 200;
+
   /** Maximum number of lost links that are checked at a time; all are once one is intact again. */
   private static final int MAX_RECHECKS = 8;
 
@@ -206,11 +209,15 @@
   }
 
   /**
-   * Returns all endpoints with lost links, to be checked now because another one is intact again.
+   * Returns the endpoints with lost links that are to be checked now because another link is intact
+   * again: all that are not being checked. Counts these checks.
    */
   public synchronized List<String> takeAllLost(long nowMs) {
     List<String> lost =
-        links.entrySet().stream().filter(e -> e.getValue().lost).map(Map.Entry::getKey).toList();
+        links.entrySet().stream()
+            .filter(e -> e.getValue().lost && nowMs - e.getValue().checkedMs >= CHECK_MS)
+            .map(Map.Entry::getKey)
+            .toList();
     lost.forEach(endpoint -> links.get(endpoint).checkedMs = nowMs);
     return lost;
   }
--- a/org.fawndrum/src/org/fawndrum/transport/relay/EndpointPaths.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/EndpointPaths.java
@@ -34,7 +34,7 @@
    * Silence of an endpoint after which the link to it is checked, in milliseconds. Callers of short
    * prompts wait two seconds.
    */
-  private static final long SILENCE_MS = 700;
+  private static final long SILENCE_MS = 1_000;
 
   private final EndpointClient client;
   private final EndpointLinks links;
@@ -92,7 +92,7 @@
     return new EndpointPaths(
         client,
         links,
-        new LinkChecks(client, links, clock, linkLog, events),
+        new LinkChecks(vertx, client, links, clock, linkLog, events),
         new ProxyClient(vertx, livePeers, selector, clock),
         settings.host(),
         clock,
--- a/org.fawndrum/src/org/fawndrum/transport/relay/LinkChecks.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/LinkChecks.java
@@ -10,6 +10,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.Consumer;
 import java.util.stream.Collectors;
 import org.fawndrum.coordination.link.EndpointLinks;
@@ -31,11 +32,13 @@
   /** How long the result of that counts, in milliseconds: many connections may break at once. */
   private static final long REFERENCES_MS = 10;
 
+  private final Vertx vertx;
   private final EndpointClient client;
   private final EndpointLinks links;
   private final HostClock clock;
   private final LinkLog linkLog;
   private final Consumer<RelayEvent> events;
+  private final AtomicBoolean rechecking = new AtomicBoolean();
   private volatile Map<String, Endpoint> listed = Map.of();
   private volatile Future<Boolean> references = Future.succeededFuture(true);
   private volatile long referencesMs = HostClock.NEVER_MS;
@@ -46,11 +49,13 @@
    * @param events receives changes; must not block
    */
   LinkChecks(
+      Vertx vertx,
       EndpointClient client,
       EndpointLinks links,
       HostClock clock,
       LinkLog linkLog,
       Consumer<RelayEvent> events) {
+    this.vertx = vertx;
     this.client = client;
     this.links = links;
     this.clock = clock;
@@ -58,11 +63,6 @@
     this.events = events;
   }
 
-  /** Starts to check lost links. */
-  void start(Vertx vertx) {
-    vertx.setPeriodic(RECHECK_MS, id -> links.takeRechecks(clock.nowMs()).forEach(this::recheck));
-  }
-
   /** Replaces the endpoints that this host knows. */
   void listingChanged(HostListing listing) {
     listed =
@@ -86,9 +86,23 @@
     if (links.lost(endpoint.name(), clock.nowMs())) {
       linkLog.lost(endpoint.identity());
       events.accept(new RelayEvent.EndpointReachable(endpoint.identity()));
+      scheduleRecheck();
     }
   }
 
+  /** Has lost links checked for as long as there are any, and no timer run otherwise. */
+  private void scheduleRecheck() {
+    if (links.lostCount() > 0 && rechecking.compareAndSet(false, true)) {
+      vertx.setTimer(RECHECK_MS, id -> recheckLost());
+    }
+  }
+
+  private void recheckLost() {
+    links.takeRechecks(clock.nowMs()).forEach(this::recheck);
+    rechecking.set(false);
+    scheduleRecheck();
+  }
+
   /**
    * Checks the links to all silent endpoints.
    *
--- a/org.fawndrum/src/org/fawndrum/transport/relay/RelayRuntime.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/RelayRuntime.java
@@ -322,7 +322,6 @@
         .map(
             server -> {
               store.start();
-              paths.checks().start(vertx);
               storeSync.start(vertx, settings.bounds().drainMs());
               log.event(LogEvent.HOST_STARTED, self, settings.zone());
               return null;
--- a/org.fawndrum/tst/org/fawndrum/coordination/link/EndpointLinksTest.java
+++ b/org.fawndrum/tst/org/fawndrum/coordination/link/EndpointLinksTest.java
@@ -119,4 +119,17 @@
     assertEquals(0, links.lostCount());
     assertFalse(links.isLost("e-1"));
   }
+
+  /**
+   * Each link that is intact again has the others checked; together these were n squared checks.
+   */
+  @Test
+  void linksAreCheckedOnceWhenManyAreIntactAgain() {
+    ENDPOINTS.forEach(endpoint -> links.lost(endpoint, nowMs));
+    links.connected("e-1", nowMs + 500);
+    assertEquals(Set.of("e-2", "e-3"), sorted(links.takeAllLost(nowMs + 500)));
+    links.connected("e-2", nowMs + 502);
+    assertEquals(List.of(), links.takeAllLost(nowMs + 502));
+    assertEquals(List.of("e-3"), links.takeAllLost(nowMs + 700));
+  }
 }
