--- a/org.fawndrum/tst/org/fawndrum/protocol/FleetCodecTest.java
+++ b/org.fawndrum/tst/org/fawndrum/protocol/FleetCodecTest.java
@@ -11,6 +11,7 @@
 import org.fawndrum.coordination.engine.EngineUpdate;
 import org.fawndrum.coordination.membership.FleetMember;
 import org.fawndrum.coordination.membership.FleetReport;
+import org.fawndrum.protocol.wire.DaemonPlace;
 import org.fawndrum.state.HostAddress;
 import org.fawndrum.state.HostIdentity;
 import org.fawndrum.state.LatencyTargets;
@@ -20,7 +21,7 @@
 class FleetCodecTest {
   private static final HostIdentity SELF = new HostIdentity("host-1", 7);
   private static final FleetMember MEMBER =
-      new FleetMember(SELF, new HostAddress("10.0.0.1", 7_340), "zone-a", 200);
+      new FleetMember(SELF, new HostAddress("10.0.0.1", 7_340), "zone-a", 200, true, 7_355);
 
   private static EngineJob job(long sentMs) {
     HostIdentity engine = new HostIdentity("engine-1", 0);
@@ -46,6 +47,13 @@
     assertTrue(decoded.concerns("zone-b"));
   }
 
+  /** A daemon of an older build must not be asked for what it does not know. */
+  @Test
+  void aDaemonOfAnOlderBuildProxiesNothing() {
+    DaemonPlace older = FleetCodec.write(MEMBER).toBuilder().clearProxyPort().build();
+    assertEquals(FleetMember.NO_PROXY, FleetCodec.read(older).proxyPort());
+  }
+
   @Test
   void reportAboutOneZoneConcernsOnlyThatZone() {
     FleetReport report =
