What an endpoint asks of a host holds for the requests of others too

It says that the endpoint is closed now, and others ask the next host.

ProxyServerTest: fails without (no such answer existed before).

--- a/org.fawndrum/src/org/fawndrum/errors/ProxyFailedException.java
+++ b/org.fawndrum/src/org/fawndrum/errors/ProxyFailedException.java
@@ -26,6 +26,11 @@
     return kind;
   }
 
+  /** Returns whether no way to the endpoint was found, or the one that was is lost. */
+  public boolean isPathMissing() {
+    return !isEndpointAtFault() && kind != ProxyFailure.Kind.CLOSED;
+  }
+
   /** Returns whether the other host says that the endpoint is the cause. */
   public boolean isEndpointAtFault() {
     return kind == ProxyFailure.Kind.REFUSED
--- a/org.fawndrum/src/org/fawndrum/protocol/wire/Peer.java
+++ b/org.fawndrum/src/org/fawndrum/protocol/wire/Peer.java
@@ -409,16 +409,17 @@
       "\003uri\030\004 \001(\t\022\022\n\nrepeatable\030\005 \001(\010\022\r\n\005check\030" +
       "\006 \001(\010\022\021\n\tfrom_host\030\007 \001(\t\022\022\n\nrequest_id\030\010" +
       " \001(\t\022\024\n\014remaining_ms\030\t \001(\003\"\r\n\013ProxyOpene" +
-      "d\"\217\001\n\014ProxyFailure\022)\n\004kind\030\001 \001(\0162\033.fawnd" +
-      "rum.ProxyFailure.Kind\"T\n\004Kind\022\017\n\013UNSPECI" +
+      "d\"\233\001\n\014ProxyFailure\022)\n\004kind\030\001 \001(\0162\033.fawnd" +
+      "rum.ProxyFailure.Kind\"`\n\004Kind\022\017\n\013UNSPECI" +
       "FIED\020\000\022\013\n\007REFUSED\020\001\022\r\n\tUNREACHED\020\002\022\013\n\007NO" +
-      "_LINK\020\003\022\010\n\004BUSY\020\004\022\010\n\004LOST\020\005\"*\n\013ProxyHead" +
-      "er\022\014\n\004name\030\001 \001(\t\022\r\n\005value\030\002 \001(\t\"3\n\tProxy" +
-      "Head\022&\n\007headers\030\001 \003(\0132\025.fawndrum.ProxyHe" +
-      "ader\"E\n\013ProxyAnswer\022\016\n\006status\030\001 \001(\005\022&\n\007h" +
-      "eaders\030\002 \003(\0132\025.fawndrum.ProxyHeader\"(\n\tP" +
-      "roxyData\022\r\n\005bytes\030\001 \001(\014\022\014\n\004last\030\002 \001(\010B\036\n" +
-      "\032org.fawndrum.protocol.wireP\001b\006proto3"
+      "_LINK\020\003\022\010\n\004BUSY\020\004\022\010\n\004LOST\020\005\022\n\n\006CLOSED\020\006\"" +
+      "*\n\013ProxyHeader\022\014\n\004name\030\001 \001(\t\022\r\n\005value\030\002 " +
+      "\001(\t\"3\n\tProxyHead\022&\n\007headers\030\001 \003(\0132\025.fawn" +
+      "drum.ProxyHeader\"E\n\013ProxyAnswer\022\016\n\006statu" +
+      "s\030\001 \001(\005\022&\n\007headers\030\002 \003(\0132\025.fawndrum.Prox" +
+      "yHeader\"(\n\tProxyData\022\r\n\005bytes\030\001 \001(\014\022\014\n\004l" +
+      "ast\030\002 \001(\010B\036\n\032org.fawndrum.protocol.wireP" +
+      "\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
--- a/org.fawndrum/src/org/fawndrum/protocol/wire/ProxyFailure.java
+++ b/org.fawndrum/src/org/fawndrum/protocol/wire/ProxyFailure.java
@@ -97,6 +97,15 @@
      * <code>LOST = 5;</code>
      */
     LOST(5),
+    /**
+     * <pre>
+     * The endpoint must get nothing new from the daemon now: it is draining, its zone is drained, or
+     * it asked this daemon for a backoff. Nothing was sent.
+     * </pre>
+     *
+     * <code>CLOSED = 6;</code>
+     */
+    CLOSED(6),
     UNRECOGNIZED(-1),
     ;
 
@@ -153,6 +162,15 @@
      * <code>LOST = 5;</code>
      */
     public static final int LOST_VALUE = 5;
+    /**
+     * <pre>
+     * The endpoint must get nothing new from the daemon now: it is draining, its zone is drained, or
+     * it asked this daemon for a backoff. Nothing was sent.
+     * </pre>
+     *
+     * <code>CLOSED = 6;</code>
+     */
+    public static final int CLOSED_VALUE = 6;
 
 
     public final int getNumber() {
@@ -185,6 +203,7 @@
         case 3: return NO_LINK;
         case 4: return BUSY;
         case 5: return LOST;
+        case 6: return CLOSED;
         default: return null;
       }
     }
--- a/org.fawndrum/src/org/fawndrum/protocol/wire/ProxyOpen.java
+++ b/org.fawndrum/src/org/fawndrum/protocol/wire/ProxyOpen.java
@@ -231,7 +231,7 @@
   private volatile java.lang.Object fromHost_ = "";
   /**
    * <pre>
-   * The daemon that asks, and the id of the request; for logs only.
+   * The daemon that asks; for logs only.
    * </pre>
    *
    * <code>string from_host = 7;</code>
@@ -252,7 +252,7 @@
   }
   /**
    * <pre>
-   * The daemon that asks, and the id of the request; for logs only.
+   * The daemon that asks; for logs only.
    * </pre>
    *
    * <code>string from_host = 7;</code>
@@ -277,6 +277,10 @@
   @SuppressWarnings("serial")
   private volatile java.lang.Object requestId_ = "";
   /**
+   * <pre>
+   * The id of the request. Empty for memory orders and reports, which are not requests of callers.
+   * </pre>
+   *
    * <code>string request_id = 8;</code>
    * @return The requestId.
    */
@@ -294,6 +298,10 @@
     }
   }
   /**
+   * <pre>
+   * The id of the request. Empty for memory orders and reports, which are not requests of callers.
+   * </pre>
+   *
    * <code>string request_id = 8;</code>
    * @return The bytes for requestId.
    */
@@ -1196,7 +1204,7 @@
     private java.lang.Object fromHost_ = "";
     /**
      * <pre>
-     * The daemon that asks, and the id of the request; for logs only.
+     * The daemon that asks; for logs only.
      * </pre>
      *
      * <code>string from_host = 7;</code>
@@ -1216,7 +1224,7 @@
     }
     /**
      * <pre>
-     * The daemon that asks, and the id of the request; for logs only.
+     * The daemon that asks; for logs only.
      * </pre>
      *
      * <code>string from_host = 7;</code>
@@ -1237,7 +1245,7 @@
     }
     /**
      * <pre>
-     * The daemon that asks, and the id of the request; for logs only.
+     * The daemon that asks; for logs only.
      * </pre>
      *
      * <code>string from_host = 7;</code>
@@ -1254,7 +1262,7 @@
     }
     /**
      * <pre>
-     * The daemon that asks, and the id of the request; for logs only.
+     * The daemon that asks; for logs only.
      * </pre>
      *
      * <code>string from_host = 7;</code>
@@ -1268,7 +1276,7 @@
     }
     /**
      * <pre>
-     * The daemon that asks, and the id of the request; for logs only.
+     * The daemon that asks; for logs only.
      * </pre>
      *
      * <code>string from_host = 7;</code>
@@ -1287,6 +1295,10 @@
 
     private java.lang.Object requestId_ = "";
     /**
+     * <pre>
+     * The id of the request. Empty for memory orders and reports, which are not requests of callers.
+     * </pre>
+     *
      * <code>string request_id = 8;</code>
      * @return The requestId.
      */
@@ -1303,6 +1315,10 @@
       }
     }
     /**
+     * <pre>
+     * The id of the request. Empty for memory orders and reports, which are not requests of callers.
+     * </pre>
+     *
      * <code>string request_id = 8;</code>
      * @return The bytes for requestId.
      */
@@ -1320,6 +1336,10 @@
       }
     }
     /**
+     * <pre>
+     * The id of the request. Empty for memory orders and reports, which are not requests of callers.
+     * </pre>
+     *
      * <code>string request_id = 8;</code>
      * @param value The requestId to set.
      * @return This builder for chaining.
@@ -1333,6 +1353,10 @@
       return this;
     }
     /**
+     * <pre>
+     * The id of the request. Empty for memory orders and reports, which are not requests of callers.
+     * </pre>
+     *
      * <code>string request_id = 8;</code>
      * @return This builder for chaining.
      */
@@ -1343,6 +1367,10 @@
       return this;
     }
     /**
+     * <pre>
+     * The id of the request. Empty for memory orders and reports, which are not requests of callers.
+     * </pre>
+     *
      * <code>string request_id = 8;</code>
      * @param value The bytes for requestId to set.
      * @return This builder for chaining.
--- a/org.fawndrum/src/org/fawndrum/protocol/wire/ProxyOpenOrBuilder.java
+++ b/org.fawndrum/src/org/fawndrum/protocol/wire/ProxyOpenOrBuilder.java
@@ -90,7 +90,7 @@
 
   /**
    * <pre>
-   * The daemon that asks, and the id of the request; for logs only.
+   * The daemon that asks; for logs only.
    * </pre>
    *
    * <code>string from_host = 7;</code>
@@ -99,7 +99,7 @@
   java.lang.String getFromHost();
   /**
    * <pre>
-   * The daemon that asks, and the id of the request; for logs only.
+   * The daemon that asks; for logs only.
    * </pre>
    *
    * <code>string from_host = 7;</code>
@@ -109,11 +109,19 @@
       getFromHostBytes();
 
   /**
+   * <pre>
+   * The id of the request. Empty for memory orders and reports, which are not requests of callers.
+   * </pre>
+   *
    * <code>string request_id = 8;</code>
    * @return The requestId.
    */
   java.lang.String getRequestId();
   /**
+   * <pre>
+   * The id of the request. Empty for memory orders and reports, which are not requests of callers.
+   * </pre>
+   *
    * <code>string request_id = 8;</code>
    * @return The bytes for requestId.
    */
--- a/org.fawndrum/src/org/fawndrum/transport/proxy/EndpointConnector.java
+++ b/org.fawndrum/src/org/fawndrum/transport/proxy/EndpointConnector.java
@@ -2,6 +2,7 @@
 package org.fawndrum.transport.proxy;
 
 import io.vertx.core.Future;
+import io.vertx.core.MultiMap;
 import io.vertx.core.http.HttpClientRequest;
 import io.vertx.core.http.HttpMethod;
 import java.util.Optional;
@@ -17,6 +18,15 @@
    */
   Optional<Endpoint> reachable(ProxyOpen open);
 
+  /**
+   * Returns whether the endpoint must get nothing new from this host now, whatever other hosts
+   * know: it is draining, its zone is drained, or it asked this host for a backoff.
+   */
+  boolean isClosed(Endpoint endpoint);
+
+  /** Called with the head of an endpoint's answer to a request, for what it asks of this host. */
+  void answered(Endpoint endpoint, String requestId, int status, MultiMap headers);
+
   /** Returns a request on an open connection; nothing has been written to it. */
   Future<HttpClientRequest> connect(
       Endpoint endpoint, HttpMethod method, String uri, boolean repeatable);
--- a/org.fawndrum/src/org/fawndrum/transport/proxy/ProxyClient.java
+++ b/org.fawndrum/src/org/fawndrum/transport/proxy/ProxyClient.java
@@ -66,28 +66,44 @@
    * ProxyFailedException} once one says that the endpoint is the cause, or when none could help.
    */
   public Future<EndpointRequest> open(ProxyOpen open) {
-    return openAt(open, new HashSet<>());
+    return openAt(open, new HashSet<>(), ProxyFailure.Kind.NO_LINK);
   }
 
-  private Future<EndpointRequest> openAt(ProxyOpen open, Set<HostIdentity> asked) {
+  /**
+   * Asks the next host.
+   *
+   * @param otherwise the failure if there is none
+   */
+  private Future<EndpointRequest> openAt(
+      ProxyOpen open, Set<HostIdentity> asked, ProxyFailure.Kind otherwise) {
     Optional<FleetMember> proxy = selector.take(live.get(), asked, clock.nowMs());
     if (proxy.isEmpty() || asked.size() == MAX_HOSTS) {
       proxy.ifPresent(unused -> selector.released(unused.identity()));
-      return Future.failedFuture(new ProxyFailedException(ProxyFailure.Kind.NO_LINK, "", null));
+      return Future.failedFuture(new ProxyFailedException(otherwise, "", null));
     }
     HostIdentity host = proxy.get().identity();
     asked.add(host);
     return connect(proxy.get(), open)
         .recover(
             cause -> {
+              ProxyFailure.Kind kind = kindOf(cause);
               if (cause instanceof ProxyFailedException failure && failure.isEndpointAtFault()) {
                 return Future.failedFuture(failure);
               }
+              if (kind == ProxyFailure.Kind.CLOSED) {
+                return openAt(open, asked, kind);
+              }
               selector.failed(host, clock.nowMs());
-              return openAt(open, asked);
+              return openAt(open, asked, otherwise);
             });
   }
 
+  private static ProxyFailure.Kind kindOf(Throwable cause) {
+    return cause instanceof ProxyFailedException failure
+        ? failure.kind()
+        : ProxyFailure.Kind.UNSPECIFIED;
+  }
+
   private Future<EndpointRequest> connect(FleetMember proxy, ProxyOpen open) {
     HostIdentity host = proxy.identity();
     return client
--- a/org.fawndrum/src/org/fawndrum/transport/proxy/ProxyConnection.java
+++ b/org.fawndrum/src/org/fawndrum/transport/proxy/ProxyConnection.java
@@ -43,6 +43,7 @@
   private final Consumer<ProxyConnection> onClosed;
   private final ProxyFrames frames;
   private HttpClientRequest request;
+  private Consumer<HttpClientResponse> onAnswer;
   private long openedMs;
   private long expiryTimer;
   private boolean asked;
@@ -115,6 +116,8 @@
       fail(ProxyFailure.Kind.BUSY);
     } else if (endpoint.isEmpty()) {
       fail(ProxyFailure.Kind.NO_LINK);
+    } else if (!open.getRequestId().isEmpty() && connector.isClosed(endpoint.get())) {
+      fail(ProxyFailure.Kind.CLOSED);
     } else if (open.getCheck()) {
       connector
           .check(endpoint.get())
@@ -136,6 +139,7 @@
                 connected.result().reset();
               } else {
                 request = connected.result();
+                onAnswer = head -> answered(open, endpoint, head);
                 request.exceptionHandler(cause -> fail(ProxyFailure.Kind.LOST));
                 onOpened.accept(open, endpoint);
                 sendOpened();
@@ -143,6 +147,12 @@
             });
   }
 
+  private void answered(ProxyOpen open, Endpoint endpoint, HttpClientResponse head) {
+    if (!open.getRequestId().isEmpty()) {
+      connector.answered(endpoint, open.getRequestId(), head.statusCode(), head.headers());
+    }
+  }
+
   private void sendOpened() {
     openedMs = clock.nowMs();
     send(ProxyMessage.newBuilder().setOpened(ProxyOpened.getDefaultInstance()));
@@ -160,6 +170,7 @@
         .onComplete(
             answer -> {
               if (answer.succeeded()) {
+                onAnswer.accept(answer.result());
                 answer(answer.result());
               } else {
                 fail(ProxyFailure.Kind.LOST);
--- a/org.fawndrum/src/org/fawndrum/transport/relay/AttemptPath.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/AttemptPath.java
@@ -39,7 +39,7 @@
 
   /** Returns the event of an attempt that found no connection. */
   static AttemptEvent notOpened(Throwable cause) {
-    boolean noPath = cause instanceof ProxyFailedException failure && !failure.isEndpointAtFault();
+    boolean noPath = cause instanceof ProxyFailedException failure && failure.isPathMissing();
     return noPath ? AttemptEvent.NO_PATH : AttemptEvent.CONNECT_FAILED;
   }
 
--- a/org.fawndrum/src/org/fawndrum/transport/relay/EndpointNotices.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/EndpointNotices.java
@@ -15,6 +15,7 @@
 import org.fawndrum.internal.log.HostLog;
 import org.fawndrum.internal.log.LogEvent;
 import org.fawndrum.internal.log.LogRateLimiter;
+import org.fawndrum.state.Endpoint;
 import org.fawndrum.state.HostIdentity;
 import org.fawndrum.transport.HostClock;
 
@@ -85,6 +86,14 @@
     return obstacle;
   }
 
+  /**
+   * Returns whether an endpoint must get no request of this host now, under whatever permit: its
+   * zone is drained, or it asked for a backoff.
+   */
+  boolean isClosed(Endpoint endpoint) {
+    return restrictions.obstacle(endpoint, Long.MAX_VALUE, clock.nowMs()) != null;
+  }
+
   /** Called when a request is sent to an endpoint. */
   void requestSent(HostIdentity endpoint) {
     if (rates.isLimited(endpoint.host(), clock.nowMs())) {
--- a/org.fawndrum/src/org/fawndrum/transport/relay/EndpointPaths.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/EndpointPaths.java
@@ -7,7 +7,6 @@
 import io.vertx.core.http.HttpClientRequest;
 import io.vertx.core.http.HttpMethod;
 import java.util.List;
-import java.util.Optional;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
 import org.fawndrum.coordination.link.EndpointLinks;
@@ -20,7 +19,6 @@
 import org.fawndrum.state.Endpoint;
 import org.fawndrum.state.HostIdentity;
 import org.fawndrum.transport.HostClock;
-import org.fawndrum.transport.proxy.EndpointConnector;
 import org.fawndrum.transport.proxy.EndpointRequest;
 import org.fawndrum.transport.proxy.ProxyClient;
 
@@ -29,7 +27,7 @@
  * lost. Whether an endpoint or only this host's link to it has failed is decided with the help of
  * another host. Safe for all event loops.
  */
-final class EndpointPaths implements EndpointRequests, EndpointConnector {
+final class EndpointPaths implements EndpointRequests {
   /**
    * Silence of an endpoint after which the link to it is checked, in milliseconds. Callers of short
    * prompts wait two seconds.
@@ -118,6 +116,21 @@
         .recover(cause -> askOthers(endpoint, call, cause));
   }
 
+  /** Returns a request over this host's own link; nothing has been written to it. */
+  Future<HttpClientRequest> connect(
+      Endpoint endpoint, HttpMethod method, String uri, boolean repeatable) {
+    return client
+        .request(endpoint, losses(endpoint), method, uri, repeatable)
+        .onSuccess(
+            request -> {
+              // A connection that was used before may have been lost since.
+              if (!repeatable) {
+                checks.connected(endpoint);
+              }
+            })
+        .onFailure(cause -> links.connectFailed(endpoint.name()));
+  }
+
   /** Asks another host for an endpoint that this host failed to reach. */
   private Future<EndpointRequest> askOthers(Endpoint endpoint, Call call, Throwable cause) {
     if (!links.mayAskOthers(endpoint.name(), clock.nowMs())) {
@@ -270,51 +283,4 @@
   public int losses(Endpoint endpoint) {
     return links.losses(endpoint.name());
   }
-
-  @Override
-  public Optional<Endpoint> reachable(ProxyOpen open) {
-    return checks
-        .listed(open.getEndpoint())
-        .filter(endpoint -> !links.isLost(endpoint.name()))
-        .map(endpoint -> endpoint.withIncarnation(open.getIncarnation()));
-  }
-
-  @Override
-  public Future<HttpClientRequest> connect(
-      Endpoint endpoint, HttpMethod method, String uri, boolean repeatable) {
-    return client
-        .request(endpoint, losses(endpoint), method, uri, repeatable)
-        .onSuccess(
-            request -> {
-              // A connection that was used before may have been lost since.
-              if (!repeatable) {
-                checks.connected(endpoint);
-              }
-            })
-        .onFailure(cause -> links.connectFailed(endpoint.name()));
-  }
-
-  @Override
-  public Future<Optional<ProxyFailure.Kind>> check(Endpoint endpoint) {
-    return checks
-        .check(endpoint)
-        .compose(
-            failure ->
-                failure.isEmpty()
-                    ? Future.succeededFuture(Optional.empty())
-                    : kindOf(endpoint, failure.get()).map(Optional::of));
-  }
-
-  @Override
-  public Future<ProxyFailure.Kind> kindOf(Endpoint endpoint, Throwable cause) {
-    return kindOf(endpoint, ConnectFailure.of(cause));
-  }
-
-  private Future<ProxyFailure.Kind> kindOf(Endpoint endpoint, ConnectFailure failure) {
-    ProxyFailure.Kind kind =
-        failure == ConnectFailure.REFUSED ? ProxyFailure.Kind.REFUSED : ProxyFailure.Kind.UNREACHED;
-    return checks
-        .reachesOthers(endpoint)
-        .map(reaches -> reaches ? kind : ProxyFailure.Kind.NO_LINK);
-  }
 }
--- a/org.fawndrum/src/org/fawndrum/transport/relay/EndpointRequests.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/EndpointRequests.java
@@ -58,7 +58,7 @@
    * @param method its HTTP method
    * @param uri its URI
    * @param repeatable whether it may use a connection that was used before
-   * @param requestId its id, for logs
+   * @param requestId the caller's id; empty for calls that are no requests of callers
    * @param remainingMs how long it may take from now on, in milliseconds
    */
   record Call(
--- a/org.fawndrum/src/org/fawndrum/transport/relay/LinkChecks.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/LinkChecks.java
@@ -10,11 +10,13 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.Set;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.Consumer;
 import java.util.stream.Collectors;
 import org.fawndrum.coordination.link.EndpointLinks;
 import org.fawndrum.state.Endpoint;
+import org.fawndrum.state.HostIdentity;
 import org.fawndrum.state.HostListing;
 import org.fawndrum.transport.HostClock;
 
@@ -40,6 +42,7 @@
   private final Consumer<RelayEvent> events;
   private final AtomicBoolean rechecking = new AtomicBoolean();
   private volatile Map<String, Endpoint> listed = Map.of();
+  private volatile Set<HostIdentity> draining = Set.of();
   private volatile Future<Boolean> references = Future.succeededFuture(true);
   private volatile long referencesMs = HostClock.NEVER_MS;
 
@@ -68,9 +71,15 @@
     listed =
         listing.endpoints().stream()
             .collect(Collectors.toUnmodifiableMap(Endpoint::name, e -> e, (one, other) -> other));
+    draining = listing.drainingEndpoints();
     links.retain(listed.keySet());
   }
 
+  /** Returns whether an endpoint is listed as draining. */
+  boolean isDraining(Endpoint endpoint) {
+    return draining.contains(endpoint.identity());
+  }
+
   /** Returns an endpoint as this host knows it. */
   Optional<Endpoint> listed(String name) {
     return Optional.ofNullable(listed.get(name));
--- a/org.fawndrum/src/org/fawndrum/transport/relay/RelayRuntime.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/RelayRuntime.java
@@ -113,7 +113,7 @@
     this.paths =
         EndpointPaths.create(vertx, settings, fleet::livePeers, clock, registry, log, events);
     this.engineControl.setPaths(paths);
-    this.proxy = new ProxyServer(vertx, settings.proxy(), paths, clock, log);
+    this.proxy = newProxy(adapter.codec());
     this.callers = callerServer(adapter);
     this.drain = newDrain();
     this.readiness = new ReadinessServer(vertx, settings.readiness(), this::isReady);
@@ -137,6 +137,11 @@
         log);
   }
 
+  private ProxyServer newProxy(RelayCodec codec) {
+    ProxyConnector connector = new ProxyConnector(paths, notices, codec);
+    return new ProxyServer(vertx, settings.proxy(), connector, clock, log);
+  }
+
   private RequestCoordinator newCoordinator(EndpointRestrictions restrictions) {
     RetryShare retries = new RetryShare(settings.bounds(), this::otherDaemons, this::hasSeeds);
     Policies policies =
--- a/org.fawndrum/tst/org/fawndrum/transport/proxy/ProxyServerTest.java
+++ b/org.fawndrum/tst/org/fawndrum/transport/proxy/ProxyServerTest.java
@@ -8,6 +8,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.vertx.core.Future;
+import io.vertx.core.MultiMap;
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClientAgent;
@@ -49,6 +50,8 @@
   private final AtomicLong nowMs = new AtomicLong(10_000);
   private final AtomicInteger received = new AtomicInteger();
   private final AtomicInteger closed = new AtomicInteger();
+  private volatile boolean isClosed;
+  private volatile String answeredId;
   private ProxyServer server;
   private ProxyClient client;
   private Endpoint endpoint;
@@ -60,6 +63,16 @@
       return Optional.of(endpoint).filter(known -> known.name().equals(open.getEndpoint()));
     }
 
+    @Override
+    public boolean isClosed(Endpoint to) {
+      return isClosed;
+    }
+
+    @Override
+    public void answered(Endpoint to, String requestId, int status, MultiMap headers) {
+      answeredId = requestId;
+    }
+
     @Override
     public Future<HttpClientRequest> connect(
         Endpoint to, HttpMethod method, String uri, boolean repeatable) {
@@ -138,6 +151,7 @@
     return ProxyOpen.newBuilder()
         .setEndpoint("e-1")
         .setIncarnation(1)
+        .setRequestId("r-1")
         .setMethod("POST")
         .setUri(uri)
         .setRemainingMs(TimeUnit.SECONDS.toMillis(TIMEOUT_S));
@@ -212,4 +226,21 @@
     assertFalse(alone.hasProxies());
     assertEquals(ProxyFailure.Kind.NO_LINK, failure(alone.open(open("/answer").build())).kind());
   }
+
+  /**
+   * An endpoint that asked a host for a backoff must not get the requests of others from it. Memory
+   * is released there nevertheless.
+   */
+  @Test
+  void whatTheEndpointAskedOfTheHostInBetweenHoldsForRequestsOfOthers() throws Exception {
+    EndpointRequest request = await(client.open(open("/answer").build()));
+    request.body().end(Buffer.buffer("body"));
+    await(request.answer());
+    assertEquals("r-1", answeredId, "the host in between learns what the answer asks of it");
+    isClosed = true;
+    ProxyFailedException failure = failure(client.open(open("/answer").build()));
+    assertEquals(ProxyFailure.Kind.CLOSED, failure.kind());
+    assertFalse(failure.isEndpointAtFault());
+    await(client.open(open("/answer").clearRequestId().build())).reset();
+  }
 }
