--- a/org.fawndrum.soak/src/org/fawndrum/soak/LinkChecker.java
+++ b/org.fawndrum.soak/src/org/fawndrum/soak/LinkChecker.java
@@ -18,12 +18,16 @@
   /** Time for hosts to find another way, in milliseconds. */
   static final long CONTACT_MS = 3_000;
 
-  /** Time for hosts to serve again after a signal, in milliseconds. */
-  private static final long SIGNAL_MS = 5_000;
+  /**
+   * Time for hosts to serve again after a signal, in milliseconds: more than a planned stop takes,
+   * during which they refuse requests. Its end is recorded as another signal.
+   */
+  private static final long SIGNAL_MS = SoakSite.GRACE_MS + 1_000;
 
   private static final int ALLOWED_FAILURES = 10;
   private static final int REQUESTS_PER_FAILURE = 50;
 
+  private final Set<String> hosts = new HashSet<>();
   private final Map<String, Long> lostSinceMs = new HashMap<>();
   private final Map<String, Long> signalledMs = new HashMap<>();
   private final Map<String, Group> groups = new HashMap<>();
@@ -58,18 +62,29 @@
 
   /** Records a request, sent for the first time. */
   void recordSent(String id, String host, long nowMs) {
-    boolean counts =
-        lostSinceMs.values().stream().anyMatch(sinceMs -> nowMs - sinceMs >= CONTACT_MS)
-            && nowMs - signalledMs.getOrDefault(host, Long.MIN_VALUE / 2) >= SIGNAL_MS;
+    hosts.add(host);
     Long sinceMs = lostSinceMs.get(host);
     boolean settling = sinceMs != null && nowMs - sinceMs < CONTACT_MS;
-    if (counts && !settling) {
+    if (comparable(nowMs) && isSteady(host, nowMs) && !settling) {
       Group group = sinceMs == null ? with : without;
       group.sent.add(id);
       groups.put(id, group);
     }
   }
 
+  /** Whether there are hosts of both kinds. */
+  private boolean comparable(long nowMs) {
+    boolean anyWithout =
+        lostSinceMs.values().stream().anyMatch(sinceMs -> nowMs - sinceMs >= CONTACT_MS);
+    boolean anyWith =
+        hosts.stream().anyMatch(host -> !lostSinceMs.containsKey(host) && isSteady(host, nowMs));
+    return anyWithout && anyWith;
+  }
+
+  private boolean isSteady(String host, long nowMs) {
+    return nowMs - signalledMs.getOrDefault(host, Long.MIN_VALUE / 2) >= SIGNAL_MS;
+  }
+
   /** Records that a request was served. */
   void recordServed(String id) {
     Group group = groups.get(id);
--- a/org.fawndrum/src/org/fawndrum/transport/proxy/ProxyClient.java
+++ b/org.fawndrum/src/org/fawndrum/transport/proxy/ProxyClient.java
@@ -22,10 +22,11 @@
 /** Sends requests through other hosts. Safe for all event loops. */
 public final class ProxyClient {
   /**
-   * Time within which another host must have a connection to the endpoint, in milliseconds: it
-   * gives up its own attempt to connect after 150.
+   * Time within which another host must have a connection to the endpoint, in milliseconds. It
+   * gives up its own attempt to connect after 150, and may be busy: the requests of a host without
+   * links have no better way.
    */
-  private static final long OPEN_TIMEOUT_MS = 200;
+  private static final long OPEN_TIMEOUT_MS = 400;
 
   /** Number of hosts that are asked for one request. */
   private static final int MAX_HOSTS = 3;
