Say what marks the end of an answer, and how one was broken off

The hypotheses differ in how an answer was framed and how its connection ended, and no line told either. FAWN0058 names the framing, FAWN0100 and two counters tell of broken answers. No decision changed.

--- a/org.fawndrum/src/org/fawndrum/internal/log/LogEvent.java
+++ b/org.fawndrum/src/org/fawndrum/internal/log/LogEvent.java
@@ -107,7 +107,8 @@
   LINK_RESTORED(
       97, Level.INFO, "link to endpoint {0} is intact again after {1} ms; lost links: {2}"),
   REQUEST_SENT_THROUGH(98, Level.INFO, "request {0} to endpoint {1} goes through host {2}"),
-  REQUEST_PROXIED(99, Level.INFO, "request {0} of host {1} goes through this host to endpoint {2}");
+  REQUEST_PROXIED(99, Level.INFO, "request {0} of host {1} goes through this host to endpoint {2}"),
+  ANSWER_BROKEN_OFF(100, Level.WARN, "{0}");
 
   /** Added to a number before formatting, so that the id has four digits with leading zeros. */
   private static final int FOUR_DIGITS = 10_000;
--- a/org.fawndrum/src/org/fawndrum/transport/RequestMetrics.java
+++ b/org.fawndrum/src/org/fawndrum/transport/RequestMetrics.java
@@ -45,6 +45,8 @@
     this.registry = registry;
     this.clock = clock;
     registry.counter("endpointCrashes");
+    registry.counter("answersBrokenOff");
+    registry.counter("answersWithoutFraming");
   }
 
   private String workspace(String name) {
@@ -92,6 +94,16 @@
     registry.counter("endpointCrashes").inc();
   }
 
+  /** Counts an endpoint's answer whose connection was lost before its end. */
+  public void onAnswerBrokenOff() {
+    registry.counter("answersBrokenOff").inc();
+  }
+
+  /** Counts an endpoint's answer that has neither a length nor chunks. */
+  public void onAnswerWithoutFraming() {
+    registry.counter("answersWithoutFraming").inc();
+  }
+
   /** Records a decision in the histograms and counters. */
   public void onDecision(Decision decision) {
     String workspace = decision.group().workspace();
--- a/org.fawndrum/src/org/fawndrum/transport/proxy/EndpointAnswer.java
+++ b/org.fawndrum/src/org/fawndrum/transport/proxy/EndpointAnswer.java
@@ -12,4 +12,9 @@
  * @param headers its headers
  * @param body its body; it ends only if the answer is complete
  */
-public record EndpointAnswer(int statusCode, MultiMap headers, ReadStream<Buffer> body) {}
+public record EndpointAnswer(int statusCode, MultiMap headers, ReadStream<Buffer> body) {
+  /** Returns what marks the end of the body. */
+  public AnswerFraming framing() {
+    return AnswerFraming.of(statusCode, headers);
+  }
+}
--- a/org.fawndrum/src/org/fawndrum/transport/relay/DecisionLog.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/DecisionLog.java
@@ -15,6 +15,8 @@
 import org.fawndrum.state.Endpoint;
 import org.fawndrum.transport.HostClock;
 import org.fawndrum.transport.RequestMetrics;
+import org.fawndrum.transport.proxy.AnswerFraming;
+import org.fawndrum.transport.proxy.EndpointAnswer;
 
 /**
  * Logs a line for each decision about a request, with the versions and ages of the data that it was
@@ -67,11 +69,26 @@
   /**
    * Log details of a completed stream.
    *
+   * @param framing what marked its end at the endpoint
    * @param longestPauseMs the longest time between two events, in milliseconds
    * @param longestPauseAfter the number of events before that pause
    */
   record StreamDetails(
-      String requestId, String endpoint, long events, long longestPauseMs, long longestPauseAfter)
+      String requestId,
+      String endpoint,
+      AnswerFraming framing,
+      long events,
+      long longestPauseMs,
+      long longestPauseAfter)
+      implements LogDetails {}
+
+  /**
+   * Log details of an answer whose connection was lost before its end.
+   *
+   * @param framing what would have marked its end
+   * @param cause how the connection was lost
+   */
+  record BrokenAnswerDetails(String requestId, String endpoint, AnswerFraming framing, String cause)
       implements LogDetails {}
 
   /**
@@ -148,12 +165,35 @@
   }
 
   /** Logs a completed stream. */
-  void streamCompleted(String requestId, StreamPace pace, String endpoint) {
+  void streamCompleted(String requestId, StreamPace pace, String endpoint, AnswerFraming framing) {
     if (successLimiter.tryAcquire(clock.nowMs())) {
       log.details(
           LogEvent.STREAM_COMPLETED,
           new StreamDetails(
-              requestId, endpoint, pace.events(), pace.longestPauseMs(), pace.longestPauseAfter()));
+              requestId,
+              endpoint,
+              framing,
+              pace.events(),
+              pace.longestPauseMs(),
+              pace.longestPauseAfter()));
+    }
+  }
+
+  /** Counts an answer that begins, by what will mark its end. */
+  void answerBegun(AnswerFraming framing) {
+    if (framing == AnswerFraming.CONNECTION) {
+      metrics.onAnswerWithoutFraming();
+    }
+  }
+
+  /** Logs an answer whose connection was lost before its end. */
+  void answerBrokenOff(RelayCall call, Endpoint endpoint, EndpointAnswer head, Throwable cause) {
+    metrics.onAnswerBrokenOff();
+    if (failureLimiter.tryAcquire(clock.nowMs())) {
+      log.details(
+          LogEvent.ANSWER_BROKEN_OFF,
+          new BrokenAnswerDetails(
+              call.request().requestId(), endpoint.name(), head.framing(), String.valueOf(cause)));
     }
   }
 
--- a/org.fawndrum/src/org/fawndrum/transport/relay/RelayAttempt.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/RelayAttempt.java
@@ -74,12 +74,8 @@
     return send.endpoint().name();
   }
 
-  int answerStatus() {
-    return response.statusCode();
-  }
-
-  MultiMap answerHeaders() {
-    return response.headers();
+  EndpointAnswer answerHead() {
+    return response;
   }
 
   /** Reserves memory if needed, then connects and sends. */
@@ -251,6 +247,7 @@
       case NOT_RUN, WRONG_ENDPOINT -> refusedByEndpoint(head.headers());
       case MISMATCHED -> abandon();
       default -> {
+        relay.decisionLog().answerBegun(head.framing());
         answer = new AnswerReader(head, call.held(), this);
         answer.read(call.route().kind() == RouteKind.STREAM);
       }
@@ -301,6 +298,9 @@
   private void connectionLost(Throwable cause) {
     if (!finished && !checkingEndpoint) {
       checkingEndpoint = true;
+      if (answer != null) {
+        relay.decisionLog().answerBrokenOff(call, send.endpoint(), response, cause);
+      }
       path.whyLost(cause).onSuccess(this::lostBecause);
     }
   }
--- a/org.fawndrum/src/org/fawndrum/transport/relay/RelayExchange.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/RelayExchange.java
@@ -12,6 +12,7 @@
 import org.fawndrum.coordination.RefusalKind;
 import org.fawndrum.state.HostIdentity;
 import org.fawndrum.transport.Exchange;
+import org.fawndrum.transport.proxy.EndpointAnswer;
 
 /**
  * One relayed request in progress. A plain answer is buffered until it is complete. A stream is
@@ -115,8 +116,9 @@
   /** Sets the status and headers of a stream's answer, unless an earlier attempt did. */
   private void setHead(RelayAttempt attempt) {
     if (!response.headWritten()) {
-      response.headers().addAll(relay.codec().callerHeaders(attempt.answerHeaders()));
-      response.setStatusCode(attempt.answerStatus()).setChunked(true);
+      EndpointAnswer head = attempt.answerHead();
+      response.headers().addAll(relay.codec().callerHeaders(head.headers()));
+      response.setStatusCode(head.statusCode()).setChunked(true);
     }
   }
 
@@ -165,7 +167,11 @@
     response.end();
     relay
         .decisionLog()
-        .streamCompleted(call.request().requestId(), streamPace, attempt.endpointName());
+        .streamCompleted(
+            call.request().requestId(),
+            streamPace,
+            attempt.endpointName(),
+            attempt.answerHead().framing());
     attemptListener.onEvent(attempt.id(), AttemptEvent.ANSWERED);
   }
 
