Pass on an answer as complete only if it is whole

Callers got answers that had been broken off framed as complete: an empty stream, or the first events of one, or half a plain body.

Cause: an answer with neither a length nor chunks ends with its connection. The HTTP client reports the failure of a reset connection and, in the same turn, the end of the answer. The failure only began a check of the endpoint; the end that followed completed the attempt. An end that is in order was trusted even if the endpoint had ended with it, as the operating system closes the connections of a killed process in order.

AnswerEnd takes the first end that is reported, drops what follows a loss, and asks whether the endpoint goes on before an answer without framing counts as whole. A stream that ends within an event is now a lost connection like others, so that a crash of its endpoint is counted.

--- a/org.fawndrum/src/org/fawndrum/internal/text/MessageText.java
+++ b/org.fawndrum/src/org/fawndrum/internal/text/MessageText.java
@@ -10,6 +10,7 @@
  */
 public enum MessageText {
   ADDRESS_UNAVAILABLE,
+  ANSWER_INCOMPLETE,
   BAD_CELLS,
   BAD_CSV,
   BAD_ENTRY,
--- /dev/null
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/AnswerEnd.java
@@ -0,0 +1,96 @@
+// SPDX-License-Identifier: Apache-2.0
+package org.fawndrum.transport.relay;
+
+import java.util.function.Consumer;
+import org.fawndrum.errors.AnswerIncompleteException;
+import org.fawndrum.transport.proxy.AnswerFraming;
+
+/**
+ * Decides whether the answer of one attempt is whole when it ends, and why it is not. Only the
+ * first end that is reported counts: the HTTP client reports that of a lost connection as the end
+ * of the answer, too. Confined to one event loop.
+ */
+final class AnswerEnd {
+  private final String endpoint;
+  private final AttemptPath path;
+  private final Consumer<Throwable> onBrokenOff;
+  private final Consumer<EndpointPaths.Loss> onLost;
+  private boolean reported;
+  private boolean stopped;
+
+  /**
+   * Creates the end of an attempt.
+   *
+   * @param endpoint the name of its endpoint
+   * @param onBrokenOff called at once when the attempt cannot succeed any more
+   * @param onLost called later, with the reason
+   */
+  AnswerEnd(
+      String endpoint,
+      AttemptPath path,
+      Consumer<Throwable> onBrokenOff,
+      Consumer<EndpointPaths.Loss> onLost) {
+    this.endpoint = endpoint;
+    this.path = path;
+    this.onBrokenOff = onBrokenOff;
+    this.onLost = onLost;
+  }
+
+  /** Reports that the connection was lost, maybe before there was an answer. */
+  void lost(Throwable cause) {
+    if (!reported) {
+      reported = true;
+      onBrokenOff.accept(cause);
+      path.whyLost(cause).onSuccess(this::lostBecause);
+    }
+  }
+
+  /** Reports that a stream ended within an event. */
+  void endedWithinEvent() {
+    lost(new AnswerIncompleteException(endpoint));
+  }
+
+  /**
+   * Reports that the answer ended. One that ends with its connection is whole only if an endpoint
+   * that goes on closed it in order (RFC 9112, section 8).
+   *
+   * @param onWhole called if the answer is whole; at once if its framing says so
+   */
+  void ended(AnswerFraming framing, Runnable onWhole) {
+    if (reported) {
+      return;
+    }
+    reported = true;
+    if (framing == AnswerFraming.CONNECTION) {
+      path.lossAtEnd()
+          .onSuccess(loss -> loss.ifPresentOrElse(this::endedWithEndpoint, () -> whole(onWhole)));
+    } else {
+      onWhole.run();
+    }
+  }
+
+  private void endedWithEndpoint(EndpointPaths.Loss loss) {
+    if (!stopped) {
+      onBrokenOff.accept(new AnswerIncompleteException(endpoint));
+      lostBecause(loss);
+    }
+  }
+
+  private void whole(Runnable onWhole) {
+    if (!stopped) {
+      onWhole.run();
+    }
+  }
+
+  private void lostBecause(EndpointPaths.Loss loss) {
+    if (!stopped) {
+      onLost.accept(loss);
+    }
+  }
+
+  /** Reports nothing from now on, because the attempt has ended. */
+  void stop() {
+    reported = true;
+    stopped = true;
+  }
+}
--- a/org.fawndrum/src/org/fawndrum/transport/relay/AttemptPath.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/AttemptPath.java
@@ -2,7 +2,9 @@
 package org.fawndrum.transport.relay;
 
 import io.vertx.core.Future;
+import java.util.Optional;
 import org.fawndrum.coordination.AttemptEvent;
+import org.fawndrum.errors.AnswerIncompleteException;
 import org.fawndrum.errors.ProxyFailedException;
 import org.fawndrum.state.Endpoint;
 import org.fawndrum.transport.proxy.EndpointRequest;
@@ -81,9 +83,26 @@
     if (usesOwnLink()) {
       return paths.whyLost(endpoint);
     }
-    boolean byEndpoint =
-        cause instanceof ProxyFailedException failure && failure.isEndpointAtFault();
     return Future.succeededFuture(
-        byEndpoint ? EndpointPaths.Loss.UNKNOWN : EndpointPaths.Loss.PATH);
+        isEndpointAtFault(cause) ? EndpointPaths.Loss.UNKNOWN : EndpointPaths.Loss.PATH);
+  }
+
+  private static boolean isEndpointAtFault(Throwable cause) {
+    return cause instanceof AnswerIncompleteException
+        || cause instanceof ProxyFailedException failure && failure.isEndpointAtFault();
+  }
+
+  /**
+   * Determines whether the endpoint ended together with its answer; empty if it goes on. A refusal
+   * that only another host gets proves no crash.
+   */
+  Future<Optional<EndpointPaths.Loss>> lossAtEnd() {
+    return usesOwnLink()
+        ? paths
+            .whyLost(endpoint)
+            .map(loss -> Optional.of(loss).filter(EndpointPaths.Loss.ENDPOINT_ENDED::equals))
+        : paths
+            .refusesOthers(endpoint)
+            .map(refuses -> refuses ? Optional.of(EndpointPaths.Loss.UNKNOWN) : Optional.empty());
   }
 }
--- a/org.fawndrum/src/org/fawndrum/transport/relay/EndpointPaths.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/EndpointPaths.java
@@ -276,6 +276,15 @@
         .recover(cause -> Future.succeededFuture(isRefusal(cause) ? alone : Loss.UNKNOWN));
   }
 
+  /** Returns whether an endpoint refuses connections of another host that answers for it. */
+  Future<Boolean> refusesOthers(Endpoint endpoint) {
+    return proxies
+        .open(open(endpoint).setCheck(true).build())
+        .onSuccess(EndpointRequest::reset)
+        .map(accepted -> false)
+        .recover(cause -> Future.succeededFuture(isRefusal(cause)));
+  }
+
   private static boolean isRefusal(Throwable cause) {
     return cause instanceof ProxyFailedException failure
         && failure.kind() == ProxyFailure.Kind.REFUSED;
--- a/org.fawndrum/src/org/fawndrum/transport/relay/RelayAttempt.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/RelayAttempt.java
@@ -20,8 +20,6 @@
  * it is cancelled. Confined to its owner's event loop.
  */
 final class RelayAttempt implements AnswerReader.Receiver {
-  static final int MIN_FAILURE_STATUS = 500;
-
   /** The highest priority; it corresponds to urgency 0. */
   private static final int MAX_PRIORITY = 9;
 
@@ -33,6 +31,7 @@
   private final AttemptOwner owner;
   private final EngineLiveness liveness;
   private final AttemptPath path;
+  private final AnswerEnd end;
   private EndpointRequest request;
   private EndpointAnswer response;
   private BodyWriter bodyWriter;
@@ -41,7 +40,6 @@
   private long excusedMs = HostClock.NEVER_MS;
   private boolean hasFirstEvent;
   private boolean stallReported;
-  private boolean checkingEndpoint;
   private boolean finished;
 
   RelayAttempt(
@@ -58,6 +56,7 @@
     this.memory = memory;
     this.owner = owner;
     this.path = new AttemptPath(relay.paths(), send.endpoint());
+    this.end = new AnswerEnd(endpointName(), path, this::brokenOff, this::lostBecause);
     this.liveness =
         new EngineLiveness(this::probe, relay.clock(), memory::renewOnEvidence, this::engineFailed);
   }
@@ -208,7 +207,7 @@
     }
     request = connectedRequest;
     request.headers().addAll(relay.codec().endpointHeaders(call.headers(), sending()));
-    request.onLost(this::connectionLost);
+    request.onLost(end::lost);
     owner.handedOver();
     relay.notices().requestSent(send.endpoint().identity());
     lastProgressMs = relay.clock().nowMs();
@@ -219,7 +218,7 @@
     bodyWriter =
         new BodyWriter(request.body(), request.headers(), call.body(), call.held()::bodyBlocked);
     bodyWriter.write();
-    request.answer().onSuccess(this::headReceived).onFailure(this::connectionLost);
+    request.answer().onSuccess(this::headReceived).onFailure(end::lost);
   }
 
   private RelayCodec.Sending sending() {
@@ -242,7 +241,7 @@
     }
     response = head;
     recordActivity();
-    head.body().exceptionHandler(this::connectionLost);
+    head.body().exceptionHandler(end::lost);
     switch (kind) {
       case NOT_RUN, WRONG_ENDPOINT -> refusedByEndpoint(head.headers());
       case MISMATCHED -> abandon();
@@ -290,23 +289,16 @@
     fail(path.abandoned());
   }
 
-  /**
-   * Fails the attempt after determining whether the endpoint crashed, maybe due to the request, or
-   * the way to it was lost, or only the connection. A live endpoint answers within one or two
-   * milliseconds.
-   */
-  private void connectionLost(Throwable cause) {
-    if (!finished && !checkingEndpoint) {
-      checkingEndpoint = true;
-      if (answer != null) {
-        relay.decisionLog().answerBrokenOff(call, send.endpoint(), response, cause);
-      }
-      path.whyLost(cause).onSuccess(this::lostBecause);
+  /** Drops what arrives from now on; why the answer was lost is determined meanwhile. */
+  private void brokenOff(Throwable cause) {
+    if (answer != null) {
+      answer.stop();
+      relay.decisionLog().answerBrokenOff(call, send.endpoint(), response, cause);
     }
   }
 
   private void lostBecause(EndpointPaths.Loss loss) {
-    if (loss == EndpointPaths.Loss.ENDPOINT_ENDED && !finished) {
+    if (loss == EndpointPaths.Loss.ENDPOINT_ENDED) {
       relay.decisionLog().endpointCrashed(call, send.endpoint());
       owner.endpointCrashed(this);
     }
@@ -315,17 +307,24 @@
 
   @Override
   public void wholeReceived(Buffer body) {
+    end.ended(response.framing(), () -> answered(body));
+  }
+
+  private void answered(Buffer body) {
     finish();
-    owner.answered(
-        this, new RelayExchange.FullAnswer(response.statusCode(), response.headers(), body));
+    owner.answered(this, RelayExchange.FullAnswer.of(response, body));
   }
 
   @Override
   public void streamEnded(boolean partialEvent) {
     if (partialEvent) {
-      abandon();
-      return;
+      end.endedWithinEvent();
+    } else {
+      end.ended(response.framing(), this::streamCompleted);
     }
+  }
+
+  private void streamCompleted() {
     finish();
     owner.streamCompleted(this);
   }
@@ -381,6 +380,7 @@
 
   private void finish() {
     finished = true;
+    end.stop();
     if (answer != null) {
       answer.stop();
     }
--- a/org.fawndrum/src/org/fawndrum/transport/relay/RelayExchange.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/RelayExchange.java
@@ -20,6 +20,8 @@
  * event. Confined to one event loop.
  */
 final class RelayExchange implements Exchange, AttemptOwner {
+  private static final int MIN_FAILURE_STATUS = 500;
+
   private final RelayCall call;
   private final HttpServerResponse response;
   private final BooleanSupplier callerDisconnected;
@@ -35,7 +37,11 @@
   private boolean finished;
 
   /** An endpoint's answer with its complete body. */
-  record FullAnswer(int status, MultiMap headers, Buffer body) {}
+  record FullAnswer(int status, MultiMap headers, Buffer body) {
+    static FullAnswer of(EndpointAnswer head, Buffer body) {
+      return new FullAnswer(head.statusCode(), head.headers(), body);
+    }
+  }
 
   RelayExchange(
       RelayCall call,
@@ -98,7 +104,7 @@
     if (!isCurrent(attempt)) {
       return;
     }
-    if (answer.status() >= RelayAttempt.MIN_FAILURE_STATUS && call.route().repeatable()) {
+    if (answer.status() >= MIN_FAILURE_STATUS && call.route().repeatable()) {
       failedAnswer = answer;
       attemptListener.onEvent(attempt.id(), AttemptEvent.FAILED_BY_ENDPOINT);
       return;
