Name the parts of prompts under which endpoints crash

No line told which parts the prompts of a crashed endpoint had, nor whether an answer to them had begun, so that a shared part could not be told from many unlucky requests. No decision changed.

--- a/org.fawndrum/src/org/fawndrum/coordination/crash/RequestContent.java
+++ b/org.fawndrum/src/org/fawndrum/coordination/crash/RequestContent.java
@@ -1,6 +1,7 @@
 // SPDX-License-Identifier: Apache-2.0
 package org.fawndrum.coordination.crash;
 
+import java.util.List;
 import java.util.Optional;
 
 /**
@@ -27,4 +28,12 @@
 
   /** Returns the fingerprint; empty if the content is not known. */
   Optional<RequestFingerprint> fingerprint();
+
+  /**
+   * Returns the fingerprints of the parts of its prompt that other requests may have, too, without
+   * repetitions; empty if it has none.
+   */
+  default List<RequestFingerprint> parts() {
+    return List.of();
+  }
 }
--- a/org.fawndrum/src/org/fawndrum/coordination/crash/RequestFingerprint.java
+++ b/org.fawndrum/src/org/fawndrum/coordination/crash/RequestFingerprint.java
@@ -3,7 +3,8 @@
 
 /**
  * Identifies the content and the caller of a request, independent of its id, its connection and the
- * host that received it: repetitions of a request have the same fingerprint.
+ * host that received it: repetitions of a request have the same fingerprint. Also identifies a part
+ * that the prompts of different requests share.
  *
  * @param bytes the length of the body, in bytes; bodies of different lengths are told apart without
  *     a hash
@@ -11,6 +12,25 @@
  * @param low the next eight bytes
  */
 public record RequestFingerprint(long bytes, long high, long low) {
+  /** Length of a part of a prompt, whose tokens this host does not see; no body has it. */
+  private static final long PART_BYTES = -1;
+
+  /**
+   * Returns the fingerprint of a part that prompts share.
+   *
+   * @param service the service that the prompts are for: the same part may crash the endpoints of
+   *     one and not those of another
+   * @param id the id of the part
+   */
+  public static RequestFingerprint ofPart(String service, long id) {
+    return new RequestFingerprint(PART_BYTES, id, service.hashCode());
+  }
+
+  /** Returns whether it is that of a part of prompts rather than of a request. */
+  public boolean isPart() {
+    return bytes == PART_BYTES;
+  }
+
   /**
    * Returns the fingerprint as it appears in the log and in operator commands: 32 hexadecimal
    * digits.
--- a/org.fawndrum/src/org/fawndrum/transport/relay/CallContent.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/CallContent.java
@@ -6,6 +6,7 @@
 import java.nio.charset.StandardCharsets;
 import java.security.MessageDigest;
 import java.security.NoSuchAlgorithmException;
+import java.util.List;
 import java.util.Optional;
 import org.fawndrum.coordination.crash.RequestContent;
 import org.fawndrum.coordination.crash.RequestFingerprint;
@@ -22,13 +23,38 @@
   private final String uri;
   private final String workspace;
   private final Buffer body;
+  private final String service;
+  private final List<Long> partIds;
   private RequestFingerprint fingerprint;
 
-  CallContent(String method, String uri, String workspace, Buffer body) {
+  /**
+   * Creates the content of a request.
+   *
+   * @param service the service that it is for
+   * @param partIds the ids of the parts of its prompt, in order; the last one is its own
+   */
+  CallContent(
+      String method,
+      String uri,
+      String workspace,
+      Buffer body,
+      String service,
+      List<Long> partIds) {
     this.method = method;
     this.uri = uri;
     this.workspace = workspace;
     this.body = body;
+    this.service = service;
+    this.partIds = partIds;
+  }
+
+  @Override
+  public List<RequestFingerprint> parts() {
+    return partIds.stream()
+        .limit(Math.max(0, partIds.size() - 1))
+        .distinct()
+        .map(id -> RequestFingerprint.ofPart(service, id))
+        .toList();
   }
 
   @Override
--- a/org.fawndrum/src/org/fawndrum/transport/relay/DecisionLog.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/DecisionLog.java
@@ -1,6 +1,7 @@
 // SPDX-License-Identifier: Apache-2.0
 package org.fawndrum.transport.relay;
 
+import java.util.List;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
 import org.fawndrum.coordination.Decision;
@@ -108,8 +109,16 @@
    *
    * @param start the start time that the endpoint reported; 0 if it reported none
    * @param fingerprint identifies the content of the request, independent of its id
+   * @param answering whether a part of its answer had arrived
+   * @param parts the parts of its prompt that other requests may share
    */
-  record EndpointCrashDetails(String requestId, String endpoint, long start, String fingerprint)
+  record EndpointCrashDetails(
+      String requestId,
+      String endpoint,
+      long start,
+      String fingerprint,
+      boolean answering,
+      List<String> parts)
       implements LogDetails {}
 
   /**
@@ -211,14 +220,19 @@
   }
 
   /** Logs a crash of an endpoint that had a request. */
-  void endpointCrashed(RelayCall call, Endpoint endpoint) {
+  void endpointCrashed(RelayCall call, Endpoint endpoint, boolean answering) {
     metrics.onEndpointCrash();
     if (failureLimiter.tryAcquire(clock.nowMs())) {
       String fingerprint = call.content().fingerprint().map(Object::toString).orElse("");
       log.details(
           LogEvent.ENDPOINT_CRASHED,
           new EndpointCrashDetails(
-              call.request().requestId(), endpoint.name(), endpoint.incarnation(), fingerprint));
+              call.request().requestId(),
+              endpoint.name(),
+              endpoint.incarnation(),
+              fingerprint,
+              answering,
+              call.content().parts().stream().map(Object::toString).toList()));
     }
   }
 
--- a/org.fawndrum/src/org/fawndrum/transport/relay/RelayAttempt.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/RelayAttempt.java
@@ -299,7 +299,7 @@
 
   private void lostBecause(EndpointPaths.Loss loss) {
     if (loss == EndpointPaths.Loss.ENDPOINT_ENDED) {
-      relay.decisionLog().endpointCrashed(call, send.endpoint());
+      relay.decisionLog().endpointCrashed(call, send.endpoint(), hasFirstEvent);
       owner.endpointCrashed(this);
     }
     fail(loss == EndpointPaths.Loss.PATH ? AttemptEvent.PATH_LOST : AttemptEvent.LOST);
--- a/org.fawndrum/src/org/fawndrum/transport/relay/RelayIntake.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/RelayIntake.java
@@ -73,9 +73,16 @@
             .route(http.getHeader("host"), http.path())
             .orElseThrow(() -> refusal(request, RefusalKind.NO_ROUTE));
     Workspace workspace = workspace(table, route, request);
+    String service = route.service(ThreadLocalRandom.current().nextDouble());
     RequestContent content =
-        new CallContent(http.method().name(), http.uri(), workspace.name(), incoming.body());
-    RequestFacts facts = facts(table, route, workspace, incoming, content);
+        new CallContent(
+            http.method().name(),
+            http.uri(),
+            workspace.name(),
+            incoming.body(),
+            service,
+            request.prefixes());
+    RequestFacts facts = facts(table, route, service, workspace, incoming, content);
     RelayCall call =
         new RelayCall(
             request,
@@ -126,11 +133,11 @@
   private static RequestFacts facts(
       RouteTable table,
       Route route,
+      String service,
       Workspace workspace,
       RelayServer.IncomingRequest incoming,
       RequestContent content) {
     RelayRequest request = incoming.request();
-    String service = route.service(ThreadLocalRandom.current().nextDouble());
     EndpointKind kind = table.service(service).map(ServiceProfile::kind).orElse(EndpointKind.PLAIN);
     return new RequestFacts(
         request.requestId(),
