--- a/org.fawndrum/src/org/fawndrum/coordination/AttemptDispatcher.java
+++ b/org.fawndrum/src/org/fawndrum/coordination/AttemptDispatcher.java
@@ -64,6 +64,7 @@
   /** Records that part of the answer arrived, which means that the prompt is prefilled. */
   void answerStarted(OpenRequest request, OpenRequest.Attempt attempt, long nowMs) {
     work.prefilled(attempt, nowMs);
+    attempt.answerArrived(nowMs);
     if (!request.firstTokenSeen) {
       request.firstTokenSeen = true;
       attempt.endpoint.promptPrefilled(attempt.id);
--- a/org.fawndrum/src/org/fawndrum/coordination/LostAttempts.java
+++ b/org.fawndrum/src/org/fawndrum/coordination/LostAttempts.java
@@ -5,8 +5,12 @@
 import java.util.Comparator;
 import java.util.Deque;
 import java.util.List;
+import java.util.Optional;
+import java.util.Set;
 import java.util.function.Predicate;
+import org.fawndrum.coordination.crash.EndpointCrash;
 import org.fawndrum.coordination.crash.RequestContent;
+import org.fawndrum.coordination.crash.RequestFingerprint;
 import org.fawndrum.state.HostIdentity;
 
 /**
@@ -40,10 +44,21 @@
    * @param endpoint the endpoint incarnation that it was sent to
    * @param sentMs when it was sent
    * @param atMs when the connection broke
+   * @param answering whether an answer had been written for some time, so that no part of its
+   *     prompt is the cause
    */
-  record LostAttempt(RequestContent content, HostIdentity endpoint, long sentMs, long atMs) {
+  record LostAttempt(
+      RequestContent content, HostIdentity endpoint, long sentMs, long atMs, boolean answering) {
     LostAttempt withTime(long otherMs) {
-      return new LostAttempt(content, endpoint, sentMs, otherMs);
+      return new LostAttempt(content, endpoint, sentMs, otherMs, answering);
+    }
+
+    /** Returns the loss as a crash of the endpoint; empty if the content is not known. */
+    Optional<EndpointCrash> asCrash() {
+      Set<RequestFingerprint> parts = answering ? Set.of() : Set.copyOf(content.parts());
+      return content
+          .fingerprint()
+          .map(request -> new EndpointCrash(endpoint, sentMs, atMs, Set.of(request), parts));
     }
   }
 
--- a/org.fawndrum/src/org/fawndrum/coordination/OpenRequest.java
+++ b/org.fawndrum/src/org/fawndrum/coordination/OpenRequest.java
@@ -46,12 +46,17 @@
 
   /** One attempt with its endpoint and state. */
   static final class Attempt {
+    private static final long NOT_ANSWERING = Long.MAX_VALUE;
+
     final AttemptId id;
     final EndpointState endpoint;
     final List<Long> jobIds = new ArrayList<>(1);
     final Optional<Prefill> prefill;
     final long sentMs;
 
+    /** When its answer began; {@link #NOT_ANSWERING} before. */
+    long answeringSinceMs = NOT_ANSWERING;
+
     /** The helper engine that caused the refusal of the attempt; null if none did. */
     HostIdentity failedHelper;
 
@@ -67,6 +72,16 @@
       this.sentMs = sentMs;
     }
 
+    /** Records that a part of its answer arrived. */
+    void answerArrived(long nowMs) {
+      answeringSinceMs = Math.min(answeringSinceMs, nowMs);
+    }
+
+    /** Whether its answer began before a time. */
+    boolean wasAnsweringAt(long atMs) {
+      return answeringSinceMs <= atMs;
+    }
+
     /** Whether it may have run without giving a whole answer. */
     boolean mayHaveRunUnanswered() {
       return state != AttemptState.DONE && state.ran() != Ran.NO;
--- a/org.fawndrum/src/org/fawndrum/coordination/RequestCoordinator.java
+++ b/org.fawndrum/src/org/fawndrum/coordination/RequestCoordinator.java
@@ -284,6 +284,7 @@
     attempt.state = AttemptTransitions.next(before, event);
     if (attempt.state == AttemptState.RUNNING) {
       dispatcher.answerStarted(request, attempt, nowMs);
+      suspected.answerBegan(request, attempt);
     }
     if (!before.ended() && attempt.state.ended()) {
       attempt.endpoint.attemptEnded(id);
@@ -299,7 +300,7 @@
       OpenRequest request, OpenRequest.Attempt attempt, AttemptEvent event, long nowMs) {
     if (attempt.state == AttemptState.DONE) {
       attempt.endpoint.recordSuccess();
-      suspected.requestAnswered(request, nowMs);
+      suspected.requestAnswered(request, attempt, nowMs);
       finish(request, attempt, nowMs);
     } else {
       followUp(request, attempt, failures.failed(request, attempt, event, nowMs), nowMs);
--- a/org.fawndrum/src/org/fawndrum/coordination/SuspectedRequests.java
+++ b/org.fawndrum/src/org/fawndrum/coordination/SuspectedRequests.java
@@ -27,6 +27,7 @@
   private final CrashRegistry crashRegistry;
   private final List<OpenRequest> heldRequests = new ArrayList<>();
   private final LostAttempts lostAttempts = new LostAttempts();
+  private final SoundParts soundParts = new SoundParts();
   private final EndpointRegistry endpoints;
   private final BooleanSupplier allHostsReporting;
   private final List<Action> actions;
@@ -80,6 +81,7 @@
   private boolean mayProceed(OpenRequest request, long nowMs) {
     RequestContent content = request.facts.content();
     CrashVerdict verdict = crashRegistry.verdict(content, nowMs);
+    hasNewRejections |= verdict == CrashVerdict.REJECTED;
     if (verdict != CrashVerdict.ALLOWED || !crashRegistry.needsLease(content)) {
       return verdict != CrashVerdict.DELAYED;
     }
@@ -105,7 +107,10 @@
     }
     OpenRequest.Attempt last = request.lastAttempt();
     boolean sentUnderLease = last != null && last.sentMs >= request.lease.atMs();
-    boolean ranUnanswered = sentUnderLease && !last.terminationSeen && last.mayHaveRunUnanswered();
+    // A proved crash counts by itself against a request, but not against the part that it tried.
+    boolean crashCounts =
+        sentUnderLease && last.terminationSeen && !request.lease.request().isPart();
+    boolean ranUnanswered = sentUnderLease && !crashCounts && last.mayHaveRunUnanswered();
     if (ranUnanswered) {
       publish(crashRegistry.recordInconclusiveRun(request.lease));
     } else {
@@ -170,36 +175,37 @@
   }
 
   private void recordSuperseded(LostAttempts.LostAttempt attempt) {
-    attempt
-        .content()
-        .fingerprint()
-        .ifPresent(
-            fingerprint ->
-                publish(
-                    crashRegistry.recordIncarnationEnd(
-                        attempt.endpoint(), fingerprint, attempt.sentMs(), attempt.atMs())));
+    attempt.asCrash().ifPresent(crash -> publish(crashRegistry.recordIncarnationEnd(crash)));
   }
 
   private static LostAttempts.LostAttempt lostAttempt(
       OpenRequest request, OpenRequest.Attempt attempt, long nowMs) {
     HostIdentity endpoint = attempt.endpoint.endpoint().identity();
-    return new LostAttempts.LostAttempt(request.facts.content(), endpoint, attempt.sentMs, nowMs);
+    boolean answering = attempt.wasAnsweringAt(nowMs - SoundParts.SOUND_AFTER_MS);
+    return new LostAttempts.LostAttempt(
+        request.facts.content(), endpoint, attempt.sentMs, nowMs, answering);
   }
 
   private void recordCrash(LostAttempts.LostAttempt attempt) {
-    attempt
-        .content()
-        .fingerprint()
-        .ifPresent(
-            fingerprint ->
-                publish(
-                    crashRegistry.recordCrash(
-                        attempt.endpoint(), fingerprint, attempt.sentMs(), attempt.atMs())));
+    attempt.asCrash().ifPresent(crash -> publish(crashRegistry.recordCrash(crash, attempt.atMs())));
+  }
+
+  /** Records that an answer began. If its endpoint goes on, the parts of the prompt are sound. */
+  void answerBegan(OpenRequest request, OpenRequest.Attempt attempt) {
+    if (crashRegistry.hasSuspectedPart(request.facts.content())) {
+      soundParts.watch(request, attempt);
+    }
   }
 
   /** Records that an endpoint completed a request and survived. */
-  void requestAnswered(OpenRequest request, long nowMs) {
+  void requestAnswered(OpenRequest request, OpenRequest.Attempt attempt, long nowMs) {
     publish(crashRegistry.recordAnswer(request.facts.content(), nowMs));
+    attempt.answerArrived(nowMs);
+    recordSound(request, attempt);
+  }
+
+  private void recordSound(OpenRequest request, OpenRequest.Attempt attempt) {
+    publish(crashRegistry.recordSoundParts(request.facts.content(), attempt.answeringSinceMs));
   }
 
   /** Applies an update from another host. */
@@ -215,6 +221,7 @@
    * refused.
    */
   void decide(long nowMs, Consumer<OpenRequest> released) {
+    soundParts.takeSound(nowMs).forEach(sound -> recordSound(sound.request(), sound.attempt()));
     if (nowMs >= crashRegistry.nextDecisionMs()) {
       crashRegistry.allHostsReporting(allHostsReporting.getAsBoolean());
     }
@@ -259,7 +266,8 @@
 
   /** Returns when {@link #decide} is next due, or {@link Long#MAX_VALUE} if it is not. */
   long dueMs() {
-    return Math.min(nextRecheckMs, crashRegistry.nextDecisionMs());
+    long nextMs = Math.min(nextRecheckMs, crashRegistry.nextDecisionMs());
+    return Math.min(nextMs, soundParts.dueMs());
   }
 
   /** Returns a digest of the evidence, equal on hosts that have the same evidence. */
--- a/org.fawndrum/src/org/fawndrum/coordination/crash/CrashHistory.java
+++ b/org.fawndrum/src/org/fawndrum/coordination/crash/CrashHistory.java
@@ -10,6 +10,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.function.Predicate;
+import java.util.stream.Collectors;
 
 /**
  * The most recent crashes of endpoints that had requests, with those requests. Confined to one
@@ -24,6 +25,9 @@
    */
   static final int MAX_REQUESTS_PER_CRASH = 32;
 
+  /** Maximum number of parts kept for one crash: some parts of each request that was waiting. */
+  static final int MAX_PARTS_PER_CRASH = 128;
+
   /** How long a crash is kept. A caller rarely repeats a request after a longer time. */
   static final long RETENTION_MS = 600_000;
 
@@ -70,18 +74,17 @@
         .forEach(this::remove);
     EndpointCrash existing = findSame(crash);
     if (existing == null) {
-      EndpointCrash bounded = bounded(crash, crash.requests());
+      EndpointCrash bounded = bounded(crash);
       put(bounded);
       if (crashes.size() > MAX_CRASHES) {
         remove(evictionCandidate(suspects, nowMs));
       }
       return bounded;
     }
-    Set<RequestFingerprint> allRequests = new HashSet<>(existing.requests());
-    allRequests.addAll(crash.requests());
-    EndpointCrash merged = bounded(existing.mergedWith(crash, allRequests), allRequests);
+    EndpointCrash merged = bounded(existing.mergedWith(crash));
     if (merged.endpoint().equals(existing.endpoint())
-        && merged.requests().equals(existing.requests())) {
+        && merged.requests().equals(existing.requests())
+        && merged.parts().equals(existing.parts())) {
       return null;
     }
     remove(existing);
@@ -136,21 +139,22 @@
         && crashes.stream().anyMatch(other -> other.endpoint().equals(crash.endpoint()));
   }
 
-  private static EndpointCrash bounded(EndpointCrash crash, Set<RequestFingerprint> allRequests) {
-    Set<RequestFingerprint> sorted = new HashSet<>();
-    // Sorted, because all hosts must keep the same requests.
-    allRequests.stream().sorted(BY_HASH).limit(MAX_REQUESTS_PER_CRASH).forEach(sorted::add);
-    return crash.withRequests(sorted);
+  private static EndpointCrash bounded(EndpointCrash crash) {
+    return crash.under(
+        first(crash.requests(), MAX_REQUESTS_PER_CRASH), first(crash.parts(), MAX_PARTS_PER_CRASH));
+  }
+
+  private static Set<RequestFingerprint> first(Set<RequestFingerprint> all, int count) {
+    // Sorted, because all hosts must keep the same ones.
+    return all.stream().sorted(BY_HASH).limit(count).collect(Collectors.toSet());
   }
 
-  /** Removes a request from all crashes up to a time, because it did not cause them. */
-  void removeRequest(RequestFingerprint request, long untilMs) {
+  /** Removes a request or a part from all crashes up to a time: it did not cause them. */
+  void removeInnocent(RequestFingerprint innocent, long untilMs) {
     for (EndpointCrash crash : List.copyOf(crashes)) {
-      if (crash.atMs() <= untilMs && crash.requests().contains(request)) {
-        Set<RequestFingerprint> others = new HashSet<>(crash.requests());
-        others.remove(request);
+      if (crash.atMs() <= untilMs && crash.isUnder(innocent)) {
         remove(crash);
-        put(crash.withRequests(others));
+        put(crash.without(innocent));
       }
     }
   }
@@ -175,6 +179,11 @@
     return new HashSet<>(crashCount.keySet());
   }
 
+  /** Returns the parts of all crashes. */
+  Set<RequestFingerprint> parts() {
+    return crashes.stream().flatMap(crash -> crash.parts().stream()).collect(Collectors.toSet());
+  }
+
   /**
    * Returns whether another endpoint crashed in the same burst without this request and without
    * another explanation.
--- a/org.fawndrum/src/org/fawndrum/coordination/crash/CrashRegistry.java
+++ b/org.fawndrum/src/org/fawndrum/coordination/crash/CrashRegistry.java
@@ -2,7 +2,6 @@
 package org.fawndrum.coordination.crash;
 
 import java.util.ArrayList;
-import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -31,31 +30,21 @@
   static final int MAX_REJECTED = 256;
 
   private final CrashHistory history = new CrashHistory();
-  private final Map<RequestFingerprint, Rejection> rejected = new LinkedHashMap<>();
+  private final Rejections rejections = new Rejections();
   private final Map<RequestFingerprint, Long> lastAnsweredMs = new LinkedHashMap<>();
   private final Map<RequestFingerprint, Long> clearedMs = new LinkedHashMap<>();
-  private final CrashRules rules = new CrashRules(history, rejected, lastAnsweredMs);
+  private final CrashRules rules = new CrashRules(history, rejections, lastAnsweredMs);
   private final ExecutionLeases leases;
   private final InconclusiveRunTable inconclusiveRuns = new InconclusiveRunTable();
-  private Set<RequestFingerprint> suspects = Set.of();
-  private Set<Long> suspectLengths = Set.of();
+  private final PartRules partRules =
+      new PartRules(history, rejections, lastAnsweredMs, inconclusiveRuns);
+  private final Suspects suspects = new Suspects();
   private long digest;
   private boolean digestStale;
   private List<RejectedRequest> rejectedList = List.of();
   private final FindingBuffer findings = new FindingBuffer();
   private long nextDecisionMs = Long.MAX_VALUE;
 
-  /** A rejected request and the time of its last arrival. */
-  private static final class Rejection {
-    final RejectedRequest record;
-    long lastArrivalMs;
-
-    Rejection(RejectedRequest record, long lastArrivalMs) {
-      this.record = record;
-      this.lastArrivalMs = lastArrivalMs;
-    }
-  }
-
   /**
    * Creates a registry without crashes.
    *
@@ -70,14 +59,14 @@
     history.allHostsReporting(reporting);
   }
 
-  /**
-   * Records the crash of an endpoint that had a request; returns the update for other hosts.
-   *
-   * @param lastSentMs when the request was sent to it
-   */
-  public CrashUpdate recordCrash(
+  /** Records a crash under a request whose prompt shares no parts; returns the update. */
+  CrashUpdate recordCrash(
       HostIdentity endpoint, RequestFingerprint request, long lastSentMs, long nowMs) {
-    EndpointCrash crash = new EndpointCrash(endpoint, lastSentMs, nowMs, Set.of(request));
+    return recordCrash(new EndpointCrash(endpoint, lastSentMs, nowMs, Set.of(request)), nowMs);
+  }
+
+  /** Records the crash of an endpoint that had a request; returns the update for other hosts. */
+  public CrashUpdate recordCrash(EndpointCrash crash, long nowMs) {
     EndpointCrash changed = add(crash, nowMs);
     return changed == null ? CrashUpdate.NONE : CrashUpdate.of(changed);
   }
@@ -86,16 +75,9 @@
    * Records the end of an incarnation after the connection of a request to it had broken for a
    * cause that no host observed, unless that incarnation is known to have crashed at another time;
    * returns the update for other hosts.
-   *
-   * @param lastSentMs when the request was sent to it
-   * @param brokenMs when the connection broke
    */
-  public CrashUpdate recordIncarnationEnd(
-      HostIdentity endpoint, RequestFingerprint request, long lastSentMs, long brokenMs) {
-    EndpointCrash crash = new EndpointCrash(endpoint, lastSentMs, brokenMs, Set.of(request));
-    return history.hasCrashAtOtherTime(crash)
-        ? CrashUpdate.NONE
-        : recordCrash(endpoint, request, lastSentMs, brokenMs);
+  public CrashUpdate recordIncarnationEnd(EndpointCrash crash) {
+    return history.hasCrashAtOtherTime(crash) ? CrashUpdate.NONE : recordCrash(crash, crash.atMs());
   }
 
   private EndpointCrash add(EndpointCrash crash, long nowMs) {
@@ -111,32 +93,37 @@
   }
 
   private void refreshSuspects() {
-    Set<RequestFingerprint> allSuspects = history.requests();
-    allSuspects.addAll(rejected.keySet());
-    suspects = allSuspects;
-    Set<Long> allLengths = new HashSet<>();
-    allSuspects.forEach(request -> allLengths.add(request.bytes()));
-    suspectLengths = allLengths;
+    suspects.refresh(history, rejections);
     rules.invalidate();
     digestStale = true;
-    rejectedList = rejected.values().stream().map(rejection -> rejection.record).toList();
-  }
-
-  /** Returns the fingerprint of a suspect; computes it only if the length is that of a suspect. */
-  private Optional<RequestFingerprint> suspect(RequestContent content) {
-    if (!suspectLengths.contains(content.bytes())) {
-      return Optional.empty();
-    }
-    return content.fingerprint().filter(suspects::contains);
+    rejectedList = rejections.list();
   }
 
   /** Records an answer of an endpoint that did not crash; returns the update for other hosts. */
   public CrashUpdate recordAnswer(RequestContent content, long nowMs) {
-    return suspect(content)
+    return suspects
+        .request(content)
         .map(request -> clear(new AnsweredRequest(request, nowMs)))
         .orElse(CrashUpdate.NONE);
   }
 
+  /** Returns whether an answer to a request would show that a suspected part is sound. */
+  public boolean hasSuspectedPart(RequestContent content) {
+    return !suspects.partsOf(content).isEmpty();
+  }
+
+  /**
+   * Records that an answer to a request began and that its endpoint goes on, which clears the parts
+   * of its prompt; returns the update for other hosts.
+   */
+  public CrashUpdate recordSoundParts(RequestContent content, long beganMs) {
+    return CrashUpdate.ofAnswered(
+        suspects.partsOf(content).stream()
+            .map(part -> new AnsweredRequest(part, beganMs))
+            .filter(sound -> !clear(sound).isEmpty())
+            .toList());
+  }
+
   /** Clears a rejected request by an operator's order; returns the update for other hosts. */
   public CrashUpdate clearRejection(RequestFingerprint request, long nowMs) {
     return clear(new AnsweredRequest(request, nowMs));
@@ -151,12 +138,14 @@
     put(lastAnsweredMs, answer);
     leases.endStartedBefore(answer.request(), answer.atMs());
     inconclusiveRuns.forget(answer.request(), answer.atMs());
-    history.removeRequest(answer.request(), answer.atMs());
-    Rejection rejection = rejected.get(answer.request());
-    if (rejection != null && rejection.record.sinceMs() <= answer.atMs() + CrashRules.SETTLE_MS) {
-      rejected.remove(answer.request());
+    history.removeInnocent(answer.request(), answer.atMs());
+    if (rejections.removeUntil(answer.request(), answer.atMs() + CrashRules.SETTLE_MS)) {
       put(clearedMs, answer);
     }
+    if (answer.request().isPart()) {
+      // Crashes that it explained may now be explained by another part.
+      nextDecisionMs = Math.min(nextDecisionMs, answer.atMs());
+    }
     refreshSuspects();
     return CrashUpdate.of(answer);
   }
@@ -167,15 +156,14 @@
 
   /** Returns whether an arriving or waiting request is allowed, delayed or rejected. */
   public CrashVerdict verdict(RequestContent content, long nowMs) {
-    Optional<RequestFingerprint> request = suspect(content);
+    if (rejectsPart(content, nowMs)) {
+      return CrashVerdict.REJECTED;
+    }
+    Optional<RequestFingerprint> request = suspects.request(content);
     if (request.isEmpty()) {
       return CrashVerdict.ALLOWED;
     }
-    Rejection rejection = rejected.get(request.get());
-    if (rejection != null && nowMs - rejection.lastArrivalMs <= REJECTION_EXPIRY_MS) {
-      rejection.lastArrivalMs = nowMs;
-      rejected.remove(request.get());
-      rejected.put(request.get(), rejection);
+    if (rejections.arrived(request.get(), nowMs)) {
       return CrashVerdict.REJECTED;
     }
     boolean delayed = rules.isDelayed(request.get(), nowMs);
@@ -186,15 +174,34 @@
     return delayed ? CrashVerdict.DELAYED : CrashVerdict.ALLOWED;
   }
 
-  /** Returns whether a request needs an execution lease, so that one copy of it runs at a time. */
+  private boolean rejectsPart(RequestContent content, long nowMs) {
+    List<RequestFingerprint> parts = partRules.rejectedPartsOf(content);
+    parts.forEach(part -> rejections.arrived(part, nowMs));
+    return !parts.isEmpty() && !partRules.mayTry(content, parts, nowMs);
+  }
+
+  /**
+   * Returns whether a request needs an execution lease, so that one copy of it, or one request with
+   * its rejected part, runs at a time.
+   */
   public boolean needsLease(RequestContent content) {
-    return suspect(content).filter(rules::requiresLease).isPresent();
+    return triedPart(content).isPresent()
+        || suspects.request(content).filter(rules::requiresLease).isPresent();
+  }
+
+  /** Returns the rejected part that a request which is not rejected would try. */
+  private Optional<RequestFingerprint> triedPart(RequestContent content) {
+    return partRules.rejectedPartsOf(content).stream().findFirst();
+  }
+
+  /** Returns what a lease for a request is for. */
+  private Optional<RequestFingerprint> leaseSubject(RequestContent content) {
+    return triedPart(content).or(content::fingerprint);
   }
 
   /** Requests a lease unless there is one or a quarantine; returns the update for other hosts. */
   public CrashUpdate requestLease(RequestContent content, long nowMs) {
-    return content
-        .fingerprint()
+    return leaseSubject(content)
         .filter(request -> quarantinedUntilMs(request) <= nowMs)
         .map(request -> leases.request(request, nowMs))
         .map(CrashUpdate::of)
@@ -203,7 +210,11 @@
 
   /** Returns when the quarantine of a request ends; in the past, or 0, for most requests. */
   public long quarantinedUntilMs(RequestContent content) {
-    return suspect(content).filter(rules::requiresLease).map(this::quarantinedUntilMs).orElse(0L);
+    return suspects
+        .request(content)
+        .filter(rules::requiresLease)
+        .map(this::quarantinedUntilMs)
+        .orElse(0L);
   }
 
   private long quarantinedUntilMs(RequestFingerprint request) {
@@ -212,7 +223,7 @@
 
   /** Acquires the lease that this host requested, once all other hosts must have received it. */
   public Optional<ExecutionLease> acquireLease(RequestContent content, long nowMs) {
-    return content.fingerprint().flatMap(request -> leases.acquire(request, nowMs));
+    return leaseSubject(content).flatMap(request -> leases.acquire(request, nowMs));
   }
 
   /** Returns whether an acquired lease is still valid. */
@@ -239,7 +250,10 @@
 
   /** Returns whether a request must not share endpoints with other suspects. */
   public boolean isIsolated(RequestContent content) {
-    return suspect(content).filter(request -> rules.isolated().contains(request)).isPresent()
+    return suspects
+            .request(content)
+            .filter(request -> rules.isolated().contains(request))
+            .isPresent()
         && rules.isolated().size() > 1;
   }
 
@@ -262,12 +276,12 @@
     if (nowMs < nextDecisionMs) {
       return List.of();
     }
-    if (rejected.values().removeIf(entry -> nowMs - entry.lastArrivalMs > REJECTION_EXPIRY_MS)) {
+    if (rejections.removeExpired(nowMs)) {
       refreshSuspects();
     }
     List<RejectedRequest> newlyRejected = new ArrayList<>();
     for (RequestFingerprint request : history.requests()) {
-      if (history.crashCount(request) >= CrashRules.MIN_CRASHES && !rejected.containsKey(request)) {
+      if (history.crashCount(request) >= CrashRules.MIN_CRASHES && !rejections.contains(request)) {
         List<EndpointCrash> settled = settledCrashes(request, nowMs);
         CrashFinding finding = rules.evaluate(request, settled);
         findings.add(finding);
@@ -276,9 +290,16 @@
         }
       }
     }
+    PartRules.Decision ofParts = partRules.decide(nowMs);
+    ofParts
+        .causes()
+        .forEach(
+            (part, crashes) ->
+                newlyRejected.add(reject(new RejectedRequest(part, nowMs, names(crashes)), nowMs)));
     nextDecisionMs = Long.MAX_VALUE;
     boolean unsettled =
-        !history.matching(crash -> nowMs - crash.atMs() < CrashRules.SETTLE_MS).isEmpty();
+        ofParts.undecided()
+            || !history.matching(crash -> nowMs - crash.atMs() < CrashRules.SETTLE_MS).isEmpty();
     if (unsettled) {
       nextDecisionMs = nowMs + CrashRules.SETTLE_MS / 2;
     }
@@ -304,7 +325,7 @@
   }
 
   private RejectedRequest reject(RejectedRequest record, long nowMs) {
-    BoundedMaps.putLast(rejected, record.request(), new Rejection(record, nowMs), MAX_REJECTED);
+    rejections.add(record, nowMs);
     refreshSuspects();
     return record;
   }
@@ -344,7 +365,7 @@
     Long clearedAtMs = clearedMs.get(received.request());
     boolean cleared =
         clearedAtMs != null && received.sinceMs() <= clearedAtMs + CrashRules.SETTLE_MS;
-    return !cleared && !rejected.containsKey(received.request());
+    return !cleared && !rejections.contains(received.request());
   }
 
   /** Returns all evidence that no rejection explains, for a host that may lack some of it. */
@@ -371,22 +392,9 @@
    */
   public long digest() {
     if (digestStale) {
-      digest = computeDigest();
+      digest = CrashDigest.of(rejections, history.matching(known -> !rules.isExplained(known)));
       digestStale = false;
     }
     return digest;
   }
-
-  private long computeDigest() {
-    long sum = hashOf(rejected.keySet());
-    for (EndpointCrash crash : history.matching(known -> !rules.isExplained(known))) {
-      long endpointHash = crash.endpoint().host().hashCode() + crash.endpoint().incarnation();
-      sum += (1 + endpointHash) * (1 + hashOf(crash.requests()));
-    }
-    return sum;
-  }
-
-  private static long hashOf(Set<RequestFingerprint> requests) {
-    return requests.stream().mapToLong(request -> request.high() ^ request.low()).sum();
-  }
 }
--- a/org.fawndrum/src/org/fawndrum/coordination/crash/CrashRules.java
+++ b/org.fawndrum/src/org/fawndrum/coordination/crash/CrashRules.java
@@ -67,7 +67,7 @@
   static final long ANSWER_TRUST_MS = 10_000;
 
   private final CrashHistory history;
-  private final Map<RequestFingerprint, ?> rejected;
+  private final Rejections rejections;
   private final Map<RequestFingerprint, Long> lastAnsweredMs;
   private Set<RequestFingerprint> isolated = Set.of();
   private boolean isolatedStale;
@@ -75,15 +75,13 @@
   /**
    * Creates the rules over the state of a registry.
    *
-   * @param rejected the rejected requests
+   * @param rejections the rejected requests and parts
    * @param lastAnsweredMs when requests were last answered
    */
   CrashRules(
-      CrashHistory history,
-      Map<RequestFingerprint, ?> rejected,
-      Map<RequestFingerprint, Long> lastAnsweredMs) {
+      CrashHistory history, Rejections rejections, Map<RequestFingerprint, Long> lastAnsweredMs) {
     this.history = history;
-    this.rejected = rejected;
+    this.rejections = rejections;
     this.lastAnsweredMs = lastAnsweredMs;
   }
 
@@ -174,7 +172,7 @@
 
   /** Returns whether a request has several crashes and is not rejected. */
   boolean isSuspect(RequestFingerprint request) {
-    return history.crashCount(request) >= SUSPECT_CRASHES && !rejected.containsKey(request);
+    return history.crashCount(request) >= SUSPECT_CRASHES && !rejections.contains(request);
   }
 
   private boolean needsIsolation(RequestFingerprint request) {
@@ -295,9 +293,10 @@
                 && !hasLikelyCause(crash));
   }
 
-  /** Returns whether a rejected request was on the endpoint. */
+  /** Returns whether a rejected request, or one with a rejected part, was on the endpoint. */
   boolean isExplained(EndpointCrash crash) {
-    return crash.requests().stream().anyMatch(rejected::containsKey);
+    return crash.requests().stream().anyMatch(rejections::contains)
+        || crash.parts().stream().anyMatch(rejections::contains);
   }
 
   /**
@@ -324,7 +323,8 @@
     return crash.requests().stream().anyMatch(other -> history.crashCount(other) > crashes);
   }
 
-  private static int countBursts(List<EndpointCrash> crashes) {
+  /** Returns in how many bursts the crashes happened. */
+  static int countBursts(List<EndpointCrash> crashes) {
     int bursts = 0;
     long burstStartMs = Long.MIN_VALUE / 2;
     for (long atMs : crashes.stream().mapToLong(EndpointCrash::atMs).sorted().toArray()) {
--- a/org.fawndrum/src/org/fawndrum/coordination/crash/CrashUpdate.java
+++ b/org.fawndrum/src/org/fawndrum/coordination/crash/CrashUpdate.java
@@ -61,6 +61,11 @@
     return new CrashUpdate(List.of(), List.of(request), List.of(), List.of());
   }
 
+  /** Returns an update with answered requests, or parts of them. */
+  static CrashUpdate ofAnswered(List<AnsweredRequest> answered) {
+    return new CrashUpdate(List.of(), answered, List.of(), List.of());
+  }
+
   /** Returns an update with rejected requests. */
   public static CrashUpdate ofRejected(List<RejectedRequest> requests) {
     return new CrashUpdate(List.of(), List.of(), requests, List.of());
--- a/org.fawndrum/src/org/fawndrum/coordination/crash/EndpointCrash.java
+++ b/org.fawndrum/src/org/fawndrum/coordination/crash/EndpointCrash.java
@@ -2,6 +2,8 @@
 package org.fawndrum.coordination.crash;
 
 import java.util.Set;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
 import org.fawndrum.state.Endpoint;
 import org.fawndrum.state.HostIdentity;
 
@@ -12,9 +14,15 @@
  * @param lastSentMs when the last of these requests was sent to it, as far as known
  * @param atMs when a host observed the crash, in milliseconds of this host's clock
  * @param requests the requests that it had, as far as known
+ * @param parts the parts of the prompts of those requests to which no answer had begun, or only
+ *     just: only these may be the cause
  */
 public record EndpointCrash(
-    HostIdentity endpoint, long lastSentMs, long atMs, Set<RequestFingerprint> requests) {
+    HostIdentity endpoint,
+    long lastSentMs,
+    long atMs,
+    Set<RequestFingerprint> requests,
+    Set<RequestFingerprint> parts) {
   /**
    * Tolerance when the time of sending is compared with the time of a crash, in milliseconds. Times
    * of other hosts are transmitted as ages, to which the transport adds 10 to 50 ms. An endpoint is
@@ -22,14 +30,36 @@
    */
   private static final long TIME_TOLERANCE_MS = 400;
 
-  /** Copies the set to make the crash immutable. */
+  /** Copies the sets to make the crash immutable. */
   public EndpointCrash {
     requests = Set.copyOf(requests);
+    parts = Set.copyOf(parts);
   }
 
-  /** Returns the same crash with other requests. */
-  EndpointCrash withRequests(Set<RequestFingerprint> others) {
-    return new EndpointCrash(endpoint, lastSentMs, atMs, others);
+  /** Creates a crash under requests whose prompts share no parts. */
+  public EndpointCrash(
+      HostIdentity endpoint, long lastSentMs, long atMs, Set<RequestFingerprint> requests) {
+    this(endpoint, lastSentMs, atMs, requests, Set.of());
+  }
+
+  /** Returns the same crash with other requests and parts. */
+  EndpointCrash under(Set<RequestFingerprint> otherRequests, Set<RequestFingerprint> otherParts) {
+    return new EndpointCrash(endpoint, lastSentMs, atMs, otherRequests, otherParts);
+  }
+
+  /** Returns the same crash without a request or a part. */
+  EndpointCrash without(RequestFingerprint innocent) {
+    return under(minus(requests, innocent), minus(parts, innocent));
+  }
+
+  private static Set<RequestFingerprint> minus(
+      Set<RequestFingerprint> all, RequestFingerprint removed) {
+    return all.stream().filter(one -> !one.equals(removed)).collect(Collectors.toSet());
+  }
+
+  /** Returns whether a request or a part may be the cause. */
+  boolean isUnder(RequestFingerprint suspect) {
+    return requests.contains(suspect) || parts.contains(suspect);
   }
 
   /**
@@ -66,6 +96,7 @@
   boolean covers(EndpointCrash report) {
     return endpoint.equals(report.endpoint)
         && requests.containsAll(report.requests)
+        && parts.containsAll(report.parts)
         && atMs - lastSentMs == report.atMs - report.lastSentMs;
   }
 
@@ -92,12 +123,18 @@
    * the crash. The time of sending is limited to the time of the crash, because otherwise the
    * result would not be recognized as the crash that other hosts report.
    */
-  EndpointCrash mergedWith(EndpointCrash other, Set<RequestFingerprint> allRequests) {
+  EndpointCrash mergedWith(EndpointCrash other) {
     long crashedMs = Math.min(atMs, other.atMs);
     return new EndpointCrash(
         isEarlierIncarnation(other) ? other.endpoint : endpoint,
         Math.min(Math.max(lastSentMs, other.lastSentMs), crashedMs),
         crashedMs,
-        allRequests);
+        union(requests, other.requests),
+        union(parts, other.parts));
+  }
+
+  private static Set<RequestFingerprint> union(
+      Set<RequestFingerprint> one, Set<RequestFingerprint> other) {
+    return Stream.concat(one.stream(), other.stream()).collect(Collectors.toSet());
   }
 }
--- a/org.fawndrum/src/org/fawndrum/coordination/crash/InconclusiveRunTable.java
+++ b/org.fawndrum/src/org/fawndrum/coordination/crash/InconclusiveRunTable.java
@@ -76,6 +76,19 @@
     return count < MAX_RUNS ? 0 : lastMs + QUARANTINE_MS;
   }
 
+  /** Returns the number of inconclusive runs of a request at all hosts. */
+  int runCount(RequestFingerprint request) {
+    return runsOf(request).values().stream().mapToInt(InconclusiveRuns::count).sum();
+  }
+
+  /** Returns when the last of these runs began; 0 if there was none. */
+  long lastStartedMs(RequestFingerprint request) {
+    return runsOf(request).values().stream()
+        .mapToLong(InconclusiveRuns::lastStartedMs)
+        .max()
+        .orElse(0);
+  }
+
   /** Returns the counts of all requests. */
   List<InconclusiveRuns> all() {
     return runsByRequest.values().stream().flatMap(byHost -> byHost.values().stream()).toList();
--- a/org.fawndrum/src/org/fawndrum/internal/log/LogEvent.java
+++ b/org.fawndrum/src/org/fawndrum/internal/log/LogEvent.java
@@ -108,7 +108,15 @@
       97, Level.INFO, "link to endpoint {0} is intact again after {1} ms; lost links: {2}"),
   REQUEST_SENT_THROUGH(98, Level.INFO, "request {0} to endpoint {1} goes through host {2}"),
   REQUEST_PROXIED(99, Level.INFO, "request {0} of host {1} goes through this host to endpoint {2}"),
-  ANSWER_BROKEN_OFF(100, Level.WARN, "{0}");
+  ANSWER_BROKEN_OFF(100, Level.WARN, "{0}"),
+  PART_CRASHES_ENDPOINTS(
+      101,
+      Level.WARN,
+      "requests with part {0} in their prompts rejected: endpoints crashed as answers to them began: {1}"),
+  PART_SOUND(
+      102,
+      Level.INFO,
+      "part {0} of prompts is sound: an answer on it began {1} ms ago and its endpoint goes on");
 
   /** Added to a number before formatting, so that the id has four digits with leading zeros. */
   private static final int FOUR_DIGITS = 10_000;
--- a/org.fawndrum/src/org/fawndrum/protocol/CrashCodec.java
+++ b/org.fawndrum/src/org/fawndrum/protocol/CrashCodec.java
@@ -41,6 +41,7 @@
               .setTakenAgeMs(nowMs - crash.lastSentMs())
               .setAgeMs(nowMs - crash.atMs());
       crash.requests().forEach(request -> message.addUnder(write(request)));
+      crash.parts().forEach(part -> message.addParts(write(part)));
       report.addCrashes(message);
     }
     for (AnsweredRequest answered : updates.answered()) {
@@ -120,7 +121,8 @@
         endpoint,
         timeOfAge(message.getTakenAgeMs(), nowMs),
         timeOfAge(message.getAgeMs(), nowMs),
-        requests);
+        requests,
+        message.getPartsList().stream().map(CrashCodec::read).collect(Collectors.toSet()));
   }
 
   private static RejectedRequest rejected(RefusedRecord message, long nowMs) {
--- a/org.fawndrum/src/org/fawndrum/protocol/wire/CrashRecord.java
+++ b/org.fawndrum/src/org/fawndrum/protocol/wire/CrashRecord.java
@@ -34,6 +34,7 @@
   private CrashRecord() {
     endpoint_ = "";
     under_ = java.util.Collections.emptyList();
+    parts_ = java.util.Collections.emptyList();
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -190,6 +191,72 @@
     return takenAgeMs_;
   }
 
+  public static final int PARTS_FIELD_NUMBER = 6;
+  @SuppressWarnings("serial")
+  private java.util.List<org.fawndrum.protocol.wire.Fingerprint> parts_;
+  /**
+   * <pre>
+   * The parts of the prompts of those requests to which no answer had begun, or only just. A part
+   * is a fingerprint with -1 bytes, the id of the part and a hash of the service.
+   * </pre>
+   *
+   * <code>repeated .fawndrum.Fingerprint parts = 6;</code>
+   */
+  @java.lang.Override
+  public java.util.List<org.fawndrum.protocol.wire.Fingerprint> getPartsList() {
+    return parts_;
+  }
+  /**
+   * <pre>
+   * The parts of the prompts of those requests to which no answer had begun, or only just. A part
+   * is a fingerprint with -1 bytes, the id of the part and a hash of the service.
+   * </pre>
+   *
+   * <code>repeated .fawndrum.Fingerprint parts = 6;</code>
+   */
+  @java.lang.Override
+  public java.util.List<? extends org.fawndrum.protocol.wire.FingerprintOrBuilder> 
+      getPartsOrBuilderList() {
+    return parts_;
+  }
+  /**
+   * <pre>
+   * The parts of the prompts of those requests to which no answer had begun, or only just. A part
+   * is a fingerprint with -1 bytes, the id of the part and a hash of the service.
+   * </pre>
+   *
+   * <code>repeated .fawndrum.Fingerprint parts = 6;</code>
+   */
+  @java.lang.Override
+  public int getPartsCount() {
+    return parts_.size();
+  }
+  /**
+   * <pre>
+   * The parts of the prompts of those requests to which no answer had begun, or only just. A part
+   * is a fingerprint with -1 bytes, the id of the part and a hash of the service.
+   * </pre>
+   *
+   * <code>repeated .fawndrum.Fingerprint parts = 6;</code>
+   */
+  @java.lang.Override
+  public org.fawndrum.protocol.wire.Fingerprint getParts(int index) {
+    return parts_.get(index);
+  }
+  /**
+   * <pre>
+   * The parts of the prompts of those requests to which no answer had begun, or only just. A part
+   * is a fingerprint with -1 bytes, the id of the part and a hash of the service.
+   * </pre>
+   *
+   * <code>repeated .fawndrum.Fingerprint parts = 6;</code>
+   */
+  @java.lang.Override
+  public org.fawndrum.protocol.wire.FingerprintOrBuilder getPartsOrBuilder(
+      int index) {
+    return parts_.get(index);
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -219,6 +286,9 @@
     if (takenAgeMs_ != 0L) {
       output.writeInt64(5, takenAgeMs_);
     }
+    for (int i = 0; i < parts_.size(); i++) {
+      output.writeMessage(6, parts_.get(i));
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -247,6 +317,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeInt64Size(5, takenAgeMs_);
     }
+    for (int i = 0; i < parts_.size(); i++) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(6, parts_.get(i));
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -272,6 +346,8 @@
         .equals(other.getUnderList())) return false;
     if (getTakenAgeMs()
         != other.getTakenAgeMs()) return false;
+    if (!getPartsList()
+        .equals(other.getPartsList())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -298,6 +374,10 @@
     hash = (37 * hash) + TAKEN_AGE_MS_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
         getTakenAgeMs());
+    if (getPartsCount() > 0) {
+      hash = (37 * hash) + PARTS_FIELD_NUMBER;
+      hash = (53 * hash) + getPartsList().hashCode();
+    }
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -444,6 +524,13 @@
       }
       bitField0_ = (bitField0_ & ~0x00000008);
       takenAgeMs_ = 0L;
+      if (partsBuilder_ == null) {
+        parts_ = java.util.Collections.emptyList();
+      } else {
+        parts_ = null;
+        partsBuilder_.clear();
+      }
+      bitField0_ = (bitField0_ & ~0x00000020);
       return this;
     }
 
@@ -486,6 +573,15 @@
       } else {
         result.under_ = underBuilder_.build();
       }
+      if (partsBuilder_ == null) {
+        if (((bitField0_ & 0x00000020) != 0)) {
+          parts_ = java.util.Collections.unmodifiableList(parts_);
+          bitField0_ = (bitField0_ & ~0x00000020);
+        }
+        result.parts_ = parts_;
+      } else {
+        result.parts_ = partsBuilder_.build();
+      }
     }
 
     private void buildPartial0(org.fawndrum.protocol.wire.CrashRecord result) {
@@ -556,6 +652,32 @@
       if (other.getTakenAgeMs() != 0L) {
         setTakenAgeMs(other.getTakenAgeMs());
       }
+      if (partsBuilder_ == null) {
+        if (!other.parts_.isEmpty()) {
+          if (parts_.isEmpty()) {
+            parts_ = other.parts_;
+            bitField0_ = (bitField0_ & ~0x00000020);
+          } else {
+            ensurePartsIsMutable();
+            parts_.addAll(other.parts_);
+          }
+          onChanged();
+        }
+      } else {
+        if (!other.parts_.isEmpty()) {
+          if (partsBuilder_.isEmpty()) {
+            partsBuilder_.dispose();
+            partsBuilder_ = null;
+            parts_ = other.parts_;
+            bitField0_ = (bitField0_ & ~0x00000020);
+            partsBuilder_ = 
+              com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
+                 internalGetPartsFieldBuilder() : null;
+          } else {
+            partsBuilder_.addAllMessages(other.parts_);
+          }
+        }
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -615,6 +737,19 @@
               bitField0_ |= 0x00000010;
               break;
             } // case 40
+            case 50: {
+              org.fawndrum.protocol.wire.Fingerprint m =
+                  input.readMessage(
+                      org.fawndrum.protocol.wire.Fingerprint.parser(),
+                      extensionRegistry);
+              if (partsBuilder_ == null) {
+                ensurePartsIsMutable();
+                parts_.add(m);
+              } else {
+                partsBuilder_.addMessage(m);
+              }
+              break;
+            } // case 50
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1136,6 +1271,336 @@
       return this;
     }
 
+    private java.util.List<org.fawndrum.protocol.wire.Fingerprint> parts_ =
+      java.util.Collections.emptyList();
+    private void ensurePartsIsMutable() {
+      if (!((bitField0_ & 0x00000020) != 0)) {
+        parts_ = new java.util.ArrayList<org.fawndrum.protocol.wire.Fingerprint>(parts_);
+        bitField0_ |= 0x00000020;
+       }
+    }
+
+    private com.google.protobuf.RepeatedFieldBuilder<
+        org.fawndrum.protocol.wire.Fingerprint, org.fawndrum.protocol.wire.Fingerprint.Builder, org.fawndrum.protocol.wire.FingerprintOrBuilder> partsBuilder_;
+
+    /**
+     * <pre>
+     * The parts of the prompts of those requests to which no answer had begun, or only just. A part
+     * is a fingerprint with -1 bytes, the id of the part and a hash of the service.
+     * </pre>
+     *
+     * <code>repeated .fawndrum.Fingerprint parts = 6;</code>
+     */
+    public java.util.List<org.fawndrum.protocol.wire.Fingerprint> getPartsList() {
+      if (partsBuilder_ == null) {
+        return java.util.Collections.unmodifiableList(parts_);
+      } else {
+        return partsBuilder_.getMessageList();
+      }
+    }
+    /**
+     * <pre>
+     * The parts of the prompts of those requests to which no answer had begun, or only just. A part
+     * is a fingerprint with -1 bytes, the id of the part and a hash of the service.
+     * </pre>
+     *
+     * <code>repeated .fawndrum.Fingerprint parts = 6;</code>
+     */
+    public int getPartsCount() {
+      if (partsBuilder_ == null) {
+        return parts_.size();
+      } else {
+        return partsBuilder_.getCount();
+      }
+    }
+    /**
+     * <pre>
+     * The parts of the prompts of those requests to which no answer had begun, or only just. A part
+     * is a fingerprint with -1 bytes, the id of the part and a hash of the service.
+     * </pre>
+     *
+     * <code>repeated .fawndrum.Fingerprint parts = 6;</code>
+     */
+    public org.fawndrum.protocol.wire.Fingerprint getParts(int index) {
+      if (partsBuilder_ == null) {
+        return parts_.get(index);
+      } else {
+        return partsBuilder_.getMessage(index);
+      }
+    }
+    /**
+     * <pre>
+     * The parts of the prompts of those requests to which no answer had begun, or only just. A part
+     * is a fingerprint with -1 bytes, the id of the part and a hash of the service.
+     * </pre>
+     *
+     * <code>repeated .fawndrum.Fingerprint parts = 6;</code>
+     */
+    public Builder setParts(
+        int index, org.fawndrum.protocol.wire.Fingerprint value) {
+      if (partsBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        ensurePartsIsMutable();
+        parts_.set(index, value);
+        onChanged();
+      } else {
+        partsBuilder_.setMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * The parts of the prompts of those requests to which no answer had begun, or only just. A part
+     * is a fingerprint with -1 bytes, the id of the part and a hash of the service.
+     * </pre>
+     *
+     * <code>repeated .fawndrum.Fingerprint parts = 6;</code>
+     */
+    public Builder setParts(
+        int index, org.fawndrum.protocol.wire.Fingerprint.Builder builderForValue) {
+      if (partsBuilder_ == null) {
+        ensurePartsIsMutable();
+        parts_.set(index, builderForValue.build());
+        onChanged();
+      } else {
+        partsBuilder_.setMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * The parts of the prompts of those requests to which no answer had begun, or only just. A part
+     * is a fingerprint with -1 bytes, the id of the part and a hash of the service.
+     * </pre>
+     *
+     * <code>repeated .fawndrum.Fingerprint parts = 6;</code>
+     */
+    public Builder addParts(org.fawndrum.protocol.wire.Fingerprint value) {
+      if (partsBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        ensurePartsIsMutable();
+        parts_.add(value);
+        onChanged();
+      } else {
+        partsBuilder_.addMessage(value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * The parts of the prompts of those requests to which no answer had begun, or only just. A part
+     * is a fingerprint with -1 bytes, the id of the part and a hash of the service.
+     * </pre>
+     *
+     * <code>repeated .fawndrum.Fingerprint parts = 6;</code>
+     */
+    public Builder addParts(
+        int index, org.fawndrum.protocol.wire.Fingerprint value) {
+      if (partsBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        ensurePartsIsMutable();
+        parts_.add(index, value);
+        onChanged();
+      } else {
+        partsBuilder_.addMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * The parts of the prompts of those requests to which no answer had begun, or only just. A part
+     * is a fingerprint with -1 bytes, the id of the part and a hash of the service.
+     * </pre>
+     *
+     * <code>repeated .fawndrum.Fingerprint parts = 6;</code>
+     */
+    public Builder addParts(
+        org.fawndrum.protocol.wire.Fingerprint.Builder builderForValue) {
+      if (partsBuilder_ == null) {
+        ensurePartsIsMutable();
+        parts_.add(builderForValue.build());
+        onChanged();
+      } else {
+        partsBuilder_.addMessage(builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * The parts of the prompts of those requests to which no answer had begun, or only just. A part
+     * is a fingerprint with -1 bytes, the id of the part and a hash of the service.
+     * </pre>
+     *
+     * <code>repeated .fawndrum.Fingerprint parts = 6;</code>
+     */
+    public Builder addParts(
+        int index, org.fawndrum.protocol.wire.Fingerprint.Builder builderForValue) {
+      if (partsBuilder_ == null) {
+        ensurePartsIsMutable();
+        parts_.add(index, builderForValue.build());
+        onChanged();
+      } else {
+        partsBuilder_.addMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * The parts of the prompts of those requests to which no answer had begun, or only just. A part
+     * is a fingerprint with -1 bytes, the id of the part and a hash of the service.
+     * </pre>
+     *
+     * <code>repeated .fawndrum.Fingerprint parts = 6;</code>
+     */
+    public Builder addAllParts(
+        java.lang.Iterable<? extends org.fawndrum.protocol.wire.Fingerprint> values) {
+      if (partsBuilder_ == null) {
+        ensurePartsIsMutable();
+        com.google.protobuf.AbstractMessageLite.Builder.addAll(
+            values, parts_);
+        onChanged();
+      } else {
+        partsBuilder_.addAllMessages(values);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * The parts of the prompts of those requests to which no answer had begun, or only just. A part
+     * is a fingerprint with -1 bytes, the id of the part and a hash of the service.
+     * </pre>
+     *
+     * <code>repeated .fawndrum.Fingerprint parts = 6;</code>
+     */
+    public Builder clearParts() {
+      if (partsBuilder_ == null) {
+        parts_ = java.util.Collections.emptyList();
+        bitField0_ = (bitField0_ & ~0x00000020);
+        onChanged();
+      } else {
+        partsBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * The parts of the prompts of those requests to which no answer had begun, or only just. A part
+     * is a fingerprint with -1 bytes, the id of the part and a hash of the service.
+     * </pre>
+     *
+     * <code>repeated .fawndrum.Fingerprint parts = 6;</code>
+     */
+    public Builder removeParts(int index) {
+      if (partsBuilder_ == null) {
+        ensurePartsIsMutable();
+        parts_.remove(index);
+        onChanged();
+      } else {
+        partsBuilder_.remove(index);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * The parts of the prompts of those requests to which no answer had begun, or only just. A part
+     * is a fingerprint with -1 bytes, the id of the part and a hash of the service.
+     * </pre>
+     *
+     * <code>repeated .fawndrum.Fingerprint parts = 6;</code>
+     */
+    public org.fawndrum.protocol.wire.Fingerprint.Builder getPartsBuilder(
+        int index) {
+      return internalGetPartsFieldBuilder().getBuilder(index);
+    }
+    /**
+     * <pre>
+     * The parts of the prompts of those requests to which no answer had begun, or only just. A part
+     * is a fingerprint with -1 bytes, the id of the part and a hash of the service.
+     * </pre>
+     *
+     * <code>repeated .fawndrum.Fingerprint parts = 6;</code>
+     */
+    public org.fawndrum.protocol.wire.FingerprintOrBuilder getPartsOrBuilder(
+        int index) {
+      if (partsBuilder_ == null) {
+        return parts_.get(index);  } else {
+        return partsBuilder_.getMessageOrBuilder(index);
+      }
+    }
+    /**
+     * <pre>
+     * The parts of the prompts of those requests to which no answer had begun, or only just. A part
+     * is a fingerprint with -1 bytes, the id of the part and a hash of the service.
+     * </pre>
+     *
+     * <code>repeated .fawndrum.Fingerprint parts = 6;</code>
+     */
+    public java.util.List<? extends org.fawndrum.protocol.wire.FingerprintOrBuilder> 
+         getPartsOrBuilderList() {
+      if (partsBuilder_ != null) {
+        return partsBuilder_.getMessageOrBuilderList();
+      } else {
+        return java.util.Collections.unmodifiableList(parts_);
+      }
+    }
+    /**
+     * <pre>
+     * The parts of the prompts of those requests to which no answer had begun, or only just. A part
+     * is a fingerprint with -1 bytes, the id of the part and a hash of the service.
+     * </pre>
+     *
+     * <code>repeated .fawndrum.Fingerprint parts = 6;</code>
+     */
+    public org.fawndrum.protocol.wire.Fingerprint.Builder addPartsBuilder() {
+      return internalGetPartsFieldBuilder().addBuilder(
+          org.fawndrum.protocol.wire.Fingerprint.getDefaultInstance());
+    }
+    /**
+     * <pre>
+     * The parts of the prompts of those requests to which no answer had begun, or only just. A part
+     * is a fingerprint with -1 bytes, the id of the part and a hash of the service.
+     * </pre>
+     *
+     * <code>repeated .fawndrum.Fingerprint parts = 6;</code>
+     */
+    public org.fawndrum.protocol.wire.Fingerprint.Builder addPartsBuilder(
+        int index) {
+      return internalGetPartsFieldBuilder().addBuilder(
+          index, org.fawndrum.protocol.wire.Fingerprint.getDefaultInstance());
+    }
+    /**
+     * <pre>
+     * The parts of the prompts of those requests to which no answer had begun, or only just. A part
+     * is a fingerprint with -1 bytes, the id of the part and a hash of the service.
+     * </pre>
+     *
+     * <code>repeated .fawndrum.Fingerprint parts = 6;</code>
+     */
+    public java.util.List<org.fawndrum.protocol.wire.Fingerprint.Builder> 
+         getPartsBuilderList() {
+      return internalGetPartsFieldBuilder().getBuilderList();
+    }
+    private com.google.protobuf.RepeatedFieldBuilder<
+        org.fawndrum.protocol.wire.Fingerprint, org.fawndrum.protocol.wire.Fingerprint.Builder, org.fawndrum.protocol.wire.FingerprintOrBuilder> 
+        internalGetPartsFieldBuilder() {
+      if (partsBuilder_ == null) {
+        partsBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+            org.fawndrum.protocol.wire.Fingerprint, org.fawndrum.protocol.wire.Fingerprint.Builder, org.fawndrum.protocol.wire.FingerprintOrBuilder>(
+                parts_,
+                ((bitField0_ & 0x00000020) != 0),
+                getParentForChildren(),
+                isClean());
+        parts_ = null;
+      }
+      return partsBuilder_;
+    }
+
     // @@protoc_insertion_point(builder_scope:fawndrum.CrashRecord)
   }
 
--- a/org.fawndrum/src/org/fawndrum/protocol/wire/CrashRecordOrBuilder.java
+++ b/org.fawndrum/src/org/fawndrum/protocol/wire/CrashRecordOrBuilder.java
@@ -91,4 +91,53 @@
    * @return The takenAgeMs.
    */
   long getTakenAgeMs();
+
+  /**
+   * <pre>
+   * The parts of the prompts of those requests to which no answer had begun, or only just. A part
+   * is a fingerprint with -1 bytes, the id of the part and a hash of the service.
+   * </pre>
+   *
+   * <code>repeated .fawndrum.Fingerprint parts = 6;</code>
+   */
+  java.util.List<org.fawndrum.protocol.wire.Fingerprint> 
+      getPartsList();
+  /**
+   * <pre>
+   * The parts of the prompts of those requests to which no answer had begun, or only just. A part
+   * is a fingerprint with -1 bytes, the id of the part and a hash of the service.
+   * </pre>
+   *
+   * <code>repeated .fawndrum.Fingerprint parts = 6;</code>
+   */
+  org.fawndrum.protocol.wire.Fingerprint getParts(int index);
+  /**
+   * <pre>
+   * The parts of the prompts of those requests to which no answer had begun, or only just. A part
+   * is a fingerprint with -1 bytes, the id of the part and a hash of the service.
+   * </pre>
+   *
+   * <code>repeated .fawndrum.Fingerprint parts = 6;</code>
+   */
+  int getPartsCount();
+  /**
+   * <pre>
+   * The parts of the prompts of those requests to which no answer had begun, or only just. A part
+   * is a fingerprint with -1 bytes, the id of the part and a hash of the service.
+   * </pre>
+   *
+   * <code>repeated .fawndrum.Fingerprint parts = 6;</code>
+   */
+  java.util.List<? extends org.fawndrum.protocol.wire.FingerprintOrBuilder> 
+      getPartsOrBuilderList();
+  /**
+   * <pre>
+   * The parts of the prompts of those requests to which no answer had begun, or only just. A part
+   * is a fingerprint with -1 bytes, the id of the part and a hash of the service.
+   * </pre>
+   *
+   * <code>repeated .fawndrum.Fingerprint parts = 6;</code>
+   */
+  org.fawndrum.protocol.wire.FingerprintOrBuilder getPartsOrBuilder(
+      int index);
 }
--- a/org.fawndrum/src/org/fawndrum/protocol/wire/Peer.java
+++ b/org.fawndrum/src/org/fawndrum/protocol/wire/Peer.java
@@ -352,74 +352,75 @@
       " \001(\010\022#\n\005turns\030\005 \003(\0132\024.fawndrum.TurnRecor" +
       "d\022#\n\005spent\030\006 \003(\0132\024.fawndrum.TurnRecord\022\014" +
       "\n\004hops\030\007 \001(\005\"7\n\013Fingerprint\022\r\n\005bytes\030\001 \001" +
-      "(\003\022\014\n\004high\030\002 \001(\020\022\013\n\003low\030\003 \001(\020\"\211\001\n\013CrashR" +
+      "(\003\022\014\n\004high\030\002 \001(\020\022\013\n\003low\030\003 \001(\020\"\257\001\n\013CrashR" +
       "ecord\022\020\n\010endpoint\030\001 \001(\t\022\034\n\024endpoint_inca" +
       "rnation\030\002 \001(\003\022\016\n\006age_ms\030\003 \001(\003\022$\n\005under\030\004" +
       " \003(\0132\025.fawndrum.Fingerprint\022\024\n\014taken_age" +
-      "_ms\030\005 \001(\003\"F\n\014ServedRecord\022&\n\007request\030\001 \001" +
-      "(\0132\025.fawndrum.Fingerprint\022\016\n\006age_ms\030\002 \001(" +
-      "\003\"{\n\nTurnRecord\022&\n\007request\030\001 \001(\0132\025.fawnd" +
-      "rum.Fingerprint\022\014\n\004host\030\002 \001(\t\022\030\n\020host_in" +
-      "carnation\030\003 \001(\003\022\016\n\006age_ms\030\004 \001(\003\022\r\n\005spent" +
-      "\030\005 \001(\005\"Z\n\rRefusedRecord\022&\n\007request\030\001 \001(\013" +
-      "2\025.fawndrum.Fingerprint\022\016\n\006age_ms\030\002 \001(\003\022" +
-      "\021\n\tendpoints\030\003 \003(\t\"\226\001\n\013DaemonPlace\022\014\n\004ho" +
-      "st\030\001 \001(\t\022\023\n\013incarnation\030\002 \001(\003\022\014\n\004zone\030\003 " +
-      "\001(\t\022\n\n\002ip\030\004 \001(\t\022\014\n\004port\030\005 \001(\005\022\020\n\010capacit" +
-      "y\030\006 \001(\003\022\026\n\016issues_permits\030\007 \001(\010\022\022\n\nproxy" +
-      "_port\030\010 \001(\005\"\273\001\n\nWorkReport\022%\n\006daemon\030\001 \001" +
-      "(\0132\025.fawndrum.DaemonPlace\022\020\n\010sequence\030\002 " +
-      "\001(\003\022\r\n\005whole\030\003 \001(\010\022$\n\006placed\030\004 \003(\0132\024.faw" +
-      "ndrum.WorkPlaced\022\014\n\004read\030\005 \003(\020\022\r\n\005ended\030" +
-      "\006 \003(\020\022\016\n\006failed\030\007 \003(\020\022\022\n\nabout_zone\030\010 \001(" +
-      "\t\"`\n\020KnowledgeRequest\022\036\n\026configuration_r" +
-      "evision\030\001 \001(\003\022\025\n\rendpoints_end\030\002 \001(\003\022\025\n\r" +
-      "endpoints_era\030\003 \001(\003\"\362\002\n\016KnowledgeReply\022\034" +
-      "\n\024configuration_age_ms\030\001 \001(\003\022\036\n\026configur" +
-      "ation_revision\030\002 \001(\003\0221\n\rconfiguration\030\003 " +
-      "\001(\0132\025.fawndrum.StoreRecordH\000\210\001\001\022\025\n\rendpo" +
-      "ints_end\030\004 \001(\003\022(\n\tendpoints\030\005 \003(\0132\025.fawn" +
-      "drum.StoreRecord\022\030\n\020endpoints_age_ms\030\006 \001" +
-      "(\003\022\032\n\022endpoints_left_out\030\007 \001(\010\022\025\n\rendpoi" +
-      "nts_era\030\010 \001(\003\022\036\n\026endpoints_changes_only\030" +
-      "\t \001(\010\022/\n\013zone_drains\030\n \001(\0132\032.fawndrum.Zo" +
-      "neDrainsRecordB\020\n\016_configuration\"9\n\013Stor" +
-      "eRecord\022\016\n\006offset\030\001 \001(\003\022\013\n\003key\030\002 \001(\t\022\r\n\005" +
-      "value\030\003 \001(\014\"\327\001\n\nWorkPlaced\022\n\n\002id\030\001 \001(\020\022\020" +
-      "\n\010endpoint\030\002 \001(\t\022\034\n\024endpoint_incarnation" +
-      "\030\003 \001(\003\022\025\n\rprompt_tokens\030\004 \001(\003\022\025\n\rmemory_" +
-      "tokens\030\005 \001(\003\022\r\n\005parts\030\006 \001(\005\022\016\n\006writes\030\007 " +
-      "\001(\010\022\032\n\022first_token_aim_ms\030\010 \001(\003\022\024\n\014pause" +
-      "_aim_ms\030\t \001(\003\022\016\n\006age_ms\030\n \001(\003\"\033\n\014ClaimRe" +
-      "quest\022\013\n\003key\030\001 \001(\t\"q\n\nClaimReply\022+\n\006answ" +
-      "er\030\001 \001(\0162\033.fawndrum.ClaimReply.Answer\"6\n" +
-      "\006Answer\022\017\n\013UNSPECIFIED\020\000\022\010\n\004FREE\020\001\022\010\n\004HE" +
-      "LD\020\002\022\007\n\003RAN\020\003\"8\n\016LedgerHandover\022&\n\007entri" +
-      "es\030\001 \003(\0132\025.fawndrum.LedgerEntry\"7\n\013Ledge" +
-      "rEntry\022\013\n\003key\030\001 \001(\t\022\013\n\003ran\030\002 \001(\010\022\016\n\006age_" +
-      "ms\030\003 \001(\003\"\021\n\017Acknowledgement\"\202\002\n\014ProxyMes" +
-      "sage\022#\n\004open\030\001 \001(\0132\023.fawndrum.ProxyOpenH" +
-      "\000\022\'\n\006opened\030\002 \001(\0132\025.fawndrum.ProxyOpened" +
-      "H\000\022)\n\007failure\030\003 \001(\0132\026.fawndrum.ProxyFail" +
-      "ureH\000\022#\n\004head\030\004 \001(\0132\023.fawndrum.ProxyHead" +
-      "H\000\022\'\n\006answer\030\005 \001(\0132\025.fawndrum.ProxyAnswe" +
-      "rH\000\022#\n\004data\030\006 \001(\0132\023.fawndrum.ProxyDataH\000" +
-      "B\006\n\004body\"\257\001\n\tProxyOpen\022\020\n\010endpoint\030\001 \001(\t" +
-      "\022\023\n\013incarnation\030\002 \001(\003\022\016\n\006method\030\003 \001(\t\022\013\n" +
-      "\003uri\030\004 \001(\t\022\022\n\nrepeatable\030\005 \001(\010\022\r\n\005check\030" +
-      "\006 \001(\010\022\021\n\tfrom_host\030\007 \001(\t\022\022\n\nrequest_id\030\010" +
-      " \001(\t\022\024\n\014remaining_ms\030\t \001(\003\"\r\n\013ProxyOpene" +
-      "d\"\233\001\n\014ProxyFailure\022)\n\004kind\030\001 \001(\0162\033.fawnd" +
-      "rum.ProxyFailure.Kind\"`\n\004Kind\022\017\n\013UNSPECI" +
-      "FIED\020\000\022\013\n\007REFUSED\020\001\022\r\n\tUNREACHED\020\002\022\013\n\007NO" +
-      "_LINK\020\003\022\010\n\004BUSY\020\004\022\010\n\004LOST\020\005\022\n\n\006CLOSED\020\006\"" +
-      "*\n\013ProxyHeader\022\014\n\004name\030\001 \001(\t\022\r\n\005value\030\002 " +
-      "\001(\t\"3\n\tProxyHead\022&\n\007headers\030\001 \003(\0132\025.fawn" +
-      "drum.ProxyHeader\"E\n\013ProxyAnswer\022\016\n\006statu" +
-      "s\030\001 \001(\005\022&\n\007headers\030\002 \003(\0132\025.fawndrum.Prox" +
-      "yHeader\"(\n\tProxyData\022\r\n\005bytes\030\001 \001(\014\022\014\n\004l" +
-      "ast\030\002 \001(\010B\036\n\032org.fawndrum.protocol.wireP" +
-      "\001b\006proto3"
+      "_ms\030\005 \001(\003\022$\n\005parts\030\006 \003(\0132\025.fawndrum.Fing" +
+      "erprint\"F\n\014ServedRecord\022&\n\007request\030\001 \001(\013" +
+      "2\025.fawndrum.Fingerprint\022\016\n\006age_ms\030\002 \001(\003\"" +
+      "{\n\nTurnRecord\022&\n\007request\030\001 \001(\0132\025.fawndru" +
+      "m.Fingerprint\022\014\n\004host\030\002 \001(\t\022\030\n\020host_inca" +
+      "rnation\030\003 \001(\003\022\016\n\006age_ms\030\004 \001(\003\022\r\n\005spent\030\005" +
+      " \001(\005\"Z\n\rRefusedRecord\022&\n\007request\030\001 \001(\0132\025" +
+      ".fawndrum.Fingerprint\022\016\n\006age_ms\030\002 \001(\003\022\021\n" +
+      "\tendpoints\030\003 \003(\t\"\226\001\n\013DaemonPlace\022\014\n\004host" +
+      "\030\001 \001(\t\022\023\n\013incarnation\030\002 \001(\003\022\014\n\004zone\030\003 \001(" +
+      "\t\022\n\n\002ip\030\004 \001(\t\022\014\n\004port\030\005 \001(\005\022\020\n\010capacity\030" +
+      "\006 \001(\003\022\026\n\016issues_permits\030\007 \001(\010\022\022\n\nproxy_p" +
+      "ort\030\010 \001(\005\"\273\001\n\nWorkReport\022%\n\006daemon\030\001 \001(\013" +
+      "2\025.fawndrum.DaemonPlace\022\020\n\010sequence\030\002 \001(" +
+      "\003\022\r\n\005whole\030\003 \001(\010\022$\n\006placed\030\004 \003(\0132\024.fawnd" +
+      "rum.WorkPlaced\022\014\n\004read\030\005 \003(\020\022\r\n\005ended\030\006 " +
+      "\003(\020\022\016\n\006failed\030\007 \003(\020\022\022\n\nabout_zone\030\010 \001(\t\"" +
+      "`\n\020KnowledgeRequest\022\036\n\026configuration_rev" +
+      "ision\030\001 \001(\003\022\025\n\rendpoints_end\030\002 \001(\003\022\025\n\ren" +
+      "dpoints_era\030\003 \001(\003\"\362\002\n\016KnowledgeReply\022\034\n\024" +
+      "configuration_age_ms\030\001 \001(\003\022\036\n\026configurat" +
+      "ion_revision\030\002 \001(\003\0221\n\rconfiguration\030\003 \001(" +
+      "\0132\025.fawndrum.StoreRecordH\000\210\001\001\022\025\n\rendpoin" +
+      "ts_end\030\004 \001(\003\022(\n\tendpoints\030\005 \003(\0132\025.fawndr" +
+      "um.StoreRecord\022\030\n\020endpoints_age_ms\030\006 \001(\003" +
+      "\022\032\n\022endpoints_left_out\030\007 \001(\010\022\025\n\rendpoint" +
+      "s_era\030\010 \001(\003\022\036\n\026endpoints_changes_only\030\t " +
+      "\001(\010\022/\n\013zone_drains\030\n \001(\0132\032.fawndrum.Zone" +
+      "DrainsRecordB\020\n\016_configuration\"9\n\013StoreR" +
+      "ecord\022\016\n\006offset\030\001 \001(\003\022\013\n\003key\030\002 \001(\t\022\r\n\005va" +
+      "lue\030\003 \001(\014\"\327\001\n\nWorkPlaced\022\n\n\002id\030\001 \001(\020\022\020\n\010" +
+      "endpoint\030\002 \001(\t\022\034\n\024endpoint_incarnation\030\003" +
+      " \001(\003\022\025\n\rprompt_tokens\030\004 \001(\003\022\025\n\rmemory_to" +
+      "kens\030\005 \001(\003\022\r\n\005parts\030\006 \001(\005\022\016\n\006writes\030\007 \001(" +
+      "\010\022\032\n\022first_token_aim_ms\030\010 \001(\003\022\024\n\014pause_a" +
+      "im_ms\030\t \001(\003\022\016\n\006age_ms\030\n \001(\003\"\033\n\014ClaimRequ" +
+      "est\022\013\n\003key\030\001 \001(\t\"q\n\nClaimReply\022+\n\006answer" +
+      "\030\001 \001(\0162\033.fawndrum.ClaimReply.Answer\"6\n\006A" +
+      "nswer\022\017\n\013UNSPECIFIED\020\000\022\010\n\004FREE\020\001\022\010\n\004HELD" +
+      "\020\002\022\007\n\003RAN\020\003\"8\n\016LedgerHandover\022&\n\007entries" +
+      "\030\001 \003(\0132\025.fawndrum.LedgerEntry\"7\n\013LedgerE" +
+      "ntry\022\013\n\003key\030\001 \001(\t\022\013\n\003ran\030\002 \001(\010\022\016\n\006age_ms" +
+      "\030\003 \001(\003\"\021\n\017Acknowledgement\"\202\002\n\014ProxyMessa" +
+      "ge\022#\n\004open\030\001 \001(\0132\023.fawndrum.ProxyOpenH\000\022" +
+      "\'\n\006opened\030\002 \001(\0132\025.fawndrum.ProxyOpenedH\000" +
+      "\022)\n\007failure\030\003 \001(\0132\026.fawndrum.ProxyFailur" +
+      "eH\000\022#\n\004head\030\004 \001(\0132\023.fawndrum.ProxyHeadH\000" +
+      "\022\'\n\006answer\030\005 \001(\0132\025.fawndrum.ProxyAnswerH" +
+      "\000\022#\n\004data\030\006 \001(\0132\023.fawndrum.ProxyDataH\000B\006" +
+      "\n\004body\"\257\001\n\tProxyOpen\022\020\n\010endpoint\030\001 \001(\t\022\023" +
+      "\n\013incarnation\030\002 \001(\003\022\016\n\006method\030\003 \001(\t\022\013\n\003u" +
+      "ri\030\004 \001(\t\022\022\n\nrepeatable\030\005 \001(\010\022\r\n\005check\030\006 " +
+      "\001(\010\022\021\n\tfrom_host\030\007 \001(\t\022\022\n\nrequest_id\030\010 \001" +
+      "(\t\022\024\n\014remaining_ms\030\t \001(\003\"\r\n\013ProxyOpened\"" +
+      "\233\001\n\014ProxyFailure\022)\n\004kind\030\001 \001(\0162\033.fawndru" +
+      "m.ProxyFailure.Kind\"`\n\004Kind\022\017\n\013UNSPECIFI" +
+      "ED\020\000\022\013\n\007REFUSED\020\001\022\r\n\tUNREACHED\020\002\022\013\n\007NO_L" +
+      "INK\020\003\022\010\n\004BUSY\020\004\022\010\n\004LOST\020\005\022\n\n\006CLOSED\020\006\"*\n" +
+      "\013ProxyHeader\022\014\n\004name\030\001 \001(\t\022\r\n\005value\030\002 \001(" +
+      "\t\"3\n\tProxyHead\022&\n\007headers\030\001 \003(\0132\025.fawndr" +
+      "um.ProxyHeader\"E\n\013ProxyAnswer\022\016\n\006status\030" +
+      "\001 \001(\005\022&\n\007headers\030\002 \003(\0132\025.fawndrum.ProxyH" +
+      "eader\"(\n\tProxyData\022\r\n\005bytes\030\001 \001(\014\022\014\n\004las" +
+      "t\030\002 \001(\010B\036\n\032org.fawndrum.protocol.wireP\001b" +
+      "\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -562,7 +563,7 @@
     internal_static_fawndrum_CrashRecord_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_fawndrum_CrashRecord_descriptor,
-        new java.lang.String[] { "Endpoint", "EndpointIncarnation", "AgeMs", "Under", "TakenAgeMs", });
+        new java.lang.String[] { "Endpoint", "EndpointIncarnation", "AgeMs", "Under", "TakenAgeMs", "Parts", });
     internal_static_fawndrum_ServedRecord_descriptor =
       getDescriptor().getMessageType(23);
     internal_static_fawndrum_ServedRecord_fieldAccessorTable = new
--- a/org.fawndrum/src/org/fawndrum/transport/relay/RelayDuty.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/RelayDuty.java
@@ -10,6 +10,7 @@
 import org.fawndrum.coordination.Refusal;
 import org.fawndrum.coordination.RefusalKind;
 import org.fawndrum.coordination.RequestCoordinator;
+import org.fawndrum.coordination.crash.AnsweredRequest;
 import org.fawndrum.coordination.crash.CrashFinding;
 import org.fawndrum.coordination.crash.RejectedRequest;
 import org.fawndrum.coordination.engine.EngineUpdate;
@@ -352,6 +353,7 @@
       } else if (action instanceof Action.BroadcastCrashes crashes) {
         publisher.publishCrashes(crashes.update());
         crashes.update().rejected().forEach(this::logRejected);
+        crashes.update().answered().forEach(this::logSound);
       } else if (action instanceof Action.DemandPermits wanted) {
         publisher.demandPermits(wanted.demands());
       }
@@ -362,7 +364,18 @@
 
   private void logRejected(RejectedRequest rejected) {
     String endpoints = String.join(" ", rejected.endpoints());
-    log.event(LogEvent.REQUEST_CRASHES_ENDPOINTS, rejected.request(), endpoints);
+    LogEvent event =
+        rejected.request().isPart()
+            ? LogEvent.PART_CRASHES_ENDPOINTS
+            : LogEvent.REQUEST_CRASHES_ENDPOINTS;
+    log.event(event, rejected.request(), endpoints);
+  }
+
+  private void logSound(AnsweredRequest answered) {
+    long nowMs = clock.nowMs();
+    if (answered.request().isPart() && findingLimiter.tryAcquire(nowMs)) {
+      log.event(LogEvent.PART_SOUND, answered.request(), nowMs - answered.atMs());
+    }
   }
 
   private void logFinding(CrashFinding finding) {
--- a/org.fawndrum/tst/org/fawndrum/coordination/LostAttemptsTest.java
+++ b/org.fawndrum/tst/org/fawndrum/coordination/LostAttemptsTest.java
@@ -5,8 +5,11 @@
 import static org.junit.jupiter.api.Assertions.assertNotEquals;
 
 import java.util.List;
+import java.util.Set;
 import org.fawndrum.coordination.crash.CrashRegistry;
 import org.fawndrum.coordination.crash.CrashVerdict;
+import org.fawndrum.coordination.crash.EndpointCrash;
+import org.fawndrum.coordination.crash.RequestFingerprint;
 import org.fawndrum.state.HostIdentity;
 import org.junit.jupiter.api.Test;
 
@@ -31,7 +34,7 @@
   private static final NumberedContent OTHER = new NumberedContent(2);
 
   private void loseConnection(NumberedContent request) {
-    lostAttempts.add(new LostAttempts.LostAttempt(request, ENGINE, nowMs - RUN_MS, nowMs));
+    lostAttempts.add(new LostAttempts.LostAttempt(request, ENGINE, nowMs - RUN_MS, nowMs, false));
   }
 
   private void advance(long ms) {
@@ -40,19 +43,14 @@
   }
 
   private void crash(HostIdentity endpoint) {
-    registry.recordCrash(endpoint, DEADLY.computeFingerprint(), nowMs - RUN_MS, nowMs);
+    Set<RequestFingerprint> requests = Set.of(DEADLY.computeFingerprint());
+    registry.recordCrash(new EndpointCrash(endpoint, nowMs - RUN_MS, nowMs, requests), nowMs);
   }
 
   private void incarnationSuperseded() {
     lostAttempts
         .takeSuperseded(ENGINE::equals, nowMs)
-        .forEach(
-            attempt ->
-                registry.recordIncarnationEnd(
-                    attempt.endpoint(),
-                    attempt.content().fingerprint().orElseThrow(),
-                    attempt.sentMs(),
-                    attempt.atMs()));
+        .forEach(attempt -> registry.recordIncarnationEnd(attempt.asCrash().orElseThrow()));
   }
 
   @Test
@@ -91,18 +89,12 @@
   void unprovedLossCountsWhenTheNextIncarnationIsDiscovered() {
     for (int i = 0; i < 3; i++) {
       HostIdentity engine = new HostIdentity("e-" + i, 1);
-      lostAttempts.add(new LostAttempts.LostAttempt(DEADLY, engine, nowMs - RUN_MS, nowMs));
+      lostAttempts.add(new LostAttempts.LostAttempt(DEADLY, engine, nowMs - RUN_MS, nowMs, false));
       advance(LATER_MS);
       assertNotEquals(CrashVerdict.REJECTED, registry.verdict(DEADLY, nowMs));
       lostAttempts
           .takeSuperseded(engine::equals, nowMs)
-          .forEach(
-              attempt ->
-                  registry.recordIncarnationEnd(
-                      attempt.endpoint(),
-                      DEADLY.computeFingerprint(),
-                      attempt.sentMs(),
-                      attempt.atMs()));
+          .forEach(attempt -> registry.recordIncarnationEnd(attempt.asCrash().orElseThrow()));
       advance(LATER_MS);
     }
     assertEquals(CrashVerdict.REJECTED, registry.verdict(DEADLY, nowMs));
--- a/org.fawndrum/tst/org/fawndrum/coordination/crash/CrashFleet.java
+++ b/org.fawndrum/tst/org/fawndrum/coordination/crash/CrashFleet.java
@@ -34,6 +34,9 @@
   private static final long SHORTEST_RUN_MS = 40;
   private static final int RUN_SPREAD_MS = 3_000;
 
+  /** An answer begins after this part of its run. */
+  private static final int READ_DIVISOR = 4;
+
   /** Time within which the engines of a rack crash. */
   private static final int RACK_MS = 20;
 
@@ -63,6 +66,7 @@
   private final PriorityQueue<FleetStep> steps = new PriorityQueue<>();
   private final Map<TestContent, List<Long>> crashesUnder = new HashMap<>();
   private final List<Arrival> deadlyArrivals = new ArrayList<>();
+  private final List<Arrival> rejectedInnocents = new ArrayList<>();
   private long nowMs = 1;
   private long order;
   private int engineCrashes;
@@ -217,6 +221,9 @@
     } else if (verdict == CrashVerdict.REJECTED) {
       boolean innocent = !run.deadly() && connected(run.host());
       innocentsRejected += innocent ? 1 : 0;
+      if (innocent) {
+        rejectedInnocents.add(new Arrival(run.request(), nowMs, true));
+      }
     } else if (!registries[run.host()].needsLease(run.request())) {
       place(run);
     } else {
@@ -275,19 +282,34 @@
     }
     CrashEngine engine = chosen;
     long incarnation = engine.incarnation;
-    CrashRun run = waiting.withTarget(knownIncarnation(waiting.host(), engine), nowMs);
+    long delayMs =
+        waiting.deadly()
+            ? CRASH_DELAY_MS + random.nextInt(CRASH_DELAY_SPREAD_MS)
+            : SHORTEST_RUN_MS + random.nextInt(RUN_SPREAD_MS);
+    long beginsMs = nowMs + (waiting.deadly() ? delayMs : delayMs / READ_DIVISOR);
+    CrashRun run = waiting.withTarget(knownIncarnation(waiting.host(), engine), nowMs, beginsMs);
     engine.runs.add(run);
     if (run.deadly()) {
       deadlyArrivals.add(new Arrival(run.request(), nowMs, connected(run.host())));
-      after(
-          CRASH_DELAY_MS + random.nextInt(CRASH_DELAY_SPREAD_MS),
-          () -> crashUnder(engine, incarnation, run));
+      after(delayMs, () -> crashUnder(engine, incarnation, run));
     } else {
-      long runMs = SHORTEST_RUN_MS + random.nextInt(RUN_SPREAD_MS);
-      after(runMs, () -> answer(engine, incarnation, run));
+      after(delayMs, () -> answer(engine, incarnation, run));
+      at(beginsMs + CrashRun.SOUND_AFTER_MS, () -> answering(engine, incarnation, run));
+    }
+  }
+
+  private void answering(CrashEngine engine, long incarnation, CrashRun run) {
+    boolean goesOn = engine.up && engine.incarnation == incarnation && engine.runs.contains(run);
+    if (goesOn && nowMs >= engine.linkFaultUntilMs) {
+      recordSoundParts(run);
     }
   }
 
+  private void recordSoundParts(CrashRun run) {
+    CrashRegistry registry = registries[run.host()];
+    broadcast(run.host(), registry.recordSoundParts(run.request(), run.beganMs()));
+  }
+
   private boolean mayRunAt(CrashRun run, CrashEngine engine) {
     CrashRegistry registry = registries[run.host()];
     return !registry.isIsolated(run.request())
@@ -315,6 +337,7 @@
     } else {
       innocentsServed++;
       broadcast(run.host(), registries[run.host()].recordAnswer(run.request(), nowMs));
+      recordSoundParts(run);
       releaseLease(run);
     }
   }
@@ -376,10 +399,7 @@
   private void fail(CrashRun run, boolean observed) {
     CrashRegistry registry = registries[run.host()];
     if (observed) {
-      broadcast(
-          run.host(),
-          registry.recordCrash(
-              run.target(), run.request().knownFingerprint(), run.sentMs(), nowMs));
+      broadcast(run.host(), registry.recordCrash(run.crash(nowMs), nowMs));
     }
     recordInconclusiveRun(run);
     if (run.triesLeft() > 1) {
@@ -435,6 +455,30 @@
         .count();
   }
 
+  /** Returns when engines crashed under requests with a part, in order. */
+  List<Long> crashesUnderPart(RequestFingerprint part) {
+    return crashesUnder.entrySet().stream()
+        .filter(entry -> entry.getKey().parts().contains(part))
+        .flatMap(entry -> entry.getValue().stream())
+        .sorted()
+        .toList();
+  }
+
+  /** Returns how often connected hosts sent requests with a part to an engine after a time. */
+  long arrivalsWithPart(RequestFingerprint part, long fromMs) {
+    return deadlyArrivals.stream()
+        .filter(arrival -> arrival.connected() && arrival.atMs() > fromMs)
+        .filter(arrival -> arrival.request().parts().contains(part))
+        .count();
+  }
+
+  /** Returns how many innocent requests with a part connected hosts rejected after a time. */
+  long innocentsRejected(RequestFingerprint part, long fromMs) {
+    return rejectedInnocents.stream()
+        .filter(arrival -> arrival.atMs() > fromMs && arrival.request().parts().contains(part))
+        .count();
+  }
+
   /** Returns the number of observable crashes under a request. */
   int crashesUnder(TestContent request) {
     return crashesUnder.getOrDefault(request, List.of()).size();
--- a/org.fawndrum/tst/org/fawndrum/coordination/crash/DelayedUpdate.java
+++ b/org.fawndrum/tst/org/fawndrum/coordination/crash/DelayedUpdate.java
@@ -34,6 +34,10 @@
 
   private static EndpointCrash of(EndpointCrash crash, long delayMs) {
     return new EndpointCrash(
-        crash.endpoint(), crash.lastSentMs() + delayMs, crash.atMs() + delayMs, crash.requests());
+        crash.endpoint(),
+        crash.lastSentMs() + delayMs,
+        crash.atMs() + delayMs,
+        crash.requests(),
+        crash.parts());
   }
 }
