--- a/org.fawndrum/tst/org/fawndrum/protocol/CrashCodecTest.java
+++ b/org.fawndrum/tst/org/fawndrum/protocol/CrashCodecTest.java
@@ -27,7 +27,11 @@
         new CrashUpdate(
             List.of(
                 new EndpointCrash(
-                    new HostIdentity("e-1", 1_000), NOW_MS - 700, NOW_MS - 400, Set.of(REQUEST))),
+                    new HostIdentity("e-1", 1_000),
+                    NOW_MS - 700,
+                    NOW_MS - 400,
+                    Set.of(REQUEST),
+                    Set.of(RequestFingerprint.ofPart("pool", 0xf1)))),
             List.of(new AnsweredRequest(REQUEST, NOW_MS - 30)),
             List.of(new RejectedRequest(REQUEST, NOW_MS - 20, List.of("e-1#1000"))),
             List.of(new ExecutionLease(REQUEST, HOST, NOW_MS - 10)),
