--- a/org.fawndrum/src/org/fawndrum/errors/ProxyFailedException.java
+++ b/org.fawndrum/src/org/fawndrum/errors/ProxyFailedException.java
@@ -16,8 +16,8 @@
    * @param kind what the other host said; {@code UNSPECIFIED} if it said nothing
    * @param proxy the other host; empty if there was none to ask
    */
-  public ProxyFailedException(ProxyFailure.Kind kind, String proxy, Throwable cause) {
-    super(cause, MessageText.PROXY_FAILED, proxy, kind);
+  public ProxyFailedException(ProxyFailure.Kind kind, String proxy) {
+    super(MessageText.PROXY_FAILED, proxy, kind);
     this.kind = kind;
   }
 
--- a/org.fawndrum/src/org/fawndrum/transport/proxy/ProxiedRequest.java
+++ b/org.fawndrum/src/org/fawndrum/transport/proxy/ProxiedRequest.java
@@ -93,7 +93,7 @@
     }
     finished = true;
     socket.close();
-    ProxyFailedException failure = new ProxyFailedException(kind, proxy, null);
+    ProxyFailedException failure = new ProxyFailedException(kind, proxy);
     opened.tryFail(failure);
     answer.tryFail(failure);
     if (answered) {
--- a/org.fawndrum/src/org/fawndrum/transport/proxy/ProxyClient.java
+++ b/org.fawndrum/src/org/fawndrum/transport/proxy/ProxyClient.java
@@ -80,17 +80,17 @@
     Optional<FleetMember> proxy = selector.take(live.get(), asked, clock.nowMs());
     if (proxy.isEmpty() || asked.size() == MAX_HOSTS) {
       proxy.ifPresent(unused -> selector.released(unused.identity()));
-      return Future.failedFuture(new ProxyFailedException(otherwise, "", null));
+      return Future.failedFuture(new ProxyFailedException(otherwise, ""));
     }
     HostIdentity host = proxy.get().identity();
     asked.add(host);
     return connect(proxy.get(), open)
         .recover(
             cause -> {
-              ProxyFailure.Kind kind = kindOf(cause);
               if (cause instanceof ProxyFailedException failure && failure.isEndpointAtFault()) {
                 return Future.failedFuture(failure);
               }
+              ProxyFailure.Kind kind = kindOf(cause);
               if (kind == ProxyFailure.Kind.CLOSED) {
                 return openAt(open, asked, kind);
               }
--- a/org.fawndrum/src/org/fawndrum/transport/relay/EndpointRequests.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/EndpointRequests.java
@@ -33,7 +33,7 @@
 
         @Override
         public Future<EndpointRequest> throughOtherHost(Endpoint endpoint, Call call) {
-          return Future.failedFuture(new ProxyFailedException(ProxyFailure.Kind.NO_LINK, "", null));
+          return Future.failedFuture(new ProxyFailedException(ProxyFailure.Kind.NO_LINK, ""));
         }
       };
 
