--- a/org.fawndrum/src/org/fawndrum/coordination/crash/PartRules.java
+++ b/org.fawndrum/src/org/fawndrum/coordination/crash/PartRules.java
@@ -72,21 +72,13 @@
     Map<RequestFingerprint, Integer> crashCounts = crashCounts();
     Map<RequestFingerprint, List<EndpointCrash>> causes = new HashMap<>();
     boolean undecided = false;
-    for (Map.Entry<RequestFingerprint, Integer> counted : crashCounts.entrySet()) {
-      RequestFingerprint part = counted.getKey();
-      if (counted.getValue() < MIN_CRASHES || rejections.contains(part)) {
+    for (RequestFingerprint part : crashCounts.keySet()) {
+      List<EndpointCrash> explained = explainedBy(part, crashCounts, nowMs);
+      if (rejections.contains(part) || CrashRules.countBursts(explained) < MIN_CRASHES) {
         continue;
       }
-      List<EndpointCrash> explained =
-          crashesOf(part).stream()
-              .filter(crash -> nowMs - crash.atMs() >= CrashRules.SETTLE_MS)
-              .filter(crash -> !hasLikelierCause(crash, part, crashCounts))
-              .toList();
-      if (CrashRules.countBursts(explained) < MIN_CRASHES) {
-        continue;
-      }
-      if (isTied(part, explained, crashCounts)
-          && nowMs - sufficientSinceMs(explained) < UNDECIDED_MS) {
+      boolean isRecent = nowMs - sufficientSinceMs(explained) < UNDECIDED_MS;
+      if (isRecent && isTied(part, explained, crashCounts)) {
         undecided = true;
       } else {
         causes.put(part, explained);
@@ -95,6 +87,18 @@
     return new Decision(causes, undecided);
   }
 
+  /** Returns the settled crashes that no part explains better than the given one. */
+  private List<EndpointCrash> explainedBy(
+      RequestFingerprint part, Map<RequestFingerprint, Integer> crashCounts, long nowMs) {
+    if (crashCounts.get(part) < MIN_CRASHES) {
+      return List.of();
+    }
+    return crashesOf(part).stream()
+        .filter(crash -> nowMs - crash.atMs() >= CrashRules.SETTLE_MS)
+        .filter(crash -> !hasLikelierCause(crash, part, crashCounts))
+        .toList();
+  }
+
   /**
    * Returns the number of crashes that may count against each part. Also of those that are
    * rejected, which may have been a mistake: a part that was in all crashes of a rejected one is
--- a/org.fawndrum/src/org/fawndrum/transport/proxy/EndpointAnswer.java
+++ b/org.fawndrum/src/org/fawndrum/transport/proxy/EndpointAnswer.java
@@ -10,7 +10,8 @@
  *
  * @param statusCode its HTTP status
  * @param headers its headers
- * @param body its body; it ends only if the answer is complete
+ * @param body its body; if its end is that of the connection, that is no proof that it is whole,
+ *     and follows the failure of a lost connection, too
  */
 public record EndpointAnswer(int statusCode, MultiMap headers, ReadStream<Buffer> body) {
   /** Returns what marks the end of the body. */
