--- a/review/standin/Caller.java
+++ b/review/standin/Caller.java
@@ -26,6 +26,13 @@
   private Socket socket;
   private InputStream in;
 
+  /**
+   * An answer whose head and whole body arrived, by its own framing.
+   *
+   * @param status the status; -1 if no whole answer arrived
+   */
+  record Answer(String requestId, int status, String seal, String body) {}
+
   /** A request, with the time just before its first byte was sent. */
   record Sent(String requestId, String path, String key, double atMs) {}
 
@@ -36,16 +43,24 @@
     this.onSent = onSent;
   }
 
-  /** Sends a GET and returns the status of its answer; -1 without one. */
+  /** Sends a GET and returns the status of its answer; -1 without a whole one. */
   int get(String host, String path, String key) {
-    return get(host, path, key, new HashMap<>());
+    return exchange(host, path, key).status();
   }
 
   /** Sends a GET and adds the status of its answer by its id; nothing if it gets none. */
-  int get(String host, String path, String key, Map<String, Integer> answers) {
+  void get(String host, String path, String key, Map<String, Integer> answers) {
+    Answer answer = exchange(host, path, key);
+    if (answer.status() >= 0) {
+      answers.put(answer.requestId(), answer.status());
+    }
+  }
+
+  /** Sends a GET and returns its answer. */
+  Answer exchange(String host, String path, String key) {
     String id = Long.toHexString(NEXT_ID.incrementAndGet());
-    int status = -1;
-    Sent sent = null;
+    Answer answer = new Answer(id, -1, null, "");
+    boolean sent = false;
     try {
       if (socket == null) {
         socket = new Socket();
@@ -63,40 +78,50 @@
               + id
               + "\r\nX-Request-Deadline-Ms: "
               + DEADLINE_MS
-              + "\r\n"
-              + (key == null ? "" : "X-Credential: " + key + "\r\n")
-              + "\r\n";
-      sent = new Sent(id, path, key, record.nowMs());
-      record.at(sent.atMs(), "sent %s %s key %s to %s", id, path, key, ip);
-      onSent.accept(sent);
+              + "\r\nX-Credential: "
+              + key
+              + "\r\n\r\n";
+      Sent request = new Sent(id, path, key, record.nowMs());
+      record.at(request.atMs(), "sent %s %s key %s to %s", id, path, key, ip);
+      onSent.accept(request);
+      sent = true;
       socket.getOutputStream().write(head.getBytes(StandardCharsets.ISO_8859_1));
-      status = readAnswer();
-      answers.put(id, status);
+      answer = readAnswer(id);
     } catch (IOException e) {
       close();
     }
-    if (sent != null) {
-      record.line("answered %s %s", id, status < 0 ? "nothing" : Integer.toString(status));
+    if (sent) {
+      String text = answer.status() < 0 ? "nothing" : Integer.toString(answer.status());
+      record.line("answered %s %s, %d bytes, seal %s", id, text, answer.body().length(), answer.seal());
     }
-    return status;
+    return answer;
   }
 
-  private int readAnswer() throws IOException {
+  private Answer readAnswer(String id) throws IOException {
     int status = Integer.parseInt(line().split(" ")[1]);
     int length = 0;
+    String seal = null;
     boolean closes = false;
     for (String header = line(); !header.isEmpty(); header = line()) {
-      String lower = header.toLowerCase(Locale.ROOT);
-      if (lower.startsWith("content-length:")) {
-        length = Integer.parseInt(lower.substring(15).trim());
+      int colon = header.indexOf(':');
+      String value = header.substring(colon + 1).trim();
+      switch (header.substring(0, colon).toLowerCase(Locale.ROOT)) {
+        case "content-length" -> length = Integer.parseInt(value);
+        case "x-response-seal" -> seal = value;
+        case "connection" -> closes = value.contains("close");
+        // The daemons send whole answers with a length.
+        case "transfer-encoding" -> throw new IOException("an answer without a length");
+        default -> {}
       }
-      closes |= lower.startsWith("connection:") && lower.contains("close");
     }
-    in.readNBytes(length);
+    byte[] body = in.readNBytes(length);
+    if (body.length < length) {
+      throw new IOException("an answer that was broken off");
+    }
     if (closes) {
       close();
     }
-    return status;
+    return new Answer(id, status, seal, new String(body, StandardCharsets.ISO_8859_1));
   }
 
   private String line() throws IOException {
--- a/review/standin/RevokedKeyCase.java
+++ b/review/standin/PartialPageCase.java
@@ -10,7 +10,7 @@
  * configurations that follow each other quickly. The requests of the revoked key that were sent
  * later than RevokeMs after the acknowledgement must not run, whenever the store serves again.
  */
-final class RevokedKeyCase {
+final class PartialPageCase {
   private static final double REVOKE_MS = 5_000;
   private static final int CONFIGURATIONS = 16;
   private static final int REVOKED_BY = 14;
@@ -18,7 +18,7 @@
   private static final int ROUTES = 780;
   private static final int CALLERS = 6;
 
-  private RevokedKeyCase() {}
+  private PartialPageCase() {}
 
   public static void main(String[] args) throws Exception {
     boolean trouble = !"0".equals(System.getenv("TROUBLE"));
--- a/review/standin/Runner.java
+++ b/review/standin/Runner.java
@@ -51,7 +51,12 @@
   }
 
   /** Returns its entry, with a sequence that rises. */
-  synchronized String entry(String state) {
+  synchronized String entry() {
+    return entry(service, address, zone, ++sequence);
+  }
+
+  /** Returns the entry of a plain runner that is ready. */
+  static String entry(String service, String address, String zone, int sequence) {
     return "{\"Service\":\""
         + service
         + "\",\"Address\":\""
@@ -60,17 +65,11 @@
         + zone
         + "\",\"Version\":\"v1\",\"Slots\":"
         + SLOTS
-        + ",\"State\":\""
-        + state
-        + "\",\"ColdRemainingMs\":0,\"Sequence\":"
-        + ++sequence
+        + ",\"State\":\"ready\",\"ColdRemainingMs\":0,\"Sequence\":"
+        + sequence
         + "}";
   }
 
-  void end() {
-    server.stop(0);
-  }
-
   private void handle(HttpExchange exchange) throws IOException {
     exchange.getRequestBody().readAllBytes();
     String requestId = exchange.getRequestHeaders().getFirst("X-Request-Id");
--- a/review/standin/Site.java
+++ b/review/standin/Site.java
@@ -10,9 +10,11 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 
@@ -33,7 +35,8 @@
   private final String net;
   private final int base;
   private final List<Daemon> daemons = new ArrayList<>();
-  private final Map<Runner, String> runners = new java.util.concurrent.ConcurrentHashMap<>();
+  private final List<Runner> runners = new CopyOnWriteArrayList<>();
+  private final List<UnframedRunner.Handle> unframedRunners = new CopyOnWriteArrayList<>();
   private int nextIp = 1;
   private volatile boolean closed;
 
@@ -121,18 +124,21 @@
   }
 
   /** Starts a runner, which keeps itself in the store. */
-  Runner runner(String id, String service, String zone, java.util.function.Consumer<Runner.Run> onRun)
+  Runner runner(String id, String service, String zone, Consumer<Runner.Run> onRun)
       throws IOException {
     Runner runner = new Runner(id, service, zone, net + nextIp++, base, threads, record, onRun);
-    runners.put(runner, "ready");
-    store.append(Store.SERVERS, id, runner.entry("ready"));
+    runners.add(runner);
+    store.append(Store.SERVERS, id, runner.entry());
     return runner;
   }
 
-  /** Drops the entry of a runner and stops its heartbeats; it serves on. */
-  void dropEntry(Runner runner) {
-    runners.remove(runner);
-    store.append(Store.SERVERS, runner.id, "");
+  /** Starts a runner as a process of its own, which answers without a length. */
+  UnframedRunner.Handle unframedRunner(String id, String service, String zone) throws IOException {
+    UnframedRunner.Handle runner =
+        new UnframedRunner.Handle(id, service, zone, net + nextIp++, base, threads, record);
+    unframedRunners.add(runner);
+    store.append(Store.SERVERS, id, runner.entry());
+    return runner;
   }
 
   /** Starts all daemons and waits until they are ready; returns false if one is not in time. */
@@ -173,7 +179,11 @@
   private void heartbeats() {
     try {
       while (!closed) {
-        runners.forEach((runner, state) -> store.append(Store.SERVERS, runner.id, runner.entry(state)));
+        runners.forEach(runner -> store.append(Store.SERVERS, runner.id, runner.entry()));
+        // A runner that was killed writes no more heartbeats.
+        unframedRunners.stream()
+            .filter(UnframedRunner.Handle::isAlive)
+            .forEach(runner -> store.append(Store.SERVERS, runner.id, runner.entry()));
         Thread.sleep(HEARTBEAT_MS);
       }
     } catch (InterruptedException e) {
@@ -243,6 +253,7 @@
         daemon.process.destroyForcibly();
       }
     }
+    unframedRunners.forEach(UnframedRunner.Handle::kill);
   }
 
   @Override
