--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -9,4 +9,4 @@
 if [ -n "$(find "$root/review/standin" -newer "$root/target/review/Site.class" 2>&1)" ]; then
   "$root/review/build.sh" || exit 2
 fi
-exec java -cp "$root/target/review" CutReaderCase "$root" "$here/record.txt"
+exec java -cp "$root/target/review" EarlyEndCase "$root" "$here/record.txt"
--- a/review/standin/Caller.java
+++ b/review/standin/Caller.java
@@ -1,3 +1,4 @@
+// SPDX-License-Identifier: Apache-2.0
 import java.io.BufferedInputStream;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
@@ -5,7 +6,6 @@
 import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
-import java.util.HashMap;
 import java.util.Locale;
 import java.util.Map;
 import java.util.concurrent.atomic.AtomicLong;
@@ -92,7 +92,8 @@
     }
     if (sent) {
       String text = answer.status() < 0 ? "nothing" : Integer.toString(answer.status());
-      record.line("answered %s %s, %d bytes, seal %s", id, text, answer.body().length(), answer.seal());
+      record.line(
+          "answered %s %s, %d bytes, seal %s", id, text, answer.body().length(), answer.seal());
     }
     return answer;
   }
--- a/review/standin/CutReaderCase.java
+++ b/review/standin/CutReaderCase.java
@@ -1,3 +1,4 @@
+// SPDX-License-Identifier: Apache-2.0
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
@@ -122,8 +123,8 @@
       return 2;
     }
     record.say(
-        "%s: %d requests on routes that exist got 404, and %d on dropped routes ran, sent later than"
-            + " %.0f ms after the acknowledgement; the last one %.1f ms after it",
+        "%s: %d requests on routes that exist got 404, and %d on dropped routes ran, sent later"
+            + " than %.0f ms after the acknowledgement; the last one %.1f ms after it",
         second.name, refused, ran, APPLY_MS, longestMs);
     return refused + ran == 0 ? 0 : 1;
   }
--- a/review/standin/EarlyEndCase.java
+++ b/review/standin/EarlyEndCase.java
@@ -1,3 +1,4 @@
+// SPDX-License-Identifier: Apache-2.0
 import java.nio.file.Path;
 import java.util.List;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -31,9 +32,7 @@
     List<String> routes =
         List.of(Site.route("order-status", "/o/", "narocila").replace("\"safe\"", "\"unsafe\""));
     site.store.append(
-        Store.OP,
-        "config",
-        Site.configuration(1, routes, List.of(Site.tenant("desk", "key"))));
+        Store.OP, "config", Site.configuration(1, routes, List.of(Site.tenant("desk", "key"))));
     List<UnframedRunner.Handle> runners =
         List.of(
             site.unframedRunner("i-0", "narocila", "zone-a"),
--- a/review/standin/LargeConfigurationCase.java
+++ b/review/standin/LargeConfigurationCase.java
@@ -1,3 +1,4 @@
+// SPDX-License-Identifier: Apache-2.0
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
--- a/review/standin/PartialPageCase.java
+++ b/review/standin/PartialPageCase.java
@@ -1,3 +1,4 @@
+// SPDX-License-Identifier: Apache-2.0
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
@@ -121,8 +122,7 @@
   private static void call(
       Site site, Site.Daemon daemon, String key, Map<String, Caller.Sent> sent) {
     try (Caller caller =
-        new Caller(
-            daemon.ip, daemon.front(), site.record, s -> sent.put(s.requestId(), s))) {
+        new Caller(daemon.ip, daemon.front(), site.record, s -> sent.put(s.requestId(), s))) {
       while (true) {
         caller.get(Site.HOST, "/cena/1", key);
         Thread.sleep(10);
@@ -140,7 +140,8 @@
     }
     List<String> tenants =
         withKey
-            ? List.of(Site.tenant("kept", "key-kept"), Site.tenant("gone", "key-revoked", "key-new"))
+            ? List.of(
+                Site.tenant("kept", "key-kept"), Site.tenant("gone", "key-revoked", "key-new"))
             : List.of(Site.tenant("kept", "key-kept"), Site.tenant("gone", "key-new"));
     return Site.configuration(version, routes, tenants);
   }
--- a/review/standin/RunRecord.java
+++ b/review/standin/RunRecord.java
@@ -1,3 +1,4 @@
+// SPDX-License-Identifier: Apache-2.0
 import java.io.IOException;
 import java.io.PrintWriter;
 import java.nio.file.Files;
--- a/review/standin/Runner.java
+++ b/review/standin/Runner.java
@@ -1,3 +1,4 @@
+// SPDX-License-Identifier: Apache-2.0
 import com.sun.net.httpserver.HttpExchange;
 import com.sun.net.httpserver.HttpServer;
 import java.io.IOException;
@@ -102,7 +103,8 @@
       String path = exchange.getRequestURI().getPath();
       Run run = new Run(id, service, requestId, path, record.nowMs());
       String tenant = exchange.getRequestHeaders().getFirst("X-Tenant");
-      record.at(run.atMs(), "run %s %s at %s of %s, tenant %s", requestId, path, id, service, tenant);
+      record.at(
+          run.atMs(), "run %s %s at %s of %s, tenant %s", requestId, path, id, service, tenant);
       onRun.accept(run);
       Thread.sleep(WORK_MS);
     } catch (InterruptedException e) {
--- a/review/standin/Site.java
+++ b/review/standin/Site.java
@@ -1,3 +1,4 @@
+// SPDX-License-Identifier: Apache-2.0
 import java.io.File;
 import java.io.IOException;
 import java.net.HttpURLConnection;
@@ -284,7 +285,8 @@
         + version
         + ",\"Routes\":["
         + String.join(",", routes)
-        + "],\"Services\":[{\"Name\":\"narocila\",\"HealthPath\":\"/health\",\"MaxConnections\":96},"
+        + "],\"Services\":["
+        + "{\"Name\":\"narocila\",\"HealthPath\":\"/health\",\"MaxConnections\":96},"
         + "{\"Name\":\"zaloga\",\"HealthPath\":\"/health\",\"MaxConnections\":96}],"
         + "\"Limits\":{\"MaxHeaderBytes\":16384,\"MaxBodyBytes\":4194304,\"HeaderTimeoutMs\":3000,"
         + "\"IdleTimeoutMs\":15000},\"Tenants\":["
--- a/review/standin/Store.java
+++ b/review/standin/Store.java
@@ -1,3 +1,4 @@
+// SPDX-License-Identifier: Apache-2.0
 import com.sun.net.httpserver.HttpExchange;
 import com.sun.net.httpserver.HttpServer;
 import java.io.ByteArrayOutputStream;
--- a/review/standin/UnframedRunner.java
+++ b/review/standin/UnframedRunner.java
@@ -1,3 +1,4 @@
+// SPDX-License-Identifier: Apache-2.0
 import java.io.BufferedReader;
 import java.io.IOException;
 import java.io.InputStreamReader;
