--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -6,7 +6,7 @@
   echo "build the project first: mvn -q package -DskipTests"
   exit 2
 fi
-if [ -n "$(find "$root/review/standin" -newer "$root/target/review/Site.class" 2>&1)" ]; then
+if [ -n "$(find "$root"/review/*.java -newer "$root/target/review/Site.class" 2>&1)" ]; then
   "$root/review/build.sh" || exit 2
 fi
-exec java -cp "$root/target/review" GrowingConfigurationCase "$root" "$here/record.txt"
+exec java -cp "$root/target/review" EarlyEndCase "$root" "$here/record.txt"
--- a/review/build.sh
+++ b/review/build.sh
@@ -3,4 +3,4 @@
 set -euo pipefail
 root=$(cd "$(dirname "$0")/.." && pwd)
 mkdir -p "$root/target/review"
-javac -Xlint:all -d "$root/target/review" "$root"/review/standin/*.java
+javac -Xlint:all -d "$root/target/review" "$root"/review/*.java
