--- a/review/Runner.java
+++ b/review/Runner.java
@@ -11,8 +11,8 @@
 
 /** Stand-in for a runner of a plain service, as PROTOCOL.md describes it. */
 final class Runner {
-  private static final int SLOTS = 6;
-  private static final int QUEUE = 24;
+  static final int SLOTS = 6;
+  static final int QUEUE = 24;
   private static final long WORK_MS = 8;
 
   final String id;
