Tell what was found when an answer had ended with its connection

FAWN0103, with the request's id. No decision changed; a check whose port accepted has a value of its own (ENDPOINT_ACCEPTS), which counts as UNKNOWN did.

--- a/org.fawndrum/src/org/fawndrum/internal/log/LogEvent.java
+++ b/org.fawndrum/src/org/fawndrum/internal/log/LogEvent.java
@@ -116,7 +116,8 @@
   PART_SOUND(
       102,
       Level.INFO,
-      "part {0} of prompts is sound: an answer on it began {1} ms ago and its endpoint goes on");
+      "part {0} of prompts is sound: an answer on it began {1} ms ago and its endpoint goes on"),
+  ANSWER_END_CHECKED(103, Level.INFO, "{0}");
 
   /** Added to a number before formatting, so that the id has four digits with leading zeros. */
   private static final int FOUR_DIGITS = 10_000;
--- a/org.fawndrum/src/org/fawndrum/transport/relay/AnswerEnd.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/AnswerEnd.java
@@ -1,6 +1,7 @@
 // SPDX-License-Identifier: Apache-2.0
 package org.fawndrum.transport.relay;
 
+import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 import org.fawndrum.errors.AnswerIncompleteException;
 import org.fawndrum.transport.proxy.AnswerFraming;
@@ -11,8 +12,8 @@
  * of the answer, too. Confined to one event loop.
  */
 final class AnswerEnd {
-  private final String endpoint;
   private final AttemptPath path;
+  private final BiConsumer<String, AttemptPath.EndCheck> onChecked;
   private final Consumer<Throwable> onBrokenOff;
   private final Consumer<EndpointPaths.Loss> onLost;
   private boolean reported;
@@ -21,17 +22,19 @@
   /**
    * Creates the end of an attempt.
    *
-   * @param endpoint the name of its endpoint
+   * @param path the way to its endpoint
+   * @param onChecked called with the endpoint's name and what was found when the answer had ended
+   *     with its connection
    * @param onBrokenOff called at once when the attempt cannot succeed any more
    * @param onLost called later, with the reason
    */
   AnswerEnd(
-      String endpoint,
       AttemptPath path,
+      BiConsumer<String, AttemptPath.EndCheck> onChecked,
       Consumer<Throwable> onBrokenOff,
       Consumer<EndpointPaths.Loss> onLost) {
-    this.endpoint = endpoint;
     this.path = path;
+    this.onChecked = onChecked;
     this.onBrokenOff = onBrokenOff;
     this.onLost = onLost;
   }
@@ -47,7 +50,7 @@
 
   /** Reports that a stream ended within an event. */
   void endedWithinEvent() {
-    lost(new AnswerIncompleteException(endpoint));
+    lost(new AnswerIncompleteException(path.endpointName()));
   }
 
   /**
@@ -62,23 +65,22 @@
     }
     reported = true;
     if (framing == AnswerFraming.CONNECTION) {
-      path.lossAtEnd()
-          .onSuccess(loss -> loss.ifPresentOrElse(this::endedWithEndpoint, () -> whole(onWhole)));
+      path.checkEnd().onSuccess(check -> checked(check, onWhole));
     } else {
       onWhole.run();
     }
   }
 
-  private void endedWithEndpoint(EndpointPaths.Loss loss) {
-    if (!stopped) {
-      onBrokenOff.accept(new AnswerIncompleteException(endpoint));
-      lostBecause(loss);
+  private void checked(AttemptPath.EndCheck check, Runnable onWhole) {
+    if (stopped) {
+      return;
     }
-  }
-
-  private void whole(Runnable onWhole) {
-    if (!stopped) {
+    onChecked.accept(path.endpointName(), check);
+    if (check.whole()) {
       onWhole.run();
+    } else {
+      onBrokenOff.accept(new AnswerIncompleteException(path.endpointName()));
+      lostBecause(check.loss());
     }
   }
 
--- a/org.fawndrum/src/org/fawndrum/transport/relay/AttemptPath.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/AttemptPath.java
@@ -2,7 +2,6 @@
 package org.fawndrum.transport.relay;
 
 import io.vertx.core.Future;
-import java.util.Optional;
 import org.fawndrum.coordination.AttemptEvent;
 import org.fawndrum.errors.AnswerIncompleteException;
 import org.fawndrum.errors.ProxyFailedException;
@@ -39,6 +38,11 @@
     return paths.request(endpoint, summary).onSuccess(opened -> request = opened);
   }
 
+  /** Returns the name of the endpoint. */
+  String endpointName() {
+    return endpoint.name();
+  }
+
   /** Returns the event of an attempt that found no connection. */
   static AttemptEvent notOpened(Throwable cause) {
     boolean noPath = cause instanceof ProxyFailedException failure && failure.isPathMissing();
@@ -93,16 +97,24 @@
   }
 
   /**
-   * Determines whether the endpoint ended together with its answer; empty if it goes on. A refusal
-   * that only another host gets proves no crash.
+   * What was found when an answer had ended with its connection.
+   *
+   * @param whole whether the answer counts as whole
+   * @param loss why its connection ended, as far as is known
+   */
+  record EndCheck(boolean whole, EndpointPaths.Loss loss) {}
+
+  /**
+   * Determines whether the endpoint ended together with its answer. A refusal that only another
+   * host gets proves no crash.
    */
-  Future<Optional<EndpointPaths.Loss>> lossAtEnd() {
+  Future<EndCheck> checkEnd() {
     return usesOwnLink()
         ? paths
             .whyLost(endpoint)
-            .map(loss -> Optional.of(loss).filter(EndpointPaths.Loss.ENDPOINT_ENDED::equals))
+            .map(loss -> new EndCheck(loss != EndpointPaths.Loss.ENDPOINT_ENDED, loss))
         : paths
             .refusesOthers(endpoint)
-            .map(refuses -> refuses ? Optional.of(EndpointPaths.Loss.UNKNOWN) : Optional.empty());
+            .map(refuses -> new EndCheck(!refuses, EndpointPaths.Loss.UNKNOWN));
   }
 }
--- a/org.fawndrum/src/org/fawndrum/transport/relay/DecisionLog.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/DecisionLog.java
@@ -2,6 +2,7 @@
 package org.fawndrum.transport.relay;
 
 import java.util.List;
+import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
 import org.fawndrum.coordination.Decision;
@@ -92,6 +93,15 @@
   record BrokenAnswerDetails(String requestId, String endpoint, AnswerFraming framing, String cause)
       implements LogDetails {}
 
+  /**
+   * Log details of an answer that ended with its connection.
+   *
+   * @param whole whether it counts as whole
+   * @param found why its connection ended, as far as is known
+   */
+  record EndCheckDetails(String requestId, String endpoint, boolean whole, String found)
+      implements LogDetails {}
+
   /**
    * Log details of an attempt that was ended because its engine was silent.
    *
@@ -206,6 +216,19 @@
     }
   }
 
+  /** Returns what logs the check of an answer that ended with its connection. */
+  BiConsumer<String, AttemptPath.EndCheck> ends(RelayCall call) {
+    return (endpoint, check) -> {
+      boolean usual = check.loss() == EndpointPaths.Loss.ENDPOINT_ACCEPTS;
+      if ((usual ? successLimiter : failureLimiter).tryAcquire(clock.nowMs())) {
+        log.details(
+            LogEvent.ANSWER_END_CHECKED,
+            new EndCheckDetails(
+                call.request().requestId(), endpoint, check.whole(), check.loss().name()));
+      }
+    };
+  }
+
   /**
    * Logs an attempt that was ended because its engine gave no sign of working on it.
    *
--- a/org.fawndrum/src/org/fawndrum/transport/relay/EndpointPaths.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/EndpointPaths.java
@@ -57,7 +57,9 @@
     /** This host's link was lost, or the host that proxied the request. */
     PATH,
     /** Unknown. */
-    UNKNOWN
+    UNKNOWN,
+    /** Unknown, but the endpoint accepts connections of this host. */
+    ENDPOINT_ACCEPTS
   }
 
   /**
@@ -244,7 +246,7 @@
         .compose(
             failure -> {
               if (failure.isEmpty()) {
-                return Future.succeededFuture(Loss.UNKNOWN);
+                return Future.succeededFuture(Loss.ENDPOINT_ACCEPTS);
               }
               boolean refused = failure.get() == ConnectFailure.REFUSED;
               return checks
--- a/org.fawndrum/src/org/fawndrum/transport/relay/RelayAttempt.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/RelayAttempt.java
@@ -56,7 +56,8 @@
     this.memory = memory;
     this.owner = owner;
     this.path = new AttemptPath(relay.paths(), send.endpoint());
-    this.end = new AnswerEnd(endpointName(), path, this::brokenOff, this::lostBecause);
+    this.end =
+        new AnswerEnd(path, relay.decisionLog().ends(call), this::brokenOff, this::lostBecause);
     this.liveness =
         new EngineLiveness(this::probe, relay.clock(), memory::renewOnEvidence, this::engineFailed);
   }
