An answer that ends with its connection is whole only if its endpoint goes on

Cause: such an answer counted as whole unless its endpoint was proved to have ended. A check that nobody could confirm, or a host that reached few endpoints, proved nothing and so made it whole; and a check that succeeded proved nothing either: the operating system accepts for a killed process until its other connections are closed, and for a suspended one.

Now the endpoint has to answer a question that is sent after the end (LivenessProofs): a report of an engine, the health path of a plain service, over any path, 0.5 s at most, shared by all ends before it is sent. What is not proved is broken off as any lost answer.

EndpointPaths.refusesOthers is gone.

--- a/org.fawndrum/src/org/fawndrum/transport/relay/AnswerEnd.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/AnswerEnd.java
@@ -43,8 +43,7 @@
   void lost(Throwable cause) {
     if (!reported) {
       reported = true;
-      onBrokenOff.accept(cause);
-      path.whyLost(cause).onSuccess(this::lostBecause);
+      brokenOff(cause);
     }
   }
 
@@ -55,7 +54,8 @@
 
   /**
    * Reports that the answer ended. One that ends with its connection is whole only if an endpoint
-   * that goes on closed it in order (RFC 9112, section 8).
+   * that goes on closed it in order (RFC 9112, section 8): the connections of a process that was
+   * killed are closed in order, too. Where nothing proves that it goes on, the answer is not whole.
    *
    * @param onWhole called if the answer is whole; at once if its framing says so
    */
@@ -79,11 +79,15 @@
     if (check.whole()) {
       onWhole.run();
     } else {
-      onBrokenOff.accept(new AnswerIncompleteException(path.endpointName()));
-      lostBecause(check.loss());
+      brokenOff(new AnswerIncompleteException(path.endpointName()));
     }
   }
 
+  private void brokenOff(Throwable cause) {
+    onBrokenOff.accept(cause);
+    path.whyLost(cause).onSuccess(this::lostBecause);
+  }
+
   private void lostBecause(EndpointPaths.Loss loss) {
     if (!stopped) {
       onLost.accept(loss);
--- a/org.fawndrum/src/org/fawndrum/transport/relay/AttemptPath.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/AttemptPath.java
@@ -13,12 +13,17 @@
  * to one event loop.
  */
 final class AttemptPath {
+  /** What is found at an endpoint that goes on. */
+  private static final String ANSWERED = "answered";
+
   private final EndpointPaths paths;
+  private final LivenessProofs proofs;
   private final Endpoint endpoint;
   private EndpointRequest request;
 
-  AttemptPath(EndpointPaths paths, Endpoint endpoint) {
+  AttemptPath(EndpointPaths paths, LivenessProofs proofs, Endpoint endpoint) {
     this.paths = paths;
+    this.proofs = proofs;
     this.endpoint = endpoint;
   }
 
@@ -100,21 +105,19 @@
    * What was found when an answer had ended with its connection.
    *
    * @param whole whether the answer counts as whole
-   * @param loss why its connection ended, as far as is known
+   * @param found {@link #ANSWERED}, or what its endpoint did instead of answering
    */
-  record EndCheck(boolean whole, EndpointPaths.Loss loss) {}
+  record EndCheck(boolean whole, String found) {}
 
   /**
-   * Determines whether the endpoint ended together with its answer. A refusal that only another
-   * host gets proves no crash.
+   * Determines whether the endpoint went on after its answer, over any path to it. An answer that
+   * ended together with its endpoint is not known to be whole, and neither is one of an endpoint
+   * that nobody reaches any more. Never fails.
    */
   Future<EndCheck> checkEnd() {
-    return usesOwnLink()
-        ? paths
-            .whyLost(endpoint)
-            .map(loss -> new EndCheck(loss != EndpointPaths.Loss.ENDPOINT_ENDED, loss))
-        : paths
-            .refusesOthers(endpoint)
-            .map(refuses -> new EndCheck(!refuses, EndpointPaths.Loss.UNKNOWN));
+    return proofs
+        .prove(endpoint)
+        .map(proved -> new EndCheck(true, ANSWERED))
+        .otherwise(cause -> new EndCheck(false, cause.toString()));
   }
 }
--- a/org.fawndrum/src/org/fawndrum/transport/relay/DecisionLog.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/DecisionLog.java
@@ -97,7 +97,7 @@
    * Log details of an answer that ended with its connection.
    *
    * @param whole whether it counts as whole
-   * @param found why its connection ended, as far as is known
+   * @param found whether its endpoint answered afterwards, or what happened instead
    */
   record EndCheckDetails(String requestId, String endpoint, boolean whole, String found)
       implements LogDetails {}
@@ -219,12 +219,11 @@
   /** Returns what logs the check of an answer that ended with its connection. */
   BiConsumer<String, AttemptPath.EndCheck> ends(RelayCall call) {
     return (endpoint, check) -> {
-      boolean usual = check.loss() == EndpointPaths.Loss.ENDPOINT_ACCEPTS;
-      if ((usual ? successLimiter : failureLimiter).tryAcquire(clock.nowMs())) {
+      if ((check.whole() ? successLimiter : failureLimiter).tryAcquire(clock.nowMs())) {
         log.details(
             LogEvent.ANSWER_END_CHECKED,
             new EndCheckDetails(
-                call.request().requestId(), endpoint, check.whole(), check.loss().name()));
+                call.request().requestId(), endpoint, check.whole(), check.found()));
       }
     };
   }
--- a/org.fawndrum/src/org/fawndrum/transport/relay/EndpointPaths.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/EndpointPaths.java
@@ -57,9 +57,7 @@
     /** This host's link was lost, or the host that proxied the request. */
     PATH,
     /** Unknown. */
-    UNKNOWN,
-    /** Unknown, but the endpoint accepts connections of this host. */
-    ENDPOINT_ACCEPTS
+    UNKNOWN
   }
 
   /**
@@ -246,7 +244,7 @@
         .compose(
             failure -> {
               if (failure.isEmpty()) {
-                return Future.succeededFuture(Loss.ENDPOINT_ACCEPTS);
+                return Future.succeededFuture(Loss.UNKNOWN);
               }
               boolean refused = failure.get() == ConnectFailure.REFUSED;
               return checks
@@ -278,15 +276,6 @@
         .recover(cause -> Future.succeededFuture(isRefusal(cause) ? alone : Loss.UNKNOWN));
   }
 
-  /** Returns whether an endpoint refuses connections of another host that answers for it. */
-  Future<Boolean> refusesOthers(Endpoint endpoint) {
-    return proxies
-        .open(open(endpoint).setCheck(true).build())
-        .onSuccess(EndpointRequest::reset)
-        .map(accepted -> false)
-        .recover(cause -> Future.succeededFuture(isRefusal(cause)));
-  }
-
   private static boolean isRefusal(Throwable cause) {
     return cause instanceof ProxyFailedException failure
         && failure.kind() == ProxyFailure.Kind.REFUSED;
--- a/org.fawndrum/src/org/fawndrum/transport/relay/RelayAttempt.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/RelayAttempt.java
@@ -55,7 +55,7 @@
     this.relay = relay;
     this.memory = memory;
     this.owner = owner;
-    this.path = new AttemptPath(relay.paths(), send.endpoint());
+    this.path = new AttemptPath(relay.paths(), relay.proofs(), send.endpoint());
     this.end =
         new AnswerEnd(path, relay.decisionLog().ends(call), this::brokenOff, this::lostBecause);
     this.liveness =
--- a/org.fawndrum/src/org/fawndrum/transport/relay/RelayCodec.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/RelayCodec.java
@@ -2,6 +2,7 @@
 package org.fawndrum.transport.relay;
 
 import io.vertx.core.MultiMap;
+import io.vertx.core.http.HttpMethod;
 import java.util.List;
 import java.util.Optional;
 import org.fawndrum.coordination.Refusal;
@@ -32,6 +33,19 @@
    */
   EndpointNotice readNotice(int status, MultiMap headers);
 
+  /**
+   * Returns a request that an endpoint answers without running anything for a caller.
+   *
+   * @param healthPath the path at which the endpoint tells its health; empty if not known
+   */
+  LivenessRequest livenessRequest(Endpoint endpoint, String healthPath);
+
+  /**
+   * Returns whether an answer to such a request comes from the endpoint; if not, a different one
+   * uses the address now.
+   */
+  boolean isLivenessAnswer(Endpoint endpoint, int status, MultiMap headers);
+
   /**
    * Returns the id or address of the endpoint that a refusal names as the one at fault; empty if it
    * names none.
@@ -67,6 +81,9 @@
     }
   }
 
+  /** A request that shows whether an endpoint's process runs. */
+  record LivenessRequest(HttpMethod method, String uri, MultiMap headers) {}
+
   /**
    * A helper engine that prefills a prompt segment.
    *
--- a/org.fawndrum/src/org/fawndrum/transport/relay/RelayContext.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/RelayContext.java
@@ -8,6 +8,7 @@
  * The components that every relayed request uses.
  *
  * @param paths the ways to endpoints
+ * @param proofs prove that endpoints go on
  * @param codec reads and writes the headers of callers and endpoints
  * @param engineControl sends control requests to engines
  * @param notices what endpoints stated in their answers
@@ -18,6 +19,7 @@
  */
 record RelayContext(
     EndpointPaths paths,
+    LivenessProofs proofs,
     RelayCodec codec,
     EngineControl engineControl,
     EndpointNotices notices,
--- a/org.fawndrum/src/org/fawndrum/transport/relay/RelayRuntime.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/RelayRuntime.java
@@ -236,9 +236,11 @@
   }
 
   private RelayServer callerServer(RelayAdapter adapter) {
+    RelayCodec codec = adapter.codec();
+    LivenessProofs proofs = LivenessProofs.create(paths, codec, routes);
     RelayContext relay =
         new RelayContext(
-            paths, adapter.codec(), engineControl, notices, stallWatch, clock, decisionLog, log);
+            paths, proofs, codec, engineControl, notices, stallWatch, clock, decisionLog, log);
     RelayIntake intake =
         new RelayIntake(
             routes, decisions, relay, () -> settings.bounds(), new AttemptEventForwarder(events));
@@ -246,7 +248,7 @@
         vertx,
         settings.callers(),
         routes,
-        adapter.codec(),
+        codec,
         clock,
         intake,
         decisionLog,
--- a/org.fawndrum/tst/org/fawndrum/transport/relay/RelayDrainTest.java
+++ b/org.fawndrum/tst/org/fawndrum/transport/relay/RelayDrainTest.java
@@ -5,7 +5,6 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 
 import io.vertx.core.Future;
-import io.vertx.core.MultiMap;
 import io.vertx.core.Vertx;
 import io.vertx.core.VertxOptions;
 import io.vertx.core.http.HttpClientAgent;
@@ -14,7 +13,6 @@
 import io.vertx.core.net.NetSocket;
 import java.io.IOException;
 import java.net.ServerSocket;
-import java.util.List;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
@@ -24,7 +22,6 @@
 import org.fawndrum.coordination.DrainedZones;
 import org.fawndrum.coordination.PauseDetector;
 import org.fawndrum.coordination.Policies;
-import org.fawndrum.coordination.Refusal;
 import org.fawndrum.coordination.RequestCoordinator;
 import org.fawndrum.coordination.RequestTarget;
 import org.fawndrum.coordination.RetryBudget;
@@ -101,44 +98,6 @@
     }
   }
 
-  /** Ignores the headers; all requests look alike. */
-  private static final class FixedCodec implements RelayCodec {
-    @Override
-    public RelayRequest readRequest(MultiMap headers) {
-      return new RelayRequest("r-1", Optional.empty(), 0, 0, 0, List.of(), 0);
-    }
-
-    @Override
-    public MultiMap endpointHeaders(MultiMap fromCaller, Sending sending) {
-      throw new UnsupportedOperationException();
-    }
-
-    @Override
-    public Answer classifyAnswer(int status, MultiMap headers, String requestId) {
-      throw new UnsupportedOperationException();
-    }
-
-    @Override
-    public EndpointNotice readNotice(int status, MultiMap headers) {
-      throw new UnsupportedOperationException();
-    }
-
-    @Override
-    public Optional<String> endpointAtFault(MultiMap headers) {
-      throw new UnsupportedOperationException();
-    }
-
-    @Override
-    public MultiMap callerHeaders(MultiMap fromEndpoint) {
-      throw new UnsupportedOperationException();
-    }
-
-    @Override
-    public MultiMap refusalHeaders(String requestId, Refusal refusal) {
-      throw new UnsupportedOperationException();
-    }
-  }
-
   @BeforeEach
   void makeHost() throws IOException {
     HostClock clock = () -> nowMs;
