Each host knows a new configuration in time, whatever its zone leader reads

Cause: a host relied on its leader until its evidence was 0.6 of the limit for revoked keys old, 3 s. The time for new configurations was in no setting. An age limit alone could not keep it: with a leader that waits 1.5 s the age is 2 s in calm times.

Setting applyMs; StoreTimes derives from the bounds in force how long the leader's query waits (0.35), how often hosts ask it (0.25) and from which age they read the store themselves (0.7), the latter above the sum of the others, so that only the leader reads while it can. Hosts also try again within the bound after a failure, not after up to 4 s.

--- a/org.fawndrum/src/org/fawndrum/transport/relay/LogReadSchedule.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/LogReadSchedule.java
@@ -3,24 +3,17 @@
 
 import java.util.function.BooleanSupplier;
 import java.util.function.LongSupplier;
+import java.util.function.Supplier;
 
 /**
  * Decides when a host reads a log: the zone leader reads it for its zone, other hosts only if the
  * state received from peers is too old. Thread-safe.
  */
 final class LogReadSchedule implements TopicFollower.ReadSchedule {
-  /** Maximum pause between retries of a zone leader, in milliseconds. */
-  private static final long LEADER_MAX_RETRY_MS = 1_000;
-
-  /**
-   * Maximum pause between retries of other hosts, in milliseconds; their zone leader informs them
-   * that the store is available again.
-   */
-  private static final long FOLLOWER_MAX_RETRY_MS = 4_000;
-
   private final BooleanSupplier leader;
   private final LongSupplier ageMs;
   private final LongSupplier maxAgeMs;
+  private final Supplier<StoreTimes> times;
 
   /**
    * Creates the schedule of one log.
@@ -28,11 +21,17 @@
    * @param leader whether this host is the leader of its zone
    * @param ageMs the age of the log state cached by this host, in milliseconds
    * @param maxAgeMs the age up to which it need not read the log itself, in milliseconds
+   * @param times the times in force
    */
-  LogReadSchedule(BooleanSupplier leader, LongSupplier ageMs, LongSupplier maxAgeMs) {
+  LogReadSchedule(
+      BooleanSupplier leader,
+      LongSupplier ageMs,
+      LongSupplier maxAgeMs,
+      Supplier<StoreTimes> times) {
     this.leader = leader;
     this.ageMs = ageMs;
     this.maxAgeMs = maxAgeMs;
+    this.times = times;
   }
 
   @Override
@@ -42,6 +41,6 @@
 
   @Override
   public long maxRetryMs() {
-    return leader.getAsBoolean() ? LEADER_MAX_RETRY_MS : FOLLOWER_MAX_RETRY_MS;
+    return times.get().maxRetryMs(leader.getAsBoolean());
   }
 }
--- a/org.fawndrum/src/org/fawndrum/transport/relay/PeerStoreSync.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/PeerStoreSync.java
@@ -9,6 +9,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.ThreadLocalRandom;
+import java.util.function.Supplier;
 import org.fawndrum.coordination.membership.FleetMember;
 import org.fawndrum.internal.log.HostLog;
 import org.fawndrum.internal.log.LogEvent;
@@ -33,12 +34,6 @@
  * one event loop, except {@link #reply} and {@link #peerUpdated}, which are thread-safe.
  */
 final class PeerStoreSync implements FleetReceiver.StoreSync {
-  /**
-   * Interval of queries to the zone leader, as a fraction of the drain limit: together with the
-   * leader's own polling interval, it is below the age at which a host reads the store itself.
-   */
-  private static final double POLL_FRACTION = 0.25;
-
   /** Age of the cached state from which on any peer is queried, in milliseconds. */
   private static final long MAX_AGE_MS = 2_200;
 
@@ -76,11 +71,20 @@
   /**
    * Starts polling.
    *
-   * @param drainMs the drain limit, in milliseconds
+   * @param bounds the bounds in force
    */
-  void start(Vertx vertx, long drainMs) {
+  void start(Vertx vertx, Supplier<RelayBounds> bounds) {
     eventLoop = vertx.getOrCreateContext();
-    vertx.setPeriodic(Math.max(1, Math.round(drainMs * POLL_FRACTION)), id -> poll());
+    pollLater(vertx, bounds);
+  }
+
+  private void pollLater(Vertx vertx, Supplier<RelayBounds> bounds) {
+    vertx.setTimer(
+        new StoreTimes(bounds.get()).queryMs(),
+        id -> {
+          poll();
+          pollLater(vertx, bounds);
+        });
   }
 
   private void poll() {
--- a/org.fawndrum/src/org/fawndrum/transport/relay/RelayBounds.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/RelayBounds.java
@@ -8,6 +8,8 @@
  *     no newer configuration revoked the key; otherwise it continues with the last configuration
  *     that it knows
  * @param revokeMs how long after the last such proof it starts to reject them, in milliseconds
+ * @param applyMs how long after the store accepted a configuration a host may still use an older
+ *     one, in milliseconds
  * @param drainMs how long after the start of its shutdown an endpoint may still receive new work,
  *     in milliseconds
  * @param graceMs the time between the stop signal and the kill, in milliseconds
@@ -19,6 +21,7 @@
 public record RelayBounds(
     boolean keysNeedProof,
     long revokeMs,
+    long applyMs,
     long drainMs,
     long graceMs,
     double retryRatio,
--- a/org.fawndrum/src/org/fawndrum/transport/relay/RelayRuntime.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/RelayRuntime.java
@@ -329,7 +329,7 @@
         .map(
             server -> {
               store.start();
-              storeSync.start(vertx, settings.bounds().drainMs());
+              storeSync.start(vertx, this::bounds);
               log.event(LogEvent.HOST_STARTED, self, settings.zone());
               return null;
             });
--- a/org.fawndrum/src/org/fawndrum/transport/relay/RelaySettingsReader.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/RelaySettingsReader.java
@@ -17,6 +17,13 @@
   private static final long MAX_MS = 3_600_000;
   private static final long MAX_S = 3_600;
   private static final long MS_PER_SECOND = 1_000;
+
+  /** Above what a few queries to the store take, in milliseconds. */
+  private static final long MIN_APPLY_MS = 500;
+
+  /** The time for a new configuration where settings name none, in milliseconds. */
+  private static final long DEFAULT_APPLY_MS = 2_000;
+
   private static final double MAX_LINK_MEGABITS = 1e6;
   private static final double MAX_RETRIES = 1e9;
 
@@ -92,6 +99,7 @@
         new RelayBounds(
             node.flag("keysNeedProof", true),
             node.number("revokeMs", 1, MAX_MS),
+            node.number("applyMs", MIN_APPLY_MS, MAX_MS, DEFAULT_APPLY_MS),
             node.number("drainMs", 1, MAX_MS),
             node.number("graceS", 1, MAX_S) * MS_PER_SECOND,
             node.fraction("retryRatio", 0, MAX_RETRIES),
--- a/org.fawndrum/src/org/fawndrum/transport/relay/StoreReader.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/StoreReader.java
@@ -16,28 +16,6 @@
  * methods are thread-safe.
  */
 final class StoreReader {
-  /**
-   * How long a query for the configuration waits for a record, in milliseconds; below the limit for
-   * revoked keys.
-   */
-  private static final long CONFIGURATION_WAIT_MS = 1_500;
-
-  /** The interval of reading the endpoints, as a fraction of the drain limit. */
-  private static final double ENDPOINTS_INTERVAL_FRACTION = 0.35;
-
-  /**
-   * The age of the list of endpoints from which on a host reads it itself, as a fraction of the
-   * drain limit. It is above the zone leader's interval plus the interval of queries to the leader;
-   * the remainder of the limit is for polling and reading.
-   */
-  private static final double ENDPOINTS_MAX_AGE_FRACTION = 0.7;
-
-  /**
-   * The age of the configuration from which on a host reads it itself, as a fraction of the limit
-   * for revoked keys.
-   */
-  private static final double CONFIGURATION_MAX_AGE_FRACTION = 0.6;
-
   private final Vertx vertx;
   private final KeyedLog store;
   private final RouteStore routes;
@@ -83,32 +61,35 @@
     this.endpointsFollower = endpointsFollower();
   }
 
+  private StoreTimes times() {
+    return new StoreTimes(bounds.get());
+  }
+
   private TopicFollower configurationFollower() {
     return follower(
         KeyedLog.Topic.OPERATORS,
-        new TopicFollower.Timing(CONFIGURATION_WAIT_MS, 0),
+        () -> new TopicFollower.Timing(times().configurationWaitMs(), 0),
         () -> routes.ageMs(clock.nowMs()),
-        () -> (long) (bounds.get().revokeMs() * CONFIGURATION_MAX_AGE_FRACTION),
+        () -> times().configurationMaxAgeMs(),
         configuration);
   }
 
   private TopicFollower endpointsFollower() {
-    long pauseMs = (long) (bounds.get().drainMs() * ENDPOINTS_INTERVAL_FRACTION);
     return follower(
         KeyedLog.Topic.ENDPOINTS,
-        new TopicFollower.Timing(0, pauseMs),
+        () -> new TopicFollower.Timing(0, times().endpointsPauseMs()),
         () -> endpoints.ageMs(clock.nowMs()),
-        () -> (long) (bounds.get().drainMs() * ENDPOINTS_MAX_AGE_FRACTION),
+        () -> times().endpointsMaxAgeMs(),
         endpoints);
   }
 
   private TopicFollower follower(
       KeyedLog.Topic topic,
-      TopicFollower.Timing timing,
+      Supplier<TopicFollower.Timing> timing,
       LongSupplier ageMs,
       LongSupplier maxAgeMs,
       TopicFollower.Reader reader) {
-    LogReadSchedule schedule = new LogReadSchedule(leader, ageMs, maxAgeMs);
+    LogReadSchedule schedule = new LogReadSchedule(leader, ageMs, maxAgeMs, this::times);
     return new TopicFollower(vertx, store, topic, timing, schedule, reader, clock, log);
   }
 
--- /dev/null
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/StoreTimes.java
@@ -0,0 +1,78 @@
+// SPDX-License-Identifier: Apache-2.0
+package org.fawndrum.transport.relay;
+
+/**
+ * How often a host reads the store and queries its zone leader, and from which age on it no longer
+ * relies on what others read. All times follow from the bounds within which it must act on a
+ * change, whatever happens to its leader. Immutable.
+ *
+ * @param bounds the bounds in force
+ */
+record StoreTimes(RelayBounds bounds) {
+  /**
+   * The part of a bound after which a host reads the store itself. It is above the leader's
+   * interval plus that of the queries to the leader; the remainder is for reading.
+   */
+  private static final double MAX_AGE_FRACTION = 0.7;
+
+  /** The interval at which a zone leader reads the store, as a fraction of a bound. */
+  private static final double READ_FRACTION = 0.35;
+
+  /** The interval of queries to the zone leader, as a fraction of the shortest bound. */
+  private static final double QUERY_FRACTION = 0.25;
+
+  /** The part of the limit for revoked keys within which a host must know a revocation. */
+  private static final double REVOKE_FRACTION = 0.85;
+
+  /** The shortest of these times, in milliseconds, so that short bounds cause no flood of calls. */
+  private static final long MIN_MS = 50;
+
+  /** Maximum pause between two tries to read the store, in milliseconds. */
+  private static final long MAX_RETRY_MS = 2_000;
+
+  /** Maximum pause between two tries of a zone leader, which others rely on, in milliseconds. */
+  private static final long MAX_LEADER_RETRY_MS = 1_000;
+
+  /** Returns the time within which a configuration must be in force, in milliseconds. */
+  private double applyMs() {
+    return Math.min(bounds.applyMs(), bounds.revokeMs() * REVOKE_FRACTION);
+  }
+
+  private static long part(double ms, double fraction) {
+    return Math.max(MIN_MS, Math.round(ms * fraction));
+  }
+
+  /** Returns how long a zone leader's query for the configuration waits, in milliseconds. */
+  long configurationWaitMs() {
+    return part(applyMs(), READ_FRACTION);
+  }
+
+  /** Returns the age of the configuration from which on a host reads it itself. */
+  long configurationMaxAgeMs() {
+    return part(applyMs(), MAX_AGE_FRACTION);
+  }
+
+  /** Returns the pause between two reads of the endpoints by a zone leader, in milliseconds. */
+  long endpointsPauseMs() {
+    return part(bounds.drainMs(), READ_FRACTION);
+  }
+
+  /** Returns the age of the list of endpoints from which on a host reads it itself. */
+  long endpointsMaxAgeMs() {
+    return part(bounds.drainMs(), MAX_AGE_FRACTION);
+  }
+
+  /** Returns the interval of queries to the zone leader, in milliseconds. */
+  long queryMs() {
+    return part(Math.min(applyMs(), bounds.drainMs()), QUERY_FRACTION);
+  }
+
+  /**
+   * Returns the maximum pause between two tries to read the store, in milliseconds. A host may have
+   * no leader that reads it, so each finds out by itself that the store is available again.
+   */
+  long maxRetryMs(boolean leader) {
+    long shortestMs = (long) Math.min(applyMs(), bounds.drainMs());
+    return Math.min(leader ? MAX_LEADER_RETRY_MS : MAX_RETRY_MS, shortestMs);
+  }
+}
--- a/org.fawndrum/src/org/fawndrum/transport/relay/TopicFollower.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/TopicFollower.java
@@ -3,6 +3,7 @@
 
 import io.vertx.core.Vertx;
 import java.util.concurrent.CompletionException;
+import java.util.function.Supplier;
 import org.fawndrum.errors.RecordsExpiredException;
 import org.fawndrum.internal.log.HostLog;
 import org.fawndrum.internal.log.LogEvent;
@@ -39,7 +40,7 @@
   private final Vertx vertx;
   private final KeyedLog log;
   private final KeyedLog.Topic topic;
-  private final Timing timing;
+  private final Supplier<Timing> timing;
   private final ReadSchedule schedule;
   private final Reader reader;
   private final HostClock clock;
@@ -96,7 +97,7 @@
       Vertx vertx,
       KeyedLog log,
       KeyedLog.Topic topic,
-      Timing timing,
+      Supplier<Timing> timing,
       ReadSchedule schedule,
       Reader reader,
       HostClock clock,
@@ -125,7 +126,7 @@
     next = next.isKnown() ? next.max(reader.knownEnd()) : next;
     long queriedMs = clock.nowMs();
     boolean snapshot = !next.isKnown();
-    long waitMs = queriedMs - confirmedMs > MAX_UNCONFIRMED_MS ? 0 : timing.waitMs();
+    long waitMs = queriedMs - confirmedMs > MAX_UNCONFIRMED_MS ? 0 : timing.get().waitMs();
     (snapshot ? log.newest(topic) : log.read(topic, next.offset(), waitMs))
         .whenComplete(
             (page, failure) -> {
@@ -151,7 +152,7 @@
     if (next.isAfter(page.endPosition())) {
       // The page is older than the state known here. Querying again at once might return the same
       // page without any pause.
-      queryAfter(Math.max(FIRST_RETRY_MS, timing.pauseMs()));
+      queryAfter(Math.max(FIRST_RETRY_MS, timing.get().pauseMs()));
       return;
     }
     next = page.endPosition();
@@ -161,7 +162,7 @@
     } else {
       reader.applyChanges(page, confirmedMs);
     }
-    queryAfter(timing.pauseMs());
+    queryAfter(timing.get().pauseMs());
   }
 
   private void reportAvailable() {
--- a/org.fawndrum/tst/org/fawndrum/transport/relay/ConfigurationFreshnessTest.java
+++ b/org.fawndrum/tst/org/fawndrum/transport/relay/ConfigurationFreshnessTest.java
@@ -12,7 +12,7 @@
   private static final long NEVER_CONFIRMED_AGE_MS = -HostClock.NEVER_MS;
 
   private static RelayBounds bounds(boolean keysNeedProof) {
-    return new RelayBounds(keysNeedProof, 5_000, 2_000, 8_000, 0.2, 100, 10_000, 120);
+    return new RelayBounds(keysNeedProof, 5_000, 2_000, 2_000, 8_000, 0.2, 100, 10_000, 120);
   }
 
   @Test
--- a/org.fawndrum/tst/org/fawndrum/transport/relay/RelayDrainTest.java
+++ b/org.fawndrum/tst/org/fawndrum/transport/relay/RelayDrainTest.java
@@ -79,7 +79,7 @@
   private final CountDownLatch unblock = new CountDownLatch(1);
   private final CompletableFuture<RelayServer.IncomingRequest> accepted = new CompletableFuture<>();
   private final RelayBounds bounds =
-      new RelayBounds(false, 5_000, 2_000, 8_000, 0.2, 100, 10_000, 120);
+      new RelayBounds(false, 5_000, 2_000, 2_000, 8_000, 0.2, 100, 10_000, 120);
   private final PauseDetector pauseDetector = new PauseDetector(TICK_INTERVAL_MS);
   private volatile long nowMs = STARTED_MS;
   private HostAddress address;
@@ -340,7 +340,7 @@
 
   @Test
   void hostWithMinimalGracePeriodExits() throws Exception {
-    RelayBounds shortest = new RelayBounds(false, 5_000, 2_000, 100, 0.2, 100, 10_000, 120);
+    RelayBounds shortest = new RelayBounds(false, 5_000, 2_000, 2_000, 100, 0.2, 100, 10_000, 120);
     drain =
         new RelayDrain(
             vertx,
