Only a page that reaches the end of the log confirms anything

Cause: the host read on in pages of 1 MB, and the first of four, which did not reach the revocation, counted as proof that its configuration was the newest. KeyedPage could not say it.

A page now says whether it reaches the end; one that does not confirms nothing, and the next is read at once.

--- a/org.fawndrum/src/org/fawndrum/protocol/KeyedPage.java
+++ b/org.fawndrum/src/org/fawndrum/protocol/KeyedPage.java
@@ -7,10 +7,11 @@
  * A page of records of a keyed log. Immutable.
  *
  * @param records the records in log order
- * @param end offset after the last record of the log
+ * @param end offset after the last record that was read; reading continues there
  * @param epoch the store's epoch, which these offsets belong to; 0 if the store does not report it
+ * @param reachesEnd whether the log contained no other records when the store answered
  */
-public record KeyedPage(List<KeyedRecord> records, long end, long epoch) {
+public record KeyedPage(List<KeyedRecord> records, long end, long epoch, boolean reachesEnd) {
   /**
    * A record.
    *
@@ -30,12 +31,17 @@
     records = List.copyOf(records);
   }
 
-  /** Creates a page of a store that does not report its epoch. */
+  /** Creates a page that reaches the end of the log. */
+  public KeyedPage(List<KeyedRecord> records, long end, long epoch) {
+    this(records, end, epoch, true);
+  }
+
+  /** Creates a page, up to the end of the log, of a store that does not report its epoch. */
   public KeyedPage(List<KeyedRecord> records, long end) {
     this(records, end, 0);
   }
 
-  /** Returns the position after the last record of the log. */
+  /** Returns the position after the last record that was read. */
   public StorePosition endPosition() {
     return new StorePosition(epoch, end);
   }
--- a/org.fawndrum/src/org/fawndrum/transport/relay/TopicFollower.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/TopicFollower.java
@@ -15,8 +15,9 @@
 /**
  * Follows one keyed log from its newest records on, if its schedule requires it: records that
  * another daemon sent need not be read again. While the platform is unavailable, queries are
- * retried at increasing intervals. If records expired before they were read, or the store was
- * restored from a copy, the newest records are read again. Confined to one event loop.
+ * retried at increasing intervals. If records expired before they were read, the store was restored
+ * from a copy, or this host has not read for long, the newest records are read. Only a page that
+ * reaches the end of the log confirms anything. Confined to one event loop.
  */
 final class TopicFollower {
   /** Delay before the first retry, in milliseconds; doubled with each retry. */
@@ -31,6 +32,12 @@
   /** Maximum interval of checks whether the log is to be read, in milliseconds. */
   private static final long MAX_CHECK_INTERVAL_MS = 500;
 
+  /**
+   * Time without a read after which the newest records are read rather than all since, in
+   * milliseconds.
+   */
+  private static final long MAX_POSITION_AGE_MS = 10_000;
+
   /** How much too early a wait may end, in milliseconds: timers and clocks are not exact. */
   private static final long WAIT_MARGIN_MS = 50;
 
@@ -46,6 +53,7 @@
   private final HostClock clock;
   private final HostLog hostLog;
   private StorePosition next = StorePosition.NONE;
+  private long readMs = HostClock.NEVER_MS;
   private long confirmedMs = HostClock.NEVER_MS;
   private long retryMs = FIRST_RETRY_MS;
   private boolean unavailable;
@@ -88,7 +96,8 @@
     /**
      * Receives the records since the last read.
      *
-     * @param confirmedMs a time, by the host's clock, at which the log contained no other records
+     * @param confirmedMs a time, by the host's clock, at which the log contained no other records;
+     *     {@link HostClock#NEVER_MS} if more of them are to be read
      */
     void applyChanges(KeyedPage page, long confirmedMs);
   }
@@ -125,7 +134,7 @@
     }
     next = next.isKnown() ? next.max(reader.knownEnd()) : next;
     long queriedMs = clock.nowMs();
-    boolean snapshot = !next.isKnown();
+    boolean snapshot = !next.isKnown() || isPositionOld(queriedMs);
     long waitMs = queriedMs - confirmedMs > MAX_UNCONFIRMED_MS ? 0 : timing.get().waitMs();
     (snapshot ? log.newest(topic) : log.read(topic, next.offset(), waitMs))
         .whenComplete(
@@ -138,6 +147,11 @@
             });
   }
 
+  /** Returns whether many records may have followed the position; peers may provide a later one. */
+  private boolean isPositionOld(long nowMs) {
+    return !reader.knownEnd().isKnown() && nowMs - readMs > MAX_POSITION_AGE_MS;
+  }
+
   private void pageReceived(KeyedPage page, boolean snapshot, long queriedMs, long waitMs) {
     reportAvailable();
     retryMs = FIRST_RETRY_MS;
@@ -155,7 +169,15 @@
       queryAfter(Math.max(FIRST_RETRY_MS, timing.get().pauseMs()));
       return;
     }
+    boolean progress = page.endPosition().isAfter(next);
     next = page.endPosition();
+    readMs = queriedMs;
+    if (!page.reachesEnd()) {
+      // A record that follows may take back what this page contains.
+      reader.applyChanges(page, HostClock.NEVER_MS);
+      queryAfter(progress ? REREAD_DELAY_MS : FIRST_RETRY_MS);
+      return;
+    }
     confirmedMs = snapshot ? queriedMs : confirmedMs(page, queriedMs, waitMs);
     if (snapshot) {
       reader.applySnapshot(page, queriedMs);
--- a/org.fawndrum/tst/org/fawndrum/transport/relay/TopicFollowerTest.java
+++ b/org.fawndrum/tst/org/fawndrum/transport/relay/TopicFollowerTest.java
@@ -17,6 +17,7 @@
 import org.fawndrum.protocol.KeyedPage;
 import org.fawndrum.protocol.KeyedPage.KeyedRecord;
 import org.fawndrum.protocol.StorePosition;
+import org.fawndrum.transport.HostClock;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 
@@ -123,6 +124,19 @@
     queried.get(20, TimeUnit.SECONDS);
   }
 
+  /** Waits until records were read this many times. */
+  private void awaitReads(int times) throws Exception {
+    CompletableFuture<Void> read = new CompletableFuture<>();
+    vertx.setPeriodic(
+        5,
+        id -> {
+          if (log.waits.size() == times) {
+            read.complete(null);
+          }
+        });
+    read.get(20, TimeUnit.SECONDS);
+  }
+
   @AfterEach
   void close() {
     vertx.close().await();
@@ -240,4 +254,30 @@
     assertEquals(List.of(90L, 7L, 8L), log.readOffsets);
     assertEquals(1, snapshots.size());
   }
+
+  /** A page that stopped before a revocation counted as proof that there was none. */
+  @Test
+  void aPageThatDoesNotReachTheEndOfTheLogConfirmsNothing() throws Exception {
+    start();
+    log.answer(new KeyedPage(List.of(), 3));
+    nowMs += 5_000;
+    log.answer(new KeyedPage(List.of(RECORD), 4, 0, false));
+    assertEquals(List.of(HostClock.NEVER_MS), confirmed);
+    awaitReads(2);
+    assertEquals(List.of(3L, 4L), log.readOffsets, "it does not read on");
+    log.answer(new KeyedPage(List.of(RECORD), 5));
+    assertEquals(List.of(HostClock.NEVER_MS, 15_000L), confirmed);
+  }
+
+  /** All configurations since a host's last read, minutes ago, came before the one in force. */
+  @Test
+  void aHostThatHasNotReadForLongReadsTheNewestRecords() throws Exception {
+    start();
+    leader = false;
+    log.answer(new KeyedPage(List.of(), 3));
+    nowMs += 60_000;
+    ageMs = MAX_AGE_MS;
+    awaitNewestQueries(2);
+    assertEquals(List.of(), log.readOffsets);
+  }
 }
