--- a/org.fawndrum/src/org/fawndrum/internal/log/LogEvent.java
+++ b/org.fawndrum/src/org/fawndrum/internal/log/LogEvent.java
@@ -117,7 +117,11 @@
       102,
       Level.INFO,
       "part {0} of prompts is sound: an answer on it began {1} ms ago and its endpoint goes on"),
-  ANSWER_END_CHECKED(103, Level.INFO, "{0}");
+  ANSWER_END_CHECKED(103, Level.INFO, "{0}"),
+  STORE_PAGE_UNREADABLE(
+      104,
+      Level.WARN,
+      "topic {0}: no record can be read at offset {1}; reading the newest records");
 
   /** Added to a number before formatting, so that the id has four digits with leading zeros. */
   private static final int FOUR_DIGITS = 10_000;
--- a/org.fawndrum/src/org/fawndrum/transport/relay/TopicFollower.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/TopicFollower.java
@@ -15,9 +15,9 @@
 /**
  * Follows one keyed log from its newest records on, if its schedule requires it: records that
  * another daemon sent need not be read again. While the platform is unavailable, queries are
- * retried at increasing intervals. If records expired before they were read, the store was restored
- * from a copy, or this host has not read for long, the newest records are read. Only a page that
- * reaches the end of the log confirms anything. Confined to one event loop.
+ * retried at increasing intervals. If records expired before they were read or are unreadable, the
+ * store was restored from a copy, or this host has not read for long, the newest records are read.
+ * Only a page that reaches the end of the log confirms anything. Confined to one event loop.
  */
 final class TopicFollower {
   /** Delay before the first retry, in milliseconds; doubled with each retry. */
@@ -169,15 +169,12 @@
       queryAfter(Math.max(FIRST_RETRY_MS, timing.get().pauseMs()));
       return;
     }
-    boolean progress = page.endPosition().isAfter(next);
-    next = page.endPosition();
     readMs = queriedMs;
     if (!page.reachesEnd()) {
-      // A record that follows may take back what this page contains.
-      reader.applyChanges(page, HostClock.NEVER_MS);
-      queryAfter(progress ? REREAD_DELAY_MS : FIRST_RETRY_MS);
+      readOn(page);
       return;
     }
+    next = page.endPosition();
     confirmedMs = snapshot ? queriedMs : confirmedMs(page, queriedMs, waitMs);
     if (snapshot) {
       reader.applySnapshot(page, queriedMs);
@@ -187,6 +184,19 @@
     queryAfter(timing.get().pauseMs());
   }
 
+  /** Reads what follows a page; a later record may take back what the page contains. */
+  private void readOn(KeyedPage page) {
+    if (page.endPosition().isAfter(next)) {
+      next = page.endPosition();
+      reader.applyChanges(page, HostClock.NEVER_MS);
+      queryAfter(REREAD_DELAY_MS);
+      return;
+    }
+    hostLog.event(LogEvent.STORE_PAGE_UNREADABLE, topic, Long.toString(next.offset()));
+    next = StorePosition.NONE;
+    queryAfter(FIRST_RETRY_MS);
+  }
+
   private void reportAvailable() {
     if (unavailable) {
       unavailable = false;
--- a/org.fawndrum/tst/org/fawndrum/transport/relay/TopicFollowerTest.java
+++ b/org.fawndrum/tst/org/fawndrum/transport/relay/TopicFollowerTest.java
@@ -280,4 +280,17 @@
     awaitNewestQueries(2);
     assertEquals(List.of(), log.readOffsets);
   }
+
+  /** Records that could not be read were skipped, and what came before them counted as newest. */
+  @Test
+  void aHostReadsTheNewestRecordsWhereAPageContainsNoneThatCanBeRead() throws Exception {
+    start();
+    log.answer(new KeyedPage(List.of(), 3));
+    log.answer(new KeyedPage(List.of(), 3, 0, false));
+    awaitNewestQueries(2);
+    assertEquals(List.of(), confirmed);
+    log.answer(new KeyedPage(List.of(RECORD), 9));
+    assertEquals(2, snapshots.size());
+    assertEquals(List.of(3L, 9L), log.readOffsets);
+  }
 }
