--- a/org.fawndrum/src/org/fawndrum/transport/relay/RelayGauges.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/RelayGauges.java
@@ -2,7 +2,9 @@
 package org.fawndrum.transport.relay;
 
 import com.codahale.metrics.MetricRegistry;
+import java.util.function.LongSupplier;
 import org.fawndrum.coordination.limit.EndpointPermits;
+import org.fawndrum.transport.HostClock;
 import org.fawndrum.transport.peer.NettyPeerNetwork;
 import org.fawndrum.transport.proxy.ProxyServer;
 
@@ -14,6 +16,20 @@
     this.registry = registry;
   }
 
+  /**
+   * Registers the gauges about the state of the store that this host has cached.
+   *
+   * @param listingAgeMs the age of the list of endpoints, in milliseconds
+   */
+  void state(
+      RouteStore routes, EndpointReader endpoints, LongSupplier listingAgeMs, HostClock clock) {
+    registry.registerGauge("configurationRevision", () -> routes.table().revision());
+    registry.registerGauge("configurationAgeMs", () -> routes.ageMs(clock.nowMs()));
+    registry.registerGauge("endpointsAgeMs", listingAgeMs::getAsLong);
+    registry.registerGauge("drainedZones", () -> routes.drains().current().zones().size());
+    registry.registerGauge("unusableEntries", endpoints::unusableCount);
+  }
+
   /** Registers the gauges about requests and decisions. */
   void decisions(RelayDuty decisions, StallWatch stallWatch, EndpointPermits permits) {
     registry.registerGauge("leavingEndpoints", decisions::drainingEndpoints);
--- a/org.fawndrum/src/org/fawndrum/transport/relay/RelayRuntime.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/RelayRuntime.java
@@ -278,12 +278,8 @@
   }
 
   private void gauges(MetricRegistry registry, EndpointPermits permits) {
-    registry.registerGauge("configurationRevision", () -> routes.table().revision());
-    registry.registerGauge("configurationAgeMs", () -> routes.ageMs(clock.nowMs()));
-    registry.registerGauge("endpointsAgeMs", () -> clock.nowMs() - listedAtMs);
-    registry.registerGauge("drainedZones", () -> routes.drains().current().zones().size());
-    registry.registerGauge("unusableEntries", () -> store.endpoints().unusableCount());
     RelayGauges gauges = new RelayGauges(registry);
+    gauges.state(routes, store.endpoints(), () -> clock.nowMs() - listedAtMs, clock);
     gauges.decisions(decisions, stallWatch, permits);
     gauges.callers(callers, holds);
     gauges.fleet(fleet, network);
