--- a/org.fawndrum/src/org/fawndrum/transport/relay/LivenessProofs.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/LivenessProofs.java
@@ -114,20 +114,21 @@
   private Future<Void> ask(Endpoint endpoint) {
     RelayCodec.LivenessRequest question = codec.livenessRequest(endpoint, healthPath(endpoint));
     return open(endpoint, question, true)
-        .compose(
-            kept ->
-                head(kept, question)
-                    // A kept connection may have been closed just now, and an endpoint with too
-                    // many connections resets some.
-                    .recover(
-                        cause ->
-                            cause instanceof TimeoutException
-                                ? Future.failedFuture(cause)
-                                : open(endpoint, question, false)
-                                    .compose(request -> head(request, question))))
+        .compose(kept -> head(kept, question).recover(lost -> again(lost, endpoint, question)))
         .compose(head -> judge(head, endpoint));
   }
 
+  /**
+   * Asks on a new connection after one was lost: a kept one may have been closed just now, and an
+   * endpoint with too many connections resets some.
+   */
+  private Future<EndpointAnswer> again(
+      Throwable lost, Endpoint endpoint, RelayCodec.LivenessRequest question) {
+    return lost instanceof TimeoutException
+        ? Future.failedFuture(lost)
+        : open(endpoint, question, false).compose(request -> head(request, question));
+  }
+
   private String healthPath(Endpoint endpoint) {
     return endpoint.serves().stream()
         .map(healthPaths)
