--- a/org.fawndrum/src/org/fawndrum/transport/relay/EndpointRequests.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/EndpointRequests.java
@@ -58,9 +58,12 @@
    * @param method its HTTP method
    * @param uri its URI
    * @param repeatable whether it may use a connection that was used before
-   * @param requestId the caller's id; empty for calls that are no requests of callers
+   * @param requestId the caller's id; {@link #NO_REQUEST} for calls that are no requests of callers
    * @param remainingMs how long it may take from now on, in milliseconds
    */
   record Call(
-      HttpMethod method, String uri, boolean repeatable, String requestId, long remainingMs) {}
+      HttpMethod method, String uri, boolean repeatable, String requestId, long remainingMs) {
+    /** The id of calls that are no requests of callers. */
+    public static final String NO_REQUEST = "";
+  }
 }
--- a/org.fawndrum/src/org/fawndrum/transport/relay/LivenessProofs.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/LivenessProofs.java
@@ -30,9 +30,6 @@
    */
   private static final long TIMEOUT_MS = 500;
 
-  /** The request id of calls that are no requests of callers. */
-  private static final String NO_REQUEST = "";
-
   private final Connector connector;
   private final RelayCodec codec;
   private final UnaryOperator<String> healthPaths;
@@ -142,7 +139,11 @@
     return connector.request(
         endpoint,
         new EndpointRequests.Call(
-            question.method(), question.uri(), onKeptConnection, NO_REQUEST, TIMEOUT_MS));
+            question.method(),
+            question.uri(),
+            onKeptConnection,
+            EndpointRequests.Call.NO_REQUEST,
+            TIMEOUT_MS));
   }
 
   /** Returns the head of the answer, which proves enough. */
