--- a/review/src-2/LeakedConnectionsCase.java
+++ b/review/src-2/LeakedConnectionsCase.java
@@ -17,8 +17,11 @@
   private static final long LAST_MS = 300;
 
   private static final long RECOVERY_MS = 12_000;
-  private static final int BODY_BYTES = 2_000_000;
-  private static final long INTERVAL_MS = 40;
+  private static final int BODY_BYTES = 500_000;
+  private static final long INTERVAL_MS = 30;
+  /** How long the runner works on a short request, in milliseconds; long ones it answers at once. */
+  private static final long WORK_MS = 60;
+
   private static final int DEADLINE_MS = 4_000;
   private static final int LATER_REQUESTS = 15;
 
@@ -49,7 +52,9 @@
                 "",
                 (request, out) -> {
                   runs.incrementAndGet();
-                  Thread.sleep(60);
+                  if (request.body().length > 0) {
+                    Thread.sleep(WORK_MS);
+                  }
                   String id = request.header("X-Request-Id");
                   Runner.send(
                       out, 200, "X-Request-Id: " + id + "\r\nX-Response-Seal: s-" + id + "\r\n", "ok");
