--- a/review/src-2/Site.java
+++ b/review/src-2/Site.java
@@ -27,6 +27,8 @@
   Site(Path recordFile) throws IOException {
     record = new PrintWriter(Files.newBufferedWriter(recordFile), true);
     folder = Files.createTempDirectory("review-2");
+    // Also where this process is stopped from outside.
+    Runtime.getRuntime().addShutdownHook(new Thread(this::endAll));
   }
 
   /** Returns whether the disruption is to take place. */
@@ -135,12 +137,22 @@
     void run() throws Exception;
   }
 
+  /** Ends what was started; has no effect when called again. */
+  private synchronized void endAll() {
+    for (AutoCloseable closeable : started) {
+      try {
+        closeable.close();
+      } catch (Exception e) {
+        System.err.println("not closed: " + e);
+      }
+    }
+    started.clear();
+  }
+
   @Override
   public void close() throws Exception {
     closing = true;
-    for (AutoCloseable closeable : List.copyOf(started)) {
-      closeable.close();
-    }
+    endAll();
     try (var files = Files.list(folder)) {
       for (Path file : files.toList()) {
         Files.delete(file);
--- a/review/src-2/SpoiledResumeCase.java
+++ b/review/src-2/SpoiledResumeCase.java
@@ -21,7 +21,7 @@
 
   private static final int EVENTS = 4;
   private static final long GARBLE_MS = 6_900;
-  private static final int ROUNDS = 3;
+  private static final int ROUNDS = 5;
   private static final long INTERVAL_MS = 12;
   private static final int TIMEOUT_MS = 6_000;
   private static final int EXTRA_MS = 500;
