--- a/review/src-2/LeakedConnectionsCase.java
+++ b/review/src-2/LeakedConnectionsCase.java
@@ -66,7 +66,16 @@
     String ipB = site.newIp();
     String ipC = site.newIp();
     int[] ports = {Site.freePort(ipA), Site.freePort(ipA)};
-    List<String> seeds = List.of(ipA + ":" + ports[0], ipB + ":" + ports[0], ipC + ":" + ports[0]);
+    // Each daemon has a view of the store of its own, so that the way of one to the runner can be cut. They
+    // meet only after each has read its view: from then on none takes over the address of another one.
+    List<Relay> meetings = new ArrayList<>();
+    List<String> seeds = new ArrayList<>();
+    for (String ip : List.of(ipA, ipB, ipC)) {
+      Relay meeting = site.closeLater(new Relay(site, site.newIp(), ports[0], ip));
+      meeting.cut(true);
+      meetings.add(meeting);
+      seeds.add(meeting.address());
+    }
     Daemon a = daemon("front-a-1", "zone-a", ipA, ports, seeds, viewOfA);
     Daemon b = daemon("front-b-1", "zone-b", ipB, ports, seeds, store.address());
     Daemon c = daemon("front-c-1", "zone-c", ipC, ports, seeds, store.address());
@@ -77,6 +86,8 @@
     for (Daemon daemon : daemons) {
       daemon.awaitReady(20_000);
     }
+    Thread.sleep(1_500);
+    meetings.forEach(meeting -> meeting.cut(false));
     Thread.sleep(3_000);
     int servedBefore = served("before", daemons);
 
