--- a/org.fawndrum.soak/src/org/fawndrum/soak/HostProcess.java
+++ b/org.fawndrum.soak/src/org/fawndrum/soak/HostProcess.java
@@ -8,9 +8,12 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.nio.file.StandardOpenOption;
+import java.time.Duration;
 import java.time.Instant;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Collectors;
 import org.fawndrum.platform.PlatformMain;
@@ -24,6 +27,10 @@
   /** Heap limit of a daemon; a few dozen of them fit into half of a machine's memory. */
   private static final String HEAP = "-Xmx64m";
 
+  /** Options of the JVM of a daemon. */
+  static final List<String> OPTIONS =
+      List.of(HEAP, "-Xss256k", "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1");
+
   /** Id of the log line that a daemon writes when it starts. */
   private static final String STARTING = "FAWN0009";
 
@@ -35,6 +42,7 @@
   private final Path signalLog;
 
   private final Map<HostAddress, HostAddress> links;
+  private final List<String> options;
 
   private volatile Process process;
   private boolean closed;
@@ -43,17 +51,24 @@
 
   /** Creates a daemon that is not started, and writes its settings into a folder. */
   HostProcess(String name, Path folder, String settingsText) throws IOException {
-    this(name, folder, settingsText, Map.of());
+    this(name, folder, settingsText, Map.of(), OPTIONS);
   }
 
   /**
    * Creates a daemon that is not started, and writes its settings into a folder.
    *
    * @param links its path to each endpoint; empty if its paths cannot fail
+   * @param options options of its JVM
    */
-  HostProcess(String name, Path folder, String settingsText, Map<HostAddress, HostAddress> links)
+  HostProcess(
+      String name,
+      Path folder,
+      String settingsText,
+      Map<HostAddress, HostAddress> links,
+      List<String> options)
       throws IOException {
     this.links = Map.copyOf(links);
+    this.options = List.copyOf(options);
     this.name = name;
     this.settings = folder.resolve(name + ".json");
     this.output = folder.resolve(name + ".log");
@@ -70,21 +85,7 @@
     if (closed) {
       return;
     }
-    ProcessBuilder builder =
-        new ProcessBuilder(
-            Path.of(System.getProperty("java.home"), "bin", "java").toString(),
-            HEAP,
-            "-Xss256k",
-            "-XX:+UseSerialGC",
-            "-XX:TieredStopAtLevel=1",
-            // Logs pauses of the JVM, to tell them from a host that gets no processor time. Written
-            // asynchronously, so that the log itself blocks no thread.
-            "-Xlog:async",
-            "-Xlog:safepoint,gc:file=" + output + ".%p.jvm:time,uptimemillis",
-            "-cp",
-            System.getProperty("java.class.path"),
-            "-D" + SoakHostMain.LINKS + "=" + linksText(),
-            links.isEmpty() ? PlatformMain.class.getName() : SoakHostMain.class.getName());
+    ProcessBuilder builder = new ProcessBuilder(command());
     builder.environment().put("FAWNDRUM_SETTINGS", settings.toString());
     File log = output.toFile();
     builder.redirectErrorStream(true).redirectOutput(ProcessBuilder.Redirect.appendTo(log));
@@ -93,6 +94,21 @@
     exitExpected = false;
   }
 
+  private List<String> command() {
+    List<String> command = new ArrayList<>();
+    command.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
+    command.add("-cp");
+    command.add(System.getProperty("java.class.path"));
+    command.addAll(options);
+    // Logs pauses of the JVM, to tell them from a host that gets no processor time. Written
+    // asynchronously, so that the log itself blocks no thread.
+    command.add("-Xlog:async");
+    command.add("-Xlog:safepoint,gc:file=" + output + ".%p.jvm:time,uptimemillis");
+    command.add("-D" + SoakHostMain.LINKS + "=" + linksText());
+    command.add(links.isEmpty() ? PlatformMain.class.getName() : SoakHostMain.class.getName());
+    return command;
+  }
+
   private String linksText() {
     return links.entrySet().stream()
         .map(link -> link.getKey() + "=" + link.getValue())
@@ -127,9 +143,19 @@
 
   /** Kills the process and waits for its exit. */
   void kill() throws InterruptedException {
+    killWithoutWaiting();
+    process.waitFor();
+  }
+
+  /** Kills the process; returns before it has exited. */
+  void killWithoutWaiting() {
     exitExpected = true;
     process.destroyForcibly();
-    process.waitFor();
+  }
+
+  /** Returns the processor time that this incarnation has used so far; empty if not known. */
+  Optional<Duration> processorTime() {
+    return process.toHandle().info().totalCpuDuration();
   }
 
   /** Kills the process and prevents further starts. Safe for all threads. */
--- a/org.fawndrum.soak/src/org/fawndrum/soak/HostSettings.java
+++ b/org.fawndrum.soak/src/org/fawndrum/soak/HostSettings.java
@@ -2,6 +2,7 @@
 package org.fawndrum.soak;
 
 import java.util.Locale;
+import java.util.function.IntUnaryOperator;
 import java.util.stream.Collectors;
 import java.util.stream.IntStream;
 import org.fawndrum.platform.standin.FixedPorts;
@@ -9,7 +10,7 @@
 
 /**
  * Builds the settings files of the daemons of one site. All daemons use the same port for peer
- * connections, so each has its own loopback address for them. Hosts alternate between two zones.
+ * connections, so each has its own loopback address for them. Hosts alternate between the zones.
  * Immutable.
  */
 final class HostSettings {
@@ -26,14 +27,30 @@
   /** The most bytes that a host may hold for its callers and endpoints. */
   static final long MAX_HELD_BYTES = 2 << 20;
 
+  /** Number of availability zones, unless given. */
+  private static final int ZONES = 2;
+
   private final FixedPorts ports;
+  private final int zones;
+  private final IntUnaryOperator linkMegabits;
   private final String seeds;
   private final int peerPort;
   private final int proxyPort;
 
   /** Creates the settings of a number of hosts. */
   HostSettings(int hosts, FixedPorts ports) {
+    this(hosts, ZONES, host -> FIRST_LINK_MEGABITS + host, ports);
+  }
+
+  /**
+   * Creates the settings of a number of hosts.
+   *
+   * @param linkMegabits the link capacity of a host by its index, in megabits per second
+   */
+  HostSettings(int hosts, int zones, IntUnaryOperator linkMegabits, FixedPorts ports) {
     this.ports = ports;
+    this.zones = zones;
+    this.linkMegabits = linkMegabits;
     this.peerPort = ports.next();
     this.proxyPort = ports.next();
     this.seeds =
@@ -56,6 +73,24 @@
    * @param platform the address of the store
    */
   String text(int host, HostAddress callers, HostAddress metrics, HostAddress platform) {
+    return text(host, callers, freeAddress(), metrics, platform);
+  }
+
+  /**
+   * Returns the text of a host's settings.
+   *
+   * @param host the host's index, from 0
+   * @param callers the address for callers
+   * @param readiness the address of its health check
+   * @param metrics the address of its metrics
+   * @param platform the address of the store
+   */
+  String text(
+      int host,
+      HostAddress callers,
+      HostAddress readiness,
+      HostAddress metrics,
+      HostAddress platform) {
     return String.format(
         Locale.ROOT,
         """
@@ -67,22 +102,27 @@
           "hold": { "totalBytes": %d, "answerBytes": 65536 } }
         """,
         name(host),
-        host % 2 == 0 ? "a" : "b",
+        (char) ('a' + zone(host)),
         callers,
-        freeAddress(),
+        readiness,
         peerIp(host),
         peerPort,
         peerIp(host),
         proxyPort,
         metrics,
         platform,
-        FIRST_LINK_MEGABITS + host,
+        linkMegabits.applyAsInt(host),
         seeds,
         SoakSite.REVOKE_MS,
         SoakSite.GRACE_MS / MS_PER_SECOND,
         MAX_HELD_BYTES);
   }
 
+  /** Returns the zone of a host, from 0. */
+  int zone(int host) {
+    return host % zones;
+  }
+
   /** Returns the name of a host. */
   static String name(int host) {
     return "host-" + host;
--- /dev/null
+++ b/org.fawndrum.soak/src/org/fawndrum/soak/PowerLossSite.java
@@ -0,0 +1,128 @@
+// SPDX-License-Identifier: Apache-2.0
+package org.fawndrum.soak;
+
+import io.vertx.core.Future;
+import io.vertx.core.Vertx;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import org.fawndrum.platform.standin.EndpointStandin;
+import org.fawndrum.platform.standin.FixedPorts;
+import org.fawndrum.platform.standin.StandinSite;
+import org.fawndrum.platform.standin.StoreStandin;
+import org.fawndrum.platform.standin.TicketUsage;
+import org.fawndrum.state.HostAddress;
+
+/**
+ * A large site without faults of its own: a store, endpoints, and daemons as separate processes in
+ * three zones. Its methods are called on the event loop, except those of the daemons' processes.
+ */
+final class PowerLossSite {
+  static final int ZONES = 3;
+
+  /** Hosts of each zone that have a fast link, as on the users' grown sites. */
+  private static final int FAST_HOSTS = 2 * ZONES;
+
+  private static final int FAST_MEGABITS = 200;
+  private static final int SLOW_MEGABITS = 20;
+
+  /** Events of a stream. */
+  private static final int EVENTS = 32;
+
+  private static final String ENDPOINTS = "keyed.servers";
+  private static final String OPERATORS = "keyed.op";
+
+  private final Vertx vertx;
+  private final FixedPorts ports = new FixedPorts();
+  private final HostSettings settings;
+  private final StoreStandin store;
+  private final int engines;
+  private final int services;
+  private final List<EndpointStandin> endpoints = new ArrayList<>();
+  private final List<HostProcess> hosts = new ArrayList<>();
+  private final List<HostAddress> callerAddresses = new ArrayList<>();
+  private final List<HostAddress> readinessAddresses = new ArrayList<>();
+
+  PowerLossSite(Vertx vertx, int hostCount, int engines, int services) {
+    this.vertx = vertx;
+    this.store = new StoreStandin(vertx);
+    this.engines = engines;
+    this.services = services;
+    this.settings =
+        new HostSettings(
+            hostCount, ZONES, host -> host < FAST_HOSTS ? FAST_MEGABITS : SLOW_MEGABITS, ports);
+  }
+
+  /** Starts the store and the endpoints, and creates the hosts. */
+  Future<Void> start(int hostCount, Path folder, List<String> options) {
+    TicketUsage ticketUsage = new TicketUsage();
+    Future<Void> started = Future.succeededFuture();
+    for (int i = 0; i < engines + services; i++) {
+      EndpointStandin endpoint =
+          new EndpointStandin(
+              vertx,
+              "i-" + i,
+              i < engines ? EVENTS : 0,
+              EndpointStandin.Behaviour.HEALTHY,
+              ticketUsage);
+      endpoints.add(endpoint);
+      started = started.compose(v -> endpoint.listen()).mapEmpty();
+    }
+    return started
+        .compose(v -> store.listen())
+        .map(
+            storeAt -> {
+              publish();
+              for (int host = 0; host < hostCount; host++) {
+                hosts.add(host(host, storeAt, folder, options));
+              }
+              return null;
+            });
+  }
+
+  private void publish() {
+    store.put(OPERATORS, "config", StandinSite.configuration(1, SoakSite.KEY));
+    for (int i = 0; i < endpoints.size(); i++) {
+      String zone = "zone-" + (char) ('a' + i % ZONES);
+      String service = i < engines ? "pool" : "orders";
+      store.put(ENDPOINTS, "i-" + i, endpoints.get(i).entry(service, zone, "ready"));
+    }
+  }
+
+  private HostProcess host(int host, HostAddress storeAt, Path folder, List<String> options) {
+    HostAddress callers = settings.freeAddress();
+    HostAddress readiness = settings.freeAddress();
+    callerAddresses.add(callers);
+    readinessAddresses.add(readiness);
+    String text = settings.text(host, callers, readiness, settings.freeAddress(), storeAt);
+    try {
+      return new HostProcess(HostSettings.name(host), folder, text, java.util.Map.of(), options);
+    } catch (IOException e) {
+      throw new UncheckedIOException(e);
+    }
+  }
+
+  HostSettings settings() {
+    return settings;
+  }
+
+  List<HostProcess> hosts() {
+    return hosts;
+  }
+
+  List<HostAddress> callerAddresses() {
+    return callerAddresses;
+  }
+
+  List<HostAddress> readinessAddresses() {
+    return readinessAddresses;
+  }
+
+  /** Terminates all daemons and releases their ports. Safe for all threads. */
+  void close() {
+    hosts.forEach(HostProcess::terminate);
+    ports.close();
+  }
+}
--- a/org.fawndrum.soak/src/org/fawndrum/soak/SoakSite.java
+++ b/org.fawndrum.soak/src/org/fawndrum/soak/SoakSite.java
@@ -197,7 +197,11 @@
       try {
         hosts.add(
             new HostProcess(
-                HostSettings.name(host), folder, text, hostLinks.open(endpoints, settings)));
+                HostSettings.name(host),
+                folder,
+                text,
+                hostLinks.open(endpoints, settings),
+                HostProcess.OPTIONS));
       } catch (IOException e) {
         throw new SoakFailedException("settings of host " + host, e);
       }
