--- a/org.fawndrum.soak/src/org/fawndrum/soak/BalancedCallers.java
+++ b/org.fawndrum.soak/src/org/fawndrum/soak/BalancedCallers.java
@@ -12,7 +12,7 @@
 import org.fawndrum.state.HostAddress;
 
 /**
- * Callers in all zones that reach hosts through the balancer and send a request once more if they
+ * Callers in one zone that reach hosts through the balancer and send a request once more if they
  * may: those that may be repeated after any failure, the others after a refusal. Confined to one
  * event loop.
  */
@@ -46,7 +46,7 @@
   private final Vertx vertx;
   private final List<HostAddress> hosts;
   private final Balancer balancer;
-  private final int zones;
+  private final int zone;
   private final RecoveryChecker checker;
   private final Random random;
   private final HttpClientAgent client;
@@ -54,13 +54,13 @@
   private int requestCount;
 
   /** An attempt of a caller. */
-  private record Attempt(String route, int zone, long untilMs, boolean first) {
+  private record Attempt(String route, long untilMs, boolean first) {
     private boolean repeatable() {
       return !route.equals("once");
     }
 
     private Attempt second() {
-      return new Attempt(route, zone, untilMs, false);
+      return new Attempt(route, untilMs, false);
     }
   }
 
@@ -68,13 +68,13 @@
       Vertx vertx,
       List<HostAddress> hosts,
       Balancer balancer,
-      int zones,
+      int zone,
       RecoveryChecker checker,
       Random random) {
     this.vertx = vertx;
     this.hosts = hosts;
     this.balancer = balancer;
-    this.zones = zones;
+    this.zone = zone;
     this.checker = checker;
     this.random = random;
     this.client =
@@ -97,7 +97,7 @@
     int part = random.nextInt(PARTS);
     String route = part < ONCE ? "once" : part < ONCE + LOOK ? "look" : "ask";
     long deadlineMs = route.equals("ask") ? STREAM_DEADLINE_MS : PLAIN_DEADLINE_MS;
-    send(new Attempt(route, random.nextInt(zones), Soak.nowMs() + deadlineMs, true));
+    send(new Attempt(route, Soak.nowMs() + deadlineMs, true));
   }
 
   private void send(Attempt attempt) {
@@ -105,10 +105,11 @@
     if (leftMs <= 0) {
       return;
     }
-    String id = "s-" + ++requestCount;
-    String path = "/" + attempt.route() + "/" + requestCount;
+    String number = zone + "-" + ++requestCount;
+    String id = "s-" + number;
+    String path = "/" + attempt.route() + "/" + number;
     int prompt = attempt.route().equals("ask") ? PROMPT_TOKENS : 0;
-    HostAddress host = hosts.get(balancer.hostFor(attempt.zone()));
+    HostAddress host = hosts.get(balancer.hostFor(zone, random));
     checker.recordSent(id, Soak.nowMs());
     client
         .request(new CallerStandin.Request(host, path, id, SoakSite.KEY, leftMs, prompt).options())
--- a/org.fawndrum.soak/src/org/fawndrum/soak/Balancer.java
+++ b/org.fawndrum.soak/src/org/fawndrum/soak/Balancer.java
@@ -8,6 +8,7 @@
 import io.vertx.core.http.RequestOptions;
 import java.util.List;
 import java.util.Random;
+import java.util.concurrent.atomic.AtomicIntegerArray;
 import java.util.function.IntUnaryOperator;
 import java.util.stream.IntStream;
 import org.fawndrum.state.HostAddress;
@@ -16,7 +17,7 @@
  * The platform's balancer: asks every second each host whether it is ready, and gives callers a
  * host of their zone. A host that misses twice gets no new callers until it is ready again. Where
  * fewer than half of a zone's hosts are in, all of them are used; where none is, those of other
- * zones. Confined to one event loop.
+ * zones. Asks on one event loop; {@link #hostFor} is safe for all threads.
  */
 final class Balancer {
   private static final long INTERVAL_MS = 1_000;
@@ -29,9 +30,8 @@
   private final Vertx vertx;
   private final List<HostAddress> readiness;
   private final IntUnaryOperator zoneOf;
-  private final Random random;
   private final HttpClientAgent client;
-  private final int[] misses;
+  private final AtomicIntegerArray misses;
 
   /**
    * Creates a balancer of hosts that all are in.
@@ -39,12 +39,11 @@
    * @param readiness the address of each host's health check, by index
    * @param zoneOf the zone of a host by its index
    */
-  Balancer(Vertx vertx, List<HostAddress> readiness, IntUnaryOperator zoneOf, Random random) {
+  Balancer(Vertx vertx, List<HostAddress> readiness, IntUnaryOperator zoneOf) {
     this.vertx = vertx;
     this.readiness = readiness;
     this.zoneOf = zoneOf;
-    this.random = random;
-    this.misses = new int[readiness.size()];
+    this.misses = new AtomicIntegerArray(readiness.size());
     this.client =
         vertx.createHttpClient(new HttpClientOptions().setConnectTimeout((int) INTERVAL_MS));
   }
@@ -70,12 +69,16 @@
     client
         .request(options)
         .compose(request -> request.send())
-        .onSuccess(answer -> misses[host] = answer.statusCode() == READY ? 0 : misses[host] + 1)
-        .onFailure(cause -> misses[host]++);
+        .onSuccess(answer -> asked(host, answer.statusCode() == READY))
+        .onFailure(cause -> asked(host, false));
+  }
+
+  private void asked(int host, boolean ready) {
+    misses.set(host, ready ? 0 : misses.get(host) + 1);
   }
 
   private boolean isIn(int host) {
-    return misses[host] < MAX_MISSES;
+    return misses.get(host) < MAX_MISSES;
   }
 
   /** Returns the number of hosts that get new callers because they are ready. */
@@ -84,17 +87,17 @@
   }
 
   /** Returns a host for a new connection of a caller in a zone. */
-  int hostFor(int zone) {
+  int hostFor(int zone, Random random) {
     int[] all = hosts().filter(host -> zoneOf.applyAsInt(host) == zone).toArray();
     int[] in = IntStream.of(all).filter(this::isIn).toArray();
     if (in.length == 0) {
       int[] elsewhere = hosts().filter(this::isIn).toArray();
-      return any(elsewhere.length == 0 ? all : elsewhere);
+      return any(elsewhere.length == 0 ? all : elsewhere, random);
     }
-    return any(2 * in.length < all.length ? all : in);
+    return any(2 * in.length < all.length ? all : in, random);
   }
 
-  private int any(int[] hosts) {
+  private static int any(int[] hosts, Random random) {
     return hosts[random.nextInt(hosts.length)];
   }
 }
--- a/org.fawndrum.soak/src/org/fawndrum/soak/PowerLoss.java
+++ b/org.fawndrum.soak/src/org/fawndrum/soak/PowerLoss.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Random;
+import java.util.stream.IntStream;
 
 /**
  * A run in which all daemons of a large site lose power at the same moment, under traffic, and are
@@ -16,6 +17,9 @@
 final class PowerLoss {
   private static final long POLL_MS = 1_000;
 
+  /** Event loops of the store and the endpoints, which are machines of their own. */
+  private static final int STANDIN_LOOPS = 8;
+
   private final Config config;
 
   /** Hosts that are started together at first, so that this machine can pay for it. */
@@ -23,8 +27,12 @@
 
   private final SoakLoop loop = new SoakLoop();
 
-  /** The stand-ins have a loop of their own, so that callers don't wait for them. */
-  private final SoakLoop standins = new SoakLoop();
+  /** The stand-ins have loops of their own, so that callers don't wait for them. */
+  private final SoakLoop standins = new SoakLoop(STANDIN_LOOPS);
+
+  /** The callers of each zone have a loop of their own, so that they don't wait for each other. */
+  private final List<SoakLoop> callerLoops =
+      IntStream.range(0, PowerLossSite.ZONES).mapToObj(zone -> new SoakLoop()).toList();
 
   private final RecoveryChecker checker;
   private final List<String> processorTimes = new ArrayList<>();
@@ -85,6 +93,7 @@
       terminateDaemons();
       loop.close();
       standins.close();
+      callerLoops.forEach(SoakLoop::close);
     }
   }
 
@@ -97,48 +106,47 @@
   }
 
   private Result runLoss() throws InterruptedException, IOException {
-    site =
-        standins.call(
-            () ->
-                new PowerLossSite(
-                    standins.vertx(), config.hosts(), config.engines(), config.services()));
-    standins.callAndAwait(() -> site.start(config.hosts(), config.folder(), config.options()));
+    site = new PowerLossSite(standins.vertx(), config.hosts(), config.engines(), config.services());
+    site.start(config.hosts(), config.folder(), config.options())
+        .toCompletionStage()
+        .toCompletableFuture()
+        .join();
     Balancer balancer =
         loop.call(
-            () ->
-                new Balancer(
-                    loop.vertx(),
-                    site.readinessAddresses(),
-                    site.settings()::zone,
-                    new Random(config.seed())));
-    BalancedCallers callers =
-        loop.call(
-            () ->
-                new BalancedCallers(
-                    loop.vertx(),
-                    site.callerAddresses(),
-                    balancer,
-                    PowerLossSite.ZONES,
-                    checker,
-                    new Random(~config.seed())));
+            () -> new Balancer(loop.vertx(), site.readinessAddresses(), site.settings()::zone));
+    List<BalancedCallers> callers = new ArrayList<>();
+    for (int zone = 0; zone < PowerLossSite.ZONES; zone++) {
+      callers.add(callers(zone, balancer));
+    }
     loop.run(balancer::start);
     startInGroups();
     observe(config.startMs(), "first start", balancer);
-    loop.run(() -> callers.start(config.gapMs()));
+    for (int zone = 0; zone < PowerLossSite.ZONES; zone++) {
+      BalancedCallers ofZone = callers.get(zone);
+      callerLoops.get(zone).run(() -> ofZone.start(config.gapMs() * PowerLossSite.ZONES));
+    }
     observe(config.beforeMs(), "traffic", balancer);
-    loop.run(() -> checker.recordLost(Soak.nowMs()));
+    checker.recordLost(Soak.nowMs());
     site.hosts().forEach(HostProcess::killWithoutWaiting);
     Thread.sleep(config.downMs());
     startAll();
-    loop.run(() -> checker.recordReturned(Soak.nowMs()));
+    checker.recordReturned(Soak.nowMs());
     observe(config.recoveryMs(), "recovery", balancer);
     observe(config.judgedMs(), "judged", balancer);
-    loop.run(callers::stop);
+    for (int zone = 0; zone < PowerLossSite.ZONES; zone++) {
+      callerLoops.get(zone).run(callers.get(zone)::stop);
+    }
     Thread.sleep(BalancedCallers.STREAM_DEADLINE_MS + POLL_MS);
-    return loop.call(
+    return new Result(checker.violations(), checker.summary(), checker.timeline(), processorTimes);
+  }
+
+  private BalancedCallers callers(int zone, Balancer balancer) throws InterruptedException {
+    SoakLoop ownLoop = callerLoops.get(zone);
+    Random random = new Random(~config.seed() + zone);
+    return ownLoop.call(
         () ->
-            new Result(
-                checker.violations(), checker.summary(), checker.timeline(), processorTimes));
+            new BalancedCallers(
+                ownLoop.vertx(), site.callerAddresses(), balancer, zone, checker, random));
   }
 
   private void startInGroups() throws IOException, InterruptedException {
--- a/org.fawndrum.soak/src/org/fawndrum/soak/PowerLossSite.java
+++ b/org.fawndrum.soak/src/org/fawndrum/soak/PowerLossSite.java
@@ -8,6 +8,7 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import org.fawndrum.platform.standin.EndpointStandin;
 import org.fawndrum.platform.standin.FixedPorts;
 import org.fawndrum.platform.standin.StandinSite;
@@ -17,7 +18,7 @@
 
 /**
  * A large site without faults of its own: a store, endpoints, and daemons as separate processes in
- * three zones. Its methods are called on the event loop, except those of the daemons' processes.
+ * three zones. Confined to one thread, outside of the event loops.
  */
 final class PowerLossSite {
   static final int ZONES = 3;
@@ -29,7 +30,7 @@
   private static final int SLOW_MEGABITS = 20;
 
   /** Events of a stream. */
-  private static final int EVENTS = 32;
+  private static final int EVENTS = 8;
 
   private static final String ENDPOINTS = "keyed.servers";
   private static final String OPERATORS = "keyed.op";
@@ -58,7 +59,7 @@
   /** Starts the store and the endpoints, and creates the hosts. */
   Future<Void> start(int hostCount, Path folder, List<String> options) {
     TicketUsage ticketUsage = new TicketUsage();
-    Future<Void> started = Future.succeededFuture();
+    List<Future<HostAddress>> listening = new ArrayList<>();
     for (int i = 0; i < engines + services; i++) {
       EndpointStandin endpoint =
           new EndpointStandin(
@@ -68,9 +69,9 @@
               EndpointStandin.Behaviour.HEALTHY,
               ticketUsage);
       endpoints.add(endpoint);
-      started = started.compose(v -> endpoint.listen()).mapEmpty();
+      listening.add(endpoint.listen());
     }
-    return started
+    return Future.all(listening)
         .compose(v -> store.listen())
         .map(
             storeAt -> {
@@ -98,7 +99,7 @@
     readinessAddresses.add(readiness);
     String text = settings.text(host, callers, readiness, settings.freeAddress(), storeAt);
     try {
-      return new HostProcess(HostSettings.name(host), folder, text, java.util.Map.of(), options);
+      return new HostProcess(HostSettings.name(host), folder, text, Map.of(), options);
     } catch (IOException e) {
       throw new UncheckedIOException(e);
     }
--- a/org.fawndrum.soak/src/org/fawndrum/soak/RecoveryChecker.java
+++ b/org.fawndrum.soak/src/org/fawndrum/soak/RecoveryChecker.java
@@ -11,7 +11,7 @@
  * Checks that callers are served again after all hosts have lost power: of the requests sent later
  * than a bound after the hosts were started again, at least a quarter is served, if before the loss
  * a quarter was. Each attempt of a caller is a request. Times are those of {@link System#nanoTime}
- * in milliseconds. Confined to one event loop.
+ * in milliseconds. Thread-safe.
  */
 final class RecoveryChecker {
   private static final int MIN_SERVED_PARTS = 4;
@@ -57,17 +57,17 @@
   }
 
   /** Records that all hosts lose power. */
-  void recordLost(long nowMs) {
+  synchronized void recordLost(long nowMs) {
     lostMs = nowMs;
   }
 
   /** Records that all hosts have been started again. */
-  void recordReturned(long nowMs) {
+  synchronized void recordReturned(long nowMs) {
     returnedMs = nowMs;
   }
 
   /** Records a request before it is sent. */
-  void recordSent(String id, long nowMs) {
+  synchronized void recordSent(String id, long nowMs) {
     if (startMs == Long.MIN_VALUE) {
       startMs = nowMs;
     }
@@ -80,7 +80,7 @@
   }
 
   /** Records how a request ended. */
-  void recordOutcome(String id, boolean served, String outcome) {
+  synchronized void recordOutcome(String id, boolean served, String outcome) {
     long atMs = sentMs.get(id);
     Second second = second(atMs);
     second.outcomes.merge(outcome, 1, Integer::sum);
@@ -105,7 +105,7 @@
   }
 
   /** Returns the violations. */
-  List<String> violations() {
+  synchronized List<String> violations() {
     List<String> violations = new ArrayList<>();
     if (before.isQuarterServed() && !after.isQuarterServed()) {
       violations.add(
@@ -120,12 +120,12 @@
   }
 
   /** Returns how many requests were served before and after. */
-  String summary() {
+  synchronized String summary() {
     return "served " + before + " before the loss, " + after + " after the time to recover";
   }
 
   /** Returns a line for each second in which requests were sent. */
-  List<String> timeline() {
+  synchronized List<String> timeline() {
     List<String> lines = new ArrayList<>();
     seconds.forEach(
         (at, second) -> {
--- a/org.fawndrum.soak/src/org/fawndrum/soak/SoakLoop.java
+++ b/org.fawndrum.soak/src/org/fawndrum/soak/SoakLoop.java
@@ -17,8 +17,18 @@
   /** Maximum duration of a task on the event loop, in seconds. */
   private static final long TIMEOUT_S = 20;
 
-  private final Vertx vertx =
-      Vertx.vertx(new VertxOptions().setEventLoopPoolSize(1).setPreferNativeTransport(true));
+  private final Vertx vertx;
+
+  /** Creates a single event loop. */
+  SoakLoop() {
+    this(1);
+  }
+
+  /** Creates a number of event loops; what is called from elsewhere runs on any of them. */
+  SoakLoop(int loops) {
+    this.vertx =
+        Vertx.vertx(new VertxOptions().setEventLoopPoolSize(loops).setPreferNativeTransport(true));
+  }
 
   /** Returns the factory of servers, clients and timers on the event loop. */
   Vertx vertx() {
