A line and a gauge tell what a start took and which archives of classes it used

FAWN0106 tells age and processor time of the process when the host has what it needs to serve, and the archives in use; classArchives counts them.

--- a/org.fawndrum/src/org/fawndrum/internal/log/LogEvent.java
+++ b/org.fawndrum/src/org/fawndrum/internal/log/LogEvent.java
@@ -125,7 +125,11 @@
   TABLE_RECEIVED(
       105,
       Level.INFO,
-      "table revision {0} came from {1}; until then the last evidence on the table was {2} ms old");
+      "table revision {0} came from {1}; until then the last evidence on the table was {2} ms old"),
+  HOST_SERVES(
+      106,
+      Level.INFO,
+      "host {0} has its configuration and its endpoints {1} ms after the start of its process, {2} ms of processor time used; archives of classes: {3}");
 
   /** Added to a number before formatting, so that the id has four digits with leading zeros. */
   private static final int FOUR_DIGITS = 10_000;
--- a/org.fawndrum/src/org/fawndrum/transport/relay/RelayGauges.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/RelayGauges.java
@@ -30,6 +30,11 @@
     registry.registerGauge("unusableEntries", endpoints::unusableCount);
   }
 
+  /** Registers the gauges about this process. */
+  void process(StartLog startLog) {
+    registry.registerGauge("classArchives", startLog::classArchives);
+  }
+
   /** Registers the gauges about requests and decisions. */
   void decisions(RelayDuty decisions, StallWatch stallWatch, EndpointPermits permits) {
     registry.registerGauge("leavingEndpoints", decisions::drainingEndpoints);
--- a/org.fawndrum/src/org/fawndrum/transport/relay/RelayRuntime.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/RelayRuntime.java
@@ -62,6 +62,7 @@
   private final EndpointStarts starts;
   private final EndpointPaths paths;
   private final ProxyServer proxy;
+  private final StartLog startLog;
   private volatile long listingVersion = -1;
   private volatile long listedAtMs;
 
@@ -123,6 +124,7 @@
     this.store = newStore(adapter);
     this.storeSync =
         new PeerStoreSync(self, network, fleet, routes, store, new Random(), clock, log);
+    this.startLog = new StartLog(self, log);
     gauges(registry, coordinator.permits());
   }
 
@@ -276,6 +278,7 @@
   private void gauges(MetricRegistry registry, EndpointPermits permits) {
     RelayGauges gauges = new RelayGauges(registry);
     gauges.state(routes, store.endpoints(), () -> clock.nowMs() - listedAtMs, clock);
+    gauges.process(startLog);
     gauges.decisions(decisions, stallWatch, permits);
     gauges.callers(callers, holds);
     gauges.fleet(fleet, network);
@@ -322,6 +325,7 @@
             server -> {
               store.start();
               storeSync.start(timer.eventLoop(), timer, this::bounds);
+              new HostStart(timer, this::hasState, startLog::serving).begin();
               log.event(LogEvent.HOST_STARTED, self, settings.zone());
               return null;
             });
