A starting host reads the store first, and joins the others when it can serve

Cause: each host began with messages to the others, before it listened and before it had read anything. All of a host's threads share what processor time it gets, and with all hosts new each message meets cold code, so that the threads peers and fleet took 16% of the starts' time, and the event loop came to the store last: 2.4 s between 'started' and a configuration in the median. Now the store is read first, while the host begins to listen, and the host joins the others once it can serve, or as soon as the store has not answered it or turned it away.

Evidence: StartOrderTest failed before (another host contacted after no contact to the store).

--- a/org.fawndrum/src/org/fawndrum/transport/relay/RelayRuntime.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/RelayRuntime.java
@@ -3,6 +3,7 @@
 
 import com.codahale.metrics.MetricRegistry;
 import io.vertx.core.Future;
+import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
 import java.util.List;
 import java.util.Optional;
@@ -15,12 +16,10 @@
 import org.fawndrum.coordination.RequestCoordinator;
 import org.fawndrum.coordination.limit.EndpointPermits;
 import org.fawndrum.coordination.limit.StartingEndpoints;
-import org.fawndrum.errors.AddressUnavailableException;
 import org.fawndrum.internal.log.HostLog;
 import org.fawndrum.internal.log.LogEvent;
 import org.fawndrum.settings.ListenSettings;
 import org.fawndrum.state.Endpoint;
-import org.fawndrum.state.HostAddress;
 import org.fawndrum.state.HostIdentity;
 import org.fawndrum.state.HostListing;
 import org.fawndrum.state.RouteTable;
@@ -311,31 +310,34 @@
 
   /** Starts all components; fails if an address is not available. */
   public Future<Void> start() {
+    Promise<Void> started = Promise.promise();
+    vertx.getOrCreateContext().runOnContext(v -> startOnLoop().onComplete(started));
+    return started.future();
+  }
+
+  private Future<Void> startOnLoop() {
     decisions.start();
-    fleet.start();
-    return listenOn(
+    // Read while this host begins to listen.
+    store.start();
+    return HostStart.listenOn(
             "peers",
             settings.peers(),
             Future.fromCompletionStage(network.listen(), vertx.getOrCreateContext()))
         .compose(listening -> proxy.listen())
-        .compose(listening -> listenOn("readiness", settings.readiness(), readiness.listen()))
-        .compose(server -> listenOn("metrics", settings.metrics(), metrics.listen()))
-        .compose(server -> listenOn("callers", settings.callers(), callers.listen()))
+        .compose(
+            listening -> HostStart.listenOn("readiness", settings.readiness(), readiness.listen()))
+        .compose(server -> HostStart.listenOn("metrics", settings.metrics(), metrics.listen()))
+        .compose(server -> HostStart.listenOn("callers", settings.callers(), callers.listen()))
         .map(
             server -> {
-              store.start();
               storeSync.start(timer.eventLoop(), timer, this::bounds);
-              new HostStart(timer, this::hasState, startLog::serving).begin();
+              new HostStart(timer, this::hasState, store::isUnavailable, fleet::start, startLog)
+                  .begin();
               log.event(LogEvent.HOST_STARTED, self, settings.zone());
               return null;
             });
   }
 
-  private static <T> Future<T> listenOn(String purpose, HostAddress address, Future<T> listening) {
-    return listening.recover(
-        cause -> Future.failedFuture(new AddressUnavailableException(purpose, address, cause)));
-  }
-
   /** Returns whether this host accepts callers: it has the required state and is not draining. */
   public boolean isReady() {
     return !drain.started() && hasState() && isConfigurationUsable();
--- a/org.fawndrum/src/org/fawndrum/transport/relay/StoreReader.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/StoreReader.java
@@ -12,7 +12,7 @@
 
 /**
  * Reads the platform's store for one host: the operators' configuration and the endpoints. Its
- * methods are thread-safe.
+ * methods are thread-safe, except {@link #start} and {@link #isUnavailable}.
  */
 final class StoreReader {
   private final Timer timer;
@@ -99,6 +99,11 @@
     endpointsFollower.start();
   }
 
+  /** Returns whether the store did not answer, or turned this host away, when it was last read. */
+  boolean isUnavailable() {
+    return configurationFollower.isUnavailable() || endpointsFollower.isUnavailable();
+  }
+
   /** Returns the reader of the configuration. */
   ConfigurationReader configuration() {
     return configuration;
--- a/org.fawndrum/src/org/fawndrum/transport/relay/TopicFollower.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/TopicFollower.java
@@ -137,6 +137,11 @@
     query();
   }
 
+  /** Returns whether the last query failed. */
+  boolean isUnavailable() {
+    return unavailable;
+  }
+
   private void query() {
     long delayMs = schedule.delayMs();
     if (delayMs > 0) {
