Hosts ask others less often while nobody knows more

Cause: a host whose configuration gets old asks six others four times a second, also if none of them can know more because the store answers nobody in time. 36 hosts sent 930 such queries a second, 82 about 2,100; under a shortage of processor time they are a load that keeps the shortage, and with it the store's lateness, going.

After four rounds, within which a host has found one that knows more if there is one, the interval is doubled twice.

--- a/org.fawndrum/src/org/fawndrum/transport/relay/PeerStoreSync.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/PeerStoreSync.java
@@ -43,6 +43,16 @@
   /** Number of peers from which a newer configuration, which may be large, is fetched at a time. */
   private static final int MAX_FETCHES = 2;
 
+  /**
+   * Rounds of queries to any peers that follow each other at the shortest interval: by then a host
+   * has asked for as long as it may take to find one that knows more. If none does, the store
+   * serves nobody, and all hosts ask at the same time.
+   */
+  private static final int QUICK_ROUNDS = 4;
+
+  /** How often the interval is doubled after that: to a second or less with the usual bounds. */
+  private static final int MAX_DOUBLINGS = 2;
+
   /** Sent as the revision that this host knows so that a peer tells only its own. */
   private static final long ANY_REVISION = Long.MAX_VALUE;
 
@@ -63,6 +73,10 @@
   private final LogRateLimiter logLimiter = new LogRateLimiter(MAX_LINES_PER_SECOND);
   private final PeerPositions peerPositions = new PeerPositions();
   private HostAddress lastConfirming;
+
+  /** Rounds of queries since a peer last knew enough. */
+  private int rounds;
+
   private volatile Executor eventLoop;
 
   PeerStoreSync(
@@ -112,11 +126,15 @@
 
   private void queryPeersLater(Timer timer, Supplier<RelayBounds> bounds) {
     StoreTimes times = new StoreTimes(bounds.get());
+    int doublings = Math.max(0, Math.min(MAX_DOUBLINGS, rounds - QUICK_ROUNDS));
     timer.runAfter(
-        Math.max(times.peersQueryMs(), untilPeersAreNeededMs(times)),
+        Math.max(times.peersQueryMs() << doublings, untilPeersAreNeededMs(times)),
         () -> {
           if (untilPeersAreNeededMs(times) <= 0) {
+            rounds++;
             queryPeers();
+          } else {
+            rounds = 0;
           }
           queryPeersLater(timer, bounds);
         });
--- a/org.fawndrum/tst/org/fawndrum/transport/relay/SimulatedHost.java
+++ b/org.fawndrum/tst/org/fawndrum/transport/relay/SimulatedHost.java
@@ -65,6 +65,7 @@
   private final SilentContacts silentContacts = new SilentContacts(SILENT_CONTACTS);
   private List<FleetMember> livePeers = List.of();
   private long sequence;
+  private int requestCount;
 
   /** Decodes the revision of a configuration. */
   private static final class RevisionDecoder implements RelayDecoder {
@@ -144,6 +145,11 @@
     return store;
   }
 
+  /** Returns the number of queries that this host has sent to others. */
+  int requestCount() {
+    return requestCount;
+  }
+
   long revision() {
     return routes.table().revision();
   }
@@ -238,6 +244,7 @@
 
   @Override
   public CompletableFuture<PeerMessage> request(HostAddress to, PeerMessage.Builder message) {
+    requestCount++;
     CompletableFuture<PeerMessage> reply = new CompletableFuture<>();
     SimulatedHost other = site.at(to);
     if (reaches(other)) {
