A proxied request that was answered early leaves no connection open

It is closed now when an answer is complete before the body. A reset does not do it: once the answer has ended, the HTTP client no longer closes the connection for it (the test still failed with one).

ProxyServerTest.anAnswerBeforeTheEndOfTheBodyLeavesNoConnectionOpen failed before.

--- a/org.fawndrum/src/org/fawndrum/transport/proxy/ProxyConnection.java
+++ b/org.fawndrum/src/org/fawndrum/transport/proxy/ProxyConnection.java
@@ -47,6 +47,7 @@
   private long openedMs;
   private long expiryTimer;
   private boolean asked;
+  private boolean bodyEnded;
   private boolean ended;
 
   /**
@@ -185,6 +186,7 @@
     }
     Buffer bytes = Buffer.buffer(data.getBytes().toByteArray());
     if (data.getLast()) {
+      bodyEnded = true;
       request.end(bytes);
       return;
     }
@@ -214,6 +216,10 @@
         v -> {
           send(ProxyMessage.newBuilder().setData(ProxyFrames.data(Buffer.buffer(), true)));
           ended = true;
+          if (!bodyEnded) {
+            // The rest of the body never follows. A reset would not close the connection any more.
+            request.connection().close();
+          }
         });
   }
 
--- a/org.fawndrum/tst/org/fawndrum/transport/proxy/ProxyServerTest.java
+++ b/org.fawndrum/tst/org/fawndrum/transport/proxy/ProxyServerTest.java
@@ -5,10 +5,12 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertInstanceOf;
 import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTimeoutPreemptively;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.vertx.core.Future;
 import io.vertx.core.MultiMap;
+import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClientAgent;
@@ -16,6 +18,7 @@
 import io.vertx.core.http.HttpMethod;
 import java.io.IOException;
 import java.net.ServerSocket;
+import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
@@ -211,10 +214,33 @@
       Thread.sleep(1);
     }
     request.reset();
+    awaitClosed();
+    assertEquals(1, received.get());
+  }
+
+  /**
+   * Requests that were answered before their bodies had been sent left their connections open for
+   * good, until the endpoint accepted no more.
+   */
+  @Test
+  void anAnswerBeforeTheEndOfTheBodyLeavesNoConnectionOpen() throws Exception {
+    EndpointRequest request = await(client.open(open("/answer").build()));
+    Promise<Void> answered = Promise.promise();
+    request
+        .answer()
+        .onSuccess(answer -> answer.body().endHandler(v -> answered.complete()))
+        .onFailure(answered::fail);
+    request.headers().set("Content-Length", "100000");
+    request.body().write(Buffer.buffer("the beginning of a body"));
+    await(answered.future());
+    request.reset();
+    assertTimeoutPreemptively(Duration.ofSeconds(TIMEOUT_S), this::awaitClosed);
+  }
+
+  private void awaitClosed() throws InterruptedException {
     while (closed.get() == 0) {
       Thread.sleep(1);
     }
-    assertEquals(1, received.get());
   }
 
   /** Hosts of an older build name no port and are not asked. */
