--- a/org.fawndrum.soak/src/org/fawndrum/soak/Balancer.java
+++ b/org.fawndrum.soak/src/org/fawndrum/soak/Balancer.java
@@ -64,7 +64,6 @@
             .setMethod(HttpMethod.GET)
             .setHost(at.ip())
             .setPort(at.port())
-            .setURI("/-/ready")
             .setTimeout(INTERVAL_MS);
     client
         .request(options)
--- a/org.fawndrum.soak/src/org/fawndrum/soak/PowerLoss.java
+++ b/org.fawndrum.soak/src/org/fawndrum/soak/PowerLoss.java
@@ -20,11 +20,10 @@
   /** Event loops of the store and the endpoints, which are machines of their own. */
   private static final int STANDIN_LOOPS = 8;
 
-  private final Config config;
-
   /** Hosts that are started together at first, so that this machine can pay for it. */
   private static final int FIRST_START_GROUP = 4;
 
+  private final Config config;
   private final SoakLoop loop = new SoakLoop();
 
   /** The stand-ins have loops of their own, so that callers don't wait for them. */
@@ -107,10 +106,7 @@
 
   private Result runLoss() throws InterruptedException, IOException {
     site = new PowerLossSite(standins.vertx(), config.hosts(), config.engines(), config.services());
-    site.start(config.hosts(), config.folder(), config.options())
-        .toCompletionStage()
-        .toCompletableFuture()
-        .join();
+    site.start(config.folder(), config.options()).toCompletionStage().toCompletableFuture().join();
     Balancer balancer =
         loop.call(
             () -> new Balancer(loop.vertx(), site.readinessAddresses(), site.settings()::zone));
--- a/org.fawndrum.soak/src/org/fawndrum/soak/PowerLossMain.java
+++ b/org.fawndrum.soak/src/org/fawndrum/soak/PowerLossMain.java
@@ -15,6 +15,12 @@
   private static final int VIOLATION = 1;
   private static final int USAGE = 2;
 
+  /** Plain endpoints, as many as the users' site has. */
+  private static final int SERVICES = 7;
+
+  /** How long the power is off, in milliseconds; as on the users' days. */
+  private static final long DOWN_MS = 1_200;
+
   @Option(name = "--seed", usage = "the seed of the requests")
   private long seed = 1;
 
@@ -72,11 +78,11 @@
                     seed,
                     hosts,
                     engines,
-                    7,
+                    SERVICES,
                     gapMs,
                     startMs,
                     beforeMs,
-                    1_200,
+                    DOWN_MS,
                     recoveryMs,
                     judgedMs,
                     outputFolder,
--- a/org.fawndrum.soak/src/org/fawndrum/soak/PowerLossSite.java
+++ b/org.fawndrum.soak/src/org/fawndrum/soak/PowerLossSite.java
@@ -39,6 +39,7 @@
   private final FixedPorts ports = new FixedPorts();
   private final HostSettings settings;
   private final StoreStandin store;
+  private final int hostCount;
   private final int engines;
   private final int services;
   private final List<EndpointStandin> endpoints = new ArrayList<>();
@@ -49,6 +50,7 @@
   PowerLossSite(Vertx vertx, int hostCount, int engines, int services) {
     this.vertx = vertx;
     this.store = new StoreStandin(vertx);
+    this.hostCount = hostCount;
     this.engines = engines;
     this.services = services;
     this.settings =
@@ -57,7 +59,7 @@
   }
 
   /** Starts the store and the endpoints, and creates the hosts. */
-  Future<Void> start(int hostCount, Path folder, List<String> options) {
+  Future<Void> start(Path folder, List<String> options) {
     TicketUsage ticketUsage = new TicketUsage();
     List<Future<HostAddress>> listening = new ArrayList<>();
     for (int i = 0; i < engines + services; i++) {
--- a/org.fawndrum.soak/src/org/fawndrum/soak/RecoveryChecker.java
+++ b/org.fawndrum.soak/src/org/fawndrum/soak/RecoveryChecker.java
@@ -17,14 +17,17 @@
   private static final int MIN_SERVED_PARTS = 4;
   private static final long MS_PER_SECOND = 1_000;
 
+  /** A time that never comes; the time to recover can be added to it. */
+  private static final long NEVER_MS = Long.MAX_VALUE / 2;
+
   private final long recoveryMs;
   private final Map<String, Long> sentMs = new HashMap<>();
   private final TreeMap<Long, Second> seconds = new TreeMap<>();
   private final Count before = new Count();
   private final Count after = new Count();
   private long startMs = Long.MIN_VALUE;
-  private long lostMs = Long.MAX_VALUE;
-  private long returnedMs = Long.MAX_VALUE / 2;
+  private long lostMs = NEVER_MS;
+  private long returnedMs = NEVER_MS;
 
   /** Requests sent, and those of them that were served. */
   private static final class Count {
@@ -130,8 +133,7 @@
     seconds.forEach(
         (at, second) -> {
           long sinceReturnMs = startMs + at * MS_PER_SECOND - returnedMs;
-          String since =
-              returnedMs == Long.MAX_VALUE / 2 ? "" : ", " + sinceReturnMs + " ms after the start";
+          String since = returnedMs == NEVER_MS ? "" : ", " + sinceReturnMs + " ms after the start";
           lines.add("second " + at + since + ": " + second.count + " " + second.outcomes);
         });
     return lines;
