A line tells of answers that may not be those of their attempts

FAWN0108: an answer that is not accepted, whose head is joined of two, or that comes on a kept connection from an endpoint that had the same request before, with its status and which use of which connection the attempt was. Nothing told these apart.

--- a/org.fawndrum/src/org/fawndrum/internal/log/LogEvent.java
+++ b/org.fawndrum/src/org/fawndrum/internal/log/LogEvent.java
@@ -130,7 +130,8 @@
       106,
       Level.INFO,
       "host {0} has its configuration and its endpoints {1} ms after the start of its process, {2} ms of processor time used; archives of classes: {3}"),
-  PEERS_ALIVE(107, Level.INFO, "peers {0} are alive");
+  PEERS_ALIVE(107, Level.INFO, "peers {0} are alive"),
+  ANSWER_DOUBTFUL(108, Level.WARN, "{0}");
 
   /** Added to a number before formatting, so that the id has four digits with leading zeros. */
   private static final int FOUR_DIGITS = 10_000;
--- a/org.fawndrum/src/org/fawndrum/transport/proxy/DirectRequest.java
+++ b/org.fawndrum/src/org/fawndrum/transport/proxy/DirectRequest.java
@@ -9,7 +9,7 @@
 import io.vertx.core.streams.WriteStream;
 
 /** A request over this host's own connection. */
-record DirectRequest(HttpClientRequest request) implements EndpointRequest {
+record DirectRequest(HttpClientRequest request, ConnectionUse use) implements EndpointRequest {
   @Override
   public MultiMap headers() {
     return request.headers();
@@ -27,9 +27,7 @@
 
   @Override
   public Future<EndpointAnswer> answer() {
-    return request
-        .response()
-        .map(head -> new EndpointAnswer(head.statusCode(), head.headers(), head));
+    return request.response().map(EndpointAnswer::of);
   }
 
   @Override
--- a/org.fawndrum/src/org/fawndrum/transport/proxy/EndpointAnswer.java
+++ b/org.fawndrum/src/org/fawndrum/transport/proxy/EndpointAnswer.java
@@ -3,19 +3,38 @@
 
 import io.vertx.core.MultiMap;
 import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpClientResponse;
 import io.vertx.core.streams.ReadStream;
 
 /**
  * The head of an endpoint's answer, and its body as it arrives.
  *
  * @param statusCode its HTTP status
+ * @param reason the text after its status; empty if it is not known
  * @param headers its headers
  * @param body its body; if its end is that of the connection, that is no proof that it is whole,
  *     and follows the failure of a lost connection, too
  */
-public record EndpointAnswer(int statusCode, MultiMap headers, ReadStream<Buffer> body) {
+public record EndpointAnswer(
+    int statusCode, String reason, MultiMap headers, ReadStream<Buffer> body) {
+  /** Creates an answer whose reason is not known. */
+  public EndpointAnswer(int statusCode, MultiMap headers, ReadStream<Buffer> body) {
+    this(statusCode, "", headers, body);
+  }
+
+  /** Returns an answer that arrived over this host's own connection. */
+  public static EndpointAnswer of(HttpClientResponse head) {
+    String reason = head.statusMessage() == null ? "" : head.statusMessage();
+    return new EndpointAnswer(head.statusCode(), reason, head.headers(), head);
+  }
+
   /** Returns what marks the end of the body. */
   public AnswerFraming framing() {
     return AnswerFraming.of(statusCode, headers);
   }
+
+  /** Returns whether the head is the beginning of one answer and the rest of another. */
+  public boolean isJoined() {
+    return JoinedHeads.isJoined(reason, headers);
+  }
 }
--- a/org.fawndrum/src/org/fawndrum/transport/proxy/EndpointRequest.java
+++ b/org.fawndrum/src/org/fawndrum/transport/proxy/EndpointRequest.java
@@ -36,8 +36,13 @@
     return !proxy().isEmpty();
   }
 
+  /** Returns which use of its connection the request is. */
+  default ConnectionUse use() {
+    return ConnectionUse.UNKNOWN;
+  }
+
   /** Returns a request over this host's own connection. */
-  static EndpointRequest direct(HttpClientRequest request) {
-    return new DirectRequest(request);
+  static EndpointRequest direct(HttpClientRequest request, ConnectionUse use) {
+    return new DirectRequest(request, use);
   }
 }
--- /dev/null
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/AnswerOrigin.java
@@ -0,0 +1,43 @@
+// SPDX-License-Identifier: Apache-2.0
+package org.fawndrum.transport.relay;
+
+import org.fawndrum.state.Endpoint;
+import org.fawndrum.transport.proxy.EndpointAnswer;
+
+/**
+ * Determines whether an answer is that of the attempt whose connection it arrived on: the HTTP
+ * client matches answers to requests by their order alone. Confined to one event loop.
+ */
+final class AnswerOrigin {
+  private final RelayCodec codec;
+  private final DecisionLog decisionLog;
+  private final RelayCall call;
+  private final Endpoint endpoint;
+
+  AnswerOrigin(RelayCodec codec, DecisionLog decisionLog, RelayCall call, Endpoint endpoint) {
+    this.codec = codec;
+    this.decisionLog = decisionLog;
+    this.call = call;
+    this.endpoint = endpoint;
+  }
+
+  /** Returns what an answer is to the attempt; logs it if it may not be that of the attempt. */
+  RelayCodec.Answer kindOf(EndpointAnswer head, AttemptPath path) {
+    String requestId = call.request().requestId();
+    RelayCodec.Answer kind = codec.classifyAnswer(head.statusCode(), head.headers(), requestId);
+    boolean joined = head.isJoined();
+    boolean keptForSame = path.sentBefore() && path.use().isKept();
+    if (kind == RelayCodec.Answer.MISMATCHED || joined || keptForSame) {
+      decisionLog.doubtfulAnswer(
+          new DecisionLog.AnswerOriginDetails(
+              requestId,
+              endpoint.name(),
+              head.statusCode(),
+              kind,
+              joined,
+              path.sentBefore(),
+              path.use()));
+    }
+    return kind;
+  }
+}
--- a/org.fawndrum/src/org/fawndrum/transport/relay/AttemptPath.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/AttemptPath.java
@@ -6,6 +6,7 @@
 import org.fawndrum.errors.AnswerIncompleteException;
 import org.fawndrum.errors.ProxyFailedException;
 import org.fawndrum.state.Endpoint;
+import org.fawndrum.transport.proxy.ConnectionUse;
 import org.fawndrum.transport.proxy.EndpointRequest;
 
 /**
@@ -19,12 +20,19 @@
   private final EndpointPaths paths;
   private final LivenessProofs proofs;
   private final Endpoint endpoint;
+  private final boolean sentBefore;
   private EndpointRequest request;
 
-  AttemptPath(EndpointPaths paths, LivenessProofs proofs, Endpoint endpoint) {
+  /**
+   * Creates a path that is not open.
+   *
+   * @param sentBefore whether the same request was sent to this endpoint before
+   */
+  AttemptPath(EndpointPaths paths, LivenessProofs proofs, Endpoint endpoint, boolean sentBefore) {
     this.paths = paths;
     this.proofs = proofs;
     this.endpoint = endpoint;
+    this.sentBefore = sentBefore;
   }
 
   /**
@@ -48,6 +56,16 @@
     return endpoint.name();
   }
 
+  /** Returns whether the same request was sent to the endpoint before. */
+  boolean sentBefore() {
+    return sentBefore;
+  }
+
+  /** Returns which use of its connection the attempt is. */
+  ConnectionUse use() {
+    return request == null ? ConnectionUse.UNKNOWN : request.use();
+  }
+
   /** Returns the event of an attempt that found no connection. */
   static AttemptEvent notOpened(Throwable cause) {
     boolean noPath = cause instanceof ProxyFailedException failure && failure.isPathMissing();
--- a/org.fawndrum/src/org/fawndrum/transport/relay/DecisionLog.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/DecisionLog.java
@@ -18,6 +18,7 @@
 import org.fawndrum.transport.HostClock;
 import org.fawndrum.transport.RequestMetrics;
 import org.fawndrum.transport.proxy.AnswerFraming;
+import org.fawndrum.transport.proxy.ConnectionUse;
 import org.fawndrum.transport.proxy.EndpointAnswer;
 
 /**
@@ -93,6 +94,25 @@
   record BrokenAnswerDetails(String requestId, String endpoint, AnswerFraming framing, String cause)
       implements LogDetails {}
 
+  /**
+   * Log details of an answer that may not be that of its attempt.
+   *
+   * @param status its status
+   * @param kind what it was taken for
+   * @param joined whether its head is joined of two
+   * @param sentBefore whether its endpoint had the same request before
+   * @param connection which use of which connection the attempt was
+   */
+  record AnswerOriginDetails(
+      String requestId,
+      String endpoint,
+      int status,
+      RelayCodec.Answer kind,
+      boolean joined,
+      boolean sentBefore,
+      ConnectionUse connection)
+      implements LogDetails {}
+
   /**
    * Log details of an answer that ended with its connection.
    *
@@ -216,6 +236,16 @@
     }
   }
 
+  /**
+   * Logs an answer that may not be that of its attempt: it is not accepted, its head is joined of
+   * two, or the endpoint had the same request before.
+   */
+  void doubtfulAnswer(AnswerOriginDetails details) {
+    if (failureLimiter.tryAcquire(clock.nowMs())) {
+      log.details(LogEvent.ANSWER_DOUBTFUL, details);
+    }
+  }
+
   /** Returns what logs the check of an answer that ended with its connection. */
   BiConsumer<String, AttemptPath.EndCheck> ends(RelayCall call) {
     return (endpoint, check) -> {
--- a/org.fawndrum/src/org/fawndrum/transport/relay/EndpointPaths.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/EndpointPaths.java
@@ -20,6 +20,7 @@
 import org.fawndrum.state.Endpoint;
 import org.fawndrum.state.HostIdentity;
 import org.fawndrum.transport.HostClock;
+import org.fawndrum.transport.proxy.ConnectionUses;
 import org.fawndrum.transport.proxy.EndpointRequest;
 import org.fawndrum.transport.proxy.ProxyClient;
 
@@ -49,6 +50,7 @@
   private final HostClock clock;
   private final LinkLog linkLog;
   private final LinkChecks checks;
+  private final ConnectionUses uses = new ConnectionUses();
 
   /** Why a connection to an endpoint was lost. */
   enum Loss {
@@ -120,7 +122,7 @@
       return throughOtherHost(endpoint, call);
     }
     return connect(endpoint, call.method(), call.uri(), call.repeatable())
-        .map(EndpointRequest::direct)
+        .map(request -> EndpointRequest.direct(request, uses.opened(request)))
         .recover(cause -> askOthers(endpoint, call, cause));
   }
 
--- a/org.fawndrum/src/org/fawndrum/transport/relay/RelayAttempt.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/RelayAttempt.java
@@ -31,6 +31,7 @@
   private final AttemptOwner owner;
   private final EngineLiveness liveness;
   private final AttemptPath path;
+  private final AnswerOrigin origin;
   private final AnswerEnd end;
   private EndpointRequest request;
   private EndpointAnswer response;
@@ -46,6 +47,7 @@
       Action.Send send,
       RelayCall call,
       long lastEventId,
+      AttemptPath path,
       RelayContext relay,
       PromptMemory memory,
       AttemptOwner owner) {
@@ -55,7 +57,8 @@
     this.relay = relay;
     this.memory = memory;
     this.owner = owner;
-    this.path = new AttemptPath(relay.paths(), relay.proofs(), send.endpoint());
+    this.path = path;
+    this.origin = new AnswerOrigin(relay.codec(), relay.decisionLog(), call, send.endpoint());
     this.end =
         new AnswerEnd(path, relay.decisionLog().ends(call), this::brokenOff, this::lostBecause);
     this.liveness =
@@ -233,9 +236,7 @@
   }
 
   private void headReceived(EndpointAnswer head) {
-    String requestId = call.request().requestId();
-    RelayCodec.Answer kind =
-        relay.codec().classifyAnswer(head.statusCode(), head.headers(), requestId);
+    RelayCodec.Answer kind = origin.kindOf(head, path);
     forwardNotice(kind, head);
     if (finished) {
       return;
@@ -264,13 +265,11 @@
   }
 
   private void refusedByEndpoint(MultiMap headers) {
-    if (!finished) {
-      relay
-          .codec()
-          .endpointAtFault(headers)
-          .flatMap(send::helper)
-          .ifPresent(helper -> owner.helperRefused(this, helper));
-    }
+    relay
+        .codec()
+        .endpointAtFault(headers)
+        .flatMap(send::helper)
+        .ifPresent(helper -> owner.helperRefused(this, helper));
     fail(AttemptEvent.REFUSED_BY_ENDPOINT);
   }
 
--- a/org.fawndrum/src/org/fawndrum/transport/relay/RelayExchange.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/RelayExchange.java
@@ -5,6 +5,8 @@
 import io.vertx.core.MultiMap;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpServerResponse;
+import java.util.HashSet;
+import java.util.Set;
 import java.util.function.BooleanSupplier;
 import org.fawndrum.coordination.Action;
 import org.fawndrum.coordination.AttemptEvent;
@@ -22,6 +24,9 @@
 final class RelayExchange implements Exchange, AttemptOwner {
   private static final int MIN_FAILURE_STATUS = 500;
 
+  /** Most requests are sent to one endpoint only. */
+  private static final int INITIAL_ENDPOINTS = 2;
+
   private final RelayCall call;
   private final HttpServerResponse response;
   private final BooleanSupplier callerDisconnected;
@@ -29,6 +34,7 @@
   private final RelayContext relay;
   private final RelayIntake.AttemptEventListener attemptListener;
   private final StreamPace streamPace = new StreamPace();
+  private final Set<String> sentTo = new HashSet<>(INITIAL_ENDPOINTS);
   private RelayAttempt currentAttempt;
   private RelayAttempt answeringAttempt;
   private FullAnswer failedAnswer;
@@ -78,7 +84,9 @@
             send.attempt(),
             send.helpers(),
             relay.log());
-    currentAttempt = new RelayAttempt(send, call, lastEventId, relay, memory, this);
+    boolean sentBefore = !sentTo.add(send.endpoint().name());
+    AttemptPath path = new AttemptPath(relay.paths(), relay.proofs(), send.endpoint(), sentBefore);
+    currentAttempt = new RelayAttempt(send, call, lastEventId, path, relay, memory, this);
     currentAttempt.start();
   }
 
