A head that is joined of two answers is not passed on

Cause: an endpoint breaks off a second answer within its head and goes on with the next one on the same connection. To the HTTP client both are one head: the line that was begun ends with the status line of the next answer, so that the status is that of the first, and all that shows whose answer it is belongs to the second. The id was compared, the status cannot be. Why it works: whatever the first part is, the next answer's status line stands within the reason or within a field's value (in a field's name the client rejects it). Such a head is the answer of nobody: the attempt is lost, its connection closed. The same for answers to orders and reports, and at a host in between, which alone knows the reason.

--- a/org.fawndrum/src/org/fawndrum/internal/text/MessageText.java
+++ b/org.fawndrum/src/org/fawndrum/internal/text/MessageText.java
@@ -11,6 +11,7 @@
 public enum MessageText {
   ADDRESS_UNAVAILABLE,
   ANSWER_INCOMPLETE,
+  ANSWER_JOINED,
   ANSWER_TOO_LARGE,
   BAD_CELLS,
   BAD_CSV,
--- a/org.fawndrum/src/org/fawndrum/transport/proxy/ProxyConnection.java
+++ b/org.fawndrum/src/org/fawndrum/transport/proxy/ProxyConnection.java
@@ -171,7 +171,7 @@
         .response()
         .onComplete(
             answer -> {
-              if (answer.succeeded()) {
+              if (answer.succeeded() && !EndpointAnswer.of(answer.result()).isJoined()) {
                 onAnswer.accept(answer.result());
                 answer(answer.result());
               } else {
--- a/org.fawndrum/src/org/fawndrum/transport/relay/AnswerOrigin.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/AnswerOrigin.java
@@ -24,8 +24,11 @@
   /** Returns what an answer is to the attempt; logs it if it may not be that of the attempt. */
   RelayCodec.Answer kindOf(EndpointAnswer head, AttemptPath path) {
     String requestId = call.request().requestId();
-    RelayCodec.Answer kind = codec.classifyAnswer(head.statusCode(), head.headers(), requestId);
     boolean joined = head.isJoined();
+    RelayCodec.Answer kind =
+        joined
+            ? RelayCodec.Answer.MISMATCHED
+            : codec.classifyAnswer(head.statusCode(), head.headers(), requestId);
     boolean keptForSame = path.sentBefore() && path.use().isKept();
     if (kind == RelayCodec.Answer.MISMATCHED || joined || keptForSame) {
       decisionLog.doubtfulAnswer(
