An endpoint gets the same request again on a new connection

Cause: a request that may be repeated is sent again after a failure, to the same endpoint where there is no other one left, and got a kept connection: the one on which the endpoint, that answers twice, then sends the second answer to the first attempt. Both attempts have the request's id, the only thing by which answers are told apart beside their order. Why it works: on a connection that carries the request's id once, an answer with that id can only be the one to this attempt. It costs a new connection for such an attempt only; requests that may not be repeated have one each anyway.

--- a/org.fawndrum/src/org/fawndrum/transport/relay/AttemptPath.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/AttemptPath.java
@@ -36,7 +36,9 @@
   }
 
   /**
-   * Returns a request on an open connection; nothing has been sent to the endpoint.
+   * Returns a request on an open connection; nothing has been sent to the endpoint. The connection
+   * is a new one if the endpoint had the same request before: on a kept one, a late second answer
+   * to the earlier attempt would look like the answer to this one.
    *
    * @param remainingMs how long it may take from now on, in milliseconds
    */
@@ -45,7 +47,7 @@
         new EndpointRequests.Call(
             call.method(),
             call.uri(),
-            call.route().repeatable(),
+            call.route().repeatable() && !sentBefore,
             call.request().requestId(),
             remainingMs);
     return paths.request(endpoint, summary).onSuccess(opened -> request = opened);
--- a/org.fawndrum/src/org/fawndrum/transport/relay/EndpointRequests.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/EndpointRequests.java
@@ -57,7 +57,8 @@
    *
    * @param method its HTTP method
    * @param uri its URI
-   * @param repeatable whether it may use a connection that was used before
+   * @param repeatable whether it may use a connection that was used before; not if its outcome must
+   *     be known, or if the endpoint had the same request before
    * @param requestId the caller's id; {@link #NO_REQUEST} for calls that are no requests of callers
    * @param remainingMs how long it may take from now on, in milliseconds
    */
