A second answer to a request is no proof that its endpoint goes on

Cause: the question whether an endpoint runs goes on a kept connection, on which a second answer to an earlier request may still be under way from before the end. Answers are matched to questions by their order alone, and any answer of the endpoint counted. Evidence: SecondAnswerTest.aSecondAnswerIsNoProofThatItsEndpointGoesOn failed before (200 for 502) and holds now. Why it works: the question has no id, so an answer that has one belongs to an earlier request; it is asked again on a new connection, which nothing else can be under way on, and the kept one is closed. Heads that are joined of two are treated so, too.

--- a/org.fawndrum/src/org/fawndrum/transport/relay/LivenessProofs.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/LivenessProofs.java
@@ -111,19 +111,21 @@
   private Future<Void> ask(Endpoint endpoint) {
     RelayCodec.LivenessRequest question = codec.livenessRequest(endpoint, healthPath(endpoint));
     return open(endpoint, question, true)
-        .compose(kept -> head(kept, question).recover(lost -> again(lost, endpoint, question)))
-        .compose(head -> judge(head, endpoint));
+        .compose(
+            kept ->
+                answer(kept, endpoint, question).recover(lost -> again(lost, endpoint, question)));
   }
 
   /**
-   * Asks on a new connection after one was lost: a kept one may have been closed just now, and an
-   * endpoint with too many connections resets some.
+   * Asks on a new connection after one was lost or carried something else: a kept one may have been
+   * closed just now, or still bring a second answer to an earlier request, and an endpoint with too
+   * many connections resets some.
    */
-  private Future<EndpointAnswer> again(
+  private Future<Void> again(
       Throwable lost, Endpoint endpoint, RelayCodec.LivenessRequest question) {
     return lost instanceof TimeoutException
         ? Future.failedFuture(lost)
-        : open(endpoint, question, false).compose(request -> head(request, question));
+        : open(endpoint, question, false).compose(fresh -> answer(fresh, endpoint, question));
   }
 
   private String healthPath(Endpoint endpoint) {
@@ -146,15 +148,15 @@
             TIMEOUT_MS));
   }
 
-  /** Returns the head of the answer, which proves enough. */
-  private static Future<EndpointAnswer> head(
-      EndpointRequest request, RelayCodec.LivenessRequest question) {
+  /** Completes with the head of the endpoint's answer, which proves enough. */
+  private Future<Void> answer(
+      EndpointRequest request, Endpoint endpoint, RelayCodec.LivenessRequest question) {
     request.headers().addAll(question.headers());
     request.body().end();
     return request
         .answer()
         .timeout(TIMEOUT_MS, TimeUnit.MILLISECONDS)
-        .onSuccess(head -> dropBody(head, request))
+        .compose(head -> judge(head, endpoint).onSuccess(v -> dropBody(head, request)))
         .onFailure(cause -> request.reset());
   }
 
@@ -167,7 +169,7 @@
   }
 
   private Future<Void> judge(EndpointAnswer head, Endpoint endpoint) {
-    return codec.isLivenessAnswer(endpoint, head.statusCode(), head.headers())
+    return !head.isJoined() && codec.isLivenessAnswer(endpoint, head.statusCode(), head.headers())
         ? Future.succeededFuture()
         : Future.failedFuture(new EndpointRestartedException(endpoint.name()));
   }
--- a/org.fawndrum/src/org/fawndrum/transport/relay/RelayCodec.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/RelayCodec.java
@@ -41,8 +41,8 @@
   LivenessRequest livenessRequest(Endpoint endpoint, String healthPath);
 
   /**
-   * Returns whether an answer to such a request comes from the endpoint; if not, a different one
-   * uses the address now.
+   * Returns whether an answer is one to such a request and comes from the endpoint; if not, it
+   * answers an earlier request, or a different endpoint uses the address now.
    */
   boolean isLivenessAnswer(Endpoint endpoint, int status, MultiMap headers);
 
