Soak: endpoints that answer twice and fail some requests

A new kind, at the end of the list: seeds of earlier generations plan what they planned. The judge is the one of all answers: a success whose body is not its request's.

--- a/org.fawndrum.soak/src/org/fawndrum/soak/Fault.java
+++ b/org.fawndrum.soak/src/org/fawndrum/soak/Fault.java
@@ -59,6 +59,7 @@
     extra.put(Kind.ENGINES_WARM_UP, 1);
     extra.put(Kind.LINKS_LOST, 3);
     extra.put(Kind.CONFIGURE_OFTEN, 4);
+    extra.put(Kind.ANSWERS_TWICE, 3);
     return extra;
   }
 
@@ -71,6 +72,9 @@
   /** The kinds before series of configurations were added; see {@link #GENERATION_1}. */
   static final Set<Kind> GENERATION_7 = EnumSet.range(Kind.KILL, Kind.LINKS_LOST);
 
+  /** The kinds before second answers were added; see {@link #GENERATION_1}. */
+  static final Set<Kind> GENERATION_8 = EnumSet.range(Kind.KILL, Kind.CONFIGURE_OFTEN);
+
   /** The kinds before losses of links were added; see {@link #GENERATION_1}. */
   static final Set<Kind> GENERATION_6 = EnumSet.range(Kind.KILL, Kind.ENGINES_WARM_UP);
 
@@ -102,6 +106,7 @@
           GENERATION_5,
           GENERATION_6,
           GENERATION_7,
+          GENERATION_8,
           ALL);
 
   /** Kinds of faults. The order is part of what a seed plans. */
@@ -167,7 +172,9 @@
     /** A host, or all hosts of a zone, lose their links to all endpoints for some seconds. */
     LINKS_LOST,
     /** Newer configurations are published in quick succession. */
-    CONFIGURE_OFTEN;
+    CONFIGURE_OFTEN,
+    /** An endpoint begins a second answer before each next one, and fails some requests. */
+    ANSWERS_TWICE;
 
     /** Whether the fault happens at one instant and has no end. */
     boolean isInstant() {
--- a/org.fawndrum.soak/src/org/fawndrum/soak/FaultProxy.java
+++ b/org.fawndrum.soak/src/org/fawndrum/soak/FaultProxy.java
@@ -9,6 +9,7 @@
 import io.vertx.core.net.NetSocket;
 import java.util.HashSet;
 import java.util.Set;
+import java.util.concurrent.atomic.AtomicBoolean;
 import org.fawndrum.state.HostAddress;
 
 /**
@@ -27,6 +28,8 @@
   private final Set<NetSocket> openSockets = new HashSet<>();
   private NetServer server;
   private Mode mode = Mode.PASS;
+  private final SecondAnswers secondAnswers = new SecondAnswers();
+  private boolean answersTwice;
 
   /** How the proxy treats the bytes of its connections. */
   enum Mode {
@@ -94,6 +97,14 @@
     }
   }
 
+  /**
+   * Sets whether a second answer is begun, and broken off, on each connection that has carried an
+   * answer, when the next request arrives.
+   */
+  void beginSecondAnswers(boolean begin) {
+    answersTwice = begin;
+  }
+
   private void accept(NetSocket clientSocket) {
     if (mode == Mode.RESET) {
       clientSocket.close();
@@ -104,16 +115,29 @@
         .connect(target.port(), target.ip())
         .onSuccess(
             targetSocket -> {
-              pipe(clientSocket, targetSocket, Mode.DROP_REQUESTS);
-              pipe(targetSocket, clientSocket, Mode.DROP_RESPONSES);
+              AtomicBoolean answered = new AtomicBoolean();
+              pipe(
+                  clientSocket,
+                  targetSocket,
+                  Mode.DROP_REQUESTS,
+                  () -> {
+                    if (answersTwice && answered.getAndSet(false)) {
+                      clientSocket.write(secondAnswers.next());
+                    }
+                  });
+              pipe(targetSocket, clientSocket, Mode.DROP_RESPONSES, () -> answered.set(true));
               clientSocket.resume();
             })
         .onFailure(cause -> clientSocket.close());
   }
 
-  private void pipe(NetSocket from, NetSocket to, Mode dropMode) {
+  private void pipe(NetSocket from, NetSocket to, Mode dropMode, Runnable onBytes) {
     openSockets.add(from);
-    from.handler(buffer -> forward(buffer, to, dropMode));
+    from.handler(
+        buffer -> {
+          onBytes.run();
+          forward(buffer, to, dropMode);
+        });
     from.closeHandler(
         v -> {
           openSockets.remove(from);
--- a/org.fawndrum.soak/src/org/fawndrum/soak/SoakEndpoint.java
+++ b/org.fawndrum.soak/src/org/fawndrum/soak/SoakEndpoint.java
@@ -65,6 +65,7 @@
   private HostAddress ownAddress;
   private HostAddress proxyAddress;
   private boolean losesAnswers;
+  private boolean answersTwice;
   private boolean rejects;
   private boolean requestsBackoff;
   private boolean impaired;
@@ -290,6 +291,15 @@
     rejects = isRejecting;
   }
 
+  /** Sets whether it begins second answers on its connections, and fails some requests. */
+  void setAnswersTwice(boolean isNowAnsweringTwice) {
+    if (!hung) {
+      answersTwice = isNowAnsweringTwice;
+      proxy.beginSecondAnswers(isNowAnsweringTwice);
+      setImpaired(isNowAnsweringTwice);
+    }
+  }
+
   @Override
   public void onMemoryCommand(ReserveMessage command) {
     if (command.operation().equals("reserve")) {
@@ -334,6 +344,9 @@
       request.connection().close();
       return true;
     }
+    if (answersTwice && SecondAnswers.fail(request, id, number)) {
+      return true;
+    }
     if (request.path().startsWith(UnreadCallers.PATH)) {
       LongStream.send(request, "seal-" + id, WIDE_EVENTS);
       return true;
