--- a/org.fawndrum.soak/src/org/fawndrum/soak/Fault.java
+++ b/org.fawndrum.soak/src/org/fawndrum/soak/Fault.java
@@ -173,7 +173,7 @@
     LINKS_LOST,
     /** Newer configurations are published in quick succession. */
     CONFIGURE_OFTEN,
-    /** An endpoint begins a second answer before each next one, and fails some requests. */
+    /** All endpoints begin a second answer before each next one, and fail some requests. */
     ANSWERS_TWICE;
 
     /** Whether the fault happens at one instant and has no end. */
--- a/org.fawndrum.soak/src/org/fawndrum/soak/SoakSite.java
+++ b/org.fawndrum.soak/src/org/fawndrum/soak/SoakSite.java
@@ -254,7 +254,7 @@
       case ZONE_DRAINED -> storeFaults.drain(endpoint.zone(), begins);
       case RATE_NAMED -> nameRate(endpoint, fault, begins);
       case LINKS_LOST -> hostLinks.lose(fault, begins);
-      case ANSWERS_TWICE -> endpoint.setAnswersTwice(begins);
+      case ANSWERS_TWICE -> endpoints.forEach(each -> each.setAnswersTwice(begins));
       case ENGINES_WARM_UP -> endpoints.forEach(this::warmUp);
       default -> throw new SoakFailedException("fault " + fault, null);
     }
