A process that exits writes its queued log lines first

A daemon that cannot start so leaves an exit code and no cause.

Cause: log lines of the platform's daemon wait in a queue for a thread that does not keep the process alive. PlatformMain logs the failure and calls System.exit at once, and nothing waited for that thread. Ruled out: another way out of the start (the code was that of the failed start, which is only reached after the line was logged) and a full queue (a handful of lines were logged).

Now LogQueue sends a mark behind the last line and waits until the mark arrives at the output, as part of the exit; the queue and its order are those of before.

--- a/org.fawndrum.daemon/src/org/fawndrum/daemon/LogSetup.java
+++ b/org.fawndrum.daemon/src/org/fawndrum/daemon/LogSetup.java
@@ -7,7 +7,6 @@
 import org.jboss.logmanager.LogContext;
 import org.jboss.logmanager.Logger;
 import org.jboss.logmanager.formatters.PatternFormatter;
-import org.jboss.logmanager.handlers.AsyncHandler;
 import org.jboss.logmanager.handlers.ConsoleHandler;
 
 /** Configures logging to standard error or standard output, one line per message. */
@@ -15,6 +14,13 @@
   /** Maximum number of lines queued for the writer thread. */
   private static final int MAX_QUEUED_LINES = 4_096;
 
+  /**
+   * How long the end of the process waits for its queued lines, in milliseconds. A full queue is
+   * written in about a second by a process that has just started; only a reader that reads nothing
+   * needs more, and must not keep the process.
+   */
+  private static final long MAX_END_WAIT_MS = 2_000;
+
   private static final String TEXT_PATTERN = "%d{yyyy-MM-dd HH:mm:ss.SSS} %-5p %X{request} %s%e%n";
 
   private LogSetup() {}
@@ -41,7 +47,7 @@
   /**
    * Configures logging as lines of JSON to standard output. A separate thread with a bounded queue
    * writes the lines; lines that exceed the queue are dropped, so that a slow reader blocks no
-   * thread.
+   * thread. The process writes the queued lines before it ends, unless it is halted.
    *
    * @param debug whether each decision is logged in full
    */
@@ -49,10 +55,10 @@
     ConsoleHandler output =
         new ConsoleHandler(ConsoleHandler.Target.SYSTEM_OUT, new JsonLineFormatter());
     output.setLevel(Level.ALL);
-    AsyncHandler queue = new AsyncHandler(MAX_QUEUED_LINES);
-    queue.setOverflowAction(AsyncHandler.OverflowAction.DISCARD);
-    queue.addHandler(output);
-    configure(queue, debug);
+    LogQueue queue = new LogQueue(output, MAX_QUEUED_LINES);
+    configure(queue.handler(), debug);
+    Runtime.getRuntime()
+        .addShutdownHook(new Thread(() -> queue.awaitWritten(MAX_END_WAIT_MS), "log-end"));
   }
 
   private static void configure(ExtHandler handler, boolean debug) {
