A failed continuation of a stream is a failed attempt

Now the attempt asks its owner when the head arrives: for a caller that has a part of a stream, an answer that is no success is a failure of the endpoint, so that the stream resumes at a further engine, or is broken off at once where attempts or budget are used up. It is not read to its end, which might never come. All ways to end an exchange (answer, refusal) pass one place that breaks off what has begun, and finished is set after the write, so that the deadline still ends what a write that throws has left.

--- a/org.fawndrum/src/org/fawndrum/transport/relay/AnswerReader.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/AnswerReader.java
@@ -49,14 +49,18 @@
    * @param stream whether the answer is a stream, unless its status tells of a failure
    */
   void read(boolean stream) {
-    int status = head.statusCode();
-    if (stream && status >= MIN_SUCCESS_STATUS && status < MIN_REDIRECT_STATUS) {
+    if (stream && isSuccess(head.statusCode())) {
       readEvents();
     } else {
       readWhole();
     }
   }
 
+  /** Returns whether a status is that of a success. */
+  static boolean isSuccess(int status) {
+    return status >= MIN_SUCCESS_STATUS && status < MIN_REDIRECT_STATUS;
+  }
+
   private void readWhole() {
     head.body().handler(this::keep);
     head.body()
--- a/org.fawndrum/src/org/fawndrum/transport/relay/AttemptOwner.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/AttemptOwner.java
@@ -3,6 +3,7 @@
 
 import org.fawndrum.coordination.AttemptEvent;
 import org.fawndrum.state.HostIdentity;
+import org.fawndrum.transport.proxy.EndpointAnswer;
 
 /**
  * Receives the progress and the outcome of a {@link RelayAttempt}. Called on the attempt's event
@@ -12,6 +13,12 @@
   /** Called before the request is written to the connection; bytes may be sent from now on. */
   void handedOver();
 
+  /**
+   * Called when the head of the endpoint's answer arrived; returns false if the caller, which has
+   * received a part of a stream, cannot get this answer.
+   */
+  boolean continues(EndpointAnswer head);
+
   /** Called when the endpoint's complete answer arrived. */
   void answered(RelayAttempt attempt, RelayExchange.FullAnswer answer);
 
--- a/org.fawndrum/src/org/fawndrum/transport/relay/RelayAttempt.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/RelayAttempt.java
@@ -198,13 +198,9 @@
   }
 
   private void connected(EndpointRequest connectedRequest) {
-    if (finished) {
-      connectedRequest.reset();
-      return;
-    }
-    AttemptEvent obstacle = relay.notices().obstacle(send);
-    if (obstacle != null) {
-      // It arose while the connection was established.
+    // The attempt may have ended, or an obstacle arisen, while the connection was established.
+    AttemptEvent obstacle = finished ? null : relay.notices().obstacle(send);
+    if (finished || obstacle != null) {
       connectedRequest.reset();
       fail(obstacle);
       return;
@@ -248,6 +244,11 @@
       case NOT_RUN, WRONG_ENDPOINT -> refusedByEndpoint(head.headers());
       case MISMATCHED -> abandon();
       default -> {
+        if (!owner.continues(head)) {
+          request.reset();
+          fail(AttemptEvent.FAILED_BY_ENDPOINT);
+          return;
+        }
         relay.decisionLog().answerBegun(head.framing());
         answer = new AnswerReader(head, call.held(), this);
         answer.read(call.route().kind() == RouteKind.STREAM);
--- a/org.fawndrum/src/org/fawndrum/transport/relay/RelayExchange.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/RelayExchange.java
@@ -40,6 +40,10 @@
   private FullAnswer failedAnswer;
   private long lastEventId;
   private boolean handedOver;
+
+  /** Whether the caller's answer has a head; it can get no other one. */
+  private boolean answerBegun;
+
   private boolean finished;
 
   /** An endpoint's answer with its complete body. */
@@ -107,6 +111,11 @@
     handedOver = true;
   }
 
+  @Override
+  public boolean continues(EndpointAnswer head) {
+    return !answerBegun || AnswerReader.isSuccess(head.statusCode());
+  }
+
   @Override
   public void answered(RelayAttempt attempt, FullAnswer answer) {
     if (!isCurrent(attempt)) {
@@ -117,8 +126,7 @@
       attemptListener.onEvent(attempt.id(), AttemptEvent.FAILED_BY_ENDPOINT);
       return;
     }
-    finished = true;
-    sendAnswer(answer);
+    end(() -> sendAnswer(answer));
     attemptListener.onEvent(attempt.id(), AttemptEvent.ANSWERED);
   }
 
@@ -129,17 +137,32 @@
 
   /** Sets the status and headers of a stream's answer, unless an earlier attempt did. */
   private void setHead(RelayAttempt attempt) {
-    if (!response.headWritten()) {
+    if (!answerBegun) {
+      answerBegun = true;
       EndpointAnswer head = attempt.answerHead();
       response.headers().addAll(relay.codec().callerHeaders(head.headers()));
       response.setStatusCode(head.statusCode()).setChunked(true);
     }
   }
 
-  private void sendAnswer(FullAnswer answer) {
-    if (response.closed() || response.ended()) {
-      return;
+  /**
+   * Ends the exchange with an answer. A stream that has begun is broken off instead; without its
+   * end marker it never looks complete to the caller.
+   */
+  private void end(Runnable answer) {
+    if (!response.closed() && !response.ended()) {
+      if (answerBegun) {
+        response.reset();
+      } else {
+        answerBegun = true;
+        answer.run();
+      }
     }
+    // Set last, so that a refusal still ends the answer if writing it fails with an exception.
+    finished = true;
+  }
+
+  private void sendAnswer(FullAnswer answer) {
     response.headers().addAll(relay.codec().callerHeaders(answer.headers()));
     response.setStatusCode(answer.status());
     new BodyWriter(response, response.headers(), answer.body(), blocked -> {}).write();
@@ -176,9 +199,9 @@
     if (!isCurrent(attempt)) {
       return;
     }
-    finished = true;
     setHead(attempt);
     response.end();
+    finished = true;
     relay
         .decisionLog()
         .streamCompleted(
@@ -214,15 +237,10 @@
     if (finished) {
       return;
     }
-    finished = true;
-    if (response.ended() || response.closed()) {
-      return;
-    }
-    if (response.headWritten()) {
-      // A stream without its end marker never looks complete to the caller.
-      response.reset();
-      return;
-    }
+    end(() -> sendRefusal(refusal));
+  }
+
+  private void sendRefusal(Refusal refusal) {
     if (failedAnswer != null && refusal.kind() == RefusalKind.ENDPOINT_FAILED) {
       sendAnswer(failedAnswer);
       return;
