A continuation that is no stream does not end the caller's stream as complete

Callers of streams got the end marker without the last events when an engine broke the stream off and the engine that was to continue it answered with another success: 201 or 204 where the stream has 200 (one wrong byte), or 200 with an empty body of another type.

Cause: each status of 200 to 299 on a streaming route was read as events, whatever the caller had got before, and a body without any is a stream that has ended.

A continuation now needs the status of the stream that it continues and, where both name one, its media type; otherwise the attempt has failed, as with any other failed continuation. An empty stream of the same kind stays a whole continuation: a stream may break between its last event and its end.

--- a/org.fawndrum/src/org/fawndrum/transport/relay/AnswerReader.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/AnswerReader.java
@@ -49,18 +49,14 @@
    * @param stream whether the answer is a stream, unless its status tells of a failure
    */
   void read(boolean stream) {
-    if (stream && isSuccess(head.statusCode())) {
+    int status = head.statusCode();
+    if (stream && status >= MIN_SUCCESS_STATUS && status < MIN_REDIRECT_STATUS) {
       readEvents();
     } else {
       readWhole();
     }
   }
 
-  /** Returns whether a status is that of a success. */
-  static boolean isSuccess(int status) {
-    return status >= MIN_SUCCESS_STATUS && status < MIN_REDIRECT_STATUS;
-  }
-
   private void readWhole() {
     head.body().handler(this::keep);
     head.body()
--- a/org.fawndrum/src/org/fawndrum/transport/relay/RelayExchange.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/RelayExchange.java
@@ -4,6 +4,7 @@
 import io.vertx.core.Context;
 import io.vertx.core.MultiMap;
 import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpHeaders;
 import io.vertx.core.http.HttpServerResponse;
 import java.util.HashSet;
 import java.util.Set;
@@ -111,9 +112,28 @@
     handedOver = true;
   }
 
+  /**
+   * Returns whether the caller can get an answer: one that has received a part of a stream needs a
+   * stream with the same status and media type. Another answer, empty or without a body, would end
+   * that stream as complete if it were read as events.
+   */
   @Override
   public boolean continues(EndpointAnswer head) {
-    return !answerBegun || AnswerReader.isSuccess(head.statusCode());
+    return !answerBegun
+        || head.statusCode() == response.getStatusCode()
+            && mayBeOfSameType(head.headers(), response.headers());
+  }
+
+  /** Returns whether two heads name the same media type; one that names none may be of any. */
+  private static boolean mayBeOfSameType(MultiMap first, MultiMap second) {
+    String type = mediaType(first);
+    String other = mediaType(second);
+    return type.isEmpty() || other.isEmpty() || type.equalsIgnoreCase(other);
+  }
+
+  private static String mediaType(MultiMap headers) {
+    String value = headers.get(HttpHeaders.CONTENT_TYPE);
+    return value == null ? "" : value.split(";", 2)[0].trim();
   }
 
   @Override
