--- a/org.fawndrum/src/org/fawndrum/transport/relay/RelayExchange.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/RelayExchange.java
@@ -4,6 +4,7 @@
 import io.vertx.core.Context;
 import io.vertx.core.MultiMap;
 import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpHeaders;
 import io.vertx.core.http.HttpServerResponse;
 import java.util.HashSet;
 import java.util.Set;
@@ -40,6 +41,10 @@
   private FullAnswer failedAnswer;
   private long lastEventId;
   private boolean handedOver;
+
+  /** Whether the caller's answer has a head; it can get no other one. */
+  private boolean answerBegun;
+
   private boolean finished;
 
   /** An endpoint's answer with its complete body. */
@@ -107,6 +112,30 @@
     handedOver = true;
   }
 
+  /**
+   * Returns whether the caller can get an answer: one that has received a part of a stream needs a
+   * stream with the same status and media type. Another answer, empty or without a body, would end
+   * that stream as complete if it were read as events.
+   */
+  @Override
+  public boolean continues(EndpointAnswer head) {
+    return !answerBegun
+        || head.statusCode() == response.getStatusCode()
+            && mayBeOfSameType(head.headers(), response.headers());
+  }
+
+  /** Returns whether two heads name the same media type; one that names none may be of any. */
+  private static boolean mayBeOfSameType(MultiMap first, MultiMap second) {
+    String type = mediaType(first);
+    String other = mediaType(second);
+    return type.isEmpty() || other.isEmpty() || type.equalsIgnoreCase(other);
+  }
+
+  private static String mediaType(MultiMap headers) {
+    String value = headers.get(HttpHeaders.CONTENT_TYPE);
+    return value == null ? "" : value.split(";", 2)[0].trim();
+  }
+
   @Override
   public void answered(RelayAttempt attempt, FullAnswer answer) {
     if (!isCurrent(attempt)) {
@@ -117,8 +146,7 @@
       attemptListener.onEvent(attempt.id(), AttemptEvent.FAILED_BY_ENDPOINT);
       return;
     }
-    finished = true;
-    sendAnswer(answer);
+    end(() -> sendAnswer(answer));
     attemptListener.onEvent(attempt.id(), AttemptEvent.ANSWERED);
   }
 
@@ -129,17 +157,32 @@
 
   /** Sets the status and headers of a stream's answer, unless an earlier attempt did. */
   private void setHead(RelayAttempt attempt) {
-    if (!response.headWritten()) {
+    if (!answerBegun) {
+      answerBegun = true;
       EndpointAnswer head = attempt.answerHead();
       response.headers().addAll(relay.codec().callerHeaders(head.headers()));
       response.setStatusCode(head.statusCode()).setChunked(true);
     }
   }
 
-  private void sendAnswer(FullAnswer answer) {
-    if (response.closed() || response.ended()) {
-      return;
+  /**
+   * Ends the exchange with an answer. A stream that has begun is broken off instead; without its
+   * end marker it never looks complete to the caller.
+   */
+  private void end(Runnable answer) {
+    if (!response.closed() && !response.ended()) {
+      if (answerBegun) {
+        response.reset();
+      } else {
+        answerBegun = true;
+        answer.run();
+      }
     }
+    // Set last, so that a refusal still ends the answer if writing it fails with an exception.
+    finished = true;
+  }
+
+  private void sendAnswer(FullAnswer answer) {
     response.headers().addAll(relay.codec().callerHeaders(answer.headers()));
     response.setStatusCode(answer.status());
     new BodyWriter(response, response.headers(), answer.body(), blocked -> {}).write();
@@ -176,9 +219,9 @@
     if (!isCurrent(attempt)) {
       return;
     }
-    finished = true;
     setHead(attempt);
     response.end();
+    finished = true;
     relay
         .decisionLog()
         .streamCompleted(
@@ -214,15 +257,10 @@
     if (finished) {
       return;
     }
-    finished = true;
-    if (response.ended() || response.closed()) {
-      return;
-    }
-    if (response.headWritten()) {
-      // A stream without its end marker never looks complete to the caller.
-      response.reset();
-      return;
-    }
+    end(() -> sendRefusal(refusal));
+  }
+
+  private void sendRefusal(Refusal refusal) {
     if (failedAnswer != null && refusal.kind() == RefusalKind.ENDPOINT_FAILED) {
       sendAnswer(failedAnswer);
       return;
