--- a/org.fawndrum/src/org/fawndrum/coordination/backpressure/ConnectionHold.java
+++ b/org.fawndrum/src/org/fawndrum/coordination/backpressure/ConnectionHold.java
@@ -11,6 +11,7 @@
   private RequestHold request = new RequestHold("");
   private WriteQueue queue = WriteQueue.EMPTY;
   private long unreadSinceMs = NONE;
+  private boolean slowlyRead;
 
   /** Returns the request in progress, or the last one. */
   public RequestHold request() {
@@ -19,17 +20,29 @@
 
   void requestStarted(RequestHold started) {
     request = started;
+    slowlyRead = false;
   }
 
   void sample(WriteQueue newer, long nowMs) {
+    boolean progress = newer.bytes() == 0 || newer.hasProgressSince(queue);
+    slowlyRead |= progress && unreadMs(nowMs) >= HeldBytes.SLOW_AFTER_MS;
     if (newer.bytes() == 0) {
       unreadSinceMs = NONE;
-    } else if (unreadSinceMs == NONE || newer.hasProgressSince(queue)) {
+    } else if (unreadSinceMs == NONE || progress) {
       unreadSinceMs = nowMs;
     }
     queue = newer;
   }
 
+  /**
+   * Returns whether the caller has read bytes of the answer in progress after it had seemed to read
+   * nothing. The systems at both ends queue bytes, too, and a slow reader's progress shows here
+   * only in steps of these queues, after seconds.
+   */
+  public boolean slowlyRead() {
+    return slowlyRead;
+  }
+
   /**
    * Returns the bytes queued for the caller. The connection's own queue has only a part of those of
    * a stream while it is full.
--- a/org.fawndrum/src/org/fawndrum/coordination/backpressure/RequestHold.java
+++ b/org.fawndrum/src/org/fawndrum/coordination/backpressure/RequestHold.java
@@ -9,6 +9,8 @@
   private long keptBytes;
   private long unwrittenBytes;
   private long bodyBlockedSinceMs = NONE;
+  private long endpointWaitsSinceMs = NONE;
+  private long dueMs = NONE;
   private boolean ended;
 
   RequestHold(String id) {
@@ -43,6 +45,40 @@
     return bodyBlockedSinceMs == NONE ? 0 : nowMs - bodyBlockedSinceMs;
   }
 
+  /**
+   * Records that the endpoint cannot send the rest of its answer because the caller does not read,
+   * or that it can again.
+   *
+   * @param nowMs the time by the host's clock, in milliseconds
+   */
+  public void endpointWaits(boolean waits, long nowMs) {
+    if (!waits || ended) {
+      endpointWaitsSinceMs = NONE;
+    } else if (endpointWaitsSinceMs == NONE) {
+      endpointWaitsSinceMs = nowMs;
+    }
+  }
+
+  /** Returns for how long the endpoint has waited for the caller, in ms; 0 if it does not. */
+  public long endpointWaitsMs(long nowMs) {
+    return endpointWaitsSinceMs == NONE ? 0 : nowMs - endpointWaitsSinceMs;
+  }
+
+  /**
+   * Records until when the caller waits for its answer; it still does after the host has the whole
+   * answer.
+   *
+   * @param atMs the time by the host's clock, in milliseconds
+   */
+  public void answerDue(long atMs) {
+    dueMs = atMs;
+  }
+
+  /** Returns how long the caller still waits for its answer, in ms; 0 if it is not known to. */
+  public long leftMs(long nowMs) {
+    return dueMs == NONE ? 0 : Math.max(0, dueMs - nowMs);
+  }
+
   /** Adds bytes of a stream that are queued for the caller; negative ones have been written. */
   public void queued(long bytes) {
     unwrittenBytes += bytes;
@@ -68,6 +104,7 @@
     keptBytes = 0;
     ended = true;
     bodyBlockedSinceMs = NONE;
+    endpointWaitsSinceMs = NONE;
     return released;
   }
 }
--- a/org.fawndrum/src/org/fawndrum/state/Route.java
+++ b/org.fawndrum/src/org/fawndrum/state/Route.java
@@ -46,6 +46,15 @@
     return kind == RouteKind.SAFE || kind == RouteKind.STREAM && resumable;
   }
 
+  /**
+   * Returns how long a request may take, in milliseconds.
+   *
+   * @param callerTimeoutMs how long its caller waits, in milliseconds; 0 if it did not say
+   */
+  public long allowedMs(long callerTimeoutMs) {
+    return callerTimeoutMs > 0 ? Math.min(timeoutMs, callerTimeoutMs) : timeoutMs;
+  }
+
   /**
    * Selects the service for a request, in proportion to the weights.
    *
--- a/org.fawndrum/src/org/fawndrum/transport/relay/CallerHolds.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/CallerHolds.java
@@ -136,7 +136,7 @@
     RequestHold request = hold.request();
     boolean callerSlow = hold.unreadMs(nowMs) > 0;
     Reason reason = callerSlow ? Reason.CALLER_TOO_SLOW : Reason.ENDPOINT_TOO_SLOW;
-    log(request, reason, hold.unreadMs(nowMs), hold.queuedBytes());
+    log(hold, request, reason, nowMs);
     endRequest(request, kind, reason);
     if (callerSlow) {
       held.closed(connection);
@@ -151,13 +151,16 @@
     }
   }
 
-  private void log(RequestHold request, Reason reason, long unreadMs, long queuedBytes) {
+  private void log(ConnectionHold hold, RequestHold request, Reason reason, long nowMs) {
     decisionLog.slowReader(
         new DecisionLog.SlowReaderDetails(
             request.id(),
             reason.name().toLowerCase(Locale.ROOT),
-            unreadMs,
-            queuedBytes,
+            hold.unreadMs(nowMs),
+            hold.slowlyRead(),
+            request.endpointWaitsMs(nowMs),
+            request.leftMs(nowMs),
+            hold.queuedBytes(),
             request.keptBytes(),
             held.totalBytes()));
   }
@@ -233,9 +236,19 @@
       request.bodyBlocked(blocked, clock.nowMs());
     }
 
+    @Override
+    public void endpointWaits(boolean waits) {
+      request.endpointWaits(waits, clock.nowMs());
+    }
+
+    @Override
+    public void answerDue(long atMs) {
+      request.answerDue(atMs);
+    }
+
     @Override
     public void endForLackOfMemory() {
-      log(request, Reason.HOST_MEMORY_FULL, 0, 0);
+      log(new ConnectionHold(), request, Reason.HOST_MEMORY_FULL, clock.nowMs());
       endRequest(request, RefusalKind.HOST_MEMORY_FULL, Reason.HOST_MEMORY_FULL);
     }
   }
--- a/org.fawndrum/src/org/fawndrum/transport/relay/DecisionLog.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/DecisionLog.java
@@ -136,6 +136,9 @@
    *
    * @param reason who read slowly
    * @param unreadMs how long the caller left queued bytes unread, in milliseconds
+   * @param slowlyRead whether the caller had read some after it had seemed to read nothing
+   * @param endpointWaitsMs how long its endpoint could not send meanwhile, in milliseconds
+   * @param leftMs how long the caller would still have waited, in milliseconds
    * @param queuedBytes the bytes queued for the caller
    * @param keptBytes the bytes of the request's body and of its incomplete answer
    * @param totalBytes the bytes held for all requests of this host
@@ -144,6 +147,9 @@
       String requestId,
       String reason,
       long unreadMs,
+      boolean slowlyRead,
+      long endpointWaitsMs,
+      long leftMs,
       long queuedBytes,
       long keptBytes,
       long totalBytes)
--- a/org.fawndrum/src/org/fawndrum/transport/relay/HeldRequest.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/HeldRequest.java
@@ -18,6 +18,12 @@
   /** Called when the endpoint has stopped reading the body of the request, or reads it again. */
   void bodyBlocked(boolean blocked);
 
+  /** Called when the endpoint cannot send because the caller does not read, or can again. */
+  void endpointWaits(boolean waits);
+
+  /** Sets until when the caller waits for its answer, by the host's clock, in milliseconds. */
+  void answerDue(long atMs);
+
   /** Ends the request because this host has no memory for its answer. */
   void endForLackOfMemory();
 }
--- a/org.fawndrum/src/org/fawndrum/transport/relay/RelayExchange.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/RelayExchange.java
@@ -78,6 +78,7 @@
             send.attempt(),
             send.helpers(),
             relay.log());
+    call.held().endpointWaits(false);
     currentAttempt = new RelayAttempt(send, call, lastEventId, relay, memory, this);
     currentAttempt.start();
   }
@@ -152,8 +153,7 @@
     call.held().queued(bytes);
     response.write(event.bytes()).onComplete(written -> call.held().queued(-bytes));
     if (response.writeQueueFull()) {
-      attempt.pause();
-      response.drainHandler(v -> attempt.resume());
+      pause(attempt);
     }
     streamPace.recordEvent(relay.clock().nowMs());
     if (attempt != answeringAttempt) {
@@ -163,12 +163,24 @@
     return true;
   }
 
+  /** Stops reading a stream until its caller has read a part of what is queued. */
+  private void pause(RelayAttempt attempt) {
+    attempt.pause();
+    call.held().endpointWaits(true);
+    response.drainHandler(
+        v -> {
+          call.held().endpointWaits(false);
+          attempt.resume();
+        });
+  }
+
   @Override
   public void streamCompleted(RelayAttempt attempt) {
     if (!isCurrent(attempt)) {
       return;
     }
     finished = true;
+    call.held().endpointWaits(false);
     setHead(attempt);
     response.end();
     relay
--- a/org.fawndrum/src/org/fawndrum/transport/relay/RelayIntake.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/RelayIntake.java
@@ -82,6 +82,7 @@
             incoming.body(),
             service,
             request.prefixes());
+    incoming.held().answerDue(incoming.arrivedMs() + route.allowedMs(request.timeoutMs()));
     RequestFacts facts = facts(table, route, service, workspace, incoming, content);
     RelayCall call =
         new RelayCall(
@@ -103,16 +104,20 @@
             incoming.context(),
             relay,
             attemptListener);
+    reportDisconnect(response, request.requestId());
+    if (!decisions.offerRequest(new RelayEvent.RequestArrived(facts), exchange)) {
+      throw retryLater(request, RefusalKind.HOST_BUSY);
+    }
+  }
+
+  private void reportDisconnect(HttpServerResponse response, String requestId) {
     response.closeHandler(
         v -> {
           // The handler also runs after a complete answer, when the caller has not disconnected.
           if (!response.ended()) {
-            attemptListener.callerGone(request.requestId());
+            attemptListener.callerGone(requestId);
           }
         });
-    if (!decisions.offerRequest(new RelayEvent.RequestArrived(facts), exchange)) {
-      throw retryLater(request, RefusalKind.HOST_BUSY);
-    }
   }
 
   private Workspace workspace(RouteTable table, Route route, RelayRequest request) {
--- a/org.fawndrum/tst/org/fawndrum/transport/relay/AnswerReaderTest.java
+++ b/org.fawndrum/tst/org/fawndrum/transport/relay/AnswerReaderTest.java
@@ -104,6 +104,12 @@
     @Override
     public void bodyBlocked(boolean blocked) {}
 
+    @Override
+    public void endpointWaits(boolean waits) {}
+
+    @Override
+    public void answerDue(long atMs) {}
+
     @Override
     public void endForLackOfMemory() {
       endedForLackOfMemory = true;
