A caller is ended for want of progress only when its endpoint waits, its time is over, or the memory is needed

Cause: a write queue without progress for unreadMs counted as a caller that reads nothing. No time tells the two kinds of callers apart.

So time counts only where waiting costs more than memory: while the endpoint of a paused stream waits, and once the caller itself no longer waits. Otherwise a caller is ended when the memory of all is needed, those without a sign of reading first. The bounds of memory are as they were.

--- a/org.fawndrum/src/org/fawndrum/coordination/backpressure/ConnectionHold.java
+++ b/org.fawndrum/src/org/fawndrum/coordination/backpressure/ConnectionHold.java
@@ -56,6 +56,19 @@
     return unreadSinceMs == NONE ? 0 : nowMs - unreadSinceMs;
   }
 
+  /**
+   * Returns whether the caller has to be taken for one that reads nothing. Time without progress
+   * alone is no sign of that, since the progress of a slow reader may show only after seconds. It
+   * counts once the caller no longer waits for its answer, and while an endpoint waits for the
+   * caller, which it does for a short time only.
+   *
+   * @param maxMs how long queued bytes may then stay unread, in milliseconds
+   */
+  boolean isUnreadTooLong(long maxMs, long nowMs) {
+    boolean counts = request.leftMs(nowMs) == 0 || request.endpointWaitsMs(nowMs) >= maxMs;
+    return counts && unreadMs(nowMs) >= maxMs;
+  }
+
   /** Returns for how long the caller, or the endpoint of its request, has read nothing. */
   long blockedMs(long nowMs) {
     return Math.max(unreadMs(nowMs), request.bodyBlockedMs(nowMs));
--- a/org.fawndrum/src/org/fawndrum/coordination/backpressure/HeldBytes.java
+++ b/org.fawndrum/src/org/fawndrum/coordination/backpressure/HeldBytes.java
@@ -12,8 +12,8 @@
 /**
  * Counts what a host holds for callers and endpoints, and decides which requests end because of it:
  * those whose callers read nothing for too long, and, when the limit of all is reached, the one
- * that holds most for a slow reader. Times are those of the host's clock, in milliseconds. Confined
- * to one thread, except for the two counts.
+ * that holds most for a reader that reads nothing, or else slowly. Times are those of the host's
+ * clock, in milliseconds. Confined to one thread, except for the two counts.
  *
  * @param <K> identifies a connection of a caller
  */
@@ -106,16 +106,20 @@
     }
     long maxMs = limits.get().unreadMs();
     return holds.entrySet().stream()
-        .filter(entry -> entry.getValue().unreadMs(nowMs) >= maxMs)
+        .filter(entry -> entry.getValue().isUnreadTooLong(maxMs, nowMs))
         .map(Map.Entry::getKey)
         .toList();
   }
 
-  /** Returns the connection that holds most for a caller or an endpoint that reads slowly. */
+  /**
+   * Returns the connection that holds most for a caller or an endpoint that reads nothing; if there
+   * is none, the one that holds most for a caller that reads slowly.
+   */
   public Optional<K> largestSlow(long nowMs) {
+    Comparator<ConnectionHold> readsNothing = Comparator.comparing(hold -> !hold.slowlyRead());
     return holds.entrySet().stream()
         .filter(entry -> entry.getValue().blockedMs(nowMs) >= SLOW_AFTER_MS)
-        .max(Comparator.comparingLong(entry -> entry.getValue().totalBytes()))
+        .max(Map.Entry.comparingByValue(readsNothing.thenComparingLong(ConnectionHold::totalBytes)))
         .map(Map.Entry::getKey);
   }
 
--- a/org.fawndrum/src/org/fawndrum/coordination/backpressure/HoldLimits.java
+++ b/org.fawndrum/src/org/fawndrum/coordination/backpressure/HoldLimits.java
@@ -10,7 +10,8 @@
  *     its endpoint
  * @param answerBytes maximum bytes of an answer that is kept until it is complete
  * @param eventBytes maximum bytes of one event of a stream
- * @param unreadMs how long a caller may leave queued bytes unread, in milliseconds
+ * @param unreadMs how long a caller may leave queued bytes unread while an endpoint waits for it,
+ *     or after it has stopped waiting for its answer, in milliseconds
  */
 public record HoldLimits(
     long totalBytes, int callerBytes, int answerBytes, int eventBytes, long unreadMs) {
--- a/org.fawndrum/src/org/fawndrum/transport/relay/RelayServer.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/RelayServer.java
@@ -50,8 +50,8 @@
   private static final long MAX_START_WAIT_MS = 700;
 
   /**
-   * What the operating system queues for one caller, in bytes. With more, a caller that reads
-   * slowly but steadily would seem to read nothing for seconds.
+   * What the operating system queues for one caller, in bytes: memory that is not counted. It has
+   * little influence on when the progress of a slow reader shows, which its receive buffer decides.
    */
   private static final int SEND_BUFFER_BYTES = 64 << 10;
 
--- a/org.fawndrum/tst/org/fawndrum/coordination/backpressure/HeldBytesTest.java
+++ b/org.fawndrum/tst/org/fawndrum/coordination/backpressure/HeldBytesTest.java
@@ -160,4 +160,51 @@
     request.bodyBlocked(false, nowMs);
     assertEquals(Optional.empty(), held.largestSlow(nowMs));
   }
+
+  /** Callers that read steadily were cut off: their progress may show only after some seconds. */
+  @Test
+  void unreadBytesOfAWholeAnswerMayStayUntilItsCallerStopsWaiting() {
+    RequestHold request = held.requestStarted("a", "r-1");
+    request.answerDue(nowMs + 60_000);
+    held.requestEnded(request);
+    queues.put("a", new WriteQueue(90, "first", 0));
+    sampleFor(60_000 - POLL_MS);
+    assertEquals(List.of(), held.unreadTooLong(nowMs));
+    sampleFor(POLL_MS);
+    assertEquals(List.of("a"), held.unreadTooLong(nowMs));
+  }
+
+  /** Endpoints end an answer that is unread for some seconds, and seem to have failed. */
+  @Test
+  void endpointWaitsForACallerOnlyForTheLimit() {
+    RequestHold request = held.requestStarted("a", "r-1");
+    request.answerDue(nowMs + 60_000);
+    queues.put("a", new WriteQueue(90, "first", 0));
+    sampleFor(LIMITS.unreadMs());
+    request.endpointWaits(true, nowMs);
+    request.endpointWaits(true, nowMs + POLL_MS);
+    sampleFor(LIMITS.unreadMs() - POLL_MS);
+    assertEquals(List.of(), held.unreadTooLong(nowMs));
+    sampleFor(POLL_MS);
+    assertEquals(List.of("a"), held.unreadTooLong(nowMs));
+    request.endpointWaits(false, nowMs);
+    assertEquals(List.of(), held.unreadTooLong(nowMs));
+  }
+
+  /**
+   * The limit of all is reached: a caller that reads would be cut off instead of one that does not.
+   */
+  @Test
+  void callerThatReadsNothingEndsBeforeOneThatReadsSlowly() {
+    held.keep(held.requestStarted("a", "r-1"), 600);
+    held.keep(held.requestStarted("b", "r-2"), 50);
+    queues.put("a", new WriteQueue(90, "first", 0));
+    queues.put("b", new WriteQueue(90, "first", 0));
+    sampleFor(4 * POLL_MS);
+    queues.put("a", new WriteQueue(90, "first", 1));
+    sampleFor(4 * POLL_MS);
+    assertEquals(Optional.of("b"), held.largestSlow(nowMs));
+    held.closed("b");
+    assertEquals(Optional.of("a"), held.largestSlow(nowMs));
+  }
 }
