--- a/org.fawndrum/src/org/fawndrum/transport/relay/RelayExchange.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/RelayExchange.java
@@ -91,6 +91,7 @@
             relay.log());
     boolean sentBefore = !sentTo.add(send.endpoint().name());
     AttemptPath path = new AttemptPath(relay.paths(), relay.proofs(), send.endpoint(), sentBefore);
+    call.held().endpointWaits(false);
     currentAttempt = new RelayAttempt(send, call, lastEventId, path, relay, memory, this);
     currentAttempt.start();
   }
@@ -203,8 +204,7 @@
     call.held().queued(bytes);
     response.write(event.bytes()).onComplete(written -> call.held().queued(-bytes));
     if (response.writeQueueFull()) {
-      attempt.pause();
-      response.drainHandler(v -> attempt.resume());
+      pause(attempt);
     }
     streamPace.recordEvent(relay.clock().nowMs());
     if (attempt != answeringAttempt) {
@@ -214,11 +214,23 @@
     return true;
   }
 
+  /** Stops reading a stream until its caller has read a part of what is queued. */
+  private void pause(RelayAttempt attempt) {
+    attempt.pause();
+    call.held().endpointWaits(true);
+    response.drainHandler(
+        v -> {
+          call.held().endpointWaits(false);
+          attempt.resume();
+        });
+  }
+
   @Override
   public void streamCompleted(RelayAttempt attempt) {
     if (!isCurrent(attempt)) {
       return;
     }
+    call.held().endpointWaits(false);
     setHead(attempt);
     response.end();
     finished = true;
