Whether an endpoint goes on is always asked on a new connection

Cause: told second answers to requests from those to the question by their id. A second answer to an earlier question has none, and may come on a kept connection from before the endpoint ended. Evidence: SecondAnswerElsewhereTest.aSecondAnswerToAnEarlierQuestionIsNoProof failed before (200 for 502) and holds now. Why it works: on a new connection nothing else can be under way.

--- a/org.fawndrum/src/org/fawndrum/transport/relay/LivenessProofs.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/LivenessProofs.java
@@ -110,22 +110,18 @@
 
   private Future<Void> ask(Endpoint endpoint) {
     RelayCodec.LivenessRequest question = codec.livenessRequest(endpoint, healthPath(endpoint));
-    return open(endpoint, question, true)
+    return open(endpoint, question)
         .compose(
-            kept ->
-                answer(kept, endpoint, question).recover(lost -> again(lost, endpoint, question)));
+            first ->
+                answer(first, endpoint, question).recover(lost -> again(lost, endpoint, question)));
   }
 
-  /**
-   * Asks on a new connection after one was lost or carried something else: a kept one may have been
-   * closed just now, or still bring a second answer to an earlier request, and an endpoint with too
-   * many connections resets some.
-   */
+  /** Asks again after a connection was lost: an endpoint with too many of them resets some. */
   private Future<Void> again(
       Throwable lost, Endpoint endpoint, RelayCodec.LivenessRequest question) {
-    return lost instanceof TimeoutException
+    return lost instanceof TimeoutException || lost instanceof EndpointRestartedException
         ? Future.failedFuture(lost)
-        : open(endpoint, question, false).compose(fresh -> answer(fresh, endpoint, question));
+        : open(endpoint, question).compose(second -> answer(second, endpoint, question));
   }
 
   private String healthPath(Endpoint endpoint) {
@@ -136,14 +132,17 @@
         .orElse("");
   }
 
-  private Future<EndpointRequest> open(
-      Endpoint endpoint, RelayCodec.LivenessRequest question, boolean onKeptConnection) {
+  /**
+   * Opens a new connection: on a kept one, a second answer to an earlier request or question may be
+   * under way from before this question is sent.
+   */
+  private Future<EndpointRequest> open(Endpoint endpoint, RelayCodec.LivenessRequest question) {
     return connector.request(
         endpoint,
         new EndpointRequests.Call(
             question.method(),
             question.uri(),
-            onKeptConnection,
+            false,
             EndpointRequests.Call.NO_REQUEST,
             TIMEOUT_MS));
   }
@@ -160,7 +159,7 @@
         .onFailure(cause -> request.reset());
   }
 
-  /** Reads the rest of an answer, so that its connection can be kept. */
+  /** Reads the rest of an answer, so that the endpoint can end it. */
   private static void dropBody(EndpointAnswer head, EndpointRequest request) {
     Promise<Void> end = Promise.promise();
     head.body().exceptionHandler(end::tryFail);
