--- a/org.fawndrum/src/org/fawndrum/internal/log/LogEvent.java
+++ b/org.fawndrum/src/org/fawndrum/internal/log/LogEvent.java
@@ -131,7 +131,6 @@
       Level.INFO,
       "host {0} has its configuration and its endpoints {1} ms after the start of its process, {2} ms of processor time used; archives of classes: {3}"),
   PEERS_ALIVE(107, Level.INFO, "peers {0} are alive"),
-  PEERS_ALIVE(107, Level.INFO, "peers {0} are alive"),
   ANSWER_DOUBTFUL(108, Level.WARN, "{0}"),
   ISSUING_PERMITTED(
       117,
