What has no final status is no answer

What callers saw: an interim answer with its id (status 101, 102, 104, 199), or a number that is no status (0, 20, 2000, 600), as the answer to their request; the true answer that followed was dropped. A 101 or 102 leaves the caller waiting, or its connection switched.

Cause: the HTTP client knows the interim answers 100 and 103 alone and reports every other number as the final answer; nothing here looked at it.

Why it works: AnswerReader, which reads the answers of both ways, gives up an answer outside 200 to 599: it counts as lost, so it is repeated where it may be and is otherwise a 502, never "not run".

--- a/org.fawndrum/src/org/fawndrum/transport/proxy/EndpointAnswer.java
+++ b/org.fawndrum/src/org/fawndrum/transport/proxy/EndpointAnswer.java
@@ -17,6 +17,12 @@
  */
 public record EndpointAnswer(
     int statusCode, String reason, MultiMap headers, ReadStream<Buffer> body) {
+  /** Lower ones are those of interim answers, which no body follows (RFC 9110, section 15.2). */
+  private static final int MIN_FINAL_STATUS = 200;
+
+  /** The end of the last class of statuses. */
+  private static final int FINAL_STATUS_END = 600;
+
   /** Creates an answer whose reason is not known. */
   public EndpointAnswer(int statusCode, MultiMap headers, ReadStream<Buffer> body) {
     this(statusCode, "", headers, body);
@@ -28,6 +34,14 @@
     return new EndpointAnswer(head.statusCode(), reason, head.headers(), head);
   }
 
+  /**
+   * Returns whether this is a final answer. The HTTP client takes each other number for one, too:
+   * of the interim answers it knows only 100 and 103.
+   */
+  public boolean isFinal() {
+    return statusCode >= MIN_FINAL_STATUS && statusCode < FINAL_STATUS_END;
+  }
+
   /** Returns what marks the end of the body. */
   public AnswerFraming framing() {
     return AnswerFraming.of(statusCode, headers);
--- a/org.fawndrum/src/org/fawndrum/transport/relay/AnswerReader.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/AnswerReader.java
@@ -33,8 +33,11 @@
     /** Called when a stream ended, maybe in the middle of an event. */
     void streamEnded(boolean partialEvent);
 
-    /** Called when the answer, or one of its events, is larger than any may be. */
-    void answerTooLarge();
+    /**
+     * Called when the answer cannot be passed on: it is no final one, or it, or one of its events,
+     * is larger than any may be.
+     */
+    void answerUnusable();
   }
 
   AnswerReader(EndpointAnswer head, HeldRequest held, Receiver receiver) {
@@ -50,7 +53,9 @@
    */
   void read(boolean stream) {
     int status = head.statusCode();
-    if (stream && status >= MIN_SUCCESS_STATUS && status < MIN_REDIRECT_STATUS) {
+    if (!head.isFinal()) {
+      receiver.answerUnusable();
+    } else if (stream && status >= MIN_SUCCESS_STATUS && status < MIN_REDIRECT_STATUS) {
       readEvents();
     } else {
       readWhole();
@@ -75,7 +80,7 @@
       return;
     }
     if (whole.length() + (long) part.length() > held.limits().answerBytes()) {
-      receiver.answerTooLarge();
+      receiver.answerUnusable();
     } else if (held.tryHold(part.length())) {
       whole.appendBuffer(part);
     } else {
@@ -105,7 +110,7 @@
       return;
     }
     if (splitter.partialBytes() > held.limits().eventBytes()) {
-      receiver.answerTooLarge();
+      receiver.answerUnusable();
     } else {
       holdPartialEvent(splitter.partialBytes());
     }
--- a/org.fawndrum/src/org/fawndrum/transport/relay/RelayAttempt.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/RelayAttempt.java
@@ -349,7 +349,7 @@
   }
 
   @Override
-  public void answerTooLarge() {
+  public void answerUnusable() {
     abandon();
   }
 
--- a/org.fawndrum/tst/org/fawndrum/transport/relay/AnswerReaderTest.java
+++ b/org.fawndrum/tst/org/fawndrum/transport/relay/AnswerReaderTest.java
@@ -124,7 +124,7 @@
     public void streamEnded(boolean partialEvent) {}
 
     @Override
-    public void answerTooLarge() {}
+    public void answerUnusable() {}
   }
 
   @Test
