A body in a transfer coding that nobody undoes is not passed on

What callers saw: a 200 with the seal, framed as whole, whose body was the bytes of the wire, e.g. "4\r\nbody\r\n0\r\n\r\n".

Cause: the HTTP client removes chunks and passes on any other coding, to the end of the connection. AnswerFraming took each value that ends with "chunked" for chunks, so that end counted as the last chunk and nobody asked for the endpoint.

Why it works: an answer with any coding but "chunked" alone is given up before its first byte is read, as one without a final status is; the last coding is compared as a whole, as the client does.

--- a/org.fawndrum/src/org/fawndrum/transport/proxy/AnswerFraming.java
+++ b/org.fawndrum/src/org/fawndrum/transport/proxy/AnswerFraming.java
@@ -3,7 +3,6 @@
 
 import io.vertx.core.MultiMap;
 import io.vertx.core.http.HttpHeaders;
-import java.util.Locale;
 
 /** What marks the end of an HTTP/1.1 answer (RFC 9112, section 6.3). */
 public enum AnswerFraming {
@@ -20,13 +19,26 @@
 
   /** Returns the framing of an answer to a request other than HEAD or CONNECT. */
   public static AnswerFraming of(int status, MultiMap headers) {
-    String coding = headers.get(HttpHeaders.TRANSFER_ENCODING);
     if (status == NO_CONTENT || status == NOT_MODIFIED) {
       return LENGTH;
     }
-    if (coding != null) {
-      return coding.trim().toLowerCase(Locale.ROOT).endsWith(CHUNKED) ? CHUNKS : CONNECTION;
+    if (headers.contains(HttpHeaders.TRANSFER_ENCODING)) {
+      String[] codings = codings(headers).split(",");
+      return codings[codings.length - 1].trim().equalsIgnoreCase(CHUNKED) ? CHUNKS : CONNECTION;
     }
     return headers.contains(HttpHeaders.CONTENT_LENGTH) ? LENGTH : CONNECTION;
   }
+
+  private static String codings(MultiMap headers) {
+    return String.join(",", headers.getAll(HttpHeaders.TRANSFER_ENCODING));
+  }
+
+  /**
+   * Returns whether the bytes of the body are in no transfer coding but chunks, which the HTTP
+   * client removes. In any other they are not the body.
+   */
+  static boolean isDecoded(MultiMap headers) {
+    return !headers.contains(HttpHeaders.TRANSFER_ENCODING)
+        || codings(headers).trim().equalsIgnoreCase(CHUNKED);
+  }
 }
--- a/org.fawndrum/src/org/fawndrum/transport/proxy/EndpointAnswer.java
+++ b/org.fawndrum/src/org/fawndrum/transport/proxy/EndpointAnswer.java
@@ -35,11 +35,14 @@
   }
 
   /**
-   * Returns whether this is a final answer. The HTTP client takes each other number for one, too:
-   * of the interim answers it knows only 100 and 103.
+   * Returns whether this is a final answer whose body can be read. The HTTP client takes each number
+   * for a final status, since of the interim answers it knows only 100 and 103, and passes on a body
+   * in a transfer coding that it does not know.
    */
-  public boolean isFinal() {
-    return statusCode >= MIN_FINAL_STATUS && statusCode < FINAL_STATUS_END;
+  public boolean isReadable() {
+    return statusCode >= MIN_FINAL_STATUS
+        && statusCode < FINAL_STATUS_END
+        && AnswerFraming.isDecoded(headers);
   }
 
   /** Returns what marks the end of the body. */
--- a/org.fawndrum/src/org/fawndrum/transport/relay/AnswerReader.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/AnswerReader.java
@@ -34,8 +34,8 @@
     void streamEnded(boolean partialEvent);
 
     /**
-     * Called when the answer cannot be passed on: it is no final one, or it, or one of its events,
-     * is larger than any may be.
+     * Called when the answer cannot be passed on: it is no final one, its body cannot be read, or
+     * it, or one of its events, is larger than any may be.
      */
     void answerUnusable();
   }
@@ -53,7 +53,7 @@
    */
   void read(boolean stream) {
     int status = head.statusCode();
-    if (!head.isFinal()) {
+    if (!head.isReadable()) {
       receiver.answerUnusable();
     } else if (stream && status >= MIN_SUCCESS_STATUS && status < MIN_REDIRECT_STATUS) {
       readEvents();
--- a/org.fawndrum/tst/org/fawndrum/transport/proxy/AnswerFramingTest.java
+++ b/org.fawndrum/tst/org/fawndrum/transport/proxy/AnswerFramingTest.java
@@ -33,6 +33,8 @@
   void withoutEitherTheConnectionMarksTheEnd() {
     assertEquals(AnswerFraming.CONNECTION, of(200));
     assertEquals(AnswerFraming.CONNECTION, of(200, "Transfer-Encoding", "gzip"));
+    assertEquals(AnswerFraming.CONNECTION, of(200, "Transfer-Encoding", "xchunked"));
+    assertEquals(AnswerFraming.CONNECTION, of(200, "Transfer-Encoding", "gzip chunked"));
     assertEquals(AnswerFraming.CONNECTION, of(500, "Connection", "close"));
   }
 
