A success that ends before its body is not whole

Cause: a head that is cut between two of its lines and ended by the blank line has lost its length, so its answer ends with its connection.

Why it works: a success with neither a length nor chunks needs a byte of its body; one without is broken off, as a stream within an event is: resumed, sent again or told as lost. Only HEAD has no body. An endpoint that has nothing to send can say so by a length of 0, an empty last chunk or a 204.

--- a/org.fawndrum/src/org/fawndrum/transport/proxy/EndpointAnswer.java
+++ b/org.fawndrum/src/org/fawndrum/transport/proxy/EndpointAnswer.java
@@ -35,9 +35,9 @@
   }
 
   /**
-   * Returns whether this is a final answer whose body can be read. The HTTP client takes each number
-   * for a final status, since of the interim answers it knows only 100 and 103, and passes on a body
-   * in a transfer coding that it does not know.
+   * Returns whether this is a final answer whose body can be read. The HTTP client takes each
+   * number for a final status, since of the interim answers it knows only 100 and 103, and passes
+   * on a body in a transfer coding that it does not know.
    */
   public boolean isReadable() {
     return statusCode >= MIN_FINAL_STATUS
--- a/org.fawndrum/src/org/fawndrum/transport/relay/AnswerEnd.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/AnswerEnd.java
@@ -47,8 +47,8 @@
     }
   }
 
-  /** Reports that a stream ended within an event. */
-  void endedWithinEvent() {
+  /** Reports that the answer ended within an event, or before its body began. */
+  void endedEarly() {
     lost(new AnswerIncompleteException(path.endpointName()));
   }
 
--- a/org.fawndrum/src/org/fawndrum/transport/relay/AnswerReader.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/AnswerReader.java
@@ -2,7 +2,9 @@
 package org.fawndrum.transport.relay;
 
 import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpMethod;
 import java.util.List;
+import org.fawndrum.transport.proxy.AnswerFraming;
 import org.fawndrum.transport.proxy.EndpointAnswer;
 
 /**
@@ -19,6 +21,7 @@
   private final EventSplitter splitter = new EventSplitter();
   private Buffer whole = Buffer.buffer();
   private int heldPartialBytes;
+  private boolean lacksBody;
   private boolean paused;
   private boolean stopped;
 
@@ -30,8 +33,14 @@
     /** Called when bytes of a stream were read, with the events that are now complete. */
     void eventsReceived(List<EventSplitter.StreamEvent> events);
 
-    /** Called when a stream ended, maybe in the middle of an event. */
-    void streamEnded(boolean partialEvent);
+    /** Called when a stream ended after an event. */
+    void streamEnded();
+
+    /**
+     * Called when the answer ended before its end: in the middle of an event, or, where its head
+     * gives no length, before its body began.
+     */
+    void endedEarly();
 
     /**
      * Called when the answer cannot be passed on: it is no final one, its body cannot be read, or
@@ -49,13 +58,19 @@
   /**
    * Starts to read.
    *
+   * @param method the method of the request
    * @param stream whether the answer is a stream, unless its status tells of a failure
    */
-  void read(boolean stream) {
+  void read(HttpMethod method, boolean stream) {
     int status = head.statusCode();
+    boolean success = status >= MIN_SUCCESS_STATUS && status < MIN_REDIRECT_STATUS;
+    // A head that was cut between two lines has lost its length. Unlike a body that was cut, an
+    // empty one can be told: an endpoint that has nothing to send can say so by a length of 0.
+    lacksBody =
+        success && head.framing() == AnswerFraming.CONNECTION && !HttpMethod.HEAD.equals(method);
     if (!head.isReadable()) {
       receiver.answerUnusable();
-    } else if (stream && status >= MIN_SUCCESS_STATUS && status < MIN_REDIRECT_STATUS) {
+    } else if (stream && success) {
       readEvents();
     } else {
       readWhole();
@@ -70,15 +85,24 @@
               if (!stopped) {
                 Buffer body = whole;
                 whole = Buffer.buffer();
-                receiver.wholeReceived(body);
+                ended(lacksBody, () -> receiver.wholeReceived(body));
               }
             });
   }
 
+  private void ended(boolean early, Runnable inOrder) {
+    if (early) {
+      receiver.endedEarly();
+    } else {
+      inOrder.run();
+    }
+  }
+
   private void keep(Buffer part) {
     if (stopped) {
       return;
     }
+    lacksBody = false;
     if (whole.length() + (long) part.length() > held.limits().answerBytes()) {
       receiver.answerUnusable();
     } else if (held.tryHold(part.length())) {
@@ -96,7 +120,7 @@
         .endHandler(
             v -> {
               if (!stopped) {
-                receiver.streamEnded(splitter.hasPartialEvent());
+                ended(lacksBody || splitter.hasPartialEvent(), receiver::streamEnded);
               }
             });
   }
@@ -105,6 +129,7 @@
     if (stopped) {
       return;
     }
+    lacksBody = false;
     receiver.eventsReceived(splitter.append(bytes));
     if (stopped) {
       return;
--- a/org.fawndrum/src/org/fawndrum/transport/relay/RelayAttempt.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/RelayAttempt.java
@@ -250,7 +250,7 @@
       default -> {
         relay.decisionLog().answerBegun(head.framing());
         answer = new AnswerReader(head, call.held(), this);
-        answer.read(call.route().kind() == RouteKind.STREAM);
+        answer.read(call.method(), call.route().kind() == RouteKind.STREAM);
       }
     }
   }
@@ -316,12 +316,13 @@
   }
 
   @Override
-  public void streamEnded(boolean partialEvent) {
-    if (partialEvent) {
-      end.endedWithinEvent();
-    } else {
-      end.ended(response.framing(), this::streamCompleted);
-    }
+  public void streamEnded() {
+    end.ended(response.framing(), this::streamCompleted);
+  }
+
+  @Override
+  public void endedEarly() {
+    end.endedEarly();
   }
 
   private void streamCompleted() {
--- a/org.fawndrum/tst/org/fawndrum/transport/relay/AnswerReaderTest.java
+++ b/org.fawndrum/tst/org/fawndrum/transport/relay/AnswerReaderTest.java
@@ -8,6 +8,7 @@
 import io.vertx.core.Handler;
 import io.vertx.core.MultiMap;
 import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpMethod;
 import io.vertx.core.streams.ReadStream;
 import java.util.ArrayList;
 import java.util.List;
@@ -121,7 +122,10 @@
     }
 
     @Override
-    public void streamEnded(boolean partialEvent) {}
+    public void streamEnded() {}
+
+    @Override
+    public void endedEarly() {}
 
     @Override
     public void answerUnusable() {}
@@ -129,7 +133,7 @@
 
   @Test
   void aPartOfAnEventIsHeldUntilTheEventIsComplete() {
-    reader.read(true);
+    reader.read(HttpMethod.POST, true);
     body.receive(EVENT + "id: 2");
     assertEquals("id: 2".length(), held.bytes);
     body.receive("\ndata");
@@ -141,7 +145,7 @@
 
   @Test
   void aPartOfAnEventIsReleasedWithItsAnswer() {
-    reader.read(true);
+    reader.read(HttpMethod.POST, true);
     body.receive("id: 1\ndata");
     reader.stop();
     assertEquals(0, held.bytes);
@@ -149,7 +153,7 @@
 
   @Test
   void aRequestEndsWhenThereIsNoMemoryForAPartOfAnEvent() {
-    reader.read(true);
+    reader.read(HttpMethod.POST, true);
     body.receive("x".repeat(TOTAL_BYTES));
     assertFalse(held.endedForLackOfMemory);
     body.receive("x");
