--- a/org.fawndrum/src/org/fawndrum/transport/relay/RelayAttempt.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/RelayAttempt.java
@@ -251,7 +251,7 @@
         }
         relay.decisionLog().answerBegun(head.framing());
         answer = new AnswerReader(head, call.held(), this);
-        answer.read(call.route().kind() == RouteKind.STREAM);
+        answer.read(call.method(), call.route().kind() == RouteKind.STREAM);
       }
     }
   }
@@ -317,12 +317,13 @@
   }
 
   @Override
-  public void streamEnded(boolean partialEvent) {
-    if (partialEvent) {
-      end.endedWithinEvent();
-    } else {
-      end.ended(response.framing(), this::streamCompleted);
-    }
+  public void streamEnded() {
+    end.ended(response.framing(), this::streamCompleted);
+  }
+
+  @Override
+  public void endedEarly() {
+    end.endedEarly();
   }
 
   private void streamCompleted() {
@@ -350,7 +351,7 @@
   }
 
   @Override
-  public void answerTooLarge() {
+  public void answerUnusable() {
     abandon();
   }
 
