--- a/org.fawndrum/src/org/fawndrum/transport/relay/RelayAttempt.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/RelayAttempt.java
@@ -244,14 +244,14 @@
       case NOT_RUN, WRONG_ENDPOINT -> refusedByEndpoint(head.headers());
       case MISMATCHED -> abandon();
       default -> {
-        if (!owner.continues(head)) {
+        if (owner.continues(head)) {
+          relay.decisionLog().answerBegun(head.framing());
+          answer = new AnswerReader(head, call.held(), this);
+          answer.read(call.method(), call.route().kind() == RouteKind.STREAM);
+        } else {
           request.reset();
           fail(AttemptEvent.FAILED_BY_ENDPOINT);
-          return;
         }
-        relay.decisionLog().answerBegun(head.framing());
-        answer = new AnswerReader(head, call.held(), this);
-        answer.read(call.method(), call.route().kind() == RouteKind.STREAM);
       }
     }
   }
