--- a/org.fawndrum/src/org/fawndrum/transport/relay/RelayAttempt.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/RelayAttempt.java
@@ -279,7 +279,6 @@
     path.heard();
   }
 
-  /** Returns the way to the endpoint. */
   AttemptPath path() {
     return path;
   }
