--- a/org.fawndrum.soak/src/org/fawndrum/soak/Fault.java
+++ b/org.fawndrum.soak/src/org/fawndrum/soak/Fault.java
@@ -93,6 +93,9 @@
    */
   static final Set<Kind> GENERATION_1 = EnumSet.range(Kind.KILL, Kind.ENGINE_DROPS_WORK);
 
+  /** The kinds up to second answers; see {@link #GENERATION_1}. */
+  static final Set<Kind> GENERATION_9 = EnumSet.range(Kind.KILL, Kind.ANSWERS_TWICE);
+
   /** All kinds. */
   static final Set<Kind> ALL = EnumSet.allOf(Kind.class);
 
--- a/org.fawndrum.soak/tst/org/fawndrum/soak/SoakTest.java
+++ b/org.fawndrum.soak/tst/org/fawndrum/soak/SoakTest.java
@@ -216,6 +216,12 @@
     verify(90_301, 5, 12_000, Fault.GENERATION_7);
   }
 
+  /** Callers got the status of a broken second answer with the body of their own failure. */
+  @Test
+  void seedThreeHundredThousandOneHundredAndFour() throws Exception {
+    verify(300_104, 2, 20_000, Fault.GENERATION_9);
+  }
+
   @Test
   void aSeedAlwaysPlansTheSameFaults() {
     List<Fault> plan = Fault.plan(new Random(7), 60_000, HOSTS, Fault.ALL);
