A body with the head of a second answer is not whole

Callers got an answer without a length and the second answer behind it on its connection as one body, framed as complete. In a stream, events of the second answer stood in for those that the first one lacked, and the stream ended as complete.

Mend: BodyHeads looks for a status line, at any place, behind which a field repeats the request's id or the answer's seal. Such an answer is lost: it goes elsewhere if it may, or ends as 502; FAWN0100 tells. Only for answers that end with their connection. A body that describes other answers is served as whole.

Why it works: no answer of an endpoint names a request that it does not answer, and nothing else names this one in a head.

AnswerReaderTest: only the arguments of the constructor changed, and a method moved with its interface.

--- a/org.fawndrum/src/org/fawndrum/internal/text/MessageText.java
+++ b/org.fawndrum/src/org/fawndrum/internal/text/MessageText.java
@@ -34,6 +34,7 @@
   RECORDS_EXPIRED,
   REQUEST_REFUSED,
   RING_FULL,
+  SECOND_ANSWER,
   TOO_MANY_INTERIM_ANSWERS;
 
   private static final ResourceBundle BUNDLE =
--- a/org.fawndrum/src/org/fawndrum/transport/relay/AnswerEnd.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/AnswerEnd.java
@@ -4,6 +4,7 @@
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 import org.fawndrum.errors.AnswerIncompleteException;
+import org.fawndrum.errors.SecondAnswerException;
 import org.fawndrum.transport.proxy.AnswerFraming;
 
 /**
@@ -11,7 +12,7 @@
  * first end that is reported counts: the HTTP client reports that of a lost connection as the end
  * of the answer, too. Confined to one event loop.
  */
-final class AnswerEnd {
+final class AnswerEnd implements AnswerReader.Flaws {
   private final AttemptPath path;
   private final BiConsumer<String, AttemptPath.EndCheck> onChecked;
   private final Consumer<Throwable> onBrokenOff;
@@ -47,11 +48,17 @@
     }
   }
 
-  /** Reports that the answer ended within an event, or before its body began. */
-  void endedEarly() {
+  @Override
+  public void endedEarly() {
     lost(new AnswerIncompleteException(path.endpointName()));
   }
 
+  @Override
+  public void secondAnswerFound() {
+    lost(new SecondAnswerException(path.endpointName()));
+    path.reset();
+  }
+
   /**
    * Reports that the answer ended. One that ends with its connection is whole only if an endpoint
    * that goes on closed it in order (RFC 9112, section 8): the connections of a process that was
--- a/org.fawndrum/src/org/fawndrum/transport/relay/AnswerReader.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/AnswerReader.java
@@ -17,9 +17,12 @@
 
   private final EndpointAnswer head;
   private final HeldRequest held;
+  private final RelayCodec codec;
+  private final Flaws flaws;
   private final Receiver receiver;
   private final EventSplitter splitter = new EventSplitter();
   private Buffer whole = Buffer.buffer();
+  private BodyHeads heads;
   private int heldPartialBytes;
   private boolean lacksBody;
   private boolean paused;
@@ -36,22 +39,31 @@
     /** Called when a stream ended after an event. */
     void streamEnded();
 
+    /**
+     * Called when the answer cannot be passed on: it is no final one, its body cannot be read, or
+     * it, or one of its events, is larger than any may be.
+     */
+    void answerUnusable();
+  }
+
+  /** Is told why an answer is not whole, though its connection was not lost. */
+  interface Flaws {
     /**
      * Called when the answer ended before its end: in the middle of an event, or, where its head
      * gives no length, before its body began.
      */
     void endedEarly();
 
-    /**
-     * Called when the answer cannot be passed on: it is no final one, its body cannot be read, or
-     * it, or one of its events, is larger than any may be.
-     */
-    void answerUnusable();
+    /** Called when another answer stands in the body, which ends with its connection. */
+    void secondAnswerFound();
   }
 
-  AnswerReader(EndpointAnswer head, HeldRequest held, Receiver receiver) {
+  AnswerReader(
+      EndpointAnswer head, HeldRequest held, RelayCodec codec, Flaws flaws, Receiver receiver) {
     this.head = head;
     this.held = held;
+    this.codec = codec;
+    this.flaws = flaws;
     this.receiver = receiver;
   }
 
@@ -71,12 +83,23 @@
     if (!head.isReadable()) {
       receiver.answerUnusable();
     } else if (stream && success) {
+      searchHeads(true);
       readEvents();
     } else {
+      searchHeads(false);
       readWhole();
     }
   }
 
+  private void searchHeads(boolean events) {
+    heads = new BodyHeads(events, (name, value) -> codec.namesAnswer(head.headers(), name, value));
+  }
+
+  /** Returns whether the next bytes of the body show that another answer stands in it. */
+  private boolean hasSecondAnswer(Buffer next) {
+    return head.framing() == AnswerFraming.CONNECTION && heads.append(next);
+  }
+
   private void readWhole() {
     head.body().handler(this::keep);
     head.body()
@@ -85,14 +108,18 @@
               if (!stopped) {
                 Buffer body = whole;
                 whole = Buffer.buffer();
-                ended(lacksBody, () -> receiver.wholeReceived(body));
+                if (heads.foundAtEnd()) {
+                  flaws.secondAnswerFound();
+                } else {
+                  ended(lacksBody, () -> receiver.wholeReceived(body));
+                }
               }
             });
   }
 
   private void ended(boolean early, Runnable inOrder) {
     if (early) {
-      receiver.endedEarly();
+      flaws.endedEarly();
     } else {
       inOrder.run();
     }
@@ -103,7 +130,9 @@
       return;
     }
     lacksBody = false;
-    if (whole.length() + (long) part.length() > held.limits().answerBytes()) {
+    if (hasSecondAnswer(part)) {
+      flaws.secondAnswerFound();
+    } else if (whole.length() + (long) part.length() > held.limits().answerBytes()) {
       receiver.answerUnusable();
     } else if (held.tryHold(part.length())) {
       whole.appendBuffer(part);
@@ -130,7 +159,15 @@
       return;
     }
     lacksBody = false;
-    receiver.eventsReceived(splitter.append(bytes));
+    List<EventSplitter.StreamEvent> events = splitter.append(bytes);
+    int own = 0;
+    while (own < events.size() && !hasSecondAnswer(events.get(own).bytes())) {
+      own++;
+    }
+    receiver.eventsReceived(events.subList(0, own));
+    if (!stopped && own < events.size()) {
+      flaws.secondAnswerFound();
+    }
     if (stopped) {
       return;
     }
--- a/org.fawndrum/src/org/fawndrum/transport/relay/AttemptPath.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/AttemptPath.java
@@ -5,6 +5,7 @@
 import org.fawndrum.coordination.AttemptEvent;
 import org.fawndrum.errors.AnswerIncompleteException;
 import org.fawndrum.errors.ProxyFailedException;
+import org.fawndrum.errors.SecondAnswerException;
 import org.fawndrum.state.Endpoint;
 import org.fawndrum.transport.proxy.ConnectionUse;
 import org.fawndrum.transport.proxy.EndpointRequest;
@@ -68,6 +69,13 @@
     return request == null ? ConnectionUse.UNKNOWN : request.use();
   }
 
+  /** Ends the connection of the attempt, so that nothing more arrives on it. */
+  void reset() {
+    if (request != null) {
+      request.reset();
+    }
+  }
+
   /** Returns the event of an attempt that found no connection. */
   static AttemptEvent notOpened(Throwable cause) {
     boolean noPath = cause instanceof ProxyFailedException failure && failure.isPathMissing();
@@ -118,6 +126,7 @@
 
   private static boolean isEndpointAtFault(Throwable cause) {
     return cause instanceof AnswerIncompleteException
+        || cause instanceof SecondAnswerException
         || cause instanceof ProxyFailedException failure && failure.isEndpointAtFault();
   }
 
--- a/org.fawndrum/src/org/fawndrum/transport/relay/RelayAttempt.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/RelayAttempt.java
@@ -246,7 +246,7 @@
       default -> {
         if (owner.continues(head)) {
           relay.decisionLog().answerBegun(head.framing());
-          answer = new AnswerReader(head, call.held(), this);
+          answer = new AnswerReader(head, call.held(), relay.codec(), end, this);
           answer.read(call.method(), call.route().kind() == RouteKind.STREAM);
         } else {
           request.reset();
@@ -320,11 +320,6 @@
     end.ended(response.framing(), this::streamCompleted);
   }
 
-  @Override
-  public void endedEarly() {
-    end.endedEarly();
-  }
-
   private void streamCompleted() {
     finish();
     owner.streamCompleted(this);
--- a/org.fawndrum/src/org/fawndrum/transport/relay/RelayCodec.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/RelayCodec.java
@@ -27,6 +27,12 @@
   /** Classifies an endpoint's response by its status and headers. */
   Answer classifyAnswer(int status, MultiMap headers, String requestId);
 
+  /**
+   * Returns whether a field names the same answer as a head does, so that it stands in another head
+   * of that answer.
+   */
+  boolean namesAnswer(MultiMap head, String name, String value);
+
   /**
    * Returns the notice in the headers of an endpoint's own response; {@link EndpointNotice#NONE} if
    * it contains none.
--- a/org.fawndrum/tst/org/fawndrum/transport/relay/AnswerReaderTest.java
+++ b/org.fawndrum/tst/org/fawndrum/transport/relay/AnswerReaderTest.java
@@ -30,7 +30,11 @@
   private final List<EventSplitter.StreamEvent> events = new ArrayList<>();
   private final AnswerReader reader =
       new AnswerReader(
-          new EndpointAnswer(200, MultiMap.caseInsensitiveMultiMap(), body), held, new Receiver());
+          new EndpointAnswer(200, MultiMap.caseInsensitiveMultiMap(), body),
+          held,
+          new FixedCodec(),
+          new Ignored(),
+          new Receiver());
 
   /** A body whose bytes the test provides. */
   private static final class Body implements ReadStream<Buffer> {
@@ -117,6 +121,15 @@
     }
   }
 
+  /** Ignores what it is told. */
+  private static final class Ignored implements AnswerReader.Flaws {
+    @Override
+    public void endedEarly() {}
+
+    @Override
+    public void secondAnswerFound() {}
+  }
+
   /** Collects the events. */
   private final class Receiver implements AnswerReader.Receiver {
     @Override
@@ -130,9 +143,6 @@
     @Override
     public void streamEnded() {}
 
-    @Override
-    public void endedEarly() {}
-
     @Override
     public void answerUnusable() {}
   }
