An answer whose length is folded into another field is not whole

Callers got a 200 with what had come until the connection closed, framed as whole, where a blank stood before Content-Length in the endpoint's head.

Cause: a line that begins with a blank continues the value before it, and the HTTP client joins the two and does not tell. The answer then has no length, ends with its connection, and its endpoint goes on.

Mend: an answer that ends with its connection is lost if a value contains Content-Length or Transfer-Encoding, and a colon (FoldedFields). Why it works: the client keeps the folded line in the value, so the field can be seen there. The price is a value that has such a text on its own.

--- a/org.fawndrum/src/org/fawndrum/transport/proxy/EndpointAnswer.java
+++ b/org.fawndrum/src/org/fawndrum/transport/proxy/EndpointAnswer.java
@@ -37,12 +37,14 @@
   /**
    * Returns whether this is a final answer whose body can be read. The HTTP client takes each
    * number for a final status, since of the interim answers it knows only 100 and 103, and passes
-   * on a body in a transfer coding that it does not know.
+   * on a body in a transfer coding that it does not know. A head whose length is folded into
+   * another field would make each part of the body a whole one.
    */
   public boolean isReadable() {
     return statusCode >= MIN_FINAL_STATUS
         && statusCode < FINAL_STATUS_END
-        && AnswerFraming.isDecoded(headers);
+        && AnswerFraming.isDecoded(headers)
+        && !(framing() == AnswerFraming.CONNECTION && FoldedFields.hideFraming(headers));
   }
 
   /** Returns what marks the end of the body. */
