Second answers to others cost a request no rest of its endpoint

Callers of an endpoint that answers twice, the second time late, got 502: 12, 24 and 27 of 80 with one, two and three such endpoints, 13 of 80 where the second answer was a refusal and 13 of 80 through another host (RepeatedStuttersTest, 6 of 6 cases failed in 1 run, MaxAttempts 2, four callers at a time, one request in five not repeatable).

Cause: an answer of somebody else made the attempt LOST. The endpoint rested for 0.5 s to 8 s and counted in the account of lost attempts though it had just spoken, and the next attempt met the next second answer on the next kept connection.

Mend: AttemptEvent.STRAY_ANSWER: the outcome is unknown, the endpoint is alive. No rest, no exclusion, no account of lost attempts, no word to other hosts. The request's next attempt has a new connection wherever it goes, and an endpoint that answered twice gets no kept connections of this host for 10 s (StutteringEndpoints), longer than idle ones live, so its second answers find nobody. Repetitions still take from the retry budget and from MaxAttempts (StrayAnswerTest). On the first use of a connection nothing changes: such an answer is corrupt, and the attempt is lost.

Weighed: new connections are priced. A stuttering endpoint costs one for each repeatable request that reaches it within 10 s of the last stray answer that was seen, at worst what requests that must not be repeated always cost; a stray answer costs an attempt, which is a second arrival and a new connection, too.

--- a/org.fawndrum/src/org/fawndrum/coordination/AttemptEvent.java
+++ b/org.fawndrum/src/org/fawndrum/coordination/AttemptEvent.java
@@ -45,5 +45,10 @@
    * The way to the endpoint was lost after the request was sent: this host's link, or the host that
    * proxied it. The endpoint is not the cause.
    */
-  PATH_LOST
+  PATH_LOST,
+  /**
+   * In the place of its answer, that to another request arrived on a connection that was kept: an
+   * endpoint answered twice. The endpoint is alive; whether it runs this request is unknown.
+   */
+  STRAY_ANSWER
 }
--- a/org.fawndrum/src/org/fawndrum/coordination/AttemptFailures.java
+++ b/org.fawndrum/src/org/fawndrum/coordination/AttemptFailures.java
@@ -68,6 +68,7 @@
         switch (event) {
           case ZONE_DRAINED -> Reason.ZONES_DRAINED;
           case NO_PATH, PATH_LOST -> Reason.NO_PATH;
+          case STRAY_ANSWER -> Reason.STRAY_ANSWER;
           default -> Reason.ENDPOINT_FAILED;
         };
     decisionRecorder.attempt(request, attempt, DecisionKind.ATTEMPT_FAILED, reason, nowMs);
--- a/org.fawndrum/src/org/fawndrum/coordination/AttemptTransitions.java
+++ b/org.fawndrum/src/org/fawndrum/coordination/AttemptTransitions.java
@@ -28,7 +28,7 @@
       case ANSWERING -> AttemptState.RUNNING;
       case ANSWERED -> AttemptState.DONE;
       case FAILED_BY_ENDPOINT -> AttemptState.FAILED;
-      case STALLED, LOST, PATH_LOST -> afterLoss(state);
+      case STALLED, LOST, PATH_LOST, STRAY_ANSWER -> afterLoss(state);
     };
   }
 
--- a/org.fawndrum/src/org/fawndrum/coordination/Reason.java
+++ b/org.fawndrum/src/org/fawndrum/coordination/Reason.java
@@ -27,6 +27,8 @@
   ENDPOINT_FAILED,
   /** This host's link to the endpoint, or the host that proxied the request, was lost. */
   NO_PATH,
+  /** The endpoint answered another request once more, in the place of this one's answer. */
+  STRAY_ANSWER,
   /** The endpoint restarted and lost the attempt. */
   ENDPOINT_RESTARTED,
   /** The deadline has passed or would pass before completion. */
--- a/org.fawndrum/src/org/fawndrum/coordination/RefusalRules.java
+++ b/org.fawndrum/src/org/fawndrum/coordination/RefusalRules.java
@@ -15,14 +15,18 @@
    */
   private static final long SHUTDOWN_RETRY_AFTER_MS = 20;
 
-  /** Events of attempts whose endpoint is not the cause. */
+  /**
+   * Events of attempts whose endpoint is not to be left out: it is not the cause, or it is alive
+   * and answers on a new connection.
+   */
   private static final Set<AttemptEvent> NOT_AT_FAULT =
       EnumSet.of(
           AttemptEvent.NO_PATH,
           AttemptEvent.ENDPOINT_BACKOFF,
           AttemptEvent.ENDPOINT_LIMITED,
           AttemptEvent.ZONE_DRAINED,
-          AttemptEvent.PATH_LOST);
+          AttemptEvent.PATH_LOST,
+          AttemptEvent.STRAY_ANSWER);
 
   private RefusalRules() {}
 
--- a/org.fawndrum/src/org/fawndrum/transport/relay/AnswerOrigin.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/AnswerOrigin.java
@@ -21,7 +21,10 @@
     this.endpoint = endpoint;
   }
 
-  /** Returns what an answer is to the attempt; logs it if it may not be that of the attempt. */
+  /**
+   * Returns what an answer is to the attempt. Logs it if it may not be that of the attempt, and
+   * tells the path if it is not.
+   */
   RelayCodec.Answer kindOf(EndpointAnswer head, AttemptPath path) {
     String requestId = call.request().requestId();
     boolean joined = head.isJoined();
@@ -41,6 +44,9 @@
               path.sentBefore(),
               path.use()));
     }
+    if (kind == RelayCodec.Answer.MISMATCHED) {
+      path.foreignAnswerReceived();
+    }
     return kind;
   }
 }
--- a/org.fawndrum/src/org/fawndrum/transport/relay/AttemptPath.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/AttemptPath.java
@@ -21,35 +21,45 @@
   private final LivenessProofs proofs;
   private final Endpoint endpoint;
   private final boolean sentBefore;
+  private final boolean newConnection;
   private EndpointRequest request;
+  private boolean mayUseKept;
+  private boolean strayReceived;
 
   /**
    * Creates a path that is not open.
    *
    * @param sentBefore whether the same request was sent to this endpoint before
+   * @param newConnection whether an earlier attempt of the request got somebody else's answer
    */
-  AttemptPath(EndpointPaths paths, LivenessProofs proofs, Endpoint endpoint, boolean sentBefore) {
+  AttemptPath(
+      EndpointPaths paths,
+      LivenessProofs proofs,
+      Endpoint endpoint,
+      boolean sentBefore,
+      boolean newConnection) {
     this.paths = paths;
     this.proofs = proofs;
     this.endpoint = endpoint;
     this.sentBefore = sentBefore;
+    this.newConnection = newConnection;
   }
 
   /**
    * Returns a request on an open connection; nothing has been sent to the endpoint. The connection
    * is a new one if the endpoint had the same request before: on a kept one, a late second answer
-   * to the earlier attempt would look like the answer to this one.
+   * to the earlier attempt would look like the answer to this one. It is also new where a second
+   * answer to another request is likely: the endpoint sent one lately, or the request already lost
+   * an attempt to one, and may not have a third.
    *
    * @param remainingMs how long it may take from now on, in milliseconds
    */
   Future<EndpointRequest> open(RelayCall call, long remainingMs) {
+    boolean doubtful = sentBefore || newConnection || paths.isStuttering(endpoint);
+    mayUseKept = call.route().repeatable() && !doubtful;
     EndpointRequests.Call summary =
         new EndpointRequests.Call(
-            call.method(),
-            call.uri(),
-            call.route().repeatable() && !sentBefore,
-            call.request().requestId(),
-            remainingMs);
+            call.method(), call.uri(), mayUseKept, call.request().requestId(), remainingMs);
     return paths.request(endpoint, summary).onSuccess(opened -> request = opened);
   }
 
@@ -68,6 +78,25 @@
     return request == null ? ConnectionUse.UNKNOWN : request.use();
   }
 
+  /**
+   * Returns whether the connection may have carried another request before. That of a request
+   * through another host is known to be new only if that was asked for.
+   */
+  boolean isKept() {
+    return mayUseKept && use().isKept();
+  }
+
+  /**
+   * Records that an answer arrived that is not the attempt's own. On a connection that was kept,
+   * the endpoint answered an earlier request twice; the first answer on a new one is a corrupt one.
+   */
+  void foreignAnswerReceived() {
+    if (isKept()) {
+      strayReceived = true;
+      paths.stuttered(endpoint);
+    }
+  }
+
   /** Returns the event of an attempt that found no connection. */
   static AttemptEvent notOpened(Throwable cause) {
     boolean noPath = cause instanceof ProxyFailedException failure && failure.isPathMissing();
@@ -104,6 +133,9 @@
 
   /** Returns the event of an attempt that is ended because nothing reliable arrives. */
   AttemptEvent abandoned() {
+    if (strayReceived) {
+      return AttemptEvent.STRAY_ANSWER;
+    }
     return isLost() ? AttemptEvent.PATH_LOST : AttemptEvent.LOST;
   }
 
--- a/org.fawndrum/src/org/fawndrum/transport/relay/EndpointPaths.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/EndpointPaths.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
+import org.fawndrum.coordination.StutteringEndpoints;
 import org.fawndrum.coordination.link.EndpointLinks;
 import org.fawndrum.coordination.link.ProxySelector;
 import org.fawndrum.coordination.membership.FleetMember;
@@ -51,6 +52,7 @@
   private final LinkLog linkLog;
   private final LinkChecks checks;
   private final ConnectionUses uses = new ConnectionUses();
+  private final StutteringEndpoints stuttering = new StutteringEndpoints();
 
   /** Why a connection to an endpoint was lost. */
   enum Loss {
@@ -192,6 +194,16 @@
     links.heard(endpoint.name(), clock.nowMs());
   }
 
+  /** Records that an endpoint answered a request twice, over whatever path. */
+  void stuttered(Endpoint endpoint) {
+    stuttering.stuttered(endpoint.identity(), clock.nowMs());
+  }
+
+  /** Returns whether an endpoint answered a request twice not long ago. */
+  boolean isStuttering(Endpoint endpoint) {
+    return stuttering.isRemembered(endpoint.identity(), clock.nowMs());
+  }
+
   /** Returns whether this host failed to connect to an endpoint since its last data. */
   boolean isUnreached(Endpoint endpoint) {
     return links.isUnreached(endpoint.name());
--- a/org.fawndrum/src/org/fawndrum/transport/relay/RelayExchange.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/RelayExchange.java
@@ -42,6 +42,9 @@
   private long lastEventId;
   private boolean handedOver;
 
+  /** Whether an attempt got the answer to another request. */
+  private boolean strayReceived;
+
   /** Whether the caller's answer has a head; it can get no other one. */
   private boolean answerBegun;
 
@@ -90,7 +93,8 @@
             send.helpers(),
             relay.log());
     boolean sentBefore = !sentTo.add(send.endpoint().name());
-    AttemptPath path = new AttemptPath(relay.paths(), relay.proofs(), send.endpoint(), sentBefore);
+    AttemptPath path =
+        new AttemptPath(relay.paths(), relay.proofs(), send.endpoint(), sentBefore, strayReceived);
     call.held().endpointWaits(false);
     currentAttempt = new RelayAttempt(send, call, lastEventId, path, relay, memory, this);
     currentAttempt.start();
@@ -261,6 +265,7 @@
 
   @Override
   public void failed(RelayAttempt attempt, AttemptEvent event) {
+    strayReceived |= event == AttemptEvent.STRAY_ANSWER;
     attemptListener.onEvent(attempt.id(), event);
   }
 
