A refusal that names no request is believed on a new connection only

What callers saw: 503, "not run", for a request that an endpoint was running. An endpoint that answers twice had refused an earlier request on that connection (503 with X-Not-Executed, or 421, both without an id); the late second refusal counted as that of the next request, which went elsewhere as not run and ran twice where it could.

Cause: order stood in for identity: PlatformCodec.classifyAnswer reads a refusal before it asks for the id, and nothing compared which use of its connection the attempt was.

On the first use nothing can be under way from before, so it is believed as ever; requests that must not be repeated always have a first use.

Price: an endpoint that never names requests in its refusals would be taken for one that answers twice and get new connections.

FixedCodec, a test's codec, has the new method of the interface.

--- a/org.fawndrum/src/org/fawndrum/transport/relay/AnswerOrigin.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/AnswerOrigin.java
@@ -28,8 +28,10 @@
   RelayCodec.Answer kindOf(EndpointAnswer head, AttemptPath path) {
     String requestId = call.request().requestId();
     boolean joined = head.isJoined();
+    // On a kept connection, an answer to nobody in particular may be a late one to somebody else.
+    boolean unnamed = path.isKept() && !codec.namesRequest(head.headers());
     RelayCodec.Answer kind =
-        joined
+        joined || unnamed
             ? RelayCodec.Answer.MISMATCHED
             : codec.classifyAnswer(head.statusCode(), head.headers(), requestId);
     boolean keptForSame = path.sentBefore() && path.use().isKept();
--- a/org.fawndrum/src/org/fawndrum/transport/relay/RelayCodec.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/RelayCodec.java
@@ -27,6 +27,12 @@
   /** Classifies an endpoint's response by its status and headers. */
   Answer classifyAnswer(int status, MultiMap headers, String requestId);
 
+  /**
+   * Returns whether an endpoint's response names the request that it answers. One that does not may
+   * be a late answer to an earlier request on its connection.
+   */
+  boolean namesRequest(MultiMap headers);
+
   /**
    * Returns the notice in the headers of an endpoint's own response; {@link EndpointNotice#NONE} if
    * it contains none.
--- a/org.fawndrum/tst/org/fawndrum/transport/relay/FixedCodec.java
+++ b/org.fawndrum/tst/org/fawndrum/transport/relay/FixedCodec.java
@@ -25,6 +25,11 @@
     throw new UnsupportedOperationException();
   }
 
+  @Override
+  public boolean namesRequest(MultiMap headers) {
+    throw new UnsupportedOperationException();
+  }
+
   @Override
   public EndpointNotice readNotice(int status, MultiMap headers) {
     throw new UnsupportedOperationException();
