--- a/org.fawndrum/src/org/fawndrum/transport/relay/AnswerOrigin.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/AnswerOrigin.java
@@ -21,12 +21,17 @@
     this.endpoint = endpoint;
   }
 
-  /** Returns what an answer is to the attempt; logs it if it may not be that of the attempt. */
+  /**
+   * Returns what an answer is to the attempt. Logs it if it may not be that of the attempt, and
+   * tells the path if it is not.
+   */
   RelayCodec.Answer kindOf(EndpointAnswer head, AttemptPath path) {
     String requestId = call.request().requestId();
     boolean joined = head.isJoined();
+    // On a kept connection, an answer to nobody in particular may be a late one to somebody else.
+    boolean unnamed = path.isKept() && !codec.namesRequest(head.headers());
     RelayCodec.Answer kind =
-        joined
+        joined || unnamed
             ? RelayCodec.Answer.MISMATCHED
             : codec.classifyAnswer(head.statusCode(), head.headers(), requestId);
     boolean keptForSame = path.sentBefore() && path.use().isKept();
@@ -41,6 +46,9 @@
               path.sentBefore(),
               path.use()));
     }
+    if (kind == RelayCodec.Answer.MISMATCHED) {
+      path.foreignAnswerReceived();
+    }
     return kind;
   }
 }
--- a/org.fawndrum/tst/org/fawndrum/transport/relay/FixedCodec.java
+++ b/org.fawndrum/tst/org/fawndrum/transport/relay/FixedCodec.java
@@ -30,6 +30,11 @@
     return false;
   }
 
+  @Override
+  public boolean namesRequest(MultiMap headers) {
+    throw new UnsupportedOperationException();
+  }
+
   @Override
   public EndpointNotice readNotice(int status, MultiMap headers) {
     throw new UnsupportedOperationException();
