--- a/org.fawndrum/src/org/fawndrum/transport/peer/NettyPeerNetwork.java
+++ b/org.fawndrum/src/org/fawndrum/transport/peer/NettyPeerNetwork.java
@@ -16,6 +16,7 @@
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.util.AttributeKey;
 import io.netty.util.concurrent.DefaultThreadFactory;
+import io.netty.util.concurrent.EventExecutor;
 import java.net.InetSocketAddress;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
@@ -95,6 +96,11 @@
     return listening;
   }
 
+  /** Returns the event loop of all connections. */
+  public EventExecutor eventLoop() {
+    return loop.next();
+  }
+
   /** Returns the bound port. */
   public int port() {
     return ((InetSocketAddress) server.localAddress()).getPort();
--- a/org.fawndrum/src/org/fawndrum/transport/relay/RelayRuntime.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/RelayRuntime.java
@@ -2,9 +2,12 @@
 package org.fawndrum.transport.relay;
 
 import com.codahale.metrics.MetricRegistry;
+import io.netty.util.concurrent.EventExecutor;
 import io.vertx.core.Future;
 import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
+import io.vertx.core.internal.VertxInternal;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import java.util.Random;
@@ -133,7 +136,7 @@
         adapter,
         routes,
         this::bounds,
-        this::isLeader,
+        () -> fleet.zoneLeader() == null,
         this::applyListing,
         starts,
         clock,
@@ -148,7 +151,7 @@
   private RequestCoordinator newCoordinator(EndpointRestrictions restrictions) {
     RetryShare retries = new RetryShare(settings.bounds(), this::otherDaemons, this::hasSeeds);
     Policies policies =
-        Policies.engineModel(retries.budget(), this::manyDaemons, this::silentZones)
+        Policies.engineModel(retries.budget(), () -> fleet.manyDaemons(), this::silentZones)
             .withAllHostsReporting(this::allHostsReporting);
     return new RequestCoordinator(self, settings.zone(), policies, restrictions);
   }
@@ -172,14 +175,6 @@
     return settings.bounds();
   }
 
-  private boolean isLeader() {
-    return fleet.zoneLeader() == null;
-  }
-
-  private StorePositions storePositions() {
-    return store.positions();
-  }
-
   private int otherDaemons() {
     return fleet.knownPeerCount();
   }
@@ -209,7 +204,7 @@
     return new FleetDuty(
         self,
         this::settingsInForce,
-        this::storePositions,
+        () -> store.positions(),
         decisions::crashSummary,
         restrictions,
         notices::logRate,
@@ -296,10 +291,6 @@
     fleet.announce(update);
   }
 
-  private boolean manyDaemons() {
-    return fleet.manyDaemons();
-  }
-
   private boolean allHostsReporting() {
     return fleet.allHostsReporting();
   }
@@ -338,6 +329,15 @@
             });
   }
 
+  /** Returns the event loops of this host and of its Vert.x instance. */
+  public List<EventExecutor> eventLoops() {
+    List<EventExecutor> loops = new ArrayList<>();
+    loops.add(network.eventLoop());
+    ((VertxInternal) vertx).eventLoopGroup().forEach(loops::add);
+    ((VertxInternal) vertx).acceptorEventLoopGroup().forEach(loops::add);
+    return loops;
+  }
+
   /** Returns whether this host accepts callers: it has the required state and is not draining. */
   public boolean isReady() {
     return !drain.started() && hasState() && isConfigurationUsable();
