--- a/org.fawndrum/src/org/fawndrum/transport/peer/NettyPeerNetwork.java
+++ b/org.fawndrum/src/org/fawndrum/transport/peer/NettyPeerNetwork.java
@@ -9,6 +9,7 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
@@ -21,7 +22,9 @@
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
 import java.util.concurrent.atomic.AtomicLong;
 import org.fawndrum.errors.PeerUnreachableException;
 import org.fawndrum.internal.log.HostLog;
@@ -163,10 +166,17 @@
             write(channel, request);
           }
         });
+    // What has arrived by then is read before it is found that a reply is missing.
+    Future<?> timeout =
+        loop.next()
+            .schedule(
+                () -> afterReading(() -> reply.completeExceptionally(new TimeoutException())),
+                REPLY_TIMEOUT_MS,
+                TimeUnit.MILLISECONDS);
     return reply
-        .orTimeout(REPLY_TIMEOUT_MS, TimeUnit.MILLISECONDS)
         .whenComplete(
             (answer, failure) -> {
+              timeout.cancel(false);
               pendingReplies.remove(exchange);
               if (failure != null) {
                 dropUnanswered(to, connection, exchange);
@@ -202,6 +212,13 @@
     }
   }
 
+  @Override
+  public void afterReading(Runnable step) {
+    // A scheduled task runs in the next round of the loop, after all connections that can be read.
+    EventLoop thread = loop.next();
+    thread.execute(() -> thread.schedule(step, 1, TimeUnit.NANOSECONDS));
+  }
+
   private void write(Channel channel, PeerMessage message) {
     byte[] bytes = message.toByteArray();
     bytesSent.addAndGet(bytes.length);
--- a/org.fawndrum/tst/org/fawndrum/transport/relay/SimulatedHost.java
+++ b/org.fawndrum/tst/org/fawndrum/transport/relay/SimulatedHost.java
@@ -111,6 +111,7 @@
             adapter,
             routes,
             () -> bounds,
+            () -> 0,
             () -> zoneLeader() == null,
             listing -> {},
             null,
@@ -263,6 +264,12 @@
     return reply;
   }
 
+  @Override
+  public void afterReading(Runnable step) {
+    // Messages are handled when they arrive.
+    step.run();
+  }
+
   @Override
   public void disconnect(HostAddress peer) {
     // Connections have no state here.
