Parts that crash engines: silence after a first event clears none

Cause: that time had passed was taken for a sign that the engine went on.

Change: the engine is asked over a new connection (LivenessProofs) half a second after the first event; its answer clears the parts, and until it comes a crash counts. Only answers with a part of known crashes are concerned.

Evidence: SoundPartsTest.silenceAfterAFirstEventDoesNotClearAPart failed before (1 of 1 run); the other cases of SoundPartsTest need the new event and have no run before. After: SoundPartsTest, SuspectedRequestsTest, AttemptTransitionsTest, CoordinatorHistoryTest, CrashingPartTest (1 run each, load average 40 to 67).

--- a/org.fawndrum/src/org/fawndrum/coordination/Action.java
+++ b/org.fawndrum/src/org/fawndrum/coordination/Action.java
@@ -60,6 +60,12 @@
   /** Cancels an abandoned attempt at its endpoint, and releases what it holds. */
   record Cancel(AttemptId attempt, Endpoint endpoint) implements Action {}
 
+  /**
+   * Asks the endpoint of an attempt whose answer has begun whether it goes on; {@link
+   * AttemptEvent#ALIVE} follows if it does.
+   */
+  record AskEndpoint(AttemptId attempt) implements Action {}
+
   /** Sends the caller a refusal as its final answer. */
   record Refuse(String requestId, Refusal refusal) implements Action {}
 
--- a/org.fawndrum/src/org/fawndrum/coordination/AttemptEvent.java
+++ b/org.fawndrum/src/org/fawndrum/coordination/AttemptEvent.java
@@ -30,6 +30,8 @@
   REFUSED_BY_ENDPOINT,
   /** Part of the answer arrived. */
   ANSWERING,
+  /** The endpoint answered a question that was sent while its answer went on. */
+  ALIVE,
   /** The whole answer arrived. */
   ANSWERED,
   /** The endpoint reports that it ran the request and failed. */
--- a/org.fawndrum/src/org/fawndrum/coordination/OpenRequest.java
+++ b/org.fawndrum/src/org/fawndrum/coordination/OpenRequest.java
@@ -57,6 +57,9 @@
     /** When its answer began; {@link #NOT_ANSWERING} before. */
     long answeringSinceMs = NOT_ANSWERING;
 
+    /** Whether its endpoint was asked whether it goes on, and has not answered. */
+    boolean isDoubtful;
+
     /** The helper engine that caused the refusal of the attempt; null if none did. */
     HostIdentity failedHelper;
 
--- a/org.fawndrum/src/org/fawndrum/coordination/RequestCoordinator.java
+++ b/org.fawndrum/src/org/fawndrum/coordination/RequestCoordinator.java
@@ -266,6 +266,10 @@
     if (attempt == null || event == AttemptEvent.STALLED && attempt.state.ended()) {
       return flush(nowMs);
     }
+    if (event == AttemptEvent.ALIVE) {
+      suspected.endpointAlive(request, attempt);
+      return flush(nowMs);
+    }
     if (event == AttemptEvent.STALLED && offers.checkAvailability(request, nowMs) != null) {
       // No endpoint could take over, and this one may still be generating.
       return flush(nowMs);
--- a/org.fawndrum/src/org/fawndrum/coordination/SoundParts.java
+++ b/org.fawndrum/src/org/fawndrum/coordination/SoundParts.java
@@ -7,14 +7,15 @@
 import java.util.List;
 
 /**
- * Answers that have begun and have suspected parts in their prompts. Once one has been written for
- * a time, its endpoint has survived these parts. Confined to the coordinator's thread; times are
- * those of the host's clock, in milliseconds.
+ * Answers that have begun and have suspected parts in their prompts. Once one has gone on for a
+ * time, its endpoint may have survived these parts, and is asked whether it has: an endpoint that
+ * fell silent while its connection stayed open has not. Confined to the coordinator's thread; times
+ * are those of the host's clock, in milliseconds.
  */
 final class SoundParts {
   /**
-   * How long an answer is written before its parts count as sound. A part that crashes endpoints
-   * does so as its answer begins, and the host knows it within 50 ms.
+   * How long an answer goes on before its parts may count as sound. A part that crashes endpoints
+   * does so as its answer begins, and the host mostly knows it within 50 ms.
    */
   static final long SOUND_AFTER_MS = 500;
 
@@ -37,19 +38,19 @@
     }
   }
 
-  /** Removes the answers that have been watched for long enough; returns those that go on. */
-  List<Watched> takeSound(long nowMs) {
-    List<Watched> sound = new ArrayList<>();
+  /** Removes the answers that have been watched for long enough; returns those without an end. */
+  List<Watched> takeDue(long nowMs) {
+    List<Watched> due = new ArrayList<>();
     while (!watched.isEmpty() && watched.peekFirst().dueMs() <= nowMs) {
       Watched first = watched.removeFirst();
       if (!first.attempt().state.ended()) {
-        sound.add(first);
+        due.add(first);
       }
     }
-    return sound;
+    return due;
   }
 
-  /** Returns when {@link #takeSound} is next due, or {@link Long#MAX_VALUE}. */
+  /** Returns when {@link #takeDue} is next due, or {@link Long#MAX_VALUE}. */
   long dueMs() {
     return watched.isEmpty() ? Long.MAX_VALUE : watched.peekFirst().dueMs();
   }
--- a/org.fawndrum/src/org/fawndrum/coordination/SuspectedRequests.java
+++ b/org.fawndrum/src/org/fawndrum/coordination/SuspectedRequests.java
@@ -181,7 +181,8 @@
   private static LostAttempts.LostAttempt lostAttempt(
       OpenRequest request, OpenRequest.Attempt attempt, long nowMs) {
     HostIdentity endpoint = attempt.endpoint.endpoint().identity();
-    boolean answering = attempt.wasAnsweringAt(nowMs - SoundParts.SOUND_AFTER_MS);
+    boolean answering =
+        !attempt.isDoubtful && attempt.wasAnsweringAt(nowMs - SoundParts.SOUND_AFTER_MS);
     return new LostAttempts.LostAttempt(
         request.facts.content(), endpoint, attempt.sentMs, nowMs, answering);
   }
@@ -190,6 +191,20 @@
     attempt.asCrash().ifPresent(crash -> publish(crashRegistry.recordCrash(crash, attempt.atMs())));
   }
 
+  /** Asks the endpoint of an answer that has begun whether it goes on. */
+  private void askEndpoint(OpenRequest.Attempt attempt) {
+    attempt.isDoubtful = true;
+    actions.add(new Action.AskEndpoint(attempt.id));
+  }
+
+  /** Records that the endpoint of an answer goes on: the parts of the prompt are sound. */
+  void endpointAlive(OpenRequest request, OpenRequest.Attempt attempt) {
+    if (!attempt.state.ended()) {
+      attempt.isDoubtful = false;
+      recordSound(request, attempt);
+    }
+  }
+
   /** Records that an answer began. If its endpoint goes on, the parts of the prompt are sound. */
   void answerBegan(OpenRequest request, OpenRequest.Attempt attempt) {
     if (crashRegistry.hasSuspectedPart(request.facts.content())) {
@@ -221,7 +236,7 @@
    * refused.
    */
   void decide(long nowMs, Consumer<OpenRequest> released) {
-    soundParts.takeSound(nowMs).forEach(sound -> recordSound(sound.request(), sound.attempt()));
+    soundParts.takeDue(nowMs).forEach(watched -> askEndpoint(watched.attempt()));
     if (nowMs >= crashRegistry.nextDecisionMs()) {
       crashRegistry.allHostsReporting(allHostsReporting.getAsBoolean());
     }
--- a/org.fawndrum/src/org/fawndrum/transport/Exchange.java
+++ b/org.fawndrum/src/org/fawndrum/transport/Exchange.java
@@ -15,6 +15,12 @@
   /** Cancels an attempt and frees its resources on the endpoint. */
   void cancel(Action.Cancel cancel);
 
+  /**
+   * Asks the endpoint of an attempt whether it goes on. Not called, and without effect, where the
+   * contents of requests are not compared.
+   */
+  default void askEndpoint(Action.AskEndpoint ask) {}
+
   /** Answers the caller with a refusal. */
   void refuse(Refusal refusal);
 
--- a/org.fawndrum/src/org/fawndrum/transport/relay/AttemptPath.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/AttemptPath.java
@@ -129,14 +129,18 @@
    */
   record EndCheck(boolean whole, String found) {}
 
+  /** Completes when the endpoint has answered a question that is sent now; fails if it does not. */
+  Future<Void> proveAlive() {
+    return proofs.prove(endpoint);
+  }
+
   /**
    * Determines whether the endpoint went on after its answer, over any path to it. An answer that
    * ended together with its endpoint is not known to be whole, and neither is one of an endpoint
    * that nobody reaches any more. Never fails.
    */
   Future<EndCheck> checkEnd() {
-    return proofs
-        .prove(endpoint)
+    return proveAlive()
         .map(proved -> new EndCheck(true, ANSWERED))
         .otherwise(cause -> new EndCheck(false, cause.toString()));
   }
--- a/org.fawndrum/src/org/fawndrum/transport/relay/RelayExchange.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/RelayExchange.java
@@ -103,6 +103,16 @@
     }
   }
 
+  @Override
+  public void askEndpoint(Action.AskEndpoint ask) {
+    if (!finished && currentAttempt != null && currentAttempt.isOf(ask.attempt())) {
+      currentAttempt
+          .path()
+          .proveAlive()
+          .onSuccess(proof -> attemptListener.onEvent(ask.attempt(), AttemptEvent.ALIVE));
+    }
+  }
+
   @Override
   public boolean anyRequestSent() {
     return handedOver;
