Hosts without links: one request at a time tries a host that said nothing

Until a suspended host is suspected, after 3.5 s, it was asked again each 0.2 s, by all requests of the moment, since it had the fewest.

Change: a host that says nothing again is passed over for 0.4 s, then 0.8 s; until it answers, one request at a time tries it, if anybody else can be asked.

Evidence: two new cases of ProxySelectorTest failed before (1 of 1 run), hold after (1 of 1).

--- a/org.fawndrum/src/org/fawndrum/coordination/link/ProxySelector.java
+++ b/org.fawndrum/src/org/fawndrum/coordination/link/ProxySelector.java
@@ -22,9 +22,16 @@
   /** How long a host is passed over that said that it cannot help. */
   private static final long REST_MS = 1_000;
 
-  /** How long a host is passed over that did not answer in time; it may only be busy. */
+  /**
+   * How long a host is passed over that did not answer in time; it may only be busy. Twice as long
+   * after each further time in a row: each request asked of a suspended host loses its permit while
+   * it waits, and other hosts suspect that one after seconds only.
+   */
   private static final long SILENT_REST_MS = 200;
 
+  /** How long such a host is passed over at most: it may be the only one with links. */
+  private static final long MAX_SILENT_REST_MS = 800;
+
   /** An odd number with evenly spread bits: 2^32 divided by the golden ratio. */
   private static final int HASH_FACTOR = 0x9E3779B1;
 
@@ -35,6 +42,9 @@
   private final Map<HostIdentity, Integer> inUse = new HashMap<>();
   private final Map<HostIdentity, Long> restUntilMs = new HashMap<>();
 
+  /** How long each host was passed over that has not answered since, in milliseconds. */
+  private final Map<HostIdentity, Long> silentRestMs = new HashMap<>();
+
   /**
    * Creates a selector.
    *
@@ -48,7 +58,8 @@
 
   /**
    * Returns the host to ask, and counts a request there until {@link #released}; empty if none can
-   * be expected to help. If all were passed over, the one that is so for the shortest time is asked
+   * be expected to help. A host that did not answer is tried by one request at a time, unless no
+   * other can be asked. If all were passed over, the one that is so for the shortest time is asked
    * as the only one for this request: it may be able to help again.
    *
    * @param live the live hosts
@@ -66,7 +77,8 @@
         eligible.stream()
             .filter(member -> !restUntilMs.containsKey(member.identity()))
             .min(
-                Comparator.comparingInt((FleetMember m) -> inUse.getOrDefault(m.identity(), 0))
+                Comparator.comparing((FleetMember member) -> isBeingTried(member.identity()))
+                    .thenComparingInt(member -> inUse.getOrDefault(member.identity(), 0))
                     .thenComparing(member -> !member.zone().equals(zone))
                     .thenComparingInt(member -> order(member.identity().host())));
     if (chosen.isEmpty() && asked.isEmpty()) {
@@ -76,6 +88,11 @@
     return chosen;
   }
 
+  /** Whether a host has not answered for a time, and a request has been sent there since. */
+  private boolean isBeingTried(HostIdentity host) {
+    return silentRestMs.containsKey(host) && inUse.containsKey(host);
+  }
+
   /** Returns the place of a host in this host's own order of all hosts. */
   private int order(String host) {
     // The multiplication spreads names that differ only in their last digits.
@@ -93,6 +110,19 @@
    * @param answered whether it said so, rather than nothing in time
    */
   public synchronized void failed(HostIdentity host, boolean answered, long nowMs) {
-    restUntilMs.put(host, nowMs + (answered ? REST_MS : SILENT_REST_MS));
+    if (answered) {
+      answered(host);
+      restUntilMs.put(host, nowMs + REST_MS);
+      return;
+    }
+    long restMs =
+        silentRestMs.merge(
+            host, SILENT_REST_MS, (last, first) -> Math.min(2 * last, MAX_SILENT_REST_MS));
+    restUntilMs.put(host, nowMs + restMs);
+  }
+
+  /** Records that a host answered, whether or not it could help. */
+  public synchronized void answered(HostIdentity host) {
+    silentRestMs.remove(host);
   }
 }
--- a/org.fawndrum/src/org/fawndrum/transport/proxy/ProxyClient.java
+++ b/org.fawndrum/src/org/fawndrum/transport/proxy/ProxyClient.java
@@ -85,13 +85,16 @@
     HostIdentity host = proxy.get().identity();
     asked.add(host);
     return connect(proxy.get(), open)
+        .onSuccess(opened -> selector.answered(host))
         .recover(
             cause -> {
               if (cause instanceof ProxyFailedException failure && failure.isEndpointAtFault()) {
+                selector.answered(host);
                 return Future.failedFuture(failure);
               }
               ProxyFailure.Kind kind = kindOf(cause);
               if (kind == ProxyFailure.Kind.CLOSED) {
+                selector.answered(host);
                 return openAt(open, asked, kind);
               }
               selector.failed(host, kind != ProxyFailure.Kind.UNSPECIFIED, clock.nowMs());
--- a/org.fawndrum/tst/org/fawndrum/coordination/link/ProxySelectorTest.java
+++ b/org.fawndrum/tst/org/fawndrum/coordination/link/ProxySelectorTest.java
@@ -71,6 +71,32 @@
     assertEquals(Optional.empty(), take(live, asked, NOW_MS + 2), "no request tries all again");
   }
 
+  /**
+   * In soak seed 96001 a host was suspended just after its start: until it was suspected, others
+   * without links asked it again and again, and lost the permits of the requests meanwhile.
+   */
+  @Test
+  void aHostThatSaysNothingAgainIsPassedOverForLonger() {
+    List<FleetMember> live = List.of(member("a-1", "zone-a", PORT), member("b-1", "zone-b", PORT));
+    HostIdentity silent = new HostIdentity("a-1", 1);
+    selector.failed(silent, false, NOW_MS);
+    selector.failed(silent, false, NOW_MS + 600);
+    assertEquals(Optional.of("b-1"), take(live, Set.of(), NOW_MS + 600 + 399));
+    selector.released(new HostIdentity("b-1", 1));
+    assertEquals(Optional.of("a-1"), take(live, Set.of(), NOW_MS + 600 + 400));
+  }
+
+  /** Every request that is asked of a suspended host loses the time that it waits for it. */
+  @Test
+  void aHostThatWasSilentIsTriedByOneRequestAtATime() {
+    List<FleetMember> live = List.of(member("a-1", "zone-a", PORT), member("b-1", "zone-b", PORT));
+    selector.failed(new HostIdentity("a-1", 1), false, NOW_MS);
+    long laterMs = NOW_MS + 1_000;
+    assertEquals(Optional.of("a-1"), take(live, Set.of(), laterMs));
+    assertEquals(Optional.of("b-1"), take(live, Set.of(), laterMs));
+    assertEquals(Optional.of("b-1"), take(live, Set.of(), laterMs));
+  }
+
   /** The same host would fail the same request again. */
   @Test
   void noHostIsAskedTwiceForARequest() {
