--- a/org.fawndrum/src/org/fawndrum/transport/ProcessExit.java
+++ b/org.fawndrum/src/org/fawndrum/transport/ProcessExit.java
@@ -15,10 +15,10 @@
  */
 public final class ProcessExit {
   /**
-   * Maximum wait for the loops, in milliseconds. An idle loop is held within a fraction of one; a
-   * loop that is not held in time runs a task, which is not native code.
+   * Maximum wait for the loops, in milliseconds: no longer than the JVM would wait. An idle loop is
+   * held within a fraction of one, on a busy machine as soon as its thread gets a core.
    */
-  private static final long HOLD_MS = 50;
+  private static final long HOLD_MS = 300;
 
   private final List<EventExecutor> loops;
   private final Runnable halt;
