Own interface: each plain call has a connection of its own

Seen: callers of the project's own daemons got the second answer of a plain service to an earlier request in the place of their own (status and body), on routes whose requests may be repeated. A second "x-ran: no" would count in the same way as the refusal of the next request, by reading.

Cause: these calls kept connections, services repeat no id, and the HTTP client matches answers by their order.

Change: all plain calls use the client for a single use, as those did that may not be repeated.

Price: a new connection for each repeatable call; nothing is charged for it on this interface, and its processor time was not measured.

--- a/org.fawndrum/src/org/fawndrum/transport/ExchangeFactory.java
+++ b/org.fawndrum/src/org/fawndrum/transport/ExchangeFactory.java
@@ -17,8 +17,7 @@
   private final EngineCalls engines;
   private final AttemptListener attemptListener;
   private final TokenListener tokenListener;
-  private final HttpClientAgent pooledClient;
-  private final HttpClientAgent singleUseClient;
+  private final HttpClientAgent plainClient;
 
   ExchangeFactory(
       Vertx vertx,
@@ -29,11 +28,11 @@
     this.attemptListener = attemptListener;
     this.tokenListener = tokenListener;
     PoolOptions pool = new PoolOptions().setHttp1MaxSize(MAX_CONNECTIONS_PER_SERVICE);
-    this.pooledClient =
-        vertx.createHttpClient(new HttpClientOptions().setConnectTimeout(CONNECT_TIMEOUT_MS), pool);
-    // A service may close a pooled connection just as a call is written to it, which leaves the
-    // outcome unknown. Requests that must not be repeated therefore use a new connection each.
-    this.singleUseClient =
+    // Each call of a plain service has a connection of its own. Answers carry no id, and a service
+    // may answer twice: on a kept connection, the second answer would be taken for that to the next
+    // call. It may also close one just as a call is written to it, which leaves the outcome
+    // unknown.
+    this.plainClient =
         vertx.createHttpClient(
             new HttpClientOptions().setConnectTimeout(CONNECT_TIMEOUT_MS).setKeepAlive(false),
             pool);
@@ -54,7 +53,6 @@
       PlainExchange.PlainCall call,
       HttpServerResponse response,
       Context context) {
-    HttpClientAgent client = facts.repeatable() ? pooledClient : singleUseClient;
-    return new PlainExchange(facts, call, response, context, client, attemptListener);
+    return new PlainExchange(facts, call, response, context, plainClient, attemptListener);
   }
 }
