Own interface: an answer with a joined head is lost

Cause: the HTTP client takes both for one head; only the relay looked for that (JoinedHeads).

Change: PlainExchange, EngineStream and EngineCalls fail such an answer and close its connection, as the relay does. Since each of these calls has a connection of its own, both answers are to the same call; loads keep connections and are checked, too.

--- a/org.fawndrum/src/org/fawndrum/transport/EngineCalls.java
+++ b/org.fawndrum/src/org/fawndrum/transport/EngineCalls.java
@@ -6,18 +6,21 @@
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClientAgent;
 import io.vertx.core.http.HttpClientOptions;
+import io.vertx.core.http.HttpClientResponse;
 import io.vertx.core.http.HttpMethod;
 import io.vertx.core.http.PoolOptions;
 import io.vertx.core.http.RequestOptions;
 import java.io.IOException;
 import java.util.concurrent.CompletableFuture;
 import org.fawndrum.coordination.AttemptId;
+import org.fawndrum.errors.AnswerJoinedException;
 import org.fawndrum.errors.EndpointAnsweredWrongException;
 import org.fawndrum.errors.EndpointUnreachableException;
 import org.fawndrum.protocol.EngineMessages.Cancel;
 import org.fawndrum.protocol.EngineMessages.Load;
 import org.fawndrum.protocol.Json;
 import org.fawndrum.state.Endpoint;
+import org.fawndrum.transport.proxy.EndpointAnswer;
 
 /**
  * HTTP client for model engines. Safe for all threads.
@@ -124,12 +127,16 @@
     return client
         .request(options)
         .compose(request -> request.send(Buffer.buffer(body)))
-        .compose(
-            response ->
-                response.statusCode() == HTTP_OK
-                    ? response.body()
-                    : Future.failedFuture(
-                        new EndpointAnsweredWrongException(
-                            endpoint.name(), response.statusCode(), null)));
+        .compose(response -> body(endpoint, response));
+  }
+
+  private static Future<Buffer> body(Endpoint endpoint, HttpClientResponse response) {
+    int status = response.statusCode();
+    if (EndpointAnswer.of(response).isJoined()) {
+      return Future.failedFuture(new AnswerJoinedException(status));
+    }
+    return status == HTTP_OK
+        ? response.body()
+        : Future.failedFuture(new EndpointAnsweredWrongException(endpoint.name(), status, null));
   }
 }
--- a/org.fawndrum/src/org/fawndrum/transport/EngineStream.java
+++ b/org.fawndrum/src/org/fawndrum/transport/EngineStream.java
@@ -15,6 +15,7 @@
 import org.fawndrum.protocol.EngineMessages.StreamOrder;
 import org.fawndrum.protocol.Json;
 import org.fawndrum.state.HostAddress;
+import org.fawndrum.transport.proxy.EndpointAnswer;
 
 /**
  * One streaming call of an engine, confined to one event loop. Passes each event of the stream and
@@ -103,6 +104,11 @@
     }
     response = answer;
     restartSilenceTimer();
+    if (EndpointAnswer.of(answer).isJoined()) {
+      // Its status is that of an answer that was broken off.
+      fail();
+      return;
+    }
     if (answer.statusCode() == HTTP_UNAVAILABLE) {
       end();
       listener.notRun();
--- a/org.fawndrum/src/org/fawndrum/transport/PlainExchange.java
+++ b/org.fawndrum/src/org/fawndrum/transport/PlainExchange.java
@@ -2,6 +2,7 @@
 package org.fawndrum.transport;
 
 import io.vertx.core.Context;
+import io.vertx.core.Future;
 import io.vertx.core.MultiMap;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClientAgent;
@@ -15,6 +16,8 @@
 import org.fawndrum.coordination.AttemptEvent;
 import org.fawndrum.coordination.Refusal;
 import org.fawndrum.coordination.RequestFacts;
+import org.fawndrum.errors.AnswerJoinedException;
+import org.fawndrum.transport.proxy.EndpointAnswer;
 
 /**
  * A call of a plain service in progress. The response is buffered until it is complete, so that a
@@ -110,7 +113,8 @@
     connected.putHeader("x-request-id", facts.requestId());
     connected
         .send(call.body())
-        .compose(answer -> answer.body().map(body -> new CompleteResponse(answer, body)))
+        .compose(PlainExchange::complete)
+        .onFailure(cause -> connected.reset())
         .onComplete(
             done ->
                 runOnLoop(
@@ -123,6 +127,13 @@
                     }));
   }
 
+  /** Buffers a response; fails if its head is the beginning of one and the rest of another. */
+  private static Future<CompleteResponse> complete(HttpClientResponse head) {
+    return EndpointAnswer.of(head).isJoined()
+        ? Future.failedFuture(new AnswerJoinedException(head.statusCode()))
+        : head.body().map(body -> new CompleteResponse(head, body));
+  }
+
   /** A response of a service with its complete body. */
   private record CompleteResponse(HttpClientResponse head, Buffer body) {}
 
--- a/org.fawndrum/tst/org/fawndrum/transport/SecondAnswerOfEngineTest.java
+++ b/org.fawndrum/tst/org/fawndrum/transport/SecondAnswerOfEngineTest.java
@@ -115,6 +115,15 @@
     assertNotEquals(Outcome.NOT_RUN, stream("a/2"));
   }
 
+  /** Requests that ran counted as not run: the answer began with a refusal that was broken off. */
+  @Test
+  void aBrokenRefusalIsNotThatOfTheNextAnswer() throws Exception {
+    for (String begun : List.of("HTTP/1.1 503 Serv", "HTTP/1.1 503 Gone\r\nX-Other: ")) {
+      engine.setAnswer(begun + answerOf("a/1"));
+      assertNotEquals(Outcome.NOT_RUN, stream("a/1"));
+    }
+  }
+
   private boolean isAnswered(HttpMethod method, String path, Class<?> type) throws Exception {
     try {
       engines.read(endpoint(), method, path, "{}", type).get(TIMEOUT_S, TimeUnit.SECONDS);
@@ -152,4 +161,14 @@
     engine.setAnswer(FAILED_ANSWER);
     assertTrue(engines.load(endpoint()).handle((load, failure) -> load == null).get(), "a load");
   }
+
+  /** Engines counted as swept though the answer was a failure that followed a broken success. */
+  @Test
+  void aBrokenAnswerDoesNotLendItsStatusToTheNextOne() throws Exception {
+    String failure = StutteringServer.answer("500 Failed", Json.write(new Swept(1, 1)));
+    for (String begun : List.of("HTTP/1.1 200 O", "HTTP/1.1 200 OK\r\nX-Other: ")) {
+      engine.setAnswer(begun + failure);
+      assertFalse(isAnswered(HttpMethod.POST, "/v1/sweep", Swept.class), "freed");
+    }
+  }
 }
--- a/org.fawndrum/tst/org/fawndrum/transport/SecondAnswerToCallTest.java
+++ b/org.fawndrum/tst/org/fawndrum/transport/SecondAnswerToCallTest.java
@@ -2,6 +2,7 @@
 package org.fawndrum.transport;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
 
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
@@ -131,4 +132,13 @@
     assertEquals("second", next.body());
     assertEquals(409, next.statusCode());
   }
+
+  /** Callers got the status of an answer that was broken off with the body of the next one. */
+  @Test
+  void aBrokenAnswerDoesNotLendItsStatusToTheNextAnswer() throws Exception {
+    for (String begun : List.of("HTTP/1.1 200 O", "HTTP/1.1 200 OK\r\nX-Other: ")) {
+      service.setAnswer(begun + StutteringServer.answer("409 Conflict", "second"));
+      assertNotEquals(200, send("r-1").statusCode());
+    }
+  }
 }
