An interim answer does not prove that an endpoint goes on

Callers got half an answer as a whole one if its endpoint gave an interim answer, or a number that is no status, when it was asked whether it goes on.

Cause: the proof was judged by any head; the HTTP client takes each number but 100 and 103 for a final status. Only a final answer counts now, by the rule that holds for answers to callers' requests (EndpointAnswer.isFinal).

Why it works: what is no final answer ends the question without a proof, and what is not proved is not whole.

--- a/org.fawndrum/src/org/fawndrum/transport/proxy/EndpointAnswer.java
+++ b/org.fawndrum/src/org/fawndrum/transport/proxy/EndpointAnswer.java
@@ -35,14 +35,20 @@
   }
 
   /**
-   * Returns whether this is a final answer whose body can be read. The HTTP client takes each
-   * number for a final status, since of the interim answers it knows only 100 and 103, and passes
-   * on a body in a transfer coding that it does not know. A head whose length is folded into
-   * another field would make each part of the body a whole one.
+   * Returns whether this is a final answer. The HTTP client takes each number for a final status,
+   * since of the interim answers it knows only 100 and 103.
+   */
+  public boolean isFinal() {
+    return statusCode >= MIN_FINAL_STATUS && statusCode < FINAL_STATUS_END;
+  }
+
+  /**
+   * Returns whether this is a final answer whose body can be read. The HTTP client passes on a body
+   * in a transfer coding that it does not know. A head whose length is folded into another field
+   * would make each part of the body a whole one.
    */
   public boolean isReadable() {
-    return statusCode >= MIN_FINAL_STATUS
-        && statusCode < FINAL_STATUS_END
+    return isFinal()
         && AnswerFraming.isDecoded(headers)
         && !(framing() == AnswerFraming.CONNECTION && FoldedFields.hideFraming(headers));
   }
--- a/org.fawndrum/src/org/fawndrum/transport/relay/LivenessProofs.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/LivenessProofs.java
@@ -147,7 +147,7 @@
             TIMEOUT_MS));
   }
 
-  /** Completes with the head of the endpoint's answer, which proves enough. */
+  /** Completes with the head of the endpoint's answer, which proves enough if it is final. */
   private Future<Void> answer(
       EndpointRequest request, Endpoint endpoint, RelayCodec.LivenessRequest question) {
     request.headers().addAll(question.headers());
@@ -168,7 +168,11 @@
   }
 
   private Future<Void> judge(EndpointAnswer head, Endpoint endpoint) {
-    return !head.isJoined() && codec.isLivenessAnswer(endpoint, head.statusCode(), head.headers())
+    boolean own =
+        head.isFinal()
+            && !head.isJoined()
+            && codec.isLivenessAnswer(endpoint, head.statusCode(), head.headers());
+    return own
         ? Future.succeededFuture()
         : Future.failedFuture(new EndpointRestartedException(endpoint.name()));
   }
