Soak: times of the exits and kills beside those of the stop signals

What was missing to tell a host that ends late from one that was told late: host-*.signals had the signal only. No check changes.

--- a/org.fawndrum.soak/src/org/fawndrum/soak/HostProcess.java
+++ b/org.fawndrum.soak/src/org/fawndrum/soak/HostProcess.java
@@ -38,7 +38,7 @@
   private final Path settings;
   private final Path output;
 
-  /** File of the times of the stop signals, to be compared with the host's log. */
+  /** File of the times of stop signals and of what followed, to be compared with the log. */
   private final Path signalLog;
 
   private final Map<HostAddress, HostAddress> links;
@@ -174,16 +174,21 @@
    */
   boolean stop(long withinMs) throws InterruptedException, IOException {
     exitExpected = true;
-    String line = Instant.now() + " stop signal to " + process.pid() + System.lineSeparator();
-    Files.writeString(signalLog, line, StandardOpenOption.CREATE, StandardOpenOption.APPEND);
+    logSignal("stop signal to");
     process.destroy();
     boolean stopped = process.waitFor(withinMs, TimeUnit.MILLISECONDS);
+    logSignal(stopped ? "exit of" : "kill of");
     if (!stopped) {
       kill();
     }
     return stopped;
   }
 
+  private void logSignal(String what) throws IOException {
+    String line = Instant.now() + " " + what + " " + process.pid() + System.lineSeparator();
+    Files.writeString(signalLog, line, StandardOpenOption.CREATE, StandardOpenOption.APPEND);
+  }
+
   /** Returns the exit code of an exited process. */
   int exitCode() {
     return process.exitValue();
