Test of a late fleet duty waits until the duty reads

The test read before the duty, after its first heartbeat, had asked for it, so that no time of listening had begun. It now waits for that; its checks are as before.

--- a/org.fawndrum/tst/org/fawndrum/transport/relay/LateFleetDutyTest.java
+++ b/org.fawndrum/tst/org/fawndrum/transport/relay/LateFleetDutyTest.java
@@ -146,9 +146,14 @@
     assertNotNull(heartbeats.poll(TIMEOUT_S, TimeUnit.SECONDS));
   }
 
-  private void read() {
-    List.copyOf(readings).forEach(Runnable::run);
-    readings.clear();
+  /** Reads what has arrived, once the duty has asked for that: it does so after a heartbeat. */
+  private void read() throws InterruptedException {
+    Runnable step = readings.poll(TIMEOUT_S, TimeUnit.SECONDS);
+    assertNotNull(step);
+    do {
+      step.run();
+      step = readings.poll();
+    } while (step != null);
   }
 
   @Test
