Own platform client: each call has a connection of its own

Seen, with a platform that answers twice: a record counted as appended that was not, at the offset of an earlier one.

Cause: appends, reads and host lists kept connections together, and no answer names its call.

Change: HttpPlatform keeps no connections. A daemon reads its host list once a second and waits for records in its other calls.

Reads and host lists have the same mend, without a test of their own.

--- a/org.fawndrum/src/org/fawndrum/transport/HttpPlatform.java
+++ b/org.fawndrum/src/org/fawndrum/transport/HttpPlatform.java
@@ -26,7 +26,10 @@
 import org.fawndrum.state.HostAddress;
 import org.fawndrum.state.HostListing;
 
-/** HTTP client for the log and the host list of the platform. Safe for all threads. */
+/**
+ * HTTP client for the log and the host list of the platform. Each call has a connection of its own,
+ * because no answer names its call. Safe for all threads.
+ */
 public final class HttpPlatform implements PlatformLog, HostListSource {
   private static final int MAX_CONNECTIONS = 4;
   private static final int CONNECT_TIMEOUT_MS = 1_000;
@@ -48,7 +51,7 @@
   public HttpPlatform(Vertx vertx, HostAddress address, long waitMs) {
     this.client =
         vertx.createHttpClient(
-            new HttpClientOptions().setConnectTimeout(CONNECT_TIMEOUT_MS),
+            new HttpClientOptions().setConnectTimeout(CONNECT_TIMEOUT_MS).setKeepAlive(false),
             new PoolOptions().setHttp1MaxSize(MAX_CONNECTIONS));
     this.address = address;
     this.waitMs = waitMs;
