The search for a second answer skips bytes that begin no status line

Cause: each byte of an answer that ends with its connection went through all steps of the search, though hardly any begins a status line.

--- a/org.fawndrum/src/org/fawndrum/transport/relay/BodyHeads.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/BodyHeads.java
@@ -48,12 +48,33 @@
 
   /** Searches the next bytes of the body; returns whether they, or earlier ones, have a head. */
   boolean append(Buffer bytes) {
-    for (int i = 0; i < bytes.length() && !found; i++) {
-      append((char) Byte.toUnsignedInt(bytes.getByte(i)));
+    byte[] all = bytes.getBytes();
+    int next = 0;
+    while (next < all.length && !found) {
+      boolean nothingBegun = matched == 0 && !statusLine && !inHead;
+      next = nothingBegun ? skip(all, next) : next;
+      if (next < all.length) {
+        append((char) Byte.toUnsignedInt(all[next]));
+      }
+      next++;
     }
     return found;
   }
 
+  /**
+   * Returns the index from which on a status line may begin; most bytes are only looked at here.
+   */
+  private int skip(byte[] all, int from) {
+    int next = from;
+    while (next < all.length && all[next] != STATUS.charAt(0)) {
+      next++;
+    }
+    if (next > from) {
+      atLineStart = all[next - 1] == '\n';
+    }
+    return next;
+  }
+
   /** Returns whether the body has a head, if it ends here; its last field may lack its end. */
   boolean foundAtEnd() {
     return found || inHead && field.length() > 0 && isOfAnswer();
