Soak: the judge compares answers with what endpoints did

The soak's judge knew an answer by its body, id and seal. A late second answer to the same request has all three: a success where each run had failed would have passed. Endpoints now tell the checker which runs they fail, and it reports a success of a request of which each run failed, and a sealed failure of one of which no run failed. Another request's answer and half an answer were seen before, by id and body; the half one has a test now.

--- a/org.fawndrum.soak/src/org/fawndrum/soak/FaultProxy.java
+++ b/org.fawndrum.soak/src/org/fawndrum/soak/FaultProxy.java
@@ -25,6 +25,7 @@
   private final Vertx vertx;
   private final NetClient client;
   private final HostAddress target;
+  private final Runnable onSecondAnswer;
   private final Set<NetSocket> openSockets = new HashSet<>();
   private NetServer server;
   private Mode mode = Mode.PASS;
@@ -47,7 +48,13 @@
     RESET
   }
 
-  FaultProxy(Vertx vertx, NetClient client, HostAddress target) {
+  /**
+   * Creates a proxy that does not listen yet.
+   *
+   * @param onSecondAnswer called when a second answer was begun
+   */
+  FaultProxy(Vertx vertx, NetClient client, HostAddress target, Runnable onSecondAnswer) {
+    this.onSecondAnswer = onSecondAnswer;
     this.vertx = vertx;
     this.client = client;
     this.target = target;
@@ -123,6 +130,7 @@
                   () -> {
                     if (answersTwice && answered.getAndSet(false)) {
                       clientSocket.write(secondAnswers.next());
+                      onSecondAnswer.run();
                     }
                   });
               pipe(targetSocket, clientSocket, Mode.DROP_RESPONSES, () -> answered.set(true));
--- a/org.fawndrum.soak/src/org/fawndrum/soak/PromiseChecker.java
+++ b/org.fawndrum.soak/src/org/fawndrum/soak/PromiseChecker.java
@@ -24,6 +24,7 @@
 
   private final Map<String, SentRequest> sentRequests = new HashMap<>();
   private final Map<String, Integer> runCounts = new HashMap<>();
+  private final Map<String, Integer> failedRunCounts = new HashMap<>();
   private final Map<String, Integer> refusalStatuses = new HashMap<>();
   private final Map<String, Long> revokedMs = new HashMap<>();
   private final List<String> violations = new ArrayList<>();
@@ -40,6 +41,7 @@
   private final ConfigurationChecker configurations = new ConfigurationChecker();
   private final long revokeMs;
   private int failureCount;
+  private int secondAnswerCount;
 
   /**
    * A request as its caller sent it.
@@ -161,6 +163,28 @@
     }
   }
 
+  /** Records that an endpoint answers a run of a request with a failure of its own, sealed. */
+  void recordFailedRun(String id) {
+    failedRunCounts.merge(id, 1, Integer::sum);
+  }
+
+  /** Records that an endpoint began a second answer to a request. */
+  void recordSecondAnswer() {
+    secondAnswerCount++;
+  }
+
+  /** Checks an answer against the outcome of the runs of its request. */
+  private void checkOutcome(String id, int status, String seal) {
+    int failed = failedRunCounts.getOrDefault(id, 0);
+    if (status == SUCCESS && failed > 0 && failed >= runCounts.getOrDefault(id, 0)) {
+      recordViolation(id + " got a success with seal " + seal + ", though each run of it failed");
+    }
+    if (status != SUCCESS && seal != null && failed == 0) {
+      recordViolation(
+          id + " got " + status + " with seal " + seal + ", though no run of it failed");
+    }
+  }
+
   /**
    * Records and checks a complete answer.
    *
@@ -170,6 +194,7 @@
   void recordAnswer(String id, int status, String answeredId, String seal, String body) {
     answersByStatus.merge(status, 1, Integer::sum);
     crashes.recordAnswer(id, body);
+    checkOutcome(id, status, seal);
     SentRequest request = sentRequests.get(id);
     if (status == SUCCESS) {
       links.recordServed(id);
@@ -237,6 +262,10 @@
         + ", "
         + failureCount
         + " without an answer; "
+        + secondAnswerCount
+        + " second answers, "
+        + failedRunCounts.size()
+        + " requests failed by endpoints; "
         + reservations.summary()
         + "; "
         + shutdowns.summary()
--- a/org.fawndrum.soak/src/org/fawndrum/soak/SoakEndpoint.java
+++ b/org.fawndrum.soak/src/org/fawndrum/soak/SoakEndpoint.java
@@ -115,7 +115,7 @@
 
   private Future<Void> listenProxy(HostAddress address) {
     ownAddress = address;
-    proxy = new FaultProxy(vertx, client, address);
+    proxy = new FaultProxy(vertx, client, address, checker::recordSecondAnswer);
     return proxy
         .listen()
         .map(
@@ -345,6 +345,7 @@
       return true;
     }
     if (answersTwice && SecondAnswers.fail(request, id, number)) {
+      checker.recordFailedRun(received.requestId());
       return true;
     }
     if (request.path().startsWith(UnreadCallers.PATH)) {
--- a/org.fawndrum.soak/src/org/fawndrum/soak/SoakSite.java
+++ b/org.fawndrum.soak/src/org/fawndrum/soak/SoakSite.java
@@ -172,7 +172,7 @@
     List<HostAddress> links = new ArrayList<>();
     Future<Void> started = Future.succeededFuture();
     for (int i = 0; i < hostCount; i++) {
-      FaultProxy link = new FaultProxy(vertx, client, storeAt);
+      FaultProxy link = new FaultProxy(vertx, client, storeAt, checker::recordSecondAnswer);
       storeLinks.add(link);
       started =
           started
--- a/org.fawndrum.soak/tst/org/fawndrum/soak/PromiseCheckerTest.java
+++ b/org.fawndrum.soak/tst/org/fawndrum/soak/PromiseCheckerTest.java
@@ -97,6 +97,38 @@
     assertViolation("was answered");
   }
 
+  /** A late second answer has the request's id, a seal and the right body. */
+  @Test
+  void successOfARequestWhoseRunsFailedIsReported() {
+    run("look", "/look/1");
+    checker.recordFailedRun("look");
+    checker.recordAnswer("look", 200, "look", "seal", "whole");
+    assertViolation("though each run of it failed");
+  }
+
+  @Test
+  void successOfARequestOfWhichOneRunFailedIsAccepted() {
+    run("look", "/look/1");
+    checker.recordFailedRun("look");
+    run("look", "/look/1");
+    checker.recordAnswer("look", 200, "look", "seal", "whole");
+    assertEquals(List.of(), checker.allViolations(nowMs, logged::contains));
+  }
+
+  @Test
+  void sealedFailureThatNoEndpointGaveIsReported() {
+    run("look", "/look/1");
+    checker.recordAnswer("look", 409, "look", "seal", "failed");
+    assertViolation("though no run of it failed");
+  }
+
+  @Test
+  void halfAnAnswerIsReported() {
+    run("look", "/look/1");
+    checker.recordAnswer("look", 200, "look", "seal", "who");
+    assertViolation("was answered");
+  }
+
   @Test
   void answerToAnotherRequestIsReported() {
     checker.recordAnswer("look", 200, "once", "seal", "whole");
