Hosts without links: of hosts passed over, the one that said nothing is asked first

ProxySelectorTest.ifAllAreBeingPassedOverOneThatSaidNothingIsAskedFirst failed before (1 of 1 run), holds after (1 of 1) with the other cases, which are unchanged.

--- a/org.fawndrum/src/org/fawndrum/coordination/link/ProxySelector.java
+++ b/org.fawndrum/src/org/fawndrum/coordination/link/ProxySelector.java
@@ -59,8 +59,9 @@
   /**
    * Returns the host to ask, and counts a request there until {@link #released}; empty if none can
    * be expected to help. A host that did not answer is tried by one request at a time, unless no
-   * other can be asked. If all were passed over, the one that is so for the shortest time is asked
-   * as the only one for this request: it may be able to help again.
+   * other can be asked. If all were passed over, one is asked as the only one for this request: one
+   * that did not answer, since it may only be busy, and else the one that is passed over for the
+   * shortest time.
    *
    * @param live the live hosts
    * @param asked hosts that were asked for this request before
@@ -82,7 +83,11 @@
                     .thenComparing(member -> !member.zone().equals(zone))
                     .thenComparingInt(member -> order(member.identity().host())));
     if (chosen.isEmpty() && asked.isEmpty()) {
-      chosen = eligible.stream().min(Comparator.comparingLong(m -> restUntilMs.get(m.identity())));
+      chosen =
+          eligible.stream()
+              .min(
+                  Comparator.comparing((FleetMember m) -> !silentRestMs.containsKey(m.identity()))
+                      .thenComparingLong(m -> restUntilMs.get(m.identity())));
     }
     chosen.ifPresent(member -> inUse.merge(member.identity(), 1, Integer::sum));
     return chosen;
--- a/org.fawndrum/tst/org/fawndrum/coordination/link/ProxySelectorTest.java
+++ b/org.fawndrum/tst/org/fawndrum/coordination/link/ProxySelectorTest.java
@@ -86,6 +86,20 @@
     assertEquals(Optional.of("a-1"), take(live, Set.of(), NOW_MS + 600 + 400));
   }
 
+  /**
+   * A host that said nothing may only be busy; one that said that it has no links either has none.
+   * Guards against the failure of soak seed 90301 above where a busy host says nothing thrice.
+   */
+  @Test
+  void ifAllAreBeingPassedOverOneThatSaidNothingIsAskedFirst() {
+    List<FleetMember> live = List.of(member("a-1", "zone-a", PORT), member("b-1", "zone-b", PORT));
+    for (int i = 0; i < 3; i++) {
+      selector.failed(new HostIdentity("b-1", 1), false, NOW_MS + 300);
+    }
+    selector.failed(new HostIdentity("a-1", 1), true, NOW_MS);
+    assertEquals(Optional.of("b-1"), take(live, Set.of(), NOW_MS + 301));
+  }
+
   /** Every request that is asked of a suspended host loses the time that it waits for it. */
   @Test
   void aHostThatWasSilentIsTriedByOneRequestAtATime() {
