An answer to another request that ends a begun event is no event

Callers of a stream without a length got an event joined of a part of their own one and the head of a late answer to another request, and later events of that answer, where the first answer ended within an event. BodyHeads found only heads that name the same answer, or begin a line.

Now a line of an event that ends with a status line begins a head if a field comes behind it that no event has. Why it works: behind such a line of an event come only data, event, id, retry, a comment, or the empty line.

--- a/org.fawndrum/src/org/fawndrum/transport/relay/BodyHeads.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/BodyHeads.java
@@ -2,6 +2,7 @@
 package org.fawndrum.transport.relay;
 
 import io.vertx.core.buffer.Buffer;
+import java.util.Set;
 import java.util.function.BiPredicate;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
@@ -25,7 +26,10 @@
   private static final Pattern FIELD =
       Pattern.compile("([!#$%&'*+.^_`|~0-9A-Za-z-]+):[ \t]*(.*?)[ \t\r]*");
 
-  private final boolean anyAtLineStart;
+  /** The fields of events (HTML, section 9.2.6). */
+  private static final Set<String> EVENT_FIELDS = Set.of("data", "event", "id", "retry");
+
+  private final boolean amongEvents;
   private final BiPredicate<String, String> namesAnswer;
   private final StringBuilder field = new StringBuilder();
   private int matched;
@@ -37,12 +41,12 @@
   /**
    * Creates a search.
    *
-   * @param anyAtLineStart whether each line that begins as a status line does is one, as among
-   *     events, which have no such field
+   * @param amongEvents whether the body consists of events: no line of theirs begins as a status
+   *     line, and only their own fields follow a line that ends with one
    * @param namesAnswer tells from the name and value of a field whether it names the answer
    */
-  BodyHeads(boolean anyAtLineStart, BiPredicate<String, String> namesAnswer) {
-    this.anyAtLineStart = anyAtLineStart;
+  BodyHeads(boolean amongEvents, BiPredicate<String, String> namesAnswer) {
+    this.amongEvents = amongEvents;
     this.namesAnswer = namesAnswer;
   }
 
@@ -96,7 +100,7 @@
   private void match(char c) {
     if (matched == STATUS.length()) {
       statusLine = c == ' ' || c == '\r';
-      found |= statusLine && atLineStart && anyAtLineStart;
+      found |= statusLine && atLineStart && amongEvents;
     } else if (isNext(c)) {
       matched++;
       return;
@@ -114,7 +118,7 @@
   private void endLine() {
     if (statusLine || matched == STATUS.length()) {
       inHead = true;
-      found |= atLineStart && anyAtLineStart;
+      found |= atLineStart && amongEvents;
     } else if (inHead) {
       found |= isOfAnswer();
       inHead = FIELD.matcher(field).matches();
@@ -129,6 +133,7 @@
     Matcher line = FIELD.matcher(field);
     return field.length() <= MAX_FIELD_BYTES
         && line.matches()
-        && namesAnswer.test(line.group(1), line.group(2));
+        && (amongEvents && !EVENT_FIELDS.contains(line.group(1))
+            || namesAnswer.test(line.group(1), line.group(2)));
   }
 }
--- a/org.fawndrum/tst/org/fawndrum/transport/relay/BodyHeadsTest.java
+++ b/org.fawndrum/tst/org/fawndrum/transport/relay/BodyHeadsTest.java
@@ -7,6 +7,7 @@
 
 import io.vertx.core.buffer.Buffer;
 import java.nio.charset.StandardCharsets;
+import java.util.List;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -107,4 +108,14 @@
     assertFalse(search(true).append(bytes("data: HTTP/1.1 200 OK\n\n")));
     assertFalse(search(false).append(bytes("\nHTTP/1.1 200 OK\r\n")));
   }
+
+  /** An answer to another request ended an event that this one had begun. */
+  @Test
+  void amongEventsAStatusLineIsOneIfAFieldFollowsThatNoEventHas() {
+    assertTrue(search(true).append(bytes("data: teHTTP/1.1 200 OK\r\nX-Other: 1\r\n")));
+    for (String field : List.of("data: a", "id: 1", "event: a", "retry: 1", "text", ": a", "")) {
+      String event = "data: HTTP/1.1 200 OK\r\n" + field + "\n\nversions: 1\n";
+      assertFalse(search(true).append(bytes(event)), field);
+    }
+  }
 }
