--- a/org.fawndrum/src/org/fawndrum/coordination/Action.java
+++ b/org.fawndrum/src/org/fawndrum/coordination/Action.java
@@ -60,14 +60,6 @@
   /** Cancels an abandoned attempt at its endpoint, and releases what it holds. */
   record Cancel(AttemptId attempt, Endpoint endpoint) implements Action {}
 
-  /**
-   * Ends an attempt that depends on a superseded incarnation; {@link AttemptEvent#RESTARTED}
-   * follows. An answer of which a part has arrived goes on: it may come from the later incarnation.
-   *
-   * @param helperLost whether the attempt ends in any case, because it has lost a helper engine
-   */
-  record EndSuperseded(AttemptId attempt, boolean helperLost) implements Action {}
-
   /**
    * Asks the endpoint of an attempt whose answer has begun whether it goes on; {@link
    * AttemptEvent#ALIVE} follows if it does.
--- a/org.fawndrum/src/org/fawndrum/coordination/AttemptEvent.java
+++ b/org.fawndrum/src/org/fawndrum/coordination/AttemptEvent.java
@@ -32,11 +32,6 @@
   ANSWERING,
   /** The endpoint answered a question that was sent while its answer went on. */
   ALIVE,
-  /**
-   * An incarnation on which it depends has been superseded, and it was ended for that; nothing of
-   * its answer that could go on had arrived.
-   */
-  RESTARTED,
   /** The whole answer arrived. */
   ANSWERED,
   /** The endpoint reports that it ran the request and failed. */
--- a/org.fawndrum/src/org/fawndrum/coordination/AttemptTransitions.java
+++ b/org.fawndrum/src/org/fawndrum/coordination/AttemptTransitions.java
@@ -26,7 +26,7 @@
       case REFUSED_BY_ENDPOINT ->
           state == AttemptState.RUNNING ? AttemptState.FAILED : AttemptState.NOT_RUN;
       case ANSWERING -> AttemptState.RUNNING;
-      case ALIVE, RESTARTED -> state;
+      case ALIVE -> state;
       case ANSWERED -> AttemptState.DONE;
       case FAILED_BY_ENDPOINT -> AttemptState.FAILED;
       case STALLED, LOST, PATH_LOST -> afterLoss(state);
--- a/org.fawndrum/src/org/fawndrum/coordination/EngineWork.java
+++ b/org.fawndrum/src/org/fawndrum/coordination/EngineWork.java
@@ -125,23 +125,6 @@
     endpoints.ifPresent(job.endpoint(), state -> change.accept(state.load()));
   }
 
-  /**
-   * Records that incarnations are superseded. Returns the requests with an attempt that depends on
-   * one of them.
-   */
-  List<OpenRequest> supersede(
-      Collection<OpenRequest> requests, Predicate<HostIdentity> incarnations) {
-    List<OpenRequest> dependent = new ArrayList<>();
-    for (OpenRequest request : requests) {
-      OpenRequest.Attempt last = request.lastAttempt();
-      if (last != null && !last.state.ended() && dependsOn(last, incarnations)) {
-        last.isSuperseded |= incarnations.test(last.endpoint.endpoint().identity());
-        dependent.add(request);
-      }
-    }
-    return dependent;
-  }
-
   /**
    * Whether an attempt depends on one of the given endpoint incarnations: one that generates its
    * answer, holds memory for it, or has not finished prefilling its prompt segment. Once an answer
--- a/org.fawndrum/src/org/fawndrum/coordination/OpenRequest.java
+++ b/org.fawndrum/src/org/fawndrum/coordination/OpenRequest.java
@@ -57,9 +57,6 @@
     /** When its answer began; {@link #NOT_ANSWERING} before. */
     long answeringSinceMs = NOT_ANSWERING;
 
-    /** Whether a later incarnation of its endpoint than the one that it was sent to is known. */
-    boolean isSuperseded;
-
     /** Whether its endpoint was asked whether it goes on, and has not answered. */
     boolean isDoubtful;
 
--- a/org.fawndrum/src/org/fawndrum/coordination/OpenRequests.java
+++ b/org.fawndrum/src/org/fawndrum/coordination/OpenRequests.java
@@ -71,16 +71,6 @@
     }
   }
 
-  /** Gives up the waiting requests that are rejected since the last call. */
-  void giveUpRejected(long nowMs) {
-    if (suspectedRequests.takeHasNewRejections()) {
-      giveUpWaiting(
-          r -> suspectedRequests.rejects(r.facts, nowMs) ? RefusalRules.rejected(r) : null,
-          Reason.ENDS_ENDPOINTS,
-          nowMs);
-    }
-  }
-
   /** Returns the waiting requests, the most urgent first, then in the order of their arrival. */
   List<OpenRequest> waitingInOrder() {
     return byId.values().stream()
--- a/org.fawndrum/src/org/fawndrum/coordination/RequestCoordinator.java
+++ b/org.fawndrum/src/org/fawndrum/coordination/RequestCoordinator.java
@@ -119,26 +119,16 @@
   /** Ends attempts that depend on superseded incarnations, and retries where allowed. */
   public List<Action> endpointsRestarted(Predicate<HostIdentity> ended, long nowMs) {
     suspected.incarnationsSuperseded(ended, nowMs);
-    engineWork
-        .supersede(requests.all(), ended)
-        .forEach(request -> endSuperseded(request, request.lastAttempt(), nowMs));
-    return flush(nowMs);
-  }
-
-  /** Asks for the end of attempts that depend on superseded incarnations. */
-  public List<Action> endpointsSuperseded(Predicate<HostIdentity> ended, long nowMs) {
-    suspected.incarnationsSuperseded(ended, nowMs);
-    engineWork.supersede(requests.all(), ended).stream()
-        .map(OpenRequest::lastAttempt)
-        .forEach(last -> pending.add(new Action.EndSuperseded(last.id, !last.isSuperseded)));
-    return flush(nowMs);
-  }
-
-  private void endSuperseded(OpenRequest request, OpenRequest.Attempt attempt, long nowMs) {
-    if (attempt.isSuperseded) {
-      suspected.endpointRestarted(request, attempt, nowMs);
+    for (OpenRequest request : requests.all()) {
+      OpenRequest.Attempt last = request.lastAttempt();
+      if (last != null && !last.state.ended() && engineWork.dependsOn(last, ended)) {
+        if (ended.test(last.endpoint.endpoint().identity())) {
+          suspected.endpointRestarted(request, last, nowMs);
+        }
+        followUp(request, last, failures.endpointRestarted(request, last, nowMs), nowMs);
+      }
     }
-    followUp(request, attempt, failures.endpointRestarted(request, attempt, nowMs), nowMs);
+    return flush(nowMs);
   }
 
   /**
@@ -280,15 +270,12 @@
       suspected.endpointAlive(request, attempt);
       return flush(nowMs);
     }
-    if (event == AttemptEvent.RESTARTED && !attempt.state.ended()) {
-      endSuperseded(request, attempt, nowMs);
+    if (event == AttemptEvent.STALLED && offers.checkAvailability(request, nowMs) != null) {
+      // No endpoint could take over, and this one may still be generating.
       return flush(nowMs);
     }
     if (event == AttemptEvent.STALLED) {
-      // If no endpoint could take over, this one may still be generating.
-      if (offers.checkAvailability(request, nowMs) == null) {
-        followUp(request, attempt, failures.stalled(request, attempt, nowMs), nowMs);
-      }
+      followUp(request, attempt, failures.stalled(request, attempt, nowMs), nowMs);
       return flush(nowMs);
     }
     if (event == AttemptEvent.ANSWERED && attempt.state.ended()) {
@@ -384,9 +371,18 @@
     return flush(nowMs);
   }
 
+  private void giveUpRejected(long nowMs) {
+    if (suspected.takeHasNewRejections()) {
+      requests.giveUpWaiting(
+          r -> suspected.rejects(r.facts, nowMs) ? RefusalRules.rejected(r) : null,
+          Reason.ENDS_ENDPOINTS,
+          nowMs);
+    }
+  }
+
   private List<Action> flush(long nowMs) {
     suspected.decide(nowMs, request -> offers.offer(request, nowMs));
-    requests.giveUpRejected(nowMs);
+    giveUpRejected(nowMs);
     offers.dispatch(nowMs);
     List<PermitDemand> demands = permits.takeDemands(nowMs);
     if (!demands.isEmpty()) {
--- a/org.fawndrum/src/org/fawndrum/transport/Exchange.java
+++ b/org.fawndrum/src/org/fawndrum/transport/Exchange.java
@@ -15,12 +15,6 @@
   /** Cancels an attempt and frees its resources on the endpoint. */
   void cancel(Action.Cancel cancel);
 
-  /**
-   * Ends an attempt at a superseded incarnation, unless its answer goes on. Not called where the
-   * coordinator ends such attempts itself.
-   */
-  default void endSuperseded(Action.EndSuperseded end) {}
-
   /**
    * Asks the endpoint of an attempt whether it goes on. Not called, and without effect, where the
    * contents of requests are not compared.
--- a/org.fawndrum/src/org/fawndrum/transport/OpenExchanges.java
+++ b/org.fawndrum/src/org/fawndrum/transport/OpenExchanges.java
@@ -57,8 +57,6 @@
         runOnExchange(send.attempt().requestId(), exchange -> exchange.send(send));
       } else if (action instanceof Action.Cancel cancel) {
         runOnExchange(cancel.attempt().requestId(), exchange -> exchange.cancel(cancel));
-      } else if (action instanceof Action.EndSuperseded end) {
-        runOnExchange(end.attempt().requestId(), exchange -> exchange.endSuperseded(end));
       } else if (action instanceof Action.AskEndpoint ask) {
         runOnExchange(ask.attempt().requestId(), exchange -> exchange.askEndpoint(ask));
       } else if (action instanceof Action.Refuse refuse) {
--- a/org.fawndrum/src/org/fawndrum/transport/relay/RelayDuty.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/RelayDuty.java
@@ -327,7 +327,7 @@
     drainingEndpoints = eligibility.listedDrainingCount();
     eligibility.takeUnverified().forEach(this::probe);
     carryOut(coordinator.updateEndpoints(endpoints, nowMs));
-    carryOut(coordinator.endpointsSuperseded(eligibility::isSuperseded, nowMs));
+    carryOut(coordinator.endpointsRestarted(eligibility::isSuperseded, nowMs));
   }
 
   private void probe(Endpoint endpoint) {
--- a/org.fawndrum/src/org/fawndrum/transport/relay/RelayExchange.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/RelayExchange.java
@@ -103,22 +103,6 @@
     }
   }
 
-  /**
-   * Decides here, where parts of answers are passed on: until the coordinator knows of one, its
-   * caller has it, and would get a truncated answer.
-   */
-  @Override
-  public void endSuperseded(Action.EndSuperseded end) {
-    if (finished || currentAttempt == null || !currentAttempt.isOf(end.attempt())) {
-      return;
-    }
-    if (end.helperLost() || currentAttempt != answeringAttempt) {
-      currentAttempt.cancel();
-      currentAttempt = null;
-      attemptListener.onEvent(end.attempt(), AttemptEvent.RESTARTED);
-    }
-  }
-
   @Override
   public void askEndpoint(Action.AskEndpoint ask) {
     if (!finished && currentAttempt != null && currentAttempt.isOf(ask.attempt())) {
