Requests of other hosts count as uses of a connection

This host's own first request on a kept connection that had carried only requests of another host counted as the first one there: a late refusal without an id was believed, and the caller got 503 for a request that an endpoint was running (REFUSED); a second answer in its place counted as a lost attempt.

--- a/org.fawndrum/src/org/fawndrum/transport/relay/EndpointPaths.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/EndpointPaths.java
@@ -123,14 +123,22 @@
     if (links.isLost(endpoint.name())) {
       return throughOtherHost(endpoint, call);
     }
-    return connect(endpoint, call.method(), call.uri(), call.repeatable())
+    return open(endpoint, call.method(), call.uri(), call.repeatable())
         .map(request -> EndpointRequest.direct(request, uses.opened(request)))
         .recover(cause -> askOthers(endpoint, call, cause));
   }
 
-  /** Returns a request over this host's own link; nothing has been written to it. */
+  /**
+   * Returns a request of another host over this host's own link; nothing has been written to it.
+   * This host's own requests share its connection, so that it counts, too.
+   */
   Future<HttpClientRequest> connect(
       Endpoint endpoint, HttpMethod method, String uri, boolean repeatable) {
+    return open(endpoint, method, uri, repeatable).onSuccess(uses::opened);
+  }
+
+  private Future<HttpClientRequest> open(
+      Endpoint endpoint, HttpMethod method, String uri, boolean repeatable) {
     return client
         .request(endpoint, losses(endpoint), method, uri, repeatable)
         .onSuccess(
