Store: a query of a late host is repeated in time once the host is in time

The time until a query is repeated, and given up, was fixed when it was sent, with the host's lateness of that moment and without a limit. A host that was in time again waited for that long on a dead connection: with a lateness of 2 s, longer than ContactMs. When the repetition is due is now found out in steps of 500 ms, and a failed repetition ends a query that a host in time would have given up.

--- a/org.fawndrum/src/org/fawndrum/transport/relay/TopicFollower.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/TopicFollower.java
@@ -72,11 +72,15 @@
   /** A query, and its repetition if there is one; the first answer counts. */
   private static final class Query {
     final boolean snapshot;
+    final long waitMs;
+    final long sentMs;
     int pending;
     boolean ended;
 
-    Query(boolean snapshot) {
+    Query(boolean snapshot, long waitMs, long sentMs) {
       this.snapshot = snapshot;
+      this.waitMs = snapshot ? 0 : waitMs;
+      this.sentMs = sentMs;
     }
   }
 
@@ -150,19 +154,27 @@
     }
     next = next.isKnown() ? next.max(reader.knownEnd()) : next;
     long nowMs = clock.nowMs();
-    Query query = new Query(!next.isKnown() || isPositionOld(nowMs));
     long waitMs = nowMs - confirmedMs > MAX_UNCONFIRMED_MS ? 0 : timing.get().waitMs();
+    Query query = new Query(!next.isKnown() || isPositionOld(nowMs), waitMs, nowMs);
     send(query, waitMs, false);
-    timer.runAfter((query.snapshot ? 0 : waitMs) + timing.get().repeatMs(), () -> repeat(query));
+    awaitAnswer(query, 0);
   }
 
   /**
    * Repeats a query that got no answer, over a new connection: the kept one may be dead, and the
-   * time until it is given up is more than a host has that reads the store itself.
+   * time until it is given up is more than a host has that reads the store itself. When that is due
+   * is found out in steps, because a host that was late as it sent the query may be in time again.
    */
-  private void repeat(Query query) {
-    if (!query.ended) {
+  private void awaitAnswer(Query query, long waitedMs) {
+    if (query.ended) {
+      return;
+    }
+    long dueMs = query.waitMs + timing.get().repeatMs() - waitedMs;
+    if (dueMs <= 0) {
       send(query, 0, true);
+    } else {
+      long stepMs = Math.min(MAX_CHECK_INTERVAL_MS, dueMs);
+      timer.runAfter(stepMs, () -> awaitAnswer(query, waitedMs + stepMs));
     }
   }
 
@@ -175,6 +187,7 @@
             (page, failure) -> {
               query.pending--;
               boolean last = failure == null || query.pending == 0;
+              last |= newConnection && isOverdue(query);
               if (query.ended || !last) {
                 return;
               }
@@ -187,6 +200,11 @@
             });
   }
 
+  /** Returns whether a query would have been given up if it had been sent by a host in time. */
+  private boolean isOverdue(Query query) {
+    return clock.nowMs() - query.sentMs >= query.waitMs + timing.get().answerMs();
+  }
+
   /** Returns whether many records may have followed the position; peers may provide a later one. */
   private boolean isPositionOld(long nowMs) {
     return !reader.knownEnd().isKnown() && nowMs - readMs > MAX_POSITION_AGE_MS;
--- a/org.fawndrum/tst/org/fawndrum/transport/relay/TopicFollowerTest.java
+++ b/org.fawndrum/tst/org/fawndrum/transport/relay/TopicFollowerTest.java
@@ -11,6 +11,7 @@
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
 import org.fawndrum.errors.RecordsExpiredException;
 import org.fawndrum.internal.log.HostLog;
 import org.fawndrum.protocol.KeyedLog;
@@ -35,6 +36,8 @@
   private long nowMs = 10_000;
   private volatile boolean leader = true;
   private volatile long ageMs;
+  private volatile long repeatMs = 60_000;
+  private volatile long answerMs = 60_000;
   private volatile StorePosition knownEnd = StorePosition.NONE;
 
   /** A store whose answers the test provides. */
@@ -92,7 +95,7 @@
             new VertxTimer(vertx),
             log,
             KeyedLog.Topic.OPERATORS,
-            () -> new TopicFollower.Timing(1_500, 0, 60_000, 60_000, 1_000),
+            () -> new TopicFollower.Timing(1_500, 0, repeatMs, answerMs, 1_000),
             new LogReadSchedule(() -> leader, () -> ageMs, () -> MAX_AGE_MS),
             reader,
             () -> nowMs,
@@ -289,4 +292,29 @@
     assertEquals(2, snapshots.size());
     assertEquals(List.of(3L, 9L), log.readOffsets);
   }
+
+  /**
+   * A host that was late, and is in time again, went on waiting for as long as it had been late: it
+   * knew of no new configuration, since its connection was dead.
+   */
+  @Test
+  void aQueryOfATimeInWhichTheHostWasLateIsRepeatedInTime() throws Exception {
+    start();
+    assertEquals(1, log.newestQueries);
+    repeatMs = 50;
+    awaitNewestQueries(2);
+  }
+
+  /** The same where the path was still cut when the query was repeated. */
+  @Test
+  void aQueryOfATimeInWhichTheHostWasLateIsGivenUpInTime() throws Exception {
+    repeatMs = 50;
+    start();
+    awaitNewestQueries(2);
+    repeatMs = 60_000;
+    answerMs = 500;
+    nowMs += 2 * answerMs;
+    log.pending.getLast().completeExceptionally(new TimeoutException());
+    awaitNewestQueries(3);
+  }
 }
