Second answers in bodies: any byte may stand in a field, and blanks cost no more than others

A field with a byte that ends a line for the pattern (0x85, as in the UTF-8 form of some letters, or a bare CR) between the status line and the id hid a second answer, which was passed on as a part of the body. Lines of fields with many blanks took the square of their number: 4 MB of them held the event loop for more than 5 s.

--- a/org.fawndrum/src/org/fawndrum/transport/relay/BodyHeads.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/BodyHeads.java
@@ -21,9 +21,12 @@
   /** Stands for a digit in {@link #STATUS}. */
   private static final char DIGIT = '#';
 
-  /** A field with its name and value (RFC 9112, section 5). */
+  /**
+   * A field with its name and value (RFC 9112, section 5). The value may have any byte, and is
+   * trimmed apart: a pattern that does it takes the square of the number of blanks.
+   */
   private static final Pattern FIELD =
-      Pattern.compile("([!#$%&'*+.^_`|~0-9A-Za-z-]+):[ \t]*(.*?)[ \t\r]*");
+      Pattern.compile("([!#$%&'*+.^_`|~0-9A-Za-z-]++):(.*+)", Pattern.DOTALL);
 
   private final boolean anyAtLineStart;
   private final BiPredicate<String, String> namesAnswer;
@@ -108,6 +111,6 @@
     Matcher line = FIELD.matcher(field);
     return field.length() <= MAX_FIELD_BYTES
         && line.matches()
-        && namesAnswer.test(line.group(1), line.group(2));
+        && namesAnswer.test(line.group(1), line.group(2).trim());
   }
 }
--- a/org.fawndrum/tst/org/fawndrum/transport/relay/BodyHeadsTest.java
+++ b/org.fawndrum/tst/org/fawndrum/transport/relay/BodyHeadsTest.java
@@ -3,10 +3,12 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTimeoutPreemptively;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.vertx.core.buffer.Buffer;
 import java.nio.charset.StandardCharsets;
+import java.time.Duration;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -73,6 +75,22 @@
     assertTrue(finds("HTTP/1.1 200 OK\r\nOther: ".repeat(LONG) + SECOND));
   }
 
+  /** A value with a byte that ends a line elsewhere, as many letters have one, hid the id. */
+  @ParameterizedTest
+  @ValueSource(strings = {"\u00c3\u0085land", "\u0085", "a\rb"})
+  void aHeadIsFoundWhateverItsValuesAre(String value) {
+    assertTrue(finds("HTTP/1.1 200 OK\r\nOther: " + value + "\r\nid: r-1\r\n"));
+  }
+
+  /** A value with many blanks held up the thread that reads. */
+  @Test
+  void aValueWithManyBlanksIsReadOnce() {
+    String line = "Other: a" + " ".repeat(4_000) + "b\r\n";
+    assertTimeoutPreemptively(
+        Duration.ofSeconds(5),
+        () -> assertFalse(finds("HTTP/1.1 200 OK\r\n" + line.repeat(1_000))));
+  }
+
   /** A head that breaks off was not found; it is from the end of the id on. */
   @Test
   void aHeadThatBreaksOffIsFoundOnceItHasTheId() {
