An answer with a length that a second answer fills up is not whole

An endpoint that broke off an answer within its body and went on with a second one on the same connection had both passed on as one complete body, with the seal of the first one. The head of the second one is now looked for in every body, as it was behind those without a length. The price: each byte of every body is looked at, and a body that repeats the head of its own answer is lost. CutHeadTest was not run; chunks have no test.

--- a/org.fawndrum/src/org/fawndrum/transport/relay/AnswerReader.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/AnswerReader.java
@@ -54,7 +54,7 @@
      */
     void endedEarly();
 
-    /** Called when another answer stands in the body, which ends with its connection. */
+    /** Called when another answer stands in the body. */
     void secondAnswerFound();
   }
 
@@ -97,7 +97,7 @@
 
   /** Returns whether the next bytes of the body show that another answer stands in it. */
   private boolean hasSecondAnswer(Buffer next) {
-    return head.framing() == AnswerFraming.CONNECTION && heads.append(next);
+    return heads.append(next);
   }
 
   private void readWhole() {
--- a/org.fawndrum/src/org/fawndrum/transport/relay/BodyHeads.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/BodyHeads.java
@@ -7,9 +7,10 @@
 import java.util.regex.Pattern;
 
 /**
- * Recognizes the head of another answer within a body that ends with its connection. Only its form
- * gives it away: a status line, behind which a field names the answer that the body belongs to.
- * Looks at each byte once, and holds one line of a head at most. Confined to one thread.
+ * Recognizes the head of another answer within a body: behind a body that ends with its connection,
+ * or in the place of what an answer that broke off had left to send. Only its form gives it away: a
+ * status line, behind which a field names the answer that the body belongs to. Looks at each byte
+ * once, and holds one line of a head at most. Confined to one thread.
  */
 final class BodyHeads {
   /** The longest field that is looked at, in bytes; the HTTP client takes no longer head. */
