--- a/org.fawndrum/src/org/fawndrum/transport/relay/BodyHeads.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/BodyHeads.java
@@ -8,9 +8,10 @@
 import java.util.regex.Pattern;
 
 /**
- * Recognizes the head of another answer within a body that ends with its connection. Only its form
- * gives it away: a status line, behind which a field names the answer that the body belongs to.
- * Looks at each byte once, and holds one line of a head at most. Confined to one thread.
+ * Recognizes the head of another answer within a body: behind a body that ends with its connection,
+ * or in the place of what an answer that broke off had left to send. Only its form gives it away: a
+ * status line, behind which a field names the answer that the body belongs to. Looks at each byte
+ * once, and holds one line of a head at most. Confined to one thread.
  */
 final class BodyHeads {
   /** The longest field that is looked at, in bytes; the HTTP client takes no longer head. */
@@ -22,9 +23,12 @@
   /** Stands for a digit in {@link #STATUS}. */
   private static final char DIGIT = '#';
 
-  /** A field with its name and value (RFC 9112, section 5). */
+  /**
+   * A field with its name and value (RFC 9112, section 5). The value may have any byte, and is
+   * trimmed apart: a pattern that does it takes the square of the number of blanks.
+   */
   private static final Pattern FIELD =
-      Pattern.compile("([!#$%&'*+.^_`|~0-9A-Za-z-]+):[ \t]*(.*?)[ \t\r]*");
+      Pattern.compile("([!#$%&'*+.^_`|~0-9A-Za-z-]++):(.*+)", Pattern.DOTALL);
 
   /** The fields of events (HTML, section 9.2.6). */
   private static final Set<String> EVENT_FIELDS = Set.of("data", "event", "id", "retry");
@@ -121,7 +125,7 @@
       found |= atLineStart && amongEvents;
     } else if (inHead) {
       found |= isOfAnswer();
-      inHead = FIELD.matcher(field).matches();
+      inHead = field(field).matches();
     }
     field.setLength(0);
     matched = 0;
@@ -129,11 +133,16 @@
     statusLine = false;
   }
 
+  /** Returns a matcher of a field with its name and value; it looks at each character once. */
+  static Matcher field(CharSequence line) {
+    return FIELD.matcher(line);
+  }
+
   private boolean isOfAnswer() {
-    Matcher line = FIELD.matcher(field);
+    Matcher line = field(field);
     return field.length() <= MAX_FIELD_BYTES
         && line.matches()
         && (amongEvents && !EVENT_FIELDS.contains(line.group(1))
-            || namesAnswer.test(line.group(1), line.group(2)));
+            || namesAnswer.test(line.group(1), line.group(2).trim()));
   }
 }
--- a/org.fawndrum/tst/org/fawndrum/transport/relay/BodyHeadsTest.java
+++ b/org.fawndrum/tst/org/fawndrum/transport/relay/BodyHeadsTest.java
@@ -74,6 +74,47 @@
     assertTrue(finds("HTTP/1.1 200 OK\r\nOther: ".repeat(LONG) + SECOND));
   }
 
+  /** A value with a byte that ends a line elsewhere, as many letters have one, hid the id. */
+  @ParameterizedTest
+  @ValueSource(strings = {"\u00c3\u0085land", "\u0085", "a\rb"})
+  void aHeadIsFoundWhateverItsValuesAre(String value) {
+    assertTrue(finds("HTTP/1.1 200 OK\r\nOther: " + value + "\r\nid: r-1\r\n"));
+  }
+
+  /** Counts how often its characters are looked at. */
+  private static final class CountedLine implements CharSequence {
+    private final String text;
+    private int reads;
+
+    CountedLine(String text) {
+      this.text = text;
+    }
+
+    @Override
+    public int length() {
+      return text.length();
+    }
+
+    @Override
+    public char charAt(int index) {
+      reads++;
+      return text.charAt(index);
+    }
+
+    @Override
+    public CharSequence subSequence(int start, int end) {
+      return text.subSequence(start, end);
+    }
+  }
+
+  /** A value with many blanks held up the thread that reads. */
+  @Test
+  void aValueWithManyBlanksIsReadOnce() {
+    CountedLine line = new CountedLine("Other: a" + " ".repeat(4_000) + "b\r");
+    assertTrue(BodyHeads.field(line).matches());
+    assertTrue(line.reads <= 2 * line.length(), line.reads + " of " + line.length());
+  }
+
   /** A head that breaks off was not found; it is from the end of the id on. */
   @Test
   void aHeadThatBreaksOffIsFoundOnceItHasTheId() {
