--- a/org.fawndrum/src/org/fawndrum/coordination/HostLateness.java
+++ b/org.fawndrum/src/org/fawndrum/coordination/HostLateness.java
@@ -55,8 +55,11 @@
     return ROUNDS_PER_REQUEST * usualMs;
   }
 
-  /** Returns whether a request that arrives now can be answered within a time. */
+  /**
+   * Returns whether a request that arrives now can be answered within a time. A host that is not
+   * late does not find so, whatever the time is.
+   */
   public boolean canFinish(long leftMs) {
-    return perRequestMs() <= leftMs;
+    return perRequestMs() <= Math.max(0, leftMs);
   }
 }
--- a/org.fawndrum/src/org/fawndrum/coordination/link/ProxySelector.java
+++ b/org.fawndrum/src/org/fawndrum/coordination/link/ProxySelector.java
@@ -69,6 +69,7 @@
   public synchronized Optional<FleetMember> take(
       Collection<FleetMember> live, Set<HostIdentity> asked, long nowMs) {
     restUntilMs.values().removeIf(untilMs -> nowMs >= untilMs);
+    silentRestMs.keySet().removeIf(host -> live.stream().noneMatch(m -> m.identity().equals(host)));
     List<FleetMember> eligible =
         live.stream()
             .filter(member -> member.proxyPort() > 0)
--- a/org.fawndrum/tst/org/fawndrum/coordination/HostLatenessTest.java
+++ b/org.fawndrum/tst/org/fawndrum/coordination/HostLatenessTest.java
@@ -24,6 +24,7 @@
   @Test
   void hostThatJustStartedCanFinishEverything() {
     assertTrue(lateness.canFinish(0));
+    assertTrue(lateness.canFinish(-1));
   }
 
   @Test
