--- a/org.fawndrum/tst/org/fawndrum/transport/relay/LateFleetDutyTest.java
+++ b/org.fawndrum/tst/org/fawndrum/transport/relay/LateFleetDutyTest.java
@@ -4,6 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNotNull;
 
+import java.util.Collection;
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.BlockingQueue;
@@ -79,6 +80,9 @@
     @Override
     public void send(HostAddress to, PeerMessage message) {}
 
+    @Override
+    public void send(Collection<HostAddress> to, PeerMessage message) {}
+
     @Override
     public CompletableFuture<PeerMessage> request(HostAddress to, PeerMessage.Builder message) {
       return new CompletableFuture<>();
