Silence of others counts only while this host listens

Cause: the silence of another host was measured by a clock that runs on while this host gets no processor time. The messages of the others had arrived and were not read; the host took them for gone, closed its connections, dropped their work, chose another leader, and then learned of all of them again, which costs processor time at every host.

FleetOverlay now measures silence in the time for which it has listened. Four times a second the fleet duty sends a mark through the thread that reads messages and back through its own queue; what had arrived is handled before the mark returns. A host that is always late still finds silent ones, later. The right to issue permits stays bound to the clock.

--- a/org.fawndrum/src/org/fawndrum/coordination/membership/DaemonState.java
+++ b/org.fawndrum/src/org/fawndrum/coordination/membership/DaemonState.java
@@ -5,8 +5,8 @@
 
 /**
  * The state of another daemon as observed here. It is alive from the first message until it is
- * declared gone. Confined to the overlay's thread. Times are those of the host's clock, in
- * milliseconds.
+ * declared gone. Confined to the overlay's thread. Times are {@link ListeningTime listening times},
+ * in milliseconds.
  */
 final class DaemonState {
   private static final long NEVER_MS = Long.MIN_VALUE / 2;
--- a/org.fawndrum/src/org/fawndrum/coordination/membership/FleetOverlay.java
+++ b/org.fawndrum/src/org/fawndrum/coordination/membership/FleetOverlay.java
@@ -23,9 +23,18 @@
  * reports of an earlier incarnation than the living one are dropped, so no report circulates. A
  * message from a daemon itself is always accepted, because its clock may have been set back.
  *
+ * <p>Silence is measured in the time for which this daemon has listened: its own lateness is no
+ * silence of others.
+ *
  * <p>Confined to one thread. Times are those of the host's clock, in milliseconds.
  */
 public final class FleetOverlay {
+  /**
+   * Maximum interval at which a daemon is to call {@link #listened}, in milliseconds; less than
+   * half of the time that counts without a call, so that an ordinary delay costs none.
+   */
+  public static final long LISTENED_INTERVAL_MS = 250;
+
   /** Silence after which a daemon counts as gone, in milliseconds: three heartbeats. */
   static final long GONE_MS = 3_500;
 
@@ -43,6 +52,7 @@
   private final Map<String, DaemonState> daemons = new HashMap<>();
   private final LinkSelector links;
   private final IssuerSelector issuers;
+  private final ListeningTime listening = new ListeningTime();
 
   /**
    * Notified of daemons that appear or are gone. Called on the overlay's thread, from within its
@@ -81,6 +91,15 @@
     return issuers;
   }
 
+  /**
+   * Records that all messages that had arrived were passed to this overlay. From the first call on,
+   * the time counts as silence of others only while such calls come regularly, see {@link
+   * #LISTENED_INTERVAL_MS}.
+   */
+  public void listened(long nowMs) {
+    listening.record(nowMs);
+  }
+
   /** Records a message that came from a daemon itself. */
   public void receivedFrom(FleetMember member, boolean subscribes, long nowMs) {
     if (isSelf(member.identity())) {
@@ -88,12 +107,13 @@
     }
     markAlive(member, nowMs);
     DaemonState daemon = daemons.get(member.identity().host());
-    daemon.markMessage(nowMs);
+    long listenedMs = listening.at(nowMs);
+    daemon.markMessage(listenedMs);
     if (subscribes) {
-      if (!daemon.isSubscriber(nowMs)) {
+      if (!daemon.isSubscriber(listenedMs)) {
         links.invalidate();
       }
-      daemon.markSubscribed(nowMs);
+      daemon.markSubscribed(listenedMs);
     }
   }
 
@@ -122,10 +142,11 @@
     DaemonState daemon =
         daemons.computeIfAbsent(member.identity().host(), host -> new DaemonState());
     boolean sameIncarnation = daemon.isAlive(member.identity());
+    long listenedMs = listening.at(nowMs);
     if (daemon.isAlive() && !sameIncarnation) {
-      watcher.gone(daemon.member(), daemon.silentMs(nowMs));
+      watcher.gone(daemon.member(), daemon.silentMs(listenedMs));
     }
-    daemon.markAlive(member, nowMs);
+    daemon.markAlive(member, listenedMs);
     issuers.observed(member, nowMs);
     if (!sameIncarnation) {
       links.invalidate();
@@ -146,10 +167,11 @@
 
   /** Removes daemons that were silent for too long. */
   public void expire(long nowMs) {
+    long listenedMs = listening.at(nowMs);
     Iterator<DaemonState> iterator = daemons.values().iterator();
     while (iterator.hasNext()) {
       DaemonState daemon = iterator.next();
-      long silentMs = daemon.silentMs(nowMs);
+      long silentMs = daemon.silentMs(listenedMs);
       if (daemon.isAlive() && silentMs > GONE_MS) {
         daemon.markGone();
         links.invalidate();
@@ -163,17 +185,17 @@
 
   /** Returns the daemon that forwards this one's reports: itself if no better one answers. */
   public FleetMember zoneLeader(long nowMs) {
-    return links.linksAt(nowMs).leader();
+    return links.linksAt(listening.at(nowMs)).leader();
   }
 
   /** Returns whether this daemon forwards the reports of others. */
   public boolean forwards(long nowMs) {
-    return links.linksAt(nowMs).forwards();
+    return links.linksAt(listening.at(nowMs)).forwards();
   }
 
   /** Returns the daemons of the own zone that receive this one's messages. */
   public List<FleetMember> sameZoneLinks(long nowMs) {
-    return links.linksAt(nowMs).sameZone();
+    return links.linksAt(listening.at(nowMs)).sameZone();
   }
 
   /**
@@ -181,7 +203,7 @@
    * forward.
    */
   public List<FleetMember> otherZoneLinks(long nowMs) {
-    return links.linksAt(nowMs).otherZones();
+    return links.linksAt(listening.at(nowMs)).otherZones();
   }
 
   /**
@@ -189,7 +211,7 @@
    * instead.
    */
   public boolean hasCloserLeader(FleetMember subscriber, long nowMs) {
-    FleetMember best = links.best(subscriber.zone(), nowMs);
+    FleetMember best = links.best(subscriber.zone(), listening.at(nowMs));
     return !subscriber.zone().equals(self.zone())
         && best != null
         && !best.identity().equals(subscriber.identity());
@@ -211,11 +233,12 @@
    * life.
    */
   public Set<String> silentZones(long nowMs) {
+    long listenedMs = listening.at(nowMs);
     Set<String> silent = new HashSet<>();
     Set<String> reporting = new HashSet<>();
     reporting.add(self.zone());
     for (DaemonState daemon : daemons.values()) {
-      boolean recent = daemon.silentMs(nowMs) <= SILENT_ZONE_MS;
+      boolean recent = daemon.silentMs(listenedMs) <= SILENT_ZONE_MS;
       (recent ? reporting : silent).add(daemon.member().zone());
     }
     silent.removeAll(reporting);
@@ -224,7 +247,9 @@
 
   /** Returns whether all known daemons sent a recent sign of life. */
   public boolean allHostsReporting(long nowMs) {
-    return daemons.values().stream().allMatch(daemon -> daemon.silentMs(nowMs) <= SILENT_ZONE_MS);
+    long listenedMs = listening.at(nowMs);
+    return daemons.values().stream()
+        .allMatch(daemon -> daemon.silentMs(listenedMs) <= SILENT_ZONE_MS);
   }
 
   /** Returns the addresses of daemons that are silent now and may come back. */
--- a/org.fawndrum/src/org/fawndrum/coordination/membership/LinkSelector.java
+++ b/org.fawndrum/src/org/fawndrum/coordination/membership/LinkSelector.java
@@ -13,8 +13,8 @@
 /**
  * Selects the daemons with which this one exchanges messages: its zone leader, its subscribers and,
  * if it forwards reports, one daemon of each other zone. A selection is cached for a short time, or
- * until it is invalidated. Confined to the overlay's thread. Times are those of the host's clock,
- * in milliseconds.
+ * until it is invalidated. Confined to the overlay's thread. Times are {@link ListeningTime
+ * listening times}, in milliseconds.
  */
 final class LinkSelector {
   /**
--- a/org.fawndrum/src/org/fawndrum/transport/peer/NettyPeerNetwork.java
+++ b/org.fawndrum/src/org/fawndrum/transport/peer/NettyPeerNetwork.java
@@ -9,6 +9,7 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
@@ -196,6 +197,13 @@
     }
   }
 
+  @Override
+  public void afterReading(Runnable step) {
+    // A scheduled task runs in the next round of the loop, after all connections that can be read.
+    EventLoop thread = loop.next();
+    thread.execute(() -> thread.schedule(step, 1, TimeUnit.NANOSECONDS));
+  }
+
   private void write(Channel channel, PeerMessage message) {
     byte[] bytes = message.toByteArray();
     bytesSent.addAndGet(bytes.length);
--- a/org.fawndrum/src/org/fawndrum/transport/peer/PeerNetwork.java
+++ b/org.fawndrum/src/org/fawndrum/transport/peer/PeerNetwork.java
@@ -20,6 +20,12 @@
   /** Closes the connection to a peer, if there is one; the next message opens a new one. */
   void disconnect(HostAddress peer);
 
+  /**
+   * Runs a step once the receiver has been given all messages that have arrived by now; on the
+   * thread that gives it the messages.
+   */
+  void afterReading(Runnable step);
+
   /** Receives messages of other daemons that are not replies. */
   interface Receiver {
     /** Handles one message; {@code reply} sends the reply if the message is a request. */
--- a/org.fawndrum/src/org/fawndrum/transport/relay/FleetDuty.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/FleetDuty.java
@@ -77,6 +77,7 @@
   private final RateReports rateReports;
   private final FleetMessenger messenger;
   private final PermitExchange permits;
+  private final PeerNetwork network;
   private final SilentContacts silentContacts = new SilentContacts(MAX_SILENT_CONTACTS);
   private final ReportForwarder forwarder;
   private volatile List<FleetMember> livePeers = List.of();
@@ -87,6 +88,7 @@
   private long sequence;
   private long nextHeartbeatMs;
   private long nextViewUpdateMs;
+  private long nextReadMs;
 
   FleetDuty(
       HostIdentity self,
@@ -102,6 +104,7 @@
     this.self = self;
     this.currentSettings = currentSettings;
     this.crashSummary = crashSummary;
+    this.network = network;
     this.clock = clock;
     this.listener = listener;
     this.log = log;
@@ -202,6 +205,8 @@
       if (!message.shuttingDown().isEmpty()) {
         listener.shutdownsReceived(message.from().identity(), message.shuttingDown());
       }
+    } else if (event instanceof FleetEvent.MessagesRead) {
+      overlay.listened(clock.nowMs());
     } else if (event instanceof FleetEvent.EndpointCrashes crashes) {
       sendCrashes(crashes);
     } else if (event instanceof FleetEvent.PermitsDemanded demanded) {
@@ -301,10 +306,20 @@
     if (rateReports.takeDue(nowMs)) {
       messenger.send(messenger.newMessage(), broadcastAddresses(nowMs));
     }
+    listen(nowMs);
     long dueMs = Math.min(Math.min(nextHeartbeatMs, permits.tick(nowMs)), rateReports.dueMs());
+    dueMs = Math.min(dueMs, nextReadMs);
     return Math.min(dueMs, forwards ? forwarder.dueMs(nowMs) : dueMs) - nowMs;
   }
 
+  /** Finds out regularly whether this host handles what arrives. */
+  private void listen(long nowMs) {
+    if (nowMs >= nextReadMs) {
+      nextReadMs = nowMs + FleetOverlay.LISTENED_INTERVAL_MS;
+      network.afterReading(() -> duty.offer(new FleetEvent.MessagesRead()));
+    }
+  }
+
   /** Publishes the live peers to other threads. */
   private void publishPeers(long nowMs) {
     overlay.expire(nowMs);
--- a/org.fawndrum/src/org/fawndrum/transport/relay/FleetEvent.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/FleetEvent.java
@@ -43,6 +43,9 @@
   record PermitsReceived(FleetMember from, List<PermitDemand> demands, List<PermitGrant> grants)
       implements FleetEvent {}
 
+  /** All messages that had arrived before were passed on as events before this one. */
+  record MessagesRead() implements FleetEvent {}
+
   /** This host shuts down. */
   record Stopping() implements FleetEvent {}
 
--- a/org.fawndrum/tst/org/fawndrum/transport/relay/SimulatedHost.java
+++ b/org.fawndrum/tst/org/fawndrum/transport/relay/SimulatedHost.java
@@ -263,6 +263,12 @@
     return reply;
   }
 
+  @Override
+  public void afterReading(Runnable step) {
+    // Messages are handled when they arrive.
+    step.run();
+  }
+
   @Override
   public void disconnect(HostAddress peer) {
     // Connections have no state here.
