Peers: replies that arrived are read before a request is given up

Cause: another thread gave up a request to another host after one second, and closed the connection, while the thread that reads was without a processor and the reply lay in the socket. The next request opened a new connection.

The time of a reply now ends on the thread that reads, and only after one more round of it. Class: own lateness taken for the silence of others.

--- a/org.fawndrum/src/org/fawndrum/transport/peer/NettyPeerNetwork.java
+++ b/org.fawndrum/src/org/fawndrum/transport/peer/NettyPeerNetwork.java
@@ -21,7 +21,9 @@
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
 import java.util.concurrent.atomic.AtomicLong;
 import org.fawndrum.errors.PeerUnreachableException;
 import org.fawndrum.internal.log.HostLog;
@@ -158,10 +160,17 @@
             write(channel, request);
           }
         });
+    // What has arrived by then is read before it is found that a reply is missing.
+    Future<?> timeout =
+        loop.next()
+            .schedule(
+                () -> afterReading(() -> reply.completeExceptionally(new TimeoutException())),
+                REPLY_TIMEOUT_MS,
+                TimeUnit.MILLISECONDS);
     return reply
-        .orTimeout(REPLY_TIMEOUT_MS, TimeUnit.MILLISECONDS)
         .whenComplete(
             (answer, failure) -> {
+              timeout.cancel(false);
               pendingReplies.remove(exchange);
               if (failure != null) {
                 dropUnanswered(to, connection, exchange);
--- a/org.fawndrum/tst/org/fawndrum/transport/peer/NettyPeerNetworkTest.java
+++ b/org.fawndrum/tst/org/fawndrum/transport/peer/NettyPeerNetworkTest.java
@@ -11,8 +11,12 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.util.Optional;
+import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.function.Consumer;
 import org.fawndrum.errors.PeerUnreachableException;
 import org.fawndrum.internal.log.HostLog;
 import org.fawndrum.protocol.PeerCodec;
@@ -33,6 +37,9 @@
   /** Longer than any request takes, in milliseconds. */
   private static final int MAX_WAIT_MS = 20_000;
 
+  /** Longer than the time after which a request without a reply is given up, in milliseconds. */
+  private static final long HELD_UP_MS = 1_500;
+
   private static final ListenSettings ANY_PORT =
       new ListenSettings(new HostAddress("127.0.0.1", 0), Optional.empty());
 
@@ -92,6 +99,41 @@
     }
   }
 
+  /**
+   * A host without a processor gave a peer up, and closed the connection, though the reply had
+   * arrived and was only not read yet. Here its thread is held up for longer than replies may take.
+   */
+  @Test
+  void aReplyThatArrivedIsReadBeforeItsRequestIsGivenUp() throws Exception {
+    CountDownLatch held = new CountDownLatch(1);
+    CountDownLatch replied = new CountDownLatch(1);
+    NettyPeerNetwork late = network((message, reply) -> holdUp(held, replied));
+    HostAddress lateAddress = new HostAddress("127.0.0.1", late.port());
+    BlockingQueue<Consumer<PeerMessage.Builder>> requests = new LinkedBlockingQueue<>();
+    NettyPeerNetwork other = network((message, reply) -> requests.add(reply));
+    HostAddress address = new HostAddress("127.0.0.1", other.port());
+    CompletableFuture<PeerMessage> answer = late.request(address, claimRequest());
+    Consumer<PeerMessage.Builder> reply = requests.take();
+    other.send(lateAddress, claimRequest().build());
+    held.await();
+    reply.accept(PeerCodec.newMessage(TWO).setClaimReply(ClaimReply.newBuilder()));
+    replied.countDown();
+    assertEquals(TWO, PeerCodec.sender(answer.join()));
+    late.close();
+    other.close();
+  }
+
+  /** Holds up the thread that reads, for some time after a reply was sent to it. */
+  private static void holdUp(CountDownLatch held, CountDownLatch replied) {
+    held.countDown();
+    try {
+      replied.await();
+      Thread.sleep(HELD_UP_MS);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
   /** Sends a request that gets no reply; returns the new connection on which it arrived. */
   private Socket acceptDuring(ServerSocket server, HostAddress address) throws IOException {
     CompletableFuture<PeerMessage> request = one.request(address, claimRequest());
