Requests that a late host can't finish are refused at once

Nothing measured this host's own lateness. A step now goes every 250 ms from the event loop through the decision duty and back, the way of a request. HostLateness, which is pure, takes the lateness that more than half of the last eight steps had: a moment refuses nothing.

--- /dev/null
+++ b/org.fawndrum/src/org/fawndrum/coordination/HostLateness.java
@@ -0,0 +1,62 @@
+// SPDX-License-Identifier: Apache-2.0
+package org.fawndrum.coordination;
+
+import java.util.Arrays;
+
+/**
+ * How late this host does its own work, and whether a request can still be answered in time by a
+ * host that is so late. It is told of rounds: regular steps that pass through the same threads as a
+ * request. Most of the last rounds decide, so that a host that was late for a moment refuses
+ * nothing. Recorded by one thread; its other methods are thread-safe. Times are in milliseconds.
+ */
+public final class HostLateness {
+  /**
+   * Interval of rounds: short against the time for which callers wait, and costs a host without
+   * callers next to nothing.
+   */
+  public static final long ROUND_INTERVAL_MS = 250;
+
+  /** Rounds that count: those of the last two seconds, at least. */
+  static final int ROUNDS = 8;
+
+  /**
+   * Rounds that a request takes at least: it is placed, its endpoint is connected, the answer is
+   * read, and its end is passed on. Each of these waits for a processor as a round does.
+   */
+  static final int ROUNDS_PER_REQUEST = 4;
+
+  /** The round of those that count, in order of their lateness, that counts as usual. */
+  private static final int USUAL = ROUNDS / 2 - 1;
+
+  private final long[] lastMs = new long[ROUNDS];
+  private int rounds;
+  private volatile long usualMs;
+
+  /**
+   * Records a round.
+   *
+   * @param dueMs when it was to begin, by the host's clock
+   * @param passedMs when it had passed through all threads
+   */
+  public void recordRound(long dueMs, long passedMs) {
+    lastMs[rounds++ % ROUNDS] = Math.max(0, passedMs - dueMs);
+    long[] sorted = lastMs.clone();
+    Arrays.sort(sorted);
+    usualMs = sorted[USUAL];
+  }
+
+  /** Returns a time by which more than half of the last rounds were late. */
+  public long usualMs() {
+    return usualMs;
+  }
+
+  /** Returns for how long a request, or a call of this host's own, usually waits for this host. */
+  public long perRequestMs() {
+    return ROUNDS_PER_REQUEST * usualMs;
+  }
+
+  /** Returns whether a request that arrives now can be answered within a time. */
+  public boolean canFinish(long leftMs) {
+    return perRequestMs() <= leftMs;
+  }
+}
--- a/org.fawndrum/src/org/fawndrum/coordination/RefusalKind.java
+++ b/org.fawndrum/src/org/fawndrum/coordination/RefusalKind.java
@@ -56,6 +56,8 @@
   DRAINING(503, "overloaded_error", "this host is being stopped"),
   /** The event queue of a duty is full. */
   HOST_BUSY(503, "overloaded_error", "this host has no room for more events"),
+  /** The host does its work so late that the request could not finish before its deadline. */
+  HOST_LATE(503, "overloaded_error", "this host has no processor time for more requests"),
   /** The host holds all that it may for callers and endpoints. */
   HOST_MEMORY_FULL(503, "overloaded_error", "this host has no memory left for more requests"),
   /** The host has not received a table yet. */
--- a/org.fawndrum/src/org/fawndrum/transport/relay/RelayDuty.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/RelayDuty.java
@@ -311,6 +311,8 @@
               suspects -> suspects.clearRejection(cleared.fingerprint(), nowMs), nowMs));
     } else if (event instanceof RelayEvent.StopSignaled signaled) {
       coordinator.beginShutdown(signaled.window());
+    } else if (event instanceof RelayEvent.RoundPassing round) {
+      round.onPassed().run();
     } else if (event instanceof RelayEvent.DrainEnding ending) {
       abortedRequests = coordinator.openCount();
       aborting = true;
--- a/org.fawndrum/src/org/fawndrum/transport/relay/RelayEvent.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/RelayEvent.java
@@ -103,6 +103,13 @@
   /** This host received the stop signal. */
   record StopSignaled(ShutdownWindow window) implements LifecycleEvent {}
 
+  /**
+   * A step of the watch of this host's lateness passes through the decision duty.
+   *
+   * @param onPassed runs there; must not block
+   */
+  record RoundPassing(Runnable onPassed) implements LifecycleEvent {}
+
   /**
    * The drain of this host ends now; all open requests receive their final answers.
    *
--- a/org.fawndrum/src/org/fawndrum/transport/relay/RelayGauges.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/RelayGauges.java
@@ -47,6 +47,12 @@
     registry.registerGauge("permitsExpired", permits::expiredCount);
   }
 
+  /** Registers the gauges about this host's own lateness. */
+  void lateness(LatenessWatch lateness) {
+    registry.registerGauge("hostLateMs", lateness::usualMs);
+    registry.registerGauge("requestsRefusedLate", lateness::refusedCount);
+  }
+
   /** Registers the gauges about callers. */
   void callers(RelayServer callers, CallerHolds holds) {
     registry.registerGauge("callerConnections", callers::connections);
--- a/org.fawndrum/src/org/fawndrum/transport/relay/RelayIntake.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/RelayIntake.java
@@ -35,6 +35,7 @@
   private final RelayContext relay;
   private final Supplier<RelayBounds> bounds;
   private final AttemptEventListener attemptListener;
+  private final LatenessWatch lateness;
 
   /** Receives events of exchanges for the decision duty. */
   interface AttemptEventListener extends AttemptListener {
@@ -55,12 +56,14 @@
       RelayDuty decisions,
       RelayContext relay,
       Supplier<RelayBounds> bounds,
-      AttemptEventListener attemptListener) {
+      AttemptEventListener attemptListener,
+      LatenessWatch lateness) {
     this.routes = routes;
     this.decisions = decisions;
     this.relay = relay;
     this.bounds = bounds;
     this.attemptListener = attemptListener;
+    this.lateness = lateness;
   }
 
   @Override
@@ -73,6 +76,8 @@
             .route(http.getHeader("host"), http.path())
             .orElseThrow(() -> refusal(request, RefusalKind.NO_ROUTE));
     Workspace workspace = workspace(table, route, request);
+    long dueMs = incoming.arrivedMs() + route.allowedMs(request.timeoutMs());
+    lateness.checkCanFinish(request.requestId(), dueMs);
     String service = route.service(ThreadLocalRandom.current().nextDouble());
     RequestContent content =
         new CallContent(
@@ -82,7 +87,7 @@
             incoming.body(),
             service,
             request.prefixes());
-    incoming.held().answerDue(incoming.arrivedMs() + route.allowedMs(request.timeoutMs()));
+    incoming.held().answerDue(dueMs);
     RequestFacts facts = facts(table, route, service, workspace, incoming, content);
     RelayCall call =
         new RelayCall(
--- a/org.fawndrum/src/org/fawndrum/transport/relay/RelayRuntime.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/RelayRuntime.java
@@ -54,6 +54,7 @@
   private final MetricsServer metrics;
   private final DecisionLog decisionLog;
   private final StallWatch stallWatch;
+  private final LatenessWatch lateness;
   private final CallerHolds holds;
   private final IncarnationGuard engineControl;
   private final IncarnationProbes incarnationProbes;
@@ -109,10 +110,11 @@
     this.network = new NettyPeerNetwork(peers, receiver, log);
     this.fleet = newFleet(restrictions);
     this.stallWatch = new StallWatch(vertx, clock);
+    this.lateness = new LatenessWatch(timer, decisions::offer, clock, log);
     this.engineControl = new IncarnationGuard(adapter.engineControl(), this::restarted);
     this.engineControl.setNoticeListener(notices);
     this.incarnationProbes = new IncarnationProbes(vertx, engineControl, this::incarnationProbed);
-    this.holds = new CallerHolds(vertx, () -> settingsInForce().hold(), clock, events, decisionLog);
+    this.holds = new CallerHolds(vertx, () -> this.settings.hold(), clock, events, decisionLog);
     this.paths =
         EndpointPaths.create(vertx, settings, fleet::livePeers, clock, registry, log, events);
     this.engineControl.setPaths(paths);
@@ -164,10 +166,6 @@
         log);
   }
 
-  private RelaySettings settingsInForce() {
-    return settings;
-  }
-
   private RelayBounds bounds() {
     return settings.bounds();
   }
@@ -208,7 +206,7 @@
   private FleetDuty newFleet(EndpointRestrictions restrictions) {
     return new FleetDuty(
         self,
-        this::settingsInForce,
+        () -> settings,
         this::storePositions,
         decisions::crashSummary,
         restrictions,
@@ -240,7 +238,7 @@
             paths, proofs, codec, engineControl, notices, stallWatch, clock, decisionLog, log);
     RelayIntake intake =
         new RelayIntake(
-            routes, decisions, relay, () -> settings.bounds(), new AttemptEventForwarder(events));
+            routes, decisions, relay, this::bounds, new AttemptEventForwarder(events), lateness);
     return new RelayServer(
         vertx,
         settings.callers(),
@@ -280,6 +278,7 @@
     gauges.process(startLog);
     gauges.decisions(decisions, stallWatch, permits);
     gauges.callers(callers, holds);
+    gauges.lateness(lateness);
     gauges.fleet(fleet, network);
     gauges.proxy(proxy);
   }
@@ -330,6 +329,7 @@
         .compose(server -> HostStart.listenOn("callers", settings.callers(), callers.listen()))
         .map(
             server -> {
+              lateness.start(timer.eventLoop());
               storeSync.start(timer.eventLoop(), timer, this::bounds);
               new HostStart(timer, this::hasState, store::isUnavailable, fleet::start, startLog)
                   .begin();
