Store: own lateness is no silence of the store

What callers saw: 503 from hosts that had started.

Cause: a read of the store was sent again over a new connection after 0.3 s, and given up after 1 s, by the clock of a host that had no processor to read the answer. Each repetition costs a connection at both ends, all hosts send them, and none of them knows a configuration in time.

Both times are now longer by what the host itself usually takes (HostLateness). Which configurations may still be used, and from which age on a host reads, are unchanged.

Evidence: StoreTimesTest.ownLatenessIsNoTimeOfTheStore, new with the parameter.

--- a/org.fawndrum/src/org/fawndrum/transport/relay/RelayRuntime.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/RelayRuntime.java
@@ -135,6 +135,7 @@
         adapter,
         routes,
         this::bounds,
+        lateness::perRequestMs,
         this::isLeader,
         this::applyListing,
         starts,
--- a/org.fawndrum/src/org/fawndrum/transport/relay/StoreReader.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/StoreReader.java
@@ -19,6 +19,7 @@
   private final KeyedLog store;
   private final RouteStore routes;
   private final Supplier<RelayBounds> bounds;
+  private final LongSupplier lateMs;
   private final BooleanSupplier leader;
   private final HostClock clock;
   private final HostLog log;
@@ -34,6 +35,7 @@
    * @param adapter provides the store and decodes its records
    * @param routes receives the configuration and the drained zones
    * @param bounds the limits for revoked keys and for drains
+   * @param lateMs for how long a call waits for this host itself, in milliseconds
    * @param leader whether this host is the leader of its zone
    * @param onListing receives each new list of endpoints
    * @param starts receives what the entries of endpoints say about their starts
@@ -43,6 +45,7 @@
       RelayAdapter adapter,
       RouteStore routes,
       Supplier<RelayBounds> bounds,
+      LongSupplier lateMs,
       BooleanSupplier leader,
       Consumer<HostListing> onListing,
       StartListener starts,
@@ -52,6 +55,7 @@
     this.store = adapter.store();
     this.routes = routes;
     this.bounds = bounds;
+    this.lateMs = lateMs;
     this.leader = leader;
     this.clock = clock;
     this.log = log;
@@ -62,7 +66,7 @@
   }
 
   private StoreTimes times() {
-    return new StoreTimes(bounds.get());
+    return new StoreTimes(bounds.get(), lateMs.getAsLong());
   }
 
   private TopicFollower configurationFollower() {
--- a/org.fawndrum/src/org/fawndrum/transport/relay/StoreTimes.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/StoreTimes.java
@@ -7,8 +7,10 @@
  * change, whatever happens to its leader. Immutable.
  *
  * @param bounds the bounds in force
+ * @param lateMs for how long a call waits for this host itself, in milliseconds: a late host reads
+ *     an answer that arrived in time as much later, and a repeated call would make it later still
  */
-record StoreTimes(RelayBounds bounds) {
+record StoreTimes(RelayBounds bounds, long lateMs) {
   /**
    * The part of a bound after which a host reads the store itself. It is above the leader's
    * interval plus that of the queries to the leader; the remainder is for reading.
@@ -68,6 +70,11 @@
   /** The longest pause between two tries to read the store, in milliseconds. */
   private static final long MAX_RETRY_MS = 1_000;
 
+  /** Creates the times of a host that is in time. */
+  StoreTimes(RelayBounds bounds) {
+    this(bounds, 0);
+  }
+
   /** Returns the time within which a configuration must be in force, in milliseconds. */
   private double applyMs() {
     return Math.min(bounds.applyMs(), bounds.revokeMs() * REVOKE_FRACTION);
@@ -91,8 +98,8 @@
     return new TopicFollower.Timing(
         waitMs,
         pauseMs,
-        Math.min(MAX_REPEAT_MS, part(boundMs, REPEAT_FRACTION)),
-        Math.min(MAX_ANSWER_MS, Math.max(MIN_ANSWER_MS, part(boundMs, ANSWER_FRACTION))),
+        Math.min(MAX_REPEAT_MS, part(boundMs, REPEAT_FRACTION)) + lateMs,
+        Math.min(MAX_ANSWER_MS, Math.max(MIN_ANSWER_MS, part(boundMs, ANSWER_FRACTION))) + lateMs,
         Math.min(MAX_RETRY_MS, part(Math.min(applyMs(), bounds.drainMs()), RETRY_FRACTION)));
   }
 
--- a/org.fawndrum/tst/org/fawndrum/transport/relay/SimulatedHost.java
+++ b/org.fawndrum/tst/org/fawndrum/transport/relay/SimulatedHost.java
@@ -111,6 +111,7 @@
             adapter,
             routes,
             () -> bounds,
+            () -> 0,
             () -> zoneLeader() == null,
             listing -> {},
             null,
--- a/org.fawndrum/tst/org/fawndrum/transport/relay/StoreReaderTest.java
+++ b/org.fawndrum/tst/org/fawndrum/transport/relay/StoreReaderTest.java
@@ -64,6 +64,7 @@
             new RelayAdapter(new FixedCodec(), null, store, null),
             routes,
             () -> bounds,
+            () -> 0,
             () -> false,
             listing -> {},
             null,
--- a/org.fawndrum/tst/org/fawndrum/transport/relay/StoreTimesTest.java
+++ b/org.fawndrum/tst/org/fawndrum/transport/relay/StoreTimesTest.java
@@ -1,6 +1,7 @@
 // SPDX-License-Identifier: Apache-2.0
 package org.fawndrum.transport.relay;
 
+import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import net.jqwik.api.ForAll;
@@ -86,4 +87,28 @@
         () -> leaderMs + " + " + times.queryMs() + " > " + times.configurationMaxAgeMs());
     assertTrue(times.endpointsTiming().pauseMs() + times.queryMs() < times.endpointsMaxAgeMs());
   }
+
+  /**
+   * Hosts without a processor sent each read of the store twice, and gave both up, because they
+   * read the answers late; then they knew of no configuration in time and refused all callers.
+   */
+  @Property(tries = 100, seed = "75")
+  void ownLatenessIsNoTimeOfTheStore(@ForAll @IntRange(min = 0, max = 20_000) int lateMs) {
+    RelayBounds bounds = new RelayBounds(true, 5_000, 2_000, 2_000, 8_000, 0.2, 100, 10_000, 120);
+    StoreTimes late = new StoreTimes(bounds, lateMs);
+    StoreTimes inTime = new StoreTimes(bounds);
+    for (boolean endpoints : new boolean[] {false, true}) {
+      TopicFollower.Timing lateTiming =
+          endpoints ? late.endpointsTiming() : late.configurationTiming();
+      TopicFollower.Timing timing =
+          endpoints ? inTime.endpointsTiming() : inTime.configurationTiming();
+      assertEquals(timing.repeatMs() + lateMs, lateTiming.repeatMs());
+      assertEquals(timing.answerMs() + lateMs, lateTiming.answerMs());
+      assertEquals(timing.waitMs(), lateTiming.waitMs());
+      assertEquals(timing.pauseMs(), lateTiming.pauseMs());
+      assertEquals(timing.maxRetryMs(), lateTiming.maxRetryMs());
+    }
+    assertEquals(inTime.configurationMaxAgeMs(), late.configurationMaxAgeMs());
+    assertEquals(inTime.endpointsMaxAgeMs(), late.endpointsMaxAgeMs());
+  }
 }
