Own lateness of a tenth of a second already is no silence of others

Now 50 ms beyond the interval of 250 ms count.

ListeningTimeTest: two of its examples have other figures for that reason; both are as strict (the exact time of each loss). LateFleetDutyTest: in a run of it on a busy machine (load average 50) one of two tests failed, by its own fault: it read before the duty had asked for it. It now waits for that.

--- a/org.fawndrum/src/org/fawndrum/coordination/membership/FleetOverlay.java
+++ b/org.fawndrum/src/org/fawndrum/coordination/membership/FleetOverlay.java
@@ -30,8 +30,8 @@
  */
 public final class FleetOverlay {
   /**
-   * Maximum interval at which a daemon is to call {@link #listened}, in milliseconds; less than
-   * half of the time that counts without a call, so that an ordinary delay costs none.
+   * Interval at which a daemon is to call {@link #listened}, in milliseconds: a small part of the
+   * silence after which anything is decided.
    */
   public static final long LISTENED_INTERVAL_MS = 250;
 
--- a/org.fawndrum/src/org/fawndrum/coordination/membership/ListeningTime.java
+++ b/org.fawndrum/src/org/fawndrum/coordination/membership/ListeningTime.java
@@ -14,9 +14,9 @@
 final class ListeningTime {
   /**
    * Time between two records that counts, in milliseconds: the interval in which a daemon records
-   * that it listens, and the delay of such a record on a busy machine.
+   * that it listens, and the delay of such a record on a machine that has processor time.
    */
-  static final long MAX_STEP_MS = 600;
+  static final long MAX_STEP_MS = FleetOverlay.LISTENED_INTERVAL_MS + 50;
 
   private static final long NEVER_MS = Long.MAX_VALUE / 2;
 
--- a/org.fawndrum/tst/org/fawndrum/coordination/membership/ListeningTimeTest.java
+++ b/org.fawndrum/tst/org/fawndrum/coordination/membership/ListeningTimeTest.java
@@ -67,17 +67,16 @@
   void whatThisDaemonHeardInTimeStillCounts() {
     overlay.receivedFrom(member("a-3", "a"), false, 0);
     listen(0, 2_000);
-    overlay.listened(12_000);
-    listen(12_000, 12_750);
+    listen(12_000, 13_000);
     assertEquals(List.of(), gone);
-    listen(13_000, 13_000);
-    assertEquals(List.of("a-3 3600"), gone);
+    listen(13_250, 13_250);
+    assertEquals(List.of("a-3 3550"), gone);
   }
 
   @Test
   void aDaemonThatIsAlwaysLateStillFindsSilentOnes() {
     overlay.receivedFrom(member("a-3", "a"), false, 0);
-    for (long atMs = 0; atMs <= 14_000; atMs += 2_000) {
+    for (long atMs = 0; atMs <= 26_000; atMs += 2_000) {
       overlay.listened(atMs);
       overlay.expire(atMs);
     }
--- a/org.fawndrum/tst/org/fawndrum/transport/relay/LateFleetDutyTest.java
+++ b/org.fawndrum/tst/org/fawndrum/transport/relay/LateFleetDutyTest.java
@@ -4,6 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNotNull;
 
+import java.util.Collection;
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.BlockingQueue;
@@ -79,6 +80,9 @@
     @Override
     public void send(HostAddress to, PeerMessage message) {}
 
+    // Without annotation, so that this test can be run on a network that does not know it.
+    public void send(Collection<HostAddress> to, PeerMessage message) {}
+
     @Override
     public CompletableFuture<PeerMessage> request(HostAddress to, PeerMessage.Builder message) {
       return new CompletableFuture<>();
@@ -146,9 +150,11 @@
     assertNotNull(heartbeats.poll(TIMEOUT_S, TimeUnit.SECONDS));
   }
 
-  private void read() {
-    List.copyOf(readings).forEach(Runnable::run);
-    readings.clear();
+  /** Reads what has arrived, once the duty has asked for it after its last heartbeat. */
+  private void read() throws InterruptedException {
+    Runnable reading = readings.poll(TIMEOUT_S, TimeUnit.SECONDS);
+    assertNotNull(reading);
+    reading.run();
   }
 
   @Test
@@ -172,7 +178,7 @@
     receiveFromPeer();
     duty.start();
     awaitHeartbeat();
-    for (int second = 0; second < 8 && gone.isEmpty(); second++) {
+    for (int second = 0; second < 20 && gone.isEmpty(); second++) {
       read();
       advance(1_000);
     }
