Store: late answers count

Each host gave up, closed its connection and asked again, twice over two connections; the store worked for answers that nobody awaited. Class: work done again because it took long.

A read is overdue after the same time as before; it is then logged as before and sent again over a new connection, at the longest after the same pause. But its answer still counts, for four times as long. What an answer confirms is counted from its own question, as before. A silent store gets fewer calls: one at a time in place of two.

TopicFollowerTest, StoreReaderTest and ConfigurationInTimeTest unchanged and green.

--- a/org.fawndrum/src/org/fawndrum/transport/relay/TopicFollower.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/TopicFollower.java
@@ -40,6 +40,16 @@
   /** How much too early a wait may end, in milliseconds: timers and clocks are not exact. */
   private static final long WAIT_MARGIN_MS = 50;
 
+  /**
+   * How long an answer is still awaited, as a multiple of the time after which it is overdue. A
+   * store that everyone asks at the same time may take longer than that for each answer, and
+   * answers that nobody awaits would never end this.
+   */
+  private static final long PATIENCE = 4;
+
+  /** How often a query is sent again because its answer is overdue, until it is given up. */
+  private static final int MAX_RESENT = 3;
+
   /** Delay before the newest records are read again, in milliseconds. */
   private static final long REREAD_DELAY_MS = 1;
 
@@ -64,15 +74,17 @@
    * @param pauseMs the pause after an answer, in milliseconds
    * @param repeatMs after how long without an answer, in addition to the wait, a query is repeated
    *     over a new connection, in milliseconds
-   * @param answerMs how long an answer may take, in addition to the wait, in milliseconds
+   * @param answerMs after how long an answer, in addition to the wait and the time until the query
+   *     was repeated, is overdue, in milliseconds; then the query is sent again
    * @param maxRetryMs the longest pause after a failure, in milliseconds
    */
   record Timing(long waitMs, long pauseMs, long repeatMs, long answerMs, long maxRetryMs) {}
 
-  /** A query, and its repetition if there is one; the first answer counts. */
+  /** A query, and its repetitions if there are any; the first answer counts. */
   private static final class Query {
     final boolean snapshot;
     int pending;
+    int resent;
     boolean ended;
 
     Query(boolean snapshot) {
@@ -153,7 +165,28 @@
     Query query = new Query(!next.isKnown() || isPositionOld(nowMs));
     long waitMs = nowMs - confirmedMs > MAX_UNCONFIRMED_MS ? 0 : timing.get().waitMs();
     send(query, waitMs, false);
-    timer.runAfter((query.snapshot ? 0 : waitMs) + timing.get().repeatMs(), () -> repeat(query));
+    long repeatMs = (query.snapshot ? 0 : waitMs) + timing.get().repeatMs();
+    timer.runAfter(repeatMs, () -> repeat(query));
+    timer.runAfter(repeatMs + timing.get().answerMs(), () -> overdue(query));
+  }
+
+  /** Sends a query again whose answer is overdue; the answers to it before still count. */
+  private void overdue(Query query) {
+    if (query.ended) {
+      return;
+    }
+    reportUnavailable("no answer for a long time: " + topic);
+    if (query.resent++ == MAX_RESENT) {
+      query.ended = true;
+      queryAfter(takeRetryMs());
+      return;
+    }
+    timer.runAfter(
+        takeRetryMs(),
+        () -> {
+          repeat(query);
+          timer.runAfter(timing.get().answerMs(), () -> overdue(query));
+        });
   }
 
   /**
@@ -168,7 +201,7 @@
 
   private void send(Query query, long waitMs, boolean newConnection) {
     long queriedMs = clock.nowMs();
-    KeyedLog.Call call = new KeyedLog.Call(timing.get().answerMs(), newConnection);
+    KeyedLog.Call call = new KeyedLog.Call(PATIENCE * timing.get().answerMs(), newConnection);
     query.pending++;
     (query.snapshot ? log.newest(topic, call) : log.read(topic, next.offset(), waitMs, call))
         .whenComplete(
@@ -264,12 +297,22 @@
       queryAfter(REREAD_DELAY_MS);
       return;
     }
+    reportUnavailable(String.valueOf(cause));
+    queryAfter(takeRetryMs());
+  }
+
+  private void reportUnavailable(String cause) {
     if (!unavailable) {
       unavailable = true;
-      hostLog.event(LogEvent.PLATFORM_UNAVAILABLE, String.valueOf(cause));
+      hostLog.event(LogEvent.PLATFORM_UNAVAILABLE, cause);
     }
-    queryAfter(retryMs);
+  }
+
+  /** Returns the delay before the next retry, in milliseconds. */
+  private long takeRetryMs() {
+    long delayMs = retryMs;
     retryMs = Math.min(timing.get().maxRetryMs(), retryMs * 2);
+    return delayMs;
   }
 
   private void queryAfter(long afterMs) {
