Peers: a late host waits longer for replies, and asks all others later

A host that knows no configuration in time asks six others at a time, and gives a reply up after one second and closes the connection.

The time for a reply, the age from which on any others are asked, and the interval at which they are asked are now longer by what this host itself usually takes. When a host reads the store, and when it asks its leader, is unchanged.

Evidence: StoreTimesTest.ownLatenessIsNoTimeOfTheStore (three more assertions).

--- a/org.fawndrum/src/org/fawndrum/transport/peer/NettyPeerNetwork.java
+++ b/org.fawndrum/src/org/fawndrum/transport/peer/NettyPeerNetwork.java
@@ -27,6 +27,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.LongSupplier;
 import org.fawndrum.errors.PeerUnreachableException;
 import org.fawndrum.internal.log.HostLog;
 import org.fawndrum.protocol.wire.PeerMessage;
@@ -50,6 +51,7 @@
           1, new DefaultThreadFactory("peers", true), NioIoHandler.newFactory());
   private final ListenSettings listen;
   private final Receiver receiver;
+  private final LongSupplier lateMs;
   private final PeerTls tls;
   private final HostLog log;
   private final Map<HostAddress, CompletableFuture<Channel>> channels = new ConcurrentHashMap<>();
@@ -62,8 +64,20 @@
 
   /** Creates a network; it accepts connections after {@link #listen}. */
   public NettyPeerNetwork(ListenSettings listen, Receiver receiver, HostLog log) {
+    this(listen, receiver, () -> 0, log);
+  }
+
+  /**
+   * Creates a network; it accepts connections after {@link #listen}.
+   *
+   * @param lateMs for how long a request waits for this host itself, in milliseconds; its reply is
+   *     awaited for so much longer
+   */
+  public NettyPeerNetwork(
+      ListenSettings listen, Receiver receiver, LongSupplier lateMs, HostLog log) {
     this.listen = listen;
     this.receiver = receiver;
+    this.lateMs = lateMs;
     this.tls = PeerTls.of(listen.tls());
     this.log = log;
   }
@@ -178,7 +192,7 @@
         loop.next()
             .schedule(
                 () -> afterReading(() -> reply.completeExceptionally(new TimeoutException())),
-                REPLY_TIMEOUT_MS,
+                REPLY_TIMEOUT_MS + lateMs.getAsLong(),
                 TimeUnit.MILLISECONDS);
     return reply
         .whenComplete(
--- a/org.fawndrum/src/org/fawndrum/transport/relay/PeerStoreSync.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/PeerStoreSync.java
@@ -104,28 +104,28 @@
    *
    * @param loop the event loop on which it polls
    * @param timer runs steps on that loop
-   * @param bounds the bounds in force
+   * @param times the times at present
    */
-  void start(Executor loop, Timer timer, Supplier<RelayBounds> bounds) {
+  void start(Executor loop, Timer timer, Supplier<StoreTimes> times) {
     eventLoop = loop;
-    queryLeaderLater(timer, bounds);
-    queryPeersLater(timer, bounds);
+    queryLeaderLater(timer, times);
+    queryPeersLater(timer, times);
   }
 
-  private void queryLeaderLater(Timer timer, Supplier<RelayBounds> bounds) {
+  private void queryLeaderLater(Timer timer, Supplier<StoreTimes> times) {
     timer.runAfter(
-        new StoreTimes(bounds.get()).queryMs(),
+        times.get().queryMs(),
         () -> {
           HostAddress leader = peers.zoneLeader();
           if (leader != null) {
             query(leader);
           }
-          queryLeaderLater(timer, bounds);
+          queryLeaderLater(timer, times);
         });
   }
 
-  private void queryPeersLater(Timer timer, Supplier<RelayBounds> bounds) {
-    StoreTimes times = new StoreTimes(bounds.get());
+  private void queryPeersLater(Timer timer, Supplier<StoreTimes> present) {
+    StoreTimes times = present.get();
     int doublings = Math.max(0, Math.min(MAX_DOUBLINGS, rounds - QUICK_ROUNDS));
     timer.runAfter(
         Math.max(times.peersQueryMs() << doublings, untilPeersAreNeededMs(times)),
@@ -136,7 +136,7 @@
           } else {
             rounds = 0;
           }
-          queryPeersLater(timer, bounds);
+          queryPeersLater(timer, present);
         });
   }
 
--- a/org.fawndrum/src/org/fawndrum/transport/relay/RelayRuntime.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/RelayRuntime.java
@@ -99,6 +99,7 @@
     this.decisionLog =
         new DecisionLog(new RequestMetrics(registry, clock), this::basis, clock, log);
     this.decisions = newDecisions(coordinator);
+    this.lateness = new LatenessWatch(timer, decisions::offer, clock, log);
     this.events = new ReliableEventSink(vertx, decisions, log);
     this.starts = newStarts(restrictions.starts(), registry);
     this.notices =
@@ -107,10 +108,9 @@
         new MetricsServer(vertx, settings.metrics(), registry, decisions::crashingRequests, log);
     FleetReceiver receiver = new FleetReceiver(this::offerToFleet, this::storeSync, clock);
     ListenSettings peers = new ListenSettings(settings.peers(), Optional.empty());
-    this.network = new NettyPeerNetwork(peers, receiver, log);
+    this.network = new NettyPeerNetwork(peers, receiver, lateness::perRequestMs, log);
     this.fleet = newFleet(restrictions);
     this.stallWatch = new StallWatch(vertx, clock);
-    this.lateness = new LatenessWatch(timer, decisions::offer, clock, log);
     this.engineControl = new IncarnationGuard(adapter.engineControl(), this::restarted);
     this.engineControl.setNoticeListener(notices);
     this.incarnationProbes = new IncarnationProbes(vertx, engineControl, this::incarnationProbed);
@@ -149,7 +149,9 @@
   }
 
   private RequestCoordinator newCoordinator(EndpointRestrictions restrictions) {
-    RetryShare retries = new RetryShare(settings.bounds(), this::otherDaemons, this::hasSeeds);
+    RetryShare retries =
+        new RetryShare(
+            settings.bounds(), this::otherDaemons, () -> !settings.otherSeeds().isEmpty());
     Policies policies =
         Policies.engineModel(retries.budget(), this::manyDaemons, this::silentZones)
             .withAllHostsReporting(this::allHostsReporting);
@@ -171,6 +173,10 @@
     return settings.bounds();
   }
 
+  private StoreTimes storeTimes() {
+    return new StoreTimes(bounds(), lateness.perRequestMs());
+  }
+
   private boolean isLeader() {
     return fleet.zoneLeader() == null;
   }
@@ -183,10 +189,6 @@
     return fleet.knownPeerCount();
   }
 
-  private boolean hasSeeds() {
-    return !settings.otherSeeds().isEmpty();
-  }
-
   /** Returns the store synchronization, which is created after the network. */
   private PeerStoreSync storeSync() {
     return storeSync;
@@ -331,7 +333,7 @@
         .map(
             server -> {
               lateness.start(timer.eventLoop());
-              storeSync.start(timer.eventLoop(), timer, this::bounds);
+              storeSync.start(timer.eventLoop(), timer, this::storeTimes);
               new HostStart(timer, this::hasState, store::isUnavailable, fleet::start, startLog)
                   .begin();
               log.event(LogEvent.HOST_STARTED, self, settings.zone());
--- a/org.fawndrum/src/org/fawndrum/transport/relay/StoreTimes.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/StoreTimes.java
@@ -115,17 +115,17 @@
 
   /** Returns the age of the configuration from which on a host asks any peers for it. */
   long configurationPeersAgeMs() {
-    return part(applyMs(), PEERS_FRACTION);
+    return part(applyMs(), PEERS_FRACTION) + lateMs;
   }
 
   /** Returns the age of the list of endpoints from which on a host asks any peers for it. */
   long endpointsPeersAgeMs() {
-    return part(bounds.drainMs(), PEERS_FRACTION);
+    return part(bounds.drainMs(), PEERS_FRACTION) + lateMs;
   }
 
   /** Returns the interval of queries to any peers, in milliseconds. */
   long peersQueryMs() {
-    return part(Math.min(applyMs(), bounds.drainMs()), PEERS_QUERY_FRACTION);
+    return part(Math.min(applyMs(), bounds.drainMs()), PEERS_QUERY_FRACTION) + lateMs;
   }
 
   /** Returns the interval of queries to the zone leader, in milliseconds. */
--- a/org.fawndrum/tst/org/fawndrum/transport/relay/SimulatedHost.java
+++ b/org.fawndrum/tst/org/fawndrum/transport/relay/SimulatedHost.java
@@ -126,7 +126,7 @@
 
   private void start(RelayBounds bounds) {
     reader.start();
-    sync.start(step -> time.runAfter(0, step), time, () -> bounds);
+    sync.start(step -> time.runAfter(0, step), time, () -> new StoreTimes(bounds));
     heartbeat();
   }
 
--- a/org.fawndrum/tst/org/fawndrum/transport/relay/StoreTimesTest.java
+++ b/org.fawndrum/tst/org/fawndrum/transport/relay/StoreTimesTest.java
@@ -108,6 +108,10 @@
       assertEquals(timing.pauseMs(), lateTiming.pauseMs());
       assertEquals(timing.maxRetryMs(), lateTiming.maxRetryMs());
     }
+    assertEquals(inTime.configurationPeersAgeMs() + lateMs, late.configurationPeersAgeMs());
+    assertEquals(inTime.endpointsPeersAgeMs() + lateMs, late.endpointsPeersAgeMs());
+    assertEquals(inTime.peersQueryMs() + lateMs, late.peersQueryMs());
+    assertEquals(inTime.queryMs(), late.queryMs());
     assertEquals(inTime.configurationMaxAgeMs(), late.configurationMaxAgeMs());
     assertEquals(inTime.endpointsMaxAgeMs(), late.endpointsMaxAgeMs());
   }
