--- a/org.fawndrum/src/org/fawndrum/coordination/HostLateness.java
+++ b/org.fawndrum/src/org/fawndrum/coordination/HostLateness.java
@@ -25,6 +25,13 @@
    */
   static final int ROUNDS_PER_REQUEST = 4;
 
+  /**
+   * The most that a host waits longer for others because it is late itself. A wait that was begun
+   * while it was late goes on when it is in time again, and must then end well before anybody
+   * relies on the host, three seconds later.
+   */
+  static final long MAX_ALLOWANCE_MS = 1_000;
+
   /** The round of those that count, in order of their lateness, that counts as usual. */
   private static final int USUAL = ROUNDS / 2 - 1;
 
@@ -50,11 +57,16 @@
     return usualMs;
   }
 
-  /** Returns for how long a request, or a call of this host's own, usually waits for this host. */
+  /** Returns for how long a request usually waits for this host. */
   public long perRequestMs() {
     return ROUNDS_PER_REQUEST * usualMs;
   }
 
+  /** Returns how much longer than others this host is to wait for answers to its own calls. */
+  public long allowanceMs() {
+    return Math.min(MAX_ALLOWANCE_MS, perRequestMs());
+  }
+
   /**
    * Returns whether a request that arrives now can be answered within a time. A host that is not
    * late does not find so, whatever the time is.
--- a/org.fawndrum/src/org/fawndrum/transport/relay/LatenessWatch.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/LatenessWatch.java
@@ -80,9 +80,9 @@
     return lateness.usualMs();
   }
 
-  /** Returns for how long a call usually waits for this host itself, in milliseconds. */
-  long perRequestMs() {
-    return lateness.perRequestMs();
+  /** Returns how much longer this host is to wait for others than in time, in milliseconds. */
+  long allowanceMs() {
+    return lateness.allowanceMs();
   }
 
   /** Returns the number of requests that were refused because this host is late. */
--- a/org.fawndrum/src/org/fawndrum/transport/relay/TopicFollower.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/TopicFollower.java
@@ -2,6 +2,7 @@
 package org.fawndrum.transport.relay;
 
 import java.util.concurrent.CompletionException;
+import java.util.function.LongSupplier;
 import java.util.function.Supplier;
 import org.fawndrum.errors.RecordsExpiredException;
 import org.fawndrum.internal.log.HostLog;
@@ -40,6 +41,16 @@
   /** How much too early a wait may end, in milliseconds: timers and clocks are not exact. */
   private static final long WAIT_MARGIN_MS = 50;
 
+  /**
+   * How long an answer is still awaited, as a multiple of the time after which it is overdue. A
+   * store that everyone asks at the same time may take longer than that for each answer, and
+   * answers that nobody awaits would never end this.
+   */
+  private static final long PATIENCE = 4;
+
+  /** How often a query is sent again because its answer is overdue, until it is given up. */
+  private static final int MAX_RESENT = 3;
+
   /** Delay before the newest records are read again, in milliseconds. */
   private static final long REREAD_DELAY_MS = 1;
 
@@ -64,23 +75,23 @@
    * @param pauseMs the pause after an answer, in milliseconds
    * @param repeatMs after how long without an answer, in addition to the wait, a query is repeated
    *     over a new connection, in milliseconds
-   * @param answerMs how long an answer may take, in addition to the wait, in milliseconds
+   * @param answerMs after how long an answer, in addition to the wait and the time until the query
+   *     was repeated, is overdue, in milliseconds; then the query is sent again
    * @param maxRetryMs the longest pause after a failure, in milliseconds
    */
   record Timing(long waitMs, long pauseMs, long repeatMs, long answerMs, long maxRetryMs) {}
 
-  /** A query, and its repetition if there is one; the first answer counts. */
+  /** A query, and its repetitions if there are any; the first answer counts. */
   private static final class Query {
     final boolean snapshot;
     final long waitMs;
-    final long sentMs;
     int pending;
+    int resent;
     boolean ended;
 
-    Query(boolean snapshot, long waitMs, long sentMs) {
+    Query(boolean snapshot, long waitMs) {
       this.snapshot = snapshot;
       this.waitMs = snapshot ? 0 : waitMs;
-      this.sentMs = sentMs;
     }
   }
 
@@ -155,39 +166,77 @@
     next = next.isKnown() ? next.max(reader.knownEnd()) : next;
     long nowMs = clock.nowMs();
     long waitMs = nowMs - confirmedMs > MAX_UNCONFIRMED_MS ? 0 : timing.get().waitMs();
-    Query query = new Query(!next.isKnown() || isPositionOld(nowMs), waitMs, nowMs);
+    Query query = new Query(!next.isKnown() || isPositionOld(nowMs), waitMs);
     send(query, waitMs, false);
-    awaitAnswer(query, 0);
+    awaitAnswer(
+        query,
+        () -> query.waitMs + timing.get().repeatMs(),
+        () -> {
+          repeat(query);
+          awaitOverdue(query);
+        });
   }
 
   /**
-   * Repeats a query that got no answer, over a new connection: the kept one may be dead, and the
-   * time until it is given up is more than a host has that reads the store itself. When that is due
-   * is found out in steps, because a host that was late as it sent the query may be in time again.
+   * Runs a step if a query gets no answer for a time. Whether it has passed is found out in steps,
+   * because a host that was late as it sent the query may be in time again.
    */
-  private void awaitAnswer(Query query, long waitedMs) {
+  private void awaitAnswer(Query query, LongSupplier timeMs, Runnable step) {
+    awaitAnswer(query, timeMs, step, 0);
+  }
+
+  private void awaitAnswer(Query query, LongSupplier timeMs, Runnable step, long waitedMs) {
     if (query.ended) {
       return;
     }
-    long dueMs = query.waitMs + timing.get().repeatMs() - waitedMs;
-    if (dueMs <= 0) {
+    long leftMs = timeMs.getAsLong() - waitedMs;
+    if (leftMs <= 0) {
+      step.run();
+      return;
+    }
+    long stepMs = Math.min(MAX_CHECK_INTERVAL_MS, leftMs);
+    timer.runAfter(stepMs, () -> awaitAnswer(query, timeMs, step, waitedMs + stepMs));
+  }
+
+  private void awaitOverdue(Query query) {
+    awaitAnswer(query, () -> timing.get().answerMs(), () -> overdue(query));
+  }
+
+  /** Sends a query again whose answer is overdue; the answers to it before still count. */
+  private void overdue(Query query) {
+    reportUnavailable("no answer for a long time: " + topic);
+    if (query.resent++ == MAX_RESENT) {
+      query.ended = true;
+      queryAfter(takeRetryMs());
+      return;
+    }
+    timer.runAfter(
+        takeRetryMs(),
+        () -> {
+          repeat(query);
+          awaitOverdue(query);
+        });
+  }
+
+  /**
+   * Repeats a query that got no answer, over a new connection: the kept one may be dead, and the
+   * time until it is given up is more than a host has that reads the store itself.
+   */
+  private void repeat(Query query) {
+    if (!query.ended) {
       send(query, 0, true);
-    } else {
-      long stepMs = Math.min(MAX_CHECK_INTERVAL_MS, dueMs);
-      timer.runAfter(stepMs, () -> awaitAnswer(query, waitedMs + stepMs));
     }
   }
 
   private void send(Query query, long waitMs, boolean newConnection) {
     long queriedMs = clock.nowMs();
-    KeyedLog.Call call = new KeyedLog.Call(timing.get().answerMs(), newConnection);
+    KeyedLog.Call call = new KeyedLog.Call(PATIENCE * timing.get().answerMs(), newConnection);
     query.pending++;
     (query.snapshot ? log.newest(topic, call) : log.read(topic, next.offset(), waitMs, call))
         .whenComplete(
             (page, failure) -> {
               query.pending--;
               boolean last = failure == null || query.pending == 0;
-              last |= newConnection && isOverdue(query);
               if (query.ended || !last) {
                 return;
               }
@@ -200,11 +249,6 @@
             });
   }
 
-  /** Returns whether a query would have been given up if it had been sent by a host in time. */
-  private boolean isOverdue(Query query) {
-    return clock.nowMs() - query.sentMs >= query.waitMs + timing.get().answerMs();
-  }
-
   /** Returns whether many records may have followed the position; peers may provide a later one. */
   private boolean isPositionOld(long nowMs) {
     return !reader.knownEnd().isKnown() && nowMs - readMs > MAX_POSITION_AGE_MS;
@@ -282,12 +326,22 @@
       queryAfter(REREAD_DELAY_MS);
       return;
     }
+    reportUnavailable(String.valueOf(cause));
+    queryAfter(takeRetryMs());
+  }
+
+  private void reportUnavailable(String cause) {
     if (!unavailable) {
       unavailable = true;
-      hostLog.event(LogEvent.PLATFORM_UNAVAILABLE, String.valueOf(cause));
+      hostLog.event(LogEvent.PLATFORM_UNAVAILABLE, cause);
     }
-    queryAfter(retryMs);
+  }
+
+  /** Returns the delay before the next retry, in milliseconds. */
+  private long takeRetryMs() {
+    long delayMs = retryMs;
     retryMs = Math.min(timing.get().maxRetryMs(), retryMs * 2);
+    return delayMs;
   }
 
   private void queryAfter(long afterMs) {
--- a/org.fawndrum/tst/org/fawndrum/coordination/HostLatenessTest.java
+++ b/org.fawndrum/tst/org/fawndrum/coordination/HostLatenessTest.java
@@ -55,4 +55,13 @@
     rounds(HostLateness.ROUNDS, -5);
     assertEquals(0, lateness.usualMs());
   }
+
+  /** A host that had been late went on waiting for others long after it was in time again. */
+  @Test
+  void waitingForOthersIsProlongedByALimitOnly() {
+    rounds(HostLateness.ROUNDS, 10);
+    assertEquals(lateness.perRequestMs(), lateness.allowanceMs());
+    rounds(HostLateness.ROUNDS, 10_000);
+    assertEquals(HostLateness.MAX_ALLOWANCE_MS, lateness.allowanceMs());
+  }
 }
