--- a/org.fawndrum/src/org/fawndrum/coordination/membership/FleetOverlay.java
+++ b/org.fawndrum/src/org/fawndrum/coordination/membership/FleetOverlay.java
@@ -97,7 +97,8 @@
    * #LISTENED_INTERVAL_MS}.
    */
   public void listened(long nowMs) {
-    listening.record(nowMs);
+    // Not counted yet: hosts then learned late that their zone leader had ended, and got
+    // configurations and lists of endpoints too late.
   }
 
   /** Records a message that came from a daemon itself. */
