--- a/org.fawndrum/src/org/fawndrum/coordination/membership/FleetOverlay.java
+++ b/org.fawndrum/src/org/fawndrum/coordination/membership/FleetOverlay.java
@@ -97,8 +97,7 @@
    * #LISTENED_INTERVAL_MS}.
    */
   public void listened(long nowMs) {
-    // Not counted yet: hosts then learned late that their zone leader had ended, and got
-    // configurations and lists of endpoints too late.
+    // Switched off, so that the host's clock counts: with it, lists of endpoints came too late.
   }
 
   /** Records a message that came from a daemon itself. */
