Log how each attempt failed, and how late the host was

A failed attempt was logged as endpoint_failed only: not whether its endpoint refused, broke off or was silent, for how long, and how late this host was. FAWN0120 tells that; the basis of each decision has hostLateMs.

No decision changes.

--- a/org.fawndrum/src/org/fawndrum/internal/log/LogEvent.java
+++ b/org.fawndrum/src/org/fawndrum/internal/log/LogEvent.java
@@ -137,7 +137,8 @@
       Level.INFO,
       "this host may issue permits from now on: other hosts known {0}, seeds never heard {1}"),
   HOST_LATE(118, Level.WARN, "this host does its own work late, usually by {0} ms"),
-  HOST_IN_TIME(119, Level.INFO, "this host does its own work in time again, usually {0} ms late");
+  HOST_IN_TIME(119, Level.INFO, "this host does its own work in time again, usually {0} ms late"),
+  FAILED_ATTEMPT(120, Level.WARN, "{0}");
 
   /** Added to a number before formatting, so that the id has four digits with leading zeros. */
   private static final int FOUR_DIGITS = 10_000;
--- a/org.fawndrum/src/org/fawndrum/transport/relay/DecisionLog.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/DecisionLog.java
@@ -5,6 +5,7 @@
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
+import org.fawndrum.coordination.AttemptEvent;
 import org.fawndrum.coordination.Decision;
 import org.fawndrum.coordination.DecisionKind;
 import org.fawndrum.coordination.Refusal;
@@ -54,8 +55,10 @@
    *     the first one
    * @param listing the version of the list of endpoints
    * @param listingAgeMs the age of that list, in milliseconds; -1 before the first one
+   * @param hostLateMs how late this host usually is with its own work, in milliseconds
    */
-  record Basis(long revision, long revisionAgeMs, long listing, long listingAgeMs) {}
+  record Basis(
+      long revision, long revisionAgeMs, long listing, long listingAgeMs, long hostLateMs) {}
 
   /** Log details of a decision. */
   record DecisionDetails(DecisionView decision, Basis basis) implements LogDetails {
@@ -130,6 +133,25 @@
   record SilentEngineDetails(String requestId, String endpoint, long silentMs, String why)
       implements LogDetails {}
 
+  /**
+   * Log details of an attempt that failed.
+   *
+   * @param event how it failed
+   * @param sinceStartMs time since the attempt started, in milliseconds
+   * @param openingMs how long its connection took to open, in milliseconds; -1 if it was not
+   * @param silentMs time since the endpoint's last sign of life, in milliseconds; -1 if none is
+   *     known
+   */
+  record FailedAttemptDetails(
+      String requestId,
+      String endpoint,
+      AttemptEvent event,
+      long sinceStartMs,
+      long openingMs,
+      long silentMs,
+      Basis basis)
+      implements LogDetails {}
+
   /** Log details of helper memory that an attempt at an endpoint released. */
   record MemoryDetails(String requestId, String endpoint, PromptMemory.Usage usage)
       implements LogDetails {}
@@ -277,6 +299,32 @@
     }
   }
 
+  /**
+   * Logs how an attempt failed.
+   *
+   * @param silentMs time since the endpoint's last sign of life, in milliseconds; -1 if none is
+   *     known
+   */
+  void attemptFailed(
+      String requestId,
+      String endpoint,
+      AttemptEvent event,
+      AttemptProgress progress,
+      long silentMs) {
+    if (failureLimiter.tryAcquire(clock.nowMs())) {
+      log.details(
+          LogEvent.FAILED_ATTEMPT,
+          new FailedAttemptDetails(
+              requestId,
+              endpoint,
+              event,
+              progress.sinceStartMs(),
+              progress.openingMs(),
+              silentMs,
+              basis.get()));
+    }
+  }
+
   /** Logs a crash of an endpoint that had a request. */
   void endpointCrashed(RelayCall call, Endpoint endpoint, boolean answering) {
     metrics.onEndpointCrash();
--- a/org.fawndrum/src/org/fawndrum/transport/relay/RelayAttempt.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/RelayAttempt.java
@@ -11,7 +11,6 @@
 import org.fawndrum.state.EndpointKind;
 import org.fawndrum.state.LatencyTargets;
 import org.fawndrum.state.RouteKind;
-import org.fawndrum.transport.HostClock;
 import org.fawndrum.transport.proxy.EndpointAnswer;
 import org.fawndrum.transport.proxy.EndpointRequest;
 
@@ -33,12 +32,11 @@
   private final AttemptPath path;
   private final AnswerOrigin origin;
   private final AnswerEnd end;
+  private final AttemptProgress progress;
   private EndpointRequest request;
   private EndpointAnswer response;
   private BodyWriter bodyWriter;
   private AnswerReader answer;
-  private long lastProgressMs;
-  private long excusedMs = HostClock.NEVER_MS;
   private boolean hasFirstEvent;
   private boolean stallReported;
   private boolean finished;
@@ -61,6 +59,7 @@
     this.origin = new AnswerOrigin(relay.codec(), relay.decisionLog(), call, send.endpoint());
     this.end =
         new AnswerEnd(path, relay.decisionLog().ends(call), this::brokenOff, this::lostBecause);
+    this.progress = new AttemptProgress(relay.clock());
     this.liveness =
         new EngineLiveness(this::probe, relay.clock(), memory::renewOnEvidence, this::engineFailed);
   }
@@ -83,6 +82,7 @@
 
   /** Reserves memory if needed, then connects and sends. */
   void start() {
+    progress.started();
     AttemptEvent obstacle = send.helpers().isEmpty() ? null : relay.notices().obstacle(send);
     if (obstacle != null) {
       fail(obstacle);
@@ -118,14 +118,8 @@
     return Math.max(1, send.deadlineMs() - relay.clock().nowMs());
   }
 
-  /** Returns since when the endpoint has been silent, by the host's clock. */
-  long silentSinceMs() {
-    return Math.max(lastProgressMs, excusedMs);
-  }
-
-  /** Begins to count the silence of the endpoint anew, because this host was paused. */
-  void excuseSilence() {
-    excusedMs = relay.clock().nowMs();
+  AttemptProgress progress() {
+    return progress;
   }
 
   boolean hasFirstEvent() {
@@ -182,6 +176,7 @@
   void stalled() {
     if (!stallReported) {
       stallReported = true;
+      logFailure(AttemptEvent.STALLED);
       owner.stalled(this);
     }
     if (send.endpoint().kind() == EndpointKind.MODEL) {
@@ -210,7 +205,7 @@
     request.onLost(end::lost);
     owner.handedOver();
     relay.notices().requestSent(send.endpoint().identity());
-    lastProgressMs = relay.clock().nowMs();
+    progress.opened();
     liveness.recordActivity();
     if (repeatable() || memory.isReserved()) {
       relay.stallWatch().add(this);
@@ -261,7 +256,7 @@
     boolean trusted = kind == RelayCodec.Answer.VALID || kind == RelayCodec.Answer.NOT_RUN;
     if (trusted) {
       EndpointNotice notice = relay.codec().readNotice(head.statusCode(), head.headers());
-      relay.notices().answered(send.endpoint().identity(), notice, lastProgressMs);
+      relay.notices().answered(send.endpoint().identity(), notice, progress.lastProgressMs());
     }
   }
 
@@ -328,7 +323,7 @@
   @Override
   public void eventsReceived(List<EventSplitter.StreamEvent> events) {
     if (!events.isEmpty()) {
-      lastProgressMs = relay.clock().nowMs();
+      progress.progressed();
       recordActivity();
       memory.answerStarted();
       hasFirstEvent = true;
@@ -357,7 +352,7 @@
   /** Reads the answer again. The time until now tells nothing about the endpoint. */
   void resume() {
     if (answer.resume()) {
-      lastProgressMs = relay.clock().nowMs();
+      progress.progressed();
       liveness.recordActivity();
     }
   }
@@ -369,11 +364,19 @@
 
   private void fail(AttemptEvent event) {
     if (!finished) {
+      logFailure(event);
       finish();
       owner.failed(this, event);
     }
   }
 
+  private void logFailure(AttemptEvent event) {
+    long silentMs = progress.wasOpened() ? liveness.silentMs() : -1;
+    relay
+        .decisionLog()
+        .attemptFailed(call.request().requestId(), endpointName(), event, progress, silentMs);
+  }
+
   private void finish() {
     finished = true;
     end.stop();
--- a/org.fawndrum/src/org/fawndrum/transport/relay/RelayRuntime.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/RelayRuntime.java
@@ -4,7 +4,6 @@
 import com.codahale.metrics.MetricRegistry;
 import io.netty.util.concurrent.EventExecutor;
 import io.vertx.core.Future;
-import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
 import io.vertx.core.internal.VertxInternal;
 import java.util.ArrayList;
@@ -267,7 +266,8 @@
         routes.table().revision(),
         routes.table().revision() < 0 ? -1 : routes.ageMs(nowMs),
         listingVersion,
-        listingVersion < 0 ? -1 : nowMs - listedAtMs);
+        listingVersion < 0 ? -1 : nowMs - listedAtMs,
+        lateness.usualMs());
   }
 
   private void gauges(MetricRegistry registry, EndpointPermits permits) {
@@ -303,9 +303,8 @@
 
   /** Starts all components; fails if an address is not available. */
   public Future<Void> start() {
-    Promise<Void> started = Promise.promise();
-    vertx.getOrCreateContext().runOnContext(v -> startOnLoop().onComplete(started));
-    return started.future();
+    return Future.future(
+        started -> vertx.getOrCreateContext().runOnContext(v -> startOnLoop().onComplete(started)));
   }
 
   private Future<Void> startOnLoop() {
--- a/org.fawndrum/src/org/fawndrum/transport/relay/StallWatch.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/StallWatch.java
@@ -99,7 +99,7 @@
     long polledMs = clock.nowMs();
     pauseDetector.recordTick(polledMs);
     if (polledMs - lastPollMs > PAUSED_MS) {
-      attempts.forEach(RelayAttempt::excuseSilence);
+      attempts.forEach(attempt -> attempt.progress().excuse());
     }
     lastPollMs = polledMs;
     attemptsWithMemory = (int) attempts.stream().filter(RelayAttempt::hasReservedMemory).count();
@@ -117,7 +117,7 @@
         continue;
       }
       attempt.path().checkIfSilent(attempt.silentMs());
-      if (attempt.repeatable() && nowMs - attempt.silentSinceMs() > limitMs(attempt)) {
+      if (attempt.repeatable() && nowMs - attempt.progress().silentSinceMs() > limitMs(attempt)) {
         attempt.stalled();
       } else {
         attempt.probeEngineIfSilent();
