Soak: the stand-ins of a large site get the event loops that they were meant to have

The run of a loss of power gave the store and all 31 endpoints eight event loops, since they are machines of their own. All of them used one: a thread that is not Vert.x's opens all its servers on one loop.

--- a/org.fawndrum.soak/src/org/fawndrum/soak/PowerLoss.java
+++ b/org.fawndrum.soak/src/org/fawndrum/soak/PowerLoss.java
@@ -17,9 +17,6 @@
 final class PowerLoss {
   private static final long POLL_MS = 1_000;
 
-  /** Event loops of the store and the endpoints, which are machines of their own. */
-  private static final int STANDIN_LOOPS = 8;
-
   /** Hosts that are started together at first, so that this machine can pay for it. */
   private static final int FIRST_START_GROUP = 4;
 
@@ -27,7 +24,7 @@
   private final SoakLoop loop = new SoakLoop();
 
   /** The stand-ins have loops of their own, so that callers don't wait for them. */
-  private final SoakLoop standins = new SoakLoop(STANDIN_LOOPS);
+  private final SoakLoop standins;
 
   /** The callers of each zone have a loop of their own, so that they don't wait for each other. */
   private final List<SoakLoop> callerLoops =
@@ -42,6 +39,8 @@
    * What to run.
    *
    * @param seed seed of the requests
+   * @param standinLoops event loops of the store and all endpoints together, which are machines of
+   *     their own; with one of them, all of them are late when cores are scarce
    * @param gapMs time between two requests of all callers, in milliseconds
    * @param startMs time for the hosts to start at first, in milliseconds
    * @param beforeMs how long callers send before the loss, in milliseconds
@@ -56,6 +55,7 @@
       int hosts,
       int engines,
       int services,
+      int standinLoops,
       long gapMs,
       long startMs,
       long beforeMs,
@@ -79,6 +79,7 @@
 
   PowerLoss(Config config) {
     this.config = config;
+    this.standins = new SoakLoop(config.standinLoops());
     this.checker = new RecoveryChecker(config.recoveryMs());
   }
 
@@ -105,7 +106,7 @@
   }
 
   private Result runLoss() throws InterruptedException, IOException {
-    site = new PowerLossSite(standins.vertx(), config.hosts(), config.engines(), config.services());
+    site = new PowerLossSite(standins, config.hosts(), config.engines(), config.services());
     site.start(config.folder(), config.options()).toCompletionStage().toCompletableFuture().join();
     Balancer balancer =
         loop.call(
--- a/org.fawndrum.soak/src/org/fawndrum/soak/PowerLossMain.java
+++ b/org.fawndrum.soak/src/org/fawndrum/soak/PowerLossMain.java
@@ -30,6 +30,11 @@
   @Option(name = "--engines", usage = "number of engines")
   private int engines = 78;
 
+  @Option(
+      name = "--standin-loops",
+      usage = "event loops of the store and all endpoints; with 1 all of them are late together")
+  private int standinLoops = 8;
+
   @Option(name = "--gap", usage = "milliseconds between two requests of all callers")
   private long gapMs = 11;
 
@@ -79,6 +84,7 @@
                     hosts,
                     engines,
                     SERVICES,
+                    standinLoops,
                     gapMs,
                     startMs,
                     beforeMs,
--- a/org.fawndrum.soak/src/org/fawndrum/soak/PowerLossSite.java
+++ b/org.fawndrum.soak/src/org/fawndrum/soak/PowerLossSite.java
@@ -2,7 +2,6 @@
 package org.fawndrum.soak;
 
 import io.vertx.core.Future;
-import io.vertx.core.Vertx;
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.nio.file.Path;
@@ -35,7 +34,7 @@
   private static final String ENDPOINTS = "keyed.servers";
   private static final String OPERATORS = "keyed.op";
 
-  private final Vertx vertx;
+  private final SoakLoop loops;
   private final FixedPorts ports = new FixedPorts();
   private final HostSettings settings;
   private final StoreStandin store;
@@ -47,9 +46,9 @@
   private final List<HostAddress> callerAddresses = new ArrayList<>();
   private final List<HostAddress> readinessAddresses = new ArrayList<>();
 
-  PowerLossSite(Vertx vertx, int hostCount, int engines, int services) {
-    this.vertx = vertx;
-    this.store = new StoreStandin(vertx);
+  PowerLossSite(SoakLoop loops, int hostCount, int engines, int services) {
+    this.loops = loops;
+    this.store = new StoreStandin(loops.vertx());
     this.hostCount = hostCount;
     this.engines = engines;
     this.services = services;
@@ -65,16 +64,16 @@
     for (int i = 0; i < engines + services; i++) {
       EndpointStandin endpoint =
           new EndpointStandin(
-              vertx,
+              loops.vertx(),
               "i-" + i,
               i < engines ? EVENTS : 0,
               EndpointStandin.Behaviour.HEALTHY,
               ticketUsage);
       endpoints.add(endpoint);
-      listening.add(endpoint.listen());
+      listening.add(loops.callOnNext(endpoint::listen));
     }
     return Future.all(listening)
-        .compose(v -> store.listen())
+        .compose(v -> loops.callOnNext(store::listen))
         .map(
             storeAt -> {
               publish();
--- a/org.fawndrum.soak/src/org/fawndrum/soak/SoakLoop.java
+++ b/org.fawndrum.soak/src/org/fawndrum/soak/SoakLoop.java
@@ -2,12 +2,15 @@
 package org.fawndrum.soak;
 
 import io.vertx.core.Future;
+import io.vertx.core.Promise;
+import io.vertx.core.VerticleBase;
 import io.vertx.core.Vertx;
 import io.vertx.core.VertxOptions;
 import java.util.concurrent.Callable;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
+import java.util.function.Supplier;
 
 /**
  * The event loop of a soak, with methods to run tasks on it from other threads. Safe for all
@@ -24,7 +27,10 @@
     this(1);
   }
 
-  /** Creates a number of event loops; what is called from elsewhere runs on any of them. */
+  /**
+   * Creates a number of event loops. All that one thread from elsewhere opens shares one of them,
+   * see {@link #callOnNext}.
+   */
   SoakLoop(int loops) {
     this.vertx =
         Vertx.vertx(new VertxOptions().setEventLoopPoolSize(loops).setPreferNativeTransport(true));
@@ -50,6 +56,24 @@
                     })));
   }
 
+  /**
+   * Runs a task on the next of the event loops in turn. A server that it opens stays on that loop,
+   * with all its connections.
+   */
+  <T> Future<T> callOnNext(Supplier<Future<T>> action) {
+    Promise<T> result = Promise.promise();
+    vertx
+        .deployVerticle(
+            new VerticleBase() {
+              @Override
+              public Future<T> start() {
+                return action.get().onComplete(result);
+              }
+            })
+        .onFailure(result::tryFail);
+    return result.future();
+  }
+
   /** Runs a task on the event loop and waits for its completion. */
   void run(Runnable action) throws InterruptedException {
     call(
--- a/org.fawndrum.soak/tst/org/fawndrum/soak/PowerLossTest.java
+++ b/org.fawndrum.soak/tst/org/fawndrum/soak/PowerLossTest.java
@@ -15,6 +15,8 @@
  * Few hosts here; docs/incidents/inc23.md has the command for as many as the users have.
  */
 class PowerLossTest {
+  private static final int STANDIN_LOOPS = 8;
+
   @TempDir(factory = KeptFolders.class, cleanup = CleanupMode.ON_SUCCESS)
   private Path folder;
 
@@ -22,7 +24,19 @@
   void callersAreServedAgainAfterAllHostsLostPower() throws Exception {
     PowerLoss.Config config =
         new PowerLoss.Config(
-            1, 6, 6, 2, 50, 3_000, 3_000, 1_200, 15_000, 3_000, folder, HostProcess.OPTIONS);
+            1,
+            6,
+            6,
+            2,
+            STANDIN_LOOPS,
+            50,
+            3_000,
+            3_000,
+            1_200,
+            15_000,
+            3_000,
+            folder,
+            HostProcess.OPTIONS);
     PowerLoss.Result result = new PowerLoss(config).run();
     String where = result.summary() + ", settings and logs of the daemons in " + folder;
     assertEquals(List.of(), result.violations(), where);
