An endpoint may be silent for longer while most endpoints are late

Cause: StallWatch measured each endpoint's silence against a fixed time, 1.5 s as a rule. What is common to all endpoints was taken for the failure of each: the answer was given up shortly before it came, and asked for again at an engine that was as late, which made all of them later; callers repeated their requests, too.

Now UsualSilence knows how long the eight endpoints observed last, of one kind, were silent before they answered or were given up. Where most of them needed much of their time, each may take twice as long as is usual, three times the fixed limit at most. Some silent engines among sound ones change nothing (UsualSilenceTest; LateEnginesTest has one of two). Links that are lost, and endpoints that this host can't connect to, are judged as before.

--- a/org.fawndrum/src/org/fawndrum/transport/relay/AttemptProgress.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/AttemptProgress.java
@@ -48,7 +48,12 @@
     return Math.max(lastProgressMs, excusedMs);
   }
 
-  boolean wasOpened() {
+  /** Returns the time without progress, in milliseconds; -1 if the connection was not opened. */
+  long silentMs() {
+    return wasOpened() ? clock.nowMs() - silentSinceMs() : -1;
+  }
+
+  private boolean wasOpened() {
     return openedMs != HostClock.NEVER_MS;
   }
 
--- a/org.fawndrum/src/org/fawndrum/transport/relay/DecisionLog.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/DecisionLog.java
@@ -139,8 +139,7 @@
    * @param event how it failed
    * @param sinceStartMs time since the attempt started, in milliseconds
    * @param openingMs how long its connection took to open, in milliseconds; -1 if it was not
-   * @param silentMs time since the endpoint's last sign of life, in milliseconds; -1 if none is
-   *     known
+   * @param silentMs how long it had made no progress, in milliseconds; -1 if it was not opened
    */
   record FailedAttemptDetails(
       String requestId,
@@ -299,28 +298,19 @@
     }
   }
 
-  /**
-   * Logs how an attempt failed.
-   *
-   * @param silentMs time since the endpoint's last sign of life, in milliseconds; -1 if none is
-   *     known
-   */
+  /** Logs how an attempt failed. */
   void attemptFailed(
-      String requestId,
-      String endpoint,
-      AttemptEvent event,
-      AttemptProgress progress,
-      long silentMs) {
+      RelayCall call, String endpoint, AttemptEvent event, AttemptProgress progress) {
     if (failureLimiter.tryAcquire(clock.nowMs())) {
       log.details(
           LogEvent.FAILED_ATTEMPT,
           new FailedAttemptDetails(
-              requestId,
+              call.request().requestId(),
               endpoint,
               event,
               progress.sinceStartMs(),
               progress.openingMs(),
-              silentMs,
+              progress.silentMs(),
               basis.get()));
     }
   }
--- a/org.fawndrum/src/org/fawndrum/transport/relay/RelayAttempt.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/RelayAttempt.java
@@ -76,6 +76,10 @@
     return send.endpoint().name();
   }
 
+  EndpointKind endpointKind() {
+    return send.endpoint().kind();
+  }
+
   EndpointAnswer answerHead() {
     return response;
   }
@@ -145,7 +149,7 @@
 
   /** Returns whether the endpoint is an engine to be probed even if no event is overdue. */
   boolean dependsOnEngine() {
-    boolean engine = send.endpoint().kind() == EndpointKind.MODEL;
+    boolean engine = endpointKind() == EndpointKind.MODEL;
     boolean silenceExpected = !hasFirstEvent && StallWatch.isFirstEventUnlimited(latencyTargets());
     return engine && (silenceExpected || memory.isReserved());
   }
@@ -176,10 +180,10 @@
   void stalled() {
     if (!stallReported) {
       stallReported = true;
-      logFailure(AttemptEvent.STALLED);
+      relay.decisionLog().attemptFailed(call, endpointName(), AttemptEvent.STALLED, progress);
       owner.stalled(this);
     }
-    if (send.endpoint().kind() == EndpointKind.MODEL) {
+    if (endpointKind() == EndpointKind.MODEL) {
       liveness.probeOverdue();
     }
   }
@@ -306,6 +310,7 @@
   }
 
   private void answered(Buffer body) {
+    relay.stallWatch().answerBegins(this);
     finish();
     owner.answered(this, RelayExchange.FullAnswer.of(response, body));
   }
@@ -323,6 +328,7 @@
   @Override
   public void eventsReceived(List<EventSplitter.StreamEvent> events) {
     if (!events.isEmpty()) {
+      relay.stallWatch().answerBegins(this);
       progress.progressed();
       recordActivity();
       memory.answerStarted();
@@ -364,19 +370,12 @@
 
   private void fail(AttemptEvent event) {
     if (!finished) {
-      logFailure(event);
+      relay.decisionLog().attemptFailed(call, endpointName(), event, progress);
       finish();
       owner.failed(this, event);
     }
   }
 
-  private void logFailure(AttemptEvent event) {
-    long silentMs = progress.wasOpened() ? liveness.silentMs() : -1;
-    relay
-        .decisionLog()
-        .attemptFailed(call.request().requestId(), endpointName(), event, progress, silentMs);
-  }
-
   private void finish() {
     finished = true;
     end.stop();
--- a/org.fawndrum/src/org/fawndrum/transport/relay/StallWatch.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/StallWatch.java
@@ -2,17 +2,22 @@
 package org.fawndrum.transport.relay;
 
 import io.vertx.core.Vertx;
+import java.util.EnumMap;
 import java.util.LinkedHashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 import org.fawndrum.coordination.PauseDetector;
+import org.fawndrum.coordination.UsualSilence;
+import org.fawndrum.state.EndpointKind;
 import org.fawndrum.state.LatencyTargets;
 import org.fawndrum.transport.HostClock;
 
 /**
  * Detects attempts without progress for so long that their callers would soon give up, so that
- * another endpoint can take over; this applies only to requests that may be repeated. Where silence
- * alone proves nothing, or memory is reserved, the engine is probed. Confined to one event loop.
+ * another endpoint can take over; this applies only to requests that may be repeated. Where most
+ * endpoints are late, each may be silent for longer. Where silence alone proves nothing, or memory
+ * is reserved, the engine is probed. Confined to one event loop.
  */
 final class StallWatch {
   private static final long POLL_MS = 200;
@@ -59,6 +64,7 @@
   private final HostClock clock;
   private final PauseDetector pauseDetector = new PauseDetector(POLL_MS);
   private final Set<RelayAttempt> attempts = new LinkedHashSet<>();
+  private final Map<EndpointKind, UsualSilence> usual = new EnumMap<>(EndpointKind.class);
   private long lastPollMs;
   private volatile int attemptsWithMemory;
   private volatile long longestSilenceMs;
@@ -66,6 +72,9 @@
   StallWatch(Vertx vertx, HostClock clock) {
     this.clock = clock;
     this.lastPollMs = clock.nowMs();
+    for (EndpointKind kind : EndpointKind.values()) {
+      usual.put(kind, new UsualSilence());
+    }
     vertx.setPeriodic(POLL_MS, id -> poll());
   }
 
@@ -77,6 +86,23 @@
     attempts.remove(attempt);
   }
 
+  /** Records that the first event of an attempt arrives, or its answer. */
+  void answerBegins(RelayAttempt attempt) {
+    if (attempts.contains(attempt)) {
+      recordSilence(attempt);
+    }
+  }
+
+  /** Records how long an endpoint was silent that begins to answer, or that is given up. */
+  private void recordSilence(RelayAttempt attempt) {
+    long limitMs = reachedLimitMs(attempt);
+    if (limitMs < Long.MAX_VALUE && !attempt.hasFirstEvent()) {
+      usual
+          .get(attempt.endpointKind())
+          .record(attempt.endpointName(), attempt.progress().silentMs(), limitMs, clock.nowMs());
+    }
+  }
+
   /** Returns the number of attempts with memory reserved on other engines; thread-safe. */
   int attemptsWithMemory() {
     return attemptsWithMemory;
@@ -117,20 +143,33 @@
         continue;
       }
       attempt.path().checkIfSilent(attempt.silentMs());
-      if (attempt.repeatable() && nowMs - attempt.progress().silentSinceMs() > limitMs(attempt)) {
-        attempt.stalled();
+      if (attempt.repeatable() && attempt.progress().silentMs() > limitMs(attempt, nowMs)) {
+        stalled(attempt);
       } else {
         attempt.probeEngineIfSilent();
       }
     }
   }
 
-  private static long limitMs(RelayAttempt attempt) {
+  private void stalled(RelayAttempt attempt) {
+    if (!attempt.path().isLost() && !attempt.path().isEndpointUnreached()) {
+      recordSilence(attempt);
+    }
+    attempt.stalled();
+  }
+
+  private long limitMs(RelayAttempt attempt, long nowMs) {
     if (attempt.path().isLost()) {
       return 0;
     }
-    long limitMs = limitMs(attempt.latencyTargets(), attempt.hasFirstEvent());
-    return attempt.path().isEndpointUnreached() ? limitMs : Math.max(MIN_SILENCE_MS, limitMs);
+    return attempt.path().isEndpointUnreached()
+        ? limitMs(attempt.latencyTargets(), attempt.hasFirstEvent())
+        : usual.get(attempt.endpointKind()).extended(reachedLimitMs(attempt), nowMs);
+  }
+
+  /** Returns how long an endpoint that this host reaches may be silent, in milliseconds. */
+  private static long reachedLimitMs(RelayAttempt attempt) {
+    return Math.max(MIN_SILENCE_MS, limitMs(attempt.latencyTargets(), attempt.hasFirstEvent()));
   }
 
   /** Returns whether silence alone never ends an attempt before its first event. */
