Soak: endpoints may lose power with the hosts

On the users' site everything may lose power at the same moment; the run of a loss of power ended the hosts alone.

--- a/org.fawndrum.soak/src/org/fawndrum/soak/PowerLoss.java
+++ b/org.fawndrum.soak/src/org/fawndrum/soak/PowerLoss.java
@@ -41,6 +41,7 @@
    * @param seed seed of the requests
    * @param standinLoops event loops of the store and all endpoints together, which are machines of
    *     their own; with one of them, all of them are late when cores are scarce
+   * @param endpointsToo whether all endpoints lose power with the hosts, and start again with them
    * @param gapMs time between two requests of all callers, in milliseconds
    * @param startMs time for the hosts to start at first, in milliseconds
    * @param beforeMs how long callers send before the loss, in milliseconds
@@ -56,6 +57,7 @@
       int engines,
       int services,
       int standinLoops,
+      boolean endpointsToo,
       long gapMs,
       long startMs,
       long beforeMs,
@@ -125,6 +127,9 @@
     observe(config.beforeMs(), "traffic", balancer);
     checker.recordLost(Soak.nowMs());
     site.hosts().forEach(HostProcess::killWithoutWaiting);
+    if (config.endpointsToo()) {
+      site.restartEndpoints(config.downMs());
+    }
     Thread.sleep(config.downMs());
     startAll();
     checker.recordReturned(Soak.nowMs());
--- a/org.fawndrum.soak/src/org/fawndrum/soak/PowerLossMain.java
+++ b/org.fawndrum.soak/src/org/fawndrum/soak/PowerLossMain.java
@@ -35,6 +35,9 @@
       usage = "event loops of the store and all endpoints; with 1 all of them are late together")
   private int standinLoops = 8;
 
+  @Option(name = "--endpoints-too", usage = "all endpoints lose power with the hosts")
+  private boolean endpointsToo;
+
   @Option(name = "--gap", usage = "milliseconds between two requests of all callers")
   private long gapMs = 11;
 
@@ -85,6 +88,7 @@
                     engines,
                     SERVICES,
                     standinLoops,
+                    endpointsToo,
                     gapMs,
                     startMs,
                     beforeMs,
--- a/org.fawndrum.soak/src/org/fawndrum/soak/PowerLossSite.java
+++ b/org.fawndrum.soak/src/org/fawndrum/soak/PowerLossSite.java
@@ -31,6 +31,16 @@
   /** Events of a stream. */
   private static final int EVENTS = 8;
 
+  /** How long an engine accepts less after its start, in milliseconds; as on the users' site. */
+  private static final long STARTING_MS = 3_000;
+
+  /**
+   * The first words of the configuration's only service with engines, and what they accept then.
+   */
+  private static final String ENGINES = "\"Name\":\"pool\",";
+
+  private static final String STARTS = "\"ColdStartS\":3.0,\"ColdPerS\":17.0,";
+
   private static final String ENDPOINTS = "keyed.servers";
   private static final String OPERATORS = "keyed.op";
 
@@ -85,14 +95,19 @@
   }
 
   private void publish() {
-    store.put(OPERATORS, "config", StandinSite.configuration(1, SoakSite.KEY));
+    String configuration = StandinSite.configuration(1, SoakSite.KEY);
+    store.put(OPERATORS, "config", configuration.replaceFirst(ENGINES, ENGINES + STARTS));
     for (int i = 0; i < endpoints.size(); i++) {
-      String zone = "zone-" + (char) ('a' + i % ZONES);
-      String service = i < engines ? "pool" : "orders";
-      store.put(ENDPOINTS, "i-" + i, endpoints.get(i).entry(service, zone, "ready"));
+      putEntry(i);
     }
   }
 
+  private void putEntry(int endpoint) {
+    String zone = "zone-" + (char) ('a' + endpoint % ZONES);
+    String service = endpoint < engines ? "pool" : "orders";
+    store.put(ENDPOINTS, "i-" + endpoint, endpoints.get(endpoint).entry(service, zone, "ready"));
+  }
+
   private HostProcess host(int host, HostAddress storeAt, Path folder, List<String> options) {
     HostAddress callers = settings.freeAddress();
     HostAddress readiness = settings.freeAddress();
@@ -122,6 +137,24 @@
     return readinessAddresses;
   }
 
+  /**
+   * Takes the power from all endpoints. They are back under later starts after a time in
+   * milliseconds, and accept less than usual at first, as on the users' site.
+   */
+  void restartEndpoints(long downMs) {
+    for (int i = 0; i < endpoints.size(); i++) {
+      int number = i;
+      EndpointStandin endpoint = endpoints.get(i);
+      loops
+          .callOnNext(() -> endpoint.crash(downMs))
+          .onSuccess(
+              listening -> {
+                endpoint.startSlowly(number < engines ? STARTING_MS : 0);
+                putEntry(number);
+              });
+    }
+  }
+
   /** Terminates all daemons and releases their ports. Safe for all threads. */
   void close() {
     hosts.forEach(HostProcess::terminate);
--- a/org.fawndrum.soak/tst/org/fawndrum/soak/PowerLossTest.java
+++ b/org.fawndrum.soak/tst/org/fawndrum/soak/PowerLossTest.java
@@ -22,6 +22,16 @@
 
   @Test
   void callersAreServedAgainAfterAllHostsLostPower() throws Exception {
+    verifyServedAfterLoss(false);
+  }
+
+  /** Engines that start with the hosts accept little at first, under permits that hosts issue. */
+  @Test
+  void callersAreServedAgainAfterHostsAndEndpointsLostPower() throws Exception {
+    verifyServedAfterLoss(true);
+  }
+
+  private void verifyServedAfterLoss(boolean endpointsToo) throws Exception {
     PowerLoss.Config config =
         new PowerLoss.Config(
             1,
@@ -29,6 +39,7 @@
             6,
             2,
             STANDIN_LOOPS,
+            endpointsToo,
             50,
             3_000,
             3_000,
