--- a/org.fawndrum.soak/src/org/fawndrum/soak/PowerLoss.java
+++ b/org.fawndrum.soak/src/org/fawndrum/soak/PowerLoss.java
@@ -108,7 +108,9 @@
   }
 
   private Result runLoss() throws InterruptedException, IOException {
-    site = new PowerLossSite(standins, config.hosts(), config.engines(), config.services());
+    site =
+        new PowerLossSite(
+            standins, config.hosts(), config.engines(), config.services(), config.endpointsToo());
     site.start(config.folder(), config.options()).toCompletionStage().toCompletableFuture().join();
     Balancer balancer =
         loop.call(
--- a/org.fawndrum.soak/src/org/fawndrum/soak/PowerLossSite.java
+++ b/org.fawndrum.soak/src/org/fawndrum/soak/PowerLossSite.java
@@ -34,11 +34,10 @@
   /** How long an engine accepts less after its start, in milliseconds; as on the users' site. */
   private static final long STARTING_MS = 3_000;
 
-  /**
-   * The first words of the configuration's only service with engines, and what they accept then.
-   */
+  /** The first field of the engines' service in the configuration. */
   private static final String ENGINES = "\"Name\":\"pool\",";
 
+  /** Its fields that tell how long an engine accepts less, and how much. */
   private static final String STARTS = "\"ColdStartS\":3.0,\"ColdPerS\":17.0,";
 
   private static final String ENDPOINTS = "keyed.servers";
@@ -51,17 +50,25 @@
   private final int hostCount;
   private final int engines;
   private final int services;
+  private final boolean endpointsToo;
   private final List<EndpointStandin> endpoints = new ArrayList<>();
   private final List<HostProcess> hosts = new ArrayList<>();
   private final List<HostAddress> callerAddresses = new ArrayList<>();
   private final List<HostAddress> readinessAddresses = new ArrayList<>();
 
-  PowerLossSite(SoakLoop loops, int hostCount, int engines, int services) {
+  /**
+   * Creates a site that has not started.
+   *
+   * @param endpointsToo whether engines accept less after a start, as {@link #restartEndpoints}
+   *     needs
+   */
+  PowerLossSite(SoakLoop loops, int hostCount, int engines, int services, boolean endpointsToo) {
     this.loops = loops;
     this.store = new StoreStandin(loops.vertx());
     this.hostCount = hostCount;
     this.engines = engines;
     this.services = services;
+    this.endpointsToo = endpointsToo;
     this.settings =
         new HostSettings(
             hostCount, ZONES, host -> host < FAST_HOSTS ? FAST_MEGABITS : SLOW_MEGABITS, ports);
@@ -96,7 +103,10 @@
 
   private void publish() {
     String configuration = StandinSite.configuration(1, SoakSite.KEY);
-    store.put(OPERATORS, "config", configuration.replaceFirst(ENGINES, ENGINES + STARTS));
+    store.put(
+        OPERATORS,
+        "config",
+        endpointsToo ? configuration.replaceFirst(ENGINES, ENGINES + STARTS) : configuration);
     for (int i = 0; i < endpoints.size(); i++) {
       putEntry(i);
     }
