An entry whose endpoint starts in the future is unusable

Cause: of each endpoint the newest start that was seen is kept (EndpointEligibility, IncarnationGuard), because older entries may be read later. After a start that no clock reaches all that the endpoint writes is older: that it leaves, and its next starts.

The order of records is no proof of a start: entries of an earlier one may be written late.

Open: a Sequence of 2^63 - 1 (only the rest of a cold start, and a store restored from a copy, compare it).

--- a/org.fawndrum/src/org/fawndrum/transport/relay/EndpointReader.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/EndpointReader.java
@@ -49,6 +49,13 @@
    */
   private static final double MIN_START_TIME_FRACTION = 0.75;
 
+  /**
+   * How far the start time of an endpoint may lie ahead of this host's clock, in milliseconds: a
+   * day, since a clock set in another time zone differs by less. The newest start of an endpoint is
+   * kept, so that its entries would not count until a start that is never reached.
+   */
+  static final long MAX_START_AHEAD_MS = 86_400_000;
+
   private static final byte[] EMPTY_VALUE = {};
 
   private final RelayDecoder decoder;
@@ -229,6 +236,11 @@
   private void putEntry(KeyedRecord record, KeyedPage page) {
     try {
       RelayDecoder.EndpointEntry entry = decoder.endpoint(record);
+      if (entry.endpoint().incarnation() > clock.nowMs() + MAX_START_AHEAD_MS) {
+        logUnusable(record, "it starts in the future");
+        invalidate(record);
+        return;
+      }
       if (entryHistory.isStaleCopy(record.key(), entry, page.epoch())) {
         return;
       }
