Only an engine that answers probes may be silent for longer

Cause: dark engines make the usual silence long, too, so that callers waited for engines that were gone.

The longer limit now needs evidence: an engine that has answered a probe within the fixed limit. While engines are usually late, each that is silent for a second is probed. Plain services answer no probes and keep the fixed limit.

--- a/org.fawndrum/src/org/fawndrum/coordination/UsualSilence.java
+++ b/org.fawndrum/src/org/fawndrum/coordination/UsualSilence.java
@@ -54,6 +54,11 @@
     return limitMs == Long.MAX_VALUE ? limitMs : Math.round(limitMs * extension(nowMs));
   }
 
+  /** Returns whether endpoints are so late now that limits are extended. */
+  public boolean isLate(long nowMs) {
+    return extension(nowMs) > 1;
+  }
+
   private double extension(long nowMs) {
     lastByEndpoint.values().removeIf(last -> nowMs - last.atMs() > REMEMBERED_MS);
     if (lastByEndpoint.size() < MIN_ENDPOINTS) {
--- a/org.fawndrum/src/org/fawndrum/transport/relay/RelayAttempt.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/RelayAttempt.java
@@ -76,8 +76,8 @@
     return send.endpoint().name();
   }
 
-  EndpointKind endpointKind() {
-    return send.endpoint().kind();
+  boolean isAtEngine() {
+    return send.endpoint().kind() == EndpointKind.MODEL;
   }
 
   EndpointAnswer answerHead() {
@@ -149,14 +149,17 @@
 
   /** Returns whether the endpoint is an engine to be probed even if no event is overdue. */
   boolean dependsOnEngine() {
-    boolean engine = endpointKind() == EndpointKind.MODEL;
     boolean silenceExpected = !hasFirstEvent && StallWatch.isFirstEventUnlimited(latencyTargets());
-    return engine && (silenceExpected || memory.isReserved());
+    return isAtEngine() && (silenceExpected || memory.isReserved());
   }
 
-  /** Probes the engine if it is silent and this attempt depends on it. */
-  void probeEngineIfSilent() {
-    if (dependsOnEngine()) {
+  /**
+   * Probes the engine if it is silent and this attempt depends on it.
+   *
+   * @param enginesLate whether engines are usually late now, so that silence proves nothing
+   */
+  void probeEngineIfSilent(boolean enginesLate) {
+    if (dependsOnEngine() || enginesLate && isAtEngine()) {
       liveness.probeIfSilent();
     }
   }
@@ -183,7 +186,7 @@
       relay.decisionLog().attemptFailed(call, endpointName(), AttemptEvent.STALLED, progress);
       owner.stalled(this);
     }
-    if (endpointKind() == EndpointKind.MODEL) {
+    if (isAtEngine()) {
       liveness.probeOverdue();
     }
   }
@@ -310,7 +313,6 @@
   }
 
   private void answered(Buffer body) {
-    relay.stallWatch().answerBegins(this);
     finish();
     owner.answered(this, RelayExchange.FullAnswer.of(response, body));
   }
--- a/org.fawndrum/src/org/fawndrum/transport/relay/StallWatch.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/StallWatch.java
@@ -2,22 +2,19 @@
 package org.fawndrum.transport.relay;
 
 import io.vertx.core.Vertx;
-import java.util.EnumMap;
 import java.util.LinkedHashSet;
 import java.util.List;
-import java.util.Map;
 import java.util.Set;
 import org.fawndrum.coordination.PauseDetector;
 import org.fawndrum.coordination.UsualSilence;
-import org.fawndrum.state.EndpointKind;
 import org.fawndrum.state.LatencyTargets;
 import org.fawndrum.transport.HostClock;
 
 /**
  * Detects attempts without progress for so long that their callers would soon give up, so that
  * another endpoint can take over; this applies only to requests that may be repeated. Where most
- * endpoints are late, each may be silent for longer. Where silence alone proves nothing, or memory
- * is reserved, the engine is probed. Confined to one event loop.
+ * engines are late, one that answers probes may be silent for longer. Where silence alone proves
+ * nothing, or memory is reserved, the engine is probed. Confined to one event loop.
  */
 final class StallWatch {
   private static final long POLL_MS = 200;
@@ -64,7 +61,7 @@
   private final HostClock clock;
   private final PauseDetector pauseDetector = new PauseDetector(POLL_MS);
   private final Set<RelayAttempt> attempts = new LinkedHashSet<>();
-  private final Map<EndpointKind, UsualSilence> usual = new EnumMap<>(EndpointKind.class);
+  private final UsualSilence usual = new UsualSilence();
   private long lastPollMs;
   private volatile int attemptsWithMemory;
   private volatile long longestSilenceMs;
@@ -72,9 +69,6 @@
   StallWatch(Vertx vertx, HostClock clock) {
     this.clock = clock;
     this.lastPollMs = clock.nowMs();
-    for (EndpointKind kind : EndpointKind.values()) {
-      usual.put(kind, new UsualSilence());
-    }
     vertx.setPeriodic(POLL_MS, id -> poll());
   }
 
@@ -86,20 +80,18 @@
     attempts.remove(attempt);
   }
 
-  /** Records that the first event of an attempt arrives, or its answer. */
+  /** Records that the first event of an attempt arrives. */
   void answerBegins(RelayAttempt attempt) {
     if (attempts.contains(attempt)) {
       recordSilence(attempt);
     }
   }
 
-  /** Records how long an endpoint was silent that begins to answer, or that is given up. */
+  /** Records how long an engine was silent that begins to answer, or that is given up. */
   private void recordSilence(RelayAttempt attempt) {
     long limitMs = reachedLimitMs(attempt);
-    if (limitMs < Long.MAX_VALUE && !attempt.hasFirstEvent()) {
-      usual
-          .get(attempt.endpointKind())
-          .record(attempt.endpointName(), attempt.progress().silentMs(), limitMs, clock.nowMs());
+    if (attempt.isAtEngine() && limitMs < Long.MAX_VALUE && !attempt.hasFirstEvent()) {
+      usual.record(attempt.endpointName(), attempt.progress().silentMs(), limitMs, clock.nowMs());
     }
   }
 
@@ -146,7 +138,7 @@
       if (attempt.repeatable() && attempt.progress().silentMs() > limitMs(attempt, nowMs)) {
         stalled(attempt);
       } else {
-        attempt.probeEngineIfSilent();
+        attempt.probeEngineIfSilent(usual.isLate(nowMs));
       }
     }
   }
@@ -162,9 +154,13 @@
     if (attempt.path().isLost()) {
       return 0;
     }
-    return attempt.path().isEndpointUnreached()
-        ? limitMs(attempt.latencyTargets(), attempt.hasFirstEvent())
-        : usual.get(attempt.endpointKind()).extended(reachedLimitMs(attempt), nowMs);
+    if (attempt.path().isEndpointUnreached()) {
+      return limitMs(attempt.latencyTargets(), attempt.hasFirstEvent());
+    }
+    long limitMs = reachedLimitMs(attempt);
+    // An engine that answers no probe is gone, however late the others are.
+    boolean isAlive = attempt.isAtEngine() && attempt.silentMs() < MIN_SILENCE_MS;
+    return isAlive ? usual.extended(limitMs, nowMs) : limitMs;
   }
 
   /** Returns how long an endpoint that this host reaches may be silent, in milliseconds. */
