Soak: endpoints that don't come back fail the run, and one name for the loops of stand-ins

A restart of an endpoint that failed in the run of a loss of power was passed over in silence; the run waits for all of them now. The number of loops stood twice, once without a name. A method that nothing else called is part of the only one that used it.

--- a/org.fawndrum.soak/src/org/fawndrum/soak/PowerLoss.java
+++ b/org.fawndrum.soak/src/org/fawndrum/soak/PowerLoss.java
@@ -1,6 +1,7 @@
 // SPDX-License-Identifier: Apache-2.0
 package org.fawndrum.soak;
 
+import io.vertx.core.Future;
 import java.io.IOException;
 import java.nio.file.Path;
 import java.time.Duration;
@@ -17,6 +18,9 @@
 final class PowerLoss {
   private static final long POLL_MS = 1_000;
 
+  /** Event loops of the stand-ins, unless all of them are to be late together. */
+  static final int STANDIN_LOOPS = 8;
+
   /** Hosts that are started together at first, so that this machine can pay for it. */
   private static final int FIRST_START_GROUP = 4;
 
@@ -129,13 +133,13 @@
     observe(config.beforeMs(), "traffic", balancer);
     checker.recordLost(Soak.nowMs());
     site.hosts().forEach(HostProcess::killWithoutWaiting);
-    if (config.endpointsToo()) {
-      site.restartEndpoints(config.downMs());
-    }
+    Future<?> endpointsBack =
+        config.endpointsToo() ? site.restartEndpoints(config.downMs()) : Future.succeededFuture();
     Thread.sleep(config.downMs());
     startAll();
     checker.recordReturned(Soak.nowMs());
     observe(config.recoveryMs(), "recovery", balancer);
+    endpointsBack.toCompletionStage().toCompletableFuture().join();
     observe(config.judgedMs(), "judged", balancer);
     for (int zone = 0; zone < PowerLossSite.ZONES; zone++) {
       callerLoops.get(zone).run(callers.get(zone)::stop);
--- a/org.fawndrum.soak/src/org/fawndrum/soak/PowerLossMain.java
+++ b/org.fawndrum.soak/src/org/fawndrum/soak/PowerLossMain.java
@@ -33,7 +33,7 @@
   @Option(
       name = "--standin-loops",
       usage = "event loops of the store and all endpoints; with 1 all of them are late together")
-  private int standinLoops = 8;
+  private int standinLoops = PowerLoss.STANDIN_LOOPS;
 
   @Option(name = "--endpoints-too", usage = "all endpoints lose power with the hosts")
   private boolean endpointsToo;
--- a/org.fawndrum.soak/src/org/fawndrum/soak/PowerLossSite.java
+++ b/org.fawndrum.soak/src/org/fawndrum/soak/PowerLossSite.java
@@ -149,20 +149,24 @@
 
   /**
    * Takes the power from all endpoints. They are back under later starts after a time in
-   * milliseconds, and accept less than usual at first, as on the users' site.
+   * milliseconds, and accept less than usual at first, as on the users' site. Completes when all of
+   * them are back; fails if one is not.
    */
-  void restartEndpoints(long downMs) {
+  Future<Void> restartEndpoints(long downMs) {
+    List<Future<Void>> back = new ArrayList<>();
     for (int i = 0; i < endpoints.size(); i++) {
       int number = i;
       EndpointStandin endpoint = endpoints.get(i);
-      loops
-          .callOnNext(() -> endpoint.crash(downMs))
-          .onSuccess(
-              listening -> {
-                endpoint.startSlowly(number < engines ? STARTING_MS : 0);
-                putEntry(number);
-              });
+      back.add(
+          loops
+              .callOnNext(() -> endpoint.crash(downMs))
+              .onSuccess(
+                  listening -> {
+                    endpoint.startSlowly(number < engines ? STARTING_MS : 0);
+                    putEntry(number);
+                  }));
     }
+    return Future.all(back).mapEmpty();
   }
 
   /** Terminates all daemons and releases their ports. Safe for all threads. */
--- a/org.fawndrum.soak/tst/org/fawndrum/soak/PowerLossTest.java
+++ b/org.fawndrum.soak/tst/org/fawndrum/soak/PowerLossTest.java
@@ -15,8 +15,6 @@
  * Few hosts here; docs/incidents/inc23.md has the command for as many as the users have.
  */
 class PowerLossTest {
-  private static final int STANDIN_LOOPS = 8;
-
   @TempDir(factory = KeptFolders.class, cleanup = CleanupMode.ON_SUCCESS)
   private Path folder;
 
@@ -38,7 +36,7 @@
             6,
             6,
             2,
-            STANDIN_LOOPS,
+            PowerLoss.STANDIN_LOOPS,
             endpointsToo,
             50,
             3_000,
--- a/org.fawndrum/src/org/fawndrum/coordination/UsualSilence.java
+++ b/org.fawndrum/src/org/fawndrum/coordination/UsualSilence.java
@@ -6,11 +6,11 @@
 import java.util.Map;
 
 /**
- * For how long endpoints of one kind are silent now before they answer. An endpoint counts as
- * silent by a limit that fits its request; where most endpoints need much of that time, or more,
- * the cause is common to them, and another endpoint would not answer sooner. Silence is told as a
- * part of the limit, so that requests with different limits can be compared. Confined to one
- * thread; times are in milliseconds of the host's clock.
+ * For how long engines are silent now before they answer. An endpoint counts as silent by a limit
+ * that fits its request; where most endpoints need much of that time, or more, the cause is common
+ * to them, and another endpoint would not answer sooner. Silence is told as a part of the limit, so
+ * that requests with different limits can be compared. Confined to one thread; times are in
+ * milliseconds of the host's clock.
  */
 public final class UsualSilence {
   /** The endpoints that count: those that were observed last. */
--- a/org.fawndrum/src/org/fawndrum/transport/relay/AttemptProgress.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/AttemptProgress.java
@@ -43,14 +43,9 @@
     return lastProgressMs;
   }
 
-  /** Returns since when the endpoint has been silent. */
-  long silentSinceMs() {
-    return Math.max(lastProgressMs, excusedMs);
-  }
-
   /** Returns the time without progress, in milliseconds; -1 if the connection was not opened. */
   long silentMs() {
-    return wasOpened() ? clock.nowMs() - silentSinceMs() : -1;
+    return wasOpened() ? clock.nowMs() - Math.max(lastProgressMs, excusedMs) : -1;
   }
 
   private boolean wasOpened() {
