A start reads and writes JSON without binding it to classes

Cause: each start takes about 0.8 s of a core before it serves, and many hosts start at once. About a tenth of that was the mapper of the JSON library, which inspects classes to read the settings and the store's pages and to write log lines. Evidence: the classes that one start loads, by time and thread: settings took some 85 ms of the main thread; the log's thread made 45 accessors.

--- a/org.fawndrum.soak/tst/org/fawndrum/soak/StartWorkTest.java
+++ b/org.fawndrum.soak/tst/org/fawndrum/soak/StartWorkTest.java
@@ -36,6 +36,8 @@
   void aStartThatManyHostsMakeAtOnceBindsNoJsonByReflection() throws Exception {
     Path classLog = folder.resolve("classes.log");
     List<String> options = new ArrayList<>(HostProcess.OPTIONS);
+    // As in the deploy file; the flight recorder inspects event types.
+    options.add("-Dio.netty.jfr.enabled=false");
     options.add("-Xlog:class+load:file=" + classLog);
     SoakLoop loops = new SoakLoop();
     PowerLossSite site = new PowerLossSite(loops, 1, 2, 1, false);
--- a/org.fawndrum/src/org/fawndrum/settings/SettingsFile.java
+++ b/org.fawndrum/src/org/fawndrum/settings/SettingsFile.java
@@ -1,26 +1,29 @@
 // SPDX-License-Identifier: Apache-2.0
 package org.fawndrum.settings;
 
+import com.fasterxml.jackson.core.JsonFactoryBuilder;
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.core.StreamReadFeature;
 import com.fasterxml.jackson.core.json.JsonReadFeature;
 import com.fasterxml.jackson.databind.JsonNode;
-import com.fasterxml.jackson.databind.ObjectMapper;
-import com.fasterxml.jackson.databind.json.JsonMapper;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
 import org.fawndrum.errors.BadSettingsException;
+import org.fawndrum.internal.json.JsonTreeReader;
 
 /** Parses settings files: JSON that may contain comments and trailing commas. */
 public final class SettingsFile {
-  private static final ObjectMapper MAPPER =
-      JsonMapper.builder()
-          .enable(JsonReadFeature.ALLOW_JAVA_COMMENTS)
-          .enable(JsonReadFeature.ALLOW_TRAILING_COMMA)
-          .enable(StreamReadFeature.STRICT_DUPLICATE_DETECTION)
-          .build();
+  private static final JsonTreeReader READER =
+      new JsonTreeReader(
+          new JsonFactoryBuilder()
+              .enable(JsonReadFeature.ALLOW_JAVA_COMMENTS)
+              .enable(JsonReadFeature.ALLOW_TRAILING_COMMA)
+              .enable(StreamReadFeature.STRICT_DUPLICATE_DETECTION)
+              .build(),
+          false);
 
   private SettingsFile() {}
 
@@ -31,7 +34,7 @@
    */
   public static JsonNode tree(Path file) {
     try {
-      return MAPPER.readTree(Files.readString(file));
+      return READER.read(Files.readString(file));
     } catch (JsonProcessingException e) {
       String line = e.getLocation() == null ? "?" : "" + e.getLocation().getLineNr();
       String remedy = "write JSON; // comments are allowed";
@@ -44,7 +47,7 @@
 
   /** Returns an empty object. */
   static JsonNode empty() {
-    return MAPPER.createObjectNode();
+    return JsonNodeFactory.instance.objectNode();
   }
 
   private static BadSettingsException exception(
--- a/org.fawndrum/src/org/fawndrum/transport/relay/AnswerOrigin.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/AnswerOrigin.java
@@ -44,7 +44,7 @@
               kind,
               joined,
               path.sentBefore(),
-              path.use()));
+              new DecisionLog.ConnectionView(path.use())));
     }
     if (kind == RelayCodec.Answer.MISMATCHED) {
       path.foreignAnswerReceived();
--- a/org.fawndrum/src/org/fawndrum/transport/relay/DecisionLog.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/DecisionLog.java
@@ -113,9 +113,20 @@
       RelayCodec.Answer kind,
       boolean joined,
       boolean sentBefore,
-      ConnectionUse connection)
+      ConnectionView connection)
       implements LogDetails {}
 
+  /**
+   * Log details of the use of a connection.
+   *
+   * @param kept whether the connection may have carried another request before
+   */
+  record ConnectionView(int localPort, int number, boolean kept) {
+    ConnectionView(ConnectionUse use) {
+      this(use.localPort(), use.number(), use.isKept());
+    }
+  }
+
   /**
    * Log details of an answer that ended with its connection.
    *
