A tree in a record is written as it is

Found by reading the change: a text in a chat message was written as an empty list by 'fawndrum send', since a tree can be iterated over and RecordWriter took whatever can for a list. It takes collections only now; trees go to the library's mapper.

--- a/org.fawndrum/src/org/fawndrum/internal/json/RecordWriter.java
+++ b/org.fawndrum/src/org/fawndrum/internal/json/RecordWriter.java
@@ -9,6 +9,7 @@
 import java.lang.reflect.InvocationTargetException;
 import java.lang.reflect.Method;
 import java.lang.reflect.RecordComponent;
+import java.util.Collection;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 
@@ -77,7 +78,7 @@
       out.writeNumber(number);
     } else if (value instanceof Record inner) {
       writeRecord(inner, out);
-    } else if (value instanceof Iterable<?> elements) {
+    } else if (value instanceof Collection<?> elements) {
       writeArray(elements, out);
     } else if (value instanceof Map<?, ?> map) {
       writeMap(map, out);
@@ -86,7 +87,7 @@
     }
   }
 
-  private void writeArray(Iterable<?> elements, JsonGenerator out) throws IOException {
+  private void writeArray(Collection<?> elements, JsonGenerator out) throws IOException {
     out.writeStartArray();
     for (Object element : elements) {
       writeValue(element, out);
--- a/org.fawndrum/tst/org/fawndrum/internal/json/RecordWriterTest.java
+++ b/org.fawndrum/tst/org/fawndrum/internal/json/RecordWriterTest.java
@@ -5,6 +5,7 @@
 
 import com.fasterxml.jackson.annotation.JsonInclude;
 import com.fasterxml.jackson.annotation.JsonProperty;
+import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.json.JsonMapper;
 import java.util.List;
@@ -55,6 +56,17 @@
     assertEquals(mapper.writeValueAsString(message), writer.write(message));
   }
 
+  private record Message(String role, JsonNode content) {}
+
+  /** A tree can be iterated over, and a text in one was written as an empty list. */
+  @Test
+  void aTreeInARecordIsWrittenAsItIs() throws Exception {
+    for (String tree : List.of("\"text\"", "7", "{\"a\":[1,{\"b\":null}]}", "[\"c\",{}]")) {
+      Message message = new Message("user", mapper.readTree(tree));
+      assertEquals("{\"role\":\"user\",\"content\":" + tree + "}", writer.write(message));
+    }
+  }
+
   @Test
   void componentsThatAreNullAreLeftOut() throws Exception {
     Outer message = new Outer(null, 0, null, Double.NaN, false, null, null, null, null, null, null);
