--- a/org.fawndrum.soak/src/org/fawndrum/soak/HostProcess.java
+++ b/org.fawndrum.soak/src/org/fawndrum/soak/HostProcess.java
@@ -158,6 +158,11 @@
     return process.toHandle().info().totalCpuDuration();
   }
 
+  /** Returns the id of the process of the last incarnation. */
+  long id() {
+    return process.pid();
+  }
+
   /** Kills the process and prevents further starts. Safe for all threads. */
   synchronized void terminate() {
     closed = true;
--- a/org.fawndrum.soak/src/org/fawndrum/soak/PowerLoss.java
+++ b/org.fawndrum.soak/src/org/fawndrum/soak/PowerLoss.java
@@ -36,6 +36,7 @@
 
   private final RecoveryChecker checker;
   private final List<String> processorTimes = new ArrayList<>();
+  private final ThreadTimes threadTimes = new ThreadTimes();
   private volatile PowerLossSite site;
   private volatile boolean closed;
 
@@ -180,7 +181,10 @@
     }
   }
 
-  /** Waits, and notes each second the processor time of all daemons and how many are ready. */
+  /**
+   * Waits, and notes each second the processor time of all daemons, in all and by thread, and how
+   * many are ready.
+   */
   private void observe(long forMs, String phase, Balancer balancer) throws InterruptedException {
     long untilMs = Soak.nowMs() + forMs;
     while (Soak.nowMs() < untilMs) {
@@ -194,8 +198,12 @@
       int in = loop.call(balancer::hostsIn);
       processorTimes.add(
           String.format(
-              "%s, %d ms left: %d ms of processor time in all, %d hosts in",
-              phase, untilMs - Soak.nowMs(), usedMs, in));
+              "%s, %d ms left: %d ms of processor time in all, %d hosts in; threads since: %s",
+              phase, untilMs - Soak.nowMs(), usedMs, in, threadTimes.sinceLastCall(hostIds())));
     }
   }
+
+  private List<Long> hostIds() {
+    return site.hosts().stream().map(HostProcess::id).toList();
+  }
 }
