A success that was reset while its request was being written is not whole

Callers got a 200 with a part of its body, framed as complete, from an endpoint that had answered a long upload at once, without a length, and reset the connection while the upload was still being written; streams ended as complete after their first event instead of going on elsewhere; so did calls and appends of the project's own interface.

Cause: the operating system reports a reset once. Where a write meets it, the write's future fails, which nobody looked at; the HTTP client closes the connection and reports what a connection closed in order looks like: the end of an answer without a length. The endpoint goes on, so the question asked afterwards confirmed the answer.

Ruled out: a reset that neither side reports, and one that is reported after the end (a program on the client alone: the future of the write fails first, then the answer ends, with no exception).

Change: connections of all HTTP clients of a host fail their answer when a write fails, before the end is reported (RequestWrites), as a read that meets the reset does already. And, so that no race decides: a success without a length is not whole unless its request was written whole. Failures that end in order are passed on as before.

--- a/org.fawndrum/src/org/fawndrum/transport/EngineCalls.java
+++ b/org.fawndrum/src/org/fawndrum/transport/EngineCalls.java
@@ -20,6 +20,7 @@
 import org.fawndrum.protocol.EngineMessages.Load;
 import org.fawndrum.protocol.Json;
 import org.fawndrum.state.Endpoint;
+import org.fawndrum.transport.http.HttpClients;
 import org.fawndrum.transport.proxy.EndpointAnswer;
 
 /**
@@ -53,8 +54,9 @@
     this.silenceMs = silenceMs;
     HttpClientOptions options = new HttpClientOptions().setConnectTimeout(CONNECT_TIMEOUT_MS);
     PoolOptions pool = new PoolOptions().setHttp1MaxSize(MAX_CONNECTIONS_PER_ENGINE);
-    this.loadClient = vertx.createHttpClient(options, pool);
-    this.client = vertx.createHttpClient(new HttpClientOptions(options).setKeepAlive(false), pool);
+    this.loadClient = HttpClients.create(vertx, options, pool);
+    this.client =
+        HttpClients.create(vertx, new HttpClientOptions(options).setKeepAlive(false), pool);
   }
 
   /** Creates a stream; the call is sent by {@link EngineStream#start}. */
--- a/org.fawndrum/src/org/fawndrum/transport/ExchangeFactory.java
+++ b/org.fawndrum/src/org/fawndrum/transport/ExchangeFactory.java
@@ -8,6 +8,7 @@
 import io.vertx.core.http.HttpServerResponse;
 import io.vertx.core.http.PoolOptions;
 import org.fawndrum.coordination.RequestFacts;
+import org.fawndrum.transport.http.HttpClients;
 
 /** Creates the exchange of each request. Safe for all threads. */
 final class ExchangeFactory {
@@ -33,7 +34,8 @@
     // call. It may also close one just as a call is written to it, which leaves the outcome
     // unknown.
     this.plainClient =
-        vertx.createHttpClient(
+        HttpClients.create(
+            vertx,
             new HttpClientOptions().setConnectTimeout(CONNECT_TIMEOUT_MS).setKeepAlive(false),
             pool);
   }
--- a/org.fawndrum/src/org/fawndrum/transport/HttpPlatform.java
+++ b/org.fawndrum/src/org/fawndrum/transport/HttpPlatform.java
@@ -25,6 +25,7 @@
 import org.fawndrum.protocol.PlatformMessages.StoredRecord;
 import org.fawndrum.state.HostAddress;
 import org.fawndrum.state.HostListing;
+import org.fawndrum.transport.http.HttpClients;
 
 /**
  * HTTP client for the log and the host list of the platform. Each call has a connection of its own,
@@ -50,7 +51,8 @@
    */
   public HttpPlatform(Vertx vertx, HostAddress address, long waitMs) {
     this.client =
-        vertx.createHttpClient(
+        HttpClients.create(
+            vertx,
             new HttpClientOptions().setConnectTimeout(CONNECT_TIMEOUT_MS).setKeepAlive(false),
             new PoolOptions().setHttp1MaxSize(MAX_CONNECTIONS));
     this.address = address;
--- a/org.fawndrum/src/org/fawndrum/transport/relay/EndpointClient.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/EndpointClient.java
@@ -14,6 +14,7 @@
 import java.util.Optional;
 import org.fawndrum.state.Endpoint;
 import org.fawndrum.state.HostAddress;
+import org.fawndrum.transport.http.HttpClients;
 
 /** The HTTP connections from this host to endpoints. */
 final class EndpointClient {
@@ -53,11 +54,11 @@
             .setTcpNoDelay(true);
     this.probeClient =
         vertx.createNetClient(new NetClientOptions().setConnectTimeout(CONNECT_TIMEOUT_MS));
-    this.pooledClient = vertx.createHttpClient(options, pool);
+    this.pooledClient = HttpClients.create(vertx, options, pool);
     // An endpoint may close a pooled connection just as a request is written to it, which leaves
     // the outcome unknown. Requests that must not be repeated therefore use a new connection.
     HttpClientOptions unpooledOptions = new HttpClientOptions(options).setKeepAlive(false);
-    this.unpooledClient = vertx.createHttpClient(unpooledOptions, pool);
+    this.unpooledClient = HttpClients.create(vertx, unpooledOptions, pool);
   }
 
   /**
--- a/org.fawndrum/tst/org/fawndrum/transport/EarlyAnswerToCallTest.java
+++ b/org.fawndrum/tst/org/fawndrum/transport/EarlyAnswerToCallTest.java
@@ -39,14 +39,24 @@
     }
   }
 
-  /** A service may answer without having read the whole call. */
+  /** Whether a service closed the connection in order can't be told where it was within a call. */
   @Test
-  void anAnswerThatEndsInOrderBeforeTheUploadIsPassedOn() throws Exception {
+  void anAnswerThatEndsInOrderBeforeTheUploadIsNotKnownToBeWhole() throws Exception {
     try (HastyServer service = new HastyServer(UNFRAMED + PART, Ending.ENDED_IN_ORDER);
         CallSite site = site(service)) {
-      HttpResponse<String> answer = site.send("r-1");
-      assertEquals(200, answer.statusCode());
-      assertEquals(PART, answer.body());
+      assertEquals(CallSite.LOST, site.send("r-1").statusCode());
+    }
+  }
+
+  /** A length says that the answer is whole, whatever becomes of the call. */
+  @Test
+  void aFramedAnswerBeforeTheEndOfTheUploadIsPassedOn() throws Exception {
+    String answer = "HTTP/1.1 200 OK\r\nContent-Length: " + PART.length() + "\r\n\r\n" + PART;
+    try (HastyServer service = new HastyServer(answer, Ending.ENDED_IN_ORDER);
+        CallSite site = site(service)) {
+      HttpResponse<String> received = site.send("r-1");
+      assertEquals(200, received.statusCode());
+      assertEquals(PART, received.body());
     }
   }
 }
