A damaged head of an answer is refused before it is parsed

Callers got answers of which the length had been lost: Content Length: 60 with half of a body, closed in order, was a whole answer without a length; a field X Odd: v came as X: v; a coding of the body was hidden the same way; a status written 0200, +200, with two blanks or a tab before it, was a 200.

Cause: the HTTP client's parser ends a name at the first blank and reads the status as a number, and tells neither. What the project sees, names and values, is too late to know it.

Ruled out: control bytes in names, at any place: the parser refuses them (tests kept). Names that begin like one of the fields that frame a body as the sign of damage: a damaged name of another field would still be passed on.

Change: the connections of all HTTP clients of a host check each head byte by byte before the parser (HeadSyntax, AnswerHeads); a damaged one fails the request as any answer that is lost.

--- a/org.fawndrum/src/org/fawndrum/internal/text/MessageText.java
+++ b/org.fawndrum/src/org/fawndrum/internal/text/MessageText.java
@@ -10,6 +10,7 @@
  */
 public enum MessageText {
   ADDRESS_UNAVAILABLE,
+  ANSWER_HEAD_DAMAGED,
   ANSWER_INCOMPLETE,
   ANSWER_JOINED,
   ANSWER_TOO_LARGE,
--- a/org.fawndrum/src/org/fawndrum/transport/http/HttpClients.java
+++ b/org.fawndrum/src/org/fawndrum/transport/http/HttpClients.java
@@ -11,9 +11,13 @@
 
 /**
  * Creates the HTTP clients with which a host sends requests. On their connections, an answer that
- * is not known to be whole fails before it ends, whoever reads it.
+ * is not known to be whole fails before it ends, and one with a damaged head before it begins,
+ * whoever reads it.
  */
 public final class HttpClients {
+  /** The name of the handler that writes requests and parses answers. */
+  private static final String PARSER = "codec";
+
   /** The name of the HTTP client's own handler, which receives decoded answers. */
   private static final String CLIENT = "handler";
 
@@ -39,6 +43,9 @@
   private static void opened(HttpConnection connection) {
     ChannelPipeline pipeline =
         ((HttpClientConnectionInternal) connection).channelHandlerContext().pipeline();
+    AnswerHeads heads = new AnswerHeads();
+    pipeline.addBefore(PARSER, null, heads);
+    pipeline.addBefore(CLIENT, null, heads.ends());
     pipeline.addBefore(CLIENT, null, new RequestWrites());
   }
 }
