What is no final answer refuses nothing

Callers were promised with a 503 that a request had not run, on the word of a head with status 000, 102, 20 or 600 and "not run" in it, which a request that may have run had got. Orders of engines with such a status counted as answered: memory as released, or as not free, that the engine may hold.

Cause: the head was asked whether it refuses before it was asked whether it is an answer at all; orders and reports were never asked.

Change: AnswerOrigin takes no answer that is not final for anybody's; buffered answers, and a host that sends for another one, fail it.

--- a/org.fawndrum/src/org/fawndrum/transport/proxy/ProxyConnection.java
+++ b/org.fawndrum/src/org/fawndrum/transport/proxy/ProxyConnection.java
@@ -171,7 +171,7 @@
         .response()
         .onComplete(
             answer -> {
-              if (answer.succeeded() && !EndpointAnswer.of(answer.result()).isJoined()) {
+              if (answer.succeeded() && isAnswer(EndpointAnswer.of(answer.result()))) {
                 onAnswer.accept(answer.result());
                 answer(answer.result());
               } else {
@@ -180,6 +180,10 @@
             });
   }
 
+  private static boolean isAnswer(EndpointAnswer head) {
+    return head.isFinal() && !head.isJoined();
+  }
+
   private void data(ProxyData data) {
     if (ended || request == null) {
       return;
--- a/org.fawndrum/src/org/fawndrum/transport/relay/AnswerOrigin.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/AnswerOrigin.java
@@ -26,6 +26,10 @@
    * tells the path if it is not.
    */
   RelayCodec.Answer kindOf(EndpointAnswer head, AttemptPath path) {
+    if (!head.isFinal()) {
+      // Nothing in it is believed: neither a refusal nor a notice.
+      return RelayCodec.Answer.MISMATCHED;
+    }
     String requestId = call.request().requestId();
     boolean joined = head.isJoined();
     // On a kept connection, an answer to nobody in particular may be a late one to somebody else.
