Own interface: what is no answer of a plain service is not passed on

Callers of the project's own interface got what a plain service had sent in place of an answer: status 000, 20 or 600 as it was, a 102 that no answer followed (they waited for ever), the promise that a call had not run on the word of such a head, half of a body whose length was folded into another field, and bodies in a coding that nobody had undone.

Cause: the checks that relayed answers pass (EndpointAnswer.isReadable) were not made for calls.

Change: PlainExchange makes them; such an answer is lost, as one that breaks off.

--- a/org.fawndrum/src/org/fawndrum/transport/PlainExchange.java
+++ b/org.fawndrum/src/org/fawndrum/transport/PlainExchange.java
@@ -16,6 +16,7 @@
 import org.fawndrum.coordination.AttemptEvent;
 import org.fawndrum.coordination.Refusal;
 import org.fawndrum.coordination.RequestFacts;
+import org.fawndrum.errors.AnswerHeadDamagedException;
 import org.fawndrum.errors.AnswerJoinedException;
 import org.fawndrum.transport.proxy.EndpointAnswer;
 
@@ -127,11 +128,18 @@
                     }));
   }
 
-  /** Buffers a response; fails if its head is the beginning of one and the rest of another. */
+  /**
+   * Buffers a response; fails if its head is the beginning of one and the rest of another, or if it
+   * is no final one, or its body cannot be read.
+   */
   private static Future<CompleteResponse> complete(HttpClientResponse head) {
-    return EndpointAnswer.of(head).isJoined()
-        ? Future.failedFuture(new AnswerJoinedException(head.statusCode()))
-        : head.body().map(body -> new CompleteResponse(head, body));
+    EndpointAnswer answer = EndpointAnswer.of(head);
+    if (answer.isJoined()) {
+      return Future.failedFuture(new AnswerJoinedException(head.statusCode()));
+    }
+    return answer.isReadable()
+        ? head.body().map(body -> new CompleteResponse(head, body))
+        : Future.failedFuture(new AnswerHeadDamagedException());
   }
 
   /** A response of a service with its complete body. */
