Own interface: answers without end are read up to a limit

A host of the project's own interface read and kept what a service, an engine or the platform sent without end, for as long as it came: 380 MB in 3 s for one append, no end at all for calls and pages of the log; interim answers at the speed of the link until a time limit; lines of a stream that are no events until the deadline.

Cause: the body of an answer was collected by the client's own means, which have no limit and no time for the body; interim answers were counted for requests to the users' endpoints alone.

Change: calls, commands, loads, appends and pages are collected by BufferedAnswers, which the platform's adapter had, with a limit each; between two events of a stream an engine may send 1 MB. Interim answers are counted on the connections of all clients of a host, in place of each request of one of them. The size of a page is a compromise: a log whose next records are larger could not be followed.

--- a/org.fawndrum/src/org/fawndrum/transport/EngineCalls.java
+++ b/org.fawndrum/src/org/fawndrum/transport/EngineCalls.java
@@ -6,22 +6,20 @@
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClientAgent;
 import io.vertx.core.http.HttpClientOptions;
-import io.vertx.core.http.HttpClientResponse;
 import io.vertx.core.http.HttpMethod;
 import io.vertx.core.http.PoolOptions;
 import io.vertx.core.http.RequestOptions;
 import java.io.IOException;
 import java.util.concurrent.CompletableFuture;
 import org.fawndrum.coordination.AttemptId;
-import org.fawndrum.errors.AnswerJoinedException;
 import org.fawndrum.errors.EndpointAnsweredWrongException;
 import org.fawndrum.errors.EndpointUnreachableException;
 import org.fawndrum.protocol.EngineMessages.Cancel;
 import org.fawndrum.protocol.EngineMessages.Load;
 import org.fawndrum.protocol.Json;
 import org.fawndrum.state.Endpoint;
+import org.fawndrum.transport.http.BufferedAnswers;
 import org.fawndrum.transport.http.HttpClients;
-import org.fawndrum.transport.proxy.EndpointAnswer;
 
 /**
  * HTTP client for model engines. Safe for all threads.
@@ -36,6 +34,10 @@
   private static final long CALL_TIMEOUT_MS = 2_000;
   private static final int MAX_CANCEL_TRIES = 3;
   private static final long CANCEL_RETRY_MS = 500;
+
+  /** Above the list of some thousand attempts that hold memory. */
+  private static final int MAX_ANSWER_BYTES = 1 << 20;
+
   private static final int HTTP_OK = 200;
 
   private final Vertx vertx;
@@ -126,19 +128,14 @@
             .setPort(endpoint.address().port())
             .setURI(path)
             .setTimeout(CALL_TIMEOUT_MS);
-    return client
-        .request(options)
-        .compose(request -> request.send(Buffer.buffer(body)))
-        .compose(response -> body(endpoint, response));
+    return BufferedAnswers.send(client, options, Buffer.buffer(body), MAX_ANSWER_BYTES)
+        .compose(answer -> body(endpoint, answer));
   }
 
-  private static Future<Buffer> body(Endpoint endpoint, HttpClientResponse response) {
-    int status = response.statusCode();
-    if (EndpointAnswer.of(response).isJoined()) {
-      return Future.failedFuture(new AnswerJoinedException(status));
-    }
+  private static Future<Buffer> body(Endpoint endpoint, BufferedAnswers.Answer answer) {
+    int status = answer.status();
     return status == HTTP_OK
-        ? response.body()
+        ? Future.succeededFuture(answer.body())
         : Future.failedFuture(new EndpointAnsweredWrongException(endpoint.name(), status, null));
   }
 }
--- a/org.fawndrum/src/org/fawndrum/transport/EngineStream.java
+++ b/org.fawndrum/src/org/fawndrum/transport/EngineStream.java
@@ -25,6 +25,8 @@
   private static final String DATA = "data: ";
   private static final int HTTP_OK = 200;
   private static final int HTTP_UNAVAILABLE = 503;
+
+  /** Maximum length of an event, and of all that is no event between two of them, in bytes. */
   private static final int MAX_LINE_LENGTH = 1 << 20;
 
   private final Vertx vertx;
@@ -34,6 +36,7 @@
   private HttpClientRequest request;
   private HttpClientResponse response;
   private long silenceTimer = -1;
+  private int skippedBytes;
   private boolean requestSent;
   private boolean closed;
 
@@ -132,8 +135,10 @@
     restartSilenceTimer();
     String text = line.toString();
     if (!text.startsWith(DATA)) {
+      skip(line);
       return;
     }
+    skippedBytes = 0;
     try {
       listener.event(Json.read(text.substring(DATA.length()), StreamEvent.class));
     } catch (IOException e) {
@@ -141,6 +146,14 @@
     }
   }
 
+  /** Passes over a line that is no event, as engines send to show that they run. */
+  private void skip(Buffer line) {
+    skippedBytes += line.length() + 1;
+    if (skippedBytes > MAX_LINE_LENGTH) {
+      fail();
+    }
+  }
+
   private void restartSilenceTimer() {
     vertx.cancelTimer(silenceTimer);
     silenceTimer = vertx.setTimer(silenceMs, id -> fail());
--- a/org.fawndrum/src/org/fawndrum/transport/HttpPlatform.java
+++ b/org.fawndrum/src/org/fawndrum/transport/HttpPlatform.java
@@ -6,7 +6,6 @@
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClientAgent;
 import io.vertx.core.http.HttpClientOptions;
-import io.vertx.core.http.HttpClientRequest;
 import io.vertx.core.http.HttpMethod;
 import io.vertx.core.http.PoolOptions;
 import io.vertx.core.http.RequestOptions;
@@ -25,6 +24,7 @@
 import org.fawndrum.protocol.PlatformMessages.StoredRecord;
 import org.fawndrum.state.HostAddress;
 import org.fawndrum.state.HostListing;
+import org.fawndrum.transport.http.BufferedAnswers;
 import org.fawndrum.transport.http.HttpClients;
 
 /**
@@ -35,6 +35,16 @@
   private static final int MAX_CONNECTIONS = 4;
   private static final int CONNECT_TIMEOUT_MS = 1_000;
   private static final long RESPONSE_TIMEOUT_MS = 3_000;
+
+  /** Above an answer that has one number. */
+  private static final int NUMBER_BYTES = 64 << 10;
+
+  /** Above the list of some ten thousand hosts and endpoints. */
+  private static final int MAX_LIST_BYTES = 16 << 20;
+
+  /** Above the records of one read; a log whose next records are larger could not be followed. */
+  private static final int MAX_BATCH_BYTES = 64 << 20;
+
   private static final int HTTP_OK = 200;
 
   private final HttpClientAgent client;
@@ -42,6 +52,20 @@
   private final long waitMs;
   private volatile long listVersion = -1;
 
+  /**
+   * A call.
+   *
+   * @param body its body; empty for none
+   * @param maxBytes the largest body of its answer
+   */
+  private record Call(
+      String operation,
+      HttpMethod method,
+      String path,
+      String body,
+      long timeoutMs,
+      int maxBytes) {}
+
   /**
    * Creates a client.
    *
@@ -62,27 +86,18 @@
   @Override
   public CompletableFuture<Long> append(byte[] content) {
     Append body = new Append(Base64.getEncoder().encodeToString(content));
-    return call(
-            HttpMethod.POST,
-            "/log",
-            Json.write(body),
-            Appended.class,
-            "append",
-            RESPONSE_TIMEOUT_MS)
-        .thenApply(Appended::offset);
+    Call append =
+        new Call(
+            "append", HttpMethod.POST, "/log", Json.write(body), RESPONSE_TIMEOUT_MS, NUMBER_BYTES);
+    return call(append, Appended.class).thenApply(Appended::offset);
   }
 
   @Override
   public CompletableFuture<Batch> read(long from, int maxRecords) {
     String path = "/log?from=" + from + "&most=" + maxRecords + "&waitMs=" + waitMs;
     long timeoutMs = RESPONSE_TIMEOUT_MS + waitMs;
-    return call(
-            HttpMethod.GET,
-            path,
-            null,
-            org.fawndrum.protocol.PlatformMessages.Batch.class,
-            "read",
-            timeoutMs)
+    Call read = new Call("read", HttpMethod.GET, path, "", timeoutMs, MAX_BATCH_BYTES);
+    return call(read, org.fawndrum.protocol.PlatformMessages.Batch.class)
         .thenApply(batch -> new Batch(batch.first(), batch.next(), records(batch.records())));
   }
 
@@ -95,7 +110,8 @@
   @Override
   public CompletableFuture<HostListing> hosts() {
     String path = "/hosts?after=" + listVersion;
-    return call(HttpMethod.GET, path, null, HostList.class, "hosts", RESPONSE_TIMEOUT_MS)
+    Call hosts = new Call("hosts", HttpMethod.GET, path, "", RESPONSE_TIMEOUT_MS, MAX_LIST_BYTES);
+    return call(hosts, HostList.class)
         .thenApply(HostListCodec::decode)
         .whenComplete(
             (listing, failure) -> {
@@ -105,45 +121,29 @@
             });
   }
 
-  private <T> CompletableFuture<T> call(
-      HttpMethod method,
-      String path,
-      String body,
-      Class<T> type,
-      String operation,
-      long timeoutMs) {
+  private <T> CompletableFuture<T> call(Call call, Class<T> type) {
     RequestOptions options =
         new RequestOptions()
-            .setMethod(method)
+            .setMethod(call.method())
             .setHost(address.ip())
             .setPort(address.port())
-            .setURI(path)
-            .setTimeout(timeoutMs);
+            .setURI(call.path())
+            .setTimeout(call.timeoutMs());
     CompletableFuture<T> result = new CompletableFuture<>();
-    client
-        .request(options)
-        .compose(request -> exchange(request, body, type))
+    BufferedAnswers.send(client, options, Buffer.buffer(call.body()), call.maxBytes())
+        .compose(answer -> read(answer, type))
         .onSuccess(result::complete)
         .onFailure(
             cause ->
-                result.completeExceptionally(new PlatformUnavailableException(operation, cause)));
+                result.completeExceptionally(
+                    new PlatformUnavailableException(call.operation(), cause)));
     return result;
   }
 
-  private static <T> Future<T> exchange(HttpClientRequest request, String body, Class<T> type) {
-    Buffer content = body == null ? Buffer.buffer() : Buffer.buffer(body);
-    return request
-        .send(content)
-        .compose(
-            response ->
-                response
-                    .body()
-                    .compose(
-                        answer ->
-                            response.statusCode() == HTTP_OK
-                                ? parse(answer, type)
-                                : Future.failedFuture(
-                                    new IOException("status " + response.statusCode()))));
+  private static <T> Future<T> read(BufferedAnswers.Answer answer, Class<T> type) {
+    return answer.status() == HTTP_OK
+        ? parse(answer.body(), type)
+        : Future.failedFuture(new IOException("status " + answer.status()));
   }
 
   private static <T> Future<T> parse(Buffer answer, Class<T> type) {
--- a/org.fawndrum/src/org/fawndrum/transport/PlainExchange.java
+++ b/org.fawndrum/src/org/fawndrum/transport/PlainExchange.java
@@ -2,12 +2,10 @@
 package org.fawndrum.transport;
 
 import io.vertx.core.Context;
-import io.vertx.core.Future;
 import io.vertx.core.MultiMap;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClientAgent;
 import io.vertx.core.http.HttpClientRequest;
-import io.vertx.core.http.HttpClientResponse;
 import io.vertx.core.http.HttpMethod;
 import io.vertx.core.http.HttpServerResponse;
 import io.vertx.core.http.RequestOptions;
@@ -16,9 +14,8 @@
 import org.fawndrum.coordination.AttemptEvent;
 import org.fawndrum.coordination.Refusal;
 import org.fawndrum.coordination.RequestFacts;
-import org.fawndrum.errors.AnswerHeadDamagedException;
-import org.fawndrum.errors.AnswerJoinedException;
-import org.fawndrum.transport.proxy.EndpointAnswer;
+import org.fawndrum.coordination.backpressure.HoldLimits;
+import org.fawndrum.transport.http.BufferedAnswers;
 
 /**
  * A call of a plain service in progress. The response is buffered until it is complete, so that a
@@ -28,6 +25,9 @@
   /** Response header; the value "no" means that the service did not and will not run the call. */
   static final String RAN_HEADER = "x-ran";
 
+  /** The same as on the platform (HoldLimits): twice the largest request body. */
+  private static final int MAX_ANSWER_BYTES = HoldLimits.DEFAULT_ANSWER_BYTES;
+
   private static final Set<String> NOT_FORWARDED_HEADERS =
       Set.of(
           "connection",
@@ -112,10 +112,7 @@
     requestSent = true;
     copyHeaders(call.headers(), connected.headers());
     connected.putHeader("x-request-id", facts.requestId());
-    connected
-        .send(call.body())
-        .compose(PlainExchange::complete)
-        .onFailure(cause -> connected.reset())
+    BufferedAnswers.receive(connected, call.body(), MAX_ANSWER_BYTES)
         .onComplete(
             done ->
                 runOnLoop(
@@ -128,28 +125,11 @@
                     }));
   }
 
-  /**
-   * Buffers a response; fails if its head is the beginning of one and the rest of another, or if it
-   * is no final one, or its body cannot be read.
-   */
-  private static Future<CompleteResponse> complete(HttpClientResponse head) {
-    EndpointAnswer answer = EndpointAnswer.of(head);
-    if (answer.isJoined()) {
-      return Future.failedFuture(new AnswerJoinedException(head.statusCode()));
-    }
-    return answer.isReadable()
-        ? head.body().map(body -> new CompleteResponse(head, body))
-        : Future.failedFuture(new AnswerHeadDamagedException());
-  }
-
-  /** A response of a service with its complete body. */
-  private record CompleteResponse(HttpClientResponse head, Buffer body) {}
-
-  private void handleResponse(Action.Send send, CompleteResponse answer) {
+  private void handleResponse(Action.Send send, BufferedAnswers.Answer answer) {
     if (completed || send != current) {
       return;
     }
-    if ("no".equals(answer.head().getHeader(RAN_HEADER))) {
+    if ("no".equals(answer.headers().get(RAN_HEADER))) {
       attemptListener.onEvent(send.attempt(), AttemptEvent.REFUSED_BY_ENDPOINT);
       return;
     }
@@ -158,9 +138,9 @@
     if (response.closed()) {
       return;
     }
-    copyHeaders(answer.head().headers(), response.headers());
+    copyHeaders(answer.headers(), response.headers());
     response
-        .setStatusCode(answer.head().statusCode())
+        .setStatusCode(answer.status())
         .putHeader("x-request-id", facts.requestId())
         .end(answer.body());
   }
--- a/platform/src/org/fawndrum/platform/BufferedAnswers.java
+++ b/org.fawndrum/src/org/fawndrum/transport/http/BufferedAnswers.java
@@ -1,5 +1,5 @@
 // SPDX-License-Identifier: Apache-2.0
-package org.fawndrum.platform;
+package org.fawndrum.transport.http;
 
 import io.vertx.core.Future;
 import io.vertx.core.MultiMap;
@@ -14,18 +14,17 @@
 import org.fawndrum.errors.AnswerTooLargeException;
 import org.fawndrum.transport.proxy.EndpointAnswer;
 import org.fawndrum.transport.proxy.EndpointRequest;
-import org.fawndrum.transport.relay.InterimAnswers;
 
 /**
  * Sends requests and buffers their answers. Connecting and receiving the answer may each take the
  * timeout of the request's options. The client's own timeout covers only the head of an answer, so
  * a connection that stalls in the middle of the body would never time out.
  */
-final class BufferedAnswers {
+public final class BufferedAnswers {
   private BufferedAnswers() {}
 
   /** An answer with its complete body. */
-  record Answer(int status, MultiMap headers, Buffer body) {}
+  public record Answer(int status, MultiMap headers, Buffer body) {}
 
   /**
    * Sends a request; fails and closes the connection if the complete answer does not arrive in
@@ -33,7 +32,7 @@
    *
    * @param maxBytes the largest body of an answer
    */
-  static Future<Answer> send(
+  public static Future<Answer> send(
       HttpClientAgent client, RequestOptions options, Buffer body, int maxBytes) {
     return client
         .request(options)
@@ -46,7 +45,7 @@
    *
    * @param maxBytes the largest body of an answer
    */
-  static Future<Answer> receive(
+  public static Future<Answer> receive(
       EndpointRequest request, Buffer body, long timeoutMs, int maxBytes) {
     request.body().end(body);
     return request
@@ -60,7 +59,7 @@
     if (head.isJoined()) {
       return Future.failedFuture(new AnswerJoinedException(head.statusCode()));
     }
-    if (!head.isFinal()) {
+    if (!head.isReadable()) {
       return Future.failedFuture(new AnswerHeadDamagedException());
     }
     Promise<Answer> whole = Promise.promise();
@@ -82,11 +81,22 @@
 
   private static Future<Answer> receive(
       HttpClientRequest request, Buffer body, long timeoutMs, int maxBytes) {
-    InterimAnswers.limit(request);
-    return request
-        .send(body)
-        .compose(head -> collect(EndpointAnswer.of(head), maxBytes))
+    return exchange(request, body, maxBytes)
         .timeout(timeoutMs, TimeUnit.MILLISECONDS)
         .onFailure(cause -> request.reset());
   }
+
+  /**
+   * Sends a request on an open connection; fails and closes the connection if the answer is not
+   * whole, or is too large. Whoever calls limits the time, by a reset.
+   *
+   * @param maxBytes the largest body of an answer
+   */
+  public static Future<Answer> receive(HttpClientRequest request, Buffer body, int maxBytes) {
+    return exchange(request, body, maxBytes).onFailure(cause -> request.reset());
+  }
+
+  private static Future<Answer> exchange(HttpClientRequest request, Buffer body, int maxBytes) {
+    return request.send(body).compose(head -> collect(EndpointAnswer.of(head), maxBytes));
+  }
 }
--- a/org.fawndrum/src/org/fawndrum/transport/http/HttpClients.java
+++ b/org.fawndrum/src/org/fawndrum/transport/http/HttpClients.java
@@ -46,6 +46,7 @@
     AnswerHeads heads = new AnswerHeads();
     pipeline.addBefore(PARSER, null, heads);
     pipeline.addBefore(CLIENT, null, heads.ends());
+    pipeline.addBefore(CLIENT, null, new InterimAnswers());
     pipeline.addBefore(CLIENT, null, new RequestWrites());
   }
 }
--- a/org.fawndrum/src/org/fawndrum/transport/relay/EndpointClient.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/EndpointClient.java
@@ -92,7 +92,6 @@
         EndpointConnections.options(endpoint, losses).setMethod(method).setURI(uri);
     return (repeatable ? pooledClient : unpooledClient)
         .request(options)
-        .onSuccess(InterimAnswers::limit)
         .onFailure(cause -> linkLog.connectFailed(endpoint.name(), cause));
   }
 }
--- a/org.fawndrum/tst/org/fawndrum/transport/EndlessAnswerToCallTest.java
+++ b/org.fawndrum/tst/org/fawndrum/transport/EndlessAnswerToCallTest.java
@@ -7,9 +7,12 @@
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpMethod;
+import java.util.List;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import org.fawndrum.protocol.EngineMessages.StreamEvent;
+import org.fawndrum.protocol.EngineMessages.StreamOrder;
 import org.fawndrum.protocol.EngineMessages.Swept;
 import org.fawndrum.state.Endpoint;
 import org.fawndrum.state.EndpointKind;
@@ -31,6 +34,9 @@
   /** The same for an answer to a command or a load, which is small. */
   private static final long MAX_COMMAND_BYTES = 12 << 20;
 
+  /** The same for a read of the log. */
+  private static final long MAX_BATCH_BYTES = 96 << 20;
+
   private static final long POLL_MS = 5;
 
   private final Vertx vertx = Vertx.vertx();
@@ -95,4 +101,51 @@
       assertEnded(platform, MAX_ANSWER_BYTES);
     }
   }
+
+  /** A host kept a page of the platform's log as long as bytes came. */
+  @ParameterizedTest
+  @EnumSource(names = {"CHUNKS", "UNFRAMED_BODY", "LONG_BODY"})
+  void aReadOfTheLogFailsAndIsNotKept(Kind kind) throws Exception {
+    try (EndlessServer platform = new EndlessServer(kind)) {
+      HostAddress address = new HostAddress("127.0.0.1", platform.port());
+      HttpPlatform client = new HttpPlatform(vertx, address, 0);
+      assertFails(client.read(0, 1));
+      assertEnded(platform, MAX_BATCH_BYTES);
+    }
+  }
+
+  /** A host read on for as long as lines came that are no events, or answers before the answer. */
+  @ParameterizedTest
+  @EnumSource
+  void aStreamFails(Kind kind) throws Exception {
+    EngineCalls engines = new EngineCalls(vertx, SILENCE_MS);
+    try (EndlessServer engine = new EndlessServer(kind)) {
+      CompletableFuture<Boolean> mayHaveRun = new CompletableFuture<>();
+      EngineStream stream = engines.stream(new FailureListener(mayHaveRun));
+      StreamOrder order =
+          new StreamOrder("a/1", "r-1", "host-a", 1, "m", "prompt", 1, 1, 0, 0, List.of());
+      vertx.getOrCreateContext().runOnContext(v -> stream.start(engine(engine).address(), order));
+      assertTrue(mayHaveRun.get(TIMEOUT_S, TimeUnit.SECONDS));
+      assertEnded(engine, MAX_COMMAND_BYTES);
+    }
+  }
+
+  /** Waits for the failure of a stream. */
+  private record FailureListener(CompletableFuture<Boolean> mayHaveRun)
+      implements EngineStream.Listener {
+    @Override
+    public void event(StreamEvent event) {
+      mayHaveRun.completeExceptionally(new IllegalStateException("an event"));
+    }
+
+    @Override
+    public void notRun() {
+      mayHaveRun.complete(false);
+    }
+
+    @Override
+    public void failed(boolean mayHaveBeenSent) {
+      mayHaveRun.complete(mayHaveBeenSent);
+    }
+  }
 }
