--- a/org.fawndrum/tst/org/fawndrum/transport/HastyServer.java
+++ b/org.fawndrum/tst/org/fawndrum/transport/HastyServer.java
@@ -42,7 +42,7 @@
     RESET_UNREAD,
     /** A reset while the body is being read. */
     RESET_WITHIN_THE_BODY,
-    /** The end of what is sent, in order; the body is read to its end. */
+    /** The end of what is sent, in order; no more than a part of a long body is read then. */
     ENDED_IN_ORDER
   }
 
@@ -116,7 +116,7 @@
   private void end(Socket socket) throws IOException, InterruptedException {
     if (ending == Ending.ENDED_IN_ORDER) {
       socket.shutdownOutput();
-      read(socket, Long.MAX_VALUE);
+      read(socket, READ_BEFORE_RESET_BYTES);
       return;
     }
     if (ending == Ending.RESET_WITHIN_THE_BODY) {
