A request with a field that has no name is refused

Callers that sent a field without a name (": v") were served, and the field was passed on as it was: a line that is no field, in the head of a request to an endpoint or a service. What its reader makes of it is not known; none harmed was seen.

Cause: the HTTP server's parser refuses a blank or a control byte in a name, and a line without a colon, but not an empty name.

Change: both servers for callers refuse it as a malformed request (400) and close the connection.

Held already: the other damaged names, and bytes without end from callers in a head, a chunk's extension and a body.

--- a/org.fawndrum.daemon/tst/org/fawndrum/daemon/BadInputTest.java
+++ b/org.fawndrum.daemon/tst/org/fawndrum/daemon/BadInputTest.java
@@ -109,6 +109,13 @@
   }
 
   /** Sends bytes and returns the body of the response, read until the connection is closed. */
+  /** The field was passed on to the service of the call. */
+  @Test
+  void aFieldWithoutANameIsRefused() throws IOException {
+    String head = "GET /orders/1 HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer ";
+    assertError("invalid_request", raw(head + TestSite.CHAT_KEY + "\r\n: v\r\n\r\n"));
+  }
+
   private String raw(String text) throws IOException {
     try (Socket socket = new Socket(TestSite.IP, host.callerPort())) {
       // Bounds the test run in case the connection is never closed.
--- a/org.fawndrum/src/org/fawndrum/transport/CallerServer.java
+++ b/org.fawndrum/src/org/fawndrum/transport/CallerServer.java
@@ -121,6 +121,11 @@
     idleConnections.requestStarted(request.connection());
     request.response().endHandler(v -> idleConnections.requestCompleted(request.connection()));
     String requestId = ids.next();
+    if (MalformedRequestHead.hasNamelessField(request)) {
+      CallerResponse.refuseAndClose(
+          request, requestId, Refusal.notRun(RefusalKind.INVALID_REQUEST));
+      return;
+    }
     Optional<CallerKey> key = keys.owner(request.getHeader("authorization"));
     if (key.isEmpty()) {
       refuse(request, requestId, Refusal.notRun(RefusalKind.UNKNOWN_KEY));
--- a/org.fawndrum/src/org/fawndrum/transport/MalformedRequestHead.java
+++ b/org.fawndrum/src/org/fawndrum/transport/MalformedRequestHead.java
@@ -6,10 +6,15 @@
 import io.vertx.core.http.HttpServerRequest;
 import org.fawndrum.coordination.RefusalKind;
 
-/** Classifies requests whose head the HTTP server could not parse. */
+/** Recognizes requests with a malformed head, and classifies those that could not be parsed. */
 public final class MalformedRequestHead {
   private MalformedRequestHead() {}
 
+  /** Returns whether a field has no name, which the HTTP server's parser lets pass. */
+  public static boolean hasNamelessField(HttpServerRequest request) {
+    return request.headers().contains("");
+  }
+
   /** Returns the kind of refusal for a request with a decoder failure. */
   public static RefusalKind refusalKind(HttpServerRequest request) {
     Throwable cause = request.decoderResult().cause();
--- a/org.fawndrum/src/org/fawndrum/transport/relay/RelayServer.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/RelayServer.java
@@ -295,6 +295,9 @@
   }
 
   private void checkHeaders(HttpServerRequest http) {
+    if (MalformedRequestHead.hasNamelessField(http)) {
+      throw new RefusedException("", Refusal.notRun(RefusalKind.INVALID_REQUEST));
+    }
     long bytes = 0;
     for (Map.Entry<String, String> header : http.headers()) {
       bytes += header.getKey().length() + header.getValue().length() + HEADER_SEPARATOR_BYTES;
