Command line: an answer that breaks off is reported as a failure

Operators got a stack trace where the answer to send or watch broke off while its lines were read; the exit code was 1, as it is now.

Cause: the failure of a stream of lines comes unchecked, and only checked ones were caught.

Evidence: BrokenAnswerTest, 2 of 12 cases failed before; all hold. Held already: no form of the incident that the test has (resets within a long prompt, odd statuses, damaged names) counts as a complete answer.

--- a/org.fawndrum.pgm/src/org/fawndrum/pgm/Main.java
+++ b/org.fawndrum.pgm/src/org/fawndrum/pgm/Main.java
@@ -3,6 +3,7 @@
 
 import java.io.IOException;
 import java.io.PrintStream;
+import java.io.UncheckedIOException;
 import java.net.ConnectException;
 import java.net.http.HttpConnectTimeoutException;
 import java.net.http.HttpTimeoutException;
@@ -61,6 +62,9 @@
       return ExitCode.FAILED;
     } catch (IOException e) {
       return reportFailure(e, err);
+    } catch (UncheckedIOException e) {
+      // A streamed answer broke off while its lines were read.
+      return reportFailure(e.getCause(), err);
     } catch (InterruptedException e) {
       Thread.currentThread().interrupt();
       return ExitCode.FAILED;
