A line tells of an answer that was refused for its damaged head

An attempt that is lost for a damaged one had no cause in any line; read by eye in NoFinalStatusTest's output. No decision changed.

--- a/org.fawndrum/src/org/fawndrum/transport/relay/DecisionLog.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/DecisionLog.java
@@ -9,6 +9,7 @@
 import org.fawndrum.coordination.Decision;
 import org.fawndrum.coordination.DecisionKind;
 import org.fawndrum.coordination.Refusal;
+import org.fawndrum.errors.AnswerHeadDamagedException;
 import org.fawndrum.internal.log.HostLog;
 import org.fawndrum.internal.log.LogDetails;
 import org.fawndrum.internal.log.LogEvent;
@@ -263,14 +264,25 @@
     }
   }
 
-  /** Logs an answer whose connection was lost before its end. */
+  /**
+   * Logs an answer whose connection was lost before its end, or whose head was damaged.
+   *
+   * @param head its head; null if it has none that can be read
+   */
   void answerBrokenOff(RelayCall call, Endpoint endpoint, EndpointAnswer head, Throwable cause) {
+    if (head == null && !(cause instanceof AnswerHeadDamagedException)) {
+      // The connection was lost before an answer; the failed attempt has a line of its own.
+      return;
+    }
     metrics.onAnswerBrokenOff();
     if (failureLimiter.tryAcquire(clock.nowMs())) {
       log.details(
           LogEvent.ANSWER_BROKEN_OFF,
           new BrokenAnswerDetails(
-              call.request().requestId(), endpoint.name(), head.framing(), String.valueOf(cause)));
+              call.request().requestId(),
+              endpoint.name(),
+              head == null ? null : head.framing(),
+              String.valueOf(cause)));
     }
   }
 
--- a/org.fawndrum/src/org/fawndrum/transport/relay/RelayAttempt.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/RelayAttempt.java
@@ -295,8 +295,9 @@
   private void brokenOff(Throwable cause) {
     if (answer != null) {
       answer.stop();
-      relay.decisionLog().answerBrokenOff(call, send.endpoint(), response, cause);
     }
+    EndpointAnswer head = answer == null ? null : response;
+    relay.decisionLog().answerBrokenOff(call, send.endpoint(), head, cause);
   }
 
   private void lostBecause(EndpointPaths.Loss loss) {
