--- a/org.fawndrum/src/org/fawndrum/transport/relay/DecisionLog.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/DecisionLog.java
@@ -92,7 +92,7 @@
   /**
    * Log details of an answer whose connection was lost before its end.
    *
-   * @param framing what would have marked its end
+   * @param framing what would have marked its end; null if its head was damaged
    * @param cause how the connection was lost
    */
   record BrokenAnswerDetails(String requestId, String endpoint, AnswerFraming framing, String cause)
