Metrics count the messages between hosts by kind, sent and received

Nobody could tell what hosts cost each other: only the bytes sent were counted. NettyPeerNetworkTest checks both directions.

--- a/org.fawndrum/src/org/fawndrum/transport/peer/NettyPeerNetwork.java
+++ b/org.fawndrum/src/org/fawndrum/transport/peer/NettyPeerNetwork.java
@@ -60,7 +60,8 @@
       new ConcurrentHashMap<>();
   private final AtomicLong lastExchange = new AtomicLong();
   private final AtomicLong droppedMessages = new AtomicLong();
-  private final AtomicLong bytesSent = new AtomicLong();
+  private final MessageCounts sent = new MessageCounts();
+  private final MessageCounts received = new MessageCounts();
   private Channel server;
 
   /** Creates a network; it accepts connections after {@link #listen}. */
@@ -85,7 +86,7 @@
 
   /** Starts to listen; the future fails when the address cannot be bound. */
   public CompletableFuture<Void> listen() {
-    PeerPipeline pipeline = new PeerPipeline(this::received, droppedMessages, log);
+    PeerPipeline pipeline = new PeerPipeline(this::received, received, droppedMessages, log);
     ServerBootstrap bootstrap =
         new ServerBootstrap()
             .group(loop)
@@ -130,9 +131,14 @@
     return droppedMessages.get();
   }
 
-  /** Returns the total size of the messages sent, in bytes. */
-  public long bytesSent() {
-    return bytesSent.get();
+  /** Returns the counts of the messages sent. */
+  public MessageCounts sent() {
+    return sent;
+  }
+
+  /** Returns the counts of the messages received. */
+  public MessageCounts received() {
+    return received;
   }
 
   private void received(ChannelHandlerContext context, PeerMessage message) {
@@ -163,17 +169,17 @@
   public void send(Collection<HostAddress> to, PeerMessage message) {
     // Encoded once: a zone leader sends each message to all hosts of its zone.
     byte[] bytes = message.toByteArray();
-    to.forEach(peer -> send(peer, bytes));
+    to.forEach(peer -> send(peer, message.getBodyCase(), bytes));
   }
 
-  private void send(HostAddress to, byte[] message) {
+  private void send(HostAddress to, PeerMessage.BodyCase kind, byte[] message) {
     channel(to)
         .whenComplete(
             (channel, failure) -> {
               // Drops the message for a peer that reads too slowly; it requests missing state
               // later.
               if (channel != null && channel.isWritable()) {
-                write(channel, message);
+                write(channel, kind, message);
               }
             });
   }
@@ -247,11 +253,11 @@
   }
 
   private void write(Channel channel, PeerMessage message) {
-    write(channel, message.toByteArray());
+    write(channel, message.getBodyCase(), message.toByteArray());
   }
 
-  private void write(Channel channel, byte[] bytes) {
-    bytesSent.addAndGet(bytes.length);
+  private void write(Channel channel, PeerMessage.BodyCase kind, byte[] bytes) {
+    sent.add(kind, bytes.length);
     channel.writeAndFlush(Unpooled.wrappedBuffer(bytes));
   }
 
@@ -260,7 +266,7 @@
   }
 
   private CompletableFuture<Channel> connect(HostAddress to) {
-    PeerPipeline pipeline = new PeerPipeline(this::received, droppedMessages, log);
+    PeerPipeline pipeline = new PeerPipeline(this::received, received, droppedMessages, log);
     CompletableFuture<Channel> connected = new CompletableFuture<>();
     new Bootstrap()
         .group(loop)
--- a/org.fawndrum/src/org/fawndrum/transport/peer/PeerPipeline.java
+++ b/org.fawndrum/src/org/fawndrum/transport/peer/PeerPipeline.java
@@ -27,12 +27,24 @@
   private static final int LENGTH_BYTES = 4;
 
   private final BiConsumer<ChannelHandlerContext, PeerMessage> received;
+  private final MessageCounts counts;
   private final AtomicLong dropped;
   private final HostLog log;
 
+  /**
+   * Creates a pipeline for connections that are opened later.
+   *
+   * @param received handles a message
+   * @param counts the messages received
+   * @param dropped the number of messages that could not be decoded
+   */
   PeerPipeline(
-      BiConsumer<ChannelHandlerContext, PeerMessage> received, AtomicLong dropped, HostLog log) {
+      BiConsumer<ChannelHandlerContext, PeerMessage> received,
+      MessageCounts counts,
+      AtomicLong dropped,
+      HostLog log) {
     this.received = received;
+    this.counts = counts;
     this.dropped = dropped;
     this.log = log;
   }
@@ -51,7 +63,10 @@
     @Override
     protected void channelRead0(ChannelHandlerContext context, ByteBuf frame) {
       try {
-        received.accept(context, PeerCodec.read(ByteBufUtil.getBytes(frame)));
+        byte[] bytes = ByteBufUtil.getBytes(frame);
+        PeerMessage message = PeerCodec.read(bytes);
+        counts.add(message.getBodyCase(), bytes.length);
+        received.accept(context, message);
       } catch (BadPeerFrameException e) {
         drop(e);
       }
--- a/org.fawndrum/src/org/fawndrum/transport/relay/RelayGauges.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/RelayGauges.java
@@ -2,14 +2,24 @@
 package org.fawndrum.transport.relay;
 
 import com.codahale.metrics.MetricRegistry;
+import java.util.List;
 import java.util.function.LongSupplier;
 import org.fawndrum.coordination.limit.EndpointPermits;
+import org.fawndrum.protocol.wire.PeerMessage;
 import org.fawndrum.transport.HostClock;
 import org.fawndrum.transport.peer.NettyPeerNetwork;
 import org.fawndrum.transport.proxy.ProxyServer;
 
 /** Registers the gauges of a host's components. Their names are those of docs/OPERATIONS.md. */
 final class RelayGauges {
+  /** The kinds of messages that hosts which relay requests send each other. */
+  private static final List<PeerMessage.BodyCase> RELAY_KINDS =
+      List.of(
+          PeerMessage.BodyCase.FLEET_NEWS,
+          PeerMessage.BodyCase.KNOWLEDGE_REQUEST,
+          PeerMessage.BodyCase.KNOWLEDGE_REPLY,
+          PeerMessage.BodyCase.PERMIT_NEWS);
+
   private final MetricRegistry registry;
 
   RelayGauges(MetricRegistry registry) {
@@ -67,7 +77,12 @@
 
   /** Registers the gauges about other daemons. */
   void fleet(FleetDuty fleet, NettyPeerNetwork network) {
-    registry.registerGauge("peerBytesSent", network::bytesSent);
+    registry.registerGauge("peerBytesSent", () -> network.sent().bytes());
+    registry.registerGauge("peerBytesReceived", () -> network.received().bytes());
+    for (PeerMessage.BodyCase kind : RELAY_KINDS) {
+      registry.registerGauge("peerMessagesSent." + kind, () -> network.sent().of(kind));
+      registry.registerGauge("peerMessagesReceived." + kind, () -> network.received().of(kind));
+    }
     registry.registerGauge("peers", () -> fleet.livePeers().size());
     registry.registerGauge("permitsIssued", fleet::issuedPermits);
   }
--- a/org.fawndrum/tst/org/fawndrum/transport/peer/NettyPeerNetworkTest.java
+++ b/org.fawndrum/tst/org/fawndrum/transport/peer/NettyPeerNetworkTest.java
@@ -85,6 +85,20 @@
     assertEquals(TWO, PeerCodec.sender(reply));
   }
 
+  /** What hosts cost each other could not be told from their metrics: only bytes were counted. */
+  @Test
+  void messagesAreCountedByKindInBothDirections() {
+    HostAddress address = new HostAddress("127.0.0.1", two.port());
+    one.request(address, claimRequest()).join();
+    one.request(address, claimRequest()).join();
+    assertEquals(2, one.sent().of(PeerMessage.BodyCase.CLAIM_REQUEST));
+    assertEquals(2, two.received().of(PeerMessage.BodyCase.CLAIM_REQUEST));
+    assertEquals(2, one.received().of(PeerMessage.BodyCase.CLAIM_REPLY));
+    assertEquals(0, one.received().of(PeerMessage.BodyCase.CLAIM_REQUEST));
+    assertEquals(one.sent().bytes(), two.received().bytes());
+    assertEquals(two.sent().bytes(), one.received().bytes());
+  }
+
   @Test
   void unreachablePeerFailsWithTypedException() {
     HostAddress closedPort = new HostAddress("127.0.0.1", 1);
