Hosts that find nobody ask less and less often, and do no leader's work meanwhile

Cause: all hosts know two or three others from their settings. Each of the 82 asked these four times a second until it knew somebody; they were starting themselves, on the 82nd part of two cores. A host that knows nobody leads its zone: it followed the store as a leader does and made forwards for nobody. One that asked was told all hosts anew each second if it came from another zone (193 of 300 messages of one asked host in 20 s, three fifths of that thread's time), made from scratch each time.

Now the time between questions doubles from 0.25 to 2 s and differs between hosts; who was told the living hosts is told again after 5 s at the earliest, for so long it excludes the leader that it would be told of; the list is made once for all that join within 0.1 s; a host that knows nobody and has others to look for reads the store when its evidence asks for it, as any other; forwards without receivers are not made.

--- a/org.fawndrum/src/org/fawndrum/coordination/membership/DaemonState.java
+++ b/org.fawndrum/src/org/fawndrum/coordination/membership/DaemonState.java
@@ -18,6 +18,7 @@
   private long lastMessageMs = NEVER_MS;
   private long subscribedMs = NEVER_MS;
   private long excludedUntilMs = NEVER_MS;
+  private long toldMs = NEVER_MS;
   private long lastSequence = NO_REPORT;
 
   /**
@@ -33,6 +34,7 @@
       lastMessageMs = NEVER_MS;
       subscribedMs = NEVER_MS;
       excludedUntilMs = NEVER_MS;
+      toldMs = NEVER_MS;
       lastSequence = NO_REPORT;
     }
   }
@@ -52,6 +54,16 @@
     lastSequence = sequence;
   }
 
+  /** Records that it is told which daemons are alive. */
+  void markTold(long nowMs) {
+    toldMs = nowMs;
+  }
+
+  /** Returns the time since it was told which daemons are alive. */
+  long sinceToldMs(long nowMs) {
+    return nowMs - toldMs;
+  }
+
   /** Excludes it from being chosen as zone leader until a time. */
   void excludeUntil(long untilMs) {
     excludedUntilMs = untilMs;
--- a/org.fawndrum/src/org/fawndrum/coordination/membership/FleetOverlay.java
+++ b/org.fawndrum/src/org/fawndrum/coordination/membership/FleetOverlay.java
@@ -47,6 +47,13 @@
    */
   static final long SILENT_ZONE_MS = 2_000;
 
+  /**
+   * Time after which a daemon is told again which daemons are alive, in milliseconds: for so long
+   * it does not choose a leader again that it took for silent, so that telling it sooner is in
+   * vain.
+   */
+  static final long RETELL_MS = LinkSelector.EXCLUSION_MS;
+
   private final FleetMember self;
   private final Watcher watcher;
   private final Map<String, DaemonState> daemons = new HashMap<>();
@@ -217,6 +224,26 @@
         && !best.identity().equals(subscriber.identity());
   }
 
+  /**
+   * Returns whether a subscriber is to be told now which daemons are alive: it was not known before
+   * its message, or its zone has a leader that it seems not to know and that it was not told of
+   * lately.
+   *
+   * @param first whether it was not known before its message
+   */
+  public boolean tells(FleetMember subscriber, boolean first, long nowMs) {
+    DaemonState daemon = daemons.get(subscriber.identity().host());
+    if (daemon == null) {
+      return false;
+    }
+    boolean lately = daemon.sinceToldMs(nowMs) < RETELL_MS;
+    boolean tells = first || !lately && hasCloserLeader(subscriber, nowMs);
+    if (tells) {
+      daemon.markTold(nowMs);
+    }
+    return tells;
+  }
+
   /** Returns whether this incarnation of another daemon is alive. */
   public boolean isAlive(FleetMember member) {
     DaemonState daemon = daemons.get(member.identity().host());
--- a/org.fawndrum/src/org/fawndrum/coordination/membership/LinkSelector.java
+++ b/org.fawndrum/src/org/fawndrum/coordination/membership/LinkSelector.java
@@ -27,7 +27,7 @@
    * How long a silent zone leader is not chosen again, in milliseconds; longer than the time after
    * which it counts as gone.
    */
-  private static final long EXCLUSION_MS = 5_000;
+  static final long EXCLUSION_MS = 5_000;
 
   /**
    * How long a selection is valid while no daemon comes or goes, in milliseconds. Only a subscriber
--- a/org.fawndrum/src/org/fawndrum/transport/relay/FleetDuty.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/FleetDuty.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Random;
 import java.util.Set;
 import java.util.function.BiConsumer;
 import java.util.function.LongSupplier;
@@ -17,6 +18,7 @@
 import org.fawndrum.coordination.membership.FleetMember;
 import org.fawndrum.coordination.membership.FleetOverlay;
 import org.fawndrum.coordination.membership.FleetReport;
+import org.fawndrum.coordination.membership.HeartbeatSchedule;
 import org.fawndrum.coordination.membership.SilentContacts;
 import org.fawndrum.internal.duty.Duty;
 import org.fawndrum.internal.duty.Ring;
@@ -39,12 +41,6 @@
 final class FleetDuty implements StorePeers {
   private static final int RING_SIZE = 8_192;
 
-  /** The interval of heartbeats, in milliseconds. */
-  private static final long HEARTBEAT_MS = 1_000;
-
-  /** The interval of heartbeats while no other daemon is known, in milliseconds. */
-  private static final long SEARCH_HEARTBEAT_MS = 250;
-
   /**
    * Number of live peers from which on a zone receives at once only the reports about its own
    * engines. With 76 daemons, receiving reports about all engines took more processor time than is
@@ -85,6 +81,7 @@
   private volatile List<HostAddress> silentPeers = List.of();
   private volatile Set<String> silentZones = Set.of();
   private volatile boolean allHostsReporting = true;
+  private final HeartbeatSchedule heartbeats = new HeartbeatSchedule(new Random()::nextDouble);
   private long sequence;
   private long nextHeartbeatMs;
   private long nextViewUpdateMs;
@@ -185,6 +182,15 @@
     return zoneLeader;
   }
 
+  /**
+   * Returns whether this daemon reads the store for others: it leads its zone, and others are
+   * known, or none are to be found.
+   */
+  boolean readsForOthers() {
+    boolean alone = livePeers.isEmpty() && !currentSettings.get().otherSeeds().isEmpty();
+    return zoneLeader == null && !alone;
+  }
+
   void offer(FleetEvent event) {
     duty.offer(event);
   }
@@ -231,6 +237,10 @@
     long nowMs = clock.nowMs();
     boolean first = !overlay.isAlive(message.from());
     overlay.receivedFrom(message.from(), message.subscribes(), nowMs);
+    if (livePeers.isEmpty()) {
+      // The first one that was found: others rely on knowing so at once.
+      nextHeartbeatMs = nowMs;
+    }
     overlay.addMembers(message.knownMembers(), nowMs);
     List<FleetReport> newReports = new ArrayList<>();
     for (FleetReport report : message.reports()) {
@@ -244,8 +254,8 @@
     if (overlay.forwards(nowMs)) {
       forwarder.add(newReports, nowMs);
     }
-    if (message.subscribes() && (first || overlay.hasCloserLeader(message.from(), nowMs))) {
-      sendKnownMembers(message.from());
+    if (message.subscribes() && overlay.tells(message.from(), first, nowMs)) {
+      messenger.sendMembers(message.from(), overlay::alive);
     }
   }
 
@@ -278,12 +288,6 @@
     return to;
   }
 
-  private void sendKnownMembers(FleetMember to) {
-    FleetNews.Builder builder = messenger.newMessage();
-    overlay.alive().forEach(peer -> builder.addKnown(FleetCodec.write(peer)));
-    messenger.send(messenger.withAllRates(builder), List.of(to.address()));
-  }
-
   private long tick() {
     long nowMs = clock.nowMs();
     watcher.logAppeared();
@@ -300,7 +304,7 @@
     }
     if (nowMs >= nextHeartbeatMs) {
       publishPeers(nowMs);
-      nextHeartbeatMs = nowMs + (livePeers.isEmpty() ? SEARCH_HEARTBEAT_MS : HEARTBEAT_MS);
+      nextHeartbeatMs = nowMs + heartbeats.nextMs(livePeers.isEmpty());
       listener.workRequested(work -> duty.offer(new FleetEvent.AllWork(work)));
     }
     if (rateReports.takeDue(nowMs)) {
--- a/org.fawndrum/src/org/fawndrum/transport/relay/FleetMessenger.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/FleetMessenger.java
@@ -12,6 +12,7 @@
 import org.fawndrum.protocol.FleetCodec;
 import org.fawndrum.protocol.PeerCodec;
 import org.fawndrum.protocol.PermitCodec;
+import org.fawndrum.protocol.wire.DaemonPlace;
 import org.fawndrum.protocol.wire.FleetNews;
 import org.fawndrum.protocol.wire.PeerMessage;
 import org.fawndrum.protocol.wire.PermitNews;
@@ -24,6 +25,12 @@
  * the store, and what it has newly learned about endpoints. Confined to one thread.
  */
 final class FleetMessenger {
+  /**
+   * How long the list of living daemons is used that was made for one that joins, in milliseconds:
+   * short against the interval of heartbeats, by which those that join learn the others, too.
+   */
+  private static final long MEMBERS_INTERVAL_MS = 100;
+
   private final Supplier<StorePositions> storePositions;
   private final LongSupplier crashSummary;
   private final PeerNetwork network;
@@ -31,6 +38,8 @@
   private final ShutdownNotices shutdownNotices;
   private final RateReports rateReports;
   private FleetMember self;
+  private List<DaemonPlace> members = List.of();
+  private long membersUntilMs;
 
   FleetMessenger(
       FleetMember self,
@@ -95,6 +104,19 @@
         .addAllRates(PermitCodec.writeRates(rateReports.all(), clock.nowMs()));
   }
 
+  /**
+   * Tells a daemon which daemons are alive. Many may join at once, so that what they are told is
+   * made anew only after a time.
+   */
+  void sendMembers(FleetMember to, Supplier<List<FleetMember>> alive) {
+    long nowMs = clock.nowMs();
+    if (nowMs >= membersUntilMs) {
+      membersUntilMs = nowMs + MEMBERS_INTERVAL_MS;
+      members = alive.get().stream().map(FleetCodec::write).toList();
+    }
+    send(withAllRates(newMessage().addAllKnown(members)), List.of(to.address()));
+  }
+
   void send(FleetNews.Builder builder, Collection<HostAddress> to) {
     send(message().setFleetNews(builder).build(), to);
   }
--- a/org.fawndrum/src/org/fawndrum/transport/relay/LogReadSchedule.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/LogReadSchedule.java
@@ -16,7 +16,7 @@
   /**
    * Creates the schedule of one log.
    *
-   * @param leader whether this host is the leader of its zone
+   * @param leader whether this host reads the store for others, too
    * @param ageMs the age of the log state cached by this host, in milliseconds
    * @param maxAgeMs the age up to which it need not read the log itself, in milliseconds
    */
--- a/org.fawndrum/src/org/fawndrum/transport/relay/RelayRuntime.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/RelayRuntime.java
@@ -138,7 +138,7 @@
         routes,
         this::bounds,
         lateness::allowanceMs,
-        () -> fleet.zoneLeader() == null,
+        () -> fleet.readsForOthers(),
         this::applyListing,
         starts,
         clock,
--- a/org.fawndrum/src/org/fawndrum/transport/relay/ReportForwarder.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/ReportForwarder.java
@@ -65,6 +65,7 @@
     List<FleetReport> all = buffer.drain(nowMs);
     boolean withRates = allRates;
     allRates = false;
+    byZone.values().removeIf(List::isEmpty);
     byZone.forEach(
         (zone, members) -> {
           List<FleetReport> reports =
--- a/org.fawndrum/src/org/fawndrum/transport/relay/StoreReader.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/StoreReader.java
@@ -36,7 +36,7 @@
    * @param routes receives the configuration and the drained zones
    * @param bounds the limits for revoked keys and for drains
    * @param lateMs for how long a call waits for this host itself, in milliseconds
-   * @param leader whether this host is the leader of its zone
+   * @param leader whether this host reads the store for others, too
    * @param onListing receives each new list of endpoints
    * @param starts receives what the entries of endpoints say about their starts
    */
