--- a/org.fawndrum/src/org/fawndrum/transport/relay/RelayRuntime.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/RelayRuntime.java
@@ -66,7 +66,6 @@
   private final ProxyServer proxy;
   private final StartLog startLog;
   private volatile long listingVersion = -1;
-  private volatile long listedAtMs;
 
   /**
    * Creates a host that has not started.
@@ -266,13 +265,13 @@
         routes.table().revision(),
         routes.table().revision() < 0 ? -1 : routes.ageMs(nowMs),
         listingVersion,
-        listingVersion < 0 ? -1 : nowMs - listedAtMs,
+        listingVersion < 0 ? -1 : store.endpoints().ageMs(nowMs),
         lateness.usualMs());
   }
 
   private void gauges(MetricRegistry registry, EndpointPermits permits) {
     RelayGauges gauges = new RelayGauges(registry);
-    gauges.state(routes, store.endpoints(), () -> clock.nowMs() - listedAtMs, clock);
+    gauges.state(routes, store.endpoints(), clock);
     gauges.process(startLog);
     gauges.decisions(decisions, stallWatch, permits);
     gauges.callers(callers, holds);
@@ -367,7 +366,6 @@
 
   private void applyListing(HostListing listing) {
     listingVersion = listing.version();
-    listedAtMs = clock.nowMs();
     engineControl.updateListing(listing);
     starts.listingChanged(listing);
     paths.checks().listingChanged(listing);
