A host that is late is not given a new connection each second

Cause: a request to a host without a reply within a second gave up its connection, for it may have fallen silent, and the next one opened another. On two cores the host asked by all had 101 connections of 81 hosts, 49 of them not accepted yet and 87 with unread bytes, and 1,258 closed ones were left of a minute: accepting them took the time that its replies needed.

Now a connection has twice the time of the one before it, from 1 s to 8 s, until a reply arrives. A silent connection is found as soon as before, since the new one brings a reply.

--- a/org.fawndrum/src/org/fawndrum/transport/peer/NettyPeerNetwork.java
+++ b/org.fawndrum/src/org/fawndrum/transport/peer/NettyPeerNetwork.java
@@ -47,6 +47,13 @@
   /** The number of the last request to which a reply arrived on a connection. */
   private static final AttributeKey<Long> ANSWERED = AttributeKey.valueOf("answered");
 
+  /** When a request was written to a connection on which no reply has arrived since. */
+  private static final AttributeKey<Long> WAITING_SINCE_NANOS =
+      AttributeKey.valueOf("waitingSince");
+
+  /** The host to which a connection was opened; null for those that others opened. */
+  private static final AttributeKey<HostAddress> OPENED_TO = AttributeKey.valueOf("openedTo");
+
   private final EventLoopGroup loop =
       new MultiThreadIoEventLoopGroup(
           1, new DefaultThreadFactory("peers", true), NioIoHandler.newFactory());
@@ -58,6 +65,7 @@
   private final Map<HostAddress, CompletableFuture<Channel>> channels = new ConcurrentHashMap<>();
   private final Map<Long, CompletableFuture<PeerMessage>> pendingReplies =
       new ConcurrentHashMap<>();
+  private final Patience patience = new Patience(REPLY_TIMEOUT_MS);
   private final AtomicLong lastExchange = new AtomicLong();
   private final AtomicLong droppedMessages = new AtomicLong();
   private final MessageCounts sent = new MessageCounts();
@@ -148,7 +156,7 @@
           default -> false;
         };
     if (isReply) {
-      context.channel().attr(ANSWERED).set(message.getExchange());
+      replied(context.channel(), message.getExchange());
       CompletableFuture<PeerMessage> pending = pendingReplies.remove(message.getExchange());
       if (pending != null) {
         pending.complete(message);
@@ -160,6 +168,15 @@
         reply -> write(context.channel(), reply.setExchange(message.getExchange()).build()));
   }
 
+  private void replied(Channel channel, long exchange) {
+    channel.attr(ANSWERED).set(exchange);
+    channel.attr(WAITING_SINCE_NANOS).set(null);
+    HostAddress peer = channel.attr(OPENED_TO).get();
+    if (peer != null) {
+      patience.replied(peer);
+    }
+  }
+
   @Override
   public void send(HostAddress to, PeerMessage message) {
     send(List.of(to), message);
@@ -196,6 +213,7 @@
           if (channel == null) {
             reply.completeExceptionally(failure);
           } else {
+            channel.attr(WAITING_SINCE_NANOS).setIfAbsent(System.nanoTime());
             write(channel, request);
           }
         });
@@ -220,8 +238,9 @@
   }
 
   /**
-   * Drops a connection on which no reply to a request or to a later one has arrived: it may have
-   * fallen silent for good. The next message opens a new one, even before this one is closed.
+   * Drops a connection on which no reply to a request or to a later one has arrived for as long as
+   * it is to have patience: it may have fallen silent for good. The next message opens a new one,
+   * even before this one is closed.
    */
   private void dropUnanswered(
       HostAddress peer, CompletableFuture<Channel> connection, long exchange) {
@@ -231,12 +250,18 @@
     }
     Channel channel = connection.join();
     Long answered = channel.attr(ANSWERED).get();
-    if (answered == null || answered < exchange) {
+    boolean silent = answered == null || answered < exchange;
+    if (silent && patience.givesUp(peer, waitingMs(channel))) {
       channels.remove(peer, connection);
       channel.close();
     }
   }
 
+  private static long waitingMs(Channel channel) {
+    Long sinceNanos = channel.attr(WAITING_SINCE_NANOS).get();
+    return sinceNanos == null ? 0 : TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - sinceNanos);
+  }
+
   @Override
   public void disconnect(HostAddress peer) {
     CompletableFuture<Channel> channel = channels.remove(peer);
@@ -294,6 +319,7 @@
       return;
     }
     Channel channel = done.channel();
+    channel.attr(OPENED_TO).set(to);
     channel.closeFuture().addListener(closed -> channels.remove(to, connected));
     connected.complete(channel);
   }
