A host that is late from its start on knows it after three rounds

What callers saw: 504 and no answer in time from hosts that had just started; they took on what they could not finish.

Now the rounds that were count, from three on. HostLatenessTest.hostThatIsLateFromItsStartOnKnowsItAfterAFewRounds fails on the old code. hostThatIsLateForAMomentRefusesNothing was wrong as written: its host had four rounds in all, each a minute late. Such a host is not late for a moment, and refusing nothing there is what callers suffered from. It asks the same now of a host that had been in time, where it holds as before, and a new case asks that the first two rounds of a start decide nothing. hostThatIsLateMostOfTheTime... begins with rounds in time, for the same reason.

--- a/org.fawndrum/src/org/fawndrum/coordination/HostLateness.java
+++ b/org.fawndrum/src/org/fawndrum/coordination/HostLateness.java
@@ -6,8 +6,9 @@
 /**
  * How late this host does its own work, and whether a request can still be answered in time by a
  * host that is so late. It is told of rounds: regular steps that pass through the same threads as a
- * request. Most of the last rounds decide, so that a host that was late for a moment refuses
- * nothing. Recorded by one thread; its other methods are thread-safe. Times are in milliseconds.
+ * request. Most of the last rounds decide, of those that there have been, so that a host that was
+ * late for a moment refuses nothing, and one that is late from its start on knows it. Recorded by
+ * one thread; its other methods are thread-safe. Times are in milliseconds.
  */
 public final class HostLateness {
   /**
@@ -32,8 +33,11 @@
    */
   static final long MAX_ALLOWANCE_MS = 1_000;
 
-  /** The round of those that count, in order of their lateness, that counts as usual. */
-  private static final int USUAL = ROUNDS / 2 - 1;
+  /**
+   * Rounds without which a host does not find itself late: the first ones of a start are late on
+   * any machine. On a host that lacks processor time they take some seconds.
+   */
+  static final int MIN_ROUNDS = 3;
 
   private final long[] lastMs = new long[ROUNDS];
   private int rounds;
@@ -47,9 +51,10 @@
    */
   public void recordRound(long dueMs, long passedMs) {
     lastMs[rounds++ % ROUNDS] = Math.max(0, passedMs - dueMs);
-    long[] sorted = lastMs.clone();
+    int counted = Math.min(rounds, ROUNDS);
+    long[] sorted = Arrays.copyOf(lastMs, counted);
     Arrays.sort(sorted);
-    usualMs = sorted[USUAL];
+    usualMs = counted < MIN_ROUNDS ? 0 : sorted[(counted - 1) / 2];
   }
 
   /** Returns a time by which more than half of the last rounds were late. */
--- a/org.fawndrum/tst/org/fawndrum/coordination/HostLatenessTest.java
+++ b/org.fawndrum/tst/org/fawndrum/coordination/HostLatenessTest.java
@@ -29,14 +29,35 @@
 
   @Test
   void hostThatIsLateForAMomentRefusesNothing() {
+    rounds(HostLateness.ROUNDS, 0);
     rounds(HALF, 60_000);
     assertTrue(lateness.canFinish(0));
     rounds(HALF, 0);
     assertTrue(lateness.canFinish(0));
   }
 
+  @Test
+  void hostThatIsLateInItsFirstRoundsOnlyRefusesNothing() {
+    rounds(HostLateness.MIN_ROUNDS - 1, 60_000);
+    assertTrue(lateness.canFinish(0));
+    rounds(HostLateness.MIN_ROUNDS - 1, 0);
+    assertTrue(lateness.canFinish(0));
+  }
+
+  /**
+   * After a loss of power, hosts took on what they could not finish for 21 s: rounds that had not
+   * been yet counted as in time.
+   */
+  @Test
+  void hostThatIsLateFromItsStartOnKnowsItAfterAFewRounds() {
+    rounds(HostLateness.MIN_ROUNDS, LATE_MS);
+    assertEquals(LATE_MS, lateness.usualMs());
+    assertFalse(lateness.canFinish(DEADLINE_MS - 1));
+  }
+
   @Test
   void hostThatIsLateMostOfTheTimeCannotFinishWhatIsDueSooner() {
+    rounds(HALF - 1, 0);
     rounds(HALF + 1, LATE_MS);
     assertEquals(LATE_MS, lateness.usualMs());
     assertTrue(lateness.canFinish(DEADLINE_MS));
