A silent connection that opened late is replaced, too

What callers saw: a request sent through a host whose connection had fallen silent failed, and the next one as well.

Cause: a connection had been waited on from when its first request was written, and the request was given up 1 s after it was made, which is earlier by the time that the connection took to open. So the first request without a reply never counted as 1 s, and if no second one came, the connection stayed.

Now the time counts from when the first request was made after which no reply has arrived, or from the one that is given up. That one has waited for 1 s always.

--- a/org.fawndrum/src/org/fawndrum/transport/peer/NettyPeerNetwork.java
+++ b/org.fawndrum/src/org/fawndrum/transport/peer/NettyPeerNetwork.java
@@ -47,7 +47,7 @@
   /** The number of the last request to which a reply arrived on a connection. */
   private static final AttributeKey<Long> ANSWERED = AttributeKey.valueOf("answered");
 
-  /** When a request was written to a connection on which no reply has arrived since. */
+  /** When the first request of a connection was made after which no reply has arrived. */
   private static final AttributeKey<Long> WAITING_SINCE_NANOS =
       AttributeKey.valueOf("waitingSince");
 
@@ -203,6 +203,7 @@
 
   @Override
   public CompletableFuture<PeerMessage> request(HostAddress to, PeerMessage.Builder message) {
+    long startedNanos = System.nanoTime();
     long exchange = lastExchange.incrementAndGet();
     CompletableFuture<PeerMessage> reply = new CompletableFuture<>();
     pendingReplies.put(exchange, reply);
@@ -213,7 +214,7 @@
           if (channel == null) {
             reply.completeExceptionally(failure);
           } else {
-            channel.attr(WAITING_SINCE_NANOS).setIfAbsent(System.nanoTime());
+            channel.attr(WAITING_SINCE_NANOS).setIfAbsent(startedNanos);
             write(channel, request);
           }
         });
@@ -230,7 +231,7 @@
               timeout.cancel(false);
               pendingReplies.remove(exchange);
               if (failure != null) {
-                dropUnanswered(to, connection, exchange);
+                dropUnanswered(to, connection, exchange, startedNanos);
               }
             })
         .exceptionallyCompose(
@@ -243,7 +244,7 @@
    * even before this one is closed.
    */
   private void dropUnanswered(
-      HostAddress peer, CompletableFuture<Channel> connection, long exchange) {
+      HostAddress peer, CompletableFuture<Channel> connection, long exchange, long startedNanos) {
     if (!connection.isDone() || connection.isCompletedExceptionally()) {
       // It is not open yet, or was never opened.
       return;
@@ -251,15 +252,17 @@
     Channel channel = connection.join();
     Long answered = channel.attr(ANSWERED).get();
     boolean silent = answered == null || answered < exchange;
-    if (silent && patience.givesUp(peer, waitingMs(channel))) {
+    if (silent && patience.givesUp(peer, waitingMs(channel, startedNanos))) {
       channels.remove(peer, connection);
       channel.close();
     }
   }
 
-  private static long waitingMs(Channel channel) {
+  /** For how long a request has had no reply, or an earlier one of the same connection. */
+  private static long waitingMs(Channel channel, long startedNanos) {
     Long sinceNanos = channel.attr(WAITING_SINCE_NANOS).get();
-    return sinceNanos == null ? 0 : TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - sinceNanos);
+    long firstNanos = sinceNanos == null ? startedNanos : sinceNanos;
+    return TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - firstNanos);
   }
 
   @Override
--- a/org.fawndrum/tst/org/fawndrum/transport/peer/NettyPeerNetworkTest.java
+++ b/org.fawndrum/tst/org/fawndrum/transport/peer/NettyPeerNetworkTest.java
@@ -44,6 +44,9 @@
   /** Longer than the time after which a request without a reply is given up, in milliseconds. */
   private static final long HELD_UP_MS = 1_500;
 
+  /** Shorter than the time after which a request without a reply is given up, in milliseconds. */
+  private static final long OPENING_MS = 300;
+
   private static final int PEERS = 6;
 
   /** Size of a message that outweighs all else that sending it allocates. */
@@ -122,6 +125,29 @@
     }
   }
 
+  /** A connection that took its time to open was kept for good, silent as it was. */
+  @Test
+  void aSilentConnectionThatOpenedLateIsReplacedByANewOne() throws Exception {
+    try (ServerSocket silent = new ServerSocket(0, 50, InetAddress.getLoopbackAddress())) {
+      HostAddress address = new HostAddress("127.0.0.1", silent.getLocalPort());
+      // The loop opens the connection only after this step.
+      one.afterReading(NettyPeerNetworkTest::delayOpening);
+      try (Socket first = acceptDuring(silent, address);
+          Socket second = acceptDuring(silent, address)) {
+        assertTrue(first.getInputStream().readAllBytes().length > 0);
+        assertTrue(second.isConnected());
+      }
+    }
+  }
+
+  private static void delayOpening() {
+    try {
+      Thread.sleep(OPENING_MS);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
   /**
    * A host without a processor gave a peer up, and closed the connection, though the reply had
    * arrived and was only not read yet. Here its thread is held up for longer than replies may take.
