A host that looks for its leader does not subscribe at the host it asks

What callers saw: after all hosts had lost power, on few cores, 503 for longer than 15 s. Cause: the few hosts that are asked by all took each question for a subscription and forwarded all reports to each of them for 3.5 s, beside the leaders of their zones, while they were as short of processors as those.

Now a question of a host that was not known, and whose zone has another leader, is answered with all that are alive and does not subscribe; its next message does, so that a host whose answer was lost, or whose leader is gone, is no worse off than before. FleetOverlayTest. aHostThatLooksForItsLeaderIsToldOfItAndDoesNotSubscribe fails on the commit before and holds now; FleetJoinTest and FleetSpreadTest hold.

--- a/org.fawndrum/src/org/fawndrum/coordination/membership/FleetOverlay.java
+++ b/org.fawndrum/src/org/fawndrum/coordination/membership/FleetOverlay.java
@@ -107,16 +107,21 @@
     // Switched off, so that the host's clock counts: with it, lists of endpoints came too late.
   }
 
-  /** Records a message that came from a daemon itself. */
+  /**
+   * Records a message that came from a daemon itself. One that was not known before it, and whose
+   * reports another daemon is to forward, looks for that one: it is to be told of it, see {@link
+   * #tells}, and does not subscribe yet.
+   */
   public void receivedFrom(FleetMember member, boolean subscribes, long nowMs) {
     if (isSelf(member.identity())) {
       return;
     }
+    boolean known = isAlive(member);
     markAlive(member, nowMs);
     DaemonState daemon = daemons.get(member.identity().host());
     long listenedMs = listening.at(nowMs);
     daemon.markMessage(listenedMs);
-    if (subscribes) {
+    if (subscribes && (known || !hasOtherLeader(member, nowMs))) {
       if (!daemon.isSubscriber(listenedMs)) {
         links.invalidate();
       }
@@ -224,6 +229,15 @@
         && !best.identity().equals(subscriber.identity());
   }
 
+  /** Returns whether a third daemon is the leader of a daemon's zone. */
+  private boolean hasOtherLeader(FleetMember member, long nowMs) {
+    if (!member.zone().equals(self.zone())) {
+      return hasCloserLeader(member, nowMs);
+    }
+    HostIdentity leader = zoneLeader(nowMs).identity();
+    return !isSelf(leader) && !leader.equals(member.identity());
+  }
+
   /**
    * Returns whether a subscriber is to be told now which daemons are alive: it was not known before
    * its message, or its zone has a leader that it seems not to know and that it was not told of
--- a/org.fawndrum/tst/org/fawndrum/coordination/membership/FleetOverlayTest.java
+++ b/org.fawndrum/tst/org/fawndrum/coordination/membership/FleetOverlayTest.java
@@ -77,6 +77,29 @@
     assertEquals(List.of(current), overlay.alive());
   }
 
+  /**
+   * After a loss of power all hosts asked the same few, which then forwarded all reports to each of
+   * them for seconds, beside their leaders.
+   */
+  @Test
+  void aHostThatLooksForItsLeaderIsToldOfItAndDoesNotSubscribe() {
+    FleetMember sameZone = member("a-3", 1, "a", 1);
+    FleetMember otherZone = member("b-3", 1, "b", 1);
+    overlay.receivedFrom(member("a-1", 1, "a", 100), true, 0);
+    overlay.receivedFrom(member("b-1", 1, "b", 100), true, 0);
+    overlay.receivedFrom(sameZone, true, 10);
+    overlay.receivedFrom(otherZone, true, 10);
+    assertTrue(overlay.tells(sameZone, true, 10));
+    assertTrue(overlay.tells(otherZone, true, 10));
+    assertFalse(overlay.sameZoneLinks(10).contains(sameZone));
+    assertFalse(overlay.otherZoneLinks(10).contains(otherZone));
+    // They know it better, or were not told.
+    overlay.receivedFrom(sameZone, true, 1_000);
+    overlay.receivedFrom(otherZone, true, 1_000);
+    assertTrue(overlay.sameZoneLinks(1_000).contains(sameZone));
+    assertTrue(overlay.otherZoneLinks(1_000).contains(otherZone));
+  }
+
   /** Guards against two zone leaders that forwarded such reports to each other forever. */
   @Test
   void reportsOfTwoIncarnationsDoNotCirculate() {
