Hosts that join are told on the connection by which they asked

Cause: a host that was asked by all opened a connection to each of them for its answer, which they, late themselves, accepted late or never, so that many asked again or never heard of another host.

Now the answer goes back on the connection of the question, as replies to requests do.

--- a/org.fawndrum/src/org/fawndrum/transport/relay/FleetDuty.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/FleetDuty.java
@@ -255,7 +255,7 @@
       forwarder.add(newReports, nowMs);
     }
     if (message.subscribes() && overlay.tells(message.from(), first, nowMs)) {
-      messenger.sendMembers(message.from(), overlay::alive);
+      messenger.sendMembers(message.reply(), overlay::alive);
     }
   }
 
--- a/org.fawndrum/src/org/fawndrum/transport/relay/FleetEvent.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/FleetEvent.java
@@ -3,6 +3,7 @@
 
 import java.util.List;
 import java.util.Optional;
+import java.util.function.Consumer;
 import org.fawndrum.coordination.Action;
 import org.fawndrum.coordination.crash.CrashUpdate;
 import org.fawndrum.coordination.engine.EngineUpdate;
@@ -11,6 +12,7 @@
 import org.fawndrum.coordination.limit.PermitGrant;
 import org.fawndrum.coordination.membership.FleetMember;
 import org.fawndrum.coordination.membership.FleetReport;
+import org.fawndrum.protocol.wire.PeerMessage;
 import org.fawndrum.state.HostAddress;
 import org.fawndrum.state.HostIdentity;
 
@@ -22,7 +24,11 @@
   /** All of this host's work, for a heartbeat. */
   record AllWork(List<EngineUpdate> work) implements FleetEvent {}
 
-  /** A message of another daemon. */
+  /**
+   * A message of another daemon.
+   *
+   * @param reply sends an answer on the connection by which the message came; it may be lost
+   */
   record MessageReceived(
       FleetMember from,
       boolean subscribes,
@@ -30,7 +36,8 @@
       List<FleetMember> knownMembers,
       PeerCrashReport crashes,
       List<HostIdentity> shuttingDown,
-      List<Statement> rates)
+      List<Statement> rates,
+      Consumer<PeerMessage.Builder> reply)
       implements FleetEvent {}
 
   /** The rate that an endpoint accepts has changed; the other daemons are to be notified. */
--- a/org.fawndrum/src/org/fawndrum/transport/relay/FleetMessenger.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/FleetMessenger.java
@@ -5,6 +5,7 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
+import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
 import org.fawndrum.coordination.membership.FleetMember;
@@ -105,16 +106,17 @@
   }
 
   /**
-   * Tells a daemon which daemons are alive. Many may join at once, so that what they are told is
-   * made anew only after a time.
+   * Tells a daemon which daemons are alive, on the connection by which it asked: a daemon that all
+   * others ask needs no connection to each of them. Many may join at once, so that what they are
+   * told is made anew only after a time.
    */
-  void sendMembers(FleetMember to, Supplier<List<FleetMember>> alive) {
+  void sendMembers(Consumer<PeerMessage.Builder> reply, Supplier<List<FleetMember>> alive) {
     long nowMs = clock.nowMs();
     if (nowMs >= membersUntilMs) {
       membersUntilMs = nowMs + MEMBERS_INTERVAL_MS;
       members = alive.get().stream().map(FleetCodec::write).toList();
     }
-    send(withAllRates(newMessage().addAllKnown(members)), List.of(to.address()));
+    reply.accept(message().setFleetNews(withAllRates(newMessage().addAllKnown(members))));
   }
 
   void send(FleetNews.Builder builder, Collection<HostAddress> to) {
--- a/org.fawndrum/src/org/fawndrum/transport/relay/FleetReceiver.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/FleetReceiver.java
@@ -51,7 +51,7 @@
     if (message.hasKnowledgeRequest()) {
       reply.accept(storeSync.get().reply(message.getKnowledgeRequest()));
     } else if (message.hasFleetNews()) {
-      received(message.getFleetNews());
+      received(message.getFleetNews(), reply);
     } else if (message.hasPermitNews()) {
       PermitNews news = message.getPermitNews();
       fleet.accept(
@@ -62,7 +62,7 @@
     }
   }
 
-  private void received(FleetNews message) {
+  private void received(FleetNews message, Consumer<PeerMessage.Builder> reply) {
     long nowMs = clock.nowMs();
     FleetMember sender = FleetCodec.read(message.getSender());
     List<FleetReport> reports = new ArrayList<>(message.getReportsCount());
@@ -88,7 +88,8 @@
             knownMembers,
             crashes,
             shuttingDown,
-            PermitCodec.readRates(message.getRatesList(), nowMs)));
+            PermitCodec.readRates(message.getRatesList(), nowMs),
+            reply));
     storeSync
         .get()
         .peerUpdated(
--- a/org.fawndrum/tst/org/fawndrum/transport/relay/LateFleetDutyTest.java
+++ b/org.fawndrum/tst/org/fawndrum/transport/relay/LateFleetDutyTest.java
@@ -133,7 +133,7 @@
     PeerCrashReport crashes = new PeerCrashReport(PEER, CrashUpdate.NONE, false, 0);
     duty.offer(
         new FleetEvent.MessageReceived(
-            peer, true, List.of(), List.of(), crashes, List.of(), List.of()));
+            peer, true, List.of(), List.of(), crashes, List.of(), List.of(), reply -> {}));
   }
 
   /**
