--- a/org.fawndrum/src/org/fawndrum/transport/peer/NettyPeerNetwork.java
+++ b/org.fawndrum/src/org/fawndrum/transport/peer/NettyPeerNetwork.java
@@ -65,7 +65,7 @@
   private final Map<HostAddress, CompletableFuture<Channel>> channels = new ConcurrentHashMap<>();
   private final Map<Long, CompletableFuture<PeerMessage>> pendingReplies =
       new ConcurrentHashMap<>();
-  private final Patience patience = new Patience(REPLY_TIMEOUT_MS);
+  private final ReplyTimeouts timeouts = new ReplyTimeouts(REPLY_TIMEOUT_MS);
   private final AtomicLong lastExchange = new AtomicLong();
   private final AtomicLong droppedMessages = new AtomicLong();
   private final MessageCounts sent = new MessageCounts();
@@ -173,7 +173,7 @@
     channel.attr(WAITING_SINCE_NANOS).set(null);
     HostAddress peer = channel.attr(OPENED_TO).get();
     if (peer != null) {
-      patience.replied(peer);
+      timeouts.replied(peer);
     }
   }
 
@@ -239,9 +239,9 @@
   }
 
   /**
-   * Drops a connection on which no reply to a request or to a later one has arrived for as long as
-   * it is to have patience: it may have fallen silent for good. The next message opens a new one,
-   * even before this one is closed.
+   * Drops a connection on which no reply to a request or to a later one has arrived within its
+   * timeout: it may have fallen silent for good. The next message opens a new one, even before this
+   * one is closed.
    */
   private void dropUnanswered(
       HostAddress peer, CompletableFuture<Channel> connection, long exchange, long startedNanos) {
@@ -252,7 +252,7 @@
     Channel channel = connection.join();
     Long answered = channel.attr(ANSWERED).get();
     boolean silent = answered == null || answered < exchange;
-    if (silent && patience.givesUp(peer, waitingMs(channel, startedNanos))) {
+    if (silent && timeouts.givesUp(peer, waitingMs(channel, startedNanos))) {
       channels.remove(peer, connection);
       channel.close();
     }
--- a/org.fawndrum/src/org/fawndrum/transport/peer/Patience.java
+++ b/org.fawndrum/src/org/fawndrum/transport/peer/ReplyTimeouts.java
@@ -12,7 +12,7 @@
  * each one gets twice the time of the one before, until a reply arrives. Thread-safe; times are in
  * milliseconds.
  */
-final class Patience {
+final class ReplyTimeouts {
   /** The longest time: several times what a host needs that has few processors and just started. */
   static final long MAX_MS = 8_000;
 
@@ -20,11 +20,11 @@
   private final Map<HostAddress, Long> current = new ConcurrentHashMap<>();
 
   /**
-   * Creates the patience with hosts that have not failed to reply yet.
+   * Creates the timeouts with hosts that have not failed to reply yet.
    *
    * @param firstMs the time for the first connection to each host
    */
-  Patience(long firstMs) {
+  ReplyTimeouts(long firstMs) {
     this.firstMs = firstMs;
   }
 
@@ -39,11 +39,11 @@
    * @param unansweredMs for how long requests on it have been without a reply
    */
   boolean givesUp(HostAddress host, long unansweredMs) {
-    long patienceMs = current.getOrDefault(host, firstMs);
-    if (unansweredMs < patienceMs) {
+    long timeoutMs = current.getOrDefault(host, firstMs);
+    if (unansweredMs < timeoutMs) {
       return false;
     }
-    current.put(host, Math.min(MAX_MS, 2 * patienceMs));
+    current.put(host, Math.min(MAX_MS, 2 * timeoutMs));
     return true;
   }
 }
--- a/org.fawndrum/tst/org/fawndrum/transport/peer/PatienceTest.java
+++ b/org.fawndrum/tst/org/fawndrum/transport/peer/ReplyTimeoutsTest.java
@@ -13,19 +13,19 @@
  * opened new ones, once a second, because it was late; accepting them took the time that its
  * answers needed.
  */
-class PatienceTest {
+class ReplyTimeoutsTest {
   private static final long FIRST_MS = 1_000;
   private static final HostAddress LATE = new HostAddress("10.0.0.1", 7);
   private static final HostAddress OTHER = new HostAddress("10.0.0.2", 7);
 
-  private final Patience patience = new Patience(FIRST_MS);
+  private final ReplyTimeouts timeouts = new ReplyTimeouts(FIRST_MS);
 
   /** Returns how many connections a minute brings if none of them brings a reply. */
   private int connectionsInAMinute() {
     int opened = 1;
     long openedMs = 0;
     for (long nowMs = 0; nowMs < 60_000; nowMs += FIRST_MS / 2) {
-      if (patience.givesUp(LATE, nowMs - openedMs)) {
+      if (timeouts.givesUp(LATE, nowMs - openedMs)) {
         openedMs = nowMs;
         opened++;
       }
@@ -41,16 +41,16 @@
 
   @Test
   void aConnectionThatFellSilentIsGivenUpAtOnce() {
-    assertFalse(patience.givesUp(LATE, FIRST_MS - 1));
-    assertTrue(patience.givesUp(LATE, FIRST_MS));
-    patience.replied(LATE);
-    assertTrue(patience.givesUp(LATE, FIRST_MS));
+    assertFalse(timeouts.givesUp(LATE, FIRST_MS - 1));
+    assertTrue(timeouts.givesUp(LATE, FIRST_MS));
+    timeouts.replied(LATE);
+    assertTrue(timeouts.givesUp(LATE, FIRST_MS));
   }
 
   @Test
-  void eachHostHasAPatienceOfItsOwn() {
-    assertTrue(patience.givesUp(LATE, FIRST_MS));
-    assertFalse(patience.givesUp(LATE, FIRST_MS));
-    assertTrue(patience.givesUp(OTHER, FIRST_MS));
+  void eachHostHasATimeoutOfItsOwn() {
+    assertTrue(timeouts.givesUp(LATE, FIRST_MS));
+    assertFalse(timeouts.givesUp(LATE, FIRST_MS));
+    assertTrue(timeouts.givesUp(OTHER, FIRST_MS));
   }
 }
