--- a/org.fawndrum/src/org/fawndrum/transport/relay/EndpointReader.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/EndpointReader.java
@@ -83,12 +83,6 @@
   private volatile long unusableCount;
   private long version;
 
-  /**
-   * Whether the list has changed since it was last passed on. A host that reads the store itself
-   * reads it more than once a second, and whoever receives a list goes through all of it.
-   */
-  private boolean changed = true;
-
   EndpointReader(
       RelayDecoder decoder,
       Consumer<HostListing> onListing,
@@ -255,9 +249,7 @@
       RelayDecoder.EndpointEntry before = entries.put(record.key(), entry);
       boolean startChanged =
           isNewest(record.key(), entry) && starts.entryRead(entry.endpoint(), entry.startingMs());
-      boolean same = entry.hasSameContent(before);
-      changed |= !same;
-      if (startChanged || !same) {
+      if (startChanged || !entry.hasSameContent(before)) {
         entryChanges.recordChange(record.key(), page.positionAfter(record));
       }
       expiredKeys.remove(record.key());
@@ -318,7 +310,6 @@
     expiredKeys.remove(key);
     newest.remove(key);
     if (entries.remove(key) != null) {
-      changed = true;
       entryHistory.recordRemoval(key, pageEnd.epoch());
       // One position beyond the end, so that hosts that have read up to the end receive the change,
       // too.
@@ -348,10 +339,6 @@
   }
 
   private void publish() {
-    if (!changed) {
-      return;
-    }
-    changed = false;
     Set<String> previous = keysWithoutStart;
     keysWithoutStart = findKeysWithoutStart();
     keysWithoutStart.stream()
--- a/org.fawndrum/src/org/fawndrum/transport/relay/RelayGauges.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/RelayGauges.java
@@ -3,6 +3,7 @@
 
 import com.codahale.metrics.MetricRegistry;
 import java.util.List;
+import java.util.function.LongSupplier;
 import org.fawndrum.coordination.limit.EndpointPermits;
 import org.fawndrum.protocol.wire.PeerMessage;
 import org.fawndrum.transport.HostClock;
@@ -25,11 +26,16 @@
     this.registry = registry;
   }
 
-  /** Registers the gauges about the state of the store that this host has cached. */
-  void state(RouteStore routes, EndpointReader endpoints, HostClock clock) {
+  /**
+   * Registers the gauges about the state of the store that this host has cached.
+   *
+   * @param listingAgeMs the age of the list of endpoints, in milliseconds
+   */
+  void state(
+      RouteStore routes, EndpointReader endpoints, LongSupplier listingAgeMs, HostClock clock) {
     registry.registerGauge("configurationRevision", () -> routes.table().revision());
     registry.registerGauge("configurationAgeMs", () -> routes.ageMs(clock.nowMs()));
-    registry.registerGauge("endpointsAgeMs", () -> endpoints.ageMs(clock.nowMs()));
+    registry.registerGauge("endpointsAgeMs", listingAgeMs::getAsLong);
     registry.registerGauge("drainedZones", () -> routes.drains().current().zones().size());
     registry.registerGauge("unusableEntries", endpoints::unusableCount);
   }
--- a/org.fawndrum/src/org/fawndrum/transport/relay/RelayRuntime.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/RelayRuntime.java
@@ -66,6 +66,7 @@
   private final ProxyServer proxy;
   private final StartLog startLog;
   private volatile long listingVersion = -1;
+  private volatile long listedAtMs;
 
   /**
    * Creates a host that has not started.
@@ -265,13 +266,13 @@
         routes.table().revision(),
         routes.table().revision() < 0 ? -1 : routes.ageMs(nowMs),
         listingVersion,
-        listingVersion < 0 ? -1 : store.endpoints().ageMs(nowMs),
+        listingVersion < 0 ? -1 : nowMs - listedAtMs,
         lateness.usualMs());
   }
 
   private void gauges(MetricRegistry registry, EndpointPermits permits) {
     RelayGauges gauges = new RelayGauges(registry);
-    gauges.state(routes, store.endpoints(), clock);
+    gauges.state(routes, store.endpoints(), () -> clock.nowMs() - listedAtMs, clock);
     gauges.process(startLog);
     gauges.decisions(decisions, stallWatch, permits);
     gauges.callers(callers, holds);
@@ -366,6 +367,7 @@
 
   private void applyListing(HostListing listing) {
     listingVersion = listing.version();
+    listedAtMs = clock.nowMs();
     engineControl.updateListing(listing);
     starts.listingChanged(listing);
     paths.checks().listingChanged(listing);
