The overlay says itself whether a host was new to it

Its caller had to ask before it recorded a message, and the overlay asked again within: the two had to agree, in that order. receivedFrom returns it now; isAlive has no other use and is private.

--- a/org.fawndrum/src/org/fawndrum/coordination/membership/FleetOverlay.java
+++ b/org.fawndrum/src/org/fawndrum/coordination/membership/FleetOverlay.java
@@ -111,22 +111,25 @@
    * Records a message that came from a daemon itself. One that was not known before it, and whose
    * reports another daemon is to forward, looks for that one: it is to be told of it, see {@link
    * #tells}, and does not subscribe yet.
+   *
+   * @return whether this incarnation of another daemon was not known before its message
    */
-  public void receivedFrom(FleetMember member, boolean subscribes, long nowMs) {
+  public boolean receivedFrom(FleetMember member, boolean subscribes, long nowMs) {
     if (isSelf(member.identity())) {
-      return;
+      return false;
     }
-    boolean known = isAlive(member);
+    boolean first = !isAlive(member);
     markAlive(member, nowMs);
     DaemonState daemon = daemons.get(member.identity().host());
     long listenedMs = listening.at(nowMs);
     daemon.markMessage(listenedMs);
-    if (subscribes && (known || !hasOtherLeader(member, nowMs))) {
+    if (subscribes && !(first && hasOtherLeader(member, nowMs))) {
       if (!daemon.isSubscriber(listenedMs)) {
         links.invalidate();
       }
       daemon.markSubscribed(listenedMs);
     }
+    return first;
   }
 
   /**
@@ -243,7 +246,7 @@
    * its message, or its zone has a leader that it seems not to know and that it was not told of
    * lately.
    *
-   * @param first whether it was not known before its message
+   * @param first whether it was not known before its message, see {@link #receivedFrom}
    */
   public boolean tells(FleetMember subscriber, boolean first, long nowMs) {
     DaemonState daemon = daemons.get(subscriber.identity().host());
@@ -259,7 +262,7 @@
   }
 
   /** Returns whether this incarnation of another daemon is alive. */
-  public boolean isAlive(FleetMember member) {
+  private boolean isAlive(FleetMember member) {
     DaemonState daemon = daemons.get(member.identity().host());
     return daemon != null && daemon.isAlive(member.identity());
   }
--- a/org.fawndrum/src/org/fawndrum/transport/relay/FleetDuty.java
+++ b/org.fawndrum/src/org/fawndrum/transport/relay/FleetDuty.java
@@ -235,8 +235,7 @@
 
   private void handleMessage(FleetEvent.MessageReceived message) {
     long nowMs = clock.nowMs();
-    boolean first = !overlay.isAlive(message.from());
-    overlay.receivedFrom(message.from(), message.subscribes(), nowMs);
+    boolean first = overlay.receivedFrom(message.from(), message.subscribes(), nowMs);
     if (livePeers.isEmpty()) {
       // The first one that was found: others rely on knowing so at once.
       nextHeartbeatMs = nowMs;
--- a/org.fawndrum/tst/org/fawndrum/coordination/membership/FleetJoinTest.java
+++ b/org.fawndrum/tst/org/fawndrum/coordination/membership/FleetJoinTest.java
@@ -140,8 +140,7 @@
 
     private void handle(Message message) {
       FleetMember from = message.from().member;
-      boolean first = !overlay.isAlive(from);
-      overlay.receivedFrom(from, message.subscribes(), nowMs);
+      boolean first = overlay.receivedFrom(from, message.subscribes(), nowMs);
       overlay.addMembers(message.known(), nowMs);
       List<FleetReport> accepted =
           message.reports().stream().filter(report -> overlay.accept(report, nowMs)).toList();
