--- a/org.fawndrum/tst/org/fawndrum/transport/relay/EndpointReaderTest.java
+++ b/org.fawndrum/tst/org/fawndrum/transport/relay/EndpointReaderTest.java
@@ -95,6 +95,12 @@
     assertEquals(Set.of(new HostIdentity("c", 0)), listing.drainingEndpoints());
   }
 
+  @Test
+  void theFirstPageIsPassedOnEvenIfItIsEmpty() {
+    reader.applySnapshot(page(), 0);
+    assertEquals(1, listing.version());
+  }
+
   @Test
   void removedEntryIsUnlistedAtOnce() {
     reader.applySnapshot(page("a", READY, "b", READY), 0);
